--- /dev/null
+++ b/bilberrydrum/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration bundles: model, checks, commands and queries."""
--- /dev/null
+++ b/bilberrydrum/counters.py
@@ -0,0 +1,49 @@
+"""The process's metrics, in prometheus_client's default registry."""
+
+from typing import Final
+
+import prometheus_client
+
+from bilberrydrum import reasons
+
+REFUSALS: Final = prometheus_client.Counter(
+    "bilberrydrum_refusals_total", "Requests refused, by reason.", ["reason"]
+)
+RETRIES: Final = prometheus_client.Counter(
+    "bilberrydrum_retries_total", "Attempts made again, by reason.", ["reason"]
+)
+DROPS: Final = prometheus_client.Counter(
+    "bilberrydrum_drops_total", "Messages and results dropped, by reason.", ["reason"]
+)
+REQUESTS: Final = prometheus_client.Counter(
+    "bilberrydrum_requests_total", "Answers to callers.", ["kind", "status"]
+)
+TRAINER_IDLE_SECONDS: Final = prometheus_client.Counter(
+    "bilberrydrum_trainer_idle_seconds_total",
+    "Time trainers spent waiting for a batch.",
+    ["trainer"],
+)
+SAMPLE_STALENESS: Final = prometheus_client.Histogram(
+    "bilberrydrum_sample_staleness_versions",
+    "Versions between the newest published and the oldest in a delivered sample.",
+    ["trainer"],
+    buckets=(0, 1, 2, 3, 4, 6, 8, 12, 16),
+)
+BUNDLE_VERSION: Final = prometheus_client.Gauge(
+    "bilberrydrum_bundle_version", "The bundle version in force at this gateway."
+)
+
+
+def refused(reason: reasons.Reason) -> None:
+    """Count one refusal."""
+    REFUSALS.labels(reason.value).inc()
+
+
+def retried(reason: reasons.Reason) -> None:
+    """Count one attempt that is made again."""
+    RETRIES.labels(reason.value).inc()
+
+
+def dropped(reason: reasons.Reason) -> None:
+    """Count one dropped message or result."""
+    DROPS.labels(reason.value).inc()
--- /dev/null
+++ b/bilberrydrum/http/__init__.py
@@ -0,0 +1,1 @@
+"""The WSGI edge for callers, upstreams, trainers and operators."""
--- /dev/null
+++ b/bilberrydrum/reasons.py
@@ -0,0 +1,82 @@
+"""Why a request was refused, an attempt retried, or a message dropped.
+
+This enumeration is shared by the code, the metrics and the documentation: each value
+is a label of `bilberrydrum_refusals_total`, `bilberrydrum_retries_total` or
+`bilberrydrum_drops_total`, and has an entry in docs/OPERATIONS.md.
+"""
+
+import enum
+
+
+class Reason(enum.StrEnum):
+    """One reason; the value is its label in metrics and problem documents."""
+
+    # Refusals at the edge, before the request is read.
+    BODY_TOO_LARGE = "body-too-large"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    READ_TIMEOUT = "read-timeout"
+    BODY_TRUNCATED = "body-truncated"
+    INVALID_JSON = "invalid-json"
+    INVALID_REQUEST = "invalid-request"
+    UNAUTHORIZED = "unauthorized"
+    NOT_FOUND = "not-found"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+    INTERNAL_ERROR = "internal-error"
+
+    # Refusals of a whole request.
+    SHUTTING_DOWN = "shutting-down"
+    BUNDLE_LEASE_EXPIRED = "bundle-lease-expired"
+    NO_BUNDLE = "no-bundle"
+    STATE_UNAVAILABLE = "state-unavailable"
+    CALLER_NOT_ALLOWED = "caller-not-allowed"
+    MODEL_UNKNOWN = "model-unknown"
+    APPLICATION_UNKNOWN = "application-unknown"
+    NO_UPSTREAM = "no-upstream"
+    QUEUE_FULL = "queue-full"
+    DEADLINE_UNREACHABLE = "deadline-unreachable"
+    RETRY_BUDGET_SPENT = "retry-budget-spent"
+    KEY_REUSED = "key-reused"
+    KEY_EXPIRED = "key-expired"
+    KEY_IN_PROGRESS = "key-in-progress"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    CALLER_GONE = "caller-gone"
+
+    # Why an attempt at an upstream failed; labels of retries.
+    CONNECT_FAILED = "connect-failed"
+    CONNECTION_RESET = "connection-reset"
+    UPSTREAM_TIMEOUT = "upstream-timeout"
+    UPSTREAM_ERROR = "upstream-error"
+    UPSTREAM_BUSY = "upstream-busy"
+    ANSWER_TRUNCATED = "answer-truncated"
+    ANSWER_MISMATCHED = "answer-mismatched"
+
+    # Bundles and the state group.
+    BUNDLE_INVALID = "bundle-invalid"
+    BUNDLE_CONFLICT = "bundle-conflict"
+    BUNDLE_NOT_SIGNED_OFF = "bundle-not-signed-off"
+    BUNDLE_STALE = "bundle-stale"
+    MEMBERSHIP_REFUSED = "membership-refused"
+
+    # Messages between processes that were dropped.
+    MESSAGE_UNKNOWN_TYPE = "message-unknown-type"
+    MESSAGE_NEWER_VERSION = "message-newer-version"
+    MESSAGE_DAMAGED = "message-damaged"
+    MESSAGE_WRONG_GROUP = "message-wrong-group"
+    MESSAGE_STALE_SENDER = "message-stale-sender"
+    PEER_UNREACHABLE = "peer-unreachable"
+
+    # Samples and weights.
+    TRAINER_UNKNOWN = "trainer-unknown"
+    READER_SUPERSEDED = "reader-superseded"
+    BATCH_NOT_READY = "batch-not-ready"
+    CURSOR_INVALID = "cursor-invalid"
+    GROUP_CONFLICT = "group-conflict"
+    EPOCH_STALE = "epoch-stale"
+    SAMPLE_STALE = "sample-stale"
+    SAMPLE_UNTRACEABLE = "sample-untraceable"
+    PAYLOAD_LOST = "payload-lost"
+    ATTEMPT_SUPERSEDED = "attempt-superseded"
+    SCORER_FAILED = "scorer-failed"
+    ORDER_FAILED = "order-failed"
+    ORDER_FENCED = "order-fenced"
--- /dev/null
+++ b/bilberrydrum/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: admission, routing, retries, claims and streams."""
--- /dev/null
+++ b/bilberrydrum/samples/__init__.py
@@ -0,0 +1,1 @@
+"""Samples: groups, provenance, staleness, delivery and weight roll-out."""
--- /dev/null
+++ b/bilberrydrum/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state: log, election, membership and the state machine."""
--- /dev/null
+++ b/bilberrydrum/transport.py
@@ -0,0 +1,287 @@
+"""Messages between the system's processes, over ZeroMQ.
+
+A process binds one ROUTER socket, on which it hears all others, and opens one DEALER
+to each process it speaks to. A message travels one way; an answer is a message of its
+own to the sender's address, tied to the question by a call id. Every message is in an
+envelope that names the protocol version, the state group, the sender and the sender's
+incarnation. What cannot be understood is counted and dropped, never fatal.
+"""
+
+import itertools
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import eventlet
+import eventlet.event
+import eventlet.green.zmq as zmq
+import result
+import zmq.utils.z85 as z85
+
+from bilberrydrum import codec, counters, reasons
+
+PROTOCOL_VERSION: Final = 1
+# Messages waiting for one peer; beyond it new ones are dropped and counted.
+SEND_HIGH_WATER_MARK: Final = 10_000
+
+
+@attrs.frozen
+class Sender:
+    """Who sent a message, and the call that an answer belongs to."""
+
+    process_id: str
+    # Address of the sender's ROUTER, ``IP:port``.
+    address: str
+    incarnation: int
+    # Number of the call that waits for an answer; 0: none.
+    call_id: int = 0
+
+
+@codec.register("envelope")
+@attrs.frozen
+class Envelope:
+    """What surrounds each message on the wire."""
+
+    version: int
+    group: str
+    sender: str
+    address: str
+    incarnation: int
+    body: bytes
+    call_id: int = 0
+    answers_call_id: int = 0
+
+
+@attrs.frozen
+class CallError:
+    """A call got no answer."""
+
+    reason: reasons.Reason
+    detail: str = ""
+
+
+Handler = Callable[[Sender, Any], None]
+
+
+@attrs.define
+class CurveKeys:
+    """Z85 keys of this process and of the peers that may connect."""
+
+    public: bytes
+    secret: bytes
+    # Public keys by peer address.
+    peers_by_address: dict[str, bytes]
+
+
+class Transport:
+    """The task that owns the process's ZeroMQ sockets.
+
+    Handlers are called in the receiving task and must not block: they put the message
+    on a queue or answer at once.
+    """
+
+    def __init__(
+        self,
+        process_id: str,
+        group: str,
+        address: str,
+        keys: CurveKeys | None = None,
+    ) -> None:
+        self.process_id = process_id
+        self.group = group
+        self.address = address
+        self.incarnation = 0
+        self._keys = keys
+        self._context = zmq.Context()
+        self._handlers: dict[type[Any], Handler] = {}
+        self._dealers_by_address: dict[str, Any] = {}
+        self._incarnations_by_sender: dict[str, int] = {}
+        self._calls: dict[int, eventlet.event.Event] = {}
+        self._call_ids = itertools.count(1)
+        self._router: Any = None
+        self._tasks: list[Any] = []
+
+    def on(self, message_class: type[Any], handler: Handler) -> None:
+        """Call `handler` for each message of `message_class`."""
+        self._handlers[message_class] = handler
+
+    def start(self) -> None:
+        """Bind the ROUTER and start receiving."""
+        router = self._context.socket(zmq.ROUTER)
+        router.setsockopt(zmq.LINGER, 0)
+        if self._keys is not None:
+            self._tasks.append(eventlet.spawn(self._authenticate))
+            router.curve_server = True
+            router.curve_secretkey = self._keys.secret
+            router.curve_publickey = self._keys.public
+            router.zap_domain = b"peers"
+        router.bind(f"tcp://{self.address}")
+        self._router = router
+        self._tasks.append(eventlet.spawn(self._receive))
+
+    def stop(self) -> None:
+        """Close all sockets; waiting calls end with an error."""
+        for task in self._tasks:
+            task.kill()
+        self._tasks.clear()
+        for dealer in self._dealers_by_address.values():
+            dealer.close()
+        self._dealers_by_address.clear()
+        if self._router is not None:
+            self._router.close()
+            self._router = None
+        for call in list(self._calls.values()):
+            if not call.ready():
+                call.send(None)
+
+    def send(
+        self, address: str, message: object, call_id: int = 0, answers: int = 0
+    ) -> bool:
+        """Send `message` to the process at `address`; never blocks.
+
+        Returns
+        -------
+        bool
+            False if the message was dropped because the peer takes no more.
+        """
+        envelope = Envelope(
+            PROTOCOL_VERSION,
+            self.group,
+            self.process_id,
+            self.address,
+            self.incarnation,
+            codec.encode(message),
+            call_id,
+            answers,
+        )
+        try:
+            # A DEALER whose peer is gone blocks in send and would hang the calling
+            # task. Without blocking, the message is lost instead, which every
+            # protocol here must bear anyway.
+            self._dealer(address).send(codec.encode(envelope), zmq.NOBLOCK)
+        except zmq.ZMQError:
+            counters.dropped(reasons.Reason.PEER_UNREACHABLE)
+            return False
+        return True
+
+    def answer(self, sender: Sender, message: object) -> bool:
+        """Send `message` as the answer to what `sender` asked."""
+        return self.send(sender.address, message, answers=sender.call_id)
+
+    def call(
+        self, address: str, message: object, timeout: float
+    ) -> result.Result[Any, CallError]:
+        """Send `message` and wait at most `timeout` seconds for its answer."""
+        call_id = next(self._call_ids)
+        done = eventlet.event.Event()
+        self._calls[call_id] = done
+        try:
+            if not self.send(address, message, call_id=call_id):
+                return result.Err(CallError(reasons.Reason.PEER_UNREACHABLE, address))
+            with eventlet.Timeout(timeout, False):
+                reply = done.wait()
+                if reply is not None:
+                    return result.Ok(reply)
+            return result.Err(CallError(reasons.Reason.PEER_UNREACHABLE, address))
+        finally:
+            del self._calls[call_id]
+
+    def forget(self, address: str) -> None:
+        """Close the connection to a process that has left."""
+        dealer = self._dealers_by_address.pop(address, None)
+        if dealer is not None:
+            dealer.close()
+
+    def _dealer(self, address: str) -> Any:
+        dealer = self._dealers_by_address.get(address)
+        if dealer is None:
+            dealer = self._context.socket(zmq.DEALER)
+            dealer.setsockopt(zmq.LINGER, 0)
+            dealer.setsockopt(zmq.SNDHWM, SEND_HIGH_WATER_MARK)
+            # A peer that stopped without closing would keep the connection half open
+            # until the kernel gives up, minutes later.
+            dealer.setsockopt(zmq.HEARTBEAT_IVL, 1000)
+            dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, 3000)
+            dealer.setsockopt(zmq.RECONNECT_IVL, 50)
+            dealer.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
+            if self._keys is not None:
+                dealer.curve_secretkey = self._keys.secret
+                dealer.curve_publickey = self._keys.public
+                dealer.curve_serverkey = self._keys.peers_by_address[address]
+            dealer.connect(f"tcp://{address}")
+            self._dealers_by_address[address] = dealer
+        return dealer
+
+    def _receive(self) -> None:
+        while True:
+            frames = self._router.recv_multipart()
+            self._take(frames[-1])
+            # One busy peer must not keep the other tasks from running.
+            eventlet.sleep(0)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            envelope = codec.decode(data)
+        except codec.DecodeError:
+            counters.dropped(reasons.Reason.MESSAGE_DAMAGED)
+            return
+        if not isinstance(envelope, Envelope):
+            counters.dropped(reasons.Reason.MESSAGE_DAMAGED)
+            return
+        if envelope.version > PROTOCOL_VERSION:
+            counters.dropped(reasons.Reason.MESSAGE_NEWER_VERSION)
+            return
+        if envelope.group != self.group:
+            counters.dropped(reasons.Reason.MESSAGE_WRONG_GROUP)
+            return
+        if not self._is_current(envelope):
+            counters.dropped(reasons.Reason.MESSAGE_STALE_SENDER)
+            return
+        self._dispatch(envelope)
+
+    def _is_current(self, envelope: Envelope) -> bool:
+        # A message of an earlier life of a restarted process may arrive after the
+        # first one of its new life. Incarnations rise at each start; 0 means the
+        # sender has not registered yet.
+        known = self._incarnations_by_sender.get(envelope.sender, 0)
+        if envelope.incarnation and envelope.incarnation < known:
+            return False
+        self._incarnations_by_sender[envelope.sender] = max(known, envelope.incarnation)
+        return True
+
+    def _dispatch(self, envelope: Envelope) -> None:
+        try:
+            message = codec.decode(envelope.body)
+        except codec.UnknownTypeError:
+            counters.dropped(reasons.Reason.MESSAGE_UNKNOWN_TYPE)
+            return
+        except codec.DecodeError:
+            counters.dropped(reasons.Reason.MESSAGE_DAMAGED)
+            return
+        if envelope.answers_call_id:
+            call = self._calls.get(envelope.answers_call_id)
+            if call is not None and not call.ready():
+                call.send(message)
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            counters.dropped(reasons.Reason.MESSAGE_UNKNOWN_TYPE)
+            return
+        sender = Sender(
+            envelope.sender, envelope.address, envelope.incarnation, envelope.call_id
+        )
+        handler(sender, message)
+
+    def _authenticate(self) -> None:
+        """Answer ZeroMQ's authentication requests (ZAP) for the bound socket."""
+        assert self._keys is not None
+        allowed = set(self._keys.peers_by_address.values())
+        socket = self._context.socket(zmq.REP)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.bind("inproc://zeromq.zap.01")
+        while True:
+            frames = socket.recv_multipart()
+            version, request_id = frames[0], frames[1]
+            key = z85.encode(frames[6]) if len(frames) > 6 else b""
+            code = b"200" if key in allowed else b"400"
+            socket.send_multipart([version, request_id, code, b"", b"", b""])
--- /dev/null
+++ b/bilberrydrum/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: leases, load, dissemination among gateways, orders."""
--- /dev/null
+++ b/bilberrydrum_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command-line tool."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+from bilberrydrum import runtime
+
+runtime.prepare()
