Add the replica's and the weights' interfaces

Cause: leases granted by the leader and weight orders sit beside the replica, and need its leadership, state and proposals by an agreed name.

Conclusion: interfaces only.

--- a/bilberrydrum/interfaces.py
+++ b/bilberrydrum/interfaces.py
@@ -4,8 +4,8 @@
 implementation against it, and focused tests use small fakes of it.
 """
 
-from collections.abc import Iterator, Mapping
-from typing import Protocol
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, Protocol
 
 import attrs
 import result
@@ -13,6 +13,7 @@
 from bilberrydrum import reasons
 from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.requests import model as request_model
+from bilberrydrum.state import client, machine
 from bilberrydrum.upstreams import model as upstream_model
 
 
@@ -27,6 +28,39 @@
     incarnation: int
 
 
+@attrs.frozen
+class Leadership:
+    """The right of a replica to answer for the state group, checked now."""
+
+    term: int
+    # When this replica became leader of the term, in seconds of `clock.now`.
+    since: float
+
+
+class Replica(Protocol):
+    """The replica in this process, as seen by what runs beside the leader.
+
+    Kept by `state.replica`.
+    """
+
+    def leadership(self) -> Leadership | None:
+        """Return the leadership if this replica holds the leader lease now."""
+
+    def state(self) -> machine.State:
+        """Return the applied state; it must not be changed."""
+
+    def propose(
+        self, command: object, timeout: float = 5.0
+    ) -> result.Result[Any, client.StateError]:
+        """Commit `command` and return the answer of its apply function."""
+
+    def watch(self, callback: Callable[[object, Any], None]) -> None:
+        """Call `callback(command, answer)` after each command applied here.
+
+        It is called in the replica's task and must not block.
+        """
+
+
 class BundleView(Protocol):
     """The bundle in force at this gateway. Kept by `bundles.lease`."""
 
@@ -40,6 +74,12 @@
     def gateways_by_id(self) -> Mapping[str, Gateway]:
         """Return the registered gateways, this one included."""
 
+    def weight_versions_by_trainer(self) -> Mapping[str, int]:
+        """Return the newest published versions as heard with the last renewal.
+
+        A hint to act early on: what is delivered is checked in the state group.
+        """
+
 
 class ControllerLease(Protocol):
     """The right to give orders to upstreams. Kept by `state.controller`."""
--- /dev/null
+++ b/bilberrydrum/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weights: published versions, orders to engines and the roll-out plan."""
