Add the registry of upstreams and its spread among gateways

Cause: gateways must agree within seconds on which upstreams may get work, while renewals come through a balancer and may land at any gateway.

Change: each upstream has one home gateway that answers for its lease. The home tells changes at once and one standing message an interval; other gateways keep a replica of its records, date its messages by its clock, and ask for what they miss.

--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -66,6 +66,10 @@
     MESSAGE_STALE_SENDER = "message-stale-sender"
     PEER_UNREACHABLE = "peer-unreachable"
 
+    # Upstreams.
+    ANNOUNCEMENT_STALE = "announcement-stale"
+    UPSTREAM_LEFT = "upstream-left"
+
     # Samples and weights.
     TRAINER_UNKNOWN = "trainer-unknown"
     READER_SUPERSEDED = "reader-superseded"
--- /dev/null
+++ b/bilberrydrum/upstreams/prefixes.py
@@ -0,0 +1,93 @@
+"""Which engines are likely to hold a prompt's prefix: hints from cache events.
+
+Cache events come late and with gaps, so a hint may be wrong either way. It only tips
+the choice between engines, and what is kept per engine is bounded: the hints used or
+stored longest ago go first.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from bilberrydrum.upstreams import messages
+
+# Prefixes kept per engine.
+MAX_PREFIXES: Final = 4096
+# A hint that was not stored anew for this long is not given any more.
+KEEP_SECONDS: Final = 600.0
+
+
+@attrs.define
+class _Engine:
+    """The hints of one engine."""
+
+    sequence: int = 0
+    stored_at_by_prefix: "collections.OrderedDict[str, float]" = attrs.field(
+        factory=collections.OrderedDict
+    )
+
+
+class PrefixHints:
+    """Engines by the prefixes they are likely to hold."""
+
+    def __init__(self) -> None:
+        self._engines_by_id: dict[str, _Engine] = {}
+        self._ids_by_prefix: dict[str, set[str]] = {}
+
+    def apply(self, event: messages.Prefixes, now: float) -> bool:
+        """Take cache events; False if they are repeated or overtaken.
+
+        A sequence that starts again at 0 or 1 is an engine that started again, with
+        an empty cache. Events missed in a gap are not made up for: a hint for a
+        removed prefix goes in time.
+        """
+        engine = self._engines_by_id.setdefault(event.upstream_id, _Engine())
+        if event.sequence <= engine.sequence and event.sequence > 1:
+            return False
+        if event.is_cleared or event.sequence <= engine.sequence:
+            self._clear(event.upstream_id, engine)
+        engine.sequence = event.sequence
+        for prefix in event.removed:
+            self._remove(event.upstream_id, engine, prefix)
+        for prefix in event.stored:
+            self._store(event.upstream_id, engine, prefix, now)
+        return True
+
+    def holders(self, prefix: str, now: float) -> frozenset[str]:
+        """Return the engines that are likely to hold `prefix`."""
+        return frozenset(
+            upstream_id
+            for upstream_id in self._ids_by_prefix.get(prefix, ())
+            if now - self._engines_by_id[upstream_id].stored_at_by_prefix[prefix]
+            < KEEP_SECONDS
+        )
+
+    def keep_only(self, upstream_ids: Iterable[str]) -> None:
+        """Drop the hints of all other engines."""
+        for upstream_id in self._engines_by_id.keys() - set(upstream_ids):
+            self._clear(upstream_id, self._engines_by_id[upstream_id])
+            del self._engines_by_id[upstream_id]
+
+    def _store(
+        self, upstream_id: str, engine: _Engine, prefix: str, now: float
+    ) -> None:
+        stored_at_by_prefix = engine.stored_at_by_prefix
+        stored_at_by_prefix[prefix] = now
+        stored_at_by_prefix.move_to_end(prefix)
+        self._ids_by_prefix.setdefault(prefix, set()).add(upstream_id)
+        if len(stored_at_by_prefix) > MAX_PREFIXES:
+            self._remove(upstream_id, engine, next(iter(stored_at_by_prefix)))
+
+    def _remove(self, upstream_id: str, engine: _Engine, prefix: str) -> None:
+        if engine.stored_at_by_prefix.pop(prefix, None) is None:
+            return
+        holders = self._ids_by_prefix[prefix]
+        holders.discard(upstream_id)
+        if not holders:
+            del self._ids_by_prefix[prefix]
+
+    def _clear(self, upstream_id: str, engine: _Engine) -> None:
+        for prefix in list(engine.stored_at_by_prefix):
+            self._remove(upstream_id, engine, prefix)
--- /dev/null
+++ b/bilberrydrum/upstreams/registry.py
@@ -0,0 +1,295 @@
+"""The upstreams this gateway may use: the task around the directory's decisions.
+
+One task owns the directory. HTTP handlers and the transport put events on its queue;
+it steps the directory and sends what comes out. `upstreams_by_id` reads the directory
+directly, with the clock, so that it never lists what ran out while the task waited.
+"""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+import attrs
+import eliot
+import eventlet
+import eventlet.event
+import eventlet.queue
+import result
+
+from bilberrydrum import clock, counters, interfaces, options, reasons
+from bilberrydrum import transport as transports
+from bilberrydrum.upstreams import (
+    announcements,
+    directory,
+    events,
+    messages,
+    model,
+    prefixes,
+    records,
+)
+
+TICK_SECONDS: Final = 0.1
+# How long a leave waits until enough other gateways know of it.
+LEAVE_TIMEOUT_SECONDS: Final = 1.5
+_SYNC_POLL_SECONDS: Final = 0.05
+_MESSAGE_CLASSES: Final = (
+    messages.Changes,
+    messages.Standing,
+    messages.Fetch,
+    messages.Fetched,
+    messages.Forward,
+    messages.Forwarded,
+    messages.News,
+    messages.NewsHeard,
+)
+
+
+@attrs.frozen
+class _Asked:
+    """An event whose sender waits for the reply."""
+
+    event: events.Event
+    done: eventlet.event.Event
+
+
+@attrs.frozen
+class Status:
+    """One upstream as this gateway sees it, for operators."""
+
+    upstream: model.Upstream
+    home: str
+    state: str
+    is_drained: bool
+    # Until the lease ends; 0: it has.
+    lease_seconds: float
+
+
+class UpstreamRegistry:
+    """The task that keeps the upstreams of one gateway."""
+
+    def __init__(
+        self,
+        options: options.Options,
+        transport: transports.Transport,
+        bundles: interfaces.BundleView,
+    ) -> None:
+        self._process_id = options.process_id
+        self._transport = transport
+        self._bundles = bundles
+        self._directory = directory.Directory(
+            options.process_id,
+            transport.incarnation,
+            options.upstreams.lease_seconds,
+            options.upstreams.renew_seconds,
+            options.upstreams.standing_seconds,
+        )
+        self._prefixes = prefixes.PrefixHints()
+        self._queue: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        self._task: Any = None
+        self._gateways_by_id: Mapping[str, interfaces.Gateway] = {}
+        self._leave_known_by_id: dict[str, eventlet.event.Event] = {}
+        self._listed_by_id: dict[str, model.Upstream] = {}
+        self._listed_until = float("-inf")
+
+    def start(self) -> None:
+        """Begin to hear the other gateways."""
+        for message_class in _MESSAGE_CLASSES:
+            self._transport.on(message_class, self._hear)
+        self._transport.on(messages.Prefixes, self._hear_prefixes)
+        self._task = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the task."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+
+    # Queries.
+
+    def upstreams_by_id(self) -> Mapping[str, model.Upstream]:
+        """Return the upstreams that may be given new work now."""
+        now = clock.now()
+        if now >= self._listed_until:
+            self._list(now)
+        return self._listed_by_id
+
+    def home_of(self, upstream_id: str) -> str | None:
+        """Return the gateway that answers for the upstream's lease, if it stands."""
+        record = self._directory.standing_by_id(clock.now()).get(upstream_id)
+        return None if record is None else record.home
+
+    def prefix_holders(self, prefix: str) -> frozenset[str]:
+        """Return the engines likely to hold a prompt's prefix; a hint.
+
+        Parameters
+        ----------
+        prefix : str
+            First 16 hexadecimal digits of the SHA-256 of the prompt's first 256 bytes.
+        """
+        return self._prefixes.holders(prefix, clock.now())
+
+    def statuses_by_id(self) -> dict[str, Status]:
+        """Return all that is known of all upstreams, for operators."""
+        now = clock.now()
+        statuses_by_id = {}
+        for upstream_id, record in self._directory.records_by_id().items():
+            left = max(0.0, self._directory.expires_at(record) - now)
+            state = record.state
+            if state == records.STATE_STANDS and not left:
+                state = records.STATE_LAPSED
+            statuses_by_id[upstream_id] = Status(
+                record.upstream, record.home, state, record.is_drained, left
+            )
+        return statuses_by_id
+
+    # Commands.
+
+    def announce(
+        self, announcement: announcements.Announcement
+    ) -> result.Result[None, reasons.Reason]:
+        """Take an upstream's announcement."""
+        self._wait_until_synced()
+        return self._ask(
+            events.Announced(
+                announcement.upstream,
+                announcement.incarnation,
+                records.wall_milliseconds(),
+            )
+        )
+
+    def renew(self, renewed: events.Renewed) -> result.Result[None, reasons.Reason]:
+        """Take an upstream's renewal."""
+        if renewed.upstream_id not in self._directory.records_by_id():
+            self._wait_until_synced()
+        return self._ask(renewed)
+
+    def leave(self, upstream_id: str) -> result.Result[None, reasons.Reason]:
+        """Give an upstream no new work; return once other gateways know, too."""
+        if upstream_id not in self._directory.records_by_id():
+            self._wait_until_synced()
+        known = self._leave_known_by_id.get(upstream_id)
+        if known is None:
+            known = eventlet.event.Event()
+            self._leave_known_by_id[upstream_id] = known
+        reply = self._ask(events.Leaving(upstream_id))
+        if reply.is_err():
+            self._leave_known_by_id.pop(upstream_id, None)
+            return reply
+        with eventlet.Timeout(LEAVE_TIMEOUT_SECONDS, False):
+            known.wait()
+            return result.Ok(None)
+        return result.Err(reasons.Reason.PEER_UNREACHABLE)
+
+    def drain(
+        self, upstream_id: str, is_drained: bool
+    ) -> result.Result[None, reasons.Reason]:
+        """Give an upstream no new work, or some again, as an operator wishes."""
+        return self._ask(
+            events.DrainAsked(upstream_id, is_drained, records.wall_milliseconds())
+        )
+
+    def take_cache_events(self, prefixes: messages.Prefixes) -> None:
+        """Take an engine's cache events and pass them on."""
+        if self._prefixes.apply(prefixes, clock.now()):
+            self._send_all(prefixes)
+
+    # The task.
+
+    def _run(self) -> None:
+        next_tick = clock.now()
+        while True:
+            wait = next_tick - clock.now()
+            if wait > 0:
+                try:
+                    self._handle(self._queue.get(timeout=wait))
+                    continue
+                except eventlet.queue.Empty:
+                    pass
+            next_tick = clock.now() + TICK_SECONDS
+            self._tick()
+
+    def _tick(self) -> None:
+        self._gateways_by_id = self._bundles.gateways_by_id()
+        zones_by_id = {
+            process_id: gateway.availability_zone
+            for process_id, gateway in self._gateways_by_id.items()
+        }
+        self._step(events.Tick(zones_by_id))
+        self._prefixes.keep_only(self._directory.records_by_id())
+
+    def _handle(self, item: Any) -> None:
+        if not isinstance(item, _Asked):
+            self._step(item)
+            return
+        reply = events.Reply(reasons.Reason.INTERNAL_ERROR)
+        for effect in self._step(item.event):
+            if isinstance(effect, events.Reply):
+                reply = effect
+        item.done.send(reply)
+
+    def _step(self, event: events.Event) -> list[events.Effect]:
+        effects = self._directory.step(clock.now(), event)
+        self._listed_until = float("-inf")
+        for effect in effects:
+            self._carry_out(effect)
+        return effects
+
+    def _carry_out(self, effect: events.Effect) -> None:
+        if isinstance(effect, events.Send):
+            gateway = self._gateways_by_id.get(effect.process_id)
+            if gateway is not None:
+                self._transport.send(gateway.peer_address, effect.message)
+        elif isinstance(effect, events.SendAll):
+            self._send_all(effect.message)
+        elif isinstance(effect, events.LeaveKnown):
+            known = self._leave_known_by_id.pop(effect.upstream_id, None)
+            if known is not None:
+                known.send(None)
+        elif isinstance(effect, events.Drop):
+            counters.dropped(effect.reason)
+        elif isinstance(effect, events.Note):
+            eliot.log_message(
+                message_type=f"upstreams:{effect.kind}",
+                upstream_id=effect.upstream_id,
+                gateway=effect.gateway,
+            )
+
+    def _send_all(self, message: object) -> None:
+        for process_id, gateway in self._gateways_by_id.items():
+            if process_id != self._process_id:
+                self._transport.send(gateway.peer_address, message)
+
+    def _hear(self, sender: transports.Sender, message: Any) -> None:
+        if sender.process_id != self._process_id:
+            self._queue.put(
+                events.Heard(sender.process_id, sender.incarnation, message)
+            )
+
+    def _hear_prefixes(
+        self, sender: transports.Sender, message: messages.Prefixes
+    ) -> None:
+        self._prefixes.apply(message, clock.now())
+
+    def _ask(self, event: events.Event) -> result.Result[None, reasons.Reason]:
+        done = eventlet.event.Event()
+        self._queue.put(_Asked(event, done))
+        reply = done.wait()
+        if reply.refusal is not None:
+            return result.Err(reply.refusal)
+        return result.Ok(None)
+
+    def _wait_until_synced(self) -> None:
+        while not self._directory.is_synced(clock.now()):
+            clock.sleep(_SYNC_POLL_SECONDS)
+
+    def _list(self, now: float) -> None:
+        standing_by_id = self._directory.standing_by_id(now)
+        self._listed_by_id = {
+            upstream_id: record.upstream
+            for upstream_id, record in standing_by_id.items()
+            if not record.is_drained
+        }
+        # Until the first lease ends nothing drops out of the list without an event.
+        self._listed_until = min(
+            (self._directory.expires_at(record) for record in standing_by_id.values()),
+            default=now,
+        )
