--- a/bilberrydrum/upstreams/directory.py
+++ b/bilberrydrum/upstreams/directory.py
@@ -17,32 +17,26 @@
 import attrs
 
 from bilberrydrum import reasons
-from bilberrydrum.upstreams import events, loads, messages, records, table, views
+from bilberrydrum.upstreams import (
+    events,
+    forwards,
+    leaves,
+    loads,
+    messages,
+    records,
+    stops,
+    table,
+    views,
+)
 
 # Questions to one home are at least this far apart.
 FETCH_INTERVAL_SECONDS: Final = 0.2
-# Gateways, beside the one that hears it, that must know of a leave.
-N_WITNESSES: Final = 2
-# Witnesses that did not answer are asked again after this.
-WITNESS_INTERVAL_SECONDS: Final = 0.3
-# Share of the renewals' interval within which a home answers a renewal passed on.
-FORWARD_TIMEOUT: Final = 0.8
-# The task ticks ten times a second; without a step for this long it was stopped.
-STOPPED_SECONDS: Final = 1.0
-# Longest time that a process that was stopped waits for the others.
-DOUBT_SECONDS: Final = 0.5
+# Standing messages that may be missed, beyond the lease, until a home isn't believed.
+STANDINGS_MISSED: Final = 1.5
 # A gateway that has just started waits this long for the others' records.
 SYNC_SECONDS: Final = 1.0
 
 
-@attrs.frozen
-class _Forwarding:
-    """A renewal that was passed on."""
-
-    event: events.Renewed
-    heard_at: float
-
-
 class Directory:
     """The decisions of one gateway."""
 
@@ -55,33 +49,35 @@
         standing_seconds: float,
     ) -> None:
         self._process_id = process_id
-        self._renew_seconds = renew_seconds
         self._standing_seconds = standing_seconds
+        # The home ends a lease and tells so at once. Whoever does not hear it relies
+        # on the home's word a little longer, so that one lost message of standing
+        # makes no gap; with the defaults 2.75 s, within the 3 s that an upstream may
+        # be listed after it fell silent.
         self._table = table.Table(
-            process_id, incarnation, lease_seconds, 2 * renew_seconds
+            process_id,
+            incarnation,
+            lease_seconds,
+            lease_seconds + STANDINGS_MISSED * standing_seconds,
+            2 * renew_seconds,
         )
         self._zones_by_id: dict[str, str] = {}
         self._stood_at = table.NEVER
         self._started_at: float | None = None
-        # Renewals passed on to the home and not answered yet.
-        self._forwards_by_id: dict[str, _Forwarding] = {}
-        # Gateways that know of a leave, by upstream, until enough do.
-        self._witnesses_by_id: dict[str, set[str]] = {}
-        self._asked_witnesses_at = table.NEVER
-        self._stepped_at = table.NEVER
-        # After a stop of this process: gateways not heard since, and until when
-        # they are waited for.
-        self._unheard: set[str] = set()
-        self._doubt_until = table.NEVER
+        self._forwards = forwards.Forwards(renew_seconds)
+        self._leaves = leaves.Leaves()
+        self._stops = stops.Stops()
         self._effects: list[events.Effect] = []
 
     def step(self, now: float, event: events.Event) -> list[events.Effect]:
         """Take one event at `now`, in seconds, and return what is to be done."""
         self._effects = []
-        if self._started_at is not None and self._was_stopped(now):
-            self._doubt(now)
-        self._stepped_at = now
+        if self._stops.step(now):
+            for peer in self._peers():
+                self._send(peer, messages.Fetch(0, int(now * 1000)))
         self._take(event, now)
+        for record in self._leaves.take_known(len(self._live_peers(now))):
+            self._effects.append(events.LeaveKnown(record.upstream_id, record.life))
         self._effects.extend(self._table.corrections)
         self._table.corrections.clear()
         if self._table.has_urgent():
@@ -90,7 +86,7 @@
 
     def standing_by_id(self, now: float) -> dict[str, records.Record]:
         """Return the records of the upstreams whose lease stands at `now`."""
-        is_in_doubt = now < self._doubt_until or self._was_stopped(now)
+        is_in_doubt = self._stops.is_in_doubt(now)
         return {
             upstream_id: record
             for upstream_id, record in self._table.records_by_id.items()
@@ -136,8 +132,9 @@
         for upstream_id in own.expired_ids(now):
             self._end(own.records_by_id[upstream_id], records.STATE_LAPSED, now)
         self._take_over_unanswered(now)
-        if now - self._asked_witnesses_at >= WITNESS_INTERVAL_SECONDS:
-            self._ask_all_for_witness(now)
+        for leave in self._leaves.overdue(now):
+            others = set(self._live_peers(now)) - leave.witnesses
+            self._ask_witnesses(leave.record, sorted(others))
         self._tell(now)
         if now - self._stood_at >= self._standing_seconds:
             self._stood_at = now
@@ -163,6 +160,7 @@
         if known is not None and self._is_repeated(known, event):
             self._table.own.renew(event.upstream.upstream_id, now)
         else:
+            self._leaves.end(record.upstream_id)
             self._table.answer_for(record, now)
             self._note("announced", record)
         self._effects.append(events.Reply())
@@ -177,6 +175,9 @@
             self._effects.append(events.Reply(reasons.Reason.UPSTREAM_LEFT))
             return
         self._effects.append(events.Reply())
+        if self._stops.is_in_doubt(now):
+            return
+        self._table.note_renewal(record, now)
         if self._table.is_own(record):
             self._renew(record, event, now)
         elif self._must_take_over(record, now):
@@ -193,7 +194,11 @@
         if record.state != records.STATE_LEFT:
             record = self._end(record, records.STATE_LEFT, now)
         self._effects.append(events.Reply())
-        self._ask_witnesses(record, now)
+        peers = self._live_peers(now)
+        own_zone = self._zones_by_id.get(self._process_id, "")
+        self._ask_witnesses(
+            record, self._leaves.start(record, peers, self._zones_by_id, own_zone, now)
+        )
 
     @_take.register
     def _drain_asked(self, event: events.DrainAsked, now: float) -> None:
@@ -203,9 +208,8 @@
             return
         number = max(record.drain_number + 1, event.wall_milliseconds)
         drained = attrs.evolve(record, is_drained=event.is_drained, drain_number=number)
-        expires_at = self._table.expires_at(record)
-        if now < expires_at:
-            self._table.answer_for(drained, expires_at - self._table.lease_seconds)
+        if now < self._table.expires_at(record):
+            self._table.answer_for(drained, self._table.renewed_at(record))
         else:
             self._table.end(drained, records.STATE_LAPSED, now)
         self._note("drained" if event.is_drained else "undrained", drained)
@@ -238,7 +242,7 @@
     @_hear.register
     def _hear_changes(self, message: messages.Changes, sender: str, now: float) -> None:
         view = self._table.views_by_home[sender]
-        is_whole = view.apply(message, now)
+        is_whole = self._table.apply(view, message, now)
         self._merge_changes(message, view, now)
         if not is_whole:
             self._fetch(sender, view, now, since=view.change)
@@ -252,35 +256,33 @@
     def _hear_fetched(self, message: messages.Fetched, sender: str, now: float) -> None:
         view = self._table.views_by_home[sender]
         view.clock.answer(message.standing.sent_at, message.asked_at, now)
-        if message.asked_at / 1000 >= self._doubt_until - DOUBT_SECONDS - 0.001:
-            self._unheard.discard(sender)
         if not message.is_full:
-            view.apply(message.changes, now)
+            self._table.apply(view, message.changes, now)
         elif message.changes.change >= view.change:
-            view.replace(message, now)
+            self._table.replace(view, message, now)
         self._merge_changes(message.changes, view, now)
         if not view.stand(message.standing, now):
             self._fetch(sender, view, now)
-        if not self._unheard:
-            self._doubt_until = table.NEVER
 
     @_hear.register
     def _hear_forward(self, message: messages.Forward, sender: str, now: float) -> None:
-        upstream_id = message.upstream_id
-        record = self._table.records_by_id.get(upstream_id)
+        # It may have waited in a socket while this process was stopped.
+        heard_at = self._table.views_by_home[sender].clock.date(message.sent_at, now)
+        record = self._table.records_by_id.get(message.upstream_id)
         is_home = (
-            record is not None
+            heard_at is not None
+            and record is not None
             and self._table.is_own(record)
             and record.life == message.life
         )
-        if record is not None and is_home:
+        if is_home and record is not None and heard_at is not None:
             renewal = events.Renewed(
-                upstream_id, message.load, message.models, message.role
+                message.upstream_id, message.load, message.models, message.role
             )
-            self._renew(record, renewal, now)
+            self._renew(record, renewal, heard_at)
         elif record is not None:
             self._send(sender, messages.News((record,)))
-        self._send(sender, messages.Forwarded(upstream_id, is_home))
+        self._send(sender, messages.Forwarded(message.upstream_id, is_home))
 
     @_hear.register
     def _hear_forwarded(
@@ -289,10 +291,10 @@
         record = self._table.records_by_id.get(message.upstream_id)
         if record is None or record.home != sender:
             return
-        forwarding = self._forwards_by_id.pop(message.upstream_id, None)
+        forwarding = self._forwards.end(message.upstream_id)
         if forwarding is not None and not message.is_home:
             # It has not even a newer record: nobody answers for the upstream.
-            self._take_over(record, forwarding.event, forwarding.heard_at)
+            self._take_over(record, forwarding.renewal, forwarding.heard_at)
 
     @_hear.register
     def _hear_news(self, message: messages.News, sender: str, now: float) -> None:
@@ -312,31 +314,10 @@
     def _hear_news_heard(
         self, message: messages.NewsHeard, sender: str, now: float
     ) -> None:
-        record = self._table.records_by_id.get(message.upstream_id)
-        witnesses = self._witnesses_by_id.get(message.upstream_id)
-        if record is None or witnesses is None or record.life != message.life:
-            return
-        witnesses.add(sender)
-        self._check_witnesses(record, now)
+        self._leaves.hear(message.upstream_id, message.life, sender)
 
     # Helpers.
 
-    def _was_stopped(self, now: float) -> bool:
-        """Tell whether this process took no step for longer than it ever should."""
-        return now - self._stepped_at >= STOPPED_SECONDS
-
-    def _doubt(self, now: float) -> None:
-        """Ask the others before own leases are believed again.
-
-        While this process was stopped, an upstream may have left through another
-        gateway; a renewal sent before that may still wait in a socket here, and would
-        be taken for a new one.
-        """
-        self._unheard = set(self._peers())
-        self._doubt_until = now + DOUBT_SECONDS if self._unheard else table.NEVER
-        for peer in self._unheard:
-            self._send(peer, messages.Fetch(0, int(now * 1000)))
-
     def _peers(self) -> list[str]:
         return [peer for peer in self._zones_by_id if peer != self._process_id]
 
@@ -371,7 +352,7 @@
     def _take_over(
         self, record: records.Record, event: events.Renewed, heard_at: float
     ) -> None:
-        self._forwards_by_id.pop(record.upstream_id, None)
+        self._forwards.end(record.upstream_id)
         taken = attrs.evolve(
             record, upstream=_reported(record, event), state=records.STATE_STANDS
         )
@@ -384,28 +365,30 @@
         Its death shows here before its word runs out, so that the upstream is listed
         without a gap.
         """
-        for upstream_id, forwarding in list(self._forwards_by_id.items()):
-            waited = now - forwarding.heard_at
-            if waited < FORWARD_TIMEOUT * self._renew_seconds:
+        for forwarding in self._forwards.take_overdue(now):
+            record = self._table.records_by_id.get(forwarding.renewal.upstream_id)
+            if record is None or record.state == records.STATE_LEFT:
                 continue
-            record = self._table.records_by_id[upstream_id]
-            if waited < self._table.lease_seconds:
-                self._take_over(record, forwarding.event, forwarding.heard_at)
-            else:
-                del self._forwards_by_id[upstream_id]
+            if now - forwarding.heard_at < self._table.lease_seconds:
+                self._take_over(record, forwarding.renewal, forwarding.heard_at)
 
     def _forward(
         self, record: records.Record, event: events.Renewed, now: float
     ) -> None:
-        self._forwards_by_id.setdefault(record.upstream_id, _Forwarding(event, now))
+        self._forwards.add(event, now)
         message = messages.Forward(
-            record.upstream_id, record.life, event.load, event.models, event.role
+            record.upstream_id,
+            record.life,
+            int(now * 1000),
+            event.load,
+            event.models,
+            event.role,
         )
         self._send(record.home, message)
 
     def _end(self, record: records.Record, state: str, now: float) -> records.Record:
         ended = self._table.end(record, state, now)
-        self._forwards_by_id.pop(record.upstream_id, None)
+        self._forwards.end(record.upstream_id)
         self._note(state, ended)
         return ended
 
@@ -423,43 +406,12 @@
     def _merge(self, record: records.Record, now: float) -> bool:
         if not self._table.merge(record, now):
             return False
-        self._forwards_by_id.pop(record.upstream_id, None)
+        self._forwards.end(record.upstream_id)
         return True
 
-    def _ask_witnesses(self, record: records.Record, now: float) -> None:
-        """Have enough others know of a leave before it is answered.
-
-        This gateway may die next, with its messages to the others unsent. Witnesses
-        in other availability zones go first, since a zone may fail as a whole.
-        """
-        self._witnesses_by_id[record.upstream_id] = set()
-        own_zone = self._zones_by_id.get(self._process_id)
-        peers = sorted(
-            self._live_peers(now), key=lambda peer: self._zones_by_id[peer] == own_zone
-        )
-        for peer in peers[: N_WITNESSES + 1]:
+    def _ask_witnesses(self, record: records.Record, peers: list[str]) -> None:
+        for peer in peers:
             self._send(peer, messages.News((record,), is_witness=True))
-        self._asked_witnesses_at = now
-        self._check_witnesses(record, now)
-
-    def _ask_all_for_witness(self, now: float) -> None:
-        """Ask further gateways when those asked first have not answered."""
-        self._asked_witnesses_at = now
-        for upstream_id, heard in list(self._witnesses_by_id.items()):
-            record = self._table.records_by_id.get(upstream_id)
-            if record is None or record.state != records.STATE_LEFT:
-                del self._witnesses_by_id[upstream_id]
-                continue
-            for peer in self._live_peers(now):
-                if peer not in heard:
-                    self._send(peer, messages.News((record,), is_witness=True))
-            self._check_witnesses(record, now)
-
-    def _check_witnesses(self, record: records.Record, now: float) -> None:
-        n_needed = min(N_WITNESSES, len(self._live_peers(now)))
-        if len(self._witnesses_by_id[record.upstream_id]) >= n_needed:
-            del self._witnesses_by_id[record.upstream_id]
-            self._effects.append(events.LeaveKnown(record.upstream_id, record.life))
 
     def _tell(self, now: float) -> None:
         changes = self._table.untold(now)
--- /dev/null
+++ b/bilberrydrum/upstreams/forwards.py
@@ -0,0 +1,45 @@
+"""Renewals passed on to the upstream's home, until the home has answered."""
+
+from typing import Final
+
+import attrs
+
+from bilberrydrum.upstreams import events
+
+# Share of the renewals' interval within which a home answers.
+ANSWER_SHARE: Final = 0.8
+
+
+@attrs.frozen
+class Forwarding:
+    """A renewal that was passed on."""
+
+    renewal: events.Renewed
+    heard_at: float
+
+
+class Forwards:
+    """The renewals that are under way."""
+
+    def __init__(self, renew_seconds: float) -> None:
+        self._timeout = ANSWER_SHARE * renew_seconds
+        self._forwards_by_id: dict[str, Forwarding] = {}
+
+    def add(self, renewal: events.Renewed, now: float) -> None:
+        """Note a renewal; an older one that is unanswered keeps its time."""
+        self._forwards_by_id.setdefault(renewal.upstream_id, Forwarding(renewal, now))
+
+    def end(self, upstream_id: str) -> Forwarding | None:
+        """Forget what is under way for an upstream, and return it."""
+        return self._forwards_by_id.pop(upstream_id, None)
+
+    def take_overdue(self, now: float) -> list[Forwarding]:
+        """Return the renewals whose home did not answer in time, and forget them."""
+        overdue = [
+            forwarding
+            for forwarding in self._forwards_by_id.values()
+            if now - forwarding.heard_at >= self._timeout
+        ]
+        for forwarding in overdue:
+            del self._forwards_by_id[forwarding.renewal.upstream_id]
+        return overdue
--- a/bilberrydrum/upstreams/messages.py
+++ b/bilberrydrum/upstreams/messages.py
@@ -97,6 +97,7 @@
 
     upstream_id: str
     life: int
+    sent_at: int
     load: model.Load | None = None
     models: dict[str, model.ServedModel] | None = None
     role: str | None = None
--- a/bilberrydrum/upstreams/ownership.py
+++ b/bilberrydrum/upstreams/ownership.py
@@ -48,7 +48,8 @@
 
     def renew(self, upstream_id: str, now: float) -> None:
         """Note a renewal heard at `now`."""
-        self._renewed_at_by_id[upstream_id] = now
+        known = self._renewed_at_by_id[upstream_id]
+        self._renewed_at_by_id[upstream_id] = max(known, now)
 
     def put(self, record: records.Record, renewed_at: float) -> messages.Item:
         """Answer for `record` from now on, with the next change number."""
--- a/bilberrydrum/upstreams/table.py
+++ b/bilberrydrum/upstreams/table.py
@@ -25,18 +25,34 @@
 NEVER: Final = float("-inf")
 
 
+@attrs.frozen
+class _Renewal:
+    """The last renewal known of an upstream in one life."""
+
+    life: int
+    at: float
+
+
 class Table:
     """What one gateway knows of all upstreams."""
 
     def __init__(
-        self, process_id: str, incarnation: int, lease_seconds: float, late: float
+        self,
+        process_id: str,
+        incarnation: int,
+        lease_seconds: float,
+        trust_seconds: float,
+        late_seconds: float,
     ) -> None:
         self.process_id = process_id
         self.lease_seconds = lease_seconds
-        self.own = ownership.Ownership(incarnation, lease_seconds, late)
+        # How long after its last renewal an upstream is listed on the home's word.
+        self._trust_seconds = trust_seconds
+        self.own = ownership.Ownership(incarnation, lease_seconds, late_seconds)
         self.views_by_home: dict[str, views.View] = {}
         # The newest record of each upstream, whoever told it.
         self.records_by_id: dict[str, records.Record] = {}
+        self._renewals_by_id: dict[str, _Renewal] = {}
         self._gone_since_by_id: dict[str, float] = {}
         # Own changes that are not yet told, by upstream, and the last one told.
         self._untold_by_id: dict[str, messages.Item | messages.LoadItem] = {}
@@ -48,20 +64,59 @@
         """Return the view of a home, a new one if the home has started anew."""
         view = self.views_by_home.get(home)
         if view is None or incarnation > view.incarnation:
-            view = views.View(incarnation, self.lease_seconds)
+            view = views.View(incarnation)
             self.views_by_home[home] = view
         return view
 
     def expires_at(self, record: records.Record) -> float:
         """Return when the lease of the newest record ends, as far as is known here."""
+        renewed_at = self.renewed_at(record)
+        if record.home == self.process_id:
+            return renewed_at + self.lease_seconds
+        return renewed_at + self._trust_seconds
+
+    def renewed_at(self, record: records.Record) -> float:
+        """Return when the upstream renewed, as far as known; NEVER: it is gone.
+
+        That it renewed is true of the upstream, whoever was its home then. So what one
+        home has told still counts when another takes over, until that one is heard.
+        """
         if record.state != records.STATE_STANDS:
             return NEVER
+        upstream_id, life = record.upstream_id, record.life
+        known = self._renewals_by_id.get(upstream_id)
+        renewed_at = known.at if known is not None and known.life == life else NEVER
         if record.home == self.process_id:
-            if not self.is_own(record):
-                return NEVER
-            return self.own.expires_at(record.upstream_id)
-        view = self.views_by_home.get(record.home)
-        return NEVER if view is None else view.expires_at(record)
+            if self.is_own(record):
+                renewed_at = max(renewed_at, self.own.renewed_at(upstream_id))
+        elif record.home in self.views_by_home:
+            view = self.views_by_home[record.home]
+            renewed_at = max(renewed_at, view.renewed_at(upstream_id, life))
+        return renewed_at
+
+    def note_renewal(self, record: records.Record, renewed_at: float) -> None:
+        """Note that the upstream renewed in this life."""
+        known = self._renewals_by_id.get(record.upstream_id)
+        if (
+            known is None
+            or known.life < record.life
+            or (known.life == record.life and known.at < renewed_at)
+        ):
+            self._renewals_by_id[record.upstream_id] = _Renewal(record.life, renewed_at)
+
+    def apply(self, view: views.View, changes: messages.Changes, now: float) -> bool:
+        """Take a home's changes into its view; False: earlier ones are missed."""
+        for item in changes.items:
+            held = view.records_by_id.get(item.upstream_id)
+            if held is not None:
+                self.note_renewal(held, view.renewed_at(held.upstream_id, held.life))
+        return view.apply(changes, now)
+
+    def replace(self, view: views.View, fetched: messages.Fetched, now: float) -> None:
+        """Take all that a home answers for in place of its view."""
+        for held in view.records_by_id.values():
+            self.note_renewal(held, view.renewed_at(held.upstream_id, held.life))
+        view.replace(fetched, now)
 
     def is_own(self, record: records.Record) -> bool:
         """Tell whether this gateway answers for exactly this record."""
@@ -148,6 +203,7 @@
             if now - since >= KEEP_GONE_SECONDS:
                 del self.records_by_id[upstream_id]
                 del self._gone_since_by_id[upstream_id]
+                self._renewals_by_id.pop(upstream_id, None)
 
     def _with_home(self, record: records.Record) -> records.Record:
         if record.home == self.process_id and self.is_own(record):
--- a/bilberrydrum/upstreams/views.py
+++ b/bilberrydrum/upstreams/views.py
@@ -21,7 +21,7 @@
 # Share by which two hosts' clocks may drift apart; hosts keep well below it.
 CLOCK_DRIFT: Final = 0.001
 # An answer that took longer says too little about the clocks.
-MAX_ROUND_TRIP_SECONDS: Final = 0.5
+MAX_ROUND_TRIP_SECONDS: Final = 0.2
 
 
 class SenderClock:
@@ -55,9 +55,8 @@
 class View:
     """The replica of one home's records."""
 
-    def __init__(self, incarnation: int, lease_seconds: float) -> None:
+    def __init__(self, incarnation: int) -> None:
         self.incarnation = incarnation
-        self._lease_seconds = lease_seconds
         self.records_by_id: dict[str, records.Record] = {}
         self.change = 0
         self.digest = 0
@@ -72,13 +71,12 @@
         # When the last question to the home was asked.
         self.asked_at = float("-inf")
 
-    def expires_at(self, record: records.Record) -> float:
-        """Return until when the home's word for `record` holds."""
-        held = self.records_by_id.get(record.upstream_id)
-        if held is None or held.version() != record.version():
+    def renewed_at(self, upstream_id: str, life: int) -> float:
+        """Return when the upstream renewed last, as far as the home has told."""
+        held = self.records_by_id.get(upstream_id)
+        if held is None or held.life != life:
             return float("-inf")
-        renewed_at = self._renewed_at_by_id.get(record.upstream_id, self._renewed_at)
-        return renewed_at + self._lease_seconds
+        return self._renewed_at_by_id.get(upstream_id, self._renewed_at)
 
     def stand(self, standing: messages.Standing, now: float) -> bool:
         """Take the home's word that its upstreams stand; False: something is missed."""
