--- a/bilberrydrum/upstreams/directory.py
+++ b/bilberrydrum/upstreams/directory.py
@@ -140,6 +140,8 @@
             self._stood_at = now
             self._effects.append(events.SendAll(own.standing(now)))
             self._table.forget(now)
+            for home, record in self._table.superseded():
+                self._send(home, messages.News((record,)))
         for peer in self._peers():
             view = self._table.view(peer, 0)
             if not view.clock.is_known:
--- a/bilberrydrum/upstreams/table.py
+++ b/bilberrydrum/upstreams/table.py
@@ -166,6 +166,19 @@
             self._merge_drain(record, held)
         return True
 
+    def superseded(self) -> list[tuple[str, records.Record]]:
+        """Return homes that answer for a record that has been superseded, with the new.
+
+        A gateway that took an upstream over may have died when this gateway alone
+        knew of it. The home that goes on would never be believed here.
+        """
+        return [
+            (home, self.records_by_id[upstream_id])
+            for home, view in self.views_by_home.items()
+            for upstream_id, held in view.records_by_id.items()
+            if self._is_superseded(held)
+        ]
+
     def untold(self, now: float) -> messages.Changes | None:
         """Return the own changes that were not yet told; they count as told then."""
         if self._told_change == self.own.change:
@@ -205,6 +218,10 @@
                 del self._gone_since_by_id[upstream_id]
                 self._renewals_by_id.pop(upstream_id, None)
 
+    def _is_superseded(self, held: records.Record) -> bool:
+        newest = self.records_by_id.get(held.upstream_id)
+        return newest is not None and newest.version() > held.version()
+
     def _with_home(self, record: records.Record) -> records.Record:
         if record.home == self.process_id and self.is_own(record):
             return record
--- /dev/null
+++ b/tests/test_upstreams_schedules.py
@@ -0,0 +1,111 @@
+"""Random schedules of failures over several directories."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from bilberrydrum.upstreams import events
+from tests import upstreams_net
+
+N_GATEWAYS = 4
+N_UPSTREAMS = 3
+
+gateways = st.integers(0, N_GATEWAYS - 1).map(lambda i: f"gw-{i}")
+upstreams = st.integers(0, N_UPSTREAMS - 1).map(lambda i: f"e{i}")
+actions = st.one_of(
+    st.tuples(st.just("advance"), st.sampled_from((0.05, 0.2, 0.7, 2.5))),
+    st.tuples(st.just("leave"), upstreams, gateways),
+    st.tuples(st.just("crash"), upstreams),
+    st.tuples(st.just("announce"), upstreams, gateways),
+    st.tuples(st.just("renew"), upstreams, gateways),
+    st.tuples(st.just("drain"), upstreams, gateways, st.booleans()),
+    st.tuples(st.just("kill"), gateways),
+    st.tuples(st.just("start"), gateways),
+    st.tuples(st.just("freeze"), gateways),
+    st.tuples(st.just("wake"), gateways),
+    st.tuples(st.just("cut"), st.sets(gateways, min_size=1, max_size=2)),
+    st.tuples(st.just("cut_link"), gateways, gateways),
+    st.tuples(st.just("heal")),
+    st.tuples(
+        st.just("network"),
+        st.sampled_from((0.0, 0.1, 0.4)),
+        st.sampled_from((0.0, 0.3)),
+        st.sampled_from((0.0, 0.2, 0.8)),
+        st.booleans(),
+    ),
+)
+
+
+def run(net, action):
+    kind, *given = action
+    node = net.nodes_by_id.get(given[-1]) if given and kind != "cut" else None
+    if kind == "advance":
+        net.advance(given[0])
+    elif kind == "leave" and is_up(node):
+        net.leave(given[0], at=given[1])
+    elif kind == "crash":
+        net.crash(given[0])
+    elif kind == "announce" and is_up(node):
+        net.announce(given[0], at=given[1])
+    elif kind == "renew" and is_up(node) and net.agents_by_id[given[0]].is_running:
+        net.renew(given[0], at=given[1])
+    elif kind == "drain":
+        if is_up(net.nodes_by_id[given[1]]):
+            event = events.DrainAsked(given[0], given[2], upstreams_net.WALL)
+            net.ask(given[1], event)
+    elif kind == "kill" and sum(is_up(n) for n in net.nodes_by_id.values()) > 1:
+        net.kill(given[0])
+    elif kind == "start" and node.core is None:
+        net.start(given[0])
+    elif kind == "freeze" and sum(is_up(n) for n in net.nodes_by_id.values()) > 1:
+        net.freeze(given[0])
+    elif kind == "wake":
+        net.wake(given[0])
+    elif kind == "cut":
+        net.cut_off(*given[0])
+    elif kind == "cut_link":
+        net.cut |= {(given[0], given[1])}
+    elif kind == "heal":
+        net.heal()
+    elif kind == "network":
+        net.loss, net.duplication, net.max_delay, net.holds_on_cut = given
+
+
+def is_up(node):
+    return node is not None and node.core is not None and not node.is_frozen
+
+
+def end_all_failures(net):
+    net.loss = net.duplication = net.max_delay = 0.0
+    for node in net.nodes_by_id.values():
+        if node.is_frozen and node.core is not None:
+            net.wake(node.process_id)
+        if node.core is None:
+            net.start(node.process_id)
+    net.heal()
+
+
+class Schedules(unittest.TestCase):
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=60, database=None
+    )
+    @hypothesis.given(st.lists(actions, max_size=40))
+    def test_nothing_gone_is_listed_and_all_agree_after_the_heal(self, schedule):
+        """Gateways die, stop and are cut off while upstreams come, leave and crash, in
+        any order, over a network that loses, repeats and delays. At no step may a
+        gateway list an upstream more than 3 s after it left or fell silent; and once
+        the failures end, all gateways list the same: what truly runs.
+        """
+        net = upstreams_net.Net(N_GATEWAYS, N_UPSTREAMS)
+        for action in schedule:
+            run(net, action)
+            net.check()
+        end_all_failures(net)
+        net.advance(4.0)
+        running = {i for i, agent in net.agents_by_id.items() if agent.is_running}
+        for listed in net.all_listed():
+            self.assertEqual(running, listed)
+        for upstream_id in running:
+            records = [net.record(name, upstream_id) for name in net.nodes_by_id]
+            self.assertEqual(1, len({(r.home, r.is_drained) for r in records}))
--- a/tests/upstreams_net.py
+++ b/tests/upstreams_net.py
@@ -47,6 +47,8 @@
 
     upstream: object
     is_running: bool = True
+    # It said that it leaves, and has not announced itself since.
+    is_leaving: bool = False
     renewed_at: float = float("-inf")
     left_at: float = float("inf")
     next_renewal: float = 0.0
@@ -133,6 +135,7 @@
         )
         if reply is not None and reply.refusal is None:
             agent.is_running = True
+            agent.is_leaving = False
             agent.left_at = float("inf")
             agent.renewed_at = self.now
             agent.next_renewal = self.now + RENEW
@@ -151,6 +154,7 @@
         reply = self.ask(at, events.Leaving(upstream_id))
         agent.left_at = self.now
         agent.is_running = not is_silent
+        agent.is_leaving = True
         return reply
 
     def crash(self, upstream_id):
@@ -237,7 +241,8 @@
                 continue
             agent.next_renewal = self.now + RENEW
             reply = self.renew(upstream_id)
-            if reply is not None and reply.refusal == "not-found":
+            refused = reply is not None and reply.refusal is not None
+            if refused and not agent.is_leaving:
                 self.announce(upstream_id)
 
     def _step(self, node, event):
