Relay through groups with seats when there are many gateways

Cause: in a full mesh each gateway hears one standing message from each other one an interval; with 330 that is some 660 a second.

Change: beyond max_mesh_gateways the gateways form about sqrt(n) groups within availability zones. Two members of each relay changes and, with each message, how old the renewals behind all homes are at most. A receiver counts a seat's word only for homes whose replica is as far as the seat's.

--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -79,6 +79,8 @@
     renew_seconds: float = 0.5
     # How often a gateway tells the others that its upstreams still stand.
     standing_seconds: float = 0.5
+    # Up to this many gateways tell each other directly; more form groups that relay.
+    max_mesh_gateways: int = 16
 
 
 @attrs.frozen
--- a/bilberrydrum/upstreams/directory.py
+++ b/bilberrydrum/upstreams/directory.py
@@ -19,6 +19,7 @@
 from bilberrydrum import reasons
 from bilberrydrum.upstreams import (
     events,
+    exchange,
     forwards,
     leaves,
     loads,
@@ -26,13 +27,14 @@
     records,
     stops,
     table,
-    views,
 )
 
 # Questions to one home are at least this far apart.
 FETCH_INTERVAL_SECONDS: Final = 0.2
 # Standing messages that may be missed, beyond the lease, until a home isn't believed.
 STANDINGS_MISSED: Final = 1.5
+# How often upstreams that are long gone are looked for.
+FORGET_INTERVAL_SECONDS: Final = 5.0
 # A gateway that has just started waits this long for the others' records.
 SYNC_SECONDS: Final = 1.0
 
@@ -47,9 +49,9 @@
         lease_seconds: float,
         renew_seconds: float,
         standing_seconds: float,
+        max_mesh: int,
     ) -> None:
         self._process_id = process_id
-        self._standing_seconds = standing_seconds
         # The home ends a lease and tells so at once. Whoever does not hear it relies
         # on the home's word a little longer, so that one lost message of standing
         # makes no gap; with the defaults 2.75 s, within the 3 s that an upstream may
@@ -61,9 +63,12 @@
             lease_seconds + STANDINGS_MISSED * standing_seconds,
             2 * renew_seconds,
         )
+        self._exchange = exchange.Exchange(
+            self._table, incarnation, standing_seconds, max_mesh
+        )
         self._zones_by_id: dict[str, str] = {}
-        self._stood_at = table.NEVER
         self._started_at: float | None = None
+        self._forgot_at = table.NEVER
         self._forwards = forwards.Forwards(renew_seconds)
         self._leaves = leaves.Leaves()
         self._stops = stops.Stops()
@@ -73,15 +78,14 @@
         """Take one event at `now`, in seconds, and return what is to be done."""
         self._effects = []
         if self._stops.step(now):
-            for peer in self._peers():
-                self._send(peer, messages.Fetch(0, int(now * 1000)))
+            self._exchange.ask_all(now)
         self._take(event, now)
-        for record in self._leaves.take_known(len(self._live_peers(now))):
-            self._effects.append(events.LeaveKnown(record.upstream_id, record.life))
+        self._answer_leaves(now)
         self._effects.extend(self._table.corrections)
         self._table.corrections.clear()
         if self._table.has_urgent():
-            self._tell(now)
+            self._exchange.tell(now)
+        self._effects.extend(self._exchange.take_effects())
         return self._effects
 
     def standing_by_id(self, now: float) -> dict[str, records.Record]:
@@ -125,9 +129,7 @@
         if self._started_at is None:
             self._started_at = now
         self._zones_by_id = event.zones_by_id
-        views_by_home = self._table.views_by_home
-        for home in views_by_home.keys() - event.zones_by_id.keys():
-            del views_by_home[home]
+        self._exchange.arrange(event.zones_by_id, now)
         own = self._table.own
         for upstream_id in own.expired_ids(now):
             self._end(own.records_by_id[upstream_id], records.STATE_LAPSED, now)
@@ -135,17 +137,10 @@
         for leave in self._leaves.overdue(now):
             others = set(self._live_peers(now)) - leave.witnesses
             self._ask_witnesses(leave.record, sorted(others))
-        self._tell(now)
-        if now - self._stood_at >= self._standing_seconds:
-            self._stood_at = now
-            self._effects.append(events.SendAll(own.standing(now)))
+        self._exchange.tick(now)
+        if now - self._forgot_at >= FORGET_INTERVAL_SECONDS:
+            self._forgot_at = now
             self._table.forget(now)
-            for home, record in self._table.superseded():
-                self._send(home, messages.News((record,)))
-        for peer in self._peers():
-            view = self._table.view(peer, 0)
-            if not view.clock.is_known:
-                self._fetch(peer, view, now)
 
     @_take.register
     def _announced(self, event: events.Announced, now: float) -> None:
@@ -230,41 +225,7 @@
 
     @functools.singledispatchmethod
     def _hear(self, message: Any, sender: str, now: float) -> None:
-        self._effects.append(events.Drop(reasons.Reason.MESSAGE_UNKNOWN_TYPE))
-
-    @_hear.register
-    def _hear_standing(
-        self, message: messages.Standing, sender: str, now: float
-    ) -> None:
-        view = self._table.views_by_home[sender]
-        if not view.stand(message, now):
-            is_behind = message.change > view.change
-            self._fetch(sender, view, now, since=view.change if is_behind else 0)
-
-    @_hear.register
-    def _hear_changes(self, message: messages.Changes, sender: str, now: float) -> None:
-        view = self._table.views_by_home[sender]
-        is_whole = self._table.apply(view, message, now)
-        self._merge_changes(message, view, now)
-        if not is_whole:
-            self._fetch(sender, view, now, since=view.change)
-
-    @_hear.register
-    def _hear_fetch(self, message: messages.Fetch, sender: str, now: float) -> None:
-        self._tell(now)
-        self._send(sender, self._table.own.fetched(message, now))
-
-    @_hear.register
-    def _hear_fetched(self, message: messages.Fetched, sender: str, now: float) -> None:
-        view = self._table.views_by_home[sender]
-        view.clock.answer(message.standing.sent_at, message.asked_at, now)
-        if not message.is_full:
-            self._table.apply(view, message.changes, now)
-        elif message.changes.change >= view.change:
-            self._table.replace(view, message, now)
-        self._merge_changes(message.changes, view, now)
-        if not view.stand(message.standing, now):
-            self._fetch(sender, view, now)
+        self._exchange.hear(message, sender, now)
 
     @_hear.register
     def _hear_forward(self, message: messages.Forward, sender: str, now: float) -> None:
@@ -283,7 +244,7 @@
             )
             self._renew(record, renewal, heard_at)
         elif record is not None:
-            self._send(sender, messages.News((record,)))
+            self._send(sender, messages.News(record))
         self._send(sender, messages.Forwarded(message.upstream_id, is_home))
 
     @_hear.register
@@ -300,17 +261,16 @@
 
     @_hear.register
     def _hear_news(self, message: messages.News, sender: str, now: float) -> None:
-        for record in message.records:
-            is_news = self._merge(record, now)
-            held = self._table.records_by_id[record.upstream_id]
-            if held.version() > record.version():
-                self._send(sender, messages.News((held,)))
-            if not message.is_witness:
-                continue
+        record = message.record
+        is_news = self._table.merge(record, now)
+        held = self._table.records_by_id[record.upstream_id]
+        if held.version() > record.version():
+            self._send(sender, messages.News(held))
+        if message.is_witness:
             self._send(sender, messages.NewsHeard(record.upstream_id, record.life))
-            if is_news:
-                # The gateway that heard it may die before it has told the others.
-                self._effects.append(events.SendAll(messages.News((record,))))
+        if is_news and (message.is_witness or self._exchange.relays):
+            # The gateway that heard it may die before it has told the others.
+            self._exchange.spread(record, sender, now)
 
     @_hear.register
     def _hear_news_heard(
@@ -369,15 +329,16 @@
         """
         for forwarding in self._forwards.take_overdue(now):
             record = self._table.records_by_id.get(forwarding.renewal.upstream_id)
-            if record is None or record.state == records.STATE_LEFT:
+            if record is None or record.home != forwarding.home:
                 continue
-            if now - forwarding.heard_at < self._table.lease_seconds:
+            is_recent = now - forwarding.heard_at < self._table.lease_seconds
+            if is_recent and record.state != records.STATE_LEFT:
                 self._take_over(record, forwarding.renewal, forwarding.heard_at)
 
     def _forward(
         self, record: records.Record, event: events.Renewed, now: float
     ) -> None:
-        self._forwards.add(event, now)
+        self._forwards.add(event, record.home, now)
         message = messages.Forward(
             record.upstream_id,
             record.life,
@@ -394,36 +355,15 @@
         self._note(state, ended)
         return ended
 
-    def _merge_changes(
-        self, changes: messages.Changes, view: views.View, now: float
-    ) -> None:
-        for item in changes.items:
-            if item.record is not None:
-                self._merge(item.record, now)
-        for load in changes.loads:
-            held = view.records_by_id.get(load.upstream_id)
-            if held is not None:
-                self._merge(held, now)
-
-    def _merge(self, record: records.Record, now: float) -> bool:
-        if not self._table.merge(record, now):
-            return False
-        self._forwards.end(record.upstream_id)
-        return True
-
     def _ask_witnesses(self, record: records.Record, peers: list[str]) -> None:
         for peer in peers:
-            self._send(peer, messages.News((record,), is_witness=True))
-
-    def _tell(self, now: float) -> None:
-        changes = self._table.untold(now)
-        if changes is not None:
-            self._effects.append(events.SendAll(changes))
+            self._send(peer, messages.News(record, is_witness=True))
 
-    def _fetch(self, home: str, view: views.View, now: float, since: int = 0) -> None:
-        if now - view.asked_at >= FETCH_INTERVAL_SECONDS:
-            view.asked_at = now
-            self._send(home, messages.Fetch(since, int(now * 1000)))
+    def _answer_leaves(self, now: float) -> None:
+        if not self._leaves.are_open:
+            return
+        for record in self._leaves.take_known(len(self._live_peers(now))):
+            self._effects.append(events.LeaveKnown(record.upstream_id, record.life))
 
     def _send(self, process_id: str, message: Any) -> None:
         self._effects.append(events.Send(process_id, message))
--- a/bilberrydrum/upstreams/forwards.py
+++ b/bilberrydrum/upstreams/forwards.py
@@ -15,6 +15,7 @@
     """A renewal that was passed on."""
 
     renewal: events.Renewed
+    home: str
     heard_at: float
 
 
@@ -25,9 +26,12 @@
         self._timeout = ANSWER_SHARE * renew_seconds
         self._forwards_by_id: dict[str, Forwarding] = {}
 
-    def add(self, renewal: events.Renewed, now: float) -> None:
-        """Note a renewal; an older one that is unanswered keeps its time."""
-        self._forwards_by_id.setdefault(renewal.upstream_id, Forwarding(renewal, now))
+    def add(self, renewal: events.Renewed, home: str, now: float) -> None:
+        """Note a renewal; an older one to the same home keeps its time."""
+        known = self._forwards_by_id.get(renewal.upstream_id)
+        if known is None or known.home != home:
+            forwarding = Forwarding(renewal, home, now)
+            self._forwards_by_id[renewal.upstream_id] = forwarding
 
     def end(self, upstream_id: str) -> Forwarding | None:
         """Forget what is under way for an upstream, and return it."""
--- a/bilberrydrum/upstreams/leaves.py
+++ b/bilberrydrum/upstreams/leaves.py
@@ -47,6 +47,11 @@
         by_zone = sorted(live_peers, key=lambda peer: zones_by_id.get(peer) == own_zone)
         return by_zone[: N_WITNESSES + 1]
 
+    @property
+    def are_open(self) -> bool:
+        """Tell whether any leave waits for its answer."""
+        return bool(self._leaves_by_id)
+
     def hear(self, upstream_id: str, life: int, witness: str) -> None:
         """Note that `witness` knows."""
         leave = self._leaves_by_id.get(upstream_id)
--- a/bilberrydrum/upstreams/messages.py
+++ b/bilberrydrum/upstreams/messages.py
@@ -53,6 +53,17 @@
 
     upstream_id: str
     age: int
+    # Its home, when that is not the sender.
+    home: str = ""
+
+
+@codec.register("upstreams.late-home")
+@attrs.frozen
+class LateHome:
+    """A home that was not heard as lately as the others."""
+
+    home: str
+    age: int
 
 
 @codec.register("upstreams.standing")
@@ -115,9 +126,9 @@
 @codec.register("upstreams.news")
 @attrs.frozen
 class News:
-    """Records sent outside of a home's changes: a leave, or a correction."""
+    """A record sent outside of a home's changes: a leave, or a correction."""
 
-    records: tuple[records.Record, ...]
+    record: records.Record
     # The receiver must pass the records on to all gateways and answer `NewsHeard`.
     is_witness: bool = False
 
@@ -141,3 +152,57 @@
     stored: tuple[str, ...] = ()
     removed: tuple[str, ...] = ()
     is_cleared: bool = False
+
+
+@codec.register("upstreams.home-changes")
+@attrs.frozen
+class HomeChanges:
+    """Changes of a home, relayed."""
+
+    home: str
+    incarnation: int
+    changes: Changes
+
+
+@codec.register("upstreams.relayed")
+@attrs.frozen
+class Relayed:
+    """What a seat knows of the homes of its group, or of all homes."""
+
+    sent_at: int
+    # Rises by one with each message to the same receivers.
+    sequence: int
+    # Digest of the gateways that the sender goes by.
+    topology: int
+    # All homes, or only those of the sender's group.
+    is_all: bool
+    # Each home's upstreams, but the late ones', renewed at most this long ago.
+    age: int
+    late_homes: tuple[LateHome, ...] = ()
+    late: tuple[Late, ...] = ()
+    # Changes that came in since the last message, and records that no home may log.
+    news: tuple[HomeChanges, ...] = ()
+    unlogged: tuple[records.Record, ...] = ()
+
+
+@codec.register("upstreams.fetch-vector")
+@attrs.frozen
+class FetchVector:
+    """Ask a seat how far it knows each home's changes."""
+
+    is_all: bool
+    asked_at: int
+
+
+@codec.register("upstreams.vector")
+@attrs.frozen
+class Vector:
+    """Answer to `FetchVector`: columns, one value per home."""
+
+    asked_at: int
+    sent_at: int
+    is_all: bool
+    # The last message sent before.
+    sequence: int
+    homes: tuple[str, ...]
+    changes: tuple[int, ...]
--- a/bilberrydrum/upstreams/registry.py
+++ b/bilberrydrum/upstreams/registry.py
@@ -40,6 +40,9 @@
     messages.Forwarded,
     messages.News,
     messages.NewsHeard,
+    messages.Relayed,
+    messages.FetchVector,
+    messages.Vector,
 )
 
 
@@ -81,6 +84,7 @@
             options.upstreams.lease_seconds,
             options.upstreams.renew_seconds,
             options.upstreams.standing_seconds,
+            options.upstreams.max_mesh_gateways,
         )
         self._prefixes = prefixes.PrefixHints()
         self._queue: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
--- a/bilberrydrum/upstreams/table.py
+++ b/bilberrydrum/upstreams/table.py
@@ -64,6 +64,8 @@
         """Return the view of a home, a new one if the home has started anew."""
         view = self.views_by_home.get(home)
         if view is None or incarnation > view.incarnation:
+            if view is not None:
+                self._note_renewals(view)
             view = views.View(incarnation)
             self.views_by_home[home] = view
         return view
@@ -114,8 +116,7 @@
 
     def replace(self, view: views.View, fetched: messages.Fetched, now: float) -> None:
         """Take all that a home answers for in place of its view."""
-        for held in view.records_by_id.values():
-            self.note_renewal(held, view.renewed_at(held.upstream_id, held.life))
+        self._note_renewals(view)
         view.replace(fetched, now)
 
     def is_own(self, record: records.Record) -> bool:
@@ -218,6 +219,10 @@
                 del self._gone_since_by_id[upstream_id]
                 self._renewals_by_id.pop(upstream_id, None)
 
+    def _note_renewals(self, view: views.View) -> None:
+        for held in view.records_by_id.values():
+            self.note_renewal(held, view.renewed_at(held.upstream_id, held.life))
+
     def _is_superseded(self, held: records.Record) -> bool:
         newest = self.records_by_id.get(held.upstream_id)
         return newest is not None and newest.version() > held.version()
@@ -241,7 +246,7 @@
         if self.is_own(newest):
             self.answer_for(wished, self.own.renewed_at(newest.upstream_id))
         elif newest.home != self.process_id:
-            self.corrections.append(events.Send(newest.home, messages.News((other,))))
+            self.corrections.append(events.Send(newest.home, messages.News(other)))
 
     def _set(self, record: records.Record) -> None:
         self.records_by_id[record.upstream_id] = record
--- a/bilberrydrum/upstreams/views.py
+++ b/bilberrydrum/upstreams/views.py
@@ -12,6 +12,7 @@
 message may be of any age.
 """
 
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
@@ -68,8 +69,9 @@
         # then, but for those named.
         self._renewed_at = float("-inf")
         self._renewed_at_by_id: dict[str, float] = {}
-        # When the last question to the home was asked.
+        # When the last question to the home was asked, and how many since it was heard.
         self.asked_at = float("-inf")
+        self.n_unanswered = 0
 
     def renewed_at(self, upstream_id: str, life: int) -> float:
         """Return when the upstream renewed last, as far as the home has told."""
@@ -89,12 +91,37 @@
         if sent_at is None:
             return False
         self._standing_sent_at = standing.sent_at
-        self._renewed_at = sent_at - standing.age / 1000
-        self._renewed_at_by_id = {
-            late.upstream_id: sent_at - late.age / 1000 for late in standing.late
-        }
+        self.vouch(
+            sent_at - standing.age / 1000,
+            {late.upstream_id: sent_at - late.age / 1000 for late in standing.late},
+        )
         return True
 
+    def vouch(self, renewed_at: float, late_by_id: Mapping[str, float]) -> None:
+        """Take it that all upstreams renewed at `renewed_at` or later, or as given."""
+        if renewed_at <= self._renewed_at:
+            return
+        self._renewed_at = renewed_at
+        later_by_id = {
+            upstream_id: at
+            for upstream_id, at in self._renewed_at_by_id.items()
+            if at > renewed_at
+        }
+        self._renewed_at_by_id = {**late_by_id, **later_by_id}
+
+    @property
+    def vouched_at(self) -> float:
+        """When all upstreams but the late ones are known to have renewed."""
+        return self._renewed_at
+
+    def late_by_id(self) -> dict[str, float]:
+        """Return when the upstreams renewed that are later than the others."""
+        return {
+            upstream_id: at
+            for upstream_id, at in self._renewed_at_by_id.items()
+            if at < self._renewed_at
+        }
+
     def apply(self, changes: messages.Changes, now: float) -> bool:
         """Take the home's changes; False: earlier ones are missed."""
         if changes.change <= self.change:
--- /dev/null
+++ b/tests/test_upstreams_relays.py
@@ -0,0 +1,161 @@
+"""The same directories with groups and seats in place of the full mesh."""
+
+import unittest
+
+from bilberrydrum.upstreams import messages, topology
+from tests import upstreams_net
+
+N_GATEWAYS = 12
+
+
+def relayed_net(n_upstreams=6, seed=1):
+    """Three groups of four gateways, one for each availability zone."""
+    return upstreams_net.Net(N_GATEWAYS, n_upstreams, seed=seed, max_mesh=4)
+
+
+def own_group(net, process_id):
+    zones_by_id = net._tick().zones_by_id
+    return topology.arrange(process_id, zones_by_id, 4).own.candidates
+
+
+class Arrange(unittest.TestCase):
+    def test_groups_partition_the_gateways_within_their_zones(self):
+        for n_gateways, n_zones in ((5, 1), (17, 3), (24, 6), (330, 6)):
+            zones_by_id = {f"gw-{i}": f"zone-{i % n_zones}" for i in range(n_gateways)}
+            for process_id in list(zones_by_id)[:5]:
+                arranged = topology.arrange(process_id, zones_by_id, 4)
+                groups = [arranged.own, *arranged.others]
+                members = [member for group in groups for member in group.candidates]
+                self.assertEqual(sorted(zones_by_id), sorted(members))
+                self.assertIn(process_id, arranged.own.candidates)
+                for group in groups:
+                    zones = {zones_by_id[member] for member in group.candidates}
+                    self.assertEqual(1, len(zones))
+
+    def test_few_gateways_form_no_groups(self):
+        zones_by_id = {f"gw-{i}": "zone" for i in range(4)}
+        self.assertIsNone(topology.arrange("gw-0", zones_by_id, 4))
+
+    def test_all_gateways_arrange_alike(self):
+        zones_by_id = {f"gw-{i}": f"zone-{i % 3}" for i in range(20)}
+        arranged = [topology.arrange(name, zones_by_id, 4) for name in zones_by_id]
+        self.assertEqual(1, len({one.digest for one in arranged}))
+        groups = {frozenset((one.own, *one.others)) for one in arranged}
+        self.assertEqual(1, len(groups))
+
+
+class Relayed(unittest.TestCase):
+    def test_all_list_all_without_a_gap(self):
+        net = relayed_net()
+        net.advance(0.5)
+        for _ in range(150):
+            net.advance(0.1)
+            for listed in net.all_listed():
+                self.assertEqual(6, len(listed))
+
+    def test_few_messages_are_sent_where_a_mesh_sends_many(self):
+        net = relayed_net(0)
+        mesh = upstreams_net.Net(N_GATEWAYS, 0)
+        counts = []
+        for one in (net, mesh):
+            before = one.n_sent
+            one.advance(10.0, check=False)
+            counts.append(one.n_sent - before)
+        self.assertLess(counts[0], counts[1] / 2)
+
+    def test_single_lost_messages_make_no_gap(self):
+        net = relayed_net()
+        net.advance(0.5)
+        net.loss = 0.02
+        n_gaps = 0
+        for _ in range(200):
+            net.advance(0.1)
+            n_gaps += sum(len(listed) != 6 for listed in net.all_listed())
+        self.assertEqual(0, n_gaps)
+
+    def test_a_leave_reaches_all_and_outlives_its_hearer(self):
+        """The leave is answered by a gateway that dies at once; the upstream goes on
+        renewing by mistake. The seats that know of it must have told all groups.
+        """
+        for hearer in ("gw-0", "gw-5", "gw-10"):
+            with self.subTest(hearer=hearer):
+                net = relayed_net(3)
+                net.advance(0.5)
+                net.drop = lambda a, b, m, h=hearer: (
+                    a == h and not (isinstance(m, messages.News) and m.is_witness)
+                )
+                net.leave("e0", at=hearer, is_silent=False)
+                net._deliver()
+                self.assertIn("e0", net.nodes_by_id[hearer].known_leaves)
+                net.kill(hearer)
+                net.drop = lambda a, b, m: False
+                net.advance(6.0)
+                for listed in net.all_listed():
+                    self.assertEqual({"e1", "e2"}, listed)
+
+    def test_the_seats_of_a_group_die(self):
+        """One seat dies: the other is a way of its own and there is no gap. Both die
+        at once: the next members take the seats before the word of the group's homes
+        runs out everywhere, or soon after, and all list all again.
+        """
+        for n_dead in (1, 2):
+            with self.subTest(n_dead=n_dead):
+                net = relayed_net()
+                net.advance(2.0)
+                seats = own_group(net, "gw-0")[:n_dead]
+                for seat in seats:
+                    net.kill(seat)
+                worst = 0
+                for step in range(80):
+                    net.advance(0.1)
+                    if any(len(listed) != 6 for listed in net.all_listed()):
+                        worst = step
+                self.assertLess(worst, 30 if n_dead == 2 else 1)
+
+    def test_a_dead_seat_comes_back_and_takes_its_place(self):
+        net = relayed_net()
+        net.advance(1.0)
+        seat = own_group(net, "gw-0")[0]
+        net.kill(seat)
+        net.advance(3.0)
+        net.start(seat)
+        net.advance(3.0)
+        self.assertTrue(all(len(listed) == 6 for listed in net.all_listed()))
+
+    def test_a_stopped_seat_wakes_with_old_messages(self):
+        """A seat is stopped for 10 s while an upstream leaves and one falls silent. It
+        wakes with old messages to read and may relay none of them as new.
+        """
+        net = relayed_net(4)
+        net.advance(1.0)
+        seat = own_group(net, "gw-0")[0]
+        net.freeze(seat)
+        other = next(name for name in net.nodes_by_id if name != seat)
+        net.advance(0.2)
+        net.leave("e0", at=other)
+        net.crash("e1")
+        net.advance(10.0)
+        net.wake(seat)
+        net.advance(2.0)
+        for listed in net.all_listed():
+            self.assertEqual({"e2", "e3"}, listed)
+
+    def test_a_zone_is_cut_off_and_comes_back(self):
+        for holds in (False, True):
+            with self.subTest(holds_on_cut=holds):
+                net = relayed_net(4)
+                net.advance(1.0)
+                net.holds_on_cut = holds
+                zone = set(own_group(net, "gw-0"))
+                net.balancer = net.nodes_by_id.keys() - zone
+                net.cut_off(*zone)
+                net.advance(0.5)
+                net.crash("e1")
+                net.advance(8.0)
+                for name in zone:
+                    self.assertEqual(set(), net.listed(name))
+                net.heal()
+                net.balancer = None
+                net.advance(3.0)
+                for listed in net.all_listed():
+                    self.assertEqual({"e0", "e2", "e3"}, listed)
