Check settings and key files, and report every fault with its place

Cause: a daemon must say all that is wrong with its settings before it starts. Ruled out: one validator per key; ranges are a table by path, types come from the classes, and only checks over several values are functions. Change: settings.load, keys, curve. Conclusion: a file with ten faults gives ten findings, sorted by place.

--- /dev/null
+++ b/bilberrydrum/keys.py
@@ -0,0 +1,114 @@
+"""Key files for encrypted connections between the system's processes (CURVE).
+
+Each process has a key file with its public and its secret key. A peers file, the same
+on every process, names the public key of each process by its peer address. Both are
+YAML; keys are Z85 text of 40 characters.
+"""
+
+import os
+from typing import Final
+
+import attrs
+import result
+import zmq
+import zmq.utils.z85 as z85
+
+from bilberrydrum import findings, yaml_places
+
+# Characters of a 32-byte key in Z85.
+KEY_LENGTH: Final = 40
+# The secret key may be read by its owner alone.
+_MODE: Final = 0o600
+_GROUP_AND_OTHERS: Final = 0o077
+
+_HEADER: Final = (
+    "# CURVE keys of one process. Keep this file secret; only the public key goes\n"
+    "# into the peers file.\n"
+)
+
+
+@attrs.frozen
+class KeyPair:
+    """The keys of one process, in Z85."""
+
+    public: str
+    secret: str = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Peers:
+    """Public keys of the processes that may connect, by peer address."""
+
+    peers: dict[str, str]
+
+
+def generate() -> KeyPair:
+    """Return new keys."""
+    public, secret = zmq.curve_keypair()
+    return KeyPair(public.decode(), secret.decode())
+
+
+def write(path: str, pair: KeyPair) -> result.Result[None, findings.Finding]:
+    """Write a new key file, readable by its owner alone; never replace one."""
+    # Z85 has neither quotes nor backslashes, so plain quoting is enough.
+    text = f'{_HEADER}public: "{pair.public}"\nsecret: "{pair.secret}"\n'
+    # A key that peers know already would be lost for good if it were overwritten.
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    try:
+        descriptor = os.open(path, flags, _MODE)
+        with open(descriptor, "w", encoding="ascii") as file:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+    except OSError as error:
+        message = f"cannot be written: {error.strerror}"
+        return result.Err(findings.Finding(path, 0, 0, message))
+    return result.Ok(None)
+
+
+def read_pair(path: str) -> result.Result[KeyPair, list[findings.Finding]]:
+    """Read a key file; refuse one that others than its owner may read."""
+    outcome = yaml_places.read_file(path, KeyPair)
+    if isinstance(outcome, result.Err):
+        return outcome
+    reading = outcome.ok_value
+    for name in ("public", "secret"):
+        if not is_key(getattr(reading.value, name)):
+            reading.report(_key_rule(name), (name,))
+    # Whoever can read the secret key can pass for this process.
+    if os.stat(path).st_mode & _GROUP_AND_OTHERS:
+        reading.report("others than the owner may read this file; use chmod 600", ())
+    return reading.finish()
+
+
+def read_peers(path: str) -> result.Result[Peers, list[findings.Finding]]:
+    """Read a peers file."""
+    outcome = yaml_places.read_file(path, Peers)
+    if isinstance(outcome, result.Err):
+        return outcome
+    reading = outcome.ok_value
+    addresses_by_key: dict[str, str] = {}
+    for address, key in reading.value.peers.items():
+        path_of_key = ("peers", address)
+        if not is_key(key):
+            reading.report(_key_rule(f"the key of {address}"), path_of_key)
+        elif key in addresses_by_key:
+            other = addresses_by_key[key]
+            reading.report(f"this is the key of {other} already", path_of_key)
+        addresses_by_key[key] = address
+    return reading.finish()
+
+
+def is_key(text: str) -> bool:
+    """Tell whether `text` is a key in Z85."""
+    if len(text) != KEY_LENGTH:
+        return False
+    try:
+        z85.decode(text)
+    except (ValueError, KeyError):
+        return False
+    return True
+
+
+def _key_rule(what: str) -> str:
+    return f"{what} must be {KEY_LENGTH} characters of Z85"
--- /dev/null
+++ b/bilberrydrum/settings.py
@@ -0,0 +1,316 @@
+"""The daemon's settings: a YAML file read into `options.Options`.
+
+The keys of the file are the attribute names of the option classes, nested as the
+classes are. Reading, types and unknown keys are the work of `yaml_places`; here are
+the ranges of numbers, a table, and the checks that look at more than one value.
+"""
+
+import ipaddress
+import math
+import re
+from collections.abc import Iterator
+from typing import Any, Final
+
+import attrs
+import result
+
+from bilberrydrum import findings, options, yaml_places
+
+ROLES: Final = (options.ROLE_GATEWAY, options.ROLE_STATE)
+# A lease is renewed at least this often in its time, so that one lost renewal does
+# not end it.
+RENEWALS_PER_LEASE: Final = 3
+# Heartbeats that may be lost before a follower stands for election.
+HEARTBEATS_PER_ELECTION: Final = 3
+
+_NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
+_NAME_RULE: Final = (
+    "must be 1 to 64 letters, digits, dots, underscores or hyphens,"
+    " and begin with a letter or digit"
+)
+_MIB: Final = 1024 * 1024
+_DAY: Final = 24 * 3600.0
+
+
+@attrs.frozen
+class Range:
+    """The least and the greatest value of a number, both allowed."""
+
+    least: float
+    greatest: float
+
+    def __contains__(self, value: float) -> bool:
+        return self.least <= value <= self.greatest
+
+    def __str__(self) -> str:
+        if math.isinf(self.greatest):
+            return f"at least {self.least:g}"
+        return f"{self.least:g} to {self.greatest:g}"
+
+
+# Numbers that have no row here must only not be negative.
+ANY_RANGE: Final = Range(0, math.inf)
+RANGES_BY_PATH: Final[dict[yaml_places.Path, Range]] = {
+    ("state", "heartbeat_seconds"): Range(0.01, 10),
+    ("state", "election_timeout_seconds"): Range(0.05, 60),
+    ("state", "drift_margin"): Range(0, 0.5),
+    ("state", "snapshot_entries"): Range(10, 10_000_000),
+    ("gateway", "bundle_lease_seconds"): Range(0.2, 300),
+    ("gateway", "bundle_renew_seconds"): Range(0.02, 60),
+    ("limits", "max_body_bytes"): Range(1024, 1024 * _MIB),
+    ("limits", "max_header_bytes"): Range(1024, _MIB),
+    ("limits", "max_connections"): Range(1, 1_000_000),
+    ("limits", "read_timeout_seconds"): Range(0.1, 600),
+    ("upstreams", "lease_seconds"): Range(0.2, 60),
+    ("upstreams", "renew_seconds"): Range(0.02, 20),
+    ("upstreams", "standing_seconds"): Range(0.02, 20),
+    ("requests", "default_timeout_seconds"): Range(0.1, _DAY),
+    ("requests", "max_timeout_seconds"): Range(0.1, _DAY),
+    ("requests", "retry_budget"): Range(0, 1),
+    ("requests", "max_attempts"): Range(1, 20),
+    ("requests", "max_queue_per_caller"): Range(1, 100_000),
+    ("requests", "claim_seconds"): Range(60, 90 * _DAY),
+    ("requests", "max_result_bytes"): Range(1024, 16 * _MIB),
+    ("samples", "owner_lease_seconds"): Range(0.2, 300),
+    ("samples", "max_prompt_bytes"): Range(1, 64 * _MIB),
+    ("samples", "max_wait_seconds"): Range(0.1, 600),
+    ("samples", "second_attempt_budget"): Range(0, 1),
+    ("shutdown", "balancer_seconds"): Range(0, 600),
+    ("shutdown", "limit_seconds"): Range(0, _DAY),
+}
+
+# Values of which the second must be renewed in time for the first.
+_LEASES: Final = (
+    (("gateway", "bundle_lease_seconds"), ("gateway", "bundle_renew_seconds")),
+    (("upstreams", "lease_seconds"), ("upstreams", "renew_seconds")),
+    (("upstreams", "lease_seconds"), ("upstreams", "standing_seconds")),
+)
+
+_Reading = yaml_places.Reading[options.Options]
+
+
+def load(path: str) -> result.Result[options.Options, list[findings.Finding]]:
+    """Read the settings file at `path`.
+
+    Returns
+    -------
+    result.Result
+        The options, or all findings in the order of their places.
+    """
+    return yaml_places.read_text(path).and_then(lambda text: parse(text, path))
+
+
+def parse(
+    text: str, file: str
+) -> result.Result[options.Options, list[findings.Finding]]:
+    """Read settings from `text`; `file` is the name used in findings."""
+    outcome = yaml_places.read(text, file, options.Options)
+    if isinstance(outcome, result.Err):
+        return outcome
+    reading = outcome.ok_value
+    for check in _CHECKS:
+        check(reading)
+    return reading.finish()
+
+
+def numbers(
+    value: Any, path: yaml_places.Path = ()
+) -> Iterator[tuple[yaml_places.Path, float]]:
+    """Yield path and value of each number among the options."""
+    for field in attrs.fields(type(value)):
+        field_path = (*path, field.name)
+        field_value = getattr(value, field.name)
+        if attrs.has(type(field_value)):
+            yield from numbers(field_value, field_path)
+        elif isinstance(field_value, int | float) and not isinstance(field_value, bool):
+            yield field_path, field_value
+
+
+def address_fault(address: str, is_wildcard_allowed: bool = False) -> str:
+    """Return what is wrong with an ``IP:port``; empty if nothing is.
+
+    Parameters
+    ----------
+    address : str
+        The address; an IPv6 number stands in brackets.
+    is_wildcard_allowed : bool
+        Whether the address may stand for all of the host's own addresses.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator:
+        return f"must be IP:port, found {address!r}"
+    if not (port.isascii() and port.isdigit() and 1 <= int(port[:6]) <= 65535):
+        return f"must end in a port from 1 to 65535, found {port!r}"
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        number = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+    except ValueError:
+        return f"must begin with an IP number, found {host!r}"
+    if is_bracketed != (number.version == 6):
+        return "must have brackets round an IPv6 number, and round no other"
+    if number.is_unspecified and not is_wildcard_allowed:
+        return "must be an address that other processes can reach"
+    return ""
+
+
+def _check_ranges(reading: _Reading) -> None:
+    for path, value in numbers(reading.value):
+        allowed = RANGES_BY_PATH.get(path, ANY_RANGE)
+        if value not in allowed:
+            reading.report(f"{path[-1]} must be {allowed}, found {value:g}", path)
+
+
+def _check_names(reading: _Reading) -> None:
+    value = reading.value
+    names_by_path: dict[yaml_places.Path, str] = {
+        ("process_id",): value.process_id,
+        ("group",): value.group,
+    }
+    for index, member in enumerate(value.state.members):
+        names_by_path["state", "members", index, "process_id"] = member.process_id
+    for path, name in names_by_path.items():
+        if not _NAME.match(name):
+            reading.report(f"{path[-1]} {_NAME_RULE}, found {name!r}", path)
+    for key in ("availability_zone", "region"):
+        if not getattr(value, key).strip():
+            reading.report(f"{key} must not be empty", (key,))
+
+
+def _check_roles(reading: _Reading) -> None:
+    roles = reading.value.roles
+    if not roles:
+        reading.report(
+            f"roles must name at least one of {', '.join(ROLES)}", ("roles",)
+        )
+    for index, role in enumerate(roles):
+        path = ("roles", index)
+        if role not in ROLES:
+            reading.report(
+                f"role must be one of {', '.join(ROLES)}, found {role!r}", path
+            )
+        elif role in roles[:index]:
+            reading.report(f"role {role!r} is named twice", path)
+
+
+def _check_addresses(reading: _Reading) -> None:
+    value = reading.value
+    fault = address_fault(value.gateway.http_address, is_wildcard_allowed=True)
+    path: yaml_places.Path = ("gateway", "http_address")
+    if fault:
+        reading.report(f"http_address {fault}", path)
+    elif value.gateway.http_address == value.peer_address:
+        reading.report("http_address must not equal peer_address", path)
+    if fault := address_fault(value.peer_address):
+        reading.report(f"peer_address {fault}", ("peer_address",))
+    for index, member in enumerate(value.state.members):
+        if fault := address_fault(member.peer_address):
+            path = ("state", "members", index, "peer_address")
+            reading.report(f"peer_address {fault}", path)
+
+
+def _check_members(reading: _Reading) -> None:
+    value = reading.value
+    members = value.state.members
+    for index, member in enumerate(members):
+        path = ("state", "members", index)
+        earlier = members[:index]
+        if member.process_id in [other.process_id for other in earlier]:
+            message = f"member {member.process_id!r} is named twice"
+            reading.report(message, (*path, "process_id"))
+        if member.peer_address in [other.peer_address for other in earlier]:
+            message = f"peer_address {member.peer_address} is another member's already"
+            reading.report(message, (*path, "peer_address"))
+        is_self = member.process_id == value.process_id
+        if is_self and member.peer_address != value.peer_address:
+            reading.report(
+                f"peer_address of this process is {value.peer_address}"
+                f" elsewhere in this file, found {member.peer_address}",
+                (*path, "peer_address"),
+                ("peer_address",),
+                ("process_id",),
+            )
+
+
+def _check_state_role(reading: _Reading) -> None:
+    value = reading.value
+    if options.ROLE_STATE in value.roles:
+        if not value.state.data_folder:
+            reading.report(
+                "data_folder is needed by the role state",
+                ("state", "data_folder"),
+                ("roles",),
+            )
+    elif not value.state.members:
+        reading.report(
+            "members are needed by a process without the role state",
+            ("state", "members"),
+            ("roles",),
+        )
+
+
+def _check_leases(reading: _Reading) -> None:
+    number_by_path = dict(numbers(reading.value))
+    for lease_path, renew_path in _LEASES:
+        lease, renew = number_by_path[lease_path], number_by_path[renew_path]
+        if renew * RENEWALS_PER_LEASE > lease:
+            reading.report(
+                f"{renew_path[-1]} must be at most {lease_path[-1]} /"
+                f" {RENEWALS_PER_LEASE} = {lease / RENEWALS_PER_LEASE:g},"
+                f" found {renew:g}",
+                *_written_first(reading, renew_path, lease_path),
+            )
+
+
+def _check_times(reading: _Reading) -> None:
+    value = reading.value
+    least = HEARTBEATS_PER_ELECTION * value.state.heartbeat_seconds
+    if value.state.election_timeout_seconds < least:
+        reading.report(
+            "election_timeout_seconds must be at least heartbeat_seconds *"
+            f" {HEARTBEATS_PER_ELECTION} = {least:g},"
+            f" found {value.state.election_timeout_seconds:g}",
+            *_written_first(
+                reading,
+                ("state", "election_timeout_seconds"),
+                ("state", "heartbeat_seconds"),
+            ),
+        )
+    if value.requests.default_timeout_seconds > value.requests.max_timeout_seconds:
+        reading.report(
+            "default_timeout_seconds must be at most max_timeout_seconds ="
+            f" {value.requests.max_timeout_seconds:g},"
+            f" found {value.requests.default_timeout_seconds:g}",
+            *_written_first(
+                reading,
+                ("requests", "default_timeout_seconds"),
+                ("requests", "max_timeout_seconds"),
+            ),
+        )
+
+
+def _check_curve(reading: _Reading) -> None:
+    curve = reading.value.curve
+    if curve.key_file and not curve.peers_file:
+        reading.report("key_file needs peers_file beside it", ("curve", "key_file"))
+    if curve.peers_file and not curve.key_file:
+        reading.report("peers_file needs key_file beside it", ("curve", "peers_file"))
+
+
+def _written_first(
+    reading: _Reading, *paths: yaml_places.Path
+) -> tuple[yaml_places.Path, ...]:
+    """Return `paths` with those that stand in the file before mere defaults."""
+    return tuple(sorted(paths, key=lambda path: path not in reading.places_by_path))
+
+
+_CHECKS: Final = (
+    _check_ranges,
+    _check_names,
+    _check_roles,
+    _check_addresses,
+    _check_members,
+    _check_state_role,
+    _check_leases,
+    _check_times,
+    _check_curve,
+)
--- a/bilberrydrum/yaml_places.py
+++ b/bilberrydrum/yaml_places.py
@@ -41,7 +41,7 @@
     }
 )
 _INTEGER: Final = re.compile(r"[-+]?(0|[1-9][0-9]*)\Z")
-_NUMBER: Final = re.compile(r"[-+]?[0-9]+(\.[0-9]*)?([eE][-+]?[0-9]+)?\Z")
+_NUMBER: Final = re.compile(r"[-+]?([0-9]+\.?[0-9]*|\.[0-9]+)([eE][-+]?[0-9]+)?\Z")
 # Longest run of digits taken as a number; Python refuses far longer ones.
 _MAX_DIGITS: Final = 40
 # What stands in for a required value that is missing or wrong, by its type.
@@ -271,10 +271,10 @@
     is_short = len(plain) <= _MAX_DIGITS
     if hint is int:
         is_number = is_short and _INTEGER.match(plain)
-        return "an integer", int(plain) if is_number else None
+        return "a decimal integer", int(plain) if is_number else None
     if is_short and _NUMBER.match(plain) and math.isfinite(float(plain)):
-        return "a number", float(plain)
-    return "a number", None
+        return "a decimal number", float(plain)
+    return "a decimal number", None
 
 
 def _empty(hint: Any) -> Any:
