Add the operators' tool

Cause: operators check, submit, sign off and roll bundles and look into a deployment. Ruled out: retries by urllib3, which know one host only; the order of gateways is a pure decision of its own, so it can be tested as a table.

--- a/bilberrydrum/keys.py
+++ b/bilberrydrum/keys.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import struct
 from typing import Final
 
 import attrs
@@ -105,7 +106,7 @@
         return False
     try:
         z85.decode(text)
-    except (ValueError, KeyError):
+    except (ValueError, KeyError, struct.error):
         return False
     return True
 
--- /dev/null
+++ b/bilberrydrum_cli/client.py
@@ -0,0 +1,203 @@
+"""HTTP requests to the gateways' operator interface, with another gateway in reserve.
+
+A gateway that is dead, frozen or refuses for now (429, 503) is left for the next one.
+That holds for changes too: a bundle is known by its digest and the other changes have
+the same effect when sent again, so a change whose answer was lost may be resent.
+"""
+
+import json
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import result
+import urllib3
+
+from bilberrydrum_cli import messages, rotation
+
+JSON_TYPE: Final = "application/json"
+BYTES_TYPE: Final = "application/octet-stream"
+_LONGEST_CONNECT_SECONDS: Final = 2.0
+# Statuses by which a gateway refuses for now and another one may not.
+_BUSY_STATUSES: Final = frozenset({429, 503})
+
+
+@attrs.frozen
+class Attempt:
+    """One attempt that got no answer that counts."""
+
+    gateway: str
+    detail: str
+    # False only if no byte of the request can have reached the gateway.
+    may_have_arrived: bool
+
+
+@attrs.frozen
+class Unavailable:
+    """No gateway answered in time."""
+
+    seconds: float
+    # The last attempt at each gateway, by its URL.
+    attempts_by_gateway: dict[str, Attempt]
+    may_have_arrived: bool
+
+
+@attrs.frozen
+class Refused:
+    """A gateway answered with an error."""
+
+    gateway: str
+    status: int
+    # The problem document; empty if the answer was none.
+    problem: dict[str, Any]
+
+
+@attrs.frozen
+class Senseless:
+    """A gateway answered with something that is not of this interface."""
+
+    gateway: str
+    status: int
+
+
+Failure = Unavailable | Refused | Senseless
+
+
+@attrs.frozen
+class Call:
+    """One request."""
+
+    method: str
+    # Path and query, quoted.
+    target: str
+    body: bytes = b""
+    content_type: str = JSON_TYPE
+
+    @property
+    def is_change(self) -> bool:
+        """Whether the request changes anything."""
+        return self.method != "GET"
+
+
+class Client:
+    """Sends requests to whichever gateway answers."""
+
+    def __init__(
+        self,
+        gateways: tuple[str, ...],
+        operator: str,
+        token: str = "",
+        timeout: float = 10.0,
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self._rotation = rotation.Rotation(gateways)
+        self._timeout = timeout
+        self._clock = clock
+        self._sleep = sleep
+        self._headers = {"X-Operator": operator, "Accept": JSON_TYPE}
+        if token:
+            self._headers["Authorization"] = f"Bearer {token}"
+        # Redirects and retries are off: which gateway is asked is decided here.
+        self._http = urllib3.PoolManager(retries=False)
+
+    def json(
+        self, method: str, target: str, body: Any = None
+    ) -> result.Result[Any, Failure]:
+        """Send a request with a JSON body and return the JSON answer."""
+        data = b"" if body is None else json.dumps(body).encode()
+        return self.call(Call(method, target, data)).and_then(_parse)
+
+    def call(self, call: Call) -> result.Result["Answer", Failure]:
+        """Send a request until a gateway answers or the time is up."""
+        attempts_by_gateway: dict[str, Attempt] = {}
+        may_have_arrived = False
+        event: rotation.Event = rotation.Begin(self._clock() + self._timeout)
+        while True:
+            effect = self._rotation.step(self._clock(), event)
+            if not isinstance(effect, rotation.Try):
+                return result.Err(
+                    Unavailable(self._timeout, attempts_by_gateway, may_have_arrived)
+                )
+            if effect.pause_seconds:
+                self._sleep(effect.pause_seconds)
+            outcome = self._attempt(call, effect)
+            if isinstance(outcome, Answer):
+                self._rotation.step(self._clock(), rotation.Answered())
+                return _judge(outcome)
+            attempt, retry_after_seconds = outcome
+            attempts_by_gateway[attempt.gateway] = attempt
+            may_have_arrived = may_have_arrived or attempt.may_have_arrived
+            event = rotation.Missed(retry_after_seconds)
+
+    def _attempt(
+        self, call: Call, effect: rotation.Try
+    ) -> "Answer | tuple[Attempt, float]":
+        try:
+            response = self._http.request(
+                call.method,
+                effect.gateway + call.target,
+                body=call.body or None,
+                headers={**self._headers, "Content-Type": call.content_type},
+                timeout=urllib3.Timeout(
+                    total=effect.timeout_seconds,
+                    connect=min(effect.timeout_seconds, _LONGEST_CONNECT_SECONDS),
+                ),
+                redirect=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return _failed_attempt(effect.gateway, error), 0.0
+        answer = Answer(effect.gateway, response.status, response.data)
+        if answer.status not in _BUSY_STATUSES:
+            return answer
+        reason = str(answer.problem().get("reason", "busy"))
+        detail = messages.BUSY.format(status=answer.status, reason=reason)
+        attempt = Attempt(effect.gateway, detail, may_have_arrived=True)
+        return attempt, _seconds(response.headers.get("Retry-After", ""))
+
+
+@attrs.frozen
+class Answer:
+    """What a gateway answered."""
+
+    gateway: str
+    status: int
+    body: bytes
+
+    def problem(self) -> dict[str, Any]:
+        """Return the problem document, or an empty map if the body is none."""
+        try:
+            value = json.loads(self.body)
+        except (ValueError, RecursionError):
+            return {}
+        return value if isinstance(value, dict) else {}
+
+
+def _judge(answer: Answer) -> result.Result[Answer, Failure]:
+    if 200 <= answer.status < 300:
+        return result.Ok(answer)
+    if 400 <= answer.status < 600:
+        return result.Err(Refused(answer.gateway, answer.status, answer.problem()))
+    return result.Err(Senseless(answer.gateway, answer.status))
+
+
+def _parse(answer: Answer) -> result.Result[Any, Failure]:
+    try:
+        return result.Ok(json.loads(answer.body or b"{}"))
+    except (ValueError, RecursionError):
+        return result.Err(Senseless(answer.gateway, answer.status))
+
+
+def _failed_attempt(gateway: str, error: Exception) -> Attempt:
+    unsent = (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    )
+    detail = str(error).rpartition(": ")[2] or type(error).__name__
+    return Attempt(gateway, detail, not isinstance(error, unsent))
+
+
+def _seconds(text: str) -> float:
+    """Return the seconds of a Retry-After header; 0 for a date or nonsense."""
+    return float(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0.0
