--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -192,6 +192,12 @@
         self._routes_by_head: dict[str, list[Route]] = collections.defaultdict(list)
         # Requests being worked on, for a graceful shutdown.
         self.n_in_flight = 0
+        # Set once the process is told to stop.
+        self.is_draining = False
+
+    def routes(self) -> list[Route]:
+        """Return all routes, for tests that compare them with the documentation."""
+        return [route for routes in self._routes_by_head.values() for route in routes]
 
     def add(
         self, method: str, pattern: str, handler: Handler, guard: str = GUARD_NONE
--- /dev/null
+++ b/bilberrydrum/http/monitoring.py
@@ -0,0 +1,40 @@
+"""Health, readiness and metrics of one process."""
+
+from collections.abc import Callable
+
+import prometheus_client
+
+from bilberrydrum import reasons
+from bilberrydrum.http import edge
+
+
+def add_routes(edge_: edge.Edge, find_unready: Callable[[], list[str]]) -> None:
+    """Serve `/healthz`, `/readyz` and `/metrics`.
+
+    Parameters
+    ----------
+    edge_ : Edge
+        Where the routes are added.
+    find_unready : callable
+        Returns why no work should be sent here; empty when it may be.
+    """
+
+    def healthz(request: edge.Request) -> edge.Response:
+        # A draining process fails its health check, so that the balancer looks for
+        # another while requests in flight end.
+        if edge_.is_draining:
+            raise edge.refuse(503, reasons.Reason.SHUTTING_DOWN)
+        return edge.Response.of_json({"status": "ok"})
+
+    def readyz(request: edge.Request) -> edge.Response:
+        unready = find_unready()
+        status = 503 if unready else 200
+        return edge.Response.of_json({"ready": not unready, "why": unready}, status)
+
+    def metrics(request: edge.Request) -> edge.Response:
+        content_type = ("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
+        return edge.Response(200, prometheus_client.generate_latest(), [content_type])
+
+    edge_.add("GET", "/healthz", healthz)
+    edge_.add("GET", "/readyz", readyz)
+    edge_.add("GET", "/metrics", metrics)
--- /dev/null
+++ b/bilberrydrum/http/server.py
@@ -0,0 +1,163 @@
+"""Serve the edge over HTTP, with limits on connections, headers and reading time.
+
+eventlet's WSGI server does the protocol. Its connection handler is extended here so
+that a request which breaks a limit gets a problem document and is counted, and so that
+connections are closed after their answer once the process drains.
+"""
+
+import time
+from typing import Any, Final
+
+import eventlet
+import eventlet.wsgi
+
+from bilberrydrum import counters, options, problems, reasons
+from bilberrydrum.http import edge
+
+# How long a client that was refused at once gets to read why.
+_REFUSAL_LINGER_SECONDS: Final = 1.0
+# Refused clients that are waited for at a time; further ones are cut.
+_MAX_REFUSALS: Final = 64
+# A connection without a request is closed after this long.
+_IDLE_SECONDS: Final = 75.0
+_BACKLOG: Final = 1024
+
+
+def raw_answer(problem: problems.Problem) -> bytes:
+    """Return the bytes of a whole HTTP answer that closes the connection."""
+    body = problem.to_json()
+    lines = [f"HTTP/1.1 {problem.status} {problem.reason.value}"]
+    lines += [f"{name}: {value}" for name, value in problem.headers()]
+    lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+class LimitedProtocol(eventlet.wsgi.HttpProtocol):
+    """eventlet's handler of one connection, with our limits and errors."""
+
+    limits = options.LimitOptions()
+
+    def parse_request(self) -> bool:
+        """Read the headers; refuse headers that are too large or too slow."""
+        timeout = eventlet.Timeout(self.limits.read_timeout_seconds)
+        try:
+            return bool(super().parse_request())
+        except (
+            eventlet.wsgi.HeaderLineTooLong,
+            eventlet.wsgi.HeadersTooLarge,
+        ):
+            self._refuse(431, reasons.Reason.HEADERS_TOO_LARGE)
+            return False
+        except eventlet.Timeout as error:
+            if error is not timeout:
+                raise
+            self._refuse(408, reasons.Reason.READ_TIMEOUT)
+            return False
+        finally:
+            timeout.cancel()
+
+    def handle_one_request(self) -> None:
+        """Serve one request; a draining server serves no second one."""
+        super().handle_one_request()
+        if self.server.app.is_draining:
+            self.close_connection = 1
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: str | None = None
+    ) -> None:
+        """Answer a request that is not HTTP with a problem document."""
+        self._refuse(int(code), reasons.Reason.INVALID_REQUEST, message or "")
+
+    def _refuse(self, status: int, reason: reasons.Reason, detail: str = "") -> None:
+        counters.refused(reason)
+        self.wfile.write(raw_answer(problems.Problem(status, reason, detail)))
+        self.wfile.flush()
+        self.close_connection = 1
+
+
+class _BoundedListener:
+    """A listening socket that refuses connections beyond a number, and says so."""
+
+    def __init__(self, listener: Any, pool: Any, max_connections: int) -> None:
+        self._listener = listener
+        self._pool = pool
+        self._max_connections = max_connections
+        self._refusals = eventlet.GreenPool(_MAX_REFUSALS)
+
+    def accept(self) -> Any:
+        # Without this, a full pool keeps the server from accepting: clients would
+        # wait in the kernel's queue for as long as others keep their connections.
+        while True:
+            connection, address = self._listener.accept()
+            if self._pool.running() < self._max_connections:
+                return connection, address
+            counters.refused(reasons.Reason.TOO_MANY_CONNECTIONS)
+            if self._refusals.free() > 0:
+                self._refusals.spawn_n(_refuse_connection, connection)
+            else:
+                connection.close()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._listener, name)
+
+
+def _refuse_connection(connection: Any) -> None:
+    problem = problems.Problem(
+        503, reasons.Reason.TOO_MANY_CONNECTIONS, retry_after_seconds=1.0
+    )
+    give_up_at = time.monotonic() + _REFUSAL_LINGER_SECONDS
+    try:
+        connection.settimeout(_REFUSAL_LINGER_SECONDS)
+        connection.sendall(raw_answer(problem))
+        # Closing with unread input would reset the connection, and the client would
+        # see the reset in place of the answer.
+        connection.shutdown(1)
+        while time.monotonic() < give_up_at and connection.recv(4096):
+            pass
+    except OSError:
+        pass
+    finally:
+        connection.close()
+
+
+class HttpServer:
+    """The task that listens for HTTP and serves the edge."""
+
+    def __init__(self, address: str, app: edge.Edge, limits: options.LimitOptions):
+        self._address = address
+        self._app = app
+        self._limits = limits
+        self._pool = eventlet.GreenPool(limits.max_connections)
+        self._listener: Any = None
+        self._task: Any = None
+
+    def start(self) -> None:
+        """Bind the address and start to serve."""
+        host, _, port = self._address.rpartition(":")
+        self._listener = eventlet.listen((host, int(port)), backlog=_BACKLOG)
+        limits = self._limits
+        # The server's own limits are module constants. One header line may take all
+        # that is allowed; the edge checks the exact sum.
+        eventlet.wsgi.MAX_HEADER_LINE = limits.max_header_bytes + 1
+        eventlet.wsgi.MAX_TOTAL_HEADER_SIZE = limits.max_header_bytes + 1
+        protocol = type("Protocol", (LimitedProtocol,), {"limits": limits})
+        bounded = _BoundedListener(self._listener, self._pool, limits.max_connections)
+        self._task = eventlet.spawn(
+            eventlet.wsgi.server,
+            bounded,
+            self._app,
+            protocol=protocol,
+            custom_pool=self._pool,
+            keepalive=_IDLE_SECONDS,
+            log_output=False,
+            debug=False,
+            # Events of a stream must leave at once, however small.
+            minimum_chunk_size=1,
+            url_length_limit=limits.max_header_bytes,
+        )
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and idle connections; requests go on."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,190 @@
+"""The HTTP edge: refusals are problem documents, counted, and lose nothing."""
+
+import contextlib
+import json
+import socket
+import unittest
+
+import eventlet
+import eventlet.wsgi
+from nose2.tools import params
+
+from bilberrydrum import counters, options
+from bilberrydrum.http import edge, monitoring, server
+from tests import helpers
+
+LIMITS = options.LimitOptions(
+    max_body_bytes=100,
+    max_header_bytes=1000,
+    max_connections=2,
+    read_timeout_seconds=0.3,
+)
+
+
+def refusals(reason):
+    return counters.REFUSALS.labels(reason)._value.get()
+
+
+def read_answer(connection):
+    """Read until the server closes, or nothing comes for a while."""
+    connection.settimeout(5)
+    parts = []
+    with contextlib.suppress(OSError):
+        while part := connection.recv(65536):
+            parts.append(part)
+    return b"".join(parts)
+
+
+def problem_of(answer):
+    return json.loads(answer.partition(b"\r\n\r\n")[2])
+
+
+def failing_stream():
+    yield b"first"
+    raise OSError("the upstream is gone")
+
+
+class EdgeCase(unittest.TestCase):
+    def setUp(self):
+        self.edge = edge.Edge(LIMITS, {edge.GUARD_OPERATOR: b"secret"})
+        self.edge.add("POST", "/v1/echo", self.echo)
+        self.edge.add("GET", "/v1/items/{name...}", self.show)
+        self.edge.add("GET", "/v1/secret", self.show, edge.GUARD_OPERATOR)
+        self.edge.add("GET", "/v1/stream", self.stream)
+        self.edge.add("GET", "/v1/broken", self.fail)
+        monitoring.add_routes(self.edge, list)
+        self.port = helpers.free_port()
+        self.server = server.HttpServer(f"127.0.0.1:{self.port}", self.edge, LIMITS)
+        self.server.start()
+        eventlet.sleep(0)
+
+    def tearDown(self):
+        self.server.stop_accepting()
+
+    def echo(self, request):
+        return edge.Response.of_json(request.json())
+
+    def show(self, request):
+        return edge.Response.of_json(request.variables)
+
+    def stream(self, request):
+        return edge.Response(200, failing_stream())
+
+    def fail(self, request):
+        raise RuntimeError("a fault of ours")
+
+    def connect(self):
+        return socket.create_connection(("127.0.0.1", self.port))
+
+    def ask(self, data):
+        with self.connect() as connection:
+            connection.sendall(data)
+            connection.shutdown(socket.SHUT_WR)
+            return read_answer(connection)
+
+    @params(
+        ("not json", b"POST /v1/echo", b"{", 400, "invalid-json"),
+        ("no object", b"POST /v1/echo", b"[1]", 400, "invalid-json"),
+        ("deep nesting", b"POST /v1/echo", b"[" * 99, 400, "invalid-json"),
+        ("too large", b"POST /v1/echo", b"x" * 101, 413, "body-too-large"),
+        ("no such path", b"GET /v1/nothing", b"", 404, "not-found"),
+        ("no such verb", b"DELETE /v1/echo", b"", 405, "method-not-allowed"),
+        ("no token", b"GET /v1/secret", b"", 401, "unauthorized"),
+        ("our fault", b"GET /v1/broken", b"", 500, "internal-error"),
+    )
+    def test_bad_request_gets_problem_document(self, name, line, body, status, reason):
+        before = refusals(reason)
+        length = str(len(body)).encode()
+        answer = self.ask(
+            line + b" HTTP/1.1\r\nContent-Length: " + length + b"\r\n\r\n" + body
+        )
+        self.assertTrue(answer.startswith(b"HTTP/1.1 %d " % status), answer)
+        self.assertEqual(problem_of(answer)["reason"], reason)
+        self.assertEqual(refusals(reason), before + 1)
+        self.assertEqual(self.edge.n_in_flight, 0)
+
+    @params(
+        (
+            "truncated body",
+            b"POST /v1/echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n{}",
+            400,
+            "body-truncated",
+        ),
+        (
+            "truncated chunk",
+            b"POST /v1/echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{}",
+            400,
+            "body-truncated",
+        ),
+        (
+            "large headers",
+            b"GET /v1/echo HTTP/1.1\r\nX-A: " + b"a" * 1200 + b"\r\n\r\n",
+            431,
+            "headers-too-large",
+        ),
+        ("not HTTP", b"nonsense\r\n\r\n", 400, "invalid-request"),
+    )
+    def test_broken_bytes_get_problem_document(self, name, data, status, reason):
+        before = refusals(reason)
+        answer = self.ask(data)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 %d " % status), answer)
+        self.assertEqual(problem_of(answer)["reason"], reason)
+        self.assertEqual(refusals(reason), before + 1)
+
+    @params(
+        ("slow headers", b"GET /v1/items/a HTTP/1.1\r\nX-A:"),
+        ("slow body", b"POST /v1/echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"),
+    )
+    def test_slow_request_is_refused_in_time(self, name, data):
+        """The client sends half a request and then nothing, and keeps the connection.
+
+        Without a limit on the time to read, such clients use up all connections.
+        """
+        with self.connect() as connection:
+            connection.sendall(data)
+            answer = read_answer(connection)
+        self.assertEqual(problem_of(answer)["reason"], "read-timeout")
+
+    def test_connection_beyond_limit_is_refused_and_told_when_to_return(self):
+        """Two clients hold all connections; a third is answered, not left waiting."""
+        before = refusals("too-many-connections")
+        with self.connect() as first, self.connect() as second:
+            first.sendall(b"GET /healthz HTTP/1.1\r\n")
+            second.sendall(b"GET /healthz HTTP/1.1\r\n")
+            eventlet.sleep(0.05)
+            answer = self.ask(b"GET /healthz HTTP/1.1\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+        self.assertIn(b"Retry-After: 1", answer)
+        self.assertEqual(refusals("too-many-connections"), before + 1)
+
+    def test_stream_that_fails_is_not_ended_as_whole(self):
+        """The upstream dies in mid-stream: the caller must see that the answer is cut.
+
+        A last chunk would pass off the part as the whole, so there must be none.
+        """
+        answer = self.ask(b"GET /v1/stream HTTP/1.1\r\n\r\n")
+        self.assertIn(b"first", answer)
+        self.assertNotIn(b"\r\n0\r\n\r\n", answer)
+        self.assertEqual(self.edge.n_in_flight, 0)
+
+    def test_rest_of_path_is_one_variable(self):
+        answer = self.ask(b"GET /v1/items/a/b/2 HTTP/1.1\r\n\r\n")
+        self.assertEqual(problem_of(answer), {"name": "a/b/2"})
+
+    def test_right_token_is_let_in(self):
+        answer = self.ask(
+            b"GET /v1/secret HTTP/1.1\r\nAuthorization: Bearer secret\r\n\r\n"
+        )
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+
+    def test_draining_fails_health_check_and_closes_after_answer(self):
+        """The process was told to stop: the balancer learns it, requests still end."""
+        self.edge.is_draining = True
+        with self.connect() as connection:
+            connection.sendall(b"GET /healthz HTTP/1.1\r\n\r\n")
+            answer = read_answer(connection)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+        with self.connect() as connection:
+            connection.sendall(b"GET /v1/items/a HTTP/1.1\r\n\r\n")
+            answer = read_answer(connection)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,143 @@
+"""Messages between processes: what cannot be understood is counted and dropped."""
+
+import unittest
+
+import attrs
+import eventlet
+import eventlet.green.zmq as zmq
+from nose2.tools import params
+
+from bilberrydrum import codec, counters, transport
+from tests import helpers
+
+
+@codec.register("test.ping")
+@attrs.frozen
+class Ping:
+    number: int
+
+
+@codec.register("test.unheard")
+@attrs.frozen
+class Unheard:
+    number: int = 0
+
+
+def envelope(**changes):
+    fields = {
+        "version": transport.PROTOCOL_VERSION,
+        "group": "main",
+        "sender": "a",
+        "address": "127.0.0.1:1",
+        "incarnation": 5,
+        "body": codec.encode(Ping(1)),
+    }
+    return codec.encode(transport.Envelope(**{**fields, **changes}))
+
+
+def drops(reason):
+    return counters.DROPS.labels(reason)._value.get()
+
+
+def make_transport(name, keys=None, address=None):
+    made = transport.Transport(
+        name, "main", address or f"127.0.0.1:{helpers.free_port()}", keys
+    )
+    made.start()
+    return made
+
+
+class TransportCase(unittest.TestCase):
+    def setUp(self):
+        self.heard = []
+        self.receiver = make_transport("b")
+        self.addCleanup(self.receiver.stop)
+        self.receiver.on(Ping, self.hear)
+
+    def hear(self, sender, message):
+        self.heard.append(message.number)
+        self.receiver.answer(sender, Ping(message.number + 1))
+
+    @params(
+        ("newer version", envelope(version=99), "message-newer-version"),
+        ("other group", envelope(group="other"), "message-wrong-group"),
+        ("unknown type", envelope(body=b"\x92\xa1x\x80"), "message-unknown-type"),
+        (
+            "no handler",
+            envelope(body=codec.encode(Unheard())),
+            "message-unknown-type",
+        ),
+        ("damaged body", envelope(body=b"\xc1"), "message-damaged"),
+        ("damaged envelope", b"\xc1\xc1", "message-damaged"),
+        ("no envelope", codec.encode(Ping(1)), "message-damaged"),
+        ("earlier life", envelope(incarnation=4), "message-stale-sender"),
+    )
+    def test_bad_message_is_counted_and_dropped(self, name, data, reason):
+        """A peer of another release, group or life speaks; the next message works."""
+        with zmq.Context() as context, context.socket(zmq.DEALER) as dealer:
+            dealer.connect(f"tcp://{self.receiver.address}")
+            dealer.send(envelope())
+            before = drops(reason)
+            dealer.send(data)
+            dealer.send(envelope(body=codec.encode(Ping(9))))
+            with eventlet.Timeout(10):
+                while 9 not in self.heard:
+                    eventlet.sleep(0.01)
+        self.assertEqual(self.heard, [1, 9])
+        self.assertEqual(drops(reason), before + 1)
+
+    def test_call_gets_its_own_answer(self):
+        sender = make_transport("a")
+        self.addCleanup(sender.stop)
+        tasks = [
+            eventlet.spawn(sender.call, self.receiver.address, Ping(n), 10)
+            for n in range(20)
+        ]
+        answers = [task.wait().unwrap().number for task in tasks]
+        self.assertEqual(answers, [n + 1 for n in range(20)])
+
+    def test_call_to_absent_peer_ends_in_time_and_never_hangs(self):
+        """The peer's host is gone: calls end at their timeout, sends don't block."""
+        sender = make_transport("a")
+        self.addCleanup(sender.stop)
+        absent = f"127.0.0.1:{helpers.free_port()}"
+        with eventlet.Timeout(30):
+            answer = sender.call(absent, Ping(1), 0.05)
+            for n in range(transport.SEND_HIGH_WATER_MARK + 10):
+                sender.send(absent, Ping(n))
+        self.assertTrue(answer.is_err())
+
+    def test_wrong_curve_key_is_refused_and_right_one_heard(self):
+        """A process with a key that is not listed gets no message through."""
+        public, secret = zmq.curve_keypair()
+        other_public, other_secret = zmq.curve_keypair()
+        address = f"127.0.0.1:{helpers.free_port()}"
+        keys = transport.CurveKeys(public, secret, {address: public})
+        receiver = make_transport("c", keys, address)
+        self.addCleanup(receiver.stop)
+        receiver.on(Ping, lambda sender, message: receiver.answer(sender, message))
+        stranger_keys = transport.CurveKeys(
+            other_public, other_secret, {address: public}
+        )
+        stranger = make_transport("d", stranger_keys)
+        self.addCleanup(stranger.stop)
+        self.assertTrue(stranger.call(address, Ping(1), 1.0).is_err())
+        self.assertEqual(receiver.call(address, Ping(3), 10).unwrap().number, 3)
+
+
+class CodecCase(unittest.TestCase):
+    def test_neighbouring_release_is_understood(self):
+        """A newer sender adds a field, an older one lacks a field with a default."""
+        self.assertEqual(codec.decode(b"\x92\xactest.unheard\x80"), Unheard(0))
+        newer = b"\x92\xactest.unheard\x82\xa6number\x05\xa1z\x01"
+        self.assertEqual(codec.decode(newer), Unheard(5))
+
+    @params(
+        ("wrong type", b"\x92\xa9test.ping\x81\xa6number\xa1x"),
+        ("missing field", b"\x92\xa9test.ping\x80"),
+        ("no name", b"\x92\x01\x80"),
+        ("empty", b""),
+    )
+    def test_damage_is_an_error(self, name, data):
+        with self.assertRaises(codec.DecodeError):
+            codec.decode(data)
