--- a/bilberrydrum/http/server.py
+++ b/bilberrydrum/http/server.py
@@ -32,7 +32,7 @@
     return "\r\n".join(lines).encode() + body
 
 
-class LimitedProtocol(eventlet.wsgi.HttpProtocol):
+class LimitedProtocol(eventlet.wsgi.HttpProtocol):  # type: ignore[misc]
     """eventlet's handler of one connection, with our limits and errors."""
 
     limits = options.LimitOptions()
