--- /dev/null
+++ b/bilberrydrum/bundles/commands.py
@@ -0,0 +1,250 @@
+"""Commands on bundles: submit, sign off, roll, and what the leader notes of a roll.
+
+A bundle goes from draft to signed-off to rolling to in-force. Version numbers are given
+by operators, who race: the first submission of a number wins. A command sent again
+changes nothing and gets the answer of the first time.
+"""
+
+import attrs
+
+from bilberrydrum import codec, reasons
+from bilberrydrum.bundles import records
+from bilberrydrum.state import machine
+
+
+@codec.register("bundles.submit")
+@attrs.frozen
+class SubmitBundle:
+    """Submit a checked bundle as a draft; answered by `Changed` or `Refused`."""
+
+    version: int
+    parent: int
+    digest: str
+    author: str
+    cut_policy: str
+    content: str
+
+
+@codec.register("bundles.sign_off")
+@attrs.frozen
+class SignOffBundle:
+    """Sign off a draft by its digest; answered by `Changed` or `Refused`."""
+
+    version: int
+    digest: str
+    operator: str
+
+
+@codec.register("bundles.roll")
+@attrs.frozen
+class RollBundle:
+    """Start to bring a bundle in force; answered by `Changed` or `Refused`."""
+
+    version: int
+    digest: str
+    operator: str
+
+
+@codec.register("bundles.note_in_force")
+@attrs.frozen
+class NoteInForce:
+    """Note that no gateway can act on an older bundle; answered by `InForce`."""
+
+    version: int
+
+
+@codec.register("bundles.start_grants")
+@attrs.frozen
+class StartGrants:
+    """Note the leases that a new leader will grant; answered by `GrantsStarted`.
+
+    Once it is applied, the leader has applied every command of earlier leaders.
+    """
+
+    term: int
+    lease_seconds: float
+    hold_lease_seconds: float
+
+
+@codec.register("bundles.changed")
+@attrs.frozen
+class Changed:
+    """The bundle is, or was when the change was first made, in `state`."""
+
+    version: int
+    digest: str
+    state: str
+
+
+@codec.register("bundles.refused")
+@attrs.frozen
+class Refused:
+    """The change was refused and changed nothing."""
+
+    reason: reasons.Reason
+    detail: str
+    # Who has the version number, when another content has it.
+    winner_digest: str = ""
+    winner_author: str = ""
+
+
+@codec.register("bundles.in_force")
+@attrs.frozen
+class InForce:
+    """The version in force."""
+
+    version: int
+
+
+@codec.register("bundles.grants_started")
+@attrs.frozen
+class GrantsStarted:
+    """Longest leases, in seconds, that this or an earlier leader may have granted."""
+
+    lease_seconds: float
+    hold_lease_seconds: float
+
+
+@machine.apply.register
+def _(
+    command: SubmitBundle, state: machine.State, context: machine.Context
+) -> Changed | Refused:
+    section = records.section_of(state)
+    record = section.records_by_version.get(command.version)
+    if record is not None:
+        # Two operators took the same number, or one sent the same change again after
+        # its answer was lost. The digest tells which: without this check the second
+        # content would replace the first, perhaps after it was signed off.
+        if record.digest != command.digest:
+            return _conflict(record)
+        return Changed(record.version, record.digest, records.DRAFT)
+    newest = records.newest(section)
+    if command.version <= newest:
+        return _stale(f"version {newest} is rolled already; take a higher number")
+    if command.parent != newest:
+        # Made from an older bundle, it would silently undo what came since.
+        return _stale(f"made from version {command.parent}, but {newest} is newest")
+    open_records = [
+        each
+        for each in section.records_by_version.values()
+        if records.is_open(section, each)
+    ]
+    if len(open_records) >= records.MAX_OPEN_DRAFTS:
+        detail = f"{len(open_records)} bundles wait on version {newest} already"
+        return Refused(reasons.Reason.BUNDLE_TOO_MANY_DRAFTS, detail)
+    section.records_by_version[command.version] = records.Record(
+        command.version,
+        command.parent,
+        command.digest,
+        command.author,
+        command.cut_policy,
+        command.content,
+    )
+    records.prune(section)
+    return Changed(command.version, command.digest, records.DRAFT)
+
+
+@machine.apply.register
+def _(
+    command: SignOffBundle, state: machine.State, context: machine.Context
+) -> Changed | Refused:
+    section = records.section_of(state)
+    record = section.records_by_version.get(command.version)
+    if record is None:
+        return _unknown(section, command.version)
+    if record.digest != command.digest:
+        return _conflict(record)
+    if record.state == records.DRAFT:
+        if not records.is_open(section, record):
+            return _stale_parent(section, record)
+        section.records_by_version[record.version] = attrs.evolve(
+            record, state=records.SIGNED_OFF, signed_off_by=command.operator
+        )
+    return Changed(record.version, record.digest, records.SIGNED_OFF)
+
+
+@machine.apply.register
+def _(
+    command: RollBundle, state: machine.State, context: machine.Context
+) -> Changed | Refused:
+    section = records.section_of(state)
+    record = section.records_by_version.get(command.version)
+    if record is None:
+        return _unknown(section, command.version)
+    if record.digest != command.digest:
+        return _conflict(record)
+    if record.state == records.DRAFT:
+        return Refused(
+            reasons.Reason.BUNDLE_NOT_SIGNED_OFF,
+            f"version {record.version} is not signed off",
+        )
+    if record.state == records.SIGNED_OFF:
+        if not records.is_open(section, record):
+            return _stale_parent(section, record)
+        _start_roll(section, record)
+    return Changed(record.version, record.digest, records.ROLLING)
+
+
+@machine.apply.register
+def _(command: NoteInForce, state: machine.State, context: machine.Context) -> InForce:
+    section = records.section_of(state)
+    # A note that was held up may come after the next roll; only the version that is
+    # rolling now may come in force, so the version never falls.
+    if command.version == section.rolling:
+        _set_state(section, section.in_force, records.SUPERSEDED)
+        _set_state(section, command.version, records.IN_FORCE)
+        section.in_force = command.version
+        section.rolling = 0
+        records.prune(section)
+    return InForce(section.in_force)
+
+
+@machine.apply.register
+def _(
+    command: StartGrants, state: machine.State, context: machine.Context
+) -> GrantsStarted:
+    section = records.section_of(state)
+    # Replicas may run with other options while these are being changed. A lease that
+    # an earlier leader granted for longer must still be waited out.
+    section.lease_seconds = max(section.lease_seconds, command.lease_seconds)
+    section.hold_lease_seconds = max(
+        section.hold_lease_seconds, command.hold_lease_seconds
+    )
+    return GrantsStarted(section.lease_seconds, section.hold_lease_seconds)
+
+
+def _start_roll(section: records.Section, record: records.Record) -> None:
+    # A roll under way is taken over: its content is this one's parent, gateways go on
+    # to this one, and the earlier version is never reported in force.
+    _set_state(section, section.rolling, records.SUPERSEDED)
+    _set_state(section, record.version, records.ROLLING)
+    section.rolling = record.version
+
+
+def _set_state(section: records.Section, version: int, state: str) -> None:
+    record = section.records_by_version.get(version)
+    if record is not None:
+        section.records_by_version[version] = attrs.evolve(record, state=state)
+
+
+def _conflict(record: records.Record) -> Refused:
+    detail = f"version {record.version} was submitted first by {record.author}"
+    return Refused(reasons.Reason.BUNDLE_CONFLICT, detail, record.digest, record.author)
+
+
+def _stale(detail: str) -> Refused:
+    return Refused(reasons.Reason.BUNDLE_STALE, detail)
+
+
+def _stale_parent(section: records.Section, record: records.Record) -> Refused:
+    newest = records.newest(section)
+    return _stale(
+        f"version {record.version} was made from {record.parent}, but {newest} is "
+        "newest"
+    )
+
+
+def _unknown(section: records.Section, version: int) -> Refused:
+    if version <= records.newest(section):
+        return _stale(f"version {version} is older than the records kept")
+    return Refused(reasons.Reason.NOT_FOUND, f"there is no version {version}")
--- /dev/null
+++ b/bilberrydrum/bundles/records.py
@@ -0,0 +1,117 @@
+"""The state's section of bundles: one record per version, and which is in force.
+
+The section stays flat under any number of changes: contents are kept of the bundles
+that may still be rolled or acted on and of the newest `CONTENTS_KEPT` others; version,
+digest and author are kept of `RECORDS_KEPT` records, so that a change resent days later
+still gets its answer.
+"""
+
+from typing import Final
+
+import attrs
+
+from bilberrydrum import codec
+from bilberrydrum.bundles import model
+from bilberrydrum.state import machine
+
+SECTION: Final = "bundles"
+
+# Contents kept beside those of live bundles, to look at and to copy from.
+CONTENTS_KEPT: Final = 32
+# Records kept in all: more than three days at 560 changes a day.
+RECORDS_KEPT: Final = 2048
+# Bundles that may wait for sign-off or roll on the same parent.
+MAX_OPEN_DRAFTS: Final = 64
+
+DRAFT: Final = "draft"
+SIGNED_OFF: Final = "signed-off"
+ROLLING: Final = "rolling"
+IN_FORCE: Final = "in-force"
+SUPERSEDED: Final = "superseded"
+
+
+@codec.register("bundles.record")
+@attrs.frozen
+class Record:
+    """One submitted bundle."""
+
+    version: int
+    parent: int
+    digest: str
+    # The operator whose submission came first.
+    author: str
+    cut_policy: str
+    # The YAML text; empty once it is no longer kept.
+    content: str
+    state: str = DRAFT
+    signed_off_by: str = ""
+
+
+@codec.register("bundles.section")
+@attrs.define
+class Section:
+    """All bundles. Records are in the order of their submission."""
+
+    records_by_version: dict[int, Record] = attrs.field(factory=dict)
+    in_force: int = 0
+    # The bundle on its way to all gateways; 0: none.
+    rolling: int = 0
+    # Longest leases that a leader may have granted, in seconds.
+    lease_seconds: float = 0.0
+    hold_lease_seconds: float = 0.0
+
+
+def section_of(state: machine.State) -> Section:
+    """Return the section of `state`; it must not be changed by a reader."""
+    section: Section = state.section(SECTION, Section)
+    return section
+
+
+def newest(section: Section) -> int:
+    """Return the version that gateways shall act on; 0: none yet."""
+    return section.rolling or section.in_force
+
+
+def newest_record(section: Section) -> Record | None:
+    """Return the record of the version that gateways shall act on."""
+    return section.records_by_version.get(newest(section))
+
+
+def is_open(section: Section, record: Record) -> bool:
+    """Tell whether `record` may still be rolled one day."""
+    is_before_roll = record.state in (DRAFT, SIGNED_OFF)
+    return is_before_roll and record.parent == newest(section)
+
+
+def holds_through_cuts(section: Section) -> bool:
+    """Tell whether a long lease may be out for a bundle not yet superseded everywhere.
+
+    Until the newest is in force everywhere, gateways may act on any version from the
+    one in force on; each was granted for as long as its own policy says.
+    """
+    return any(
+        record.cut_policy == model.CUT_HOLD
+        for version, record in section.records_by_version.items()
+        if version >= section.in_force
+        and record.state in (ROLLING, IN_FORCE, SUPERSEDED)
+    )
+
+
+def prune(section: Section) -> None:
+    """Drop contents and records that are no longer kept."""
+    closed = [
+        record
+        for version, record in section.records_by_version.items()
+        if version not in (section.in_force, section.rolling)
+        and not is_open(section, record)
+        # Records since the one in force say how long leases may be.
+        and not (record.state == SUPERSEDED and version > section.in_force)
+    ]
+    n_dropped = max(0, len(closed) - RECORDS_KEPT)
+    for record in closed[:n_dropped]:
+        del section.records_by_version[record.version]
+    for record in closed[n_dropped:-CONTENTS_KEPT]:
+        if record.content:
+            section.records_by_version[record.version] = attrs.evolve(
+                record, content=""
+            )
--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -49,6 +49,8 @@
     bundle_lease_seconds: float = 3.0
     # How often the bundle lease is renewed.
     bundle_renew_seconds: float = 0.5
+    # The same under a bundle whose cut policy is "hold"; at least the lease above.
+    bundle_hold_lease_seconds: float = 600.0
     # File with the operators' bearer token; empty: no token is asked for.
     operator_token_file: str = ""
     # File with the upstreams' bearer token; empty: no token is asked for.
@@ -79,6 +81,10 @@
     renew_seconds: float = 0.5
     # How often a gateway tells the others that its upstreams still stand.
     standing_seconds: float = 0.5
+    # The one process that orders upstreams about loses that right after this long.
+    controller_lease_seconds: float = 3.0
+    # Longest time between sending an order and its arrival at the upstream.
+    order_flight_seconds: float = 10.0
 
 
 @attrs.frozen
--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -56,6 +56,7 @@
     BUNDLE_CONFLICT = "bundle-conflict"
     BUNDLE_NOT_SIGNED_OFF = "bundle-not-signed-off"
     BUNDLE_STALE = "bundle-stale"
+    BUNDLE_TOO_MANY_DRAFTS = "bundle-too-many-drafts"
     MEMBERSHIP_REFUSED = "membership-refused"
 
     # Messages between processes that were dropped.
--- /dev/null
+++ b/bilberrydrum/state/processes.py
@@ -0,0 +1,183 @@
+"""Processes registered with the state group, and their incarnations.
+
+A process registers at each start and gets an incarnation higher than any given before,
+so that late messages of its earlier life are recognised. Hosts without a disk can't
+keep such a number themselves.
+"""
+
+import secrets
+from typing import Final
+
+import attrs
+import eliot
+
+from bilberrydrum import clock, codec, options
+from bilberrydrum.state import client, machine
+
+SECTION: Final = "processes"
+_RETRY_SECONDS: Final = 0.2
+
+
+@codec.register("processes.process")
+@attrs.frozen
+class Process:
+    """A registered process."""
+
+    process_id: str
+    # Where other processes of the system reach it, ``IP:port``.
+    peer_address: str
+    availability_zone: str
+    region: str
+    roles: tuple[str, ...]
+    incarnation: int
+    # Drawn at random by the process at its start.
+    start_token: str = ""
+
+
+@codec.register("processes.section")
+@attrs.define
+class Section:
+    """All registered processes."""
+
+    last_incarnation: int = 0
+    # Rises with each change of the processes.
+    change: int = 0
+    processes_by_id: dict[str, Process] = attrs.field(factory=dict)
+    # Earlier lives, by incarnation, that may not have ended: process ids.
+    former_by_incarnation: dict[int, str] = attrs.field(factory=dict)
+
+
+@codec.register("processes.register")
+@attrs.frozen
+class RegisterProcess:
+    """Register the start of a process; answered by `Registered`."""
+
+    process_id: str
+    peer_address: str
+    availability_zone: str
+    region: str
+    roles: tuple[str, ...]
+    start_token: str
+
+
+@codec.register("processes.forget")
+@attrs.frozen
+class ForgetProcesses:
+    """Drop lives of processes that have ended; answered by `Forgotten`."""
+
+    incarnations: tuple[int, ...]
+
+
+@codec.register("processes.registered")
+@attrs.frozen
+class Registered:
+    """The incarnation given to a process."""
+
+    incarnation: int
+
+
+@codec.register("processes.forgotten")
+@attrs.frozen
+class Forgotten:
+    """How many lives were dropped."""
+
+    n_forgotten: int
+
+
+@codec.register("processes.list")
+@attrs.frozen
+class ListProcesses:
+    """Ask for all processes; answered by `ProcessList`."""
+
+
+@codec.register("processes.process_list")
+@attrs.frozen
+class ProcessList:
+    """All registered processes."""
+
+    change: int
+    processes: tuple[Process, ...]
+
+
+def section_of(state: machine.State) -> Section:
+    """Return the section of `state`; it must not be changed by a reader."""
+    section: Section = state.section(SECTION, Section)
+    return section
+
+
+@machine.apply.register
+def _(
+    command: RegisterProcess, state: machine.State, context: machine.Context
+) -> Registered:
+    section = section_of(state)
+    known = section.processes_by_id.get(command.process_id)
+    if known is not None and known.start_token == command.start_token:
+        # Sent again after the answer was lost. A second number would make the process
+        # drop out under the first.
+        return Registered(known.incarnation)
+    if known is not None:
+        section.former_by_incarnation[known.incarnation] = known.process_id
+    section.last_incarnation += 1
+    section.change += 1
+    section.processes_by_id[command.process_id] = Process(
+        command.process_id,
+        command.peer_address,
+        command.availability_zone,
+        command.region,
+        command.roles,
+        section.last_incarnation,
+        command.start_token,
+    )
+    return Registered(section.last_incarnation)
+
+
+@machine.apply.register
+def _(
+    command: ForgetProcesses, state: machine.State, context: machine.Context
+) -> Forgotten:
+    section = section_of(state)
+    n_forgotten = 0
+    for incarnation in command.incarnations:
+        if section.former_by_incarnation.pop(incarnation, None) is not None:
+            n_forgotten += 1
+    for process in list(section.processes_by_id.values()):
+        if process.incarnation in command.incarnations:
+            del section.processes_by_id[process.process_id]
+            section.change += 1
+            n_forgotten += 1
+    return Forgotten(n_forgotten)
+
+
+@machine.answer.register
+def _(query: ListProcesses, state: machine.State, now: float) -> ProcessList:
+    section = section_of(state)
+    return ProcessList(section.change, tuple(section.processes_by_id.values()))
+
+
+def register(the_options: options.Options, state: client.StateClient) -> int:
+    """Register this process; wait for the state group until it answers.
+
+    Returns
+    -------
+    int
+        The incarnation, higher than that of any earlier start of any process.
+    """
+    command = RegisterProcess(
+        the_options.process_id,
+        the_options.peer_address,
+        the_options.availability_zone,
+        the_options.region,
+        tuple(the_options.roles),
+        secrets.token_hex(8),
+    )
+    while True:
+        answer = state.submit(command)
+        if answer.is_ok():
+            incarnation = int(answer.unwrap().incarnation)
+            eliot.log_message(
+                message_type="process:registered",
+                process_id=the_options.process_id,
+                incarnation=incarnation,
+            )
+            return incarnation
+        clock.sleep(_RETRY_SECONDS)
