--- /dev/null
+++ b/bilberrydrum/bundles/lease.py
@@ -0,0 +1,130 @@
+"""The gateway's task that keeps the bundle in force and the lease on it."""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+import eliot
+import eventlet
+import eventlet.queue
+import result
+
+from bilberrydrum import clock, counters, interfaces, options, reasons, transport
+from bilberrydrum.bundles import holder, messages, model
+from bilberrydrum.state import client, processes
+
+_STATUS_TIMEOUT_SECONDS: Final = 2.0
+
+
+class GatewayLease:
+    """Keeps `interfaces.BundleView` for this process."""
+
+    def __init__(
+        self,
+        options_: options.Options,
+        transport_: transport.Transport,
+        state: client.StateClient,
+    ) -> None:
+        self._options = options_
+        self._transport = transport_
+        self._state = state
+        self._holder = holder.LeaseHolder(options_.state.drift_margin)
+        self._events: Any = eventlet.queue.LightQueue()
+        self._tasks: list[Any] = []
+        self._is_registering = False
+        transport_.on(messages.Grant, self._on_grant)
+        transport_.on(messages.Push, self._on_push)
+        transport_.on(messages.Unregistered, self._on_unregistered)
+
+    def start(self) -> None:
+        """Start renewing; the process must be registered."""
+        self._events.put(holder.Registered(self._transport.incarnation))
+        self._tasks.append(eventlet.spawn(self._run))
+
+    def stop(self) -> None:
+        """Refuse new work from now on, and give the lease back."""
+        for task in self._tasks:
+            task.kill()
+        self._tasks.clear()
+        self._holder.step(clock.now(), holder.Released())
+        if self._holder.leader_address is not None:
+            release = messages.Release(self._holder.incarnation)
+            self._transport.send(self._holder.leader_address, release)
+
+    def current(self) -> result.Result[model.Bundle, reasons.Reason]:
+        """Return the bundle to act on now, or why there is none."""
+        return self._holder.current(clock.now())
+
+    def gateways_by_id(self) -> Mapping[str, interfaces.Gateway]:
+        """Return the registered gateways, this one included."""
+        return self._holder.gateways_by_id
+
+    def weight_versions_by_trainer(self) -> Mapping[str, int]:
+        """Return the newest published versions as heard with the last renewal."""
+        return self._holder.weight_versions_by_trainer
+
+    def ask_roll_status(
+        self,
+    ) -> result.Result[messages.RollStatus, transport.CallError]:
+        """Ask the leader how far the newest bundle has come."""
+        address = self._holder.leader_address
+        if address is None:
+            return result.Err(transport.CallError(reasons.Reason.STATE_UNAVAILABLE))
+        answer = self._transport.call(
+            address, messages.AskRollStatus(), _STATUS_TIMEOUT_SECONDS
+        )
+        if answer.is_ok() and not isinstance(answer.unwrap(), messages.RollStatus):
+            return result.Err(transport.CallError(reasons.Reason.STATE_UNAVAILABLE))
+        return answer
+
+    def _on_grant(self, sender: transport.Sender, grant: messages.Grant) -> None:
+        self._events.put(holder.GrantHeard(sender.address, grant))
+
+    def _on_push(self, sender: transport.Sender, push: messages.Push) -> None:
+        self._events.put(holder.PushHeard(sender.address, push))
+
+    def _on_unregistered(
+        self, sender: transport.Sender, message: messages.Unregistered
+    ) -> None:
+        is_current = message.incarnation == self._holder.incarnation
+        if is_current and not self._is_registering:
+            self._is_registering = True
+            self._tasks.append(eventlet.spawn(self._register))
+
+    def _register(self) -> None:
+        """Register anew: the leader took this process for gone."""
+        incarnation = processes.register(self._options, self._state)
+        self._transport.incarnation = incarnation
+        self._events.put(holder.Registered(incarnation))
+        self._is_registering = False
+
+    def _run(self) -> None:
+        renew_seconds = self._options.gateway.bundle_renew_seconds
+        due_at = clock.now() + renew_seconds
+        while True:
+            try:
+                event = self._events.get(timeout=max(0.0, due_at - clock.now()))
+            except eventlet.queue.Empty:
+                event = holder.RenewalDue()
+                due_at = clock.now() + renew_seconds
+            for effect in self._holder.step(clock.now(), event):
+                self._carry_out(effect)
+
+    def _carry_out(self, effect: Any) -> None:
+        if isinstance(effect, holder.Adopted):
+            counters.BUNDLE_VERSION.set(effect.version)
+            eliot.log_message(
+                message_type="bundle:adopted",
+                version=effect.version,
+                is_valid=effect.is_valid,
+            )
+            return
+        for address in self._addresses(effect.address):
+            self._transport.send(address, effect.renewal)
+
+    def _addresses(self, leader_address: str | None) -> list[str]:
+        if leader_address is not None:
+            return [leader_address]
+        # Only the leader answers, so the others may be asked in vain.
+        members = [each.peer_address for each in self._options.state.members]
+        known = self._holder.directory.state_addresses
+        return list(dict.fromkeys([*members, *known]))
