Keep published weight versions in the replicated state

A trainer's newest version only rises: a resent or late publication is answered with the newest version and changes nothing. Queries read the newest publication per trainer and per model.

--- /dev/null
+++ b/bilberrydrum/weights/commands.py
@@ -0,0 +1,89 @@
+"""Published weight versions in the replicated state.
+
+A trainer publishes a version once its weights are in the weight store. The newest
+version per trainer only rises: a publication that is sent again, or arrives late, is
+answered with the newest version and changes nothing.
+"""
+
+from typing import Final
+
+import attrs
+
+from bilberrydrum import codec
+from bilberrydrum.state import machine
+
+SECTION: Final = "weights"
+
+
+@codec.register("weights.publication")
+@attrs.frozen
+class Publication:
+    """The newest version that a trainer has published."""
+
+    trainer: str
+    model: str
+    weight_version: int
+    # When the state group took the publication, wall clock in seconds.
+    time: float = 0.0
+
+
+@codec.register("weights.section")
+@attrs.define
+class Section:
+    """The state's section of published versions."""
+
+    publications_by_trainer: dict[str, Publication] = attrs.field(factory=dict)
+
+
+@codec.register("weights.publish")
+@attrs.frozen
+class PublishWeights:
+    """Publish `weight_version` of `model`; answered with the newest `Publication`."""
+
+    trainer: str
+    model: str
+    weight_version: int
+
+
+@machine.apply.register
+def _(
+    command: PublishWeights, state: machine.State, context: machine.Context
+) -> Publication:
+    section = section_of(state)
+    known = section.publications_by_trainer.get(command.trainer)
+    # A trainer that resends after a lost answer, or whose older publication was held
+    # up on the way, must not take the newest version back: samples would count as
+    # fresher than they are. Only a higher version changes the state.
+    if known is not None and command.weight_version <= known.weight_version:
+        return known
+    publication = Publication(
+        command.trainer, command.model, command.weight_version, context.time
+    )
+    section.publications_by_trainer[command.trainer] = publication
+    return publication
+
+
+def section_of(state: machine.State) -> Section:
+    """Return the section of published versions."""
+    section = state.section(SECTION, Section)
+    assert isinstance(section, Section)
+    return section
+
+
+def newest_version(state: machine.State, trainer: str) -> int:
+    """Return the newest version that `trainer` has published; 0 before the first."""
+    publication = section_of(state).publications_by_trainer.get(trainer)
+    return 0 if publication is None else publication.weight_version
+
+
+def newest_versions(state: machine.State) -> dict[str, int]:
+    """Return the newest published version of each trainer that has published."""
+    publications = section_of(state).publications_by_trainer.values()
+    return {each.trainer: each.weight_version for each in publications}
+
+
+def newest_model_version(state: machine.State, model: str) -> int:
+    """Return the newest version of `model` that any trainer has published, or 0."""
+    publications = section_of(state).publications_by_trainer.values()
+    versions = [each.weight_version for each in publications if each.model == model]
+    return max(versions, default=0)
--- /dev/null
+++ b/tests/test_weights_commands.py
@@ -0,0 +1,65 @@
+"""Published versions in the replicated state."""
+
+import unittest
+
+from nose2.tools import params
+
+from bilberrydrum import codec
+from bilberrydrum.state import machine
+from bilberrydrum.weights import commands, queries
+
+
+def publish(state: machine.State, trainer: str, model: str, version: int) -> int:
+    answer = machine.apply(
+        commands.PublishWeights(trainer, model, version),
+        state,
+        machine.Context(index=1, time=50.0),
+    )
+    return int(answer.weight_version)
+
+
+class PublishTest(unittest.TestCase):
+    @params(
+        ("first", [3], [3], 3),
+        ("rises", [1, 2], [1, 2], 2),
+        ("resent", [2, 2], [2, 2], 2),
+        ("late", [4, 3], [4, 4], 4),
+        ("late_then_resent", [4, 3, 4], [4, 4, 4], 4),
+    )
+    def test_version_only_rises(self, _name, versions, answers, newest):
+        """A trainer resends, or its older publication arrives after a newer one.
+
+        The answer is the newest version each time; were the version to fall, samples
+        would be counted as fresher than they are.
+        """
+        state = machine.State()
+        given = [publish(state, "outage", "planner", version) for version in versions]
+        self.assertEqual(given, answers)
+        self.assertEqual(commands.newest_version(state, "outage"), newest)
+
+    def test_before_the_first_publication(self):
+        state = machine.State()
+        self.assertEqual(commands.newest_version(state, "outage"), 0)
+        self.assertEqual(commands.newest_versions(state), {})
+        self.assertEqual(commands.newest_model_version(state, "planner"), 0)
+
+    def test_trainers_that_share_a_model(self):
+        state = machine.State()
+        publish(state, "wages", "drafter", 5)
+        publish(state, "exits", "drafter", 3)
+        publish(state, "outage", "planner", 9)
+        self.assertEqual(
+            commands.newest_versions(state), {"wages": 5, "exits": 3, "outage": 9}
+        )
+        self.assertEqual(commands.newest_model_version(state, "drafter"), 5)
+        answer = machine.answer(queries.ListPublications(), state, 0.0)
+        self.assertEqual(answer.newest_model_versions(), {"drafter": 5, "planner": 9})
+
+    def test_survives_the_codec(self):
+        state = machine.State()
+        publish(state, "outage", "planner", 7)
+        section = codec.decode(codec.encode(commands.section_of(state)))
+        restored = machine.State({commands.SECTION: section})
+        self.assertEqual(commands.newest_version(restored, "outage"), 7)
+        answer = machine.answer(queries.ListPublications(), restored, 0.0)
+        self.assertEqual(codec.decode(codec.encode(answer)), answer)
