--- a/bilberrydrum/keys.py
+++ b/bilberrydrum/keys.py
@@ -14,7 +14,7 @@
 import zmq
 import zmq.utils.z85 as z85
 
-from bilberrydrum import findings, yaml_places
+from bilberrydrum import addresses, findings, yaml_places
 
 # Characters of a 32-byte key in Z85.
 KEY_LENGTH: Final = 40
@@ -91,6 +91,8 @@
     addresses_by_key: dict[str, str] = {}
     for address, key in reading.value.peers.items():
         path_of_key = ("peers", address)
+        if fault := addresses.fault(address):
+            reading.report(f"peer address {fault}", path_of_key)
         if not is_key(key):
             reading.report(_key_rule(f"the key of {address}"), path_of_key)
         elif key in addresses_by_key:
--- a/bilberrydrum/settings.py
+++ b/bilberrydrum/settings.py
@@ -5,16 +5,15 @@
 the ranges of numbers, a table, and the checks that look at more than one value.
 """
 
-import ipaddress
 import math
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 import attrs
 import result
 
-from bilberrydrum import findings, options, yaml_places
+from bilberrydrum import addresses, findings, options, yaml_places
 
 ROLES: Final = (options.ROLE_GATEWAY, options.ROLE_STATE)
 # A lease is renewed at least this often in its time, so that one lost renewal does
@@ -57,6 +56,7 @@
     ("state", "snapshot_entries"): Range(10, 10_000_000),
     ("gateway", "bundle_lease_seconds"): Range(0.2, 300),
     ("gateway", "bundle_renew_seconds"): Range(0.02, 60),
+    ("gateway", "bundle_hold_lease_seconds"): Range(0.2, 3600),
     ("limits", "max_body_bytes"): Range(1024, 1024 * _MIB),
     ("limits", "max_header_bytes"): Range(1024, _MIB),
     ("limits", "max_connections"): Range(1, 1_000_000),
@@ -64,6 +64,8 @@
     ("upstreams", "lease_seconds"): Range(0.2, 60),
     ("upstreams", "renew_seconds"): Range(0.02, 20),
     ("upstreams", "standing_seconds"): Range(0.02, 20),
+    ("upstreams", "controller_lease_seconds"): Range(0.2, 300),
+    ("upstreams", "order_flight_seconds"): Range(0.1, 3600),
     ("requests", "default_timeout_seconds"): Range(0.1, _DAY),
     ("requests", "max_timeout_seconds"): Range(0.1, _DAY),
     ("requests", "retry_budget"): Range(0, 1),
@@ -79,11 +81,38 @@
     ("shutdown", "limit_seconds"): Range(0, _DAY),
 }
 
-# Values of which the second must be renewed in time for the first.
-_LEASES: Final = (
-    (("gateway", "bundle_lease_seconds"), ("gateway", "bundle_renew_seconds")),
-    (("upstreams", "lease_seconds"), ("upstreams", "renew_seconds")),
-    (("upstreams", "lease_seconds"), ("upstreams", "standing_seconds")),
+# Pairs of values of which the first, times the factor, must fit into the second.
+_FITS: Final[tuple[tuple[yaml_places.Path, int, yaml_places.Path], ...]] = (
+    (
+        ("state", "heartbeat_seconds"),
+        HEARTBEATS_PER_ELECTION,
+        ("state", "election_timeout_seconds"),
+    ),
+    (
+        ("gateway", "bundle_renew_seconds"),
+        RENEWALS_PER_LEASE,
+        ("gateway", "bundle_lease_seconds"),
+    ),
+    (
+        ("gateway", "bundle_lease_seconds"),
+        1,
+        ("gateway", "bundle_hold_lease_seconds"),
+    ),
+    (
+        ("upstreams", "renew_seconds"),
+        RENEWALS_PER_LEASE,
+        ("upstreams", "lease_seconds"),
+    ),
+    (
+        ("upstreams", "standing_seconds"),
+        RENEWALS_PER_LEASE,
+        ("upstreams", "lease_seconds"),
+    ),
+    (
+        ("requests", "default_timeout_seconds"),
+        1,
+        ("requests", "max_timeout_seconds"),
+    ),
 )
 
 _Reading = yaml_places.Reading[options.Options]
@@ -126,33 +155,6 @@
             yield field_path, field_value
 
 
-def address_fault(address: str, is_wildcard_allowed: bool = False) -> str:
-    """Return what is wrong with an ``IP:port``; empty if nothing is.
-
-    Parameters
-    ----------
-    address : str
-        The address; an IPv6 number stands in brackets.
-    is_wildcard_allowed : bool
-        Whether the address may stand for all of the host's own addresses.
-    """
-    host, separator, port = address.rpartition(":")
-    if not separator:
-        return f"must be IP:port, found {address!r}"
-    if not (port.isascii() and port.isdigit() and 1 <= int(port[:6]) <= 65535):
-        return f"must end in a port from 1 to 65535, found {port!r}"
-    is_bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        number = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
-    except ValueError:
-        return f"must begin with an IP number, found {host!r}"
-    if is_bracketed != (number.version == 6):
-        return "must have brackets round an IPv6 number, and round no other"
-    if number.is_unspecified and not is_wildcard_allowed:
-        return "must be an address that other processes can reach"
-    return ""
-
-
 def _check_ranges(reading: _Reading) -> None:
     for path, value in numbers(reading.value):
         allowed = RANGES_BY_PATH.get(path, ANY_RANGE)
@@ -194,16 +196,16 @@
 
 def _check_addresses(reading: _Reading) -> None:
     value = reading.value
-    fault = address_fault(value.gateway.http_address, is_wildcard_allowed=True)
+    fault = addresses.fault(value.gateway.http_address, is_wildcard_allowed=True)
     path: yaml_places.Path = ("gateway", "http_address")
     if fault:
         reading.report(f"http_address {fault}", path)
     elif value.gateway.http_address == value.peer_address:
         reading.report("http_address must not equal peer_address", path)
-    if fault := address_fault(value.peer_address):
+    if fault := addresses.fault(value.peer_address):
         reading.report(f"peer_address {fault}", ("peer_address",))
     for index, member in enumerate(value.state.members):
-        if fault := address_fault(member.peer_address):
+        if fault := addresses.fault(member.peer_address):
             path = ("state", "members", index, "peer_address")
             reading.report(f"peer_address {fault}", path)
 
@@ -240,7 +242,7 @@
                 ("state", "data_folder"),
                 ("roles",),
             )
-    elif not value.state.members:
+    elif value.roles and not value.state.members:
         reading.report(
             "members are needed by a process without the role state",
             ("state", "members"),
@@ -248,43 +250,19 @@
         )
 
 
-def _check_leases(reading: _Reading) -> None:
-    number_by_path = dict(numbers(reading.value))
-    for lease_path, renew_path in _LEASES:
-        lease, renew = number_by_path[lease_path], number_by_path[renew_path]
-        if renew * RENEWALS_PER_LEASE > lease:
-            reading.report(
-                f"{renew_path[-1]} must be at most {lease_path[-1]} /"
-                f" {RENEWALS_PER_LEASE} = {lease / RENEWALS_PER_LEASE:g},"
-                f" found {renew:g}",
-                *_written_first(reading, renew_path, lease_path),
-            )
-
-
-def _check_times(reading: _Reading) -> None:
-    value = reading.value
-    least = HEARTBEATS_PER_ELECTION * value.state.heartbeat_seconds
-    if value.state.election_timeout_seconds < least:
-        reading.report(
-            "election_timeout_seconds must be at least heartbeat_seconds *"
-            f" {HEARTBEATS_PER_ELECTION} = {least:g},"
-            f" found {value.state.election_timeout_seconds:g}",
-            *_written_first(
-                reading,
-                ("state", "election_timeout_seconds"),
-                ("state", "heartbeat_seconds"),
-            ),
-        )
-    if value.requests.default_timeout_seconds > value.requests.max_timeout_seconds:
+def _check_fits(reading: _Reading) -> None:
+    numbers_by_path = dict(numbers(reading.value))
+    for path, factor, limit_path in _FITS:
+        number, limit = numbers_by_path[path], numbers_by_path[limit_path]
+        if number * factor <= limit:
+            continue
+        bound = limit_path[-1] if factor == 1 else f"{limit_path[-1]} / {factor}"
+        # A value that stands in the file is the one to look at, not a mere default.
+        places = sorted((path, limit_path), key=_is_default_in(reading))
         reading.report(
-            "default_timeout_seconds must be at most max_timeout_seconds ="
-            f" {value.requests.max_timeout_seconds:g},"
-            f" found {value.requests.default_timeout_seconds:g}",
-            *_written_first(
-                reading,
-                ("requests", "default_timeout_seconds"),
-                ("requests", "max_timeout_seconds"),
-            ),
+            f"{path[-1]} must be at most {bound} = {limit / factor:g},"
+            f" found {number:g}",
+            *places,
         )
 
 
@@ -296,11 +274,8 @@
         reading.report("peers_file needs key_file beside it", ("curve", "peers_file"))
 
 
-def _written_first(
-    reading: _Reading, *paths: yaml_places.Path
-) -> tuple[yaml_places.Path, ...]:
-    """Return `paths` with those that stand in the file before mere defaults."""
-    return tuple(sorted(paths, key=lambda path: path not in reading.places_by_path))
+def _is_default_in(reading: _Reading) -> Callable[[yaml_places.Path], bool]:
+    return lambda path: path not in reading.places_by_path
 
 
 _CHECKS: Final = (
@@ -310,7 +285,6 @@
     _check_addresses,
     _check_members,
     _check_state_role,
-    _check_leases,
-    _check_times,
+    _check_fits,
     _check_curve,
 )
