Test the operators' tool as tables

Cause: an operator's change must reach some gateway, once or twice, and say what came of it. Conclusion: a change goes on to the next gateway after a refused or reset connection, a timeout, 429 or 503; other answers are final.

--- a/bilberrydrum_cli/client.py
+++ b/bilberrydrum_cli/client.py
@@ -91,6 +91,7 @@
         timeout: float = 10.0,
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
+        http: Any = None,
     ) -> None:
         self._rotation = rotation.Rotation(gateways)
         self._timeout = timeout
@@ -100,7 +101,7 @@
         if token:
             self._headers["Authorization"] = f"Bearer {token}"
         # Redirects and retries are off: which gateway is asked is decided here.
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = http or urllib3.PoolManager(retries=False)
 
     def json(
         self, method: str, target: str, body: Any = None
--- a/bilberrydrum_cli/commands.py
+++ b/bilberrydrum_cli/commands.py
@@ -8,8 +8,8 @@
 
 import result
 
-from bilberrydrum import findings, yaml_places
-from bilberrydrum_cli import client, messages, queries, rollout, session, verbs
+from bilberrydrum import yaml_places
+from bilberrydrum_cli import client, local, queries, rollout, session, verbs
 
 
 @verbs.run.register
@@ -58,13 +58,11 @@
 
 @verbs.run.register
 def _(verb: verbs.RestoreSnapshot, current: session.Session) -> int:
-    try:
-        with open(verb.file, "rb") as file:
-            data = file.read()
-    except OSError as error:
-        message = messages.CANNOT_READ.format(text=error.strerror)
-        return current.report([findings.Finding(verb.file, 0, 0, message)])
-    call = client.Call("POST", "/v1/state/snapshot", data, client.BYTES_TYPE)
+    data = local.read_bytes(verb.file)
+    if isinstance(data, result.Err):
+        return current.report([data.err_value])
+    target = "/v1/state/snapshot"
+    call = client.Call("POST", target, data.ok_value, client.BYTES_TYPE)
     outcome = current.gateways.call(call)
     if isinstance(outcome, result.Err):
         return current.fail(outcome.err_value)
--- /dev/null
+++ b/tests/test_cli_client.py
@@ -0,0 +1,218 @@
+"""The tool goes on to another gateway when one is dead, frozen or busy."""
+
+import json
+import unittest
+
+import attrs
+import urllib3
+from nose2.tools import params
+
+from bilberrydrum_cli import client, rotation
+
+A, B, C = "http://a", "http://b", "http://c"
+MISSED = rotation.Missed()
+
+
+def after(seconds):
+    return rotation.Missed(seconds)
+
+
+# Gateways, deadline, and pairs of time and event with the effect expected.
+ROTATIONS = (
+    (
+        "each gets its share of the time",
+        (A, B, C),
+        9.0,
+        [
+            (0.0, None, rotation.Try(A, 3.0)),
+            (3.0, MISSED, rotation.Try(B, 3.0)),
+            (6.0, MISSED, rotation.Try(C, 3.0)),
+            (9.0, MISSED, rotation.GiveUp()),
+        ],
+    ),
+    (
+        "a round of dead ones is followed by a pause that grows",
+        (A, B),
+        100.0,
+        [
+            (0.0, None, rotation.Try(A, 50.0)),
+            (0.0, MISSED, rotation.Try(B, 100.0)),
+            (0.0, MISSED, rotation.Try(A, 49.9, 0.2)),
+            (0.2, MISSED, rotation.Try(B, 99.8)),
+            (0.2, MISSED, rotation.Try(A, 49.7, 0.4)),
+        ],
+    ),
+    (
+        "the shortest wait asked for in a round counts",
+        (A, B, C),
+        60.0,
+        [
+            (0.0, None, rotation.Try(A, 20.0)),
+            (0.0, after(7.0), rotation.Try(B, 30.0)),
+            (0.0, after(2.0), rotation.Try(C, 60.0)),
+            (0.0, MISSED, rotation.Try(A, 58.0 / 3, 2.0)),
+        ],
+    ),
+    (
+        "a wait beyond the deadline is not begun",
+        (A,),
+        10.0,
+        [(0.0, None, rotation.Try(A, 10.0)), (1.0, after(30.0), rotation.GiveUp())],
+    ),
+    (
+        "an attempt gets a second if there is one",
+        (A, B, C),
+        1.2,
+        [
+            (0.0, None, rotation.Try(A, 1.0)),
+            (1.0, MISSED, rotation.Try(B, 1.2 - 1.0)),
+        ],
+    ),
+)
+
+
+@attrs.frozen
+class Response:
+    status: int
+    data: bytes = b"{}"
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+
+REFUSED = urllib3.exceptions.NewConnectionError(None, "Connection refused")
+RESET = urllib3.exceptions.ProtocolError("Connection aborted.")
+FROZEN = urllib3.exceptions.ReadTimeoutError(None, "/", "Read timed out.")
+NOT_CONNECTED = urllib3.exceptions.ConnectTimeoutError("timed out")
+BUSY = Response(503, b'{"reason": "state-unavailable"}', {"Retry-After": "2"})
+OK = Response(200, b'{"x": 1}')
+
+
+class Http:
+    """Stands for urllib3: gives what the script says, once each."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.requests = []
+
+    def request(self, method, url, **details):
+        self.requests.append((method, url, details))
+        outcome = self.script.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+
+class Clock:
+    """Time that passes in sleeps alone, and a little with each look at it."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.sleeps = []
+
+    def __call__(self):
+        self.now += 0.01
+        return self.now
+
+    def sleep(self, seconds):
+        self.sleeps.append(seconds)
+        self.now += seconds
+
+
+def make_client(http, gateways=(A, B), timeout=10.0, token=""):
+    clock = Clock()
+    made = client.Client(gateways, "ana", token, timeout, clock, clock.sleep, http)
+    return made, clock
+
+
+class TestRotation(unittest.TestCase):
+    @params(*ROTATIONS)
+    def test_order_and_times(self, name, gateways, deadline, steps):
+        turn = rotation.Rotation(gateways)
+        for now, event, expected in steps:
+            effect = turn.step(now, event or rotation.Begin(deadline))
+            self.assertEqual(_rounded(effect), _rounded(expected))
+
+    def test_the_one_that_answered_is_asked_first_the_next_time(self):
+        turn = rotation.Rotation((A, B))
+        turn.step(0.0, rotation.Begin(10.0))
+        turn.step(0.0, MISSED)
+        self.assertEqual(turn.step(0.0, rotation.Answered()), rotation.Done())
+        self.assertEqual(turn.step(5.0, rotation.Begin(15.0)), rotation.Try(B, 5.0))
+
+
+def _rounded(effect):
+    if isinstance(effect, rotation.Try):
+        return attrs.evolve(effect, timeout_seconds=round(effect.timeout_seconds, 6))
+    return effect
+
+
+class TestClient(unittest.TestCase):
+    @params(
+        ("dead", REFUSED, []),
+        ("not connected in time", NOT_CONNECTED, []),
+        ("died with the request in hand", RESET, []),
+        ("frozen", FROZEN, []),
+        ("busy", BUSY, []),
+        ("busy without a time", Response(503), []),
+        ("its queue is full", Response(429, b"{}", {"Retry-After": "1"}), []),
+        ("busy until a date", Response(503, b"", {"Retry-After": "Mon"}), []),
+    )
+    def test_change_goes_on_to_the_next_gateway(self, name, outcome, sleeps):
+        """The operator sees one answer although the first gateway gave none.
+
+        The first gateway fails the request in the named way; the second one takes the
+        same request with the same body. Sending it twice is safe, since a bundle is
+        known by its digest.
+        """
+        http = Http(outcome, OK)
+        made, clock = make_client(http)
+        answer = made.json("POST", "/v1/bundles", {"content": "c"})
+        self.assertEqual(answer.ok_value, {"x": 1})
+        self.assertEqual(
+            [url for _, url, _ in http.requests], [f"{A}/v1/bundles", f"{B}/v1/bundles"]
+        )
+        bodies = {details["body"] for _, _, details in http.requests}
+        self.assertEqual(bodies, {b'{"content": "c"}'})
+        self.assertEqual(clock.sleeps, sleeps)
+
+    def test_all_busy_is_waited_out(self):
+        http = Http(BUSY, BUSY, OK)
+        made, clock = make_client(http)
+        self.assertTrue(made.json("GET", "/v1/bundles").is_ok())
+        self.assertEqual(clock.sleeps, [2.0])
+
+    @params(
+        ("never sent", [REFUSED, NOT_CONNECTED], False),
+        ("sent to one", [REFUSED, RESET], True),
+        ("refused for now", [BUSY, REFUSED], True),
+    )
+    def test_giving_up_tells_whether_the_change_may_have_been_made(
+        self, name, script, may_have_arrived
+    ):
+        made, _ = make_client(Http(*script), timeout=0.1)
+        failure = made.json("POST", "/v1/bundles", {}).err_value
+        self.assertIsInstance(failure, client.Unavailable)
+        self.assertEqual(failure.may_have_arrived, may_have_arrived)
+        self.assertEqual(set(failure.attempts_by_gateway), {A, B})
+
+    @params(
+        ("conflict", Response(409, b'{"reason": "bundle-conflict"}'), "Refused"),
+        ("error that is no document", Response(500, b"<html>"), "Refused"),
+        ("answer that is not JSON", Response(200, b"<html>"), "Senseless"),
+        ("answer nested too deeply", Response(200, b"[" * 100_000), "Senseless"),
+        ("elsewhere", Response(302, b"", {"Location": B}), "Senseless"),
+    )
+    def test_other_answers_are_final(self, name, response, expected):
+        http = Http(response)
+        made, _ = make_client(http)
+        failure = made.json("GET", "/v1/bundles").err_value
+        self.assertEqual(type(failure).__name__, expected)
+        self.assertEqual(failure.gateway, A)
+
+    def test_headers(self):
+        http = Http(OK)
+        made, _ = make_client(http, token="s3cret")
+        made.json("GET", "/v1/bundles")
+        headers = http.requests[0][2]["headers"]
+        self.assertEqual(headers["X-Operator"], "ana")
+        self.assertEqual(headers["Authorization"], "Bearer s3cret")
+        self.assertEqual(json.loads(OK.data), {"x": 1})
--- /dev/null
+++ b/tests/test_cli_verbs.py
@@ -0,0 +1,261 @@
+"""Each verb: what it asks, what it prints, and its exit code."""
+
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+import result
+from nose2.tools import params
+
+from bilberrydrum_cli import client, codes, output, session, verbs
+from bilberrydrum_cli import commands as _commands  # noqa: F401
+from bilberrydrum_cli import local as _local  # noqa: F401
+from bilberrydrum_cli import queries as _queries  # noqa: F401
+
+
+class Gateways:
+    """Stands for the client: notes each request and gives what the script says."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.requests = []
+
+    def json(self, method, target, body=None):
+        self.requests.append((method, target, body))
+        outcome = self.script.pop(0)
+        return outcome if isinstance(outcome, result.Err) else result.Ok(outcome)
+
+    def call(self, call):
+        self.requests.append((call.method, call.target, call.body))
+        return result.Ok(client.Answer("http://a", 200, self.script.pop(0)))
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+    def sleep(self, seconds):
+        self.now += seconds
+
+
+def refused(status, **problem):
+    return result.Err(client.Refused("http://a", status, problem))
+
+
+UNAVAILABLE = result.Err(
+    client.Unavailable(
+        10.0, {"http://a": client.Attempt("http://a", "refused", True)}, True
+    )
+)
+
+
+def run(verb, *script, form=output.FORM_TABLE):
+    gateways = Gateways(*script)
+    clock = Clock()
+    current = session.Session(
+        gateways, form, io.StringIO(), io.StringIO(), clock, clock.sleep
+    )
+    code = verbs.run(verb, current)
+    return code, current.out.getvalue(), current.err.getvalue(), gateways.requests
+
+
+REQUESTS = (
+    (verbs.ListBundles(), "GET", "/v1/bundles", None),
+    (verbs.BundleStatus(3), "GET", "/v1/bundles/3/status", None),
+    (verbs.SignOffBundle(3, "ab"), "POST", "/v1/bundles/3/sign-off", {"digest": "ab"}),
+    (verbs.RollBundle(3, "ab"), "POST", "/v1/bundles/3/roll", {"digest": "ab"}),
+    (verbs.ListUpstreams(), "GET", "/v1/upstreams", None),
+    (verbs.DrainUpstream("a/b c"), "POST", "/v1/upstreams/a%2Fb%20c/drain", {}),
+    (verbs.ListTrainers(), "GET", "/v1/trainers", None),
+    (verbs.ShowTrainer("x?y"), "GET", "/v1/trainers/x%3Fy", None),
+    (verbs.TraceSample("outage/g 1/2"), "GET", "/v1/samples/outage/g%201/2", None),
+    (verbs.StateStatus(), "GET", "/v1/state", None),
+    (verbs.ListMembers(), "GET", "/v1/state", None),
+    (
+        verbs.AddMember("p", "10.0.0.1:9080"),
+        "POST",
+        "/v1/state/members",
+        {"process_id": "p", "peer_address": "10.0.0.1:9080"},
+    ),
+    (verbs.RemoveMember("r-1"), "DELETE", "/v1/state/members/r-1", None),
+)
+
+FAILURES = (
+    (refused(401, reason="unauthorized"), codes.UNAUTHORIZED, "unauthorized"),
+    (refused(404, reason="not-found", detail="d"), codes.NOT_FOUND, "404): d"),
+    (refused(409, reason="membership-refused"), codes.REFUSED, "membership-refused"),
+    (refused(500), codes.FAILED, "refused (status 500)"),
+    (
+        refused(
+            409, reason="bundle-conflict", winner_digest="cd", winner_author="rosa"
+        ),
+        codes.REFUSED,
+        "bundle cd of rosa holds this version",
+    ),
+    (
+        refused(
+            422,
+            reason="bundle-invalid",
+            findings=[
+                {"file": "b.yaml", "line": 3, "column": 5, "message": "bad"},
+                {"odd": 1},
+            ],
+        ),
+        codes.FINDINGS,
+        'b.yaml:3:5: error: bad\n{"odd": 1}\n',
+    ),
+    (UNAVAILABLE, codes.UNAVAILABLE, "it is safe to send the same command again"),
+    (result.Err(client.Senseless("http://a", 200)), codes.FAILED, "not JSON"),
+)
+
+
+def status(state, n_confirmed, waiting_for=()):
+    return {
+        "version": 3,
+        "state": state,
+        "n_confirmed": n_confirmed,
+        "n_gateways": 2,
+        "waiting_for": list(waiting_for),
+    }
+
+
+ROLLING = status("rolling", 1, ["gw-2"])
+IN_FORCE = status("in-force", 2)
+# What the polls give, the exit code, and a part of the remarks.
+WAITS = (
+    ("at once", [IN_FORCE], codes.OK, "in-force, 2 of 2 gateways"),
+    ("in time", [ROLLING, ROLLING, IN_FORCE], codes.OK, "waiting for gw-2\n"),
+    ("gateway lost meanwhile", [UNAVAILABLE, IN_FORCE], codes.OK, "2 of 2"),
+    ("superseded", [status("superseded", 2)], codes.NOT_IN_FORCE, "newer one"),
+    ("late", [ROLLING] * 5, codes.NOT_IN_FORCE, "not in force everywhere after 1 s"),
+    ("refused", [refused(404, reason="not-found")], codes.NOT_FOUND, "not-found"),
+    ("none answers", [UNAVAILABLE] * 5, codes.UNAVAILABLE, "no gateway answered"),
+)
+
+
+class TestVerbs(unittest.TestCase):
+    @params(*REQUESTS)
+    def test_request(self, verb, method, target, body):
+        code, out, err, requests = run(verb, {"members": []})
+        self.assertEqual(requests, [(method, target, body)])
+        self.assertEqual((code, err), (codes.OK, ""))
+        self.assertEqual(out, "members:\n(none)\n")
+
+    @params(*FAILURES)
+    def test_failure_has_its_code_and_says_why(self, failure, code, message):
+        verb = verbs.SignOffBundle(3, "ab")
+        got, out, err, _ = run(verb, failure)
+        self.assertEqual((got, out), (code, ""))
+        self.assertIn(message, err)
+
+    @params(*FAILURES)
+    def test_failure_in_json_is_one_value(self, failure, code, message):
+        got, out, _, _ = run(verbs.ListBundles(), failure, form=output.FORM_JSON)
+        self.assertEqual(got, code)
+        self.assertIsInstance(json.loads(out), dict)
+
+    @params(*WAITS)
+    def test_roll_waits_until_in_force(self, name, polls, code, message):
+        verb = verbs.RollBundle(3, "ab", wait=True, wait_seconds=1.0)
+        rolling = {"version": 3, "digest": "ab", "state": "rolling"}
+        got, _, err, requests = run(verb, rolling, *polls)
+        self.assertEqual(got, code)
+        self.assertIn(message, err)
+        self.assertEqual(len(requests), 1 + len(polls))
+
+    def test_progress_off_a_terminal_is_a_line_per_change(self):
+        verb = verbs.RollBundle(3, "ab", wait=True, wait_seconds=60.0)
+        _, _, err, _ = run(verb, {}, *[ROLLING] * 20, IN_FORCE)
+        self.assertEqual(len(err.splitlines()), 2)
+
+
+class TestFiles(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = pathlib.Path(folder.name) / "file"
+
+    @params(
+        (verbs.CheckBundle, "/v1/bundles/check"), (verbs.SubmitBundle, "/v1/bundles")
+    )
+    def test_bundle_is_sent_as_it_stands(self, verb_class, target):
+        self.file.write_text("version: 1 # ñ\n")
+        name = str(self.file)
+        code, _, _, requests = run(verb_class(name), {"digest": "ab"})
+        body = {"content": "version: 1 # ñ\n", "file_name": name}
+        self.assertEqual((code, requests), (codes.OK, [("POST", target, body)]))
+
+    @params(
+        verbs.CheckBundle,
+        verbs.SubmitBundle,
+        verbs.CheckSettings,
+        verbs.RestoreSnapshot,
+        lambda name: verbs.DiffBundles(name, name),
+    )
+    def test_file_that_cannot_be_read(self, make_verb):
+        code, _, err, requests = run(make_verb(str(self.file)))
+        self.assertEqual((code, requests), (codes.FILE, []))
+        self.assertIn(f"{self.file}: error: cannot be read", err)
+
+    def test_show_prints_the_content_that_can_be_submitted_again(self):
+        content = "version: 3\nparent: 2\n"
+        _, out, _, _ = run(verbs.ShowBundle(3), {"version": 3, "content": content})
+        self.assertEqual(out, content)
+
+    def test_diff_of_a_version_and_a_file(self):
+        self.file.write_text("a: 1\nb: 3\n")
+        verb = verbs.DiffBundles("3", str(self.file))
+        code, out, _, _ = run(verb, {"content": "a: 1\nb: 2\n"})
+        self.assertEqual(code, codes.OK)
+        self.assertEqual(out.splitlines()[3:], [" a: 1", "-b: 2", "+b: 3"])
+
+    def test_snapshot_is_saved_once_and_restored_as_it_is(self):
+        data = bytes(range(256))
+        verb = verbs.SaveSnapshot(str(self.file))
+        self.assertEqual(run(verb, data)[0], codes.OK)
+        self.assertEqual(self.file.read_bytes(), data)
+        code, _, err, _ = run(verb, b"worse")
+        self.assertEqual(code, codes.FILE)
+        self.assertIn("File exists", err)
+        self.assertEqual(self.file.read_bytes(), data)
+        verb = verbs.RestoreSnapshot(str(self.file))
+        _, _, _, requests = run(verb, b"{}")
+        self.assertEqual(requests, [("POST", "/v1/state/snapshot", data)])
+
+    @params(
+        ("process_id: a\nstate: {data_folder: d}\n", codes.OK, "no findings"),
+        ("process_id: a b\nx: 1\n", codes.FINDINGS, ":2:1: error: unknown key 'x'"),
+    )
+    def test_settings_check(self, text, code, message):
+        self.file.write_text(text)
+        got, _, err, _ = run(verbs.CheckSettings(str(self.file)))
+        self.assertEqual(got, code)
+        self.assertIn(message, err)
+
+    def test_generated_secret_is_not_printed(self):
+        code, out, err, _ = run(verbs.GenerateKeys(str(self.file)))
+        self.assertEqual(code, codes.OK)
+        secret = self.file.read_text().split('"')[3]
+        self.assertEqual(len(secret), 40)
+        self.assertNotIn(secret, out + err)
+
+
+class TestOutput(unittest.TestCase):
+    @params(
+        ({"a": 1, "bc": "x"}, "a   1\nbc  x"),
+        ({"v": 1, "rows": [{"a": 1}, {"b": "xy"}]}, "v  1\n\nrows:\nA  B\n1\n   xy"),
+        ([{"a": None, "b": [1]}], "A     B\nnull  [1]"),
+        ([], "(none)"),
+        ("text", "text"),
+        ({"name": "\x1b[2Jx\n"}, "name  \\x1b[2Jx\\n"),
+    )
+    def test_table(self, value, expected):
+        self.assertEqual(output.render(value, output.FORM_TABLE), expected)
+
+    def test_json(self):
+        self.assertEqual(json.loads(output.render({"a": [1]}, "json")), {"a": [1]})
