--- a/bilberrydrum/bundles/book.py
+++ b/bilberrydrum/bundles/book.py
@@ -139,7 +139,9 @@
     # Until when a predecessor's leases may run.
     predecessor_until: float
     newest: Newest = attrs.field(factory=Newest)
-    directory: messages.Directory = attrs.field(factory=messages.Directory)
+    # Lower than any change, so that the first state is taken whatever it says.
+    directory: messages.Directory = messages.Directory(change=-1)
+    former_incarnations: frozenset[int] = frozenset()
     weight_versions_by_trainer: dict[str, int] = attrs.field(factory=dict)
     lives_by_incarnation: dict[int, Life] = attrs.field(factory=dict)
     _is_begun: bool = False
@@ -197,6 +199,7 @@
     def take_state(self, now: float, event: StateChanged) -> list[Any]:
         """Take what the replicated state says now."""
         self.directory = event.directory
+        self.former_incarnations = frozenset(event.former_by_incarnation)
         self._take_lives(now, event)
         is_newer = event.newest.version > self.newest.version
         self.newest = event.newest
--- a/bilberrydrum/bundles/grants.py
+++ b/bilberrydrum/bundles/grants.py
@@ -114,7 +114,7 @@
             clock.sleep(_RETRY_SECONDS)
             return None
         longest = started.unwrap()
-        section = records.section_of(self._replica.state())
+        section = records.read(self._replica.state())
         seconds = longest.lease_seconds
         if records.holds_through_cuts(section):
             seconds = longest.hold_lease_seconds
@@ -162,12 +162,18 @@
     state: machine.State, the_book: book.GrantBook, gateway: options.GatewayOptions
 ) -> book.StateChanged | None:
     """Return what has changed in `state` since the book last took it."""
-    bundles = records.section_of(state)
-    registered = processes.section_of(state)
+    bundles = records.read(state)
+    registered = processes.read(state)
     newest = records.newest_record(bundles)
     seen = the_book.newest
-    key = (records.newest(bundles), bundles.rolling != 0, registered.change)
-    if key == (seen.version, seen.is_rolling, the_book.directory.change):
+    is_same_bundle = (records.newest(bundles), bundles.rolling != 0) == (
+        seen.version,
+        seen.is_rolling,
+    )
+    is_same_directory = registered.change == the_book.directory.change
+    former = registered.former_by_incarnation
+    is_same_former = former.keys() == the_book.former_incarnations
+    if is_same_bundle and is_same_directory and is_same_former:
         return None
     lease_seconds = gateway.bundle_lease_seconds
     if newest is not None and newest.cut_policy == model.CUT_HOLD:
@@ -185,7 +191,7 @@
             for each in registered.processes_by_id.values()
             if options.ROLE_GATEWAY in each.roles
         ),
-        dict(registered.former_by_incarnation),
+        dict(former),
     )
 
 
--- a/bilberrydrum/bundles/queries.py
+++ b/bilberrydrum/bundles/queries.py
@@ -44,7 +44,7 @@
 
 @machine.answer.register
 def _(query: ListBundles, state: machine.State, now: float) -> BundleList:
-    section = records.section_of(state)
+    section = records.read(state)
     bundles = tuple(
         attrs.evolve(record, content="")
         for record in section.records_by_version.values()
@@ -54,6 +54,6 @@
 
 @machine.answer.register
 def _(query: GetBundle, state: machine.State, now: float) -> BundleFound:
-    section = records.section_of(state)
+    section = records.read(state)
     record = section.records_by_version.get(query.version)
     return BundleFound(section.in_force, section.rolling, record)
--- a/bilberrydrum/bundles/records.py
+++ b/bilberrydrum/bundles/records.py
@@ -62,11 +62,17 @@
 
 
 def section_of(state: machine.State) -> Section:
-    """Return the section of `state`; it must not be changed by a reader."""
+    """Return the section of `state`, for commands to change."""
     section: Section = state.section(SECTION, Section)
     return section
 
 
+def read(state: machine.State) -> Section:
+    """Return the section of `state`, for readers, who must not change the state."""
+    section: Section = state.sections.get(SECTION) or Section()
+    return section
+
+
 def newest(section: Section) -> int:
     """Return the version that gateways shall act on; 0: none yet."""
     return section.rolling or section.in_force
--- a/bilberrydrum/state/processes.py
+++ b/bilberrydrum/state/processes.py
@@ -100,11 +100,17 @@
 
 
 def section_of(state: machine.State) -> Section:
-    """Return the section of `state`; it must not be changed by a reader."""
+    """Return the section of `state`, for commands to change."""
     section: Section = state.section(SECTION, Section)
     return section
 
 
+def read(state: machine.State) -> Section:
+    """Return the section of `state`, for readers, who must not change the state."""
+    section: Section = state.sections.get(SECTION) or Section()
+    return section
+
+
 @machine.apply.register
 def _(
     command: RegisterProcess, state: machine.State, context: machine.Context
@@ -150,11 +156,11 @@
 
 @machine.answer.register
 def _(query: ListProcesses, state: machine.State, now: float) -> ProcessList:
-    section = section_of(state)
+    section = read(state)
     return ProcessList(section.change, tuple(section.processes_by_id.values()))
 
 
-def register(the_options: options.Options, state: client.StateClient) -> int:
+def register(options_: options.Options, state: client.StateClient) -> int:
     """Register this process; wait for the state group until it answers.
 
     Returns
@@ -163,11 +169,11 @@
         The incarnation, higher than that of any earlier start of any process.
     """
     command = RegisterProcess(
-        the_options.process_id,
-        the_options.peer_address,
-        the_options.availability_zone,
-        the_options.region,
-        tuple(the_options.roles),
+        options_.process_id,
+        options_.peer_address,
+        options_.availability_zone,
+        options_.region,
+        tuple(options_.roles),
         secrets.token_hex(8),
     )
     while True:
@@ -176,7 +182,7 @@
             incarnation = int(answer.unwrap().incarnation)
             eliot.log_message(
                 message_type="process:registered",
-                process_id=the_options.process_id,
+                process_id=options_.process_id,
                 incarnation=incarnation,
             )
             return incarnation
