Make samples in groups and deliver them by cursor

Groups, slots and records live in the replicated state; a gateway that owns a group runs its attempts, has them scored, keeps the payload with one copy at another gateway and commits the record. Trainers read by cursor at any gateway; a batch is assigned before its first byte, checked again after its payloads are at hand, and the same for the same cursor. The staleness bound is applied where records, assignments and redeliveries are.

--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -109,6 +109,8 @@
     owner_lease_seconds: float = 3.0
     # Largest prompt of a group.
     max_prompt_bytes: int = 16 * 1024
+    # Slots of one trainer at most whose samples are not acknowledged.
+    max_open_slots: int = 16_384
     # Longest time one batch request may wait.
     max_wait_seconds: float = 30.0
     # Extra attempts allowed as a share of slots.
--- /dev/null
+++ b/bilberrydrum/samples/attempts.py
@@ -0,0 +1,255 @@
+"""One attempt at a slot: generate, score, and hand over what was made.
+
+An attempt runs in a task of its own. It is stopped by killing the task, which closes
+the stream and so cancels the work at the engine.
+"""
+
+import json
+import math
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import result
+
+from bilberrydrum import clock, counters, interfaces, reasons
+from bilberrydrum.bundles import model as bundle_model
+from bilberrydrum.requests import model as request_model
+from bilberrydrum.samples import model, provenance, scheduling, staleness
+
+# Longest time one stream may take.
+STREAM_SECONDS: Final = 3600.0
+SCORE_SECONDS: Final = 60.0
+SCORE_BACKOFF_SECONDS: Final = 0.1
+MAX_SCORE_BACKOFF_SECONDS: Final = 5.0
+# Times that one attempt goes on at another engine before it is made anew.
+MAX_RESUMES: Final = 3
+# Calls of urgent slots go before others of the same trainer.
+PRIORITY_URGENT: Final = -1
+PRIORITY_NORMAL: Final = 0
+
+
+@attrs.frozen
+class Made:
+    """A scored attempt."""
+
+    upstream_id: str
+    segments: tuple[model.Segment, ...]
+    score: float
+    payload: model.Payload
+
+
+@attrs.frozen
+class Task:
+    """What an attempt has to make."""
+
+    start: scheduling.Start
+    request: model.GroupRequest
+    rule: bundle_model.TrainerRule
+    is_urgent: bool
+
+    @property
+    def sample_id(self) -> str:
+        """The id of the slot's sample."""
+        key = self.start.key
+        return model.sample_id(key.trainer, key.group_id, key.slot)
+
+    @property
+    def name(self) -> str:
+        """A name unique to this attempt."""
+        return model.payload_key(
+            self.sample_id, self.start.key.owner_epoch, self.start.attempt
+        )
+
+
+@attrs.define
+class Attempt:
+    """Makes one attempt with the dispatcher's help."""
+
+    task: Task
+    bundles: interfaces.BundleView
+    registry: interfaces.Registry
+    dispatcher: interfaces.Dispatcher
+    on_progress: Callable[[str], None]
+    on_generated: Callable[[], None]
+    trail: provenance.Trail = attrs.field(factory=provenance.Trail)
+    upstream_id: str = ""
+
+    def run(self) -> result.Result[Made, reasons.Reason]:
+        """Return the scored attempt, or why it came to nothing."""
+        segments = self._generate()
+        if segments.is_err():
+            return result.Err(segments.unwrap_err())
+        self.on_generated()
+        score = self._score()
+        if score.is_err():
+            return result.Err(score.unwrap_err())
+        return result.Ok(
+            Made(
+                self.upstream_id,
+                segments.unwrap(),
+                score.unwrap(),
+                self.trail.payload(),
+            )
+        )
+
+    def _generate(self) -> result.Result[tuple[model.Segment, ...], reasons.Reason]:
+        excluded = set(self.task.start.excluded_upstream_ids)
+        for n_resumes in range(MAX_RESUMES + 1):
+            ended = self._stream(self._call(n_resumes, frozenset(excluded)))
+            if ended.is_ok():
+                return self.trail.finish(ended.unwrap(), self.task.request.max_tokens)
+            failed = ended.unwrap_err()
+            if failed.reason in (
+                reasons.Reason.SAMPLE_STALE,
+                reasons.Reason.SAMPLE_UNTRACEABLE,
+            ):
+                return result.Err(failed.reason)
+            if failed.upstream_id:
+                excluded.add(failed.upstream_id)
+            if not self._can_resume(failed):
+                return result.Err(failed.reason)
+            counters.retried(failed.reason)
+        return result.Err(reasons.Reason.UPSTREAM_ERROR)
+
+    def _call(
+        self, n_resumes: int, excluded: frozenset[str]
+    ) -> request_model.ModelCall:
+        task = self.task
+        rule = task.rule
+        newest = self._newest_version()
+        return request_model.ModelCall(
+            request_id=f"{task.name}.{n_resumes}",
+            model=rule.model,
+            prompt=task.request.prompt,
+            max_tokens=task.request.max_tokens,
+            client=task.start.key.trainer,
+            deadline=clock.now() + STREAM_SECONDS,
+            share=rule.share,
+            priority=PRIORITY_URGENT if task.is_urgent else PRIORITY_NORMAL,
+            adapter=rule.adapter,
+            min_weight_version=max(-1, newest - rule.staleness_bound),
+            resume_token_ids=tuple(self.trail.token_ids),
+            excluded_upstream_ids=excluded,
+            expected_tokens=task.request.max_tokens,
+        )
+
+    def _stream(
+        self, call: request_model.ModelCall
+    ) -> result.Result[request_model.Finished, request_model.Failed]:
+        events = self.dispatcher.stream(call)
+        try:
+            for event in events:
+                if isinstance(event, request_model.Failed):
+                    return result.Err(event)
+                self.upstream_id = event.upstream_id
+                if isinstance(event, request_model.Finished):
+                    return result.Ok(event)
+                self.trail.add(event)
+                self.on_progress(event.upstream_id)
+                reason = self._hopeless()
+                if reason is not None:
+                    return result.Err(request_model.Failed(reason, True))
+        finally:
+            close = getattr(events, "close", None)
+            if close is not None:
+                close()
+        return result.Err(
+            request_model.Failed(
+                reasons.Reason.ANSWER_TRUNCATED, True, self.upstream_id
+            )
+        )
+
+    def _hopeless(self) -> reasons.Reason | None:
+        """Return why the attempt can't become a sample any more."""
+        if self.trail.fault:
+            return reasons.Reason.SAMPLE_UNTRACEABLE
+        if not self.is_fit():
+            return reasons.Reason.SAMPLE_STALE
+        return None
+
+    def is_fit(self) -> bool:
+        """Tell whether what is made so far is within the bound in force now."""
+        current = self.bundles.current()
+        bound = self.task.rule.staleness_bound
+        if current.is_ok():
+            rule = current.unwrap().trainers.get(self.task.start.key.trainer)
+            bound = bound if rule is None else rule.staleness_bound
+        return staleness.can_still_be_fit(
+            self.trail.segments, self._newest_version(), bound
+        )
+
+    def _newest_version(self) -> int:
+        versions = self.bundles.weight_versions_by_trainer()
+        return versions.get(self.task.start.key.trainer, 0)
+
+    def _can_resume(self, failed: request_model.Failed) -> bool:
+        if not self.trail.token_ids or not failed.upstream_id:
+            return False
+        if len(self.trail.token_ids) >= self.task.request.max_tokens:
+            return False
+        model_name = self.task.rule.model
+        return any(
+            each.can_resume
+            and model_name in each.models
+            and each.upstream_id != failed.upstream_id
+            for each in self.registry.upstreams_by_id().values()
+        )
+
+    def _score(self) -> result.Result[float, reasons.Reason]:
+        delay = SCORE_BACKOFF_SECONDS
+        while True:
+            score = self._score_once()
+            if score is not None:
+                return result.Ok(score)
+            counters.retried(reasons.Reason.SCORER_FAILED)
+            # The tokens are good; only the age of the sample ends the waiting.
+            if not self.is_fit():
+                return result.Err(reasons.Reason.SAMPLE_STALE)
+            clock.sleep(delay)
+            delay = min(MAX_SCORE_BACKOFF_SECONDS, 2 * delay)
+
+    def _score_once(self) -> float | None:
+        key = self.task.start.key
+        payload = self.trail.payload()
+        body = {
+            "sample_id": self.task.sample_id,
+            "group_id": key.group_id,
+            "prompt": self.task.request.prompt,
+            "text": payload.text,
+            "token_ids": list(payload.token_ids),
+        }
+        answer = self.dispatcher.call_application(
+            request_model.ApplicationCall(
+                request_id=f"{self.task.name}.score",
+                application=self.task.rule.scorer,
+                method="POST",
+                target="/score",
+                headers=(("Content-Type", "application/json"),),
+                body=json.dumps(body).encode(),
+                client=key.trainer,
+                deadline=clock.now() + SCORE_SECONDS,
+                share=self.task.rule.share,
+                is_idempotent=True,
+            )
+        )
+        return (
+            read_score(answer.unwrap(), self.task.sample_id) if answer.is_ok() else None
+        )
+
+
+def read_score(answer: request_model.ApplicationAnswer, sample_id: str) -> float | None:
+    """Return the score in a scorer's answer; None if it is none for this sample."""
+    if answer.status != 200:
+        return None
+    try:
+        body = json.loads(answer.body)
+    except ValueError:
+        return None
+    # A scorer that mixes up its answers would put one sample's score on another.
+    if not isinstance(body, dict) or body.get("sample_id") != sample_id:
+        return None
+    score = body.get("score")
+    if isinstance(score, bool) or not isinstance(score, int | float):
+        return None
+    return float(score) if math.isfinite(score) else None
--- /dev/null
+++ b/bilberrydrum/samples/commands.py
@@ -0,0 +1,493 @@
+"""Commands on the samples and what they do to the replicated state.
+
+All rules of delivery are applied here, so they hold whatever gateway a command comes
+from, and however often it comes: each command that is applied again finds its own
+effect and gives the same answer.
+"""
+
+import attrs
+
+from bilberrydrum import codec, reasons
+from bilberrydrum.samples import model, ownership, section, staleness
+from bilberrydrum.state import machine
+from bilberrydrum.weights import commands as weight_commands
+
+
+@codec.register("samples.open-reader")
+@attrs.frozen
+class OpenReader:
+    """Make the sender the trainer's reader; answered with `Reader`."""
+
+    trainer: str
+
+
+@codec.register("samples.reader")
+@attrs.frozen
+class Reader:
+    """The right to read a trainer's batches."""
+
+    reader_epoch: int
+    cursor: int
+
+
+@codec.register("samples.add-groups")
+@attrs.frozen
+class AddGroups:
+    """Ask for groups of samples; answered with `GroupsAdded`."""
+
+    trainer: str
+    groups: tuple[model.GroupRequest, ...]
+    max_open_slots: int
+
+
+@codec.register("samples.groups-added")
+@attrs.frozen
+class GroupsAdded:
+    """What became of the groups."""
+
+    n_accepted: int = 0
+    n_known: int = 0
+    # Ids that are taken by groups with other content; then none was accepted.
+    conflicts: tuple[str, ...] = ()
+    is_full: bool = False
+    # Owners of the accepted groups.
+    owners: tuple[str, ...] = ()
+
+
+@codec.register("samples.renew-owner")
+@attrs.frozen
+class RenewOwner:
+    """Renew the sender's lease as an owner; answered with `Renewed`."""
+
+    process_id: str
+    incarnation: int
+    lease_seconds: float
+    # Revision that the sender has acted on; the work comes only if there is a newer.
+    revision: int
+
+
+@codec.register("samples.work")
+@attrs.frozen
+class Work:
+    """What an owner has to do for one group."""
+
+    trainer: str
+    group_id: str
+    sequence: int
+    owner_epoch: int
+    # Slots that want an attempt, with the attempts that each has had.
+    n_attempts_by_slot: dict[int, int]
+    # Wanted slots that a batch is waiting for at their position.
+    assigned_slots: tuple[int, ...] = ()
+
+
+@codec.register("samples.renewed")
+@attrs.frozen
+class Renewed:
+    """The lease is renewed, unless a later life of the process has it."""
+
+    is_current: bool
+    revision: int = 0
+    # Log index at which `work` was true.
+    index: int = 0
+    # None: nothing has changed.
+    work: tuple[Work, ...] | None = None
+
+
+@codec.register("samples.leave-owner")
+@attrs.frozen
+class LeaveOwner:
+    """Hand the sender's groups to other owners; answered with `Done`."""
+
+    process_id: str
+    incarnation: int
+
+
+@codec.register("samples.done")
+@attrs.frozen
+class Done:
+    """The command was applied."""
+
+    index: int = 0
+
+
+@codec.register("samples.slot-record")
+@attrs.frozen
+class SlotRecord:
+    """A scored attempt for one slot."""
+
+    trainer: str
+    group_id: str
+    slot: int
+    record: model.Record
+
+
+@codec.register("samples.record-samples")
+@attrs.frozen
+class RecordSamples:
+    """Take scored attempts as their slots' samples; answered with `Recorded`.
+
+    One command carries many slots: at 2,048 samples a step, one commit each would be
+    the state group's largest load.
+    """
+
+    records: tuple[SlotRecord, ...]
+    rules_by_trainer: dict[str, model.Rule]
+
+
+@codec.register("samples.recorded")
+@attrs.frozen
+class Recorded:
+    """For each record in order: None if it was taken, else why not."""
+
+    refusals: tuple[reasons.Reason | None, ...]
+    index: int
+
+
+@codec.register("samples.assign-batch")
+@attrs.frozen
+class AssignBatch:
+    """Acknowledge below `cursor` and fix the batch there; answered with `Batch`."""
+
+    trainer: str
+    reader_epoch: int
+    cursor: int
+    n_samples: int
+    rule: model.Rule
+
+
+@codec.register("samples.assigned")
+@attrs.frozen
+class Assigned:
+    """One sample of a batch."""
+
+    position: int
+    group_id: str
+    slot: int
+    staleness: int
+    record: model.Record
+
+
+@codec.register("samples.batch")
+@attrs.frozen
+class Batch:
+    """The batch at a cursor, or why there is none (`refusal`)."""
+
+    refusal: reasons.Reason | None
+    acknowledged: int = 0
+    n_assigned: int = 0
+    weight_version: int = 0
+    samples: tuple[Assigned, ...] = ()
+    # Samples that were too old and are made again.
+    n_expired: int = 0
+    # Owners that have new work because of that.
+    owners: tuple[str, ...] = ()
+
+
+@codec.register("samples.expire-samples")
+@attrs.frozen
+class ExpireSamples:
+    """Have samples that wait and are too old made again; answered with `Expired`."""
+
+    trainer: str
+    rule: model.Rule
+
+
+@codec.register("samples.expired")
+@attrs.frozen
+class Expired:
+    """How many samples are made again, and by which owners."""
+
+    n_expired: int
+    owners: tuple[str, ...]
+
+
+@codec.register("samples.report-lost")
+@attrs.frozen
+class ReportLost:
+    """Have samples whose payload no holder has made again; answered with `Expired`."""
+
+    trainer: str
+    lost: tuple[Assigned, ...]
+
+
+@machine.apply.register
+def _(command: OpenReader, state: machine.State, context: machine.Context) -> Reader:
+    trainer = section.trainer_of(state, command.trainer)
+    trainer.reader_epoch += 1
+    return Reader(trainer.reader_epoch, trainer.acknowledged)
+
+
+@machine.apply.register
+def _(
+    command: AddGroups, state: machine.State, context: machine.Context
+) -> GroupsAdded:
+    samples = section.of(state)
+    trainer = section.trainer_of(state, command.trainer)
+    requests_by_id: dict[str, model.GroupRequest] = {}
+    conflicts = []
+    n_known = 0
+    for request in command.groups:
+        known = _known_digest(trainer, requests_by_id, request.group_id)
+        if known is None:
+            requests_by_id[request.group_id] = request
+        elif known == request.digest():
+            n_known += 1
+        else:
+            conflicts.append(request.group_id)
+    if conflicts:
+        return GroupsAdded(conflicts=tuple(conflicts))
+    n_slots = sum(request.n_slots for request in requests_by_id.values())
+    if trainer.n_open_slots + n_slots > command.max_open_slots:
+        return GroupsAdded(is_full=True)
+    owners = {_add_group(samples, trainer, each) for each in requests_by_id.values()}
+    return GroupsAdded(len(requests_by_id), n_known, owners=tuple(sorted(owners)))
+
+
+def _known_digest(
+    trainer: section.Trainer,
+    requests_by_id: dict[str, model.GroupRequest],
+    group_id: str,
+) -> bytes | None:
+    """Return the digest of the group that has this id, also of one long delivered.
+
+    A trainer that resends its groups after a lost answer must not get them twice.
+    """
+    if group_id in requests_by_id:
+        return requests_by_id[group_id].digest()
+    if group_id in trainer.groups_by_id:
+        return trainer.groups_by_id[group_id].request.digest()
+    past = trainer.past_groups_by_id.get(group_id)
+    return None if past is None else past.digest
+
+
+def _add_group(
+    samples: section.Section, trainer: section.Trainer, request: model.GroupRequest
+) -> str:
+    trainer.n_groups_accepted += 1
+    slots = [section.Slot() for _ in range(request.n_slots)]
+    group = section.Group(request, trainer.n_groups_accepted, "", 0, slots)
+    trainer.groups_by_id[request.group_id] = group
+    trainer.n_open_slots += request.n_slots
+    ownership.give(samples, group, ownership.pick(samples))
+    return group.owner
+
+
+@machine.apply.register
+def _(command: RenewOwner, state: machine.State, context: machine.Context) -> Renewed:
+    samples = section.of(state)
+    owner = ownership.renew(
+        samples,
+        command.process_id,
+        command.incarnation,
+        context.time,
+        command.lease_seconds,
+    )
+    if owner is None:
+        return Renewed(is_current=False)
+    work = None
+    if owner.revision != command.revision:
+        work = tuple(_work(samples, owner.process_id))
+    return Renewed(True, owner.revision, context.index, work)
+
+
+def _work(samples: section.Section, process_id: str) -> list[Work]:
+    work = []
+    for name, trainer in samples.trainers_by_name.items():
+        for group in trainer.groups_by_id.values():
+            if group.owner != process_id:
+                continue
+            wanted = {i: s for i, s in enumerate(group.slots) if s.record is None}
+            if wanted:
+                work.append(_group_work(name, group, wanted))
+    return work
+
+
+def _group_work(
+    trainer: str, group: section.Group, wanted: dict[int, section.Slot]
+) -> Work:
+    return Work(
+        trainer,
+        group.request.group_id,
+        group.sequence,
+        group.owner_epoch,
+        {i: slot.n_attempts for i, slot in wanted.items()},
+        tuple(i for i, slot in wanted.items() if slot.position != model.UNASSIGNED),
+    )
+
+
+@machine.apply.register
+def _(command: LeaveOwner, state: machine.State, context: machine.Context) -> Done:
+    ownership.leave(section.of(state), command.process_id, command.incarnation)
+    return Done(context.index)
+
+
+@machine.apply.register
+def _(
+    command: RecordSamples, state: machine.State, context: machine.Context
+) -> Recorded:
+    for name, rule in command.rules_by_trainer.items():
+        _adopt_rule(section.trainer_of(state, name), rule)
+    refusals = tuple(_take(state, each) for each in command.records)
+    return Recorded(refusals, context.index)
+
+
+def _take(state: machine.State, taken: SlotRecord) -> reasons.Reason | None:
+    trainer = section.trainer_of(state, taken.trainer)
+    group = trainer.groups_by_id.get(taken.group_id)
+    if group is None:
+        return reasons.Reason.ATTEMPT_SUPERSEDED
+    if group.owner_epoch != taken.record.owner_epoch:
+        return reasons.Reason.EPOCH_STALE
+    slot = group.slots[taken.slot]
+    if slot.record is not None:
+        is_repeat = slot.record.payload_digest == taken.record.payload_digest
+        is_repeat = is_repeat and slot.record.attempt == taken.record.attempt
+        return None if is_repeat else reasons.Reason.ATTEMPT_SUPERSEDED
+    # A record that was given up (too old, payload lost) and comes again must not come
+    # back to life.
+    if taken.record.attempt <= slot.n_attempts:
+        return reasons.Reason.ATTEMPT_SUPERSEDED
+    newest = weight_commands.newest_version(state, taken.trainer)
+    if not staleness.is_fit(taken.record, newest, trainer.rule.staleness_bound):
+        slot.n_attempts = taken.record.attempt
+        return reasons.Reason.SAMPLE_STALE
+    section.take_record(trainer, slot, taken.record)
+    return None
+
+
+@machine.apply.register
+def _(command: AssignBatch, state: machine.State, context: machine.Context) -> Batch:
+    trainer = section.trainer_of(state, command.trainer)
+    refusal = check_reader(trainer, command.reader_epoch, command.cursor)
+    if refusal is not None:
+        return Batch(refusal, trainer.acknowledged, trainer.n_assigned)
+    samples = section.of(state)
+    section.acknowledge(samples, trainer, command.cursor)
+    _adopt_rule(trainer, command.rule)
+    newest = weight_commands.newest_version(state, command.trainer)
+    # What waits for its position is checked too, or it would be assigned too old.
+    expired = _expire(samples, trainer, newest, only_waiting=False)
+    if trainer.n_assigned == trainer.acknowledged:
+        _assign_ready(trainer, command.n_samples)
+    batch = batch_at(trainer, newest)
+    return attrs.evolve(batch, n_expired=expired.n_expired, owners=expired.owners)
+
+
+def check_reader(
+    trainer: section.Trainer, reader_epoch: int, cursor: int
+) -> reasons.Reason | None:
+    """Return why this reader may not read at `cursor`; None: it may."""
+    if reader_epoch != trainer.reader_epoch or reader_epoch == 0:
+        return reasons.Reason.READER_SUPERSEDED
+    if not trainer.acknowledged <= cursor <= trainer.n_assigned:
+        return reasons.Reason.CURSOR_INVALID
+    return None
+
+
+def _assign_ready(trainer: section.Trainer, n_samples: int) -> None:
+    if trainer.n_ready < n_samples:
+        return
+    ready = [
+        (group, i)
+        for group, i, slot in section.slots_in_order(trainer)
+        if slot.record is not None and slot.position == model.UNASSIGNED
+    ]
+    for group, i in ready[:n_samples]:
+        section.assign(trainer, group, i)
+
+
+def batch_at(trainer: section.Trainer, newest_version: int) -> Batch:
+    """Return the assigned batch, if all of it is there."""
+    assigned = []
+    slots = []
+    for position in range(trainer.acknowledged, trainer.n_assigned):
+        ref = trainer.slots_by_position[position]
+        slot = trainer.groups_by_id[ref.group_id].slots[ref.slot]
+        if slot.record is None:
+            break
+        age = staleness.staleness(newest_version, slot.record.oldest_version())
+        assigned.append(Assigned(position, ref.group_id, ref.slot, age, slot.record))
+        slots.append(slot)
+    is_whole = len(assigned) == trainer.n_assigned - trainer.acknowledged
+    if not assigned or not is_whole:
+        refusal = reasons.Reason.BATCH_NOT_READY
+        return Batch(refusal, trainer.acknowledged, trainer.n_assigned, newest_version)
+    for slot in slots:
+        slot.delivered_version = newest_version
+    return Batch(
+        None,
+        trainer.acknowledged,
+        trainer.n_assigned,
+        newest_version,
+        tuple(assigned),
+    )
+
+
+@machine.apply.register
+def _(
+    command: ExpireSamples, state: machine.State, context: machine.Context
+) -> Expired:
+    trainer = section.trainer_of(state, command.trainer)
+    _adopt_rule(trainer, command.rule)
+    newest = weight_commands.newest_version(state, command.trainer)
+    return _expire(section.of(state), trainer, newest, only_waiting=True)
+
+
+def _expire(
+    samples: section.Section,
+    trainer: section.Trainer,
+    newest_version: int,
+    only_waiting: bool,
+) -> Expired:
+    """Give up the samples that are past the bound.
+
+    Samples with a position may have been received already: they are given up only when
+    the trainer asks for them again, else a sample in the trainer's hands would be made
+    a second time for nothing.
+    """
+    n_expired = 0
+    owners = set()
+    bound = trainer.rule.staleness_bound
+    for group, _, slot in section.slots_in_order(trainer):
+        if slot.record is None or 0 <= slot.position < trainer.acknowledged:
+            continue
+        if only_waiting and slot.position != model.UNASSIGNED:
+            continue
+        if staleness.is_fit(slot.record, newest_version, bound):
+            continue
+        section.clear_record(trainer, slot)
+        ownership.wake(samples, group)
+        owners.add(group.owner)
+        n_expired += 1
+    return Expired(n_expired, tuple(sorted(owners)))
+
+
+@machine.apply.register
+def _(command: ReportLost, state: machine.State, context: machine.Context) -> Expired:
+    samples = section.of(state)
+    trainer = section.trainer_of(state, command.trainer)
+    n_expired = 0
+    owners = set()
+    for lost in command.lost:
+        group = trainer.groups_by_id.get(lost.group_id)
+        if group is None or lost.position < trainer.acknowledged:
+            continue
+        slot = group.slots[lost.slot]
+        # The report may be about an attempt that was replaced meanwhile.
+        if slot.record is None or slot.record.attempt != lost.record.attempt:
+            continue
+        if slot.record.owner_epoch != lost.record.owner_epoch:
+            continue
+        section.clear_record(trainer, slot)
+        ownership.wake(samples, group)
+        owners.add(group.owner)
+        n_expired += 1
+    return Expired(n_expired, tuple(sorted(owners)))
+
+
+def _adopt_rule(trainer: section.Trainer, rule: model.Rule) -> None:
+    # A gateway that has not heard of the newest bundle must not bring an older bound
+    # back after another gateway has acted on the newer one.
+    if rule.bundle_version >= trainer.rule.bundle_version:
+        trainer.rule = rule
--- /dev/null
+++ b/bilberrydrum/samples/provenance.py
@@ -0,0 +1,77 @@
+"""Which weight versions made which tokens, from what the engine's stream reports.
+
+`Trail` takes the events of one attempt's streams in order. Nothing is guessed: an event
+with tokens and without a version ends the attempt's chance to become a sample, and so
+does text without tokens.
+"""
+
+import attrs
+import result
+
+from bilberrydrum import reasons
+from bilberrydrum.requests import model as request_model
+from bilberrydrum.samples import model
+
+
+@attrs.define
+class Trail:
+    """The segments, tokens and text of one attempt so far."""
+
+    segments: list[model.Segment] = attrs.field(factory=list)
+    token_ids: list[int] = attrs.field(factory=list)
+    texts: list[str] = attrs.field(factory=list)
+    # What is wrong with the attempt; empty: nothing.
+    fault: str = ""
+
+    def add(self, tokens: request_model.Tokens) -> None:
+        """Take one event of the stream."""
+        n_tokens = len(tokens.token_ids)
+        if n_tokens == 0:
+            # Tokens that were left out can't be placed later: the segments behind
+            # them would name the wrong tokens.
+            if tokens.text:
+                self.fault = "text without tokens"
+            return
+        if tokens.weight_version is None or tokens.weight_version < 0:
+            self.fault = "tokens without a weight version"
+            return
+        self._extend(tokens.weight_version, n_tokens)
+        self.token_ids.extend(tokens.token_ids)
+        self.texts.append(tokens.text)
+
+    def _extend(self, weight_version: int, n_tokens: int) -> None:
+        first = len(self.token_ids)
+        last = first + n_tokens - 1
+        if self.segments and self.segments[-1].weight_version == weight_version:
+            first = self.segments.pop().first_token
+        self.segments.append(model.Segment(weight_version, first, last))
+
+    def payload(self) -> model.Payload:
+        """Return the text and tokens so far."""
+        return model.Payload("".join(self.texts), tuple(self.token_ids))
+
+    def finish(
+        self, finished: request_model.Finished, max_tokens: int
+    ) -> result.Result[tuple[model.Segment, ...], reasons.Reason]:
+        """Return the segments of the ended attempt, or why it is no sample."""
+        n_tokens = len(self.token_ids)
+        is_at_limit = finished.finish_reason == request_model.FINISH_LENGTH
+        # An engine that stopped at the length and one token count that differs from it
+        # means that tokens were lost or came twice on the way.
+        if n_tokens > max_tokens or (is_at_limit and n_tokens != max_tokens):
+            self.fault = "token count differs from the length asked for"
+        if self.fault or not covers(self.segments, n_tokens):
+            return result.Err(reasons.Reason.SAMPLE_UNTRACEABLE)
+        return result.Ok(tuple(self.segments))
+
+
+def covers(segments: list[model.Segment] | tuple[model.Segment, ...], n: int) -> bool:
+    """Tell whether `segments` name `n` tokens, each once and in order."""
+    expected = 0
+    for segment in segments:
+        if segment.first_token != expected or segment.last_token < segment.first_token:
+            return False
+        if segment.weight_version < 0:
+            return False
+        expected = segment.last_token + 1
+    return n > 0 and expected == n
--- /dev/null
+++ b/bilberrydrum/samples/recorder.py
@@ -0,0 +1,93 @@
+"""Commits finished attempts, many with one command.
+
+The task takes whatever has gathered while the last command was on its way, so that
+commands grow with the load and nothing waits for a full one.
+"""
+
+from typing import Final
+
+import attrs
+import eventlet
+import eventlet.event
+from eventlet import queue
+
+from bilberrydrum import clock, interfaces, reasons
+from bilberrydrum.samples import commands, model
+from bilberrydrum.state import client
+
+# Records at most in one command.
+MAX_RECORDS: Final = 256
+_RETRY_SECONDS: Final = 0.1
+
+
+@attrs.frozen
+class Outcome:
+    """What became of one record: taken, or refused for a reason."""
+
+    refusal: reasons.Reason | None
+    # Log index of the command.
+    index: int
+
+
+class Recorder:
+    """The task that commits records."""
+
+    def __init__(
+        self, state: client.StateClient, bundles: interfaces.BundleView
+    ) -> None:
+        self._state = state
+        self._bundles = bundles
+        self._waiting: queue.LightQueue = queue.LightQueue()
+        self._tasks: list[eventlet.greenthread.GreenThread] = []
+
+    def start(self) -> None:
+        """Start committing."""
+        self._tasks.append(eventlet.spawn(self._run))
+
+    def stop(self) -> None:
+        """Stop; records that wait are lost and their slots get other attempts."""
+        for task in self._tasks:
+            task.kill()
+        self._tasks.clear()
+
+    def record(self, record: commands.SlotRecord) -> Outcome:
+        """Have `record` committed and return what became of it."""
+        done = eventlet.event.Event()
+        self._waiting.put((record, done))
+        outcome: Outcome = done.wait()
+        return outcome
+
+    def _run(self) -> None:
+        while True:
+            gathered = [self._waiting.get()]
+            while len(gathered) < MAX_RECORDS and not self._waiting.empty():
+                gathered.append(self._waiting.get())
+            recorded = self._commit(tuple(record for record, _ in gathered))
+            for (_, done), refusal in zip(gathered, recorded.refusals, strict=True):
+                done.send(Outcome(refusal, recorded.index))
+
+    def _commit(self, records: tuple[commands.SlotRecord, ...]) -> commands.Recorded:
+        while True:
+            rules = rules_by_trainer(self._bundles, {each.trainer for each in records})
+            command = commands.RecordSamples(records, rules)
+            answer = self._state.submit(command)
+            if answer.is_ok():
+                recorded: commands.Recorded = answer.unwrap()
+                return recorded
+            # It may have been applied; applied again it gives the same outcome.
+            clock.sleep(_RETRY_SECONDS)
+
+
+def rules_by_trainer(
+    bundles: interfaces.BundleView, names: set[str]
+) -> dict[str, model.Rule]:
+    """Return what the bundle in force here says of the trainers."""
+    current = bundles.current()
+    if current.is_err():
+        return {}
+    bundle = current.unwrap()
+    return {
+        name: model.Rule(bundle.version, bundle.trainers[name].staleness_bound)
+        for name in names
+        if name in bundle.trainers
+    }
--- /dev/null
+++ b/bilberrydrum/samples/scheduling.py
@@ -0,0 +1,215 @@
+"""Which attempts an owner starts and stops, in what order.
+
+Pure: time, capacity and the newest weight versions are passed in. Among trainers, the
+one with the least attempts in flight for its share goes first, so that capacity that
+one leaves unused goes to the others. Within a trainer: slots that a batch waits for,
+then the oldest group, so that the slots of a group follow one another and find its
+prompt's prefix in the engine's cache.
+"""
+
+from typing import Final
+
+import attrs
+
+from bilberrydrum.samples import commands
+
+# Waiting time after the first failed attempt of a slot; doubles with each further one.
+BACKOFF_SECONDS: Final = 0.05
+MAX_BACKOFF_SECONDS: Final = 2.0
+
+
+@attrs.frozen
+class Key:
+    """A wanted slot under one epoch of its owner."""
+
+    trainer: str
+    group_id: str
+    slot: int
+    owner_epoch: int
+
+
+@attrs.define
+class Running:
+    """An attempt in flight."""
+
+    started_at: float
+    upstream_id: str = ""
+    progressed_at: float = 0.0
+    # Generated whole; being scored, stored or recorded.
+    is_generated: bool = False
+
+
+@attrs.define
+class Wanted:
+    """What is known of a wanted slot."""
+
+    sequence: int
+    n_attempts: int
+    is_assigned: bool
+    not_before: float = 0.0
+    n_failures: int = 0
+    running_by_attempt: dict[int, Running] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Start:
+    """Start an attempt."""
+
+    key: Key
+    attempt: int
+    # Engines that the attempt should avoid.
+    excluded_upstream_ids: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Cancel:
+    """Stop an attempt and drop what it made."""
+
+    key: Key
+    attempt: int
+
+
+@attrs.frozen
+class Pool:
+    """Trainers that share engines, and how many attempts may be in flight."""
+
+    capacity: int
+    shares_by_trainer: dict[str, float]
+
+
+@attrs.define
+class Schedule:
+    """The attempts of one owner."""
+
+    wanted_by_key: dict[Key, Wanted] = attrs.field(factory=dict)
+    # Log index at which a slot got its sample; older work lists don't know of it.
+    _recorded_at: dict[Key, int] = attrs.field(factory=dict)
+
+    def update(self, index: int, work: tuple[commands.Work, ...]) -> list[Cancel]:
+        """Take the list of wanted slots that was true at log index `index`."""
+        listed = {
+            Key(each.trainer, each.group_id, slot, each.owner_epoch): (each, slot)
+            for each in work
+            for slot in each.n_attempts_by_slot
+        }
+        cancels = []
+        for key in [each for each in self.wanted_by_key if each not in listed]:
+            cancels += self._drop(key)
+        for key, (each, slot) in listed.items():
+            self._want(index, key, each, slot)
+        self._recorded_at = {
+            key: at for key, at in self._recorded_at.items() if at > index
+        }
+        return cancels
+
+    def _want(self, index: int, key: Key, work: commands.Work, slot: int) -> None:
+        # The list may have been read before the slot's sample was recorded.
+        if self._recorded_at.get(key, -1) >= index:
+            return
+        n_attempts = work.n_attempts_by_slot[slot]
+        wanted = self.wanted_by_key.get(key)
+        if wanted is None:
+            wanted = Wanted(work.sequence, n_attempts, False)
+            self.wanted_by_key[key] = wanted
+        wanted.n_attempts = max(wanted.n_attempts, n_attempts)
+        wanted.is_assigned = slot in work.assigned_slots
+
+    def _drop(self, key: Key) -> list[Cancel]:
+        wanted = self.wanted_by_key.pop(key)
+        return [Cancel(key, attempt) for attempt in wanted.running_by_attempt]
+
+    def drop_all(self) -> list[Cancel]:
+        """Give up everything: the owner's lease has ended."""
+        return [
+            cancel for key in list(self.wanted_by_key) for cancel in self._drop(key)
+        ]
+
+    def starts(self, now: float, pools: list[Pool]) -> list[Start]:
+        """Return the attempts to start now; they count as running from here on."""
+        starts = []
+        for pool in pools:
+            starts += self._pool_starts(now, pool)
+        return starts
+
+    def _pool_starts(self, now: float, pool: Pool) -> list[Start]:
+        n_running = dict.fromkeys(pool.shares_by_trainer, 0)
+        waiting: dict[str, list[Key]] = {name: [] for name in n_running}
+        for key, wanted in self.wanted_by_key.items():
+            if key.trainer not in n_running:
+                continue
+            generating = [
+                each
+                for each in wanted.running_by_attempt.values()
+                if not each.is_generated
+            ]
+            n_running[key.trainer] += len(generating)
+            if not wanted.running_by_attempt and wanted.not_before <= now:
+                waiting[key.trainer].append(key)
+        for keys in waiting.values():
+            keys.sort(key=self._order, reverse=True)
+        starts = []
+        n_free = pool.capacity - sum(n_running.values())
+        while n_free > 0 and any(waiting.values()):
+            name = min(
+                (each for each in waiting if waiting[each]),
+                key=lambda each: (n_running[each] / pool.shares_by_trainer[each], each),
+            )
+            starts.append(self._start(now, waiting[name].pop()))
+            n_running[name] += 1
+            n_free -= 1
+        return starts
+
+    def _order(self, key: Key) -> tuple[bool, int, int]:
+        wanted = self.wanted_by_key[key]
+        return (not wanted.is_assigned, wanted.sequence, key.slot)
+
+    def _start(
+        self, now: float, key: Key, excluded: frozenset[str] = frozenset()
+    ) -> Start:
+        wanted = self.wanted_by_key[key]
+        wanted.n_attempts += 1
+        wanted.running_by_attempt[wanted.n_attempts] = Running(now, progressed_at=now)
+        return Start(key, wanted.n_attempts, excluded)
+
+    def progress(self, now: float, key: Key, attempt: int, upstream_id: str) -> None:
+        """Take note that an attempt got tokens from an engine."""
+        running = self._running(key, attempt)
+        if running is not None:
+            running.upstream_id = upstream_id
+            running.progressed_at = now
+
+    def generated(self, key: Key, attempt: int) -> None:
+        """Take note that an attempt no longer uses an engine."""
+        running = self._running(key, attempt)
+        if running is not None:
+            running.is_generated = True
+
+    def failed(self, now: float, key: Key, attempt: int) -> None:
+        """Take note that an attempt came to nothing; another will be started."""
+        wanted = self.wanted_by_key.get(key)
+        if wanted is None or wanted.running_by_attempt.pop(attempt, None) is None:
+            return
+        delay = min(MAX_BACKOFF_SECONDS, BACKOFF_SECONDS * 2**wanted.n_failures)
+        wanted.n_failures += 1
+        wanted.not_before = now + delay
+
+    def recorded(self, index: int, key: Key, attempt: int) -> list[Cancel]:
+        """Take note that the slot has its sample; other attempts are of no more use."""
+        self._recorded_at[key] = index
+        if key not in self.wanted_by_key:
+            return []
+        self.wanted_by_key[key].running_by_attempt.pop(attempt, None)
+        return self._drop(key)
+
+    def is_assigned(self, key: Key) -> bool:
+        """Tell whether a batch waits for the slot at its position."""
+        wanted = self.wanted_by_key.get(key)
+        return wanted is not None and wanted.is_assigned
+
+    def is_running(self, key: Key, attempt: int) -> bool:
+        """Tell whether the attempt is still of use."""
+        return self._running(key, attempt) is not None
+
+    def _running(self, key: Key, attempt: int) -> Running | None:
+        wanted = self.wanted_by_key.get(key)
+        return None if wanted is None else wanted.running_by_attempt.get(attempt)
--- /dev/null
+++ b/bilberrydrum/samples/section.py
@@ -0,0 +1,191 @@
+"""The replicated state of the samples.
+
+Records are small. A group's prompt is kept until its last sample was acknowledged;
+then the group shrinks to its digest and a packed trace, kept for `HISTORY_SAMPLES`
+further samples.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+import msgpack
+
+from bilberrydrum import codec
+from bilberrydrum.samples import model
+from bilberrydrum.state import machine
+
+SECTION: Final = "samples"
+# Samples per trainer whose trace is kept, and whose group is known again, after the
+# cursor has moved past them: 32 steps of 2,048.
+HISTORY_SAMPLES: Final = 65_536
+
+
+@codec.register("samples.slot")
+@attrs.define
+class Slot:
+    """One sample that is wanted."""
+
+    # Highest attempt number ever recorded.
+    n_attempts: int = 0
+    # The attempt taken; None: an attempt is wanted.
+    record: model.Record | None = None
+    position: int = model.UNASSIGNED
+    # Newest weight version when the sample was last found fit for delivery.
+    delivered_version: int = -1
+
+
+@codec.register("samples.group")
+@attrs.define
+class Group:
+    """A group that has samples which are not acknowledged."""
+
+    request: model.GroupRequest
+    # Order in which the trainer's groups were accepted.
+    sequence: int
+    owner: str
+    owner_epoch: int
+    slots: list[Slot]
+    n_acknowledged: int = 0
+
+
+@codec.register("samples.past-group")
+@attrs.frozen
+class PastGroup:
+    """A group whose samples were all acknowledged."""
+
+    digest: bytes
+    n_slots: int
+    # Packed traces, see `pack_trace`.
+    trace: bytes
+
+
+@codec.register("samples.trainer")
+@attrs.define
+class Trainer:
+    """The samples of one trainer."""
+
+    reader_epoch: int = 0
+    # All positions below are acknowledged.
+    acknowledged: int = 0
+    # All positions below are assigned.
+    n_assigned: int = 0
+    # Slots with a record and no position.
+    n_ready: int = 0
+    n_groups_accepted: int = 0
+    n_open_slots: int = 0
+    # Rule of the newest bundle that a command was sent under.
+    rule: model.Rule = model.Rule(0, 0)
+    groups_by_id: dict[str, Group] = attrs.field(factory=dict)
+    slots_by_position: dict[int, model.SlotRef] = attrs.field(factory=dict)
+    past_groups_by_id: dict[str, PastGroup] = attrs.field(factory=dict)
+    n_past_samples: int = 0
+
+
+@codec.register("samples.owner")
+@attrs.define
+class Owner:
+    """A gateway that drives groups."""
+
+    process_id: str
+    incarnation: int
+    # State time at which its groups go to another.
+    expires_at: float
+    # Rises when others changed what this owner has to do.
+    revision: int = 1
+    n_slots: int = 0
+
+
+@codec.register("samples.section")
+@attrs.define
+class Section:
+    """All of it."""
+
+    trainers_by_name: dict[str, Trainer] = attrs.field(factory=dict)
+    owners_by_id: dict[str, Owner] = attrs.field(factory=dict)
+    # State time of the last renewal by any owner.
+    renewed_at: float = 0.0
+
+
+def of(state: machine.State) -> Section:
+    """Return the samples' section."""
+    section: Section = state.section(SECTION, Section)
+    return section
+
+
+def trainer_of(state: machine.State, name: str) -> Trainer:
+    """Return a trainer's part, made when there is none."""
+    trainers = of(state).trainers_by_name
+    if name not in trainers:
+        trainers[name] = Trainer()
+    return trainers[name]
+
+
+def slots_in_order(trainer: Trainer) -> Iterator[tuple[Group, int, Slot]]:
+    """Yield the slots of open groups, oldest group first."""
+    for group in trainer.groups_by_id.values():
+        for i, slot in enumerate(group.slots):
+            yield group, i, slot
+
+
+def take_record(trainer: Trainer, slot: Slot, record: model.Record) -> None:
+    """Keep `record` as the slot's sample."""
+    slot.record = record
+    slot.n_attempts = max(slot.n_attempts, record.attempt)
+    if slot.position == model.UNASSIGNED:
+        trainer.n_ready += 1
+
+
+def clear_record(trainer: Trainer, slot: Slot) -> None:
+    """Give up the slot's sample; another attempt is wanted at the same position."""
+    slot.record = None
+    if slot.position == model.UNASSIGNED:
+        trainer.n_ready -= 1
+
+
+def assign(trainer: Trainer, group: Group, i_slot: int) -> None:
+    """Give the slot the next position."""
+    slot = group.slots[i_slot]
+    slot.position = trainer.n_assigned
+    trainer.n_assigned += 1
+    trainer.n_ready -= 1
+    trainer.slots_by_position[slot.position] = model.SlotRef(
+        group.request.group_id, i_slot
+    )
+
+
+def acknowledge(section: Section, trainer: Trainer, cursor: int) -> None:
+    """Take note that all positions below `cursor` were received, and forget them."""
+    for position in range(trainer.acknowledged, cursor):
+        ref = trainer.slots_by_position.pop(position)
+        group = trainer.groups_by_id[ref.group_id]
+        group.n_acknowledged += 1
+        trainer.n_open_slots -= 1
+        owner = section.owners_by_id.get(group.owner)
+        if owner is not None:
+            owner.n_slots -= 1
+        if group.n_acknowledged == len(group.slots):
+            _retire(trainer, group)
+    trainer.acknowledged = max(trainer.acknowledged, cursor)
+
+
+def _retire(trainer: Trainer, group: Group) -> None:
+    request = group.request
+    del trainer.groups_by_id[request.group_id]
+    past = PastGroup(request.digest(), len(group.slots), pack_trace(group))
+    trainer.past_groups_by_id[request.group_id] = past
+    trainer.n_past_samples += past.n_slots
+    while trainer.n_past_samples > HISTORY_SAMPLES:
+        oldest = next(iter(trainer.past_groups_by_id))
+        trainer.n_past_samples -= trainer.past_groups_by_id.pop(oldest).n_slots
+
+
+def pack_trace(group: Group) -> bytes:
+    """Return the slots of a finished group in few bytes."""
+    return bytes(msgpack.packb([codec.encode(slot) for slot in group.slots]))
+
+
+def unpack_trace(past: PastGroup, i_slot: int) -> Slot:
+    """Return one slot out of a packed trace."""
+    slot: Slot = codec.decode(msgpack.unpackb(past.trace)[i_slot])
+    return slot
