Bring published weights to the engines

The task sends orders in greenlets; the fencing number is asked for once the connection stands, immediately before the order is written, and the kernel gives up an order that it could not deliver within the longest order flight.

--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -79,6 +79,10 @@
     renew_seconds: float = 0.5
     # How often a gateway tells the others that its upstreams still stand.
     standing_seconds: float = 0.5
+    # The one process that orders upstreams about loses that right after this long.
+    controller_lease_seconds: float = 3.0
+    # Longest time between sending an order and its arrival at the upstream.
+    order_flight_seconds: float = 10.0
 
 
 @attrs.frozen
@@ -113,6 +117,8 @@
     max_wait_seconds: float = 30.0
     # Extra attempts allowed as a share of slots.
     second_attempt_budget: float = 0.05
+    # Longest time that an engine may take to load weights.
+    load_timeout_seconds: float = 300.0
 
 
 @attrs.frozen
--- /dev/null
+++ b/bilberrydrum/weights/rollout.py
@@ -0,0 +1,190 @@
+"""The task that brings published weights to the engines.
+
+It runs in every gateway and acts only in the one that holds the controller's lease.
+At each turn it tells the planner what the registry, the bundle and the state group say
+and sends the orders that come back, each in a greenlet of its own; what became of them
+returns over a queue.
+"""
+
+import random
+from collections.abc import Mapping
+from typing import Final
+
+import eliot
+import eventlet
+import eventlet.greenpool
+import eventlet.queue
+
+from bilberrydrum import clock, counters, interfaces, options, reasons
+from bilberrydrum.bundles import model as bundle_model
+from bilberrydrum.state import client
+from bilberrydrum.upstreams import model as upstream_model
+from bilberrydrum.weights import orders, planner, queries, sender, views
+
+# Longest time between two turns.
+TURN_SECONDS: Final = 0.25
+# Time in which answers are gathered before the planner looks at all engines again.
+GATHER_SECONDS: Final = 0.02
+# Orders on their way at a time.
+MAX_FLIGHTS: Final = 1024
+_QUERY_TIMEOUT_SECONDS: Final = 2.0
+
+
+class WeightRollout:
+    """Orders engines to load and swap to the newest published versions."""
+
+    def __init__(
+        self,
+        options: options.Options,
+        state: client.StateClient,
+        bundles: interfaces.BundleView,
+        registry: interfaces.Registry,
+        controller: interfaces.ControllerLease,
+    ) -> None:
+        self._flight_seconds = options.upstreams.order_flight_seconds
+        self._load_seconds = options.samples.load_timeout_seconds
+        self._state = state
+        self._bundles = bundles
+        self._registry = registry
+        self._controller = controller
+        self._planner = planner.Planner()
+        self._answers: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        self._pool = eventlet.greenpool.GreenPool(MAX_FLIGHTS)
+        self._random = random.Random()
+        self._versions_by_model: dict[str, int] = {}
+        self._task: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Start the task."""
+        self._task = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop the task; orders on their way come to their own end."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+
+    def retries_by_engine_id(self) -> dict[str, list[planner.Retry]]:
+        """Return the failed orders that this process will give again."""
+        return self._planner.retries_by_engine_id()
+
+    def actions_by_engine_id(self) -> dict[str, orders.Action]:
+        """Return the orders of this process that are on their way."""
+        return self._planner.actions_by_engine_id()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._turn()
+            except Exception:
+                # One bad turn must not end the roll-out for good.
+                eliot.write_traceback()
+            self._gather()
+
+    def _turn(self) -> None:
+        event = self._observe()
+        for order in self._planner.step(clock.now(), event):
+            self._pool.spawn_n(self._carry, order)
+
+    def _gather(self) -> None:
+        """Wait for answers, at most one turn, and pass them to the planner."""
+        try:
+            answer = self._answers.get(timeout=TURN_SECONDS)
+        except eventlet.queue.Empty:
+            return
+        # Answers of a wave come close together; one look at all engines serves them.
+        clock.sleep(GATHER_SECONDS)
+        while True:
+            self._planner.step(clock.now(), answer)
+            if self._answers.empty():
+                return
+            answer = self._answers.get_nowait()
+
+    def _observe(self) -> planner.Observed | planner.Stopped:
+        number = self._controller.fencing_number()
+        if number is None:
+            return planner.Stopped()
+        bundle = self._bundles.current()
+        publications = self._state.query(
+            queries.ListPublications(), _QUERY_TIMEOUT_SECONDS
+        )
+        if bundle.is_err() or publications.is_err():
+            # Without knowing what is wanted there is nothing to order.
+            return planner.Stopped()
+        targets = targets_by_model(bundle.unwrap(), publications.unwrap())
+        self._log_changes(targets)
+        engines_by_id = {
+            upstream_id: upstream
+            for upstream_id, upstream in self._registry.upstreams_by_id().items()
+            if upstream.kind == upstream_model.KIND_ENGINE
+        }
+        return planner.Observed(
+            number,
+            self._controller.may_order_unfenced(),
+            engines_by_id,
+            targets,
+        )
+
+    def _log_changes(self, targets: Mapping[str, views.Target]) -> None:
+        for model, target in targets.items():
+            if self._versions_by_model.get(model) != target.weight_version:
+                self._versions_by_model[model] = target.weight_version
+                eliot.log_message(
+                    message_type="weights:target",
+                    model=model,
+                    weight_version=target.weight_version,
+                )
+
+    def _carry(self, order: orders.Order) -> None:
+        """Send one order and report its end."""
+        is_load = order.action.kind in (orders.LOAD, orders.LOAD_ADAPTER)
+        answer_seconds = self._load_seconds if is_load else self._flight_seconds
+        try:
+            outcome = sender.send(
+                order, self._fencing_number, self._flight_seconds, answer_seconds
+            )
+        except Exception as error:
+            eliot.write_traceback()
+            outcome = orders.Lost(f"{type(error).__name__}")
+        _count(outcome)
+        self._answers.put(
+            planner.Answered(order.order_id, outcome, self._random.random())
+        )
+
+    def _fencing_number(self, order: orders.Order) -> int | None:
+        number = self._controller.fencing_number()
+        if number is None:
+            return None
+        # An engine that ignores the number would carry out an order of this
+        # controller and one of its predecessor in any order.
+        if not (order.checks_fencing or self._controller.may_order_unfenced()):
+            return None
+        return number
+
+
+def targets_by_model(
+    bundle: bundle_model.Bundle, publications: queries.Publications
+) -> dict[str, views.Target]:
+    """Return what the engines of each model in `bundle` are to have."""
+    newest = publications.newest_model_versions()
+    targets = {}
+    for name, rule in bundle.models.items():
+        published = newest.get(name, 0)
+        targets[name] = views.Target(
+            weight_version=published or rule.weight_version,
+            source=rule.weight_store,
+            max_concurrent_loads=rule.max_concurrent_loads,
+            adapters=rule.adapters,
+            only_rises=bool(published),
+        )
+    return targets
+
+
+def _count(outcome: orders.Outcome) -> None:
+    match outcome:
+        case orders.Failed() | orders.Lost():
+            counters.retried(reasons.Reason.ORDER_FAILED)
+        case orders.RateLimited():
+            counters.retried(reasons.Reason.UPSTREAM_BUSY)
+        case orders.Fenced():
+            counters.dropped(reasons.Reason.ORDER_FENCED)
