Add start and stop of processes for scripts and tests

Measurement scripts, the demo and the process-level tests need the same few things: free ports, waiting for readiness, and ending just the processes that were started. Ports come from below the kernel's range for outgoing connections, because a port probed inside it can be taken in between.

--- /dev/null
+++ b/misc/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developers: the demo and the measurements."""
--- /dev/null
+++ b/misc/processes.py
@@ -0,0 +1,251 @@
+"""Start, stop and watch the processes of a demo, a measurement or a test.
+
+Processes are ended by their process id, each one that was started and no other. A
+process gets a session of its own, so that an interrupt from the terminal reaches only
+the script, which then ends its processes in order.
+"""
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self
+
+import attrs
+import urllib3
+
+REPOSITORY: Final = Path(__file__).resolve().parent.parent
+
+# Listening ports are taken from below the range that the kernel gives to outgoing
+# connections: a port probed there could be taken by such a connection at any moment.
+FIRST_PORT: Final = 20_000
+LAST_PORT: Final = 32_000
+
+POLL_SECONDS: Final = 0.05
+
+
+class ConditionTimeoutError(Exception):
+    """A condition did not come true in time, or a process ended before it did."""
+
+
+def free_ports(n_ports: int) -> list[int]:
+    """Return `n_ports` different loopback ports on which nothing listens now."""
+    ports: list[int] = []
+    source = random.SystemRandom()
+    while len(ports) < n_ports:
+        port = source.randint(FIRST_PORT, LAST_PORT)
+        if port not in ports and _can_bind(port):
+            ports.append(port)
+    return ports
+
+
+def _can_bind(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def wait_for(condition: Callable[[], bool], timeout: float, what: str) -> float:
+    """Wait until `condition` holds; return the seconds that it took.
+
+    Raises
+    ------
+    ConditionTimeoutError
+        If it does not hold within `timeout` seconds.
+    """
+    start = time.monotonic()
+    while not condition():
+        if time.monotonic() - start > timeout:
+            raise ConditionTimeoutError(f"not within {timeout:g} s: {what}")
+        time.sleep(POLL_SECONDS)
+    return time.monotonic() - start
+
+
+def http_status(address: str, path: str, timeout: float = 1.0) -> int:
+    """Return the status of ``GET http://address/path``; 0 if nobody answers."""
+    try:
+        answer = urllib3.request(
+            "GET", f"http://{address}{path}", timeout=timeout, retries=False
+        )
+    except urllib3.exceptions.HTTPError:
+        return 0
+    return answer.status
+
+
+@attrs.define
+class Process:
+    """One process that was started here."""
+
+    name: str
+    arguments: tuple[str, ...]
+    log_path: Path
+    popen: subprocess.Popen[bytes]
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.popen.pid
+
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended; a frozen one has not."""
+        return self.popen.poll() is None
+
+    def log_tail(self, n_lines: int = 20) -> str:
+        """Return the last lines of what the process printed."""
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-n_lines:])
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal unless the process has ended."""
+        if self.is_running():
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once, as a crash would."""
+        self.send(signal.SIGKILL)
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop the process where it is; its connections stay open."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.send(signal.SIGCONT)
+
+    def terminate(self, timeout: float) -> int | None:
+        """Ask the process to end; return its exit code, None if it did not end."""
+        self.send(signal.SIGTERM)
+        try:
+            return self.popen.wait(timeout)
+        except subprocess.TimeoutExpired:
+            return None
+
+
+class Processes:
+    """The processes of one run, by name; ends all of them on exit."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes_by_name: dict[str, Process] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stop_all()
+
+    def __getitem__(self, name: str) -> Process:
+        return self.processes_by_name[name]
+
+    def start(self, name: str, arguments: Sequence[str]) -> Process:
+        """Start a process; what it prints is added to ``<name>.out``.
+
+        Starting a name again replaces the ended process of that name.
+        """
+        earlier = self.processes_by_name.get(name)
+        if earlier is not None and earlier.is_running():
+            raise ValueError(f"{name} is still running")
+        log_path = self.folder / f"{name}.out"
+        with log_path.open("ab") as log:
+            popen = subprocess.Popen(
+                arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                cwd=REPOSITORY,
+                env=_environment(),
+                start_new_session=True,
+            )
+        process = Process(name, tuple(arguments), log_path, popen)
+        self.processes_by_name[name] = process
+        return process
+
+    def start_module(self, name: str, module: str, *arguments: str) -> Process:
+        """Start ``python -m module`` with this interpreter."""
+        return self.start(name, [sys.executable, "-m", module, *arguments])
+
+    def restart(self, name: str) -> Process:
+        """Start an ended process again with the arguments that it had."""
+        return self.start(name, self.processes_by_name[name].arguments)
+
+    def wait_until_ready(
+        self, name: str, address: str, path: str = "/readyz", timeout: float = 60.0
+    ) -> float:
+        """Wait until ``GET address path`` answers 200; return the seconds taken."""
+        process = self.processes_by_name[name]
+
+        def is_ready() -> bool:
+            if not process.is_running():
+                raise ConditionTimeoutError(f"{name} ended:\n{process.log_tail()}")
+            return http_status(address, path) == 200
+
+        return wait_for(is_ready, timeout, f"{name} ready at {address}{path}")
+
+    def stop_all(self, grace_seconds: float = 5.0) -> None:
+        """End every process: first asked to, killed after the grace time."""
+        running = [
+            process
+            for process in self.processes_by_name.values()
+            if process.is_running()
+        ]
+        for process in running:
+            process.send(signal.SIGTERM)
+            process.thaw()
+        deadline = time.monotonic() + grace_seconds
+        for process in running:
+            try:
+                process.popen.wait(max(0.0, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+
+
+def exit_on_signals() -> None:
+    """Turn SIGTERM and SIGHUP into an exit, so that the processes are still ended."""
+
+    def handle(number: int, _frame: object) -> None:
+        raise SystemExit(128 + number)
+
+    signal.signal(signal.SIGTERM, handle)
+    signal.signal(signal.SIGHUP, handle)
+
+
+def run_tool(arguments: Sequence[str], timeout: float) -> tuple[int, str, str]:
+    """Run a short command; return its exit code and what it printed."""
+    done = subprocess.run(
+        arguments,
+        stdin=subprocess.DEVNULL,
+        capture_output=True,
+        text=True,
+        cwd=REPOSITORY,
+        env=_environment(),
+        timeout=timeout,
+        check=False,
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+def _environment() -> dict[str, str]:
+    """Return the environment of a process: the repository's modules come first."""
+    environment = dict(os.environ)
+    earlier = environment.get("PYTHONPATH", "")
+    environment["PYTHONPATH"] = os.pathsep.join(
+        part for part in (str(REPOSITORY), earlier) if part
+    )
+    environment["PYTHONUNBUFFERED"] = "1"
+    return environment
