--- /dev/null
+++ b/tests/fakes/application.py
@@ -0,0 +1,129 @@
+"""What the stand-ins for plain services share: announcing, faults and leaving."""
+
+import argparse
+import os
+from typing import Any
+
+from bilberrydrum import runtime
+
+runtime.prepare()
+
+import attrs
+import eventlet
+
+from tests.fakes import announcer, gateways, journal, server
+
+
+@attrs.define
+class Faults:
+    """Switches of one application; numbers count down to zero."""
+
+    # Answers that are held for this long after the work was done.
+    delay_seconds: float = 0.0
+    # Calls that do their work and then close the connection without an answer.
+    lose_answers: int = 0
+    # Calls that do their work and whose answer ends before its length.
+    cut_answers: int = 0
+    # Calls that do nothing and answer 500.
+    fail_calls: int = 0
+
+    def take(self, name: str) -> bool:
+        """Tell whether a fault is to happen now, and count it down."""
+        left = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
+
+
+class Application:
+    """One process of a plain service.
+
+    Parameters
+    ----------
+    name : str
+        Name of the application.
+    options : argparse.Namespace
+        Options of `announcer.add_options` and `add_options`.
+    """
+
+    def __init__(self, name: str, options: argparse.Namespace) -> None:
+        self.name = name
+        self.options = options
+        self.faults = Faults()
+        self.journal = journal.Journal(options.journal)
+        self.server = server.Server()
+        self.server.add("POST", "/control", self._control)
+        self._n_running = 0
+        client = gateways.GatewayClient(options.gateway, options.token_file)
+        self._announcer = announcer.Announcer(
+            options.id, client, self._announcement, self._renewal
+        )
+
+    def add(self, method: str, pattern: str, handler: server.Handler) -> None:
+        """Serve a method and a path, with the faults that are switched on."""
+
+        def serve(request: server.Request) -> server.Answer:
+            self._n_running += 1
+            try:
+                return self._with_faults(handler, request)
+            finally:
+                self._n_running -= 1
+
+        self.server.add(method, pattern, serve)
+
+    def run(self) -> None:
+        """Serve until told to stop."""
+        server.on_terminate(self._stop)
+        eventlet.spawn(self._announcer.run)
+        self.server.serve(self.options.port)
+
+    def _with_faults(
+        self, handler: server.Handler, request: server.Request
+    ) -> server.Answer:
+        if self.faults.take("fail_calls"):
+            return server.Answer(500, {"error": "told to fail"})
+        answer = handler(request)
+        eventlet.sleep(self.options.service_seconds + self.faults.delay_seconds)
+        if self.faults.take("lose_answers"):
+            raise server.NoAnswerError
+        if self.faults.take("cut_answers"):
+            return attrs.evolve(answer, is_cut=True)
+        return answer
+
+    def _control(self, request: server.Request) -> server.Answer:
+        for name, value in request.json().items():
+            if not hasattr(self.faults, name):
+                return server.Answer(400, {"error": f"no fault {name}"})
+            setattr(self.faults, name, value)
+        return server.Answer(value=attrs.asdict(self.faults))
+
+    def _announcement(self) -> dict[str, Any]:
+        return {
+            "kind": "application",
+            "application": self.name,
+            "address": f"127.0.0.1:{self.options.port}",
+            "availability_zone": self.options.zone,
+            "max_concurrency": self.options.max_concurrency,
+            **self._renewal(),
+        }
+
+    def _renewal(self) -> dict[str, Any]:
+        return {"load": {"n_running": self._n_running, "n_waiting": 0}}
+
+    def _stop(self) -> None:
+        """Leave, let calls in progress end for a while, and exit."""
+        self._announcer.leave()
+        with eventlet.Timeout(self.options.leave_seconds, False):
+            while self._n_running:
+                eventlet.sleep(0.05)
+        os._exit(0)
+
+
+def parser(description: str | None) -> argparse.ArgumentParser:
+    """Return a parser with the options of an application."""
+    arguments = argparse.ArgumentParser(description=description)
+    announcer.add_options(arguments)
+    arguments.add_argument("--max-concurrency", type=int, default=8)
+    arguments.add_argument("--service-seconds", type=float, default=0.005)
+    return arguments
--- /dev/null
+++ b/tests/fakes/faults.py
@@ -0,0 +1,37 @@
+"""Faults that a stand-in for an engine is told to have."""
+
+import attrs
+
+
+@attrs.define
+class Faults:
+    """Switches of one engine; numbers count down to zero."""
+
+    # Ends the process once this many more tokens were made; -1: never.
+    crash_after_tokens: int = -1
+    # Swap orders that fail.
+    fail_swaps: int = 0
+    # Load orders that fail.
+    fail_loads: int = 0
+    # Streams whose connection closes after their first event.
+    reset_streams: int = 0
+    # Streams that end after their first event, without a finish reason.
+    cut_streams: int = 0
+    # Streams that carry another request's id.
+    wrong_ids: int = 0
+    # Streams that leave the weight version out.
+    hide_versions: int = 0
+    # Streams that send one event and then nothing more.
+    stall_streams: int = 0
+    # Streams that leave one token out.
+    skip_tokens: int = 0
+    # Factor on the time of a step.
+    slowness: float = 1.0
+
+    def take(self, name: str) -> bool:
+        """Tell whether a fault is to happen now, and count it down."""
+        left = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
--- /dev/null
+++ b/tests/fakes/journal.py
@@ -0,0 +1,36 @@
+"""A file of JSON lines in which a stand-in notes what it did.
+
+Each line is written by one call, so that a process killed at any moment leaves whole
+lines behind, and a run is noted before its answer goes out.
+"""
+
+import json
+import os
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+
+class Journal:
+    """The journal of one process; without a path nothing is written."""
+
+    def __init__(self, path: str) -> None:
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        self._file = os.open(path, flags, 0o644) if path else None
+
+    def write(self, kind: str, **fields: Any) -> None:
+        """Note one event."""
+        if self._file is None:
+            return
+        line = json.dumps({"kind": kind, **fields}) + "\n"
+        os.write(self._file, line.encode())
+
+
+def read(path: Path, kind: str) -> Iterator[dict[str, Any]]:
+    """Yield the events of a kind; a file that does not exist has none."""
+    if not path.exists():
+        return
+    for line in path.read_text().splitlines():
+        event = json.loads(line)
+        if event["kind"] == kind:
+            yield event
--- /dev/null
+++ b/tests/fakes/schedule.py
@@ -0,0 +1,53 @@
+"""A stand-in for the schedule application: crew windows and their booking.
+
+A lookup may be repeated; a booking may not. Each booking that was carried out is noted
+in the journal before its answer goes out, so that one which ran twice is seen there.
+"""
+
+from bilberrydrum import runtime
+
+runtime.prepare()
+
+from tests.fakes import application, server
+
+
+class Schedule:
+    """One process of the schedule application."""
+
+    def __init__(self, service: application.Application) -> None:
+        self._service = service
+        service.add("GET", "/windows", self.look_up)
+        service.add("POST", "/bookings", self.book)
+
+    def look_up(self, request: server.Request) -> server.Answer:
+        """Serve ``GET /windows?crew=..&lookup_id=..``."""
+        crew = request.query["crew"]
+        return server.Answer(
+            value={
+                "lookup_id": request.query.get("lookup_id", ""),
+                "crew": crew,
+                "windows": [f"{crew}-w{number}" for number in range(3)],
+            }
+        )
+
+    def book(self, request: server.Request) -> server.Answer:
+        """Serve ``POST /bookings`` with `booking_id`, `crew` and `window`."""
+        body = request.json()
+        self._service.journal.write(
+            "booking",
+            booking_id=body["booking_id"],
+            crew=body["crew"],
+            window=body["window"],
+            application=self._service.options.id,
+        )
+        return server.Answer(
+            201, {"booking_id": body["booking_id"], "window": body["window"]}
+        )
+
+
+if __name__ == "__main__":
+    service = application.Application(
+        "schedule", application.parser(__doc__).parse_args()
+    )
+    Schedule(service)
+    service.run()
