--- a/bilberrydrum_cli/verbs.py
+++ b/bilberrydrum_cli/verbs.py
@@ -144,6 +144,13 @@
     upstream_id: str = _argument("id of the upstream")
 
 
+@attrs.frozen
+class UndrainUpstream:
+    """Let a drained upstream have new work again."""
+
+    upstream_id: str = _argument("id of the upstream")
+
+
 @attrs.frozen
 class ListTrainers:
     """List the trainers."""
@@ -235,6 +242,7 @@
     ("bundle", "show"): ShowBundle,
     ("upstream", "list"): ListUpstreams,
     ("upstream", "drain"): DrainUpstream,
+    ("upstream", "undrain"): UndrainUpstream,
     ("trainer", "list"): ListTrainers,
     ("trainer", "show"): ShowTrainer,
     ("sample", "trace"): TraceSample,
--- a/tests/test_cli_arguments.py
+++ b/tests/test_cli_arguments.py
@@ -63,6 +63,7 @@
     ("bundle show 3", verbs.ShowBundle(3)),
     ("upstream list", verbs.ListUpstreams()),
     ("upstream drain e-1", verbs.DrainUpstream("e-1")),
+    ("upstream undrain e-1", verbs.UndrainUpstream("e-1")),
     ("trainer list", verbs.ListTrainers()),
     ("trainer show outage", verbs.ShowTrainer("outage")),
     ("sample trace outage/s1-g0/2", verbs.TraceSample("outage/s1-g0/2")),
