--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -156,6 +156,10 @@
             call_id,
             answers,
         )
+        if self._keys is not None and address not in self._keys.peers_by_address:
+            # Without the peer's public key there is no way to know who answers.
+            counters.dropped(reasons.Reason.PEER_UNREACHABLE)
+            return False
         try:
             # A DEALER whose peer is gone blocks in send and would hang the calling
             # task. Without blocking, the message is lost instead, which every
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -122,6 +122,9 @@
         stranger = make_transport("d", stranger_keys)
         self.addCleanup(stranger.stop)
         self.assertTrue(stranger.call(address, Ping(1), 1.0).is_err())
+        before = drops("peer-unreachable")
+        self.assertFalse(stranger.send("127.0.0.1:1", Ping(1)), "no key for it")
+        self.assertEqual(drops("peer-unreachable"), before + 1)
         self.assertEqual(receiver.call(address, Ping(3), 10).unwrap().number, 3)
 
 
