Add the request path: admission, routing, attempts, claims and the callers' edge

Cause: callers and trainers need calls to engines and applications that are admitted fairly, routed to the least expected wait, retried within a budget, and run at most once where they may not be repeated.

--- /dev/null
+++ b/bilberrydrum/http/once.py
@@ -0,0 +1,167 @@
+"""Serve a request that may run at most once.
+
+The key is claimed in the state group before the first byte goes out, and what came of
+it is recorded before the caller is answered. Whatever is refused before that is
+not-run only if the key is known not to have run through another gateway.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import result
+
+from bilberrydrum import clock, problems, reasons
+from bilberrydrum.http import edge
+from bilberrydrum.requests import claims as request_claims
+from bilberrydrum.requests import claims_state
+from bilberrydrum.state import client
+
+# Sends the request; given the claim if it may run at most once.
+Send = Callable[[request_claims.Held | None], edge.Response]
+
+
+def run(
+    claims: request_claims.Claims,
+    caller: str,
+    key: str,
+    digest: str,
+    deadline: float,
+    send: Send,
+) -> edge.Response:
+    """Claim the key and send, or give again what came of it before."""
+    claimed = claims.claim(caller, key, digest, max(0.0, deadline - clock.now()))
+    if isinstance(claimed, result.Err):
+        raise state_unavailable(claimed.err_value)
+    held = claimed.ok_value
+    if not isinstance(held, request_claims.Held):
+        return _answer_known(held)
+    return _send_held(claims, held, send)
+
+
+def _send_held(
+    claims: request_claims.Claims, held: request_claims.Held, send: Send
+) -> edge.Response:
+    try:
+        response = send(held)
+    except problems.ProblemError as error:
+        if error.problem.outcome == problems.OUTCOME_NOT_RUN:
+            recorded = claims.release(held)
+            if recorded is not None:
+                return _again(recorded)
+            raise
+        claims.finish(held, None)
+        raise
+    except BaseException:
+        claims.finish(held, None)
+        raise
+    assert isinstance(response.body, bytes)
+    claims.finish(
+        held,
+        claims_state.Result(response.status, tuple(response.headers), response.body),
+    )
+    return response
+
+
+def correct(
+    claims: request_claims.Claims,
+    caller: str,
+    key: str,
+    error: problems.ProblemError,
+) -> problems.ProblemError:
+    """Return the refusal with what is known of the key.
+
+    The refusal is about this attempt. An earlier one through another gateway may have
+    run, and then "not-run" would be false.
+    """
+    found = claims.find(caller, key)
+    if isinstance(found, result.Ok) and found.ok_value is None:
+        return error
+    known = found.ok_value if isinstance(found, result.Ok) else None
+    outcome = problems.OUTCOME_UNKNOWN
+    if isinstance(known, request_claims.Recorded):
+        outcome = _outcome(known.claim)
+    return problems.ProblemError(attrs.evolve(error.problem, outcome=outcome))
+
+
+def state_unavailable(error: client.StateError) -> problems.ProblemError:
+    """Return the refusal of a request whose key could not be looked up."""
+    return edge.refuse(
+        503,
+        reasons.Reason.STATE_UNAVAILABLE,
+        error.detail,
+        outcome=problems.OUTCOME_UNKNOWN,
+        retry_after_seconds=1.0,
+    )
+
+
+def show(key: str, known: request_claims.Claimed | None) -> edge.Response:
+    """Return what is known of a key, for ``GET /v1/requests/{key}``."""
+    if known is None:
+        raise edge.refuse(404, reasons.Reason.NOT_FOUND, f"key {key!r}")
+    if isinstance(known, request_claims.Recorded):
+        claim = known.claim
+        document: dict[str, Any] = {
+            "key": key,
+            "state": claim.state,
+            "outcome": _outcome(claim),
+        }
+        if claim.result is not None:
+            document["status"] = claim.result.status
+        return edge.Response.of_json(document)
+    if isinstance(known, request_claims.Refusal):
+        state = known.reason.value
+    else:
+        state = reasons.Reason.KEY_IN_PROGRESS.value
+    return edge.Response.of_json(
+        {"key": key, "state": state, "outcome": problems.OUTCOME_UNKNOWN}
+    )
+
+
+def _outcome(claim: claims_state.Claim) -> str:
+    if claim.state == claims_state.STATE_DONE:
+        return problems.OUTCOME_COMPLETED
+    return problems.OUTCOME_UNKNOWN
+
+
+def _answer_known(known: request_claims.Claimed) -> edge.Response:
+    if isinstance(known, request_claims.Recorded):
+        return _again(known.claim)
+    if isinstance(known, request_claims.InProgress):
+        raise edge.refuse(
+            409,
+            reasons.Reason.KEY_IN_PROGRESS,
+            outcome=problems.OUTCOME_UNKNOWN,
+            retry_after_seconds=known.retry_after_seconds,
+        )
+    assert isinstance(known, request_claims.Refusal)
+    raise _refusal(known.reason)
+
+
+def _refusal(reason: reasons.Reason) -> problems.ProblemError:
+    if reason is reasons.Reason.KEY_REUSED:
+        return edge.refuse(422, reason, "the key belongs to another request")
+    if reason is reasons.Reason.KEY_EXPIRED:
+        return edge.refuse(
+            410, reason, "older than keys are kept", outcome=problems.OUTCOME_UNKNOWN
+        )
+    if reason is reasons.Reason.INVALID_REQUEST:
+        return edge.refuse(400, reason, "the key's time is ahead of the system's")
+    return edge.refuse(503, reason, "no room for keys that carry no time")
+
+
+def _again(claim: claims_state.Claim) -> edge.Response:
+    """Return the recorded answer."""
+    if claim.result is None:
+        raise edge.refuse(
+            409, reasons.Reason.OUTCOME_UNKNOWN, outcome=problems.OUTCOME_UNKNOWN
+        )
+    if not claim.result.is_kept:
+        raise edge.refuse(
+            409,
+            reasons.Reason.RESULT_NOT_KEPT,
+            f"it ended with status {claim.result.status}",
+            outcome=problems.OUTCOME_COMPLETED,
+        )
+    headers = [*claim.result.headers, ("Idempotency-Replayed", "true")]
+    return edge.Response(claim.result.status, claim.result.body, headers)
--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -39,6 +39,9 @@
     KEY_REUSED = "key-reused"
     KEY_EXPIRED = "key-expired"
     KEY_IN_PROGRESS = "key-in-progress"
+    CLAIM_LAPSED = "claim-lapsed"
+    KEYS_FULL = "keys-full"
+    RESULT_NOT_KEPT = "result-not-kept"
     OUTCOME_UNKNOWN = "outcome-unknown"
     CALLER_GONE = "caller-gone"
 
--- /dev/null
+++ b/bilberrydrum/requests/attempts.py
@@ -0,0 +1,350 @@
+"""One attempt at one upstream: what goes out, what comes back, and what it means.
+
+An attempt uses one connection and never sends a request twice. Its error tells whether
+a byte may have gone out: only when none has is the request known not to have run.
+"""
+
+import contextlib
+import http.client
+import json
+from collections.abc import Callable, Generator, Iterator
+from typing import Any, Final
+
+import attrs
+import eventlet
+import urllib3.exceptions
+
+from bilberrydrum import clock, reasons
+from bilberrydrum.requests import connections, events, model, watch
+from bilberrydrum.upstreams import model as upstream_model
+
+# Time that connecting to an upstream may take.
+CONNECT_SECONDS: Final = 2.0
+_READ_BYTES: Final = 64 * 1024
+# Headers that belong to one connection and are not passed on (RFC 9110, 7.6.1).
+HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+REQUEST_ID: Final = "X-Request-Id"
+# Headers that each attempt sets itself.
+_NOT_PASSED_ON: Final = HOP_HEADERS | {"host", "content-length", "x-request-id"}
+
+
+class AttemptError(Exception):
+    """The attempt gave no whole answer."""
+
+    def __init__(
+        self,
+        reason: reasons.Reason,
+        may_have_run: bool,
+        detail: str = "",
+        retry_after_seconds: float = 0.0,
+    ) -> None:
+        super().__init__(detail)
+        self.reason = reason
+        self.may_have_run = may_have_run
+        self.detail = detail
+        self.retry_after_seconds = retry_after_seconds
+
+
+@attrs.frozen
+class Outgoing:
+    """The request of one attempt."""
+
+    # Unlike any other attempt's, so that an answer to an earlier one is told apart.
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    deadline: float
+    is_idempotent: bool
+    # Asked immediately before the first byte.
+    may_send: Callable[[], bool]
+    # Tells whether nobody waits for the answer any more.
+    is_client_gone: Callable[[], bool] = model.never
+
+
+@attrs.frozen
+class Means:
+    """What attempts are made with."""
+
+    pool: connections.Connections
+    clients: watch.Watch
+
+
+@contextlib.contextmanager
+def _waiting(means: Means, outgoing: Outgoing) -> Iterator[None]:
+    """End the block with an error at the deadline, or when the client is gone."""
+    timeout = eventlet.Timeout(max(0.0, outgoing.deadline - clock.now()))
+    is_client_gone = outgoing.is_client_gone
+    if not outgoing.is_idempotent:
+        # What may run once only is not broken off: its result is kept for the retry.
+        is_client_gone = model.never
+    try:
+        with means.clients.watching(is_client_gone):
+            yield
+    except watch.ClientGoneError as error:
+        raise AttemptError(reasons.Reason.CALLER_GONE, True) from error
+    except eventlet.Timeout as error:
+        if error is not timeout:
+            raise
+        raise AttemptError(reasons.Reason.UPSTREAM_TIMEOUT, True) from error
+    finally:
+        timeout.cancel()
+
+
+def open_answer(
+    pool: connections.Connections, address: str, outgoing: Outgoing
+) -> tuple[connections.Connection, Any]:
+    """Send `outgoing` and return the connection and the answer's head.
+
+    Raises
+    ------
+    AttemptError
+        If there is no answer.
+    """
+    connection = _connect(pool, address, outgoing)
+    try:
+        return connection, _exchange(connection, outgoing)
+    except BaseException:
+        # What may still come belongs to this request; nobody else may read it.
+        connection.close()
+        raise
+
+
+def _connect(
+    pool: connections.Connections, address: str, outgoing: Outgoing
+) -> connections.Connection:
+    remaining = outgoing.deadline - clock.now()
+    if remaining <= 0:
+        raise AttemptError(reasons.Reason.UPSTREAM_TIMEOUT, False)
+    try:
+        return pool.take(
+            address,
+            timeout=min(CONNECT_SECONDS, remaining),
+            fresh=not outgoing.is_idempotent,
+        )
+    except (OSError, urllib3.exceptions.HTTPError) as error:
+        raise AttemptError(reasons.Reason.CONNECT_FAILED, False, str(error)) from error
+
+
+def _exchange(connection: connections.Connection, outgoing: Outgoing) -> Any:
+    # Connecting may have taken long, and the process may have been stopped since the
+    # request was claimed. Once the claim may be held for lost by other gateways, the
+    # request must not go out any more, so this is asked with the connection in hand.
+    if not outgoing.may_send():
+        raise AttemptError(reasons.Reason.CLAIM_LAPSED, False, "too late to send")
+    try:
+        connection.request(
+            outgoing.method,
+            outgoing.target,
+            body=outgoing.body or None,
+            headers=outgoing.headers,
+            preload_content=False,
+            decode_content=False,
+        )
+        answer = connection.getresponse()
+    except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError) as error:
+        raise AttemptError(
+            reasons.Reason.CONNECTION_RESET, True, repr(error)
+        ) from error
+    _check_id(answer, outgoing)
+    return answer
+
+
+def _check_id(answer: Any, outgoing: Outgoing) -> None:
+    given = answer.headers.get(REQUEST_ID)
+    if given is not None and given != outgoing.request_id:
+        raise AttemptError(
+            reasons.Reason.ANSWER_MISMATCHED, True, f"answer for {given!r}"
+        )
+
+
+def read_parts(answer: Any) -> Iterator[bytes]:
+    """Yield the answer's body as it comes; it has ended whole when this ends.
+
+    Raises
+    ------
+    AttemptError
+        If the body ends early.
+    """
+    try:
+        while part := answer.read1(_READ_BYTES):
+            yield part
+    except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError) as error:
+        raise AttemptError(
+            reasons.Reason.ANSWER_TRUNCATED, True, repr(error)
+        ) from error
+
+
+def _settle(
+    pool: connections.Connections,
+    address: str,
+    connection: connections.Connection,
+    answer: Any,
+) -> None:
+    """Keep the connection if its answer named the request, else close it."""
+    is_named = answer.headers.get(REQUEST_ID) is not None
+    closes = answer.headers.get("Connection", "").lower() == "close"
+    if is_named and not closes:
+        pool.keep(address, connection)
+    else:
+        connection.close()
+
+
+def call(
+    means: Means,
+    upstream: upstream_model.Upstream,
+    outgoing: Outgoing,
+) -> model.ApplicationAnswer:
+    """Make one call and return its whole answer.
+
+    Raises
+    ------
+    AttemptError
+        If there is no whole answer.
+    """
+    with _waiting(means, outgoing):
+        connection, answer = open_answer(means.pool, upstream.address, outgoing)
+        try:
+            body = _read_whole(answer, outgoing.method)
+        except BaseException:
+            connection.close()
+            raise
+        _settle(means.pool, upstream.address, connection, answer)
+    headers = tuple(
+        (name, value)
+        for name, value in answer.headers.items()
+        if name.lower() not in _NOT_PASSED_ON
+    )
+    return model.ApplicationAnswer(answer.status, headers, body, upstream.upstream_id)
+
+
+def _read_whole(answer: Any, method: str) -> bytes:
+    has_no_body = method == "HEAD" or answer.status in (204, 304)
+    length = answer.headers.get("Content-Length")
+    chunked = "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
+    if not has_no_body and length is None and not chunked:
+        # Only the closing of the connection would end this body, which looks the same
+        # whether the upstream had said all or crashed.
+        raise AttemptError(
+            reasons.Reason.ANSWER_TRUNCATED, True, "no length and no chunks"
+        )
+    return b"".join(read_parts(answer))
+
+
+def stream(
+    means: Means,
+    upstream: upstream_model.Upstream,
+    outgoing: Outgoing,
+) -> Generator[model.StreamEvent, None, None]:
+    """Yield the events of one engine's answer; the last is `Finished`.
+
+    Closing the iterator closes the connection, which cancels the work at the engine.
+
+    Raises
+    ------
+    AttemptError
+        If the stream does not end whole.
+    """
+    with _waiting(means, outgoing):
+        connection, answer = open_answer(means.pool, upstream.address, outgoing)
+    is_whole = False
+    try:
+        _check_status(answer)
+        reader = events.StreamReader(outgoing.request_id, upstream.upstream_id)
+        parts = read_parts(answer)
+        while True:
+            with _waiting(means, outgoing):
+                part = next(parts, None)
+            if part is None:
+                break
+            yield from _feed(reader, part)
+        if not reader.is_done:
+            raise AttemptError(
+                reasons.Reason.ANSWER_TRUNCATED, True, "ended without its marker"
+            )
+        is_whole = True
+    finally:
+        if is_whole:
+            _settle(means.pool, upstream.address, connection, answer)
+        else:
+            connection.close()
+
+
+def _feed(reader: events.StreamReader, part: bytes) -> list[model.StreamEvent]:
+    try:
+        return reader.feed(part)
+    except events.StreamError as error:
+        raise AttemptError(error.reason, True, error.detail) from error
+
+
+def _check_status(answer: Any) -> None:
+    if answer.status == 200:
+        return
+    detail = f"status {answer.status}"
+    if answer.status == 503:
+        wait = _seconds(answer.headers.get("Retry-After", ""))
+        raise AttemptError(reasons.Reason.UPSTREAM_BUSY, True, detail, wait)
+    raise AttemptError(reasons.Reason.UPSTREAM_ERROR, True, detail)
+
+
+def _seconds(text: str) -> float:
+    return float(text) if text.isdecimal() else 1.0
+
+
+def for_engine(call: model.ModelCall, attempt_id: str) -> Outgoing:
+    """Return the request that asks an engine for `call`."""
+    body = {
+        "model": call.model,
+        "prompt": call.prompt,
+        "max_tokens": call.max_tokens,
+        "stream": True,
+        "priority": call.priority,
+        "resume_token_ids": list(call.resume_token_ids),
+        "adapter": call.adapter,
+    }
+    headers = {"Content-Type": "application/json", REQUEST_ID: attempt_id}
+    return Outgoing(
+        attempt_id,
+        "POST",
+        "/v1/completions",
+        headers,
+        json.dumps(body).encode(),
+        call.deadline,
+        call.is_idempotent,
+        call.may_send,
+        call.is_client_gone,
+    )
+
+
+def for_application(call: model.ApplicationCall, attempt_id: str) -> Outgoing:
+    """Return the request that makes `call`."""
+    headers = {
+        name: value
+        for name, value in call.headers
+        if name.lower() not in _NOT_PASSED_ON
+    }
+    headers[REQUEST_ID] = attempt_id
+    return Outgoing(
+        attempt_id,
+        call.method,
+        call.target,
+        headers,
+        call.body,
+        call.deadline,
+        call.is_idempotent,
+        call.may_send,
+        call.is_client_gone,
+    )
--- /dev/null
+++ b/bilberrydrum/requests/connections.py
@@ -0,0 +1,95 @@
+"""Connections to upstreams, kept for reuse while nothing can be left on them.
+
+A connection is kept only after a whole answer that named the request it belongs to. A
+late or doubled answer on a connection that was given up on would otherwise be read as
+the answer to the next request, and reach the wrong caller.
+"""
+
+import collections
+from typing import Final
+
+import attrs
+import urllib3.connection
+import urllib3.exceptions
+
+from bilberrydrum import clock
+
+# Idle connections kept for one upstream.
+MAX_IDLE: Final = 64
+# Idle time after which a connection is not used again: many servers close theirs after
+# some seconds, and a request sent into that closing is lost with unknown outcome.
+MAX_IDLE_SECONDS: Final = 4.0
+
+Connection = urllib3.connection.HTTPConnection
+
+
+@attrs.frozen
+class _Idle:
+    connection: Connection
+    since: float
+
+
+class Connections:
+    """The connections of one gateway to all upstreams."""
+
+    def __init__(self) -> None:
+        self._idle_by_address: dict[str, collections.deque[_Idle]] = {}
+
+    def take(self, address: str, timeout: float, fresh: bool = False) -> Connection:
+        """Return a connected connection to `address`.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:port`` of the upstream.
+        timeout : float
+            Seconds that connecting may take.
+        fresh : bool
+            Never use an idle connection. The upstream may be closing it at this
+            moment, which leaves the outcome of what is sent unknown.
+
+        Raises
+        ------
+        OSError, urllib3.exceptions.HTTPError
+            If there is no connection; no byte of a request was sent.
+        """
+        if not fresh:
+            kept = self._take_idle(address)
+            if kept is not None:
+                return kept
+        host, _, port = address.rpartition(":")
+        connection = Connection(host.strip("[]"), int(port), timeout=timeout)
+        connection.connect()
+        # The deadline of the whole attempt bounds each read from here on.
+        connection.sock.settimeout(None)
+        return connection
+
+    def keep(self, address: str, connection: Connection) -> None:
+        """Keep `connection`, on which a whole answer was read, for reuse."""
+        idle = self._idle_by_address.setdefault(address, collections.deque())
+        if connection.sock is None or len(idle) >= MAX_IDLE:
+            connection.close()
+            return
+        idle.append(_Idle(connection, clock.now()))
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to `address`."""
+        for idle in self._idle_by_address.pop(address, ()):
+            idle.connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle_by_address):
+            self.forget(address)
+
+    def _take_idle(self, address: str) -> Connection | None:
+        idle = self._idle_by_address.get(address)
+        oldest = clock.now() - MAX_IDLE_SECONDS
+        while idle:
+            kept = idle.pop()
+            # Bytes that wait on an idle connection belong to no request, and an end
+            # means that the upstream closed it: `is_connected` is false for both.
+            if kept.since >= oldest and kept.connection.is_connected:
+                return kept.connection
+            kept.connection.close()
+        return None
--- /dev/null
+++ b/bilberrydrum/requests/dispatch.py
@@ -0,0 +1,377 @@
+"""The dispatcher: takes calls through admission, routing, attempts and retries.
+
+A call runs in the task of whoever makes it; that task owns the call's connection. The
+decisions are `admission`, `routing`, `health` and `retries`; one task here pumps the
+queue when calls end, and at short intervals, for reports that show new room.
+"""
+
+import contextlib
+import functools
+import itertools
+import random
+import uuid
+from collections.abc import Iterator, Mapping
+from typing import Any, Final
+
+import attrs
+import eventlet
+import eventlet.event
+import result
+
+from bilberrydrum import clock, counters, interfaces, options, reasons
+from bilberrydrum.requests import (
+    admission,
+    attempts,
+    connections,
+    model,
+    retries,
+    routing,
+    watch,
+)
+from bilberrydrum.upstreams import model as upstream_model
+
+# Time between looks at the queue when no call ends.
+PUMP_SECONDS: Final = 0.02
+# Age at which the registry's answer is asked for again.
+_SNAPSHOT_SECONDS: Final = 0.02
+# Time between looks whether the client of a waiting call is still there.
+GONE_CHECK_SECONDS: Final = 0.25
+# Longest time an upstream that said it was busy is left alone.
+MAX_BUSY_SECONDS: Final = 1.0
+MIN_BUSY_SECONDS: Final = 0.05
+# Times a call goes back to the queue because its upstream was busy.
+MAX_BUSY: Final = 20
+
+Call = model.ModelCall | model.ApplicationCall
+
+
+class RefusedError(Exception):
+    """The call was not admitted."""
+
+    def __init__(self, reason: reasons.Reason, retry_after_seconds: float) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+        self.retry_after_seconds = retry_after_seconds
+
+
+@functools.singledispatch
+def need_of(call: object) -> routing.Need:
+    """Return what `call` needs of its upstream."""
+    raise TypeError(f"no call: {type(call).__name__}")
+
+
+@need_of.register
+def _(call: model.ModelCall) -> routing.Need:
+    return routing.Need(
+        upstream_model.KIND_ENGINE,
+        call.model,
+        call.adapter,
+        call.min_weight_version,
+        bool(call.resume_token_ids),
+        call.excluded_upstream_ids,
+    )
+
+
+@need_of.register
+def _(call: model.ApplicationCall) -> routing.Need:
+    return routing.Need(upstream_model.KIND_APPLICATION, call.application)
+
+
+@functools.singledispatch
+def cost_of(call: object) -> float:
+    """Return what `call` is expected to take of the capacity."""
+    return 1.0
+
+
+@cost_of.register
+def _(call: model.ModelCall) -> float:
+    n_tokens = call.expected_tokens or call.max_tokens
+    return float(max(1, n_tokens - len(call.resume_token_ids)))
+
+
+@attrs.define
+class _Progress:
+    """What became of one call so far."""
+
+    need: routing.Need
+    n_attempts: int = 0
+    n_busy: int = 0
+    n_tokens: int = 0
+    may_have_run: bool = False
+
+    def note(self, event: model.StreamEvent) -> None:
+        """Count the tokens of `event`."""
+        if isinstance(event, model.Tokens):
+            self.n_tokens += max(1, len(event.token_ids))
+
+
+class RequestDispatcher:
+    """Calls to upstreams (`interfaces.Dispatcher`)."""
+
+    def __init__(
+        self,
+        settings: options.Options,
+        bundles: interfaces.BundleView,
+        registry: interfaces.Registry,
+    ) -> None:
+        self._options = settings.requests
+        self._bundles = bundles
+        self._registry = registry
+        self._rng = random.Random()
+        self._means = attempts.Means(connections.Connections(), watch.Watch())
+        self._process_mark = uuid.uuid4().hex[:12]
+        self._attempt_numbers = itertools.count(1)
+        self._admission = admission.Admission(
+            settings.requests.max_queue_per_caller, self._rng
+        )
+        self._router = routing.Router(settings.availability_zone, self._rng)
+        self.budget = retries.RetryBudget(settings.requests.retry_budget)
+        self._events_by_number: dict[int, eventlet.event.Event] = {}
+        self._upstreams_by_id: Mapping[str, upstream_model.Upstream] = {}
+        self._eligible_by_need: dict[routing.Need, list[upstream_model.Upstream]] = {}
+        self._snapshot_at = float("-inf")
+        self._n_gateways = 1
+        self._task: Any = None
+
+    def start(self) -> None:
+        """Start the task that serves the queue."""
+        self._means.clients.start()
+        self._task = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop, and close the idle connections."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+        self._means.clients.stop()
+        self._means.pool.close()
+
+    @property
+    def n_in_flight(self) -> int:
+        """Number of calls at upstreams."""
+        return self._admission.n_in_flight
+
+    @property
+    def n_waiting(self) -> int:
+        """Number of calls in the queue."""
+        return self._admission.n_waiting
+
+    def drain(self, limit_seconds: float) -> bool:
+        """Wait until no call is left; False if some are after `limit_seconds`."""
+        end = clock.now() + limit_seconds
+        while self.n_in_flight or self.n_waiting:
+            if clock.now() >= end:
+                return False
+            clock.sleep(PUMP_SECONDS)
+        return True
+
+    def stream(self, call: model.ModelCall) -> Iterator[model.StreamEvent]:
+        """Generate on an engine; the last event is `Finished` or `Failed`."""
+        progress = _Progress(need_of(call))
+        self.budget.first_attempt()
+        while True:
+            try:
+                with self._admitted(call, progress) as upstream:
+                    outgoing = attempts.for_engine(call, self._attempt_id(call))
+                    events = attempts.stream(self._means, upstream, outgoing)
+                    with contextlib.closing(events):
+                        for event in events:
+                            progress.note(event)
+                            yield event
+                return
+            except RefusedError as error:
+                yield _refused(error, progress)
+                return
+            except attempts.AttemptError as error:
+                failed = self._after(call, progress, upstream, error)
+                if failed is not None:
+                    yield failed
+                    return
+
+    def call_application(
+        self, call: model.ApplicationCall
+    ) -> result.Result[model.ApplicationAnswer, model.Failed]:
+        """Call a plain service and return its whole answer."""
+        progress = _Progress(need_of(call))
+        self.budget.first_attempt()
+        while True:
+            try:
+                with self._admitted(call, progress) as upstream:
+                    outgoing = attempts.for_application(call, self._attempt_id(call))
+                    return result.Ok(attempts.call(self._means, upstream, outgoing))
+            except RefusedError as error:
+                return result.Err(_refused(error, progress))
+            except attempts.AttemptError as error:
+                failed = self._after(call, progress, upstream, error)
+                if failed is not None:
+                    return result.Err(failed)
+
+    def _attempt_id(self, call: Call) -> str:
+        number = next(self._attempt_numbers)
+        return f"{call.request_id}/{self._process_mark}-{number:x}"
+
+    @contextlib.contextmanager
+    def _admitted(
+        self, call: Call, progress: _Progress
+    ) -> Iterator[upstream_model.Upstream]:
+        """Hold a place at an upstream while the block runs."""
+        ticket = admission.Ticket(
+            call.client,
+            progress.need,
+            call.deadline,
+            call.share,
+            call.priority,
+            cost_of(call),
+            call.max_in_flight,
+        )
+        upstream = self._wait_for_place(call, ticket)
+        is_whole = False
+        try:
+            yield upstream
+            is_whole = True
+        finally:
+            self._leave(upstream, ticket, progress, is_whole)
+
+    def _leave(
+        self,
+        upstream: upstream_model.Upstream,
+        ticket: admission.Ticket,
+        progress: _Progress,
+        is_whole: bool,
+    ) -> None:
+        now = clock.now()
+        seconds = now - ticket.granted_at if is_whole else None
+        self._router.ended(upstream.upstream_id, seconds)
+        if is_whole:
+            self._router.health.succeeded(upstream.upstream_id)
+        cost = float(progress.n_tokens) if progress.n_tokens else None
+        self._admission.ended(now, ticket, cost, is_whole)
+        if self._admission.n_waiting:
+            self._pump()
+
+    def _wait_for_place(
+        self, call: Call, ticket: admission.Ticket
+    ) -> upstream_model.Upstream:
+        for effect in self._admission.offer(clock.now(), ticket, self._place):
+            if effect.ticket is ticket:
+                return self._upstream_of(effect)
+            self._tell(effect)
+        ready = eventlet.event.Event()
+        self._events_by_number[ticket.number] = ready
+        is_taken = False
+        try:
+            while not ready.ready():
+                ready.wait(GONE_CHECK_SECONDS)
+                if not ready.ready() and call.is_client_gone():
+                    raise RefusedError(reasons.Reason.CALLER_GONE, 0.0)
+            is_taken = True
+            return self._upstream_of(ready.wait())
+        finally:
+            del self._events_by_number[ticket.number]
+            self._admission.withdraw(ticket)
+            if not is_taken and ready.ready():
+                self._give_back(ready.wait())
+
+    def _give_back(self, effect: admission.Effect) -> None:
+        # The task was killed after it was given a place and before it ran again. The
+        # place would be lost for good.
+        if isinstance(effect, admission.Granted):
+            self._router.ended(effect.upstream_id, None)
+            self._admission.ended(clock.now(), effect.ticket, 0.0, False)
+
+    def _upstream_of(self, effect: admission.Effect) -> upstream_model.Upstream:
+        if isinstance(effect, admission.Refused):
+            raise RefusedError(effect.reason, effect.retry_after_seconds)
+        return self._upstreams_by_id[effect.upstream_id]
+
+    def _tell(self, effect: admission.Effect) -> None:
+        ready = self._events_by_number.get(effect.ticket.number)
+        if ready is not None and not ready.ready():
+            ready.send(effect)
+
+    def _run(self) -> None:
+        while True:
+            clock.sleep(PUMP_SECONDS)
+            if self._admission.n_waiting:
+                self._pump()
+
+    def _pump(self) -> None:
+        for effect in self._admission.pump(clock.now(), self._place):
+            self._tell(effect)
+
+    def _place(self, ticket: admission.Ticket) -> str | routing.Lack:
+        now = clock.now()
+        self._refresh(now)
+        eligible = self._eligible_by_need.get(ticket.need)
+        if eligible is None:
+            eligible = [
+                upstream
+                for upstream in self._upstreams_by_id.values()
+                if routing.is_eligible(upstream, ticket.need)
+            ]
+            self._eligible_by_need[ticket.need] = eligible
+        chosen = self._router.choose(eligible, now, self._n_gateways)
+        if isinstance(chosen, routing.Lack):
+            return chosen
+        self._router.started(chosen.upstream_id, now)
+        return chosen.upstream_id
+
+    def _refresh(self, now: float) -> None:
+        if now - self._snapshot_at < _SNAPSHOT_SECONDS:
+            return
+        self._snapshot_at = now
+        self._upstreams_by_id = dict(self._registry.upstreams_by_id())
+        self._eligible_by_need.clear()
+        self._n_gateways = max(1, len(self._bundles.gateways_by_id()))
+
+    def _after(
+        self,
+        call: Call,
+        progress: _Progress,
+        upstream: upstream_model.Upstream,
+        error: attempts.AttemptError,
+    ) -> model.Failed | None:
+        """Return the failure to give up with, or None to try again."""
+        now = clock.now()
+        upstream_id = upstream.upstream_id
+        progress.may_have_run |= error.may_have_run
+        failed = model.Failed(
+            error.reason,
+            progress.may_have_run,
+            upstream_id,
+            error.detail,
+            error.retry_after_seconds,
+        )
+        if error.reason is reasons.Reason.UPSTREAM_BUSY:
+            wait = max(MIN_BUSY_SECONDS, error.retry_after_seconds)
+            self._router.busy(upstream_id, now + min(wait, MAX_BUSY_SECONDS))
+            progress.n_busy += 1
+            may_retry = progress.n_busy <= MAX_BUSY
+        else:
+            self._router.health.failed(upstream_id, now)
+            self._means.pool.forget(upstream.address)
+            progress.n_attempts += 1
+            progress.need = attrs.evolve(
+                progress.need,
+                excluded_upstream_ids=progress.need.excluded_upstream_ids
+                | {upstream_id},
+            )
+            may_retry = progress.n_attempts < self._options.max_attempts
+        if progress.n_tokens or (error.may_have_run and not call.is_idempotent):
+            return failed
+        if not may_retry or now >= call.deadline:
+            return failed
+        is_busy = error.reason is reasons.Reason.UPSTREAM_BUSY
+        if not is_busy and not self.budget.take(now):
+            counters.refused(reasons.Reason.RETRY_BUDGET_SPENT)
+            return failed
+        counters.retried(error.reason)
+        return None
+
+
+def _refused(error: RefusedError, progress: _Progress) -> model.Failed:
+    return model.Failed(
+        error.reason,
+        progress.may_have_run,
+        retry_after_seconds=error.retry_after_seconds,
+    )
--- /dev/null
+++ b/bilberrydrum/requests/keys.py
@@ -0,0 +1,41 @@
+"""Idempotency keys: which carry the time at which they were made.
+
+A key carries its time if it is a version 7 UUID (RFC 9562), or if it begins with the
+time in whole seconds since 1970, ten digits, and a hyphen: ``1764692651-permit-17``.
+The time is part of the key, so a retry can't carry another one.
+"""
+
+import functools
+import re
+from typing import Final
+
+MAX_LENGTH: Final = 255
+
+_UUID_7: Final = re.compile(
+    r"([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}",
+    re.IGNORECASE,
+)
+_SECONDS: Final = re.compile(r"(\d{10})-.+", re.DOTALL)
+
+
+def is_valid(key: str) -> bool:
+    """Tell whether `key` is one that is taken: short, printable, not empty."""
+    return 0 < len(key) <= MAX_LENGTH and key.isprintable()
+
+
+def normalise(text: str) -> str:
+    """Return the key in a header's value, with or without quotes."""
+    text = text.strip()
+    if len(text) >= 2 and text[0] == text[-1] == '"':
+        return text[1:-1]
+    return text
+
+
+@functools.lru_cache(maxsize=4096)
+def time_of(key: str) -> float | None:
+    """Return the time at which `key` was made, in seconds since 1970, if it says."""
+    match = _UUID_7.fullmatch(key)
+    if match is not None:
+        return int(match[1] + match[2], 16) / 1000.0
+    match = _SECONDS.fullmatch(key)
+    return float(match[1]) if match is not None else None
