--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -59,6 +59,7 @@
     BUNDLE_CONFLICT = "bundle-conflict"
     BUNDLE_NOT_SIGNED_OFF = "bundle-not-signed-off"
     BUNDLE_STALE = "bundle-stale"
+    BUNDLE_TOO_MANY_DRAFTS = "bundle-too-many-drafts"
     MEMBERSHIP_REFUSED = "membership-refused"
 
     # Messages between processes that were dropped.
@@ -69,6 +70,10 @@
     MESSAGE_STALE_SENDER = "message-stale-sender"
     PEER_UNREACHABLE = "peer-unreachable"
 
+    # Upstreams.
+    ANNOUNCEMENT_STALE = "announcement-stale"
+    UPSTREAM_LEFT = "upstream-left"
+
     # Samples and weights.
     TRAINER_UNKNOWN = "trainer-unknown"
     READER_SUPERSEDED = "reader-superseded"
