--- a/bilberrydrum/settings.py
+++ b/bilberrydrum/settings.py
@@ -77,8 +77,6 @@
     ("samples", "max_prompt_bytes"): Range(1, 64 * _MIB),
     ("samples", "max_open_slots"): Range(1, 1_000_000),
     ("samples", "max_wait_seconds"): Range(0.1, 600),
-    ("samples", "max_open_slots"): Range(1, 10_000_000),
-    ("samples", "load_timeout_seconds"): Range(0.1, 3600),
     ("samples", "second_attempt_budget"): Range(0, 1),
     ("samples", "load_timeout_seconds"): Range(1, _DAY),
     ("shutdown", "balancer_seconds"): Range(0, 600),
