--- a/bilberrydrum_cli/client.py
+++ b/bilberrydrum_cli/client.py
@@ -29,8 +29,8 @@
 
     gateway: str
     detail: str
-    # False only if no byte of the request can have reached the gateway.
-    may_have_arrived: bool
+    # False only if the request never reached the gateway or the gateway says so.
+    may_have_run: bool
 
 
 @attrs.frozen
@@ -40,7 +40,7 @@
     seconds: float
     # The last attempt at each gateway, by its URL.
     attempts_by_gateway: dict[str, Attempt]
-    may_have_arrived: bool
+    may_have_run: bool
 
 
 @attrs.frozen
@@ -113,13 +113,13 @@
     def call(self, call: Call) -> result.Result["Answer", Failure]:
         """Send a request until a gateway answers or the time is up."""
         attempts_by_gateway: dict[str, Attempt] = {}
-        may_have_arrived = False
+        may_have_run = False
         event: rotation.Event = rotation.Begin(self._clock() + self._timeout)
         while True:
             effect = self._rotation.step(self._clock(), event)
             if not isinstance(effect, rotation.Try):
                 return result.Err(
-                    Unavailable(self._timeout, attempts_by_gateway, may_have_arrived)
+                    Unavailable(self._timeout, attempts_by_gateway, may_have_run)
                 )
             if effect.pause_seconds:
                 self._sleep(effect.pause_seconds)
@@ -129,7 +129,7 @@
                 return _judge(outcome)
             attempt, retry_after_seconds = outcome
             attempts_by_gateway[attempt.gateway] = attempt
-            may_have_arrived = may_have_arrived or attempt.may_have_arrived
+            may_have_run = may_have_run or attempt.may_have_run
             event = rotation.Missed(retry_after_seconds)
 
     def _attempt(
@@ -152,9 +152,11 @@
         answer = Answer(effect.gateway, response.status, response.data)
         if answer.status not in _BUSY_STATUSES:
             return answer
-        reason = str(answer.problem().get("reason", "busy"))
+        problem = answer.problem()
+        reason = str(problem.get("reason", "busy"))
         detail = messages.BUSY.format(status=answer.status, reason=reason)
-        attempt = Attempt(effect.gateway, detail, may_have_arrived=True)
+        may_have_run = problem.get("outcome") != "not-run"
+        attempt = Attempt(effect.gateway, detail, may_have_run)
         return attempt, _seconds(response.headers.get("Retry-After", ""))
 
 
--- a/bilberrydrum_cli/commands.py
+++ b/bilberrydrum_cli/commands.py
@@ -50,6 +50,12 @@
     return _send(current, "DELETE", target)
 
 
+@verbs.run.register
+def _(verb: verbs.SetRole, current: session.Session) -> int:
+    target = f"/v1/upstreams/{queries.quote(verb.upstream_id)}/role"
+    return _send(current, "POST", target, {"role": verb.role})
+
+
 @verbs.run.register
 def _(verb: verbs.AddMember, current: session.Session) -> int:
     body = {"process_id": verb.process_id, "peer_address": verb.peer_address}
--- a/bilberrydrum_cli/queries.py
+++ b/bilberrydrum_cli/queries.py
@@ -66,6 +66,11 @@
     return _get(current, "/v1/upstreams")
 
 
+@verbs.run.register
+def _(verb: verbs.WeightStatus, current: session.Session) -> int:
+    return _get(current, "/v1/weights")
+
+
 @verbs.run.register
 def _(verb: verbs.ListTrainers, current: session.Session) -> int:
     return _get(current, "/v1/trainers")
--- a/bilberrydrum_cli/session.py
+++ b/bilberrydrum_cli/session.py
@@ -101,7 +101,7 @@
     ]
     text = messages.UNAVAILABLE.format(seconds=failure.seconds)
     lines.append(messages.ERROR.format(text=text))
-    if failure.may_have_arrived:
+    if failure.may_have_run:
         lines.append(messages.MAY_HAVE_APPLIED)
     return lines
 
--- a/bilberrydrum_cli/verbs.py
+++ b/bilberrydrum_cli/verbs.py
@@ -151,6 +151,19 @@
     upstream_id: str = _argument("id of the upstream")
 
 
+@attrs.frozen
+class SetRole:
+    """Have an engine ordered into a role."""
+
+    upstream_id: str = _argument("id of the engine")
+    role: str = _argument("the role, as its engine calls it; empty: none any more")
+
+
+@attrs.frozen
+class WeightStatus:
+    """Show how far the engines are with the newest weights."""
+
+
 @attrs.frozen
 class ListTrainers:
     """List the trainers."""
@@ -243,6 +256,8 @@
     ("upstream", "list"): ListUpstreams,
     ("upstream", "drain"): DrainUpstream,
     ("upstream", "undrain"): UndrainUpstream,
+    ("upstream", "role"): SetRole,
+    ("weights", "status"): WeightStatus,
     ("trainer", "list"): ListTrainers,
     ("trainer", "show"): ShowTrainer,
     ("sample", "trace"): TraceSample,
@@ -260,6 +275,7 @@
 HELP_BY_WORDS: Final[dict[tuple[str, ...], str]] = {
     ("bundle",): "configuration bundles",
     ("upstream",): "engines and applications",
+    ("weights",): "weights on the engines",
     ("trainer",): "trainers",
     ("sample",): "samples",
     ("state",): "the state group",
--- a/tests/test_cli_arguments.py
+++ b/tests/test_cli_arguments.py
@@ -64,6 +64,8 @@
     ("upstream list", verbs.ListUpstreams()),
     ("upstream drain e-1", verbs.DrainUpstream("e-1")),
     ("upstream undrain e-1", verbs.UndrainUpstream("e-1")),
+    ("upstream role e-1 prefill", verbs.SetRole("e-1", "prefill")),
+    ("weights status", verbs.WeightStatus()),
     ("trainer list", verbs.ListTrainers()),
     ("trainer show outage", verbs.ShowTrainer("outage")),
     ("sample trace outage/s1-g0/2", verbs.TraceSample("outage/s1-g0/2")),
--- a/tests/test_cli_client.py
+++ b/tests/test_cli_client.py
@@ -83,6 +83,7 @@
 FROZEN = urllib3.exceptions.ReadTimeoutError(None, "/", "Read timed out.")
 NOT_CONNECTED = urllib3.exceptions.ConnectTimeoutError("timed out")
 BUSY = Response(503, b'{"reason": "state-unavailable"}', {"Retry-After": "2"})
+NOT_RUN = Response(503, b'{"outcome": "not-run"}', {"Retry-After": "2"})
 OK = Response(200, b'{"x": 1}')
 
 
@@ -183,15 +184,16 @@
     @params(
         ("never sent", [REFUSED, NOT_CONNECTED], False),
         ("sent to one", [REFUSED, RESET], True),
-        ("refused for now", [BUSY, REFUSED], True),
+        ("not known whether it ran", [BUSY, REFUSED], True),
+        ("refused as not run", [NOT_RUN, REFUSED], False),
     )
     def test_giving_up_tells_whether_the_change_may_have_been_made(
-        self, name, script, may_have_arrived
+        self, name, script, may_have_run
     ):
         made, _ = make_client(Http(*script), timeout=0.1)
         failure = made.json("POST", "/v1/bundles", {}).err_value
         self.assertIsInstance(failure, client.Unavailable)
-        self.assertEqual(failure.may_have_arrived, may_have_arrived)
+        self.assertEqual(failure.may_have_run, may_have_run)
         self.assertEqual(set(failure.attempts_by_gateway), {A, B})
 
     @params(
--- a/tests/test_cli_verbs.py
+++ b/tests/test_cli_verbs.py
@@ -72,6 +72,8 @@
     (verbs.ListUpstreams(), "GET", "/v1/upstreams", None),
     (verbs.DrainUpstream("a/b c"), "POST", "/v1/upstreams/a%2Fb%20c/drain", {}),
     (verbs.UndrainUpstream("e-1"), "DELETE", "/v1/upstreams/e-1/drain", None),
+    (verbs.SetRole("e", "r"), "POST", "/v1/upstreams/e/role", {"role": "r"}),
+    (verbs.WeightStatus(), "GET", "/v1/weights", None),
     (verbs.ListTrainers(), "GET", "/v1/trainers", None),
     (verbs.ShowTrainer("x?y"), "GET", "/v1/trainers/x%3Fy", None),
     (verbs.TraceSample("outage/g 1/2"), "GET", "/v1/samples/outage/g%201/2", None),
