Replicate the state among processes

A replica elects, replicates and syncs through a pure core; a client finds the leader and sends again under the same number until it is answered.

--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -57,6 +57,7 @@
     BUNDLE_NOT_SIGNED_OFF = "bundle-not-signed-off"
     BUNDLE_STALE = "bundle-stale"
     MEMBERSHIP_REFUSED = "membership-refused"
+    SNAPSHOT_INVALID = "snapshot-invalid"
 
     # Messages between processes that were dropped.
     MESSAGE_UNKNOWN_TYPE = "message-unknown-type"
--- /dev/null
+++ b/bilberrydrum/state/frames.py
@@ -0,0 +1,81 @@
+"""Checksummed frames: what one sync of the log adds to its file.
+
+A frame is a magic number, the file's salt, the frame's number, the payload's length,
+and a CRC-32 of all that and the payload. The records of one group commit make one
+frame, and the next frame is written only after it is synced. So a bad frame at the end
+is a write that the power cut, and was never acknowledged; a bad frame with a good one
+after it is damage.
+"""
+
+import struct
+import zlib
+from typing import Final
+
+import attrs
+
+_MAGIC: Final = b"\xb1\x1b\xe5\xd7"
+_HEAD: Final = struct.Struct("<4s4sQII")
+
+
+@attrs.frozen
+class Scan:
+    """What was found in a file."""
+
+    payloads: list[bytes]
+    # Bytes of good frames from the start.
+    n_good_bytes: int
+    # A good frame follows a bad one.
+    is_damaged: bool
+
+
+def encode(salt: bytes, number: int, payload: bytes) -> bytes:
+    """Return the frame of `payload`; `salt` is four bytes."""
+    checksum = _checksum(salt, number, payload)
+    return _HEAD.pack(_MAGIC, salt, number, len(payload), checksum) + payload
+
+
+def _checksum(salt: bytes, number: int, payload: bytes) -> int:
+    start = zlib.crc32(struct.pack("<4sQI", salt, number, len(payload)))
+    return zlib.crc32(payload, start)
+
+
+def scan(data: bytes, salt: bytes) -> Scan:
+    """Return the good frames at the start of `data`, and whether more follow."""
+    payloads: list[bytes] = []
+    position = 0
+    while (payload := _payload_at(data, position, salt, len(payloads))) is not None:
+        payloads.append(payload)
+        position += _HEAD.size + len(payload)
+    return Scan(payloads, position, _has_frame(data, position, salt, len(payloads)))
+
+
+def _payload_at(data: bytes, position: int, salt: bytes, number: int) -> bytes | None:
+    if position + _HEAD.size > len(data):
+        return None
+    head = _HEAD.unpack_from(data, position)
+    magic, found_salt, found_number, length, checksum = head
+    if (magic, found_salt, found_number) != (_MAGIC, salt, number):
+        return None
+    start = position + _HEAD.size
+    payload = data[start : start + length]
+    if len(payload) < length or _checksum(salt, number, payload) != checksum:
+        return None
+    return payload
+
+
+def _has_frame(data: bytes, position: int, salt: bytes, number: int) -> bool:
+    """Tell whether a good frame with a higher number follows `position`.
+
+    The salt, unknown to clients, keeps a command that holds a copy of a log from being
+    taken for a frame.
+    """
+    mark = _MAGIC + salt
+    position = data.find(mark, position + 1)
+    while position >= 0:
+        if position + _HEAD.size <= len(data):
+            found_number = _HEAD.unpack_from(data, position)[2]
+            payload = _payload_at(data, position, salt, found_number)
+            if found_number > number and payload is not None:
+                return True
+        position = data.find(mark, position + 1)
+    return False
--- a/bilberrydrum/state/machine.py
+++ b/bilberrydrum/state/machine.py
@@ -46,6 +46,16 @@
     raise TypeError(f"no apply function for {type(command).__name__}")
 
 
+@functools.singledispatch
+def keep_rising(section: object, current: Any) -> None:
+    """Raise the numbers in a restored `section` that must not fall.
+
+    `current` is the section that it replaces, of the same class, or None. Called for
+    each section when a back-up is restored. Without a function for its class, a
+    section holds no such number.
+    """
+
+
 @functools.singledispatch
 def answer(query: object, state: State, now: float) -> Any:
     """Answer `query`, a registered attrs instance, from `state` without changing it."""
--- /dev/null
+++ b/bilberrydrum/state/remote.py
@@ -0,0 +1,275 @@
+"""The gateways' client of the state group.
+
+It numbers commands within a session, sends them to the leader, and sends them again,
+under the same numbers, until an answer comes or the caller's time is up. The leader is
+found by redirects, starting from the members in the settings and going on with those
+the replicas name, so that a client outlives the members that it started with.
+"""
+
+import itertools
+import uuid
+from typing import Any, Final
+
+import attrs
+import eventlet
+import eventlet.event
+import result
+
+from bilberrydrum import clock, codec, options, reasons, transport
+from bilberrydrum.state import client, messages
+
+# Commands or queries under way; more wait here.
+WINDOW: Final = 512
+# Most commands in one message.
+_BATCH: Final = 128
+# Sent again after this long without an answer, doubling each time up to the second.
+_RESEND_SECONDS: Final = 0.25
+_MAX_RESEND_SECONDS: Final = 2.0
+# Pause before another replica is asked when none is known to lead.
+_SEARCH_SECONDS: Final = 0.05
+_TICK_SECONDS: Final = 0.05
+
+
+@attrs.define
+class _Pending:
+    """A command or query without an answer yet."""
+
+    number: int
+    data: bytes
+    done: eventlet.event.Event = attrs.field(factory=eventlet.event.Event)
+    # When to send it, first or again.
+    due_at: float = float("-inf")
+    n_sent: int = 0
+    # The session that it was sent in; 0: none yet.
+    session_id: int = 0
+
+
+class RemoteStateClient:
+    """Commands and queries to the state group, from any process."""
+
+    def __init__(self, opts: options.Options, carrier: transport.Transport) -> None:
+        self._carrier = carrier
+        self._client_id = uuid.uuid4().hex
+        self._configured = [each.peer_address for each in opts.state.members]
+        self._addresses = list(self._configured) or [opts.peer_address]
+        self._target = self._addresses[0]
+        self._search_at = float("-inf")
+        self._session_id = 0
+        self._session_asked_at = float("-inf")
+        self._last_number = 0
+        self._commands: dict[int, _Pending] = {}
+        self._queries: dict[int, _Pending] = {}
+        self._wake = eventlet.event.Event()
+        self._heard_at = float("-inf")
+        self._task: Any = None
+
+    def start(self) -> None:
+        """Start sending."""
+        self._carrier.on(messages.Answers, self._on_answers)
+        self._carrier.on(messages.Redirect, self._on_redirect)
+        self._carrier.on(messages.SessionOpened, self._on_session_opened)
+        self._carrier.on(messages.SessionLost, self._on_session_lost)
+        self._task = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop sending; what is under way ends without an answer."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+
+    def submit(
+        self, command: object, timeout: float = 5.0
+    ) -> result.Result[Any, client.StateError]:
+        """Have `command` committed and return the answer of its apply function."""
+        return self._wait(self._commands, command, timeout)
+
+    def query(
+        self, query: object, timeout: float = 5.0
+    ) -> result.Result[Any, client.StateError]:
+        """Answer `query` from a state that holds every command committed before."""
+        return self._wait(self._queries, query, timeout)
+
+    def _wait(
+        self, pending_by_number: dict[int, _Pending], value: object, timeout: float
+    ) -> result.Result[Any, client.StateError]:
+        self._last_number += 1
+        pending = _Pending(self._last_number, codec.encode(value))
+        pending_by_number[pending.number] = pending
+        self._wake_up()
+        data = None
+        try:
+            with eventlet.Timeout(timeout, False):
+                data = pending.done.wait()
+        finally:
+            pending_by_number.pop(pending.number, None)
+        if data is None:
+            return result.Err(
+                client.StateError(reasons.Reason.STATE_UNAVAILABLE, pending.n_sent > 0)
+            )
+        answer = codec.decode(data)
+        if isinstance(answer, messages.Failed):
+            return result.Err(
+                client.StateError(reasons.Reason.INTERNAL_ERROR, True, answer.detail)
+            )
+        return result.Ok(answer)
+
+    # Sending
+
+    def _wake_up(self) -> None:
+        if not self._wake.ready():
+            self._wake.send(None)
+
+    def _run(self) -> None:
+        while True:
+            with eventlet.Timeout(_TICK_SECONDS, False):
+                self._wake.wait()
+            # What other tasks submit in this turn of the hub goes out together.
+            eventlet.sleep(0)
+            self._wake = eventlet.event.Event()
+            self._send_due(clock.now())
+
+    def _send_due(self, now: float) -> None:
+        if now < self._search_at:
+            return
+        due_queries = self._due(self._queries, now)
+        if due_queries:
+            self._send_batches(due_queries, now, is_query=True)
+        due_commands = self._due(self._commands, now)
+        if not due_commands:
+            return
+        if not self._session_id:
+            self._open_session(now)
+            return
+        self._send_batches(due_commands, now, is_query=False)
+
+    def _due(
+        self, pending_by_number: dict[int, _Pending], now: float
+    ) -> list[_Pending]:
+        if not pending_by_number:
+            return []
+        # Numbers only grow in the map; those beyond the window wait, so that the
+        # session need not keep more answers.
+        end = next(iter(pending_by_number)) + WINDOW
+        due = []
+        for number, pending in pending_by_number.items():
+            if number >= end:
+                break
+            if pending.due_at <= now:
+                due.append(pending)
+        return due
+
+    def _send_batches(self, due: list[_Pending], now: float, is_query: bool) -> None:
+        if any(each.n_sent for each in due) and now - self._heard_at > _RESEND_SECONDS:
+            # Sent before and nothing heard since: the replica may be gone.
+            self._try_next()
+        for pending in due:
+            # Sent again, a command stays in its session: only that one knows whether
+            # it was applied.
+            pending.session_id = pending.session_id or self._session_id
+        due.sort(key=lambda each: each.session_id)
+        for session_id, group in itertools.groupby(due, lambda each: each.session_id):
+            batch = list(group)
+            for start in range(0, len(batch), _BATCH):
+                part = batch[start : start + _BATCH]
+                self._send_batch(part, session_id, now, is_query)
+
+    def _send_batch(
+        self, batch: list[_Pending], session_id: int, now: float, is_query: bool
+    ) -> None:
+        items = [messages.Item(each.number, each.data) for each in batch]
+        message: object = messages.Ask(self._client_id, items)
+        if not is_query:
+            lowest = next(iter(self._commands))
+            message = messages.Submit(self._client_id, session_id, lowest, items)
+        is_sent = self._carrier.send(self._target, message)
+        for pending in batch:
+            wait = min(_RESEND_SECONDS * 2**pending.n_sent, _MAX_RESEND_SECONDS)
+            pending.due_at = now + wait
+            pending.n_sent += is_sent
+
+    def _open_session(self, now: float) -> None:
+        if now - self._session_asked_at < _RESEND_SECONDS:
+            return
+        if self._session_asked_at > self._heard_at:
+            self._try_next()
+        self._session_asked_at = now
+        self._carrier.send(self._target, messages.OpenSession(self._client_id))
+
+    def _try_next(self) -> None:
+        """Ask the next replica from now on."""
+        if self._target in self._addresses:
+            i = self._addresses.index(self._target) + 1
+            self._target = self._addresses[i % len(self._addresses)]
+        else:
+            self._target = self._addresses[0]
+
+    # Receiving
+
+    def _on_answers(self, sender: transport.Sender, answers: messages.Answers) -> None:
+        if answers.client_id != self._client_id:
+            # For this process's earlier life, or another client in it.
+            return
+        self._heard_at = clock.now()
+        pending_by_number = self._queries if answers.is_query else self._commands
+        for item in answers.items:
+            pending = pending_by_number.pop(item.number, None)
+            if pending is not None:
+                pending.done.send(item.data)
+        if self._target != sender.address and not answers.is_query:
+            self._target = sender.address
+
+    def _on_redirect(
+        self, sender: transport.Sender, redirect: messages.Redirect
+    ) -> None:
+        if redirect.client_id != self._client_id or sender.address != self._target:
+            return
+        now = clock.now()
+        self._heard_at = now
+        self._learn(redirect.addresses)
+        if redirect.leader_address and redirect.leader_address != sender.address:
+            self._target = redirect.leader_address
+        else:
+            self._try_next()
+            self._search_at = now + _SEARCH_SECONDS
+        self._session_asked_at = float("-inf")
+        pending_by_number = self._queries if redirect.is_query else self._commands
+        for number in redirect.numbers:
+            pending = pending_by_number.get(number)
+            if pending is not None:
+                pending.due_at = now
+        self._wake_up()
+
+    def _learn(self, addresses: list[str]) -> None:
+        if addresses:
+            kept = [each for each in self._configured if each not in addresses]
+            self._addresses = [*addresses, *kept]
+
+    def _on_session_opened(
+        self, sender: transport.Sender, opened: messages.SessionOpened
+    ) -> None:
+        if opened.client_id == self._client_id and not self._session_id:
+            self._heard_at = clock.now()
+            self._session_id = opened.session_id
+            self._wake_up()
+
+    def _on_session_lost(
+        self, sender: transport.Sender, lost: messages.SessionLost
+    ) -> None:
+        if lost.client_id != self._client_id:
+            return
+        self._heard_at = clock.now()
+        if lost.session_id == self._session_id:
+            self._session_id = 0
+        for number in lost.numbers:
+            pending = self._commands.get(number)
+            if pending is None or pending.session_id != lost.session_id:
+                continue
+            if pending.n_sent > 1:
+                # An earlier sending may have been applied in the lost session; a new
+                # session would not know of it.
+                del self._commands[number]
+                pending.done.send(None)
+            else:
+                pending.session_id = 0
+                pending.due_at = self._heard_at
+        self._wake_up()
--- /dev/null
+++ b/bilberrydrum/state/replica.py
@@ -0,0 +1,532 @@
+"""The replica task: carries out what the replication core decides.
+
+One task owns the core and takes its events from a queue; a second applies committed
+entries; a third, in `disk`, writes and syncs. Only the core decides; this module moves
+messages, and answers clients when their entries are applied.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import eliot
+import eventlet
+import eventlet.event
+import eventlet.queue
+import result
+from eventlet import tpool
+
+from bilberrydrum import clock, codec, interfaces, options, reasons, transport
+from bilberrydrum.state import (
+    applier,
+    client,
+    core,
+    disk,
+    events,
+    files,
+    founding,
+    log,
+    machine,
+    membership,
+    messages,
+    node,
+    queries,
+    serving,
+    sessions,
+    snapshot,
+    stewardship,
+    storage,
+)
+
+# Commands taken and not yet applied; beyond it clients are sent away to come again.
+MAX_WAITERS: Final = 20_000
+# A snapshot is made sooner if the log's commands take this much memory.
+MAX_LOG_BYTES: Final = 32 * 1024 * 1024
+# Entries applied before other tasks run.
+_APPLY_SLICE: Final = 64
+# Events taken by the core before other tasks run.
+_EVENT_SLICE: Final = 256
+
+
+@attrs.frozen
+class _Taken:
+    """Commands that came in and wait for their place in the log."""
+
+    items: list[tuple[int, bytes]]
+    waiters: list[serving.Waiter]
+
+
+class Replica:
+    """The replica of the state group in this process."""
+
+    def __init__(self, opts: options.Options, carrier: transport.Transport) -> None:
+        self._options = opts
+        self._carrier = carrier
+        self._settings = node.Settings(
+            heartbeat=opts.state.heartbeat_seconds,
+            election_timeout=opts.state.election_timeout_seconds,
+            drift_margin=opts.state.drift_margin,
+        )
+        self._store = storage.Storage(files.DiskFiles(), opts.state.data_folder)
+        self._inbox: Any = eventlet.queue.Queue()
+        self._to_apply: Any = eventlet.queue.Queue()
+        self._applier = applier.Applier()
+        self._waiters = serving.Waiters(carrier.send)
+        self._reads = serving.Reads(self._waiters.outbox, self._answer)
+        self._disk = disk.DiskTask(self._store, self._inbox.put)
+        self._taken_by_ticket: dict[int, _Taken] = {}
+        self._changes_by_ticket: dict[int, eventlet.event.Event] = {}
+        self._last_ticket = 0
+        self._tasks: list[Any] = []
+        self._failure = ""
+        self._led_since = 0.0
+
+    # Life
+
+    def start(self) -> None:
+        """Open the data folder and take part in the group.
+
+        Raises
+        ------
+        storage.DamageError
+            If the data folder is damaged; the replica must not go on with it.
+        """
+        recovered, data = self._store.open()
+        if data:
+            self._applier.restore(data)
+        self._core = core.Core(self._settings, recovered, random.Random(), clock.now())
+        self._founding = founding.Founding(
+            self._options.process_id,
+            recovered.replica_id,
+            self._options.peer_address,
+            self._options.state.members,
+        )
+        self._steward = stewardship.StewardTask(self, self._carrier, self._options)
+        self._listen()
+        for task in (self._run, self._apply, self._disk.run, self._keep_members):
+            self._tasks.append(eventlet.spawn(self._guard, task))
+
+    def stop(self) -> None:
+        """Hand the leadership over, sync what is under way, and stop."""
+        if not self._failure:
+            self._carry_out(self._core.step(clock.now(), events.GiveUpLeadership()))
+            self._waiters.outbox.flush()
+            clock.sleep(0.05)
+        for task in self._tasks:
+            task.kill()
+        self._tasks.clear()
+        self._store.close()
+
+    def _guard(self, task: Callable[[], None]) -> None:
+        """Run a task; an error in it stops the whole replica, never half of it.
+
+        A replica whose disk fails but that goes on answering would acknowledge what it
+        cannot keep. Silent, it is replaced like a lost host.
+        """
+        try:
+            task()
+        except Exception as error:
+            self._failure = f"{type(error).__name__}: {error}"
+            eliot.write_traceback()
+            for other in self._tasks:
+                if other is not eventlet.getcurrent():
+                    other.kill()
+
+    def _listen(self) -> None:
+        for message_class in (
+            messages.VoteRequest,
+            messages.VoteReply,
+            messages.Append,
+            messages.AppendReply,
+            messages.SnapshotChunk,
+            messages.SnapshotReply,
+            messages.StandNow,
+        ):
+            self._carrier.on(message_class, self._on_peer)
+        self._carrier.on(messages.OpenSession, self._on_open_session)
+        self._carrier.on(messages.Submit, self._on_submit)
+        self._carrier.on(messages.Ask, self._on_ask)
+        self._carrier.on(messages.Probe, self._on_probe)
+        self._carrier.on(messages.ProbeReply, self._on_probe_reply)
+
+    # What the process sees (interfaces.Replica)
+
+    def leadership(self) -> interfaces.Leadership | None:
+        """Return the leadership if this replica holds the leader lease now."""
+        if self._failure or not self._has_lease():
+            return None
+        return interfaces.Leadership(self._core.node.term, self._led_since)
+
+    def state(self) -> machine.State:
+        """Return the applied state; it must not be changed."""
+        return self._applier.state
+
+    def watch(self, callback: applier.Watcher) -> None:
+        """Call `callback(command, answer)` after each command applied here."""
+        self._applier.watch(callback)
+
+    def propose(
+        self, command: object, timeout: float = 5.0
+    ) -> result.Result[Any, client.StateError]:
+        """Commit `command` once and return the answer of its apply function."""
+        done = eventlet.event.Event()
+        waiter = serving.Waiter(0, command, done=done)
+        self._take([(log.KIND_LOCAL, codec.encode(command))], [waiter])
+        with eventlet.Timeout(timeout, False):
+            applied = done.wait()
+            if applied is None:
+                return result.Err(
+                    client.StateError(reasons.Reason.STATE_UNAVAILABLE, False)
+                )
+            if isinstance(applied.value, messages.Failed):
+                return result.Err(
+                    client.StateError(
+                        reasons.Reason.INTERNAL_ERROR, True, applied.value.detail
+                    )
+                )
+            return result.Ok(applied.value)
+        return result.Err(client.StateError(reasons.Reason.STATE_UNAVAILABLE))
+
+    def change_members(
+        self, change: membership.Change, timeout: float = 5.0
+    ) -> str | None:
+        """Make one membership change; return why it is not made, or None."""
+        done = eventlet.event.Event()
+        ticket = self._next_ticket()
+        self._changes_by_ticket[ticket] = done
+        self._inbox.put(events.ProposeChange(change, serving.wall_time(), ticket))
+        with eventlet.Timeout(timeout, False):
+            refusal: str | None = done.wait()
+            return refusal
+        self._changes_by_ticket.pop(ticket, None)
+        return "the change was not committed in time"
+
+    @property
+    def node(self) -> node.Node:
+        """The core's data, for reading."""
+        return self._core.node
+
+    def status(self) -> queries.Status:
+        """Return how the group stands as this replica sees it."""
+        return stewardship.status(
+            self._core,
+            self._applier.index,
+            self._steward.pending_change,
+            self._failure,
+        )
+
+    def _has_lease(self) -> bool:
+        now = clock.now()
+        return self._core.lease_end(now) > now
+
+    # The core's task
+
+    def _run(self) -> None:
+        interval = self._settings.heartbeat / 2
+        next_tick = clock.now()
+        while True:
+            event = None
+            with eventlet.Timeout(max(next_tick - clock.now(), 0.001), False):
+                event = self._inbox.get()
+            now = clock.now()
+            n_events = 0
+            while event is not None:
+                self._carry_out(self._core.step(now, event))
+                n_events += 1
+                if n_events >= _EVENT_SLICE or self._inbox.empty():
+                    break
+                event = self._inbox.get()
+            if now >= next_tick:
+                next_tick = now + interval
+                self._carry_out(self._core.step(now, events.Tick()))
+                self._expire_reads(now)
+            self._serve_reads()
+            eventlet.sleep(0)
+
+    def _carry_out(self, effects: list[Any]) -> None:
+        for effect in effects:
+            if isinstance(effect, events.Send):
+                self._carrier.send(effect.address, effect.message)
+            elif isinstance(
+                effect, events.Write | events.SaveSnapshot | events.DropLog
+            ):
+                self._disk.put(effect)
+            elif isinstance(effect, events.Commit | events.Restore):
+                self._to_apply.put(effect)
+            elif isinstance(effect, events.SendChunk):
+                eventlet.spawn(self._send_chunk, effect)
+            elif isinstance(effect, events.RoleChanged):
+                self._on_role(effect)
+            else:
+                self._on_placed(effect)
+
+    def _on_role(self, effect: events.RoleChanged) -> None:
+        self._led_since = clock.now()
+        eliot.log_message(
+            message_type="state:role", term=effect.term, is_leader=effect.is_leader
+        )
+        if not effect.is_leader:
+            self._send_reads_on()
+
+    def _on_placed(self, effect: Any) -> None:
+        """Tell what became of proposals."""
+        change = self._changes_by_ticket.get(effect.ticket)
+        if change is not None:
+            self._on_change_placed(effect, change)
+            return
+        taken = self._taken_by_ticket.pop(effect.ticket)
+        if isinstance(effect, events.Accepted):
+            for i, waiter in enumerate(taken.waiters):
+                waiter.term = effect.term
+                self._waiters.add(effect.first_index + i, waiter)
+            return
+        self._refuse(taken.waiters)
+
+    def _on_change_placed(self, effect: Any, change: eventlet.event.Event) -> None:
+        del self._changes_by_ticket[effect.ticket]
+        if isinstance(effect, events.Accepted):
+            # Answered like a command once the entry is applied.
+            waiter = serving.Waiter(effect.term, done=_ChangeDone(change))
+            self._waiters.add(effect.first_index, waiter)
+        elif isinstance(effect, events.ChangeRefused):
+            change.send(effect.detail)
+        else:
+            change.send("this replica does not lead")
+
+    def _send_chunk(self, effect: events.SendChunk) -> None:
+        size = self._settings.snapshot_chunk_bytes
+        data = tpool.execute(
+            self._store.read_snapshot, effect.index, effect.offset, size
+        )
+        if not data:
+            return
+        chunk = messages.SnapshotChunk(
+            sender_id=self.node.replica_id,
+            receiver_id=effect.receiver_id,
+            term=effect.term,
+            index=effect.index,
+            offset=effect.offset,
+            n_total_bytes=self.node.snapshot_bytes,
+            data=data,
+            sent_at=effect.sent_at,
+        )
+        if self.node.snapshot_index == effect.index:
+            self._carrier.send(effect.address, chunk)
+
+    # The applying task
+
+    def _apply(self) -> None:
+        while True:
+            effect = self._to_apply.get()
+            if isinstance(effect, events.Restore):
+                self._applier.restore(effect.data)
+                self._waiters.clear(effect.index)
+                continue
+            for i, entry in enumerate(effect.entries, 1):
+                command = self._waiters.command(entry.index, entry.term)
+                applied = self._applier.apply(entry, command)
+                if applied is not None:
+                    self._waiters.applied(applied)
+                if i % _APPLY_SLICE == 0:
+                    self._waiters.outbox.flush()
+                    eventlet.sleep(0)
+            self._waiters.outbox.flush()
+            self._serve_reads()
+            if self._snapshot_is_due():
+                self._make_snapshot()
+
+    def _snapshot_is_due(self) -> bool:
+        n_entries = self._applier.index - self.node.snapshot_index
+        if n_entries >= self._options.state.snapshot_entries:
+            return True
+        return self.node.log.n_bytes >= MAX_LOG_BYTES and n_entries > 1
+
+    def _make_snapshot(self) -> None:
+        # In a thread: the state does not change, as this task applies nothing
+        # meanwhile, and heartbeats go on.
+        header = self._applier.header()
+        data = tpool.execute(snapshot.encode, header, self._applier.state)
+        tpool.execute(self._store.write_snapshot, header.index, data)
+        self._disk.put(disk.Adopt(header.index, len(data)))
+        # The next one is not due before this one is in use.
+        while self.node.snapshot_index < header.index:
+            clock.sleep(0.005)
+
+    # Clients
+
+    def _next_ticket(self) -> int:
+        self._last_ticket += 1
+        return self._last_ticket
+
+    def _take(
+        self, items: list[tuple[int, bytes]], waiters: list[serving.Waiter]
+    ) -> None:
+        if self._failure or len(self._waiters) + len(items) > MAX_WAITERS:
+            self._refuse(waiters)
+            return
+        ticket = self._next_ticket()
+        self._taken_by_ticket[ticket] = _Taken(items, waiters)
+        self._inbox.put(events.Propose(tuple(items), serving.wall_time(), ticket))
+
+    def _refuse(self, waiters: list[serving.Waiter]) -> None:
+        numbers_by_client: dict[tuple[str, str], list[int]] = {}
+        for waiter in waiters:
+            if waiter.done is not None:
+                waiter.done.send(None)
+                continue
+            key = (waiter.address, waiter.client_id)
+            numbers_by_client.setdefault(key, []).append(waiter.number)
+        for (address, client_id), numbers in numbers_by_client.items():
+            self._redirect(address, client_id, numbers, is_query=False)
+
+    def _redirect(
+        self, address: str, client_id: str, numbers: list[int], is_query: bool
+    ) -> None:
+        role = self.node.role
+        leader_address = ""
+        if isinstance(role, node.Follower) and role.leader_address != "":
+            leader_address = role.leader_address
+        addresses = [each.peer_address for each in self.node.members.replicas]
+        self._carrier.send(
+            address,
+            messages.Redirect(client_id, numbers, is_query, leader_address, addresses),
+        )
+
+    def _on_peer(self, sender: transport.Sender, message: messages.PeerMessage) -> None:
+        if not self._failure:
+            self._inbox.put(events.Received(sender.address, message))
+
+    def _on_open_session(
+        self, sender: transport.Sender, message: messages.OpenSession
+    ) -> None:
+        waiter = serving.Waiter(0, None, sender.address, message.client_id)
+        self._take([(log.KIND_OPEN_SESSION, message.client_id.encode())], [waiter])
+
+    def _on_submit(self, sender: transport.Sender, submit: messages.Submit) -> None:
+        items, waiters = [], []
+        for item in submit.items:
+            try:
+                command = codec.decode(item.data)
+            except codec.DecodeError as error:
+                # Kept out of the log: a replica that cannot decode an entry stops.
+                failed = codec.encode(messages.Failed(str(error)))
+                answer = messages.Item(item.number, failed)
+                self._waiters.outbox.add(sender.address, submit.client_id, answer)
+                continue
+            packed = sessions.SessionCommand(
+                submit.client_id,
+                submit.session_id,
+                item.number,
+                submit.lowest_pending,
+                item.data,
+            )
+            items.append((log.KIND_SESSION, sessions.pack(packed)))
+            waiters.append(
+                serving.Waiter(
+                    0,
+                    command,
+                    sender.address,
+                    submit.client_id,
+                    item.number,
+                    submit.session_id,
+                )
+            )
+        if items:
+            self._take(items, waiters)
+        self._waiters.outbox.flush()
+
+    def _on_ask(self, sender: transport.Sender, ask: messages.Ask) -> None:
+        if self._failure or not isinstance(self.node.role, node.Leader):
+            numbers = [each.number for each in ask.items]
+            self._redirect(sender.address, ask.client_id, numbers, is_query=True)
+            return
+        now = clock.now()
+        for item in ask.items:
+            try:
+                query = codec.decode(item.data)
+            except codec.DecodeError as error:
+                failed = messages.Item(
+                    item.number, codec.encode(messages.Failed(str(error)))
+                )
+                self._waiters.outbox.add(
+                    sender.address, ask.client_id, failed, is_query=True
+                )
+                continue
+            if self._steward.takes(sender.address, ask.client_id, item.number, query):
+                continue
+            self._reads.add(
+                serving.Read(sender.address, ask.client_id, item.number, query, now)
+            )
+        self._serve_reads()
+
+    def _answer(self, query: object) -> Any:
+        if isinstance(query, queries.GetStatus):
+            return self.status()
+        if isinstance(query, queries.SaveState):
+            header = self._applier.header()
+            return queries.SavedState(snapshot.encode(header, self._applier.state))
+        return serving.answer_query(query, self._applier.state, self._applier.time)
+
+    def _serve_reads(self) -> None:
+        self._reads.serve(self.node.commit_index, self._applier.index, self._has_lease)
+        self._waiters.outbox.flush()
+
+    def _expire_reads(self, now: float) -> None:
+        for read in self._reads.take_expired(now):
+            self._redirect(read.address, read.client_id, [read.number], is_query=True)
+
+    def _send_reads_on(self) -> None:
+        for read in self._reads.take_all():
+            self._redirect(read.address, read.client_id, [read.number], is_query=True)
+
+    # Founding and membership
+
+    def _on_probe(self, sender: transport.Sender, probe: messages.Probe) -> None:
+        if self._failure:
+            return
+        is_empty = not self.node.members.replicas
+        reply = messages.ProbeReply(
+            self._options.process_id, self.node.replica_id, is_empty, probe.replica_id
+        )
+        self._carrier.answer(sender, reply)
+        if probe.is_empty and isinstance(self.node.role, node.Leader):
+            self._steward.joins(probe, sender.address)
+
+    def _on_probe_reply(
+        self, sender: transport.Sender, reply: messages.ProbeReply
+    ) -> None:
+        self._founding.heard(reply)
+
+    def _keep_members(self) -> None:
+        while True:
+            if not self.node.members.replicas:
+                self._found_or_wait()
+            elif isinstance(self.node.role, node.Leader):
+                self._steward.step()
+            clock.sleep(founding.PROBE_SECONDS)
+
+    def _found_or_wait(self) -> None:
+        first = self._founding.first_membership()
+        if first is not None:
+            self._inbox.put(events.Found(first))
+            return
+        probe = messages.Probe(
+            self._options.process_id, self.node.replica_id, is_empty=True
+        )
+        for member in self._founding.others():
+            self._carrier.send(member.peer_address, probe)
+
+
+class _ChangeDone(eventlet.event.Event):  # type: ignore[misc]
+    """Turns the end of a change's entry into the answer to who asked."""
+
+    def __init__(self, change: eventlet.event.Event) -> None:
+        super().__init__()
+        self._change = change
+
+    def send(self, result: Any = None, exc: Any = None) -> None:
+        """Tell who asked for the change."""
+        if not self._change.ready():
+            lost = "another leader took over" if result is None else None
+            self._change.send(lost)
--- /dev/null
+++ b/bilberrydrum/state/storage.py
@@ -0,0 +1,316 @@
+"""The replica's data folder: its id, the log in segments, and the snapshot.
+
+`replica-id` is made with the folder. `log-N` is a segment: a head with the segment's
+salt, then frames (see `frames`); the first frame of each repeats the hard state, so
+that older segments can be removed. `snapshot-INDEX` is whole or not there: it is
+written beside, synced, and renamed. All calls block; the replica makes them in a
+thread.
+"""
+
+import os
+import uuid
+from collections.abc import Sequence
+from typing import Any, Final
+
+import attrs
+import msgpack
+
+from bilberrydrum.state import events, files, frames, log, node, snapshot
+
+SEGMENT_BYTES: Final = 16 * 1024 * 1024
+
+_ID_NAME: Final = "replica-id"
+_LOG_PREFIX: Final = "log-"
+_SNAPSHOT_PREFIX: Final = "snapshot-"
+_PART_SUFFIX: Final = ".part"
+_SEGMENT_MAGIC: Final = b"bdlog\x00\x00\x01"
+_N_SALT_BYTES: Final = 4
+_N_HEAD_BYTES: Final = len(_SEGMENT_MAGIC) + _N_SALT_BYTES
+
+_RECORD_HARD_STATE: Final = 0
+_RECORD_ENTRIES: Final = 1
+_RECORD_RESET: Final = 2
+
+
+class DamageError(Exception):
+    """The data folder holds what no crash can leave behind.
+
+    The replica must not go on with it: an entry or a vote that it acknowledged may be
+    gone. Its folder is to be moved away; the host then joins under a new replica id.
+    """
+
+
+@attrs.define
+class _Segment:
+    number: int
+    salt: bytes
+    n_bytes: int = 0
+    n_frames: int = 0
+    # Highest index of an entry in it.
+    last_index: int = 0
+
+
+@attrs.define
+class _Replay:
+    """What the frames say, replayed in order."""
+
+    hard_state: events.HardState = attrs.field(factory=events.HardState)
+    entries: list[log.Entry] = attrs.field(factory=list)
+
+    def take(self, payload: bytes, segment: _Segment) -> None:
+        """Take in one frame."""
+        for kind, value in msgpack.unpackb(payload):
+            if kind == _RECORD_HARD_STATE:
+                self.hard_state = events.HardState(*value)
+            elif kind == _RECORD_RESET:
+                self.entries.clear()
+            else:
+                entries = log.unpack(value)
+                self._add(entries)
+                segment.last_index = max(segment.last_index, entries[-1].index)
+
+    def _add(self, entries: list[log.Entry]) -> None:
+        first = entries[0].index
+        if self.entries and first <= self.entries[-1].index:
+            # A later leader's entries replace what an earlier one left behind.
+            del self.entries[max(first - self.entries[0].index, 0) :]
+        if self.entries and first != self.entries[-1].index + 1:
+            raise DamageError(f"the log has a gap before entry {first}")
+        self.entries.extend(entries)
+
+
+class Storage:
+    """The data folder, opened by one replica."""
+
+    def __init__(
+        self, disk: files.Files, folder: str, segment_bytes: int = SEGMENT_BYTES
+    ) -> None:
+        self._disk = disk
+        self._folder = folder
+        self._segment_bytes = segment_bytes
+        self._segments: list[_Segment] = []
+        self._hard_state = events.HardState()
+        self._snapshot_index = 0
+
+    # Opening
+
+    def open(self) -> tuple[node.Recovered, bytes]:
+        """Return what the folder holds and the snapshot's bytes, if any.
+
+        Raises
+        ------
+        DamageError
+            If something synced before is missing or damaged.
+        """
+        self._disk.make_folder(self._folder)
+        names = self._disk.names(self._folder)
+        for name in [each for each in names if each.endswith(_PART_SUFFIX)]:
+            self._disk.remove(self._path(name))
+        replica_id = self._open_id(names)
+        data = self._open_snapshot(names)
+        replay = self._replay(names)
+        self._hard_state = replay.hard_state
+        recovered = self._recovered(replica_id, data, replay)
+        self._start_segment()
+        return recovered, data
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self._folder, name)
+
+    def _open_id(self, names: Sequence[str]) -> str:
+        if _ID_NAME in names:
+            replica_id = self._disk.read(self._path(_ID_NAME)).decode()
+            if len(replica_id) != 32:
+                raise DamageError(f"{self._path(_ID_NAME)} is damaged")
+            return replica_id
+        if any(each.startswith((_LOG_PREFIX, _SNAPSHOT_PREFIX)) for each in names):
+            # The id is synced before the first segment is made.
+            raise DamageError(f"{self._folder} has a log but no {_ID_NAME}")
+        replica_id = uuid.uuid4().hex
+        self._replace(_ID_NAME, replica_id.encode())
+        return replica_id
+
+    def _replace(self, name: str, data: bytes) -> None:
+        part = self._path(name + _PART_SUFFIX)
+        self._disk.write(part, data)
+        self._disk.rename(part, self._path(name))
+        self._disk.sync_folder(self._folder)
+
+    def _open_snapshot(self, names: Sequence[str]) -> bytes:
+        indexes = _numbers(names, _SNAPSHOT_PREFIX)
+        if not indexes:
+            return b""
+        self._snapshot_index = indexes[-1]
+        path = self._path(f"{_SNAPSHOT_PREFIX}{indexes[-1]}")
+        data = self._disk.read(path)
+        try:
+            snapshot.read(data)
+        except snapshot.SnapshotError as error:
+            raise DamageError(f"{path}: {error}") from error
+        return data
+
+    def _replay(self, names: Sequence[str]) -> _Replay:
+        replay = _Replay()
+        numbers = _numbers(names, _LOG_PREFIX)
+        for number in numbers:
+            path = self._path(f"{_LOG_PREFIX}{number}")
+            self._replay_segment(path, number, number == numbers[-1], replay)
+        if numbers and numbers != list(range(numbers[0], numbers[-1] + 1)):
+            raise DamageError(f"{self._folder} lacks a segment of the log")
+        return replay
+
+    def _replay_segment(
+        self, path: str, number: int, is_last: bool, replay: _Replay
+    ) -> None:
+        data = self._disk.read(path)
+        salt = data[len(_SEGMENT_MAGIC) : _N_HEAD_BYTES]
+        segment = _Segment(number, salt)
+        self._segments.append(segment)
+        is_whole = data.startswith(_SEGMENT_MAGIC) and len(salt) == _N_SALT_BYTES
+        if not is_whole and not is_last:
+            raise DamageError(f"{path}: the segment's head is damaged")
+        if not is_whole:
+            # Its head is synced before the first frame is written.
+            if len(data) > _N_HEAD_BYTES:
+                raise DamageError(f"{path}: the segment's head is damaged")
+            self._segments.pop()
+            self._disk.remove(path)
+            self._disk.sync_folder(self._folder)
+            return
+        found = frames.scan(data[_N_HEAD_BYTES:], salt)
+        n_good = _N_HEAD_BYTES + found.n_good_bytes
+        if found.is_damaged or (n_good < len(data) and not is_last):
+            raise DamageError(
+                f"{path}: damaged at byte {n_good}, with good records after it; move "
+                f"the data folder away and let this host join as a new replica"
+            )
+        for payload in found.payloads:
+            replay.take(payload, segment)
+        if n_good < len(data):
+            # A torn tail: a write whose sync never ended, so nobody counts on it. Cut,
+            # or the next frame would follow a bad one and look like damage.
+            self._disk.truncate(path, n_good)
+
+    def _recovered(
+        self, replica_id: str, data: bytes, replay: _Replay
+    ) -> node.Recovered:
+        entries = replay.entries
+        if not data:
+            if entries and entries[0].index != 1:
+                raise DamageError("the log starts after a snapshot that is missing")
+            return node.Recovered(replica_id, replay.hard_state, entries=tuple(entries))
+        header = snapshot.read(data)
+        if entries and entries[0].index > header.index + 1:
+            raise DamageError("entries between the snapshot and the log are missing")
+        at_snapshot = [each for each in entries if each.index == header.index]
+        later = [each for each in entries if each.index > header.index]
+        if at_snapshot and at_snapshot[0].term != header.term:
+            # The power went between the snapshot, received, and the log's cut.
+            later = []
+        return node.Recovered(
+            replica_id,
+            replay.hard_state,
+            header.index,
+            header.term,
+            header.time,
+            len(data),
+            header.membership,
+            tuple(later),
+        )
+
+    # Writing
+
+    def append(self, writes: Sequence[events.Write | events.SaveSnapshot]) -> None:
+        """Carry out `writes` with one sync, or more where a snapshot is among them."""
+        records: list[Any] = []
+        last_index = 0
+        for write in writes:
+            if isinstance(write, events.SaveSnapshot):
+                self._write_frame(records, last_index)
+                records, last_index = [], 0
+                self.save_snapshot(write.index, write.data)
+                if not write.keeps_log:
+                    records.append((_RECORD_RESET, None))
+                continue
+            if write.hard_state != self._hard_state:
+                self._hard_state = write.hard_state
+                records.append((_RECORD_HARD_STATE, attrs.astuple(write.hard_state)))
+            if write.entries:
+                records.append((_RECORD_ENTRIES, log.pack(write.entries)))
+                last_index = max(last_index, write.entries[-1].index)
+        self._write_frame(records, last_index)
+
+    def _write_frame(self, records: list[Any], last_index: int) -> None:
+        if not records:
+            return
+        if self._segments[-1].n_bytes >= self._segment_bytes:
+            self._start_segment()
+        segment = self._segments[-1]
+        frame = frames.encode(segment.salt, segment.n_frames, msgpack.packb(records))
+        path = self._path(f"{_LOG_PREFIX}{segment.number}")
+        self._disk.append(path, frame)
+        self._disk.sync(path)
+        segment.n_frames += 1
+        segment.n_bytes += len(frame)
+        segment.last_index = max(segment.last_index, last_index)
+
+    def _start_segment(self) -> None:
+        number = self._segments[-1].number + 1 if self._segments else 1
+        segment = _Segment(number, os.urandom(_N_SALT_BYTES))
+        path = self._path(f"{_LOG_PREFIX}{number}")
+        self._disk.append(path, _SEGMENT_MAGIC + segment.salt)
+        self._disk.sync(path)
+        self._disk.sync_folder(self._folder)
+        self._segments.append(segment)
+        hard_state = attrs.astuple(self._hard_state)
+        self._write_frame([(_RECORD_HARD_STATE, hard_state)], 0)
+
+    def save_snapshot(self, index: int, data: bytes) -> None:
+        """Save a snapshot and remove the ones before it."""
+        self.write_snapshot(index, data)
+        self.adopt_snapshot(index)
+
+    def write_snapshot(self, index: int, data: bytes) -> None:
+        """Write a snapshot beside; safe while the log is being written."""
+        name = f"{_SNAPSHOT_PREFIX}{index}{_PART_SUFFIX}"
+        self._disk.write(self._path(name), data)
+
+    def adopt_snapshot(self, index: int) -> None:
+        """Make the snapshot written for `index` the one to start from."""
+        name = f"{_SNAPSHOT_PREFIX}{index}"
+        part = self._path(name + _PART_SUFFIX)
+        if index <= self._snapshot_index:
+            self._disk.remove(part)
+            return
+        self._disk.rename(part, self._path(name))
+        self._disk.sync_folder(self._folder)
+        self._snapshot_index = index
+        for old in _numbers(self._disk.names(self._folder), _SNAPSHOT_PREFIX):
+            if old < index:
+                self._disk.remove(self._path(f"{_SNAPSHOT_PREFIX}{old}"))
+
+    def read_snapshot(self, index: int, offset: int, size: int) -> bytes:
+        """Return a part of the snapshot `index`; nothing if it is gone."""
+        if index != self._snapshot_index:
+            return b""
+        path = self._path(f"{_SNAPSHOT_PREFIX}{index}")
+        return self._disk.read_part(path, offset, size)
+
+    def drop_log(self, index: int) -> None:
+        """Remove the oldest segments that hold nothing after `index`."""
+        while len(self._segments) > 1 and self._segments[0].last_index <= index:
+            segment = self._segments.pop(0)
+            self._disk.remove(self._path(f"{_LOG_PREFIX}{segment.number}"))
+            # One at a time: after a power cut a segment may be there again, but never
+            # with a later one missing.
+            self._disk.sync_folder(self._folder)
+
+    def close(self) -> None:
+        """Close the files."""
+        self._disk.close()
+
+
+def _numbers(names: Sequence[str], prefix: str) -> list[int]:
+    """Return the numbers behind `prefix`, in ascending order."""
+    texts = [each.removeprefix(prefix) for each in names if each.startswith(prefix)]
+    return sorted(int(each) for each in texts if each.isdecimal())
