--- a/bilberrydrum/bundles/check.py
+++ b/bilberrydrum/bundles/check.py
@@ -60,7 +60,7 @@
         reading.report(f"version must be 1 to {MAX_VERSION}", ("version",))
     if bundle.parent < 0:
         reading.report("parent must be 0 or more", ("parent",))
-    elif bundle.parent >= bundle.version:
+    elif bundle.parent >= bundle.version > 0:
         message = f"parent must be lower than version {bundle.version}"
         reading.report(message, ("parent",), ("version",))
     policies = (model.CUT_REFUSE, model.CUT_HOLD)
