--- a/bilberrydrum/samples/commands.py
+++ b/bilberrydrum/samples/commands.py
@@ -335,7 +335,7 @@
 def _take(state: machine.State, taken: SlotRecord) -> reasons.Reason | None:
     trainer = section.trainer_of(state, taken.trainer)
     group = trainer.groups_by_id.get(taken.group_id)
-    if group is None:
+    if group is None or not 0 <= taken.slot < len(group.slots):
         return reasons.Reason.ATTEMPT_SUPERSEDED
     if group.owner_epoch != taken.record.owner_epoch:
         return reasons.Reason.EPOCH_STALE
--- a/bilberrydrum/samples/ownership.py
+++ b/bilberrydrum/samples/ownership.py
@@ -56,13 +56,15 @@
     if owner is not None and incarnation > owner.incarnation:
         _end_life(samples, owner)
         owner = None
+    is_new = owner is None
     if owner is None:
         owner = section.Owner(process_id, incarnation, 0.0)
         samples.owners_by_id[process_id] = owner
     owner.expires_at = time + lease_seconds
     samples.renewed_at = time
     _sweep(samples, time)
-    _adopt_orphans(samples)
+    if is_new:
+        _adopt_orphans(samples)
     return owner
 
 
@@ -104,6 +106,7 @@
 
 
 def _adopt_orphans(samples: section.Section) -> None:
+    """Find owners for the groups that came while there was none."""
     for trainer in samples.trainers_by_name.values():
         for group in trainer.groups_by_id.values():
             if group.owner not in samples.owners_by_id:
--- a/bilberrydrum/samples/payloads.py
+++ b/bilberrydrum/samples/payloads.py
@@ -5,6 +5,7 @@
 says which lives of which gateways hold it.
 """
 
+import zlib
 from collections.abc import Mapping
 from typing import Final
 
@@ -108,7 +109,7 @@
         elsewhere = [each for each in others if each.availability_zone != self._zone]
         # The key spreads the copies over the gateways.
         candidates = sorted(elsewhere or others, key=lambda each: each.process_id)
-        first = hash(key) % len(candidates) if candidates else 0
+        first = zlib.crc32(key.encode()) % len(candidates) if candidates else 0
         return candidates[first:] + candidates[:first]
 
     def _keep(self, key: str, payload: model.Payload) -> None:
--- a/tests/samples_support.py
+++ b/tests/samples_support.py
@@ -1,6 +1,7 @@
 """Fakes for the sample tests: a state group of one, upstreams, a bundle."""
 
-from collections.abc import Iterator
+import json
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
@@ -119,6 +120,10 @@
     # Each entry: "" is no fault, "lost" applies and loses the answer, "refused" does
     # not apply.
     faults: list[str] = attrs.field(factory=list)
+    # Nothing gets through while this is set.
+    is_cut: bool = False
+    # Called after each query that was answered.
+    after_query: Callable[[], None] = lambda: None
 
     def submit(
         self, command: object, timeout: float = 5.0
@@ -128,12 +133,14 @@
     def query(
         self, query: object, timeout: float = 5.0
     ) -> result.Result[Any, client.StateError]:
-        return self._call(self.machine.answer, query)
+        answer = self._call(self.machine.answer, query)
+        self.after_query()
+        return answer
 
     def _call(self, action: Any, value: object) -> Any:
         clock.sleep(0)
         fault = self.faults.pop(0) if self.faults else ""
-        if fault == "refused":
+        if self.is_cut or fault == "refused":
             return result.Err(
                 client.StateError(reasons.Reason.STATE_UNAVAILABLE, False)
             )
@@ -208,8 +215,6 @@
     def call_application(
         self, call: request_model.ApplicationCall
     ) -> result.Result[request_model.ApplicationAnswer, request_model.Failed]:
-        import json
-
         clock.sleep(0)
         self.application_calls.append(call)
         sample_id = json.loads(call.body)["sample_id"]
--- /dev/null
+++ b/tests/test_samples_attempts.py
@@ -0,0 +1,178 @@
+"""One attempt against engines and scorers that fail."""
+
+import json
+import unittest
+
+import eventlet
+from nose2 import tools
+
+from bilberrydrum import clock, reasons
+from bilberrydrum.requests import model as request_model
+from bilberrydrum.samples import attempts, model, scheduling
+from tests import samples_support as support
+
+R = reasons.Reason
+KEY = scheduling.Key(support.TRAINER, "g0", 0, 1)
+OK = [support.tokens(1, 2), support.finished()]
+
+
+def failed(reason: reasons.Reason = R.ANSWER_TRUNCATED) -> request_model.Failed:
+    return request_model.Failed(reason, True, "engine-1")
+
+
+class Attempts(unittest.TestCase):
+    def setUp(self) -> None:
+        self.bundles = support.FakeBundles(support.bundle())
+        self.registry = support.FakeRegistry(
+            {name: support.engine(name) for name in ("engine-1", "engine-2")}
+        )
+
+    def attempt(
+        self,
+        scripts: list[support.Script],
+        score_bodies: list[bytes | None] | None = None,
+    ) -> attempts.Attempt:
+        self.dispatcher = support.FakeDispatcher(scripts, score_bodies or [])
+        self.generated: list[bool] = []
+        task = attempts.Task(
+            scheduling.Start(KEY, 1),
+            model.GroupRequest("g0", "plan", 1, 4),
+            self.bundles.bundle.trainers[support.TRAINER],
+            False,
+        )
+        return attempts.Attempt(
+            task,
+            self.bundles,
+            self.registry,
+            self.dispatcher,
+            lambda upstream_id: None,
+            lambda: self.generated.append(True),
+        )
+
+    def test_whole_attempt(self) -> None:
+        made = self.attempt([OK]).run().unwrap()
+        self.assertEqual(made.segments, (model.Segment(0, 0, 1),))
+        self.assertEqual((made.score, made.payload.token_ids), (0.5, (1, 2)))
+        body = json.loads(self.dispatcher.application_calls[0].body)
+        self.assertEqual(
+            body,
+            {
+                "sample_id": "outage/g0/0",
+                "group_id": "g0",
+                "prompt": "plan",
+                "text": " 1 2",
+                "token_ids": [1, 2],
+            },
+        )
+
+    @tools.params(
+        ("fails before a token", [failed()], R.ANSWER_TRUNCATED),
+        ("ends without a word", [support.tokens(1)], R.ANSWER_TRUNCATED),
+        ("no version", [support.tokens(1, version=None)], R.SAMPLE_UNTRACEABLE),
+        ("no tokens", [support.finished()], R.SAMPLE_UNTRACEABLE),
+    )
+    def test_attempt_that_comes_to_nothing(
+        self, name: str, script: support.Script, reason: reasons.Reason
+    ) -> None:
+        self.registry.upstreams.clear()
+        attempt = self.attempt([script])
+        self.assertEqual(attempt.run().err(), reason, name)
+        self.assertEqual(self.dispatcher.application_calls, [], name)
+        self.assertEqual(self.dispatcher.n_closed, 1, name)
+
+    def test_engine_crash_is_resumed_from_the_tokens_so_far(self) -> None:
+        """An engine crashes in mid-stream; the sample goes on at another engine.
+
+        The tokens made so far keep the version that made them.
+        """
+        rest = [support.tokens(3, version=1), support.finished()]
+        made = self.attempt([[support.tokens(1, 2), failed()], rest]).run().unwrap()
+        self.assertEqual(
+            made.segments, (model.Segment(0, 0, 1), model.Segment(1, 2, 2))
+        )
+        self.assertEqual(made.payload.token_ids, (1, 2, 3))
+        resumed = self.dispatcher.calls[1]
+        self.assertEqual(resumed.resume_token_ids, (1, 2))
+        self.assertEqual(resumed.excluded_upstream_ids, {"engine-1"})
+        ids = [call.request_id for call in self.dispatcher.calls]
+        self.assertEqual(len(set(ids)), 2)
+
+    def test_engine_that_cannot_resume_is_not_asked_to(self) -> None:
+        self.registry.upstreams.pop("engine-2")
+        attempt = self.attempt([[support.tokens(1), failed()], OK])
+        self.assertEqual(attempt.run().err(), R.ANSWER_TRUNCATED)
+        self.assertEqual(len(self.dispatcher.calls), 1)
+
+    def test_attempt_past_the_bound_is_stopped_early(self) -> None:
+        """Versions are published while an engine generates with an old one.
+
+        The stream is closed at its next event; nobody waits for its end.
+        """
+        script = [support.tokens(1), support.tokens(2), *OK]
+        attempt = self.attempt([script])
+        attempt.on_progress = lambda _: self.bundles.versions_by_trainer.update(
+            {support.TRAINER: 3}
+        )
+        self.assertEqual(attempt.run().err(), R.SAMPLE_STALE)
+        self.assertEqual(len(attempt.trail.token_ids), 1)
+        self.assertEqual(self.dispatcher.n_closed, 1)
+
+    def test_bound_tightened_while_generating(self) -> None:
+        attempt = self.attempt([[support.tokens(1), support.tokens(2), *OK]])
+        self.bundles.versions_by_trainer[support.TRAINER] = 1
+        attempt.on_progress = lambda _: setattr(
+            self.bundles, "bundle", support.bundle(bound=0, version=2)
+        )
+        self.assertEqual(attempt.run().err(), R.SAMPLE_STALE)
+
+    def test_engines_too_old_are_not_asked_for(self) -> None:
+        self.bundles.versions_by_trainer[support.TRAINER] = 5
+        self.attempt([[support.tokens(1, version=5), support.finished()]]).run()
+        self.assertEqual(self.dispatcher.calls[0].min_weight_version, 3)
+
+    def test_scorer_that_fails_is_asked_again_with_the_same_sample(self) -> None:
+        """A scorer's answer is broken or another sample's; the tokens are kept."""
+        bodies: list[bytes | None] = [b"{", b'{"sample_id": "x", "score": 1}', None]
+        made = self.attempt([OK], bodies).run().unwrap()
+        self.assertEqual(made.score, 0.5)
+        self.assertEqual(len(self.dispatcher.calls), 1)
+        bodies_sent = {call.body for call in self.dispatcher.application_calls}
+        self.assertEqual(
+            (len(self.dispatcher.application_calls), len(bodies_sent)), (3, 1)
+        )
+
+    def test_scorer_that_never_answers_is_left_when_the_sample_is_too_old(self) -> None:
+        attempt = self.attempt([OK], [b"{"] * 1000)
+
+        def age() -> None:
+            clock.sleep(0.3)
+            self.bundles.versions_by_trainer[support.TRAINER] = 9
+
+        eventlet.spawn(age)
+        self.assertEqual(attempt.run().err(), R.SAMPLE_STALE)
+
+    def test_killed_attempt_closes_its_stream(self) -> None:
+        attempt = self.attempt([[support.tokens(1), 3600.0, *OK]])
+        thread = eventlet.spawn(attempt.run)
+        clock.sleep(0.01)
+        thread.kill()
+        self.assertEqual(self.dispatcher.n_closed, 1)
+        self.assertEqual(self.generated, [])
+
+
+class Scores(unittest.TestCase):
+    @tools.params(
+        (200, b'{"sample_id": "a", "score": 1}', 1.0),
+        (200, b'{"sample_id": "a", "score": -0.5}', -0.5),
+        (200, b'{"sample_id": "b", "score": 1}', None),
+        (200, b'{"sample_id": "a", "score": true}', None),
+        (200, b'{"sample_id": "a", "score": "1"}', None),
+        (200, b'{"sample_id": "a", "score": NaN}', None),
+        (200, b'{"sample_id": "a"}', None),
+        (200, b"[]", None),
+        (200, b"", None),
+        (500, b'{"sample_id": "a", "score": 1}', None),
+    )
+    def test_read_score(self, status: int, body: bytes, score: float | None) -> None:
+        answer = request_model.ApplicationAnswer(status, (), body, "scorer-1")
+        self.assertEqual(attempts.read_score(answer, "a"), score)
--- /dev/null
+++ b/tests/test_samples_scheduling.py
@@ -0,0 +1,127 @@
+"""Which attempts are started and stopped: the schedule alone."""
+
+import unittest
+
+from bilberrydrum.samples import capacity, commands, scheduling
+from tests import samples_support as support
+
+POOL = scheduling.Pool(4, {"a": 1.0, "b": 1.0})
+
+
+def work(
+    group_id: str,
+    slots: int = 2,
+    trainer: str = "a",
+    epoch: int = 1,
+    sequence: int = 1,
+    assigned: tuple[int, ...] = (),
+) -> commands.Work:
+    n_attempts = dict.fromkeys(range(slots), 0)
+    return commands.Work(trainer, group_id, sequence, epoch, n_attempts, assigned)
+
+
+def names(starts: list[scheduling.Start]) -> list[str]:
+    return [
+        f"{each.key.trainer}/{each.key.group_id}/{each.key.slot}.{each.attempt}"
+        for each in starts
+    ]
+
+
+class Schedule(unittest.TestCase):
+    def setUp(self) -> None:
+        self.schedule = scheduling.Schedule()
+
+    def starts(self, now: float = 0.0, pool: scheduling.Pool = POOL) -> list[str]:
+        return names(self.schedule.starts(now, [pool]))
+
+    def test_oldest_group_first_and_groups_stay_together(self) -> None:
+        self.schedule.update(1, (work("new", sequence=2), work("old", sequence=1)))
+        self.assertEqual(
+            self.starts(), ["a/old/0.1", "a/old/1.1", "a/new/0.1", "a/new/1.1"]
+        )
+
+    def test_slot_that_a_batch_waits_for_goes_first(self) -> None:
+        self.schedule.update(
+            1, (work("old", 4), work("late", 1, sequence=2, assigned=(0,)))
+        )
+        self.assertEqual(self.starts()[0], "a/late/0.1")
+
+    def test_capacity_is_shared_by_weight(self) -> None:
+        self.schedule.update(1, (work("g", 9), work("h", 9, trainer="b")))
+        pool = scheduling.Pool(8, {"a": 3.0, "b": 1.0})
+        trainers = [each[0] for each in self.starts(pool=pool)]
+        self.assertEqual((trainers.count("a"), trainers.count("b")), (6, 2))
+
+    def test_capacity_that_one_trainer_leaves_goes_to_the_other(self) -> None:
+        self.schedule.update(1, (work("g", 9),))
+        self.assertEqual(len(self.starts()), 4)
+        self.schedule.update(2, (work("g", 9), work("h", 9, trainer="b")))
+        self.assertEqual(self.starts(), [])
+        key = scheduling.Key("a", "g", 0, 1)
+        self.schedule.generated(key, 1)
+        # The newcomer is the one with the least for its share.
+        self.assertEqual(self.starts(), ["b/h/0.1"])
+
+    def test_failed_attempt_is_made_again_after_a_pause_that_grows(self) -> None:
+        self.schedule.update(1, (work("g", 1),))
+        key = scheduling.Key("a", "g", 0, 1)
+        now = 0.0
+        pauses = []
+        for attempt in range(1, 9):
+            self.assertEqual(self.starts(now), [f"a/g/0.{attempt}"])
+            self.schedule.failed(now, key, attempt)
+            self.assertEqual(self.starts(now), [])
+            not_before = self.schedule.wanted_by_key[key].not_before
+            pauses.append(round(not_before - now, 3))
+            now = not_before
+        self.assertEqual(pauses[:3], [0.05, 0.1, 0.2])
+        self.assertEqual(pauses[-1], 2.0)
+
+    def test_attempts_of_a_lost_group_are_stopped(self) -> None:
+        """Another gateway took a group over; its slots leave the list or change epoch.
+
+        Attempts under the older epoch would be refused when they end.
+        """
+        for name, later in (("gone", ()), ("epoch", (work("g", 1, epoch=2),))):
+            with self.subTest(name):
+                self.schedule = scheduling.Schedule()
+                self.schedule.update(1, (work("g", 1),))
+                self.starts()
+                cancels = self.schedule.update(2, later)
+                key = scheduling.Key("a", "g", 0, 1)
+                self.assertEqual(cancels, [scheduling.Cancel(key, 1)])
+
+    def test_recorded_slot_is_not_started_from_an_older_list(self) -> None:
+        """A list of wanted slots was read before a record and arrives after it.
+
+        The slot has its sample; another attempt would be work for nothing.
+        """
+        self.schedule.update(1, (work("g", 1),))
+        self.starts()
+        self.schedule.recorded(5, scheduling.Key("a", "g", 0, 1), 1)
+        self.schedule.update(4, (work("g", 1),))
+        self.assertEqual(self.starts(), [])
+        # A list of a later state knows better: the sample was given up since.
+        self.schedule.update(6, (work("g", 1),))
+        self.assertEqual(self.starts(), ["a/g/0.1"])
+
+    def test_late_news_of_a_stopped_attempt_changes_nothing(self) -> None:
+        self.schedule.update(1, (work("g", 1),))
+        self.starts()
+        key = scheduling.Key("a", "g", 0, 1)
+        self.schedule.drop_all()
+        self.schedule.failed(0.0, key, 1)
+        self.schedule.progress(0.0, key, 1, "engine-1")
+        self.schedule.generated(key, 1)
+        self.assertEqual(self.starts(), [])
+        self.assertFalse(self.schedule.is_running(key, 1))
+
+
+class Pools(unittest.TestCase):
+    def test_engines_are_divided_among_gateways(self) -> None:
+        upstreams = {f"e{i}": support.engine(f"e{i}") for i in range(5)}
+        for n_gateways, places in ((1, 25), (3, 9), (0, 25)):
+            with self.subTest(n_gateways=n_gateways):
+                pools = capacity.pools(support.bundle(), upstreams, n_gateways)
+                expected = [scheduling.Pool(places, {support.TRAINER: 1.0})]
+                self.assertEqual(pools, expected)
