--- a/bilberrydrum/weights/planner.py
+++ b/bilberrydrum/weights/planner.py
@@ -241,7 +241,7 @@
             if not (upstream.checks_fencing or event.may_order_unfenced):
                 continue
             view = views_by_id[engine_id]
-            wanted = list(_lacking(event, engine_id, view))
+            wanted = _wanted(event, engine_id, view)
             engine = self._engines_by_id[engine_id]
             _forget_unwanted(engine, wanted)
             for action in wanted:
@@ -339,16 +339,21 @@
         engine.retries_by_action[action] = Retry(n_failures, at, detail, order_id)
 
 
-def _lacking(
+def _wanted(
     event: Observed, engine_id: str, view: views.EngineView
-) -> Iterable[orders.Action]:
+) -> list[orders.Action]:
+    """Return what an engine has to do, the most urgent first."""
+    needs = []
     role = event.roles_by_id.get(engine_id)
     if role is not None and role != view.role:
-        yield orders.Action(orders.SET_ROLE, role=role)
+        action = orders.Action(orders.SET_ROLE, role=role)
+        needs.append(views.Need(views.Urgency.ROLE, action))
     for name, model in view.models_by_name.items():
         target = event.targets_by_model.get(name)
         if target is not None:
-            yield from views.lacking(name, model, target)
+            needs.extend(views.needs(name, model, target))
+    needs.sort(key=lambda need: need.urgency)
+    return [need.action for need in needs]
 
 
 def _forget_unwanted(engine: Engine, wanted: list[orders.Action]) -> None:
--- a/bilberrydrum/weights/views.py
+++ b/bilberrydrum/weights/views.py
@@ -4,6 +4,7 @@
 answer to an order counts as well; after that, only the report does.
 """
 
+import enum
 import functools
 from collections.abc import Iterator, Sequence
 from typing import Final
@@ -119,29 +120,52 @@
     return action.adapter in served.adapters
 
 
-def lacking(name: str, model: ModelView, target: Target) -> Iterator[orders.Action]:
-    """Yield what an engine has to do for `target`, the most useful first."""
+class Urgency(enum.IntEnum):
+    """What goes first on one engine, when several things are to be done."""
+
+    ROLE = 0
+    # Ends the staleness at once.
+    SWAP = 1
+    # Makes room for a load.
+    UNLOAD = 2
+    ADAPTER = 3
+    LOAD = 4
+    # While a load waits for its turn, a version that lies between is fresher than the
+    # one in use.
+    SWAP_BETWEEN = 5
+    PREPARE = 6
+
+
+@attrs.frozen
+class Need:
+    """One thing that an engine lacks."""
+
+    urgency: Urgency
+    action: orders.Action
+
+
+def needs(name: str, model: ModelView, target: Target) -> Iterator[Need]:
+    """Yield what an engine has to do for `target`."""
     of = functools.partial(orders.Action, model=name)
     current, wanted = model.weight_version, target.weight_version
     if wanted and current != wanted:
         if wanted in model.loaded_versions:
-            yield of(orders.SWAP, weight_version=wanted)
+            yield Need(Urgency.SWAP, of(orders.SWAP, weight_version=wanted))
         else:
-            yield of(orders.LOAD, weight_version=wanted)
-            # While the load waits for its turn, a version that lies between is
-            # fresher than the one in use.
+            yield Need(Urgency.LOAD, of(orders.LOAD, weight_version=wanted))
             if between := _newest_between(model, target):
-                yield of(orders.SWAP, weight_version=between)
+                action = of(orders.SWAP, weight_version=between)
+                yield Need(Urgency.SWAP_BETWEEN, action)
     for version in sorted(model.loaded_versions):
         if not _is_of_use(version, model, target):
-            yield of(orders.UNLOAD, weight_version=version)
+            yield Need(Urgency.UNLOAD, of(orders.UNLOAD, weight_version=version))
     for adapter in target.adapters:
         if adapter not in model.adapters:
-            yield of(orders.LOAD_ADAPTER, adapter=adapter)
+            yield Need(Urgency.ADAPTER, of(orders.LOAD_ADAPTER, adapter=adapter))
     prepared = target.prepared_version
     is_settled = current == wanted or not wanted
     if prepared and is_settled and prepared not in model.loaded_versions:
-        yield of(orders.LOAD, weight_version=prepared)
+        yield Need(Urgency.PREPARE, of(orders.LOAD, weight_version=prepared))
 
 
 def _newest_between(model: ModelView, target: Target) -> int:
