Show the roll-out's state, prepare versions ahead, order roles

GET /v1/weights tells per engine what it reports, what it is being told and which orders failed. A trainer may prepare a version: engines load it before it is published, so that the publication is followed by swaps alone. Operators may ask for an engine's role.

--- a/bilberrydrum/http/weights.py
+++ b/bilberrydrum/http/weights.py
@@ -1,14 +1,16 @@
-"""HTTP interface for published weights."""
+"""HTTP interface for published weights and their roll-out."""
 
 from typing import Any, Final
 
-from bilberrydrum import interfaces, options, problems, reasons
+from bilberrydrum import codec, interfaces, options, problems, reasons
+from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.http import edge
 from bilberrydrum.state import client
-from bilberrydrum.weights import commands
+from bilberrydrum.weights import commands, queries, rollout, status
 
 # Versions are integers that every JSON reader represents exactly.
 MAX_WEIGHT_VERSION: Final = 2**53 - 1
+MAX_ROLE_CHARACTERS: Final = 64
 _RETRY_AFTER_SECONDS: Final = 1.0
 
 
@@ -17,38 +19,105 @@
     options: options.Options,
     state: client.StateClient,
     bundles: interfaces.BundleView,
+    registry: interfaces.Registry | None = None,
+    task: rollout.WeightRollout | None = None,
 ) -> None:
-    """Serve the publication of weight versions."""
-    routes = _Routes(state, bundles)
-    edge_app.add("POST", "/v1/trainers/{trainer}/weights", routes.publish)
+    """Serve the publication of weight versions and the roll-out's status.
+
+    The status needs the registry; orders and their failures are known only to the
+    process whose roll-out task holds the right to order.
+    """
+    routes = _Routes(state, bundles, registry, task)
+    prefix = "/v1/trainers/{trainer}/weights"
+    edge_app.add("POST", prefix, routes.publish)
+    edge_app.add("POST", prefix + "/prepare", routes.prepare)
+    if registry is not None:
+        edge_app.add("GET", "/v1/weights", routes.show, edge.GUARD_OPERATOR)
+    edge_app.add(
+        "POST", "/v1/upstreams/{upstream_id}/role", routes.set_role, edge.GUARD_OPERATOR
+    )
 
 
 class _Routes:
     def __init__(
-        self, state: client.StateClient, bundles: interfaces.BundleView
+        self,
+        state: client.StateClient,
+        bundles: interfaces.BundleView,
+        registry: interfaces.Registry | None,
+        task: rollout.WeightRollout | None,
     ) -> None:
         self._state = state
         self._bundles = bundles
+        self._registry = registry
+        self._task = task
 
     def publish(self, request: edge.Request) -> edge.Response:
         """Take a trainer's new version; sent again, the answer is the newest."""
+        return self._take(request, commands.PublishWeights)
+
+    def prepare(self, request: edge.Request) -> edge.Response:
+        """Have a version loaded that the trainer will publish later."""
+        return self._take(request, commands.PrepareWeights)
+
+    def set_role(self, request: edge.Request) -> edge.Response:
+        """Ask for an engine's role; an empty one ends what was asked before."""
+        role = request.json().get("role")
+        if not isinstance(role, str) or len(role) > MAX_ROLE_CHARACTERS:
+            raise edge.refuse(
+                400,
+                reasons.Reason.INVALID_REQUEST,
+                f"role: a text of at most {MAX_ROLE_CHARACTERS} characters",
+            )
+        command = commands.SetRole(request.variables["upstream_id"], role)
+        answer = self._submit(command)
+        return edge.Response.of_json(
+            {"upstream_id": answer.upstream_id, "role": answer.role}
+        )
+
+    def show(self, request: edge.Request) -> edge.Response:
+        """Tell how far each engine is with each model."""
+        assert self._registry is not None
+        publications = self._state.query(queries.ListPublications())
+        if publications.is_err():
+            raise _refuse_unavailable(publications.unwrap_err())
+        targets = status.targets_by_model(self._bundle(), publications.unwrap())
+        engines = status.engines_of(self._registry.upstreams_by_id())
+        task = self._task
+        actions = {} if task is None else task.actions_by_engine_id()
+        failed = {} if task is None else task.failed_by_engine_id()
+        models = [
+            status.status_of(name, target, engines, actions, failed)
+            for name, target in sorted(targets.items())
+        ]
+        return edge.Response.of_json({"models": codec.to_plain(models)})
+
+    def _take(
+        self,
+        request: edge.Request,
+        command_class: type[commands.PublishWeights] | type[commands.PrepareWeights],
+    ) -> edge.Response:
         trainer = request.variables["trainer"]
         weight_version = _weight_version(request)
-        command = commands.PublishWeights(
-            trainer, self._model_of(trainer), weight_version
-        )
+        command = command_class(trainer, self._model_of(trainer), weight_version)
+        answer = self._submit(command)
+        return edge.Response.of_json({"weight_version": answer.weight_version})
+
+    def _submit(self, command: object) -> Any:
         answer = self._state.submit(command)
         if answer.is_err():
             raise _refuse_unavailable(answer.unwrap_err())
-        return edge.Response.of_json({"weight_version": answer.unwrap().weight_version})
+        return answer.unwrap()
 
-    def _model_of(self, trainer: str) -> str:
+    def _bundle(self) -> bundle_model.Bundle:
         bundle = self._bundles.current()
         if bundle.is_err():
             raise edge.refuse(
                 503, bundle.unwrap_err(), retry_after_seconds=_RETRY_AFTER_SECONDS
             )
-        rule = bundle.unwrap().trainers.get(trainer)
+        return bundle.unwrap()
+
+    def _model_of(self, trainer: str) -> str:
+        rule = self._bundle().trainers.get(trainer)
         if rule is None:
             raise edge.refuse(404, reasons.Reason.TRAINER_UNKNOWN, trainer)
         return rule.model
--- a/bilberrydrum/weights/commands.py
+++ b/bilberrydrum/weights/commands.py
@@ -1,8 +1,9 @@
-"""Published weight versions in the replicated state.
+"""Published weight versions and engines' roles in the replicated state.
 
 A trainer publishes a version once its weights are in the weight store. The newest
 version per trainer only rises: a publication that is sent again, or arrives late, is
-answered with the newest version and changes nothing.
+answered with the newest version and changes nothing. A trainer may prepare a version
+before it publishes it: engines load it, but do not generate with it.
 """
 
 from typing import Final
@@ -33,6 +34,10 @@
     """The state's section of published versions."""
 
     publications_by_trainer: dict[str, Publication] = attrs.field(factory=dict)
+    # Versions to be loaded ahead, each newer than its trainer's publication.
+    preparations_by_trainer: dict[str, Publication] = attrs.field(factory=dict)
+    # Roles that operators have asked for.
+    roles_by_upstream_id: dict[str, str] = attrs.field(factory=dict)
 
 
 @codec.register("weights.publish")
@@ -45,6 +50,34 @@
     weight_version: int
 
 
+@codec.register("weights.prepare")
+@attrs.frozen
+class PrepareWeights:
+    """Have `weight_version` loaded ahead; answered with the newest `Publication`."""
+
+    trainer: str
+    model: str
+    weight_version: int
+
+
+@codec.register("weights.role")
+@attrs.frozen
+class Role:
+    """The role that an engine is to have; empty: the one it reports."""
+
+    upstream_id: str
+    role: str
+
+
+@codec.register("weights.set-role")
+@attrs.frozen
+class SetRole:
+    """Ask for an engine's role; answered with `Role`."""
+
+    upstream_id: str
+    role: str
+
+
 @machine.apply.register
 def _(
     command: PublishWeights, state: machine.State, context: machine.Context
@@ -60,9 +93,38 @@
         command.trainer, command.model, command.weight_version, context.time
     )
     section.publications_by_trainer[command.trainer] = publication
+    prepared = section.preparations_by_trainer.get(command.trainer)
+    if prepared is not None and prepared.weight_version <= command.weight_version:
+        del section.preparations_by_trainer[command.trainer]
     return publication
 
 
+@machine.apply.register
+def _(
+    command: PrepareWeights, state: machine.State, context: machine.Context
+) -> Publication:
+    section = section_of(state)
+    preparation = Publication(
+        command.trainer, command.model, command.weight_version, context.time
+    )
+    published = section.publications_by_trainer.get(command.trainer)
+    known = section.preparations_by_trainer.get(command.trainer, published)
+    if known is None or command.weight_version > known.weight_version:
+        section.preparations_by_trainer[command.trainer] = preparation
+        return preparation
+    return known
+
+
+@machine.apply.register
+def _(command: SetRole, state: machine.State, context: machine.Context) -> Role:
+    roles = section_of(state).roles_by_upstream_id
+    if command.role:
+        roles[command.upstream_id] = command.role
+    else:
+        roles.pop(command.upstream_id, None)
+    return Role(command.upstream_id, command.role)
+
+
 def section_of(state: machine.State) -> Section:
     """Return the section of published versions."""
     section = state.section(SECTION, Section)
--- a/bilberrydrum/weights/planner.py
+++ b/bilberrydrum/weights/planner.py
@@ -83,6 +83,15 @@
     order_id: str = ""
 
 
+@attrs.frozen
+class FailedAction:
+    """An action that did not succeed, for the operators."""
+
+    action: orders.Action
+    n_failures: int
+    detail: str
+
+
 @attrs.define
 class Engine:
     """What the planner remembers of one engine."""
@@ -111,10 +120,13 @@
         """Take `event` at `now`, in seconds, and return the orders to send."""
         return self._take(event, now)
 
-    def retries_by_engine_id(self) -> dict[str, list[Retry]]:
+    def failed_by_engine_id(self) -> dict[str, list[FailedAction]]:
         """Return what did not succeed and will be tried again."""
         return {
-            engine_id: list(engine.retries_by_action.values())
+            engine_id: [
+                FailedAction(action, retry.n_failures, retry.detail)
+                for action, retry in engine.retries_by_action.items()
+            ]
             for engine_id, engine in self._engines_by_id.items()
             if engine.retries_by_action
         }
--- a/bilberrydrum/weights/queries.py
+++ b/bilberrydrum/weights/queries.py
@@ -1,4 +1,6 @@
-"""Questions to the replicated state about published weight versions."""
+"""Questions to the replicated state about weight versions and roles."""
+
+from collections.abc import Iterable
 
 import attrs
 
@@ -10,25 +12,39 @@
 @codec.register("weights.list-publications")
 @attrs.frozen
 class ListPublications:
-    """Ask for the newest publication of each trainer; answered with `Publications`."""
+    """Ask for versions and roles; answered with `Publications`."""
 
 
 @codec.register("weights.publications")
 @attrs.frozen
 class Publications:
-    """The newest publication of each trainer, by the trainer's name."""
+    """The newest publication and preparation of each trainer, by its name."""
 
     by_trainer: dict[str, commands.Publication] = attrs.field(factory=dict)
+    prepared_by_trainer: dict[str, commands.Publication] = attrs.field(factory=dict)
+    roles_by_upstream_id: dict[str, str] = attrs.field(factory=dict)
 
     def newest_model_versions(self) -> dict[str, int]:
         """Return the newest published version of each model."""
-        versions: dict[str, int] = {}
-        for each in self.by_trainer.values():
-            known = versions.get(each.model, 0)
-            versions[each.model] = max(known, each.weight_version)
-        return versions
+        return _newest_by_model(self.by_trainer.values())
+
+    def prepared_model_versions(self) -> dict[str, int]:
+        """Return the newest prepared version of each model."""
+        return _newest_by_model(self.prepared_by_trainer.values())
 
 
 @machine.answer.register
 def _(query: ListPublications, state: machine.State, now: float) -> Publications:
-    return Publications(dict(commands.section_of(state).publications_by_trainer))
+    section = commands.section_of(state)
+    return Publications(
+        dict(section.publications_by_trainer),
+        dict(section.preparations_by_trainer),
+        dict(section.roles_by_upstream_id),
+    )
+
+
+def _newest_by_model(publications: Iterable[commands.Publication]) -> dict[str, int]:
+    versions: dict[str, int] = {}
+    for each in publications:
+        versions[each.model] = max(versions.get(each.model, 0), each.weight_version)
+    return versions
--- a/bilberrydrum/weights/rollout.py
+++ b/bilberrydrum/weights/rollout.py
@@ -16,10 +16,8 @@
 import eventlet.queue
 
 from bilberrydrum import clock, counters, interfaces, options, reasons
-from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.state import client
-from bilberrydrum.upstreams import model as upstream_model
-from bilberrydrum.weights import orders, planner, queries, sender, views
+from bilberrydrum.weights import orders, planner, queries, sender, status, views
 
 # Longest time between two turns.
 TURN_SECONDS: Final = 0.25
@@ -64,9 +62,9 @@
             self._task.kill()
             self._task = None
 
-    def retries_by_engine_id(self) -> dict[str, list[planner.Retry]]:
+    def failed_by_engine_id(self) -> dict[str, list[planner.FailedAction]]:
         """Return the failed orders that this process will give again."""
-        return self._planner.retries_by_engine_id()
+        return self._planner.failed_by_engine_id()
 
     def actions_by_engine_id(self) -> dict[str, orders.Action]:
         """Return the orders of this process that are on their way."""
@@ -111,18 +109,15 @@
         if bundle.is_err() or publications.is_err():
             # Without knowing what is wanted there is nothing to order.
             return planner.Stopped()
-        targets = targets_by_model(bundle.unwrap(), publications.unwrap())
+        targets = status.targets_by_model(bundle.unwrap(), publications.unwrap())
         self._log_changes(targets)
-        engines_by_id = {
-            upstream_id: upstream
-            for upstream_id, upstream in self._registry.upstreams_by_id().items()
-            if upstream.kind == upstream_model.KIND_ENGINE
-        }
+        engines_by_id = status.engines_of(self._registry.upstreams_by_id())
         return planner.Observed(
             number,
             self._controller.may_order_unfenced(),
             engines_by_id,
             targets,
+            publications.unwrap().roles_by_upstream_id,
         )
 
     def _log_changes(self, targets: Mapping[str, views.Target]) -> None:
@@ -162,24 +157,6 @@
         return number
 
 
-def targets_by_model(
-    bundle: bundle_model.Bundle, publications: queries.Publications
-) -> dict[str, views.Target]:
-    """Return what the engines of each model in `bundle` are to have."""
-    newest = publications.newest_model_versions()
-    targets = {}
-    for name, rule in bundle.models.items():
-        published = newest.get(name, 0)
-        targets[name] = views.Target(
-            weight_version=published or rule.weight_version,
-            source=rule.weight_store,
-            max_concurrent_loads=rule.max_concurrent_loads,
-            adapters=rule.adapters,
-            only_rises=bool(published),
-        )
-    return targets
-
-
 def _count(outcome: orders.Outcome) -> None:
     match outcome:
         case orders.Failed() | orders.Lost():
--- a/tests/test_weights_commands.py
+++ b/tests/test_weights_commands.py
@@ -55,6 +55,37 @@
         answer = machine.answer(queries.ListPublications(), state, 0.0)
         self.assertEqual(answer.newest_model_versions(), {"drafter": 5, "planner": 9})
 
+    @params(
+        ("ahead", 4, 5, 5, {"planner": 5}),
+        ("published_already", 4, 4, 4, {}),
+        ("older", 4, 3, 4, {}),
+        ("before_any", None, 1, 1, {"planner": 1}),
+    )
+    def test_prepare(self, _name, published, prepared, answered, wanted):
+        state = machine.State()
+        if published is not None:
+            publish(state, "outage", "planner", published)
+        context = machine.Context(index=2, time=51.0)
+        for _ in range(2):
+            command = commands.PrepareWeights("outage", "planner", prepared)
+            answer = machine.apply(command, state, context)
+            self.assertEqual(answer.weight_version, answered)
+        answer = machine.answer(queries.ListPublications(), state, 0.0)
+        self.assertEqual(answer.prepared_model_versions(), wanted)
+        self.assertEqual(commands.newest_version(state, "outage"), published or 0)
+        publish(state, "outage", "planner", answered)
+        answer = machine.answer(queries.ListPublications(), state, 0.0)
+        self.assertEqual(answer.prepared_model_versions(), {})
+
+    def test_roles(self):
+        state = machine.State()
+        context = machine.Context(index=1, time=0.0)
+        machine.apply(commands.SetRole("e0", "prefill"), state, context)
+        machine.apply(commands.SetRole("e1", "prefill"), state, context)
+        machine.apply(commands.SetRole("e1", ""), state, context)
+        answer = machine.answer(queries.ListPublications(), state, 0.0)
+        self.assertEqual(answer.roles_by_upstream_id, {"e0": "prefill"})
+
     def test_survives_the_codec(self):
         state = machine.State()
         publish(state, "outage", "planner", 7)
--- a/tests/test_weights_planner.py
+++ b/tests/test_weights_planner.py
@@ -197,7 +197,7 @@
             (order,) = bench.turn(planner.MAX_RETRY_SECONDS)
             order_ids.add(order.order_id)
             bench.answer(order, orders.Failed("500 no memory"), jitter=1.0)
-        (retry,) = bench.planner.retries_by_engine_id()["e000"]
+        (retry,) = bench.planner.failed_by_engine_id()["e000"]
         self.assertEqual(
             (retry.n_failures, retry.detail), (n_failures, "500 no memory")
         )
@@ -206,7 +206,7 @@
         self.assertEqual(len(order_ids | {order.order_id}), n_failures + 1)
         bench.carry_out(order)
         bench.turn()
-        self.assertEqual(bench.planner.retries_by_engine_id(), {})
+        self.assertEqual(bench.planner.failed_by_engine_id(), {})
 
     def test_a_slow_first_swap_does_not_hold_up_the_others_for_long(self):
         bench = Bench(3, loaded=(0, 1))
@@ -332,7 +332,7 @@
         self.assertEqual(kinds(given), [("load", 2)])
         bench.carry_out(second)
         bench.turn()
-        self.assertEqual(bench.planner.retries_by_engine_id(), {})
+        self.assertEqual(bench.planner.failed_by_engine_id(), {})
 
     def test_a_version_between_is_used_while_the_newest_waits_for_its_load(self):
         bench = Bench(weight_version=3, max_concurrent_loads=1)
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -193,9 +193,9 @@
         engine.faults_by_kind[orders.SWAP] = [500]
         task = self.start()
         self.publish(1)
-        self.wait_for(lambda: task.retries_by_engine_id().get("e0"))
+        self.wait_for(lambda: task.failed_by_engine_id().get("e0"))
         self.wait_for(lambda: engine.version == 1)
-        self.wait_for(lambda: not task.retries_by_engine_id())
+        self.wait_for(lambda: not task.failed_by_engine_id())
 
     def test_an_order_whose_answer_is_lost_is_sent_under_the_same_id(self):
         """The engine carries the order out, but its answer does not arrive.
