--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -49,6 +49,8 @@
     bundle_lease_seconds: float = 3.0
     # How often the bundle lease is renewed.
     bundle_renew_seconds: float = 0.5
+    # The same under a bundle whose cut policy is "hold"; at least the lease above.
+    bundle_hold_lease_seconds: float = 600.0
     # File with the operators' bearer token; empty: no token is asked for.
     operator_token_file: str = ""
     # File with the upstreams' bearer token; empty: no token is asked for.
@@ -113,6 +115,8 @@
     owner_lease_seconds: float = 3.0
     # Largest prompt of a group.
     max_prompt_bytes: int = 16 * 1024
+    # Slots of one trainer at most whose samples are not acknowledged.
+    max_open_slots: int = 16_384
     # Longest time one batch request may wait.
     max_wait_seconds: float = 30.0
     # Extra attempts allowed as a share of slots.
