Keep orders on their way through a silent state group

A turn in which the lease, the bundle or the state group does not answer no longer forgets the orders on their way: they would have been given twice, and a load costs the weight store's rate.

--- a/bilberrydrum/weights/planner.py
+++ b/bilberrydrum/weights/planner.py
@@ -57,11 +57,6 @@
     jitter: float
 
 
-@attrs.frozen
-class Stopped:
-    """The right to order has ended."""
-
-
 @attrs.frozen
 class Flight:
     """An order that has been given and not answered."""
@@ -142,11 +137,6 @@
     def _take(self, event: object, now: float) -> list[orders.Order]:
         raise TypeError(f"unknown event {type(event).__name__}")
 
-    @_take.register
-    def _(self, event: Stopped, now: float) -> list[orders.Order]:
-        self._forget_all()
-        return []
-
     @_take.register
     def _(self, event: Answered, now: float) -> list[orders.Order]:
         engine_id = self._engine_ids_by_order_id.pop(event.order_id, None)
--- a/bilberrydrum/weights/rollout.py
+++ b/bilberrydrum/weights/rollout.py
@@ -50,6 +50,9 @@
         self._pool = eventlet.greenpool.GreenPool(MAX_FLIGHTS)
         self._random = random.Random()
         self._versions_by_model: dict[str, int] = {}
+        self._publications: queries.Publications | None = None
+        # When the publications were asked for, in seconds of `clock.now`.
+        self._read_at = 0.0
         self._task: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -64,10 +67,14 @@
 
     def failed_by_engine_id(self) -> dict[str, list[planner.FailedAction]]:
         """Return the failed orders that this process will give again."""
+        if self._controller.fencing_number() is None:
+            return {}
         return self._planner.failed_by_engine_id()
 
     def actions_by_engine_id(self) -> dict[str, orders.Action]:
         """Return the orders of this process that are on their way."""
+        if self._controller.fencing_number() is None:
+            return {}
         return self._planner.actions_by_engine_id()
 
     def _run(self) -> None:
@@ -81,6 +88,8 @@
 
     def _turn(self) -> None:
         event = self._observe()
+        if event is None:
+            return
         for order in self._planner.step(clock.now(), event):
             self._pool.spawn_n(self._carry, order)
 
@@ -98,28 +107,40 @@
                 return
             answer = self._answers.get_nowait()
 
-    def _observe(self) -> planner.Observed | planner.Stopped:
+    def _observe(self) -> planner.Observed | None:
+        """Return what the planner is to look at; None: nothing may be ordered now.
+
+        Orders on their way are not forgotten then: a lease that is renewed late, or a
+        state group that is silent for a while, must not have them given twice.
+        """
         number = self._controller.fencing_number()
         if number is None:
-            return planner.Stopped()
+            return None
         bundle = self._bundles.current()
-        publications = self._state.query(
-            queries.ListPublications(), _QUERY_TIMEOUT_SECONDS
-        )
-        if bundle.is_err() or publications.is_err():
-            # Without knowing what is wanted there is nothing to order.
-            return planner.Stopped()
-        targets = status.targets_by_model(bundle.unwrap(), publications.unwrap())
+        publications = self._read_publications()
+        if bundle.is_err() or publications is None:
+            return None
+        targets = status.targets_by_model(bundle.unwrap(), publications)
         self._log_changes(targets)
-        engines_by_id = status.engines_of(self._registry.upstreams_by_id())
         return planner.Observed(
             number,
             self._controller.may_order_unfenced(),
-            engines_by_id,
+            status.engines_of(self._registry.upstreams_by_id()),
             targets,
-            publications.unwrap().roles_by_upstream_id,
+            publications.roles_by_upstream_id,
         )
 
+    def _read_publications(self) -> queries.Publications | None:
+        """Ask the state group, at most once a turn's length."""
+        now = clock.now()
+        if self._publications is None or now - self._read_at >= TURN_SECONDS:
+            answer = self._state.query(
+                queries.ListPublications(), _QUERY_TIMEOUT_SECONDS
+            )
+            self._publications = answer.unwrap() if answer.is_ok() else None
+            self._read_at = now
+        return self._publications
+
     def _log_changes(self, targets: Mapping[str, views.Target]) -> None:
         for model, target in targets.items():
             if self._versions_by_model.get(model) != target.weight_version:
