Check a back-up's digest when it is saved, inspected and restored

Cause: a damaged back-up was found out only when it was needed. Change: the tool checks the digest, syncs the file, leaves no half file behind.

--- a/bilberrydrum_cli/commands.py
+++ b/bilberrydrum_cli/commands.py
@@ -70,7 +70,7 @@
 
 @verbs.run.register
 def _(verb: verbs.RestoreSnapshot, current: session.Session) -> int:
-    data = local.read_bytes(verb.file)
+    data = local.read_snapshot(verb.file)
     if isinstance(data, result.Err):
         return current.report([data.err_value])
     target = "/v1/state/snapshot"
--- a/bilberrydrum_cli/local.py
+++ b/bilberrydrum_cli/local.py
@@ -1,10 +1,12 @@
 """Verbs that work on files of this host and ask no gateway."""
 
-import hashlib
+import os
 
+import attrs
 import result
 
 from bilberrydrum import findings, keys, settings
+from bilberrydrum.state import snapshot
 from bilberrydrum_cli import codes, messages, output, session, verbs
 
 
@@ -31,18 +33,58 @@
 
 @verbs.run.register
 def _(verb: verbs.InspectSnapshot, current: session.Session) -> int:
-    data = read_bytes(verb.file)
+    data = read_snapshot(verb.file)
     if isinstance(data, result.Err):
         return current.report([data.err_value])
-    digest = hashlib.sha256(data.ok_value).hexdigest()
-    return current.show({"n_bytes": len(data.ok_value), "file_digest": digest})
+    header = snapshot.read(data.ok_value)
+    members = [attrs.asdict(replica) for replica in header.membership.replicas]
+    return current.show(
+        {
+            "digest": snapshot.digest(data.ok_value),
+            "n_bytes": len(data.ok_value),
+            "index": header.index,
+            "term": header.term,
+            "time": header.time,
+            "sections": snapshot.section_names(data.ok_value),
+            "members": members,
+        }
+    )
 
 
-def read_bytes(path: str) -> result.Result[bytes, findings.Finding]:
-    """Return what is in the file at `path`, or why it can't be read."""
+def read_snapshot(path: str) -> result.Result[bytes, findings.Finding]:
+    """Return the snapshot in the file at `path`, or why it is of no use."""
     try:
         with open(path, "rb") as file:
-            return result.Ok(file.read())
+            data = file.read()
     except OSError as error:
         message = messages.CANNOT_READ.format(text=error.strerror)
         return result.Err(findings.Finding(path, 0, 0, message))
+    return check_snapshot(path, data)
+
+
+def check_snapshot(path: str, data: bytes) -> result.Result[bytes, findings.Finding]:
+    """Return `data` if it is a whole snapshot, else a finding in `path`."""
+    try:
+        snapshot.read(data)
+    except snapshot.SnapshotError as error:
+        return result.Err(findings.Finding(path, 1, 1, str(error)))
+    return result.Ok(data)
+
+
+def write_new(path: str, data: bytes) -> result.Result[None, findings.Finding]:
+    """Write a new file that lasts; leave nothing behind if that fails."""
+    try:
+        # An older back-up is not replaced by what may be a worse one.
+        with open(path, "xb") as file:
+            try:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            except OSError:
+                # Half a back-up looks like one until it is needed.
+                os.unlink(path)
+                raise
+    except OSError as error:
+        message = messages.CANNOT_WRITE.format(text=error.strerror)
+        return result.Err(findings.Finding(path, 0, 0, message))
+    return result.Ok(None)
--- a/bilberrydrum_cli/queries.py
+++ b/bilberrydrum_cli/queries.py
@@ -6,8 +6,8 @@
 
 import result
 
-from bilberrydrum import findings, yaml_places
-from bilberrydrum_cli import client, codes, messages, output, session, verbs
+from bilberrydrum import yaml_places
+from bilberrydrum_cli import client, codes, local, messages, output, session, verbs
 
 
 @verbs.run.register
@@ -107,13 +107,11 @@
     if isinstance(outcome, result.Err):
         return current.fail(outcome.err_value)
     data = outcome.ok_value.body
-    try:
-        # An older back-up is not replaced by what may be a worse one.
-        with open(verb.file, "xb") as file:
-            file.write(data)
-    except OSError as error:
-        message = messages.CANNOT_WRITE.format(text=error.strerror)
-        return current.report([findings.Finding(verb.file, 0, 0, message)])
+    saved = local.check_snapshot(verb.file, data).and_then(
+        lambda whole: local.write_new(verb.file, whole)
+    )
+    if isinstance(saved, result.Err):
+        return current.report([saved.err_value])
     current.say(messages.SNAPSHOT_SAVED.format(n_bytes=len(data), path=verb.file))
     return codes.OK
 
