--- a/tests/test_cli_verbs.py
+++ b/tests/test_cli_verbs.py
@@ -1,10 +1,12 @@
 """Each verb: what it asks, what it prints, and its exit code."""
 
+import errno
 import io
 import json
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 import result
 from nose2.tools import params
@@ -246,6 +248,13 @@
         _, _, _, requests = run(verb, b"{}")
         self.assertEqual(requests, [("POST", "/v1/state/snapshot", SNAPSHOT)])
 
+    def test_no_half_snapshot_is_left_when_the_disk_is_full(self):
+        full = OSError(errno.ENOSPC, "No space left on device")
+        with mock.patch("os.fsync", side_effect=full):
+            code, _, err, _ = run(verbs.SaveSnapshot(str(self.file)), SNAPSHOT)
+        self.assertEqual((code, self.file.exists()), (codes.FILE, False))
+        self.assertIn("No space left on device", err)
+
     @params(b"", SNAPSHOT[:-1], SNAPSHOT[:-1] + b"\0", SNAPSHOT + b"\0", SNAPSHOT[1:])
     def test_damaged_snapshot_is_neither_saved_nor_restored(self, data):
         code, _, err, _ = run(verbs.SaveSnapshot(str(self.file)), data)
