--- a/bilberrydrum_cli/queries.py
+++ b/bilberrydrum_cli/queries.py
@@ -63,7 +63,11 @@
 
 @verbs.run.register
 def _(verb: verbs.ListUpstreams, current: session.Session) -> int:
-    return _get(current, "/v1/upstreams")
+    outcome = current.gateways.json("GET", "/v1/upstreams")
+    if isinstance(outcome, result.Ok) and current.form == output.FORM_TABLE:
+        listed = outcome.ok_value.get("upstreams", [])
+        return current.show([_upstream_row(each) for each in listed])
+    return _answer(current, outcome)
 
 
 @verbs.run.register
@@ -137,3 +141,21 @@
     return difflib.unified_diff(
         old.splitlines(), new.splitlines(), old_name, new_name, lineterm=""
     )
+
+
+def _upstream_row(upstream: dict[str, Any]) -> dict[str, Any]:
+    """Return what fits on a line of a terminal; JSON output has everything."""
+    models = upstream.get("models") or {}
+    served = [f"{name}@{each['weight_version']}" for name, each in models.items()]
+    load = upstream.get("load") or {}
+    return {
+        "upstream": upstream.get("upstream_id", ""),
+        "zone": upstream.get("availability_zone", ""),
+        "address": upstream.get("address", ""),
+        "serves": upstream.get("application") or ",".join(served),
+        "state": upstream.get("state", ""),
+        "drained": upstream.get("is_drained", False),
+        "home": upstream.get("home", ""),
+        "running": load.get("n_running", 0),
+        "waiting": load.get("n_waiting", 0),
+    }
