Say that a change may have been made only for changes

Cause: with no majority, a query that timed out was said to have perhaps changed something; and three gateways had 3.3 s each, less than a gateway waits for the state group before it refuses with a reason.

--- a/bilberrydrum_cli/arguments.py
+++ b/bilberrydrum_cli/arguments.py
@@ -17,7 +17,8 @@
 
 GATEWAYS_VARIABLE: Final = "BILBERRYDRUM_GATEWAYS"
 DEFAULT_GATEWAY: Final = "http://127.0.0.1:8080"
-DEFAULT_TIMEOUT_SECONDS: Final = 10.0
+# Three gateways get time enough each to tell that the state group does not answer.
+DEFAULT_TIMEOUT_SECONDS: Final = 20.0
 _VERB_CLASS: Final = "verb_class"
 
 
--- a/bilberrydrum_cli/client.py
+++ b/bilberrydrum_cli/client.py
@@ -40,6 +40,7 @@
     seconds: float
     # The last attempt at each gateway, by its URL.
     attempts_by_gateway: dict[str, Attempt]
+    # Whether a change may have been made; False for a request that changes nothing.
     may_have_run: bool
 
 
@@ -129,7 +130,7 @@
                 return _judge(outcome)
             attempt, retry_after_seconds = outcome
             attempts_by_gateway[attempt.gateway] = attempt
-            may_have_run = may_have_run or attempt.may_have_run
+            may_have_run |= call.is_change and attempt.may_have_run
             event = rotation.Missed(retry_after_seconds)
 
     def _attempt(
--- a/tests/test_cli_client.py
+++ b/tests/test_cli_client.py
@@ -196,6 +196,11 @@
         self.assertEqual(failure.may_have_run, may_have_run)
         self.assertEqual(set(failure.attempts_by_gateway), {A, B})
 
+    def test_a_query_that_failed_has_changed_nothing(self):
+        made, _ = make_client(Http(RESET, RESET), timeout=0.1)
+        failure = made.json("GET", "/v1/bundles").err_value
+        self.assertFalse(failure.may_have_run)
+
     @params(
         ("conflict", Response(409, b'{"reason": "bundle-conflict"}'), "Refused"),
         ("error that is no document", Response(500, b"<html>"), "Refused"),
