--- /dev/null
+++ b/bilberrydrum/daemon.py
@@ -0,0 +1,207 @@
+"""One daemon: its parts, the order they start in, and a graceful shutdown.
+
+All parts are made and the HTTP server listens before the process registers with the
+state group, so that an operator can look at and repair a group that has no quorum. A
+gateway refuses work until it holds a bundle lease.
+"""
+
+import signal
+from types import FrameType
+from typing import Any, Final
+
+import attrs
+import eliot
+import eventlet
+import eventlet.event
+
+from bilberrydrum import clock, options, reasons, transport
+from bilberrydrum.bundles import grants, lease
+from bilberrydrum.http import (
+    bundles,
+    callers,
+    edge,
+    monitoring,
+    server,
+    state_operators,
+    trainers,
+    upstreams,
+    weights,
+)
+from bilberrydrum.requests import claims, dispatch
+from bilberrydrum.samples import service
+from bilberrydrum.state import controller, processes, remote, replica
+from bilberrydrum.upstreams import registry
+from bilberrydrum.weights import rollout
+
+_DRAIN_POLL_SECONDS: Final = 0.05
+
+
+@attrs.frozen
+class Secrets:
+    """What the daemon reads from the files that its options name."""
+
+    # Keys for the connections between processes; None: no encryption.
+    curve_keys: transport.CurveKeys | None = None
+    # Bearer tokens by `edge` guard; a guard without one lets everyone in.
+    tokens_by_guard: dict[str, bytes] = attrs.field(factory=dict)
+
+
+class Daemon:
+    """All tasks of one process."""
+
+    def __init__(self, options_: options.Options, secrets: Secrets) -> None:
+        self.options = options_
+        self.edge = edge.Edge(options_.limits, secrets.tokens_by_guard)
+        self.transport = transport.Transport(
+            options_.process_id,
+            options_.group,
+            options_.peer_address,
+            secrets.curve_keys,
+        )
+        self.replica: replica.Replica | None = None
+        self.grants: grants.LeaseGrants | None = None
+        if options.ROLE_STATE in options_.roles:
+            self.replica = replica.Replica(options_, self.transport)
+            self.grants = grants.LeaseGrants(options_, self.transport, self.replica)
+        self.state = remote.RemoteStateClient(options_, self.transport)
+        self.is_gateway = options.ROLE_GATEWAY in options_.roles
+        self.lease = lease.GatewayLease(options_, self.transport, self.state)
+        self.registry = registry.UpstreamRegistry(options_, self.transport, self.lease)
+        self.dispatcher = dispatch.RequestDispatcher(
+            options_, self.lease, self.registry
+        )
+        self.claims = claims.Claims(options_, self.state)
+        self.samples = service.SampleService(
+            options_,
+            self.transport,
+            self.state,
+            self.lease,
+            self.registry,
+            self.dispatcher,
+        )
+        self.controller = controller.Controller(options_, self.state)
+        self.rollout = rollout.WeightRollout(
+            options_, self.state, self.lease, self.registry, self.controller
+        )
+        self.http = server.HttpServer(
+            options_.gateway.http_address, self.edge, options_.limits
+        )
+        self._is_registered = False
+        self._stop_asked = eventlet.event.Event()
+        self._n_signals = 0
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        monitoring.add_routes(self.edge, self.find_unready)
+        state_operators.add_routes(self.edge, self.options, self.state, self.replica)
+        if not self.is_gateway:
+            return
+        bundles.add_routes(self.edge, self.options, self.state, self.lease)
+        callers.add_routes(
+            self.edge, self.options, self.lease, self.dispatcher, self.claims
+        )
+        trainers.add_routes(self.edge, self.samples)
+        upstreams.add_routes(self.edge, self.options, self.registry)
+        weights.add_routes(self.edge, self.options, self.state, self.lease)
+
+    def find_unready(self) -> list[str]:
+        """Return the reasons for which no work should be sent here."""
+        unready = []
+        if self.edge.is_draining:
+            unready.append(reasons.Reason.SHUTTING_DOWN.value)
+        if not self._is_registered:
+            unready.append(reasons.Reason.STATE_UNAVAILABLE.value)
+        elif self.is_gateway:
+            current = self.lease.current()
+            if current.is_err():
+                unready.append(current.unwrap_err().value)
+        return unready
+
+    def _gateway_tasks(self) -> list[Any]:
+        if not self.is_gateway:
+            return []
+        return [
+            self.lease,
+            self.registry,
+            self.dispatcher,
+            self.claims,
+            self.samples,
+            self.controller,
+            self.rollout,
+        ]
+
+    def start(self) -> None:
+        """Start all tasks; returns once the state group knows this process."""
+        self.transport.start()
+        if self.replica is not None and self.grants is not None:
+            self.replica.start()
+            self.grants.start()
+        self.state.start()
+        self.http.start()
+        self.transport.incarnation = processes.register(self.options, self.state)
+        self._is_registered = True
+        for task in self._gateway_tasks():
+            task.start()
+        eliot.log_message(
+            message_type="daemon:started",
+            process_id=self.options.process_id,
+            incarnation=self.transport.incarnation,
+        )
+
+    def run(self) -> None:
+        """Start, and return once a signal has stopped the process gracefully."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        starter = eventlet.spawn(self.start)
+        starter.link(self._on_started)
+        self._stop_asked.wait()
+        starter.kill()
+        self._drain()
+        self.stop()
+
+    def _on_started(self, starter: Any) -> None:
+        try:
+            starter.wait()
+        except Exception:
+            # A process whose start has failed must end: half its tasks would run.
+            eliot.write_traceback()
+            self._ask_to_stop()
+
+    def _on_signal(self, number: int, frame: FrameType | None) -> None:
+        # A handler runs between two steps of any task, so it only schedules.
+        eventlet.hubs.get_hub().schedule_call_global(0, self._ask_to_stop)
+
+    def _ask_to_stop(self) -> None:
+        self._n_signals += 1
+        if not self._stop_asked.ready():
+            self._stop_asked.send(None)
+
+    def _drain(self) -> None:
+        """Let the balancer notice, then wait for requests in flight.
+
+        A second signal ends the waiting.
+        """
+        limits = self.options.shutdown
+        eliot.log_message(message_type="daemon:draining")
+        self.edge.is_draining = True
+        began = clock.now()
+        while clock.now() < began + limits.balancer_seconds and self._n_signals < 2:
+            clock.sleep(_DRAIN_POLL_SECONDS)
+        self.http.stop_accepting()
+        while clock.now() < began + limits.limit_seconds and self._n_signals < 2:
+            if self.edge.n_in_flight == 0:
+                break
+            clock.sleep(_DRAIN_POLL_SECONDS)
+
+    def stop(self) -> None:
+        """End all tasks; leases they hold are given back."""
+        for task in reversed(self._gateway_tasks()):
+            task.stop()
+        self.state.stop()
+        if self.replica is not None and self.grants is not None:
+            self.grants.stop()
+            self.replica.stop()
+        self.transport.stop()
+        eliot.log_message(
+            message_type="daemon:stopped", n_in_flight=self.edge.n_in_flight
+        )
