--- a/bilberrydrum/state/frames.py
+++ b/bilberrydrum/state/frames.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-_MAGIC: Final = b"\xb1\x1b\xe5\xd7"
+MAGIC: Final = b"\xb1\x1b\xe5\xd7"
 _HEAD: Final = struct.Struct("<4s4sQII")
 
 
@@ -31,7 +31,7 @@
 def encode(salt: bytes, number: int, payload: bytes) -> bytes:
     """Return the frame of `payload`; `salt` is four bytes."""
     checksum = _checksum(salt, number, payload)
-    return _HEAD.pack(_MAGIC, salt, number, len(payload), checksum) + payload
+    return _HEAD.pack(MAGIC, salt, number, len(payload), checksum) + payload
 
 
 def _checksum(salt: bytes, number: int, payload: bytes) -> int:
@@ -54,7 +54,7 @@
         return None
     head = _HEAD.unpack_from(data, position)
     magic, found_salt, found_number, length, checksum = head
-    if (magic, found_salt, found_number) != (_MAGIC, salt, number):
+    if (magic, found_salt, found_number) != (MAGIC, salt, number):
         return None
     start = position + _HEAD.size
     payload = data[start : start + length]
@@ -69,7 +69,7 @@
     The salt, unknown to clients, keeps a command that holds a copy of a log from being
     taken for a frame.
     """
-    mark = _MAGIC + salt
+    mark = MAGIC + salt
     position = data.find(mark, position + 1)
     while position >= 0:
         if position + _HEAD.size <= len(data):
--- /dev/null
+++ b/tests/fakes/replica_group.py
@@ -0,0 +1,474 @@
+"""A group of replication cores with fake disks, clocks and network, and its checks.
+
+Everything that happens is decided by the test or by its random numbers: which message
+arrives, is lost, doubled or late, when a sync ends, who crashes or stands still. After
+each step the group checks what must always hold, and raises AssertionError if not.
+"""
+
+import collections
+import contextlib
+import random
+
+import attrs
+
+from bilberrydrum import codec
+from bilberrydrum.state import (
+    applier,
+    core,
+    disk,
+    events,
+    log,
+    machine,
+    membership,
+    messages,
+    node,
+    sessions,
+    snapshot,
+    steward,
+    stewardship,
+    storage,
+)
+from tests.fakes import files
+
+FOLDER = "data"
+SETTINGS = node.Settings(
+    heartbeat=0.1,
+    election_timeout=0.6,
+    drift_margin=0.05,
+    max_append_entries=4,
+    max_appends_in_flight=3,
+    snapshot_chunk_bytes=200,
+    n_kept_entries=5,
+)
+
+
+@codec.register("test.roll")
+@attrs.frozen
+class Roll:
+    """Raise the version in force by one."""
+
+    client_id: str
+    number: int
+
+
+@codec.register("test.rolled")
+@attrs.frozen
+class Rolled:
+    version: int
+
+
+@codec.register("test.versions")
+@attrs.define
+class Versions:
+    version: int = 0
+    # How often each command took effect, by client and number.
+    n_effects: dict[str, int] = attrs.field(factory=dict)
+
+
+@machine.apply.register
+def _apply_roll(
+    command: Roll, state: machine.State, context: machine.Context
+) -> Rolled:
+    section: Versions = state.section("test.versions", Versions)
+    section.version += 1
+    key = f"{command.client_id}/{command.number}"
+    section.n_effects[key] = section.n_effects.get(key, 0) + 1
+    return Rolled(section.version)
+
+
+@attrs.define
+class Host:
+    """One process with a disk."""
+
+    name: str
+    disk: files.FakeFiles
+    # Its clock: this much faster than true time, and this far ahead.
+    rate: float = 0.0
+    offset: float = 0.0
+    is_up: bool = False
+    is_frozen: bool = False
+    decisions: core.Core = None  # type: ignore[assignment]
+    store: storage.Storage = None  # type: ignore[assignment]
+    applied: applier.Applier = None  # type: ignore[assignment]
+    jobs: list[object] = attrs.field(factory=list)
+    n_starts: int = 0
+
+
+@attrs.frozen
+class Packet:
+    sender: str
+    receiver: str
+    message: messages.PeerMessage
+
+
+@attrs.define
+class Client:
+    """A client that sends each command until it is answered."""
+
+    name: str
+    session_id: int = 0
+    last_number: int = 0
+    answers_by_number: dict[int, int] = attrs.field(factory=dict)
+
+
+class Group:
+    """The hosts, the network between them, and the checks."""
+
+    def __init__(self, n_hosts: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now = 1000.0
+        self.hosts_by_name: dict[str, Host] = {}
+        self.packets: list[Packet] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.clients = [Client("c0"), Client("c1")]
+        self.n_steps = 0
+        self.n_commits = 0
+        self.n_elections = 0
+        self._leaders_by_term: dict[int, str] = {}
+        self._written: dict[tuple[int, int], tuple[int | None, bytes]] = {}
+        self._committed: dict[int, tuple[int, bytes]] = {}
+        self._answered_version = 0
+        self._tickets: dict[int, tuple[Client, int]] = {}
+        self._waiting: dict[tuple[str, int], tuple[int, Client, int]] = {}
+        self._last_ticket = 0
+        self._read_version = 0
+        for i in range(n_hosts):
+            self.add_host(f"h{i}")
+        self._found(n_hosts)
+
+    # Hosts
+
+    def add_host(self, name: str) -> Host:
+        rate = self.random.uniform(-0.02, 0.02)
+        host = Host(name, files.FakeFiles(), rate, self.random.uniform(0, 1000))
+        self.hosts_by_name[name] = host
+        self.start(host)
+        return host
+
+    def _found(self, n_hosts: int) -> None:
+        first = membership.Membership(
+            tuple(
+                membership.ReplicaInfo(
+                    host.decisions.node.replica_id, host.name, host.name
+                )
+                for host in list(self.hosts_by_name.values())[:n_hosts]
+            )
+        )
+        self.take(self.hosts_by_name["h0"], events.Found(first))
+
+    def time_at(self, host: Host) -> float:
+        return host.offset + self.now * (1.0 + host.rate)
+
+    def start(self, host: Host) -> None:
+        host.store = storage.Storage(host.disk, FOLDER, 2_000)
+        recovered, data = host.store.open()
+        host.applied = applier.Applier()
+        if data:
+            host.applied.restore(data)
+        host.decisions = core.Core(
+            SETTINGS, recovered, random.Random(self.random.random()), self.time_at(host)
+        )
+        host.jobs = []
+        host.is_up = True
+        host.is_frozen = False
+        host.n_starts += 1
+
+    def crash(self, host: Host) -> None:
+        """Take the power from a host, perhaps in the middle of a write."""
+        if host.jobs and self.random.random() < 0.5:
+            host.disk.fails_at = host.disk.n_operations + self.random.randrange(4)
+            with contextlib.suppress(files.PowerLostError):
+                disk.carry_out(host.store, host.jobs)
+        share = self.random.choice((0.0, 0.5, 1.0))
+        garbled, names = self.random.random() < 0.3, self.random.random() < 0.5
+        host.disk.lose_power(files.Leftover(share, garbled, names))
+        host.is_up = False
+        for key in [each for each in self._waiting if each[0] == host.name]:
+            del self._waiting[key]
+
+    def lose_disk(self, host: Host) -> None:
+        """The host comes back empty under its old name and address."""
+        self.crash(host)
+        host.disk = files.FakeFiles()
+        self.start(host)
+
+    # Steps
+
+    def take(self, host: Host, event: object) -> None:
+        """Let a host's core take in an event, and check."""
+        effects = host.decisions.step(self.time_at(host), event)
+        for effect in effects:
+            self._carry_out(host, effect)
+        self.n_steps += 1
+        self.check()
+
+    def _carry_out(self, host: Host, effect: object) -> None:
+        if isinstance(effect, events.Send):
+            self.packets.append(Packet(host.name, effect.address, effect.message))
+        elif isinstance(effect, events.Write | events.SaveSnapshot | events.DropLog):
+            if isinstance(effect, events.Write):
+                self._check_written(host, effect)
+            host.jobs.append(effect)
+        elif isinstance(effect, events.Commit):
+            for entry in effect.entries:
+                self._commit(host, entry)
+        elif isinstance(effect, events.Restore):
+            host.applied.restore(effect.data)
+        elif isinstance(effect, events.SendChunk):
+            self._send_chunk(host, effect)
+        elif isinstance(effect, events.Accepted):
+            placed = self._tickets.pop(effect.ticket, None)
+            if placed:
+                key = (host.name, effect.first_index)
+                self._waiting[key] = (effect.term, *placed)
+
+    def _commit(self, host: Host, entry: log.Entry) -> None:
+        # A committed entry is the same on every replica, for ever.
+        known = self._committed.setdefault(entry.index, (entry.term, entry.data))
+        assert known == (entry.term, entry.data), f"entry {entry.index} was replaced"
+        self.n_commits = max(self.n_commits, entry.index)
+        applied = host.applied.apply(entry)
+        self._check_effects(host)
+        waiting = self._waiting.pop((host.name, entry.index), None)
+        if waiting is None or applied is None or waiting[0] != entry.term:
+            return
+        _, client, number = waiting
+        if entry.kind == log.KIND_OPEN_SESSION:
+            client.session_id = client.session_id or entry.index
+        elif applied.answer is not None:
+            self._answered(client, number, codec.decode(applied.answer).version)
+
+    def _answered(self, client: Client, number: int, version: int) -> None:
+        first = client.answers_by_number.setdefault(number, version)
+        assert first == version, "a command has two answers"
+        self._answered_version = max(self._answered_version, version)
+
+    def _send_chunk(self, host: Host, effect: events.SendChunk) -> None:
+        state = host.decisions.node
+        data = host.store.read_snapshot(
+            effect.index, effect.offset, SETTINGS.snapshot_chunk_bytes
+        )
+        if not data or state.snapshot_index != effect.index:
+            return
+        chunk = messages.SnapshotChunk(
+            sender_id=state.replica_id,
+            receiver_id=effect.receiver_id,
+            term=effect.term,
+            index=effect.index,
+            offset=effect.offset,
+            n_total_bytes=state.snapshot_bytes,
+            data=data,
+            sent_at=effect.sent_at,
+        )
+        self.packets.append(Packet(host.name, effect.address, chunk))
+
+    def sync(self, host: Host) -> None:
+        """Let what a host is writing reach its disk."""
+        jobs, host.jobs = host.jobs, []
+        if not jobs:
+            return
+        disk.carry_out(host.store, jobs)
+        numbers = [each.number for each in jobs if hasattr(each, "number")]
+        if numbers:
+            self.take(host, events.Synced(max(numbers)))
+
+    def make_snapshot(self, host: Host) -> None:
+        header = host.applied.header()
+        if (
+            header.index <= host.decisions.node.snapshot_index
+            or host.decisions.node.installing
+        ):
+            return
+        data = snapshot.encode(header, host.applied.state)
+        host.store.save_snapshot(header.index, data)
+        self.take(host, events.SnapshotSaved(header.index, len(data)))
+
+    def submit(self, client: Client, host: Host, number: int = 0) -> None:
+        """Send a client's next command, or again one without an answer, to a host."""
+        if not client.session_id:
+            item = (log.KIND_OPEN_SESSION, client.name.encode())
+        else:
+            pending = [
+                each
+                for each in range(1, client.last_number + 1)
+                if each not in client.answers_by_number
+            ]
+            if not number and (not pending or self.random.random() < 0.5):
+                client.last_number += 1
+                pending.append(client.last_number)
+            number = number or self.random.choice(pending)
+            packed = sessions.SessionCommand(
+                client.name,
+                client.session_id,
+                number,
+                min(pending),
+                codec.encode(Roll(client.name, number)),
+            )
+            item = (log.KIND_SESSION, sessions.pack(packed))
+        self._last_ticket += 1
+        self._tickets[self._last_ticket] = (client, number)
+        self.take(host, events.Propose((item,), self.now, self._last_ticket))
+
+    def tend(self) -> None:
+        """Make the membership change that a leader finds due."""
+        for host in self.hosts_by_name.values():
+            state = host.decisions.node
+            if not self._runs(host) or not isinstance(state.role, node.Leader):
+                continue
+            due = steward.next_change(
+                state.members,
+                self._joining(),
+                stewardship.learned_by_id(state, state.role),
+                state.commit_index,
+            )
+            if due is not None:
+                self.change(host, due)
+
+    def _joining(self) -> dict[str, membership.ReplicaInfo]:
+        return {
+            host.name: membership.ReplicaInfo(
+                host.decisions.node.replica_id, host.name, host.name
+            )
+            for host in self.hosts_by_name.values()
+            if self._runs(host) and not host.decisions.node.members.replicas
+        }
+
+    def may_lose_disk(self, lost: Host) -> bool:
+        """Tell whether the group has promised to outlast the loss of this disk."""
+        hosts = self.hosts_by_name.values()
+        kept = {each.decisions.node.replica_id for each in hosts if each is not lost}
+        for host in hosts:
+            voter_ids = host.decisions.node.members.voter_ids()
+            n_kept = sum(1 for each in voter_ids if each in kept)
+            if voter_ids and n_kept < host.decisions.node.members.majority():
+                return False
+        return True
+
+    def change(self, host: Host, change: membership.Change) -> None:
+        self.take(host, events.ProposeChange(change, self.now, 0))
+
+    def give_up(self, host: Host) -> None:
+        if self._runs(host):
+            self.take(host, events.GiveUpLeadership())
+
+    def deliver(self, position: int) -> None:
+        """Deliver one message under way, if its receiver can be reached."""
+        packet = self.packets.pop(position)
+        receiver = self.hosts_by_name.get(packet.receiver)
+        if receiver is None or not receiver.is_up:
+            return
+        if (packet.sender, packet.receiver) in self.cuts:
+            return
+        if receiver.is_frozen:
+            # It waits in the receiver's socket.
+            self.packets.append(packet)
+            return
+        self.take(receiver, events.Received(packet.sender, packet.message))
+
+    def run(
+        self,
+        seconds: float,
+        loss: float = 0.0,
+        doubling: float = 0.0,
+        is_ordered: bool = False,
+        submits: bool = True,
+    ) -> None:
+        """Let time pass, with messages delivered in random order."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.02
+            hosts = [each for each in self.hosts_by_name.values() if self._runs(each)]
+            self.random.shuffle(hosts)
+            for host in hosts:
+                self.take(host, events.Tick())
+                if self.random.random() < 0.8:
+                    self.sync(host)
+            if submits and hosts and self.random.random() < 0.3:
+                self.submit(self.random.choice(self.clients), self.random.choice(hosts))
+            if self.random.random() < 0.2:
+                self.tend()
+            self._deliver_some(loss, doubling, is_ordered)
+
+    def _runs(self, host: Host) -> bool:
+        return host.is_up and not host.is_frozen
+
+    def _deliver_some(self, loss: float, doubling: float, is_ordered: bool) -> None:
+        for _ in range(len(self.packets)):
+            if not self.packets:
+                return
+            i = 0 if is_ordered else self.random.randrange(len(self.packets))
+            if not is_ordered and self.random.random() < 0.2:
+                continue
+            if self.random.random() < loss:
+                self.packets.pop(i)
+                continue
+            if self.random.random() < doubling:
+                self.packets.append(self.packets[i])
+            self.deliver(i)
+
+    # Checks
+
+    def leader(self) -> Host | None:
+        """Return the host that may answer for the group now."""
+        for host in self.hosts_by_name.values():
+            if host.is_up and self._has_lease(host):
+                return host
+        return None
+
+    def _has_lease(self, host: Host) -> bool:
+        now = self.time_at(host)
+        return host.decisions.lease_end(now) > now
+
+    def check(self) -> None:
+        """Check what must always hold."""
+        self._check_leaders()
+        self._check_reads()
+
+    def _check_leaders(self) -> None:
+        for host in self.hosts_by_name.values():
+            state = host.decisions.node
+            if host.is_up and isinstance(state.role, node.Leader):
+                known = self._leaders_by_term.setdefault(state.term, state.replica_id)
+                assert known == state.replica_id, f"two leaders in term {state.term}"
+        self.n_elections = len(self._leaders_by_term)
+
+    def _check_written(self, host: Host, effect: events.Write) -> None:
+        """Two logs that agree on an entry's term agree on it and on all before it."""
+        for entry in effect.entries:
+            before = host.decisions.node.log.term_at(entry.index - 1)
+            key = (entry.index, entry.term)
+            known = self._written.setdefault(key, (before, entry.data))
+            assert known == (before, entry.data), f"logs differ at {entry.index}"
+
+    def _check_effects(self, host: Host) -> None:
+        section = host.applied.state.sections.get("test.versions")
+        if section is not None and section.n_effects:
+            most = max(section.n_effects.values())
+            assert most == 1, "a command took effect twice"
+
+    def _check_reads(self) -> None:
+        """A read under a lease sees all that was answered, and never falls."""
+        for host in self.hosts_by_name.values():
+            if not host.is_up or not self._has_lease(host):
+                continue
+            section = host.applied.state.sections.get("test.versions", Versions())
+            assert section.version >= self._answered_version, "a read is out of date"
+            assert section.version >= self._read_version, "the version in force fell"
+            self._read_version = section.version
+
+    def check_durable(self) -> None:
+        """All that is committed outlasts a power cut of every host at once."""
+        for host in self.hosts_by_name.values():
+            if host.is_up:
+                self.crash(host)
+        for host in self.hosts_by_name.values():
+            self.start(host)
+        held = collections.Counter[int]()
+        for host in self.hosts_by_name.values():
+            state = host.decisions.node
+            info = state.members.find(state.replica_id)
+            if info is not None and info.is_voter:
+                held.update(i for i in range(1, state.log.last_index + 1))
+        assert len(self.hosts_by_name) < 3 or all(
+            held[i] >= 2 for i in range(1, self.n_commits + 1)
+        ), "a committed entry is on fewer disks than a majority"
--- /dev/null
+++ b/tests/test_state_schedules.py
@@ -0,0 +1,203 @@
+"""Randomised schedules over the replication core, with its invariants after each step.
+
+The checks are in `tests.fakes.replica_group`: one leader a term, matching logs,
+committed entries never replaced, one effect and one answer per command, reads under a
+lease that see every answered command. BILBERRYDRUM_SCHEDULES sets how many schedules
+are run; the number of schedules and steps run is printed at the end.
+"""
+
+import os
+import sys
+import unittest
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from tests.fakes import replica_group
+
+N_SCHEDULES = int(os.environ.get("BILBERRYDRUM_SCHEDULES", "40"))
+N_RULES = 40
+HOSTS = strategies.integers(0, 4)
+SHARES = strategies.sampled_from((0.0, 0.0, 0.05, 0.3))
+
+
+SECONDS = strategies.sampled_from((0.1, 0.5, 0.9, 2.0, 4.0))
+
+
+def crash(group: replica_group.Group, host: replica_group.Host) -> None:
+    if host.is_up:
+        group.crash(host)
+
+
+def restart(group: replica_group.Group, host: replica_group.Host) -> None:
+    if not host.is_up:
+        group.start(host)
+
+
+def crash_and_restart(group: replica_group.Group, host: replica_group.Host) -> None:
+    crash(group, host)
+    group.start(host)
+
+
+def freeze(group: replica_group.Group, host: replica_group.Host) -> None:
+    host.is_frozen = True
+
+
+def wake(group: replica_group.Group, host: replica_group.Host) -> None:
+    host.is_frozen = False
+
+
+def freeze_leader(group: replica_group.Group, host: replica_group.Host) -> None:
+    leader = group.leader()
+    if leader is not None:
+        leader.is_frozen = True
+
+
+def isolate(group: replica_group.Group, host: replica_group.Host) -> None:
+    for name in group.hosts_by_name:
+        group.cuts |= {(host.name, name), (name, host.name)}
+
+
+def isolate_leader(group: replica_group.Group, host: replica_group.Host) -> None:
+    isolate(group, group.leader() or host)
+
+
+def mute(group: replica_group.Group, host: replica_group.Host) -> None:
+    """What the host sends is lost; it hears the others."""
+    group.cuts |= {(host.name, name) for name in group.hosts_by_name}
+
+
+def deafen(group: replica_group.Group, host: replica_group.Host) -> None:
+    """The host hears nobody, but is heard."""
+    group.cuts |= {(name, host.name) for name in group.hosts_by_name}
+
+
+def make_snapshot(group: replica_group.Group, host: replica_group.Host) -> None:
+    if host.is_up:
+        group.make_snapshot(host)
+
+
+def lose_disk(group: replica_group.Group, host: replica_group.Host) -> None:
+    if host.is_up and group.may_lose_disk(host):
+        group.lose_disk(host)
+
+
+def give_up(group: replica_group.Group, host: replica_group.Host) -> None:
+    group.give_up(group.leader() or host)
+
+
+def mend_all(group: replica_group.Group) -> None:
+    for host in group.hosts_by_name.values():
+        restart(group, host)
+        host.is_frozen = False
+    group.cuts.clear()
+
+
+FAULTS = {
+    each.__name__: each
+    for each in (
+        crash,
+        restart,
+        crash_and_restart,
+        freeze,
+        wake,
+        freeze_leader,
+        isolate,
+        isolate_leader,
+        mute,
+        deafen,
+        make_snapshot,
+        lose_disk,
+        give_up,
+    )
+}
+
+
+class Totals:
+    n_schedules = 0
+    n_steps = 0
+    n_commits = 0
+    n_elections = 0
+
+
+class Schedule(stateful.RuleBasedStateMachine):
+    """Faults in any order, between stretches of time in which the group works."""
+
+    group: replica_group.Group
+
+    @stateful.initialize(
+        n_hosts=strategies.sampled_from((1, 3, 3, 3, 5)),
+        seed=strategies.integers(0, 2**32),
+    )
+    def begin(self, n_hosts: int, seed: int) -> None:
+        self.group = replica_group.Group(n_hosts, seed)
+        self.group.run(2.5)
+
+    def host(self, number: int) -> replica_group.Host:
+        hosts = list(self.group.hosts_by_name.values())
+        return hosts[number % len(hosts)]
+
+    @stateful.rule(
+        seconds=SECONDS,
+        loss=SHARES,
+        doubling=SHARES,
+        is_ordered=strategies.booleans(),
+    )
+    def run_for(
+        self, seconds: float, loss: float, doubling: float, is_ordered: bool
+    ) -> None:
+        self.group.run(seconds, loss, doubling, is_ordered)
+
+    @stateful.rule(kind=strategies.sampled_from(sorted(FAULTS)), number=HOSTS)
+    def fault(self, kind: str, number: int) -> None:
+        FAULTS[kind](self.group, self.host(number))
+        self.group.run(0.3)
+
+    @stateful.rule(
+        first=strategies.sampled_from(sorted(FAULTS)),
+        second=strategies.sampled_from(sorted(FAULTS)),
+        numbers=strategies.tuples(HOSTS, HOSTS),
+        seconds=SECONDS,
+    )
+    def two_faults(
+        self, first: str, second: str, numbers: tuple[int, int], seconds: float
+    ) -> None:
+        FAULTS[first](self.group, self.host(numbers[0]))
+        FAULTS[second](self.group, self.host(numbers[1]))
+        self.group.run(seconds, loss=0.05)
+
+    @stateful.rule(seconds=SECONDS)
+    def mend(self, seconds: float) -> None:
+        mend_all(self.group)
+        self.group.run(seconds)
+
+    def teardown(self) -> None:
+        Totals.n_schedules += 1
+        Totals.n_steps += self.group.n_steps
+        Totals.n_commits += self.group.n_commits
+        Totals.n_elections += self.group.n_elections
+
+
+class Schedules(unittest.TestCase):
+    @classmethod
+    def tearDownClass(cls) -> None:
+        print(
+            f"schedules: {Totals.n_schedules}, steps: {Totals.n_steps}, "
+            f"commits: {Totals.n_commits}, elections: {Totals.n_elections}",
+            file=sys.stderr,
+        )
+
+    def test_invariants_hold_in_random_schedules(self) -> None:
+        stateful.run_state_machine_as_test(
+            Schedule,
+            settings=hypothesis.settings(
+                max_examples=N_SCHEDULES,
+                stateful_step_count=N_RULES,
+                deadline=None,
+                derandomize=True,
+                database=None,
+                suppress_health_check=list(hypothesis.HealthCheck),
+            ),
+        )
+        self.assertGreater(Totals.n_commits, 20 * Totals.n_schedules)
+        self.assertGreater(Totals.n_elections, Totals.n_schedules)
