--- a/bilberrydrum/bundles/grants.py
+++ b/bilberrydrum/bundles/grants.py
@@ -113,24 +113,14 @@
         if started.is_err():
             clock.sleep(_RETRY_SECONDS)
             return None
-        longest = started.unwrap()
-        section = records.read(self._replica.state())
-        seconds = longest.lease_seconds
-        if records.holds_through_cuts(section):
-            seconds = longest.hold_lease_seconds
         self._term = leadership.term
-        new_book = book.GrantBook(leadership.since + seconds)
-        eliot.log_message(
-            message_type="bundle:grants-started",
-            term=leadership.term,
-            waits_seconds=seconds,
-        )
-        return new_book
+        eliot.log_message(message_type="bundle:grants-started", term=leadership.term)
+        return begin_book(self._replica.state(), started.unwrap(), leadership.since)
 
     def _step(self, the_book: book.GrantBook, event: object) -> None:
         state = self._replica.state()
         the_book.weight_versions_by_trainer = weight_commands.newest_versions(state)
-        changed = _state_changed(state, the_book, self._options.gateway)
+        changed = find_change(state, the_book, self._options.gateway)
         for each in (changed, event):
             if each is None:
                 continue
@@ -158,7 +148,17 @@
         self._events.put(book.ProposalEnded(command))
 
 
-def _state_changed(
+def begin_book(
+    state: machine.State, started: commands.GrantsStarted, since: float
+) -> book.GrantBook:
+    """Return the book of a leader that has led since `since` by its clock."""
+    seconds = started.lease_seconds
+    if records.holds_through_cuts(records.read(state)):
+        seconds = started.hold_lease_seconds
+    return book.GrantBook(since + seconds)
+
+
+def find_change(
     state: machine.State, the_book: book.GrantBook, gateway: options.GatewayOptions
 ) -> book.StateChanged | None:
     """Return what has changed in `state` since the book last took it."""
--- /dev/null
+++ b/tests/test_bundles_lease.py
@@ -0,0 +1,403 @@
+"""Bundle leases: nothing is in force while any gateway can act on an older bundle."""
+
+import unittest
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful, strategies
+from nose2.tools import params
+
+from bilberrydrum import reasons
+from bilberrydrum.bundles import book, holder, messages, model
+from tests.fakes import lease_world
+
+
+class TestRoll(unittest.TestCase):
+    def test_in_force_once_all_gateways_have_confirmed(self) -> None:
+        world = lease_world.World()
+        world.renew_all("g0", "g1")
+        world.roll()
+        self.assertEqual(world.in_force(), 0)
+        world.exchange("g0")
+        self.assertEqual(world.in_force(), 0)
+        self.assertEqual(
+            world.leader.book.status(world.now),
+            messages.RollStatus(1, 1, 2, ("g1",)),
+        )
+        world.exchange("g1")
+        self.assertEqual(world.in_force(), 1)
+        for gateway in world.lives:
+            self.assertEqual(world.acts_on(gateway), 1)
+
+    def test_cut_off_gateway_lapses_before_the_roll_is_accepted(self) -> None:
+        """A gateway is cut off; an operator rolls a bundle with the policy "refuse".
+
+        Callers at the cut-off gateway are refused once its lease has run out; only
+        then is the roll reported in force. Its clock is slow by nearly the margin.
+        """
+        world = lease_world.World({"g0": 1.0, "g1": 0.96})
+        world.roll()
+        world.renew_all("g0", "g1")
+        self.assertEqual(world.in_force(), 1)
+        world.roll()
+        world.exchange("g0")
+        while world.in_force() == 1:
+            self.assertLess(world.now, 1000 + lease_world.LEASE + 1)
+            world.advance(0.01)
+            world.renew_all("g0")
+        self.assertIsNone(world.acts_on(world.gateways_by_id["g1"]))
+        self.assertEqual(world.acts_on(world.gateways_by_id["g0"]), 2)
+
+    def test_gateway_back_after_600_changes_gets_the_newest_first(self) -> None:
+        """A gateway is cut off, 600 bundles come and go, and the cut heals.
+
+        Its first grant brings the newest bundle; it never acts on one in between, nor
+        on the old one, not even when an old push turns up late.
+        """
+        world = lease_world.World()
+        world.roll()
+        world.renew_all("g0", "g1")
+        old_push = messages.Push(1, "version: 1\nparent: 0\n")
+        for _ in range(600):
+            world.roll()
+            world.exchange("g0")
+            world.advance(lease_world.LEASE + 0.1)
+            world.renew_all("g0")
+        self.assertEqual(world.in_force(), 601)
+        gateway = world.gateways_by_id["g1"]
+        world.in_flight.clear()
+        self.assertIsNone(world.acts_on(gateway))
+        world.renew_all("g1")
+        world.step_gateway(gateway, holder.PushHeard("old leader", old_push))
+        self.assertEqual(world.acts_on(gateway), 601)
+        self.assertEqual(gateway.versions, [1, 601])
+
+    def test_restarted_gateway_starts_with_the_newest(self) -> None:
+        """A gateway restarts while bundle 2 rolls; its earlier life may linger.
+
+        The new life gets bundle 2 with its first lease. The roll waits for the lease
+        of the earlier life, which may still answer callers from the old bundle.
+        """
+        world = lease_world.World()
+        world.roll()
+        world.renew_all("g0", "g1")
+        earlier = world.gateways_by_id["g1"]
+        world.roll()
+        world.exchange("g0")
+        world.start_gateway("g1")
+        world.exchange("g1")
+        self.assertEqual(world.acts_on(world.gateways_by_id["g1"]), 2)
+        self.assertEqual(world.acts_on(earlier), 1)
+        self.assertEqual(world.in_force(), 1)
+        world.advance(lease_world.LEASE)
+        self.assertIsNone(world.acts_on(earlier))
+        self.assertEqual(world.in_force(), 2)
+
+    def test_frozen_gateway_checks_its_lease_when_it_wakes(self) -> None:
+        """A gateway is frozen past its lease, with a grant unread in its socket.
+
+        It wakes in the middle of a request: the check made then refuses it. The
+        unread grant counts from when its renewal was sent, so it revives nothing.
+        """
+        world = lease_world.World()
+        world.roll()
+        world.renew_all("g0", "g1")
+        gateway = world.gateways_by_id["g1"]
+        world.renew("g1")
+        world.deliver(world.in_flight[-1])
+        unread = world.in_flight[-1]
+        world.roll()
+        world.exchange("g0")
+        world.advance(lease_world.LEASE)
+        self.assertEqual(world.in_force(), 2)
+        self.assertIsNone(world.acts_on(gateway))
+        world.deliver(unread)
+        self.assertIsNone(world.acts_on(gateway))
+
+    def test_new_leader_waits_out_its_predecessors_leases(self) -> None:
+        """The leader is lost in the middle of a roll that one gateway hasn't heard of.
+
+        The new leader knows nothing of the leases granted. It must not take the
+        silent gateway for lapsed until a whole lease has passed.
+        """
+        world = lease_world.World()
+        world.roll()
+        world.renew_all("g0", "g1")
+        world.roll()
+        world.exchange("g0")
+        world.in_flight.clear()
+        world.elect()
+        world.renew("g0")
+        world.exchange("g0")
+        self.assertEqual(world.acts_on(world.gateways_by_id["g1"]), 1)
+        self.assertEqual(world.in_force(), 1)
+        world.advance(lease_world.LEASE)
+        self.assertIsNone(world.acts_on(world.gateways_by_id["g1"]))
+        self.assertEqual(world.in_force(), 2)
+
+    def test_lease_kept_over_a_push_is_waited_out_by_the_next_roll(self) -> None:
+        """A gateway takes bundle 2 by push, on the long lease it had for bundle 1.
+
+        Its confirmation arrives, the grant for 2 doesn't, and it is cut off. It acts
+        on 2 for the rest of the long lease; bundle 3 must not be in force before.
+        """
+        world = lease_world.World({"g0": 1.0})
+        world.roll(model.CUT_HOLD)
+        world.renew_all("g0")
+        world.roll()
+        push = world.in_flight[-1]
+        world.deliver(push)
+        confirmation = world.in_flight[-1]
+        world.deliver(confirmation)
+        self.assertEqual(world.in_force(), 2)
+        world.in_flight.clear()
+        world.roll()
+        world.advance(lease_world.LEASE * 2)
+        self.assertEqual(world.acts_on(world.gateways_by_id["g0"]), 2)
+        self.assertEqual(world.in_force(), 2)
+        world.advance(lease_world.HOLD_LEASE)
+        self.assertIsNone(world.acts_on(world.gateways_by_id["g0"]))
+        self.assertEqual(world.in_force(), 3)
+
+    def test_confirmation_of_an_older_version_keeps_the_predecessors_lease(
+        self,
+    ) -> None:
+        """A new leader rolls 3; a gateway's renewal with bundle 2 was under way.
+
+        Then the gateway is cut off with the lease the predecessor granted for 2.
+        Hearing of 2 says nothing of that lease's end: 3 must wait for it.
+        """
+        world = lease_world.World({"g0": 1.0})
+        for _ in range(2):
+            world.roll()
+            world.renew_all("g0")
+        world.elect()
+        world.renew("g0")
+        under_way = world.in_flight.pop()
+        world.roll()
+        world.in_flight.clear()
+        world.hand_over(under_way)
+        world.in_flight.clear()
+        self.assertEqual(world.acts_on(world.gateways_by_id["g0"]), 2)
+        self.assertEqual(world.in_force(), 2)
+
+    def test_released_lease_is_not_waited_for(self) -> None:
+        world = lease_world.World()
+        world.roll()
+        world.renew_all("g0", "g1")
+        world.step_gateway(world.gateways_by_id["g1"], holder.Released())
+        world.step_leader(book.ReleaseHeard(world.gateways_by_id["g1"].incarnation))
+        world.roll()
+        world.exchange("g0")
+        self.assertIsNone(world.acts_on(world.gateways_by_id["g1"]))
+        self.assertEqual(world.in_force(), 2)
+
+    def test_later_roll_goes_on_from_a_roll_held_up(self) -> None:
+        world = lease_world.World()
+        world.roll()
+        world.renew_all("g0", "g1")
+        world.roll()
+        world.exchange("g0")
+        world.roll()
+        world.exchange("g0", "g1")
+        self.assertEqual(world.in_force(), 3)
+        self.assertNotIn(2, world.gateways_by_id["g1"].versions[-1:])
+
+    def test_silent_gateway_is_forgotten_and_told_to_register(self) -> None:
+        world = lease_world.World()
+        world.renew_all("g0", "g1")
+        world.advance(book.FORGET_SECONDS - 1)
+        world.renew_all("g0")
+        world.advance(2)
+        self.assertEqual(list(world.leader.book.lives_by_incarnation), [1])
+        world.renew("g1")
+        world.deliver(world.in_flight[-1])
+        self.assertEqual(world.in_flight[-1].body, messages.Unregistered(2))
+
+
+class TestCutPolicy(unittest.TestCase):
+    @params((model.CUT_REFUSE, lease_world.LEASE), (model.CUT_HOLD, 60.0))
+    def test_cut_off_gateway_serves_for_as_long_as_the_bundle_says(
+        self, policy: str, seconds: float
+    ) -> None:
+        """A gateway is cut off under a bundle that says what shall give way.
+
+        "refuse": it refuses callers after the short lease, and a roll goes on. "hold":
+        it serves on under the old bundle, and the roll isn't accepted meanwhile.
+        """
+        world = lease_world.World()
+        world.roll(policy)
+        world.renew_all("g0", "g1")
+        world.roll()
+        world.exchange("g0")
+        world.advance(seconds * 0.94)
+        self.assertEqual(world.acts_on(world.gateways_by_id["g1"]), 1)
+        self.assertEqual(world.in_force(), 1)
+        world.advance(seconds * 0.06)
+        self.assertIsNone(world.acts_on(world.gateways_by_id["g1"]))
+        self.assertEqual(world.in_force(), 2)
+
+    def test_hold_ends_when_the_cut_off_side_confirms(self) -> None:
+        world = lease_world.World()
+        world.roll(model.CUT_HOLD)
+        world.renew_all("g0", "g1")
+        world.roll()
+        world.exchange("g0")
+        world.advance(20)
+        self.assertEqual(world.in_force(), 1)
+        world.renew_all("g1")
+        self.assertEqual(world.in_force(), 2)
+
+    def test_new_leader_waits_out_a_hold_lease(self) -> None:
+        """The bundle in force says "hold", the rolling one "refuse"; the leader dies.
+
+        A silent gateway may hold the long lease. Waiting only for the rolling
+        bundle's short one would accept the roll while it still serves the old.
+        """
+        world = lease_world.World()
+        world.roll(model.CUT_HOLD)
+        world.renew_all("g0", "g1")
+        world.roll()
+        world.in_flight.clear()
+        world.elect()
+        world.renew_all("g0")
+        world.advance(lease_world.LEASE * 2)
+        self.assertEqual(world.acts_on(world.gateways_by_id["g1"]), 1)
+        self.assertEqual(world.in_force(), 1)
+
+    def test_first_short_lease_ends_a_longer_one(self) -> None:
+        world = lease_world.World()
+        world.roll(model.CUT_HOLD)
+        world.renew_all("g0", "g1")
+        world.roll(model.CUT_REFUSE)
+        world.exchange("g0", "g1")
+        self.assertEqual(world.in_force(), 2)
+        world.advance(lease_world.LEASE)
+        self.assertIsNone(world.acts_on(world.gateways_by_id["g0"]))
+
+
+class TestHolder(unittest.TestCase):
+    def setUp(self) -> None:
+        self.holder = holder.LeaseHolder(0.05)
+        self.holder.step(100.0, holder.Registered(7))
+
+    def grant(self, **fields: Any) -> holder.GrantHeard:
+        known: dict[str, Any] = {
+            "sequence": 1,
+            "incarnation": 7,
+            "version": 1,
+            "lease_seconds": 10.0,
+            "content": "version: 1\nparent: 0\n",
+        }
+        return holder.GrantHeard("leader", messages.Grant(**{**known, **fields}))
+
+    @params(
+        ("before the first grant", None, 100.0, "BUNDLE_LEASE_EXPIRED"),
+        ("nothing rolled yet", {"version": 0, "content": None}, 101.0, "NO_BUNDLE"),
+        ("held", {}, 109.4, ""),
+        ("counted from sending, less the margin", {}, 109.5, "BUNDLE_LEASE_EXPIRED"),
+        ("of an earlier life", {"incarnation": 6}, 101.0, "BUNDLE_LEASE_EXPIRED"),
+        ("of no renewal", {"sequence": 9}, 101.0, "BUNDLE_LEASE_EXPIRED"),
+        ("newer, content lost", {"content": None}, 101.0, "BUNDLE_LEASE_EXPIRED"),
+        ("unreadable", {"content": "version: x"}, 101.0, "BUNDLE_INVALID"),
+    )
+    def test_current(
+        self, name: str, fields: dict[str, Any] | None, now: float, reason: str
+    ) -> None:
+        if fields is not None:
+            self.holder.step(105.0, self.grant(**fields))
+        current = self.holder.current(now)
+        if reason:
+            self.assertEqual(current.unwrap_err(), reasons.Reason[reason], name)
+        else:
+            self.assertEqual(current.unwrap().version, 1, name)
+
+    def test_copy_of_a_grant_extends_nothing(self) -> None:
+        self.holder.step(100.5, self.grant())
+        self.holder.step(109.0, self.grant())
+        self.assertTrue(self.holder.current(109.6).is_err())
+
+    def test_unanswered_renewal_is_next_sent_to_all(self) -> None:
+        self.holder.step(100.5, self.grant())
+        sent = [
+            self.holder.step(now, holder.RenewalDue())[0].address
+            for now in (101.0, 102.0)
+        ]
+        self.assertEqual(sent, ["leader", None])
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Any schedule of messages, freezes, restarts, rolls and leaders.
+
+    Whatever happens, no life of a gateway acts on a bundle older than the one in
+    force, and none goes back to an older version.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = lease_world.World({"g0": 1.0, "g1": 0.96})
+        self.world.roll()
+        self.world.renew_all("g0", "g1")
+
+    @stateful.rule(gateway=strategies.sampled_from(("g0", "g1")))
+    def renew(self, gateway: str) -> None:
+        self.world.renew(gateway)
+
+    @stateful.rule(data=strategies.data())
+    @stateful.precondition(lambda self: self.world.in_flight)
+    def deliver(self, data: Any) -> None:
+        last = len(self.world.in_flight) - 1
+        index = data.draw(strategies.integers(0, last))
+        self.world.deliver(self.world.in_flight[index])
+
+    @stateful.rule(data=strategies.data())
+    @stateful.precondition(lambda self: self.world.in_flight)
+    def copy(self, data: Any) -> None:
+        last = len(self.world.in_flight) - 1
+        index = data.draw(strategies.integers(0, last))
+        self.world.hand_over(self.world.in_flight[index])
+
+    @stateful.rule(gateway=strategies.sampled_from(("g0", "g1")))
+    def exchange(self, gateway: str) -> None:
+        self.world.renew_all(gateway)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.1, 1.0, 2.9, 3.0, 58.0)))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+    @stateful.rule(policy=strategies.sampled_from((model.CUT_REFUSE, model.CUT_HOLD)))
+    def roll(self, policy: str) -> None:
+        self.world.roll(policy)
+
+    @stateful.rule(rate=strategies.sampled_from((0.97, 1.0)))
+    def elect(self, rate: float) -> None:
+        self.world.elect(rate)
+
+    @stateful.rule(
+        gateway=strategies.sampled_from(("g0", "g1")),
+        rate=strategies.sampled_from((0.96, 1.0)),
+    )
+    @stateful.precondition(lambda self: len(self.world.lives) < 6)
+    def restart(self, gateway: str, rate: float) -> None:
+        self.world.start_gateway(gateway, rate)
+
+    @stateful.invariant()
+    def nothing_older_than_in_force_is_acted_on(self) -> None:
+        for gateway in self.world.lives:
+            version = self.world.acts_on(gateway)
+            if version is not None:
+                assert version >= self.world.in_force(), (
+                    gateway,
+                    self.world.in_force(),
+                )
+            assert gateway.versions == sorted(set(gateway.versions))
+
+
+class TestAnySchedule(LeaseMachine.TestCase):
+    settings = hypothesis.settings(
+        derandomize=True,
+        max_examples=150,
+        stateful_step_count=40,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
