--- /dev/null
+++ b/tests/test_state_controller.py
@@ -0,0 +1,361 @@
+"""The right to order upstreams about: at most one orderer, numbers that only rise."""
+
+import unittest
+from typing import Any
+
+import attrs
+import eventlet
+import hypothesis
+from hypothesis import stateful, strategies
+from nose2.tools import params
+
+from bilberrydrum import options
+from bilberrydrum.state import controller, controller_commands, controller_lease
+from tests import helpers
+from tests.fakes import direct_state
+
+LEASE = 3.0
+FLIGHT = 10.0
+
+
+@attrs.define(eq=False)
+class Candidate:
+    """A process that stands for the right, with a clock of its own rate."""
+
+    decision: controller_lease.ControllerDecision
+    rate: float = 1.0
+    # Answers that it hasn't read yet.
+    unread: list[Any] = attrs.field(factory=list)
+
+
+class World:
+    """Candidates and the state group, with every message in the test's hand."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.state = direct_state.DirectState()
+        # Commands on their way.
+        self.in_flight: list[tuple[Candidate, object, float]] = []
+
+    def candidate(
+        self, process_id: str, rate: float = 1.0, lease: float = LEASE
+    ) -> Candidate:
+        timing = controller_lease.Timing(lease, 0.05, FLIGHT)
+        decision = controller_lease.ControllerDecision(process_id, timing)
+        return Candidate(decision, rate)
+
+    def send(self, candidate: Candidate, event: object) -> None:
+        for effect in candidate.decision.step(self.now * candidate.rate, event):
+            sent_at = self.now * candidate.rate
+            self.in_flight.append((candidate, effect.message, sent_at))
+
+    def arrive(self, index: int = -1) -> None:
+        """Let the state group take a message; its answer waits to be read."""
+        candidate, message, sent_at = self.in_flight.pop(index)
+        if isinstance(message, controller_commands.AskController):
+            answer = self.state.query(message).unwrap()
+        else:
+            answer = self.state.apply(message)
+        event = controller_lease.Answered(message, sent_at, answer)
+        candidate.unread.append(event)
+
+    def turn(self, candidate: Candidate) -> None:
+        """Let the candidate do one turn, with all its answers coming at once."""
+        self.send(candidate, controller_lease.Due())
+        while self.in_flight:
+            self.arrive()
+            self.send(candidate, candidate.unread.pop())
+
+    def number(self, candidate: Candidate) -> int | None:
+        return candidate.decision.fencing_number(self.now * candidate.rate)
+
+    def may_order_unfenced(self, candidate: Candidate) -> bool:
+        now = self.now * candidate.rate
+        return candidate.decision.may_order_unfenced(now)
+
+
+@attrs.define
+class Upstream:
+    """An upstream that carries out orders, and may check their fencing number."""
+
+    checks_fencing: bool
+    newest: int = 0
+    orders: list[str] = attrs.field(factory=list)
+
+    def order(self, number: int, what: str) -> bool:
+        if self.checks_fencing and number < self.newest:
+            return False
+        self.newest = max(self.newest, number)
+        self.orders.append(what)
+        return True
+
+
+class TestLease(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = World()
+        self.first = self.world.candidate("a")
+        self.second = self.world.candidate("b")
+        self.world.turn(self.first)
+
+    def test_first_candidate_gets_the_right_at_once(self) -> None:
+        self.assertEqual(self.world.number(self.first), 1)
+        self.world.turn(self.second)
+        self.assertIsNone(self.world.number(self.second))
+
+    def test_renewing_keeps_the_right(self) -> None:
+        for _ in range(20):
+            self.world.now += 1.0
+            self.world.turn(self.first)
+            self.world.turn(self.second)
+            self.assertEqual(self.world.number(self.first), 1)
+            self.assertIsNone(self.world.number(self.second))
+
+    def test_silent_holder_is_followed_after_a_whole_lease(self) -> None:
+        self.world.turn(self.second)
+        self.world.now += LEASE - 0.01
+        self.world.turn(self.second)
+        self.assertIsNone(self.world.number(self.second))
+        self.world.now += 0.01
+        self.world.turn(self.second)
+        self.assertEqual(self.world.number(self.second), 2)
+        self.assertIsNone(self.world.number(self.first))
+
+    def test_renewal_committed_just_before_makes_the_takeover_fail(self) -> None:
+        """The candidate has waited a lease; the holder's renewal was only delayed.
+
+        It is committed between the candidate's look and its take-over. Both would
+        hold the right if the take-over didn't name what was seen.
+        """
+        self.world.turn(self.second)
+        self.world.now += LEASE - 0.5
+        self.world.send(self.first, controller_lease.Due())
+        renewal = self.world.in_flight.pop()
+        self.world.now += 0.5
+        self.world.send(self.second, controller_lease.Due())
+        self.world.arrive()
+        self.world.send(self.second, self.second.unread.pop())
+        self.world.in_flight.insert(0, renewal)
+        self.world.arrive(0)
+        self.world.send(self.first, self.first.unread.pop())
+        self.world.arrive()
+        self.world.send(self.second, self.second.unread.pop())
+        self.assertEqual(self.world.number(self.first), 1)
+        self.assertIsNone(self.world.number(self.second))
+
+    def test_lease_counts_from_when_the_renewal_was_sent(self) -> None:
+        """The answer to a renewal is read late, by a process that was stopped."""
+        self.world.send(self.first, controller_lease.Due())
+        self.world.arrive()
+        self.world.now += LEASE * 0.95 + 0.01
+        self.world.send(self.first, self.first.unread.pop())
+        self.assertIsNone(self.world.number(self.first))
+
+    def test_holder_with_a_longer_lease_is_waited_for(self) -> None:
+        """The holder runs with an older, longer lease than the candidate."""
+        world = World()
+        holder = world.candidate("a", lease=9.0)
+        world.turn(holder)
+        world.turn(self.second)
+        for _ in range(8):
+            world.now += 1.0
+            world.turn(self.second)
+            self.assertEqual(
+                (world.number(holder), world.number(self.second)), (1, None)
+            )
+
+    def test_numbers_rise_from_holder_to_holder(self) -> None:
+        numbers = []
+        for candidate in (self.second, self.first, self.second):
+            self.world.turn(candidate)
+            self.world.now += LEASE
+            self.world.turn(candidate)
+            numbers.append(self.world.number(candidate))
+        self.assertEqual(numbers, [2, 3, 4])
+
+    def test_right_given_back_is_free_at_once(self) -> None:
+        release = controller_commands.ReleaseController("a", 1)
+        self.world.state.apply(release)
+        self.world.turn(self.second)
+        self.assertEqual(self.world.number(self.second), 2)
+
+    @params(("an earlier number", "a", 1), ("another process", "b", 2))
+    def test_late_renewal_or_release_changes_nothing(
+        self, name: str, process_id: str, number: int
+    ) -> None:
+        self.world.turn(self.second)
+        self.world.now += LEASE
+        self.world.turn(self.second)
+        self.world.now += LEASE
+        self.world.turn(self.first)
+        self.world.now += LEASE
+        self.world.turn(self.first)
+        self.assertEqual(self.world.number(self.first), 3)
+        before = attrs.astuple(controller_commands.read(self.world.state.state()))
+        for command in (
+            controller_commands.RenewController(process_id, number),
+            controller_commands.ReleaseController(process_id, number),
+        ):
+            self.world.state.apply(command)
+        after = attrs.astuple(controller_commands.read(self.world.state.state()))
+        self.assertEqual(after, before, name)
+
+    def test_restored_state_neither_lowers_numbers_nor_shortens_leases(self) -> None:
+        """The state is restored from a copy made when the number was lower.
+
+        The number is raised to the last one known to have been given. Whoever holds
+        the right may still order, so the next holder waits a whole lease.
+        """
+        self.world.state.apply(controller_commands.RaiseFencingNumber(40))
+        self.world.state.apply(controller_commands.RaiseFencingNumber(7))
+        self.world.turn(self.second)
+        self.assertEqual(self.world.number(self.first), 1)
+        self.assertIsNone(self.world.number(self.second))
+        self.world.now += LEASE
+        self.world.turn(self.second)
+        self.assertEqual(self.world.number(self.second), 41)
+        self.assertIsNone(self.world.number(self.first))
+
+    def test_fleet_shares_the_looking_at_a_healthy_holder(self) -> None:
+        state = controller_commands.ControllerState(1, "a", 5, LEASE, 330, 0.5)
+        asked = controller_commands.AskController()
+        answered = controller_lease.Answered(asked, 1000.0, state)
+        self.second.decision.step(1000.0, answered)
+        self.assertEqual(self.second.decision.delay, 33.0)
+        silent = attrs.evolve(state, silent_seconds=LEASE)
+        answered = controller_lease.Answered(asked, 1033.0, silent)
+        self.assertEqual(len(self.second.decision.step(1033.0, answered)), 1)
+
+
+class TestOrders(unittest.TestCase):
+    @params((True, ["new"]), (False, ["old", "new"]))
+    def test_controller_wakes_with_an_order_in_hand(
+        self, checks_fencing: bool, carried_out: list[str]
+    ) -> None:
+        """The controller is frozen between its check and its send, and replaced.
+
+        An upstream that checks refuses the old order whenever it comes. One that
+        ignores the number gets no new order until an old one has had the time to
+        arrive, so the new one is the last that it carries out.
+        """
+        world = World()
+        old, new = world.candidate("a"), world.candidate("b")
+        upstream = Upstream(checks_fencing)
+        world.turn(old)
+        in_hand = world.number(old)
+        assert in_hand is not None
+        world.turn(new)
+        world.now += LEASE
+        world.turn(new)
+        number = world.number(new)
+        assert number is not None
+        # The old controller asks once more before the next order, and gets none.
+        self.assertIsNone(world.number(old))
+        if checks_fencing:
+            self.assertTrue(upstream.order(number, "new"))
+            self.assertFalse(upstream.order(in_hand, "old"))
+        else:
+            self.assertFalse(world.may_order_unfenced(new))
+            upstream.order(in_hand, "old")
+            while not world.may_order_unfenced(new):
+                self.assertLess(world.now, 1100.0)
+                world.now += 1.0
+                world.turn(new)
+            # The old lease and the longest flight have passed since the take-over.
+            self.assertGreaterEqual(world.now, 1000.0 + LEASE + LEASE + FLIGHT)
+            upstream.order(number, "new")
+        self.assertEqual(upstream.orders, carried_out)
+
+
+class ControllerMachine(stateful.RuleBasedStateMachine):
+    """Any schedule of looks, renewals, delays, losses and freezes.
+
+    At no time do two processes hold the right, and the number never falls.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+        self.candidates = [
+            self.world.candidate("a", 0.96),
+            self.world.candidate("b", 1.0),
+            self.world.candidate("c", 0.98, lease=4.0),
+        ]
+        self.highest = 0
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def due(self, index: int) -> None:
+        self.world.send(self.candidates[index], controller_lease.Due())
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def turn(self, index: int) -> None:
+        self.world.in_flight.clear()
+        self.world.turn(self.candidates[index])
+
+    @stateful.rule(data=strategies.data())
+    @stateful.precondition(lambda self: self.world.in_flight)
+    def arrive(self, data: Any) -> None:
+        last = len(self.world.in_flight) - 1
+        self.world.arrive(data.draw(strategies.integers(0, last)))
+
+    @stateful.rule(data=strategies.data())
+    @stateful.precondition(lambda self: self.world.in_flight)
+    def arrive_twice(self, data: Any) -> None:
+        last = len(self.world.in_flight) - 1
+        index = data.draw(strategies.integers(0, last))
+        self.world.in_flight.append(self.world.in_flight[index])
+        self.world.arrive(index)
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def read(self, index: int) -> None:
+        candidate = self.candidates[index]
+        if candidate.unread:
+            self.world.send(candidate, candidate.unread.pop(0))
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def give_up(self, index: int) -> None:
+        self.world.send(self.candidates[index], controller_lease.Unanswered())
+
+    @stateful.rule(seconds=strategies.sampled_from((0.1, 1.0, 2.9, 3.0, 4.1)))
+    def advance(self, seconds: float) -> None:
+        self.world.now += seconds
+
+    @stateful.invariant()
+    def at_most_one_holds_the_right(self) -> None:
+        numbers = [self.world.number(each) for each in self.candidates]
+        held = [number for number in numbers if number is not None]
+        assert len(held) <= 1, numbers
+        given = controller_commands.read(self.world.state.state()).number
+        assert given >= self.highest
+        self.highest = given
+
+
+class TestAnySchedule(ControllerMachine.TestCase):
+    settings = hypothesis.settings(
+        derandomize=True,
+        max_examples=150,
+        stateful_step_count=40,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+class TestController(unittest.TestCase):
+    def test_task_holds_checks_and_gives_back(self) -> None:
+        """The task gets the right; its process is stopped past the lease.
+
+        The check made when it wakes refuses the order, before any other task ran.
+        """
+        state = direct_state.DirectState()
+        task = controller.Controller(options.Options("a"), state)
+        with helpers.manual_clock() as clock:
+            task.start()
+            while task.fencing_number() is None:
+                eventlet.sleep(0)
+            self.assertEqual(task.fencing_number(), 1)
+            self.assertFalse(task.may_order_unfenced())
+            clock.advance(LEASE)
+            self.assertIsNone(task.fencing_number())
+            task.stop()
+        self.assertIsNone(task.fencing_number())
+        section = controller_commands.read(state.state())
+        self.assertEqual((section.number, section.holder), (1, ""))
