Prove fencing of orders, and read an engine's refusal whole

Cause: the client had read an answer's body before it was asked for, so a refusal for an old fencing number arrived empty, counted as a failed order and was tried again, and the older controller went on. Found by the test of a controller that is stopped after it has checked its lease. The body is now read on request, and the test passes.

--- a/bilberrydrum/weights/sender.py
+++ b/bilberrydrum/weights/sender.py
@@ -45,7 +45,7 @@
     answer_seconds : float
         Longest time that the engine may take to carry it out.
     """
-    connection = _connection(order.address, flight_seconds)
+    connection = connection_to(order.address, flight_seconds)
     try:
         timeout = eventlet.Timeout(answer_seconds)
         try:
@@ -60,9 +60,10 @@
         _abort(connection)
 
 
-def _connection(
+def connection_to(
     address: str, flight_seconds: float
 ) -> urllib3.connection.HTTPConnection:
+    """Return a connection to an engine, not made yet."""
     host, _, port = address.rpartition(":")
     # A process that is stopped, or cut off, after it wrote an order cannot take the
     # order back: the kernel would go on sending it for many minutes, and it could
@@ -102,7 +103,11 @@
     body = json.dumps(order.body(number)).encode()
     try:
         connection.request(
-            "POST", "/orders", body, {"Content-Type": "application/json"}
+            "POST",
+            "/orders",
+            body,
+            {"Content-Type": "application/json"},
+            preload_content=False,
         )
         response = connection.getresponse()
         data = response.read(_MAX_ANSWER_BYTES)
