Start the numbers of calls at a random place in each life

Cause: call numbers began at 1 with the process, so a late answer to a call of an earlier life could be taken for the answer to a new one. Ruled out: the incarnation in the envelope; it names the sender's life, not the asker's. Change: the first number is random, 48 bits. The test failed before it (both lives used number 1) and passes after.

--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -8,6 +8,7 @@
 """
 
 import itertools
+import random
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -99,7 +100,9 @@
         self._dealers_by_address: dict[str, Any] = {}
         self._incarnations_by_sender: dict[str, int] = {}
         self._calls: dict[int, eventlet.event.Event] = {}
-        self._call_ids = itertools.count(1)
+        # A late answer to a call of this process's earlier life must not be taken for
+        # the answer to a new one, so the numbers of two lives do not meet.
+        self._call_ids = itertools.count(random.SystemRandom().getrandbits(48) + 1)
         self._router: Any = None
         self._tasks: list[Any] = []
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -96,6 +96,20 @@
         answers = [task.wait().unwrap().number for task in tasks]
         self.assertEqual(answers, [n + 1 for n in range(20)])
 
+    def test_late_answer_to_an_earlier_life_is_not_taken(self):
+        """A process calls, restarts and calls again; the first answer comes late.
+
+        If call numbers began anew, the second call would end with the first's answer.
+        """
+        address = f"127.0.0.1:{helpers.free_port()}"
+        heard = []
+        self.receiver.on(Unheard, lambda sender, message: heard.append(sender))
+        for _ in range(2):
+            life = make_transport("a", address=address)
+            life.call(self.receiver.address, Unheard(), 0.2)
+            life.stop()
+        self.assertEqual(len({sender.call_id for sender in heard}), 2)
+
     def test_call_to_absent_peer_ends_in_time_and_never_hangs(self):
         """The peer's host is gone: calls end at their timeout, sends don't block."""
         sender = make_transport("a")
