--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -49,6 +49,8 @@
     bundle_lease_seconds: float = 3.0
     # How often the bundle lease is renewed.
     bundle_renew_seconds: float = 0.5
+    # The same under a bundle whose cut policy is "hold"; at least the lease above.
+    bundle_hold_lease_seconds: float = 600.0
     # File with the operators' bearer token; empty: no token is asked for.
     operator_token_file: str = ""
     # File with the upstreams' bearer token; empty: no token is asked for.
@@ -81,6 +83,10 @@
     standing_seconds: float = 0.5
     # Up to this many gateways tell each other directly; more form groups that relay.
     max_mesh_gateways: int = 16
+    # The one process that orders upstreams about loses that right after this long.
+    controller_lease_seconds: float = 3.0
+    # Longest time between sending an order and its arrival at the upstream.
+    order_flight_seconds: float = 10.0
 
 
 @attrs.frozen
@@ -111,10 +117,14 @@
     owner_lease_seconds: float = 3.0
     # Largest prompt of a group.
     max_prompt_bytes: int = 16 * 1024
+    # Slots of one trainer at most whose samples are not acknowledged.
+    max_open_slots: int = 16_384
     # Longest time one batch request may wait.
     max_wait_seconds: float = 30.0
     # Extra attempts allowed as a share of slots.
     second_attempt_budget: float = 0.05
+    # Longest time that an engine may take to load weights.
+    load_timeout_seconds: float = 300.0
 
 
 @attrs.frozen
--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -39,6 +39,9 @@
     KEY_REUSED = "key-reused"
     KEY_EXPIRED = "key-expired"
     KEY_IN_PROGRESS = "key-in-progress"
+    CLAIM_LAPSED = "claim-lapsed"
+    KEYS_FULL = "keys-full"
+    RESULT_NOT_KEPT = "result-not-kept"
     OUTCOME_UNKNOWN = "outcome-unknown"
     CALLER_GONE = "caller-gone"
 
@@ -56,7 +59,9 @@
     BUNDLE_CONFLICT = "bundle-conflict"
     BUNDLE_NOT_SIGNED_OFF = "bundle-not-signed-off"
     BUNDLE_STALE = "bundle-stale"
+    BUNDLE_TOO_MANY_DRAFTS = "bundle-too-many-drafts"
     MEMBERSHIP_REFUSED = "membership-refused"
+    SNAPSHOT_INVALID = "snapshot-invalid"
 
     # Messages between processes that were dropped.
     MESSAGE_UNKNOWN_TYPE = "message-unknown-type"
