Relay loads in columns; judge other groups' seats by what they relay

Cause: a load change was relayed as a value of its own of some 250 bytes, and a seat took members it had heard for other reasons for the seats of their group, so that the true seat missed messages and asked anew.

--- a/bilberrydrum/upstreams/exchange.py
+++ b/bilberrydrum/upstreams/exchange.py
@@ -15,6 +15,7 @@
     events,
     messages,
     records,
+    relayed_loads,
     relays,
     seats,
     table,
@@ -152,11 +153,16 @@
 
     @hear.register
     def _hear_relayed(self, message: messages.Relayed, sender: str, now: float) -> None:
+        self._seats.hear_seat(sender, now)
         for news in message.news:
             if news.home != self._table.process_id:
                 view = self._table.view(news.home, news.incarnation)
                 if news.incarnation == view.incarnation:
                     self._apply(news.home, view, news.changes, now)
+        for home, changes in relayed_loads.unpack(message.loads):
+            home_view = self._table.views_by_home.get(home)
+            if home_view is not None:
+                self._apply(home, home_view, changes, now)
         for record in message.unlogged:
             if self._table.merge(record, now):
                 self._seats.add_record(record, False, now)
--- a/bilberrydrum/upstreams/messages.py
+++ b/bilberrydrum/upstreams/messages.py
@@ -39,6 +39,7 @@
 class Changes:
     """What changed at a home after its change number `previous`."""
 
+    # 0: not known; the changes tell nothing of renewals.
     sent_at: int
     previous: int
     change: int
@@ -164,6 +165,27 @@
     changes: Changes
 
 
+@codec.register("upstreams.loads")
+@attrs.frozen
+class Loads:
+    """Changes of load of many homes, in columns, one value per change.
+
+    Loads are most of what is relayed. In columns one takes some 30 bytes, as a value of
+    its own some 250.
+    """
+
+    homes: tuple[str, ...] = ()
+    changes: tuple[int, ...] = ()
+    # Change numbers of the home since its change before.
+    spans: tuple[int, ...] = ()
+    upstream_ids: tuple[str, ...] = ()
+    n_running: tuple[int, ...] = ()
+    n_waiting: tuple[int, ...] = ()
+    # In thousandths.
+    kv_cache_used: tuple[int, ...] = ()
+    tokens_per_second: tuple[int, ...] = ()
+
+
 @codec.register("upstreams.relayed")
 @attrs.frozen
 class Relayed:
@@ -182,6 +204,7 @@
     late: tuple[Late, ...] = ()
     # Changes that came in since the last message, and records that no home may log.
     news: tuple[HomeChanges, ...] = ()
+    loads: Loads = attrs.field(factory=Loads)
     unlogged: tuple[records.Record, ...] = ()
 
 
--- a/bilberrydrum/upstreams/registry.py
+++ b/bilberrydrum/upstreams/registry.py
@@ -231,14 +231,21 @@
         if not isinstance(item, _Asked):
             self._step(item)
             return
-        reply = events.Reply(reasons.Reason.INTERNAL_ERROR)
+        refusal: reasons.Reason | None = reasons.Reason.INTERNAL_ERROR
         for effect in self._step(item.event):
             if isinstance(effect, events.Reply):
-                reply = effect
-        item.done.send(reply)
+                refusal = effect.refusal
+        item.done.send(events.Reply(refusal))
 
     def _step(self, event: events.Event) -> list[events.Effect]:
-        effects = self._directory.step(clock.now(), event)
+        try:
+            effects = self._directory.step(clock.now(), event)
+        except Exception:
+            # A message that another release made badly must not end the task: this
+            # gateway would list nothing any more.
+            eliot.write_traceback()
+            counters.dropped(reasons.Reason.MESSAGE_DAMAGED)
+            return []
         self._listed_until = float("-inf")
         for effect in effects:
             self._carry_out(effect)
--- a/bilberrydrum/upstreams/relays.py
+++ b/bilberrydrum/upstreams/relays.py
@@ -31,6 +31,11 @@
     homes: set[str] = attrs.field(factory=set)
     asked_at: float = table.NEVER
 
+    def note(self, home: str, change: int) -> None:
+        """Note that the seat knows a home up to `change`."""
+        known = self.changes_by_home.get(home, 0)
+        self.changes_by_home[home] = max(known, change)
+
 
 class Receiver:
     """The words of all seats, as heard here."""
@@ -58,9 +63,10 @@
         if stream.sequence is not None and message.sequence <= stream.sequence:
             return True
         for news in message.news:
-            stream.changes_by_home[news.home] = max(
-                stream.changes_by_home.get(news.home, 0), news.changes.change
-            )
+            stream.note(news.home, news.changes.change)
+        columns = zip(message.loads.homes, message.loads.changes, strict=True)
+        for home, change in columns:
+            stream.note(home, change)
         if stream.sequence is None or message.sequence != stream.sequence + 1:
             stream.sequence = None
             stream.unused = message
--- a/bilberrydrum/upstreams/seats.py
+++ b/bilberrydrum/upstreams/seats.py
@@ -11,7 +11,14 @@
 
 import attrs
 
-from bilberrydrum.upstreams import events, messages, records, table, topology
+from bilberrydrum.upstreams import (
+    events,
+    messages,
+    records,
+    relayed_loads,
+    table,
+    topology,
+)
 
 # A seat that was not heard for this long is taken for dead.
 SEAT_SILENT_SECONDS: Final = 1.2
@@ -30,17 +37,24 @@
         self._table = known
         self._is_all = is_all
         self._sequence = 0
-        self._news: list[messages.HomeChanges] = []
+        # What waits, joined for each home.
+        self._news_by_home: dict[str, messages.HomeChanges] = {}
         self._records: list[records.Record] = []
 
     @property
     def has_news(self) -> bool:
         """Tell whether more than loads waits to be relayed."""
-        return bool(self._records) or any(news.changes.items for news in self._news)
+        return bool(self._records) or any(
+            _is_urgent(news.changes) for news in self._news_by_home.values()
+        )
 
     def add(self, news: messages.HomeChanges) -> None:
         """Relay a home's changes with the next message."""
-        self._news.append(news)
+        waiting = self._news_by_home.get(news.home)
+        if waiting is not None and waiting.incarnation == news.incarnation:
+            changes = _joined(waiting.changes, news.changes)
+            news = attrs.evolve(news, changes=changes)
+        self._news_by_home[news.home] = news
 
     def add_record(self, record: records.Record) -> None:
         """Relay a record that no home has logged."""
@@ -48,7 +62,7 @@
 
     def clear(self) -> None:
         """Forget what waits: this gateway holds no seat."""
-        self._news.clear()
+        self._news_by_home.clear()
         self._records.clear()
 
     def relayed(
@@ -63,6 +77,11 @@
             for home, age in ages_by_home.items()
             if age > LATE_HOME_SECONDS
         )
+        loads_by_home = {
+            home: news.changes
+            for home, news in self._news_by_home.items()
+            if not _is_urgent(news.changes)
+        }
         message = messages.Relayed(
             int(now * 1000),
             self._sequence,
@@ -72,7 +91,12 @@
             int(1000 * max(in_time, default=0.0)) + 1,
             late_homes,
             self._late(homes, now),
-            tuple(self._news),
+            tuple(
+                news
+                for home, news in self._news_by_home.items()
+                if home not in loads_by_home
+            ),
+            relayed_loads.pack(loads_by_home),
             tuple(self._records),
         )
         self.clear()
@@ -118,6 +142,31 @@
         return tuple(late)
 
 
+def _is_urgent(changes: messages.Changes) -> bool:
+    # Without loads, too, it may be the mark that the receivers must ask the home.
+    return bool(changes.items) or not changes.loads
+
+
+def _joined(first: messages.Changes, second: messages.Changes) -> messages.Changes:
+    """Return two changes of a home, one after the other, as one."""
+    if second.previous > first.change or not (second.items or second.loads):
+        # Between them something is missing here, and the receiver must ask as well.
+        return messages.Changes(second.sent_at, second.change, second.change)
+    items_by_id = {item.upstream_id: item for item in (*first.items, *second.items)}
+    loads_by_id = {load.upstream_id: load for load in first.loads}
+    for item in second.items:
+        loads_by_id.pop(item.upstream_id, None)
+    for load in second.loads:
+        loads_by_id[load.upstream_id] = load
+    return messages.Changes(
+        second.sent_at,
+        first.previous,
+        second.change,
+        tuple(items_by_id.values()),
+        tuple(loads_by_id.values()),
+    )
+
+
 class Seats:
     """The groups, the seats that are heard, and what this gateway relays."""
 
@@ -135,6 +184,8 @@
         self.group_homes: set[str] = set()
         self._to_all = Outgoing(known, is_all=True)
         self._to_seats = Outgoing(known, is_all=False)
+        # When seats of other groups last relayed something to this gateway.
+        self._relayed_at_by_seat: dict[str, float] = {}
 
     def arrange(self, zones_by_id: Mapping[str, str], now: float) -> None:
         """Work out the groups when the gateways have changed."""
@@ -170,6 +221,10 @@
                 return set(group.candidates)
         return self.group_homes
 
+    def hear_seat(self, sender: str, now: float) -> None:
+        """Note that `sender` relayed something to this gateway."""
+        self._relayed_at_by_seat[sender] = now
+
     def add(self, news: messages.HomeChanges, now: float) -> None:
         """Relay changes that the replica of a home, or the own log, has taken."""
         if not self.is_seat(now):
@@ -231,11 +286,18 @@
     def _receivers(
         self, group: topology.Group, index: int, now: float
     ) -> tuple[str, ...]:
-        seats = group.seats(lambda member: self._is_live(member, now))
+        # Only what a seat relays shows that it is one. Other messages come from any
+        # gateway, and a member that was heard for another reason would be taken for
+        # the seat.
+        seats = group.seats(lambda member: self._relays(member, now))
         if not seats:
             return group.candidates[:N_PROBED]
         return (seats[min(index, len(seats) - 1)],)
 
+    def _relays(self, member: str, now: float) -> bool:
+        relayed_at = self._relayed_at_by_seat.get(member, self._arranged_at)
+        return now - relayed_at < SEAT_SILENT_SECONDS
+
     def _is_live(self, member: str, now: float) -> bool:
         if member == self._table.process_id:
             return True
--- a/bilberrydrum/upstreams/views.py
+++ b/bilberrydrum/upstreams/views.py
@@ -128,7 +128,9 @@
             return True
         if changes.previous > self.change:
             return False
-        sent_at = self.clock.date(changes.sent_at, now)
+        sent_at = None
+        if changes.sent_at:
+            sent_at = self.clock.date(changes.sent_at, now)
         for item in changes.items:
             if item.change > self.change:
                 self._put(item.upstream_id, item.record)
@@ -170,4 +172,6 @@
             # The digest will not agree, and everything is fetched.
             return
         upstream = attrs.evolve(held.upstream, load=item.load, change=item.change)
-        self._put(item.upstream_id, attrs.evolve(held, upstream=upstream))
+        record = attrs.evolve(held, upstream=upstream)
+        self.records_by_id[item.upstream_id] = record
+        self.digest ^= held.digest() ^ record.digest()
