--- a/bilberrydrum/daemon.py
+++ b/bilberrydrum/daemon.py
@@ -89,6 +89,7 @@
         self._is_registered = False
         self._stop_asked = eventlet.event.Event()
         self._n_signals = 0
+        self._start_failed = False
         self._add_routes()
 
     def _add_routes(self) -> None:
@@ -148,16 +149,26 @@
             incarnation=self.transport.incarnation,
         )
 
-    def run(self) -> None:
-        """Start, and return once a signal has stopped the process gracefully."""
+    def run(self) -> bool:
+        """Start, and return once a signal has stopped the process gracefully.
+
+        Returns
+        -------
+        bool
+            False if the process ended because it could not start.
+        """
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         starter = eventlet.spawn(self.start)
         starter.link(self._on_started)
         self._stop_asked.wait()
         starter.kill()
+        if self._start_failed:
+            self.stop()
+            return False
         self._drain()
         self.stop()
+        return True
 
     def _on_started(self, starter: Any) -> None:
         try:
@@ -165,6 +176,7 @@
         except Exception:
             # A process whose start has failed must end: half its tasks would run.
             eliot.write_traceback()
+            self._start_failed = True
             self._ask_to_stop()
 
     def _on_signal(self, number: int, frame: FrameType | None) -> None:
--- a/bilberrydrum/main.py
+++ b/bilberrydrum/main.py
@@ -14,6 +14,7 @@
 from bilberrydrum.http import edge
 
 EXIT_OK: Final = 0
+EXIT_START_FAILED: Final = 1
 EXIT_SETTINGS: Final = 2
 
 
@@ -66,8 +67,8 @@
     if parsed.check:
         return EXIT_OK
     logs.open_log(loaded.ok_value.log_file)
-    daemon.Daemon(loaded.ok_value, secrets.ok_value).run()
-    return EXIT_OK
+    is_stopped_by_signal = daemon.Daemon(loaded.ok_value, secrets.ok_value).run()
+    return EXIT_OK if is_stopped_by_signal else EXIT_START_FAILED
 
 
 def _report(found: list[findings.Finding]) -> int:
