--- /dev/null
+++ b/tests/test_settings_process.py
@@ -0,0 +1,55 @@
+"""The daemon says what is wrong with its settings, and opens nothing."""
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from nose2.tools import params
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SETTINGS = "process_id: a\nstate: {data_folder: FOLDER/data}\n"
+
+
+class TestCheck(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def run_daemon(self, text, *words):
+        file = self.folder / "settings.yaml"
+        file.write_text(text.replace("FOLDER", str(self.folder)))
+        return subprocess.run(
+            [sys.executable, "-m", "bilberrydrum.main", "--settings", file, *words],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=120,
+        )
+
+    @params(
+        ("a fault", SETTINGS + "rolls: []\n", ["settings.yaml:3:1: error: unknown"]),
+        (
+            "two token files and a key file that are not there",
+            SETTINGS + "gateway: {operator_token_file: FOLDER/o,"
+            " upstream_token_file: FOLDER/u}\n"
+            "curve: {key_file: FOLDER/k, peers_file: FOLDER/p}\n",
+            [f"/{name}: error: cannot be read" for name in "kopu"],
+        ),
+    )
+    def test_faults_end_the_daemon_before_it_opens_anything(self, name, text, lines):
+        for words in ((), ("--check",)):
+            done = self.run_daemon(text, *words)
+            self.assertEqual(done.returncode, 2, done.stderr)
+            found = done.stderr.splitlines()
+            self.assertEqual(len(found), len(lines), done.stderr)
+            for line, part in zip(found, lines, strict=True):
+                self.assertIn(part, line)
+            self.assertFalse((self.folder / "data").exists())
+
+    def test_check_of_good_settings_opens_nothing(self):
+        done = self.run_daemon(SETTINGS, "--check")
+        self.assertEqual((done.returncode, done.stderr), (0, ""))
+        self.assertFalse((self.folder / "data").exists())
