--- a/bilberrydrum_cli/client.py
+++ b/bilberrydrum_cli/client.py
@@ -105,22 +105,37 @@
         self._http = http or urllib3.PoolManager(retries=False)
 
     def json(
-        self, method: str, target: str, body: Any = None
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        timeout: float | None = None,
     ) -> result.Result[Any, Failure]:
         """Send a request with a JSON body and return the JSON answer."""
         data = b"" if body is None else json.dumps(body).encode()
-        return self.call(Call(method, target, data)).and_then(_parse)
-
-    def call(self, call: Call) -> result.Result["Answer", Failure]:
-        """Send a request until a gateway answers or the time is up."""
+        return self.call(Call(method, target, data), timeout).and_then(_parse)
+
+    def call(
+        self, call: Call, timeout: float | None = None
+    ) -> result.Result["Answer", Failure]:
+        """Send a request until a gateway answers or the time is up.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        timeout : float or None
+            Seconds to go on trying, if less than the client's.
+        """
+        seconds = min(self._timeout, timeout or self._timeout)
         attempts_by_gateway: dict[str, Attempt] = {}
         may_have_run = False
-        event: rotation.Event = rotation.Begin(self._clock() + self._timeout)
+        event: rotation.Event = rotation.Begin(self._clock() + seconds)
         while True:
             effect = self._rotation.step(self._clock(), event)
             if not isinstance(effect, rotation.Try):
                 return result.Err(
-                    Unavailable(self._timeout, attempts_by_gateway, may_have_run)
+                    Unavailable(seconds, attempts_by_gateway, may_have_run)
                 )
             if effect.pause_seconds:
                 self._sleep(effect.pause_seconds)
--- a/bilberrydrum_cli/rollout.py
+++ b/bilberrydrum_cli/rollout.py
@@ -21,7 +21,9 @@
     progress = _Progress(current)
     while True:
         elapsed = current.clock() - begin
-        outcome = current.gateways.json("GET", f"/v1/bundles/{version}/status")
+        left = max(seconds - elapsed, POLL_SECONDS)
+        target = f"/v1/bundles/{version}/status"
+        outcome = current.gateways.json("GET", target, timeout=left)
         if isinstance(outcome, result.Ok):
             status = outcome.ok_value
             progress.show(_line(version, status, elapsed))
--- a/bilberrydrum_cli/session.py
+++ b/bilberrydrum_cli/session.py
@@ -132,7 +132,7 @@
 def _document(failure: client.Failure) -> Any:
     if isinstance(failure, client.Refused) and failure.problem:
         return failure.problem
-    return json.loads(json.dumps(attrs.asdict(failure)))
+    return attrs.asdict(failure)
 
 
 def _finding(item: Any) -> str:
--- a/bilberrydrum_cli/verbs.py
+++ b/bilberrydrum_cli/verbs.py
@@ -15,6 +15,7 @@
 from bilberrydrum_cli import messages, session
 
 DEFAULT_WAIT_SECONDS: Final = 120.0
+_MAX_VERSION_DIGITS: Final = 16
 _DIGEST_CHARACTERS: Final = frozenset(string.hexdigits)
 
 
@@ -37,7 +38,8 @@
 
 def version(text: str) -> int:
     """Return a bundle's version from the command line."""
-    if not (text.isascii() and text.isdigit() and int(text[:18]) > 0) or len(text) > 18:
+    is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_VERSION_DIGITS
+    if not is_number or int(text) == 0:
         raise argparse.ArgumentTypeError(messages.BAD_VERSION.format(text=text))
     return int(text)
 
--- a/tests/test_cli_client.py
+++ b/tests/test_cli_client.py
@@ -215,6 +215,12 @@
         self.assertEqual(type(failure).__name__, expected)
         self.assertEqual(failure.gateway, A)
 
+    def test_a_shorter_time_for_one_request(self):
+        http = Http(FROZEN, FROZEN)
+        made, _ = make_client(http, (A,), timeout=10.0)
+        failure = made.json("GET", "/v1/bundles", timeout=0.02).err_value
+        self.assertEqual((failure.seconds, len(http.requests)), (0.02, 1))
+
     def test_headers(self):
         http = Http(OK)
         made, _ = make_client(http, token="s3cret")
--- a/tests/test_cli_verbs.py
+++ b/tests/test_cli_verbs.py
@@ -36,8 +36,10 @@
     def __init__(self, *script):
         self.script = list(script)
         self.requests = []
+        self.timeouts = []
 
-    def json(self, method, target, body=None):
+    def json(self, method, target, body=None, timeout=None):
+        self.timeouts.append(timeout)
         self.requests.append((method, target, body))
         outcome = self.script.pop(0)
         return outcome if isinstance(outcome, result.Err) else result.Ok(outcome)
@@ -69,12 +71,16 @@
 )
 
 
-def run(verb, *script, form=output.FORM_TABLE):
-    gateways = Gateways(*script)
+def make_session(gateways, form=output.FORM_TABLE):
     clock = Clock()
-    current = session.Session(
+    return session.Session(
         gateways, form, io.StringIO(), io.StringIO(), clock, clock.sleep
     )
+
+
+def run(verb, *script, form=output.FORM_TABLE):
+    gateways = Gateways(*script)
+    current = make_session(gateways, form)
     code = verbs.run(verb, current)
     return code, current.out.getvalue(), current.err.getvalue(), gateways.requests
 
@@ -186,6 +192,12 @@
         self.assertIn(message, err)
         self.assertEqual(len(requests), 1 + len(polls))
 
+    def test_a_poll_lasts_no_longer_than_the_wait(self):
+        gateways = Gateways({}, *[ROLLING] * 5)
+        verb = verbs.RollBundle(3, "ab", wait=True, wait_seconds=1.0)
+        verbs.run(verb, make_session(gateways))
+        self.assertEqual(gateways.timeouts, [None, 1.0, 0.75, 0.5, 0.25, 0.25])
+
     def test_progress_off_a_terminal_is_a_line_per_change(self):
         verb = verbs.RollBundle(3, "ab", wait=True, wait_seconds=60.0)
         _, _, err, _ = run(verb, {}, *[ROLLING] * 20, IN_FORCE)
