Refuse IPv6 addresses in settings

Cause: settings took [::1]:9080 and the daemon then ended with a traceback, since neither the ZeroMQ sockets nor the HTTP listener are opened for IPv6. Ruled out: opening them for IPv6 now; nobody runs on it and it would go untested. Conclusion: refused with its place instead of a crash.

--- a/bilberrydrum/addresses.py
+++ b/bilberrydrum/addresses.py
@@ -9,7 +9,7 @@
     Parameters
     ----------
     address : str
-        The address; an IPv6 number stands in brackets.
+        The address, with an IPv4 number: the sockets are opened for IPv4 alone.
     is_wildcard_allowed : bool
         Whether the address may stand for all of the host's own addresses.
     """
@@ -18,13 +18,10 @@
         return f"must be IP:port, found {address!r}"
     if not (port.isascii() and port.isdigit() and 1 <= int(port[:6]) <= 65535):
         return f"must end in a port from 1 to 65535, found {port!r}"
-    is_bracketed = host.startswith("[") and host.endswith("]")
     try:
-        number = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+        number = ipaddress.IPv4Address(host)
     except ValueError:
-        return f"must begin with an IP number, found {host!r}"
-    if is_bracketed != (number.version == 6):
-        return "must have brackets round an IPv6 number, and round no other"
+        return f"must begin with an IPv4 number, found {host!r}"
     if number.is_unspecified and not is_wildcard_allowed:
         return "must be an address that other processes can reach"
     return ""
