Check that leases outlast an election, claims a request, the limit the balancer

Cause: settings that make each change of leader end all leases, or let a claim be forgotten while its request runs, passed the check. Change: three more pairs of values that must fit; a row each.

--- a/bilberrydrum/settings.py
+++ b/bilberrydrum/settings.py
@@ -21,6 +21,8 @@
 RENEWALS_PER_LEASE: Final = 3
 # Heartbeats that may be lost before a follower stands for election.
 HEARTBEATS_PER_ELECTION: Final = 3
+# An election lasts up to two timeouts, and gateways must hear of the new leader.
+ELECTIONS_PER_LEASE: Final = 3
 
 _NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
 _NAME_RULE: Final = (
@@ -90,6 +92,12 @@
         HEARTBEATS_PER_ELECTION,
         ("state", "election_timeout_seconds"),
     ),
+    # Otherwise each change of leader would end all gateways' leases.
+    (
+        ("state", "election_timeout_seconds"),
+        ELECTIONS_PER_LEASE,
+        ("gateway", "bundle_lease_seconds"),
+    ),
     (
         ("gateway", "bundle_renew_seconds"),
         RENEWALS_PER_LEASE,
@@ -115,6 +123,10 @@
         1,
         ("requests", "max_timeout_seconds"),
     ),
+    # Otherwise a claim could be forgotten while its request is under way, and the
+    # result would have no place to be recorded.
+    (("requests", "max_timeout_seconds"), 1, ("requests", "claim_seconds")),
+    (("shutdown", "balancer_seconds"), 1, ("shutdown", "limit_seconds")),
 )
 
 _Reading = yaml_places.Reading[options.Options]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -113,7 +113,10 @@
     (
         "lease too short for its renewal",
         "process_id: a\ngateway:\n  bundle_lease_seconds: 1\n",
-        ["3:25 bundle_renew_seconds must be at most bundle_lease_seconds / 3"],
+        [
+            "3:25 bundle_renew_seconds must be at most bundle_lease_seconds / 3",
+            "3:25 election_timeout_seconds must be at most bundle_lease_seconds / 3",
+        ],
     ),
     (
         "election before a heartbeat can be late",
