Remove a lost replica before its successor votes

Right after a disk was lost, the old replica still counted as heard from, so the leader gave the new one its vote first: four voters, one of them gone, and the next loss stopped the group. The learner now waits until the old replica of its process is removed.

--- a/bilberrydrum/state/leader.py
+++ b/bilberrydrum/state/leader.py
@@ -339,13 +339,13 @@
 def _check_change(
     state: node.Node, role: node.Leader, change: membership.Change
 ) -> membership.Refusal | None:
-    # A second change before the first is committed could give two majorities without
-    # a common replica, one for each of two leaders.
-    if state.membership_index > state.commit_index:
-        return membership.Refusal("another change is under way")
-    # So could a change left behind by an earlier leader that is not yet settled.
+    # A change left behind by an earlier leader may not be settled yet; together with
+    # it, this one could give two majorities without a common replica.
     if not is_established(state, role):
         return membership.Refusal("the leader has not committed in its term yet")
+    # So could a second change before the first is committed.
+    if state.membership_index > state.commit_index:
+        return membership.Refusal("another change is under way")
     after = membership.changed(state.members, change)
     if isinstance(after, membership.Refusal):
         return after
--- a/bilberrydrum/state/steward.py
+++ b/bilberrydrum/state/steward.py
@@ -35,8 +35,13 @@
     for learner in current.replicas:
         if learner.is_voter:
             continue
-        old = _superseded(current, learner, learned_by_id)
+        old = _superseded(current, learner)
         if old is not None:
+            # Heard from a moment ago, it may still be called lost too early. But with
+            # both in the group, four voters of which one is gone bear no second loss.
+            heard = learned_by_id.get(old.replica_id)
+            if heard is not None and heard.is_reachable:
+                continue
             return membership.Change(membership.REMOVE, old)
         known = learned_by_id.get(learner.replica_id)
         if known is None or not known.is_reachable or not known.match_index:
@@ -47,16 +52,11 @@
 
 
 def _superseded(
-    current: membership.Membership,
-    learner: membership.ReplicaInfo,
-    learned_by_id: dict[str, Learned],
+    current: membership.Membership, learner: membership.ReplicaInfo
 ) -> membership.ReplicaInfo | None:
-    """Return an earlier replica of the learner's process that is gone."""
+    """Return an earlier replica of the learner's process."""
     for replica in current.replicas:
         is_same = replica.process_id == learner.process_id
-        if not is_same or replica.replica_id == learner.replica_id:
-            continue
-        known = learned_by_id.get(replica.replica_id)
-        if known is None or not known.is_reachable:
+        if is_same and replica.replica_id != learner.replica_id:
             return replica
     return None
--- /dev/null
+++ b/tests/test_state_core.py
@@ -0,0 +1,412 @@
+"""The replication core's decisions, one at a time: events in, effects out."""
+
+import random
+import unittest
+from typing import Any
+
+from nose2.tools import params
+
+from bilberrydrum import codec
+from bilberrydrum.state import core, events, log, membership, messages, node
+
+SETTINGS = node.Settings(heartbeat=0.1, election_timeout=0.6, drift_margin=0.05)
+MEMBERS = membership.Membership(
+    tuple(membership.ReplicaInfo(each, f"p-{each}", f"at-{each}") for each in "abc")
+)
+
+
+def entry(
+    index: int, term: int, kind: int = log.KIND_LOCAL, data: bytes = b""
+) -> log.Entry:
+    return log.Entry(index, term, 1.0, kind, data)
+
+
+def first_entry() -> log.Entry:
+    return entry(1, 1, log.KIND_MEMBERSHIP, codec.encode(MEMBERS))
+
+
+class One:
+    """One core among the replicas a, b and c; the test plays the others."""
+
+    def __init__(
+        self, replica_id: str = "a", *later: log.Entry, term: int = 1, now: float = 0.0
+    ) -> None:
+        self.id = replica_id
+        self.now = now
+        recovered = node.Recovered(
+            replica_id,
+            events.HardState(term, ""),
+            entries=(first_entry(), *later),
+        )
+        self.core = core.Core(SETTINGS, recovered, random.Random(1), now)
+        self.effects: list[Any] = []
+
+    @property
+    def node(self) -> node.Node:
+        return self.core.node
+
+    def step(self, event: Any) -> list[Any]:
+        self.effects = self.core.step(self.now, event)
+        return self.effects
+
+    def receive(self, cls: type[Any], sender: str, **fields: Any) -> list[Any]:
+        fields = {"receiver_id": self.id, "term": self.node.term, **fields}
+        message = cls(sender_id=sender, **fields)
+        return self.step(events.Received(f"at-{sender}", message))
+
+    def sent(self, cls: type[Any]) -> list[Any]:
+        messages_sent = [e.message for e in self.effects if isinstance(e, events.Send)]
+        return [each for each in messages_sent if isinstance(each, cls)]
+
+    def sync(self) -> None:
+        """Let all writes be synced; the effects are added to those before."""
+        before = self.effects
+        self.step(events.Synced(self.node._write_number))
+        self.effects = before + self.effects
+
+    def wait(self, seconds: float) -> list[Any]:
+        """Let time pass with a tick every 50 ms; return what was sent."""
+        sent = []
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.05
+            self.step(events.Tick())
+            sent += self.sent(messages.PeerMessage)
+        return sent
+
+    def ask_vote(self, sender: str, term: int, **fields: Any) -> list[Any]:
+        fields = {
+            "last_index": self.node.log.last_index,
+            "last_term": self.node.log.last_term,
+            **fields,
+        }
+        return self.receive(messages.VoteRequest, sender, term=term, **fields)
+
+    def lead(self) -> None:
+        """Have this replica elected, with b's votes."""
+        self.wait(1.3)
+        term = self.node.term + 1
+        grant = {"term": term, "is_granted": True}
+        self.receive(messages.VoteReply, "b", is_pre_vote=True, **grant)
+        self.sync()
+        self.receive(messages.VoteReply, "b", **grant)
+
+    def acknowledge(
+        self, sender: str, index: int, sent_at: float | None = None
+    ) -> None:
+        self.receive(
+            messages.AppendReply,
+            sender,
+            is_success=True,
+            index=index,
+            sent_at=self.now if sent_at is None else sent_at,
+        )
+
+    def establish(self) -> None:
+        self.lead()
+        self.sync()
+        self.acknowledge("b", self.node.log.last_index)
+
+    def append(
+        self, sender: str, entries: tuple[log.Entry, ...] = (), **fields: Any
+    ) -> None:
+        last = self.node.log
+        fields = {
+            "previous_index": last.last_index,
+            "previous_term": last.last_term,
+            "commit_index": 0,
+            "sent_at": 0.0,
+            "entries": log.pack(entries) if entries else b"",
+            **fields,
+        }
+        self.receive(messages.Append, sender, **fields)
+
+    def committed(self) -> list[int]:
+        commits = [each for each in self.effects if isinstance(each, events.Commit)]
+        return [each.index for commit in commits for each in commit.entries]
+
+    def has_lease(self) -> bool:
+        return self.core.lease_end(self.now) > self.now
+
+
+class SyncedFirst(unittest.TestCase):
+    """What is answered for is on disk first.
+
+    A replica answers, its power goes, and it comes back without what it answered for:
+    it votes a second time, or an acknowledged entry is gone. So the answer waits.
+    """
+
+    def test_vote_waits_for_its_sync(self) -> None:
+        one = One(now=0.0)
+        one.now = 1.0
+        one.ask_vote("b", 2)
+        self.assertEqual(one.sent(messages.VoteReply), [])
+        one.sync()
+        self.assertTrue(one.sent(messages.VoteReply)[0].is_granted)
+
+    def test_append_is_acknowledged_after_its_sync(self) -> None:
+        one = One()
+        one.append("b", (entry(2, 1),))
+        self.assertEqual(one.sent(messages.AppendReply), [])
+        one.sync()
+        self.assertEqual(one.sent(messages.AppendReply)[0].index, 2)
+
+    def test_heartbeat_vouches_only_for_what_is_synced(self) -> None:
+        one = One()
+        one.append("b", (entry(2, 1),))
+        one.append("b")
+        self.assertEqual(one.sent(messages.AppendReply)[0].index, 1)
+
+    def test_candidate_counts_its_own_vote_after_its_sync(self) -> None:
+        one = One()
+        one.wait(1.3)
+        grant = {"term": 2, "is_granted": True}
+        one.receive(messages.VoteReply, "b", is_pre_vote=True, **grant)
+        one.receive(messages.VoteReply, "b", **grant)
+        self.assertIsInstance(one.node.role, node.Candidate)
+        one.sync()
+        self.assertIsInstance(one.node.role, node.Leader)
+
+    def test_leader_counts_itself_after_its_sync(self) -> None:
+        one = One()
+        one.lead()
+        one.acknowledge("b", 2)
+        self.assertEqual(one.node.commit_index, 0)
+        one.sync()
+        self.assertEqual(one.committed(), [1, 2])
+
+    def test_second_candidate_of_a_term_gets_no_vote_after_restart(self) -> None:
+        one = One()
+        one.now = 1.0
+        one.ask_vote("b", 2)
+        writes = [each for each in one.effects if isinstance(each, events.Write)]
+        self.assertEqual(writes[-1].hard_state, events.HardState(2, "b"))
+        recovered = node.Recovered("a", writes[-1].hard_state, entries=(first_entry(),))
+        one.core = core.Core(SETTINGS, recovered, random.Random(1), one.now)
+        one.now = 2.0
+        one.ask_vote("c", 2)
+        one.sync()
+        self.assertFalse(one.sent(messages.VoteReply)[0].is_granted)
+
+
+class LeaderLeftAlone(unittest.TestCase):
+    """A healthy leader is not deposed, and its lease is kept by its followers."""
+
+    @params(True, False)
+    def test_candidate_is_ignored_while_the_leader_is_heard(self, is_pre: bool) -> None:
+        """A cut-off replica comes back with a higher term and asks for votes.
+
+        Those who hear the leader do not even take over the term, or the leader would
+        have to step down for it.
+        """
+        one = One()
+        one.now = 5.0
+        one.append("b")
+        one.now = 5.5
+        one.ask_vote("c", 9, is_pre_vote=is_pre)
+        self.assertEqual(one.effects, [])
+        self.assertEqual(one.node.term, 1)
+        one.now = 5.61
+        one.ask_vote("c", 9, is_pre_vote=is_pre)
+        one.sync()
+        self.assertTrue(is_pre or one.sent(messages.VoteReply)[0].is_granted)
+
+    def test_restarted_replica_keeps_the_lease_it_may_have_given(self) -> None:
+        """A follower answers the leader, restarts at once, and is asked for a vote.
+
+        It does not remember the answer, but the leader still reads under the lease
+        that rests on it. So it counts as having heard a leader when it starts.
+        """
+        one = One(now=100.0)
+        one.now = 100.5
+        one.ask_vote("c", 2)
+        self.assertEqual(one.effects, [])
+        one.now = 100.7
+        one.ask_vote("c", 2)
+        one.sync()
+        self.assertTrue(one.sent(messages.VoteReply)[0].is_granted)
+
+    def test_isolated_replica_starts_no_term(self) -> None:
+        """A replica is cut off for a minute, and then heard again.
+
+        It has asked all the while whether it could win, and nobody answered; its term
+        is the group's, so that its return changes nothing.
+        """
+        one = One()
+        sent = one.wait(60.0)
+        self.assertGreater(len(sent), 50)
+        self.assertTrue(all(each.is_pre_vote for each in sent))
+        self.assertEqual(one.node.term, 1)
+
+    def test_isolated_leader_stops_acting_within_its_lease(self) -> None:
+        """The leader is cut off silently, and takes commands meanwhile.
+
+        Its lease ends before the others elect a leader; soon after it stops leading,
+        and what it took alone was never committed.
+        """
+        one = One()
+        one.establish()
+        self.assertTrue(one.has_lease())
+        cut_at = one.now
+        one.step(events.Propose(((log.KIND_LOCAL, b"x"),), 0.0, 7))
+        one.sync()
+        one.wait(0.55)
+        self.assertTrue(one.has_lease())
+        one.now = cut_at + 0.58
+        self.assertFalse(one.has_lease())
+        one.wait(0.2)
+        self.assertIsInstance(one.node.role, node.Follower)
+        self.assertEqual(one.node.commit_index, 2)
+
+    def test_frozen_leader_wakes_without_its_lease(self) -> None:
+        """The leader is stopped past its lease and wakes with a read in hand.
+
+        It is asked before it has handled any event or tick: the lease is compared with
+        the clock at the call.
+        """
+        one = One()
+        one.establish()
+        one.now += 30.0
+        self.assertFalse(one.has_lease())
+
+    def test_late_answers_do_not_renew_the_lease(self) -> None:
+        """The leader wakes to find answers that came while it was stopped.
+
+        They tell of the time when their question was sent, not of now.
+        """
+        one = One()
+        one.establish()
+        asked_at = one.now
+        one.now += 30.0
+        one.acknowledge("b", 2, sent_at=asked_at)
+        one.acknowledge("c", 2, sent_at=asked_at)
+        self.assertFalse(one.has_lease())
+
+    def test_new_leader_reads_only_after_a_commit_in_its_term(self) -> None:
+        one = One()
+        one.lead()
+        one.acknowledge("b", 1)
+        self.assertFalse(one.has_lease())
+        one.sync()
+        one.acknowledge("b", 2)
+        self.assertTrue(one.has_lease())
+
+    def test_learners_do_not_renew_the_lease(self) -> None:
+        one = One()
+        one.establish()
+        one.step(
+            events.ProposeChange(
+                membership.Change(
+                    membership.ADD_LEARNER,
+                    membership.ReplicaInfo("d", "p-d", "at-d", is_voter=False),
+                ),
+                0.0,
+            )
+        )
+        for _ in range(20):
+            one.wait(0.05)
+            if one.has_lease():
+                one.acknowledge("d", 1)
+        self.assertFalse(one.has_lease())
+
+
+class Logs(unittest.TestCase):
+    """Which entries are taken, replaced and committed."""
+
+    def test_old_entry_is_committed_only_with_one_of_the_own_term(self) -> None:
+        """A leader spreads an entry of an earlier term to a majority, and is replaced.
+
+        The next leader, which lacks the entry, may have a newer last term and replace
+        it. Reported as committed before, it would be lost.
+        """
+        one = One("a", entry(2, 1), term=3)
+        one.lead()
+        one.sync()
+        one.acknowledge("b", 2)
+        self.assertEqual(one.node.commit_index, 0)
+        one.acknowledge("b", 3)
+        self.assertEqual(one.committed(), [1, 2, 3])
+
+    @params((1, 9, False), (5, 2, True), (2, 3, True), (2, 2, False))
+    def test_vote_only_for_a_log_that_holds_as_much(
+        self, last_term: int, last_index: int, is_granted: bool
+    ) -> None:
+        one = One("a", entry(2, 2), entry(3, 2), term=2)
+        one.now = 1.0
+        one.ask_vote("b", 6, last_term=last_term, last_index=last_index)
+        one.sync()
+        self.assertIs(one.sent(messages.VoteReply)[0].is_granted, is_granted)
+
+    def test_differing_suffix_is_replaced_once(self) -> None:
+        one = One("a", entry(2, 1), entry(3, 1), term=1)
+        new = (entry(2, 2), entry(3, 2), entry(4, 2))
+        for _ in range(2):
+            one.append("b", new, previous_index=1, previous_term=1, term=2)
+            one.sync()
+            self.assertEqual(one.sent(messages.AppendReply)[0].index, 4)
+        self.assertEqual(
+            [each.term for each in one.node.log.between(1, 4)], [1, 2, 2, 2]
+        )
+
+    def test_late_older_append_takes_nothing_back(self) -> None:
+        one = One()
+        new = (entry(2, 1), entry(3, 1), entry(4, 1))
+        one.append("b", new)
+        one.append("b", new[:1], previous_index=1, previous_term=1)
+        self.assertEqual(one.node.log.last_index, 4)
+
+    def test_gap_is_refused_with_the_place_to_go_on(self) -> None:
+        one = One()
+        one.append("b", (entry(9, 1),), previous_index=8, previous_term=1)
+        one.sync()
+        reply = one.sent(messages.AppendReply)[0]
+        self.assertFalse(reply.is_success)
+        self.assertEqual(reply.index, 1)
+
+    def test_message_for_the_replica_whose_disk_is_gone_is_dropped(self) -> None:
+        """A host comes back empty at its old address, and old messages still arrive.
+
+        A vote or an acknowledgement in the old replica's name would count for entries
+        and votes that went with the disk.
+        """
+        one = One("new")
+        one.now = 1.0
+        one.ask_vote("b", 2, receiver_id="a")
+        self.assertEqual(one.effects, [])
+        one.append("b", (entry(2, 1),), receiver_id="a")
+        self.assertEqual(one.effects, [])
+
+    def test_time_of_entries_never_falls(self) -> None:
+        """The wall clock of a new leader is an hour behind the last one's."""
+        one = One("a", log.Entry(2, 1, 5000.0, log.KIND_LOCAL, b""))
+        one.establish()
+        times = []
+        for wall_time in (1400.0, 1300.0, 9000.0, 8000.0):
+            one.now += 1.0
+            one.step(events.Propose(((log.KIND_LOCAL, b""),), wall_time))
+            times.append(one.node.log.last_time)
+        self.assertEqual(times, sorted(times))
+        self.assertGreater(times[1], times[0])
+        self.assertEqual(times[2], 9000.0)
+
+
+class Handover(unittest.TestCase):
+    def test_leader_that_stops_names_its_successor_without_its_lease(self) -> None:
+        one = One()
+        one.establish()
+        one.step(events.GiveUpLeadership())
+        self.assertEqual(len(one.sent(messages.StandNow)), 1)
+        self.assertFalse(one.has_lease())
+
+    def test_successor_is_elected_within_the_old_lease(self) -> None:
+        one = One("b")
+        one.append("a")
+        one.receive(messages.StandNow, "a")
+        one.sync()
+        requests = one.sent(messages.VoteRequest)
+        self.assertEqual({each.is_transfer for each in requests}, {True})
+        other = One("c")
+        other.append("a")
+        other.ask_vote("b", 2, is_transfer=True)
+        other.sync()
+        self.assertTrue(other.sent(messages.VoteReply)[0].is_granted)
--- /dev/null
+++ b/tests/test_state_membership.py
@@ -0,0 +1,180 @@
+"""Membership changes: one at a time, never without a majority, learners first."""
+
+import unittest
+
+from nose2.tools import params
+
+from bilberrydrum.state import events, membership, node, steward
+from tests import test_state_core
+from tests.fakes import replica_group
+
+LEARNER = membership.ReplicaInfo("d", "p-d", "at-d", is_voter=False)
+
+
+def voter(name: str) -> membership.ReplicaInfo:
+    found = test_state_core.MEMBERS.find(name)
+    assert found is not None
+    return found
+
+
+class Refused(unittest.TestCase):
+    """Steps that would endanger the group are refused with the reason."""
+
+    def refusal(self, one: test_state_core.One, change: membership.Change) -> str:
+        effects = one.step(events.ProposeChange(change, 0.0, 1))
+        refused = [each for each in effects if isinstance(each, events.ChangeRefused)]
+        return refused[0].detail if refused else ""
+
+    def test_second_change_before_the_first_is_committed(self) -> None:
+        """Two operators change the membership at once.
+
+        Two uncommitted changes could leave two leaders majorities that do not meet.
+        """
+        one = test_state_core.One()
+        one.establish()
+        one.acknowledge("c", 2)
+        add = membership.Change(membership.ADD_LEARNER, LEARNER)
+        remove = membership.Change(membership.REMOVE, voter("c"))
+        self.assertEqual(self.refusal(one, add), "")
+        self.assertIn("under way", self.refusal(one, remove))
+        one.sync()
+        one.acknowledge("b", 3)
+        self.assertEqual(self.refusal(one, remove), "")
+
+    def test_change_before_the_leader_committed_in_its_term(self) -> None:
+        one = test_state_core.One()
+        one.lead()
+        change = membership.Change(membership.ADD_LEARNER, LEARNER)
+        self.assertIn("not committed in its term", self.refusal(one, change))
+
+    def test_removal_that_loses_the_majority(self) -> None:
+        """One of three hosts is lost, and an operator removes a healthy one.
+
+        Two voters would remain, one of them lost: nothing could be committed again,
+        not even the way back.
+        """
+        one = test_state_core.One()
+        one.establish()
+        detail = self.refusal(one, membership.Change(membership.REMOVE, voter("b")))
+        self.assertIn("lose its majority", detail)
+        self.assertIn("not heard from: c", detail)
+        lost = membership.Change(membership.REMOVE, voter("c"))
+        self.assertEqual(self.refusal(one, lost), "")
+
+    def test_vote_for_a_learner_that_has_not_caught_up(self) -> None:
+        one = test_state_core.One()
+        one.establish()
+        add = membership.Change(membership.ADD_LEARNER, LEARNER)
+        self.assertEqual(self.refusal(one, add), "")
+        one.sync()
+        one.acknowledge("b", 3)
+        promote = membership.Change(membership.PROMOTE, LEARNER)
+        self.assertIn("caught up", self.refusal(one, promote))
+        one.acknowledge("d", 3)
+        self.assertEqual(self.refusal(one, promote), "")
+
+    def test_last_voter(self) -> None:
+        only = membership.Membership((voter("a"),))
+        after = membership.changed(
+            only, membership.Change(membership.REMOVE, voter("a"))
+        )
+        self.assertIsInstance(after, membership.Refusal)
+
+
+class NextChange(unittest.TestCase):
+    """Which change the leader makes by itself."""
+
+    MEMBERS = test_state_core.MEMBERS
+    NEW_C = membership.ReplicaInfo("c2", "p-c", "at-c", is_voter=False)
+
+    @params(
+        ("joins", (), (0, False), 100, "add-learner"),
+        ("old replica gone", ("c2",), (100, False), 100, "remove"),
+        ("old replica heard", ("c2",), (100, True), 100, None),
+        ("behind", ("d",), (100, True), 1000, None),
+        ("caught up", ("d",), (100, True), 300, "promote"),
+    )
+    def test_due(
+        self,
+        name: str,
+        learners: tuple[str, ...],
+        learned: tuple[int, bool],
+        commit_index: int,
+        kind: str | None,
+    ) -> None:
+        current = self.MEMBERS
+        joining = {"p-c": self.NEW_C}
+        if learners:
+            joining = {}
+        if "c2" in learners:
+            current = membership.Membership((*current.replicas, self.NEW_C))
+        if "d" in learners:
+            current = membership.Membership((*current.replicas, LEARNER))
+        match_index, is_old_heard = learned
+        change = steward.next_change(
+            current,
+            joining,
+            {
+                "c2": steward.Learned(match_index, True),
+                "c": steward.Learned(0, is_old_heard),
+                "d": steward.Learned(match_index, True),
+            },
+            commit_index,
+        )
+        self.assertEqual(change.kind if change else None, kind, name)
+
+
+class LostDisk(unittest.TestCase):
+    """A host comes back empty; then a second one is lost."""
+
+    def test_second_host_is_lost_right_after_the_repair(self) -> None:
+        """A disk is lost, the host rejoins, and another host goes with its disk.
+
+        The repaired replica must hold all that was acknowledged, under a new id and
+        with a vote of its own, or the two that are left could not go on.
+        """
+        for seed in range(5):
+            group = replica_group.Group(3, seed)
+            group.run(4.0)
+            hosts = list(group.hosts_by_name.values())
+            n_before = group.n_commits
+            group.lose_disk(hosts[1])
+            new_id = hosts[1].decisions.node.replica_id
+            for _ in range(30):
+                group.run(1.0)
+                info = hosts[1].decisions.node.members.find(new_id)
+                if info is not None and info.is_voter:
+                    break
+            self.assertTrue(info and info.is_voter)
+            group.crash(hosts[2])
+            del group.hosts_by_name["h2"]
+            n_repaired = group.n_commits
+            group.run(6.0)
+            self.assertGreater(n_repaired, n_before)
+            self.assertGreater(group.n_commits, n_repaired)
+
+    def test_returned_host_does_not_answer_for_what_it_lost(self) -> None:
+        """The only holder of an entry besides the leader loses its disk.
+
+        The third never got the entry. The returned host is empty under its old name:
+        if it voted with the third, the entry would be gone.
+        """
+        group = replica_group.Group(3, 7)
+        group.run(3.0)
+        leader = group.leader()
+        assert leader is not None
+        holder, lacking = (
+            each for each in group.hosts_by_name.values() if each is not leader
+        )
+        for name in group.hosts_by_name:
+            group.cuts |= {(lacking.name, name), (name, lacking.name)}
+        group.run(1.0, is_ordered=True)
+        group.lose_disk(holder)
+        group.crash(leader)
+        group.cuts.clear()
+        group.run(10.0)
+        self.assertIsNone(group.leader())
+        self.assertIsInstance(holder.decisions.node.role, node.Follower)
+        group.start(leader)
+        group.run(10.0)
+        self.assertIsNotNone(group.leader())
