--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -39,6 +39,9 @@
     KEY_REUSED = "key-reused"
     KEY_EXPIRED = "key-expired"
     KEY_IN_PROGRESS = "key-in-progress"
+    CLAIM_LAPSED = "claim-lapsed"
+    KEYS_FULL = "keys-full"
+    RESULT_NOT_KEPT = "result-not-kept"
     OUTCOME_UNKNOWN = "outcome-unknown"
     CALLER_GONE = "caller-gone"
 
@@ -56,6 +59,7 @@
     BUNDLE_CONFLICT = "bundle-conflict"
     BUNDLE_NOT_SIGNED_OFF = "bundle-not-signed-off"
     BUNDLE_STALE = "bundle-stale"
+    BUNDLE_TOO_MANY_DRAFTS = "bundle-too-many-drafts"
     MEMBERSHIP_REFUSED = "membership-refused"
     SNAPSHOT_INVALID = "snapshot-invalid"
 
@@ -67,6 +71,10 @@
     MESSAGE_STALE_SENDER = "message-stale-sender"
     PEER_UNREACHABLE = "peer-unreachable"
 
+    # Upstreams.
+    ANNOUNCEMENT_STALE = "announcement-stale"
+    UPSTREAM_LEFT = "upstream-left"
+
     # Samples and weights.
     TRAINER_UNKNOWN = "trainer-unknown"
     READER_SUPERSEDED = "reader-superseded"
--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -8,6 +8,7 @@
 """
 
 import itertools
+import random
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -23,6 +24,8 @@
 PROTOCOL_VERSION: Final = 1
 # Messages waiting for one peer; beyond it new ones are dropped and counted.
 SEND_HIGH_WATER_MARK: Final = 10_000
+# Messages received before the other tasks get a turn.
+RECEIVE_BATCH: Final = 16
 
 
 @attrs.frozen
@@ -97,7 +100,9 @@
         self._dealers_by_address: dict[str, Any] = {}
         self._incarnations_by_sender: dict[str, int] = {}
         self._calls: dict[int, eventlet.event.Event] = {}
-        self._call_ids = itertools.count(1)
+        # A late answer to a call of this process's earlier life must not be taken for
+        # the answer to a new one, so the numbers of two lives do not meet.
+        self._call_ids = itertools.count(random.SystemRandom().getrandbits(48) + 1)
         self._router: Any = None
         self._tasks: list[Any] = []
 
@@ -154,6 +159,10 @@
             call_id,
             answers,
         )
+        if self._keys is not None and address not in self._keys.peers_by_address:
+            # Without the peer's public key there is no way to know who answers.
+            counters.dropped(reasons.Reason.PEER_UNREACHABLE)
+            return False
         try:
             # A DEALER whose peer is gone blocks in send and would hang the calling
             # task. Without blocking, the message is lost instead, which every
@@ -213,11 +222,13 @@
         return dealer
 
     def _receive(self) -> None:
-        while True:
+        for n_received in itertools.count(1):
             frames = self._router.recv_multipart()
             self._take(frames[-1])
-            # One busy peer must not keep the other tasks from running.
-            eventlet.sleep(0)
+            # Receiving does not yield while messages wait: one busy peer would keep
+            # the other tasks, heartbeats among them, from running.
+            if n_received % RECEIVE_BATCH == 0:
+                eventlet.sleep(0)
 
     def _take(self, data: bytes) -> None:
         try:
