--- a/bilberrydrum/bundles/book.py
+++ b/bilberrydrum/bundles/book.py
@@ -138,6 +138,8 @@
 
     # Until when a predecessor's leases may run.
     predecessor_until: float
+    # The longest lease that any leader may have granted.
+    longest_lease_seconds: float
     newest: Newest = attrs.field(factory=Newest)
     # Lower than any change, so that the first state is taken whatever it says.
     directory: messages.Directory = messages.Directory(change=-1)
@@ -179,9 +181,10 @@
         newest = self.newest
         if event.renewal.version > newest.version:
             # Only after the state was restored from an older copy. A lease for the
-            # older version would take the gateway back.
+            # older version would take the gateway back; the next bundle that is rolled
+            # takes it on.
             counters.dropped(reasons.Reason.BUNDLE_STALE)
-            return []
+            return self._propose(commands.NoteSeen(event.renewal.version))
         life.allow(newest.version, now + newest.lease_seconds)
         is_behind = event.renewal.version < newest.version
         is_directory_old = event.renewal.directory_change != self.directory.change
@@ -240,7 +243,10 @@
                 self._add(incarnation, life)
         for incarnation, process_id in former.items():
             if incarnation not in self.lives_by_incarnation:
-                self._add(incarnation, Life(process_id, "", now))
+                # Nothing is known of this life but that it was: it may hold a lease.
+                until = now + self.longest_lease_seconds
+                life = Life(process_id, "", now, until_by_version={_ANY_OLDER: until})
+                self._add(incarnation, life)
             self.lives_by_incarnation[incarnation].is_former = True
         self._is_begun = True
 
--- a/bilberrydrum/bundles/commands.py
+++ b/bilberrydrum/bundles/commands.py
@@ -53,6 +53,14 @@
     version: int
 
 
+@codec.register("bundles.note_seen")
+@attrs.frozen
+class NoteSeen:
+    """Note that a gateway acts on `version`; answered by `InForce`."""
+
+    version: int
+
+
 @codec.register("bundles.start_grants")
 @attrs.frozen
 class StartGrants:
@@ -124,6 +132,12 @@
     if command.parent != newest:
         # Made from an older bundle, it would silently undo what came since.
         return _stale(f"made from version {command.parent}, but {newest} is newest")
+    if command.version <= section.highest_seen:
+        # After a restore, gateways may still hold what the copy doesn't know. They
+        # would never take another content under a number they have met.
+        return _stale(
+            f"gateways have met version {section.highest_seen}; take a higher number"
+        )
     open_records = [
         each
         for each in section.records_by_version.values()
@@ -199,6 +213,13 @@
     return InForce(section.in_force)
 
 
+@machine.apply.register
+def _(command: NoteSeen, state: machine.State, context: machine.Context) -> InForce:
+    section = records.section_of(state)
+    section.highest_seen = max(section.highest_seen, command.version)
+    return InForce(section.in_force)
+
+
 @machine.apply.register
 def _(
     command: StartGrants, state: machine.State, context: machine.Context
--- a/bilberrydrum/bundles/grants.py
+++ b/bilberrydrum/bundles/grants.py
@@ -153,9 +153,10 @@
 ) -> book.GrantBook:
     """Return the book of a leader that has led since `since` by its clock."""
     seconds = started.lease_seconds
+    longest = max(seconds, started.hold_lease_seconds)
     if records.holds_through_cuts(records.read(state)):
-        seconds = started.hold_lease_seconds
-    return book.GrantBook(since + seconds)
+        seconds = longest
+    return book.GrantBook(since + seconds, longest)
 
 
 def find_change(
--- a/bilberrydrum/bundles/records.py
+++ b/bilberrydrum/bundles/records.py
@@ -56,6 +56,9 @@
     in_force: int = 0
     # The bundle on its way to all gateways; 0: none.
     rolling: int = 0
+    # Highest version that a gateway was heard to act on after a restore of an older
+    # copy of the state; 0: no such restore.
+    highest_seen: int = 0
     # Longest leases that a leader may have granted, in seconds.
     lease_seconds: float = 0.0
     hold_lease_seconds: float = 0.0
@@ -103,6 +106,36 @@
     )
 
 
+@machine.keep_rising.register
+def _(section: Section, current: Section | None) -> None:
+    """Keep the newest bundle when an older copy of the state is restored.
+
+    Gateways act on the newest bundle, and an accepted one must not be taken back. If
+    the copy is older, only records that are not known any more are taken from it.
+    """
+    if current is None:
+        return
+    section.highest_seen = max(section.highest_seen, current.highest_seen)
+    section.lease_seconds = max(section.lease_seconds, current.lease_seconds)
+    section.hold_lease_seconds = max(
+        section.hold_lease_seconds, current.hold_lease_seconds
+    )
+    if newest(current) < newest(section):
+        section.highest_seen = max(section.highest_seen, newest(current))
+        return
+    section.records_by_version = {
+        **{
+            version: record
+            for version, record in section.records_by_version.items()
+            if version < newest(current) and version not in current.records_by_version
+        },
+        **current.records_by_version,
+    }
+    section.in_force = current.in_force
+    section.rolling = current.rolling
+    prune(section)
+
+
 def prune(section: Section) -> None:
     """Drop contents and records that are no longer kept."""
     closed = [
--- a/bilberrydrum/state/controller_commands.py
+++ b/bilberrydrum/state/controller_commands.py
@@ -65,17 +65,6 @@
     number: int
 
 
-@codec.register("controller.raise_number")
-@attrs.frozen
-class RaiseFencingNumber:
-    """Make all numbers to come higher than `number`; answered by `ControllerState`.
-
-    For a state that was restored from an older copy.
-    """
-
-    number: int
-
-
 @codec.register("controller.ask")
 @attrs.frozen
 class AskController:
@@ -142,18 +131,19 @@
     return _answer(section)
 
 
-@machine.apply.register
-def _(
-    command: RaiseFencingNumber, state: machine.State, context: machine.Context
-) -> ControllerState:
-    section = _section_of(state)
-    if command.number > section.number:
-        section.number = command.number
-        section.n_renewals = 0
-        # Whoever held the right before the restore may still act on its lease, so the
-        # right does not count as given back.
-        section.holder = RESTORED
-    return _answer(section)
+@machine.keep_rising.register
+def _(section: Section, current: Section | None) -> None:
+    """Keep the number rising when an older copy of the state is restored."""
+    if current is not None and current.number >= section.number:
+        for field in attrs.fields(Section):
+            setattr(section, field.name, getattr(current, field.name))
+        return
+    if current is None:
+        section.number += processes.RESTORE_STEP
+    # Whoever held the right before the restore may still act on its lease, so the
+    # right does not count as given back.
+    section.holder = RESTORED
+    section.n_renewals = 0
 
 
 @machine.answer.register
--- a/bilberrydrum/state/processes.py
+++ b/bilberrydrum/state/processes.py
@@ -16,6 +16,11 @@
 
 SECTION: Final = "processes"
 _RETRY_SECONDS: Final = 0.2
+# How far numbers are raised when a copy of the state is restored to a new group:
+# further than they can have risen since the copy was made.
+RESTORE_STEP: Final = 1_000_000
+# Stands for the lives that such a copy doesn't know.
+UNKNOWN_LIVES: Final = "(unknown)"
 
 
 @codec.register("processes.process")
@@ -154,6 +159,22 @@
     return Forgotten(n_forgotten)
 
 
+@machine.keep_rising.register
+def _(section: Section, current: Section | None) -> None:
+    """Keep the processes of today when an older copy of the state is restored."""
+    if current is None:
+        # Processes that the copy doesn't know may run, under numbers it never gave,
+        # and hold leases. They register again; their old lives stand as one.
+        section.last_incarnation += RESTORE_STEP
+        section.change += RESTORE_STEP
+        section.former_by_incarnation[section.last_incarnation] = UNKNOWN_LIVES
+        return
+    section.last_incarnation = max(section.last_incarnation, current.last_incarnation)
+    section.change = max(section.change, current.change) + 1
+    section.processes_by_id = dict(current.processes_by_id)
+    section.former_by_incarnation = dict(current.former_by_incarnation)
+
+
 @machine.answer.register
 def _(query: ListProcesses, state: machine.State, now: float) -> ProcessList:
     section = read(state)
--- a/tests/test_bundles_commands.py
+++ b/tests/test_bundles_commands.py
@@ -11,6 +11,7 @@
 
 from bilberrydrum import clock, codec, reasons
 from bilberrydrum.bundles import commands, model, queries, records
+from bilberrydrum.state import machine
 from tests.fakes import direct_state
 
 
@@ -253,6 +254,30 @@
                 self.fail(f"{command} was accepted before, now {answer}")
 
 
+class TestRestore(unittest.TestCase):
+    @params(("older copy", 2, 3), ("copy of today", 3, 3), ("newer copy", 4, 4))
+    def test_restore_takes_no_accepted_bundle_back(
+        self, name: str, version_of_copy: int, in_force: int
+    ) -> None:
+        """A copy of the state is restored to a group that has version 3 in force."""
+        states = [direct_state.DirectState() for _ in range(2)]
+        for state, newest in zip(states, (3, version_of_copy), strict=True):
+            for version in range(1, newest + 1):
+                bring_in_force(state, version, version - 1)
+        current, copy = (section(state) for state in states)
+        machine.keep_rising(copy, current)
+        self.assertEqual(copy.in_force, in_force, name)
+        self.assertEqual(copy.records_by_version[in_force].state, "in-force")
+
+    def test_number_that_gateways_have_met_is_not_given_again(self) -> None:
+        state = direct_state.DirectState()
+        bring_in_force(state, 1, 0)
+        state.apply(commands.NoteSeen(7))
+        refused = state.apply(submit(7, 1))
+        self.assertEqual(refused.reason, reasons.Reason.BUNDLE_STALE)
+        self.assertIsInstance(state.apply(submit(8, 1)), commands.Changed)
+
+
 class TestClock(unittest.TestCase):
     def test_apply_reads_no_clock(self) -> None:
         """Replicas apply the same commands at different times to the same state."""
--- a/tests/test_bundles_lease.py
+++ b/tests/test_bundles_lease.py
@@ -1,5 +1,6 @@
 """Bundle leases: nothing is in force while any gateway can act on an older bundle."""
 
+import copy
 import unittest
 from typing import Any
 
@@ -8,7 +9,7 @@
 from nose2.tools import params
 
 from bilberrydrum import reasons
-from bilberrydrum.bundles import book, holder, messages, model
+from bilberrydrum.bundles import book, commands, holder, messages, model
 from tests.fakes import lease_world
 
 
@@ -203,6 +204,43 @@
         self.assertEqual(world.in_force(), 3)
         self.assertNotIn(2, world.gateways_by_id["g1"].versions[-1:])
 
+    def test_gateway_ahead_of_a_restored_state_is_not_taken_back(self) -> None:
+        """All replicas are lost; the state comes back from a copy that ends at 1.
+
+        Gateways act on 2. They get no lease for 1 and refuse work until a bundle
+        above 2 is rolled, and no other content can be submitted as 2.
+        """
+        world = lease_world.World()
+        world.roll()
+        earlier = copy.deepcopy(world.state.state().sections)
+        world.roll()
+        world.renew_all("g0", "g1")
+        world.state.state().sections = earlier
+        world.elect()
+        world.renew_all("g0", "g1")
+        world.advance(lease_world.LEASE)
+        for gateway in world.lives:
+            self.assertIsNone(world.acts_on(gateway))
+        refused = world.state.apply(
+            commands.SubmitBundle(2, 1, "d", "ana", model.CUT_REFUSE, "other")
+        )
+        self.assertEqual(refused.reason, reasons.Reason.BUNDLE_STALE)
+
+    def test_earlier_life_of_a_process_gets_no_lease(self) -> None:
+        """Two processes run under one name: the earlier one was taken for dead.
+
+        Each lease of the earlier one would hold up every roll to come.
+        """
+        world = lease_world.World({"g0": 1.0})
+        world.renew_all("g0")
+        earlier = world.gateways_by_id["g0"]
+        world.start_gateway("g0")
+        world.in_flight.clear()
+        world.step_gateway(earlier, holder.RenewalDue())
+        world.deliver(world.in_flight[0])
+        answers = [message.body for message in world.in_flight]
+        self.assertEqual(answers, [messages.Unregistered(1)])
+
     def test_silent_gateway_is_forgotten_and_told_to_register(self) -> None:
         world = lease_world.World()
         world.renew_all("g0", "g1")
--- a/tests/test_state_controller.py
+++ b/tests/test_state_controller.py
@@ -10,7 +10,12 @@
 from nose2.tools import params
 
 from bilberrydrum import options
-from bilberrydrum.state import controller, controller_commands, controller_lease
+from bilberrydrum.state import (
+    controller,
+    controller_commands,
+    controller_lease,
+    machine,
+)
 from tests import helpers
 from tests.fakes import direct_state
 
@@ -199,20 +204,33 @@
         after = attrs.astuple(controller_commands.read(self.world.state.state()))
         self.assertEqual(after, before, name)
 
-    def test_restored_state_neither_lowers_numbers_nor_shortens_leases(self) -> None:
-        """The state is restored from a copy made when the number was lower.
+    def restore(self, copy: controller_commands.Section, is_new_group: bool) -> None:
+        sections = self.world.state.state().sections
+        current = sections[controller_commands.SECTION]
+        machine.keep_rising(copy, None if is_new_group else current)
+        sections[controller_commands.SECTION] = copy
 
-        The number is raised to the last one known to have been given. Whoever holds
-        the right may still order, so the next holder waits a whole lease.
+    @params(
+        ("older copy", 0, False, 2),
+        ("newer copy", 40, False, 41),
+        ("new group", 40, True, 1_000_041),
+    )
+    def test_restored_state_neither_lowers_numbers_nor_shortens_leases(
+        self, name: str, number: int, is_new_group: bool, next_number: int
+    ) -> None:
+        """The state is restored from a copy, which may be older, and give nobody.
+
+        No number is given twice. Whoever holds the right may still order, so the
+        next holder waits a whole lease, though the copy knows of no holder.
         """
-        self.world.state.apply(controller_commands.RaiseFencingNumber(40))
-        self.world.state.apply(controller_commands.RaiseFencingNumber(7))
+        copy = controller_commands.Section(number)
+        self.restore(copy, is_new_group)
         self.world.turn(self.second)
         self.assertEqual(self.world.number(self.first), 1)
-        self.assertIsNone(self.world.number(self.second))
+        self.assertIsNone(self.world.number(self.second), name)
         self.world.now += LEASE
         self.world.turn(self.second)
-        self.assertEqual(self.world.number(self.second), 41)
+        self.assertEqual(self.world.number(self.second), next_number, name)
         self.assertIsNone(self.world.number(self.first))
 
     def test_fleet_shares_the_looking_at_a_healthy_holder(self) -> None:
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from bilberrydrum import options
-from bilberrydrum.state import processes
+from bilberrydrum import codec, options
+from bilberrydrum.state import machine, processes
 from tests.fakes import direct_state
 
 
@@ -67,6 +67,25 @@
             changes.append(self.section().change)
         self.assertEqual(changes, [1, 1, 2, 2, 3])
 
+    def test_restored_copy_gives_no_incarnation_twice(self) -> None:
+        """An older copy is restored, into the same group or into a new one.
+
+        A number given after the copy was made must not be given to another process.
+        """
+        register(self.state, "a", "t1")
+        copy = codec.encode(self.section())
+        register(self.state, "a", "t2")
+        register(self.state, "b", "t3")
+        current = self.section()
+        for known, number in ((current, 4), (None, 1 + processes.RESTORE_STEP + 1)):
+            restored = codec.decode(copy)
+            machine.keep_rising(restored, known)
+            self.state.state().sections[processes.SECTION] = restored
+            self.assertGreater(restored.change, current.change)
+            self.assertEqual(register(self.state, "c", f"t{number}"), number)
+        # Lives that the copy doesn't know are waited for like any earlier life.
+        self.assertIn(processes.UNKNOWN_LIVES, restored.former_by_incarnation.values())
+
     def test_register_waits_until_the_state_group_answers(self) -> None:
         """The first answer is lost: the process registers by sending again."""
         self.state.n_answers_to_lose = 1
