--- a/bilberrydrum/bundles/lease.py
+++ b/bilberrydrum/bundles/lease.py
@@ -124,7 +124,9 @@
     def _addresses(self, leader_address: str | None) -> list[str]:
         if leader_address is not None:
             return [leader_address]
-        # Only the leader answers, so the others may be asked in vain.
+        # Only the leader answers; the others are asked in vain. A process without
+        # members in its settings is a group of its own.
         members = [each.peer_address for each in self._options.state.members]
         known = self._holder.directory.state_addresses
-        return list(dict.fromkeys([*members, *known]))
+        addresses = list(dict.fromkeys([*members, *known]))
+        return addresses or [self._options.peer_address]
