--- a/bilberrydrum/bundles/holder.py
+++ b/bilberrydrum/bundles/holder.py
@@ -30,6 +30,8 @@
 
     address: str
     grant: messages.Grant
+    # What the grant's content says; None: no content, or not readable here.
+    bundle: model.Bundle | None = None
 
 
 @attrs.frozen
@@ -38,6 +40,8 @@
 
     address: str
     push: messages.Push
+    # What its content says; None: not readable here.
+    bundle: model.Bundle | None = None
 
 
 @attrs.frozen
@@ -135,7 +139,7 @@
         self._take_directory(grant.directory)
         effects: list[Any] = []
         if grant.content is not None:
-            effects = self._adopt(grant.version, grant.content)
+            effects = self._adopt(grant.version, event.bundle)
         # A lease for another version than the one acted on would let the gateway go
         # on with an older bundle after the newer one was reported in force.
         if grant.version != self.version:
@@ -151,24 +155,23 @@
 
     def take_push(self, now: float, event: PushHeard) -> list[Any]:
         """Adopt a rolling bundle and confirm it at once; the lease stays as it is."""
-        effects = self._adopt(event.push.version, event.push.content)
+        effects = self._adopt(event.push.version, event.bundle)
         if not effects:
             return []
         self.leader_address = event.address
         self._heard_sequence = self._last_sequence
         return [*effects, *self.renew(now)]
 
-    def _adopt(self, version: int, content: str) -> list[Any]:
+    def _adopt(self, version: int, bundle: model.Bundle | None) -> list[Any]:
         # Messages overtake one another, and a leader that was frozen may wake with an
         # old grant in hand: an older version never replaces a newer one.
         if version <= self.version:
             return []
         self.version = version
-        checked = check.check(content, f"bundle-{version}")
         # A bundle that this release can't read still ends the older one: work is
         # refused here until one comes that can be read.
-        self.bundle = checked.ok()
-        return [Adopted(version, checked.is_ok())]
+        self.bundle = bundle
+        return [Adopted(version, bundle is not None)]
 
     def _take_directory(self, directory: messages.Directory | None) -> None:
         if directory is None or directory.change <= self.directory.change:
@@ -179,6 +182,13 @@
         }
 
 
+def read(version: int, content: str | None) -> model.Bundle | None:
+    """Return the bundle that `content` says, None if there is none or it is faulty."""
+    if content is None:
+        return None
+    return check.check(content, f"bundle-{version}").ok()
+
+
 @functools.singledispatch
 def _step(event: object, holder: LeaseHolder, now: float) -> list[Any]:
     raise TypeError(f"unknown event {type(event).__name__}")
--- a/bilberrydrum/bundles/lease.py
+++ b/bilberrydrum/bundles/lease.py
@@ -3,10 +3,12 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
+import attrs
 import eliot
 import eventlet
 import eventlet.queue
 import result
+from eventlet import tpool
 
 from bilberrydrum import clock, counters, interfaces, options, reasons, transport
 from bilberrydrum.bundles import holder, messages, model
@@ -31,6 +33,8 @@
         self._events: Any = eventlet.queue.LightQueue()
         self._tasks: list[Any] = []
         self._is_registering = False
+        # The newest version that was, or is being, read.
+        self._version_read = 0
         transport_.on(messages.Grant, self._on_grant)
         transport_.on(messages.Push, self._on_push)
         transport_.on(messages.Unregistered, self._on_unregistered)
@@ -77,10 +81,30 @@
         return answer
 
     def _on_grant(self, sender: transport.Sender, grant: messages.Grant) -> None:
+        if grant.content is not None and grant.version > self._version_read:
+            self._version_read = grant.version
+            eventlet.spawn(self._read_grant, sender.address, grant)
+            return
+        # Renewals that were sent while the bundle was being read bring it again.
+        grant = attrs.evolve(grant, content=None)
         self._events.put(holder.GrantHeard(sender.address, grant))
 
     def _on_push(self, sender: transport.Sender, push: messages.Push) -> None:
-        self._events.put(holder.PushHeard(sender.address, push))
+        if push.version > self._version_read:
+            self._version_read = push.version
+            eventlet.spawn(self._read_push, sender.address, push)
+
+    # Reading a large bundle takes long enough to hold up heartbeats and streams of
+    # this process, so it is done in a thread. Bundles may be read in any order: the
+    # holder takes none older than the one it has.
+
+    def _read_grant(self, address: str, grant: messages.Grant) -> None:
+        bundle = tpool.execute(holder.read, grant.version, grant.content)
+        self._events.put(holder.GrantHeard(address, grant, bundle))
+
+    def _read_push(self, address: str, push: messages.Push) -> None:
+        bundle = tpool.execute(holder.read, push.version, push.content)
+        self._events.put(holder.PushHeard(address, push, bundle))
 
     def _on_unregistered(
         self, sender: transport.Sender, message: messages.Unregistered
--- a/bilberrydrum/http/bundles.py
+++ b/bilberrydrum/http/bundles.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 import attrs
+from eventlet import tpool
 
 from bilberrydrum import codec, findings, options, problems, reasons
 from bilberrydrum.bundles import check, commands, lease, model, queries, records
@@ -143,7 +144,8 @@
     file_name = request.json().get("file_name", "bundle.yaml")
     if not isinstance(file_name, str):
         raise _invalid("file_name must be a string")
-    checked = check.check(content, file_name)
+    # A large bundle takes long to read, which must not hold up other requests.
+    checked = tpool.execute(check.check, content, file_name)
     if checked.is_err():
         found: list[findings.Finding] = checked.unwrap_err()
         raise edge.refuse(
--- a/tests/fakes/lease_world.py
+++ b/tests/fakes/lease_world.py
@@ -130,12 +130,12 @@
     def hand_over(self, message: Message) -> None:
         body = message.body
         if isinstance(message.receiver, Gateway):
-            event: Any = holder.PushHeard(LEADER_ADDRESS, body)
-            if isinstance(body, messages.Grant):
-                event = holder.GrantHeard(LEADER_ADDRESS, body)
-            elif isinstance(body, messages.Unregistered):
+            if isinstance(body, messages.Unregistered):
                 return
-            self.step_gateway(message.receiver, event)
+            is_grant = isinstance(body, messages.Grant)
+            kind = holder.GrantHeard if is_grant else holder.PushHeard
+            bundle = holder.read(body.version, body.content)
+            self.step_gateway(message.receiver, kind(LEADER_ADDRESS, body, bundle))
         elif message.receiver.leads:
             # A leader that has lost its place drops what it hears.
             self.step_leader(
--- a/tests/test_bundles_lease.py
+++ b/tests/test_bundles_lease.py
@@ -327,7 +327,9 @@
             "lease_seconds": 10.0,
             "content": "version: 1\nparent: 0\n",
         }
-        return holder.GrantHeard("leader", messages.Grant(**{**known, **fields}))
+        grant = messages.Grant(**{**known, **fields})
+        bundle = holder.read(grant.version, grant.content)
+        return holder.GrantHeard("leader", grant, bundle)
 
     @params(
         ("before the first grant", None, 100.0, "BUNDLE_LEASE_EXPIRED"),
