--- a/bilberrydrum/bundles/check.py
+++ b/bilberrydrum/bundles/check.py
@@ -18,6 +18,9 @@
 # Versions are kept in 64-bit fields by other programs that read the state.
 MAX_VERSION: Final = 2**53
 MAX_SHARE: Final = 1e6
+# Every bundle that waits for its roll is kept whole by each replica: some 3,000
+# callers fit in one, and all that may wait take 8 MiB.
+MAX_CONTENT_BYTES: Final = 256 * 1024
 MAX_TIMEOUT_SECONDS: Final = 24 * 3600.0
 # Characters that a name may not hold: names stand in paths and in metrics' labels.
 _FORBIDDEN_IN_NAMES: Final = frozenset("/?#%\\\"'{}")
@@ -43,6 +46,9 @@
     file : str
         Name of the file, for the findings.
     """
+    if len(content.encode(errors="replace")) > MAX_CONTENT_BYTES:
+        message = f"the document is larger than {MAX_CONTENT_BYTES} bytes"
+        return result.Err([findings.Finding(file, 1, 1, message)])
     return yaml_places.read(content, file, model.Bundle).and_then(_check_reading)
 
 
--- a/bilberrydrum/bundles/grants.py
+++ b/bilberrydrum/bundles/grants.py
@@ -12,7 +12,7 @@
 import eventlet.queue
 
 from bilberrydrum import clock, interfaces, options, transport
-from bilberrydrum.bundles import book, commands, messages, model, records
+from bilberrydrum.bundles import book, commands, messages, model, peers, records
 from bilberrydrum.state import machine, processes
 from bilberrydrum.weights import commands as weight_commands
 
@@ -43,6 +43,7 @@
         self._events: Any = eventlet.queue.LightQueue()
         self._task: Any = None
         self._term = 0
+        self._peers = peers.KnownPeers()
         self._book: book.GrantBook | None = None
         transport_.on(messages.Renewal, self._on_renewal)
         transport_.on(messages.Release, self._on_release)
@@ -84,6 +85,7 @@
     def _run(self) -> None:
         while True:
             event = self._next_event()
+            self._forget_peers()
             leadership = self._replica.leadership()
             if leadership is None:
                 self._book = None
@@ -93,6 +95,15 @@
                 continue
             self._step(self._book, event)
 
+    def _forget_peers(self) -> None:
+        # Followers, too: each may have led and have spoken to all gateways.
+        registered = processes.read(self._replica.state())
+        if registered.change == self._peers.change:
+            return
+        addresses = [each.peer_address for each in registered.processes_by_id.values()]
+        for address in self._peers.replace(registered.change, addresses):
+            self._transport.forget(address)
+
     def _next_event(self) -> Any:
         is_rolling = self._book is not None and self._book.newest.is_rolling
         tick = _ROLLING_TICK_SECONDS if is_rolling else _TICK_SECONDS
--- a/bilberrydrum/bundles/lease.py
+++ b/bilberrydrum/bundles/lease.py
@@ -11,7 +11,7 @@
 from eventlet import tpool
 
 from bilberrydrum import clock, counters, interfaces, options, reasons, transport
-from bilberrydrum.bundles import holder, messages, model
+from bilberrydrum.bundles import holder, messages, model, peers
 from bilberrydrum.state import client, processes
 
 _STATUS_TIMEOUT_SECONDS: Final = 2.0
@@ -32,6 +32,7 @@
         self._holder = holder.LeaseHolder(options_.state.drift_margin)
         self._events: Any = eventlet.queue.LightQueue()
         self._tasks: list[Any] = []
+        self._peers = peers.KnownPeers()
         self._is_registering = False
         # The newest version that was, or is being, read.
         self._version_read = 0
@@ -132,6 +133,14 @@
                 due_at = clock.now() + renew_seconds
             for effect in self._holder.step(clock.now(), event):
                 self._carry_out(effect)
+            self._forget_peers()
+
+    def _forget_peers(self) -> None:
+        directory = self._holder.directory
+        gateways = [each.peer_address for each in directory.gateways]
+        addresses = [*gateways, *directory.state_addresses]
+        for address in self._peers.replace(directory.change, addresses):
+            self._transport.forget(address)
 
     def _carry_out(self, effect: Any) -> None:
         if isinstance(effect, holder.Adopted):
--- a/bilberrydrum/bundles/records.py
+++ b/bilberrydrum/bundles/records.py
@@ -21,7 +21,7 @@
 # Records kept in all: more than three days at 560 changes a day.
 RECORDS_KEPT: Final = 2048
 # Bundles that may wait for sign-off or roll on the same parent.
-MAX_OPEN_DRAFTS: Final = 64
+MAX_OPEN_DRAFTS: Final = 32
 
 DRAFT: Final = "draft"
 SIGNED_OFF: Final = "signed-off"
--- a/tests/test_bundles_check.py
+++ b/tests/test_bundles_check.py
@@ -82,6 +82,14 @@
         self.assertEqual(check.digest_of(VALID), check.digest_of(VALID))
         self.assertNotEqual(check.digest_of(VALID), check.digest_of(VALID + "\n"))
 
-    @params("", "[]", "\ud800", "a: &a [*a]", "version: " + "9" * 5000, "[" * 5000)
+    @params(
+        "",
+        "[]",
+        "\ud800",
+        "a: &a [*a]",
+        "version: " + "9" * 5000,
+        "[" * 5000,
+        "#" * 300_000,
+    )
     def test_hostile_text_is_a_finding(self, content: str) -> None:
         self.assertTrue(check.check(content, "b.yaml").is_err())
--- a/tests/test_bundles_http.py
+++ b/tests/test_bundles_http.py
@@ -238,6 +238,25 @@
         wait_for(lambda: self.acts_on(self.gateway) == 2)
         wait_for(lambda: self.gateway.gateways_by_id()["g0"].incarnation == 2)
 
+    def test_connections_to_processes_that_left_are_closed(self) -> None:
+        """A fleet replaces hosts all day, each with an address of its own.
+
+        Sockets to those that are gone would add up until no more can be opened.
+        """
+        other = self.start_gateway("g1")
+        wait_for(lambda: len(self.gateway.gateways_by_id()) == 2)
+        address = other._transport.address
+        carriers = (self.gateway._transport, self.grants._transport)
+        carriers[0].send(address, messages.Release(0))
+        wait_for(lambda: other.current() == NO_BUNDLE)
+        known = [address in carrier._dealers_by_address for carrier in carriers]
+        self.assertEqual(known, [True, True])
+        other.stop()
+        self.state.apply(processes.ForgetProcesses((2,)))
+        wait_for(
+            lambda: not any(address in each._dealers_by_address for each in carriers)
+        )
+
     def test_leader_that_wakes_with_a_grant_in_hand_does_not_send_it(self) -> None:
         """The leader is stopped after it made a grant, and replaced meanwhile.
 
