--- a/tests/test_bundles_check.py
+++ b/tests/test_bundles_check.py
@@ -89,7 +89,7 @@
         "a: &a [*a]",
         "version: " + "9" * 5000,
         "[" * 5000,
-        "#" * 300_000,
+        VALID + "#" * check.MAX_CONTENT_BYTES,
     )
     def test_hostile_text_is_a_finding(self, content: str) -> None:
         self.assertTrue(check.check(content, "b.yaml").is_err())
