--- a/bilberrydrum/http/upstreams.py
+++ b/bilberrydrum/http/upstreams.py
@@ -117,10 +117,9 @@
     if reason == reasons.Reason.NOT_FOUND:
         raise edge.refuse(404, reason, "announce again")
     if reason == reasons.Reason.PEER_UNREACHABLE:
-        raise edge.refuse(
-            503,
-            reason,
-            "too few gateways know of it yet; send again",
-            retry_after_seconds=_RETRY_AFTER,
-        )
+        detail = "too few gateways know of it yet; send again"
+        raise edge.refuse(503, reason, detail, retry_after_seconds=_RETRY_AFTER)
+    if reason == reasons.Reason.STATE_UNAVAILABLE:
+        detail = "this gateway is starting"
+        raise edge.refuse(503, reason, detail, retry_after_seconds=_RETRY_AFTER)
     raise edge.refuse(409, reason)
--- a/bilberrydrum/settings.py
+++ b/bilberrydrum/settings.py
@@ -66,6 +66,7 @@
     ("upstreams", "lease_seconds"): Range(0.2, 60),
     ("upstreams", "renew_seconds"): Range(0.02, 20),
     ("upstreams", "standing_seconds"): Range(0.02, 20),
+    ("upstreams", "max_mesh_gateways"): Range(2, 64),
     ("upstreams", "controller_lease_seconds"): Range(0.2, 300),
     ("upstreams", "order_flight_seconds"): Range(0.1, 3600),
     ("requests", "default_timeout_seconds"): Range(0.1, _DAY),
