--- a/bilberrydrum/http/callers.py
+++ b/bilberrydrum/http/callers.py
@@ -188,9 +188,6 @@
                 return _whole(form(whole), self._dispatcher, whole, asked.stream)
             if not asked.stream:
                 return _whole(form(call), self._dispatcher, call, False)
-            # eventlet gathers 4 KiB before it writes, unless told otherwise, which
-            # would hold back the tokens of a stream.
-            request.environ["eventlet.minimum_write_chunk_size"] = 1
             return _streamed(form(call), resume.stream(self._dispatcher, call))
 
         return send
--- a/bilberrydrum/interfaces.py
+++ b/bilberrydrum/interfaces.py
@@ -103,6 +103,9 @@
     def home_of(self, upstream_id: str) -> str | None:
         """Return the process id of the gateway that hears the upstream's renewals."""
 
+    def prefix_holders(self, prefix: str) -> frozenset[str]:
+        """Return the engines that are likely to hold a prompt's prefix; a hint."""
+
 
 class Dispatcher(Protocol):
     """Calls to upstreams, with admission, routing and retries.
--- a/bilberrydrum/requests/admission.py
+++ b/bilberrydrum/requests/admission.py
@@ -20,6 +20,7 @@
 
 from bilberrydrum import reasons
 from bilberrydrum.requests import routing
+from bilberrydrum.upstreams import model as upstream_model
 
 # Longest time after which a refused caller is told to come back.
 MAX_RETRY_AFTER_SECONDS: Final = 30.0
@@ -55,7 +56,7 @@
     """The call goes to this upstream now."""
 
     ticket: Ticket
-    upstream_id: str
+    upstream: upstream_model.Upstream
 
 
 @attrs.frozen
@@ -68,8 +69,8 @@
 
 
 Effect = Granted | Refused
-# Returns the id of the upstream that takes the call, or why none does.
-Place = Callable[[Ticket], str | routing.Lack]
+# Returns the upstream that takes the call, or why none does.
+Place = Callable[[Ticket], upstream_model.Upstream | routing.Lack]
 
 
 @attrs.define
@@ -121,12 +122,32 @@
     n_in_flight: int = 0
     # Mean seconds of a call; 0: none has ended.
     mean_seconds: float = 0.0
+    # Mean cost of a call.
+    mean_cost: float = 0.0
     # Waiting calls by the time at which it is too late for them; withdrawn ones stay
     # until that time has come.
     by_latest_start: list[tuple[float, int, Ticket]] = attrs.field(factory=list)
     # Time given to the caller that was refused last.
     last_appointment: float = 0.0
 
+    def learn(self, seconds: float, cost: float) -> None:
+        """Take a whole call into the means."""
+        if not self.mean_seconds:
+            self.mean_seconds = seconds
+            self.mean_cost = cost
+            return
+        self.mean_seconds += _SMOOTHING * (seconds - self.mean_seconds)
+        self.mean_cost += _SMOOTHING * (cost - self.mean_cost)
+
+    def seconds_of(self, ticket: Ticket) -> float:
+        """Return how long the call should take once it is sent; never too much.
+
+        A call's cost is the most it may take, so it can only shorten the mean.
+        """
+        if self.mean_cost <= ticket.cost:
+            return self.mean_seconds
+        return self.mean_seconds * ticket.cost / self.mean_cost
+
 
 @attrs.define
 class Admission:
@@ -158,14 +179,14 @@
             placed = place(ticket)
             if placed is routing.Lack.UPSTREAM:
                 return [self._refuse(domain, ticket, _NO_UPSTREAM, now)]
-            if isinstance(placed, str):
+            if not isinstance(placed, routing.Lack):
                 return [self._grant(domain, client, ticket, placed, now)]
         if ticket.deadline <= now + self._expected_seconds(domain, client, ticket):
             return [self._refuse(domain, ticket, _LATE, now)]
         effects: list[Effect] = []
         if client.n_waiting >= self.max_queue_per_client:
-            last = max(client.waiting(), key=_order)
-            if _order(last) < _order(ticket):
+            last = max(client.waiting(), key=_order, default=None)
+            if last is None or _order(last) < _order(ticket):
                 return [self._refuse(domain, ticket, reasons.Reason.QUEUE_FULL, now)]
             self._remove(domain, client, last)
             effects = [self._refuse(domain, last, reasons.Reason.QUEUE_FULL, now)]
@@ -192,11 +213,8 @@
         if cost is not None:
             client.start += (cost - ticket.cost) / ticket.share
         if is_whole:
-            seconds = now - ticket.granted_at
-            if domain.mean_seconds:
-                domain.mean_seconds += _SMOOTHING * (seconds - domain.mean_seconds)
-            else:
-                domain.mean_seconds = seconds
+            spent = ticket.cost if cost is None else cost
+            domain.learn(now - ticket.granted_at, spent)
         self._forget_idle(domain, ticket.client, client)
 
     def withdraw(self, ticket: Ticket) -> None:
@@ -227,7 +245,7 @@
     def _enqueue(self, domain: _Domain, client: _Client, ticket: Ticket) -> None:
         queue = client.queues_by_need.setdefault(ticket.need, [])
         heapq.heappush(queue, (ticket.priority, ticket.number, ticket))
-        latest = ticket.deadline - domain.mean_seconds
+        latest = ticket.deadline - domain.seconds_of(ticket)
         heapq.heappush(domain.by_latest_start, (latest, ticket.number, ticket))
         ticket.is_waiting = True
         client.n_waiting += 1
@@ -254,7 +272,7 @@
         domain: _Domain,
         client: _Client,
         ticket: Ticket,
-        upstream_id: str,
+        upstream: upstream_model.Upstream,
         now: float,
     ) -> Granted:
         start = max(domain.virtual_time, client.start)
@@ -263,7 +281,7 @@
         client.n_in_flight += 1
         domain.n_in_flight += 1
         ticket.granted_at = now
-        return Granted(ticket, upstream_id)
+        return Granted(ticket, upstream)
 
     def _grant_waiting(
         self, domain: _Domain, now: float, place: Place
@@ -292,7 +310,7 @@
                     full.add(ticket.need)
                     continue
                 self._remove(domain, client, ticket)
-                if placed is routing.Lack.UPSTREAM:
+                if isinstance(placed, routing.Lack):
                     return self._refuse(domain, ticket, _NO_UPSTREAM, now)
                 return self._grant(domain, client, ticket, placed, now)
         return None
@@ -322,7 +340,7 @@
         )
         own_rate = rate * client.share / (shares + client.share)
         n_ahead = sum(_order(other) < _order(ticket) for other in client.waiting())
-        return (n_ahead + 1) / own_rate + domain.mean_seconds
+        return (n_ahead + 1) / own_rate + domain.seconds_of(ticket)
 
     def _refuse(
         self, domain: _Domain, ticket: Ticket, reason: reasons.Reason, now: float
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -36,6 +36,8 @@
     }
 )
 REQUEST_ID: Final = "X-Request-Id"
+# Statuses by which a service says that another one might do better.
+_FAILED_STATUSES: Final = frozenset({502, 503, 504})
 # Headers that each attempt sets itself.
 _NOT_PASSED_ON: Final = HOP_HEADERS | {"host", "content-length", "x-request-id"}
 
@@ -49,12 +51,15 @@
         may_have_run: bool,
         detail: str = "",
         retry_after_seconds: float = 0.0,
+        answer: model.ApplicationAnswer | None = None,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
         self.may_have_run = may_have_run
         self.detail = detail
         self.retry_after_seconds = retry_after_seconds
+        # A whole answer by which the upstream says that it failed.
+        self.answer = answer
 
 
 @attrs.frozen
@@ -193,9 +198,13 @@
     address: str,
     connection: connections.Connection,
     answer: Any,
+    is_named: bool,
 ) -> None:
-    """Keep the connection if its answer named the request, else close it."""
-    is_named = answer.headers.get(REQUEST_ID) is not None
+    """Keep the connection if its answer named the request, else close it.
+
+    An upstream that answers twice is told by the ids only; on a connection without
+    them the second answer would be taken for that to the next request.
+    """
     closes = answer.headers.get("Connection", "").lower() == "close"
     if is_named and not closes:
         pool.keep(address, connection)
@@ -222,13 +231,18 @@
         except BaseException:
             connection.close()
             raise
-        _settle(means.pool, upstream.address, connection, answer)
+        is_named = REQUEST_ID in answer.headers
+        _settle(means.pool, upstream.address, connection, answer, is_named)
     headers = tuple(
         (name, value)
         for name, value in answer.headers.items()
         if name.lower() not in _NOT_PASSED_ON
     )
-    return model.ApplicationAnswer(answer.status, headers, body, upstream.upstream_id)
+    whole = model.ApplicationAnswer(answer.status, headers, body, upstream.upstream_id)
+    if outgoing.is_idempotent and answer.status in _FAILED_STATUSES:
+        detail = f"status {answer.status}"
+        raise AttemptError(reasons.Reason.UPSTREAM_ERROR, True, detail, answer=whole)
+    return whole
 
 
 def _read_whole(answer: Any, method: str) -> bytes:
@@ -278,7 +292,8 @@
         is_whole = True
     finally:
         if is_whole:
-            _settle(means.pool, upstream.address, connection, answer)
+            # Each event named the request, so nothing else can have been read.
+            _settle(means.pool, upstream.address, connection, answer, is_named=True)
         else:
             connection.close()
 
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import functools
+import hashlib
 import itertools
 import random
 import uuid
@@ -14,6 +15,7 @@
 from typing import Any, Final
 
 import attrs
+import eliot
 import eventlet
 import eventlet.event
 import result
@@ -42,8 +44,15 @@
 # Times a call goes back to the queue because its upstream was busy.
 MAX_BUSY: Final = 20
 
+# Form of a prefix in engines' cache events.
+PREFIX_BYTES: Final = 256
+PREFIX_DIGITS: Final = 16
+
 Call = model.ModelCall | model.ApplicationCall
 
+# Ends of an attempt that are not the upstream's fault and end the call.
+_FINAL: Final = frozenset({reasons.Reason.CALLER_GONE, reasons.Reason.CLAIM_LAPSED})
+
 
 class RefusedError(Exception):
     """The call was not admitted."""
@@ -89,15 +98,31 @@
     return float(max(1, n_tokens - len(call.resume_token_ids)))
 
 
+@functools.singledispatch
+def prefix_of(call: object) -> str:
+    """Return the name under which engines report the prefix of the call's prompt."""
+    return ""
+
+
+@prefix_of.register
+def _(call: model.ModelCall) -> str:
+    prefix = call.prompt.encode()[:PREFIX_BYTES]
+    return hashlib.sha256(prefix).hexdigest()[:PREFIX_DIGITS]
+
+
 @attrs.define
 class _Progress:
     """What became of one call so far."""
 
     need: routing.Need
+    # Position in the order of arrival; 0: none yet.
+    number: int = 0
     n_attempts: int = 0
     n_busy: int = 0
     n_tokens: int = 0
     may_have_run: bool = False
+    # Why the last attempt failed.
+    failed: model.Failed | None = None
 
     def note(self, event: model.StreamEvent) -> None:
         """Count the tokens of `event`."""
@@ -204,7 +229,7 @@
             except attempts.AttemptError as error:
                 failed = self._after(call, progress, upstream, error)
                 if failed is not None:
-                    return result.Err(failed)
+                    return _give_up(error, failed)
 
     def _attempt_id(self, call: Call) -> str:
         number = next(self._attempt_numbers)
@@ -223,12 +248,17 @@
             call.priority,
             cost_of(call),
             call.max_in_flight,
+            prefix_of(call),
+            progress.number,
         )
         upstream = self._wait_for_place(call, ticket)
+        # A call that comes back, its upstream having been busy, keeps its turn.
+        progress.number = ticket.number
         is_whole = False
         try:
             yield upstream
             is_whole = True
+            self._router.health.succeeded(upstream.upstream_id)
         finally:
             self._leave(upstream, ticket, progress, is_whole)
 
@@ -242,9 +272,9 @@
         now = clock.now()
         seconds = now - ticket.granted_at if is_whole else None
         self._router.ended(upstream.upstream_id, seconds)
-        if is_whole:
-            self._router.health.succeeded(upstream.upstream_id)
-        cost = float(progress.n_tokens) if progress.n_tokens else None
+        cost = None
+        if progress.need.kind == upstream_model.KIND_ENGINE:
+            cost = float(progress.n_tokens)
         self._admission.ended(now, ticket, cost, is_whole)
         if self._admission.n_waiting:
             self._pump()
@@ -254,7 +284,7 @@
     ) -> upstream_model.Upstream:
         for effect in self._admission.offer(clock.now(), ticket, self._place):
             if effect.ticket is ticket:
-                return self._upstream_of(effect)
+                return _upstream_of(effect)
             self._tell(effect)
         ready = eventlet.event.Event()
         self._events_by_number[ticket.number] = ready
@@ -265,7 +295,7 @@
                 if not ready.ready() and call.is_client_gone():
                     raise RefusedError(reasons.Reason.CALLER_GONE, 0.0)
             is_taken = True
-            return self._upstream_of(ready.wait())
+            return _upstream_of(ready.wait())
         finally:
             del self._events_by_number[ticket.number]
             self._admission.withdraw(ticket)
@@ -276,14 +306,9 @@
         # The task was killed after it was given a place and before it ran again. The
         # place would be lost for good.
         if isinstance(effect, admission.Granted):
-            self._router.ended(effect.upstream_id, None)
+            self._router.ended(effect.upstream.upstream_id, None)
             self._admission.ended(clock.now(), effect.ticket, 0.0, False)
 
-    def _upstream_of(self, effect: admission.Effect) -> upstream_model.Upstream:
-        if isinstance(effect, admission.Refused):
-            raise RefusedError(effect.reason, effect.retry_after_seconds)
-        return self._upstreams_by_id[effect.upstream_id]
-
     def _tell(self, effect: admission.Effect) -> None:
         ready = self._events_by_number.get(effect.ticket.number)
         if ready is not None and not ready.ready():
@@ -299,7 +324,9 @@
         for effect in self._admission.pump(clock.now(), self._place):
             self._tell(effect)
 
-    def _place(self, ticket: admission.Ticket) -> str | routing.Lack:
+    def _place(
+        self, ticket: admission.Ticket
+    ) -> upstream_model.Upstream | routing.Lack:
         now = clock.now()
         self._refresh(now)
         eligible = self._eligible_by_need.get(ticket.need)
@@ -310,11 +337,13 @@
                 if routing.is_eligible(upstream, ticket.need)
             ]
             self._eligible_by_need[ticket.need] = eligible
-        chosen = self._router.choose(eligible, now, self._n_gateways)
-        if isinstance(chosen, routing.Lack):
-            return chosen
-        self._router.started(chosen.upstream_id, now)
-        return chosen.upstream_id
+        holders: frozenset[str] = frozenset()
+        if ticket.prefix:
+            holders = self._registry.prefix_holders(ticket.prefix)
+        chosen = self._router.choose(eligible, now, self._n_gateways, holders)
+        if not isinstance(chosen, routing.Lack):
+            self._router.started(chosen.upstream_id, now)
+        return chosen
 
     def _refresh(self, now: float) -> None:
         if now - self._snapshot_at < _SNAPSHOT_SECONDS:
@@ -342,21 +371,17 @@
             error.detail,
             error.retry_after_seconds,
         )
+        progress.failed = failed
         if error.reason is reasons.Reason.UPSTREAM_BUSY:
             wait = max(MIN_BUSY_SECONDS, error.retry_after_seconds)
             self._router.busy(upstream_id, now + min(wait, MAX_BUSY_SECONDS))
             progress.n_busy += 1
             may_retry = progress.n_busy <= MAX_BUSY
         else:
-            self._router.health.failed(upstream_id, now)
-            self._means.pool.forget(upstream.address)
-            progress.n_attempts += 1
-            progress.need = attrs.evolve(
-                progress.need,
-                excluded_upstream_ids=progress.need.excluded_upstream_ids
-                | {upstream_id},
-            )
+            self._note_failure(progress, upstream, error, now)
             may_retry = progress.n_attempts < self._options.max_attempts
+        if error.reason in _FINAL:
+            return failed
         if progress.n_tokens or (error.may_have_run and not call.is_idempotent):
             return failed
         if not may_retry or now >= call.deadline:
@@ -368,8 +393,51 @@
         counters.retried(error.reason)
         return None
 
+    def _note_failure(
+        self,
+        progress: _Progress,
+        upstream: upstream_model.Upstream,
+        error: attempts.AttemptError,
+        now: float,
+    ) -> None:
+        if error.reason in _FINAL:
+            return
+        if self._router.health.failed(upstream.upstream_id, now):
+            eliot.log_message(
+                message_type="upstream:ejected",
+                upstream_id=upstream.upstream_id,
+                reason=error.reason.value,
+            )
+        # Others of its connections are likely to be dead too.
+        self._means.pool.forget(upstream.address)
+        progress.n_attempts += 1
+        progress.need = attrs.evolve(
+            progress.need,
+            excluded_upstream_ids=progress.need.excluded_upstream_ids
+            | {upstream.upstream_id},
+        )
+
+
+def _give_up(
+    error: attempts.AttemptError, failed: model.Failed
+) -> result.Result[model.ApplicationAnswer, model.Failed]:
+    # A whole answer that says the service failed is the caller's when there is no
+    # better one.
+    if error.answer is not None:
+        return result.Ok(error.answer)
+    return result.Err(failed)
+
+
+def _upstream_of(effect: admission.Effect) -> upstream_model.Upstream:
+    if isinstance(effect, admission.Refused):
+        raise RefusedError(effect.reason, effect.retry_after_seconds)
+    return effect.upstream
+
 
 def _refused(error: RefusedError, progress: _Progress) -> model.Failed:
+    if progress.failed is not None and error.reason is reasons.Reason.NO_UPSTREAM:
+        # There is no other upstream to try; why the last one failed says more.
+        return progress.failed
     return model.Failed(
         error.reason,
         progress.may_have_run,
--- a/tests/fakes/gateway_parts.py
+++ b/tests/fakes/gateway_parts.py
@@ -50,6 +50,7 @@
 
     def __init__(self, *upstreams: upstream_model.Upstream) -> None:
         self.upstreams = {upstream.upstream_id: upstream for upstream in upstreams}
+        self.holders_by_prefix: dict[str, frozenset[str]] = {}
 
     def upstreams_by_id(self) -> dict[str, upstream_model.Upstream]:
         return self.upstreams
@@ -57,6 +58,9 @@
     def home_of(self, upstream_id: str) -> str | None:
         return "g1"
 
+    def prefix_holders(self, prefix: str) -> frozenset[str]:
+        return self.holders_by_prefix.get(prefix, frozenset())
+
 
 class StateGroup:
     """A `StateClient` that applies at once; a test can take its majority away.
