--- a/bilberrydrum/http/callers.py
+++ b/bilberrydrum/http/callers.py
@@ -94,7 +94,7 @@
     def _complete(
         self, request: edge.Request, form: type[answers.Completion]
     ) -> edge.Response:
-        def prepare(request: edge.Request, asker: _Asker) -> once.Send:
+        def prepare(request: edge.Request, asker: _Asker) -> once.Prepared:
             return self._prepare_model(request, asker, form)
 
         return self._guarded(request, prepare)
@@ -102,23 +102,21 @@
     def _guarded(
         self,
         request: edge.Request,
-        prepare: Callable[[edge.Request, _Asker], once.Send],
+        prepare: Callable[[edge.Request, _Asker], once.Prepared],
     ) -> edge.Response:
         caller = request.header("X-Caller")
         key = _key(request)
         try:
             asker = self._asker(request, caller, key)
-            send = prepare(request, asker)
+            prepared = prepare(request, asker)
         except problems.ProblemError as error:
             if key:
                 raise once.correct(self._claims, caller, key, error) from error
             raise
         if not key:
-            response = send(None)
+            response = prepared.send(None)
         else:
-            response = once.run(
-                self._claims, caller, key, _digest(request), asker.deadline, send
-            )
+            response = once.run(self._claims, caller, key, _digest(request), prepared)
         response.headers.append(("X-Request-Id", asker.request_id))
         counters.REQUESTS.labels("caller", str(response.status)).inc()
         return response
@@ -152,7 +150,7 @@
 
     def _prepare_model(
         self, request: edge.Request, asker: _Asker, form: type[answers.Completion]
-    ) -> once.Send:
+    ) -> once.Prepared:
         asked = answers.read(request.json(), form)
         if asked.model not in asker.rule.models:
             raise edge.refuse(
@@ -190,7 +188,7 @@
                 return _whole(form(call), self._dispatcher, call, False)
             return _streamed(form(call), resume.stream(self._dispatcher, call))
 
-        return send
+        return once.Prepared(send, call.deadline)
 
     def _min_version(
         self, asker: _Asker, model_name: str, rule: bundle_model.ModelRule
@@ -204,7 +202,9 @@
             return rule.weight_version or -1
         return max(0, newest - asker.rule.staleness_bound)
 
-    def _prepare_application(self, request: edge.Request, asker: _Asker) -> once.Send:
+    def _prepare_application(
+        self, request: edge.Request, asker: _Asker
+    ) -> once.Prepared:
         name = request.variables["application"]
         if name not in asker.rule.applications:
             raise edge.refuse(
@@ -239,7 +239,7 @@
             whole = answer.ok_value
             return edge.Response(whole.status, whole.body, list(whole.headers))
 
-        return send
+        return once.Prepared(send, call.deadline)
 
 
 def _whole(
--- a/bilberrydrum/http/once.py
+++ b/bilberrydrum/http/once.py
@@ -21,22 +21,31 @@
 Send = Callable[[request_claims.Held | None], edge.Response]
 
 
+@attrs.frozen
+class Prepared:
+    """A request that was checked and may be sent."""
+
+    send: Send
+    # When it ends at the latest, in seconds of `clock.now`.
+    deadline: float
+
+
 def run(
     claims: request_claims.Claims,
     caller: str,
     key: str,
     digest: str,
-    deadline: float,
-    send: Send,
+    prepared: Prepared,
 ) -> edge.Response:
     """Claim the key and send, or give again what came of it before."""
-    claimed = claims.claim(caller, key, digest, max(0.0, deadline - clock.now()))
+    timeout = max(0.0, prepared.deadline - clock.now())
+    claimed = claims.claim(caller, key, digest, timeout)
     if isinstance(claimed, result.Err):
         raise state_unavailable(claimed.err_value)
     held = claimed.ok_value
     if not isinstance(held, request_claims.Held):
         return _answer_known(held)
-    return _send_held(claims, held, send)
+    return _send_held(claims, held, prepared.send)
 
 
 def _send_held(
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import logging
 from typing import Final
 
 import attrs
@@ -20,6 +21,9 @@
 # some seconds, and a request sent into that closing is lost with unknown outcome.
 MAX_IDLE_SECONDS: Final = 4.0
 
+# It logs a warning with a traceback for each damaged answer; those are counted here.
+logging.getLogger("urllib3.connection").setLevel(logging.ERROR)
+
 Connection = urllib3.connection.HTTPConnection
 
 
@@ -35,6 +39,11 @@
     def __init__(self) -> None:
         self._idle_by_address: dict[str, collections.deque[_Idle]] = {}
 
+    @property
+    def n_idle(self) -> int:
+        """Number of connections that are kept."""
+        return sum(len(idle) for idle in self._idle_by_address.values())
+
     def take(self, address: str, timeout: float, fresh: bool = False) -> Connection:
         """Return a connected connection to `address`.
 
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -123,6 +123,8 @@
     may_have_run: bool = False
     # Why the last attempt failed.
     failed: model.Failed | None = None
+    # The service's own answer that it failed, from the last attempt.
+    answer: model.ApplicationAnswer | None = None
 
     def note(self, event: model.StreamEvent) -> None:
         """Count the tokens of `event`."""
@@ -225,11 +227,11 @@
                     outgoing = attempts.for_application(call, self._attempt_id(call))
                     return result.Ok(attempts.call(self._means, upstream, outgoing))
             except RefusedError as error:
-                return result.Err(_refused(error, progress))
+                return _give_up(progress, _refused(error, progress))
             except attempts.AttemptError as error:
                 failed = self._after(call, progress, upstream, error)
                 if failed is not None:
-                    return _give_up(error, failed)
+                    return _give_up(progress, failed)
 
     def _attempt_id(self, call: Call) -> str:
         number = next(self._attempt_numbers)
@@ -271,10 +273,10 @@
     ) -> None:
         now = clock.now()
         seconds = now - ticket.granted_at if is_whole else None
-        self._router.ended(upstream.upstream_id, seconds)
-        cost = None
+        cost = 1.0
         if progress.need.kind == upstream_model.KIND_ENGINE:
             cost = float(progress.n_tokens)
+        self._router.ended(upstream.upstream_id, now, seconds, cost)
         self._admission.ended(now, ticket, cost, is_whole)
         if self._admission.n_waiting:
             self._pump()
@@ -306,8 +308,9 @@
         # The task was killed after it was given a place and before it ran again. The
         # place would be lost for good.
         if isinstance(effect, admission.Granted):
-            self._router.ended(effect.upstream.upstream_id, None)
-            self._admission.ended(clock.now(), effect.ticket, 0.0, False)
+            now = clock.now()
+            self._router.ended(effect.upstream.upstream_id, now, None)
+            self._admission.ended(now, effect.ticket, 0.0, False)
 
     def _tell(self, effect: admission.Effect) -> None:
         ready = self._events_by_number.get(effect.ticket.number)
@@ -372,6 +375,7 @@
             error.retry_after_seconds,
         )
         progress.failed = failed
+        progress.answer = error.answer
         if error.reason is reasons.Reason.UPSTREAM_BUSY:
             wait = max(MIN_BUSY_SECONDS, error.retry_after_seconds)
             self._router.busy(upstream_id, now + min(wait, MAX_BUSY_SECONDS))
@@ -419,12 +423,12 @@
 
 
 def _give_up(
-    error: attempts.AttemptError, failed: model.Failed
+    progress: _Progress, failed: model.Failed
 ) -> result.Result[model.ApplicationAnswer, model.Failed]:
     # A whole answer that says the service failed is the caller's when there is no
     # better one.
-    if error.answer is not None:
-        return result.Ok(error.answer)
+    if progress.answer is not None:
+        return result.Ok(progress.answer)
     return result.Err(failed)
 
 
--- a/bilberrydrum/requests/events.py
+++ b/bilberrydrum/requests/events.py
@@ -91,6 +91,8 @@
             raise StreamError(
                 reasons.Reason.UPSTREAM_ERROR, f"event without a choice: {error}"
             ) from error
+        if not _is_sound(text, token_ids, version):
+            raise StreamError(reasons.Reason.UPSTREAM_ERROR, "field of a wrong type")
         if text or token_ids:
             events.append(model.Tokens(text, token_ids, version, self.upstream_id))
         if finish_reason is None:
@@ -110,6 +112,12 @@
         events.append(model.Finished(self._finish_reason, self.upstream_id))
 
 
+def _is_sound(text: object, token_ids: tuple[object, ...], version: object) -> bool:
+    if not isinstance(text, str) or not isinstance(version, int | None):
+        return False
+    return all(type(token_id) is int for token_id in token_ids)
+
+
 def _parse(data: bytes) -> dict[str, Any]:
     try:
         document = json.loads(data)
--- a/bilberrydrum/requests/resume.py
+++ b/bilberrydrum/requests/resume.py
@@ -22,6 +22,7 @@
 ) -> Iterator[model.StreamEvent]:
     """Yield the events of `call` as `Dispatcher.stream` does, resumed when need be."""
     current = call
+    last: model.Failed | None = None
     for n_resumes in range(MAX_RESUMES + 1):
         made: list[int] = []
         can_resume = call.is_idempotent and n_resumes < MAX_RESUMES
@@ -38,9 +39,14 @@
                 yield event
         if failed is None:
             return
+        if not made and last is not None:
+            # No engine could go on. That the stream broke off says more than that.
+            yield last
+            return
         if not made or not can_resume or clock.now() >= call.deadline:
             yield failed
             return
+        last = failed
         counters.retried(failed.reason)
         current = attrs.evolve(
             current,
--- a/bilberrydrum/requests/routing.py
+++ b/bilberrydrum/requests/routing.py
@@ -2,9 +2,11 @@
 
 Eligible is an upstream that serves what the call needs and whose lease stands. Among
 those with room, the one with the least expected wait is taken. The wait is worked out
-from the gateway's own calls in flight, which it knows exactly, and the upstream's last
-report less what of it were the gateway's own calls. A report stands until the next one:
-the registry passes on reports only when they changed.
+from the gateway's own calls in flight, which it knows exactly, the upstream's last
+report less what of it were the gateway's own calls, and the upstream's pace. A report
+stands until the next one: the registry passes on reports only when they changed. A
+pace, on the contrary, is believed less as it gets older, or an upstream that was slow
+once would never be tried again.
 
 Capacity is shared among the gateways without talking about each call. Each gateway may
 always use its equal part of an upstream's concurrency, so that late reports can't
@@ -23,8 +25,10 @@
 from bilberrydrum.requests import health as upstream_health
 from bilberrydrum.upstreams import model as upstream_model
 
-# Share of the calls' seconds that the newest call counts in the mean.
+# Share that the newest call has in the means of an upstream.
 _SMOOTHING: Final = 0.1
+# Time after which an upstream's own pace counts half, and that of all half.
+_PACE_HALF_LIFE_SECONDS: Final = 10.0
 # Assumed time of a call before the first has ended.
 DEFAULT_SECONDS: Final = 1.0
 # Time that a call to another availability zone takes longer, there and back.
@@ -32,8 +36,9 @@
 # A cached prefix counts at most as this share of a call's time. More would pile calls
 # with one prompt upon one engine while others are free.
 PREFIX_PREFERENCE: Final = 0.15
-# Waits that differ by less are the same; one of them is taken by chance. Gateways that
-# see the same reports would otherwise all take the same upstream.
+# Waits that differ by less are the same: one in the gateway's own availability zone is
+# taken, and among those one by chance. Gateways that see the same reports would
+# otherwise all take the same upstream.
 _TIE_SHARE: Final = 0.02
 
 
@@ -101,8 +106,15 @@
     # Calls of others, by the last report.
     n_foreign: int = 0
     busy_until: float = 0.0
-    # Mean time of a call; 0: none has ended.
+    # Means of the calls' seconds and of their size; 0: none has ended.
     mean_seconds: float = 0.0
+    mean_size: float = 0.0
+    paced_at: float = 0.0
+
+    @property
+    def pace(self) -> float:
+        """Seconds for one unit of size; 0: not known."""
+        return self.mean_seconds / self.mean_size if self.mean_size else 0.0
 
     def learn(self, upstream: upstream_model.Upstream) -> None:
         if self.load is upstream.load and self.change == upstream.change:
@@ -113,6 +125,15 @@
         self.n_foreign = max(0, reported - self.n_in_flight)
 
 
+@attrs.frozen
+class _Typical:
+    """A typical call at the upstreams that are compared."""
+
+    seconds: float
+    # Seconds for one unit of size.
+    pace: float
+
+
 @attrs.define
 class Router:
     """Chooses upstreams, and keeps what the choice needs to know."""
@@ -145,17 +166,50 @@
         usable = self._usable(eligible, now)
         if not usable:
             return Lack.UPSTREAM
-        waits = [
-            (self._cost(upstream, prefix_holders), upstream)
+        with_room = [
+            upstream
             for upstream in usable
             if _has_room(upstream, self._use(upstream), now, n_gateways)
         ]
-        if not waits:
+        if not with_room:
             return Lack.ROOM
-        bound = min(wait for wait, _ in waits)
-        bound += _TIE_SHARE * abs(bound)
+        if len(with_room) == 1:
+            return with_room[0]
+        return self._least(with_room, now, prefix_holders)
+
+    def _least(
+        self,
+        upstreams: list[upstream_model.Upstream],
+        now: float,
+        prefix_holders: frozenset[str],
+    ) -> upstream_model.Upstream:
+        typical = self._typical(upstreams)
+        waits = []
+        for upstream in upstreams:
+            wait = self._expected_wait(upstream, typical, now)
+            if upstream.upstream_id in prefix_holders:
+                wait -= PREFIX_PREFERENCE * typical.seconds
+            waits.append((wait, upstream))
+        least = min(wait for wait, _ in waits)
+        bound = least + _TIE_SHARE * typical.seconds
         best = [upstream for wait, upstream in waits if wait <= bound]
-        return best[0] if len(best) == 1 else self._rng.choice(best)
+        near = [
+            upstream
+            for upstream in best
+            if upstream.availability_zone == self.availability_zone
+        ]
+        return self._rng.choice(near or best)
+
+    def _typical(self, upstreams: list[upstream_model.Upstream]) -> _Typical:
+        seconds = size = 0.0
+        for upstream in upstreams:
+            use = self._use(upstream)
+            seconds += use.mean_seconds
+            size += use.mean_size
+        if not size:
+            return _Typical(DEFAULT_SECONDS, DEFAULT_SECONDS)
+        n_known = sum(1 for u in upstreams if self._use(u).mean_size)
+        return _Typical(seconds / n_known, seconds / size)
 
     def _usable(
         self, eligible: Iterable[upstream_model.Upstream], now: float
@@ -170,20 +224,18 @@
         # outage of the length of the pause.
         return usable or all_eligible
 
-    def _cost(
-        self, upstream: upstream_model.Upstream, prefix_holders: frozenset[str]
+    def _expected_wait(
+        self, upstream: upstream_model.Upstream, typical: _Typical, now: float
     ) -> float:
+        """Return the seconds a typical call is expected to take from now."""
         use = self._use(upstream)
-        wait = self._expected_wait(upstream, use)
-        if upstream.upstream_id in prefix_holders:
-            wait -= PREFIX_PREFERENCE * (use.mean_seconds or DEFAULT_SECONDS)
-        return wait
-
-    def _expected_wait(self, upstream: upstream_model.Upstream, use: _Use) -> float:
-        """Return the seconds a call is expected to take from now."""
-        mean = use.mean_seconds or DEFAULT_SECONDS
+        relative = 1.0
+        if use.mean_size:
+            trust = 0.5 ** ((now - use.paced_at) / _PACE_HALF_LIFE_SECONDS)
+            relative = trust * use.pace / typical.pace + (1.0 - trust)
         n_others = use.n_in_flight + use.n_foreign
-        wait = mean * (1.0 + n_others / max(1, upstream.max_concurrency))
+        crowding = 1.0 + n_others / max(1, upstream.max_concurrency)
+        wait = typical.seconds * relative * crowding
         if upstream.availability_zone != self.availability_zone:
             wait += ZONE_SECONDS
         return wait
@@ -193,16 +245,30 @@
         self._uses_by_id.setdefault(upstream_id, _Use()).n_in_flight += 1
         self.health.started(upstream_id, now)
 
-    def ended(self, upstream_id: str, seconds: float | None) -> None:
-        """Note that a call is over; `seconds` it took if its answer was whole."""
+    def ended(
+        self, upstream_id: str, now: float, seconds: float | None, size: float = 1.0
+    ) -> None:
+        """Note that a call is over.
+
+        Parameters
+        ----------
+        upstream_id : str
+            The upstream that had it.
+        now : float
+            The time, in seconds.
+        seconds : float or None
+            Time it took; None if its answer was not whole.
+        size : float
+            What there was to do: tokens, or 1 for a plain service.
+        """
         use = self._uses_by_id[upstream_id]
         use.n_in_flight -= 1
-        if seconds is None:
+        if seconds is None or size <= 0:
             return
-        if use.mean_seconds:
-            use.mean_seconds += _SMOOTHING * (seconds - use.mean_seconds)
-        else:
-            use.mean_seconds = seconds
+        share = _SMOOTHING if use.mean_size else 1.0
+        use.mean_seconds += share * (seconds - use.mean_seconds)
+        use.mean_size += share * (size - use.mean_size)
+        use.paced_at = now
 
     def busy(self, upstream_id: str, until: float) -> None:
         """Note that the upstream refused a call for lack of room."""
--- a/tests/fakes/overload.py
+++ b/tests/fakes/overload.py
@@ -142,7 +142,8 @@
         self.waits[client.name].append(self.now - asked_at)
 
         def end() -> None:
-            self.router.ended(effect.upstream.upstream_id, 0.1)
+            seconds = self.now - effect.ticket.granted_at
+            self.router.ended(effect.upstream.upstream_id, self.now, seconds)
             self.admission.ended(self.now, effect.ticket, None, True)
             is_late = self.now > effect.ticket.deadline
             (self.n_late if is_late else self.n_done)[client.name] += 1
--- /dev/null
+++ b/tests/test_http_callers.py
@@ -0,0 +1,512 @@
+"""The callers' interface: what runs at most once, whole answers, refusals."""
+
+import json
+import unittest
+
+import attrs
+import eventlet
+import result
+from nose2.tools import params
+
+from bilberrydrum import clock as hub_clock
+from bilberrydrum import reasons
+from bilberrydrum.bundles import model as bundle_model
+from bilberrydrum.requests import claims, claims_state
+from bilberrydrum.upstreams import model as upstream_model
+from tests import helpers
+from tests.fakes import gateway_parts, request_path, scripted, wsgi
+
+Reason = reasons.Reason
+
+
+class Deployment(unittest.TestCase):
+    """Two gateways before one application and one engine."""
+
+    def setUp(self):
+        self.group = gateway_parts.StateGroup()
+        self.registry = gateway_parts.Registry()
+        self.application = scripted.Scripted(
+            scripted.serve(self.book), kind="application", application="schedule"
+        )
+        self.addCleanup(self.application.stop)
+        self.registry.upstreams["a1"] = self.application.upstream("a1")
+        self.first = self.gateway("g1")
+        self.second = self.gateway("g2")
+
+    def gateway(self, process_id, **options):
+        gateway = request_path.Gateway(process_id, self.group, self.registry, **options)
+        self.addCleanup(gateway.stop)
+        return gateway
+
+    def book(self, received):
+        return scripted.answer(received, b"booked", "201 Created")
+
+    def engine(self, upstream_id, script, **fields):
+        fake = scripted.Scripted(
+            script,
+            kind="engine",
+            models={"planner": upstream_model.ServedModel(3)},
+            **fields,
+        )
+        self.addCleanup(fake.stop)
+        self.registry.upstreams[upstream_id] = fake.upstream(upstream_id)
+        return fake
+
+    @property
+    def n_bookings(self):
+        return len(self.application.received)
+
+    def stop_first(self, point):
+        how, command = request_path.STOPS[point]
+        setattr(self.first.state, how, command)
+
+
+class AtMostOnce(Deployment):
+    @params(
+        ("before the claim", 1, 201, "completed"),
+        ("after the claim, before the first byte", 0, 409, "unknown"),
+        ("after the answer, before it is recorded", 1, 409, "unknown"),
+        ("after it is recorded, before the caller's answer", 1, 201, "completed"),
+    )
+    def test_gateway_dies_and_the_caller_comes_back_through_another(
+        self, point, n_bookings, status, outcome
+    ):
+        """The gateway dies at each point of a booking; the caller asks another one.
+
+        The booking is sent once at most. While the first gateway might still send or
+        have an answer, the caller is told at once that it is in progress; then it gets
+        what is recorded, or that the outcome is unknown, and never that it did not run.
+        """
+        with helpers.manual_clock(hub_clock.now()) as clock:
+            self.stop_first(point)
+            self.first.book()
+            wsgi.run_until(lambda: self.first.state.is_stopped)
+            answers = []
+            for _ in range(200):
+                answers.append(self.second.book().wait())
+                if answers[-1].status != 409 or answers[-1].reason != "key-in-progress":
+                    break
+                self.assertEqual(answers[-1].outcome, "unknown")
+                self.assertIn("Retry-After", answers[-1].headers)
+                clock.advance(1.0)
+                eventlet.sleep(0)
+                self.second.claims.resolve_due()
+            self.assertEqual(answers[-1].status, status, point)
+            if status == 201:
+                self.assertEqual(answers[-1].body, b"booked")
+            else:
+                self.assertEqual(answers[-1].outcome, outcome)
+            again = self.second.book().wait()
+            self.assertEqual(again.status, status)
+            self.assertEqual(self.n_bookings, n_bookings)
+
+    def test_gateway_dies_after_the_first_byte(self):
+        """The service has the booking and the gateway dies: it may have run.
+
+        Nobody sends it again; the caller hears that the outcome is unknown.
+        """
+        self.application.script = lambda connection, received: eventlet.sleep(1e6)
+        with helpers.manual_clock(hub_clock.now()) as clock:
+            self.first.book()
+            wsgi.run_until(lambda: self.n_bookings == 1)
+            self.assertEqual(self.second.book().wait().reason, "key-in-progress")
+            clock.advance(100.0)
+            self.second.claims.resolve_due()
+            answer = self.second.book().wait()
+            self.assertEqual((answer.status, answer.outcome), (409, "unknown"))
+            self.assertEqual(self.n_bookings, 1)
+
+    def test_retries_after_the_answer_get_the_same_answer_everywhere(self):
+        answers = [self.first.book().wait()]
+        answers += [self.first.book().wait(), self.second.book().wait()]
+        for answer in answers:
+            self.assertEqual((answer.status, answer.body), (201, b"booked"))
+        self.assertEqual(self.n_bookings, 1)
+
+    def test_gateway_stopped_between_claim_and_dispatch_sends_nothing_later(self):
+        """A gateway claims a key and is stopped; the caller asks another one.
+
+        That one waits until the first can't send any more, and calls the outcome
+        unknown. When the first goes on, with a connection to make and the claim it
+        held, it must not send: the caller has acted on "unknown", and may have booked
+        in some other way.
+        """
+        with helpers.manual_clock(hub_clock.now()) as clock:
+            self.stop_first("after the claim, before the first byte")
+            pending = self.first.book()
+            wsgi.run_until(lambda: self.first.state.is_stopped)
+            self.second.book().wait()
+            clock.advance(100.0)
+            self.second.claims.resolve_due()
+            self.assertEqual(self.second.book().wait().reason, "outcome-unknown")
+            self.first.state.stops_after = None
+            self.first.state.woken.send(None)
+            late = pending.wait()
+            self.assertEqual(self.n_bookings, 0)
+            self.assertEqual(late.outcome, "unknown")
+            self.assertEqual(self.second.book().wait().reason, "outcome-unknown")
+
+    def test_no_gateway_calls_unknown_what_another_may_still_send(self):
+        """The time of the claim's holder ends before anyone else's time for it."""
+        with helpers.manual_clock(hub_clock.now()) as clock:
+            asked_at = clock.now
+            held = self.first.claims.claim("desk", "k", "d", 30.0).ok_value
+            self.assertIsInstance(held, claims.Held)
+            # The other gateway sees the claim as early as it can.
+            self.second.claims.claim("desk", "k", "d", 30.0)
+            for _ in range(400):
+                clock.advance(0.1)
+                self.second.claims.resolve_due()
+                found = self.second.claims.find("desk", "k").ok_value
+                if held.may_send():
+                    self.assertNotIsInstance(found, claims.Recorded)
+                    self.assertLess(clock.now, asked_at + claims.SEND_SECONDS)
+            self.assertIsInstance(found, claims.Recorded)
+
+    def test_stopped_gateway_does_not_send_for_a_caller_that_left(self):
+        """A gateway is stopped before it claims; its caller gives up and leaves.
+
+        The caller asks another gateway, which is full and says not-run; the caller
+        believes it. The first gateway goes on and could claim the key then.
+        """
+        self.stop_first("before the claim")
+        pending = self.first.book()
+        wsgi.run_until(lambda: self.first.state.is_stopped)
+        self.registry.upstreams.clear()
+        refused = self.second.book().wait()
+        self.assertEqual((refused.reason, refused.outcome), ("no-upstream", "not-run"))
+        pending.hang_up()
+        self.registry.upstreams["a1"] = self.application.upstream("a1")
+        eventlet.sleep(0.05)
+        self.first.state.stops_before = None
+        self.first.state.woken.send(None)
+        self.assertEqual(pending.wait().outcome, "not-run")
+        self.assertEqual(self.n_bookings, 0)
+
+    def test_same_key_for_another_body_is_refused(self):
+        self.first.book(body=b"window 7").wait()
+        for gateway in (self.first, self.second):
+            answer = gateway.book(body=b"window 8").wait()
+            self.assertEqual((answer.status, answer.reason), (422, "key-reused"))
+        self.assertEqual(self.n_bookings, 1)
+
+    def test_keys_of_two_callers_are_two(self):
+        self.first.book().wait()
+        answer = self.first.book(X_Caller="other").wait()
+        self.assertEqual(answer.status, 201)
+        self.assertEqual(self.n_bookings, 2)
+
+    def test_retry_while_in_progress_is_answered_at_once(self):
+        """The service takes its time; the caller's retry must not be held as well."""
+        done = eventlet.event.Event()
+
+        def slow(connection, received):
+            done.wait()
+            connection.sendall(self.book(received))
+
+        self.application.script = slow
+        pending = self.first.book()
+        wsgi.run_until(lambda: self.n_bookings == 1)
+        for gateway in (self.first, self.second):
+            answer = gateway.book().wait()
+            self.assertEqual((answer.status, answer.reason), (409, "key-in-progress"))
+            self.assertEqual(answer.outcome, "unknown")
+            self.assertGreaterEqual(int(answer.headers["Retry-After"]), 1)
+        done.send(None)
+        self.assertEqual(pending.wait().status, 201)
+        self.assertEqual(self.second.book().wait().status, 201)
+        self.assertEqual(self.n_bookings, 1)
+
+    def test_connection_refused_frees_the_key(self):
+        """No byte went out: the booking is known not to have run, and may run yet."""
+        self.application.stop()
+        answer = self.first.book().wait()
+        self.assertEqual((answer.status, answer.outcome), (503, "not-run"))
+        other = scripted.Scripted(
+            scripted.serve(self.book), kind="application", application="schedule"
+        )
+        self.addCleanup(other.stop)
+        self.registry.upstreams = {"a2": other.upstream("a2")}
+        eventlet.sleep(0.03)
+        self.assertEqual(self.second.book().wait().status, 201)
+
+    @params(
+        ("reset", lambda received: b""),
+        ("cut", lambda received: scripted.answer(received, b"booked")[:-2]),
+        ("another's answer", lambda r: scripted.answer(r, b"no", request_id="x")),
+    )
+    def test_connection_lost_after_the_request_leaves_it_unknown(self, name, make):
+        """The service broke off after it had the booking: it may have booked."""
+        self.application.script = scripted.serve_and_close(make)
+        answer = self.first.book().wait()
+        self.assertEqual((answer.status, answer.outcome), (502, "unknown"), name)
+        self.application.script = scripted.serve(self.book)
+        for gateway in (self.first, self.second):
+            answer = gateway.book().wait()
+            self.assertEqual((answer.status, answer.outcome), (409, "unknown"))
+        self.assertEqual(self.n_bookings, 1)
+
+    def test_result_that_comes_after_all_replaces_unknown(self):
+        """Another gateway gave up on the claim; then its holder has the answer."""
+        done = eventlet.event.Event()
+
+        def slow(connection, received):
+            done.wait()
+            connection.sendall(self.book(received))
+
+        self.application.script = slow
+        pending = self.first.book()
+        wsgi.run_until(lambda: self.n_bookings == 1)
+        command = self.group.submitted[0]
+        self.group.submit(
+            claims_state.FinishClaim(command.caller, command.key, command.claim_id)
+        )
+        self.assertEqual(self.second.book().wait().reason, "outcome-unknown")
+        done.send(None)
+        self.assertEqual(pending.wait().status, 201)
+        self.assertEqual(self.second.book().wait().status, 201)
+
+    def test_result_too_large_to_keep_is_not_run_again(self):
+        gateway = self.gateway("g3", max_result_bytes=3)
+        self.assertEqual(gateway.book().wait().body, b"booked")
+        answer = self.second.book().wait()
+        self.assertEqual(
+            (answer.status, answer.reason, answer.outcome),
+            (409, "result-not-kept", "completed"),
+        )
+        self.assertEqual(self.n_bookings, 1)
+
+    def test_request_without_a_key_is_sent_once(self):
+        """A POST without a key is reset after its bytes went out.
+
+        Nobody said that it may be repeated, so it isn't, and its outcome is unknown.
+        """
+        self.application.script = scripted.serve_and_close(lambda received: b"")
+        answer = self.first.send("POST", "/apps/schedule/book", b"x").wait()
+        self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+        self.assertEqual(self.n_bookings, 1)
+
+    def test_show_request(self):
+        answer = self.first.send("GET", "/v1/requests/k").wait()
+        self.assertEqual((answer.status, answer.outcome), (404, "not-run"))
+        self.first.book().wait()
+        answer = self.second.send("GET", "/v1/requests/k").wait()
+        self.assertEqual(answer.document["outcome"], "completed")
+        self.assertEqual(answer.document["status"], 201)
+
+    def test_completion_with_a_key_is_generated_once(self):
+        engine = self.engine("e1", scripted.serve(scripted.whole_stream))
+        body = {"model": "planner", "prompt": "p", "max_tokens": 3}
+        for stream in (False, True):
+            body["stream"] = stream
+            first, second = (
+                self.first.send(
+                    "POST", "/v1/completions", body, Idempotency_Key=f"k{stream}"
+                ).wait()
+                for _ in range(2)
+            )
+            self.assertEqual(first.body, second.body)
+            self.assertIn(b"t2", first.body)
+        self.assertEqual(len(engine.received), 2)
+
+
+class NoMajority(Deployment):
+    def test_what_needs_a_claim_is_refused_as_unknown_and_the_rest_goes_on(self):
+        """The state group has no majority: no key can be looked up or claimed.
+
+        A booking is refused without being sent. It may have run before, so it isn't
+        called not-run. Lookups need no claim and go on.
+        """
+        self.first.book("earlier").wait()
+        self.group.has_majority = False
+        for key in ("earlier", "new"):
+            answer = self.first.book(key).wait()
+            self.assertEqual(
+                (answer.status, answer.reason, answer.outcome),
+                (503, "state-unavailable", "unknown"),
+            )
+            self.assertIn("Retry-After", answer.headers)
+        self.assertEqual(self.n_bookings, 1)
+        lookup = self.first.send("GET", "/apps/schedule/windows").wait()
+        self.assertEqual(lookup.status, 201)
+
+    def test_answer_reaches_the_caller_when_it_cannot_be_recorded(self):
+        """The majority is lost while the service books: the answer is true still.
+
+        The caller of a retry hears "in progress", then "unknown", and nothing is sent
+        again.
+        """
+
+        def book(connection, received):
+            self.group.has_majority = False
+            connection.sendall(self.book(received))
+
+        self.application.script = book
+        with helpers.manual_clock(hub_clock.now()) as clock:
+            pending = self.first.book()
+            wsgi.run_until(lambda: self.n_bookings == 1)
+            for _ in range(100):
+                wsgi.run_until(lambda: True)
+                clock.advance(0.1)
+                eventlet.sleep(0)
+                eventlet.patcher.original("time").sleep(0.001)
+            self.assertEqual(pending.wait().status, 201)
+            self.group.has_majority = True
+            self.assertIn(self.second.book().wait().status, (201, 409))
+        self.assertEqual(self.n_bookings, 1)
+
+    def test_claim_whose_answer_was_lost_is_given_back(self):
+        """The claim was committed and its answer lost: the key must not stay taken."""
+        self.group.loses_answers = True
+        answer = self.first.book().wait()
+        self.assertEqual(
+            (answer.reason, answer.outcome),
+            (
+                "state-unavailable",
+                "unknown",
+            ),
+        )
+        self.group.loses_answers = False
+        eventlet.sleep(0.3)
+        self.assertEqual(self.first.book().wait().status, 201)
+
+
+class NotRun(Deployment):
+    """A refusal says not-run only when it is true of the request."""
+
+    def lose_lease(self):
+        self.second.bundles.bundle = result.Err(Reason.BUNDLE_LEASE_EXPIRED)
+
+    def forbid_caller(self):
+        bundle = gateway_parts.BUNDLE
+        self.second.bundles.bundle = result.Ok(attrs.evolve(bundle, callers={}))
+
+    def lose_application(self):
+        rule = bundle_model.CallerRule(applications=("schedule",))
+        bundle = attrs.evolve(
+            gateway_parts.BUNDLE, callers={"desk": rule}, applications={}
+        )
+        self.second.bundles.bundle = result.Ok(bundle)
+
+    def lose_upstreams(self):
+        self.registry.upstreams = {}
+        eventlet.sleep(0.03)
+
+    @params(
+        ("lose_lease", "bundle-lease-expired"),
+        ("forbid_caller", "caller-not-allowed"),
+        ("lose_application", "application-unknown"),
+    )
+    def test_refused_retry_of_what_ran_elsewhere_is_not_called_not_run(
+        self, how, reason
+    ):
+        """A booking ran through one gateway; another one refuses its retry.
+
+        The refusal is about this attempt. Called not-run, the caller would book again
+        under another key.
+        """
+        self.first.book().wait()
+        getattr(self, how)()
+        ran = self.second.book().wait()
+        self.assertEqual((ran.reason, ran.outcome), (reason, "completed"))
+        new = self.second.book("new").wait()
+        self.assertEqual((new.reason, new.outcome), (reason, "not-run"))
+        self.group.has_majority = False
+        self.assertEqual(self.second.book("new").wait().outcome, "unknown")
+
+    def test_retry_without_an_upstream_still_gets_the_result(self):
+        self.first.book().wait()
+        self.lose_upstreams()
+        self.assertEqual(self.second.book().wait().status, 201)
+        self.assertEqual(self.second.book("new").wait().outcome, "not-run")
+
+
+class Streams(Deployment):
+    def complete(self, **body):
+        values = {"model": "planner", "prompt": "p", "max_tokens": 8, "stream": True}
+        return self.first.send("POST", "/v1/completions", values | body).wait()
+
+    def crash(self, connection, received):
+        part = scripted.event(received.request_id, "t0", [0])
+        connection.sendall(scripted.stream_head(received) + scripted.chunk(part))
+        return False
+
+    def test_stream_that_fails_ends_without_its_marker_and_with_a_cut(self):
+        """The engine crashes mid-stream and no other can go on.
+
+        The caller gets an error event; then its connection is cut, so that neither the
+        marker nor the end of the body makes it look whole.
+        """
+        self.engine("e1", self.crash)
+        answer = self.complete()
+        self.assertEqual(answer.status, 200)
+        self.assertFalse(answer.is_whole)
+        self.assertNotIn(b"[DONE]", answer.body)
+        last = answer.body.strip().split(b"\n\n")[-1].removeprefix(b"data: ")
+        self.assertEqual(json.loads(last)["error"]["outcome"], "unknown")
+
+    def test_stream_is_whole_when_another_engine_goes_on(self):
+        self.engine("e1", self.crash, availability_zone="a")
+        self.engine(
+            "e2",
+            scripted.serve(scripted.whole_stream),
+            availability_zone="far",
+            can_resume=True,
+        )
+        answer = self.complete()
+        self.assertTrue(answer.is_whole)
+        self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
+
+    def test_failure_before_the_first_token_is_told_by_the_status(self):
+        self.engine("e1", scripted.serve_and_close(lambda received: b""))
+        answer = self.complete()
+        self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+
+    def test_whole_answer_that_is_cut_is_a_failure(self):
+        self.engine("e1", self.crash)
+        answer = self.complete(stream=False)
+        self.assertEqual((answer.status, answer.reason), (502, "answer-truncated"))
+
+
+class BadInput(Deployment):
+    @params(
+        ("no caller", {"X_Caller": ""}, None, 403, "caller-not-allowed"),
+        ("unknown caller", {"X_Caller": "x"}, None, 403, "caller-not-allowed"),
+        ("no JSON", {}, b"{", 400, "invalid-json"),
+        ("no object", {}, b"[]", 400, "invalid-json"),
+        ("no model", {}, {"prompt": "p"}, 400, "invalid-request"),
+        ("no prompt", {}, {"model": "planner"}, 400, "invalid-request"),
+        ("model not allowed", {}, {"model": "x"}, 403, "caller-not-allowed"),
+        ("prompt of a wrong type", {}, {"prompt": 1}, 400, "invalid-request"),
+        ("max_tokens a bool", {}, {"max_tokens": True}, 400, "invalid-request"),
+        ("max_tokens 0", {}, {"max_tokens": 0}, 400, "invalid-request"),
+        ("unknown adapter", {}, {"adapter": "x"}, 404, "model-unknown"),
+        ("timeout no number", {"X_Timeout_Seconds": "x"}, {}, 400, "invalid-request"),
+        ("timeout 0", {"X_Timeout_Seconds": "0"}, {}, 400, "invalid-request"),
+        ("priority inf", {"X_Priority": "inf"}, {}, 400, "invalid-request"),
+        ("key too long", {"Idempotency_Key": "k" * 300}, {}, 400, "invalid-request"),
+        ("no engine", {}, {}, 503, "no-upstream"),
+    )
+    def test_bad_input_is_refused_with_its_reason(
+        self, name, headers, body, status, reason
+    ):
+        whole = {"model": "planner", "prompt": "p", "max_tokens": 3}
+        if name in ("no model", "no prompt"):
+            whole = {}
+        if body is None:
+            body = {}
+        if isinstance(body, dict):
+            if body.get("model") == "x":
+                whole = {"prompt": "p"}
+            body = whole | body
+        answer = self.first.send("POST", "/v1/completions", body, **headers).wait()
+        self.assertEqual((answer.status, answer.reason), (status, reason), name)
+        self.assertEqual(answer.outcome, "not-run")
+
+    def test_application_the_caller_may_not_use(self):
+        answer = self.first.send("GET", "/apps/payroll/x").wait()
+        self.assertEqual((answer.status, answer.reason), (403, "caller-not-allowed"))
+
+    def test_path_and_query_reach_the_service_as_sent(self):
+        self.first.send("GET", "/apps/schedule/a%2Fb/c?x=1&y=%20").wait()
+        self.assertEqual(self.application.received[-1].target, "/a%2Fb/c?x=1&y=%20")
--- /dev/null
+++ b/tests/test_requests_routing.py
@@ -0,0 +1,209 @@
+"""Which upstream a call goes to."""
+
+import random
+import unittest
+from collections import Counter
+
+import attrs
+from nose2.tools import params
+
+from bilberrydrum.requests import health, routing
+from bilberrydrum.upstreams import model
+
+NOW = 1000.0
+NEED = routing.Need(model.KIND_ENGINE, "planner")
+
+
+def engine(upstream_id, n_running=0, zone="a", version=3, **fields):
+    values = {
+        "max_concurrency": 10,
+        "models": {"planner": model.ServedModel(version, (version,), ("dry",))},
+        "load": model.Load(n_running),
+    }
+    return model.Upstream(upstream_id, model.KIND_ENGINE, "", zone, **(values | fields))
+
+
+APPLICATION = model.Upstream("s1", model.KIND_APPLICATION, "", application="schedule")
+
+
+def router():
+    return routing.Router("a", random.Random(1))
+
+
+class Eligible(unittest.TestCase):
+    @params(
+        ("any version", engine("e"), NEED, True),
+        ("other model", engine("e"), attrs.evolve(NEED, name="x"), False),
+        ("adapter it has", engine("e"), attrs.evolve(NEED, adapter="dry"), True),
+        ("adapter it lacks", engine("e"), attrs.evolve(NEED, adapter="x"), False),
+        ("new enough", engine("e"), attrs.evolve(NEED, min_weight_version=3), True),
+        ("too old", engine("e"), attrs.evolve(NEED, min_weight_version=4), False),
+        ("other role", engine("e", role="prefill"), NEED, False),
+        ("can't resume", engine("e"), attrs.evolve(NEED, must_resume=True), False),
+        (
+            "can resume",
+            engine("e", can_resume=True),
+            attrs.evolve(NEED, must_resume=True),
+            True,
+        ),
+        (
+            "excluded",
+            engine("e"),
+            attrs.evolve(NEED, excluded_upstream_ids=frozenset("e")),
+            False,
+        ),
+        ("an application", APPLICATION, NEED, False),
+        ("its own", APPLICATION, routing.Need("application", "schedule"), True),
+        ("another", APPLICATION, routing.Need("application", "payroll"), False),
+    )
+    def test_eligible(self, name, upstream, need, expected):
+        self.assertEqual(routing.is_eligible(upstream, need), expected, name)
+
+
+class Choice(unittest.TestCase):
+    def choose(self, subject, *upstreams, now=NOW, n_gateways=1, holders=()):
+        chosen = subject.choose(upstreams, now, n_gateways, frozenset(holders))
+        if isinstance(chosen, routing.Lack):
+            return chosen
+        return chosen.upstream_id
+
+    @params(
+        ("nobody", [], (), routing.Lack.UPSTREAM),
+        ("least loaded", [engine("e1", 5), engine("e2", 4)], (), "e2"),
+        ("full ones are left out", [engine("e1", 10), engine("e2", 9)], (), "e2"),
+        ("all full", [engine("e1", 10), engine("e2", 12)], (), routing.Lack.ROOM),
+        ("near one", [engine("e1", zone="b"), engine("e2")], (), "e2"),
+        ("far one that is faster", [engine("e1", zone="b"), engine("e2", 2)], (), "e1"),
+        ("holder of the prefix", [engine("e1"), engine("e2", 1)], ("e2",), "e2"),
+        ("holder that is loaded", [engine("e1"), engine("e2", 4)], ("e2",), "e1"),
+    )
+    def test_choice(self, name, upstreams, holders, expected):
+        subject = router()
+        # Several gateways, so that the own part is small.
+        chosen = self.choose(subject, *upstreams, n_gateways=100, holders=holders)
+        if expected is routing.Lack.ROOM:
+            # Each gateway may always have one call at each upstream.
+            self.assertIn(chosen, ("e1", "e2"))
+            for upstream in upstreams:
+                subject.started(upstream.upstream_id, NOW)
+            chosen = self.choose(subject, *upstreams, n_gateways=100)
+        self.assertEqual(chosen, expected, name)
+
+    def test_own_calls_in_a_report_are_not_counted_twice(self):
+        """An engine reports four calls; all are this gateway's own.
+
+        Counted again, the engine would look twice as loaded, and full at half.
+        """
+        subject = router()
+        for _ in range(4):
+            subject.started("e1", NOW)
+        upstreams = (engine("e1", 4), engine("e2", 5))
+        self.assertEqual(self.choose(subject, *upstreams), "e1")
+
+    def test_calls_since_the_report_count(self):
+        """The report is late; meanwhile this gateway has sent more."""
+        subject = router()
+        upstreams = (engine("e1"), engine("e2", 3))
+        chosen = []
+        for _ in range(8):
+            chosen.append(self.choose(subject, *upstreams))
+            subject.started(chosen[-1], NOW)
+        counts = Counter(chosen)
+        self.assertAlmostEqual(counts["e1"], counts["e2"] + 3, delta=1)
+
+    def test_gateway_keeps_its_part_whatever_reports_say(self):
+        """A late report shows an engine full of other gateways' calls.
+
+        Each gateway may have its equal part of the engine all the same, or one with
+        late reports would wait for ever; the part of all together is the engine's own.
+        """
+        subject = router()
+        full = engine("e1", 10)
+        for n_started in range(3):
+            chosen = self.choose(subject, full, n_gateways=5)
+            if n_started < 2:
+                self.assertEqual(chosen, "e1")
+                subject.started("e1", NOW)
+        self.assertIs(chosen, routing.Lack.ROOM)
+
+    def test_slow_engine_gets_less_and_is_tried_again_later(self):
+        """One engine was five times as slow as the other for a while.
+
+        It is avoided while that is fresh. For ever avoided, it could never show that
+        it has recovered.
+        """
+        subject = router()
+        fast, slow = engine("fast"), engine("slow")
+        for upstream_id, seconds in (("fast", 1.0), ("slow", 5.0)):
+            self.choose(subject, fast, slow)
+            subject.started(upstream_id, NOW)
+            subject.ended(upstream_id, NOW, seconds, 10.0)
+        for _ in range(3):
+            subject.started("fast", NOW)
+        self.assertEqual(self.choose(subject, fast, slow), "fast")
+        self.assertEqual(self.choose(subject, fast, slow, now=NOW + 200.0), "slow")
+
+    def test_long_calls_do_not_make_an_engine_slow(self):
+        subject = router()
+        upstreams = (engine("e1"), engine("e2", 1))
+        for upstream_id, size in (("e1", 1000.0), ("e2", 10.0)):
+            subject.started(upstream_id, NOW)
+            subject.ended(upstream_id, NOW, size * 0.02, size)
+        self.assertEqual(self.choose(subject, *upstreams), "e1")
+
+    def test_equal_engines_are_chosen_by_chance(self):
+        """Gateways that see the same reports must not all take the same engine."""
+        upstreams = [engine(f"e{i}") for i in range(4)]
+        first = {
+            routing.Router("a", random.Random(seed)).choose(upstreams, NOW).upstream_id
+            for seed in range(50)
+        }
+        self.assertEqual(len(first), 4)
+
+    def test_busy_engine_is_left_alone_for_a_while(self):
+        subject = router()
+        subject.busy("e1", NOW + 0.5)
+        self.assertIs(self.choose(subject, engine("e1")), routing.Lack.ROOM)
+        self.assertEqual(self.choose(subject, engine("e1"), now=NOW + 0.5), "e1")
+
+
+class Ejection(unittest.TestCase):
+    def eject(self, subject, now=NOW):
+        while not subject.failed("u", now):
+            pass
+
+    def test_pause_and_one_probe(self):
+        subject = health.Health()
+        self.eject(subject)
+        self.assertFalse(subject.may_use("u", NOW + 0.9))
+        self.assertTrue(subject.may_use("u", NOW + 1.0))
+        subject.started("u", NOW + 1.0)
+        self.assertFalse(subject.may_use("u", NOW + 1.1))
+        subject.succeeded("u")
+        self.assertTrue(subject.may_use("u", NOW + 1.2))
+
+    def test_pause_doubles_up_to_a_bound(self):
+        subject = health.Health()
+        now = NOW
+        pauses = []
+        for _ in range(8):
+            self.eject(subject, now)
+            began = now
+            while not subject.may_use("u", now):
+                now += 0.5
+            pauses.append(now - began)
+        self.assertEqual(pauses[:4], [1.0, 2.0, 4.0, 8.0])
+        self.assertEqual(pauses[-1], health.LONGEST_PAUSE_SECONDS)
+
+    def test_failures_with_successes_between_do_not_eject(self):
+        subject = health.Health()
+        for _ in range(20):
+            for _ in range(health.EJECT_AFTER - 1):
+                self.assertFalse(subject.failed("u", NOW))
+            subject.succeeded("u")
+
+    def test_all_ejected_are_used_all_the_same(self):
+        subject = router()
+        self.eject(subject.health)
+        chosen = subject.choose([engine("u")], NOW)
+        self.assertEqual(chosen.upstream_id, "u")
