--- a/tests/test_requests_admission.py
+++ b/tests/test_requests_admission.py
@@ -120,8 +120,8 @@
         """
         queue = admission.Admission(1000, random.Random(1))
         upstream = overload.upstreams(1, 1)["u0"]
-        for _ in range(500):
-            ticket = admission.Ticket("busy", overload.NEED, 1e9)
+        for name in ["busy", "away"] + 500 * ["busy"]:
+            ticket = admission.Ticket(name, overload.NEED, 1e9)
             queue.offer(1000.0, ticket, lambda ticket: upstream)
             queue.ended(1000.0, ticket, None, True)
         for _ in range(100):
@@ -218,6 +218,22 @@
         self.assertEqual(effect.reason, Reason.DEADLINE_UNREACHABLE)
         self.assertEqual(effect.ticket, ticket)
 
+    def test_call_that_would_be_late_is_refused_at_its_arrival(self):
+        """Two calls of 2 s are ahead at a service that does one at a time.
+
+        A third one would take 6 s. With 5 s it is refused at once, with 7 s it waits.
+        """
+        warm = admission.Ticket("c", overload.NEED, 1e9)
+        self.queue.offer(996.0, warm, lambda t: self.upstream)
+        self.queue.ended(998.0, warm, None, True)
+        running = admission.Ticket("c", overload.NEED, 1e9)
+        self.queue.offer(1000.0, running, lambda t: self.upstream)
+        self.offer()
+        ticket, (effect,) = self.offer(deadline=1005.0)
+        self.assertEqual(effect.ticket, ticket)
+        self.assertEqual(effect.reason, Reason.DEADLINE_UNREACHABLE)
+        self.assertEqual(self.offer(deadline=1007.0)[1], [])
+
     def test_call_that_nobody_can_serve_holds_up_no_other(self):
         """The head of the queue waits for an adapter on a full engine.
 
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -123,37 +123,50 @@
         eventlet.sleep(0.15)
         self.assertEqual(self.call(fake, request_id="next").body, b"next")
 
-    @params(
-        ("at once", 0.0),
-        ("when the next request is already sent", 0.1),
-    )
-    def test_answer_sent_twice_reaches_the_next_caller_never(self, name, pause):
-        """The service answers one request twice; the connection is used again.
+    def test_answer_that_comes_again_on_an_idle_connection_is_thrown_away(self):
+        """The service answers one request twice, the second time a little later.
 
-        The second copy must not be taken for the answer to the next request. It waits
-        on the connection, which is then closed, or names the request it is for.
+        The copy waits on the connection that is kept for reuse. The next request must
+        not read it, and need not fail either.
         """
 
         def script(connection, received):
             whole = scripted.answer(received, received.request_id.encode())
+            connection.sendall(whole)
             if received.request_id == "again":
+                eventlet.sleep(0.01)
                 connection.sendall(whole)
-                eventlet.sleep(pause)
+
+        fake = self.upstream(script)
+        self.assertEqual(self.call(fake, request_id="again").body, b"again")
+        eventlet.sleep(0.05)
+        self.assertEqual(self.call(fake, request_id="next").body, b"next")
+
+    def test_answer_that_comes_again_after_the_next_request_is_refused(self):
+        """The copy comes when the next request is already out on the connection.
+
+        It is the first thing read there. Only its id tells whose answer it is.
+        """
+
+        def script(connection, received):
+            whole = scripted.answer(received, received.request_id.encode())
+            if received.request_id == "again":
                 connection.sendall(whole)
-                return
-            eventlet.sleep(0.2)
+                eventlet.sleep(0.1)
             connection.sendall(whole)
 
         fake = self.upstream(script)
         self.assertEqual(self.call(fake, request_id="again").body, b"again")
-        if pause == 0.0:
-            eventlet.sleep(0.02)
-        try:
-            body = self.call(fake, request_id="next").body
-        except attempts.AttemptError as error:
-            self.assertEqual(error.reason, Reason.ANSWER_MISMATCHED)
-        else:
-            self.assertEqual(body, b"next")
+        with self.assertRaises(attempts.AttemptError) as caught:
+            self.call(fake, request_id="next")
+        self.assertEqual(caught.exception.reason, Reason.ANSWER_MISMATCHED)
+        self.assertEqual(self.means.pool.n_idle, 0)
+
+    def test_idle_connection_that_the_service_closed_is_not_used(self):
+        fake = self.upstream(scripted.serve_and_close(scripted.answer))
+        self.call(fake)
+        eventlet.sleep(0.05)
+        self.assertEqual(self.call(fake, request_id="next").body, b"ok")
 
     def test_connection_without_ids_is_not_used_again(self):
         """A service that names no request in its answers sends one of them twice.
