--- a/bilberrydrum/weights/planner.py
+++ b/bilberrydrum/weights/planner.py
@@ -57,11 +57,6 @@
     jitter: float
 
 
-@attrs.frozen
-class Stopped:
-    """The right to order has ended."""
-
-
 @attrs.frozen
 class Flight:
     """An order that has been given and not answered."""
@@ -83,6 +78,15 @@
     order_id: str = ""
 
 
+@attrs.frozen
+class FailedAction:
+    """An action that did not succeed, for the operators."""
+
+    action: orders.Action
+    n_failures: int
+    detail: str
+
+
 @attrs.define
 class Engine:
     """What the planner remembers of one engine."""
@@ -111,10 +115,13 @@
         """Take `event` at `now`, in seconds, and return the orders to send."""
         return self._take(event, now)
 
-    def retries_by_engine_id(self) -> dict[str, list[Retry]]:
+    def failed_by_engine_id(self) -> dict[str, list[FailedAction]]:
         """Return what did not succeed and will be tried again."""
         return {
-            engine_id: list(engine.retries_by_action.values())
+            engine_id: [
+                FailedAction(action, retry.n_failures, retry.detail)
+                for action, retry in engine.retries_by_action.items()
+            ]
             for engine_id, engine in self._engines_by_id.items()
             if engine.retries_by_action
         }
@@ -130,11 +137,6 @@
     def _take(self, event: object, now: float) -> list[orders.Order]:
         raise TypeError(f"unknown event {type(event).__name__}")
 
-    @_take.register
-    def _(self, event: Stopped, now: float) -> list[orders.Order]:
-        self._forget_all()
-        return []
-
     @_take.register
     def _(self, event: Answered, now: float) -> list[orders.Order]:
         engine_id = self._engine_ids_by_order_id.pop(event.order_id, None)
@@ -241,7 +243,7 @@
             if not (upstream.checks_fencing or event.may_order_unfenced):
                 continue
             view = views_by_id[engine_id]
-            wanted = list(_lacking(event, engine_id, view))
+            wanted = _wanted(event, engine_id, view)
             engine = self._engines_by_id[engine_id]
             _forget_unwanted(engine, wanted)
             for action in wanted:
@@ -339,16 +341,21 @@
         engine.retries_by_action[action] = Retry(n_failures, at, detail, order_id)
 
 
-def _lacking(
+def _wanted(
     event: Observed, engine_id: str, view: views.EngineView
-) -> Iterable[orders.Action]:
+) -> list[orders.Action]:
+    """Return what an engine has to do, the most urgent first."""
+    needs = []
     role = event.roles_by_id.get(engine_id)
     if role is not None and role != view.role:
-        yield orders.Action(orders.SET_ROLE, role=role)
+        action = orders.Action(orders.SET_ROLE, role=role)
+        needs.append(views.Need(views.Urgency.ROLE, action))
     for name, model in view.models_by_name.items():
         target = event.targets_by_model.get(name)
         if target is not None:
-            yield from views.lacking(name, model, target)
+            needs.extend(views.needs(name, model, target))
+    needs.sort(key=lambda need: need.urgency)
+    return [need.action for need in needs]
 
 
 def _forget_unwanted(engine: Engine, wanted: list[orders.Action]) -> None:
--- a/bilberrydrum/weights/rollout.py
+++ b/bilberrydrum/weights/rollout.py
@@ -16,10 +16,8 @@
 import eventlet.queue
 
 from bilberrydrum import clock, counters, interfaces, options, reasons
-from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.state import client
-from bilberrydrum.upstreams import model as upstream_model
-from bilberrydrum.weights import orders, planner, queries, sender, views
+from bilberrydrum.weights import orders, planner, queries, sender, status, views
 
 # Longest time between two turns.
 TURN_SECONDS: Final = 0.25
@@ -52,6 +50,9 @@
         self._pool = eventlet.greenpool.GreenPool(MAX_FLIGHTS)
         self._random = random.Random()
         self._versions_by_model: dict[str, int] = {}
+        self._publications: queries.Publications | None = None
+        # When the publications were asked for, in seconds of `clock.now`.
+        self._read_at = 0.0
         self._task: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -64,12 +65,16 @@
             self._task.kill()
             self._task = None
 
-    def retries_by_engine_id(self) -> dict[str, list[planner.Retry]]:
+    def failed_by_engine_id(self) -> dict[str, list[planner.FailedAction]]:
         """Return the failed orders that this process will give again."""
-        return self._planner.retries_by_engine_id()
+        if self._controller.fencing_number() is None:
+            return {}
+        return self._planner.failed_by_engine_id()
 
     def actions_by_engine_id(self) -> dict[str, orders.Action]:
         """Return the orders of this process that are on their way."""
+        if self._controller.fencing_number() is None:
+            return {}
         return self._planner.actions_by_engine_id()
 
     def _run(self) -> None:
@@ -83,6 +88,8 @@
 
     def _turn(self) -> None:
         event = self._observe()
+        if event is None:
+            return
         for order in self._planner.step(clock.now(), event):
             self._pool.spawn_n(self._carry, order)
 
@@ -100,31 +107,40 @@
                 return
             answer = self._answers.get_nowait()
 
-    def _observe(self) -> planner.Observed | planner.Stopped:
+    def _observe(self) -> planner.Observed | None:
+        """Return what the planner is to look at; None: nothing may be ordered now.
+
+        Orders on their way are not forgotten then: a lease that is renewed late, or a
+        state group that is silent for a while, must not have them given twice.
+        """
         number = self._controller.fencing_number()
         if number is None:
-            return planner.Stopped()
+            return None
         bundle = self._bundles.current()
-        publications = self._state.query(
-            queries.ListPublications(), _QUERY_TIMEOUT_SECONDS
-        )
-        if bundle.is_err() or publications.is_err():
-            # Without knowing what is wanted there is nothing to order.
-            return planner.Stopped()
-        targets = targets_by_model(bundle.unwrap(), publications.unwrap())
+        publications = self._read_publications()
+        if bundle.is_err() or publications is None:
+            return None
+        targets = status.targets_by_model(bundle.unwrap(), publications)
         self._log_changes(targets)
-        engines_by_id = {
-            upstream_id: upstream
-            for upstream_id, upstream in self._registry.upstreams_by_id().items()
-            if upstream.kind == upstream_model.KIND_ENGINE
-        }
         return planner.Observed(
             number,
             self._controller.may_order_unfenced(),
-            engines_by_id,
+            status.engines_of(self._registry.upstreams_by_id()),
             targets,
+            publications.roles_by_upstream_id,
         )
 
+    def _read_publications(self) -> queries.Publications | None:
+        """Ask the state group, at most once a turn's length."""
+        now = clock.now()
+        if self._publications is None or now - self._read_at >= TURN_SECONDS:
+            answer = self._state.query(
+                queries.ListPublications(), _QUERY_TIMEOUT_SECONDS
+            )
+            self._publications = answer.unwrap() if answer.is_ok() else None
+            self._read_at = now
+        return self._publications
+
     def _log_changes(self, targets: Mapping[str, views.Target]) -> None:
         for model, target in targets.items():
             if self._versions_by_model.get(model) != target.weight_version:
@@ -162,24 +178,6 @@
         return number
 
 
-def targets_by_model(
-    bundle: bundle_model.Bundle, publications: queries.Publications
-) -> dict[str, views.Target]:
-    """Return what the engines of each model in `bundle` are to have."""
-    newest = publications.newest_model_versions()
-    targets = {}
-    for name, rule in bundle.models.items():
-        published = newest.get(name, 0)
-        targets[name] = views.Target(
-            weight_version=published or rule.weight_version,
-            source=rule.weight_store,
-            max_concurrent_loads=rule.max_concurrent_loads,
-            adapters=rule.adapters,
-            only_rises=bool(published),
-        )
-    return targets
-
-
 def _count(outcome: orders.Outcome) -> None:
     match outcome:
         case orders.Failed() | orders.Lost():
