--- a/tests/test_weights_fencing.py
+++ b/tests/test_weights_fencing.py
@@ -153,6 +153,29 @@
         support.wait_for(lambda: ignoring.version == checking.version == 1)
         self.assertEqual(allowed, {"e0": True, "e1": False})
 
+    def test_a_new_lease_between_an_order_and_its_sending(self):
+        """A controller loses its lease while it connects to an engine that ignores
+        fencing numbers, and gets a new one before it writes the order. In between
+        another may have been the controller, whose last order may still be on its
+        way: the order is not sent before that is over.
+        """
+        engine = support.FakeEngine("e0", checks_fencing=False)
+        self.addCleanup(engine.stop)
+        lease = support.FakeController()
+        task = rollout.WeightRollout(
+            options.Options("gw-1"),
+            self.state,
+            support.FakeBundles(),
+            support.FakeRegistry([engine]),
+            lease,
+        )
+        lease.may_order_unfenced = lambda: eventlet.getcurrent() is task._task
+        task.start()
+        self.addCleanup(task.stop)
+        self.publish(1)
+        eventlet.sleep(3 * rollout.TURN_SECONDS)
+        self.assertEqual(engine.received, [])
+
 
 class FlightTest(unittest.TestCase):
     def setUp(self):
