--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -61,6 +61,7 @@
     BUNDLE_STALE = "bundle-stale"
     BUNDLE_TOO_MANY_DRAFTS = "bundle-too-many-drafts"
     MEMBERSHIP_REFUSED = "membership-refused"
+    SNAPSHOT_INVALID = "snapshot-invalid"
 
     # Messages between processes that were dropped.
     MESSAGE_UNKNOWN_TYPE = "message-unknown-type"
--- a/bilberrydrum_cli/queries.py
+++ b/bilberrydrum_cli/queries.py
@@ -6,8 +6,8 @@
 
 import result
 
-from bilberrydrum import findings, yaml_places
-from bilberrydrum_cli import client, codes, messages, output, session, verbs
+from bilberrydrum import yaml_places
+from bilberrydrum_cli import client, codes, local, messages, output, session, verbs
 
 
 @verbs.run.register
@@ -63,7 +63,16 @@
 
 @verbs.run.register
 def _(verb: verbs.ListUpstreams, current: session.Session) -> int:
-    return _get(current, "/v1/upstreams")
+    outcome = current.gateways.json("GET", "/v1/upstreams")
+    if isinstance(outcome, result.Ok) and current.form == output.FORM_TABLE:
+        listed = outcome.ok_value.get("upstreams", [])
+        return current.show([_upstream_row(each) for each in listed])
+    return _answer(current, outcome)
+
+
+@verbs.run.register
+def _(verb: verbs.WeightStatus, current: session.Session) -> int:
+    return _get(current, "/v1/weights")
 
 
 @verbs.run.register
@@ -102,13 +111,11 @@
     if isinstance(outcome, result.Err):
         return current.fail(outcome.err_value)
     data = outcome.ok_value.body
-    try:
-        # An older back-up is not replaced by what may be a worse one.
-        with open(verb.file, "xb") as file:
-            file.write(data)
-    except OSError as error:
-        message = messages.CANNOT_WRITE.format(text=error.strerror)
-        return current.report([findings.Finding(verb.file, 0, 0, message)])
+    saved = local.check_snapshot(verb.file, data).and_then(
+        lambda whole: local.write_new(verb.file, whole)
+    )
+    if isinstance(saved, result.Err):
+        return current.report([saved.err_value])
     current.say(messages.SNAPSHOT_SAVED.format(n_bytes=len(data), path=verb.file))
     return codes.OK
 
@@ -134,3 +141,21 @@
     return difflib.unified_diff(
         old.splitlines(), new.splitlines(), old_name, new_name, lineterm=""
     )
+
+
+def _upstream_row(upstream: dict[str, Any]) -> dict[str, Any]:
+    """Return what fits on a line of a terminal; JSON output has everything."""
+    models = upstream.get("models") or {}
+    served = [f"{name}@{each['weight_version']}" for name, each in models.items()]
+    load = upstream.get("load") or {}
+    return {
+        "upstream": upstream.get("upstream_id", ""),
+        "zone": upstream.get("availability_zone", ""),
+        "address": upstream.get("address", ""),
+        "serves": upstream.get("application") or ",".join(served),
+        "state": upstream.get("state", ""),
+        "drained": upstream.get("is_drained", False),
+        "home": upstream.get("home", ""),
+        "running": load.get("n_running", 0),
+        "waiting": load.get("n_waiting", 0),
+    }
--- a/bilberrydrum_cli/verbs.py
+++ b/bilberrydrum_cli/verbs.py
@@ -144,6 +144,26 @@
     upstream_id: str = _argument("id of the upstream")
 
 
+@attrs.frozen
+class UndrainUpstream:
+    """Let a drained upstream have new work again."""
+
+    upstream_id: str = _argument("id of the upstream")
+
+
+@attrs.frozen
+class SetRole:
+    """Have an engine ordered into a role."""
+
+    upstream_id: str = _argument("id of the engine")
+    role: str = _argument("the role, as its engine calls it; empty: none any more")
+
+
+@attrs.frozen
+class WeightStatus:
+    """Show how far the engines are with the newest weights."""
+
+
 @attrs.frozen
 class ListTrainers:
     """List the trainers."""
@@ -235,6 +255,9 @@
     ("bundle", "show"): ShowBundle,
     ("upstream", "list"): ListUpstreams,
     ("upstream", "drain"): DrainUpstream,
+    ("upstream", "undrain"): UndrainUpstream,
+    ("upstream", "role"): SetRole,
+    ("weights", "status"): WeightStatus,
     ("trainer", "list"): ListTrainers,
     ("trainer", "show"): ShowTrainer,
     ("sample", "trace"): TraceSample,
@@ -252,6 +275,7 @@
 HELP_BY_WORDS: Final[dict[tuple[str, ...], str]] = {
     ("bundle",): "configuration bundles",
     ("upstream",): "engines and applications",
+    ("weights",): "weights on the engines",
     ("trainer",): "trainers",
     ("sample",): "samples",
     ("state",): "the state group",
