--- a/bilberrydrum/daemon.py
+++ b/bilberrydrum/daemon.py
@@ -102,7 +102,14 @@
         )
         trainers.add_routes(self.edge, self.samples)
         upstreams.add_routes(self.edge, self.options, self.registry)
-        weights.add_routes(self.edge, self.options, self.state, self.lease)
+        weights.add_routes(
+            self.edge,
+            self.options,
+            self.state,
+            self.lease,
+            self.registry,
+            self.rollout,
+        )
 
     def find_unready(self) -> list[str]:
         """Return the reasons for which no work should be sent here."""
--- a/bilberrydrum/http/weights.py
+++ b/bilberrydrum/http/weights.py
@@ -89,7 +89,10 @@
             status.status_of(name, target, engines, actions, failed)
             for name, target in sorted(targets.items())
         ]
-        return edge.Response.of_json({"models": codec.to_plain(models)})
+        gives_orders = task is not None and task.gives_orders()
+        return edge.Response.of_json(
+            {"gives_orders": gives_orders, "models": codec.to_plain(models)}
+        )
 
     def _take(
         self,
--- a/bilberrydrum/weights/rollout.py
+++ b/bilberrydrum/weights/rollout.py
@@ -65,15 +65,19 @@
             self._task.kill()
             self._task = None
 
+    def gives_orders(self) -> bool:
+        """Tell whether this process holds the right to order."""
+        return self._controller.fencing_number() is not None
+
     def failed_by_engine_id(self) -> dict[str, list[planner.FailedAction]]:
         """Return the failed orders that this process will give again."""
-        if self._controller.fencing_number() is None:
+        if not self.gives_orders():
             return {}
         return self._planner.failed_by_engine_id()
 
     def actions_by_engine_id(self) -> dict[str, orders.Action]:
         """Return the orders of this process that are on their way."""
-        if self._controller.fencing_number() is None:
+        if not self.gives_orders():
             return {}
         return self._planner.actions_by_engine_id()
 
--- a/tests/test_weights_http.py
+++ b/tests/test_weights_http.py
@@ -62,6 +62,9 @@
 
 
 class FakeTask:
+    def gives_orders(self):
+        return True
+
     def actions_by_engine_id(self):
         return {"e0": orders.Action(orders.SWAP, "planner", 4)}
 
@@ -154,6 +157,7 @@
         self.post("/v1/trainers/outage/weights/prepare", {"weight_version": 5})
         status, answer = self.call("GET", "/v1/weights")
         self.assertEqual(status, 200)
+        self.assertTrue(answer["gives_orders"])
         (model,) = answer["models"]
         (engine,) = model.pop("engines")
         self.assertEqual(
