--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -121,6 +121,8 @@
     max_wait_seconds: float = 30.0
     # Extra attempts allowed as a share of slots.
     second_attempt_budget: float = 0.05
+    # Share of a model's engines that may swap to new weights at a time.
+    swap_share: float = 0.5
     # Longest time that an engine may take to load weights.
     load_timeout_seconds: float = 300.0
 
--- a/bilberrydrum/settings.py
+++ b/bilberrydrum/settings.py
@@ -78,6 +78,7 @@
     ("samples", "max_open_slots"): Range(1, 1_000_000),
     ("samples", "max_wait_seconds"): Range(0.1, 600),
     ("samples", "second_attempt_budget"): Range(0, 1),
+    ("samples", "swap_share"): Range(0.01, 1),
     ("samples", "load_timeout_seconds"): Range(1, _DAY),
     ("shutdown", "balancer_seconds"): Range(0, 600),
     ("shutdown", "limit_seconds"): Range(0, _DAY),
--- a/bilberrydrum/weights/planner.py
+++ b/bilberrydrum/weights/planner.py
@@ -5,8 +5,8 @@
 
 * a version is loaded while the engine still generates with an older one, as many
   engines at a time as the bundle and the weight store allow;
-* once loaded it is swapped in, on one engine first and, when that worked, on up to
-  half of the engines at a time, so that the others keep the trainers fed;
+* once loaded it is swapped in, on one engine first and, when that worked, on a share
+  of the engines at a time, so that the others keep the trainers fed;
 * versions that are no longer of use are unloaded, and missing adapters loaded.
 
 What an engine reports is believed over what it was ordered. The answer to an order
@@ -86,9 +86,16 @@
 
 
 class Planner:
-    """The pure decision: events in, orders out."""
+    """The pure decision: events in, orders out.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    swap_share : float
+        Share of a model's engines that may swap at a time.
+    """
+
+    def __init__(self, swap_share: float) -> None:
+        self._swap_share = swap_share
         self._fencing_number = 0
         # Number under which an engine refused an order as old.
         self._refused_number = 0
@@ -148,7 +155,7 @@
             self._fencing_number = event.fencing_number
         self._targets_by_model = event.targets_by_model
         self._forget_moved(event, now)
-        census = swaps.Census(event.targets_by_model)
+        census = swaps.Census(event.targets_by_model, self._swap_share)
         views_by_id = self._look(event, census, now)
         slots = census.slots(self._flights_by_engine_id.values(), now)
         self._count_loads(event)
--- a/bilberrydrum/weights/rollout.py
+++ b/bilberrydrum/weights/rollout.py
@@ -45,7 +45,7 @@
         self._bundles = bundles
         self._registry = registry
         self._controller = controller
-        self._planner = planner.Planner()
+        self._planner = planner.Planner(options.samples.swap_share)
         self._answers: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         self._pool = eventlet.greenpool.GreenPool(MAX_FLIGHTS)
         self._random = random.Random()
--- a/bilberrydrum/weights/swaps.py
+++ b/bilberrydrum/weights/swaps.py
@@ -1,7 +1,9 @@
 """How many engines may swap at a time.
 
 A swap pauses its engine. All engines lose the same time whatever the order, but those
-that wait for their turn keep the trainers fed, so at most half of them swap at a time.
+that wait for their turn keep the trainers fed, so only a share of them, by default one
+half, swaps at a time. With a share of 1 the last engine has the new version sooner, and
+for the time of a swap nobody generates.
 """
 
 from collections.abc import Iterable, Mapping
@@ -12,8 +14,6 @@
 from bilberrydrum.upstreams import model as upstream_model
 from bilberrydrum.weights import orders, views
 
-# Share of a model's engines that may be swapping at a time.
-SWAP_SHARE: Final = 0.5
 # A first swap that takes longer than this does not hold up the next engine's.
 TRIAL_SECONDS: Final = 3.0
 
@@ -35,8 +35,11 @@
 class Census:
     """Counts each model's engines, and those that have the wanted version."""
 
-    def __init__(self, targets_by_model: Mapping[str, views.Target]) -> None:
+    def __init__(
+        self, targets_by_model: Mapping[str, views.Target], swap_share: float
+    ) -> None:
         self._targets_by_model = targets_by_model
+        self._swap_share = swap_share
         self._n_engines = dict.fromkeys(targets_by_model, 0)
         self._n_current = dict.fromkeys(targets_by_model, 0)
 
@@ -72,7 +75,7 @@
 
     def _n_allowed(self, model: str, n_slow: int) -> int:
         if self._n_current[model]:
-            return max(1, int(self._n_engines[model] * SWAP_SHARE))
+            return max(1, int(self._n_engines[model] * self._swap_share))
         # Weights that make engines fail must not take all of them: until one engine
         # generates with the new version, one at a time tries it. One that is slow to
         # answer does not hold up the others for long.
--- a/tests/test_weights_planner.py
+++ b/tests/test_weights_planner.py
@@ -26,8 +26,8 @@
 class Bench:
     """A planner, its engines as they are reported, and a clock set by hand."""
 
-    def __init__(self, n_engines=0, version=0, loaded=None, **target):
-        self.planner = planner.Planner()
+    def __init__(self, n_engines=0, version=0, loaded=None, share=0.5, **target):
+        self.planner = planner.Planner(share)
         self.now = 100.0
         self.number = 1
         self.unfenced = True
@@ -141,20 +141,28 @@
 
 
 class SwapTest(unittest.TestCase):
-    @params((1, 1), (2, 1), (3, 1), (5, 2), (870, 435))
-    def test_one_engine_first_then_half_of_them(self, n_engines, n_at_a_time):
+    @params(
+        (1, 0.5, 1),
+        (2, 0.5, 1),
+        (3, 0.5, 1),
+        (5, 0.5, 2),
+        (5, 0.01, 1),
+        (5, 1.0, 5),
+        (870, 0.5, 435),
+    )
+    def test_one_engine_first_then_a_share_of_them(self, n_engines, share, n_swaps):
         """A version that makes engines fail must not take all of them.
 
         One engine swaps first. Only when it generates with the new version do
-        others follow, at most half of all engines at a time.
+        others follow, at most the given share of all engines at a time.
         """
-        bench = Bench(n_engines, loaded=(0, 1))
+        bench = Bench(n_engines, loaded=(0, 1), share=share)
         first = bench.turn()
         self.assertEqual(kinds(first), [("swap", 1)])
         self.assertEqual(bench.turn(0.25), [])
         bench.carry_out(first[0])
         swaps = [each for each in bench.turn() if each.action.kind == orders.SWAP]
-        self.assertEqual(len(swaps), min(n_at_a_time, n_engines - 1))
+        self.assertEqual(len(swaps), min(n_swaps, n_engines - 1))
 
     def test_engines_with_the_oldest_weights_and_the_least_work_go_first(self):
         bench = Bench(weight_version=3, max_concurrent_loads=3)
