--- a/bilberrydrum/weights/planner.py
+++ b/bilberrydrum/weights/planner.py
@@ -347,6 +347,8 @@
                     )
                 else:
                     self._retry_later(engine, action, "busy", "", jitter, now)
+                    retry = engine.retries_by_action[action]
+                    retry.at = max(retry.at, now + retry_after)
             case orders.Fenced():
                 self._refused_number = self._fencing_number
                 self._forget_all()
--- a/bilberrydrum/weights/status.py
+++ b/bilberrydrum/weights/status.py
@@ -68,12 +68,23 @@
             prepared_version=prepared.get(name, 0),
             source=rule.weight_store,
             max_concurrent_loads=rule.max_concurrent_loads,
-            adapters=rule.adapters,
+            adapters=_adapters_of(name, rule, bundle),
             only_rises=bool(published),
         )
     return targets
 
 
+def _adapters_of(
+    model: str, rule: bundle_model.ModelRule, bundle: bundle_model.Bundle
+) -> tuple[str, ...]:
+    """Return the adapters that callers and trainers of a model may ask for."""
+    trainers = bundle.trainers.values()
+    of_trainers = [
+        each.adapter for each in trainers if each.model == model and each.adapter
+    ]
+    return tuple(dict.fromkeys([*rule.adapters, *of_trainers]))
+
+
 def engines_of(
     upstreams_by_id: Mapping[str, upstream_model.Upstream],
 ) -> dict[str, upstream_model.Upstream]:
