Send each event of a stand-in's stream at once

eventlet's server gathers 4096 bytes of a streamed body first, so a stream that was reset after its first event sent nothing at all; found by asking the engine stand-in with curl. A cut answer kept its connection open and the client waited for ever; the connection is closed now.

--- a/tests/fakes/server.py
+++ b/tests/fakes/server.py
@@ -86,6 +86,8 @@
             max_size=2000,
             keepalive=True,
             debug=False,
+            # Each event of a stream goes out at once, not with 4096 bytes of others.
+            minimum_chunk_size=1,
         )
 
     def _application(
@@ -107,11 +109,8 @@
             data = json.dumps(answer.value).encode()
             headers.append(("Content-Type", "application/json"))
         headers.append(("Content-Length", str(len(data))))
-        if answer.is_cut:
-            headers.append(("Connection", "close"))
-            data = data[: len(data) // 2]
         start_response(status, headers)
-        return [data]
+        return _half(data) if answer.is_cut else [data]
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
         method = environ["REQUEST_METHOD"]
@@ -140,6 +139,12 @@
         return Answer(404, {"error": f"no {method} {path}"})
 
 
+def _half(data: bytes) -> Iterator[bytes]:
+    """Yield half of an answer, then close the connection."""
+    yield data[: len(data) // 2]
+    raise NoAnswerError
+
+
 def on_terminate(action: Callable[[], None]) -> None:
     """Run `action` in a task of its own once, when SIGTERM arrives."""
 
