--- /dev/null
+++ b/misc/andes.py
@@ -0,0 +1,356 @@
+"""The Andes deployment on one machine: three daemons and the world around them.
+
+Every process listens on a free loopback port; files are kept in one folder.
+"""
+
+import json
+import secrets
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+import urllib3
+import yaml
+
+from misc import processes
+
+ZONES: Final = ("Surquillo", "Callao", "Ate")
+N_ENGINES: Final = 5
+N_SCHEDULES: Final = 3
+N_SCORERS: Final = 2
+OPERATOR: Final = "ana"
+TRAINER: Final = "outage"
+CALLER: Final = "planners"
+STALENESS_BOUND: Final = 2
+TOOL_SECONDS: Final = 90.0
+
+
+class ToolError(Exception):
+    """The operators' tool ended with an error."""
+
+
+@attrs.frozen
+class Daemon:
+    """One daemon of the deployment."""
+
+    process_id: str
+    zone: str
+    http_address: str
+    peer_address: str
+
+
+@attrs.frozen
+class Rolled:
+    """A bundle that was put in force."""
+
+    version: int
+    digest: str
+    # Times of `time.monotonic` at which the roll was asked for and reported done.
+    asked: float
+    reported: float
+
+
+class Deployment:
+    """The processes of Andes.
+
+    Parameters
+    ----------
+    started : processes.Processes
+        Where the processes are started, and ended by its owner.
+    settings : dict, optional
+        Sections that are added to each daemon's settings.
+    """
+
+    def __init__(
+        self, started: processes.Processes, settings: dict[str, Any] | None = None
+    ) -> None:
+        self.processes = started
+        self.folder: Path = started.folder
+        self._settings = settings or {}
+        ports = processes.free_ports(
+            2 * len(ZONES) + N_ENGINES + N_SCHEDULES + N_SCORERS + 1
+        )
+        addresses = [f"127.0.0.1:{port}" for port in ports]
+        self.daemons_by_id = {
+            f"gw-{zone.lower()}": Daemon(
+                f"gw-{zone.lower()}", zone, addresses.pop(), addresses.pop()
+            )
+            for zone in ZONES
+        }
+        self.store_address = addresses.pop()
+        self.addresses_by_upstream = {
+            name: addresses.pop() for name in self._upstream_names()
+        }
+        self.operator_token = self._write_token("operator")
+        self.upstream_token = self._write_token("upstream")
+
+    @staticmethod
+    def _upstream_names() -> list[str]:
+        names = [f"engine-{i}" for i in range(1, N_ENGINES + 1)]
+        names += [f"schedule-{i}" for i in range(1, N_SCHEDULES + 1)]
+        names += [f"scorer-{i}" for i in range(1, N_SCORERS + 1)]
+        return names
+
+    def _write_token(self, name: str) -> str:
+        path = self.folder / f"{name}.token"
+        path.touch(mode=0o600)
+        path.write_text(secrets.token_urlsafe(32) + "\n")
+        return str(path)
+
+    # Daemons.
+
+    def write_settings(self) -> None:
+        """Write a settings file for each daemon."""
+        members = [
+            {"process_id": daemon.process_id, "peer_address": daemon.peer_address}
+            for daemon in self.daemons_by_id.values()
+        ]
+        for daemon in self.daemons_by_id.values():
+            settings: dict[str, Any] = {
+                "process_id": daemon.process_id,
+                "group": "andes",
+                "availability_zone": daemon.zone,
+                "region": "Lima",
+                "roles": ["gateway", "state"],
+                "peer_address": daemon.peer_address,
+                "log_file": str(self.folder / f"{daemon.process_id}.log"),
+                "state": {
+                    "members": members,
+                    "data_folder": str(self.folder / f"{daemon.process_id}-data"),
+                },
+                "gateway": {
+                    "http_address": daemon.http_address,
+                    "operator_token_file": self.operator_token,
+                    "upstream_token_file": self.upstream_token,
+                },
+                "shutdown": {"balancer_seconds": 0.5, "limit_seconds": 20},
+                **self._settings,
+            }
+            path = self._settings_path(daemon.process_id)
+            path.write_text(yaml.safe_dump(settings, sort_keys=False))
+
+    def _settings_path(self, process_id: str) -> Path:
+        return self.folder / f"{process_id}.yaml"
+
+    def start_daemons(self) -> None:
+        """Start all daemons and wait until each serves HTTP and has a leader."""
+        self.write_settings()
+        for process_id in self.daemons_by_id:
+            self.processes.start_module(
+                process_id,
+                "bilberrydrum.main",
+                "--settings",
+                str(self._settings_path(process_id)),
+            )
+        for daemon in self.daemons_by_id.values():
+            self.processes.wait_until_ready(
+                daemon.process_id, daemon.http_address, "/healthz"
+            )
+        processes.wait_for(lambda: self.leader() != "", 60.0, "a leader")
+
+    def leader(self) -> str:
+        """Return the process id of the state group's leader; empty: none is known.
+
+        A replica that has not heard of a newer leader may still name the old one, so
+        the answer with the highest term counts.
+        """
+        best = (-1, "")
+        for process_id in self.daemons_by_id:
+            status = self.state_status(process_id)
+            if status is not None and status["leader"]:
+                best = max(best, (status["term"], status["leader"]))
+        return best[1]
+
+    def state_status(self, process_id: str) -> dict[str, Any] | None:
+        """Return what one daemon tells of the state group; None: no answer."""
+        answer = self.get(process_id, "/v1/state", self._operator_headers())
+        if answer is None or answer.status != 200:
+            return None
+        value: dict[str, Any] = answer.json()
+        return value
+
+    def get(
+        self,
+        process_id: str,
+        path: str,
+        headers: dict[str, str],
+        timeout: float = 1.0,
+    ) -> urllib3.BaseHTTPResponse | None:
+        """Ask one daemon; None if it does not answer."""
+        address = self.daemons_by_id[process_id].http_address
+        try:
+            return urllib3.request(
+                "GET",
+                f"http://{address}{path}",
+                headers=headers,
+                timeout=timeout,
+                retries=False,
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def _operator_headers(self) -> dict[str, str]:
+        token = Path(self.operator_token).read_text().strip()
+        return {"Authorization": f"Bearer {token}", "X-Operator": OPERATOR}
+
+    # The world around.
+
+    def _gateway_options(self) -> list[str]:
+        return [
+            word
+            for daemon in self.daemons_by_id.values()
+            for word in ("--gateway", daemon.http_address)
+        ]
+
+    def _journal(self, name: str) -> list[str]:
+        return ["--journal", str(self.folder / f"{name}.journal")]
+
+    def start_upstreams(self, *engine_options: str) -> None:
+        """Start the weight store, the engines and the applications."""
+        self.processes.start_module(
+            "store",
+            "tests.fakes.weight_store",
+            "--port",
+            _port(self.store_address),
+            *self._journal("store"),
+        )
+        for number, name in enumerate(self._upstream_names()):
+            kind = name.split("-")[0]
+            options: list[str] = []
+            if kind == "engine":
+                # Some engines look at fencing numbers and some do not.
+                options = ["--checks-fencing"] if number % 2 == 0 else []
+                options += ["--seed", str(number), *engine_options]
+            self.processes.start_module(
+                name,
+                f"tests.fakes.{kind}",
+                "--id",
+                name,
+                "--port",
+                _port(self.addresses_by_upstream[name]),
+                "--zone",
+                ZONES[number % len(ZONES)],
+                "--token-file",
+                self.upstream_token,
+                *self._gateway_options(),
+                *self._journal(name),
+                *options,
+            )
+
+    def start_trainer(self, *options: str) -> processes.Process:
+        """Start the trainer; it ends by itself and writes ``trainer.report``."""
+        return self.processes.start_module(
+            "trainer",
+            "tests.fakes.trainer",
+            "--id",
+            TRAINER,
+            "--store",
+            f"http://{self.store_address}",
+            "--report",
+            str(self.folder / "trainer.report"),
+            *self._gateway_options(),
+            *self._journal("trainer"),
+            *options,
+        )
+
+    def start_planner(self, *options: str) -> processes.Process:
+        """Start the planners; they write ``planner.report`` when told to end."""
+        return self.processes.start_module(
+            "planner",
+            "tests.fakes.planner",
+            "--id",
+            "planner",
+            "--caller",
+            CALLER,
+            "--report",
+            str(self.folder / "planner.report"),
+            *self._gateway_options(),
+            *self._journal("planner"),
+            *options,
+        )
+
+    def control(self, upstream: str, **faults: float) -> dict[str, Any]:
+        """Switch faults of a stand-in on or off; return what it reports."""
+        answer = urllib3.request(
+            "POST",
+            f"http://{self.addresses_by_upstream[upstream]}/control",
+            json=faults,
+            timeout=5.0,
+            retries=False,
+        )
+        if answer.status != 200:
+            raise ValueError(f"{upstream}: {answer.data!r}")
+        value: dict[str, Any] = answer.json()
+        return value
+
+    # The operator.
+
+    def tool(self, *words: str) -> dict[str, Any]:
+        """Run the operators' tool; return its answer.
+
+        Raises
+        ------
+        ToolError
+            If it ends with an exit code other than 0.
+        """
+        gateways = [
+            word if word.startswith("--") else f"http://{word}"
+            for word in self._gateway_options()
+        ]
+        arguments = processes.module_command(
+            "bilberrydrum_cli.main",
+            *gateways,
+            "--token-file",
+            self.operator_token,
+            "--operator",
+            OPERATOR,
+            "--output",
+            "json",
+            *words,
+        )
+        code, output, errors = processes.run_tool(arguments, TOOL_SECONDS)
+        if code != 0:
+            raise ToolError(f"{' '.join(words)}: exit code {code}\n{output}{errors}")
+        value: dict[str, Any] = json.loads(output) if output.strip() else {}
+        return value
+
+    def write_bundle(self, version: int, callers: list[str]) -> Path:
+        """Write a bundle that lets some callers use the schedule application."""
+        bundle = {
+            "version": version,
+            "parent": version - 1,
+            "models": {"planner": {"weight_store": f"http://{self.store_address}"}},
+            "applications": {
+                "schedule": {"timeout_seconds": 5},
+                "scorer": {"idempotent_methods": ["GET", "HEAD", "OPTIONS", "POST"]},
+            },
+            "callers": {
+                name: {"models": ["planner"], "applications": ["schedule"]}
+                for name in callers
+            },
+            "trainers": {
+                TRAINER: {
+                    "model": "planner",
+                    "scorer": "scorer",
+                    "staleness_bound": STALENESS_BOUND,
+                }
+            },
+        }
+        path = self.folder / f"bundle-{version}.yaml"
+        path.write_text(yaml.safe_dump(bundle, sort_keys=False))
+        return path
+
+    def roll(self, path: Path, version: int) -> Rolled:
+        """Check, submit, sign off and roll a bundle; wait until it is in force."""
+        self.tool("bundle", "check", str(path))
+        digest = self.tool("bundle", "submit", str(path))["digest"]
+        signed = ("bundle", "sign-off", str(version), "--digest", digest)
+        self.tool(*signed)
+        asked = time.monotonic()
+        self.tool("bundle", "roll", str(version), "--digest", digest, "--wait")
+        return Rolled(version, digest, asked, time.monotonic())
+
+
+def _port(address: str) -> str:
+    return address.rsplit(":", 1)[1]
--- /dev/null
+++ b/misc/environment.py
@@ -0,0 +1,29 @@
+"""Run a script in the checkout's own virtual environment.
+
+Uses nothing but the standard library: it runs before the environment exists.
+"""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Final
+
+REPOSITORY: Final = Path(__file__).resolve().parent.parent
+VENV: Final = REPOSITORY / ".venv"
+# Made last by the installation; its absence means that there is none, or half a one.
+MARKER: Final = VENV / "bin" / "bilberrydrumd"
+
+
+def reexecute() -> None:
+    """Make the environment if there is none, and start the script again in it."""
+    if Path(sys.prefix).resolve() == VENV:
+        return
+    if not MARKER.exists():
+        print(f"making {VENV}", file=sys.stderr)
+        subprocess.run([sys.executable, "-m", "venv", str(VENV)], check=True)
+        pip = [str(VENV / "bin" / "pip"), "install", "--quiet"]
+        options = ["--disable-pip-version-check", "-e", str(REPOSITORY)]
+        subprocess.run([*pip, *options], check=True)
+    python = str(VENV / "bin" / "python")
+    os.execv(python, [python, *sys.argv])
--- a/misc/processes.py
+++ b/misc/processes.py
@@ -178,7 +178,7 @@
 
     def start_module(self, name: str, module: str, *arguments: str) -> Process:
         """Start ``python -m module`` with this interpreter."""
-        return self.start(name, [sys.executable, "-m", module, *arguments])
+        return self.start(name, module_command(module, *arguments))
 
     def restart(self, name: str) -> Process:
         """Start an ended process again with the arguments that it had."""
@@ -215,6 +215,11 @@
                 process.kill()
 
 
+def module_command(module: str, *arguments: str) -> list[str]:
+    """Return the command that runs a module with this interpreter."""
+    return [sys.executable, "-m", module, *arguments]
+
+
 def exit_on_signals() -> None:
     """Turn SIGTERM and SIGHUP into an exit, so that the processes are still ended."""
 
