--- a/bilberrydrum/bundles/lease.py
+++ b/bilberrydrum/bundles/lease.py
@@ -3,13 +3,15 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
+import attrs
 import eliot
 import eventlet
 import eventlet.queue
 import result
+from eventlet import tpool
 
 from bilberrydrum import clock, counters, interfaces, options, reasons, transport
-from bilberrydrum.bundles import holder, messages, model
+from bilberrydrum.bundles import holder, messages, model, peers
 from bilberrydrum.state import client, processes
 
 _STATUS_TIMEOUT_SECONDS: Final = 2.0
@@ -30,7 +32,10 @@
         self._holder = holder.LeaseHolder(options_.state.drift_margin)
         self._events: Any = eventlet.queue.LightQueue()
         self._tasks: list[Any] = []
+        self._peers = peers.KnownPeers()
         self._is_registering = False
+        # The newest version that was, or is being, read.
+        self._version_read = 0
         transport_.on(messages.Grant, self._on_grant)
         transport_.on(messages.Push, self._on_push)
         transport_.on(messages.Unregistered, self._on_unregistered)
@@ -77,10 +82,30 @@
         return answer
 
     def _on_grant(self, sender: transport.Sender, grant: messages.Grant) -> None:
+        if grant.content is not None and grant.version > self._version_read:
+            self._version_read = grant.version
+            eventlet.spawn(self._read_grant, sender.address, grant)
+            return
+        # Renewals that were sent while the bundle was being read bring it again.
+        grant = attrs.evolve(grant, content=None)
         self._events.put(holder.GrantHeard(sender.address, grant))
 
     def _on_push(self, sender: transport.Sender, push: messages.Push) -> None:
-        self._events.put(holder.PushHeard(sender.address, push))
+        if push.version > self._version_read:
+            self._version_read = push.version
+            eventlet.spawn(self._read_push, sender.address, push)
+
+    # Reading a large bundle takes long enough to hold up heartbeats and streams of
+    # this process, so it is done in a thread. Bundles may be read in any order: the
+    # holder takes none older than the one it has.
+
+    def _read_grant(self, address: str, grant: messages.Grant) -> None:
+        bundle = tpool.execute(holder.read, grant.version, grant.content)
+        self._events.put(holder.GrantHeard(address, grant, bundle))
+
+    def _read_push(self, address: str, push: messages.Push) -> None:
+        bundle = tpool.execute(holder.read, push.version, push.content)
+        self._events.put(holder.PushHeard(address, push, bundle))
 
     def _on_unregistered(
         self, sender: transport.Sender, message: messages.Unregistered
@@ -108,6 +133,14 @@
                 due_at = clock.now() + renew_seconds
             for effect in self._holder.step(clock.now(), event):
                 self._carry_out(effect)
+            self._forget_peers()
+
+    def _forget_peers(self) -> None:
+        directory = self._holder.directory
+        gateways = [each.peer_address for each in directory.gateways]
+        addresses = [*gateways, *directory.state_addresses]
+        for address in self._peers.replace(directory.change, addresses):
+            self._transport.forget(address)
 
     def _carry_out(self, effect: Any) -> None:
         if isinstance(effect, holder.Adopted):
@@ -124,7 +157,9 @@
     def _addresses(self, leader_address: str | None) -> list[str]:
         if leader_address is not None:
             return [leader_address]
-        # Only the leader answers, so the others may be asked in vain.
+        # Only the leader answers; the others are asked in vain. A process without
+        # members in its settings is a group of its own.
         members = [each.peer_address for each in self._options.state.members]
         known = self._holder.directory.state_addresses
-        return list(dict.fromkeys([*members, *known]))
+        addresses = list(dict.fromkeys([*members, *known]))
+        return addresses or [self._options.peer_address]
