Ask again while a replica is behind a seat; keep the list of usable upstreams

Change: a seat's word that shows a replica behind leads to a new question. Cache events are joined before they are passed on.

--- a/bilberrydrum/upstreams/directory.py
+++ b/bilberrydrum/upstreams/directory.py
@@ -11,7 +11,6 @@
 """
 
 import functools
-from collections.abc import Mapping
 from typing import Any, Final
 
 import attrs
@@ -22,6 +21,7 @@
     exchange,
     forwards,
     leaves,
+    listing,
     loads,
     messages,
     records,
@@ -72,6 +72,7 @@
         self._forwards = forwards.Forwards(renew_seconds)
         self._leaves = leaves.Leaves()
         self._stops = stops.Stops()
+        self.listing = listing.Listing(self._table, self._stops)
         self._effects: list[events.Effect] = []
 
     def step(self, now: float, event: events.Event) -> list[events.Effect]:
@@ -88,24 +89,6 @@
         self._effects.extend(self._exchange.take_effects())
         return self._effects
 
-    def standing_by_id(self, now: float) -> dict[str, records.Record]:
-        """Return the records of the upstreams whose lease stands at `now`."""
-        is_in_doubt = self._stops.is_in_doubt(now)
-        return {
-            upstream_id: record
-            for upstream_id, record in self._table.records_by_id.items()
-            if now < self._table.expires_at(record)
-            and not (is_in_doubt and record.home == self._process_id)
-        }
-
-    def expires_at(self, record: records.Record) -> float:
-        """Return when the lease of a standing record ends."""
-        return self._table.expires_at(record)
-
-    def records_by_id(self) -> Mapping[str, records.Record]:
-        """Return the newest record of each upstream, whether it stands or not."""
-        return self._table.records_by_id
-
     def is_synced(self, now: float) -> bool:
         """Tell whether the others' records are here, as far as they could be had."""
         if self._started_at is None:
--- a/bilberrydrum/upstreams/exchange.py
+++ b/bilberrydrum/upstreams/exchange.py
@@ -174,6 +174,9 @@
         if not self._receiver.hear(sender, incarnation, message, homes, now):
             fetch = messages.FetchVector(message.is_all, int(now * 1000))
             self._send(sender, fetch)
+        for home in self._receiver.take_behind():
+            behind = self._table.views_by_home[home]
+            self._fetch(home, behind, now, since=behind.change)
 
     @hear.register
     def _hear_fetch_vector(
@@ -210,7 +213,7 @@
         for load in changes.loads:
             held = view.records_by_id.get(load.upstream_id)
             if held is not None:
-                self._table.merge(held, now)
+                self._table.merge(held, now, is_load=True)
 
     def _relay(
         self, home: str, view: views.View, changes: messages.Changes, now: float
--- a/bilberrydrum/upstreams/prefixes.py
+++ b/bilberrydrum/upstreams/prefixes.py
@@ -19,6 +19,10 @@
 KEEP_SECONDS: Final = 600.0
 
 
+# Hints passed on to the other gateways, per engine and message.
+MAX_PASSED_ON: Final = 256
+
+
 @attrs.define
 class _Engine:
     """The hints of one engine."""
@@ -91,3 +95,48 @@
     def _clear(self, upstream_id: str, engine: _Engine) -> None:
         for prefix in list(engine.stored_at_by_prefix):
             self._remove(upstream_id, engine, prefix)
+
+
+@attrs.define
+class _Waiting:
+    """Cache events of one engine that wait to be passed on."""
+
+    sequence: int = 0
+    is_cleared: bool = False
+    is_stored_by_prefix: dict[str, bool] = attrs.field(factory=dict)
+
+
+class Outgoing:
+    """Cache events to be passed on, joined so that their number is bounded."""
+
+    def __init__(self) -> None:
+        self._waiting_by_id: dict[str, _Waiting] = {}
+
+    def add(self, event: messages.Prefixes) -> None:
+        """Pass `event` on with the next messages."""
+        waiting = self._waiting_by_id.setdefault(event.upstream_id, _Waiting())
+        if event.is_cleared or event.sequence <= waiting.sequence:
+            waiting.is_cleared = True
+            waiting.is_stored_by_prefix.clear()
+        waiting.sequence = event.sequence
+        for prefix in event.removed:
+            waiting.is_stored_by_prefix[prefix] = False
+        for prefix in event.stored:
+            waiting.is_stored_by_prefix[prefix] = True
+
+    def take(self) -> list[messages.Prefixes]:
+        """Return one message for each engine; what is beyond the bound is lost."""
+        taken = []
+        for upstream_id, waiting in self._waiting_by_id.items():
+            latest = list(waiting.is_stored_by_prefix.items())[-MAX_PASSED_ON:]
+            taken.append(
+                messages.Prefixes(
+                    upstream_id,
+                    waiting.sequence,
+                    tuple(prefix for prefix, is_stored in latest if is_stored),
+                    tuple(prefix for prefix, is_stored in latest if not is_stored),
+                    waiting.is_cleared,
+                )
+            )
+        self._waiting_by_id.clear()
+        return taken
--- a/bilberrydrum/upstreams/registry.py
+++ b/bilberrydrum/upstreams/registry.py
@@ -84,12 +84,11 @@
         self._directory = self._new_directory()
         self._is_started = False
         self._prefixes = prefixes.PrefixHints()
+        self._outgoing_prefixes = prefixes.Outgoing()
         self._queue: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         self._task: Any = None
         self._gateways_by_id: Mapping[str, interfaces.Gateway] = {}
         self._leave_known_by_id: dict[str, eventlet.event.Event] = {}
-        self._listed_by_id: dict[str, model.Upstream] = {}
-        self._listed_until = float("-inf")
 
     def start(self) -> None:
         """Begin to hear the other gateways; the process has been registered."""
@@ -120,15 +119,11 @@
 
     def upstreams_by_id(self) -> Mapping[str, model.Upstream]:
         """Return the upstreams that may be given new work now."""
-        now = clock.now()
-        if now >= self._listed_until:
-            self._list(now)
-        return self._listed_by_id
+        return self._directory.listing.usable_by_id(clock.now())
 
     def home_of(self, upstream_id: str) -> str | None:
         """Return the gateway that answers for the upstream's lease, if it stands."""
-        record = self._directory.standing_by_id(clock.now()).get(upstream_id)
-        return None if record is None else record.home
+        return self._directory.listing.home_of(upstream_id, clock.now())
 
     def prefix_holders(self, prefix: str) -> frozenset[str]:
         """Return the engines likely to hold a prompt's prefix; a hint.
@@ -144,8 +139,8 @@
         """Return all that is known of all upstreams, for operators."""
         now = clock.now()
         statuses_by_id = {}
-        for upstream_id, record in self._directory.records_by_id().items():
-            left = max(0.0, self._directory.expires_at(record) - now)
+        for upstream_id, record in self._directory.listing.records_by_id().items():
+            left = max(0.0, self._directory.listing.expires_at(record) - now)
             state = record.state
             if state == records.STATE_STANDS and not left:
                 state = records.STATE_LAPSED
@@ -171,13 +166,13 @@
 
     def renew(self, renewed: events.Renewed) -> result.Result[None, reasons.Reason]:
         """Take an upstream's renewal."""
-        if renewed.upstream_id not in self._directory.records_by_id():
+        if renewed.upstream_id not in self._directory.listing.records_by_id():
             self._wait_until_synced()
         return self._ask(renewed)
 
     def leave(self, upstream_id: str) -> result.Result[None, reasons.Reason]:
         """Give an upstream no new work; return once other gateways know, too."""
-        if upstream_id not in self._directory.records_by_id():
+        if upstream_id not in self._directory.listing.records_by_id():
             self._wait_until_synced()
         known = self._leave_known_by_id.get(upstream_id)
         if known is None:
@@ -203,7 +198,7 @@
     def take_cache_events(self, prefixes: messages.Prefixes) -> None:
         """Take an engine's cache events and pass them on."""
         if self._prefixes.apply(prefixes, clock.now()):
-            self._send_all(prefixes)
+            self._outgoing_prefixes.add(prefixes)
 
     # The task.
 
@@ -227,7 +222,11 @@
             for process_id, gateway in self._gateways_by_id.items()
         }
         self._step(events.Tick(zones_by_id))
-        self._prefixes.keep_only(self._directory.records_by_id())
+        self._prefixes.keep_only(self._directory.listing.records_by_id())
+        events_by_engine = self._outgoing_prefixes.take()
+        if len(self._gateways_by_id) <= self._options.max_mesh_gateways:
+            for event in events_by_engine:
+                self._send_all(event)
 
     def _handle(self, item: Any) -> None:
         if not isinstance(item, _Asked):
@@ -248,7 +247,6 @@
             eliot.write_traceback()
             counters.dropped(reasons.Reason.MESSAGE_DAMAGED)
             return []
-        self._listed_until = float("-inf")
         for effect in effects:
             self._carry_out(effect)
         return effects
@@ -307,16 +305,3 @@
     def _wait_until_synced(self) -> None:
         while self._is_started and not self._directory.is_synced(clock.now()):
             clock.sleep(_SYNC_POLL_SECONDS)
-
-    def _list(self, now: float) -> None:
-        standing_by_id = self._directory.standing_by_id(now)
-        self._listed_by_id = {
-            upstream_id: record.upstream
-            for upstream_id, record in standing_by_id.items()
-            if not record.is_drained
-        }
-        # Until the first lease ends nothing drops out of the list without an event.
-        self._listed_until = min(
-            (self._directory.expires_at(record) for record in standing_by_id.values()),
-            default=now,
-        )
--- a/bilberrydrum/upstreams/relays.py
+++ b/bilberrydrum/upstreams/relays.py
@@ -43,6 +43,7 @@
     def __init__(self, known: table.Table) -> None:
         self._table = known
         self._streams_by_key: dict[tuple[str, int, bool], _Stream] = {}
+        self._behind: set[str] = set()
 
     def hear(
         self,
@@ -96,6 +97,15 @@
         if sent_at is not None:
             self._vouch(stream, unused, stream.homes, sent_at)
 
+    def take_behind(self) -> set[str]:
+        """Return the homes of which a seat knew more than the replica here holds.
+
+        The question that was asked when the change was missed may be lost, and no
+        later change may come: so they are returned with each message.
+        """
+        behind, self._behind = self._behind, set()
+        return behind
+
     def forget(self, process_ids: set[str]) -> None:
         """Keep only the words of these gateways."""
         for key in list(self._streams_by_key):
@@ -124,7 +134,10 @@
         for home in homes:
             view = self._table.views_by_home.get(home)
             change = stream.changes_by_home.get(home)
-            if view is None or change is None or view.change < change:
+            if view is None or change is None:
+                continue
+            if view.change < change:
+                self._behind.add(home)
                 continue
             age = ages_by_home.get(home, message.age)
             view.vouch(sent_at - age / 1000, late_by_id_by_home.get(home, {}))
--- a/bilberrydrum/upstreams/table.py
+++ b/bilberrydrum/upstreams/table.py
@@ -57,6 +57,9 @@
         # Own changes that are not yet told, by upstream, and the last one told.
         self._untold_by_id: dict[str, messages.Item | messages.LoadItem] = {}
         self._told_change = self.own.change
+        # Count changes of records: of loads alone, and all others.
+        self.n_load_changes = 0
+        self.n_changes = 0
         # What homes have to be told that are not aware of it.
         self.corrections: list[events.Send] = []
 
@@ -140,7 +143,7 @@
             self._tell(self.own.last(record.upstream_id))
         else:
             self._tell(item)
-        self._set(self.own.records_by_id[record.upstream_id])
+        self._set(self.own.records_by_id[record.upstream_id], is_load=True)
 
     def end(self, record: records.Record, state: str, now: float) -> records.Record:
         """Tell that an upstream has lapsed or left."""
@@ -151,8 +154,11 @@
         self._set(item.record)
         return item.record
 
-    def merge(self, record: records.Record, now: float) -> bool:
-        """Take a record from another gateway; False if it is not newer."""
+    def merge(self, record: records.Record, now: float, is_load: bool = False) -> bool:
+        """Take a record from another gateway; False if it is not newer.
+
+        `is_load` tells that it differs from the one before by its load alone.
+        """
         held = self.records_by_id.get(record.upstream_id)
         if held is not None and held.version() >= record.version():
             if held.version() != record.version():
@@ -163,7 +169,7 @@
             # Another gateway is the home now, or knows that the upstream has left.
             self.note_renewal(own, self.own.renewed_at(record.upstream_id))
             self._tell(self.own.release(record.upstream_id, now))
-        self._set(record)
+        self._set(record, is_load)
         if held is not None:
             self._merge_drain(record, held)
         return True
@@ -217,6 +223,7 @@
             since = self._gone_since_by_id.setdefault(upstream_id, now)
             if now - since >= KEEP_GONE_SECONDS:
                 del self.records_by_id[upstream_id]
+                self.n_changes += 1
                 del self._gone_since_by_id[upstream_id]
                 self._renewals_by_id.pop(upstream_id, None)
 
@@ -249,7 +256,11 @@
         elif newest.home != self.process_id:
             self.corrections.append(events.Send(newest.home, messages.News(other)))
 
-    def _set(self, record: records.Record) -> None:
+    def _set(self, record: records.Record, is_load: bool = False) -> None:
+        if is_load:
+            self.n_load_changes += 1
+        else:
+            self.n_changes += 1
         self.records_by_id[record.upstream_id] = record
         self._gone_since_by_id.pop(record.upstream_id, None)
 
--- a/tests/test_upstreams_directory.py
+++ b/tests/test_upstreams_directory.py
@@ -68,7 +68,7 @@
         self.assertFalse(node.core.is_synced(net.clock(node)))
         net.advance(0.2)
         self.assertTrue(node.core.is_synced(net.clock(node)))
-        self.assertEqual(4, len(node.core.records_by_id()))
+        self.assertEqual(4, len(node.core.listing.records_by_id()))
 
 
 class Leaving(unittest.TestCase):
--- a/tests/test_upstreams_parts.py
+++ b/tests/test_upstreams_parts.py
@@ -175,6 +175,24 @@
         self.assertEqual(frozenset(), self.hints.holders("p5", 1.0))
         self.assertEqual({"e0"}, self.hints.holders("p10", 1.0))
 
+    def test_events_are_joined_before_they_are_passed_on(self):
+        """Many small events between two messages make one message, the last event of a
+        prefix counts, and an engine that started again clears what came before.
+        """
+        outgoing = prefixes.Outgoing()
+        for sequence, stored, removed in (
+            (7, ("old",), ()),
+            (1, ("p", "q"), ()),
+            (2, (), ("p",)),
+        ):
+            outgoing.add(messages.Prefixes("e0", sequence, stored, removed))
+        joined = messages.Prefixes("e0", 2, ("q",), ("p",), True)
+        self.assertEqual([joined], outgoing.take())
+        self.assertEqual([], outgoing.take())
+        many = tuple(f"p{i}" for i in range(prefixes.MAX_PASSED_ON + 5))
+        outgoing.add(messages.Prefixes("e0", 3, many))
+        self.assertEqual(prefixes.MAX_PASSED_ON, len(outgoing.take()[0].stored))
+
     def test_hints_grow_old_and_go_with_their_engine(self):
         self.apply(1, ("p",))
         self.apply(1, ("p",), engine="e1")
--- a/tests/test_upstreams_relays.py
+++ b/tests/test_upstreams_relays.py
@@ -64,6 +64,20 @@
     def hear(self, message, now):
         self.exchange.hear(message, "gw-1", now)
 
+    def test_the_home_is_asked_again_while_the_replica_is_behind(self):
+        """The question to the home is lost and the home changes no more. Each word of
+        the seat shows that something is missing, and leads to a new question in time.
+        """
+        vector = messages.Vector(10_000, 900, True, 4, ("gw-2",), (8,))
+        self.hear(vector, 10.0)
+        n_asked = 0
+        for sequence in range(5, 25):
+            self.exchange.take_effects()
+            relayed = messages.Relayed(900, sequence, self.topology, True, 300)
+            self.hear(relayed, 10.0 + sequence / 2)
+            n_asked += len(self.exchange.take_effects())
+        self.assertGreaterEqual(n_asked, 3)
+
     @tools.params(
         ("as far as the seat", 7, 5, None, True),
         ("further than the seat", 3, 5, None, True),
--- a/tests/upstreams_net.py
+++ b/tests/upstreams_net.py
@@ -193,7 +193,7 @@
         node = self.nodes_by_id[process_id]
         if node.core is None:
             return set()
-        return set(node.core.standing_by_id(self.clock(node)))
+        return set(node.core.listing.standing_by_id(self.clock(node)))
 
     def all_listed(self):
         return [
@@ -203,12 +203,17 @@
         ]
 
     def record(self, process_id, upstream_id):
-        return self.nodes_by_id[process_id].core.records_by_id().get(upstream_id)
+        return (
+            self.nodes_by_id[process_id].core.listing.records_by_id().get(upstream_id)
+        )
 
     def check(self):
         """No gateway lists an upstream for longer than the bound."""
         for node in self.nodes_by_id.values():
-            for upstream_id in self.listed(node.process_id):
+            if node.core is None:
+                continue
+            usable = set(node.core.listing.usable_by_id(self.clock(node)))
+            for upstream_id in self.listed(node.process_id) | usable:
                 agent = self.agents_by_id[upstream_id]
                 silent = self.now - agent.renewed_at
                 left = self.now - agent.left_at
