--- a/bilberrydrum/upstreams/registry.py
+++ b/bilberrydrum/upstreams/registry.py
@@ -100,7 +100,8 @@
         self._task = eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """End the task."""
+        """End the task; requests that come now are sent elsewhere."""
+        self._is_started = False
         if self._task is not None:
             self._task.kill()
             self._task = None
