Use slow answers to date messages, and ask few homes at a time

Cause: 96 gateways that started at once asked all homes for everything; the answers took longer than the 0.2 s within which they date messages, and were asked for anew, in full. It did not end: 372 KB/s received and 10.6% of a core per gateway, some upstreams never listed, a leave answered after 5 s.

Ruled out: a longer limit alone, which would let a message count as newer than it is.

Change: a slow answer dates messages as older, never newer, and a quick one mends it; at most 16 homes are asked for the first time in a tick; only what is missing is asked for; a home that cannot date a passed-on renewal keeps the upstream and waits for the next one.

--- a/bilberrydrum/upstreams/directory.py
+++ b/bilberrydrum/upstreams/directory.py
@@ -216,17 +216,16 @@
         heard_at = self._table.views_by_home[sender].clock.date(message.sent_at, now)
         record = self._table.records_by_id.get(message.upstream_id)
         is_home = (
-            heard_at is not None
-            and record is not None
+            record is not None
             and self._table.is_own(record)
             and record.life == message.life
         )
-        if is_home and record is not None and heard_at is not None:
+        if record is not None and is_home and heard_at is not None:
             renewal = events.Renewed(
                 message.upstream_id, message.load, message.models, message.role
             )
             self._renew(record, renewal, heard_at)
-        elif record is not None:
+        elif record is not None and not is_home:
             self._send(sender, messages.News(record))
         self._send(sender, messages.Forwarded(message.upstream_id, is_home))
 
--- a/bilberrydrum/upstreams/exchange.py
+++ b/bilberrydrum/upstreams/exchange.py
@@ -27,6 +27,8 @@
 FETCH_INTERVAL_SECONDS: Final = 0.2
 MAX_FETCH_INTERVAL_SECONDS: Final = 5.0
 _MAX_DOUBLINGS: Final = 5
+# Homes that are asked for the first time, at most in one tick.
+MAX_NEW_ASKED: Final = 16
 
 
 class Exchange:
@@ -73,10 +75,7 @@
             self._send_to_direct(self._table.own.standing(now), now)
             self._correct_homes()
         self._effects.extend(self._seats.tell(now))
-        for peer in self._peers:
-            view = self._table.view(peer, 0)
-            if not view.clock.is_known:
-                self._fetch(peer, view, now)
+        self._ask_new(now)
 
     def tell(self, now: float) -> None:
         """Tell the own changes that were not told yet."""
@@ -121,9 +120,7 @@
         self, message: messages.Standing, sender: str, now: float
     ) -> None:
         view = self._table.views_by_home[sender]
-        if not view.stand(message, now):
-            is_behind = message.change > view.change
-            self._fetch(sender, view, now, since=view.change if is_behind else 0)
+        self._stand(sender, view, message, now)
 
     @hear.register
     def _hear_changes(self, message: messages.Changes, sender: str, now: float) -> None:
@@ -138,8 +135,9 @@
     @hear.register
     def _hear_fetched(self, message: messages.Fetched, sender: str, now: float) -> None:
         view = self._table.views_by_home[sender]
-        view.n_unanswered = 0
         view.clock.answer(message.standing.sent_at, message.asked_at, now)
+        if view.clock.is_exact:
+            view.n_unanswered = 0
         if not message.is_full:
             self._apply(sender, view, message.changes, now)
         elif message.changes.change >= view.change:
@@ -148,8 +146,7 @@
             change = view.change
             marker = messages.Changes(message.changes.sent_at, change, change)
             self._relay(sender, view, marker, now)
-        if not view.stand(message.standing, now):
-            self._fetch(sender, view, now)
+        self._stand(sender, view, message.standing, now)
 
     @hear.register
     def _hear_relayed(self, message: messages.Relayed, sender: str, now: float) -> None:
@@ -195,6 +192,29 @@
 
     # Helpers.
 
+    def _ask_new(self, now: float) -> None:
+        """Ask homes whose clock is not known well, a few at a time.
+
+        When many gateways start at once, all ask all. Without a limit the answers
+        take so long that they say too little about the clocks, and are asked for anew.
+        """
+        n_asked = 0
+        for peer in self._peers:
+            view = self._table.view(peer, 0)
+            if view.clock.is_exact:
+                continue
+            n_asked += self._fetch(peer, view, now, since=view.change)
+            if n_asked == MAX_NEW_ASKED:
+                return
+
+    def _stand(
+        self, home: str, view: views.View, standing: messages.Standing, now: float
+    ) -> None:
+        if view.stand(standing, now):
+            return
+        is_other = standing.change <= view.change and standing.digest != view.digest
+        self._fetch(home, view, now, since=0 if is_other else view.change)
+
     def _apply(
         self, home: str, view: views.View, changes: messages.Changes, now: float
     ) -> None:
@@ -240,12 +260,14 @@
         for seat in self._seats.own_seats(now):
             self._send(seat, message)
 
-    def _fetch(self, home: str, view: views.View, now: float, since: int = 0) -> None:
+    def _fetch(self, home: str, view: views.View, now: float, since: int) -> bool:
         interval = FETCH_INTERVAL_SECONDS * 2 ** min(view.n_unanswered, _MAX_DOUBLINGS)
-        if now - view.asked_at >= min(interval, MAX_FETCH_INTERVAL_SECONDS):
-            view.asked_at = now
-            view.n_unanswered += 1
-            self._send(home, messages.Fetch(since, int(now * 1000)))
+        if now - view.asked_at < min(interval, MAX_FETCH_INTERVAL_SECONDS):
+            return False
+        view.asked_at = now
+        view.n_unanswered += 1
+        self._send(home, messages.Fetch(since, int(now * 1000)))
+        return True
 
     def _send(self, process_id: str, message: Any) -> None:
         self._effects.append(events.Send(process_id, message))
--- a/bilberrydrum/upstreams/views.py
+++ b/bilberrydrum/upstreams/views.py
@@ -21,8 +21,11 @@
 
 # Share by which two hosts' clocks may drift apart; hosts keep well below it.
 CLOCK_DRIFT: Final = 0.001
-# An answer that took longer says too little about the clocks.
+# What an answer's round trip may add to the least difference of the clocks. It is the
+# most by which the first message after it may be taken for newer than it is.
 MAX_ROUND_TRIP_SECONDS: Final = 0.2
+# An answer that took longer is not used.
+MAX_ANSWER_SECONDS: Final = 1.5
 
 
 class SenderClock:
@@ -31,17 +34,35 @@
     def __init__(self) -> None:
         self._difference: float | None = None
         self._updated_at = 0.0
+        self._is_exact = False
 
     @property
     def is_known(self) -> bool:
         """Tell whether messages can be dated."""
         return self._difference is not None
 
+    @property
+    def is_exact(self) -> bool:
+        """Tell whether no better answer is needed."""
+        return self._is_exact
+
     def answer(self, sent_at: int, asked_at: int, now: float) -> None:
-        """Take an answer, sent after this process asked at `asked_at`."""
-        if self._difference is None and now - asked_at / 1000 <= MAX_ROUND_TRIP_SECONDS:
-            self._difference = now - sent_at / 1000
+        """Take an answer, sent after this process asked at `asked_at`.
+
+        An answer that took long makes later messages look older than they are, never
+        newer; a quicker one mends that.
+        """
+        round_trip = now - asked_at / 1000
+        if round_trip > MAX_ANSWER_SECONDS:
+            return
+        least = (asked_at - sent_at) / 1000
+        if self._difference is None:
+            self._difference = least + min(round_trip, MAX_ROUND_TRIP_SECONDS)
             self._updated_at = now
+        else:
+            self._difference = max(self._difference, least)
+        if round_trip <= MAX_ROUND_TRIP_SECONDS:
+            self._is_exact = True
 
     def date(self, sent_at: int, now: float) -> float | None:
         """Return when a message received now was sent; None: not known."""
--- a/tests/test_upstreams_parts.py
+++ b/tests/test_upstreams_parts.py
@@ -55,6 +55,19 @@
         clock.answer(5_000, 1_000, 10.0)
         self.assertFalse(clock.is_known)
 
+    def test_a_slow_answer_makes_messages_older_never_newer(self):
+        """On a busy host an answer takes 1 s. Were it not used, the home would not be
+        believed and be asked anew, which made 96 gateways that started at once ask
+        each other without end. A quick answer later mends it.
+        """
+        clock = views.SenderClock()
+        clock.answer(500_100, 0, 1.0)
+        self.assertLess(clock.date(501_900, 1.9), 1.9)
+        self.assertFalse(clock.is_exact)
+        clock.answer(503_000, 3_000, 3.01)
+        self.assertTrue(clock.is_exact)
+        self.assertAlmostEqual(3.5, clock.date(503_500, 3.501), delta=0.02)
+
     def test_clocks_that_run_at_unlike_rates_stay_known(self):
         """The sender's clock is 0.01% slow: after hours it differs by more than a
         lease. Fresh messages must still count as fresh.
