Choose engines in view of calls unseen since the last report

All gateways took the engine that the same old report showed to be the least loaded. Ruled out: more calls beyond the reported places (12.5% to 400%: no change). Change: the calls of others that have likely ended since the report are taken off and poured over all engines where they are lowest; the choice is by chance with the shares poured. Room still goes by the report as it is, so that overload does not over-commit.

--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -7,7 +7,8 @@
 
 import collections
 import logging
-from typing import Final
+import socket
+from typing import Any, Final
 
 import attrs
 import urllib3.connection
@@ -96,9 +97,27 @@
         oldest = clock.now() - MAX_IDLE_SECONDS
         while idle:
             kept = idle.pop()
-            # Bytes that wait on an idle connection belong to no request, and an end
-            # means that the upstream closed it: `is_connected` is false for both.
-            if kept.since >= oldest and kept.connection.is_connected:
+            if kept.since >= oldest and _is_silent(kept.connection):
                 return kept.connection
             kept.connection.close()
         return None
+
+
+def _is_silent(connection: Connection) -> bool:
+    """Tell whether there is nothing to read on an idle connection.
+
+    Bytes that wait on it belong to no request, and an end means that the upstream
+    closed it. urllib3's own check goes through the hub, which costs two switches of
+    tasks for each request; a look at the socket, which never blocks, is enough.
+    """
+    # The socket under eventlet's, which is set not to block.
+    plain: Any = getattr(connection.sock, "fd", None)
+    if plain is None:
+        return False
+    try:
+        plain.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/bilberrydrum/requests/routing.py
+++ b/bilberrydrum/requests/routing.py
@@ -3,10 +3,12 @@
 Eligible is an upstream that serves what the call needs and whose lease stands. Among
 those with room, the one with the least expected wait is taken. The wait is worked out
 from the gateway's own calls in flight, which it knows exactly, the upstream's last
-report less what of it were the gateway's own calls, and the upstream's pace. A report
-stands until the next one: the registry passes on reports only when they changed. A
-pace, on the contrary, is believed less as it gets older, or an upstream that was slow
-once would never be tried again.
+report less what of it were the gateway's own calls, and the upstream's pace.
+
+Reports are old when they are heard. Of the calls in a report some have ended since, and
+as many others have come to some upstream; `spreading` makes the choice in view of that.
+A pace is believed less as it gets older, or an upstream that was slow once would never
+be tried again.
 
 Capacity is shared among the gateways without talking about each call. Each gateway may
 always use its equal part of an upstream's concurrency, so that late reports can't
@@ -16,6 +18,7 @@
 """
 
 import enum
+import math
 import random
 from collections.abc import Iterable
 from typing import Final
@@ -23,6 +26,7 @@
 import attrs
 
 from bilberrydrum.requests import health as upstream_health
+from bilberrydrum.requests import spreading
 from bilberrydrum.upstreams import model as upstream_model
 
 # Share that the newest call has in the means of an upstream.
@@ -36,10 +40,10 @@
 # A cached prefix counts at most as this share of a call's time. More would pile calls
 # with one prompt upon one engine while others are free.
 PREFIX_PREFERENCE: Final = 0.15
-# Waits that differ by less are the same: one in the gateway's own availability zone is
-# taken, and among those one by chance. Gateways that see the same reports would
-# otherwise all take the same upstream.
-_TIE_SHARE: Final = 0.02
+# Age of a report when it is heard.
+REPORT_LAG_SECONDS: Final = 0.5
+# A report that stands longer has not changed much since, or there would be a new one.
+MAX_REPORT_AGE_SECONDS: Final = 1.0
 
 
 class Lack(enum.Enum):
@@ -103,6 +107,7 @@
     # Report that `n_foreign` was worked out from.
     change: int = -1
     load: upstream_model.Load | None = None
+    heard_at: float = 0.0
     # Calls of others, by the last report.
     n_foreign: int = 0
     busy_until: float = 0.0
@@ -116,14 +121,24 @@
         """Seconds for one unit of size; 0: not known."""
         return self.mean_seconds / self.mean_size if self.mean_size else 0.0
 
-    def learn(self, upstream: upstream_model.Upstream) -> None:
+    def learn(self, upstream: upstream_model.Upstream, now: float) -> None:
         if self.load is upstream.load and self.change == upstream.change:
             return
+        self.heard_at = now
         self.change = upstream.change
         self.load = upstream.load
         reported = upstream.load.n_running + upstream.load.n_waiting
         self.n_foreign = max(0, reported - self.n_in_flight)
 
+    def n_foreign_now(self, now: float, seconds: float) -> float:
+        """Return how many of the others' calls are likely to be there still.
+
+        Each of them ends after `seconds` on average. Others have come in their stead,
+        but where to is not known.
+        """
+        age = min(now - self.heard_at, MAX_REPORT_AGE_SECONDS) + REPORT_LAG_SECONDS
+        return self.n_foreign * math.exp(-age / seconds)
+
 
 @attrs.frozen
 class _Typical:
@@ -166,49 +181,33 @@
         usable = self._usable(eligible, now)
         if not usable:
             return Lack.UPSTREAM
-        with_room = [
-            upstream
-            for upstream in usable
-            if _has_room(upstream, self._use(upstream), now, n_gateways)
-        ]
-        if not with_room:
+        typical = self._typical(usable)
+        options = []
+        n_moved = 0.0
+        for upstream in usable:
+            use = self._use(upstream, now)
+            n_foreign = use.n_foreign_now(now, typical.seconds)
+            n_moved += use.n_foreign - n_foreign
+            if _has_room(upstream, use, now, n_gateways):
+                options.append(self._option(upstream, n_foreign, typical, now))
+        if not options:
             return Lack.ROOM
-        if len(with_room) == 1:
-            return with_room[0]
-        return self._least(with_room, now, prefix_holders)
-
-    def _least(
-        self,
-        upstreams: list[upstream_model.Upstream],
-        now: float,
-        prefix_holders: frozenset[str],
-    ) -> upstream_model.Upstream:
-        typical = self._typical(upstreams)
-        waits = []
-        for upstream in upstreams:
-            wait = self._expected_wait(upstream, typical, now)
-            if upstream.upstream_id in prefix_holders:
-                wait -= PREFIX_PREFERENCE * typical.seconds
-            waits.append((wait, upstream))
-        least = min(wait for wait, _ in waits)
-        bound = least + _TIE_SHARE * typical.seconds
-        best = [upstream for wait, upstream in waits if wait <= bound]
-        near = [
-            upstream
-            for upstream in best
-            if upstream.availability_zone == self.availability_zone
-        ]
-        return self._rng.choice(near or best)
+        for option in options:
+            if option.upstream.upstream_id in prefix_holders:
+                option.cost -= PREFIX_PREFERENCE
+        return spreading.pick(options, n_moved, self._rng)
 
     def _typical(self, upstreams: list[upstream_model.Upstream]) -> _Typical:
         seconds = size = 0.0
+        n_known = 0
         for upstream in upstreams:
-            use = self._use(upstream)
-            seconds += use.mean_seconds
-            size += use.mean_size
-        if not size:
+            use = self._uses_by_id.get(upstream.upstream_id)
+            if use is not None and use.mean_size:
+                seconds += use.mean_seconds
+                size += use.mean_size
+                n_known += 1
+        if not n_known:
             return _Typical(DEFAULT_SECONDS, DEFAULT_SECONDS)
-        n_known = sum(1 for u in upstreams if self._use(u).mean_size)
         return _Typical(seconds / n_known, seconds / size)
 
     def _usable(
@@ -224,21 +223,25 @@
         # outage of the length of the pause.
         return usable or all_eligible
 
-    def _expected_wait(
-        self, upstream: upstream_model.Upstream, typical: _Typical, now: float
-    ) -> float:
-        """Return the seconds a typical call is expected to take from now."""
-        use = self._use(upstream)
+    def _option(
+        self,
+        upstream: upstream_model.Upstream,
+        n_foreign: float,
+        typical: _Typical,
+        now: float,
+    ) -> spreading.Option:
+        """Return what a call costs there, in times of a typical call."""
+        use = self._uses_by_id[upstream.upstream_id]
         relative = 1.0
         if use.mean_size:
             trust = 0.5 ** ((now - use.paced_at) / _PACE_HALF_LIFE_SECONDS)
             relative = trust * use.pace / typical.pace + (1.0 - trust)
-        n_others = use.n_in_flight + use.n_foreign
-        crowding = 1.0 + n_others / max(1, upstream.max_concurrency)
-        wait = typical.seconds * relative * crowding
+        rise = relative / max(1, upstream.max_concurrency)
+        cost = relative + rise * (use.n_in_flight + n_foreign)
         if upstream.availability_zone != self.availability_zone:
-            wait += ZONE_SECONDS
-        return wait
+            # As much as one call more: the near one goes first while it isn't slower.
+            cost += rise + ZONE_SECONDS / typical.seconds
+        return spreading.Option(upstream, cost, rise)
 
     def started(self, upstream_id: str, now: float) -> None:
         """Note that a call was given to the upstream."""
@@ -286,11 +289,11 @@
                 del self._uses_by_id[upstream_id]
         self.health.keep_only(upstream_ids)
 
-    def _use(self, upstream: upstream_model.Upstream) -> _Use:
+    def _use(self, upstream: upstream_model.Upstream, now: float) -> _Use:
         use = self._uses_by_id.get(upstream.upstream_id)
         if use is None:
             use = self._uses_by_id[upstream.upstream_id] = _Use()
-        use.learn(upstream)
+        use.learn(upstream, now)
         return use
 
 
--- /dev/null
+++ b/misc/routing_model.py
@@ -0,0 +1,253 @@
+"""Compare ways to choose an engine on the same work, in a model moved by hand.
+
+Several gateways send calls with heavy-tailed lengths to engines of a fixed number of
+places. An engine serves those beyond its places in order, at its own queue. Reports of
+load reach the gateways late. A prompt whose prefix an engine holds saves a part of the
+time. What is compared is the real `Admission` and `Router` with round-robin and chance,
+which send at once.
+"""
+
+import heapq
+import itertools
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from bilberrydrum.requests import admission, routing
+from bilberrydrum.upstreams import model
+
+NEED: Final = routing.Need(model.KIND_ENGINE, "planner")
+REPORT_SECONDS: Final = 0.5
+REPORT_LAG_SECONDS: Final = 0.5
+# Share of a call's time that is saved where its prefix is held.
+PREFIX_SAVING: Final = 0.15
+CACHE_SIZE: Final = 40
+N_PREFIXES: Final = 200
+
+
+@attrs.frozen
+class Sizes:
+    """What is modelled."""
+
+    n_gateways: int = 3
+    n_engines: int = 5
+    n_places: int = 16
+    load: float = 0.8
+    n_calls: int = 20_000
+    seed: int = 1
+
+
+@attrs.define(eq=False)
+class _Call:
+    gateway: int
+    prefix: str
+    seconds: float
+    arrived: float
+    ticket: admission.Ticket | None = None
+
+
+@attrs.define
+class _Engine:
+    n_places: int
+    n_running: int = 0
+    waiting: deque[_Call] = attrs.field(factory=deque)
+    cache: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+
+
+@attrs.frozen
+class Outcome:
+    """What became of the calls."""
+
+    p50_wait: float
+    p99_wait: float
+    mean_wait: float
+    prefix_hits: float
+
+
+class Model:
+    """Runs the work under one way to choose."""
+
+    def __init__(self, sizes: Sizes, policy: str) -> None:
+        self.sizes = sizes
+        self.policy = policy
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._engines = {
+            f"e{i}": _Engine(sizes.n_places) for i in range(sizes.n_engines)
+        }
+        self._ids = list(self._engines)
+        self._turns = [itertools.count(i) for i in range(sizes.n_gateways)]
+        self._rng = random.Random(sizes.seed + 1)
+        self._waits: list[float] = []
+        self._n_hits = 0
+        self._calls_by_ticket: dict[int, _Call] = {}
+        self._reports = {
+            upstream_id: _upstream(upstream_id, sizes.n_places)
+            for upstream_id in self._ids
+        }
+        self._admissions = [
+            admission.Admission(10_000, random.Random(i))
+            for i in range(sizes.n_gateways)
+        ]
+        self._routers = [
+            routing.Router("a", random.Random(100 + i)) for i in range(sizes.n_gateways)
+        ]
+
+    def run(self) -> Outcome:
+        self._plan()
+        self._report()
+        while len(self._waits) < self.sizes.n_calls:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        waits = sorted(self._waits)
+        return Outcome(
+            waits[len(waits) // 2],
+            waits[int(0.99 * len(waits))],
+            sum(waits) / len(waits),
+            self._n_hits / len(waits),
+        )
+
+    def _plan(self) -> None:
+        """Plan every call; the same for each way to choose."""
+        rng = random.Random(self.sizes.seed)
+        n_places = self.sizes.n_engines * self.sizes.n_places
+        lengths = [_length(rng) for _ in range(self.sizes.n_calls)]
+        rate = self.sizes.load * n_places / (sum(lengths) / len(lengths))
+        at = 0.0
+        for seconds in lengths:
+            at += rng.expovariate(rate)
+            prefix = str(int(rng.paretovariate(0.7)) % N_PREFIXES)
+            call = _Call(rng.randrange(self.sizes.n_gateways), prefix, seconds, at)
+            self._at(at, lambda call=call: self._arrive(call))
+
+    def _at(self, at: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), action))
+
+    def _report(self) -> None:
+        for upstream_id, engine in self._engines.items():
+            load = model.Load(engine.n_running, len(engine.waiting))
+            report = _upstream(upstream_id, engine.n_places, load)
+            self._at(
+                self.now + REPORT_LAG_SECONDS,
+                lambda report=report: self._hear(report),
+            )
+        self._at(self.now + REPORT_SECONDS, self._report)
+
+    def _hear(self, report: model.Upstream) -> None:
+        self._reports[report.upstream_id] = report
+        for gateway in range(self.sizes.n_gateways):
+            self._pump(gateway)
+
+    def _arrive(self, call: _Call) -> None:
+        if self.policy == "round-robin":
+            turn = next(self._turns[call.gateway])
+            self._enter(call, self._ids[turn % len(self._ids)])
+        elif self.policy == "random":
+            self._enter(call, self._rng.choice(self._ids))
+        else:
+            self._offer(call)
+
+    def _offer(self, call: _Call) -> None:
+        ticket = admission.Ticket("c", NEED, self.now + 1e6, prefix=call.prefix)
+        call.ticket = ticket
+        self._calls_by_ticket[id(ticket)] = call
+        queue = self._admissions[call.gateway]
+        place = self._placer(call.gateway)
+        self._carry_out(queue.offer(self.now, ticket, place))
+
+    def _pump(self, gateway: int) -> None:
+        queue = self._admissions[gateway]
+        self._carry_out(queue.pump(self.now, self._placer(gateway)))
+
+    def _placer(self, gateway: int) -> admission.Place:
+        def place(ticket: admission.Ticket) -> model.Upstream | routing.Lack:
+            holders = frozenset()
+            if self.policy == "expected-wait-and-prefix":
+                holders = frozenset(
+                    upstream_id
+                    for upstream_id, engine in self._engines.items()
+                    if ticket.prefix in engine.cache
+                )
+            chosen = self._routers[gateway].choose(
+                self._reports.values(), self.now, self.sizes.n_gateways, holders
+            )
+            if not isinstance(chosen, routing.Lack):
+                self._routers[gateway].started(chosen.upstream_id, self.now)
+            return chosen
+
+        return place
+
+    def _carry_out(self, effects: list[admission.Effect]) -> None:
+        for effect in effects:
+            assert isinstance(effect, admission.Granted)
+            call = self._calls_by_ticket.pop(id(effect.ticket))
+            self._enter(call, effect.upstream.upstream_id)
+
+    def _enter(self, call: _Call, upstream_id: str) -> None:
+        engine = self._engines[upstream_id]
+        if engine.n_running < engine.n_places:
+            self._begin(call, upstream_id)
+        else:
+            engine.waiting.append(call)
+
+    def _begin(self, call: _Call, upstream_id: str) -> None:
+        engine = self._engines[upstream_id]
+        engine.n_running += 1
+        self._waits.append(self.now - call.arrived)
+        seconds = call.seconds
+        if call.prefix in engine.cache:
+            self._n_hits += 1
+            seconds *= 1.0 - PREFIX_SAVING
+        engine.cache[call.prefix] = None
+        engine.cache.move_to_end(call.prefix)
+        if len(engine.cache) > CACHE_SIZE:
+            engine.cache.popitem(last=False)
+        self._at(self.now + seconds, lambda: self._end(call, upstream_id))
+
+    def _end(self, call: _Call, upstream_id: str) -> None:
+        engine = self._engines[upstream_id]
+        engine.n_running -= 1
+        if engine.waiting:
+            self._begin(engine.waiting.popleft(), upstream_id)
+        if call.ticket is None:
+            return
+        seconds = self.now - call.ticket.granted_at
+        self._routers[call.gateway].ended(upstream_id, self.now, seconds, call.seconds)
+        self._admissions[call.gateway].ended(self.now, call.ticket, None, True)
+        self._pump(call.gateway)
+
+
+def _length(rng: random.Random) -> float:
+    """Return a heavy-tailed time: many of a second, few of a minute."""
+    return min(60.0, 0.5 * rng.paretovariate(1.2))
+
+
+def _upstream(
+    upstream_id: str, n_places: int, load: model.Load | None = None
+) -> model.Upstream:
+    return model.Upstream(
+        upstream_id,
+        model.KIND_ENGINE,
+        "",
+        "a",
+        n_places,
+        {"planner": model.ServedModel(1)},
+        load=load or model.Load(),
+    )
+
+
+POLICIES: Final = (
+    "round-robin",
+    "random",
+    "expected-wait",
+    "expected-wait-and-prefix",
+)
+
+
+def compare(sizes: Sizes) -> dict[str, Outcome]:
+    """Return the outcome of each policy on the same work."""
+    return {policy: Model(sizes, policy).run() for policy in POLICIES}
