--- a/misc/request_load.py
+++ b/misc/request_load.py
@@ -159,8 +159,7 @@
         self.statuses: dict[int, int] = {}
         self.seconds: list[float] = []
         self.n_events = 0
-        self._is_stopping = False
-        self._began = 0.0
+        self.n_in_all = 0
         self._rng = random.Random(1)
         self._next_at = 0.0
         body = options.body.encode()
@@ -171,7 +170,7 @@
         ).encode() + body
 
     def run(self) -> dict[str, Any]:
-        self._began = self._next_at = time.monotonic()
+        self._next_at = time.monotonic()
         tasks = [
             eventlet.spawn(self._ask_on, i) for i in range(self.options.n_connections)
         ]
@@ -191,6 +190,7 @@
             "n_per_second": n_whole / elapsed,
             "n_events_per_second": n_events / elapsed,
             "statuses": statuses,
+            "n_in_all": self.n_in_all,
             "p50_ms": 1000 * quantile(seconds, 0.5),
             "p99_ms": 1000 * quantile(seconds, 0.99),
         }
@@ -212,6 +212,7 @@
             except OSError:
                 connection, status = None, 0
             self.statuses[status] = self.statuses.get(status, 0) + 1
+            self.n_in_all += 1
             if status == 200:
                 self.seconds.append(time.monotonic() - began)
             elif self.options.retry_seconds:
@@ -273,7 +274,7 @@
     callers.add_argument("--n-connections", type=int, default=16)
     callers.add_argument("--rate", type=float, default=0.0)
     callers.add_argument("--retry-seconds", type=float, default=0.0)
-    callers.add_argument("--warm-seconds", type=float, default=0.5)
+    callers.add_argument("--warm-seconds", type=float, default=0.3)
     callers.add_argument("--seconds", type=float, default=3.0)
     options = parser.parse_args()
     if options.program == "upstream":
