Look at the bundle lease and the caller's rights again before the first byte

Cause: a call that waited for a place, or a process that was stopped, sent by the bundle it came in under, after another one may have been reported in force everywhere. Change: every attempt asks immediately before its first byte for the lease, the rights in the bundle in force then, the claim and the client. Refusals that can be foreseen are told before a key is claimed; a recorded answer is given again all the same.

--- a/bilberrydrum/http/callers.py
+++ b/bilberrydrum/http/callers.py
@@ -110,9 +110,9 @@
             asker = self._asker(request, caller, key)
             prepared = prepare(request, asker)
         except problems.ProblemError as error:
-            if key:
-                raise once.correct(self._claims, caller, key, error) from error
-            raise
+            if not key:
+                raise
+            return once.refuse(self._claims, caller, key, _digest(request), error)
         if not key:
             response = prepared.send(None)
         else:
@@ -163,6 +163,12 @@
             raise edge.refuse(
                 404, reasons.Reason.MODEL_UNKNOWN, f"adapter {asked.adapter!r}"
             )
+
+        def is_allowed(bundle: bundle_model.Bundle) -> bool:
+            rule = bundle.callers.get(asker.name)
+            is_served = asked.model in bundle.models
+            return is_served and rule is not None and asked.model in rule.models
+
         call = model.ModelCall(
             request_id=asker.request_id,
             model=asked.model,
@@ -176,12 +182,16 @@
             min_weight_version=self._min_version(asker, asked.model, model_rule),
             max_in_flight=asker.rule.max_in_flight,
             is_client_gone=request.is_client_gone,
+            find_refusal=_refusal_finder(request, None, is_allowed),
         )
+        self._foresee(asker, call)
 
         def send(held: request_claims.Held | None) -> edge.Response:
             if held is not None:
                 whole = attrs.evolve(
-                    call, is_idempotent=False, may_send=_sender(request, held)
+                    call,
+                    is_idempotent=False,
+                    find_refusal=_refusal_finder(request, held, is_allowed),
                 )
                 return _whole(form(whole), self._dispatcher, whole, asked.stream)
             if not asked.stream:
@@ -190,6 +200,20 @@
 
         return once.Prepared(send, call.deadline)
 
+    def _foresee(
+        self, asker: _Asker, call: model.ModelCall | model.ApplicationCall
+    ) -> None:
+        """Refuse before the claim what would be refused after it.
+
+        Under overload each claim of a refused request would cost the state group two
+        commits, and callers that retry at once would fill it with them.
+        """
+        if not asker.key:
+            return
+        failed = self._dispatcher.foresee_refusal(call)
+        if failed is not None:
+            raise problems.ProblemError(answers.problem_of(failed))
+
     def _min_version(
         self, asker: _Asker, model_name: str, rule: bundle_model.ModelRule
     ) -> int:
@@ -213,6 +237,12 @@
         rule = asker.bundle.applications.get(name)
         if rule is None:
             raise edge.refuse(404, reasons.Reason.APPLICATION_UNKNOWN, name)
+
+        def is_allowed(bundle: bundle_model.Bundle) -> bool:
+            rule = bundle.callers.get(asker.name)
+            is_served = name in bundle.applications
+            return is_served and rule is not None and name in rule.applications
+
         call = model.ApplicationCall(
             request_id=asker.request_id,
             application=name,
@@ -228,12 +258,13 @@
             max_in_flight=asker.rule.max_in_flight,
             is_client_gone=request.is_client_gone,
         )
+        self._foresee(asker, call)
 
         def send(held: request_claims.Held | None) -> edge.Response:
-            sent = call
-            if held is not None:
-                sent = attrs.evolve(call, may_send=_sender(request, held))
-            answer = self._dispatcher.call_application(sent)
+            find_refusal = _refusal_finder(request, held, is_allowed)
+            answer = self._dispatcher.call_application(
+                attrs.evolve(call, find_refusal=find_refusal)
+            )
             if isinstance(answer, result.Err):
                 raise problems.ProblemError(answers.problem_of(answer.err_value))
             whole = answer.ok_value
@@ -295,13 +326,28 @@
             close()
 
 
-def _sender(request: edge.Request, held: request_claims.Held) -> Callable[[], bool]:
+def _refusal_finder(
+    request: edge.Request,
+    held: request_claims.Held | None,
+    is_allowed: Callable[[bundle_model.Bundle], bool],
+) -> Callable[[bundle_model.Bundle], reasons.Reason | None]:
     """Return what is asked immediately before the first byte goes out.
 
-    A gateway that was stopped and goes on later must not send what its caller gave up
-    on, and may have been told elsewhere that it did not run.
+    A gateway that was stopped and goes on later must not send by a bundle that is in
+    force no more, nor what its caller gave up on and may have been told elsewhere that
+    it did not run.
     """
-    return lambda: held.may_send() and not request.is_client_gone()
+
+    def find_refusal(bundle: bundle_model.Bundle) -> reasons.Reason | None:
+        if not is_allowed(bundle):
+            return reasons.Reason.CALLER_NOT_ALLOWED
+        if held is None:
+            return None
+        if not held.may_send():
+            return reasons.Reason.CLAIM_LAPSED
+        return reasons.Reason.CALLER_GONE if request.is_client_gone() else None
+
+    return find_refusal
 
 
 def _key(request: edge.Request) -> str:
--- a/bilberrydrum/http/once.py
+++ b/bilberrydrum/http/once.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import attrs
 import result
@@ -20,6 +20,11 @@
 # Sends the request; given the claim if it may run at most once.
 Send = Callable[[request_claims.Held | None], edge.Response]
 
+# Refusals that say nothing about what the caller may see.
+_FOR_LACK_OF_ROOM: Final = frozenset(
+    {reasons.Reason.QUEUE_FULL, reasons.Reason.DEADLINE_UNREACHABLE}
+)
+
 
 @attrs.frozen
 class Prepared:
@@ -72,24 +77,35 @@
     return response
 
 
-def correct(
+def refuse(
     claims: request_claims.Claims,
     caller: str,
     key: str,
+    digest: str,
     error: problems.ProblemError,
-) -> problems.ProblemError:
-    """Return the refusal with what is known of the key.
+) -> edge.Response:
+    """Refuse a request that was not claimed, in view of what is known of its key.
 
     The refusal is about this attempt. An earlier one through another gateway may have
-    run, and then "not-run" would be false.
+    run, and then "not-run" would be false. Where the refusal is for lack of room, the
+    recorded answer is given again.
     """
     found = claims.find(caller, key)
-    if isinstance(found, result.Ok) and found.ok_value is None:
-        return error
-    known = found.ok_value if isinstance(found, result.Ok) else None
-    outcome = problems.OUTCOME_UNKNOWN
-    if isinstance(known, request_claims.Recorded):
-        outcome = _outcome(known.claim)
+    if isinstance(found, result.Err):
+        raise _with_outcome(error, problems.OUTCOME_UNKNOWN)
+    known = found.ok_value
+    if known is None:
+        raise error
+    if not isinstance(known, request_claims.Recorded):
+        raise _with_outcome(error, problems.OUTCOME_UNKNOWN)
+    if error.problem.reason in _FOR_LACK_OF_ROOM:
+        if known.claim.digest != digest:
+            raise _refusal(reasons.Reason.KEY_REUSED)
+        return _again(known.claim)
+    raise _with_outcome(error, _outcome(known.claim))
+
+
+def _with_outcome(error: problems.ProblemError, outcome: str) -> problems.ProblemError:
     return problems.ProblemError(attrs.evolve(error.problem, outcome=outcome))
 
 
--- a/bilberrydrum/interfaces.py
+++ b/bilberrydrum/interfaces.py
@@ -126,3 +126,8 @@
         self, call: request_model.ApplicationCall
     ) -> result.Result[request_model.ApplicationAnswer, request_model.Failed]:
         """Call a plain service and return its whole answer."""
+
+    def foresee_refusal(
+        self, call: request_model.ModelCall | request_model.ApplicationCall
+    ) -> request_model.Failed | None:
+        """Return the refusal that `call` would meet now; nothing is changed."""
--- a/bilberrydrum/requests/admission.py
+++ b/bilberrydrum/requests/admission.py
@@ -193,6 +193,18 @@
         self._enqueue(domain, client, ticket)
         return effects
 
+    def foresee(self, now: float, ticket: Ticket) -> Refused | None:
+        """Return the refusal that `offer` would give if there is no place now."""
+        domain = self._domain(ticket.need)
+        client = self._client(domain, ticket)
+        if not domain.n_waiting:
+            return None
+        if ticket.deadline <= now + self._expected_seconds(domain, client, ticket):
+            return self._refuse(domain, ticket, _LATE, now)
+        if client.n_waiting >= self.max_queue_per_client:
+            return self._refuse(domain, ticket, reasons.Reason.QUEUE_FULL, now)
+        return None
+
     def pump(self, now: float, place: Place) -> list[Effect]:
         """Refuse waiting calls that are too late, and grant those that have a place."""
         effects: list[Effect] = []
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -52,6 +52,7 @@
         detail: str = "",
         retry_after_seconds: float = 0.0,
         answer: model.ApplicationAnswer | None = None,
+        is_refusal: bool = False,
     ) -> None:
         super().__init__(detail)
         self.reason = reason
@@ -60,6 +61,8 @@
         self.retry_after_seconds = retry_after_seconds
         # A whole answer by which the upstream says that it failed.
         self.answer = answer
+        # It was decided here not to send, or not to go on; no fault of the upstream's.
+        self.is_refusal = is_refusal
 
 
 @attrs.frozen
@@ -74,8 +77,8 @@
     body: bytes
     deadline: float
     is_idempotent: bool
-    # Asked immediately before the first byte.
-    may_send: Callable[[], bool]
+    # Asked immediately before the first byte: why it must not go out, if so.
+    find_refusal: Callable[[], reasons.Reason | None]
     # Tells whether nobody waits for the answer any more.
     is_client_gone: Callable[[], bool] = model.never
 
@@ -100,7 +103,7 @@
         with means.clients.watching(is_client_gone):
             yield
     except watch.ClientGoneError as error:
-        raise AttemptError(reasons.Reason.CALLER_GONE, True) from error
+        raise AttemptError(reasons.Reason.CALLER_GONE, True, is_refusal=True) from error
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
@@ -146,10 +149,12 @@
 
 def _exchange(connection: connections.Connection, outgoing: Outgoing) -> Any:
     # Connecting may have taken long, and the process may have been stopped since the
-    # request was claimed. Once the claim may be held for lost by other gateways, the
-    # request must not go out any more, so this is asked with the connection in hand.
-    if not outgoing.may_send():
-        raise AttemptError(reasons.Reason.CLAIM_LAPSED, False, "too late to send")
+    # request was admitted or claimed. Once another bundle may be in force, or the claim
+    # may be held for lost by other gateways, the request must not go out any more; so
+    # this is asked with the connection in hand.
+    refusal = outgoing.find_refusal()
+    if refusal is not None:
+        raise AttemptError(refusal, False, "not sent", is_refusal=True)
     try:
         connection.request(
             outgoing.method,
@@ -319,7 +324,11 @@
     return float(text) if text.isdecimal() else 1.0
 
 
-def for_engine(call: model.ModelCall, attempt_id: str) -> Outgoing:
+def for_engine(
+    call: model.ModelCall,
+    attempt_id: str,
+    find_refusal: Callable[[], reasons.Reason | None],
+) -> Outgoing:
     """Return the request that asks an engine for `call`."""
     body = {
         "model": call.model,
@@ -339,12 +348,16 @@
         json.dumps(body).encode(),
         call.deadline,
         call.is_idempotent,
-        call.may_send,
+        find_refusal,
         call.is_client_gone,
     )
 
 
-def for_application(call: model.ApplicationCall, attempt_id: str) -> Outgoing:
+def for_application(
+    call: model.ApplicationCall,
+    attempt_id: str,
+    find_refusal: Callable[[], reasons.Reason | None],
+) -> Outgoing:
     """Return the request that makes `call`."""
     headers = {
         name: value
@@ -360,6 +373,6 @@
         call.body,
         call.deadline,
         call.is_idempotent,
-        call.may_send,
+        find_refusal,
         call.is_client_gone,
     )
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -6,12 +6,10 @@
 """
 
 import contextlib
-import functools
-import hashlib
 import itertools
 import random
 import uuid
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final
 
 import attrs
@@ -24,6 +22,7 @@
 from bilberrydrum.requests import (
     admission,
     attempts,
+    calls,
     connections,
     model,
     retries,
@@ -44,15 +43,6 @@
 # Times a call goes back to the queue because its upstream was busy.
 MAX_BUSY: Final = 20
 
-# Form of a prefix in engines' cache events.
-PREFIX_BYTES: Final = 256
-PREFIX_DIGITS: Final = 16
-
-Call = model.ModelCall | model.ApplicationCall
-
-# Ends of an attempt that are not the upstream's fault and end the call.
-_FINAL: Final = frozenset({reasons.Reason.CALLER_GONE, reasons.Reason.CLAIM_LAPSED})
-
 
 class RefusedError(Exception):
     """The call was not admitted."""
@@ -63,53 +53,6 @@
         self.retry_after_seconds = retry_after_seconds
 
 
-@functools.singledispatch
-def need_of(call: object) -> routing.Need:
-    """Return what `call` needs of its upstream."""
-    raise TypeError(f"no call: {type(call).__name__}")
-
-
-@need_of.register
-def _(call: model.ModelCall) -> routing.Need:
-    return routing.Need(
-        upstream_model.KIND_ENGINE,
-        call.model,
-        call.adapter,
-        call.min_weight_version,
-        bool(call.resume_token_ids),
-        call.excluded_upstream_ids,
-    )
-
-
-@need_of.register
-def _(call: model.ApplicationCall) -> routing.Need:
-    return routing.Need(upstream_model.KIND_APPLICATION, call.application)
-
-
-@functools.singledispatch
-def cost_of(call: object) -> float:
-    """Return what `call` is expected to take of the capacity."""
-    return 1.0
-
-
-@cost_of.register
-def _(call: model.ModelCall) -> float:
-    n_tokens = call.expected_tokens or call.max_tokens
-    return float(max(1, n_tokens - len(call.resume_token_ids)))
-
-
-@functools.singledispatch
-def prefix_of(call: object) -> str:
-    """Return the name under which engines report the prefix of the call's prompt."""
-    return ""
-
-
-@prefix_of.register
-def _(call: model.ModelCall) -> str:
-    prefix = call.prompt.encode()[:PREFIX_BYTES]
-    return hashlib.sha256(prefix).hexdigest()[:PREFIX_DIGITS]
-
-
 @attrs.define
 class _Progress:
     """What became of one call so far."""
@@ -194,12 +137,14 @@
 
     def stream(self, call: model.ModelCall) -> Iterator[model.StreamEvent]:
         """Generate on an engine; the last event is `Finished` or `Failed`."""
-        progress = _Progress(need_of(call))
+        progress = _Progress(calls.need_of(call))
         self.budget.first_attempt()
         while True:
             try:
                 with self._admitted(call, progress) as upstream:
-                    outgoing = attempts.for_engine(call, self._attempt_id(call))
+                    outgoing = attempts.for_engine(
+                        call, self._attempt_id(call), self._refusal_of(call)
+                    )
                     events = attempts.stream(self._means, upstream, outgoing)
                     with contextlib.closing(events):
                         for event in events:
@@ -219,12 +164,14 @@
         self, call: model.ApplicationCall
     ) -> result.Result[model.ApplicationAnswer, model.Failed]:
         """Call a plain service and return its whole answer."""
-        progress = _Progress(need_of(call))
+        progress = _Progress(calls.need_of(call))
         self.budget.first_attempt()
         while True:
             try:
                 with self._admitted(call, progress) as upstream:
-                    outgoing = attempts.for_application(call, self._attempt_id(call))
+                    outgoing = attempts.for_application(
+                        call, self._attempt_id(call), self._refusal_of(call)
+                    )
                     return result.Ok(attempts.call(self._means, upstream, outgoing))
             except RefusedError as error:
                 return _give_up(progress, _refused(error, progress))
@@ -233,26 +180,59 @@
                 if failed is not None:
                     return _give_up(progress, failed)
 
-    def _attempt_id(self, call: Call) -> str:
+    def _attempt_id(self, call: calls.Call) -> str:
         number = next(self._attempt_numbers)
         return f"{call.request_id}/{self._process_mark}-{number:x}"
 
-    @contextlib.contextmanager
-    def _admitted(
-        self, call: Call, progress: _Progress
-    ) -> Iterator[upstream_model.Upstream]:
-        """Hold a place at an upstream while the block runs."""
-        ticket = admission.Ticket(
+    def _refusal_of(self, call: calls.Call) -> Callable[[], reasons.Reason | None]:
+        """Return what finds out why `call` must not be sent now."""
+
+        def find_refusal() -> reasons.Reason | None:
+            # The lease is looked at again at every attempt: while the call waited,
+            # or the process was stopped, another bundle may have come in force.
+            bundle = self._bundles.current()
+            if isinstance(bundle, result.Err):
+                return bundle.err_value
+            return call.find_refusal(bundle.ok_value)
+
+        return find_refusal
+
+    def foresee_refusal(
+        self, call: model.ModelCall | model.ApplicationCall
+    ) -> model.Failed | None:
+        """Return the refusal that `call` would meet now, if any; nothing is changed.
+
+        For a call that costs much before it is offered, as a claim does.
+        """
+        refused = self._admission.foresee(clock.now(), self._ticket(call))
+        if refused is None:
+            return None
+        return model.Failed(
+            refused.reason, False, retry_after_seconds=refused.retry_after_seconds
+        )
+
+    def _ticket(
+        self, call: calls.Call, progress: _Progress | None = None
+    ) -> admission.Ticket:
+        progress = progress or _Progress(calls.need_of(call))
+        return admission.Ticket(
             call.client,
             progress.need,
             call.deadline,
             call.share,
             call.priority,
-            cost_of(call),
+            calls.cost_of(call),
             call.max_in_flight,
-            prefix_of(call),
+            calls.prefix_of(call),
             progress.number,
         )
+
+    @contextlib.contextmanager
+    def _admitted(
+        self, call: calls.Call, progress: _Progress
+    ) -> Iterator[upstream_model.Upstream]:
+        """Hold a place at an upstream while the block runs."""
+        ticket = self._ticket(call, progress)
         upstream = self._wait_for_place(call, ticket)
         # A call that comes back, its upstream having been busy, keeps its turn.
         progress.number = ticket.number
@@ -282,7 +262,7 @@
             self._pump()
 
     def _wait_for_place(
-        self, call: Call, ticket: admission.Ticket
+        self, call: calls.Call, ticket: admission.Ticket
     ) -> upstream_model.Upstream:
         for effect in self._admission.offer(clock.now(), ticket, self._place):
             if effect.ticket is ticket:
@@ -352,13 +332,16 @@
         if now - self._snapshot_at < _SNAPSHOT_SECONDS:
             return
         self._snapshot_at = now
+        known = self._upstreams_by_id
         self._upstreams_by_id = dict(self._registry.upstreams_by_id())
+        if known.keys() != self._upstreams_by_id.keys():
+            self._router.keep_only(frozenset(self._upstreams_by_id))
         self._eligible_by_need.clear()
         self._n_gateways = max(1, len(self._bundles.gateways_by_id()))
 
     def _after(
         self,
-        call: Call,
+        call: calls.Call,
         progress: _Progress,
         upstream: upstream_model.Upstream,
         error: attempts.AttemptError,
@@ -384,7 +367,7 @@
         else:
             self._note_failure(progress, upstream, error, now)
             may_retry = progress.n_attempts < self._options.max_attempts
-        if error.reason in _FINAL:
+        if error.is_refusal:
             return failed
         if progress.n_tokens or (error.may_have_run and not call.is_idempotent):
             return failed
@@ -404,7 +387,7 @@
         error: attempts.AttemptError,
         now: float,
     ) -> None:
-        if error.reason in _FINAL:
+        if error.is_refusal:
             return
         if self._router.health.failed(upstream.upstream_id, now):
             eliot.log_message(
--- a/bilberrydrum/requests/model.py
+++ b/bilberrydrum/requests/model.py
@@ -6,14 +6,15 @@
 import attrs
 
 from bilberrydrum import reasons
+from bilberrydrum.bundles import model as bundle_model
 
 FINISH_STOP: Final = "stop"
 FINISH_LENGTH: Final = "length"
 
 
-def always() -> bool:
-    """Allow the call to be sent, the default of `may_send`."""
-    return True
+def no_refusal(bundle: bundle_model.Bundle) -> reasons.Reason | None:
+    """Allow the call to be sent, the default of `find_refusal`."""
+    return None
 
 
 def never() -> bool:
@@ -50,8 +51,9 @@
     is_idempotent: bool = True
     # Most calls of the client in flight at this gateway; 0: no bound.
     max_in_flight: int = 0
-    # Asked immediately before the first byte goes out; False: it must not.
-    may_send: Callable[[], bool] = always
+    # Asked immediately before the first byte goes out, with the bundle in force then:
+    # why it must not, if so.
+    find_refusal: Callable[[bundle_model.Bundle], reasons.Reason | None] = no_refusal
     # Tells whether nobody waits for the answer any more.
     is_client_gone: Callable[[], bool] = never
 
@@ -111,8 +113,9 @@
     is_idempotent: bool = True
     # Most calls of the client in flight at this gateway; 0: no bound.
     max_in_flight: int = 0
-    # Asked immediately before the first byte goes out; False: it must not.
-    may_send: Callable[[], bool] = always
+    # Asked immediately before the first byte goes out, with the bundle in force then:
+    # why it must not, if so.
+    find_refusal: Callable[[bundle_model.Bundle], reasons.Reason | None] = no_refusal
     # Tells whether nobody waits for the answer any more.
     is_client_gone: Callable[[], bool] = never
 
--- a/tests/test_http_callers.py
+++ b/tests/test_http_callers.py
@@ -421,6 +421,85 @@
         self.assertEqual(self.second.book("new").wait().outcome, "not-run")
 
 
+class Waiting(Deployment):
+    """The one place of the service is taken; further calls wait at the gateway."""
+
+    def setUp(self):
+        super().setUp()
+        upstream = self.registry.upstreams["a1"]
+        self.registry.upstreams["a1"] = attrs.evolve(upstream, max_concurrency=1)
+        self.done = eventlet.event.Event()
+        self.application.script = self.slow
+
+    def slow(self, connection, received):
+        self.done.wait()
+        connection.sendall(self.book(received))
+
+    def take_place(self):
+        pending = self.first.book("taker")
+        wsgi.run_until(lambda: self.n_bookings == 1)
+        return pending
+
+    @params(
+        (result.Err(Reason.BUNDLE_LEASE_EXPIRED), "bundle-lease-expired"),
+        (
+            result.Ok(attrs.evolve(gateway_parts.BUNDLE, version=2, callers={})),
+            "caller-not-allowed",
+        ),
+    )
+    def test_bundle_that_is_over_by_the_time_of_sending_is_not_acted_on(
+        self, bundle, reason
+    ):
+        """A call waits for a place; the lease runs out, or another bundle is rolled.
+
+        When its place comes, nothing may be sent by the bundle it came in under: the
+        operator was told that the new one is in force everywhere.
+        """
+        taker = self.take_place()
+        for key in ("", "waiter"):
+            headers = {"Idempotency_Key": key} if key else {}
+            waiting = self.first.send("GET", "/apps/schedule/x", **headers)
+            wsgi.run_until(lambda: self.first.dispatcher.n_waiting == 1)
+            self.first.bundles.bundle = bundle
+            if not self.done.ready():
+                self.done.send(None)
+            answer = waiting.wait()
+            self.assertEqual((answer.reason, answer.outcome), (reason, "not-run"))
+            taker.wait()
+            self.assertEqual(self.n_bookings, 1)
+            self.first.bundles.bundle = result.Ok(gateway_parts.BUNDLE)
+            self.done = eventlet.event.Event()
+            taker = self.first.send("GET", "/apps/schedule/taker")
+            wsgi.run_until(lambda: self.n_bookings == 2)
+            self.application.received.pop()
+        self.done.send(None)
+        taker.wait()
+
+    def test_full_queue_costs_no_claims_and_still_gives_results_again(self):
+        """The queue is full and callers retry at once.
+
+        A claim for each refusal would fill the state group with them. What ran before
+        is still given again, and a key with another body is still refused.
+        """
+        self.done.send(None)
+        self.first.book("earlier").wait()
+        self.done = eventlet.event.Event()
+        first = self.gateway("g3", max_queue_per_caller=1)
+        pending = [first.book("a"), first.book("b")]
+        wsgi.run_until(lambda: first.dispatcher.n_waiting == 1)
+        n_submitted = len(self.group.submitted)
+        for _ in range(5):
+            answer = first.book("new").wait()
+            self.assertEqual((answer.status, answer.outcome), (429, "not-run"))
+        self.assertEqual(first.book("earlier").wait().status, 201)
+        answer = first.book("earlier", b"window 8").wait()
+        self.assertEqual(answer.reason, "key-reused")
+        self.assertEqual(len(self.group.submitted), n_submitted)
+        self.done.send(None)
+        for each in pending:
+            self.assertEqual(each.wait().status, 201)
+
+
 class Streams(Deployment):
     def complete(self, **body):
         values = {"model": "planner", "prompt": "p", "max_tokens": 8, "stream": True}
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -22,7 +22,7 @@
         "body": b"",
         "deadline": clock.now() + seconds,
         "is_idempotent": True,
-        "may_send": model.always,
+        "find_refusal": lambda: None,
     }
     values.update(fields)
     return attempts.Outgoing(request_id, method, "/x", **values)
@@ -206,7 +206,9 @@
         """The claim is over by the time the connection stands: no byte goes out."""
         fake = self.upstream(scripted.serve(scripted.answer))
         with self.assertRaises(attempts.AttemptError) as caught:
-            self.call(fake, may_send=model.never, is_idempotent=False)
+            self.call(
+                fake, find_refusal=lambda: Reason.CLAIM_LAPSED, is_idempotent=False
+            )
         eventlet.sleep(0.02)
         self.assertEqual(caught.exception.reason, Reason.CLAIM_LAPSED)
         self.assertFalse(caught.exception.may_have_run)
