--- a/bilberrydrum/http/once.py
+++ b/bilberrydrum/http/once.py
@@ -24,6 +24,8 @@
 _FOR_LACK_OF_ROOM: Final = frozenset(
     {reasons.Reason.QUEUE_FULL, reasons.Reason.DEADLINE_UNREACHABLE}
 )
+# There is no room before an operator makes some.
+_KEYS_FULL_SECONDS: Final = 60.0
 
 
 @attrs.frozen
@@ -172,7 +174,12 @@
         )
     if reason is reasons.Reason.INVALID_REQUEST:
         return edge.refuse(400, reason, "the key's time is ahead of the system's")
-    return edge.refuse(503, reason, "no room for keys that carry no time")
+    return edge.refuse(
+        503,
+        reason,
+        "no room for keys that carry no time",
+        retry_after_seconds=_KEYS_FULL_SECONDS,
+    )
 
 
 def _again(claim: claims_state.Claim) -> edge.Response:
--- a/bilberrydrum/requests/claims_state.py
+++ b/bilberrydrum/requests/claims_state.py
@@ -90,6 +90,8 @@
     floor: float = 0.0
     # Digests of forgotten keys that carry no time.
     forgotten: set[bytes] = attrs.field(factory=set)
+    # Restored from a back-up; the next command raises the floor to its own time.
+    is_restored: bool = False
 
 
 @codec.register("requests.claim_key")
@@ -213,7 +215,22 @@
     return None
 
 
+@machine.keep_rising.register
+def _(section: Claims, current: Any) -> None:
+    # Keys claimed after the back-up was made are not in it, and would run again.
+    # Those of the group that it is restored into are kept; of a group that was lost
+    # nothing is known, so no key made before the restoring is taken for a new one.
+    section.is_restored = True
+    if isinstance(current, Claims):
+        section.claims_by_name.update(current.claims_by_name)
+        section.forgotten |= current.forgotten
+        section.floor = max(section.floor, current.floor)
+
+
 def _forget_old(claims: Claims, now: float) -> None:
+    if claims.is_restored:
+        claims.floor = max(claims.floor, now)
+        claims.is_restored = False
     # The first claims are the oldest. Those behind one with a longer life wait for it;
     # they are only kept longer than they need to be.
     for name in list(_first(claims.claims_by_name, _PRUNE_PER_COMMAND)):
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -70,7 +70,10 @@
         host, _, port = address.rpartition(":")
         connection = Connection(host.strip("[]"), int(port), timeout=timeout)
         connection.connect()
-        # The deadline of the whole attempt bounds each read from here on.
+        # The deadline of the whole attempt bounds each read from here on. urllib3 sets
+        # the socket's timeout anew with each request and answer; left at the time for
+        # connecting, it would cut off an upstream whose first byte takes longer.
+        connection.timeout = None
         connection.sock.settimeout(None)
         return connection
 
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -1,6 +1,7 @@
 """What each way of answering wrongly means to the caller."""
 
 import unittest
+import unittest.mock
 
 import eventlet
 from nose2.tools import params
@@ -202,6 +203,19 @@
         self.call(fake, is_idempotent=False)
         self.assertEqual(fake.n_connections, 2)
 
+    def test_first_byte_may_take_longer_than_connecting(self):
+        """An engine's queue holds a call for longer than connecting may take.
+
+        The time for connecting is no bound on the answer; only the deadline is.
+        """
+
+        def script(connection, received):
+            eventlet.sleep(0.2)
+            connection.sendall(scripted.answer(received))
+
+        with unittest.mock.patch.object(attempts, "CONNECT_SECONDS", 0.05):
+            self.assertEqual(self.call(self.upstream(script)).body, b"ok")
+
     def test_nothing_is_sent_when_it_is_too_late(self):
         """The claim is over by the time the connection stands: no byte goes out."""
         fake = self.upstream(scripted.serve(scripted.answer))
--- a/tests/test_requests_claims.py
+++ b/tests/test_requests_claims.py
@@ -178,6 +178,28 @@
             found = self.log.find(key=key, lifetime=lifetime)
             self.assertEqual(found.outcome, claims_state.CLAIM_EXPIRED)
 
+    @params(("into the running group", True), ("after the group was lost", False))
+    def test_key_claimed_after_the_back_up_does_not_run_again(self, name, has_current):
+        """A back-up is restored; a key was claimed after it was made.
+
+        The back-up knows nothing of the key. It is found in the group that still
+        stands, or refused as older than what the restored state can know.
+        """
+        key = f"{int(NOW)}-a"
+        self.log.claim(key="before")
+        back_up = codec.decode(codec.encode(self.log.section))
+        self.log.claim(key=key)
+        machine.keep_rising(back_up, self.log.section if has_current else None)
+        self.log.state.sections[claims_state.SECTION] = back_up
+        self.log.now += 10.0
+        expected = claims_state.CLAIM_EXPIRED
+        if has_current:
+            expected = claims_state.CLAIM_EXISTS
+        self.assertEqual(self.log.claim(key=key, claim_id="2"), expected, name)
+        self.log.now += 10.0
+        key = f"{int(self.log.now)}-new"
+        self.assertEqual(self.log.claim(key=key), claims_state.CLAIM_GRANTED)
+
     def test_new_key_runs_after_others_were_forgotten(self):
         self.log.claim(key=f"{int(NOW)}-a")
         self.forget_all()
