--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -25,6 +25,9 @@
 GUARD_OPERATOR: Final = "operator"
 GUARD_UPSTREAM: Final = "upstream"
 
+# Set in the environment of a request whose answer says that its connection ends.
+ENDS_CONNECTION: Final = "bilberrydrum.ends-connection"
+
 _READ_CHUNK: Final = 64 * 1024
 
 
@@ -219,12 +222,18 @@
             raise
         status = f"{response.status} {_phrase(response.status)}"
         body = response.body
+        headers = response.headers
         if isinstance(body, bytes):
-            self.n_in_flight -= 1
-            headers = [*response.headers, ("Content-Length", str(len(body)))]
-            start_response(status, headers)
-            return [body]
-        start_response(status, response.headers)
+            headers = [*headers, ("Content-Length", str(len(body)))]
+            body = (body,)
+        if self.is_draining:
+            # A client that is not told would send its next request on a connection
+            # that is being closed, and could not know whether it ran.
+            headers = [*headers, ("Connection", "close")]
+            environ[ENDS_CONNECTION] = True
+        start_response(status, headers)
+        # Counted until it is written: a client that reads slowly would be cut off by
+        # a shutdown that took the request for done.
         return _CountedBody(self, body)
 
     def _respond(self, request: Request) -> Response:
--- a/bilberrydrum/http/server.py
+++ b/bilberrydrum/http/server.py
@@ -57,10 +57,15 @@
             timeout.cancel()
 
     def handle_one_request(self) -> None:
-        """Serve one request; a draining server serves no second one."""
+        """Serve one request; after an answer that says so, the connection ends.
+
+        A stream that began before the process was told to stop has not said so, and
+        its client may have sent its next request already: that one is served too.
+        """
+        self.environ: dict[str, Any] = {}
         super().handle_one_request()
-        if self.server.app.is_draining:
-            self.close_connection = 1
+        if edge.ENDS_CONNECTION in self.environ:
+            self.close_connection = True
 
     def send_error(
         self, code: int, message: str | None = None, explain: str | None = None
@@ -72,7 +77,7 @@
         counters.refused(reason)
         self.wfile.write(raw_answer(problems.Problem(status, reason, detail)))
         self.wfile.flush()
-        self.close_connection = 1
+        self.close_connection = True
 
 
 class _BoundedListener:
--- a/misc/request_load.py
+++ b/misc/request_load.py
@@ -21,6 +21,9 @@
 import urllib3
 
 READ_BYTES = 64 * 1024
+# In place of a status: the connection ended before a whole answer, or was not made.
+CUT = 0
+UNREACHABLE = -1
 
 
 def read_head(connection: Any, data: bytes) -> tuple[bytes, bytes]:
@@ -204,13 +207,16 @@
             if self.options.rate:
                 began = self._next_turn()
             n_asked += 1
+            status = UNREACHABLE
             try:
                 if connection is None:
                     connection = eventlet.connect((host, int(port)))
+                status = CUT
                 connection.sendall(self._request % b"%d-%d" % (number, n_asked))
-                status = self._read(connection)
+                status, is_last = self._read(connection)
+                connection = None if is_last else connection
             except OSError:
-                connection, status = None, 0
+                connection = None
             self.statuses[status] = self.statuses.get(status, 0) + 1
             self.n_in_all += 1
             if status == 200:
@@ -228,12 +234,14 @@
         eventlet.sleep(max(0.0, at - time.monotonic()))
         return at
 
-    def _read(self, connection: Any) -> int:
+    def _read(self, connection: Any) -> tuple[int, bool]:
+        """Return the status of a whole answer, and whether no other will follow."""
         head, data = read_head(connection, b"")
         if not head:
             raise ConnectionError("closed")
         status = int(head.split(b" ", 2)[1])
         length = header(head, b"content-length")
+        is_last = header(head, b"connection").lower() == b"close"
         if not length:
             while not data.endswith(b"0\r\n\r\n"):
                 part = connection.recv(READ_BYTES)
@@ -241,10 +249,13 @@
                     raise ConnectionError("cut")
                 self.n_events += part.count(b"data: {")
                 data = data[-8:] + part
-            return status
+            return status, is_last
         while len(data) < int(length):
-            data += connection.recv(READ_BYTES)
-        return status
+            part = connection.recv(READ_BYTES)
+            if not part:
+                raise ConnectionError("cut")
+            data += part
+        return status, is_last
 
 
 def quantile(ordered: list[float], share: float) -> float:
--- a/misc/request_site.py
+++ b/misc/request_site.py
@@ -27,6 +27,9 @@
         "busy": {"applications": ["slow"], "max_in_flight": 1000},
     },
 }
+COMPLETION: Final = json.dumps(
+    {"model": "planner", "prompt": "p", "max_tokens": 50, "stream": True}
+)
 RENEW_SECONDS: Final = 0.5
 START_SECONDS: Final = 30.0
 
@@ -34,8 +37,15 @@
 class Site:
     """Some daemons, a bare relay, and upstreams that serve both."""
 
-    def __init__(self, started: processes.Processes, n_daemons: int) -> None:
+    def __init__(
+        self,
+        started: processes.Processes,
+        n_daemons: int,
+        event_seconds: float = 0.0,
+    ) -> None:
         self._processes = started
+        # Time between two events of a stream.
+        self._event_seconds = str(event_seconds)
         ports = processes.free_ports(2 * n_daemons + 5)
         addresses = [f"127.0.0.1:{port}" for port in ports]
         self.daemons = [addresses.pop() for _ in range(n_daemons)]
@@ -53,7 +63,14 @@
         for i, address in enumerate(self.daemons):
             self._start_daemon(i, address)
         self._start_upstream("fast", self.upstream)
-        self._start_upstream("stream", self._stream_upstream, "--n-events", "50")
+        self._start_upstream(
+            "stream",
+            self._stream_upstream,
+            "--n-events",
+            "50",
+            "--seconds",
+            self._event_seconds,
+        )
         self._start_upstream("slow", self._slow, "--seconds", str(service_seconds))
         for name, address, upstream in (
             ("relay", self.relay, self.upstream),
