Close the listening socket as soon as a drain ends accepting

Cause: the tests of a shutdown took 61 s each. The requests in flight were not the cause: eventlet closes the listening socket only after the last of them, and until then the kernel went on taking connections that nobody served. A client that came in that time waited for its timeout; here the test's own probe did. Ruled out: the balancer's time (0.1 s in these tests) and the limit. Change: the socket is closed when accepting ends.

--- a/bilberrydrum/http/server.py
+++ b/bilberrydrum/http/server.py
@@ -158,6 +158,11 @@
 
     def stop_accepting(self) -> None:
         """Close the listening socket and idle connections; requests go on."""
-        if self._task is not None:
-            self._task.kill()
-            self._task = None
+        if self._task is None:
+            return
+        self._task.kill()
+        self._task = None
+        # eventlet closes the listening socket only after the last request has ended.
+        # Until then the kernel would take connections that nobody serves, and their
+        # clients would wait for as long as the longest stream.
+        self._listener.close()
