Show weights by engine, a row each

Cause: on the demo's deployment the table held each model's engines as one line of JSON. Change: rows for models and for engines, with orders that failed. Tests of the tool pass.

--- a/bilberrydrum_cli/queries.py
+++ b/bilberrydrum_cli/queries.py
@@ -7,7 +7,16 @@
 import result
 
 from bilberrydrum import yaml_places
-from bilberrydrum_cli import client, codes, local, messages, output, session, verbs
+from bilberrydrum_cli import (
+    client,
+    codes,
+    local,
+    messages,
+    output,
+    rows,
+    session,
+    verbs,
+)
 
 
 @verbs.run.register
@@ -66,13 +75,16 @@
     outcome = current.gateways.json("GET", "/v1/upstreams")
     if isinstance(outcome, result.Ok) and current.form == output.FORM_TABLE:
         listed = outcome.ok_value.get("upstreams", [])
-        return current.show([_upstream_row(each) for each in listed])
+        return current.show([rows.upstream_row(each) for each in listed])
     return _answer(current, outcome)
 
 
 @verbs.run.register
 def _(verb: verbs.WeightStatus, current: session.Session) -> int:
-    return _get(current, "/v1/weights")
+    outcome = current.gateways.json("GET", "/v1/weights")
+    if isinstance(outcome, result.Ok) and current.form == output.FORM_TABLE:
+        return current.show(rows.weight_tables(outcome.ok_value))
+    return _answer(current, outcome)
 
 
 @verbs.run.register
@@ -141,21 +153,3 @@
     return difflib.unified_diff(
         old.splitlines(), new.splitlines(), old_name, new_name, lineterm=""
     )
-
-
-def _upstream_row(upstream: dict[str, Any]) -> dict[str, Any]:
-    """Return what fits on a line of a terminal; JSON output has everything."""
-    models = upstream.get("models") or {}
-    served = [f"{name}@{each['weight_version']}" for name, each in models.items()]
-    load = upstream.get("load") or {}
-    return {
-        "upstream": upstream.get("upstream_id", ""),
-        "zone": upstream.get("availability_zone", ""),
-        "address": upstream.get("address", ""),
-        "serves": upstream.get("application") or ",".join(served),
-        "state": upstream.get("state", ""),
-        "drained": upstream.get("is_drained", False),
-        "home": upstream.get("home", ""),
-        "running": load.get("n_running", 0),
-        "waiting": load.get("n_waiting", 0),
-    }
--- a/tests/test_cli_verbs.py
+++ b/tests/test_cli_verbs.py
@@ -326,6 +326,27 @@
         self.assertEqual(json.loads(out), self.UPSTREAMS)
 
 
+class TestWeights(unittest.TestCase):
+    def test_table_has_a_row_for_each_engine(self):
+        failed = {"kind": "swap", "detail": "500 boom"}
+        engine = {
+            "upstream_id": "e-1",
+            "weight_version": 3,
+            "loaded_versions": [3, 4],
+            "state": "loaded",
+            "order": "",
+            "failed_orders": [failed],
+        }
+        model = {"model": "planner", "weight_version": 4, "engines": [engine]}
+        _, out, _, _ = run(verbs.WeightStatus(), {"models": [model]})
+        lines = out.splitlines()
+        self.assertEqual(lines[2].split(), ["planner", "4"])
+        self.assertEqual(
+            lines[-1].split(maxsplit=5),
+            ["e-1", "planner", "3", "3,4", "loaded", "swap: 500 boom"],
+        )
+
+
 class TestOutput(unittest.TestCase):
     @params(
         ({"a": 1, "bc": "x"}, "a   1\nbc  x"),
