--- a/bilberrydrum_cli/queries.py
+++ b/bilberrydrum_cli/queries.py
@@ -7,6 +7,7 @@
 import result
 
 from bilberrydrum import yaml_places
+from bilberrydrum.state import snapshot
 from bilberrydrum_cli import (
     client,
     codes,
@@ -128,8 +129,8 @@
     )
     if isinstance(saved, result.Err):
         return current.report([saved.err_value])
-    current.say(messages.SNAPSHOT_SAVED.format(n_bytes=len(data), path=verb.file))
-    return codes.OK
+    digest = snapshot.digest(data)
+    return current.show({"file": verb.file, "n_bytes": len(data), "digest": digest})
 
 
 def quote(text: str) -> str:
--- a/tests/test_cli_verbs.py
+++ b/tests/test_cli_verbs.py
@@ -246,7 +246,8 @@
 
     def test_snapshot_is_saved_once_inspected_and_restored_as_it_is(self):
         verb = verbs.SaveSnapshot(str(self.file))
-        self.assertEqual(run(verb, SNAPSHOT)[0], codes.OK)
+        code, out, _, _ = run(verb, SNAPSHOT, form=output.FORM_JSON)
+        self.assertEqual((code, json.loads(out)["n_bytes"]), (codes.OK, len(SNAPSHOT)))
         self.assertEqual(self.file.read_bytes(), SNAPSHOT)
         code, _, err, _ = run(verb, SNAPSHOT)
         self.assertEqual(code, codes.FILE)
