--- a/bilberrydrum_cli/queries.py
+++ b/bilberrydrum_cli/queries.py
@@ -12,7 +12,6 @@
     client,
     codes,
     local,
-    messages,
     output,
     rows,
     session,
