End quietly when the reader of the output has gone

Cause: bilberrydrum ... | head printed an error at exit and ended with code 120. Change: the output is flushed where the error is handled.

--- a/bilberrydrum_cli/main.py
+++ b/bilberrydrum_cli/main.py
@@ -26,6 +26,7 @@
     """Run the tool and exit with its code."""
     try:
         code = run(sys.argv[1:], os.environ)
+        sys.stdout.flush()
     except KeyboardInterrupt:
         code = codes.INTERRUPTED
     except BrokenPipeError:
--- a/tests/test_cli_arguments.py
+++ b/tests/test_cli_arguments.py
@@ -2,9 +2,11 @@
 
 import contextlib
 import io
+import os
 import pathlib
 import subprocess
 import sys
+import tempfile
 import unittest
 
 import attrs
@@ -140,6 +142,23 @@
         )
         subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True)
 
+    def test_a_reader_that_has_gone_is_no_traceback(self):
+        read_end, write_end = os.pipe()
+        os.close(read_end)
+        command = [sys.executable, "-m", "bilberrydrum_cli.main"]
+        with (
+            os.fdopen(write_end, "wb") as gone,
+            tempfile.TemporaryDirectory() as folder,
+        ):
+            done = subprocess.run(
+                [*command, "keys", "generate", "--key-file", f"{folder}/k"],
+                cwd=ROOT,
+                env={**os.environ, "PYTHONUNBUFFERED": ""},
+                stdout=gone,
+                stderr=subprocess.PIPE,
+            )
+        self.assertEqual((done.returncode, done.stderr), (codes.FAILED, b""))
+
     def test_the_module_runs_as_a_program(self):
         done = subprocess.run(
             [sys.executable, "-m", "bilberrydrum_cli.main", "--help"],
