--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-import attrs
 import eliot
 import eventlet
 import eventlet.event
@@ -26,6 +25,7 @@
     events,
     files,
     founding,
+    intake,
     log,
     machine,
     membership,
@@ -33,14 +33,11 @@
     node,
     queries,
     serving,
-    sessions,
     snapshot,
     stewardship,
     storage,
 )
 
-# Commands taken and not yet applied; beyond it clients are sent away to come again.
-MAX_WAITERS: Final = 20_000
 # A snapshot is made sooner if the log's commands take this much memory.
 MAX_LOG_BYTES: Final = 32 * 1024 * 1024
 # Entries applied before other tasks run.
@@ -49,14 +46,6 @@
 _EVENT_SLICE: Final = 256
 
 
-@attrs.frozen
-class _Taken:
-    """Commands that came in and wait for their place in the log."""
-
-    items: list[tuple[int, bytes]]
-    waiters: list[serving.Waiter]
-
-
 class Replica:
     """The replica of the state group in this process."""
 
@@ -72,14 +61,11 @@
         self._inbox: Any = eventlet.queue.Queue()
         self._to_apply: Any = eventlet.queue.Queue()
         self._applier = applier.Applier()
-        self._waiters = serving.Waiters(carrier.send)
-        self._reads = serving.Reads(self._waiters.outbox, self._answer)
         self._disk = disk.DiskTask(self._store, self._inbox.put)
-        self._taken_by_ticket: dict[int, _Taken] = {}
         self._changes_by_ticket: dict[int, eventlet.event.Event] = {}
         self._last_ticket = 0
         self._tasks: list[Any] = []
-        self._failure = ""
+        self._failure = "not started"
         self._led_since = 0.0
 
     # Life
@@ -103,7 +89,10 @@
             self._options.state.members,
         )
         self._steward = stewardship.StewardTask(self, self._carrier, self._options)
+        self._intake = intake.Intake(self, self._carrier, self._applier, self._steward)
         self._listen()
+        self._intake.listen()
+        self._failure = ""
         for task in (self._run, self._apply, self._disk.run, self._keep_members):
             self._tasks.append(eventlet.spawn(self._guard, task))
 
@@ -111,7 +100,7 @@
         """Hand the leadership over, sync what is under way, and stop."""
         if not self._failure:
             self._carry_out(self._core.step(clock.now(), events.GiveUpLeadership()))
-            self._waiters.outbox.flush()
+            self._intake.waiters.outbox.flush()
             clock.sleep(0.05)
         for task in self._tasks:
             task.kill()
@@ -144,9 +133,6 @@
             messages.StandNow,
         ):
             self._carrier.on(message_class, self._on_peer)
-        self._carrier.on(messages.OpenSession, self._on_open_session)
-        self._carrier.on(messages.Submit, self._on_submit)
-        self._carrier.on(messages.Ask, self._on_ask)
         self._carrier.on(messages.Probe, self._on_probe)
         self._carrier.on(messages.ProbeReply, self._on_probe_reply)
 
@@ -154,7 +140,7 @@
 
     def leadership(self) -> interfaces.Leadership | None:
         """Return the leadership if this replica holds the leader lease now."""
-        if self._failure or not self._has_lease():
+        if not self.has_lease():
             return None
         return interfaces.Leadership(self._core.node.term, self._led_since)
 
@@ -171,8 +157,8 @@
     ) -> result.Result[Any, client.StateError]:
         """Commit `command` once and return the answer of its apply function."""
         done = eventlet.event.Event()
-        waiter = serving.Waiter(0, command, done=done)
-        self._take([(log.KIND_LOCAL, codec.encode(command))], [waiter])
+        waiter = serving.Waiter(0, command, done=done.send)
+        self._intake.take([(log.KIND_LOCAL, codec.encode(command))], [waiter])
         with eventlet.Timeout(timeout, False):
             applied = done.wait()
             if applied is None:
@@ -193,7 +179,7 @@
     ) -> str | None:
         """Make one membership change; return why it is not made, or None."""
         done = eventlet.event.Event()
-        ticket = self._next_ticket()
+        ticket = self.next_ticket()
         self._changes_by_ticket[ticket] = done
         self._inbox.put(events.ProposeChange(change, serving.wall_time(), ticket))
         with eventlet.Timeout(timeout, False):
@@ -216,9 +202,19 @@
             self._failure,
         )
 
-    def _has_lease(self) -> bool:
+    def has_lease(self) -> bool:
+        """Tell whether this replica holds the leader lease now."""
         now = clock.now()
-        return self._core.lease_end(now) > now
+        return not self._failure and self._core.lease_end(now) > now
+
+    @property
+    def failure(self) -> str:
+        """Why the replica has stopped; empty: it runs."""
+        return self._failure
+
+    def put(self, event: Any) -> None:
+        """Let the core take in an event."""
+        self._inbox.put(event)
 
     # The core's task
 
@@ -240,8 +236,8 @@
             if now >= next_tick:
                 next_tick = now + interval
                 self._carry_out(self._core.step(now, events.Tick()))
-                self._expire_reads(now)
-            self._serve_reads()
+                self._intake.expire_reads(now)
+            self._intake.serve_reads()
             eventlet.sleep(0)
 
     def _carry_out(self, effects: list[Any]) -> None:
@@ -267,28 +263,21 @@
             message_type="state:role", term=effect.term, is_leader=effect.is_leader
         )
         if not effect.is_leader:
-            self._send_reads_on()
+            self._intake.send_reads_on()
 
     def _on_placed(self, effect: Any) -> None:
         """Tell what became of proposals."""
-        change = self._changes_by_ticket.get(effect.ticket)
+        change = self._changes_by_ticket.pop(effect.ticket, None)
         if change is not None:
             self._on_change_placed(effect, change)
-            return
-        taken = self._taken_by_ticket.pop(effect.ticket)
-        if isinstance(effect, events.Accepted):
-            for i, waiter in enumerate(taken.waiters):
-                waiter.term = effect.term
-                self._waiters.add(effect.first_index + i, waiter)
-            return
-        self._refuse(taken.waiters)
+        else:
+            self._intake.placed(effect)
 
     def _on_change_placed(self, effect: Any, change: eventlet.event.Event) -> None:
-        del self._changes_by_ticket[effect.ticket]
         if isinstance(effect, events.Accepted):
             # Answered like a command once the entry is applied.
-            waiter = serving.Waiter(effect.term, done=_ChangeDone(change))
-            self._waiters.add(effect.first_index, waiter)
+            waiter = serving.Waiter(effect.term, done=_change_end(change))
+            self._intake.waiters.add(effect.first_index, waiter)
         elif isinstance(effect, events.ChangeRefused):
             change.send(effect.detail)
         else:
@@ -321,18 +310,18 @@
             effect = self._to_apply.get()
             if isinstance(effect, events.Restore):
                 self._applier.restore(effect.data)
-                self._waiters.clear(effect.index)
+                self._intake.waiters.clear(effect.index)
                 continue
             for i, entry in enumerate(effect.entries, 1):
-                command = self._waiters.command(entry.index, entry.term)
+                command = self._intake.waiters.command(entry.index, entry.term)
                 applied = self._applier.apply(entry, command)
                 if applied is not None:
-                    self._waiters.applied(applied)
+                    self._intake.waiters.applied(applied)
                 if i % _APPLY_SLICE == 0:
-                    self._waiters.outbox.flush()
+                    self._intake.waiters.outbox.flush()
                     eventlet.sleep(0)
-            self._waiters.outbox.flush()
-            self._serve_reads()
+            self._intake.waiters.outbox.flush()
+            self._intake.serve_reads()
             if self._snapshot_is_due():
                 self._make_snapshot()
 
@@ -353,133 +342,17 @@
         while self.node.snapshot_index < header.index:
             clock.sleep(0.005)
 
-    # Clients
+    # Messages
 
-    def _next_ticket(self) -> int:
+    def next_ticket(self) -> int:
+        """Return a number for a proposal."""
         self._last_ticket += 1
         return self._last_ticket
 
-    def _take(
-        self, items: list[tuple[int, bytes]], waiters: list[serving.Waiter]
-    ) -> None:
-        if self._failure or len(self._waiters) + len(items) > MAX_WAITERS:
-            self._refuse(waiters)
-            return
-        ticket = self._next_ticket()
-        self._taken_by_ticket[ticket] = _Taken(items, waiters)
-        self._inbox.put(events.Propose(tuple(items), serving.wall_time(), ticket))
-
-    def _refuse(self, waiters: list[serving.Waiter]) -> None:
-        numbers_by_client: dict[tuple[str, str], list[int]] = {}
-        for waiter in waiters:
-            if waiter.done is not None:
-                waiter.done.send(None)
-                continue
-            key = (waiter.address, waiter.client_id)
-            numbers_by_client.setdefault(key, []).append(waiter.number)
-        for (address, client_id), numbers in numbers_by_client.items():
-            self._redirect(address, client_id, numbers, is_query=False)
-
-    def _redirect(
-        self, address: str, client_id: str, numbers: list[int], is_query: bool
-    ) -> None:
-        role = self.node.role
-        leader_address = ""
-        if isinstance(role, node.Follower) and role.leader_address != "":
-            leader_address = role.leader_address
-        addresses = [each.peer_address for each in self.node.members.replicas]
-        self._carrier.send(
-            address,
-            messages.Redirect(client_id, numbers, is_query, leader_address, addresses),
-        )
-
     def _on_peer(self, sender: transport.Sender, message: messages.PeerMessage) -> None:
         if not self._failure:
             self._inbox.put(events.Received(sender.address, message))
 
-    def _on_open_session(
-        self, sender: transport.Sender, message: messages.OpenSession
-    ) -> None:
-        waiter = serving.Waiter(0, None, sender.address, message.client_id)
-        self._take([(log.KIND_OPEN_SESSION, message.client_id.encode())], [waiter])
-
-    def _on_submit(self, sender: transport.Sender, submit: messages.Submit) -> None:
-        items, waiters = [], []
-        for item in submit.items:
-            try:
-                command = codec.decode(item.data)
-            except codec.DecodeError as error:
-                # Kept out of the log: a replica that cannot decode an entry stops.
-                failed = codec.encode(messages.Failed(str(error)))
-                answer = messages.Item(item.number, failed)
-                self._waiters.outbox.add(sender.address, submit.client_id, answer)
-                continue
-            packed = sessions.SessionCommand(
-                submit.client_id,
-                submit.session_id,
-                item.number,
-                submit.lowest_pending,
-                item.data,
-            )
-            items.append((log.KIND_SESSION, sessions.pack(packed)))
-            waiters.append(
-                serving.Waiter(
-                    0,
-                    command,
-                    sender.address,
-                    submit.client_id,
-                    item.number,
-                    submit.session_id,
-                )
-            )
-        if items:
-            self._take(items, waiters)
-        self._waiters.outbox.flush()
-
-    def _on_ask(self, sender: transport.Sender, ask: messages.Ask) -> None:
-        if self._failure or not isinstance(self.node.role, node.Leader):
-            numbers = [each.number for each in ask.items]
-            self._redirect(sender.address, ask.client_id, numbers, is_query=True)
-            return
-        now = clock.now()
-        for item in ask.items:
-            try:
-                query = codec.decode(item.data)
-            except codec.DecodeError as error:
-                failed = messages.Item(
-                    item.number, codec.encode(messages.Failed(str(error)))
-                )
-                self._waiters.outbox.add(
-                    sender.address, ask.client_id, failed, is_query=True
-                )
-                continue
-            if self._steward.takes(sender.address, ask.client_id, item.number, query):
-                continue
-            self._reads.add(
-                serving.Read(sender.address, ask.client_id, item.number, query, now)
-            )
-        self._serve_reads()
-
-    def _answer(self, query: object) -> Any:
-        if isinstance(query, queries.GetStatus):
-            return self.status()
-        if isinstance(query, queries.SaveState):
-            header = self._applier.header()
-            return queries.SavedState(snapshot.encode(header, self._applier.state))
-        return serving.answer_query(query, self._applier.state, self._applier.time)
-
-    def _serve_reads(self) -> None:
-        self._reads.serve(self.node.commit_index, self._applier.index, self._has_lease)
-        self._waiters.outbox.flush()
-
-    def _expire_reads(self, now: float) -> None:
-        for read in self._reads.take_expired(now):
-            self._redirect(read.address, read.client_id, [read.number], is_query=True)
-
-    def _send_reads_on(self) -> None:
-        for read in self._reads.take_all():
-            self._redirect(read.address, read.client_id, [read.number], is_query=True)
-
     # Founding and membership
 
     def _on_probe(self, sender: transport.Sender, probe: messages.Probe) -> None:
@@ -518,15 +391,12 @@
             self._carrier.send(member.peer_address, probe)
 
 
-class _ChangeDone(eventlet.event.Event):  # type: ignore[misc]
-    """Turns the end of a change's entry into the answer to who asked."""
+def _change_end(
+    asked: eventlet.event.Event,
+) -> Callable[[applier.Applied | None], None]:
+    """Return what tells who asked for a change of its entry's end."""
 
-    def __init__(self, change: eventlet.event.Event) -> None:
-        super().__init__()
-        self._change = change
+    def end(applied: applier.Applied | None) -> None:
+        asked.send("another leader took over" if applied is None else None)
 
-    def send(self, result: Any = None, exc: Any = None) -> None:
-        """Tell who asked for the change."""
-        if not self._change.ready():
-            lost = "another leader took over" if result is None else None
-            self._change.send(lost)
+    return end
--- a/bilberrydrum/state/serving.py
+++ b/bilberrydrum/state/serving.py
@@ -14,7 +14,6 @@
 
 import attrs
 import eliot
-import eventlet.event
 
 from bilberrydrum import codec
 from bilberrydrum.state import applier, machine, messages
@@ -35,8 +34,8 @@
     client_id: str = ""
     number: int = 0
     session_id: int = 0
-    # A command of this process.
-    done: eventlet.event.Event | None = None
+    # Called with the end of a command of this process; None: it is not in the log.
+    done: Callable[[applier.Applied | None], None] | None = None
 
 
 @attrs.define
@@ -108,7 +107,7 @@
             # Another leader's entry took the place: ours is not in the log.
             self._lost(waiter)
         elif waiter.done is not None:
-            waiter.done.send(applied)
+            waiter.done(applied)
         elif waiter.number == 0:
             opened = messages.SessionOpened(waiter.client_id, applied.index)
             self._send(waiter.address, opened)
@@ -128,8 +127,8 @@
 
     def _lost(self, waiter: Waiter) -> None:
         # A client sends again by itself; a task of this process must be told.
-        if waiter.done is not None and not waiter.done.ready():
-            waiter.done.send(None)
+        if waiter.done is not None:
+            waiter.done(None)
 
 
 class Reads:
--- /dev/null
+++ b/tests/fakes/state_process.py
@@ -0,0 +1,124 @@
+"""A process that holds one replica and counts what `Add` commands say.
+
+Run as ``python -m tests.fakes.state_process --process-id p0 --folder FOLDER --member
+p0=IP:port ...``; it ends on SIGTERM.
+"""
+
+import argparse
+import signal
+import sys
+
+from bilberrydrum import runtime
+
+runtime.prepare()
+
+import attrs
+import eliot
+import eventlet
+import eventlet.event
+
+from bilberrydrum import codec, options, transport
+from bilberrydrum.state import machine, replica
+
+
+@codec.register("fake.add")
+@attrs.frozen
+class Add:
+    """Add to a counter; `text` makes the record larger."""
+
+    key: str
+    amount: int = 1
+    text: str = ""
+
+
+@codec.register("fake.read")
+@attrs.frozen
+class Read:
+    """Ask for a counter."""
+
+    key: str
+
+
+@codec.register("fake.sum")
+@attrs.frozen
+class Sum:
+    total: int
+
+
+@codec.register("fake.counters")
+@attrs.define
+class Counters:
+    totals_by_key: dict[str, int] = attrs.field(factory=dict)
+
+
+@machine.apply.register
+def _add(command: Add, state: machine.State, context: machine.Context) -> Sum:
+    totals = state.section("fake.counters", Counters).totals_by_key
+    totals[command.key] = totals.get(command.key, 0) + command.amount
+    return Sum(totals[command.key])
+
+
+@machine.answer.register
+def _read(query: Read, state: machine.State, now: float) -> Sum:
+    section = state.sections.get("fake.counters", Counters())
+    return Sum(section.totals_by_key.get(query.key, 0))
+
+
+def member(text: str) -> options.Member:
+    process_id, _, address = text.partition("=")
+    return options.Member(process_id, address)
+
+
+def options_for(
+    process_id: str,
+    members: list[options.Member],
+    folder: str,
+    snapshot_entries: int = 20_000,
+    address: str = "",
+) -> options.Options:
+    addresses = {each.process_id: each.peer_address for each in members}
+    return options.Options(
+        process_id=process_id,
+        peer_address=address or addresses[process_id],
+        state=options.StateOptions(
+            members=tuple(members),
+            data_folder=folder,
+            snapshot_entries=snapshot_entries,
+        ),
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--process-id", required=True)
+    parser.add_argument("--folder", required=True)
+    parser.add_argument("--address", default="")
+    parser.add_argument("--member", type=member, action="append", required=True)
+    parser.add_argument("--snapshot-entries", type=int, default=20_000)
+    given = parser.parse_args()
+    eliot.to_file(sys.stdout)
+    settings = options_for(
+        given.process_id,
+        given.member,
+        given.folder,
+        given.snapshot_entries,
+        given.address,
+    )
+    carrier = transport.Transport(
+        settings.process_id, settings.group, settings.peer_address
+    )
+    carrier.start()
+    own = replica.Replica(settings, carrier)
+    own.start()
+    stopped = eventlet.event.Event()
+    hub = eventlet.hubs.get_hub()
+    signal.signal(
+        signal.SIGTERM, lambda *_: hub.schedule_call_global(0, stopped.send, None)
+    )
+    stopped.wait()
+    own.stop()
+    carrier.stop()
+
+
+if __name__ == "__main__":
+    main()
