--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -81,6 +81,8 @@
     renew_seconds: float = 0.5
     # How often a gateway tells the others that its upstreams still stand.
     standing_seconds: float = 0.5
+    # Up to this many gateways tell each other directly; more form groups that relay.
+    max_mesh_gateways: int = 16
     # The one process that orders upstreams about loses that right after this long.
     controller_lease_seconds: float = 3.0
     # Longest time between sending an order and its arrival at the upstream.
@@ -121,6 +123,8 @@
     max_wait_seconds: float = 30.0
     # Extra attempts allowed as a share of slots.
     second_attempt_budget: float = 0.05
+    # Share of a model's engines that may swap to new weights at a time.
+    swap_share: float = 0.5
     # Longest time that an engine may take to load weights.
     load_timeout_seconds: float = 300.0
 
