--- a/tests/fakes/state_process.py
+++ b/tests/fakes/state_process.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import pathlib
 import signal
 import sys
 
@@ -17,7 +18,7 @@
 import eventlet
 import eventlet.event
 
-from bilberrydrum import codec, options, transport
+from bilberrydrum import clock, codec, options, transport
 from bilberrydrum.state import machine, replica
 
 
@@ -64,6 +65,21 @@
     return Sum(section.totals_by_key.get(query.key, 0))
 
 
+class CountingTransport(transport.Transport):
+    """A transport that writes down, once a second, how many bytes it has received."""
+
+    n_bytes = 0
+
+    def _take(self, data: bytes) -> None:
+        self.n_bytes += len(data)
+        super()._take(data)
+
+    def report(self, path: pathlib.Path) -> None:
+        while True:
+            path.write_text(f"{self.n_bytes}")
+            clock.sleep(1.0)
+
+
 def member(text: str) -> options.Member:
     process_id, _, address = text.partition("=")
     return options.Member(process_id, address)
@@ -104,12 +120,13 @@
         given.snapshot_entries,
         given.address,
     )
-    carrier = transport.Transport(
+    carrier = CountingTransport(
         settings.process_id, settings.group, settings.peer_address
     )
     carrier.start()
     own = replica.Replica(settings, carrier)
     own.start()
+    eventlet.spawn(carrier.report, pathlib.Path(f"{given.folder}.bytes"))
     stopped = eventlet.event.Event()
     hub = eventlet.hubs.get_hub()
     signal.signal(
