--- /dev/null
+++ b/tests/test_state_remote.py
@@ -0,0 +1,174 @@
+"""The state group's client: redirects, lost answers, lost sessions.
+
+The replicas are played by the test through a transport that only notes what is sent.
+"""
+
+import unittest
+from typing import Any
+
+import eventlet
+import result
+
+from bilberrydrum import clock, codec, options, transport
+from bilberrydrum.state import messages, remote
+from tests.fakes import state_process
+
+
+class FakeTransport:
+    """Notes what is sent and hands in what the test says."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Any]] = []
+        self._handlers: dict[type[Any], transport.Handler] = {}
+
+    def on(self, message_class: type[Any], handler: transport.Handler) -> None:
+        self._handlers[message_class] = handler
+
+    def send(self, address: str, message: Any) -> bool:
+        self.sent.append((address, message))
+        return True
+
+    def receive(self, address: str, message: Any) -> None:
+        sender = transport.Sender("p", address, 0)
+        self._handlers[type(message)](sender, message)
+
+    def wait_for(self, cls: type[Any], n_messages: int = 1) -> list[tuple[str, Any]]:
+        """Return what was sent of a class, once there are `n_messages`."""
+        with eventlet.Timeout(10.0):
+            while True:
+                found = [each for each in self.sent if isinstance(each[1], cls)]
+                if len(found) >= n_messages:
+                    return found
+                clock.sleep(0.01)
+
+
+MEMBERS = tuple(options.Member(each, f"at-{each}") for each in "abc")
+
+
+class ClientCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.carrier = FakeTransport()
+        settings = options.Options(
+            process_id="gw", state=options.StateOptions(members=MEMBERS)
+        )
+        self.client = remote.RemoteStateClient(settings, self.carrier)  # type: ignore[arg-type]
+        self.client.start()
+        self.addCleanup(self.client.stop)
+
+    def submit(self, timeout: float = 10.0) -> Any:
+        command = state_process.Add("k")
+        return eventlet.spawn(self.client.submit, command, timeout)
+
+    def open(self, session_id: int = 5, n_asked: int = 1) -> str:
+        address, asked = self.carrier.wait_for(messages.OpenSession, n_asked)[-1]
+        opened = messages.SessionOpened(asked.client_id, session_id)
+        self.carrier.receive(address, opened)
+        return str(address)
+
+    def answer(self, address: str, submit: messages.Submit, total: int) -> None:
+        data = codec.encode(state_process.Sum(total))
+        items = [messages.Item(each.number, data) for each in submit.items]
+        self.carrier.receive(address, messages.Answers(submit.client_id, items))
+
+
+class Commands(ClientCase):
+    def test_lost_answer_is_asked_for_under_the_same_number(self) -> None:
+        """The leader applied the command, and its answer is lost.
+
+        The command sent again names the same session and number, by which the group
+        knows that it is the same.
+        """
+        call = self.submit()
+        self.open()
+        first, again = self.carrier.wait_for(messages.Submit, 2)[:2]
+        self.assertEqual(first[1].items, again[1].items)
+        self.assertEqual(first[1].session_id, again[1].session_id)
+        self.answer(again[0], again[1], 1)
+        self.assertEqual(call.wait().unwrap().total, 1)
+
+    def test_silent_replica_is_left_for_another(self) -> None:
+        call = self.submit()
+        first = self.open()
+        sent = self.carrier.wait_for(messages.Submit, 2)
+        self.assertEqual(sent[0][0], first)
+        self.assertNotEqual(sent[1][0], first)
+        self.answer(*sent[1], 1)
+        self.assertTrue(call.wait().is_ok())
+
+    def test_redirect_is_followed_to_a_member_not_in_the_settings(self) -> None:
+        call = self.submit()
+        address = self.open()
+        _, submit = self.carrier.wait_for(messages.Submit)[0]
+        numbers = [each.number for each in submit.items]
+        redirect = messages.Redirect(
+            submit.client_id, numbers, False, "at-new", ["at-b", "at-new"]
+        )
+        self.carrier.receive(address, redirect)
+        sent = self.carrier.wait_for(messages.Submit, 2)[1]
+        self.assertEqual(sent[0], "at-new")
+        self.answer(*sent, 1)
+        self.assertTrue(call.wait().is_ok())
+
+    def test_answer_of_an_earlier_life_is_not_taken(self) -> None:
+        """A process restarts, and an answer to its earlier life arrives."""
+        call = self.submit(timeout=0.6)
+        address = self.open()
+        _, submit = self.carrier.wait_for(messages.Submit)[0]
+        data = codec.encode(state_process.Sum(9))
+        items = [messages.Item(each.number, data) for each in submit.items]
+        self.carrier.receive(address, messages.Answers("earlier", items))
+        answer = call.wait()
+        assert isinstance(answer, result.Err)
+        self.assertTrue(answer.err_value.may_have_applied)
+
+    def test_lost_session_sent_once_goes_on_in_a_new_one(self) -> None:
+        call = self.submit()
+        address = self.open(5)
+        _, submit = self.carrier.wait_for(messages.Submit)[0]
+        lost = messages.SessionLost(submit.client_id, 5, [submit.items[0].number])
+        self.carrier.receive(address, lost)
+        self.open(9, n_asked=2)
+        sent = self.carrier.wait_for(messages.Submit, 2)[1]
+        self.assertEqual(sent[1].session_id, 9)
+        self.answer(*sent, 1)
+        self.assertTrue(call.wait().is_ok())
+
+    def test_lost_session_sent_twice_is_reported_as_unknown(self) -> None:
+        """A command was sent twice, and then the session is gone.
+
+        The first sending may have been applied while the session stood. Sent again in
+        a new session, it could have a second effect.
+        """
+        call = self.submit()
+        address = self.open(5)
+        sent = self.carrier.wait_for(messages.Submit, 2)[1][1]
+        lost = messages.SessionLost(sent.client_id, 5, [sent.items[0].number])
+        self.carrier.receive(address, lost)
+        answer = call.wait()
+        assert isinstance(answer, result.Err)
+        self.assertTrue(answer.err_value.may_have_applied)
+
+    def test_command_that_was_never_sent_has_not_applied(self) -> None:
+        answer = self.submit(timeout=0.3).wait()
+        assert isinstance(answer, result.Err)
+        self.assertFalse(answer.err_value.may_have_applied)
+
+    def test_commands_beyond_the_window_wait(self) -> None:
+        """One command hangs while hundreds follow: the session keeps their answers.
+
+        More than it keeps must not be under way, or an answer needed for one sent
+        again would be gone.
+        """
+        calls = [self.submit() for _ in range(remote.WINDOW + 50)]
+        self.open()
+        self.carrier.wait_for(messages.Submit, 4)
+        sent = [each[1] for each in self.carrier.sent]
+        numbers = {
+            item.number
+            for each in sent
+            if isinstance(each, messages.Submit)
+            for item in each.items
+        }
+        self.assertLessEqual(len(numbers), remote.WINDOW)
+        for call in calls:
+            call.kill()
