Keep a lacking section's numbers over a restore, and test the operators' side

A section that the back-up lacks was dropped without keeping its numbers; it is now made empty and raised. A replica that stops lets its disk end what it is writing before the file is closed, and may be stopped before it was started.

--- a/bilberrydrum/state/commands.py
+++ b/bilberrydrum/state/commands.py
@@ -72,9 +72,13 @@
         return Restored(False, detail=str(error))
     # The members' clients go on in their sessions of today.
     restored.sections.pop(sessions.SECTION, None)
+    current_sessions = state.sections.pop(sessions.SECTION, None)
+    for name, current in state.sections.items():
+        # A back-up from before a section's first entry lacks it; its numbers have
+        # risen all the same.
+        restored.section(name, type(current))
     for name, section in restored.sections.items():
         machine.keep_rising(section, state.sections.get(name))
-    current_sessions = state.sections.get(sessions.SECTION)
     state.sections.clear()
     state.sections.update(restored.sections)
     if current_sessions is not None:
--- a/bilberrydrum/state/disk.py
+++ b/bilberrydrum/state/disk.py
@@ -22,6 +22,11 @@
     n_bytes: int
 
 
+@attrs.frozen
+class Stop:
+    """End the task once all before is done."""
+
+
 class DiskTask:
     """The task that owns the log on disk."""
 
@@ -40,6 +45,8 @@
             jobs = [self._jobs.get()]
             while not self._jobs.empty():
                 jobs.append(self._jobs.get())
+            is_last = any(isinstance(each, Stop) for each in jobs)
+            jobs = [each for each in jobs if not isinstance(each, Stop)]
             tpool.execute(carry_out, self._store, jobs)
             for job in jobs:
                 if isinstance(job, Adopt):
@@ -47,6 +54,8 @@
             numbers = [each.number for each in jobs if hasattr(each, "number")]
             if numbers:
                 self._done(events.Synced(max(numbers)))
+            if is_last:
+                return
 
 
 def carry_out(store: storage.Storage, jobs: list[Any]) -> None:
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -40,6 +40,8 @@
 
 # A snapshot is made sooner if the log's commands take this much memory.
 MAX_LOG_BYTES: Final = 32 * 1024 * 1024
+# Time the disk may take to end what it is writing when the replica stops.
+_STOP_SECONDS: Final = 5.0
 # Entries applied before other tasks run.
 _APPLY_SLICE: Final = 64
 # Events taken by the core before other tasks run.
@@ -93,19 +95,27 @@
         self._listen()
         self._intake.listen()
         self._failure = ""
-        for task in (self._run, self._apply, self._disk.run, self._keep_members):
+        for task in (self._run, self._apply, self._keep_members, self._disk.run):
             self._tasks.append(eventlet.spawn(self._guard, task))
 
     def stop(self) -> None:
-        """Hand the leadership over, sync what is under way, and stop."""
+        """Hand the leadership over and stop; harmless before `start`."""
         if not self._failure:
             self._carry_out(self._core.step(clock.now(), events.GiveUpLeadership()))
             self._intake.waiters.outbox.flush()
             clock.sleep(0.05)
-        for task in self._tasks:
+        *others, disk_task = self._tasks or [None]
+        for task in others:
             task.kill()
+        if disk_task is not None:
+            # Its thread may be writing: closed under it, the file's descriptor could
+            # name another file by the time of the write.
+            self._disk.put(disk.Stop())
+            with eventlet.Timeout(_STOP_SECONDS, False):
+                disk_task.wait()
+                self._store.close()
         self._tasks.clear()
-        self._store.close()
+        self._failure = "stopped"
 
     def _guard(self, task: Callable[[], None]) -> None:
         """Run a task; an error in it stops the whole replica, never half of it.
--- /dev/null
+++ b/tests/test_state_serving.py
@@ -0,0 +1,142 @@
+"""Reads under the lease, who waits for an entry, and founding a group."""
+
+import unittest
+from typing import Any
+
+from nose2.tools import params
+
+from bilberrydrum import codec, options
+from bilberrydrum.state import applier, founding, messages, serving
+from tests.fakes import state_process
+
+
+class Sent:
+    """Notes what is sent."""
+
+    def __init__(self) -> None:
+        self.messages: list[Any] = []
+
+    def __call__(self, address: str, message: Any) -> bool:
+        self.messages.append(message)
+        return True
+
+
+class Reading(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sent = Sent()
+        self.outbox = serving.Outbox(self.sent)
+        self.has_lease = True
+        self.lease_ends_while_answering = False
+        self.reads = serving.Reads(self.outbox, self.answer)
+        self.reads.add(serving.Read("at", "c", 1, state_process.Read("k"), 10.0))
+
+    def answer(self, query: object) -> Any:
+        if self.lease_ends_while_answering:
+            self.has_lease = False
+        return state_process.Sum(3)
+
+    def serve(self, commit_index: int, applied_index: int) -> int:
+        self.reads.serve(commit_index, applied_index, lambda: self.has_lease)
+        self.outbox.flush()
+        return len(self.sent.messages)
+
+    def test_answered_once_all_that_was_committed_is_applied(self) -> None:
+        """A command was committed just before the read, and is not yet applied."""
+        self.assertEqual(self.serve(commit_index=7, applied_index=6), 0)
+        self.assertEqual(self.serve(commit_index=9, applied_index=7), 1)
+        total = codec.decode(self.sent.messages[0].items[0].data).total
+        self.assertEqual(total, 3)
+
+    def test_waits_without_the_lease(self) -> None:
+        self.has_lease = False
+        self.assertEqual(self.serve(7, 7), 0)
+        self.has_lease = True
+        self.assertEqual(self.serve(7, 7), 1)
+
+    def test_lease_that_ends_while_answering_keeps_the_answer_back(self) -> None:
+        """The process is stopped after it looked at the lease, and wakes much later.
+
+        Another leader has taken commands meanwhile. The answer is made from the past;
+        the lease, looked at again before sending, has ended.
+        """
+        self.lease_ends_while_answering = True
+        self.assertEqual(self.serve(7, 7), 0)
+        self.assertEqual(len(self.reads), 1)
+
+    def test_client_is_sent_on_after_a_while(self) -> None:
+        self.has_lease = False
+        self.assertEqual(self.reads.take_expired(10.5), [])
+        self.assertEqual(len(self.reads.take_expired(11.5)), 1)
+
+
+class Waiting(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sent = Sent()
+        self.waiters = serving.Waiters(self.sent)
+
+    @params((2, True), (3, False))
+    def test_answer_goes_out_only_for_the_entry_that_was_taken(
+        self, term: int, is_answered: bool
+    ) -> None:
+        """The leader took a command, lost its term, and another entry is there now.
+
+        The other entry's answer must not go to the first one's client.
+        """
+        waiter = serving.Waiter(2, None, "at", "c", 1, 5)
+        self.waiters.add(9, waiter)
+        self.waiters.applied(applier.Applied(9, term, b"answer"))
+        self.waiters.outbox.flush()
+        self.assertEqual(bool(self.sent.messages), is_answered)
+
+    def test_replaced_proposal_is_told_that_it_is_not_in_the_log(self) -> None:
+        ends: list[Any] = []
+        self.waiters.add(9, serving.Waiter(2, done=ends.append))
+        self.waiters.add(9, serving.Waiter(4, done=ends.append))
+        self.assertEqual(ends, [None])
+
+
+class Founding(unittest.TestCase):
+    """An empty host starts a group only if all others are empty too."""
+
+    MEMBERS = tuple(options.Member(each, f"at-{each}") for each in "abc")
+
+    def founding(
+        self, process_id: str = "a", replica_id: str = "r1"
+    ) -> founding.Founding:
+        return founding.Founding(process_id, replica_id, "at-a", self.MEMBERS)
+
+    @params(
+        ("all are empty", "a", {"b": True, "c": True}, True),
+        ("one is silent", "a", {"b": True}, False),
+        ("one holds the group", "a", {"b": True, "c": False}, False),
+        ("another is lower", "b", {"a": True, "c": True}, False),
+    )
+    def test_founds(
+        self, name: str, process_id: str, empty: dict[str, bool], founds: bool
+    ) -> None:
+        """A host that lost its disk is restarted while one of the others is down.
+
+        Starting a group with the third, also empty to it, it would be a second one
+        beside the one that the silent host still holds.
+        """
+        found = self.founding(process_id)
+        for other, is_empty in empty.items():
+            found.heard(messages.ProbeReply(other, f"r-{other}", is_empty, "r1"))
+        self.assertEqual(found.first_membership() is not None, founds, name)
+
+    def test_answer_to_the_replica_before_is_not_counted(self) -> None:
+        """All were empty, the group began, and then the founder lost its disk.
+
+        An answer to its first question arrives late and says "empty".
+        """
+        found = self.founding(replica_id="r2")
+        for other in "bc":
+            found.heard(messages.ProbeReply(other, f"r-{other}", True, "r1"))
+        self.assertIsNone(found.first_membership())
+
+    def test_group_once_heard_of_stays(self) -> None:
+        found = self.founding()
+        found.heard(messages.ProbeReply("b", "r-b", False, "r1"))
+        for other in "bc":
+            found.heard(messages.ProbeReply(other, f"r-{other}", True, "r1"))
+        self.assertIsNone(found.first_membership())
--- a/tests/test_state_sessions.py
+++ b/tests/test_state_sessions.py
@@ -184,6 +184,15 @@
         section = state.sections["test.fenced"]
         self.assertEqual((section.fencing_number, section.note), (expected, "saved"))
 
+    def test_number_of_a_section_that_the_backup_lacks_does_not_fall(self) -> None:
+        """The back-up is from before the first fencing number was given."""
+        state = self.state(9, "current")
+        context = machine.Context(1, 1.0)
+        command = commands.RestoreState(self.saved(machine.State()))
+        machine.apply(command, state, context)
+        section = state.sections["test.fenced"]
+        self.assertEqual((section.fencing_number, section.note), (9, ""))
+
     def test_sessions_stay_those_of_today(self) -> None:
         state = self.state(9, "current")
         data = self.saved(self.state(5, "saved"))
