--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -40,6 +40,8 @@
 
 # A snapshot is made sooner if the log's commands take this much memory.
 MAX_LOG_BYTES: Final = 32 * 1024 * 1024
+# Time for the last messages to leave.
+_HANDOVER_SECONDS: Final = 0.05
 # Time the disk may take to end what it is writing when the replica stops.
 _STOP_SECONDS: Final = 5.0
 # Entries applied before other tasks run.
@@ -100,22 +102,23 @@
 
     def stop(self) -> None:
         """Hand the leadership over and stop; harmless before `start`."""
-        if not self._failure:
-            self._carry_out(self._core.step(clock.now(), events.GiveUpLeadership()))
-            self._intake.waiters.outbox.flush()
-            clock.sleep(0.05)
-        *others, disk_task = self._tasks or [None]
+        if self._failure:
+            # Not started, or ended by `_guard` with all its tasks.
+            return
+        self._carry_out(self._core.step(clock.now(), events.GiveUpLeadership()))
+        self._intake.waiters.outbox.flush()
+        clock.sleep(_HANDOVER_SECONDS)
+        self._failure = "stopped"
+        *others, disk_task = self._tasks
         for task in others:
             task.kill()
-        if disk_task is not None:
-            # Its thread may be writing: closed under it, the file's descriptor could
-            # name another file by the time of the write.
-            self._disk.put(disk.Stop())
-            with eventlet.Timeout(_STOP_SECONDS, False):
-                disk_task.wait()
-                self._store.close()
+        # Its thread may be writing: closed under it, the file's descriptor could name
+        # another file by the time of the write.
+        self._disk.put(disk.Stop())
+        with eventlet.Timeout(_STOP_SECONDS, False):
+            disk_task.wait()
+            self._store.close()
         self._tasks.clear()
-        self._failure = "stopped"
 
     def _guard(self, task: Callable[[], None]) -> None:
         """Run a task; an error in it stops the whole replica, never half of it.
--- /dev/null
+++ b/tests/test_state_replica.py
@@ -0,0 +1,110 @@
+"""One replica in this process: its disk fails, it stops, its state grows."""
+
+import pathlib
+import shutil
+import tempfile
+import unittest
+from unittest import mock
+
+import eventlet
+import result
+
+from bilberrydrum import clock, transport
+from bilberrydrum.state import files, replica, storage
+from misc import processes
+from tests.fakes import state_process
+
+
+class ReplicaCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = tempfile.mkdtemp(prefix="replica-")
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.address = f"127.0.0.1:{processes.free_ports(1)[0]}"
+        self.carrier = transport.Transport("p0", "main", self.address)
+        self.carrier.start()
+        self.addCleanup(self.carrier.stop)
+
+    def make(self, snapshot_entries: int = 20_000) -> replica.Replica:
+        settings = state_process.options_for(
+            "p0", [], self.folder, snapshot_entries, self.address
+        )
+        return replica.Replica(settings, self.carrier)
+
+    def start(self, snapshot_entries: int = 20_000) -> replica.Replica:
+        made = self.make(snapshot_entries)
+        made.start()
+        self.addCleanup(made.stop)
+        with eventlet.Timeout(20.0):
+            while made.leadership() is None:
+                clock.sleep(0.01)
+        return made
+
+    def add(self, made: replica.Replica) -> int:
+        total: int = made.propose(state_process.Add("k")).unwrap().total
+        return total
+
+
+class Life(ReplicaCase):
+    def test_state_is_there_after_a_restart_from_snapshot_and_log(self) -> None:
+        made = self.start(snapshot_entries=50)
+        for _ in range(130):
+            self.add(made)
+        made.stop()
+        names = [path.name for path in pathlib.Path(self.folder).iterdir()]
+        self.assertEqual(sum(name.startswith("snapshot-") for name in names), 1)
+        again = self.start(snapshot_entries=50)
+        self.assertEqual(self.add(again), 131)
+
+    def test_watchers_see_each_command_once_with_its_answer(self) -> None:
+        made = self.make()
+        seen: list[int] = []
+        made.watch(lambda command, answer: seen.append(answer.total))
+        made.start()
+        self.addCleanup(made.stop)
+        with eventlet.Timeout(20.0):
+            while made.leadership() is None:
+                clock.sleep(0.01)
+        for _ in range(3):
+            self.add(made)
+        self.assertEqual(seen, [1, 2, 3])
+
+    def test_stopped_replica_neither_leads_nor_proposes(self) -> None:
+        made = self.start()
+        made.stop()
+        self.assertIsNone(made.leadership())
+        answer = made.propose(state_process.Add("k"))
+        assert isinstance(answer, result.Err)
+        self.assertFalse(answer.err_value.may_have_applied)
+
+    def test_stop_before_start_does_nothing(self) -> None:
+        self.make().stop()
+
+    def test_start_refuses_a_damaged_folder(self) -> None:
+        made = self.start()
+        for _ in range(5):
+            self.add(made)
+        made.stop()
+        path = pathlib.Path(self.folder, "log-1")
+        data = bytearray(path.read_bytes())
+        data[60] ^= 1
+        path.write_bytes(bytes(data))
+        with self.assertRaises(storage.DamageError):
+            self.make().start()
+
+
+class DiskFailure(ReplicaCase):
+    def test_replica_whose_disk_fails_stops_as_a_whole(self) -> None:
+        """A sync fails while commands come in.
+
+        Whether the data is on disk is not known after that, also when a later sync
+        succeeds. So nothing is acknowledged any more, and the replica leads no more.
+        """
+        made = self.start()
+        self.add(made)
+        error = OSError(5, "Input/output error")
+        with mock.patch.object(files.DiskFiles, "sync", side_effect=error):
+            answer = made.propose(state_process.Add("k"), timeout=0.5)
+        self.assertTrue(answer.is_err())
+        self.assertIsNone(made.leadership())
+        self.assertIn("Input/output error", made.status().failure)
+        self.assertTrue(made.propose(state_process.Add("k"), timeout=0.5).is_err())
