--- a/tests/test_state_remote.py
+++ b/tests/test_state_remote.py
@@ -147,6 +147,8 @@
         answer = call.wait()
         assert isinstance(answer, result.Err)
         self.assertTrue(answer.err_value.may_have_applied)
+        n_sessions = len(self.carrier.wait_for(messages.OpenSession))
+        self.assertEqual(n_sessions, 1, "sent on in a new session")
 
     def test_command_that_was_never_sent_has_not_applied(self) -> None:
         answer = self.submit(timeout=0.3).wait()
