--- a/bilberrydrum/state/core.py
+++ b/bilberrydrum/state/core.py
@@ -9,7 +9,15 @@
 import random
 from typing import Any
 
-from bilberrydrum.state import election, events, follower, leader, messages, node
+from bilberrydrum.state import (
+    election,
+    events,
+    follower,
+    leader,
+    messages,
+    node,
+    reconfiguration,
+)
 
 
 class Core:
@@ -86,7 +94,7 @@
 
 @_on_event.register
 def _on_propose_change(event: events.ProposeChange, state: node.Node) -> None:
-    leader.propose_change(state, event)
+    reconfiguration.propose_change(state, event)
 
 
 @_on_event.register
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -19,6 +19,7 @@
 from bilberrydrum import clock, codec, interfaces, options, reasons, transport
 from bilberrydrum.state import (
     applier,
+    applying,
     client,
     core,
     disk,
@@ -33,19 +34,14 @@
     node,
     queries,
     serving,
-    snapshot,
     stewardship,
     storage,
 )
 
-# A snapshot is made sooner if the log's commands take this much memory.
-MAX_LOG_BYTES: Final = 32 * 1024 * 1024
 # Time for the last messages to leave.
 _HANDOVER_SECONDS: Final = 0.05
 # Time the disk may take to end what it is writing when the replica stops.
 _STOP_SECONDS: Final = 5.0
-# Entries applied before other tasks run.
-_APPLY_SLICE: Final = 64
 # Events taken by the core before other tasks run.
 _EVENT_SLICE: Final = 256
 
@@ -63,7 +59,6 @@
         )
         self._store = storage.Storage(files.DiskFiles(), opts.state.data_folder)
         self._inbox: Any = eventlet.queue.Queue()
-        self._to_apply: Any = eventlet.queue.Queue()
         self._applier = applier.Applier()
         self._disk = disk.DiskTask(self._store, self._inbox.put)
         self._changes_by_ticket: dict[int, eventlet.event.Event] = {}
@@ -94,10 +89,18 @@
         )
         self._steward = stewardship.StewardTask(self, self._carrier, self._options)
         self._intake = intake.Intake(self, self._carrier, self._applier, self._steward)
+        self._apply = applying.ApplyTask(
+            self,
+            self._applier,
+            self._intake,
+            self._store,
+            self._disk,
+            self._options.state.snapshot_entries,
+        )
         self._listen()
         self._intake.listen()
         self._failure = ""
-        for task in (self._run, self._apply, self._keep_members, self._disk.run):
+        for task in (self._run, self._apply.run, self._keep_members, self._disk.run):
             self._tasks.append(eventlet.spawn(self._guard, task))
 
     def stop(self) -> None:
@@ -262,7 +265,7 @@
             ):
                 self._disk.put(effect)
             elif isinstance(effect, events.Commit | events.Restore):
-                self._to_apply.put(effect)
+                self._apply.put(effect)
             elif isinstance(effect, events.SendChunk):
                 eventlet.spawn(self._send_chunk, effect)
             elif isinstance(effect, events.RoleChanged):
@@ -316,45 +319,6 @@
         if self.node.snapshot_index == effect.index:
             self._carrier.send(effect.address, chunk)
 
-    # The applying task
-
-    def _apply(self) -> None:
-        while True:
-            effect = self._to_apply.get()
-            if isinstance(effect, events.Restore):
-                self._applier.restore(effect.data)
-                self._intake.waiters.clear(effect.index)
-                continue
-            for i, entry in enumerate(effect.entries, 1):
-                command = self._intake.waiters.command(entry.index, entry.term)
-                applied = self._applier.apply(entry, command)
-                if applied is not None:
-                    self._intake.waiters.applied(applied)
-                if i % _APPLY_SLICE == 0:
-                    self._intake.waiters.outbox.flush()
-                    eventlet.sleep(0)
-            self._intake.waiters.outbox.flush()
-            self._intake.serve_reads()
-            if self._snapshot_is_due():
-                self._make_snapshot()
-
-    def _snapshot_is_due(self) -> bool:
-        n_entries = self._applier.index - self.node.snapshot_index
-        if n_entries >= self._options.state.snapshot_entries:
-            return True
-        return self.node.log.n_bytes >= MAX_LOG_BYTES and n_entries > 1
-
-    def _make_snapshot(self) -> None:
-        # In a thread: the state does not change, as this task applies nothing
-        # meanwhile, and heartbeats go on.
-        header = self._applier.header()
-        data = tpool.execute(snapshot.encode, header, self._applier.state)
-        tpool.execute(self._store.write_snapshot, header.index, data)
-        self._disk.put(disk.Adopt(header.index, len(data)))
-        # The next one is not due before this one is in use.
-        while self.node.snapshot_index < header.index:
-            clock.sleep(0.005)
-
     # Messages
 
     def next_ticket(self) -> int:
