--- a/tests/fakes/state_group.py
+++ b/tests/fakes/state_group.py
@@ -19,7 +19,9 @@
     def __init__(self, n_members: int, snapshot_entries: int = 20_000) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="state-group-"))
         self.processes = processes.Processes(self.folder)
-        *ports, client_port = processes.free_ports(n_members + 1)
+        *ports, client_port, spare_port = processes.free_ports(n_members + 2)
+        # For a process that joins later.
+        self.spare_address = f"127.0.0.1:{spare_port}"
         self.members = [
             options.Member(f"p{i}", f"127.0.0.1:{port}") for i, port in enumerate(ports)
         ]
--- a/tests/test_state_group.py
+++ b/tests/test_state_group.py
@@ -95,7 +95,7 @@
             mistake = group.client.query(commands.RemoveMember(healthy.replica_id))
             self.assertIn("lose its majority", mistake.unwrap().detail)
             self.assertFalse(mistake.unwrap().is_made)
-            new_address = group.client_options.peer_address.replace(":2", ":3")
+            new_address = group.spare_address
             group.start("p3", new_address)
             add = commands.AddMember("p3", new_address)
             group.wait_for(lambda _: group.client.query(add).unwrap().is_made)
