Start incarnations and fencing numbers at the clock, and tell lives of a controller apart

Cause: a group founded anew after the loss of a majority counted from 1, so that living processes dropped its messages as those of an earlier life and engines refused its orders. A restore with a fixed step did not help a group that is not restored, or restored after it gave numbers. Also: a new life of a process could take over the number of its earlier life when both had taken over from the same look.

--- a/bilberrydrum/bundles/book.py
+++ b/bilberrydrum/bundles/book.py
@@ -63,6 +63,8 @@
     directory: messages.Directory
     gateways: tuple[processes.Process, ...]
     former_by_incarnation: Mapping[int, str]
+    # The longest lease that anyone may have been granted.
+    longest_lease_seconds: float
 
 
 @attrs.frozen
@@ -138,8 +140,6 @@
 
     # Until when a predecessor's leases may run.
     predecessor_until: float
-    # The longest lease that any leader may have granted.
-    longest_lease_seconds: float
     newest: Newest = attrs.field(factory=Newest)
     # Lower than any change, so that the first state is taken whatever it says.
     directory: messages.Directory = messages.Directory(change=-1)
@@ -244,7 +244,7 @@
         for incarnation, process_id in former.items():
             if incarnation not in self.lives_by_incarnation:
                 # Nothing is known of this life but that it was: it may hold a lease.
-                until = now + self.longest_lease_seconds
+                until = now + event.longest_lease_seconds
                 life = Life(process_id, "", now, until_by_version={_ANY_OLDER: until})
                 self._add(incarnation, life)
             self.lives_by_incarnation[incarnation].is_former = True
--- a/bilberrydrum/bundles/commands.py
+++ b/bilberrydrum/bundles/commands.py
@@ -64,7 +64,7 @@
 @codec.register("bundles.start_grants")
 @attrs.frozen
 class StartGrants:
-    """Note the leases that a new leader will grant; answered by `GrantsStarted`.
+    """Note the leases that a new leader will grant; answered by `InForce`.
 
     Once it is applied, the leader has applied every command of earlier leaders.
     """
@@ -104,15 +104,6 @@
     version: int
 
 
-@codec.register("bundles.grants_started")
-@attrs.frozen
-class GrantsStarted:
-    """Longest leases, in seconds, that this or an earlier leader may have granted."""
-
-    lease_seconds: float
-    hold_lease_seconds: float
-
-
 @machine.apply.register
 def _(
     command: SubmitBundle, state: machine.State, context: machine.Context
@@ -221,17 +212,15 @@
 
 
 @machine.apply.register
-def _(
-    command: StartGrants, state: machine.State, context: machine.Context
-) -> GrantsStarted:
+def _(command: StartGrants, state: machine.State, context: machine.Context) -> InForce:
     section = records.section_of(state)
     # Replicas may run with other options while these are being changed. A lease that
     # an earlier leader granted for longer must still be waited out.
     section.lease_seconds = max(section.lease_seconds, command.lease_seconds)
     section.hold_lease_seconds = max(
-        section.hold_lease_seconds, command.hold_lease_seconds
+        section.hold_lease_seconds, section.lease_seconds, command.hold_lease_seconds
     )
-    return GrantsStarted(section.lease_seconds, section.hold_lease_seconds)
+    return InForce(section.in_force)
 
 
 def _start_roll(section: records.Section, record: records.Record) -> None:
--- a/bilberrydrum/bundles/grants.py
+++ b/bilberrydrum/bundles/grants.py
@@ -126,7 +126,7 @@
             return None
         self._term = leadership.term
         eliot.log_message(message_type="bundle:grants-started", term=leadership.term)
-        return begin_book(self._replica.state(), started.unwrap(), leadership.since)
+        return begin_book(self._replica.state(), leadership.since)
 
     def _step(self, the_book: book.GrantBook, event: object) -> None:
         state = self._replica.state()
@@ -159,15 +159,10 @@
         self._events.put(book.ProposalEnded(command))
 
 
-def begin_book(
-    state: machine.State, started: commands.GrantsStarted, since: float
-) -> book.GrantBook:
+def begin_book(state: machine.State, since: float) -> book.GrantBook:
     """Return the book of a leader that has led since `since` by its clock."""
-    seconds = started.lease_seconds
-    longest = max(seconds, started.hold_lease_seconds)
-    if records.holds_through_cuts(records.read(state)):
-        seconds = longest
-    return book.GrantBook(since + seconds, longest)
+    section = records.read(state)
+    return book.GrantBook(since + records.longest_lease_seconds(section))
 
 
 def find_change(
@@ -204,6 +199,7 @@
             if options.ROLE_GATEWAY in each.roles
         ),
         dict(former),
+        records.longest_lease_seconds(bundles),
     )
 
 
--- a/bilberrydrum/bundles/records.py
+++ b/bilberrydrum/bundles/records.py
@@ -92,18 +92,19 @@
     return is_before_roll and record.parent == newest(section)
 
 
-def holds_through_cuts(section: Section) -> bool:
-    """Tell whether a long lease may be out for a bundle not yet superseded everywhere.
+def longest_lease_seconds(section: Section) -> float:
+    """Return the longest lease that any leader may have granted and that still counts.
 
     Until the newest is in force everywhere, gateways may act on any version from the
     one in force on; each was granted for as long as its own policy says.
     """
-    return any(
+    holds_through_cuts = any(
         record.cut_policy == model.CUT_HOLD
         for version, record in section.records_by_version.items()
         if version >= section.in_force
         and record.state in (ROLLING, IN_FORCE, SUPERSEDED)
     )
+    return section.hold_lease_seconds if holds_through_cuts else section.lease_seconds
 
 
 @machine.keep_rising.register
--- a/bilberrydrum/state/controller.py
+++ b/bilberrydrum/state/controller.py
@@ -1,6 +1,7 @@
 """The task that holds, or waits for, the right to order upstreams about."""
 
 import random
+import secrets
 from typing import Any, Final
 
 import eliot
@@ -21,6 +22,7 @@
         self._state = state
         self._decision = controller_lease.ControllerDecision(
             options_.process_id,
+            secrets.token_hex(8),
             controller_lease.Timing(
                 upstreams.controller_lease_seconds,
                 options_.state.drift_margin,
--- a/bilberrydrum/state/controller_commands.py
+++ b/bilberrydrum/state/controller_commands.py
@@ -28,6 +28,8 @@
     number: int = 0
     # Process id; empty: nobody holds the right.
     holder: str = ""
+    # Drawn by the holder at its start.
+    token: str = ""
     n_renewals: int = 0
     # The holder's lease, in seconds.
     lease_seconds: float = 0.0
@@ -41,6 +43,8 @@
     """Take the right over; answered by `ControllerState`."""
 
     process_id: str
+    # Tells this life of the process from its earlier ones.
+    token: str
     # What the candidate saw a whole lease ago.
     seen_number: int
     seen_n_renewals: int
@@ -78,6 +82,7 @@
 
     number: int
     holder: str
+    token: str
     n_renewals: int
     lease_seconds: float
     # Processes that may look from time to time.
@@ -101,9 +106,10 @@
     # The holder renewed, or another candidate came first, since the candidate looked.
     # Without this check two processes would hold the right at the same time.
     if seen == (section.number, section.n_renewals):
-        section.number += 1
+        section.number = processes.next_number(section.number, context)
         section.n_renewals = 0
         section.holder = command.process_id
+        section.token = command.token
         section.lease_seconds = command.lease_seconds
         section.renewed_at = context.time
     return _answer(section)
@@ -138,8 +144,6 @@
         for field in attrs.fields(Section):
             setattr(section, field.name, getattr(current, field.name))
         return
-    if current is None:
-        section.number += processes.RESTORE_STEP
     # Whoever held the right before the restore may still act on its lease, so the
     # right does not count as given back.
     section.holder = RESTORED
@@ -163,5 +167,9 @@
 
 def _answer(section: Section) -> ControllerState:
     return ControllerState(
-        section.number, section.holder, section.n_renewals, section.lease_seconds
+        section.number,
+        section.holder,
+        section.token,
+        section.n_renewals,
+        section.lease_seconds,
     )
--- a/bilberrydrum/state/controller_lease.py
+++ b/bilberrydrum/state/controller_lease.py
@@ -55,6 +55,8 @@
     """Whether this process holds the right, and what it does about it."""
 
     process_id: str
+    # Drawn at random at the start of the process.
+    token: str
     timing: Timing
     # The number held; 0: none.
     number: int = 0
@@ -101,9 +103,9 @@
             return False
         if isinstance(asked, commands.RenewController):
             return state.number == asked.number
-        # The number that this very acquisition gave. An earlier life of this process
-        # may hold a lower one, and its orders may still be under way.
-        return state.number == asked.seen_number + 1 and state.n_renewals == 0
+        # An earlier life of this process may have taken the right a moment ago. Were
+        # its number used again, its orders under way would pass for this one's.
+        return state.token == self.token
 
     def _hold(self, now: float, event: Answered) -> None:
         timing = self.timing
@@ -135,7 +137,10 @@
         if until_over <= 0:
             seen = (state.number, state.n_renewals)
             length = self.timing.lease_seconds
-            return [Ask(commands.AcquireController(self.process_id, *seen, length))]
+            acquire = commands.AcquireController(
+                self.process_id, self.token, *seen, length
+            )
+            return [Ask(acquire)]
         self.delay = until_over
         if state.silent_seconds < lease_seconds:
             # Nothing hints at a silent holder. In a fleet the candidates share the
--- a/bilberrydrum/state/processes.py
+++ b/bilberrydrum/state/processes.py
@@ -16,10 +16,7 @@
 
 SECTION: Final = "processes"
 _RETRY_SECONDS: Final = 0.2
-# How far numbers are raised when a copy of the state is restored to a new group:
-# further than they can have risen since the copy was made.
-RESTORE_STEP: Final = 1_000_000
-# Stands for the lives that such a copy doesn't know.
+# Stands for the lives that a restored copy doesn't know.
 UNKNOWN_LIVES: Final = "(unknown)"
 
 
@@ -104,6 +101,16 @@
     processes: tuple[Process, ...]
 
 
+def next_number(last: int, context: machine.Context) -> int:
+    """Return a number above `last` and above those that a lost group can have given.
+
+    After the loss of a majority, a new group starts from nothing or from an old copy.
+    Others remember the numbers of the lost group and ignore lower ones. So a number
+    starts at the wall clock's seconds; within a group it rises whatever the clock does.
+    """
+    return max(last + 1, int(context.time))
+
+
 def section_of(state: machine.State) -> Section:
     """Return the section of `state`, for commands to change."""
     section: Section = state.section(SECTION, Section)
@@ -128,8 +135,8 @@
         return Registered(known.incarnation)
     if known is not None:
         section.former_by_incarnation[known.incarnation] = known.process_id
-    section.last_incarnation += 1
-    section.change += 1
+    section.last_incarnation = next_number(section.last_incarnation, context)
+    section.change = next_number(section.change, context)
     section.processes_by_id[command.process_id] = Process(
         command.process_id,
         command.peer_address,
@@ -154,7 +161,7 @@
     for process in list(section.processes_by_id.values()):
         if process.incarnation in command.incarnations:
             del section.processes_by_id[process.process_id]
-            section.change += 1
+            section.change = next_number(section.change, context)
             n_forgotten += 1
     return Forgotten(n_forgotten)
 
@@ -162,17 +169,18 @@
 @machine.keep_rising.register
 def _(section: Section, current: Section | None) -> None:
     """Keep the processes of today when an older copy of the state is restored."""
-    if current is None:
-        # Processes that the copy doesn't know may run, under numbers it never gave,
-        # and hold leases. They register again; their old lives stand as one.
-        section.last_incarnation += RESTORE_STEP
-        section.change += RESTORE_STEP
-        section.former_by_incarnation[section.last_incarnation] = UNKNOWN_LIVES
-        return
-    section.last_incarnation = max(section.last_incarnation, current.last_incarnation)
-    section.change = max(section.change, current.change) + 1
-    section.processes_by_id = dict(current.processes_by_id)
-    section.former_by_incarnation = dict(current.former_by_incarnation)
+    if current is not None:
+        section.last_incarnation = max(
+            section.last_incarnation, current.last_incarnation
+        )
+        section.change = max(section.change, current.change)
+        section.processes_by_id = dict(current.processes_by_id)
+        section.former_by_incarnation = dict(current.former_by_incarnation)
+    # Gateways that neither group knows may run, and hold leases. They register again;
+    # their old lives stand as one.
+    section.change += 1
+    section.last_incarnation += 1
+    section.former_by_incarnation[section.last_incarnation] = UNKNOWN_LIVES
 
 
 @machine.answer.register
