--- a/tests/test_bundles_lease.py
+++ b/tests/test_bundles_lease.py
@@ -4,8 +4,6 @@
 import unittest
 from typing import Any
 
-import hypothesis
-from hypothesis import stateful, strategies
 from nose2.tools import params
 
 from bilberrydrum import reasons
@@ -364,80 +362,3 @@
             for now in (101.0, 102.0)
         ]
         self.assertEqual(sent, ["leader", None])
-
-
-class LeaseMachine(stateful.RuleBasedStateMachine):
-    """Any schedule of messages, freezes, restarts, rolls and leaders.
-
-    Whatever happens, no life of a gateway acts on a bundle older than the one in
-    force, and none goes back to an older version.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.world = lease_world.World({"g0": 1.0, "g1": 0.96})
-        self.world.roll()
-        self.world.renew_all("g0", "g1")
-
-    @stateful.rule(gateway=strategies.sampled_from(("g0", "g1")))
-    def renew(self, gateway: str) -> None:
-        self.world.renew(gateway)
-
-    @stateful.rule(data=strategies.data())
-    @stateful.precondition(lambda self: self.world.in_flight)
-    def deliver(self, data: Any) -> None:
-        last = len(self.world.in_flight) - 1
-        index = data.draw(strategies.integers(0, last))
-        self.world.deliver(self.world.in_flight[index])
-
-    @stateful.rule(data=strategies.data())
-    @stateful.precondition(lambda self: self.world.in_flight)
-    def copy(self, data: Any) -> None:
-        last = len(self.world.in_flight) - 1
-        index = data.draw(strategies.integers(0, last))
-        self.world.hand_over(self.world.in_flight[index])
-
-    @stateful.rule(gateway=strategies.sampled_from(("g0", "g1")))
-    def exchange(self, gateway: str) -> None:
-        self.world.renew_all(gateway)
-
-    @stateful.rule(seconds=strategies.sampled_from((0.1, 1.0, 2.9, 3.0, 58.0)))
-    def advance(self, seconds: float) -> None:
-        self.world.advance(seconds)
-
-    @stateful.rule(policy=strategies.sampled_from((model.CUT_REFUSE, model.CUT_HOLD)))
-    def roll(self, policy: str) -> None:
-        self.world.roll(policy)
-
-    @stateful.rule(rate=strategies.sampled_from((0.97, 1.0)))
-    def elect(self, rate: float) -> None:
-        self.world.elect(rate)
-
-    @stateful.rule(
-        gateway=strategies.sampled_from(("g0", "g1")),
-        rate=strategies.sampled_from((0.96, 1.0)),
-    )
-    @stateful.precondition(lambda self: len(self.world.lives) < 6)
-    def restart(self, gateway: str, rate: float) -> None:
-        self.world.start_gateway(gateway, rate)
-
-    @stateful.invariant()
-    def nothing_older_than_in_force_is_acted_on(self) -> None:
-        for gateway in self.world.lives:
-            version = self.world.acts_on(gateway)
-            if version is not None:
-                assert version >= self.world.in_force(), (
-                    gateway,
-                    self.world.in_force(),
-                )
-            assert gateway.versions == sorted(set(gateway.versions))
-
-
-class TestAnySchedule(LeaseMachine.TestCase):
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=150,
-        stateful_step_count=40,
-        deadline=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
--- a/tests/test_state_controller.py
+++ b/tests/test_state_controller.py
@@ -17,70 +17,9 @@
     machine,
 )
 from tests import helpers
-from tests.fakes import direct_state
+from tests.fakes import controller_world, direct_state
 
-LEASE = 3.0
-FLIGHT = 10.0
-
-
-@attrs.define(eq=False)
-class Candidate:
-    """A process that stands for the right, with a clock of its own rate."""
-
-    decision: controller_lease.ControllerDecision
-    rate: float = 1.0
-    # Answers that it hasn't read yet.
-    unread: list[Any] = attrs.field(factory=list)
-
-
-class World:
-    """Candidates and the state group, with every message in the test's hand."""
-
-    def __init__(self) -> None:
-        self.now = 1000.0
-        self.state = direct_state.DirectState()
-        self.n_started = 0
-        # Commands on their way.
-        self.in_flight: list[tuple[Candidate, object, float]] = []
-
-    def candidate(
-        self, process_id: str, rate: float = 1.0, lease: float = LEASE
-    ) -> Candidate:
-        timing = controller_lease.Timing(lease, 0.05, FLIGHT)
-        self.n_started += 1
-        decision = controller_lease.ControllerDecision(
-            process_id, f"token-{self.n_started}", timing
-        )
-        return Candidate(decision, rate)
-
-    def send(self, candidate: Candidate, event: object) -> None:
-        for effect in candidate.decision.step(self.now * candidate.rate, event):
-            sent_at = self.now * candidate.rate
-            self.in_flight.append((candidate, effect.message, sent_at))
-
-    def arrive(self, index: int = -1) -> None:
-        """Let the state group take a message; its answer waits to be read."""
-        candidate, message, sent_at = self.in_flight.pop(index)
-        if isinstance(message, controller_commands.AskController):
-            answer = self.state.query(message).unwrap()
-        else:
-            answer = self.state.apply(message)
-        event = controller_lease.Answered(message, sent_at, answer)
-        candidate.unread.append(event)
-
-    def turn(self, candidate: Candidate) -> None:
-        """Let the candidate do one turn, with all its answers coming at once."""
-        self.send(candidate, controller_lease.Due())
-        while self.in_flight:
-            self.arrive()
-            self.send(candidate, candidate.unread.pop())
-
-    def number(self, candidate: Candidate) -> int | None:
-        return candidate.decision.fencing_number(self.now * candidate.rate)
-
-    def may_order_unfenced(self, candidate: Candidate) -> bool:
-        now = self.now * candidate.rate
-        return candidate.decision.may_order_unfenced(now)
+LEASE = controller_world.LEASE
 
 
 @attrs.define
@@ -101,7 +40,7 @@
 
 class TestLease(unittest.TestCase):
     def setUp(self) -> None:
-        self.world = World()
+        self.world = controller_world.World()
         self.first = self.world.candidate("a")
         self.second = self.world.candidate("b")
         self.world.turn(self.first)
@@ -161,7 +100,7 @@
 
     def test_holder_with_a_longer_lease_is_waited_for(self) -> None:
         """The holder runs with an older, longer lease than the candidate."""
-        world = World()
+        world = controller_world.World()
         holder = world.candidate("a", lease=9.0)
         world.turn(holder)
         world.turn(self.second)
@@ -192,7 +131,7 @@
             self.world.now += LEASE
             self.world.turn(self.second)
         lost = controller_commands.read(self.world.state.state()).number
-        world = World()
+        world = controller_world.World()
         world.state.time = 1000.5
         candidate = world.candidate("a")
         world.turn(candidate)
@@ -298,7 +237,7 @@
         ignores the number gets no new order until an old one has had the time to
         arrive, so the new one is the last that it carries out.
         """
-        world = World()
+        world = controller_world.World()
         old, new = world.candidate("a"), world.candidate("b")
         upstream = Upstream(checks_fencing)
         world.turn(old)
@@ -322,7 +261,9 @@
                 world.now += 1.0
                 world.turn(new)
             # The old lease and the longest flight have passed since the take-over.
-            self.assertGreaterEqual(world.now, 1000.0 + LEASE + LEASE + FLIGHT)
+            self.assertGreaterEqual(
+                world.now, 1000.0 + LEASE + LEASE + controller_world.FLIGHT
+            )
             upstream.order(number, "new")
         self.assertEqual(upstream.orders, carried_out)
 
@@ -335,7 +276,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = World()
+        self.world = controller_world.World()
         self.candidates = [
             self.world.candidate("a", 0.96),
             self.world.candidate("b", 1.0),
