--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -1,6 +1,7 @@
 """What each way of answering wrongly means to the caller."""
 
 import unittest
+import unittest.mock
 
 import eventlet
 from nose2.tools import params
@@ -22,7 +23,7 @@
         "body": b"",
         "deadline": clock.now() + seconds,
         "is_idempotent": True,
-        "may_send": model.always,
+        "find_refusal": lambda: None,
     }
     values.update(fields)
     return attempts.Outgoing(request_id, method, "/x", **values)
@@ -202,11 +203,26 @@
         self.call(fake, is_idempotent=False)
         self.assertEqual(fake.n_connections, 2)
 
+    def test_first_byte_may_take_longer_than_connecting(self):
+        """An engine's queue holds a call for longer than connecting may take.
+
+        The time for connecting is no bound on the answer; only the deadline is.
+        """
+
+        def script(connection, received):
+            eventlet.sleep(0.2)
+            connection.sendall(scripted.answer(received))
+
+        with unittest.mock.patch.object(attempts, "CONNECT_SECONDS", 0.05):
+            self.assertEqual(self.call(self.upstream(script)).body, b"ok")
+
     def test_nothing_is_sent_when_it_is_too_late(self):
         """The claim is over by the time the connection stands: no byte goes out."""
         fake = self.upstream(scripted.serve(scripted.answer))
         with self.assertRaises(attempts.AttemptError) as caught:
-            self.call(fake, may_send=model.never, is_idempotent=False)
+            self.call(
+                fake, find_refusal=lambda: Reason.CLAIM_LAPSED, is_idempotent=False
+            )
         eventlet.sleep(0.02)
         self.assertEqual(caught.exception.reason, Reason.CLAIM_LAPSED)
         self.assertFalse(caught.exception.may_have_run)
