--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -62,6 +62,9 @@
         connection.connect()
         # The deadline of the whole attempt bounds each read from here on.
         connection.sock.settimeout(None)
+        # urllib3 sets the socket's timeout anew with each request and answer; left at
+        # the time for connecting, an engine whose first token takes longer is cut off.
+        connection.timeout = None
         return connection
 
     def keep(self, address: str, connection: Connection) -> None:
