Let trainers' attempts wait at the engines, half as many as there are places

Engines were idle 28 to 46% of the time while others had work waiting: a place stays empty from the end of an attempt until the engine's report of it has been heard, and the gateways' whole parts of 8 places add up to 6. Calls for samples may now queue at an engine (ModelCall.queue_depth, 0.5 per place), and an owner keeps twice the places in flight. Callers' calls are routed as before, and go first at the engine.

--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -78,6 +78,7 @@
         call.min_weight_version,
         bool(call.resume_token_ids),
         call.excluded_upstream_ids,
+        call.queue_depth,
     )
 
 
@@ -343,7 +344,9 @@
         holders: frozenset[str] = frozenset()
         if ticket.prefix:
             holders = self._registry.prefix_holders(ticket.prefix)
-        chosen = self._router.choose(eligible, now, self._n_gateways, holders)
+        chosen = self._router.choose(
+            eligible, now, self._n_gateways, holders, ticket.need.queue_depth
+        )
         if not isinstance(chosen, routing.Lack):
             self._router.started(chosen.upstream_id, now)
         return chosen
--- a/bilberrydrum/requests/model.py
+++ b/bilberrydrum/requests/model.py
@@ -46,6 +46,9 @@
     excluded_upstream_ids: frozenset[str] = frozenset()
     # Tokens that are likely to be generated; 0: not known.
     expected_tokens: int = 0
+    # Calls that may wait at an engine per place it has. Work that nobody waits for one
+    # by one keeps the engine's places filled while its reports are under way.
+    queue_depth: float = 0.0
     # May be sent again after a failure.
     is_idempotent: bool = True
     # Most calls of the client in flight at this gateway; 0: no bound.
--- a/bilberrydrum/requests/routing.py
+++ b/bilberrydrum/requests/routing.py
@@ -68,6 +68,8 @@
     min_weight_version: int = -1
     must_resume: bool = False
     excluded_upstream_ids: frozenset[str] = frozenset()
+    # Calls that may wait at the upstream per place it has.
+    queue_depth: float = 0.0
 
     @property
     def domain(self) -> str:
@@ -164,6 +166,7 @@
         now: float,
         n_gateways: int = 1,
         prefix_holders: frozenset[str] = frozenset(),
+        queue_depth: float = 0.0,
     ) -> upstream_model.Upstream | Lack:
         """Return the upstream with room and the least expected wait.
 
@@ -177,6 +180,8 @@
             Gateways that share the upstreams.
         prefix_holders : frozenset of str
             Ids of the upstreams that are likely to hold the prompt's prefix.
+        queue_depth : float
+            Calls that may wait at an upstream per place it has.
         """
         usable = self._usable(eligible, now)
         if not usable:
@@ -188,7 +193,7 @@
             use = self._use(upstream, now)
             n_foreign = use.n_foreign_now(now, typical.seconds)
             n_moved += use.n_foreign - n_foreign
-            if _has_room(upstream, use, now, n_gateways):
+            if _has_room(upstream, use, now, n_gateways, queue_depth):
                 options.append(self._option(upstream, n_foreign, typical, now))
         if not options:
             return Lack.ROOM
@@ -298,11 +303,16 @@
 
 
 def _has_room(
-    upstream: upstream_model.Upstream, use: _Use, now: float, n_gateways: int
+    upstream: upstream_model.Upstream,
+    use: _Use,
+    now: float,
+    n_gateways: int,
+    queue_depth: float,
 ) -> bool:
     if use.busy_until > now:
         return False
-    own_part = max(1, upstream.max_concurrency // max(1, n_gateways))
+    limit = math.floor(upstream.max_concurrency * (1.0 + queue_depth))
+    own_part = max(1, limit // max(1, n_gateways))
     if use.n_in_flight < own_part:
         return True
-    return use.n_in_flight + use.n_foreign < upstream.max_concurrency
+    return use.n_in_flight + use.n_foreign < limit
--- a/bilberrydrum/samples/attempts.py
+++ b/bilberrydrum/samples/attempts.py
@@ -24,9 +24,13 @@
 MAX_SCORE_BACKOFF_SECONDS: Final = 5.0
 # Times that one attempt goes on at another engine before it is made anew.
 MAX_RESUMES: Final = 3
-# Calls of urgent slots go before others of the same trainer.
-PRIORITY_URGENT: Final = -1
-PRIORITY_NORMAL: Final = 0
+# Calls of urgent slots go before others of the same trainer; at the engine all of them
+# go after callers' requests, which wait for an answer each.
+PRIORITY_URGENT: Final = 9
+PRIORITY_NORMAL: Final = 10
+# Attempts that may wait at an engine per place it has; without them a place stays empty
+# from the end of one attempt until the engine's report of it was heard.
+QUEUE_DEPTH: Final = 0.5
 
 
 @attrs.frozen
@@ -132,6 +136,7 @@
             resume_token_ids=tuple(self.trail.token_ids),
             excluded_upstream_ids=excluded,
             expected_tokens=task.request.max_tokens,
+            queue_depth=QUEUE_DEPTH,
         )
 
     def _stream(
--- a/bilberrydrum/samples/capacity.py
+++ b/bilberrydrum/samples/capacity.py
@@ -10,7 +10,7 @@
 
 # Attempts per place at the engines: groups are not spread evenly over the owners at
 # every moment, and an engine should find its next request waiting.
-OVERCOMMIT: Final = 1.25
+OVERCOMMIT: Final = 2.0
 
 
 def pools(
