--- a/bilberrydrum/requests/admission.py
+++ b/bilberrydrum/requests/admission.py
@@ -50,6 +50,14 @@
     is_waiting: bool = False
     granted_at: float = 0.0
 
+    def __lt__(self, other: "Ticket") -> bool:
+        """Leave the order of two tickets of one call, which share a number, open.
+
+        A call that failed at an upstream and comes back may find its earlier ticket
+        still in a heap.
+        """
+        return False
+
 
 @attrs.frozen
 class Granted:
@@ -193,6 +201,18 @@
         self._enqueue(domain, client, ticket)
         return effects
 
+    def foresee(self, now: float, ticket: Ticket) -> Refused | None:
+        """Return the refusal that `offer` would give if there is no place now."""
+        domain = self._domain(ticket.need)
+        client = self._client(domain, ticket)
+        if not domain.n_waiting:
+            return None
+        if ticket.deadline <= now + self._expected_seconds(domain, client, ticket):
+            return self._refuse(domain, ticket, _LATE, now)
+        if client.n_waiting >= self.max_queue_per_client:
+            return self._refuse(domain, ticket, reasons.Reason.QUEUE_FULL, now)
+        return None
+
     def pump(self, now: float, place: Place) -> list[Effect]:
         """Refuse waiting calls that are too late, and grant those that have a place."""
         effects: list[Effect] = []
