--- a/bilberrydrum/requests/admission.py
+++ b/bilberrydrum/requests/admission.py
@@ -50,6 +50,14 @@
     is_waiting: bool = False
     granted_at: float = 0.0
 
+    def __lt__(self, other: "Ticket") -> bool:
+        """Leave the order of two tickets of one call, which share a number, open.
+
+        A call that failed at an upstream and comes back may find its earlier ticket
+        still in a heap.
+        """
+        return False
+
 
 @attrs.frozen
 class Granted:
