--- /dev/null
+++ b/misc/capacity_daemons.py
@@ -0,0 +1,277 @@
+"""What daemons spend when nothing but control goes on, by role and number of gateways.
+
+Three replicas of the state group and some gateways run as processes of their own, with
+engines that announce themselves and renew through gateways picked anew each time, as a
+balancer would. Processor time and memory are read from /proc. Bytes are those of the
+connections between the daemons, from the kernel's counters (`ss`), with 54 bytes of
+Ethernet, IP and TCP headers per segment.
+"""
+
+import json
+import os
+import pathlib
+import re
+import subprocess
+import tempfile
+import time
+from collections import defaultdict
+from typing import Any, Final
+
+import attrs
+import urllib3
+
+from misc import processes
+
+ZONES: Final = ("surquillo", "callao", "ate")
+HEADER_BYTES: Final = 54
+# Upstreams per gateway at the size the project is built towards.
+ENGINES_PER_GATEWAY: Final = 870 / 330
+WAIT_SECONDS: Final = 90.0
+TICKS_PER_SECOND: Final = os.sysconf("SC_CLK_TCK")
+_SETTINGS: Final = """\
+process_id: {name}
+group: capacity
+availability_zone: {zone}
+roles: [{role}]
+peer_address: 127.0.0.1:{peer_port}
+log_file: {folder}/{name}.log
+state:
+  members: {members}
+  data_folder: {folder}/{name}-data
+gateway: {{http_address: "127.0.0.1:{http_port}"}}
+"""
+_BUNDLE: Final = """\
+version: 1
+parent: 0
+models: {planner: {weight_store: "http://127.0.0.1:1"}}
+applications: {scorer: {}}
+trainers: {outage: {model: planner, scorer: scorer}}
+"""
+_SOCKET: Final = re.compile(
+    r"127\.0\.0\.1:(\d+)\s+127\.0\.0\.1:(\d+).*?pid=(\d+),.*?(?=bytes_|segs_)(.*)"
+)
+_COUNTER: Final = re.compile(r"(bytes_sent|bytes_received|segs_out|segs_in):(\d+)")
+
+
+@attrs.frozen
+class Daemon:
+    """One daemon and its ports."""
+
+    name: str
+    role: str
+    peer_port: int
+    http_port: int
+
+
+@attrs.frozen
+class Usage:
+    """What a process has spent since its start, and its memory now."""
+
+    cpu_seconds: float
+    memory_bytes: int
+    bytes_sent: int
+    bytes_received: int
+    disk_bytes: int
+
+
+class Deployment:
+    """Three replicas, some gateways and their engines."""
+
+    def __init__(self, running: processes.Processes, n_gateways: int) -> None:
+        self.running = running
+        self.n_gateways = n_gateways
+        self.n_engines = round(n_gateways * ENGINES_PER_GATEWAY)
+        names = [(f"replica-{i}", "state") for i in range(len(ZONES))]
+        names += [(f"gateway-{i}", "gateway") for i in range(n_gateways)]
+        ports = iter(processes.free_ports(2 * len(names) + 1))
+        self.daemons = [
+            Daemon(name, role, next(ports), next(ports)) for name, role in names
+        ]
+        self.gateways = [each for each in self.daemons if each.role == "gateway"]
+        self._engines_port = next(ports)
+        self._pool = urllib3.PoolManager(retries=False, timeout=5.0)
+
+    def start(self) -> None:
+        """Start everything and wait until all engines are listed everywhere."""
+        members = json.dumps(
+            [
+                {
+                    "process_id": each.name,
+                    "peer_address": f"127.0.0.1:{each.peer_port}",
+                }
+                for each in self.daemons
+                if each.role == "state"
+            ]
+        )
+        for i, daemon in enumerate(self.daemons):
+            settings = self.running.folder / f"{daemon.name}.yaml"
+            settings.write_text(
+                _SETTINGS.format(
+                    name=daemon.name,
+                    zone=ZONES[i % len(ZONES)],
+                    role=daemon.role,
+                    peer_port=daemon.peer_port,
+                    http_port=daemon.http_port,
+                    folder=self.running.folder,
+                    members=members,
+                )
+            )
+            arguments = ("--settings", str(settings))
+            self.running.start_module(daemon.name, "bilberrydrum.main", *arguments)
+        self._roll_bundle()
+        for gateway in self.gateways:
+            address = f"127.0.0.1:{gateway.http_port}"
+            self.running.wait_until_ready(gateway.name, address, timeout=WAIT_SECONDS)
+        self._start_engines()
+        processes.wait_for(self._are_listed, WAIT_SECONDS, "all engines listed")
+
+    def _start_engines(self) -> None:
+        gateways = []
+        for gateway in self.gateways:
+            gateways += ["--gateway", f"127.0.0.1:{gateway.http_port}"]
+        self.running.start_module(
+            "engines",
+            "misc.light_engines",
+            *("--port", str(self._engines_port), "--engines", str(self.n_engines)),
+            *("--swap-seconds", "0.2", "--load-seconds", "0.2"),
+            *("--store-rate", "1000"),
+            *gateways,
+        )
+
+    def _roll_bundle(self) -> None:
+        body = {"content": _BUNDLE, "file_name": "b.yaml"}
+        digest = {"digest": self._ask_until_done("/v1/bundles", body)["digest"]}
+        self._ask_until_done("/v1/bundles/1/sign-off", digest)
+        self._ask_until_done("/v1/bundles/1/roll", digest)
+
+    def _ask_until_done(self, path: str, fields: dict[str, Any]) -> Any:
+        answers = []
+
+        def is_done() -> bool:
+            try:
+                status, answer = self.ask(self.gateways[0], "POST", path, fields)
+            except urllib3.exceptions.HTTPError:
+                return False
+            answers.append(answer)
+            return status < 300
+
+        processes.wait_for(is_done, WAIT_SECONDS, path)
+        return answers[-1]
+
+    def _are_listed(self) -> bool:
+        return all(
+            len(self.ask(gateway, "GET", "/v1/upstreams")[1].get("upstreams", ()))
+            == self.n_engines
+            for gateway in self.gateways
+        )
+
+    def ask(
+        self, daemon: Daemon, method: str, path: str, fields: Any = None
+    ) -> tuple[int, Any]:
+        """Send one request to a daemon."""
+        answer = self._pool.request(
+            method,
+            f"http://127.0.0.1:{daemon.http_port}{path}",
+            body=json.dumps(fields or {}),
+            headers={"X-Operator": "ana"},
+        )
+        return answer.status, json.loads(answer.data)
+
+    def parts_by_name(self) -> dict[str, str]:
+        """Return what each daemon is: leader, follower, controller or gateway."""
+        parts = {}
+        _, state = self.ask(self.daemons[0], "GET", "/v1/state")
+        for daemon in self.daemons:
+            if daemon.role == "state":
+                is_leader = state["leader"] == daemon.name
+                parts[daemon.name] = "leader" if is_leader else "follower"
+            else:
+                _, answer = self.ask(daemon, "GET", "/v1/weights")
+                gives_orders = answer.get("gives_orders")
+                parts[daemon.name] = "controller" if gives_orders else "gateway"
+        return parts
+
+    def usage_by_name(self) -> dict[str, Usage]:
+        """Return what each daemon has spent so far."""
+        sockets = subprocess.run(
+            ["ss", "-tinpO", "state", "established"],
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        counters = _counters_by_pid(sockets, {each.peer_port for each in self.daemons})
+        return {
+            each.name: _usage(self.running[each.name].pid, counters)
+            for each in self.daemons
+        }
+
+
+def _counters_by_pid(sockets: str, ports: set[int]) -> dict[int, dict[str, int]]:
+    """Return the sums of the kernel's counters for connections on `ports`."""
+    counters: dict[int, dict[str, int]] = defaultdict(lambda: defaultdict(int))
+    for line in sockets.splitlines():
+        found = _SOCKET.search(line)
+        if found is None or not ports & {int(found[1]), int(found[2])}:
+            continue
+        for name, value in _COUNTER.findall(found[4]):
+            counters[int(found[3])][name] += int(value)
+    return counters
+
+
+def _usage(pid: int, counters: dict[int, dict[str, int]]) -> Usage:
+    folder = pathlib.Path(f"/proc/{pid}")
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    memory = re.search(r"VmRSS:\s+(\d+)", (folder / "status").read_text())
+    disk = re.search(r"write_bytes: (\d+)", (folder / "io").read_text())
+    own = counters[pid]
+    return Usage(
+        cpu_seconds=(int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND,
+        memory_bytes=int(memory[1]) * 1024 if memory else 0,
+        bytes_sent=own["bytes_sent"] + HEADER_BYTES * own["segs_out"],
+        bytes_received=own["bytes_received"] + HEADER_BYTES * own["segs_in"],
+        disk_bytes=int(disk[1]) if disk else 0,
+    )
+
+
+def measure(n_gateways: int, seconds: float) -> dict[str, Any]:
+    """Return what each part spends a second with `n_gateways` gateways."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        processes.Processes(pathlib.Path(folder)) as running,
+    ):
+        deployment = Deployment(running, n_gateways)
+        deployment.start()
+        time.sleep(seconds / 4)
+        parts = deployment.parts_by_name()
+        before, started = deployment.usage_by_name(), time.monotonic()
+        time.sleep(seconds)
+        after, elapsed = deployment.usage_by_name(), time.monotonic() - started
+        rows: dict[str, Any] = defaultdict(list)
+        for name, part in parts.items():
+            rows[part].append(_rates(before[name], after[name], elapsed))
+        return {
+            "n_gateways": n_gateways,
+            "n_engines": deployment.n_engines,
+            "parts": {part: _summary(each) for part, each in rows.items()},
+        }
+
+
+def _rates(before: Usage, after: Usage, seconds: float) -> dict[str, float]:
+    return {
+        "core_share": (after.cpu_seconds - before.cpu_seconds) / seconds,
+        "memory_mib": after.memory_bytes / 2**20,
+        "sent_per_second": (after.bytes_sent - before.bytes_sent) / seconds,
+        "received_per_second": (after.bytes_received - before.bytes_received) / seconds,
+        "disk_per_second": (after.disk_bytes - before.disk_bytes) / seconds,
+    }
+
+
+def _summary(rows: list[dict[str, float]]) -> dict[str, list[float]]:
+    """Return mean and largest value of each figure."""
+    return {
+        name: [
+            round(sum(row[name] for row in rows) / len(rows), 5),
+            round(max(row[name] for row in rows), 5),
+        ]
+        for name in rows[0]
+    }
--- /dev/null
+++ b/misc/capacity_records.py
@@ -0,0 +1,203 @@
+"""What each kind of record costs a replica: memory, snapshot, log and processor time.
+
+Each kind is brought into an empty state by its real commands, at three sizes, and the
+slope per record is taken by least squares. Memory is what Python allocated for the
+records (tracemalloc); the log's bytes are those of the encoded commands.
+"""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+import attrs
+
+from bilberrydrum import codec
+from bilberrydrum.bundles import commands as bundle_commands
+from bilberrydrum.requests import claims_state
+from bilberrydrum.samples import commands as sample_commands
+from bilberrydrum.samples import model as sample_model
+from bilberrydrum.state import machine, processes
+from bilberrydrum.weights import commands as weight_commands
+
+DAY_SECONDS: Final = 24 * 3600.0
+SLOTS_PER_GROUP: Final = 8
+RECORDS_PER_COMMAND: Final = 64
+SAMPLES_PER_BATCH: Final = 256
+SAMPLES_PER_STEP: Final = 2048
+PROMPT: Final = "outage of unit 3, " * 30
+RESULT: Final = b'{"booked": true}' * 16
+RULE: Final = sample_model.Rule(1, 2)
+
+# Commands that make n records.
+Commands = Callable[[int], Iterator[object]]
+
+
+def claims(n: int) -> Iterator[object]:
+    """Claim keys and record their results, 256 bytes each."""
+    for i in range(n):
+        key, claim_id = f"booking-{i:012}", f"{i:032x}"
+        yield claims_state.ClaimKey(
+            *("planners", key, f"{i:064x}", claim_id),
+            *("gateway-17", 4711, 90.0, DAY_SECONDS),
+        )
+        answer = claims_state.Result(200, (("Content-Type", "text/json"),), RESULT)
+        yield claims_state.FinishClaim("planners", key, claim_id, answer)
+
+
+def open_samples(n: int, first: int = 0) -> Iterator[object]:
+    """Ask for samples and record them; none is delivered."""
+    yield sample_commands.RenewOwner("gateway-17", 1, DAY_SECONDS, 0)
+    names = []
+    for i in range(first, first + n, SLOTS_PER_GROUP):
+        group_id = f"step-{i // SAMPLES_PER_STEP}-group-{i}"
+        group = sample_model.GroupRequest(group_id, PROMPT, SLOTS_PER_GROUP, 4096)
+        yield sample_commands.AddGroups("outage", (group,), n + 1)
+        names += [(group_id, slot) for slot in range(SLOTS_PER_GROUP)]
+    for i in range(0, n, RECORDS_PER_COMMAND):
+        records = tuple(_slot_record(*each) for each in names[i:][:RECORDS_PER_COMMAND])
+        yield sample_commands.RecordSamples(records, {"outage": RULE})
+
+
+def _slot_record(group_id: str, slot: int) -> sample_commands.SlotRecord:
+    segments = (
+        sample_model.Segment(41, 0, 600),
+        sample_model.Segment(42, 601, 1500),
+    )
+    holders = ("gateway-17@12", "gateway-203@7")
+    record = sample_model.Record(
+        *(1, 1, "engine-0417", segments, 0.5, 1501, bytes(16), holders)
+    )
+    return sample_commands.SlotRecord("outage", group_id, slot, record)
+
+
+def past_samples(n: int) -> Iterator[object]:
+    """Deliver and acknowledge steps of samples: what is left of them is their trace."""
+    yield weight_commands.PublishWeights("outage", "planner", 42)
+    yield sample_commands.OpenReader("outage")
+    for first in range(0, n, SAMPLES_PER_STEP):
+        yield from open_samples(SAMPLES_PER_STEP, first)
+        for i in range(0, SAMPLES_PER_STEP + 1, SAMPLES_PER_BATCH):
+            yield sample_commands.AssignBatch(
+                "outage", 1, first + i, SAMPLES_PER_BATCH, RULE
+            )
+
+
+def bundles(n: int) -> Iterator[object]:
+    """Submit, sign off and roll bundles of 16 KiB."""
+    content = "# rule\n" * 2340
+    for version in range(1, n + 1):
+        digest = f"{version:064x}"
+        yield bundle_commands.SubmitBundle(
+            *(version, version - 1, digest, "ana", "refuse", content)
+        )
+        yield bundle_commands.SignOffBundle(version, digest, "ben")
+        yield bundle_commands.RollBundle(version, digest, "ben")
+        yield bundle_commands.NoteInForce(version)
+
+
+def gateways(n: int) -> Iterator[object]:
+    """Register processes."""
+    for i in range(n):
+        yield processes.RegisterProcess(
+            *(f"gateway-{i}", f"10.0.{i // 250}.{i % 250}:9080"),
+            *("zone-1", "region-1", ("gateway",), f"{i:032x}"),
+        )
+
+
+@attrs.frozen
+class Kind:
+    """One kind of record and the numbers of it that are tried."""
+
+    name: str
+    commands: Commands
+    sizes: tuple[int, ...]
+
+
+KINDS: Final = (
+    Kind("claim", claims, (2_000, 8_000, 32_000)),
+    Kind("open sample", open_samples, (2_048, 6_144, 18_432)),
+    Kind("past sample", past_samples, (2_048, 6_144, 18_432)),
+    Kind("bundle", bundles, (100, 560, 1_680)),
+    Kind("gateway", gateways, (30, 110, 330)),
+)
+
+
+@attrs.frozen
+class Cost:
+    """What n records of one kind cost."""
+
+    n: int
+    memory_bytes: int
+    snapshot_bytes: int
+    snapshot_seconds: float
+    log_bytes: int
+    apply_seconds: float
+
+
+def cost(kind: Kind, n: int) -> Cost:
+    """Return what `n` records of `kind` cost a replica."""
+    commands = list(kind.commands(n))
+    log_bytes = sum(len(codec.encode(each)) for each in commands)
+    started = time.process_time()
+    _state_after(commands)
+    apply_seconds = time.process_time() - started
+    # As a replica has it: restored from bytes, sharing nothing with the commands.
+    sections = [codec.encode(each) for each in _state_after(commands).sections.values()]
+    del commands
+    gc.collect()
+    tracemalloc.start()
+    restored = [codec.decode(each) for each in sections]
+    gc.collect()
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    started = time.process_time()
+    snapshot_bytes = sum(len(codec.encode(each)) for each in restored)
+    snapshot_seconds = time.process_time() - started
+    return Cost(
+        n, memory_bytes, snapshot_bytes, snapshot_seconds, log_bytes, apply_seconds
+    )
+
+
+def _state_after(commands: list[Any]) -> machine.State:
+    state = machine.State()
+    for i, command in enumerate(commands):
+        machine.apply(command, state, machine.Context(i + 1, 1000.0))
+    return state
+
+
+def slope(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return the least-squares line through `points`: value at 0 and slope."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return mean_y - rise * mean_x, rise
+
+
+def worst_error(points: list[tuple[float, float]]) -> float:
+    """Return the largest distance of a point from the line, as a share of the point."""
+    offset, rise = slope(points)
+    return max(abs(y - offset - rise * x) / abs(y) for x, y in points if y)
+
+
+def measure() -> list[dict[str, Any]]:
+    """Return the slopes of all kinds of record."""
+    rows = []
+    for kind in KINDS:
+        costs = [cost(kind, n) for n in kind.sizes]
+        row: dict[str, Any] = {"kind": kind.name, "sizes": list(kind.sizes)}
+        for name in (
+            "memory_bytes",
+            "snapshot_bytes",
+            "snapshot_seconds",
+            "log_bytes",
+            "apply_seconds",
+        ):
+            points = [(float(each.n), float(getattr(each, name))) for each in costs]
+            row[name] = slope(points)[1]
+            row[f"{name}_error"] = round(worst_error(points), 3)
+        rows.append(row)
+    return rows
--- a/misc/light_engines.py
+++ b/misc/light_engines.py
@@ -3,7 +3,8 @@
 Each engine listens on a loopback port of its own. A load takes a fixed time and counts
 against the weight store's rate, which all engines share; a swap takes a time drawn
 between half and one and a half times the one given. ``GET /report`` of the control
-address tells what every engine does.
+address tells what every engine does. Given gateways, each engine announces itself and
+renews through one that is picked anew each time, as through a balancer.
 """
 
 import argparse
@@ -16,8 +17,11 @@
 runtime.prepare()
 
 import eventlet
+import urllib3
 
 RETRY_AFTER_SECONDS = 1
+RENEW_SECONDS = 0.5
+POOL = urllib3.PoolManager(num_pools=64, maxsize=16, retries=False, timeout=5.0)
 PHRASES_BY_STATUS = {200: "OK", 409: "Conflict", 429: "Too Many", 500: "Error"}
 
 
@@ -54,6 +58,22 @@
         self.n_swap_faults = 0
         self.address = ""
 
+    def renewal(self):
+        served = {
+            "weight_version": self.version,
+            "loaded_versions": sorted(self.loaded),
+        }
+        return {"models": {"planner": served}}
+
+    def announcement(self):
+        return {
+            "kind": "engine",
+            "address": self.address,
+            "availability_zone": "surquillo",
+            "checks_fencing": True,
+            **self.renewal(),
+        }
+
     def carry_out(self, order):
         version = order["weight_version"]
         kind = order["kind"]
@@ -104,6 +124,10 @@
             engine.address = f"127.0.0.1:{listener.getsockname()[1]}"
             eventlet.spawn_n(accept, listener, self.answer_to(engine))
 
+    def announce_by(self, gateways):
+        for engine in self.engines:
+            eventlet.spawn_n(announce, engine, gateways, self.random)
+
     def begin_swap(self):
         self.n_swapping += 1
         self.n_swapping_max = max(self.n_swapping_max, self.n_swapping)
@@ -143,6 +167,27 @@
         }
 
 
+def announce(engine, gateways, random_):
+    """Announce an engine and renew its lease, for ever."""
+    is_known = False
+    eventlet.sleep(random_.uniform(0, RENEW_SECONDS))
+    while True:
+        path = f"/v1/upstreams/{engine.engine_id}"
+        method, fields = "PUT", engine.announcement()
+        if is_known:
+            method, path, fields = "POST", path + "/renew", engine.renewal()
+        try:
+            answer = POOL.request(
+                method,
+                f"http://{random_.choice(gateways)}{path}",
+                body=json.dumps(fields),
+            )
+            is_known = answer.status == 200 or (is_known and answer.status == 503)
+        except urllib3.exceptions.HTTPError:
+            pass
+        eventlet.sleep(RENEW_SECONDS)
+
+
 def accept(listener, answer):
     while True:
         connection, _ = listener.accept()
@@ -193,8 +238,11 @@
         "--store-rate", type=float, required=True, help="loads a second"
     )
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--gateway", action="append", default=[], help="IP:port")
     options = parser.parse_args()
     fleet = Fleet(options)
+    if options.gateway:
+        fleet.announce_by(options.gateway)
     accept(eventlet.listen(("127.0.0.1", options.port)), fleet.control)
 
 
