--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -81,6 +81,8 @@
     renew_seconds: float = 0.5
     # How often a gateway tells the others that its upstreams still stand.
     standing_seconds: float = 0.5
+    # Up to this many gateways tell each other directly; more form groups that relay.
+    max_mesh_gateways: int = 16
     # The one process that orders upstreams about loses that right after this long.
     controller_lease_seconds: float = 3.0
     # Longest time between sending an order and its arrival at the upstream.
--- a/bilberrydrum/upstreams/registry.py
+++ b/bilberrydrum/upstreams/registry.py
@@ -40,6 +40,9 @@
     messages.Forwarded,
     messages.News,
     messages.NewsHeard,
+    messages.Relayed,
+    messages.FetchVector,
+    messages.Vector,
 )
 
 
@@ -75,13 +78,9 @@
         self._process_id = options.process_id
         self._transport = transport
         self._bundles = bundles
-        self._directory = directory.Directory(
-            options.process_id,
-            transport.incarnation,
-            options.upstreams.lease_seconds,
-            options.upstreams.renew_seconds,
-            options.upstreams.standing_seconds,
-        )
+        self._options = options.upstreams
+        self._directory = self._new_directory()
+        self._is_started = False
         self._prefixes = prefixes.PrefixHints()
         self._queue: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         self._task: Any = None
@@ -91,7 +90,9 @@
         self._listed_until = float("-inf")
 
     def start(self) -> None:
-        """Begin to hear the other gateways."""
+        """Begin to hear the other gateways; the process has been registered."""
+        self._directory = self._new_directory()
+        self._is_started = True
         for message_class in _MESSAGE_CLASSES:
             self._transport.on(message_class, self._hear)
         self._transport.on(messages.Prefixes, self._hear_prefixes)
@@ -103,6 +104,16 @@
             self._task.kill()
             self._task = None
 
+    def _new_directory(self) -> directory.Directory:
+        return directory.Directory(
+            self._process_id,
+            self._transport.incarnation,
+            self._options.lease_seconds,
+            self._options.renew_seconds,
+            self._options.standing_seconds,
+            self._options.max_mesh_gateways,
+        )
+
     # Queries.
 
     def upstreams_by_id(self) -> Mapping[str, model.Upstream]:
@@ -220,14 +231,21 @@
         if not isinstance(item, _Asked):
             self._step(item)
             return
-        reply = events.Reply(reasons.Reason.INTERNAL_ERROR)
+        refusal: reasons.Reason | None = reasons.Reason.INTERNAL_ERROR
         for effect in self._step(item.event):
             if isinstance(effect, events.Reply):
-                reply = effect
-        item.done.send(reply)
+                refusal = effect.refusal
+        item.done.send(events.Reply(refusal))
 
     def _step(self, event: events.Event) -> list[events.Effect]:
-        effects = self._directory.step(clock.now(), event)
+        try:
+            effects = self._directory.step(clock.now(), event)
+        except Exception:
+            # A message that another release made badly must not end the task: this
+            # gateway would list nothing any more.
+            eliot.write_traceback()
+            counters.dropped(reasons.Reason.MESSAGE_DAMAGED)
+            return []
         self._listed_until = float("-inf")
         for effect in effects:
             self._carry_out(effect)
@@ -270,6 +288,10 @@
         self._prefixes.apply(message, clock.now())
 
     def _ask(self, event: events.Event) -> result.Result[None, reasons.Reason]:
+        if not self._is_started:
+            # This life of the process has no number yet, so that its word could not be
+            # told from that of an earlier life.
+            return result.Err(reasons.Reason.STATE_UNAVAILABLE)
         done = eventlet.event.Event()
         self._queue.put(_Asked(event, done))
         reply = done.wait()
@@ -278,7 +300,7 @@
         return result.Ok(None)
 
     def _wait_until_synced(self) -> None:
-        while not self._directory.is_synced(clock.now()):
+        while self._is_started and not self._directory.is_synced(clock.now()):
             clock.sleep(_SYNC_POLL_SECONDS)
 
     def _list(self, now: float) -> None:
