--- a/misc/capacity_daemons.py
+++ b/misc/capacity_daemons.py
@@ -38,8 +38,12 @@
 state:
   members: {members}
   data_folder: {folder}/{name}-data
-gateway: {{http_address: "127.0.0.1:{http_port}"}}
+gateway: {{http_address: "127.0.0.1:{http_port}"{gateway_options}}}
+samples: {{{sample_options}}}
 """
+# Longer leases, for many gateways: a bundle is still in force everywhere within 10 s.
+_FLEET_GATEWAY_OPTIONS: Final = ", bundle_lease_seconds: 8, bundle_renew_seconds: 2.5"
+_FLEET_SAMPLE_OPTIONS: Final = "owner_lease_seconds: 9"
 _BUNDLE: Final = """\
 version: 1
 parent: 0
@@ -77,8 +81,11 @@
 class Deployment:
     """Three replicas, some gateways and their engines."""
 
-    def __init__(self, running: processes.Processes, n_gateways: int) -> None:
+    def __init__(
+        self, running: processes.Processes, n_gateways: int, is_fleet: bool
+    ) -> None:
         self.running = running
+        self._is_fleet = is_fleet
         self.n_gateways = n_gateways
         self.n_engines = round(n_gateways * ENGINES_PER_GATEWAY)
         names = [(f"replica-{i}", "state") for i in range(len(ZONES))]
@@ -114,6 +121,8 @@
                     http_port=daemon.http_port,
                     folder=self.running.folder,
                     members=members,
+                    gateway_options=_FLEET_GATEWAY_OPTIONS if self._is_fleet else "",
+                    sample_options=_FLEET_SAMPLE_OPTIONS if self._is_fleet else "",
                 )
             )
             arguments = ("--settings", str(settings))
@@ -233,13 +242,13 @@
     )
 
 
-def measure(n_gateways: int, seconds: float) -> dict[str, Any]:
+def measure(n_gateways: int, seconds: float, is_fleet: bool) -> dict[str, Any]:
     """Return what each part spends a second with `n_gateways` gateways."""
     with (
         tempfile.TemporaryDirectory() as folder,
         processes.Processes(pathlib.Path(folder)) as running,
     ):
-        deployment = Deployment(running, n_gateways)
+        deployment = Deployment(running, n_gateways, is_fleet)
         deployment.start()
         time.sleep(seconds / 4)
         parts = deployment.parts_by_name()
--- a/misc/capacity_records.py
+++ b/misc/capacity_records.py
@@ -77,8 +77,9 @@
     yield weight_commands.PublishWeights("outage", "planner", 42)
     yield sample_commands.OpenReader("outage")
     for first in range(0, n, SAMPLES_PER_STEP):
-        yield from open_samples(SAMPLES_PER_STEP, first)
-        for i in range(0, SAMPLES_PER_STEP + 1, SAMPLES_PER_BATCH):
+        n_samples = min(n - first, SAMPLES_PER_STEP)
+        yield from open_samples(n_samples, first)
+        for i in range(0, n_samples + 1, SAMPLES_PER_BATCH):
             yield sample_commands.AssignBatch(
                 "outage", 1, first + i, SAMPLES_PER_BATCH, RULE
             )
@@ -183,12 +184,13 @@
     return max(abs(y - offset - rise * x) / abs(y) for x, y in points if y)
 
 
-def measure() -> list[dict[str, Any]]:
-    """Return the slopes of all kinds of record."""
+def measure(share: float = 1.0) -> list[dict[str, Any]]:
+    """Return the slopes of all kinds of record, at a share of their sizes."""
     rows = []
     for kind in KINDS:
-        costs = [cost(kind, n) for n in kind.sizes]
-        row: dict[str, Any] = {"kind": kind.name, "sizes": list(kind.sizes)}
+        sizes = [max(8, int(share * n)) for n in kind.sizes]
+        costs = [cost(kind, n) for n in sizes]
+        row: dict[str, Any] = {"kind": kind.name, "sizes": sizes}
         for name in (
             "memory_bytes",
             "snapshot_bytes",
--- /dev/null
+++ b/misc/capacity_relay.py
@@ -0,0 +1,174 @@
+"""What a gateway spends on relayed model requests: per request and per event.
+
+One daemon with both roles relays streams of one stand-in engine to clients in this
+process. Requests come at a fixed rate; the number of events per request is varied, and
+the gateway's processor time is fitted as a sum of a share per second, a cost per
+request and a cost per event.
+"""
+
+import json
+import pathlib
+import re
+import tempfile
+import time
+from typing import Any, Final
+
+import eventlet
+import urllib3
+
+from misc import processes
+
+RATE: Final = 12.0
+# Tokens per request; the engine puts four into an event.
+TOKENS: Final = (4, 32, 128)
+_SETTINGS: Final = """\
+process_id: relay
+roles: [gateway, state]
+peer_address: 127.0.0.1:{peer_port}
+log_file: {folder}/relay.log
+state:
+  members: [{{process_id: relay, peer_address: "127.0.0.1:{peer_port}"}}]
+  data_folder: {folder}/data
+gateway: {{http_address: "127.0.0.1:{http_port}"}}
+"""
+_BUNDLE: Final = """\
+version: 1
+parent: 0
+models: {planner: {weight_store: "http://127.0.0.1:1"}}
+callers: {planners: {models: [planner]}}
+"""
+
+
+class Relay:
+    """The daemon, its engine and the clients."""
+
+    def __init__(self, running: processes.Processes) -> None:
+        self._running = running
+        self._ports = processes.free_ports(3)
+        self._pool = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=256)
+        self.n_requests = 0
+        self.n_events = 0
+        self.n_failed = 0
+
+    def start(self) -> None:
+        """Start the daemon, roll a bundle and wait for the engine."""
+        http_port, peer_port, engine_port = self._ports
+        settings = self._running.folder / "relay.yaml"
+        settings.write_text(
+            _SETTINGS.format(
+                folder=self._running.folder, http_port=http_port, peer_port=peer_port
+            )
+        )
+        arguments = ("--settings", str(settings))
+        self._running.start_module("relay", "bilberrydrum.main", *arguments)
+        body = {"content": _BUNDLE, "file_name": "b.yaml"}
+        digest = {"digest": self._post_until_done("/v1/bundles", body)["digest"]}
+        self._post_until_done("/v1/bundles/1/sign-off", digest)
+        self._post_until_done("/v1/bundles/1/roll", digest)
+        self._running.start_module(
+            "engine",
+            "tests.fakes.engine",
+            *("--id", "e0", "--port", str(engine_port), "--checks-fencing"),
+            *("--gateway", f"127.0.0.1:{http_port}", "--max-concurrency", "256"),
+            *("--step-seconds", "0.01", "--median-length", "4096"),
+        )
+        self._post_until_done("/v1/completions", self._call(4))
+
+    def _call(self, n_tokens: int) -> dict[str, Any]:
+        return {
+            "model": "planner",
+            "prompt": f"outage {self.n_requests}",
+            "max_tokens": n_tokens,
+            "stream": True,
+        }
+
+    def _post(self, path: str, fields: Any) -> tuple[int, bytes]:
+        answer = self._pool.request(
+            "POST",
+            f"http://127.0.0.1:{self._ports[0]}{path}",
+            body=json.dumps(fields),
+            headers={"X-Operator": "ana", "X-Caller": "planners"},
+        )
+        return answer.status, answer.data
+
+    def _post_until_done(self, path: str, fields: Any) -> Any:
+        answers: list[bytes] = []
+
+        def is_done() -> bool:
+            try:
+                status, data = self._post(path, fields)
+            except urllib3.exceptions.HTTPError:
+                return False
+            answers.append(data)
+            return status < 300
+
+        processes.wait_for(is_done, 60.0, path)
+        return json.loads(answers[-1]) if answers[-1].startswith(b"{") else None
+
+    def _complete(self, n_tokens: int) -> None:
+        status, data = self._post("/v1/completions", self._call(n_tokens))
+        self.n_requests += 1
+        self.n_events += data.count(b"data: ")
+        self.n_failed += status != 200 or b"[DONE]" not in data
+
+    def run(self, n_tokens: int, seconds: float) -> dict[str, float]:
+        """Send requests at the rate for some time; return what the gateway spent."""
+        self.n_requests = self.n_events = self.n_failed = 0
+        pool = eventlet.GreenPool(256)
+        started, cpu = time.monotonic(), self._cpu_seconds()
+        while time.monotonic() - started < seconds:
+            pool.spawn_n(self._complete, n_tokens)
+            eventlet.sleep(1 / RATE)
+        pool.waitall()
+        elapsed = time.monotonic() - started
+        return {
+            "n_tokens": n_tokens,
+            "requests_per_second": self.n_requests / elapsed,
+            "events_per_second": self.n_events / elapsed,
+            "n_failed": self.n_failed,
+            "core_share": (self._cpu_seconds() - cpu) / elapsed,
+            "memory_mib": self._memory_mib(),
+        }
+
+    def idle_core_share(self, seconds: float) -> float:
+        """Return what the daemon spends without requests."""
+        started, cpu = time.monotonic(), self._cpu_seconds()
+        eventlet.sleep(seconds)
+        return (self._cpu_seconds() - cpu) / (time.monotonic() - started)
+
+    def _proc(self, name: str) -> str:
+        return pathlib.Path(f"/proc/{self._running['relay'].pid}/{name}").read_text()
+
+    def _cpu_seconds(self) -> float:
+        fields = self._proc("stat").rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / 100
+
+    def _memory_mib(self) -> float:
+        found = re.search(r"VmRSS:\s+(\d+)", self._proc("status"))
+        return int(found[1]) / 1024 if found else 0.0
+
+
+def measure(seconds: float) -> dict[str, Any]:
+    """Return the costs per request and per event, and the runs behind them."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        processes.Processes(pathlib.Path(folder)) as running,
+    ):
+        relay = Relay(running)
+        relay.start()
+        idle = relay.idle_core_share(seconds)
+        runs = [relay.run(n_tokens, seconds) for n_tokens in TOKENS]
+    # The rate is the same in all runs, so the slope over events is the event's cost.
+    points = [(run["events_per_second"], run["core_share"] - idle) for run in runs]
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    per_event = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    rate = sum(run["requests_per_second"] for run in runs) / len(runs)
+    per_request = (mean_y - per_event * mean_x) / rate
+    return {
+        "idle_core_share": idle,
+        "core_seconds_per_request": per_request,
+        "core_seconds_per_event": per_event,
+        "runs": runs,
+    }
