--- a/misc/capacity_records.py
+++ b/misc/capacity_records.py
@@ -26,6 +26,8 @@
 RECORDS_PER_COMMAND: Final = 64
 SAMPLES_PER_BATCH: Final = 256
 SAMPLES_PER_STEP: Final = 2048
+PAYLOAD_TOKENS: Final = (1_000, 8_000, 64_000)
+PAYLOAD_REPEATS: Final = 5
 PROMPT: Final = "outage of unit 3, " * 30
 RESULT: Final = b'{"booked": true}' * 16
 RULE: Final = sample_model.Rule(1, 2)
@@ -168,6 +170,27 @@
     return state
 
 
+def payload_cost(n: int) -> Cost:
+    """Return what a payload of `n` tokens costs the gateways that hold it."""
+    token_ids = tuple((7919 * i) % 128_000 for i in range(n))
+    data = codec.encode(sample_model.Payload("abcd" * n, token_ids))
+    gc.collect()
+    tracemalloc.start()
+    # As a holder has it: received from another gateway.
+    payload = codec.decode(data)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    started = time.process_time()
+    for _ in range(PAYLOAD_REPEATS):
+        codec.encode(payload)
+    encode_seconds = (time.process_time() - started) / PAYLOAD_REPEATS
+    started = time.process_time()
+    for _ in range(PAYLOAD_REPEATS):
+        codec.decode(data)
+    decode_seconds = (time.process_time() - started) / PAYLOAD_REPEATS
+    return Cost(n, memory_bytes, len(data), encode_seconds, len(data), decode_seconds)
+
+
 def slope(points: list[tuple[float, float]]) -> tuple[float, float]:
     """Return the least-squares line through `points`: value at 0 and slope."""
     n = len(points)
@@ -189,17 +212,19 @@
     rows = []
     for kind in KINDS:
         sizes = [max(8, int(share * n)) for n in kind.sizes]
-        costs = [cost(kind, n) for n in sizes]
-        row: dict[str, Any] = {"kind": kind.name, "sizes": sizes}
-        for name in (
-            "memory_bytes",
-            "snapshot_bytes",
-            "snapshot_seconds",
-            "log_bytes",
-            "apply_seconds",
-        ):
-            points = [(float(each.n), float(getattr(each, name))) for each in costs]
-            row[name] = slope(points)[1]
-            row[f"{name}_error"] = round(worst_error(points), 3)
-        rows.append(row)
+        rows.append(_row(kind.name, [cost(kind, n) for n in sizes]))
     return rows
+
+
+def measure_payloads() -> dict[str, Any]:
+    """Return the slopes of a payload over its tokens."""
+    return _row("payload's token", [payload_cost(n) for n in PAYLOAD_TOKENS])
+
+
+def _row(kind: str, costs: list[Cost]) -> dict[str, Any]:
+    row: dict[str, Any] = {"kind": kind, "sizes": [each.n for each in costs]}
+    for field in attrs.fields(Cost)[1:]:
+        points = [(float(each.n), float(getattr(each, field.name))) for each in costs]
+        row[field.name] = slope(points)[1]
+        row[f"{field.name}_error"] = round(worst_error(points), 3)
+    return row
--- a/misc/capacity_values.py
+++ b/misc/capacity_values.py
@@ -1,10 +1,13 @@
 """What the measured slopes come to at the size the project is built towards."""
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any, Final
 
 import attrs
 
+from bilberrydrum import options
+from bilberrydrum.requests import claims_state
+from bilberrydrum.samples import section
 from misc import capacity_records
 
 N_GATEWAYS: Final = 330
@@ -20,12 +23,17 @@
 MEMORY_BUDGET_MIB: Final = 128.0
 BYTES_BUDGET: Final = 19_000.0
 
+# Gateways that tell each other directly (options.UpstreamOptions.max_mesh_gateways).
+MAX_MESH: Final = options.UpstreamOptions().max_mesh_gateways
+# Sizes that a fit needs.
+MIN_POINTS: Final = 3
+
 # Tokens that an engine puts into one event; its choice, not this system's.
 TOKENS_PER_EVENT: Final = 1.0
-# Samples whose trace the state keeps per trainer (samples.section.HISTORY_SAMPLES).
-HISTORY_SAMPLES: Final = 65_536
-# Claims that the state keeps at most (requests.claims_state.MAX_FORGOTTEN).
-MAX_CLAIMS: Final = 250_000
+# Samples whose trace the state keeps per trainer.
+HISTORY_SAMPLES: Final = section.HISTORY_SAMPLES
+# Claims that the state keeps at most.
+MAX_CLAIMS: Final = claims_state.MAX_FORGOTTEN
 
 
 @attrs.frozen
@@ -44,64 +52,82 @@
     daemons: Sequence[dict[str, Any]],
     fleet: Sequence[dict[str, Any]],
     records: Sequence[dict[str, Any]],
+    payload: dict[str, Any],
     relay: dict[str, Any],
 ) -> list[Value]:
     """Return the figures at full size."""
     rows = {row["kind"]: row for row in records}
-    values = [*_gateway(daemons, ""), *_relaying(relay), *_replicas(daemons, "")]
+    values = [*_gateway(daemons, ""), *_relaying(relay), *_payloads(payload)]
+    values += _replicas(daemons, "")
     if fleet:
         values += _gateway(fleet, ", longer leases")
         values += _replicas(fleet, ", longer leases")
     return [*values, *_records(rows)]
 
 
-def _line(
-    daemons: Sequence[dict[str, Any]], part: str, name: str
-) -> Callable[[float], float]:
-    """Return the line through the means of one figure over the number of gateways."""
+@attrs.frozen
+class Fit:
+    """A line through the means of one figure over the number of gateways G.
+
+    `power` is 0.5 for what goes through relaying seats, whose work rises with the
+    square root of G, and 1 for everything else.
+    """
+
+    offset: float
+    rise: float
+    power: float
+
+    def at(self, n_gateways: float) -> float:
+        """Return the value with `n_gateways` gateways."""
+        return float(self.offset + self.rise * n_gateways**self.power)
+
+    def formula(self, factor: float, unit: str) -> str:
+        """Return the line as text, scaled by `factor`."""
+        variable = "G" if self.power == 1 else "sqrt(G)"
+        return (
+            f"{factor * self.offset:.3g} + {factor * self.rise:.3g} {variable} {unit}"
+        )
+
+
+def _fit(daemons: Sequence[dict[str, Any]], part: str, name: str, power: float) -> Fit:
     points = [
-        (float(run["n_gateways"]), run["parts"][part][name][0])
+        (float(run["n_gateways"]) ** power, run["parts"][part][name][0])
         for run in daemons
         if part in run["parts"]
+        # Below this number all gateways tell each other directly.
+        and (power == 1 or run["n_gateways"] > MAX_MESH)
     ]
     offset, rise = capacity_records.slope(points)
-
-    def at(n_gateways: float) -> float:
-        return float(offset + rise * n_gateways)
-
-    return at
-
-
-def _fitted(at: Callable[[float], float], factor: float, unit: str) -> str:
-    return f"{factor * at(0):.3g} + {factor * (at(1) - at(0)):.3g} G {unit}"
+    return Fit(offset, rise, power)
 
 
 def _gateway(daemons: Sequence[dict[str, Any]], where: str) -> Iterator[Value]:
-    for part in ("gateway", "controller"):
-        core = _line(daemons, part, "core_share")
-        memory = _line(daemons, part, "memory_mib")
-        sent = _line(daemons, part, "sent_per_second")
-        yield Value(
-            part,
-            f"core, control only{where}",
-            _fitted(core, 100, "%"),
-            f"{100 * core(N_GATEWAYS):.0f}%",
-            f"{100 * CORE_BUDGET:.1f}%",
-        )
-        yield Value(
-            part,
-            f"memory{where}",
-            _fitted(memory, 1, "MiB"),
-            f"{memory(N_GATEWAYS):.0f} MiB",
-            f"{MEMORY_BUDGET_MIB:.0f} MiB",
-        )
-        yield Value(
-            part,
-            f"sent to other daemons{where}",
-            _fitted(sent, 1e-3, "KB/s"),
-            f"{1e-3 * sent(N_GATEWAYS):.0f} KB/s",
-            f"{1e-3 * BYTES_BUDGET:.0f} KB/s",
-        )
+    n_relayed = sum(run["n_gateways"] > MAX_MESH for run in daemons)
+    power = 0.5 if n_relayed >= MIN_POINTS else 1.0
+    core = _fit(daemons, "gateway", "core_share", power)
+    memory = _fit(daemons, "gateway", "memory_mib", 1.0)
+    sent = _fit(daemons, "gateway", "sent_per_second", power)
+    yield Value(
+        "gateway",
+        f"core, control only{where}",
+        core.formula(100, "%"),
+        f"{100 * core.at(N_GATEWAYS):.0f}%",
+        f"{100 * CORE_BUDGET:.1f}%",
+    )
+    yield Value(
+        "gateway",
+        f"memory{where}",
+        memory.formula(1, "MiB"),
+        f"{memory.at(N_GATEWAYS):.0f} MiB",
+        f"{MEMORY_BUDGET_MIB:.0f} MiB",
+    )
+    yield Value(
+        "gateway",
+        f"sent to other daemons{where}",
+        sent.formula(1e-3, "KB/s"),
+        f"{1e-3 * sent.at(N_GATEWAYS):.0f} KB/s",
+        f"{1e-3 * BYTES_BUDGET:.0f} KB/s",
+    )
 
 
 def _relaying(relay: dict[str, Any]) -> Iterator[Value]:
@@ -123,29 +149,48 @@
     )
 
 
+def _payloads(payload: dict[str, Any]) -> Iterator[Value]:
+    n_samples = N_TRAINERS * SAMPLES_PER_STEP
+    n_tokens = N_TOKENS * STEP_SECONDS / n_samples
+    yield Value(
+        "gateway",
+        "tokens a sample, if all tokens are samples'",
+        f"{N_TOKENS:,.0f}/s x {STEP_SECONDS:.0f} s / {n_samples:,}",
+        f"{n_tokens:,.0f}",
+    )
+    held = 2 * 2 * n_samples * n_tokens / N_GATEWAYS
+    yield Value(
+        "gateway",
+        "memory: payloads of two steps, two copies",
+        f"{payload['memory_bytes']:.0f} B x {held:,.0f} tokens",
+        f"{held * payload['memory_bytes'] / 2**20:.0f} MiB",
+    )
+    tokens_per_second = N_TOKENS / N_GATEWAYS
+    yield Value(
+        "gateway",
+        "sent: copies of payloads",
+        f"{payload['snapshot_bytes']:.1f} B x {tokens_per_second:,.0f} tokens/s",
+        f"{1e-3 * payload['snapshot_bytes'] * tokens_per_second:.0f} KB/s",
+    )
+
+
 def _replicas(daemons: Sequence[dict[str, Any]], where: str) -> Iterator[Value]:
     for part in ("leader", "follower"):
-        core = _line(daemons, part, "core_share")
-        sent = _line(daemons, part, "sent_per_second")
-        disk = _line(daemons, part, "disk_per_second")
+        core = _fit(daemons, part, "core_share", 1.0)
         yield Value(
             part,
             f"core, control only{where}",
-            _fitted(core, 100, "%"),
-            f"{100 * core(N_GATEWAYS):.0f}%",
-        )
-        yield Value(
-            part,
-            f"sent{where}",
-            _fitted(sent, 1e-3, "KB/s"),
-            f"{1e-3 * sent(N_GATEWAYS):.0f} KB/s",
-        )
-        yield Value(
-            part,
-            f"written to disk{where}",
-            _fitted(disk, 1e-3, "KB/s"),
-            f"{1e-3 * disk(N_GATEWAYS):.0f} KB/s",
+            core.formula(100, "%"),
+            f"{100 * core.at(N_GATEWAYS):.0f}%",
         )
+        for what, name in (("sent", "sent"), ("written to disk", "disk")):
+            rate = _fit(daemons, part, f"{name}_per_second", 1.0)
+            yield Value(
+                part,
+                f"{what}{where}",
+                rate.formula(1e-3, "KB/s"),
+                f"{1e-3 * rate.at(N_GATEWAYS):.0f} KB/s",
+            )
 
 
 def _records(rows: dict[str, dict[str, Any]]) -> Iterator[Value]:
