--- /dev/null
+++ b/tests/path_support.py
@@ -0,0 +1,139 @@
+"""A small deployment as separate processes, for tests of the whole path.
+
+Nothing here waits for a fixed time or measures one: each step waits for a condition,
+with a deadline that is far beyond what a loaded machine needs.
+"""
+
+import shutil
+import tempfile
+import unittest
+from pathlib import Path
+
+from bilberrydrum import runtime
+
+runtime.prepare()
+
+from misc import andes, processes
+from tests.fakes import journal, samples
+
+# Far beyond what any step takes, so that a loaded machine changes no verdict.
+DEADLINE = 90.0
+
+
+class PathCase(unittest.TestCase):
+    """A small deployment with a bundle in force."""
+
+    sizes = andes.Sizes(n_engines=2, n_schedules=1, n_scorers=1)
+    # Where the trainer's next batch begins.
+    cursor = 0
+
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = Path(tempfile.mkdtemp(prefix="bilberrydrum-path-"))
+        cls.addClassCleanup(shutil.rmtree, cls.folder)
+        cls.processes = processes.Processes(cls.folder)
+        cls.addClassCleanup(cls.processes.stop_all)
+        cls.andes = andes.Deployment(cls.processes, cls.sizes)
+        cls.andes.start_daemons()
+        cls.andes.start_upstreams("--step-seconds", "0.005")
+        cls.gateways = list(cls.andes.daemons_by_id)
+        cls.roll(1, [andes.CALLER, "visitor"])
+        processes.wait_for(cls.is_served, DEADLINE, "lookups at every gateway")
+
+    @classmethod
+    def roll(cls, version, callers):
+        return cls.andes.roll(cls.andes.write_bundle(version, callers), version)
+
+    @classmethod
+    def look_up(cls, gateway, caller=andes.CALLER):
+        headers = {"X-Caller": caller}
+        answer = cls.andes.ask(gateway, "GET", "/apps/schedule/windows?crew=a", headers)
+        return answer.status if answer is not None else 0
+
+    @classmethod
+    def is_served(cls):
+        return all(cls.look_up(gateway) == 200 for gateway in cls.gateways)
+
+    def wait_for(self, condition, what):
+        processes.wait_for(condition, DEADLINE, what)
+
+    def book(self, gateway, booking_id, timeout=20.0):
+        """Book once; the answer, None if there was none."""
+        headers = {
+            "X-Caller": andes.CALLER,
+            "X-Timeout-Seconds": "1",
+            "Idempotency-Key": booking_id,
+        }
+        body = {"booking_id": booking_id, "crew": "a", "window": "w"}
+        return self.andes.ask(
+            gateway, "POST", "/apps/schedule/bookings", headers, body, timeout
+        )
+
+    def is_listed(self, upstream):
+        """Tell whether every gateway may use an upstream."""
+        return all(
+            upstream in self.standing_upstreams(gateway) for gateway in self.gateways
+        )
+
+    def standing_upstreams(self, gateway):
+        headers = self.andes.operator_headers()
+        answer = self.andes.ask(gateway, "GET", "/v1/upstreams", headers)
+        if answer is None or answer.status != 200:
+            return set()
+        upstreams = answer.json()["upstreams"]
+        return {u["upstream_id"] for u in upstreams if u["state"] == "stands"}
+
+    def slow_down_bookings(self, seconds):
+        """Let the application answer bookings so long after it carried them out."""
+        self.andes.control("schedule-1", slow_changes_seconds=seconds)
+
+    def n_runs(self, booking_id):
+        events = journal.read(self.folder / "schedule-1.journal", "booking")
+        return sum(1 for event in events if event["booking_id"] == booking_id)
+
+    def read_group(self, name, prompt, n_slots=6, max_tokens=24):
+        """Ask for a group, read it whole, and return the account of it."""
+        trainer = f"/v1/trainers/{andes.TRAINER}"
+        account = samples.Account(andes.TRAINER)
+        group = samples.Group(name, prompt, n_slots, max_tokens)
+        account.ask(group)
+        gateway = self.gateways[0]
+        opened = self.andes.ask(gateway, "POST", f"{trainer}/readers", {}, {}, 10)
+        epoch = opened.json()["reader_epoch"]
+        value = {
+            "groups": [
+                {
+                    "group_id": name,
+                    "prompt": prompt,
+                    "n_slots": n_slots,
+                    "max_tokens": max_tokens,
+                }
+            ]
+        }
+        asked = self.andes.ask(gateway, "POST", f"{trainer}/groups", {}, value, 10)
+        self.assertEqual(202, asked.status)
+        path = (
+            f"{trainer}/batches?reader_epoch={epoch}&cursor={type(self).cursor}"
+            f"&n_samples={n_slots}&wait_seconds=2"
+        )
+        batches = []
+
+        def is_whole():
+            answer = self.andes.ask(gateway, "GET", path, {}, timeout=10)
+            if answer is not None and answer.status == 200:
+                batches.append(answer.json())
+                return len(batches[-1]["samples"]) == n_slots
+            return False
+
+        self.wait_for(is_whole, f"the samples of {name}")
+        for sample in batches[-1]["samples"]:
+            account.take(sample, published_version=0)
+        type(self).cursor = batches[-1]["next_cursor"]
+        return account
+
+    def assert_whole(self, account):
+        report = account.report()
+        self.assertEqual([], report["examples"])
+        self.assertEqual(0, report["n_untraceable"])
+        self.assertEqual(0, report["n_lost"])
+        self.assertEqual(0, report["n_duplicates"])
--- /dev/null
+++ b/tests/test_path_losses.py
@@ -0,0 +1,179 @@
+"""Lost hosts, several failures at once, and restarts long after, as real processes."""
+
+import shutil
+import uuid
+
+from bilberrydrum import runtime
+
+runtime.prepare()
+
+from misc import andes, figures
+from tests import path_support
+from tests.fakes import journal
+
+
+class LossesTest(path_support.PathCase):
+    def in_force(self, gateway):
+        """Return the version in force by the state group; 0 if it does not answer."""
+        headers = self.andes.operator_headers()
+        answer = self.andes.ask(gateway, "GET", "/v1/bundles", headers, timeout=5)
+        if answer is None or answer.status != 200:
+            return 0
+        return answer.json()["in_force"]
+
+    def has_vote(self, process_id, replica_id):
+        """Tell whether a replica made after `replica_id` votes for this process."""
+        members = self.andes.tool("state", "status")["members"]
+        return any(
+            member["process_id"] == process_id
+            and member["replica_id"] != replica_id
+            and member["is_voter"]
+            for member in members
+        )
+
+    def replica_id(self, process_id):
+        members = self.andes.tool("state", "status")["members"]
+        return next(m["replica_id"] for m in members if m["process_id"] == process_id)
+
+    def test_second_host_lost_after_a_repair_takes_nothing_with_it(self):
+        """A booking is still known, and the bundle still in force, after two losses.
+
+        A host comes back without its disk and is repaired as a new replica. Then a
+        host that had been there from the start is lost for good, disk and all. What
+        was accepted before is now held by the repaired replica and one other only.
+        """
+        booking_id = uuid.uuid4().hex
+        self.assertEqual(201, self.book(self.gateways[0], booking_id).status)
+        leader = self.andes.leader()
+        repaired, rest = (name for name in self.gateways if name != leader)
+        before = self.replica_id(repaired)
+        self.processes[repaired].kill()
+        shutil.rmtree(self.folder / f"{repaired}-data")
+        self.processes.restart(repaired)
+        self.wait_for(lambda: self.has_vote(repaired, before), f"{repaired} votes")
+
+        self.processes[leader].kill()
+        shutil.rmtree(self.folder / f"{leader}-data")
+        left = [repaired, rest]
+        self.wait_for(
+            lambda: all(self.look_up(name) == 200 for name in left), "lookups"
+        )
+        answers = []
+
+        def is_known():
+            answer = self.book(repaired, booking_id)
+            if answer is not None and answer.status != 503:
+                answers.append(answer)
+            return bool(answers)
+
+        self.wait_for(is_known, "the booking is known")
+        self.assertEqual(201, answers[0].status)
+        self.assertEqual("true", answers[0].headers["Idempotency-Replayed"])
+        self.assertEqual(1, self.n_runs(booking_id))
+        self.assertEqual([1, 1], [self.in_force(name) for name in left])
+        self.roll(2, [andes.CALLER])
+        self.assertEqual(403, self.look_up(repaired, "visitor"))
+
+
+class RestartTest(path_support.PathCase):
+    n_bundles = 70
+
+    def test_gateway_restarted_after_hundreds_of_changes_serves_the_newest(self):
+        """A caller of the newest bundle is served, one of an old bundle is not.
+
+        A gateway is killed; meanwhile bundles are submitted, signed off and rolled,
+        three changes each. Each lets in one caller of its own. Once the gateway
+        answers again, it acts on the newest bundle and never on one in between.
+        """
+        leader = self.andes.leader()
+        killed = next(name for name in self.gateways if name != leader)
+        self.processes[killed].kill()
+        for version in range(2, self.n_bundles + 2):
+            self.change(leader, version)
+        newest = f"desk-{self.n_bundles + 1}"
+        oldest = [f"desk-{number}" for number in (2, self.n_bundles)]
+        self.processes.restart(killed)
+        statuses = set()
+
+        def is_back():
+            for caller in ("visitor", *oldest):
+                statuses.add(self.look_up(killed, caller))
+            return self.look_up(killed, newest) == 200
+
+        self.wait_for(is_back, f"{killed} serves {newest}")
+        # 0: it does not listen yet; 503: it holds no bundle yet.
+        self.assertLessEqual(statuses, {0, 403, 503})
+
+    def change(self, gateway, version):
+        """Put one more bundle in force, as the operators' tool would."""
+        path = self.andes.write_bundle(version, [andes.CALLER, f"desk-{version}"])
+        content = {"content": path.read_text(), "file_name": path.name}
+        headers = self.andes.operator_headers()
+
+        def post(suffix, value):
+            answer = self.andes.ask(
+                gateway, "POST", f"/v1/bundles{suffix}", headers, value, timeout=20
+            )
+            self.assertIn(answer.status, (200, 201, 202), answer.data)
+            return answer.json()
+
+        digest = {"digest": post("", content)["digest"]}
+        post(f"/{version}/sign-off", digest)
+        post(f"/{version}/roll", digest)
+        status = f"/v1/bundles/{version}/status"
+
+        def is_in_force():
+            answer = self.andes.ask(gateway, "GET", status, headers, timeout=20)
+            return answer.json()["state"] == "in-force"
+
+        self.wait_for(is_in_force, f"bundle {version} in force")
+
+
+class TogetherTest(path_support.PathCase):
+    sizes = andes.Sizes(n_engines=3, n_schedules=2, n_scorers=2)
+
+    def n_steps(self):
+        return len(list(journal.read(self.folder / "trainer.journal", "step")))
+
+    def fail_together(self, killed, crashed):
+        """Kill a gateway while engines crash; start all of them again."""
+        for engine in crashed:
+            self.andes.control(engine, crash_after_tokens=5)
+        self.processes[killed].kill()
+        for engine in crashed:
+            self.wait_for(lambda e=engine: not self.processes[e].is_running(), "crash")
+            self.processes.restart(engine)
+        n_steps = self.n_steps()
+        self.wait_for(lambda: self.n_steps() >= n_steps + 2, "two more steps")
+        self.processes.restart(killed)
+        self.wait_for(self.is_served, f"{killed} is back")
+
+    def test_failures_together_and_twice_lose_and_double_nothing(self):
+        """Trainer and planners end with everything, once, although much fails at once.
+
+        The state leader's process is killed while an engine crashes in mid-stream and
+        swaps fail on another. Once all are back, another gateway is killed while two
+        engines crash. The trainer and the planners go on at the other gateways.
+        """
+        self.andes.start_planner("--pause-seconds", "0.1")
+        trainer = self.andes.start_trainer(
+            "--n-steps", "16", "--step-seconds", "0.3", "--publish-every", "3"
+        )
+        self.wait_for(lambda: self.n_steps() >= 2, "two steps")
+        self.andes.control(self.andes.engines[-1], fail_swaps=2)
+        leader = self.andes.leader()
+        self.fail_together(leader, self.andes.engines[:1])
+        other = next(name for name in self.gateways if name != self.andes.leader())
+        self.fail_together(other, self.andes.engines[:2])
+        self.wait_for(lambda: not trainer.is_running(), "the trainer's end")
+        self.assertEqual(0, trainer.popen.returncode, trainer.log_tail())
+        self.assertEqual(0, self.processes["planner"].terminate(path_support.DEADLINE))
+        report = figures.read_report(self.folder, "trainer")
+        self.assertEqual(16, report["n_steps"])
+        breaches = figures.find_breaches(
+            {**report, "n_steps": figures.MIN_STEPS},
+            figures.read_report(self.folder, "planner"),
+            figures.count_bookings(self.folder),
+            [],
+        )
+        self.assertEqual([], breaches)
