--- a/bilberrydrum/requests/calls.py
+++ b/bilberrydrum/requests/calls.py
@@ -29,6 +29,7 @@
         call.min_weight_version,
         bool(call.resume_token_ids),
         call.excluded_upstream_ids,
+        call.queue_depth,
     )
 
 
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -323,7 +323,9 @@
         holders: frozenset[str] = frozenset()
         if ticket.prefix:
             holders = self._registry.prefix_holders(ticket.prefix)
-        chosen = self._router.choose(eligible, now, self._n_gateways, holders)
+        chosen = self._router.choose(
+            eligible, now, self._n_gateways, holders, ticket.need.queue_depth
+        )
         if not isinstance(chosen, routing.Lack):
             self._router.started(chosen.upstream_id, now)
         return chosen
