--- a/misc/request_load.py
+++ b/misc/request_load.py
@@ -163,6 +163,8 @@
         self.seconds: list[float] = []
         self.n_events = 0
         self.n_in_all = 0
+        # Callers that were told that their connection ends.
+        self.n_told = 0
         self._rng = random.Random(1)
         self._next_at = 0.0
         body = options.body.encode()
@@ -194,6 +196,7 @@
             "n_events_per_second": n_events / elapsed,
             "statuses": statuses,
             "n_in_all": self.n_in_all,
+            "n_told": self.n_told,
             "p50_ms": 1000 * quantile(seconds, 0.5),
             "p99_ms": 1000 * quantile(seconds, 0.99),
         }
@@ -214,11 +217,15 @@
                 status = CUT
                 connection.sendall(self._request % b"%d-%d" % (number, n_asked))
                 status, is_last = self._read(connection)
-                connection = None if is_last else connection
+                if is_last:
+                    connection = None
+                    self.n_told += 1
             except OSError:
                 connection = None
             self.statuses[status] = self.statuses.get(status, 0) + 1
             self.n_in_all += 1
+            if connection is None and status == 200 and self.options.leave_when_told:
+                return
             if status == 200:
                 self.seconds.append(time.monotonic() - began)
             elif self.options.retry_seconds:
@@ -283,6 +290,7 @@
     callers.add_argument("--body", default="")
     callers.add_argument("--header", action="append", default=[])
     callers.add_argument("--n-connections", type=int, default=16)
+    callers.add_argument("--leave-when-told", action="store_true")
     callers.add_argument("--rate", type=float, default=0.0)
     callers.add_argument("--retry-seconds", type=float, default=0.0)
     callers.add_argument("--warm-seconds", type=float, default=0.3)
--- a/misc/request_site.py
+++ b/misc/request_site.py
@@ -109,16 +109,19 @@
         retry_seconds: float = 0.0,
         seconds: float = 2.0,
         watched: str = "",
+        leaves: bool = False,
     ) -> Any:
         """Run callers as a process and return what they saw.
 
-        `watched` names the process whose processor time per request is wanted.
+        `watched` names the process whose processor time per request is wanted. With
+        `leaves`, a caller goes elsewhere when it is told that its connection ends.
         """
         arguments = ["-m", "misc.request_load", "callers", "--address", address]
         arguments += ["--path", path, "--method", method, "--body", body]
         arguments += ["--n-connections", str(n_connections), "--rate", str(rate)]
         arguments += ["--retry-seconds", str(retry_seconds)]
         arguments += ["--seconds", str(seconds)]
+        arguments += ["--leave-when-told"] if leaves else []
         for header in headers:
             arguments += ["--header", header]
         cpu_before = self.cpu_seconds(watched) if watched else 0.0
