Keep apart what follows a failed attempt; a timeout before the first byte is not-run

A caller with a few milliseconds of patience had services ejected for everyone: five timeouts in a row counted as the service's failures. The Expect header is not passed on: it belongs to the caller's connection.

--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -39,7 +39,12 @@
 # Statuses by which a service says that another one might do better.
 _FAILED_STATUSES: Final = frozenset({502, 503, 504})
 # Headers that each attempt sets itself.
-_NOT_PASSED_ON: Final = HOP_HEADERS | {"host", "content-length", "x-request-id"}
+_NOT_PASSED_ON: Final = HOP_HEADERS | {
+    "host",
+    "content-length",
+    "expect",
+    "x-request-id",
+}
 
 
 class AttemptError(Exception):
@@ -81,6 +86,15 @@
     find_refusal: Callable[[], reasons.Reason | None]
     # Tells whether nobody waits for the answer any more.
     is_client_gone: Callable[[], bool] = model.never
+    sending: "Sending" = attrs.field(factory=lambda: Sending())
+
+
+@attrs.define
+class Sending:
+    """How far the sending of a request has come."""
+
+    # A byte may have gone out.
+    has_begun: bool = False
 
 
 @attrs.frozen
@@ -103,11 +117,15 @@
         with means.clients.watching(is_client_gone):
             yield
     except watch.ClientGoneError as error:
-        raise AttemptError(reasons.Reason.CALLER_GONE, True, is_refusal=True) from error
+        raise AttemptError(
+            reasons.Reason.CALLER_GONE, outgoing.sending.has_begun, is_refusal=True
+        ) from error
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
-        raise AttemptError(reasons.Reason.UPSTREAM_TIMEOUT, True) from error
+        raise AttemptError(
+            reasons.Reason.UPSTREAM_TIMEOUT, outgoing.sending.has_begun
+        ) from error
     finally:
         timeout.cancel()
 
@@ -155,6 +173,7 @@
     refusal = outgoing.find_refusal()
     if refusal is not None:
         raise AttemptError(refusal, False, "not sent", is_refusal=True)
+    outgoing.sending.has_begun = True
     try:
         connection.request(
             outgoing.method,
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -12,19 +12,18 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final
 
-import attrs
-import eliot
 import eventlet
 import eventlet.event
 import result
 
-from bilberrydrum import clock, counters, interfaces, options, reasons
+from bilberrydrum import clock, interfaces, options, reasons
 from bilberrydrum.requests import (
     admission,
     attempts,
     calls,
     connections,
     model,
+    recovery,
     retries,
     routing,
     watch,
@@ -37,11 +36,6 @@
 _SNAPSHOT_SECONDS: Final = 0.02
 # Time between looks whether the client of a waiting call is still there.
 GONE_CHECK_SECONDS: Final = 0.25
-# Longest time an upstream that said it was busy is left alone.
-MAX_BUSY_SECONDS: Final = 1.0
-MIN_BUSY_SECONDS: Final = 0.05
-# Times a call goes back to the queue because its upstream was busy.
-MAX_BUSY: Final = 20
 
 
 class RefusedError(Exception):
@@ -53,28 +47,6 @@
         self.retry_after_seconds = retry_after_seconds
 
 
-@attrs.define
-class _Progress:
-    """What became of one call so far."""
-
-    need: routing.Need
-    # Position in the order of arrival; 0: none yet.
-    number: int = 0
-    n_attempts: int = 0
-    n_busy: int = 0
-    n_tokens: int = 0
-    may_have_run: bool = False
-    # Why the last attempt failed.
-    failed: model.Failed | None = None
-    # The service's own answer that it failed, from the last attempt.
-    answer: model.ApplicationAnswer | None = None
-
-    def note(self, event: model.StreamEvent) -> None:
-        """Count the tokens of `event`."""
-        if isinstance(event, model.Tokens):
-            self.n_tokens += max(1, len(event.token_ids))
-
-
 class RequestDispatcher:
     """Calls to upstreams (`interfaces.Dispatcher`)."""
 
@@ -84,7 +56,6 @@
         bundles: interfaces.BundleView,
         registry: interfaces.Registry,
     ) -> None:
-        self._options = settings.requests
         self._bundles = bundles
         self._registry = registry
         self._rng = random.Random()
@@ -96,6 +67,12 @@
         )
         self._router = routing.Router(settings.availability_zone, self._rng)
         self.budget = retries.RetryBudget(settings.requests.retry_budget)
+        self._recovery = recovery.Recovery(
+            self._router,
+            self._means.pool,
+            self.budget,
+            settings.requests.max_attempts,
+        )
         self._events_by_number: dict[int, eventlet.event.Event] = {}
         self._upstreams_by_id: Mapping[str, upstream_model.Upstream] = {}
         self._eligible_by_need: dict[routing.Need, list[upstream_model.Upstream]] = {}
@@ -137,7 +114,7 @@
 
     def stream(self, call: model.ModelCall) -> Iterator[model.StreamEvent]:
         """Generate on an engine; the last event is `Finished` or `Failed`."""
-        progress = _Progress(calls.need_of(call))
+        progress = recovery.Progress(calls.need_of(call))
         self.budget.first_attempt()
         while True:
             try:
@@ -155,7 +132,7 @@
                 yield _refused(error, progress)
                 return
             except attempts.AttemptError as error:
-                failed = self._after(call, progress, upstream, error)
+                failed = self._recovery.after(call, progress, upstream, error)
                 if failed is not None:
                     yield failed
                     return
@@ -164,7 +141,7 @@
         self, call: model.ApplicationCall
     ) -> result.Result[model.ApplicationAnswer, model.Failed]:
         """Call a plain service and return its whole answer."""
-        progress = _Progress(calls.need_of(call))
+        progress = recovery.Progress(calls.need_of(call))
         self.budget.first_attempt()
         while True:
             try:
@@ -176,7 +153,7 @@
             except RefusedError as error:
                 return _give_up(progress, _refused(error, progress))
             except attempts.AttemptError as error:
-                failed = self._after(call, progress, upstream, error)
+                failed = self._recovery.after(call, progress, upstream, error)
                 if failed is not None:
                     return _give_up(progress, failed)
 
@@ -212,9 +189,9 @@
         )
 
     def _ticket(
-        self, call: calls.Call, progress: _Progress | None = None
+        self, call: calls.Call, progress: recovery.Progress | None = None
     ) -> admission.Ticket:
-        progress = progress or _Progress(calls.need_of(call))
+        progress = progress or recovery.Progress(calls.need_of(call))
         return admission.Ticket(
             call.client,
             progress.need,
@@ -229,13 +206,14 @@
 
     @contextlib.contextmanager
     def _admitted(
-        self, call: calls.Call, progress: _Progress
+        self, call: calls.Call, progress: recovery.Progress
     ) -> Iterator[upstream_model.Upstream]:
         """Hold a place at an upstream while the block runs."""
         ticket = self._ticket(call, progress)
         upstream = self._wait_for_place(call, ticket)
         # A call that comes back, its upstream having been busy, keeps its turn.
         progress.number = ticket.number
+        progress.began_at = ticket.granted_at
         is_whole = False
         try:
             yield upstream
@@ -248,7 +226,7 @@
         self,
         upstream: upstream_model.Upstream,
         ticket: admission.Ticket,
-        progress: _Progress,
+        progress: recovery.Progress,
         is_whole: bool,
     ) -> None:
         now = clock.now()
@@ -341,74 +319,9 @@
         self._eligible_by_need.clear()
         self._n_gateways = max(1, len(self._bundles.gateways_by_id()))
 
-    def _after(
-        self,
-        call: calls.Call,
-        progress: _Progress,
-        upstream: upstream_model.Upstream,
-        error: attempts.AttemptError,
-    ) -> model.Failed | None:
-        """Return the failure to give up with, or None to try again."""
-        now = clock.now()
-        upstream_id = upstream.upstream_id
-        progress.may_have_run |= error.may_have_run
-        failed = model.Failed(
-            error.reason,
-            progress.may_have_run,
-            upstream_id,
-            error.detail,
-            error.retry_after_seconds,
-        )
-        progress.failed = failed
-        progress.answer = error.answer
-        if error.reason is reasons.Reason.UPSTREAM_BUSY:
-            wait = max(MIN_BUSY_SECONDS, error.retry_after_seconds)
-            self._router.busy(upstream_id, now + min(wait, MAX_BUSY_SECONDS))
-            progress.n_busy += 1
-            may_retry = progress.n_busy <= MAX_BUSY
-        else:
-            self._note_failure(progress, upstream, error, now)
-            may_retry = progress.n_attempts < self._options.max_attempts
-        if error.is_refusal:
-            return failed
-        if progress.n_tokens or (error.may_have_run and not call.is_idempotent):
-            return failed
-        if not may_retry or now >= call.deadline:
-            return failed
-        is_busy = error.reason is reasons.Reason.UPSTREAM_BUSY
-        if not is_busy and not self.budget.take(now):
-            counters.refused(reasons.Reason.RETRY_BUDGET_SPENT)
-            return failed
-        counters.retried(error.reason)
-        return None
-
-    def _note_failure(
-        self,
-        progress: _Progress,
-        upstream: upstream_model.Upstream,
-        error: attempts.AttemptError,
-        now: float,
-    ) -> None:
-        if error.is_refusal:
-            return
-        if self._router.health.failed(upstream.upstream_id, now):
-            eliot.log_message(
-                message_type="upstream:ejected",
-                upstream_id=upstream.upstream_id,
-                reason=error.reason.value,
-            )
-        # Others of its connections are likely to be dead too.
-        self._means.pool.forget(upstream.address)
-        progress.n_attempts += 1
-        progress.need = attrs.evolve(
-            progress.need,
-            excluded_upstream_ids=progress.need.excluded_upstream_ids
-            | {upstream.upstream_id},
-        )
-
 
 def _give_up(
-    progress: _Progress, failed: model.Failed
+    progress: recovery.Progress, failed: model.Failed
 ) -> result.Result[model.ApplicationAnswer, model.Failed]:
     # A whole answer that says the service failed is the caller's when there is no
     # better one.
@@ -423,7 +336,7 @@
     return effect.upstream
 
 
-def _refused(error: RefusedError, progress: _Progress) -> model.Failed:
+def _refused(error: RefusedError, progress: recovery.Progress) -> model.Failed:
     if progress.failed is not None and error.reason is reasons.Reason.NO_UPSTREAM:
         # There is no other upstream to try; why the last one failed says more.
         return progress.failed
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -103,6 +103,19 @@
         self.assertEqual(caught.exception.reason, Reason.CONNECT_FAILED)
         self.assertFalse(caught.exception.may_have_run)
 
+    def test_time_that_runs_out_before_the_first_byte_is_known_not_to_have_run(self):
+        """Connecting takes until the deadline: no byte of the request went out."""
+        fake = self.upstream(scripted.serve(scripted.answer))
+        with (
+            unittest.mock.patch.object(
+                self.means.pool, "take", lambda *args, **kwargs: eventlet.sleep(5)
+            ),
+            self.assertRaises(attempts.AttemptError) as caught,
+        ):
+            self.call(fake, seconds=0.02)
+        self.assertEqual(caught.exception.reason, Reason.UPSTREAM_TIMEOUT)
+        self.assertFalse(caught.exception.may_have_run)
+
     def test_late_answer_reaches_nobody(self):
         """An answer comes after its request was given up on; another request follows.
 
--- a/tests/test_requests_dispatch.py
+++ b/tests/test_requests_dispatch.py
@@ -373,6 +373,22 @@
         self.assertGreater(len(bad.received), health.EJECT_AFTER)
         self.assertEqual(self.dispatcher._router.health._records_by_id, {})
 
+    def test_callers_without_patience_do_not_have_a_service_ejected(self):
+        """A caller allows a few milliseconds; the service needs more.
+
+        That says nothing about the service: others with more time are served by it.
+        """
+
+        def slow(connection, received):
+            eventlet.sleep(0.03)
+            connection.sendall(scripted.answer(received))
+
+        self.application("a1", slow)
+        for _ in range(2 * health.EJECT_AFTER):
+            deadline = clock.now() + 0.005
+            self.dispatcher.call_application(application_call(deadline=deadline))
+        self.assertEqual(self.dispatcher._router.health._records_by_id, {})
+
     def test_drain_waits_for_calls_in_flight(self):
         def slow(connection, received):
             eventlet.sleep(0.1)
