Break off an attempt at a service that hangs, and make it elsewhere

A service that hangs with its lease standing held a lookup to its deadline. An attempt of ten times the mean, 2 s at least, is broken off for another; the last one gets all the time that is left.

--- a/bilberrydrum/requests/admission.py
+++ b/bilberrydrum/requests/admission.py
@@ -237,16 +237,16 @@
             domain.learn(now - ticket.granted_at, spent)
         self._forget_idle(domain, ticket.client, client)
 
+    def mean_seconds(self, need: routing.Need) -> float:
+        """Return the mean time of a call with such a need; 0: not known."""
+        return self._domain(need).mean_seconds
+
     def withdraw(self, ticket: Ticket) -> None:
         """Take a waiting call out of its queue: nobody wants it any more."""
         if ticket.is_waiting:
             domain = self._domain(ticket.need)
             self._remove(domain, self._client(domain, ticket), ticket)
 
-    def retry_after(self, now: float, need: routing.Need) -> float:
-        """Return the seconds after which a refused caller should come back."""
-        return self._appointment(self._domain(need), now)
-
     def _domain(self, need: routing.Need) -> _Domain:
         domain = self._domains_by_name.get(need.domain)
         if domain is None:
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -70,7 +70,7 @@
         self.is_refusal = is_refusal
 
 
-@attrs.frozen
+@attrs.define
 class Outgoing:
     """The request of one attempt."""
 
@@ -86,13 +86,6 @@
     find_refusal: Callable[[], reasons.Reason | None]
     # Tells whether nobody waits for the answer any more.
     is_client_gone: Callable[[], bool] = model.never
-    sending: "Sending" = attrs.field(factory=lambda: Sending())
-
-
-@attrs.define
-class Sending:
-    """How far the sending of a request has come."""
-
     # A byte may have gone out.
     has_begun: bool = False
 
@@ -118,13 +111,13 @@
             yield
     except watch.ClientGoneError as error:
         raise AttemptError(
-            reasons.Reason.CALLER_GONE, outgoing.sending.has_begun, is_refusal=True
+            reasons.Reason.CALLER_GONE, outgoing.has_begun, is_refusal=True
         ) from error
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
         raise AttemptError(
-            reasons.Reason.UPSTREAM_TIMEOUT, outgoing.sending.has_begun
+            reasons.Reason.UPSTREAM_TIMEOUT, outgoing.has_begun
         ) from error
     finally:
         timeout.cancel()
@@ -173,7 +166,7 @@
     refusal = outgoing.find_refusal()
     if refusal is not None:
         raise AttemptError(refusal, False, "not sent", is_refusal=True)
-    outgoing.sending.has_begun = True
+    outgoing.has_begun = True
     try:
         connection.request(
             outgoing.method,
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -149,6 +149,10 @@
                     outgoing = attempts.for_application(
                         call, self._attempt_id(call), self._refusal_of(call)
                     )
+                    mean = self._admission.mean_seconds(progress.need)
+                    outgoing.deadline = self._recovery.attempt_deadline(
+                        call, progress, mean, clock.now()
+                    )
                     return result.Ok(attempts.call(self._means, upstream, outgoing))
             except RefusedError as error:
                 return _give_up(progress, _refused(error, progress))
--- a/bilberrydrum/requests/recovery.py
+++ b/bilberrydrum/requests/recovery.py
@@ -24,6 +24,9 @@
 # A timeout after less time says nothing about the upstream. Counted as its failure, a
 # caller that asks for a millisecond would have every upstream ejected.
 FAIR_SECONDS: Final = 2.0
+# An attempt at a service that takes this many times as long as calls do on average, and
+# at least `FAIR_SECONDS`, is broken off for another one.
+PATIENCE: Final = 10.0
 
 
 @attrs.define
@@ -88,6 +91,25 @@
         counters.retried(error.reason)
         return None
 
+    def attempt_deadline(
+        self,
+        call: model.ApplicationCall,
+        progress: Progress,
+        mean_seconds: float,
+        now: float,
+    ) -> float:
+        """Return when an attempt is to be broken off, at the latest by the deadline.
+
+        A service that hangs and goes on renewing its lease would hold a call to its
+        deadline while others could answer it. The last attempt gets all the time that
+        is left, so a call that needs long is served.
+        """
+        is_last = progress.n_attempts + 1 >= self.max_attempts
+        if is_last or not call.is_idempotent or not mean_seconds:
+            return call.deadline
+        patience = max(FAIR_SECONDS, PATIENCE * mean_seconds)
+        return min(call.deadline, now + patience)
+
     def _may_retry(
         self,
         call: calls.Call,
--- a/tests/test_requests_dispatch.py
+++ b/tests/test_requests_dispatch.py
@@ -2,13 +2,14 @@
 
 import json
 import unittest
+import unittest.mock
 
 import eventlet
 import result
 from nose2.tools import params
 
 from bilberrydrum import clock, reasons
-from bilberrydrum.requests import dispatch, health, model, resume
+from bilberrydrum.requests import dispatch, health, model, recovery, resume
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import gateway_parts, scripted
 
@@ -389,6 +390,34 @@
             self.dispatcher.call_application(application_call(deadline=deadline))
         self.assertEqual(self.dispatcher._router.health._records_by_id, {})
 
+    @params(("lookup", True), ("booking", False))
+    def test_service_that_hangs_holds_up_nothing_that_may_be_repeated(
+        self, name, is_idempotent
+    ):
+        """One service hangs, with its lease standing; another one would answer.
+
+        A lookup is made there long before its deadline. A booking may have run, so it
+        waits for its own answer.
+        """
+        self.application("a1", scripted.serve(scripted.answer))
+        self.dispatcher.call_application(application_call())
+        self.fakes["a1"].script = lambda connection, received: eventlet.sleep(30)
+        with unittest.mock.patch.object(recovery, "FAIR_SECONDS", 0.05):
+            task = eventlet.spawn(
+                self.dispatcher.call_application,
+                application_call(
+                    is_idempotent=is_idempotent, deadline=clock.now() + 0.5
+                ),
+            )
+            eventlet.sleep(0.01)
+            self.application("a2", scripted.serve(scripted.answer))
+            answer = task.wait()
+        if is_idempotent:
+            self.assertEqual(answer.ok_value.upstream_id, "a2", name)
+        else:
+            self.assertEqual(answer.err_value.reason, Reason.UPSTREAM_TIMEOUT)
+            self.assertEqual(len(self.fakes["a2"].received), 0)
+
     def test_drain_waits_for_calls_in_flight(self):
         def slow(connection, received):
             eventlet.sleep(0.1)
