--- a/bilberrydrum/requests/admission.py
+++ b/bilberrydrum/requests/admission.py
@@ -19,51 +19,19 @@
 import attrs
 
 from bilberrydrum import reasons
-from bilberrydrum.requests import routing
+from bilberrydrum.requests import queues, routing
 from bilberrydrum.upstreams import model as upstream_model
 
 # Longest time after which a refused caller is told to come back.
 MAX_RETRY_AFTER_SECONDS: Final = 30.0
 MIN_RETRY_AFTER_SECONDS: Final = 0.05
-_SMOOTHING: Final = 0.05
-
-
-@attrs.define(eq=False)
-class Ticket:
-    """One call that wants to be sent."""
-
-    client: str
-    need: routing.Need
-    # When its answer is of no more use.
-    deadline: float
-    share: float = 1.0
-    # Lower goes first among the calls of one client.
-    priority: int = 0
-    # What it is expected to take of the capacity, in units of its domain.
-    cost: float = 1.0
-    # Most calls of the client in flight; 0: no bound.
-    max_in_flight: int = 0
-    # Prompt prefix, for the routing.
-    prefix: str = ""
-    # Position in the order of arrival.
-    number: int = 0
-    is_waiting: bool = False
-    granted_at: float = 0.0
-
-    def __lt__(self, other: "Ticket") -> bool:
-        """Leave the order of two tickets of one call, which share a number, open.
-
-        A call that failed at an upstream and comes back may find its earlier ticket
-        still in a heap.
-        """
-        return False
 
 
 @attrs.frozen
 class Granted:
     """The call goes to this upstream now."""
 
-    ticket: Ticket
+    ticket: queues.Ticket
     upstream: upstream_model.Upstream
 
 
@@ -71,90 +39,14 @@
 class Refused:
     """The call is not sent."""
 
-    ticket: Ticket
+    ticket: queues.Ticket
     reason: reasons.Reason
     retry_after_seconds: float
 
 
 Effect = Granted | Refused
 # Returns the upstream that takes the call, or why none does.
-Place = Callable[[Ticket], upstream_model.Upstream | routing.Lack]
-
-
-@attrs.define
-class _Client:
-    """The calls of one client in one domain."""
-
-    share: float = 1.0
-    # Virtual time at which its next call starts.
-    start: float = 0.0
-    n_waiting: int = 0
-    n_in_flight: int = 0
-    max_in_flight: int = 0
-    # Heaps of (priority, number, ticket) by need.
-    queues_by_need: dict[routing.Need, list[tuple[int, int, Ticket]]] = attrs.field(
-        factory=dict
-    )
-
-    def may_start(self) -> bool:
-        return self.max_in_flight == 0 or self.n_in_flight < self.max_in_flight
-
-    def heads(self) -> list[Ticket]:
-        """Return the first call of each queue, those to go first in front."""
-        found = []
-        for need in list(self.queues_by_need):
-            queue = self.queues_by_need[need]
-            while queue and not queue[0][2].is_waiting:
-                heapq.heappop(queue)
-            if queue:
-                found.append(queue[0])
-            else:
-                del self.queues_by_need[need]
-        return [entry[2] for entry in sorted(found)]
-
-    def waiting(self) -> Iterator[Ticket]:
-        for queue in self.queues_by_need.values():
-            for _, _, ticket in queue:
-                if ticket.is_waiting:
-                    yield ticket
-
-
-@attrs.define
-class _Domain:
-    """Calls that share upstreams."""
-
-    clients_by_name: dict[str, _Client] = attrs.field(factory=dict)
-    # Start time of the call that was sent last.
-    virtual_time: float = 0.0
-    n_waiting: int = 0
-    n_in_flight: int = 0
-    # Mean seconds of a call; 0: none has ended.
-    mean_seconds: float = 0.0
-    # Mean cost of a call.
-    mean_cost: float = 0.0
-    # Waiting calls by the time at which it is too late for them; withdrawn ones stay
-    # until that time has come.
-    by_latest_start: list[tuple[float, int, Ticket]] = attrs.field(factory=list)
-    # Time given to the caller that was refused last.
-    last_appointment: float = 0.0
-
-    def learn(self, seconds: float, cost: float) -> None:
-        """Take a whole call into the means."""
-        if not self.mean_seconds:
-            self.mean_seconds = seconds
-            self.mean_cost = cost
-            return
-        self.mean_seconds += _SMOOTHING * (seconds - self.mean_seconds)
-        self.mean_cost += _SMOOTHING * (cost - self.mean_cost)
-
-    def seconds_of(self, ticket: Ticket) -> float:
-        """Return how long the call should take once it is sent; never too much.
-
-        A call's cost is the most it may take, so it can only shorten the mean.
-        """
-        if self.mean_cost <= ticket.cost:
-            return self.mean_seconds
-        return self.mean_seconds * ticket.cost / self.mean_cost
+Place = Callable[[queues.Ticket], upstream_model.Upstream | routing.Lack]
 
 
 @attrs.define
@@ -163,7 +55,7 @@
 
     max_queue_per_client: int
     _rng: random.Random
-    _domains_by_name: dict[str, _Domain] = attrs.field(factory=dict)
+    _domains_by_name: dict[str, queues.Domain] = attrs.field(factory=dict)
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
     @property
@@ -176,7 +68,7 @@
         """Number of calls that were granted and have not ended."""
         return sum(domain.n_in_flight for domain in self._domains_by_name.values())
 
-    def offer(self, now: float, ticket: Ticket, place: Place) -> list[Effect]:
+    def offer(self, now: float, ticket: queues.Ticket, place: Place) -> list[Effect]:
         """Grant, queue (no effect) or refuse a call that arrives."""
         domain = self._domain(ticket.need)
         client = self._client(domain, ticket)
@@ -193,15 +85,15 @@
             return [self._refuse(domain, ticket, _LATE, now)]
         effects: list[Effect] = []
         if client.n_waiting >= self.max_queue_per_client:
-            last = max(client.waiting(), key=_order, default=None)
-            if last is None or _order(last) < _order(ticket):
+            last = max(client.waiting(), key=queues.order, default=None)
+            if last is None or queues.order(last) < queues.order(ticket):
                 return [self._refuse(domain, ticket, reasons.Reason.QUEUE_FULL, now)]
             self._remove(domain, client, last)
             effects = [self._refuse(domain, last, reasons.Reason.QUEUE_FULL, now)]
         self._enqueue(domain, client, ticket)
         return effects
 
-    def foresee(self, now: float, ticket: Ticket) -> Refused | None:
+    def foresee(self, now: float, ticket: queues.Ticket) -> Refused | None:
         """Return the refusal that `offer` would give if there is no place now."""
         domain = self._domain(ticket.need)
         client = self._client(domain, ticket)
@@ -223,7 +115,7 @@
         return effects
 
     def ended(
-        self, now: float, ticket: Ticket, cost: float | None, is_whole: bool
+        self, now: float, ticket: queues.Ticket, cost: float | None, is_whole: bool
     ) -> None:
         """Note that a granted call is over, and what it took of the capacity."""
         domain = self._domain(ticket.need)
@@ -241,28 +133,30 @@
         """Return the mean time of a call with such a need; 0: not known."""
         return self._domain(need).mean_seconds
 
-    def withdraw(self, ticket: Ticket) -> None:
+    def withdraw(self, ticket: queues.Ticket) -> None:
         """Take a waiting call out of its queue: nobody wants it any more."""
         if ticket.is_waiting:
             domain = self._domain(ticket.need)
             self._remove(domain, self._client(domain, ticket), ticket)
 
-    def _domain(self, need: routing.Need) -> _Domain:
+    def _domain(self, need: routing.Need) -> queues.Domain:
         domain = self._domains_by_name.get(need.domain)
         if domain is None:
-            domain = self._domains_by_name[need.domain] = _Domain()
+            domain = self._domains_by_name[need.domain] = queues.Domain()
         return domain
 
-    def _client(self, domain: _Domain, ticket: Ticket) -> _Client:
+    def _client(self, domain: queues.Domain, ticket: queues.Ticket) -> queues.Client:
         client = domain.clients_by_name.get(ticket.client)
         if client is None:
-            client = domain.clients_by_name[ticket.client] = _Client()
+            client = domain.clients_by_name[ticket.client] = queues.Client()
             client.start = domain.virtual_time
         client.share = ticket.share
         client.max_in_flight = ticket.max_in_flight
         return client
 
-    def _enqueue(self, domain: _Domain, client: _Client, ticket: Ticket) -> None:
+    def _enqueue(
+        self, domain: queues.Domain, client: queues.Client, ticket: queues.Ticket
+    ) -> None:
         queue = client.queues_by_need.setdefault(ticket.need, [])
         heapq.heappush(queue, (ticket.priority, ticket.number, ticket))
         latest = ticket.deadline - domain.seconds_of(ticket)
@@ -271,7 +165,9 @@
         client.n_waiting += 1
         domain.n_waiting += 1
 
-    def _remove(self, domain: _Domain, client: _Client, ticket: Ticket) -> None:
+    def _remove(
+        self, domain: queues.Domain, client: queues.Client, ticket: queues.Ticket
+    ) -> None:
         ticket.is_waiting = False
         client.n_waiting -= 1
         domain.n_waiting -= 1
@@ -289,9 +185,9 @@
 
     def _grant(
         self,
-        domain: _Domain,
-        client: _Client,
-        ticket: Ticket,
+        domain: queues.Domain,
+        client: queues.Client,
+        ticket: queues.Ticket,
         upstream: upstream_model.Upstream,
         now: float,
     ) -> Granted:
@@ -304,7 +200,7 @@
         return Granted(ticket, upstream)
 
     def _grant_waiting(
-        self, domain: _Domain, now: float, place: Place
+        self, domain: queues.Domain, now: float, place: Place
     ) -> Iterator[Effect]:
         full: set[routing.Need] = set()
         while domain.n_waiting:
@@ -314,7 +210,7 @@
             yield effect
 
     def _serve_next(
-        self, domain: _Domain, now: float, place: Place, full: set[routing.Need]
+        self, domain: queues.Domain, now: float, place: Place, full: set[routing.Need]
     ) -> Effect | None:
         waiting = [
             (max(client.start, domain.virtual_time), name, client)
@@ -335,7 +231,7 @@
                 return self._grant(domain, client, ticket, placed, now)
         return None
 
-    def _refuse_late(self, domain: _Domain, now: float) -> Iterator[Effect]:
+    def _refuse_late(self, domain: queues.Domain, now: float) -> Iterator[Effect]:
         late = domain.by_latest_start
         while late and (late[0][0] <= now or not late[0][2].is_waiting):
             _, _, ticket = heapq.heappop(late)
@@ -345,7 +241,7 @@
                 yield self._refuse(domain, ticket, _LATE, now)
 
     def _expected_seconds(
-        self, domain: _Domain, client: _Client, ticket: Ticket
+        self, domain: queues.Domain, client: queues.Client, ticket: queues.Ticket
     ) -> float:
         """Return how long the call will wait and take if nothing changes."""
         if not domain.mean_seconds or not domain.n_in_flight:
@@ -359,15 +255,21 @@
             if other.n_waiting and other is not client
         )
         own_rate = rate * client.share / (shares + client.share)
-        n_ahead = sum(_order(other) < _order(ticket) for other in client.waiting())
+        n_ahead = sum(
+            queues.order(other) < queues.order(ticket) for other in client.waiting()
+        )
         return (n_ahead + 1) / own_rate + domain.seconds_of(ticket)
 
     def _refuse(
-        self, domain: _Domain, ticket: Ticket, reason: reasons.Reason, now: float
+        self,
+        domain: queues.Domain,
+        ticket: queues.Ticket,
+        reason: reasons.Reason,
+        now: float,
     ) -> Refused:
         return Refused(ticket, reason, self._appointment(domain, now))
 
-    def _appointment(self, domain: _Domain, now: float) -> float:
+    def _appointment(self, domain: queues.Domain, now: float) -> float:
         """Return in how many seconds a refused caller should come back.
 
         Callers refused in one moment and told the same time would come back in one
@@ -385,7 +287,9 @@
             domain.last_appointment = at
         return max(MIN_RETRY_AFTER_SECONDS, (at - now) * self._rng.uniform(0.8, 1.2))
 
-    def _forget_idle(self, domain: _Domain, name: str, client: _Client) -> None:
+    def _forget_idle(
+        self, domain: queues.Domain, name: str, client: queues.Client
+    ) -> None:
         # A client ahead of the virtual time is kept: coming back under a fresh record
         # would let it start over with each call.
         is_idle = not client.n_waiting and not client.n_in_flight
@@ -397,11 +301,7 @@
 _NO_UPSTREAM: Final = reasons.Reason.NO_UPSTREAM
 
 
-def _order(ticket: Ticket) -> tuple[int, int]:
-    return (ticket.priority, ticket.number)
-
-
-def _has_rival(domain: _Domain, need: routing.Need) -> bool:
+def _has_rival(domain: queues.Domain, need: routing.Need) -> bool:
     if not domain.n_waiting:
         return False
     return any(
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -23,6 +23,7 @@
     calls,
     connections,
     model,
+    queues,
     recovery,
     retries,
     routing,
@@ -194,9 +195,9 @@
 
     def _ticket(
         self, call: calls.Call, progress: recovery.Progress | None = None
-    ) -> admission.Ticket:
+    ) -> queues.Ticket:
         progress = progress or recovery.Progress(calls.need_of(call))
-        return admission.Ticket(
+        return queues.Ticket(
             call.client,
             progress.need,
             call.deadline,
@@ -229,7 +230,7 @@
     def _leave(
         self,
         upstream: upstream_model.Upstream,
-        ticket: admission.Ticket,
+        ticket: queues.Ticket,
         progress: recovery.Progress,
         is_whole: bool,
     ) -> None:
@@ -244,7 +245,7 @@
             self._pump()
 
     def _wait_for_place(
-        self, call: calls.Call, ticket: admission.Ticket
+        self, call: calls.Call, ticket: queues.Ticket
     ) -> upstream_model.Upstream:
         for effect in self._admission.offer(clock.now(), ticket, self._place):
             if effect.ticket is ticket:
@@ -289,9 +290,7 @@
         for effect in self._admission.pump(clock.now(), self._place):
             self._tell(effect)
 
-    def _place(
-        self, ticket: admission.Ticket
-    ) -> upstream_model.Upstream | routing.Lack:
+    def _place(self, ticket: queues.Ticket) -> upstream_model.Upstream | routing.Lack:
         now = clock.now()
         self._refresh(now)
         eligible = self._eligible_by_need.get(ticket.need)
--- a/misc/routing_model.py
+++ b/misc/routing_model.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from bilberrydrum.requests import admission, routing
+from bilberrydrum.requests import admission, queues, routing
 from bilberrydrum.upstreams import model
 
 NEED: Final = routing.Need(model.KIND_ENGINE, "planner")
@@ -46,7 +46,7 @@
     prefix: str
     seconds: float
     arrived: float
-    ticket: admission.Ticket | None = None
+    ticket: queues.Ticket | None = None
 
 
 @attrs.define
@@ -152,7 +152,7 @@
             self._offer(call)
 
     def _offer(self, call: _Call) -> None:
-        ticket = admission.Ticket("c", NEED, self.now + 1e6, prefix=call.prefix)
+        ticket = queues.Ticket("c", NEED, self.now + 1e6, prefix=call.prefix)
         call.ticket = ticket
         self._calls_by_ticket[id(ticket)] = call
         queue = self._admissions[call.gateway]
@@ -164,7 +164,7 @@
         self._carry_out(queue.pump(self.now, self._placer(gateway)))
 
     def _placer(self, gateway: int) -> admission.Place:
-        def place(ticket: admission.Ticket) -> model.Upstream | routing.Lack:
+        def place(ticket: queues.Ticket) -> model.Upstream | routing.Lack:
             holders = frozenset()
             if self.policy == "expected-wait-and-prefix":
                 holders = frozenset(
--- a/tests/fakes/overload.py
+++ b/tests/fakes/overload.py
@@ -14,7 +14,7 @@
 import attrs
 
 from bilberrydrum import reasons
-from bilberrydrum.requests import admission, routing
+from bilberrydrum.requests import admission, queues, routing
 from bilberrydrum.upstreams import model
 
 NEED = routing.Need(model.KIND_APPLICATION, "schedule")
@@ -92,7 +92,7 @@
         entry = (self.now + delay, next(self._numbers), action)
         heapq.heappush(self._events, entry)
 
-    def place(self, ticket: admission.Ticket) -> model.Upstream | routing.Lack:
+    def place(self, ticket: queues.Ticket) -> model.Upstream | routing.Lack:
         eligible = [
             upstream
             for upstream in self.upstreams_by_id.values()
@@ -105,7 +105,7 @@
 
     def _ask(self, client: Client) -> None:
         self.n_offered += 1
-        ticket = admission.Ticket(
+        ticket = queues.Ticket(
             client.name,
             NEED,
             self.now + client.timeout,
--- a/tests/test_requests_admission.py
+++ b/tests/test_requests_admission.py
@@ -5,7 +5,7 @@
 from nose2.tools import params
 
 from bilberrydrum import reasons
-from bilberrydrum.requests import admission, routing
+from bilberrydrum.requests import admission, queues, routing
 from tests.fakes import overload
 
 Reason = reasons.Reason
@@ -15,7 +15,7 @@
     return min(3.0, 0.05 * rng.paretovariate(1.3))
 
 
-def no_room(ticket: admission.Ticket) -> routing.Lack:
+def no_room(ticket: queues.Ticket) -> routing.Lack:
     return routing.Lack.ROOM
 
 
@@ -71,7 +71,7 @@
         """Callers hang up and come back while nothing moves: their entries must go."""
         queue = admission.Admission(64, random.Random(1))
         for _ in range(5000):
-            ticket = admission.Ticket("c", overload.NEED, 2000.0)
+            ticket = queues.Ticket("c", overload.NEED, 2000.0)
             queue.offer(1000.0, ticket, no_room)
             queue.withdraw(ticket)
         domain = queue._domains_by_name[overload.NEED.domain]
@@ -121,12 +121,12 @@
         queue = admission.Admission(1000, random.Random(1))
         upstream = overload.upstreams(1, 1)["u0"]
         for name in ["busy", "away"] + 500 * ["busy"]:
-            ticket = admission.Ticket(name, overload.NEED, 1e9)
+            ticket = queues.Ticket(name, overload.NEED, 1e9)
             queue.offer(1000.0, ticket, lambda ticket: upstream)
             queue.ended(1000.0, ticket, None, True)
         for _ in range(100):
             for name in ("away", "busy"):
-                queue.offer(1000.0, admission.Ticket(name, overload.NEED, 1e9), no_room)
+                queue.offer(1000.0, queues.Ticket(name, overload.NEED, 1e9), no_room)
         grants: Counter[str] = Counter()
         n_left = iter(range(100))
         effects = queue.pump(
@@ -149,7 +149,7 @@
         n_tokens = {"long": 400.0, "short": 100.0}
         for _ in range(200):
             for name in n_tokens:
-                ticket = admission.Ticket(name, overload.NEED, 1e9, cost=1000.0)
+                ticket = queues.Ticket(name, overload.NEED, 1e9, cost=1000.0)
                 queue.offer(1000.0, ticket, no_room)
         spent: Counter[str] = Counter()
         for _ in range(100):
@@ -172,7 +172,7 @@
         self.upstream = overload.upstreams(1, 1)["u0"]
 
     def offer(self, priority=0, client="c", deadline=1e9, need=overload.NEED, **fields):
-        ticket = admission.Ticket(client, need, deadline, priority=priority, **fields)
+        ticket = queues.Ticket(client, need, deadline, priority=priority, **fields)
         return ticket, self.queue.offer(1000.0, ticket, no_room)
 
     def test_queue_is_bounded_and_better_priority_takes_the_worst_place(self):
@@ -197,7 +197,7 @@
 
     def test_call_without_any_upstream_is_refused_at_once(self):
         """No engine serves what is asked: there is nothing to wait for."""
-        ticket = admission.Ticket("c", overload.NEED, 1e9)
+        ticket = queues.Ticket("c", overload.NEED, 1e9)
         (effect,) = self.queue.offer(1000.0, ticket, lambda t: routing.Lack.UPSTREAM)
         self.assertEqual(effect.reason, Reason.NO_UPSTREAM)
         self.assertGreater(effect.retry_after_seconds, 0)
@@ -209,7 +209,7 @@
 
     def test_waiting_call_is_refused_before_its_deadline(self):
         """A call takes 2 s and has 5 s; after 3 s in the queue it can't be in time."""
-        warm = admission.Ticket("c", overload.NEED, 1e9)
+        warm = queues.Ticket("c", overload.NEED, 1e9)
         self.queue.offer(1000.0, warm, lambda t: self.upstream)
         self.queue.ended(1002.0, warm, None, True)
         ticket, _ = self.offer(deadline=1005.0)
@@ -223,10 +223,10 @@
 
         A third one would take 6 s. With 5 s it is refused at once, with 7 s it waits.
         """
-        warm = admission.Ticket("c", overload.NEED, 1e9)
+        warm = queues.Ticket("c", overload.NEED, 1e9)
         self.queue.offer(996.0, warm, lambda t: self.upstream)
         self.queue.ended(998.0, warm, None, True)
-        running = admission.Ticket("c", overload.NEED, 1e9)
+        running = queues.Ticket("c", overload.NEED, 1e9)
         self.queue.offer(1000.0, running, lambda t: self.upstream)
         self.offer()
         ticket, (effect,) = self.offer(deadline=1005.0)
@@ -250,8 +250,8 @@
         self.assertEqual([effect.ticket for effect in effects], [ticket])
 
     def test_client_beyond_its_calls_in_flight_waits(self):
-        first = admission.Ticket("c", overload.NEED, 1e9, max_in_flight=1)
-        second = admission.Ticket("c", overload.NEED, 1e9, max_in_flight=1)
+        first = queues.Ticket("c", overload.NEED, 1e9, max_in_flight=1)
+        second = queues.Ticket("c", overload.NEED, 1e9, max_in_flight=1)
         (effect,) = self.queue.offer(1000.0, first, lambda t: self.upstream)
         self.assertIsInstance(effect, admission.Granted)
         self.assertEqual(self.queue.offer(1000.0, second, lambda t: self.upstream), [])
@@ -271,13 +271,13 @@
         told are spread over as long as the upstreams need for them.
         """
         queue = admission.Admission(0, random.Random(1))
-        warm = [admission.Ticket("c", overload.NEED, 1e9) for _ in range(50)]
+        warm = [queues.Ticket("c", overload.NEED, 1e9) for _ in range(50)]
         for ticket in warm:
             queue.offer(1000.0, ticket, lambda t: self.upstream)
         queue.ended(1000.5, warm.pop(), None, True)
         times = []
         for _ in range(1000):
-            ticket = admission.Ticket("c", overload.NEED, 1e9)
+            ticket = queues.Ticket("c", overload.NEED, 1e9)
             (effect,) = queue.offer(1000.5, ticket, no_room)
             times.append(effect.retry_after_seconds)
         # 49 calls of half a second at a time: about 100 in a second.
