--- a/tests/test_state_schedules.py
+++ b/tests/test_state_schedules.py
@@ -13,6 +13,7 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
+from bilberrydrum.state import membership
 from tests.fakes import group_hosts, replica_group
 
 N_SCHEDULES = int(os.environ.get("BILBERRYDRUM_SCHEDULES", "60"))
@@ -86,6 +87,24 @@
         group.lose_disk(host)
 
 
+def remove(group: replica_group.Group, host: group_hosts.Host) -> None:
+    """An operator removes a replica, if the leader does not refuse."""
+    leader = group.leader()
+    info = host.decisions.node.members.find(host.decisions.node.replica_id)
+    if leader is not None and not leader.is_frozen and info is not None:
+        group.change(leader, membership.Change(membership.REMOVE, info))
+
+
+def rejoin(group: replica_group.Group, host: group_hosts.Host) -> None:
+    """A replica that was removed gets an empty disk, and asks to join."""
+    leader = group.leader()
+    if leader is None or not host.is_up:
+        return
+    found = leader.decisions.node.members.find(host.decisions.node.replica_id)
+    if found is None:
+        lose_disk(group, host)
+
+
 def give_up(group: replica_group.Group, host: group_hosts.Host) -> None:
     group.give_up(group.leader() or host)
 
@@ -112,6 +131,8 @@
         deafen,
         make_snapshot,
         lose_disk,
+        remove,
+        rejoin,
         give_up,
     )
 }
