--- a/bilberrydrum/state/leader.py
+++ b/bilberrydrum/state/leader.py
@@ -262,6 +262,10 @@
 
 
 def _send_snapshot(state: node.Node, replica_id: str, progress: node.Progress) -> None:
+    if state.now - progress.heard_at > state.settings.election_timeout:
+        # Parts for a host that is down would pile up in its connection's queue, a
+        # quarter of a megabyte each time. Heartbeats go on; its answer starts this.
+        return
     is_same = progress.snapshot_index == state.snapshot_index
     if progress.snapshot_offset is None or not is_same:
         progress.snapshot_offset = 0
--- a/bilberrydrum/state/remote.py
+++ b/bilberrydrum/state/remote.py
@@ -78,6 +78,10 @@
         if self._task is not None:
             self._task.kill()
             self._task = None
+        for pending_by_number in (self._commands, self._queries):
+            for pending in list(pending_by_number.values()):
+                pending.done.send(None)
+            pending_by_number.clear()
 
     def submit(
         self, command: object, timeout: float = 5.0
@@ -108,7 +112,13 @@
             return result.Err(
                 client.StateError(reasons.Reason.STATE_UNAVAILABLE, pending.n_sent > 0)
             )
-        answer = codec.decode(data)
+        try:
+            answer = codec.decode(data)
+        except codec.DecodeError as error:
+            # An answer of a newer release: the command has been applied.
+            return result.Err(
+                client.StateError(reasons.Reason.INTERNAL_ERROR, True, str(error))
+            )
         if isinstance(answer, messages.Failed):
             return result.Err(
                 client.StateError(reasons.Reason.INTERNAL_ERROR, True, answer.detail)
--- a/tests/test_state_log.py
+++ b/tests/test_state_log.py
@@ -88,3 +88,29 @@
         self.assertEqual(times, sorted(times))
         self.assertGreater(times[1], times[0])
         self.assertEqual(times[2], 9000.0)
+
+
+class Snapshots(unittest.TestCase):
+    def test_no_parts_for_a_host_that_is_down(self) -> None:
+        """A host is down for a day, and the log it lacks is in a snapshot by now.
+
+        Parts sent again and again would fill its connection's queue at the leader.
+        """
+        one = test_state_core.One()
+        one.establish()
+        items = ((log.KIND_LOCAL, b"x"),) * 3000
+        one.step(events.Propose(items, 0.0))
+        one.sync()
+        one.acknowledge("b", one.node.log.last_index)
+        one.step(events.SnapshotSaved(one.node.commit_index, 10_000_000))
+        chunks = []
+        for _ in range(100):
+            one.now += 0.1
+            one.step(events.Tick())
+            chunks += [e for e in one.effects if isinstance(e, events.SendChunk)]
+            one.acknowledge("b", one.node.log.last_index)
+        self.assertEqual(chunks, [])
+        fields = {"is_success": False, "index": 1, "sent_at": one.now}
+        one.receive(messages.AppendReply, "c", **fields)
+        chunks = [e for e in one.effects if isinstance(e, events.SendChunk)]
+        self.assertEqual([each.offset for each in chunks], [0])
