Let a new leader act only on what it has applied

Found by reading: leadership was given once an entry of the term was committed, but the state that tasks beside the leader act on lags behind that while the rest is applied. A lease could be granted on an older bundle than was answered for. The test holds the applying task back and fails without the check.

--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -156,7 +156,12 @@
 
     def leadership(self) -> interfaces.Leadership | None:
         """Return the leadership if this replica holds the leader lease now."""
-        if not self.has_lease():
+        role = self.node.role if not self._failure else None
+        if not isinstance(role, node.Leader) or not self.has_lease():
+            return None
+        # Committed is not yet applied: a new leader that acted on its state at once
+        # could hand out a bundle older than one that its predecessor answered for.
+        if self._applier.index < role.first_index:
             return None
         return interfaces.Leadership(self._core.node.term, self._led_since)
 
--- a/tests/test_state_replica.py
+++ b/tests/test_state_replica.py
@@ -10,7 +10,7 @@
 import result
 
 from bilberrydrum import clock, transport
-from bilberrydrum.state import files, replica, storage
+from bilberrydrum.state import applying, files, replica, storage
 from misc import processes
 from tests.fakes import state_process
 
@@ -68,6 +68,25 @@
             self.add(made)
         self.assertEqual(seen, [1, 2, 3])
 
+    def test_new_leader_acts_only_on_what_is_applied(self) -> None:
+        """A replica is elected and has much to apply that others were told of.
+
+        A task beside it that acted on its state at once would hand out old bundles.
+        """
+        made = self.make()
+        with mock.patch.object(applying.ApplyTask, "put") as held:
+            made.start()
+            self.addCleanup(made.stop)
+            with eventlet.Timeout(20.0):
+                while not made.has_lease():
+                    clock.sleep(0.01)
+            self.assertIsNone(made.leadership())
+        for call in held.call_args_list:
+            made._apply.put(*call.args)
+        with eventlet.Timeout(20.0):
+            while made.leadership() is None:
+                clock.sleep(0.01)
+
     def test_stopped_replica_neither_leads_nor_proposes(self) -> None:
         made = self.start()
         made.stop()
