Start second attempts for slow engines' slots, and stop stalled attempts

A second attempt goes on from the tokens so far at another engine, only into places that nobody waits for and within the budget. An engine that holds a stream open without sending anything would have held its slot for an hour; such an attempt is stopped after 20 s and made again.

--- a/bilberrydrum/samples/attempts.py
+++ b/bilberrydrum/samples/attempts.py
@@ -74,7 +74,8 @@
     bundles: interfaces.BundleView
     registry: interfaces.Registry
     dispatcher: interfaces.Dispatcher
-    on_progress: Callable[[str], None]
+    # Called with the engine's id and the number of tokens.
+    on_progress: Callable[[str, int], None]
     on_generated: Callable[[], None]
     trail: provenance.Trail = attrs.field(factory=provenance.Trail)
     upstream_id: str = ""
@@ -151,7 +152,7 @@
                 if isinstance(event, request_model.Finished):
                     return result.Ok(event)
                 self.trail.add(event)
-                self.on_progress(event.upstream_id)
+                self.on_progress(event.upstream_id, len(event.token_ids))
                 reason = self._hopeless()
                 if reason is not None:
                     return result.Err(request_model.Failed(reason, True))
--- a/bilberrydrum/samples/capacity.py
+++ b/bilberrydrum/samples/capacity.py
@@ -26,22 +26,21 @@
     shares_by_model: dict[str, dict[str, float]] = {}
     for name, rule in bundle.trainers.items():
         shares_by_model.setdefault(rule.model, {})[name] = max(rule.share, 1e-6)
-    return [
-        scheduling.Pool(_places(model_name, upstreams_by_id, n_gateways), shares)
-        for model_name, shares in shares_by_model.items()
-    ]
+    pools_ = []
+    for model_name, shares in shares_by_model.items():
+        places = _places(model_name, upstreams_by_id) / max(1, n_gateways)
+        limit = math.ceil(OVERCOMMIT * places)
+        pools_.append(scheduling.Pool(limit, shares, math.floor(places)))
+    return pools_
 
 
 def _places(
-    model_name: str,
-    upstreams_by_id: Mapping[str, upstream_model.Upstream],
-    n_gateways: int,
+    model_name: str, upstreams_by_id: Mapping[str, upstream_model.Upstream]
 ) -> int:
-    places = sum(
+    return sum(
         each.max_concurrency
         for each in upstreams_by_id.values()
         if each.kind == upstream_model.KIND_ENGINE
         and model_name in each.models
         and each.role == upstream_model.ROLE_GENERATE
     )
-    return math.ceil(OVERCOMMIT * places / max(1, n_gateways))
--- a/bilberrydrum/samples/owner.py
+++ b/bilberrydrum/samples/owner.py
@@ -18,6 +18,7 @@
     commands,
     model,
     payloads,
+    provenance,
     queries,
     recorder,
     scheduling,
@@ -60,13 +61,14 @@
         self._dispatcher = dispatcher
         self._store = store
         self._recorder = recorder.Recorder(state, bundles)
-        self._schedule = scheduling.Schedule()
+        self._schedule = scheduling.Schedule(options_.samples.second_attempt_budget)
         self._revision = 0
         self._leased_until = 0.0
         self._requests_by_group: dict[tuple[str, str], model.GroupRequest] = {}
         self._attempts_by_start: dict[
             tuple[scheduling.Key, int], eventlet.greenthread.GreenThread
         ] = {}
+        self._trails_by_start: dict[tuple[scheduling.Key, int], provenance.Trail] = {}
         self._tasks: list[eventlet.greenthread.GreenThread] = []
         self._wake = eventlet.event.Event()
 
@@ -170,6 +172,10 @@
         if current.is_err():
             return
         bundle = current.unwrap()
+        stalled = self._schedule.stalled(now)
+        self._stop_attempts(stalled)
+        for _ in stalled:
+            counters.retried(reasons.Reason.UPSTREAM_TIMEOUT)
         pools = capacity.pools(
             bundle,
             self._registry.upstreams_by_id(),
@@ -190,6 +196,7 @@
 
     def _stop_attempts(self, cancels: list[scheduling.Cancel]) -> None:
         for cancel in cancels:
+            self._trails_by_start.pop((cancel.key, cancel.attempt), None)
             thread = self._attempts_by_start.pop((cancel.key, cancel.attempt), None)
             if thread is not None:
                 thread.kill()
@@ -202,6 +209,7 @@
             eliot.write_traceback()
             reason = reasons.Reason.INTERNAL_ERROR
         self._attempts_by_start.pop((start.key, start.attempt), None)
+        self._trails_by_start.pop((start.key, start.attempt), None)
         if reason is None:
             return
         if reason in _SUPERSEDED:
@@ -219,11 +227,15 @@
             self._bundles,
             self._registry,
             self._dispatcher,
-            lambda upstream_id: self._schedule.progress(
-                clock.now(), key, number, upstream_id
+            lambda upstream_id, n_tokens: self._schedule.progress(
+                clock.now(), key, number, upstream_id, n_tokens
             ),
             lambda: self._schedule.generated(key, number),
         )
+        earlier = self._trails_by_start.get((key, task.start.goes_on_from))
+        if earlier is not None:
+            attempt.trail = earlier.copy()
+        self._trails_by_start[(key, number)] = attempt.trail
         made = attempt.run()
         if made.is_err():
             return made.unwrap_err()
--- a/bilberrydrum/samples/provenance.py
+++ b/bilberrydrum/samples/provenance.py
@@ -46,6 +46,12 @@
             first = self.segments.pop().first_token
         self.segments.append(model.Segment(weight_version, first, last))
 
+    def copy(self) -> "Trail":
+        """Return a trail that goes on from here by itself."""
+        return Trail(
+            list(self.segments), list(self.token_ids), list(self.texts), self.fault
+        )
+
     def payload(self) -> model.Payload:
         """Return the text and tokens so far."""
         return model.Payload("".join(self.texts), tuple(self.token_ids))
--- a/bilberrydrum/samples/scheduling.py
+++ b/bilberrydrum/samples/scheduling.py
@@ -5,6 +5,12 @@
 one leaves unused goes to the others. Within a trainer: slots that a batch waits for,
 then the oldest group, so that the slots of a group follow one another and find its
 prompt's prefix in the engine's cache.
+
+Stragglers: when nothing waits and places are free, an attempt whose tokens come at less
+than `SLOW_SHARE` of the usual pace gets a second one at another engine, which goes on
+from the tokens made so far; the one that is whole first counts. Their number is bounded
+by a budget. An attempt whose tokens have stopped coming is stopped and made again,
+whatever the budget: its slot would hold up its trainer for ever.
 """
 
 from typing import Final
@@ -16,6 +22,14 @@
 # Waiting time after the first failed attempt of a slot; doubles with each further one.
 BACKOFF_SECONDS: Final = 0.05
 MAX_BACKOFF_SECONDS: Final = 2.0
+# Share of the usual pace below which an attempt is slow.
+SLOW_SHARE: Final = 0.6
+# Tokens after which an attempt's pace is known.
+MIN_TOKENS: Final = 8
+# Time without a token after which an attempt is given up.
+STALL_SECONDS: Final = 20.0
+# Share of the newest pace in the usual one.
+_SMOOTHING: Final = 0.02
 
 
 @attrs.frozen
@@ -34,7 +48,10 @@
 
     started_at: float
     upstream_id: str = ""
+    # When its first tokens came; 0: none have.
+    first_at: float = 0.0
     progressed_at: float = 0.0
+    n_tokens: int = 0
     # Generated whole; being scored, stored or recorded.
     is_generated: bool = False
 
@@ -59,6 +76,8 @@
     attempt: int
     # Engines that the attempt should avoid.
     excluded_upstream_ids: frozenset[str] = frozenset()
+    # Attempt at the same slot whose tokens so far it goes on from; 0: none.
+    goes_on_from: int = 0
 
 
 @attrs.frozen
@@ -75,13 +94,21 @@
 
     capacity: int
     shares_by_trainer: dict[str, float]
+    # This owner's part of the engines' places.
+    n_places: int = 0
 
 
 @attrs.define
 class Schedule:
     """The attempts of one owner."""
 
+    # Second attempts allowed as a share of first ones.
+    second_attempt_budget: float = 0.0
     wanted_by_key: dict[Key, Wanted] = attrs.field(factory=dict)
+    n_started: int = 0
+    n_second: int = 0
+    # Usual tokens per second of an attempt; 0: not known.
+    _usual_pace: float = 0.0
     # Log index at which a slot got its sample; older work lists don't know of it.
     _recorded_at: dict[Key, int] = attrs.field(factory=dict)
 
@@ -124,6 +151,15 @@
             cancel for key in list(self.wanted_by_key) for cancel in self._drop(key)
         ]
 
+    @property
+    def n_running(self) -> int:
+        """Number of attempts that use an engine or wait for one."""
+        return sum(
+            not running.is_generated
+            for wanted in self.wanted_by_key.values()
+            for running in wanted.running_by_attempt.values()
+        )
+
     def starts(self, now: float, pools: list[Pool]) -> list[Start]:
         """Return the attempts to start now; they count as running from here on."""
         starts = []
@@ -157,32 +193,94 @@
             starts.append(self._start(now, waiting[name].pop()))
             n_running[name] += 1
             n_free -= 1
+        if not starts:
+            starts += self._second_starts(now, pool, sum(n_running.values()))
         return starts
 
+    def _second_starts(self, now: float, pool: Pool, n_running: int) -> list[Start]:
+        # Places that nobody else wants are there only while fewer attempts are in
+        # flight than the engines have places.
+        n_free = pool.n_places - n_running
+        starts: list[Start] = []
+        for key, wanted in self.wanted_by_key.items():
+            if n_free <= len(starts) or key.trainer not in pool.shares_by_trainer:
+                continue
+            budget = self.second_attempt_budget * self.n_started
+            if self.n_second + 1 > budget or len(wanted.running_by_attempt) != 1:
+                continue
+            number, running = next(iter(wanted.running_by_attempt.items()))
+            if not self._is_slow(now, running):
+                continue
+            self.n_second += 1
+            excluded = frozenset({running.upstream_id})
+            starts.append(self._start(now, key, excluded, number))
+        return starts
+
+    def _is_slow(self, now: float, running: Running) -> bool:
+        if running.is_generated or running.n_tokens < MIN_TOKENS:
+            return False
+        pace = running.n_tokens / max(1e-6, now - running.first_at)
+        return pace < SLOW_SHARE * self._usual_pace
+
+    def stalled(self, now: float) -> list[Cancel]:
+        """Return attempts whose tokens stopped coming; they count as failed."""
+        cancels = [
+            Cancel(key, number)
+            for key, wanted in self.wanted_by_key.items()
+            for number, running in wanted.running_by_attempt.items()
+            if running.first_at
+            and not running.is_generated
+            and now - running.progressed_at > STALL_SECONDS
+        ]
+        for cancel in cancels:
+            self.failed(now, cancel.key, cancel.attempt)
+        return cancels
+
     def _order(self, key: Key) -> tuple[bool, int, int]:
         wanted = self.wanted_by_key[key]
         return (not wanted.is_assigned, wanted.sequence, key.slot)
 
     def _start(
-        self, now: float, key: Key, excluded: frozenset[str] = frozenset()
+        self,
+        now: float,
+        key: Key,
+        excluded: frozenset[str] = frozenset(),
+        goes_on_from: int = 0,
     ) -> Start:
         wanted = self.wanted_by_key[key]
         wanted.n_attempts += 1
+        self.n_started += 1
         wanted.running_by_attempt[wanted.n_attempts] = Running(now, progressed_at=now)
-        return Start(key, wanted.n_attempts, excluded)
+        return Start(key, wanted.n_attempts, excluded, goes_on_from)
 
-    def progress(self, now: float, key: Key, attempt: int, upstream_id: str) -> None:
+    def progress(
+        self, now: float, key: Key, attempt: int, upstream_id: str, n_tokens: int
+    ) -> None:
         """Take note that an attempt got tokens from an engine."""
         running = self._running(key, attempt)
-        if running is not None:
+        if running is None:
+            return
+        if running.upstream_id != upstream_id:
+            # It goes on at another engine, whose pace is another.
             running.upstream_id = upstream_id
-            running.progressed_at = now
+            running.first_at = now
+            running.n_tokens = 0
+        else:
+            # The first event's tokens were made before it came.
+            running.n_tokens += n_tokens
+        running.progressed_at = now
 
     def generated(self, key: Key, attempt: int) -> None:
         """Take note that an attempt no longer uses an engine."""
         running = self._running(key, attempt)
-        if running is not None:
-            running.is_generated = True
+        if running is None:
+            return
+        running.is_generated = True
+        seconds = running.progressed_at - running.first_at
+        if running.n_tokens >= MIN_TOKENS and seconds > 0:
+            pace = running.n_tokens / seconds
+            share = _SMOOTHING if self._usual_pace else 1.0
+            self._usual_pace += share * (pace - self._usual_pace)
 
     def failed(self, now: float, key: Key, attempt: int) -> None:
         """Take note that an attempt came to nothing; another will be started."""
--- a/misc/sample_site.py
+++ b/misc/sample_site.py
@@ -253,9 +253,13 @@
         delivered: dict[str, int] = {}
         for report in reports:
             delivered |= report.pop("n_tokens_by_sample")
-        n_made = 0
+        made = dict.fromkeys(delivered, 0)
         for i in range(N_ENGINES):
             for event in journal.read(Path(self._journal(i)), "stream"):
-                if event["id"].partition("#")[0] in delivered:
-                    n_made += sum(segment[2] for segment in event["segments"])
+                sample_id = event["id"].partition("#")[0]
+                if sample_id in made:
+                    made[sample_id] += sum(segment[2] for segment in event["segments"])
+        # An engine that was killed noted nothing of its streams, whose first tokens may
+        # have been delivered.
+        n_made = sum(max(made[each], delivered[each]) for each in delivered)
         return Run(reports, n_made, sum(delivered.values()), lost_at)
--- a/tests/test_samples_attempts.py
+++ b/tests/test_samples_attempts.py
@@ -45,7 +45,7 @@
             self.bundles,
             self.registry,
             self.dispatcher,
-            lambda upstream_id: None,
+            lambda upstream_id, n_tokens: None,
             lambda: self.generated.append(True),
         )
 
@@ -110,7 +110,7 @@
         """
         script = [support.tokens(1), support.tokens(2), *OK]
         attempt = self.attempt([script])
-        attempt.on_progress = lambda _: self.bundles.versions_by_trainer.update(
+        attempt.on_progress = lambda *_: self.bundles.versions_by_trainer.update(
             {support.TRAINER: 3}
         )
         self.assertEqual(attempt.run().err(), R.SAMPLE_STALE)
@@ -120,7 +120,7 @@
     def test_bound_tightened_while_generating(self) -> None:
         attempt = self.attempt([[support.tokens(1), support.tokens(2), *OK]])
         self.bundles.versions_by_trainer[support.TRAINER] = 1
-        attempt.on_progress = lambda _: setattr(
+        attempt.on_progress = lambda *_: setattr(
             self.bundles, "bundle", support.bundle(bound=0, version=2)
         )
         self.assertEqual(attempt.run().err(), R.SAMPLE_STALE)
--- a/tests/test_samples_scheduling.py
+++ b/tests/test_samples_scheduling.py
@@ -111,17 +111,86 @@
         key = scheduling.Key("a", "g", 0, 1)
         self.schedule.drop_all()
         self.schedule.failed(0.0, key, 1)
-        self.schedule.progress(0.0, key, 1, "engine-1")
+        self.schedule.progress(0.0, key, 1, "engine-1", 4)
         self.schedule.generated(key, 1)
         self.assertEqual(self.starts(), [])
         self.assertFalse(self.schedule.is_running(key, 1))
 
 
+class Stragglers(unittest.TestCase):
+    """The last slots of a step decide how long the trainer waits."""
+
+    def setUp(self) -> None:
+        self.schedule = scheduling.Schedule(second_attempt_budget=0.5)
+        self.pool = scheduling.Pool(8, {"a": 1.0}, n_places=4)
+        self.schedule.update(1, (work("g", 4),))
+        self.keys = [scheduling.Key("a", "g", slot, 1) for slot in range(4)]
+        self.schedule.starts(0.0, [self.pool])
+        for slot, n_tokens in ((0, 40), (1, 40), (2, 4), (3, 40)):
+            for now, n in ((1.0, 1), (5.0, n_tokens)):
+                engine = f"e{slot}"
+                self.schedule.progress(now, self.keys[slot], 1, engine, n)
+
+    def finish(self, *slots: int) -> None:
+        for slot in slots:
+            self.schedule.generated(self.keys[slot], 1)
+            self.schedule.recorded(2, self.keys[slot], 1)
+
+    def test_slow_attempt_gets_a_second_one_elsewhere(self) -> None:
+        """One engine is much slower than the others; its slot is the step's last.
+
+        The second attempt goes on from the tokens so far at another engine.
+        """
+        self.finish(0, 1)
+        self.schedule.progress(5.0, self.keys[2], 1, "e2", 4)
+        (start,) = self.schedule.starts(6.0, [self.pool])
+        self.assertEqual((start.key, start.attempt), (self.keys[2], 2))
+        self.assertEqual(start.excluded_upstream_ids, {"e2"})
+        self.assertEqual(start.goes_on_from, 1)
+        self.assertEqual(self.schedule.starts(7.0, [self.pool]), [])
+        cancels = self.schedule.recorded(3, self.keys[2], 2)
+        self.assertEqual(cancels, [scheduling.Cancel(self.keys[2], 1)])
+
+    def test_no_second_attempt(self) -> None:
+        cases = (
+            ("others wait", self.pool, (0, 1), True, 0.5),
+            ("no free place", scheduling.Pool(8, {"a": 1.0}, 2), (0, 1), False, 0.5),
+            ("budget spent", self.pool, (0, 1), False, 0.0),
+            ("pace not known", self.pool, (), False, 0.5),
+        )
+        for name, pool, finished, others_wait, budget in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.schedule.second_attempt_budget = budget
+                self.finish(*finished)
+                self.schedule.progress(5.0, self.keys[2], 1, "e2", 4)
+                if others_wait:
+                    lists = (work("g", 4), work("h", 9, sequence=2))
+                    self.schedule.update(1, lists)
+                seconds = [
+                    each
+                    for each in self.schedule.starts(6.0, [pool])
+                    if each.goes_on_from
+                ]
+                self.assertEqual(seconds, [])
+
+    def test_stalled_attempt_is_stopped_and_made_again(self) -> None:
+        """An engine holds a stream open and sends nothing more, for ever."""
+        at = 5.0 + scheduling.STALL_SECONDS
+        self.assertEqual(self.schedule.stalled(at), [])
+        self.schedule.progress(at, self.keys[0], 1, "e0", 4)
+        cancels = self.schedule.stalled(at + 0.1)
+        self.assertEqual(cancels, [scheduling.Cancel(key, 1) for key in self.keys[1:]])
+        again = self.schedule.starts(at + 9.0, [self.pool])
+        self.assertEqual([each.attempt for each in again], [2, 2, 2])
+
+
 class Pools(unittest.TestCase):
     def test_engines_are_divided_among_gateways(self) -> None:
         upstreams = {f"e{i}": support.engine(f"e{i}") for i in range(5)}
-        for n_gateways, places in ((1, 25), (3, 9), (0, 25)):
+        for n_gateways, limit, places in ((1, 40, 20), (3, 14, 6), (0, 40, 20)):
             with self.subTest(n_gateways=n_gateways):
                 pools = capacity.pools(support.bundle(), upstreams, n_gateways)
-                expected = [scheduling.Pool(places, {support.TRAINER: 1.0})]
+                shares = {support.TRAINER: 1.0}
+                expected = [scheduling.Pool(limit, shares, places)]
                 self.assertEqual(pools, expected)
