--- a/misc/plain_daemon.py
+++ b/misc/plain_daemon.py
@@ -46,7 +46,7 @@
     """Put the plain policy in the place of the real one."""
     routing.Router.choose = choose  # type: ignore[method-assign, assignment]
     scheduling.Schedule._order = order  # type: ignore[method-assign, assignment]
-    scheduling.SECOND_ATTEMPT_FACTOR = float("inf")  # type: ignore[misc]
+    scheduling.SLOW_SHARE = 0.0  # type: ignore[misc]
     capacity.OVERCOMMIT = 1000.0  # type: ignore[misc]
     attempts.MAX_RESUMES = 0  # type: ignore[misc]
 
--- a/misc/sample_engine.py
+++ b/misc/sample_engine.py
@@ -6,12 +6,19 @@
 """
 
 import random
+import time
 
 from bilberrydrum import runtime
 
 runtime.prepare()
 
-from tests.fakes import batching, engine
+import eventlet
+
+from tests.fakes import batching, engine, journal
+
+# A longer time between two steps was an idle one.
+MAX_STEPS_BETWEEN = 5
+PACE_SECONDS = 0.5
 
 
 def length_of(request_id: str, median: int) -> int:
@@ -23,7 +30,20 @@
 
 
 class SampleBatcher(batching.Batcher):
-    """Batches streams whose lengths are those of their samples."""
+    """Batches streams whose lengths are those of their samples, and times its steps."""
+
+    n_steps = 0
+    busy_seconds = 0.0
+    _stepped_at = 0.0
+
+    def _step(self) -> None:
+        now = time.monotonic()
+        seconds = now - self._stepped_at
+        if seconds < MAX_STEPS_BETWEEN * self.settings.step_seconds:
+            self.n_steps += 1
+            self.busy_seconds += seconds
+        self._stepped_at = now
+        super()._step()
 
     def submit(
         self,
@@ -40,10 +60,20 @@
         return stream
 
 
+def note_pace(batcher: SampleBatcher, notes: journal.Journal) -> None:
+    """Note how long steps really take: a busy machine makes them longer."""
+    while True:
+        eventlet.sleep(PACE_SECONDS)
+        notes.write("pace", n_steps=batcher.n_steps, busy_seconds=batcher.busy_seconds)
+
+
 def main() -> None:
     """Run the engine."""
     batching.Batcher = SampleBatcher  # type: ignore[misc]
-    engine.Engine(engine._parser().parse_args()).run()
+    stand_in = engine.Engine(engine._parser().parse_args())
+    assert isinstance(stand_in.batcher, SampleBatcher)
+    eventlet.spawn(note_pace, stand_in.batcher, stand_in.journal)
+    stand_in.run()
 
 
 if __name__ == "__main__":
--- a/misc/sample_site.py
+++ b/misc/sample_site.py
@@ -16,6 +16,13 @@
 N_SCORERS: Final = 2
 SCORER: Final = "scorer"
 POLICY_PLAIN: Final = "plain"
+# What goes wrong in a run.
+NO_FAULTS: Final = "none"
+# One swap fails and one engine is lost.
+FAULTS: Final = "faults"
+# One engine is slow, from the beginning.
+SLOW_ENGINE: Final = "slow_engine"
+SLOWNESS: Final = 3.0
 START_SECONDS: Final = 60.0
 OPERATOR: Final = {"X-Operator": "measure"}
 
@@ -42,7 +49,8 @@
     median_length: int
     max_tokens: int
     measure_seconds: float
-    n_warm_steps: int = 4
+    n_warm_steps: int = 3
+    second_attempt_budget: float = 0.05
 
 
 @attrs.frozen
@@ -53,19 +61,21 @@
     # Engine tokens made for samples that were delivered, and those delivered.
     n_tokens_made: int
     n_tokens_delivered: int
-    # Wall clock at which an engine was lost; 0: none was.
+    # Wall clock at which the first engine was lost; 0: it was not.
     engine_lost_at: float
+    # Time that a step really took, by engine.
+    step_seconds: tuple[float, ...]
 
 
 class Site:
     """The processes of one run."""
 
     def __init__(
-        self, load: Load, policy: str, has_faults: bool, started: processes.Processes
+        self, load: Load, policy: str, faults: str, started: processes.Processes
     ) -> None:
         self.load = load
         self._policy = policy
-        self._has_faults = has_faults
+        self._faults = faults
         self._processes = started
         self._folder: Path = started.folder
         n_daemons = len(load.zones)
@@ -82,8 +92,10 @@
         self._start_daemons()
         self._roll_bundle()
         self._start_upstreams()
+        if self._faults == SLOW_ENGINE:
+            self._control(2, slowness=SLOWNESS)
         trainers = [self._start_trainer(name) for name in self.load.trainers]
-        lost_at = self._break_things() if self._has_faults else 0.0
+        lost_at = self._break_things() if self._faults == FAULTS else 0.0
         for trainer in trainers:
             code = trainer.popen.wait(START_SECONDS + 4 * self.load.measure_seconds)
             if code != 0:
@@ -115,6 +127,7 @@
                 "gateway": {"http_address": self._http[i]},
                 # The plain policy sends everything at once.
                 "requests": {"max_queue_per_caller": 4096},
+                "samples": {"second_attempt_budget": self.load.second_attempt_budget},
             }
             path = self._folder / f"gw-{i}.yaml"
             path.write_text(yaml.safe_dump(settings))
@@ -238,13 +251,16 @@
             )
 
         processes.wait_for(is_warm, START_SECONDS * 4, "the warm-up")
-        urllib3.request(
-            "POST", f"http://{self._engines[1]}/control", json={"fail_swaps": 1}
-        )
+        self._control(1, fail_swaps=1)
         time.sleep(self.load.measure_seconds / 3)
         self._processes["engine-0"].kill()
         return time.time()
 
+    def _control(self, i_engine: int, **faults: float) -> None:
+        urllib3.request(
+            "POST", f"http://{self._engines[i_engine]}/control", json=faults
+        )
+
     def _collect(self, lost_at: float) -> Run:
         reports = tuple(
             json.loads((self._folder / f"{name}.report").read_text())
@@ -262,4 +278,9 @@
         # An engine that was killed noted nothing of its streams, whose first tokens may
         # have been delivered.
         n_made = sum(max(made[each], delivered[each]) for each in delivered)
-        return Run(reports, n_made, sum(delivered.values()), lost_at)
+        paces = tuple(self._step_seconds(i) for i in range(N_ENGINES))
+        return Run(reports, n_made, sum(delivered.values()), lost_at, paces)
+
+    def _step_seconds(self, i_engine: int) -> float:
+        pace = list(journal.read(Path(self._journal(i_engine)), "pace"))[-1]
+        return float(pace["busy_seconds"]) / max(1, pace["n_steps"])
