Deliver groups whole, the oldest whole group first

Taking single slots as they ended filled batches with short samples and handed trainers parts of groups, which they compare within; stragglers then only came late and old. Slots count as ready once their group is whole.

--- a/bilberrydrum/samples/commands.py
+++ b/bilberrydrum/samples/commands.py
@@ -352,7 +352,7 @@
     if not staleness.is_fit(taken.record, newest, trainer.rule.staleness_bound):
         slot.n_attempts = taken.record.attempt
         return reasons.Reason.SAMPLE_STALE
-    section.take_record(trainer, slot, taken.record)
+    section.take_record(trainer, group, slot, taken.record)
     return None
 
 
@@ -386,12 +386,18 @@
 
 
 def _assign_ready(trainer: section.Trainer, n_samples: int) -> None:
+    """Give positions to slots of whole groups, the oldest group first.
+
+    Trainers compare the samples of a group with one another, so its samples follow one
+    another. A whole group goes before an older one that is not: but taking single slots
+    as they end would fill the batches with short samples.
+    """
     if trainer.n_ready < n_samples:
         return
     ready = [
         (group, i)
         for group, i, slot in section.slots_in_order(trainer)
-        if slot.record is not None and slot.position == model.UNASSIGNED
+        if slot.position == model.UNASSIGNED and section.is_whole(group)
     ]
     for group, i in ready[:n_samples]:
         section.assign(trainer, group, i)
@@ -456,7 +462,7 @@
             continue
         if staleness.is_fit(slot.record, newest_version, bound):
             continue
-        section.clear_record(trainer, slot)
+        section.clear_record(trainer, group, slot)
         ownership.wake(samples, group)
         owners.add(group.owner)
         n_expired += 1
@@ -479,7 +485,7 @@
             continue
         if slot.record.owner_epoch != lost.record.owner_epoch:
             continue
-        section.clear_record(trainer, slot)
+        section.clear_record(trainer, group, slot)
         ownership.wake(samples, group)
         owners.add(group.owner)
         n_expired += 1
--- a/bilberrydrum/samples/ownership.py
+++ b/bilberrydrum/samples/ownership.py
@@ -130,7 +130,7 @@
             if left:
                 slot.record = attrs.evolve(record, holders=left)
             else:
-                section.clear_record(trainer, slot)
+                section.clear_record(trainer, group, slot)
                 wake(samples, group)
 
 
--- a/bilberrydrum/samples/section.py
+++ b/bilberrydrum/samples/section.py
@@ -70,7 +70,7 @@
     acknowledged: int = 0
     # All positions below are assigned.
     n_assigned: int = 0
-    # Slots with a record and no position.
+    # Slots without a position in groups that are whole.
     n_ready: int = 0
     n_groups_accepted: int = 0
     n_open_slots: int = 0
@@ -128,19 +128,33 @@
             yield group, i, slot
 
 
-def take_record(trainer: Trainer, slot: Slot, record: model.Record) -> None:
+def is_whole(group: Group) -> bool:
+    """Tell whether each slot has a sample, or had one when it got its position."""
+    return all(
+        slot.record is not None or slot.position != model.UNASSIGNED
+        for slot in group.slots
+    )
+
+
+def _n_unassigned(group: Group) -> int:
+    return sum(slot.position == model.UNASSIGNED for slot in group.slots)
+
+
+def take_record(
+    trainer: Trainer, group: Group, slot: Slot, record: model.Record
+) -> None:
     """Keep `record` as the slot's sample."""
     slot.record = record
     slot.n_attempts = max(slot.n_attempts, record.attempt)
-    if slot.position == model.UNASSIGNED:
-        trainer.n_ready += 1
+    if slot.position == model.UNASSIGNED and is_whole(group):
+        trainer.n_ready += _n_unassigned(group)
 
 
-def clear_record(trainer: Trainer, slot: Slot) -> None:
+def clear_record(trainer: Trainer, group: Group, slot: Slot) -> None:
     """Give up the slot's sample; another attempt is wanted at the same position."""
+    if slot.position == model.UNASSIGNED and is_whole(group):
+        trainer.n_ready -= _n_unassigned(group)
     slot.record = None
-    if slot.position == model.UNASSIGNED:
-        trainer.n_ready -= 1
 
 
 def assign(trainer: Trainer, group: Group, i_slot: int) -> None:
--- a/tests/test_samples_commands.py
+++ b/tests/test_samples_commands.py
@@ -152,6 +152,25 @@
         batch = machine.read(0, n_samples=3)
         self.assertEqual((batch.refusal, batch.n_assigned), (R.BATCH_NOT_READY, 0))
 
+    def test_groups_are_delivered_whole(self) -> None:
+        """A group of which one sample is missing does not hold up a whole one.
+
+        None of its samples is delivered before it is whole, and the samples of a group
+        follow one another.
+        """
+        machine = ready_machine()
+        machine.read(0)
+        machine.add("g1", n_slots=3)
+        machine.add("g2")
+        for group_id, slot in (("g1", 0), ("g1", 2), ("g2", 0)):
+            machine.record(group_id, slot)
+        self.assertEqual(machine.read(2, n_samples=1).refusal, R.BATCH_NOT_READY)
+        machine.record("g2", 1)
+        self.assertEqual(places(machine.read(2)), [(2, "g2", 0, 1), (3, "g2", 1, 1)])
+        machine.record("g1", 1)
+        batch = machine.read(4, n_samples=3)
+        self.assertEqual([each.slot for each in batch.samples], [0, 1, 2])
+
     @tools.params(
         ("below what was acknowledged", 0, 1, R.CURSOR_INVALID),
         ("between", 1, 1, R.CURSOR_INVALID),
