--- a/bilberrydrum/samples/capacity.py
+++ b/bilberrydrum/samples/capacity.py
@@ -29,8 +29,7 @@
     pools_ = []
     for model_name, shares in shares_by_model.items():
         places = _places(model_name, upstreams_by_id) / max(1, n_gateways)
-        limit = math.ceil(OVERCOMMIT * places)
-        pools_.append(scheduling.Pool(limit, shares, math.floor(places)))
+        pools_.append(scheduling.Pool(math.ceil(OVERCOMMIT * places), shares))
     return pools_
 
 
--- a/bilberrydrum/samples/owner.py
+++ b/bilberrydrum/samples/owner.py
@@ -189,7 +189,7 @@
             if request is None or rule is None:
                 self._schedule.failed(now, start.key, start.attempt)
                 continue
-            is_urgent = self._schedule.is_assigned(start.key)
+            is_urgent = start.goes_on_from > 0 or self._schedule.is_assigned(start.key)
             task = attempts.Task(start, request, rule, is_urgent)
             thread = eventlet.spawn(self._attempt, task)
             self._attempts_by_start[(start.key, start.attempt)] = thread
--- a/bilberrydrum/samples/scheduling.py
+++ b/bilberrydrum/samples/scheduling.py
@@ -6,10 +6,11 @@
 then the oldest group, so that the slots of a group follow one another and find its
 prompt's prefix in the engine's cache.
 
-Stragglers: when nothing waits and places are free, an attempt whose tokens come at less
-than `SLOW_SHARE` of the usual pace gets a second one at another engine, which goes on
-from the tokens made so far; the one that is whole first counts. Their number is bounded
-by a budget. An attempt whose tokens have stopped coming is stopped and made again,
+Stragglers: an attempt whose tokens come at less than `SLOW_SHARE` of the usual pace, and
+whose group is older than all that still wait to be started, gets a second one at another
+engine, which goes on from the tokens made so far; the one that is whole first counts.
+Their number is bounded by a budget. Waiting for a free place instead would leave it out
+whenever the trainer has asked for more groups, which is when it waits for this one. An attempt whose tokens have stopped coming is stopped and made again,
 whatever the budget: its slot would hold up its trainer for ever.
 """
 
@@ -94,8 +95,6 @@
 
     capacity: int
     shares_by_trainer: dict[str, float]
-    # This owner's part of the engines' places.
-    n_places: int = 0
 
 
 @attrs.define
@@ -193,21 +192,26 @@
             starts.append(self._start(now, waiting[name].pop()))
             n_running[name] += 1
             n_free -= 1
-        if not starts:
-            starts += self._second_starts(now, pool, sum(n_running.values()))
+        starts += self._second_starts(now, pool, waiting)
         return starts
 
-    def _second_starts(self, now: float, pool: Pool, n_running: int) -> list[Start]:
-        # Places that nobody else wants are there only while fewer attempts are in
-        # flight than the engines have places.
-        n_free = pool.n_places - n_running
+    def _second_starts(
+        self, now: float, pool: Pool, waiting: dict[str, list[Key]]
+    ) -> list[Start]:
+        oldest_by_trainer = {
+            name: min((self.wanted_by_key[key].sequence for key in keys), default=None)
+            for name, keys in waiting.items()
+        }
         starts: list[Start] = []
         for key, wanted in self.wanted_by_key.items():
-            if n_free <= len(starts) or key.trainer not in pool.shares_by_trainer:
+            if key.trainer not in pool.shares_by_trainer:
                 continue
             budget = self.second_attempt_budget * self.n_started
             if self.n_second + 1 > budget or len(wanted.running_by_attempt) != 1:
                 continue
+            oldest = oldest_by_trainer[key.trainer]
+            if oldest is not None and wanted.sequence > oldest:
+                continue
             number, running = next(iter(wanted.running_by_attempt.items()))
             if not self._is_slow(now, running):
                 continue
