--- a/bilberrydrum/samples/section.py
+++ b/bilberrydrum/samples/section.py
@@ -19,6 +19,8 @@
 # Samples per trainer whose trace is kept, and whose group is known again, after the
 # cursor has moved past them: 32 steps of 2,048.
 HISTORY_SAMPLES: Final = 65_536
+# Added to epochs in a state made from a back-up.
+EPOCH_JUMP: Final = 1_000_000
 
 
 @codec.register("samples.slot")
@@ -121,6 +123,28 @@
     return trainers[name]
 
 
+@machine.keep_rising.register
+def _(section: Section, current: Section | None) -> None:
+    """Let no epoch, cursor or position fall when a back-up is restored.
+
+    What has been received since the back-up was made must not be delivered again, so
+    trainers that the state knows keep what it knows of them. A group that starts from
+    a back-up alone knows no more than it; there epochs jump, so that what owners and
+    readers of the time after the back-up still send is refused.
+    """
+    if current is not None:
+        section.trainers_by_name |= current.trainers_by_name
+        section.owners_by_id = current.owners_by_id
+        section.renewed_at = current.renewed_at
+        return
+    section.owners_by_id.clear()
+    for trainer in section.trainers_by_name.values():
+        trainer.reader_epoch += EPOCH_JUMP
+        for group in trainer.groups_by_id.values():
+            group.owner = ""
+            group.owner_epoch += EPOCH_JUMP
+
+
 def slots_in_order(trainer: Trainer) -> Iterator[tuple[Group, int, Slot]]:
     """Yield the slots of open groups, oldest group first."""
     for group in trainer.groups_by_id.values():
--- a/tests/test_samples_commands.py
+++ b/tests/test_samples_commands.py
@@ -6,8 +6,9 @@
 
 from nose2 import tools
 
-from bilberrydrum import reasons
+from bilberrydrum import codec, reasons
 from bilberrydrum.samples import commands, model, queries, section
+from bilberrydrum.state import machine as state_machine
 from tests import samples_support as support
 
 R = reasons.Reason
@@ -486,6 +487,36 @@
         self.assertEqual(states, ["", "", "acknowledged", "acknowledged"])
 
 
+class Restored(unittest.TestCase):
+    """A back-up of the state is restored."""
+
+    def test_what_was_received_since_is_not_delivered_again(self) -> None:
+        """A back-up is made, the trainer reads on, and the back-up is restored."""
+        machine = ready_machine()
+        old = codec.decode(codec.encode(section.of(machine.state)))
+        machine.read(0)
+        machine.read(2)
+        current = section.of(machine.state)
+        state_machine.keep_rising(old, current)
+        machine.state.sections[section.SECTION] = old
+        self.assertEqual(machine.read(0).refusal, R.CURSOR_INVALID)
+        self.assertEqual(machine.add("g0").n_known, 1)
+
+    def test_new_state_group_refuses_what_comes_from_the_old_one(self) -> None:
+        """A state group is made anew from a back-up; its owners and readers live on."""
+        machine = ready_machine()
+        machine.add("g1")
+        old = codec.decode(codec.encode(section.of(machine.state)))
+        state_machine.keep_rising(old, None)
+        machine.state.sections[section.SECTION] = old
+        self.assertEqual(machine.read(0).refusal, R.READER_SUPERSEDED)
+        self.assertEqual(machine.record("g1", 0), R.EPOCH_STALE)
+        renewed = machine.renew("gw-2")
+        assert renewed.work is not None
+        epochs = {each.owner_epoch for each in renewed.work}
+        self.assertGreater(min(epochs), section.EPOCH_JUMP)
+
+
 class Payloads(unittest.TestCase):
     """A payload is needed until the cursor has moved past its sample."""
 
