Pass over engines with a prepared version, and those of models nobody publishes

The cheap check missed them, so that every engine was looked at closely four times a second as long as a version was prepared. A property test says that just the engines that lack nothing are passed over; it found that a version in use was loaded again when it was prepared too.

--- a/bilberrydrum/weights/views.py
+++ b/bilberrydrum/weights/views.py
@@ -109,24 +109,27 @@
     targets_by_model: Mapping[str, Target],
     roles_by_id: Mapping[str, str],
 ) -> bool:
-    """Tell cheaply whether an engine reports that it lacks nothing.
+    """Tell cheaply whether an engine reports that it lacks nothing."""
+    if roles_by_id.get(upstream.upstream_id, upstream.role) != upstream.role:
+        return False
+    return all(
+        _is_model_settled(served, targets_by_model[name])
+        for name, served in upstream.models.items()
+        if name in targets_by_model
+    )
+
 
-    False only means that a closer look is needed.
-    """
-    if upstream.upstream_id in roles_by_id:
+def _is_model_settled(served: upstream_model.ServedModel, target: Target) -> bool:
+    if target.adapters and not set(target.adapters) <= set(served.adapters):
         return False
-    for name, served in upstream.models.items():
-        target = targets_by_model.get(name)
-        if target is None:
-            continue
-        current = served.weight_version
-        if current != target.weight_version or target.prepared_version:
-            return False
-        if served.loaded_versions not in ((current,), ()):
-            return False
-        if target.adapters and not set(target.adapters) <= set(served.adapters):
-            return False
-    return True
+    current, loaded = served.weight_version, served.loaded_versions
+    ahead = target.prepared_version or current
+    if ahead != current and ahead not in loaded:
+        return False
+    if not target.weight_version:
+        return True
+    is_current = current == target.weight_version
+    return is_current and all(version in (current, ahead) for version in loaded)
 
 
 def is_reported(action: orders.Action, upstream: upstream_model.Upstream) -> bool:
@@ -189,7 +192,8 @@
             yield Need(Urgency.ADAPTER, of(orders.LOAD_ADAPTER, adapter=adapter))
     prepared = target.prepared_version
     is_settled = current == wanted or not wanted
-    if prepared and is_settled and prepared not in model.loaded_versions:
+    is_ahead = prepared not in (0, current) and prepared not in model.loaded_versions
+    if is_ahead and is_settled:
         yield Need(Urgency.PREPARE, of(orders.LOAD, weight_version=prepared))
 
 
--- a/tests/test_weights_planner.py
+++ b/tests/test_weights_planner.py
@@ -436,6 +436,28 @@
 OUTCOMES = st.sampled_from(["done", "done", "failed", "lost", "lost-done", "rate"])
 
 
+VERSIONS = st.integers(0, 3)
+
+
+class SettledTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+    @hypothesis.given(
+        VERSIONS,
+        st.frozensets(VERSIONS),
+        VERSIONS,
+        VERSIONS,
+        st.frozensets(st.sampled_from(["dry", "wet"])),
+        st.booleans(),
+    )
+    def test_the_cheap_check(self, current, loaded, wanted, prepared, adapters, rises):
+        """Just the engines that lack nothing are passed over by the cheap check."""
+        engine = upstream("e0", current, sorted(loaded))
+        target = views.Target(wanted, prepared, STORE, 1, tuple(adapters), rises)
+        view = views.EngineView.of(engine, ())
+        needs = list(views.needs("planner", view.models_by_name["planner"], target))
+        self.assertEqual(views.is_settled(engine, {"planner": target}, {}), needs == [])
+
+
 class ScheduleTest(unittest.TestCase):
     """Random faults, then none: the newest version is everywhere in the end."""
 
