Join more failures in the tests of the whole path

Samples and bookings across a second loss, a late restart and a race; a bundle rolled while a gateway and engines are dead; a drain while others die. The trainer stand-in ends on SIGTERM: with a fixed number of steps it had finished before the second failure on a fast run, and no engine was left to crash in mid-stream (one failed run).

--- a/tests/fakes/trainer.py
+++ b/tests/fakes/trainer.py
@@ -2,6 +2,7 @@
 
 It asks for groups some steps ahead, reads a batch for each step, checks every sample,
 trains for a fixed time and publishes new weights now and then. It retries without end.
+On SIGTERM it asks for no more groups, and ends with the last one that it asked for.
 Now and then it reads a batch again, or starts over as a new reader, as a trainer that
 lost an answer or was restarted would.
 """
@@ -19,7 +20,7 @@
 import eventlet
 import urllib3
 
-from tests.fakes import gateways, journal, samples
+from tests.fakes import gateways, journal, samples, server
 
 WAIT_SECONDS: Final = 5.0
 TIMEOUT_SECONDS: Final = 10.0
@@ -45,6 +46,7 @@
 
     def run(self) -> dict[str, Any]:
         """Train; return the report."""
+        server.on_terminate(self._ask_no_more)
         self._open_reader()
         start = time.monotonic()
         while self.n_steps < self.options.n_steps:
@@ -74,6 +76,9 @@
             "n_retries": self.n_retries,
         }
 
+    def _ask_no_more(self) -> None:
+        self.options.n_steps = self._n_steps_asked
+
     # Requests to the system.
 
     def _ask(self, method: str, path: str, value: Any = None) -> gateways.Answer:
--- a/tests/path_support.py
+++ b/tests/path_support.py
@@ -91,15 +91,17 @@
         events = journal.read(self.folder / "schedule-1.journal", "booking")
         return sum(1 for event in events if event["booking_id"] == booking_id)
 
-    def read_group(self, name, prompt, n_slots=6, max_tokens=24):
+    def read_group(self, name, prompt, n_slots=6, gateway=""):
         """Ask for a group, read it whole, and return the account of it."""
+        max_tokens = 24
+        gateway = gateway or self.gateways[0]
         trainer = f"/v1/trainers/{andes.TRAINER}"
         account = samples.Account(andes.TRAINER)
         group = samples.Group(name, prompt, n_slots, max_tokens)
         account.ask(group)
-        gateway = self.gateways[0]
         opened = self.andes.ask(gateway, "POST", f"{trainer}/readers", {}, {}, 10)
         epoch = opened.json()["reader_epoch"]
+        self.assertEqual(type(self).cursor, opened.json()["cursor"])
         value = {
             "groups": [
                 {
@@ -112,14 +114,17 @@
         }
         asked = self.andes.ask(gateway, "POST", f"{trainer}/groups", {}, value, 10)
         self.assertEqual(202, asked.status)
-        path = (
-            f"{trainer}/batches?reader_epoch={epoch}&cursor={type(self).cursor}"
-            f"&n_samples={n_slots}&wait_seconds=2"
-        )
         batches = []
 
+        def read(n_samples, wait_seconds):
+            path = (
+                f"{trainer}/batches?reader_epoch={epoch}&cursor={type(self).cursor}"
+                f"&n_samples={n_samples}&wait_seconds={wait_seconds}"
+            )
+            return self.andes.ask(gateway, "GET", path, {}, timeout=10)
+
         def is_whole():
-            answer = self.andes.ask(gateway, "GET", path, {}, timeout=10)
+            answer = read(n_slots, 2)
             if answer is not None and answer.status == 200:
                 batches.append(answer.json())
                 return len(batches[-1]["samples"]) == n_slots
@@ -129,6 +134,8 @@
         for sample in batches[-1]["samples"]:
             account.take(sample, published_version=0)
         type(self).cursor = batches[-1]["next_cursor"]
+        # Asking from the next cursor on is what acknowledges the batch.
+        self.assertEqual("batch-not-ready", read(1, 0).json()["reason"])
         return account
 
     def assert_whole(self, account):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,6 +1,7 @@
 """The whole path as separate processes, with the failures that take real processes."""
 
 import json
+import signal
 import socket
 import threading
 import uuid
@@ -186,7 +187,11 @@
             self.assertEqual(403, self.look_up(gateway, "visitor"))
         self.roll(version + 1, [andes.CALLER, "visitor"])
 
-    def test_gateway_told_to_stop_ends_its_booking_first(self):
+    @params(
+        ("alone", False),
+        ("while another gateway dies and an engine crashes", True),
+    )
+    def test_gateway_told_to_stop_ends_its_booking_first(self, what, has_faults):
         """The planner gets the whole answer although its gateway is going away.
 
         The gateway is told to stop while the application works on the booking. It
@@ -215,19 +220,29 @@
         sender = threading.Thread(target=send)
         sender.start()
         self.wait_for(lambda: self.n_runs(booking_id) == 1, "the booking runs")
-        self.assertEqual(0, self.processes[gateway].terminate(path_support.DEADLINE))
+        self.processes[gateway].send(signal.SIGTERM)
+        if has_faults:
+            self.processes[self.gateways[0]].kill()
+            self.processes[self.andes.engines[0]].kill()
+        code = self.processes[gateway].popen.wait(path_support.DEADLINE)
         sender.join()
+        self.assertEqual(0, code)
         self.assertEqual(201, answers[0].status)
         self.assertEqual(booking_id, answers[0].json()["booking_id"])
         self.processes.restart(gateway)
-        self.wait_for(self.is_served, f"{gateway} is back")
+        if has_faults:
+            self.processes.restart(self.gateways[0])
+            self.processes.restart(self.andes.engines[0])
+        self.wait_for(self.is_served, "all are back")
+        self.assertEqual(1, self.n_runs(booking_id))
 
     def test_of_two_operators_with_one_version_the_second_learns_of_the_first(self):
         """One bundle wins everywhere; the loser is told whose it is.
 
         Two operators submit other content under one version at the same time, each
         again and again, as after lost answers. One of them always gets its digest,
-        the other always the winner's digest and name.
+        the other always the winner's digest and name. The trainer and the planners
+        notice nothing of it.
         """
         version = self.andes.tool("bundle", "list")["in_force"] + 1
         outcomes_by_operator = {}
@@ -253,6 +268,9 @@
         ]
         for submitter in submitters:
             submitter.start()
+        booking_id = uuid.uuid4().hex
+        self.assertEqual(201, self.book(self.gateways[0], booking_id).status)
+        self.assert_whole(self.read_group("race", "Outage in a race"))
         for submitter in submitters:
             submitter.join()
         outcomes = [set(each) for each in outcomes_by_operator.values()]
@@ -260,3 +278,4 @@
         (first,), (second,) = outcomes
         self.assertEqual({"won", "lost"}, {first[0], second[0]})
         self.assertEqual(first[1:], second[1:])
+        self.assertEqual(1, self.n_runs(booking_id))
--- a/tests/test_path_losses.py
+++ b/tests/test_path_losses.py
@@ -36,7 +36,7 @@
         return next(m["replica_id"] for m in members if m["process_id"] == process_id)
 
     def test_second_host_lost_after_a_repair_takes_nothing_with_it(self):
-        """A booking is still known, and the bundle still in force, after two losses.
+        """Booking, samples, cursor and bundle are still known after two losses.
 
         A host comes back without its disk and is repaired as a new replica. Then a
         host that had been there from the start is lost for good, disk and all. What
@@ -44,6 +44,7 @@
         """
         booking_id = uuid.uuid4().hex
         self.assertEqual(201, self.book(self.gateways[0], booking_id).status)
+        self.assert_whole(self.read_group("before", "Outage before"))
         leader = self.andes.leader()
         repaired, rest = (name for name in self.gateways if name != leader)
         before = self.replica_id(repaired)
@@ -71,6 +72,7 @@
         self.assertEqual("true", answers[0].headers["Idempotency-Replayed"])
         self.assertEqual(1, self.n_runs(booking_id))
         self.assertEqual([1, 1], [self.in_force(name) for name in left])
+        self.assert_whole(self.read_group("after", "Outage after", gateway=repaired))
         self.roll(2, [andes.CALLER])
         self.assertEqual(403, self.look_up(repaired, "visitor"))
 
@@ -79,14 +81,18 @@
     n_bundles = 70
 
     def test_gateway_restarted_after_hundreds_of_changes_serves_the_newest(self):
-        """A caller of the newest bundle is served, one of an old bundle is not.
+        """The newest bundle holds, and bookings and samples go on where they were.
 
         A gateway is killed; meanwhile bundles are submitted, signed off and rolled,
         three changes each. Each lets in one caller of its own. Once the gateway
-        answers again, it acts on the newest bundle and never on one in between.
+        answers again, it acts on the newest bundle and never on one in between. A
+        booking made before is not made again, and the trainer's cursor is kept.
         """
         leader = self.andes.leader()
         killed = next(name for name in self.gateways if name != leader)
+        booking_id = uuid.uuid4().hex
+        self.assertEqual(201, self.book(killed, booking_id).status)
+        self.assert_whole(self.read_group("before", "Outage before", gateway=killed))
         self.processes[killed].kill()
         for version in range(2, self.n_bundles + 2):
             self.change(leader, version)
@@ -103,6 +109,11 @@
         self.wait_for(is_back, f"{killed} serves {newest}")
         # 0: it does not listen yet; 503: it holds no bundle yet.
         self.assertLessEqual(statuses, {0, 403, 503})
+        answer = self.book(killed, booking_id)
+        self.assertEqual(201, answer.status)
+        self.assertEqual("true", answer.headers["Idempotency-Replayed"])
+        self.assertEqual(1, self.n_runs(booking_id))
+        self.assert_whole(self.read_group("after", "Outage after", gateway=killed))
 
     def change(self, gateway, version):
         """Put one more bundle in force, as the operators' tool would."""
@@ -135,8 +146,8 @@
     def n_steps(self):
         return len(list(journal.read(self.folder / "trainer.journal", "step")))
 
-    def fail_together(self, killed, crashed):
-        """Kill a gateway while engines crash; start all of them again."""
+    def fail_together(self, killed, crashed, version):
+        """Kill a gateway while engines crash, roll a bundle, start all again."""
         for engine in crashed:
             self.andes.control(engine, crash_after_tokens=5)
         self.processes[killed].kill()
@@ -145,32 +156,37 @@
             self.processes.restart(engine)
         n_steps = self.n_steps()
         self.wait_for(lambda: self.n_steps() >= n_steps + 2, "two more steps")
+        self.roll(version, [andes.CALLER, f"desk-{version}"])
         self.processes.restart(killed)
         self.wait_for(self.is_served, f"{killed} is back")
+        for gateway in self.gateways:
+            self.assertEqual(200, self.look_up(gateway, f"desk-{version}"))
+            self.assertEqual(403, self.look_up(gateway, f"desk-{version - 1}"))
 
     def test_failures_together_and_twice_lose_and_double_nothing(self):
         """Trainer and planners end with everything, once, although much fails at once.
 
         The state leader's process is killed while an engine crashes in mid-stream and
         swaps fail on another. Once all are back, another gateway is killed while two
-        engines crash. The trainer and the planners go on at the other gateways.
+        engines crash. The trainer and the planners go on at the other gateways, and a
+        bundle is rolled each time, on which the dead gateway acts once it is back.
         """
         self.andes.start_planner("--pause-seconds", "0.1")
         trainer = self.andes.start_trainer(
-            "--n-steps", "16", "--step-seconds", "0.3", "--publish-every", "3"
+            "--n-steps", "1000", "--step-seconds", "0.3", "--publish-every", "4"
         )
         self.wait_for(lambda: self.n_steps() >= 2, "two steps")
         self.andes.control(self.andes.engines[-1], fail_swaps=2)
         leader = self.andes.leader()
-        self.fail_together(leader, self.andes.engines[:1])
+        self.fail_together(leader, self.andes.engines[:1], 2)
         other = next(name for name in self.gateways if name != self.andes.leader())
-        self.fail_together(other, self.andes.engines[:2])
-        self.wait_for(lambda: not trainer.is_running(), "the trainer's end")
-        self.assertEqual(0, trainer.popen.returncode, trainer.log_tail())
-        self.assertEqual(0, self.processes["planner"].terminate(path_support.DEADLINE))
+        self.fail_together(other, self.andes.engines[:2], 3)
+        for client in (trainer, self.processes["planner"]):
+            code = client.terminate(path_support.DEADLINE)
+            self.assertEqual(0, code, client.log_tail())
         report = figures.read_report(self.folder, "trainer")
-        self.assertEqual(16, report["n_steps"])
         breaches = figures.find_breaches(
+            # How many steps there were depends on the machine's speed.
             {**report, "n_steps": figures.MIN_STEPS},
             figures.read_report(self.folder, "planner"),
             figures.count_bookings(self.folder),
