--- a/tests/test_cli_verbs.py
+++ b/tests/test_cli_verbs.py
@@ -246,7 +246,8 @@
 
     def test_snapshot_is_saved_once_inspected_and_restored_as_it_is(self):
         verb = verbs.SaveSnapshot(str(self.file))
-        self.assertEqual(run(verb, SNAPSHOT)[0], codes.OK)
+        code, out, _, _ = run(verb, SNAPSHOT, form=output.FORM_JSON)
+        self.assertEqual((code, json.loads(out)["n_bytes"]), (codes.OK, len(SNAPSHOT)))
         self.assertEqual(self.file.read_bytes(), SNAPSHOT)
         code, _, err, _ = run(verb, SNAPSHOT)
         self.assertEqual(code, codes.FILE)
@@ -326,6 +327,27 @@
         self.assertEqual(json.loads(out), self.UPSTREAMS)
 
 
+class TestWeights(unittest.TestCase):
+    def test_table_has_a_row_for_each_engine(self):
+        failed = {"kind": "swap", "detail": "500 boom"}
+        engine = {
+            "upstream_id": "e-1",
+            "weight_version": 3,
+            "loaded_versions": [3, 4],
+            "state": "loaded",
+            "order": "",
+            "failed_orders": [failed],
+        }
+        model = {"model": "planner", "weight_version": 4, "engines": [engine]}
+        _, out, _, _ = run(verbs.WeightStatus(), {"models": [model]})
+        lines = out.splitlines()
+        self.assertEqual(lines[2].split(), ["planner", "4"])
+        self.assertEqual(
+            lines[-1].split(maxsplit=5),
+            ["e-1", "planner", "3", "3,4", "loaded", "swap: 500 boom"],
+        )
+
+
 class TestOutput(unittest.TestCase):
     @params(
         ({"a": 1, "bc": "x"}, "a   1\nbc  x"),
