--- a/bilberrydrum/http/callers.py
+++ b/bilberrydrum/http/callers.py
@@ -82,6 +82,8 @@
     def show_request(self, request: edge.Request) -> edge.Response:
         """Serve ``GET /v1/requests/{key}``."""
         caller = request.header("X-Caller")
+        if not caller:
+            raise edge.refuse(403, reasons.Reason.CALLER_NOT_ALLOWED, "no X-Caller")
         found = self._claims.find(caller, request.variables["key"])
         if isinstance(found, result.Err):
             raise once.state_unavailable(found.err_value)
--- a/bilberrydrum/requests/claims.py
+++ b/bilberrydrum/requests/claims.py
@@ -16,6 +16,7 @@
 import attrs
 import eliot
 import eventlet
+import eventlet.event
 import result
 
 from bilberrydrum import clock, counters, options, reasons
@@ -91,6 +92,8 @@
         self._watched_by_id: collections.OrderedDict[str, _Watched] = (
             collections.OrderedDict()
         )
+        # Sent when a claim begins to be watched while none was.
+        self._begun = eventlet.event.Event()
         self._task: eventlet.greenthread.GreenThread | None = None
 
     def start(self, incarnation: int = 0) -> None:
@@ -234,14 +237,20 @@
             due = clock.now() + claim.holds_seconds * margin
             watched = _Watched(claim, due)
             self._watched_by_id[claim.claim_id] = watched
+            if not self._begun.ready():
+                self._begun.send(None)
             if len(self._watched_by_id) > MAX_WATCHED:
                 self._watched_by_id.popitem(last=False)
         return watched.due
 
     def _run(self) -> None:
         while True:
+            self._begun.wait()
             clock.sleep(_WATCH_SECONDS)
             self.resolve_due()
+            if not self._watched_by_id:
+                # An idle gateway has nothing to wake up for.
+                self._begun = eventlet.event.Event()
 
     def resolve_due(self) -> None:
         """Record as unknown each watched claim whose holder can't send any more."""
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -74,6 +74,8 @@
             self.budget,
             settings.requests.max_attempts,
         )
+        # Sent when a call begins to wait while none did.
+        self._queued = eventlet.event.Event()
         self._events_by_number: dict[int, eventlet.event.Event] = {}
         self._upstreams_by_id: Mapping[str, upstream_model.Upstream] = {}
         self._eligible_by_need: dict[routing.Need, list[upstream_model.Upstream]] = {}
@@ -253,6 +255,8 @@
             self._tell(effect)
         ready = eventlet.event.Event()
         self._events_by_number[ticket.number] = ready
+        if not self._queued.ready():
+            self._queued.send(None)
         is_taken = False
         try:
             while not ready.ready():
@@ -282,9 +286,13 @@
 
     def _run(self) -> None:
         while True:
+            self._queued.wait()
             clock.sleep(PUMP_SECONDS)
             if self._admission.n_waiting:
                 self._pump()
+            else:
+                # An idle gateway has nothing to wake up for.
+                self._queued = eventlet.event.Event()
 
     def _pump(self) -> None:
         for effect in self._admission.pump(clock.now(), self._place):
--- a/bilberrydrum/requests/watch.py
+++ b/bilberrydrum/requests/watch.py
@@ -12,6 +12,7 @@
 
 import attrs
 import eventlet
+import eventlet.event
 import eventlet.greenthread
 
 from bilberrydrum import clock
@@ -36,6 +37,8 @@
 
     def __init__(self) -> None:
         self._waiting: dict[_Waiting, None] = {}
+        # Sent when a call begins to wait while none did.
+        self._begun = eventlet.event.Event()
         self._task: Any = None
 
     def start(self) -> None:
@@ -57,6 +60,8 @@
         """
         waiting = _Waiting(eventlet.getcurrent(), is_client_gone)
         self._waiting[waiting] = None
+        if not self._begun.ready():
+            self._begun.send(None)
         try:
             yield
         finally:
@@ -72,5 +77,9 @@
 
     def _run(self) -> None:
         while True:
+            self._begun.wait()
             clock.sleep(CHECK_SECONDS)
             self.look()
+            if not self._waiting:
+                # An idle gateway has nothing to wake up for.
+                self._begun = eventlet.event.Event()
--- a/misc/request_site.py
+++ b/misc/request_site.py
@@ -142,6 +142,12 @@
         fields = text.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def memory_mib(self, name: str) -> float:
+        """Return the memory that a process has in use."""
+        path = pathlib.Path(f"/proc/{self._processes[name].pid}/statm")
+        n_pages = int(path.read_text().split()[1])
+        return n_pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     def leave_spread(self, number: int) -> float:
         """Return the time from an upstream's leave until no gateway lists it."""
         upstream_id = f"leaver-{number}"
