Resume a stalled stream, and resumed streams first

An engine that stops in mid-stream held the caller to its deadline; after 20 s without a token the stream goes on elsewhere. A resumed call behind a full queue was refused and its tokens made for nothing. Both taken out on a scratch copy: a test fails each time.

--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -7,6 +7,7 @@
 import contextlib
 import http.client
 import json
+import math
 from collections.abc import Callable, Generator, Iterator
 from typing import Any, Final
 
@@ -20,6 +21,9 @@
 
 # Time that connecting to an upstream may take.
 CONNECT_SECONDS: Final = 2.0
+# A stream that has begun and stops for longer than a swap of weights takes is one of an
+# engine that hangs. It is broken off, so that another engine can go on.
+STALL_SECONDS: Final = 20.0
 _READ_BYTES: Final = 64 * 1024
 # Headers that belong to one connection and are not passed on (RFC 9110, 7.6.1).
 HOP_HEADERS: Final = frozenset(
@@ -99,9 +103,15 @@
 
 
 @contextlib.contextmanager
-def _waiting(means: Means, outgoing: Outgoing) -> Iterator[None]:
-    """End the block with an error at the deadline, or when the client is gone."""
-    timeout = eventlet.Timeout(max(0.0, outgoing.deadline - clock.now()))
+def _waiting(
+    means: Means, outgoing: Outgoing, patience: float = math.inf
+) -> Iterator[None]:
+    """End the block with an error at the deadline, or when the client is gone.
+
+    `patience` is the longest time to wait, in seconds, whatever the deadline.
+    """
+    remaining = max(0.0, outgoing.deadline - clock.now())
+    timeout = eventlet.Timeout(min(remaining, patience))
     is_client_gone = outgoing.is_client_gone
     if not outgoing.is_idempotent:
         # What may run once only is not broken off: its result is kept for the retry.
@@ -296,11 +306,14 @@
         _check_status(answer)
         reader = events.StreamReader(outgoing.request_id, upstream.upstream_id)
         parts = read_parts(answer)
+        # The first token may wait in the engine's queue for as long as the call may.
+        patience = math.inf
         while True:
-            with _waiting(means, outgoing):
+            with _waiting(means, outgoing, patience):
                 part = next(parts, None)
             if part is None:
                 break
+            patience = STALL_SECONDS
             yield from _feed(reader, part)
         if not reader.is_done:
             raise AttemptError(
--- a/bilberrydrum/requests/calls.py
+++ b/bilberrydrum/requests/calls.py
@@ -50,6 +50,15 @@
     return float(max(1, n_tokens - len(call.resume_token_ids)))
 
 
+def priority_of(call: Call) -> int:
+    """Return the call's place among those of its client; lower goes first."""
+    if isinstance(call, model.ModelCall) and call.resume_token_ids:
+        # Its client holds a part of the answer already. Behind new calls, or refused
+        # for a full queue, the tokens made so far would have been made for nothing.
+        return call.priority - 1
+    return call.priority
+
+
 @functools.singledispatch
 def prefix_of(call: object) -> str:
     """Return the name under which engines report the prefix of the call's prompt."""
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -204,7 +204,7 @@
             progress.need,
             call.deadline,
             call.share,
-            call.priority,
+            calls.priority_of(call),
             calls.cost_of(call),
             call.max_in_flight,
             calls.prefix_of(call),
--- a/tests/test_requests_dispatch.py
+++ b/tests/test_requests_dispatch.py
@@ -9,7 +9,7 @@
 from nose2.tools import params
 
 from bilberrydrum import clock, reasons
-from bilberrydrum.requests import dispatch, health, model, recovery, resume
+from bilberrydrum.requests import attempts, dispatch, health, model, recovery, resume
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import gateway_parts, scripted
 
@@ -63,6 +63,12 @@
     return script
 
 
+def stall_after_one(connection, received):
+    part = scripted.event(received.request_id, "t0", [0])
+    connection.sendall(scripted.stream_head(received) + scripted.chunk(part))
+    eventlet.sleep(30)
+
+
 def resumed(received):
     return len(json.loads(received.body)["resume_token_ids"])
 
@@ -141,6 +147,7 @@
 
     @params(
         ("crash", crash_after(2), Reason.ANSWER_TRUNCATED),
+        ("stall", stall_after_one, Reason.UPSTREAM_TIMEOUT),
         (
             "cut exactly at a chunk's edge, without the marker",
             scripted.serve_and_close(
@@ -182,13 +189,32 @@
         """
         self.engine("e1", script, availability_zone="a")
         second = self.engine("e2", finish(5, 4), availability_zone="far")
-        seen = list(resume.stream(self.dispatcher, call()))
+        with unittest.mock.patch.object(attempts, "STALL_SECONDS", 0.1):
+            seen = list(resume.stream(self.dispatcher, call()))
         self.assertEqual(seen[0].upstream_id, "e1", name)
         self.assertEqual(text_of(seen), "t0t1t2t3t4", name)
         self.assertIsInstance(seen[-1], model.Finished)
         self.assertEqual(seen[-2].weight_version, 4)
         self.assertEqual(len(second.received), 1)
 
+    def test_resumed_stream_goes_before_new_calls_when_the_queue_is_full(self):
+        """An engine crashed under a stream; its client's queue is full of new calls.
+
+        Refused, the stream would break off, and its tokens be made for nothing.
+        """
+        self.start(max_queue_per_caller=1)
+        self.engine("e1", finish(3), max_concurrency=1)
+        holder = self.dispatcher.stream(call())
+        next(holder)
+        new = eventlet.spawn(list, self.dispatcher.stream(call()))
+        eventlet.sleep(0.01)
+        resumed_call = call(resume_token_ids=(0, 1))
+        task = eventlet.spawn(list, self.dispatcher.stream(resumed_call))
+        eventlet.sleep(0.01)
+        holder.close()
+        self.assertEqual(text_of(task.wait()), "t2")
+        self.assertEqual(new.wait()[-1].reason, Reason.QUEUE_FULL)
+
     def test_stream_that_no_engine_can_resume_ends_as_failed(self):
         self.engine("e1", crash_after(2), can_resume=False)
         seen = list(resume.stream(self.dispatcher, call()))
