--- a/tests/test_samples_commands.py
+++ b/tests/test_samples_commands.py
@@ -6,8 +6,9 @@
 
 from nose2 import tools
 
-from bilberrydrum import reasons
+from bilberrydrum import codec, reasons
 from bilberrydrum.samples import commands, model, queries, section
+from bilberrydrum.state import machine as state_machine
 from tests import samples_support as support
 
 R = reasons.Reason
@@ -152,6 +153,25 @@
         batch = machine.read(0, n_samples=3)
         self.assertEqual((batch.refusal, batch.n_assigned), (R.BATCH_NOT_READY, 0))
 
+    def test_groups_are_delivered_whole(self) -> None:
+        """A group of which one sample is missing does not hold up a whole one.
+
+        None of its samples is delivered before it is whole, and the samples of a group
+        follow one another.
+        """
+        machine = ready_machine()
+        machine.read(0)
+        machine.add("g1", n_slots=3)
+        machine.add("g2")
+        for group_id, slot in (("g1", 0), ("g1", 2), ("g2", 0)):
+            machine.record(group_id, slot)
+        self.assertEqual(machine.read(2, n_samples=1).refusal, R.BATCH_NOT_READY)
+        machine.record("g2", 1)
+        self.assertEqual(places(machine.read(2)), [(2, "g2", 0, 1), (3, "g2", 1, 1)])
+        machine.record("g1", 1)
+        batch = machine.read(4, n_samples=3)
+        self.assertEqual([each.slot for each in batch.samples], [0, 1, 2])
+
     @tools.params(
         ("below what was acknowledged", 0, 1, R.CURSOR_INVALID),
         ("between", 1, 1, R.CURSOR_INVALID),
@@ -467,6 +487,36 @@
         self.assertEqual(states, ["", "", "acknowledged", "acknowledged"])
 
 
+class Restored(unittest.TestCase):
+    """A back-up of the state is restored."""
+
+    def test_what_was_received_since_is_not_delivered_again(self) -> None:
+        """A back-up is made, the trainer reads on, and the back-up is restored."""
+        machine = ready_machine()
+        old = codec.decode(codec.encode(section.of(machine.state)))
+        machine.read(0)
+        machine.read(2)
+        current = section.of(machine.state)
+        state_machine.keep_rising(old, current)
+        machine.state.sections[section.SECTION] = old
+        self.assertEqual(machine.read(0).refusal, R.CURSOR_INVALID)
+        self.assertEqual(machine.add("g0").n_known, 1)
+
+    def test_new_state_group_refuses_what_comes_from_the_old_one(self) -> None:
+        """A state group is made anew from a back-up; its owners and readers live on."""
+        machine = ready_machine()
+        machine.add("g1")
+        old = codec.decode(codec.encode(section.of(machine.state)))
+        state_machine.keep_rising(old, None)
+        machine.state.sections[section.SECTION] = old
+        self.assertEqual(machine.read(0).refusal, R.READER_SUPERSEDED)
+        self.assertEqual(machine.record("g1", 0), R.EPOCH_STALE)
+        renewed = machine.renew("gw-2")
+        assert renewed.work is not None
+        epochs = {each.owner_epoch for each in renewed.work}
+        self.assertGreater(min(epochs), section.EPOCH_JUMP)
+
+
 class Payloads(unittest.TestCase):
     """A payload is needed until the cursor has moved past its sample."""
 
