--- a/misc/request_site.py
+++ b/misc/request_site.py
@@ -27,6 +27,9 @@
         "busy": {"applications": ["slow"], "max_in_flight": 1000},
     },
 }
+COMPLETION: Final = json.dumps(
+    {"model": "planner", "prompt": "p", "max_tokens": 50, "stream": True}
+)
 RENEW_SECONDS: Final = 0.5
 START_SECONDS: Final = 30.0
 
@@ -34,8 +37,15 @@
 class Site:
     """Some daemons, a bare relay, and upstreams that serve both."""
 
-    def __init__(self, started: processes.Processes, n_daemons: int) -> None:
+    def __init__(
+        self,
+        started: processes.Processes,
+        n_daemons: int,
+        event_seconds: float = 0.0,
+    ) -> None:
         self._processes = started
+        # Time between two events of a stream.
+        self._event_seconds = str(event_seconds)
         ports = processes.free_ports(2 * n_daemons + 5)
         addresses = [f"127.0.0.1:{port}" for port in ports]
         self.daemons = [addresses.pop() for _ in range(n_daemons)]
@@ -53,7 +63,14 @@
         for i, address in enumerate(self.daemons):
             self._start_daemon(i, address)
         self._start_upstream("fast", self.upstream)
-        self._start_upstream("stream", self._stream_upstream, "--n-events", "50")
+        self._start_upstream(
+            "stream",
+            self._stream_upstream,
+            "--n-events",
+            "50",
+            "--seconds",
+            self._event_seconds,
+        )
         self._start_upstream("slow", self._slow, "--seconds", str(service_seconds))
         for name, address, upstream in (
             ("relay", self.relay, self.upstream),
@@ -92,16 +109,19 @@
         retry_seconds: float = 0.0,
         seconds: float = 2.0,
         watched: str = "",
+        leaves: bool = False,
     ) -> Any:
         """Run callers as a process and return what they saw.
 
-        `watched` names the process whose processor time per request is wanted.
+        `watched` names the process whose processor time per request is wanted. With
+        `leaves`, a caller goes elsewhere when it is told that its connection ends.
         """
         arguments = ["-m", "misc.request_load", "callers", "--address", address]
         arguments += ["--path", path, "--method", method, "--body", body]
         arguments += ["--n-connections", str(n_connections), "--rate", str(rate)]
         arguments += ["--retry-seconds", str(retry_seconds)]
         arguments += ["--seconds", str(seconds)]
+        arguments += ["--leave-when-told"] if leaves else []
         for header in headers:
             arguments += ["--header", header]
         cpu_before = self.cpu_seconds(watched) if watched else 0.0
@@ -122,6 +142,12 @@
         fields = text.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def memory_mib(self, name: str) -> float:
+        """Return the memory that a process has in use."""
+        path = pathlib.Path(f"/proc/{self._processes[name].pid}/statm")
+        n_pages = int(path.read_text().split()[1])
+        return n_pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     def leave_spread(self, number: int) -> float:
         """Return the time from an upstream's leave until no gateway lists it."""
         upstream_id = f"leaver-{number}"
--- /dev/null
+++ b/tests/test_requests_processes.py
@@ -0,0 +1,64 @@
+"""A real daemon is told to stop while callers ask without end."""
+
+import pathlib
+import tempfile
+import threading
+import time
+import unittest
+
+from misc import processes, request_site
+
+
+class GracefulShutdown(unittest.TestCase):
+    def test_no_request_is_cut_off(self):
+        """SIGTERM comes under load: streams of a second and calls that wait their turn.
+
+        What is in flight ends whole, also what begins while the balancer has not
+        noticed yet. Each answer says that its connection ends, and the callers go
+        elsewhere, until all have; then the daemon exits with 0.
+        """
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            processes.Processes(pathlib.Path(folder)) as started,
+        ):
+            site = request_site.Site(started, 1, event_seconds=0.02)
+            site.start(n_places=8, service_seconds=0.1)
+            answers = []
+
+            def ask(path, *arguments, **options):
+                answers.append(
+                    site.ask(
+                        site.gateway,
+                        path,
+                        *arguments,
+                        seconds=4.0,
+                        leaves=True,
+                        **options,
+                    )
+                )
+
+            callers = [
+                threading.Thread(
+                    target=ask,
+                    args=("/v1/completions", "POST", request_site.COMPLETION),
+                    kwargs={"headers": ("X-Caller: desk",)},
+                ),
+                threading.Thread(
+                    target=ask,
+                    args=("/apps/slow/x",),
+                    kwargs={"headers": ("X-Caller: busy",), "n_connections": 16},
+                ),
+            ]
+            for caller in callers:
+                caller.start()
+            time.sleep(1.5)
+            code = started["gw-0"].terminate(timeout=20.0)
+            for caller in callers:
+                caller.join()
+            site.stop()
+        self.assertEqual(code, 0)
+        for answer in answers:
+            statuses = {int(status): n for status, n in answer["statuses"].items()}
+            self.assertGreater(statuses.get(200, 0), 0)
+            self.assertEqual(answer["n_told"], 16, statuses)
+            self.assertEqual(set(statuses), {200})
