--- a/bilberrydrum/state/storage.py
+++ b/bilberrydrum/state/storage.py
@@ -294,7 +294,11 @@
         if index != self._snapshot_index:
             return b""
         path = self._path(f"{_SNAPSHOT_PREFIX}{index}")
-        return self._disk.read_part(path, offset, size)
+        try:
+            return self._disk.read_part(path, offset, size)
+        except FileNotFoundError:
+            # A newer one was put in use in another thread since the comparison.
+            return b""
 
     def drop_log(self, index: int) -> None:
         """Remove the oldest segments that hold nothing after `index`."""
