--- a/misc/request_site.py
+++ b/misc/request_site.py
@@ -109,16 +109,19 @@
         retry_seconds: float = 0.0,
         seconds: float = 2.0,
         watched: str = "",
+        leaves: bool = False,
     ) -> Any:
         """Run callers as a process and return what they saw.
 
-        `watched` names the process whose processor time per request is wanted.
+        `watched` names the process whose processor time per request is wanted. With
+        `leaves`, a caller goes elsewhere when it is told that its connection ends.
         """
         arguments = ["-m", "misc.request_load", "callers", "--address", address]
         arguments += ["--path", path, "--method", method, "--body", body]
         arguments += ["--n-connections", str(n_connections), "--rate", str(rate)]
         arguments += ["--retry-seconds", str(retry_seconds)]
         arguments += ["--seconds", str(seconds)]
+        arguments += ["--leave-when-told"] if leaves else []
         for header in headers:
             arguments += ["--header", header]
         cpu_before = self.cpu_seconds(watched) if watched else 0.0
@@ -139,6 +142,12 @@
         fields = text.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def memory_mib(self, name: str) -> float:
+        """Return the memory that a process has in use."""
+        path = pathlib.Path(f"/proc/{self._processes[name].pid}/statm")
+        n_pages = int(path.read_text().split()[1])
+        return n_pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     def leave_spread(self, number: int) -> float:
         """Return the time from an upstream's leave until no gateway lists it."""
         upstream_id = f"leaver-{number}"
