--- a/tests/fakes/request_path.py
+++ b/tests/fakes/request_path.py
@@ -38,6 +38,14 @@
     def query(self, query: object, timeout: float = 5.0) -> Any:
         return self._group.query(query, timeout)
 
+    def wake(self) -> None:
+        """Let a stopped gateway go on; it does not stop again."""
+        self.stops_before = self.stops_after = None
+        if self.is_stopped:
+            self.is_stopped = False
+            self.woken.send(None)
+            self.woken = eventlet.event.Event()
+
     def _stop(self) -> None:
         self.is_stopped = True
         self.woken.wait()
--- a/tests/fakes/wsgi.py
+++ b/tests/fakes/wsgi.py
@@ -12,14 +12,14 @@
 from bilberrydrum.http import edge
 
 
-def run_until(condition: Callable[[], bool], n_turns: int = 10_000) -> None:
+def run_until(condition: Callable[[], bool], n_turns: int = 30_000) -> None:
     """Let tasks and sockets go on until `condition` holds, whatever the clock says."""
     pause = eventlet.patcher.original("time").sleep
     for _ in range(n_turns):
         if condition():
             return
         eventlet.sleep(0)
-        pause(0.0005)
+        pause(0.0001)
     raise AssertionError("the condition did not come true")
 
 
@@ -65,11 +65,15 @@
     def hang_up(self) -> None:
         self._client.close()
 
-    def wait(self, n_turns: int = 10_000) -> Answer:
+    def wait(self, n_turns: int = 30_000) -> Answer:
         run_until(lambda: self.is_done, n_turns)
         answer: Answer = self._task.wait()
         return answer
 
+    def on_done(self, callback: Callable[[Answer], None]) -> None:
+        """Call `callback` with the answer in the moment it is whole."""
+        self._task.link(lambda task: callback(task.wait()))
+
     @property
     def is_done(self) -> bool:
         return bool(self._task.dead)
--- /dev/null
+++ b/tests/test_requests_schedules.py
@@ -0,0 +1,142 @@
+"""Random schedules of stops, wakes, lost majorities and failing services."""
+
+import random
+import unittest
+from collections import Counter
+
+import attrs
+import eventlet
+import hypothesis
+from hypothesis import strategies
+
+from bilberrydrum import clock as hub_clock
+from tests import helpers
+from tests.fakes import gateway_parts, request_path, scripted, wsgi
+
+N_STEPS = 30
+KEYS = ("k1", "k2")
+
+
+class Schedule:
+    """Three gateways, one service, and callers that book with two keys."""
+
+    def __init__(self, seed, clock):
+        self.rng = random.Random(seed)
+        self.clock = clock
+        self.group = gateway_parts.StateGroup()
+        self.service = scripted.Scripted(
+            self.serve, kind="application", application="schedule"
+        )
+        self.registry = gateway_parts.Registry()
+        self.move_service()
+        self.gateways = [
+            request_path.Gateway(f"g{i}", self.group, self.registry) for i in range(3)
+        ]
+        self.n_sent = Counter()
+        self.pending = []
+        self.wrong = []
+        self.n_answers = Counter()
+
+    def serve(self, connection, received):
+        self.n_sent[received.headers["idempotency-key"]] += 1
+        answer = scripted.answer(received, b"booked", "201 Created")
+        mode = self.rng.randrange(4)
+        if mode == 0:
+            return False
+        if mode == 1:
+            connection.sendall(answer[:-1])
+            return False
+        if mode == 2:
+            eventlet.sleep(self.rng.choice([0.5, 20.0]))
+        connection.sendall(answer)
+        return True
+
+    def book(self):
+        key = self.rng.choice(KEYS)
+        pending = self.rng.choice(self.gateways).book(key, X_Timeout_Seconds="10")
+        pending.on_done(lambda answer: self.check(key, answer))
+        self.pending.append(pending)
+
+    def check(self, key, answer):
+        """Look at an answer in the moment it is given."""
+        outcome = "completed"
+        if answer.status != 201:
+            outcome = answer.outcome
+        self.n_answers[outcome] += 1
+        if outcome == "not-run" and self.n_sent[key]:
+            self.wrong.append((key, answer.reason))
+        if outcome == "completed" and not self.n_sent[key]:
+            self.wrong.append((key, "answered without a run"))
+
+    def stop_gateway(self):
+        how, command = self.rng.choice(list(request_path.STOPS.values()))
+        setattr(self.rng.choice(self.gateways).state, how, command)
+
+    def wake_gateways(self):
+        for gateway in self.gateways:
+            gateway.state.wake()
+
+    def hang_up(self):
+        if self.pending:
+            self.pending.pop(self.rng.randrange(len(self.pending))).hang_up()
+
+    def lose_majority(self):
+        self.group.has_majority = not self.group.has_majority
+
+    def move_service(self):
+        """Let the service be gone, refuse connections, or be there."""
+        upstream = self.service.upstream("a1")
+        gone = attrs.evolve(upstream, address="127.0.0.1:1")
+        choices = [{}, {"a1": gone}, {"a1": upstream}, {"a1": upstream}]
+        self.registry.upstreams = self.rng.choice(choices)
+
+    def pass_time(self):
+        self.clock.advance(self.rng.choice([0.1, 1.0, 7.0, 30.0]))
+
+    def run(self):
+        steps = [self.book] * 5 + [
+            self.stop_gateway,
+            self.wake_gateways,
+            self.hang_up,
+            self.lose_majority,
+            self.move_service,
+            self.pass_time,
+            self.pass_time,
+        ]
+        for _ in range(N_STEPS):
+            self.rng.choice(steps)()
+            self.settle()
+        self.group.has_majority = True
+        self.wake_gateways()
+        for _ in range(12):
+            self.clock.advance(5.0)
+            self.settle()
+
+    def settle(self):
+        turns = iter(range(12))
+        wsgi.run_until(lambda: next(turns, None) is None)
+
+    def stop(self):
+        for gateway in self.gateways:
+            gateway.stop()
+        self.service.stop()
+
+
+class AtMostOnce(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=12, deadline=None)
+    @hypothesis.given(strategies.integers(0, 2**32))
+    def test_any_schedule_sends_a_key_once_and_says_not_run_only_if_true(self, seed):
+        """Gateways stop and wake at any step of a booking; callers ask all of them.
+
+        Majorities are lost, the service fails, callers hang up, time passes. A key is
+        sent once at most, and whoever is told not-run is told so before it was sent.
+        """
+        with helpers.manual_clock(hub_clock.now()) as clock:
+            schedule = Schedule(seed, clock)
+            try:
+                schedule.run()
+            finally:
+                schedule.stop()
+        self.assertEqual(schedule.wrong, [])
+        self.assertLessEqual(max(schedule.n_sent.values(), default=0), 1)
+        self.assertGreater(schedule.n_answers.total(), 0)
