--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -6,9 +6,8 @@
 
 import contextlib
 import http.client
-import json
 import math
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Generator, Iterator
 from typing import Any, Final
 
 import attrs
@@ -16,7 +15,13 @@
 import urllib3.exceptions
 
 from bilberrydrum import clock, reasons
-from bilberrydrum.requests import connections, events, model, watch
+from bilberrydrum.requests import (
+    connections,
+    events,
+    model,
+    outgoing_requests,
+    watch,
+)
 from bilberrydrum.upstreams import model as upstream_model
 
 # Time that connecting to an upstream may take.
@@ -25,30 +30,8 @@
 # engine that hangs. It is broken off, so that another engine can go on.
 STALL_SECONDS: Final = 20.0
 _READ_BYTES: Final = 64 * 1024
-# Headers that belong to one connection and are not passed on (RFC 9110, 7.6.1).
-HOP_HEADERS: Final = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-REQUEST_ID: Final = "X-Request-Id"
 # Statuses by which a service says that another one might do better.
 _FAILED_STATUSES: Final = frozenset({502, 503, 504})
-# Headers that each attempt sets itself.
-_NOT_PASSED_ON: Final = HOP_HEADERS | {
-    "host",
-    "content-length",
-    "expect",
-    "x-request-id",
-}
 
 
 class AttemptError(Exception):
@@ -74,26 +57,6 @@
         self.is_refusal = is_refusal
 
 
-@attrs.define
-class Outgoing:
-    """The request of one attempt."""
-
-    # Unlike any other attempt's, so that an answer to an earlier one is told apart.
-    request_id: str
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    deadline: float
-    is_idempotent: bool
-    # Asked immediately before the first byte: why it must not go out, if so.
-    find_refusal: Callable[[], reasons.Reason | None]
-    # Tells whether nobody waits for the answer any more.
-    is_client_gone: Callable[[], bool] = model.never
-    # A byte may have gone out.
-    has_begun: bool = False
-
-
 @attrs.frozen
 class Means:
     """What attempts are made with."""
@@ -104,7 +67,7 @@
 
 @contextlib.contextmanager
 def _waiting(
-    means: Means, outgoing: Outgoing, patience: float = math.inf
+    means: Means, outgoing: outgoing_requests.Outgoing, patience: float = math.inf
 ) -> Iterator[None]:
     """End the block with an error at the deadline, or when the client is gone.
 
@@ -134,7 +97,7 @@
 
 
 def open_answer(
-    pool: connections.Connections, address: str, outgoing: Outgoing
+    pool: connections.Connections, address: str, outgoing: outgoing_requests.Outgoing
 ) -> tuple[connections.Connection, Any]:
     """Send `outgoing` and return the connection and the answer's head.
 
@@ -153,7 +116,7 @@
 
 
 def _connect(
-    pool: connections.Connections, address: str, outgoing: Outgoing
+    pool: connections.Connections, address: str, outgoing: outgoing_requests.Outgoing
 ) -> connections.Connection:
     remaining = outgoing.deadline - clock.now()
     if remaining <= 0:
@@ -168,7 +131,9 @@
         raise AttemptError(reasons.Reason.CONNECT_FAILED, False, str(error)) from error
 
 
-def _exchange(connection: connections.Connection, outgoing: Outgoing) -> Any:
+def _exchange(
+    connection: connections.Connection, outgoing: outgoing_requests.Outgoing
+) -> Any:
     # Connecting may have taken long, and the process may have been stopped since the
     # request was admitted or claimed. Once another bundle may be in force, or the claim
     # may be held for lost by other gateways, the request must not go out any more; so
@@ -195,8 +160,8 @@
     return answer
 
 
-def _check_id(answer: Any, outgoing: Outgoing) -> None:
-    given = answer.headers.get(REQUEST_ID)
+def _check_id(answer: Any, outgoing: outgoing_requests.Outgoing) -> None:
+    given = answer.headers.get(outgoing_requests.REQUEST_ID)
     if given is not None and given != outgoing.request_id:
         raise AttemptError(
             reasons.Reason.ANSWER_MISMATCHED, True, f"answer for {given!r}"
@@ -242,7 +207,7 @@
 def call(
     means: Means,
     upstream: upstream_model.Upstream,
-    outgoing: Outgoing,
+    outgoing: outgoing_requests.Outgoing,
 ) -> model.ApplicationAnswer:
     """Make one call and return its whole answer.
 
@@ -258,12 +223,12 @@
         except BaseException:
             connection.close()
             raise
-        is_named = REQUEST_ID in answer.headers
+        is_named = outgoing_requests.REQUEST_ID in answer.headers
         _settle(means.pool, upstream.address, connection, answer, is_named)
     headers = tuple(
         (name, value)
         for name, value in answer.headers.items()
-        if name.lower() not in _NOT_PASSED_ON
+        if name.lower() not in outgoing_requests.NOT_PASSED_ON
     )
     whole = model.ApplicationAnswer(answer.status, headers, body, upstream.upstream_id)
     if outgoing.is_idempotent and answer.status in _FAILED_STATUSES:
@@ -288,7 +253,7 @@
 def stream(
     means: Means,
     upstream: upstream_model.Upstream,
-    outgoing: Outgoing,
+    outgoing: outgoing_requests.Outgoing,
 ) -> Generator[model.StreamEvent, None, None]:
     """Yield the events of one engine's answer; the last is `Finished`.
 
@@ -347,57 +312,3 @@
 
 def _seconds(text: str) -> float:
     return float(text) if text.isdecimal() else 1.0
-
-
-def for_engine(
-    call: model.ModelCall,
-    attempt_id: str,
-    find_refusal: Callable[[], reasons.Reason | None],
-) -> Outgoing:
-    """Return the request that asks an engine for `call`."""
-    body = {
-        "model": call.model,
-        "prompt": call.prompt,
-        "max_tokens": call.max_tokens,
-        "stream": True,
-        "priority": call.priority,
-        "resume_token_ids": list(call.resume_token_ids),
-        "adapter": call.adapter,
-    }
-    headers = {"Content-Type": "application/json", REQUEST_ID: attempt_id}
-    return Outgoing(
-        attempt_id,
-        "POST",
-        "/v1/completions",
-        headers,
-        json.dumps(body).encode(),
-        call.deadline,
-        call.is_idempotent,
-        find_refusal,
-        call.is_client_gone,
-    )
-
-
-def for_application(
-    call: model.ApplicationCall,
-    attempt_id: str,
-    find_refusal: Callable[[], reasons.Reason | None],
-) -> Outgoing:
-    """Return the request that makes `call`."""
-    headers = {
-        name: value
-        for name, value in call.headers
-        if name.lower() not in _NOT_PASSED_ON
-    }
-    headers[REQUEST_ID] = attempt_id
-    return Outgoing(
-        attempt_id,
-        call.method,
-        call.target,
-        headers,
-        call.body,
-        call.deadline,
-        call.is_idempotent,
-        find_refusal,
-        call.is_client_gone,
-    )
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -23,6 +23,7 @@
     calls,
     connections,
     model,
+    outgoing_requests,
     queues,
     recovery,
     retries,
@@ -122,7 +123,7 @@
         while True:
             try:
                 with self._admitted(call, progress) as upstream:
-                    outgoing = attempts.for_engine(
+                    outgoing = outgoing_requests.for_engine(
                         call, self._attempt_id(call), self._refusal_of(call)
                     )
                     events = attempts.stream(self._means, upstream, outgoing)
@@ -149,7 +150,7 @@
         while True:
             try:
                 with self._admitted(call, progress) as upstream:
-                    outgoing = attempts.for_application(
+                    outgoing = outgoing_requests.for_application(
                         call, self._attempt_id(call), self._refusal_of(call)
                     )
                     mean = self._admission.mean_seconds(progress.need)
--- /dev/null
+++ b/bilberrydrum/requests/outgoing_requests.py
@@ -0,0 +1,105 @@
+"""The request of one attempt, made of a call."""
+
+import json
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from bilberrydrum import reasons
+from bilberrydrum.requests import model
+
+REQUEST_ID: Final = "X-Request-Id"
+# Headers that belong to one connection and are not passed on (RFC 9110, 7.6.1).
+HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers that each attempt sets itself.
+NOT_PASSED_ON: Final = HOP_HEADERS | {
+    "host",
+    "content-length",
+    "expect",
+    "x-request-id",
+}
+
+
+@attrs.define
+class Outgoing:
+    """The request of one attempt."""
+
+    # Unlike any other attempt's, so that an answer to an earlier one is told apart.
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    deadline: float
+    is_idempotent: bool
+    # Asked immediately before the first byte: why it must not go out, if so.
+    find_refusal: Callable[[], reasons.Reason | None]
+    # Tells whether nobody waits for the answer any more.
+    is_client_gone: Callable[[], bool] = model.never
+    # A byte may have gone out.
+    has_begun: bool = False
+
+
+def for_engine(
+    call: model.ModelCall,
+    attempt_id: str,
+    find_refusal: Callable[[], reasons.Reason | None],
+) -> Outgoing:
+    """Return the request that asks an engine for `call`."""
+    body = {
+        "model": call.model,
+        "prompt": call.prompt,
+        "max_tokens": call.max_tokens,
+        "stream": True,
+        "priority": call.priority,
+        "resume_token_ids": list(call.resume_token_ids),
+        "adapter": call.adapter,
+    }
+    headers = {"Content-Type": "application/json", REQUEST_ID: attempt_id}
+    return Outgoing(
+        attempt_id,
+        "POST",
+        "/v1/completions",
+        headers,
+        json.dumps(body).encode(),
+        call.deadline,
+        call.is_idempotent,
+        find_refusal,
+        call.is_client_gone,
+    )
+
+
+def for_application(
+    call: model.ApplicationCall,
+    attempt_id: str,
+    find_refusal: Callable[[], reasons.Reason | None],
+) -> Outgoing:
+    """Return the request that makes `call`."""
+    headers = {
+        name: value for name, value in call.headers if name.lower() not in NOT_PASSED_ON
+    }
+    headers[REQUEST_ID] = attempt_id
+    return Outgoing(
+        attempt_id,
+        call.method,
+        call.target,
+        headers,
+        call.body,
+        call.deadline,
+        call.is_idempotent,
+        find_refusal,
+        call.is_client_gone,
+    )
--- a/tests/test_http_callers.py
+++ b/tests/test_http_callers.py
@@ -1,7 +1,6 @@
 """The callers' interface: what runs at most once, whole answers, refusals."""
 
 import json
-import unittest
 
 import attrs
 import eventlet
@@ -12,56 +11,13 @@
 from bilberrydrum import reasons
 from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.requests import claims, claims_state
-from bilberrydrum.upstreams import model as upstream_model
 from tests import helpers
-from tests.fakes import gateway_parts, request_path, scripted, wsgi
+from tests.fakes import deployment, gateway_parts, scripted, wsgi
 
 Reason = reasons.Reason
 
 
-class Deployment(unittest.TestCase):
-    """Two gateways before one application and one engine."""
-
-    def setUp(self):
-        self.group = gateway_parts.StateGroup()
-        self.registry = gateway_parts.Registry()
-        self.application = scripted.Scripted(
-            scripted.serve(self.book), kind="application", application="schedule"
-        )
-        self.addCleanup(self.application.stop)
-        self.registry.upstreams["a1"] = self.application.upstream("a1")
-        self.first = self.gateway("g1")
-        self.second = self.gateway("g2")
-
-    def gateway(self, process_id, **options):
-        gateway = request_path.Gateway(process_id, self.group, self.registry, **options)
-        self.addCleanup(gateway.stop)
-        return gateway
-
-    def book(self, received):
-        return scripted.answer(received, b"booked", "201 Created")
-
-    def engine(self, upstream_id, script, **fields):
-        fake = scripted.Scripted(
-            script,
-            kind="engine",
-            models={"planner": upstream_model.ServedModel(3)},
-            **fields,
-        )
-        self.addCleanup(fake.stop)
-        self.registry.upstreams[upstream_id] = fake.upstream(upstream_id)
-        return fake
-
-    @property
-    def n_bookings(self):
-        return len(self.application.received)
-
-    def stop_first(self, point):
-        how, command = request_path.STOPS[point]
-        setattr(self.first.state, how, command)
-
-
-class AtMostOnce(Deployment):
+class AtMostOnce(deployment.Deployment):
     @params(
         ("before the claim", 1, 201, "completed"),
         ("after the claim, before the first byte", 0, 409, "unknown"),
@@ -310,7 +266,7 @@
         self.assertEqual(len(engine.received), 2)
 
 
-class NoMajority(Deployment):
+class NoMajority(deployment.Deployment):
     def test_what_needs_a_claim_is_refused_as_unknown_and_the_rest_goes_on(self):
         """The state group has no majority: no key can be looked up or claimed.
 
@@ -371,7 +327,7 @@
         self.assertEqual(self.first.book().wait().status, 201)
 
 
-class NotRun(Deployment):
+class NotRun(deployment.Deployment):
     """A refusal says not-run only when it is true of the request."""
 
     def lose_lease(self):
@@ -421,86 +377,7 @@
         self.assertEqual(self.second.book("new").wait().outcome, "not-run")
 
 
-class Waiting(Deployment):
-    """The one place of the service is taken; further calls wait at the gateway."""
-
-    def setUp(self):
-        super().setUp()
-        upstream = self.registry.upstreams["a1"]
-        self.registry.upstreams["a1"] = attrs.evolve(upstream, max_concurrency=1)
-        self.done = eventlet.event.Event()
-        self.application.script = self.slow
-
-    def slow(self, connection, received):
-        self.done.wait()
-        connection.sendall(self.book(received))
-
-    def take_place(self):
-        pending = self.first.book("taker")
-        wsgi.run_until(lambda: self.n_bookings == 1)
-        return pending
-
-    @params(
-        (result.Err(Reason.BUNDLE_LEASE_EXPIRED), "bundle-lease-expired"),
-        (
-            result.Ok(attrs.evolve(gateway_parts.BUNDLE, version=2, callers={})),
-            "caller-not-allowed",
-        ),
-    )
-    def test_bundle_that_is_over_by_the_time_of_sending_is_not_acted_on(
-        self, bundle, reason
-    ):
-        """A call waits for a place; the lease runs out, or another bundle is rolled.
-
-        When its place comes, nothing may be sent by the bundle it came in under: the
-        operator was told that the new one is in force everywhere.
-        """
-        taker = self.take_place()
-        for key in ("", "waiter"):
-            headers = {"Idempotency_Key": key} if key else {}
-            waiting = self.first.send("GET", "/apps/schedule/x", **headers)
-            wsgi.run_until(lambda: self.first.dispatcher.n_waiting == 1)
-            self.first.bundles.bundle = bundle
-            if not self.done.ready():
-                self.done.send(None)
-            answer = waiting.wait()
-            self.assertEqual((answer.reason, answer.outcome), (reason, "not-run"))
-            taker.wait()
-            self.assertEqual(self.n_bookings, 1)
-            self.first.bundles.bundle = result.Ok(gateway_parts.BUNDLE)
-            self.done = eventlet.event.Event()
-            taker = self.first.send("GET", "/apps/schedule/taker")
-            wsgi.run_until(lambda: self.n_bookings == 2)
-            self.application.received.pop()
-        self.done.send(None)
-        taker.wait()
-
-    def test_full_queue_costs_no_claims_and_still_gives_results_again(self):
-        """The queue is full and callers retry at once.
-
-        A claim for each refusal would fill the state group with them. What ran before
-        is still given again, and a key with another body is still refused.
-        """
-        self.done.send(None)
-        self.first.book("earlier").wait()
-        self.done = eventlet.event.Event()
-        first = self.gateway("g3", max_queue_per_caller=1)
-        pending = [first.book("a"), first.book("b")]
-        wsgi.run_until(lambda: first.dispatcher.n_waiting == 1)
-        n_submitted = len(self.group.submitted)
-        for _ in range(5):
-            answer = first.book("new").wait()
-            self.assertEqual((answer.status, answer.outcome), (429, "not-run"))
-        self.assertEqual(first.book("earlier").wait().status, 201)
-        answer = first.book("earlier", b"window 8").wait()
-        self.assertEqual(answer.reason, "key-reused")
-        self.assertEqual(len(self.group.submitted), n_submitted)
-        self.done.send(None)
-        for each in pending:
-            self.assertEqual(each.wait().status, 201)
-
-
-class Streams(Deployment):
+class Streams(deployment.Deployment):
     def complete(self, **body):
         values = {"model": "planner", "prompt": "p", "max_tokens": 8, "stream": True}
         return self.first.send("POST", "/v1/completions", values | body).wait()
@@ -545,47 +422,3 @@
         self.engine("e1", self.crash)
         answer = self.complete(stream=False)
         self.assertEqual((answer.status, answer.reason), (502, "answer-truncated"))
-
-
-class BadInput(Deployment):
-    @params(
-        ("no caller", {"X_Caller": ""}, None, 403, "caller-not-allowed"),
-        ("unknown caller", {"X_Caller": "x"}, None, 403, "caller-not-allowed"),
-        ("no JSON", {}, b"{", 400, "invalid-json"),
-        ("no object", {}, b"[]", 400, "invalid-json"),
-        ("no model", {}, {"prompt": "p"}, 400, "invalid-request"),
-        ("no prompt", {}, {"model": "planner"}, 400, "invalid-request"),
-        ("model not allowed", {}, {"model": "x"}, 403, "caller-not-allowed"),
-        ("prompt of a wrong type", {}, {"prompt": 1}, 400, "invalid-request"),
-        ("max_tokens a bool", {}, {"max_tokens": True}, 400, "invalid-request"),
-        ("max_tokens 0", {}, {"max_tokens": 0}, 400, "invalid-request"),
-        ("unknown adapter", {}, {"adapter": "x"}, 404, "model-unknown"),
-        ("timeout no number", {"X_Timeout_Seconds": "x"}, {}, 400, "invalid-request"),
-        ("timeout 0", {"X_Timeout_Seconds": "0"}, {}, 400, "invalid-request"),
-        ("priority inf", {"X_Priority": "inf"}, {}, 400, "invalid-request"),
-        ("key too long", {"Idempotency_Key": "k" * 300}, {}, 400, "invalid-request"),
-        ("no engine", {}, {}, 503, "no-upstream"),
-    )
-    def test_bad_input_is_refused_with_its_reason(
-        self, name, headers, body, status, reason
-    ):
-        whole = {"model": "planner", "prompt": "p", "max_tokens": 3}
-        if name in ("no model", "no prompt"):
-            whole = {}
-        if body is None:
-            body = {}
-        if isinstance(body, dict):
-            if body.get("model") == "x":
-                whole = {"prompt": "p"}
-            body = whole | body
-        answer = self.first.send("POST", "/v1/completions", body, **headers).wait()
-        self.assertEqual((answer.status, answer.reason), (status, reason), name)
-        self.assertEqual(answer.outcome, "not-run")
-
-    def test_application_the_caller_may_not_use(self):
-        answer = self.first.send("GET", "/apps/payroll/x").wait()
-        self.assertEqual((answer.status, answer.reason), (403, "caller-not-allowed"))
-
-    def test_path_and_query_reach_the_service_as_sent(self):
-        self.first.send("GET", "/apps/schedule/a%2Fb/c?x=1&y=%20").wait()
-        self.assertEqual(self.application.received[-1].target, "/a%2Fb/c?x=1&y=%20")
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -7,7 +7,14 @@
 from nose2.tools import params
 
 from bilberrydrum import clock, reasons
-from bilberrydrum.requests import attempts, connections, events, model, watch
+from bilberrydrum.requests import (
+    attempts,
+    connections,
+    events,
+    model,
+    outgoing_requests,
+    watch,
+)
 from tests.fakes import scripted
 
 Reason = reasons.Reason
@@ -19,14 +26,14 @@
 
 def outgoing(request_id="r1", seconds=5.0, method="GET", **fields):
     values = {
-        "headers": {attempts.REQUEST_ID: request_id},
+        "headers": {outgoing_requests.REQUEST_ID: request_id},
         "body": b"",
         "deadline": clock.now() + seconds,
         "is_idempotent": True,
         "find_refusal": lambda: None,
     }
     values.update(fields)
-    return attempts.Outgoing(request_id, method, "/x", **values)
+    return outgoing_requests.Outgoing(request_id, method, "/x", **values)
 
 
 def truncated(received):
