--- a/tests/fakes/state_group.py
+++ b/tests/fakes/state_group.py
@@ -93,6 +93,10 @@
         ).unwrap()
         return status
 
+    def followers(self, status: queries.Status) -> list[queries.ReplicaStatus]:
+        leader = status.leader_process_id
+        return [each for each in status.members if each.process_id != leader]
+
     def wait_for(self, condition: Any, timeout: float = 30.0) -> float:
         """Wait until `condition` holds of the status; return the seconds taken."""
         start = time.monotonic()
--- a/tests/test_state_group.py
+++ b/tests/test_state_group.py
@@ -90,11 +90,7 @@
         for _ in range(20):
             self.add()
         status = group.status()
-        lost, second = [
-            each
-            for each in status.members
-            if each.process_id != status.leader_process_id
-        ]
+        lost, second = group.followers(status)
         group.lose_disk(lost.process_id)
         group.start(lost.process_id)
 
@@ -115,11 +111,7 @@
         group = self.group
         self.add()
         status = group.status()
-        late = next(
-            each.process_id
-            for each in status.members
-            if each.process_id != status.leader_process_id
-        )
+        late = group.followers(status)[0].process_id
         group.processes[late].kill()
         pool = eventlet.GreenPool(50)
         for _ in range(600):
@@ -185,11 +177,7 @@
         group = self.group
         self.add()
         status = group.status()
-        healthy, lost = [
-            each
-            for each in status.members
-            if each.process_id != status.leader_process_id
-        ]
+        healthy, lost = group.followers(status)
         group.lose_disk(lost.process_id)
         group.wait_for(lambda now: sum(m.is_reachable for m in now.members) == 2)
         mistake = group.client.query(commands.RemoveMember(healthy.replica_id))
