--- a/bilberrydrum/samples/scheduling.py
+++ b/bilberrydrum/samples/scheduling.py
@@ -9,10 +9,10 @@
 Stragglers: an attempt whose tokens come at less than `SLOW_SHARE` of the usual pace,
 and whose group is older than all that still wait to be started, gets a second one at
 another engine, which goes on from the tokens made so far; the one that is whole first
-counts. Their number is bounded by a budget. Waiting for a free place instead would leave
-it out whenever the trainer has asked for more groups, which is when it waits for this
-one. An attempt whose tokens have stopped coming is stopped and made again, whatever the
-budget: its slot would hold up its trainer for ever.
+counts. Their number is bounded by a budget. Waiting for a free place instead would
+leave it out whenever the trainer has asked for more groups, which is when it waits for
+this one. An attempt whose tokens have stopped coming is stopped and made again,
+whatever the budget: its slot would hold up its trainer.
 """
 
 from typing import Final
--- a/misc/sample_trainer.py
+++ b/misc/sample_trainer.py
@@ -53,8 +53,10 @@
         began = time.monotonic()
         samples = self._read_step()
         idle = time.monotonic() - began
-        eventlet.sleep(self.options.step_seconds)
         self.n_steps += 1
+        # Asked for before training, so that engines have work meanwhile.
+        self._ask_ahead()
+        eventlet.sleep(self.options.step_seconds)
         if self.n_steps % self.options.publish_every == 0:
             self._publish()
         step = {
