--- a/misc/request_load.py
+++ b/misc/request_load.py
@@ -21,6 +21,9 @@
 import urllib3
 
 READ_BYTES = 64 * 1024
+# In place of a status: the connection ended before a whole answer, or was not made.
+CUT = 0
+UNREACHABLE = -1
 
 
 def read_head(connection: Any, data: bytes) -> tuple[bytes, bytes]:
@@ -160,6 +163,8 @@
         self.seconds: list[float] = []
         self.n_events = 0
         self.n_in_all = 0
+        # Callers that were told that their connection ends.
+        self.n_told = 0
         self._rng = random.Random(1)
         self._next_at = 0.0
         body = options.body.encode()
@@ -191,6 +196,7 @@
             "n_events_per_second": n_events / elapsed,
             "statuses": statuses,
             "n_in_all": self.n_in_all,
+            "n_told": self.n_told,
             "p50_ms": 1000 * quantile(seconds, 0.5),
             "p99_ms": 1000 * quantile(seconds, 0.99),
         }
@@ -204,15 +210,22 @@
             if self.options.rate:
                 began = self._next_turn()
             n_asked += 1
+            status = UNREACHABLE
             try:
                 if connection is None:
                     connection = eventlet.connect((host, int(port)))
+                status = CUT
                 connection.sendall(self._request % b"%d-%d" % (number, n_asked))
-                status = self._read(connection)
+                status, is_last = self._read(connection)
+                if is_last:
+                    connection = None
+                    self.n_told += 1
             except OSError:
-                connection, status = None, 0
+                connection = None
             self.statuses[status] = self.statuses.get(status, 0) + 1
             self.n_in_all += 1
+            if connection is None and status == 200 and self.options.leave_when_told:
+                return
             if status == 200:
                 self.seconds.append(time.monotonic() - began)
             elif self.options.retry_seconds:
@@ -228,12 +241,14 @@
         eventlet.sleep(max(0.0, at - time.monotonic()))
         return at
 
-    def _read(self, connection: Any) -> int:
+    def _read(self, connection: Any) -> tuple[int, bool]:
+        """Return the status of a whole answer, and whether no other will follow."""
         head, data = read_head(connection, b"")
         if not head:
             raise ConnectionError("closed")
         status = int(head.split(b" ", 2)[1])
         length = header(head, b"content-length")
+        is_last = header(head, b"connection").lower() == b"close"
         if not length:
             while not data.endswith(b"0\r\n\r\n"):
                 part = connection.recv(READ_BYTES)
@@ -241,10 +256,13 @@
                     raise ConnectionError("cut")
                 self.n_events += part.count(b"data: {")
                 data = data[-8:] + part
-            return status
+            return status, is_last
         while len(data) < int(length):
-            data += connection.recv(READ_BYTES)
-        return status
+            part = connection.recv(READ_BYTES)
+            if not part:
+                raise ConnectionError("cut")
+            data += part
+        return status, is_last
 
 
 def quantile(ordered: list[float], share: float) -> float:
@@ -272,6 +290,7 @@
     callers.add_argument("--body", default="")
     callers.add_argument("--header", action="append", default=[])
     callers.add_argument("--n-connections", type=int, default=16)
+    callers.add_argument("--leave-when-told", action="store_true")
     callers.add_argument("--rate", type=float, default=0.0)
     callers.add_argument("--retry-seconds", type=float, default=0.0)
     callers.add_argument("--warm-seconds", type=float, default=0.3)
--- a/tests/test_requests_dispatch.py
+++ b/tests/test_requests_dispatch.py
@@ -2,13 +2,14 @@
 
 import json
 import unittest
+import unittest.mock
 
 import eventlet
 import result
 from nose2.tools import params
 
 from bilberrydrum import clock, reasons
-from bilberrydrum.requests import dispatch, health, model, resume
+from bilberrydrum.requests import attempts, dispatch, health, model, recovery, resume
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import gateway_parts, scripted
 
@@ -62,6 +63,12 @@
     return script
 
 
+def stall_after_one(connection, received):
+    part = scripted.event(received.request_id, "t0", [0])
+    connection.sendall(scripted.stream_head(received) + scripted.chunk(part))
+    eventlet.sleep(30)
+
+
 def resumed(received):
     return len(json.loads(received.body)["resume_token_ids"])
 
@@ -140,6 +147,7 @@
 
     @params(
         ("crash", crash_after(2), Reason.ANSWER_TRUNCATED),
+        ("stall", stall_after_one, Reason.UPSTREAM_TIMEOUT),
         (
             "cut exactly at a chunk's edge, without the marker",
             scripted.serve_and_close(
@@ -181,13 +189,32 @@
         """
         self.engine("e1", script, availability_zone="a")
         second = self.engine("e2", finish(5, 4), availability_zone="far")
-        seen = list(resume.stream(self.dispatcher, call()))
+        with unittest.mock.patch.object(attempts, "STALL_SECONDS", 0.1):
+            seen = list(resume.stream(self.dispatcher, call()))
         self.assertEqual(seen[0].upstream_id, "e1", name)
         self.assertEqual(text_of(seen), "t0t1t2t3t4", name)
         self.assertIsInstance(seen[-1], model.Finished)
         self.assertEqual(seen[-2].weight_version, 4)
         self.assertEqual(len(second.received), 1)
 
+    def test_resumed_stream_goes_before_new_calls_when_the_queue_is_full(self):
+        """An engine crashed under a stream; its client's queue is full of new calls.
+
+        Refused, the stream would break off, and its tokens be made for nothing.
+        """
+        self.start(max_queue_per_caller=1)
+        self.engine("e1", finish(3), max_concurrency=1)
+        holder = self.dispatcher.stream(call())
+        next(holder)
+        new = eventlet.spawn(list, self.dispatcher.stream(call()))
+        eventlet.sleep(0.01)
+        resumed_call = call(resume_token_ids=(0, 1))
+        task = eventlet.spawn(list, self.dispatcher.stream(resumed_call))
+        eventlet.sleep(0.01)
+        holder.close()
+        self.assertEqual(text_of(task.wait()), "t2")
+        self.assertEqual(new.wait()[-1].reason, Reason.QUEUE_FULL)
+
     def test_stream_that_no_engine_can_resume_ends_as_failed(self):
         self.engine("e1", crash_after(2), can_resume=False)
         seen = list(resume.stream(self.dispatcher, call()))
@@ -373,6 +400,50 @@
         self.assertGreater(len(bad.received), health.EJECT_AFTER)
         self.assertEqual(self.dispatcher._router.health._records_by_id, {})
 
+    def test_callers_without_patience_do_not_have_a_service_ejected(self):
+        """A caller allows a few milliseconds; the service needs more.
+
+        That says nothing about the service: others with more time are served by it.
+        """
+
+        def slow(connection, received):
+            eventlet.sleep(0.03)
+            connection.sendall(scripted.answer(received))
+
+        self.application("a1", slow)
+        for _ in range(2 * health.EJECT_AFTER):
+            deadline = clock.now() + 0.005
+            self.dispatcher.call_application(application_call(deadline=deadline))
+        self.assertEqual(self.dispatcher._router.health._records_by_id, {})
+
+    @params(("lookup", True), ("booking", False))
+    def test_service_that_hangs_holds_up_nothing_that_may_be_repeated(
+        self, name, is_idempotent
+    ):
+        """One service hangs, with its lease standing; another one would answer.
+
+        A lookup is made there long before its deadline. A booking may have run, so it
+        waits for its own answer.
+        """
+        self.application("a1", scripted.serve(scripted.answer))
+        self.dispatcher.call_application(application_call())
+        self.fakes["a1"].script = lambda connection, received: eventlet.sleep(30)
+        with unittest.mock.patch.object(recovery, "FAIR_SECONDS", 0.05):
+            task = eventlet.spawn(
+                self.dispatcher.call_application,
+                application_call(
+                    is_idempotent=is_idempotent, deadline=clock.now() + 0.5
+                ),
+            )
+            eventlet.sleep(0.01)
+            self.application("a2", scripted.serve(scripted.answer))
+            answer = task.wait()
+        if is_idempotent:
+            self.assertEqual(answer.ok_value.upstream_id, "a2", name)
+        else:
+            self.assertEqual(answer.err_value.reason, Reason.UPSTREAM_TIMEOUT)
+            self.assertEqual(len(self.fakes["a2"].received), 0)
+
     def test_drain_waits_for_calls_in_flight(self):
         def slow(connection, received):
             eventlet.sleep(0.1)
