--- a/bilberrydrum/samples/scheduling.py
+++ b/bilberrydrum/samples/scheduling.py
@@ -12,7 +12,7 @@
 counts. Their number is bounded by a budget. Waiting for a free place instead would
 leave it out whenever the trainer has asked for more groups, which is when it waits for
 this one. An attempt whose tokens have stopped coming is stopped and made again,
-whatever the budget: its slot would hold up its trainer for ever.
+whatever the budget: its slot would hold up its trainer.
 """
 
 from typing import Final
