Make the problem document of a silent state group in one place

Cause: five handlers built the same 503 from a StateError, each with its own constant. Change: StateError.to_problem; the callers' edge still turns the outcome into unknown.

--- a/bilberrydrum/http/bundles.py
+++ b/bilberrydrum/http/bundles.py
@@ -11,7 +11,6 @@
 from bilberrydrum.http import edge
 from bilberrydrum.state import client
 
-_RETRY_SECONDS: Final = 1.0
 _STATUSES_BY_REASON: Final = {
     reasons.Reason.NOT_FOUND: 404,
     reasons.Reason.BUNDLE_CONFLICT: 409,
@@ -91,7 +90,10 @@
         # behind, so a roll that is reported in force was so when it was counted.
         counts = self.bundles.ask_roll_status()
         if counts.is_err():
-            raise _unavailable("the leader does not answer")
+            unanswered = client.StateError(
+                reasons.Reason.STATE_UNAVAILABLE, False, "the leader does not answer"
+            )
+            raise problems.ProblemError(unanswered.to_problem())
         record = self._find(request)
         answer = {"version": record.version, "state": record.state}
         counted = codec.to_plain(counts.unwrap())
@@ -102,8 +104,9 @@
     def _change(self, command: object, status: int) -> edge.Response:
         submitted = self.state.submit(command)
         if submitted.is_err():
-            error = submitted.unwrap_err()
-            raise _unavailable(error.detail, error.may_have_applied)
+            # A change that may have been made is sent again safely: it is known by its
+            # digest.
+            raise problems.ProblemError(submitted.unwrap_err().to_problem())
         answer = submitted.unwrap()
         if isinstance(answer, commands.Refused):
             raise _refusal(answer)
@@ -112,7 +115,7 @@
     def _query(self, query: object) -> Any:
         answer = self.state.query(query)
         if answer.is_err():
-            raise _unavailable(answer.unwrap_err().detail)
+            raise problems.ProblemError(answer.unwrap_err().to_problem())
         return answer.unwrap()
 
     def _find(self, request: edge.Request) -> records.Record:
@@ -186,20 +189,6 @@
     return edge.refuse(400, reasons.Reason.INVALID_REQUEST, detail)
 
 
-def _unavailable(detail: str, may_have_applied: bool = False) -> problems.ProblemError:
-    # A change that may have been made is sent again safely: it is known by its digest.
-    outcome = problems.OUTCOME_NOT_RUN
-    if may_have_applied:
-        outcome = problems.OUTCOME_UNKNOWN
-    return edge.refuse(
-        503,
-        reasons.Reason.STATE_UNAVAILABLE,
-        detail,
-        outcome=outcome,
-        retry_after_seconds=_RETRY_SECONDS,
-    )
-
-
 def _refusal(refused: commands.Refused) -> problems.ProblemError:
     extra = {}
     if refused.winner_digest:
--- a/bilberrydrum/http/once.py
+++ b/bilberrydrum/http/once.py
@@ -113,13 +113,9 @@
 
 def state_unavailable(error: client.StateError) -> problems.ProblemError:
     """Return the refusal of a request whose key could not be looked up."""
-    return edge.refuse(
-        503,
-        reasons.Reason.STATE_UNAVAILABLE,
-        error.detail,
-        outcome=problems.OUTCOME_UNKNOWN,
-        retry_after_seconds=1.0,
-    )
+    # Whatever became of this attempt, an earlier one may have run.
+    unknown = problems.ProblemError(error.to_problem())
+    return _with_outcome(unknown, problems.OUTCOME_UNKNOWN)
 
 
 def show(key: str, known: request_claims.Claimed | None) -> edge.Response:
--- a/bilberrydrum/http/state_operators.py
+++ b/bilberrydrum/http/state_operators.py
@@ -14,7 +14,6 @@
 _SNAPSHOT_TIMEOUT: Final = 60.0
 _CHANGE_TIMEOUT: Final = 10.0
 _STATUS_TIMEOUT: Final = 2.0
-_RETRY_AFTER: Final = 1.0
 
 
 class StatusSource(Protocol):
@@ -59,7 +58,7 @@
         if isinstance(answer, result.Ok):
             return _status_response(answer.ok_value)
         if self._replica is None:
-            raise _unavailable(answer.err_value)
+            raise problems.ProblemError(answer.err_value.to_problem())
         return _status_response(self._replica.status())
 
     def add_member(self, request: edge.Request) -> edge.Response:
@@ -77,7 +76,7 @@
     def _change(self, command: object) -> edge.Response:
         answer = self._state.query(command, _CHANGE_TIMEOUT)
         if isinstance(answer, result.Err):
-            raise _unavailable(answer.err_value)
+            raise problems.ProblemError(answer.err_value.to_problem())
         changed: commands.MemberChanged = answer.ok_value
         if not changed.is_made:
             raise edge.refuse(409, reasons.Reason.MEMBERSHIP_REFUSED, changed.detail)
@@ -87,7 +86,7 @@
         """Return a snapshot of the state."""
         answer = self._state.query(queries.SaveState(), _SNAPSHOT_TIMEOUT)
         if isinstance(answer, result.Err):
-            raise _unavailable(answer.err_value)
+            raise problems.ProblemError(answer.err_value.to_problem())
         data: bytes = answer.ok_value.data
         headers = [
             ("Content-Type", "application/octet-stream"),
@@ -107,7 +106,7 @@
             ) from error
         answer = self._state.submit(commands.RestoreState(data), _SNAPSHOT_TIMEOUT)
         if isinstance(answer, result.Err):
-            raise _unavailable(answer.err_value)
+            raise problems.ProblemError(answer.err_value.to_problem())
         restored: commands.Restored = answer.ok_value
         if not restored.is_restored:
             raise edge.refuse(422, reasons.Reason.SNAPSHOT_INVALID, restored.detail)
@@ -125,16 +124,3 @@
     if not isinstance(value, str) or not value:
         raise edge.refuse(400, reasons.Reason.INVALID_REQUEST, f"{name}: text needed")
     return value
-
-
-def _unavailable(error: client.StateError) -> problems.ProblemError:
-    outcome = problems.OUTCOME_NOT_RUN
-    if error.may_have_applied:
-        outcome = problems.OUTCOME_UNKNOWN
-    return edge.refuse(
-        503,
-        error.reason,
-        error.detail,
-        outcome=outcome,
-        retry_after_seconds=_RETRY_AFTER,
-    )
--- a/bilberrydrum/http/weights.py
+++ b/bilberrydrum/http/weights.py
@@ -79,7 +79,7 @@
         assert self._registry is not None
         publications = self._state.query(queries.ListPublications())
         if publications.is_err():
-            raise _refuse_unavailable(publications.unwrap_err())
+            raise problems.ProblemError(publications.unwrap_err().to_problem())
         targets = status.targets_by_model(self._bundle(), publications.unwrap())
         engines = status.engines_of(self._registry.upstreams_by_id())
         task = self._task
@@ -108,7 +108,7 @@
     def _submit(self, command: object) -> Any:
         answer = self._state.submit(command)
         if answer.is_err():
-            raise _refuse_unavailable(answer.unwrap_err())
+            raise problems.ProblemError(answer.unwrap_err().to_problem())
         return answer.unwrap()
 
     def _bundle(self) -> bundle_model.Bundle:
@@ -137,16 +137,3 @@
         reasons.Reason.INVALID_REQUEST,
         f"weight_version: a whole number from 1 to {MAX_WEIGHT_VERSION}",
     )
-
-
-def _refuse_unavailable(error: client.StateError) -> problems.ProblemError:
-    outcome = problems.OUTCOME_NOT_RUN
-    if error.may_have_applied:
-        outcome = problems.OUTCOME_UNKNOWN
-    return edge.refuse(
-        503,
-        error.reason,
-        error.detail,
-        outcome=outcome,
-        retry_after_seconds=_RETRY_AFTER_SECONDS,
-    )
--- a/bilberrydrum/samples/delivery.py
+++ b/bilberrydrum/samples/delivery.py
@@ -119,7 +119,7 @@
             timeout=_STATE_TIMEOUT_SECONDS,
         )
         if answer.is_err():
-            return result.Err(state_problem(answer.unwrap_err()))
+            return result.Err(answer.unwrap_err().to_problem())
         batch: commands.Batch = answer.unwrap()
         for _ in range(batch.n_expired):
             counters.retried(reasons.Reason.SAMPLE_STALE)
@@ -215,7 +215,7 @@
                 )
             )
             if answer.is_err():
-                return state_problem(answer.unwrap_err())
+                return answer.unwrap_err().to_problem()
             if answer.unwrap().refusal != reasons.Reason.BATCH_NOT_READY:
                 return None
 
@@ -228,23 +228,6 @@
     )
 
 
-def state_problem(error: client.StateError) -> problems.Problem:
-    """Return the problem for a state group that did not answer.
-
-    Whatever the command was, it can be sent again without harm.
-    """
-    outcome = (
-        problems.OUTCOME_UNKNOWN if error.may_have_applied else problems.OUTCOME_NOT_RUN
-    )
-    return problems.Problem(
-        503,
-        reasons.Reason.STATE_UNAVAILABLE,
-        error.detail,
-        outcome,
-        retry_after_seconds=1.0,
-    )
-
-
 def _refusal(batch: commands.Batch) -> problems.Problem:
     assert batch.refusal is not None
     known = {"acknowledged": batch.acknowledged, "n_assigned": batch.n_assigned}
--- a/bilberrydrum/samples/service.py
+++ b/bilberrydrum/samples/service.py
@@ -132,13 +132,13 @@
     def _submit(self, command: object) -> Refusable:
         answer = self._state.submit(command)
         if answer.is_err():
-            return result.Err(delivery.state_problem(answer.unwrap_err()))
+            return result.Err(answer.unwrap_err().to_problem())
         return result.Ok(answer.unwrap())
 
     def _query(self, query: object) -> Refusable:
         answer = self._state.query(query)
         if answer.is_err():
-            return result.Err(delivery.state_problem(answer.unwrap_err()))
+            return result.Err(answer.unwrap_err().to_problem())
         return result.Ok(answer.unwrap())
 
     def _repeat(self, seconds: float, action: Any) -> None:
--- a/bilberrydrum/state/client.py
+++ b/bilberrydrum/state/client.py
@@ -6,12 +6,15 @@
 answer.
 """
 
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
 import attrs
 import result
 
-from bilberrydrum import reasons
+from bilberrydrum import problems, reasons
+
+# When a request that the state group did not answer should come back.
+RETRY_AFTER_SECONDS: Final = 1.0
 
 
 @attrs.frozen
@@ -25,6 +28,19 @@
     may_have_applied: bool = True
     detail: str = ""
 
+    def to_problem(self) -> problems.Problem:
+        """Return the problem document of a request that needed the answer."""
+        outcome = problems.OUTCOME_NOT_RUN
+        if self.may_have_applied:
+            outcome = problems.OUTCOME_UNKNOWN
+        return problems.Problem(
+            503,
+            self.reason,
+            self.detail,
+            outcome,
+            retry_after_seconds=RETRY_AFTER_SECONDS,
+        )
+
 
 class StateClient(Protocol):
     """Commands and queries to the state group."""
