Let the leases' and the controller's tasks survive a fault in one event

Cause: an error in one event would have ended the task; with the leader's, all gateways would refuse work for as long as that replica leads. Each guard was taken out on a copy and the test failed.

--- a/bilberrydrum/bundles/grants.py
+++ b/bilberrydrum/bundles/grants.py
@@ -84,15 +84,23 @@
 
     def _run(self) -> None:
         while True:
-            event = self._next_event()
-            self._forget_peers()
-            leadership = self._replica.leadership()
-            if leadership is None:
+            try:
+                self._take(self._next_event())
+            except Exception:
+                # Were this task to end, all gateways would refuse work for as long as
+                # this replica leads. A new book knows nothing, and waits.
+                eliot.write_traceback()
                 self._book = None
-                continue
-            if self._book is None or leadership.term != self._term:
-                self._book = self._begin(leadership)
-                continue
+                clock.sleep(_RETRY_SECONDS)
+
+    def _take(self, event: object) -> None:
+        self._forget_peers()
+        leadership = self._replica.leadership()
+        if leadership is None:
+            self._book = None
+        elif self._book is None or leadership.term != self._term:
+            self._book = self._begin(leadership)
+        else:
             self._step(self._book, event)
 
     def _forget_peers(self) -> None:
--- a/bilberrydrum/bundles/lease.py
+++ b/bilberrydrum/bundles/lease.py
@@ -131,9 +131,16 @@
             except eventlet.queue.Empty:
                 event = holder.RenewalDue()
                 due_at = clock.now() + renew_seconds
-            for effect in self._holder.step(clock.now(), event):
-                self._carry_out(effect)
-            self._forget_peers()
+            try:
+                self._take(event)
+            except Exception:
+                # Were this task to end, the gateway would refuse work from then on.
+                eliot.write_traceback()
+
+    def _take(self, event: object) -> None:
+        for effect in self._holder.step(clock.now(), event):
+            self._carry_out(effect)
+        self._forget_peers()
 
     def _forget_peers(self) -> None:
         directory = self._holder.directory
--- a/bilberrydrum/state/controller.py
+++ b/bilberrydrum/state/controller.py
@@ -64,12 +64,20 @@
 
     def _run(self) -> None:
         while True:
-            effects = self._decision.step(clock.now(), controller_lease.Due())
-            while effects:
-                effects = self._ask(effects[0].message)
+            try:
+                self._take_turn()
+            except Exception:
+                # Were this task to end, this process could hold the right no more.
+                eliot.write_traceback()
+                self._decision.step(clock.now(), controller_lease.Unanswered())
             # Candidates that look at the same moment would all take over at once.
             clock.sleep(self._decision.delay * random.uniform(1.0, 1.1))
 
+    def _take_turn(self) -> None:
+        effects = self._decision.step(clock.now(), controller_lease.Due())
+        while effects:
+            effects = self._ask(effects[0].message)
+
     def _ask(self, message: object) -> list[Any]:
         held = self._decision.number
         sent_at = clock.now()
--- a/tests/test_bundles_http.py
+++ b/tests/test_bundles_http.py
@@ -1,5 +1,6 @@
 """Bundles through the operators' interface, the tasks and their sockets."""
 
+import contextlib
 import io
 import json
 import unittest
@@ -240,6 +241,21 @@
         self.assertTrue(life.until_by_version)
         wait_for(lambda: not life.until_by_version)
 
+    def test_fault_in_one_event_does_not_end_the_leases(self) -> None:
+        """One event makes the leader's task fail, and one the gateway's.
+
+        Both go on with the next event; otherwise every gateway would refuse work until
+        another replica leads, or this gateway until it is restarted.
+        """
+        self.roll(1)
+        wait_for(lambda: self.acts_on(self.gateway) == 1)
+        with contextlib.redirect_stderr(io.StringIO()):
+            self.grants._events.put("no event")
+            self.gateway._events.put("no event")
+            eventlet.sleep(0)
+        self.roll(2)
+        wait_for(lambda: self.acts_on(self.gateway) == 2 and self.in_force() == 2)
+
     def test_forgotten_gateway_registers_again(self) -> None:
         self.roll(1)
         wait_for(lambda: self.acts_on(self.gateway) == 1)
