--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -2,12 +2,9 @@
 
 import unittest
 
-from bilberrydrum import reasons
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import gateway_parts, request_path, scripted
 
-Reason = reasons.Reason
-
 
 class Deployment(unittest.TestCase):
     """Two gateways before one application and one engine."""
--- a/tests/test_requests_schedules.py
+++ b/tests/test_requests_schedules.py
@@ -33,12 +33,16 @@
             request_path.Gateway(f"g{i}", self.group, self.registry) for i in range(3)
         ]
         self.n_sent = Counter()
+        self.told_unknown = set()
         self.pending = []
         self.wrong = []
         self.n_answers = Counter()
 
     def serve(self, connection, received):
-        self.n_sent[received.headers["idempotency-key"]] += 1
+        key = received.headers["idempotency-key"]
+        self.n_sent[key] += 1
+        if key in self.told_unknown:
+            self.wrong.append((key, "sent after it was called unknown"))
         answer = scripted.answer(received, b"booked", "201 Created")
         mode = self.rng.randrange(4)
         if mode == 0:
@@ -63,6 +67,8 @@
         if answer.status != 201:
             outcome = answer.outcome
         self.n_answers[outcome] += 1
+        if outcome != "completed" and answer.reason == "outcome-unknown":
+            self.told_unknown.add(key)
         if outcome == "not-run" and self.n_sent[key]:
             self.wrong.append((key, answer.reason))
         if outcome == "completed" and not self.n_sent[key]:
@@ -107,6 +113,13 @@
             self.rng.choice(steps)()
             self.settle()
         self.group.has_majority = True
+        # Those that are stopped are given up on before they go on.
+        for _ in range(3):
+            for _ in KEYS:
+                self.book()
+            self.settle()
+            self.clock.advance(20.0)
+        self.registry.upstreams = {"a1": self.service.upstream("a1")}
         self.wake_gateways()
         for _ in range(12):
             self.clock.advance(5.0)
@@ -129,7 +142,8 @@
         """Gateways stop and wake at any step of a booking; callers ask all of them.
 
         Majorities are lost, the service fails, callers hang up, time passes. A key is
-        sent once at most, and whoever is told not-run is told so before it was sent.
+        sent once at most, and never after it was called unknown; whoever is told
+        not-run is told so before it was sent.
         """
         with helpers.manual_clock(hub_clock.now()) as clock:
             schedule = Schedule(seed, clock)
