--- a/tests/test_weights_http.py
+++ b/tests/test_weights_http.py
@@ -12,43 +12,11 @@
 from nose2.tools import params
 
 from bilberrydrum import options, reasons
-from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.http import edge, weights
-from bilberrydrum.state import client, machine
+from bilberrydrum.state import client
 from bilberrydrum.upstreams import model as upstream_model
 from bilberrydrum.weights import orders, planner
-
-
-class FakeState:
-    def __init__(self):
-        self.state = machine.State()
-        self.error = None
-
-    def submit(self, command, timeout=5.0):
-        if self.error:
-            return result.Err(self.error)
-        context = machine.Context(index=1, time=0.0)
-        return result.Ok(machine.apply(command, self.state, context))
-
-    def query(self, query, timeout=5.0):
-        if self.error:
-            return result.Err(self.error)
-        return result.Ok(machine.answer(query, self.state, 0.0))
-
-
-class FakeBundles:
-    def __init__(self):
-        self.answer = result.Ok(
-            bundle_model.Bundle(
-                1,
-                0,
-                models={"planner": bundle_model.ModelRule("http://127.0.0.1:1")},
-                trainers={"outage": bundle_model.TrainerRule("planner", "scorer")},
-            )
-        )
-
-    def current(self):
-        return self.answer
+from tests import weights_support as support
 
 
 class FakeRegistry:
@@ -75,8 +43,8 @@
 
 class HttpTest(unittest.TestCase):
     def setUp(self):
-        self.state = FakeState()
-        self.bundles = FakeBundles()
+        self.state = support.FakeState()
+        self.bundles = support.FakeBundles()
         tokens = {edge.GUARD_OPERATOR: b"secret"}
         self.edge = edge.Edge(options.LimitOptions(), tokens)
         weights.add_routes(
@@ -139,9 +107,8 @@
         """The publication may or may not be kept: only if it certainly is not, the
         trainer is told "not-run". In both cases it may send it again.
         """
-        self.state.error = client.StateError(
-            reasons.Reason.STATE_UNAVAILABLE, may_have_applied
-        )
+        reason = reasons.Reason.STATE_UNAVAILABLE
+        self.state.error = client.StateError(reason, may_have_applied)
         status, answer = self.post("/v1/trainers/outage/weights", {"weight_version": 4})
         self.assertEqual((status, answer["outcome"]), (503, outcome))
         self.assertGreater(answer["retry_after_seconds"], 0)
--- a/tests/test_weights_planner.py
+++ b/tests/test_weights_planner.py
@@ -2,100 +2,26 @@
 
 import unittest
 
-import attrs
-import hypothesis
-import hypothesis.strategies as st
 from nose2.tools import params
 
 from bilberrydrum.upstreams import model as upstream_model
 from bilberrydrum.weights import limiter, orders, planner, swaps, views
-
-STORE = "http://127.0.0.1:1"
-LAG = views.REPORT_LAG_SECONDS
-
-
-def upstream(engine_id, version=0, loaded=None, **fields):
-    loaded = (version,) if loaded is None else loaded
-    served = upstream_model.ServedModel(version, tuple(loaded))
-    fields.setdefault("models", {"planner": served})
-    fields.setdefault("checks_fencing", True)
-    fields.setdefault("address", f"10.0.0.1:{engine_id}")
-    return upstream_model.Upstream(engine_id, upstream_model.KIND_ENGINE, **fields)
-
-
-class Bench:
-    """A planner, its engines as they are reported, and a clock set by hand."""
-
-    def __init__(self, n_engines=0, version=0, loaded=None, share=0.5, **target):
-        self.planner = planner.Planner(share)
-        self.now = 100.0
-        self.number = 1
-        self.unfenced = True
-        self.roles = {}
-        self.engines = {}
-        for i in range(n_engines):
-            self.report(upstream(f"e{i:03}", version, loaded))
-        target.setdefault("weight_version", 1)
-        target.setdefault("source", STORE)
-        target.setdefault("max_concurrent_loads", 1000)
-        self.targets = {"planner": views.Target(**target)}
-
-    def report(self, engine):
-        self.engines[engine.upstream_id] = engine
-
-    def want(self, **fields):
-        self.targets["planner"] = attrs.evolve(self.targets["planner"], **fields)
-
-    def turn(self, seconds=0.0):
-        self.now += seconds
-        event = planner.Observed(
-            self.number, self.unfenced, self.engines, self.targets, self.roles
-        )
-        return self.planner.step(self.now, event)
-
-    def answer(self, order, outcome, jitter=1.0):
-        event = planner.Answered(order.order_id, outcome, jitter)
-        self.planner.step(self.now, event)
-
-    def carry_out(self, order):
-        """Answer an order as done and let the engine report it."""
-        self.answer(order, orders.Done())
-        self.report(carried_out(self.engines[order.upstream_id], order.action))
-
-
-def carried_out(engine, action):
-    """Return the engine's report once it has done what it was told."""
-    if action.kind == orders.SET_ROLE:
-        return attrs.evolve(engine, role=action.role)
-    served = engine.models[action.model]
-    loaded = set(served.loaded_versions)
-    if action.kind == orders.LOAD:
-        loaded.add(action.weight_version)
-    elif action.kind == orders.UNLOAD:
-        loaded.discard(action.weight_version)
-    elif action.kind == orders.SWAP:
-        served = attrs.evolve(served, weight_version=action.weight_version)
-    elif action.kind == orders.LOAD_ADAPTER:
-        served = attrs.evolve(served, adapters=(*served.adapters, action.adapter))
-    served = attrs.evolve(served, loaded_versions=tuple(sorted(loaded)))
-    return attrs.evolve(engine, models={**engine.models, action.model: served})
-
-
-def kinds(given):
-    return [(each.action.kind, each.action.weight_version) for each in given]
+from tests import weights_bench
 
 
 class LoadTest(unittest.TestCase):
     @params((1, 1), (2, 2), (5, 5), (9, 5))
     def test_no_more_loads_at_a_time_than_the_bundle_says(self, cap, n_begun):
-        bench = Bench(5, max_concurrent_loads=cap)
+        bench = weights_bench.Bench(5, max_concurrent_loads=cap)
         given = bench.turn()
-        self.assertEqual(kinds(given), [("load", 1)] * n_begun)
+        self.assertEqual(weights_bench.kinds(given), [("load", 1)] * n_begun)
         self.assertEqual(bench.turn(0.25), [])
         bench.carry_out(given[0])
         given = bench.turn()
-        self.assertEqual(("swap", 1), kinds(given)[0])
-        self.assertEqual(kinds(given)[1:], [("load", 1)] if n_begun < 5 else [])
+        self.assertEqual(("swap", 1), weights_bench.kinds(given)[0])
+        self.assertEqual(
+            weights_bench.kinds(given)[1:], [("load", 1)] if n_begun < 5 else []
+        )
 
     def test_weight_store_over_its_rate(self):
         """Four loads run at a time; the store refuses two of them for 3 s.
@@ -104,7 +30,7 @@
         at a time as before, for both were refused by one overload, and each load that
         succeeds allows one more.
         """
-        bench = Bench(12, max_concurrent_loads=4)
+        bench = weights_bench.Bench(12, max_concurrent_loads=4)
         given = bench.turn()
         for order in given[:2]:
             bench.answer(order, orders.RateLimited(3.0), jitter=0.0)
@@ -112,15 +38,17 @@
             bench.answer(order, orders.Failed("500"), jitter=0.0)
         self.assertEqual(bench.turn(2.9), [])
         given = bench.turn(0.2)
-        self.assertEqual(kinds(given), [("load", 1)] * 2)
+        self.assertEqual(weights_bench.kinds(given), [("load", 1)] * 2)
         bench.carry_out(given[0])
-        self.assertEqual(kinds(bench.turn()), [("swap", 1)] + [("load", 1)] * 2)
+        self.assertEqual(
+            weights_bench.kinds(bench.turn()), [("swap", 1)] + [("load", 1)] * 2
+        )
 
     def test_one_store_over_its_rate_does_not_stop_loads_from_another(self):
         models = {name: upstream_model.ServedModel(0, (0,)) for name in ("a", "b")}
-        bench = Bench()
-        bench.report(upstream("e0", models={"a": models["a"]}))
-        bench.report(upstream("e1", models={"b": models["b"]}))
+        bench = weights_bench.Bench()
+        bench.report(weights_bench.upstream("e0", models={"a": models["a"]}))
+        bench.report(weights_bench.upstream("e1", models={"b": models["b"]}))
         bench.targets = {
             "a": views.Target(1, source="http://127.0.0.1:1"),
             "b": views.Target(1, source="http://127.0.0.1:2"),
@@ -131,13 +59,13 @@
         self.assertEqual([each.upstream_id for each in bench.turn(30.0)], ["e1"])
 
     def test_a_version_is_prepared_ahead_and_not_swapped_in(self):
-        bench = Bench(2, version=1, weight_version=1, prepared_version=2)
+        bench = weights_bench.Bench(2, version=1, weight_version=1, prepared_version=2)
         for order in bench.turn():
             self.assertEqual(order.action.kind, orders.LOAD)
             bench.carry_out(order)
         self.assertEqual(bench.turn(), [])
         bench.want(weight_version=2)
-        self.assertEqual(kinds(bench.turn()), [("swap", 2)])
+        self.assertEqual(weights_bench.kinds(bench.turn()), [("swap", 2)])
 
 
 class SwapTest(unittest.TestCase):
@@ -156,20 +84,20 @@
         One engine swaps first. Only when it generates with the new version do
         others follow, at most the given share of all engines at a time.
         """
-        bench = Bench(n_engines, loaded=(0, 1), share=share)
+        bench = weights_bench.Bench(n_engines, loaded=(0, 1), share=share)
         first = bench.turn()
-        self.assertEqual(kinds(first), [("swap", 1)])
+        self.assertEqual(weights_bench.kinds(first), [("swap", 1)])
         self.assertEqual(bench.turn(0.25), [])
         bench.carry_out(first[0])
         swaps = [each for each in bench.turn() if each.action.kind == orders.SWAP]
         self.assertEqual(len(swaps), min(n_swaps, n_engines - 1))
 
     def test_engines_with_the_oldest_weights_and_the_least_work_go_first(self):
-        bench = Bench(weight_version=3, max_concurrent_loads=3)
+        bench = weights_bench.Bench(weight_version=3, max_concurrent_loads=3)
         load = upstream_model.Load
-        bench.report(upstream("e0", 2, load=load(n_running=0)))
-        bench.report(upstream("e1", 1, load=load(n_running=7)))
-        bench.report(upstream("e2", 1, load=load(n_running=2)))
+        bench.report(weights_bench.upstream("e0", 2, load=load(n_running=0)))
+        bench.report(weights_bench.upstream("e1", 1, load=load(n_running=7)))
+        bench.report(weights_bench.upstream("e2", 1, load=load(n_running=2)))
         self.assertEqual(
             [each.upstream_id for each in bench.turn()], ["e2", "e1", "e0"]
         )
@@ -180,7 +108,7 @@
         Never do two engines try at a time, and the one that failed waits longer after
         each failure, while the others go on serving.
         """
-        bench = Bench(3, loaded=(0, 1))
+        bench = weights_bench.Bench(3, loaded=(0, 1))
         tried = []
         for _ in range(3):
             (order,) = bench.turn()
@@ -198,8 +126,8 @@
         Each time it is tried again later, the order gets a new id, and what failed
         can be seen until it has worked.
         """
-        bench = Bench(2, loaded=(0, 1))
-        bench.report(upstream("e001", 1, (1,)))
+        bench = weights_bench.Bench(2, loaded=(0, 1))
+        bench.report(weights_bench.upstream("e001", 1, (1,)))
         order_ids = set()
         for _ in range(n_failures):
             (order,) = bench.turn(planner.MAX_RETRY_SECONDS)
@@ -217,17 +145,17 @@
         self.assertEqual(bench.planner.failed_by_engine_id(), {})
 
     def test_a_slow_first_swap_does_not_hold_up_the_others_for_long(self):
-        bench = Bench(3, loaded=(0, 1))
+        bench = weights_bench.Bench(3, loaded=(0, 1))
         self.assertEqual(len(bench.turn()), 1)
         self.assertEqual(len(bench.turn(swaps.TRIAL_SECONDS - 0.1)), 0)
         self.assertEqual(len(bench.turn(0.2)), 1)
 
     def test_one_order_at_a_time_for_an_engine_with_several_models(self):
         served = upstream_model.ServedModel(0, (0, 1))
-        bench = Bench()
+        bench = weights_bench.Bench()
         bench.targets = {name: views.Target(1) for name in ("wages", "exits")}
         models = {"wages": served, "exits": served}
-        bench.report(upstream("e0", models=models))
+        bench.report(weights_bench.upstream("e0", models=models))
         (order,) = bench.turn()
         self.assertEqual(bench.turn(1.0), [])
         bench.carry_out(order)
@@ -235,11 +163,11 @@
         self.assertNotEqual(order.action.model, other.action.model)
 
     def test_a_bundle_may_name_an_older_version(self):
-        bench = Bench(1, version=4, weight_version=3, only_rises=False)
+        bench = weights_bench.Bench(1, version=4, weight_version=3, only_rises=False)
         (order,) = bench.turn()
-        self.assertEqual(kinds([order]), [("load", 3)])
+        self.assertEqual(weights_bench.kinds([order]), [("load", 3)])
         bench.carry_out(order)
-        self.assertEqual(kinds(bench.turn()), [("swap", 3)])
+        self.assertEqual(weights_bench.kinds(bench.turn()), [("swap", 3)])
 
 
 class ReportTest(unittest.TestCase):
@@ -251,17 +179,17 @@
         still shows the old version, the report is believed and the load ordered anew,
         under a new id.
         """
-        bench = Bench(1)
+        bench = weights_bench.Bench(1)
         (load,) = bench.turn()
         bench.answer(load, orders.Done())
         (swap,) = bench.turn()
-        self.assertEqual(kinds([swap]), [("swap", 1)])
+        self.assertEqual(weights_bench.kinds([swap]), [("swap", 1)])
         bench.answer(swap, orders.Done())
-        self.assertEqual(kinds(bench.turn()), [("unload", 0)])
-        self.assertEqual(bench.turn(LAG - 0.1), [])
+        self.assertEqual(weights_bench.kinds(bench.turn()), [("unload", 0)])
+        self.assertEqual(bench.turn(weights_bench.LAG - 0.1), [])
         bench.planner.step(bench.now, planner.Answered("1-3", orders.Done(), 0.0))
         (again,) = bench.turn(0.2)
-        self.assertEqual(kinds([again]), [("load", 1)])
+        self.assertEqual(weights_bench.kinds([again]), [("load", 1)])
         self.assertNotEqual(again.order_id, load.order_id)
 
     @params(
@@ -276,13 +204,13 @@
         What it reports then is what counts, whatever it was ordered: it is brought to
         the newest version from where it is.
         """
-        bench = Bench(1, loaded=(0, 1))
+        bench = weights_bench.Bench(1, loaded=(0, 1))
         (swap,) = bench.turn()
         bench.answer(swap, orders.Lost("connection reset"))
         bench.engines.clear()
         self.assertEqual(bench.turn(1.0), [])
-        bench.report(upstream("e000", version, loaded))
-        self.assertEqual(kinds(bench.turn(1.0)), following)
+        bench.report(weights_bench.upstream("e000", version, loaded))
+        self.assertEqual(weights_bench.kinds(bench.turn(1.0)), following)
 
     @params(("kept", (0, 1)), ("lost", (0,)))
     def test_engine_that_crashes_at_each_swap(self, _name, loaded):
@@ -290,7 +218,7 @@
         memory. Its swaps are tried less and less often, also when it has to load first
         each time.
         """
-        bench = Bench(1, loaded=loaded)
+        bench = weights_bench.Bench(1, loaded=loaded)
         gaps = []
         since = bench.now
         while len(gaps) < 6:
@@ -303,7 +231,7 @@
                 bench.answer(order, orders.Lost("connection reset"))
                 bench.engines.clear()
                 bench.turn(0.25)
-                bench.report(upstream("e000", 0, loaded))
+                bench.report(weights_bench.upstream("e000", 0, loaded))
         self.assertEqual(gaps, sorted(gaps))
         self.assertGreater(gaps[-1], 7.0)
 
@@ -314,16 +242,16 @@
         comes back under the same id on another host gets its own order at once; the
         late end of the first has no effect.
         """
-        bench = Bench(1)
+        bench = weights_bench.Bench(1)
         (lost,) = bench.turn()
-        bench.report(upstream("e000", address="10.0.0.2:1"))
+        bench.report(weights_bench.upstream("e000", address="10.0.0.2:1"))
         (order,) = bench.turn()
         self.assertEqual(order.address, "10.0.0.2:1")
         bench.answer(lost, orders.Done())
         self.assertEqual(bench.turn(), [])
 
     def test_a_lost_answer_and_a_failure_differ(self):
-        bench = Bench(1)
+        bench = weights_bench.Bench(1)
         (first,) = bench.turn()
         bench.answer(first, orders.Lost("timeout"))
         (second,) = bench.turn(1.0)
@@ -340,30 +268,32 @@
         Those that wait never load version 1, what failed for it is forgotten, and
         those that have it are not told to swap to it when they can load 2 at once.
         """
-        bench = Bench(4, max_concurrent_loads=2)
+        bench = weights_bench.Bench(4, max_concurrent_loads=2)
         first, second = bench.turn()
         bench.answer(first, orders.Failed("500"))
         bench.want(weight_version=2)
         given = bench.turn()
-        self.assertEqual(kinds(given), [("load", 2)])
+        self.assertEqual(weights_bench.kinds(given), [("load", 2)])
         bench.carry_out(second)
         bench.turn()
         self.assertEqual(bench.planner.failed_by_engine_id(), {})
 
     def test_a_version_between_is_used_while_the_newest_waits_for_its_load(self):
-        bench = Bench(weight_version=3, max_concurrent_loads=1)
-        bench.report(upstream("e0", 0, (0,)))
-        bench.report(upstream("e1", 1, (1, 2)))
-        self.assertEqual(kinds(bench.turn()), [("load", 3), ("swap", 2)])
+        bench = weights_bench.Bench(weight_version=3, max_concurrent_loads=1)
+        bench.report(weights_bench.upstream("e0", 0, (0,)))
+        bench.report(weights_bench.upstream("e1", 1, (1, 2)))
+        self.assertEqual(weights_bench.kinds(bench.turn()), [("load", 3), ("swap", 2)])
 
     def test_versions_of_no_use_are_unloaded(self):
-        bench = Bench(weight_version=5, prepared_version=6)
-        bench.report(upstream("e0", 5, (3, 4, 5, 6, 9)))
+        bench = weights_bench.Bench(weight_version=5, prepared_version=6)
+        bench.report(weights_bench.upstream("e0", 5, (3, 4, 5, 6, 9)))
         given = []
         while order := bench.turn():
             given += order
             bench.carry_out(order[0])
-        self.assertEqual(kinds(given), [("unload", 3), ("unload", 4), ("unload", 9)])
+        self.assertEqual(
+            weights_bench.kinds(given), [("unload", 3), ("unload", 4), ("unload", 9)]
+        )
 
 
 class FencingTest(unittest.TestCase):
@@ -373,8 +303,8 @@
         under the old number, also not to engines that would not notice; a new lease
         brings a new number and starts over from what the engines report.
         """
-        bench = Bench(3)
-        bench.report(upstream("e003", checks_fencing=False))
+        bench = weights_bench.Bench(3)
+        bench.report(weights_bench.upstream("e003", checks_fencing=False))
         first, *others = bench.turn()
         bench.answer(first, orders.Fenced())
         self.assertEqual(bench.turn(60.0), [])
@@ -383,22 +313,22 @@
         self.assertEqual(bench.turn(60.0), [])
         bench.number = 4
         given = bench.turn()
-        self.assertEqual(kinds(given), [("load", 1)] * 4)
+        self.assertEqual(weights_bench.kinds(given), [("load", 1)] * 4)
         self.assertTrue(all(each.order_id.startswith("4-") for each in given))
 
     def test_answers_to_orders_of_an_earlier_lease_have_no_effect(self):
-        bench = Bench(1)
+        bench = weights_bench.Bench(1)
         (order,) = bench.turn()
         bench.number = 2
         (anew,) = bench.turn()
         bench.answer(order, orders.Fenced())
         self.assertEqual(bench.turn(), [])
         bench.carry_out(anew)
-        self.assertEqual(kinds(bench.turn()), [("swap", 1)])
+        self.assertEqual(weights_bench.kinds(bench.turn()), [("swap", 1)])
 
     def test_engines_that_ignore_the_number_wait_for_the_earlier_controller(self):
-        bench = Bench(1)
-        bench.report(upstream("e001", checks_fencing=False))
+        bench = weights_bench.Bench(1)
+        bench.report(weights_bench.upstream("e001", checks_fencing=False))
         bench.unfenced = False
         self.assertEqual([each.upstream_id for each in bench.turn()], ["e000"])
         bench.unfenced = True
@@ -407,7 +337,7 @@
 
 class OtherOrdersTest(unittest.TestCase):
     def test_adapters_of_the_bundle(self):
-        bench = Bench(1, version=1, adapters=("dry", "wet"))
+        bench = weights_bench.Bench(1, version=1, adapters=("dry", "wet"))
         given = []
         while order := bench.turn():
             given += order
@@ -415,7 +345,7 @@
         self.assertEqual([each.action.adapter for each in given], ["dry", "wet"])
 
     def test_role(self):
-        bench = Bench(2, version=1)
+        bench = weights_bench.Bench(2, version=1)
         bench.roles = {"e001": "prefill", "gone": "prefill"}
         (order,) = bench.turn()
         self.assertEqual((order.upstream_id, order.action.role), ("e001", "prefill"))
@@ -427,113 +357,7 @@
     def test_a_pause_is_never_shortened(self):
         loads = limiter.Limiter()
         loads.set_cap("planner", 8, 0)
-        loads.refused("planner", STORE, 10.0, 0.0, 0.0)
-        loads.refused("planner", STORE, 1.0, 0.0, 1.0)
-        self.assertFalse(loads.try_begin("planner", STORE, 9.9))
-        self.assertTrue(loads.try_begin("planner", STORE, 10.0))
-
-
-OUTCOMES = st.sampled_from(["done", "done", "failed", "lost", "lost-done", "rate"])
-
-
-VERSIONS = st.integers(0, 3)
-
-
-class SettledTest(unittest.TestCase):
-    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
-    @hypothesis.given(
-        VERSIONS,
-        st.frozensets(VERSIONS),
-        VERSIONS,
-        VERSIONS,
-        st.frozensets(st.sampled_from(["dry", "wet"])),
-        st.booleans(),
-    )
-    def test_the_cheap_check(self, current, loaded, wanted, prepared, adapters, rises):
-        """Just the engines that lack nothing are passed over by the cheap check."""
-        engine = upstream("e0", current, sorted(loaded))
-        target = views.Target(wanted, prepared, STORE, 1, tuple(adapters), rises)
-        view = views.EngineView.of(engine, ())
-        needs = list(views.needs("planner", view.models_by_name["planner"], target))
-        self.assertEqual(views.is_settled(engine, {"planner": target}, {}), needs == [])
-
-
-class ScheduleTest(unittest.TestCase):
-    """Random faults, then none: the newest version is everywhere in the end."""
-
-    @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
-    @hypothesis.given(
-        st.integers(1, 6),
-        st.lists(
-            st.tuples(OUTCOMES, st.floats(0, 1), st.integers(0, 9), st.integers(0, 9)),
-            max_size=60,
-        ),
-    )
-    def test_random_schedules(self, n_engines, schedule):
-        """Orders fail, are lost before or after they were carried out, engines crash
-        and come back empty, versions are published in between, reports come late.
-
-        At every moment an engine has one order at most, loads stay under the cap and
-        no more than half of the engines swap. Once the faults end, every engine
-        generates with the newest version within a minute.
-        """
-        bench = Bench(n_engines, max_concurrent_loads=2)
-        flying = {}
-        actual = dict(bench.engines)
-
-        def turn():
-            for order in bench.turn(0.25):
-                self.assertNotIn(order.upstream_id, flying)
-                flying[order.upstream_id] = order
-            names = [each.action.kind for each in flying.values()]
-            self.assertLessEqual(names.count(orders.LOAD), 2)
-            self.assertLessEqual(names.count(orders.SWAP), max(1, n_engines // 2))
-
-        def is_possible(order):
-            served = actual[order.upstream_id].models["planner"]
-            version = order.action.weight_version
-            if order.action.kind == orders.SWAP:
-                return version in served.loaded_versions
-            return (
-                order.action.kind != orders.UNLOAD or version != served.weight_version
-            )
-
-        def finish(order, outcome, jitter):
-            del flying[order.upstream_id]
-            if outcome == "done" and not is_possible(order):
-                outcome = "failed"
-            if outcome in ("done", "lost-done") and is_possible(order):
-                engine = actual[order.upstream_id]
-                actual[order.upstream_id] = carried_out(engine, order.action)
-            ends = {
-                "done": orders.Done(),
-                "failed": orders.Failed("500"),
-                "lost": orders.Lost("reset"),
-                "lost-done": orders.Lost("reset"),
-                "rate": orders.RateLimited(2.0),
-            }
-            bench.answer(order, ends[outcome], jitter)
-
-        for outcome, jitter, choice, event in schedule:
-            turn()
-            if flying:
-                ids = sorted(flying)
-                finish(flying[ids[choice % len(ids)]], outcome, jitter)
-            if event < 5:
-                bench.engines.update(actual)
-            if event == 8:
-                bench.want(weight_version=bench.targets["planner"].weight_version + 1)
-            if event == 9:
-                crashed = sorted(actual)[choice % n_engines]
-                actual[crashed] = bench.engines[crashed] = upstream(crashed, 0)
-        newest = bench.targets["planner"].weight_version
-        settled = upstream_model.ServedModel(newest, (newest,))
-        for _ in range(4 * 60):
-            turn()
-            for order in list(flying.values()):
-                finish(order, "done", 0.5)
-            bench.engines.update(actual)
-            served = {each.models["planner"] for each in actual.values()}
-            if served == {settled}:
-                break
-        self.assertEqual(served, {settled})
+        loads.refused("planner", weights_bench.STORE, 10.0, 0.0, 0.0)
+        loads.refused("planner", weights_bench.STORE, 1.0, 0.0, 1.0)
+        self.assertFalse(loads.try_begin("planner", weights_bench.STORE, 9.9))
+        self.assertTrue(loads.try_begin("planner", weights_bench.STORE, 10.0))
--- a/tests/weights_support.py
+++ b/tests/weights_support.py
@@ -108,22 +108,31 @@
 
     def __init__(self):
         self.state = machine.State()
+        # What everything is answered with instead.
+        self.error = None
 
     def submit(self, command, timeout=5.0):
+        if self.error:
+            return result.Err(self.error)
         context = machine.Context(index=1, time=0.0)
         return result.Ok(machine.apply(command, self.state, context))
 
     def query(self, query, timeout=5.0):
+        if self.error:
+            return result.Err(self.error)
         return result.Ok(machine.answer(query, self.state, 0.0))
 
 
 class FakeBundles:
     def __init__(self, **fields):
         rule = bundle_model.ModelRule("http://127.0.0.1:1", **fields)
-        self.bundle = bundle_model.Bundle(1, 0, models={"planner": rule})
+        trainers = {"outage": bundle_model.TrainerRule("planner", "scorer")}
+        models = {"planner": rule}
+        bundle = bundle_model.Bundle(1, 0, models=models, trainers=trainers)
+        self.answer = result.Ok(bundle)
 
     def current(self):
-        return result.Ok(self.bundle)
+        return self.answer
 
 
 class FakeRegistry:
