--- a/misc/andes.py
+++ b/misc/andes.py
@@ -18,6 +18,7 @@
 ZONES: Final = ("Surquillo", "Callao", "Ate")
 OPERATOR: Final = "ana"
 TRAINER: Final = "outage"
+SECOND_TRAINER: Final = "drill"
 CALLER: Final = "planners"
 STALENESS_BOUND: Final = 2
 TOOL_SECONDS: Final = 90.0
@@ -340,11 +341,12 @@
                 for name in callers
             },
             "trainers": {
-                TRAINER: {
+                name: {
                     "model": "planner",
                     "scorer": "scorer",
                     "staleness_bound": STALENESS_BOUND,
                 }
+                for name in (TRAINER, SECOND_TRAINER)
             },
         }
         path = (folder or self.folder) / f"bundle-{version}.yaml"
--- a/tests/path_support.py
+++ b/tests/path_support.py
@@ -69,6 +69,10 @@
             gateway, "POST", "/apps/schedule/bookings", headers, body, timeout
         )
 
+    def next_version(self):
+        """Return the version that the next bundle must have."""
+        return self.andes.tool("bundle", "list")["in_force"] + 1
+
     def is_listed(self, upstream):
         """Tell whether every gateway may use an upstream."""
         return all(
