--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -38,6 +38,8 @@
     storage,
 )
 
+# A snapshot leaves this share of its entries in the log, for followers a little late.
+_KEPT_DIVISOR: Final = 10
 # Time for the last messages to leave.
 _HANDOVER_SECONDS: Final = 0.05
 # Time the disk may take to end what it is writing when the replica stops.
@@ -56,6 +58,7 @@
             heartbeat=opts.state.heartbeat_seconds,
             election_timeout=opts.state.election_timeout_seconds,
             drift_margin=opts.state.drift_margin,
+            n_kept_entries=opts.state.snapshot_entries // _KEPT_DIVISOR,
         )
         self._store = storage.Storage(files.DiskFiles(), opts.state.data_folder)
         self._inbox: Any = eventlet.queue.Queue()
@@ -156,7 +159,12 @@
 
     def leadership(self) -> interfaces.Leadership | None:
         """Return the leadership if this replica holds the leader lease now."""
-        if not self.has_lease():
+        role = self.node.role if not self._failure else None
+        if not isinstance(role, node.Leader) or not self.has_lease():
+            return None
+        # Committed is not yet applied: a new leader that acted on its state at once
+        # could hand out a bundle older than one that its predecessor answered for.
+        if self._applier.index < role.first_index:
             return None
         return interfaces.Leadership(self._core.node.term, self._led_since)
 
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -7,7 +7,14 @@
 from nose2.tools import params
 
 from bilberrydrum import clock, reasons
-from bilberrydrum.requests import attempts, connections, events, model, watch
+from bilberrydrum.requests import (
+    attempts,
+    connections,
+    events,
+    model,
+    outgoing_requests,
+    watch,
+)
 from tests.fakes import scripted
 
 Reason = reasons.Reason
@@ -19,14 +26,14 @@
 
 def outgoing(request_id="r1", seconds=5.0, method="GET", **fields):
     values = {
-        "headers": {attempts.REQUEST_ID: request_id},
+        "headers": {outgoing_requests.REQUEST_ID: request_id},
         "body": b"",
         "deadline": clock.now() + seconds,
         "is_idempotent": True,
         "find_refusal": lambda: None,
     }
     values.update(fields)
-    return attempts.Outgoing(request_id, method, "/x", **values)
+    return outgoing_requests.Outgoing(request_id, method, "/x", **values)
 
 
 def truncated(received):
@@ -103,6 +110,19 @@
         self.assertEqual(caught.exception.reason, Reason.CONNECT_FAILED)
         self.assertFalse(caught.exception.may_have_run)
 
+    def test_time_that_runs_out_before_the_first_byte_is_known_not_to_have_run(self):
+        """Connecting takes until the deadline: no byte of the request went out."""
+        fake = self.upstream(scripted.serve(scripted.answer))
+        with (
+            unittest.mock.patch.object(
+                self.means.pool, "take", lambda *args, **kwargs: eventlet.sleep(5)
+            ),
+            self.assertRaises(attempts.AttemptError) as caught,
+        ):
+            self.call(fake, seconds=0.02)
+        self.assertEqual(caught.exception.reason, Reason.UPSTREAM_TIMEOUT)
+        self.assertFalse(caught.exception.may_have_run)
+
     def test_late_answer_reaches_nobody(self):
         """An answer comes after its request was given up on; another request follows.
 
