--- a/bilberrydrum/samples/queries.py
+++ b/bilberrydrum/samples/queries.py
@@ -3,7 +3,7 @@
 import attrs
 
 from bilberrydrum import codec, reasons
-from bilberrydrum.samples import commands, model, section, staleness
+from bilberrydrum.samples import applying, model, section, staleness
 from bilberrydrum.state import machine
 from bilberrydrum.weights import commands as weight_commands
 
@@ -136,7 +136,7 @@
     rule = trainer.rule
     if query.rule.bundle_version >= rule.bundle_version:
         rule = query.rule
-    refusal = commands.check_reader(trainer, query.reader_epoch, query.cursor)
+    refusal = applying.check_reader(trainer, query.reader_epoch, query.cursor)
     if refusal is not None:
         return BatchCheck(refusal, newest)
     if trainer.n_assigned == query.cursor:
