Give owners revisions that never come again

An owner taken out and back counted its revisions from 1 anew. If the answer to its first renewal was lost, the number it knew from before could be met again; the state then said that nothing had changed, and the groups it had got since were never started. The test fails with the earlier count.

--- a/bilberrydrum/samples/ownership.py
+++ b/bilberrydrum/samples/ownership.py
@@ -30,7 +30,7 @@
     earlier = samples.owners_by_id.get(group.owner)
     if earlier is not None and group.owner_epoch:
         earlier.n_slots -= n_slots
-        earlier.revision += 1
+        section.touch(samples, earlier)
     group.owner = process_id
     # A late write of the earlier owner could put a second attempt in a slot; the epoch
     # tells it from the new owner's.
@@ -38,7 +38,7 @@
     owner = samples.owners_by_id.get(process_id)
     if owner is not None:
         owner.n_slots += n_slots
-        owner.revision += 1
+        section.touch(samples, owner)
 
 
 def renew(
@@ -60,6 +60,7 @@
     if owner is None:
         owner = section.Owner(process_id, incarnation, 0.0)
         samples.owners_by_id[process_id] = owner
+        section.touch(samples, owner)
     owner.expires_at = time + lease_seconds
     samples.renewed_at = time
     _sweep(samples, time)
@@ -138,4 +139,4 @@
     """Let the group's owner know that there is something to do."""
     owner = samples.owners_by_id.get(group.owner)
     if owner is not None:
-        owner.revision += 1
+        section.touch(samples, owner)
--- a/bilberrydrum/samples/section.py
+++ b/bilberrydrum/samples/section.py
@@ -93,8 +93,8 @@
     incarnation: int
     # State time at which its groups go to another.
     expires_at: float
-    # Rises when others changed what this owner has to do.
-    revision: int = 1
+    # Changes whenever others changed what this owner has to do; see `touch`.
+    revision: int = 0
     n_slots: int = 0
 
 
@@ -107,6 +107,7 @@
     owners_by_id: dict[str, Owner] = attrs.field(factory=dict)
     # State time of the last renewal by any owner.
     renewed_at: float = 0.0
+    last_revision: int = 0
 
 
 def of(state: machine.State) -> Section:
@@ -115,6 +116,16 @@
     return section
 
 
+def touch(section: Section, owner: Owner) -> None:
+    """Give the owner a revision that no owner ever had.
+
+    Counted for each owner alone, one that was taken out and comes back could meet the
+    number that it knows already, and never learn of the groups it has got since.
+    """
+    section.last_revision += 1
+    owner.revision = section.last_revision
+
+
 def trainer_of(state: machine.State, name: str) -> Trainer:
     """Return a trainer's part, made when there is none."""
     trainers = of(state).trainers_by_name
--- a/tests/test_samples_commands.py
+++ b/tests/test_samples_commands.py
@@ -428,6 +428,20 @@
         self.assertEqual(self.work(machine, "gw-2"), {"g0": 2})
         self.assertEqual(trace(machine, "g0", 0).state, queries.STATE_READY)
 
+    def test_owner_that_comes_back_learns_of_its_groups(self) -> None:
+        """An owner loses its groups; the answer to its first renewal after that is lost.
+
+        It still knows a revision of the time before. Met again, that number would mean
+        that nothing has changed, and nobody would ever make the samples it got since.
+        """
+        machine = self.machine()
+        machine.add("g0")
+        known = machine.renew("gw-1").revision
+        machine.apply(commands.LeaveOwner("gw-1", 1))
+        machine.renew("gw-1", revision=known)
+        machine.add("late")
+        self.assertIsNotNone(machine.renew("gw-1", revision=known).work)
+
     def test_group_without_an_owner_waits_for_one(self) -> None:
         machine = support.Machine()
         machine.add("g0")
