--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -6,26 +6,26 @@
 """
 
 import contextlib
-import functools
-import hashlib
 import itertools
 import random
 import uuid
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final
 
-import attrs
-import eliot
 import eventlet
 import eventlet.event
 import result
 
-from bilberrydrum import clock, counters, interfaces, options, reasons
+from bilberrydrum import clock, interfaces, options, reasons
 from bilberrydrum.requests import (
     admission,
     attempts,
+    calls,
     connections,
     model,
+    outgoing_requests,
+    queues,
+    recovery,
     retries,
     routing,
     watch,
@@ -38,20 +38,6 @@
 _SNAPSHOT_SECONDS: Final = 0.02
 # Time between looks whether the client of a waiting call is still there.
 GONE_CHECK_SECONDS: Final = 0.25
-# Longest time an upstream that said it was busy is left alone.
-MAX_BUSY_SECONDS: Final = 1.0
-MIN_BUSY_SECONDS: Final = 0.05
-# Times a call goes back to the queue because its upstream was busy.
-MAX_BUSY: Final = 20
-
-# Form of a prefix in engines' cache events.
-PREFIX_BYTES: Final = 256
-PREFIX_DIGITS: Final = 16
-
-Call = model.ModelCall | model.ApplicationCall
-
-# Ends of an attempt that are not the upstream's fault and end the call.
-_FINAL: Final = frozenset({reasons.Reason.CALLER_GONE, reasons.Reason.CLAIM_LAPSED})
 
 
 class RefusedError(Exception):
@@ -63,75 +49,6 @@
         self.retry_after_seconds = retry_after_seconds
 
 
-@functools.singledispatch
-def need_of(call: object) -> routing.Need:
-    """Return what `call` needs of its upstream."""
-    raise TypeError(f"no call: {type(call).__name__}")
-
-
-@need_of.register
-def _(call: model.ModelCall) -> routing.Need:
-    return routing.Need(
-        upstream_model.KIND_ENGINE,
-        call.model,
-        call.adapter,
-        call.min_weight_version,
-        bool(call.resume_token_ids),
-        call.excluded_upstream_ids,
-    )
-
-
-@need_of.register
-def _(call: model.ApplicationCall) -> routing.Need:
-    return routing.Need(upstream_model.KIND_APPLICATION, call.application)
-
-
-@functools.singledispatch
-def cost_of(call: object) -> float:
-    """Return what `call` is expected to take of the capacity."""
-    return 1.0
-
-
-@cost_of.register
-def _(call: model.ModelCall) -> float:
-    n_tokens = call.expected_tokens or call.max_tokens
-    return float(max(1, n_tokens - len(call.resume_token_ids)))
-
-
-@functools.singledispatch
-def prefix_of(call: object) -> str:
-    """Return the name under which engines report the prefix of the call's prompt."""
-    return ""
-
-
-@prefix_of.register
-def _(call: model.ModelCall) -> str:
-    prefix = call.prompt.encode()[:PREFIX_BYTES]
-    return hashlib.sha256(prefix).hexdigest()[:PREFIX_DIGITS]
-
-
-@attrs.define
-class _Progress:
-    """What became of one call so far."""
-
-    need: routing.Need
-    # Position in the order of arrival; 0: none yet.
-    number: int = 0
-    n_attempts: int = 0
-    n_busy: int = 0
-    n_tokens: int = 0
-    may_have_run: bool = False
-    # Why the last attempt failed.
-    failed: model.Failed | None = None
-    # The service's own answer that it failed, from the last attempt.
-    answer: model.ApplicationAnswer | None = None
-
-    def note(self, event: model.StreamEvent) -> None:
-        """Count the tokens of `event`."""
-        if isinstance(event, model.Tokens):
-            self.n_tokens += max(1, len(event.token_ids))
-
-
 class RequestDispatcher:
     """Calls to upstreams (`interfaces.Dispatcher`)."""
 
@@ -141,7 +58,6 @@
         bundles: interfaces.BundleView,
         registry: interfaces.Registry,
     ) -> None:
-        self._options = settings.requests
         self._bundles = bundles
         self._registry = registry
         self._rng = random.Random()
@@ -153,6 +69,14 @@
         )
         self._router = routing.Router(settings.availability_zone, self._rng)
         self.budget = retries.RetryBudget(settings.requests.retry_budget)
+        self._recovery = recovery.Recovery(
+            self._router,
+            self._means.pool,
+            self.budget,
+            settings.requests.max_attempts,
+        )
+        # Sent when a call begins to wait while none did.
+        self._queued = eventlet.event.Event()
         self._events_by_number: dict[int, eventlet.event.Event] = {}
         self._upstreams_by_id: Mapping[str, upstream_model.Upstream] = {}
         self._eligible_by_need: dict[routing.Need, list[upstream_model.Upstream]] = {}
@@ -194,12 +118,14 @@
 
     def stream(self, call: model.ModelCall) -> Iterator[model.StreamEvent]:
         """Generate on an engine; the last event is `Finished` or `Failed`."""
-        progress = _Progress(need_of(call))
+        progress = recovery.Progress(calls.need_of(call))
         self.budget.first_attempt()
         while True:
             try:
                 with self._admitted(call, progress) as upstream:
-                    outgoing = attempts.for_engine(call, self._attempt_id(call))
+                    outgoing = outgoing_requests.for_engine(
+                        call, self._attempt_id(call), self._refusal_of(call)
+                    )
                     events = attempts.stream(self._means, upstream, outgoing)
                     with contextlib.closing(events):
                         for event in events:
@@ -210,7 +136,7 @@
                 yield _refused(error, progress)
                 return
             except attempts.AttemptError as error:
-                failed = self._after(call, progress, upstream, error)
+                failed = self._recovery.after(call, progress, upstream, error)
                 if failed is not None:
                     yield failed
                     return
@@ -219,43 +145,83 @@
         self, call: model.ApplicationCall
     ) -> result.Result[model.ApplicationAnswer, model.Failed]:
         """Call a plain service and return its whole answer."""
-        progress = _Progress(need_of(call))
+        progress = recovery.Progress(calls.need_of(call))
         self.budget.first_attempt()
         while True:
             try:
                 with self._admitted(call, progress) as upstream:
-                    outgoing = attempts.for_application(call, self._attempt_id(call))
+                    outgoing = outgoing_requests.for_application(
+                        call, self._attempt_id(call), self._refusal_of(call)
+                    )
+                    mean = self._admission.mean_seconds(progress.need)
+                    outgoing.deadline = self._recovery.attempt_deadline(
+                        call, progress, mean, clock.now()
+                    )
                     return result.Ok(attempts.call(self._means, upstream, outgoing))
             except RefusedError as error:
                 return _give_up(progress, _refused(error, progress))
             except attempts.AttemptError as error:
-                failed = self._after(call, progress, upstream, error)
+                failed = self._recovery.after(call, progress, upstream, error)
                 if failed is not None:
                     return _give_up(progress, failed)
 
-    def _attempt_id(self, call: Call) -> str:
+    def _attempt_id(self, call: calls.Call) -> str:
         number = next(self._attempt_numbers)
         return f"{call.request_id}/{self._process_mark}-{number:x}"
 
-    @contextlib.contextmanager
-    def _admitted(
-        self, call: Call, progress: _Progress
-    ) -> Iterator[upstream_model.Upstream]:
-        """Hold a place at an upstream while the block runs."""
-        ticket = admission.Ticket(
+    def _refusal_of(self, call: calls.Call) -> Callable[[], reasons.Reason | None]:
+        """Return what finds out why `call` must not be sent now."""
+
+        def find_refusal() -> reasons.Reason | None:
+            # The lease is looked at again at every attempt: while the call waited,
+            # or the process was stopped, another bundle may have come in force.
+            bundle = self._bundles.current()
+            if isinstance(bundle, result.Err):
+                return bundle.err_value
+            return call.find_refusal(bundle.ok_value)
+
+        return find_refusal
+
+    def foresee_refusal(
+        self, call: model.ModelCall | model.ApplicationCall
+    ) -> model.Failed | None:
+        """Return the refusal that `call` would meet now, if any; nothing is changed.
+
+        For a call that costs much before it is offered, as a claim does.
+        """
+        refused = self._admission.foresee(clock.now(), self._ticket(call))
+        if refused is None:
+            return None
+        return model.Failed(
+            refused.reason, False, retry_after_seconds=refused.retry_after_seconds
+        )
+
+    def _ticket(
+        self, call: calls.Call, progress: recovery.Progress | None = None
+    ) -> queues.Ticket:
+        progress = progress or recovery.Progress(calls.need_of(call))
+        return queues.Ticket(
             call.client,
             progress.need,
             call.deadline,
             call.share,
-            call.priority,
-            cost_of(call),
+            calls.priority_of(call),
+            calls.cost_of(call),
             call.max_in_flight,
-            prefix_of(call),
+            calls.prefix_of(call),
             progress.number,
         )
+
+    @contextlib.contextmanager
+    def _admitted(
+        self, call: calls.Call, progress: recovery.Progress
+    ) -> Iterator[upstream_model.Upstream]:
+        """Hold a place at an upstream while the block runs."""
+        ticket = self._ticket(call, progress)
         upstream = self._wait_for_place(call, ticket)
         # A call that comes back, its upstream having been busy, keeps its turn.
         progress.number = ticket.number
+        progress.began_at = ticket.granted_at
         is_whole = False
         try:
             yield upstream
@@ -267,8 +233,8 @@
     def _leave(
         self,
         upstream: upstream_model.Upstream,
-        ticket: admission.Ticket,
-        progress: _Progress,
+        ticket: queues.Ticket,
+        progress: recovery.Progress,
         is_whole: bool,
     ) -> None:
         now = clock.now()
@@ -282,7 +248,7 @@
             self._pump()
 
     def _wait_for_place(
-        self, call: Call, ticket: admission.Ticket
+        self, call: calls.Call, ticket: queues.Ticket
     ) -> upstream_model.Upstream:
         for effect in self._admission.offer(clock.now(), ticket, self._place):
             if effect.ticket is ticket:
@@ -290,6 +256,8 @@
             self._tell(effect)
         ready = eventlet.event.Event()
         self._events_by_number[ticket.number] = ready
+        if not self._queued.ready():
+            self._queued.send(None)
         is_taken = False
         try:
             while not ready.ready():
@@ -319,17 +287,19 @@
 
     def _run(self) -> None:
         while True:
+            self._queued.wait()
             clock.sleep(PUMP_SECONDS)
             if self._admission.n_waiting:
                 self._pump()
+            else:
+                # An idle gateway has nothing to wake up for.
+                self._queued = eventlet.event.Event()
 
     def _pump(self) -> None:
         for effect in self._admission.pump(clock.now(), self._place):
             self._tell(effect)
 
-    def _place(
-        self, ticket: admission.Ticket
-    ) -> upstream_model.Upstream | routing.Lack:
+    def _place(self, ticket: queues.Ticket) -> upstream_model.Upstream | routing.Lack:
         now = clock.now()
         self._refresh(now)
         eligible = self._eligible_by_need.get(ticket.need)
@@ -343,7 +313,9 @@
         holders: frozenset[str] = frozenset()
         if ticket.prefix:
             holders = self._registry.prefix_holders(ticket.prefix)
-        chosen = self._router.choose(eligible, now, self._n_gateways, holders)
+        chosen = self._router.choose(
+            eligible, now, self._n_gateways, holders, ticket.need.queue_depth
+        )
         if not isinstance(chosen, routing.Lack):
             self._router.started(chosen.upstream_id, now)
         return chosen
@@ -352,78 +324,16 @@
         if now - self._snapshot_at < _SNAPSHOT_SECONDS:
             return
         self._snapshot_at = now
+        known = self._upstreams_by_id
         self._upstreams_by_id = dict(self._registry.upstreams_by_id())
+        if known.keys() != self._upstreams_by_id.keys():
+            self._router.keep_only(frozenset(self._upstreams_by_id))
         self._eligible_by_need.clear()
         self._n_gateways = max(1, len(self._bundles.gateways_by_id()))
 
-    def _after(
-        self,
-        call: Call,
-        progress: _Progress,
-        upstream: upstream_model.Upstream,
-        error: attempts.AttemptError,
-    ) -> model.Failed | None:
-        """Return the failure to give up with, or None to try again."""
-        now = clock.now()
-        upstream_id = upstream.upstream_id
-        progress.may_have_run |= error.may_have_run
-        failed = model.Failed(
-            error.reason,
-            progress.may_have_run,
-            upstream_id,
-            error.detail,
-            error.retry_after_seconds,
-        )
-        progress.failed = failed
-        progress.answer = error.answer
-        if error.reason is reasons.Reason.UPSTREAM_BUSY:
-            wait = max(MIN_BUSY_SECONDS, error.retry_after_seconds)
-            self._router.busy(upstream_id, now + min(wait, MAX_BUSY_SECONDS))
-            progress.n_busy += 1
-            may_retry = progress.n_busy <= MAX_BUSY
-        else:
-            self._note_failure(progress, upstream, error, now)
-            may_retry = progress.n_attempts < self._options.max_attempts
-        if error.reason in _FINAL:
-            return failed
-        if progress.n_tokens or (error.may_have_run and not call.is_idempotent):
-            return failed
-        if not may_retry or now >= call.deadline:
-            return failed
-        is_busy = error.reason is reasons.Reason.UPSTREAM_BUSY
-        if not is_busy and not self.budget.take(now):
-            counters.refused(reasons.Reason.RETRY_BUDGET_SPENT)
-            return failed
-        counters.retried(error.reason)
-        return None
-
-    def _note_failure(
-        self,
-        progress: _Progress,
-        upstream: upstream_model.Upstream,
-        error: attempts.AttemptError,
-        now: float,
-    ) -> None:
-        if error.reason in _FINAL:
-            return
-        if self._router.health.failed(upstream.upstream_id, now):
-            eliot.log_message(
-                message_type="upstream:ejected",
-                upstream_id=upstream.upstream_id,
-                reason=error.reason.value,
-            )
-        # Others of its connections are likely to be dead too.
-        self._means.pool.forget(upstream.address)
-        progress.n_attempts += 1
-        progress.need = attrs.evolve(
-            progress.need,
-            excluded_upstream_ids=progress.need.excluded_upstream_ids
-            | {upstream.upstream_id},
-        )
-
 
 def _give_up(
-    progress: _Progress, failed: model.Failed
+    progress: recovery.Progress, failed: model.Failed
 ) -> result.Result[model.ApplicationAnswer, model.Failed]:
     # A whole answer that says the service failed is the caller's when there is no
     # better one.
@@ -438,7 +348,7 @@
     return effect.upstream
 
 
-def _refused(error: RefusedError, progress: _Progress) -> model.Failed:
+def _refused(error: RefusedError, progress: recovery.Progress) -> model.Failed:
     if progress.failed is not None and error.reason is reasons.Reason.NO_UPSTREAM:
         # There is no other upstream to try; why the last one failed says more.
         return progress.failed
--- a/tests/fakes/trainer.py
+++ b/tests/fakes/trainer.py
@@ -2,6 +2,7 @@
 
 It asks for groups some steps ahead, reads a batch for each step, checks every sample,
 trains for a fixed time and publishes new weights now and then. It retries without end.
+On SIGTERM it asks for no more groups, and ends with the last one that it asked for.
 Now and then it reads a batch again, or starts over as a new reader, as a trainer that
 lost an answer or was restarted would.
 """
@@ -19,7 +20,7 @@
 import eventlet
 import urllib3
 
-from tests.fakes import gateways, journal, samples
+from tests.fakes import gateways, journal, samples, server
 
 WAIT_SECONDS: Final = 5.0
 TIMEOUT_SECONDS: Final = 10.0
@@ -42,12 +43,14 @@
         self._reader_epoch = 0
         self._cursor = 0
         self._n_steps_asked = 0
+        self._is_stopping = False
 
     def run(self) -> dict[str, Any]:
         """Train; return the report."""
+        server.on_terminate(self._ask_no_more)
         self._open_reader()
         start = time.monotonic()
-        while self.n_steps < self.options.n_steps:
+        while self.n_steps < self._n_steps_wanted():
             self._ask_ahead()
             batch_start = time.monotonic()
             batch = self._read_step()
@@ -74,6 +77,15 @@
             "n_retries": self.n_retries,
         }
 
+    def _ask_no_more(self) -> None:
+        self._is_stopping = True
+
+    def _n_steps_wanted(self) -> int:
+        if self._is_stopping:
+            return self._n_steps_asked
+        n_steps: int = self.options.n_steps
+        return n_steps
+
     # Requests to the system.
 
     def _ask(self, method: str, path: str, value: Any = None) -> gateways.Answer:
@@ -103,7 +115,7 @@
     def _ask_ahead(self) -> None:
         """Ask for the groups of the steps to come."""
         options = self.options
-        n_steps = min(options.n_steps, self.n_steps + 1 + options.n_steps_ahead)
+        n_steps = min(self._n_steps_wanted(), self.n_steps + 1 + options.n_steps_ahead)
         while self._n_steps_asked < n_steps:
             step = self._n_steps_asked
             groups = [self._group(step, i) for i in range(options.n_groups)]
--- /dev/null
+++ b/tests/test_path_losses.py
@@ -0,0 +1,193 @@
+"""Lost hosts, several failures at once, and restarts long after, as real processes."""
+
+import shutil
+import uuid
+
+from bilberrydrum import runtime
+
+runtime.prepare()
+
+from misc import andes, figures
+from tests import path_support
+from tests.fakes import journal
+
+
+class LossesTest(path_support.PathCase):
+    """One deployment for all tests; each mends what it breaks."""
+
+    sizes = andes.Sizes(n_engines=3, n_schedules=1, n_scorers=2)
+    n_bundles = 70
+
+    def in_force(self, gateway):
+        """Return the version in force by the state group; 0 if it does not answer."""
+        headers = self.andes.operator_headers()
+        answer = self.andes.ask(gateway, "GET", "/v1/bundles", headers, timeout=5)
+        if answer is None or answer.status != 200:
+            return 0
+        return answer.json()["in_force"]
+
+    def has_vote(self, process_id, replica_id):
+        """Tell whether a replica made after `replica_id` votes for this process."""
+        members = self.andes.tool("state", "status")["members"]
+        return any(
+            member["process_id"] == process_id
+            and member["replica_id"] != replica_id
+            and member["is_voter"]
+            for member in members
+        )
+
+    def replica_id(self, process_id):
+        members = self.andes.tool("state", "status")["members"]
+        return next(m["replica_id"] for m in members if m["process_id"] == process_id)
+
+    def test_second_host_lost_after_a_repair_takes_nothing_with_it(self):
+        """Booking, samples, cursor and bundle are still known after two losses.
+
+        A host comes back without its disk and is repaired as a new replica. Then a
+        host that had been there from the start is lost for good, disk and all. What
+        was accepted before is now held by the repaired replica and one other only.
+        """
+        booking_id = uuid.uuid4().hex
+        self.assertEqual(201, self.book(self.gateways[0], booking_id).status)
+        self.assert_whole(self.read_group("l1", "Outage before"))
+        leader = self.andes.leader()
+        repaired, rest = (name for name in self.gateways if name != leader)
+        before = self.replica_id(repaired)
+        self.processes[repaired].kill()
+        shutil.rmtree(self.folder / f"{repaired}-data")
+        self.processes.restart(repaired)
+        self.wait_for(lambda: self.has_vote(repaired, before), f"{repaired} votes")
+
+        self.processes[leader].kill()
+        shutil.rmtree(self.folder / f"{leader}-data")
+        left = [repaired, rest]
+        in_force = self.next_version() - 1
+        self.wait_for(
+            lambda: all(self.look_up(name) == 200 for name in left), "lookups"
+        )
+        answers = []
+
+        def is_known():
+            answer = self.book(repaired, booking_id)
+            if answer is not None and answer.status != 503:
+                answers.append(answer)
+            return bool(answers)
+
+        self.wait_for(is_known, "the booking is known")
+        self.assertEqual(201, answers[0].status)
+        self.assertEqual("true", answers[0].headers["Idempotency-Replayed"])
+        self.assertEqual(1, self.n_runs(booking_id))
+        self.assertEqual([in_force] * 2, [self.in_force(name) for name in left])
+        self.assert_whole(self.read_group("l2", "Outage after", gateway=repaired))
+        self.roll(in_force + 1, [andes.CALLER])
+        self.assertEqual(403, self.look_up(repaired, "visitor"))
+        self.processes.restart(leader)
+        self.wait_for(self.is_served, f"{leader} is back")
+
+    def test_gateway_restarted_after_hundreds_of_changes_serves_the_newest(self):
+        """The newest bundle holds, and bookings and samples go on where they were.
+
+        A gateway is killed; meanwhile bundles are submitted, signed off and rolled,
+        three changes each. Each lets in one caller of its own. Once the gateway
+        answers again, it acts on the newest bundle and never on one in between. A
+        booking made before is not made again, and the trainer's cursor is kept.
+        """
+        leader = self.andes.leader()
+        killed = next(name for name in self.gateways if name != leader)
+        booking_id = uuid.uuid4().hex
+        self.assertEqual(201, self.book(killed, booking_id).status)
+        self.assert_whole(self.read_group("r1", "Outage before", gateway=killed))
+        self.processes[killed].kill()
+        first = self.next_version()
+        last = first + self.n_bundles - 1
+        for version in range(first, last + 1):
+            self.change(leader, version)
+        newest = f"desk-{last}"
+        oldest = [f"desk-{version}" for version in (first, last - 1)]
+        self.wait_for(
+            lambda: self.look_up(leader, newest) == 200, f"{newest} at {leader}"
+        )
+        self.processes.restart(killed)
+        statuses = set()
+
+        def is_back():
+            for caller in oldest:
+                statuses.add(self.look_up(killed, caller))
+            return self.look_up(killed, newest) == 200
+
+        self.wait_for(is_back, f"{killed} serves {newest}")
+        # 0: it does not listen yet; 503: it holds no bundle yet.
+        self.assertLessEqual(statuses, {0, 403, 503})
+        answer = self.book(killed, booking_id)
+        self.assertEqual(201, answer.status)
+        self.assertEqual("true", answer.headers["Idempotency-Replayed"])
+        self.assertEqual(1, self.n_runs(booking_id))
+        self.assert_whole(self.read_group("r2", "Outage after", gateway=killed))
+
+    def change(self, gateway, version):
+        """Submit, sign off and roll one more bundle, as the tool would."""
+        path = self.andes.write_bundle(version, [andes.CALLER, f"desk-{version}"])
+        content = {"content": path.read_text(), "file_name": path.name}
+        headers = self.andes.operator_headers()
+
+        def post(suffix, value):
+            answer = self.andes.ask(
+                gateway, "POST", f"/v1/bundles{suffix}", headers, value, timeout=20
+            )
+            self.assertIn(answer.status, (200, 201, 202), answer.data)
+            return answer.json()
+
+        digest = {"digest": post("", content)["digest"]}
+        post(f"/{version}/sign-off", digest)
+        post(f"/{version}/roll", digest)
+
+    def n_steps(self):
+        return len(list(journal.read(self.folder / "trainer.journal", "step")))
+
+    def published(self):
+        return len(list(journal.read(self.folder / "trainer.journal", "published")))
+
+    def test_failures_together_lose_and_double_nothing(self):
+        """Trainer and planners end with everything, once, although much fails at once.
+
+        The state leader's process is killed while two engines crash in mid-stream and
+        swaps fail on the third. The trainer and the planners go on at the other
+        gateways, and a bundle is rolled, on which the dead gateway acts once it is
+        back.
+        """
+        self.andes.start_planner("--pause-seconds", "0.1")
+        trainer = self.andes.start_trainer(
+            *("--id", andes.SECOND_TRAINER),
+            *("--n-steps", "1000", "--step-seconds", "0.2", "--publish-every", "3"),
+        )
+        self.wait_for(lambda: self.n_steps() >= 2, "two steps")
+        killed = self.andes.leader()
+        *crashed, failing = self.andes.engines
+        self.andes.control(failing, fail_swaps=2)
+        for engine in crashed:
+            self.andes.control(engine, crash_after_tokens=5)
+        self.processes[killed].kill()
+        for engine in crashed:
+            self.wait_for(lambda e=engine: not self.processes[e].is_running(), "crash")
+            self.processes.restart(engine)
+        version = self.next_version()
+        self.roll(version, [andes.CALLER, "newcomer"])
+        self.processes.restart(killed)
+        self.wait_for(self.is_served, f"{killed} is back")
+        for gateway in self.gateways:
+            self.assertEqual(200, self.look_up(gateway, "newcomer"))
+        self.wait_for(lambda: self.published() >= 3, "three versions published")
+        for client in (trainer, self.processes["planner"]):
+            code = client.terminate(path_support.DEADLINE)
+            self.assertEqual(0, code, client.log_tail())
+        breaches = figures.find_breaches(
+            # How many steps there were depends on the machine's speed.
+            {
+                **figures.read_report(self.folder, "trainer"),
+                "n_steps": figures.MIN_STEPS,
+            },
+            figures.read_report(self.folder, "planner"),
+            figures.count_bookings(self.folder),
+            [],
+        )
+        self.assertEqual([], breaches)
