--- a/bilberrydrum/upstreams/directory.py
+++ b/bilberrydrum/upstreams/directory.py
@@ -128,6 +128,7 @@
         if now - self._forgot_at >= FORGET_INTERVAL_SECONDS:
             self._forgot_at = now
             self._table.forget(now)
+            self._forwards.keep_only(self._table.records_by_id)
 
     @_take.register
     def _announced(self, event: events.Announced, now: float) -> None:
@@ -324,7 +325,9 @@
                 or now - forwarding.heard_at >= self._table.lease_seconds
             ):
                 self._forwards.end(upstream_id)
-            elif now - self._table.told_at(record) >= self._silent_seconds:
+            elif now - self._table.told_at(
+                record
+            ) >= self._silent_seconds and self._forwards.may_move(forwarding, now):
                 self._take_over(record, forwarding.renewal, forwarding.heard_at)
 
     def _forward(
--- a/bilberrydrum/upstreams/forwards.py
+++ b/bilberrydrum/upstreams/forwards.py
@@ -1,5 +1,6 @@
 """Renewals passed on to the upstream's home, until the home has answered."""
 
+from collections.abc import Container
 from typing import Final
 
 import attrs
@@ -10,6 +11,19 @@
 ANSWER_SHARE: Final = 0.8
 
 
+# A home that an upstream has only just moved to keeps it at least this long. On a busy
+# host each move makes work for all gateways, which makes the next home answer late.
+HOLD_SECONDS: Final = 5.0
+
+
+@attrs.frozen
+class _Home:
+    """The home that was last met as silent, and since when it is the home."""
+
+    process_id: str
+    since: float
+
+
 @attrs.define
 class Forwarding:
     """Renewals of one upstream that were passed on and not answered."""
@@ -28,6 +42,7 @@
     def __init__(self, renew_seconds: float) -> None:
         self._timeout = ANSWER_SHARE * renew_seconds
         self._forwards_by_id: dict[str, Forwarding] = {}
+        self._homes_by_id: dict[str, _Home] = {}
 
     def add(self, renewal: events.Renewed, home: str, now: float) -> None:
         """Note a renewal; it waits as long as the first to the same home."""
@@ -47,3 +62,19 @@
             for forwarding in self._forwards_by_id.values()
             if now - forwarding.asked_at >= self._timeout
         ]
+
+    def may_move(self, forwarding: Forwarding, now: float) -> bool:
+        """Tell whether the upstream may be moved from its home."""
+        upstream_id = forwarding.renewal.upstream_id
+        known = self._homes_by_id.get(upstream_id)
+        if known is not None and known.process_id == forwarding.home:
+            return now - known.since >= HOLD_SECONDS
+        since = float("-inf") if known is None else now
+        self._homes_by_id[upstream_id] = _Home(forwarding.home, since)
+        return known is None
+
+    def keep_only(self, upstream_ids: Container[str]) -> None:
+        """Forget the homes of all other upstreams."""
+        for upstream_id in list(self._homes_by_id):
+            if upstream_id not in upstream_ids:
+                del self._homes_by_id[upstream_id]
