--- a/misc/capacity_daemons.py
+++ b/misc/capacity_daemons.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -57,6 +58,10 @@
 _COUNTER: Final = re.compile(r"(bytes_sent|bytes_received|segs_out|segs_in):(\d+)")
 
 
+# Sends a POST; returns status and body.
+Post = Callable[[str, Any], tuple[int, Any]]
+
+
 @attrs.frozen
 class Daemon:
     """One daemon and its ports."""
@@ -127,7 +132,7 @@
             )
             arguments = ("--settings", str(settings))
             self.running.start_module(daemon.name, "bilberrydrum.main", *arguments)
-        self._roll_bundle()
+        roll_bundle(self._post, _BUNDLE)
         for gateway in self.gateways:
             address = f"127.0.0.1:{gateway.http_port}"
             self.running.wait_until_ready(gateway.name, address, timeout=WAIT_SECONDS)
@@ -147,26 +152,6 @@
             *gateways,
         )
 
-    def _roll_bundle(self) -> None:
-        body = {"content": _BUNDLE, "file_name": "b.yaml"}
-        digest = {"digest": self._ask_until_done("/v1/bundles", body)["digest"]}
-        self._ask_until_done("/v1/bundles/1/sign-off", digest)
-        self._ask_until_done("/v1/bundles/1/roll", digest)
-
-    def _ask_until_done(self, path: str, fields: dict[str, Any]) -> Any:
-        answers = []
-
-        def is_done() -> bool:
-            try:
-                status, answer = self.ask(self.gateways[0], "POST", path, fields)
-            except urllib3.exceptions.HTTPError:
-                return False
-            answers.append(answer)
-            return status < 300
-
-        processes.wait_for(is_done, WAIT_SECONDS, path)
-        return answers[-1]
-
     def _are_listed(self) -> bool:
         return all(
             len(self.ask(gateway, "GET", "/v1/upstreams")[1].get("upstreams", ()))
@@ -174,6 +159,9 @@
             for gateway in self.gateways
         )
 
+    def _post(self, path: str, fields: Any) -> tuple[int, Any]:
+        return self.ask(self.gateways[0], "POST", path, fields)
+
     def ask(
         self, daemon: Daemon, method: str, path: str, fields: Any = None
     ) -> tuple[int, Any]:
@@ -215,6 +203,44 @@
         }
 
 
+def roll_bundle(post: Post, content: str) -> None:
+    """Submit, sign off and roll a first bundle, trying until each step is done."""
+    body = {"content": content, "file_name": "b.yaml"}
+    digest = {"digest": post_until_done(post, "/v1/bundles", body)["digest"]}
+    post_until_done(post, "/v1/bundles/1/sign-off", digest)
+    post_until_done(post, "/v1/bundles/1/roll", digest)
+
+
+def post_until_done(post: Post, path: str, fields: Any) -> Any:
+    """Send a request until it is answered with success; return the answer's body."""
+    answers = []
+
+    def is_done() -> bool:
+        try:
+            status, answer = post(path, fields)
+        except urllib3.exceptions.HTTPError:
+            return False
+        answers.append(answer)
+        return status < 300
+
+    processes.wait_for(is_done, WAIT_SECONDS, path)
+    return answers[-1]
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def memory_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    found = re.search(r"VmRSS:\s+(\d+)", status)
+    return int(found[1]) * 1024 if found else 0
+
+
 def _counters_by_pid(sockets: str, ports: set[int]) -> dict[int, dict[str, int]]:
     """Return the sums of the kernel's counters for connections on `ports`."""
     counters: dict[int, dict[str, int]] = defaultdict(lambda: defaultdict(int))
@@ -228,14 +254,11 @@
 
 
 def _usage(pid: int, counters: dict[int, dict[str, int]]) -> Usage:
-    folder = pathlib.Path(f"/proc/{pid}")
-    fields = (folder / "stat").read_text().rpartition(")")[2].split()
-    memory = re.search(r"VmRSS:\s+(\d+)", (folder / "status").read_text())
-    disk = re.search(r"write_bytes: (\d+)", (folder / "io").read_text())
+    disk = re.search(r"write_bytes: (\d+)", pathlib.Path(f"/proc/{pid}/io").read_text())
     own = counters[pid]
     return Usage(
-        cpu_seconds=(int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND,
-        memory_bytes=int(memory[1]) * 1024 if memory else 0,
+        cpu_seconds=cpu_seconds(pid),
+        memory_bytes=memory_bytes(pid),
         bytes_sent=own["bytes_sent"] + HEADER_BYTES * own["segs_out"],
         bytes_received=own["bytes_received"] + HEADER_BYTES * own["segs_in"],
         disk_bytes=int(disk[1]) if disk else 0,
--- a/misc/capacity_records.py
+++ b/misc/capacity_records.py
@@ -16,11 +16,14 @@
 from bilberrydrum import codec
 from bilberrydrum.bundles import commands as bundle_commands
 from bilberrydrum.requests import claims_state
+from bilberrydrum.samples import applying
 from bilberrydrum.samples import commands as sample_commands
 from bilberrydrum.samples import model as sample_model
 from bilberrydrum.state import machine, processes
 from bilberrydrum.weights import commands as weight_commands
 
+# The module that applies the samples' commands; importing it registers them.
+APPLYING: Final = applying
 DAY_SECONDS: Final = 24 * 3600.0
 SLOTS_PER_GROUP: Final = 8
 RECORDS_PER_COMMAND: Final = 64
@@ -208,10 +211,11 @@
 
 
 def measure(share: float = 1.0) -> list[dict[str, Any]]:
-    """Return the slopes of all kinds of record, at a share of their sizes."""
+    """Return the slopes of all kinds of record, at a share of the large sizes."""
     rows = []
     for kind in KINDS:
-        sizes = [max(8, int(share * n)) for n in kind.sizes]
+        is_large = kind.sizes[0] >= 1_000
+        sizes = [int(share * n) if is_large else n for n in kind.sizes]
         rows.append(_row(kind.name, [cost(kind, n) for n in sizes]))
     return rows
 
--- a/misc/capacity_relay.py
+++ b/misc/capacity_relay.py
@@ -8,7 +8,6 @@
 
 import json
 import pathlib
-import re
 import tempfile
 import time
 from typing import Any, Final
@@ -16,7 +15,7 @@
 import eventlet
 import urllib3
 
-from misc import processes
+from misc import capacity_daemons, capacity_records, processes
 
 RATE: Final = 12.0
 # Tokens per request; the engine puts four into an event.
@@ -61,10 +60,7 @@
         )
         arguments = ("--settings", str(settings))
         self._running.start_module("relay", "bilberrydrum.main", *arguments)
-        body = {"content": _BUNDLE, "file_name": "b.yaml"}
-        digest = {"digest": self._post_until_done("/v1/bundles", body)["digest"]}
-        self._post_until_done("/v1/bundles/1/sign-off", digest)
-        self._post_until_done("/v1/bundles/1/roll", digest)
+        capacity_daemons.roll_bundle(self._post_json, _BUNDLE)
         self._running.start_module(
             "engine",
             "tests.fakes.engine",
@@ -72,7 +68,7 @@
             *("--gateway", f"127.0.0.1:{http_port}", "--max-concurrency", "256"),
             *("--step-seconds", "0.01", "--median-length", "4096"),
         )
-        self._post_until_done("/v1/completions", self._call(4))
+        capacity_daemons.post_until_done(self._post, "/v1/completions", self._call(4))
 
     def _call(self, n_tokens: int) -> dict[str, Any]:
         return {
@@ -91,19 +87,9 @@
         )
         return answer.status, answer.data
 
-    def _post_until_done(self, path: str, fields: Any) -> Any:
-        answers: list[bytes] = []
-
-        def is_done() -> bool:
-            try:
-                status, data = self._post(path, fields)
-            except urllib3.exceptions.HTTPError:
-                return False
-            answers.append(data)
-            return status < 300
-
-        processes.wait_for(is_done, 60.0, path)
-        return json.loads(answers[-1]) if answers[-1].startswith(b"{") else None
+    def _post_json(self, path: str, fields: Any) -> tuple[int, Any]:
+        status, data = self._post(path, fields)
+        return status, json.loads(data)
 
     def _complete(self, n_tokens: int) -> None:
         status, data = self._post("/v1/completions", self._call(n_tokens))
@@ -115,7 +101,7 @@
         """Send requests at the rate for some time; return what the gateway spent."""
         self.n_requests = self.n_events = self.n_failed = 0
         pool = eventlet.GreenPool(256)
-        started, cpu = time.monotonic(), self._cpu_seconds()
+        started, cpu = time.monotonic(), capacity_daemons.cpu_seconds(self._pid)
         while time.monotonic() - started < seconds:
             pool.spawn_n(self._complete, n_tokens)
             eventlet.sleep(1 / RATE)
@@ -126,26 +112,21 @@
             "requests_per_second": self.n_requests / elapsed,
             "events_per_second": self.n_events / elapsed,
             "n_failed": self.n_failed,
-            "core_share": (self._cpu_seconds() - cpu) / elapsed,
-            "memory_mib": self._memory_mib(),
+            "core_share": (capacity_daemons.cpu_seconds(self._pid) - cpu) / elapsed,
+            "memory_mib": capacity_daemons.memory_bytes(self._pid) / 2**20,
         }
 
     def idle_core_share(self, seconds: float) -> float:
         """Return what the daemon spends without requests."""
-        started, cpu = time.monotonic(), self._cpu_seconds()
+        started, cpu = time.monotonic(), capacity_daemons.cpu_seconds(self._pid)
         eventlet.sleep(seconds)
-        return (self._cpu_seconds() - cpu) / (time.monotonic() - started)
-
-    def _proc(self, name: str) -> str:
-        return pathlib.Path(f"/proc/{self._running['relay'].pid}/{name}").read_text()
-
-    def _cpu_seconds(self) -> float:
-        fields = self._proc("stat").rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / 100
+        return (capacity_daemons.cpu_seconds(self._pid) - cpu) / (
+            time.monotonic() - started
+        )
 
-    def _memory_mib(self) -> float:
-        found = re.search(r"VmRSS:\s+(\d+)", self._proc("status"))
-        return int(found[1]) / 1024 if found else 0.0
+    @property
+    def _pid(self) -> int:
+        return self._running["relay"].pid
 
 
 def measure(seconds: float) -> dict[str, Any]:
@@ -160,12 +141,9 @@
         runs = [relay.run(n_tokens, seconds) for n_tokens in TOKENS]
     # The rate is the same in all runs, so the slope over events is the event's cost.
     points = [(run["events_per_second"], run["core_share"] - idle) for run in runs]
-    mean_x = sum(x for x, _ in points) / len(points)
-    mean_y = sum(y for _, y in points) / len(points)
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    per_event = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    offset, per_event = capacity_records.slope(points)
     rate = sum(run["requests_per_second"] for run in runs) / len(runs)
-    per_request = (mean_y - per_event * mean_x) / rate
+    per_request = offset / rate
     return {
         "idle_core_share": idle,
         "core_seconds_per_request": per_request,
--- a/misc/capacity_values.py
+++ b/misc/capacity_values.py
@@ -32,8 +32,10 @@
 TOKENS_PER_EVENT: Final = 1.0
 # Samples whose trace the state keeps per trainer.
 HISTORY_SAMPLES: Final = section.HISTORY_SAMPLES
-# Claims that the state keeps at most.
-MAX_CLAIMS: Final = claims_state.MAX_FORGOTTEN
+# Keys without a time that are remembered, ever.
+MAX_UNTIMED_KEYS: Final = claims_state.MAX_FORGOTTEN
+# Share of the requests that is taken to be non-idempotent; not known.
+CLAIM_SHARE: Final = 0.01
 
 
 @attrs.frozen
@@ -199,12 +201,15 @@
     yield _memory("open samples, two steps of each trainer", open_row, n_open)
     n_past = N_TRAINERS * HISTORY_SAMPLES
     yield _memory("traces of delivered samples", past, n_past)
-    yield _memory("claims, as many as are kept", claim, MAX_CLAIMS)
+    n_claims = int(DAY_SECONDS)
+    yield _memory("claims, for each claim a second, kept a day", claim, n_claims)
+    n_claims_of_share = int(CLAIM_SHARE * N_REQUESTS * DAY_SECONDS)
+    yield _memory("claims, if 1% of the requests have a key", claim, n_claims_of_share)
     yield Value(
         "replica",
-        "claims a second, at most, each kept a day",
-        f"{MAX_CLAIMS:,} / 86,400 s",
-        f"{MAX_CLAIMS / DAY_SECONDS:.1f}/s",
+        "keys without a time, ever",
+        "a bound in the code",
+        f"{MAX_UNTIMED_KEYS:,}",
     )
     rate = N_TRAINERS * SAMPLES_PER_STEP / STEP_SECONDS
     yield Value(
@@ -222,11 +227,11 @@
     )
     yield _memory("bundles, 2,048 records without content", bundle, 2_048)
     yield _memory("registered gateways", rows["gateway"], N_GATEWAYS)
-    seconds = MAX_CLAIMS * claim["snapshot_seconds"]
+    seconds = n_claims * claim["snapshot_seconds"]
     seconds += n_past * past["snapshot_seconds"] + n_open * open_row["snapshot_seconds"]
     yield Value(
         "replica",
-        "processor time of a snapshot, all of the above",
+        "processor time of a snapshot, one claim a second",
         "sum of n x snapshot slope",
         f"{seconds:.1f} s",
     )
