--- a/misc/capacity_records.py
+++ b/misc/capacity_records.py
@@ -195,12 +195,15 @@
 
 
 def slope(points: list[tuple[float, float]]) -> tuple[float, float]:
-    """Return the least-squares line through `points`: value at 0 and slope."""
+    """Return the least-squares line through `points`: value at 0 and slope.
+
+    Of a single size nothing but its value is known; the slope is 0 then.
+    """
     n = len(points)
     mean_x = sum(x for x, _ in points) / n
     mean_y = sum(y for _, y in points) / n
     spread = sum((x - mean_x) ** 2 for x, _ in points)
-    rise = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in points) / (spread or 1.0)
     return mean_y - rise * mean_x, rise
 
 
--- a/misc/light_engines.py
+++ b/misc/light_engines.py
@@ -212,7 +212,8 @@
         retry = f"Retry-After: {RETRY_AFTER_SECONDS}\r\n" if status == 429 else ""
         lines = (
             f"HTTP/1.1 {status} {PHRASES_BY_STATUS[status]}\r\n{retry}"
-            f"Content-Type: application/json\r\nContent-Length: {len(payload)}\r\n\r\n"
+            "Content-Type: application/json\r\nConnection: close\r\n"
+            f"Content-Length: {len(payload)}\r\n\r\n"
         )
         connection.sendall(lines.encode() + payload)
     except OSError:
