--- a/bilberrydrum/state/applier.py
+++ b/bilberrydrum/state/applier.py
@@ -43,12 +43,12 @@
         """Call `callback(command, answer)` after each command."""
         self._watchers.append(callback)
 
-    def restore(self, data: bytes) -> None:
-        """Replace the state by that of a snapshot."""
+    def restore(self, data: bytes, state: machine.State | None = None) -> None:
+        """Replace the state by that of a snapshot, decoded already if `state`."""
         header = snapshot.read(data)
         if header.index <= self.index:
             return
-        self.state = snapshot.decode(data)
+        self.state = snapshot.decode(data) if state is None else state
         self.index = header.index
         self.term = header.term
         self.time = header.time
--- a/bilberrydrum/state/applying.py
+++ b/bilberrydrum/state/applying.py
@@ -1,7 +1,10 @@
 """The replica's applying task: entries into the state, answers out, snapshots.
 
 A snapshot is encoded in a thread. The state does not change meanwhile, as this task
-applies nothing, and heartbeats go on.
+applies nothing, and heartbeats go on. At the leader, no command is answered for that
+time: 2.8 s for 250,000 claims with their results. So the leader waits for twice as many
+entries, by when the others have made theirs, and hands a large state's leadership over
+first; a follower that applies nothing holds nobody up.
 """
 
 from typing import Any, Final
@@ -11,10 +14,25 @@
 from eventlet import tpool
 
 from bilberrydrum import clock
-from bilberrydrum.state import applier, disk, events, intake, snapshot, storage
+from bilberrydrum.state import (
+    applier,
+    disk,
+    events,
+    intake,
+    leader,
+    node,
+    snapshot,
+    storage,
+)
 
 # A snapshot is made sooner if the log's commands take this much memory.
 MAX_LOG_BYTES: Final = 32 * 1024 * 1024
+# Entries until a snapshot at the leader, as a multiple of those at a follower.
+LEADER_FACTOR: Final = 2
+# A snapshot of this size takes about a tenth of a second to encode.
+LARGE_BYTES: Final = 4 * 1024 * 1024
+# Time for the leadership to pass on before the snapshot is made all the same.
+_HANDOVER_SECONDS: Final = 1.0
 # Entries applied before other tasks run.
 _SLICE: Final = 64
 
@@ -48,7 +66,8 @@
         while True:
             effect = self._effects.get()
             if isinstance(effect, events.Restore):
-                self._applier.restore(effect.data)
+                restored = tpool.execute(snapshot.decode, effect.data)
+                self._applier.restore(effect.data, restored)
                 self._intake.waiters.clear(effect.index)
                 continue
             for i, entry in enumerate(effect.entries, 1):
@@ -61,15 +80,33 @@
                     eventlet.sleep(0)
             self._intake.waiters.outbox.flush()
             self._intake.serve_reads()
-            if self._snapshot_is_due():
+            if self.snapshot_is_due():
+                self.hand_over()
                 self._make_snapshot()
 
-    def _snapshot_is_due(self) -> bool:
+    def snapshot_is_due(self) -> bool:
+        """Tell whether enough was applied since the last snapshot."""
         n_entries = self._applier.index - self._owner.node.snapshot_index
-        if n_entries >= self._snapshot_entries:
+        limit = self._snapshot_entries
+        if isinstance(self._owner.node.role, node.Leader):
+            limit *= LEADER_FACTOR
+        if n_entries >= limit:
             return True
         return self._owner.node.log.n_bytes >= MAX_LOG_BYTES and n_entries > 1
 
+    def hand_over(self) -> None:
+        """Pass the leadership on before a long pause, if someone can take it."""
+        state = self._owner.node
+        role = state.role
+        if not isinstance(role, node.Leader) or state.snapshot_bytes < LARGE_BYTES:
+            return
+        if not leader.successor(state, role):
+            return
+        self._owner.put(events.GiveUpLeadership())
+        deadline = clock.now() + _HANDOVER_SECONDS
+        while state.role is role and clock.now() < deadline:
+            clock.sleep(0.005)
+
     def _make_snapshot(self) -> None:
         header = self._applier.header()
         data = tpool.execute(snapshot.encode, header, self._applier.state)
--- a/bilberrydrum/state/leader.py
+++ b/bilberrydrum/state/leader.py
@@ -317,8 +317,8 @@
 # Handover
 
 
-def give_up(state: node.Node, role: node.Leader) -> None:
-    """Stop leading and ask the most advanced voter to stand at once."""
+def successor(state: node.Node, role: node.Leader) -> str:
+    """Return the reachable voter that holds the most, or nothing if there is none."""
     best_id, best_match = "", -1
     reachable = reachable_ids(state, role)
     for voter_id in state.members.voter_ids():
@@ -327,6 +327,12 @@
             continue
         if progress.match_index > best_match:
             best_id, best_match = voter_id, progress.match_index
+    return best_id
+
+
+def give_up(state: node.Node, role: node.Leader) -> None:
+    """Stop leading and ask the most advanced voter to stand at once."""
+    best_id = successor(state, role)
     state.become_follower(state.term)
     replica = state.members.find(best_id)
     if replica is None:
