--- a/tests/fakes/state_process.py
+++ b/misc/state_process.py
@@ -1,6 +1,6 @@
 """A process that holds one replica and counts what `Add` commands say.
 
-Run as ``python -m tests.fakes.state_process --process-id p0 --folder FOLDER --member
+Run as ``python -m misc.state_process --process-id p0 --folder FOLDER --member
 p0=IP:port ...``; it ends on SIGTERM.
 """
 
--- a/tests/test_state_group.py
+++ b/tests/test_state_group.py
@@ -8,8 +8,7 @@
 
 from bilberrydrum import options, transport
 from bilberrydrum.state import commands, queries, remote
-from misc import processes
-from tests.fakes import state_group, state_process
+from misc import processes, state_group, state_process
 
 
 def reachable(status: queries.Status, process_id: str) -> bool:
--- a/tests/test_state_replica.py
+++ b/tests/test_state_replica.py
@@ -21,9 +21,8 @@
     snapshot,
     storage,
 )
-from misc import processes
+from misc import processes, state_process
 from tests import test_state_core
-from tests.fakes import state_process
 
 
 class ReplicaCase(unittest.TestCase):
--- a/tests/test_state_serving.py
+++ b/tests/test_state_serving.py
@@ -7,7 +7,7 @@
 
 from bilberrydrum import codec, options
 from bilberrydrum.state import applier, founding, messages, serving
-from tests.fakes import state_process
+from misc import state_process
 
 
 class Sent:
