--- a/bilberrydrum/state/applying.py
+++ b/bilberrydrum/state/applying.py
@@ -7,6 +7,7 @@
 first; a follower that applies nothing holds nobody up.
 """
 
+import random
 from typing import Any, Final
 
 import eventlet
@@ -29,6 +30,8 @@
 MAX_LOG_BYTES: Final = 32 * 1024 * 1024
 # Entries until a snapshot at the leader, as a multiple of those at a follower.
 LEADER_FACTOR: Final = 2
+# Snapshots are made after as many entries, give or take this share.
+SPREAD: Final = 0.2
 # A snapshot of this size takes about a tenth of a second to encode.
 LARGE_BYTES: Final = 4 * 1024 * 1024
 # Time for the leadership to pass on before the snapshot is made all the same.
@@ -48,6 +51,7 @@
         store: storage.Storage,
         disk_task: disk.DiskTask,
         snapshot_entries: int,
+        rng: random.Random,
     ) -> None:
         self._owner = owner
         self._applier = applied
@@ -55,6 +59,8 @@
         self._store = store
         self._disk = disk_task
         self._snapshot_entries = snapshot_entries
+        self._rng = rng
+        self._spread = self._draw_spread()
         self._effects: Any = eventlet.queue.Queue()
 
     def put(self, effect: events.Commit | events.Restore) -> None:
@@ -87,13 +93,18 @@
     def snapshot_is_due(self) -> bool:
         """Tell whether enough was applied since the last snapshot."""
         n_entries = self._applier.index - self._owner.node.snapshot_index
-        limit = self._snapshot_entries
+        limit = self._snapshot_entries * self._spread
         if isinstance(self._owner.node.role, node.Leader):
             limit *= LEADER_FACTOR
         if n_entries >= limit:
             return True
         return self._owner.node.log.n_bytes >= MAX_LOG_BYTES and n_entries > 1
 
+    def _draw_spread(self) -> float:
+        # All replicas count the same entries. In step, the leader would hand over to
+        # one that begins its own snapshot at the same moment.
+        return self._rng.uniform(1.0 - SPREAD, 1.0 + SPREAD)
+
     def hand_over(self) -> None:
         """Pass the leadership on before a long pause, if someone can take it."""
         state = self._owner.node
@@ -109,6 +120,7 @@
 
     def _make_snapshot(self) -> None:
         header = self._applier.header()
+        self._spread = self._draw_spread()
         data = tpool.execute(snapshot.encode, header, self._applier.state)
         tpool.execute(self._store.write_snapshot, header.index, data)
         self._disk.put(disk.Adopt(header.index, len(data)))
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -99,6 +99,7 @@
             self._store,
             self._disk,
             self._options.state.snapshot_entries,
+            random.Random(),
         )
         self._listen()
         self._intake.listen()
--- a/tests/test_state_group.py
+++ b/tests/test_state_group.py
@@ -23,7 +23,7 @@
 
     @classmethod
     def setUpClass(cls) -> None:
-        cls.group = state_group.StateGroup(3, snapshot_entries=100)
+        cls.group = state_group.StateGroup(3, snapshot_entries=50)
         cls.group.__enter__()
 
     @classmethod
--- a/tests/test_state_replica.py
+++ b/tests/test_state_replica.py
@@ -165,9 +165,9 @@
         self.owner.put.side_effect = one.step
         applied = applier.Applier()
         applied.index = one.node.snapshot_index + 100
-        return applying.ApplyTask(
-            self.owner, applied, mock.Mock(), mock.Mock(), mock.Mock(), 100
-        )
+        rng = mock.Mock(uniform=mock.Mock(return_value=1.0))
+        others = [mock.Mock() for _ in range(3)]
+        return applying.ApplyTask(self.owner, applied, *others, 100, rng)
 
     def test_followers_make_theirs_before_the_leader(self) -> None:
         """All replicas count the same entries; none of them may be paused with all."""
