Let a process whose id another one has taken refuse work for good

Cause: a host that was replaced under its name and came back would register again once a new leader heard it, and end its replacement's lease; then the replacement would do the same. Both halves were taken out on a copy and the test failed.

--- a/bilberrydrum/bundles/book.py
+++ b/bilberrydrum/bundles/book.py
@@ -174,7 +174,9 @@
         life = self.lives_by_incarnation.get(event.incarnation)
         if life is None or life.is_former or life.process_id != event.process_id:
             counters.dropped(reasons.Reason.MESSAGE_STALE_SENDER)
-            unregistered = messages.Unregistered(event.incarnation)
+            unregistered = messages.Unregistered(
+                event.incarnation, self._is_superseded(event)
+            )
             return [Send(event.address, unregistered)]
         life.heard_at = now
         life.confirm(event.renewal.version)
@@ -231,6 +233,12 @@
         """Let `command` be proposed again if it is still due."""
         self._proposed.discard(command)
 
+    def _is_superseded(self, event: RenewalHeard) -> bool:
+        return any(
+            life.process_id == event.process_id and incarnation > event.incarnation
+            for incarnation, life in self.lives_by_incarnation.items()
+        )
+
     def _take_lives(self, now: float, event: StateChanged) -> None:
         former = event.former_by_incarnation
         registered = {each.incarnation: each for each in event.gateways}
--- a/bilberrydrum/bundles/lease.py
+++ b/bilberrydrum/bundles/lease.py
@@ -110,10 +110,19 @@
     def _on_unregistered(
         self, sender: transport.Sender, message: messages.Unregistered
     ) -> None:
-        is_current = message.incarnation == self._holder.incarnation
-        if is_current and not self._is_registering:
-            self._is_registering = True
-            self._tasks.append(eventlet.spawn(self._register))
+        is_current = message.incarnation == self._transport.incarnation
+        if not is_current or self._is_registering:
+            return
+        if message.is_superseded:
+            # A host that was taken for lost is back beside the one that replaced it.
+            # Were both to register in turn, each would end the other's lease for ever.
+            self._holder.step(clock.now(), holder.Released())
+            eliot.log_message(
+                message_type="process:superseded", incarnation=message.incarnation
+            )
+            return
+        self._is_registering = True
+        self._tasks.append(eventlet.spawn(self._register))
 
     def _register(self) -> None:
         """Register anew: the leader took this process for gone."""
--- a/bilberrydrum/bundles/messages.py
+++ b/bilberrydrum/bundles/messages.py
@@ -53,6 +53,8 @@
     """The leader does not know this life of the process; it must register."""
 
     incarnation: int
+    # Another process has registered under the same id since: this one must not.
+    is_superseded: bool = False
 
 
 @codec.register("bundles.push")
--- a/tests/test_bundles_http.py
+++ b/tests/test_bundles_http.py
@@ -266,6 +266,28 @@
         wait_for(lambda: self.acts_on(self.gateway) == 2)
         wait_for(lambda: self.gateway.gateways_by_id()["g0"].incarnation == 2)
 
+    def test_process_whose_name_was_taken_does_not_take_it_back(self) -> None:
+        """A host that was replaced under its name comes back and runs beside the new.
+
+        A leader drops its messages, but a new leader, which has heard from neither,
+        takes them. The host refuses work for good. Were it to register again, the two
+        would end each other's leases in turn, and every roll would wait for them.
+        """
+        heard_of = self.grants._transport._incarnations_by_sender
+
+        def is_told() -> bool:
+            heard_of.clear()
+            return self.gateway._holder.is_released
+
+        self.start_gateway("g0")
+        wait_for(is_told)
+        self.roll(1)
+        wait_for(lambda: self.in_force() == 1)
+        eventlet.sleep(0.2)
+        self.assertEqual(self.acts_on(self.gateway), 0)
+        registered = processes.read(self.state.state()).processes_by_id
+        self.assertEqual(registered["g0"].incarnation, 2)
+
     def test_connections_to_processes_that_left_are_closed(self) -> None:
         """A fleet replaces hosts all day, each with an address of its own.
 
