--- a/bilberrydrum/requests/claims.py
+++ b/bilberrydrum/requests/claims.py
@@ -88,7 +88,6 @@
     def __init__(self, settings: options.Options, state: client.StateClient) -> None:
         self._settings = settings
         self._state = state
-        self._incarnation = 0
         self._watched_by_id: collections.OrderedDict[str, _Watched] = (
             collections.OrderedDict()
         )
@@ -96,9 +95,8 @@
         self._begun = eventlet.event.Event()
         self._task: eventlet.greenthread.GreenThread | None = None
 
-    def start(self, incarnation: int = 0) -> None:
+    def start(self) -> None:
         """Start the task that resolves the claims of lost gateways."""
-        self._incarnation = incarnation
         self._task = eventlet.spawn(self._run)
 
     def stop(self) -> None:
@@ -128,7 +126,6 @@
             digest,
             uuid.uuid4().hex,
             self._settings.process_id,
-            self._incarnation,
             SEND_SECONDS + timeout,
             self._settings.requests.claim_seconds,
         )
--- a/bilberrydrum/requests/claims_state.py
+++ b/bilberrydrum/requests/claims_state.py
@@ -34,7 +34,8 @@
 CLAIM_TOO_NEW: Final = "too-new"
 CLAIM_NO_ROOM: Final = "no-room"
 
-# Digests of forgotten keys without a time that are kept; 16 bytes each.
+# Keys without a time that are remembered, as claims or digests. A digest has 16 bytes
+# and takes about 90 in memory.
 MAX_FORGOTTEN: Final = 250_000
 # Time by which a key's own time may be ahead of the state's. Its claim is kept that
 # much longer, so without a bound a wrong clock would make claims last for ever.
@@ -64,11 +65,11 @@
     key: str
     # Digest of the request; the key is good for this request only.
     digest: str
-    # Names this claim among all that the key ever had.
+    # Names this claim among all that the key ever had; a gateway that was restarted
+    # does not know it and so holds none of its earlier claims.
     claim_id: str
     # The gateway that may send the request.
     holder: str
-    incarnation: int
     # Seconds after the claim at which an answer can't come any more.
     holds_seconds: float
     # State time of the claim.
@@ -104,7 +105,6 @@
     digest: str
     claim_id: str
     holder: str
-    incarnation: int
     holds_seconds: float
     lifetime_seconds: float
 
@@ -182,7 +182,6 @@
         command.digest,
         command.claim_id,
         command.holder,
-        command.incarnation,
         command.holds_seconds,
         made_at=context.time,
         forget_at=max(key_time, context.time) + command.lifetime_seconds,
--- a/tests/test_requests_claims.py
+++ b/tests/test_requests_claims.py
@@ -31,7 +31,7 @@
 
     def claim(self, key="k", digest="d", claim_id="1", lifetime=LIFETIME, caller="c"):
         command = claims_state.ClaimKey(
-            caller, key, digest, claim_id, "g1", 1, 10.0, lifetime
+            caller, key, digest, claim_id, "g1", 10.0, lifetime
         )
         return self.apply(command).outcome
 
