--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -306,7 +306,8 @@
     detail = f"status {answer.status}"
     if answer.status == 503:
         wait = _seconds(answer.headers.get("Retry-After", ""))
-        raise AttemptError(reasons.Reason.UPSTREAM_BUSY, True, detail, wait)
+        # An engine that says so has not begun: the contract of its interface.
+        raise AttemptError(reasons.Reason.UPSTREAM_BUSY, False, detail, wait)
     raise AttemptError(reasons.Reason.UPSTREAM_ERROR, True, detail)
 
 
--- a/bilberrydrum/requests/model.py
+++ b/bilberrydrum/requests/model.py
@@ -84,7 +84,8 @@
 class Failed:
     """The call ended without a whole answer.
 
-    `may_have_run` is False only if no byte of the request reached any upstream.
+    `may_have_run` is False only if no byte of the request reached any upstream, but for
+    engines that refused it as busy.
     """
 
     reason: reasons.Reason
--- a/tests/test_requests_dispatch.py
+++ b/tests/test_requests_dispatch.py
@@ -232,8 +232,10 @@
     def test_busy_engine_is_left_alone_and_the_call_goes_elsewhere(self):
         self.engine("e1", busy)
         self.engine("e2", finish(3))
-        for _ in range(5):
-            seen = list(self.dispatcher.stream(call()))
+        for number in range(6):
+            # A busy engine has not run what it refused, so that may be sent again.
+            is_idempotent = number % 2 == 0
+            seen = list(self.dispatcher.stream(call(is_idempotent=is_idempotent)))
             self.assertIsInstance(seen[-1], model.Finished)
         self.assertLessEqual(len(self.fakes["e1"].received), 1)
 
