--- /dev/null
+++ b/tests/fakes/dispatching.py
@@ -0,0 +1,48 @@
+"""A test case of a dispatcher before scripted upstreams."""
+
+import unittest
+
+from bilberrydrum.requests import dispatch
+from bilberrydrum.upstreams import model as upstream_model
+from tests.fakes import gateway_parts, scripted
+
+
+class Gateway(unittest.TestCase):
+    """A dispatcher and the upstreams before it."""
+
+    def setUp(self):
+        self.registry = gateway_parts.Registry()
+        self.fakes = {}
+        self.start()
+
+    def start(self, **options):
+        self.dispatcher = dispatch.RequestDispatcher(
+            gateway_parts.settings(**options), gateway_parts.Bundles(), self.registry
+        )
+        self.dispatcher.start()
+        self.addCleanup(self.dispatcher.stop)
+
+    def engine(self, upstream_id, script, weight_version=3, **fields):
+        fields.setdefault("can_resume", True)
+        fake = scripted.Scripted(
+            script,
+            kind="engine",
+            models={"planner": upstream_model.ServedModel(weight_version)},
+            **fields,
+        )
+        return self.add(upstream_id, fake)
+
+    def application(self, upstream_id, script, **fields):
+        fake = scripted.Scripted(
+            script, kind="application", application="schedule", **fields
+        )
+        return self.add(upstream_id, fake)
+
+    def add(self, upstream_id, fake):
+        self.addCleanup(fake.stop)
+        self.fakes[upstream_id] = fake
+        self.registry.upstreams[upstream_id] = fake.upstream(upstream_id)
+        return fake
+
+    def n_received(self):
+        return sum(len(fake.received) for fake in self.fakes.values())
--- /dev/null
+++ b/tests/test_requests_streams.py
@@ -0,0 +1,260 @@
+"""Streams of engines that fail, through the dispatcher."""
+
+import json
+import unittest
+import unittest.mock
+
+import eventlet
+from nose2.tools import params
+
+from bilberrydrum import clock, reasons
+from bilberrydrum.requests import attempts, model, resume
+from bilberrydrum.upstreams import model as upstream_model
+from tests.fakes import dispatching, scripted
+
+Reason = reasons.Reason
+
+
+def call(**fields):
+    values = {
+        "request_id": "r",
+        "model": "planner",
+        "prompt": "p",
+        "max_tokens": 8,
+        "client": "desk",
+        "deadline": clock.now() + 5.0,
+    }
+    values.update(fields)
+    return model.ModelCall(**values)
+
+
+def text_of(seen):
+    return "".join(event.text for event in seen if isinstance(event, model.Tokens))
+
+
+def crash_after(n_tokens):
+    """Return a script that sends some tokens, then resets the connection."""
+
+    def script(connection, received):
+        made = resumed(received)
+        connection.sendall(scripted.stream_head(received))
+        for i in range(made, made + n_tokens):
+            part = scripted.event(received.request_id, f"t{i}", [i])
+            connection.sendall(scripted.chunk(part))
+        eventlet.sleep(0.01)
+        return False
+
+    return script
+
+
+def stall_after_one(connection, received):
+    part = scripted.event(received.request_id, "t0", [0])
+    connection.sendall(scripted.stream_head(received) + scripted.chunk(part))
+    eventlet.sleep(30)
+
+
+def resumed(received):
+    return len(json.loads(received.body)["resume_token_ids"])
+
+
+def finish(n_tokens, weight_version=3):
+    """Return a script that makes tokens up to `n_tokens`, whatever was made before."""
+
+    def make(received):
+        parts = [
+            scripted.event(
+                received.request_id, f"t{i}", [i], weight_version=weight_version
+            )
+            for i in range(resumed(received), n_tokens)
+        ]
+        parts.append(scripted.event(received.request_id, "", [], "stop"))
+        parts.append(scripted.DONE)
+        body = b"".join(scripted.chunk(part) for part in parts)
+        return scripted.stream_head(received) + body + scripted.LAST_CHUNK
+
+    return scripted.serve(make)
+
+
+def busy(connection, received):
+    connection.sendall(scripted.answer(received, status="503 Busy\r\nRetry-After: 1"))
+
+
+class Models(dispatching.Gateway):
+    def test_engine_that_fails_before_its_first_token_is_replaced(self):
+        self.engine("e1", scripted.serve_and_close(lambda received: b""))
+        self.engine("e2", finish(3))
+        for _ in range(4):
+            seen = list(self.dispatcher.stream(call()))
+            self.assertEqual(text_of(seen), "t0t1t2")
+            self.assertIsInstance(seen[-1], model.Finished)
+
+    @params(
+        ("crash", crash_after(2), Reason.ANSWER_TRUNCATED),
+        ("stall", stall_after_one, Reason.UPSTREAM_TIMEOUT),
+        (
+            "cut exactly at a chunk's edge, without the marker",
+            scripted.serve_and_close(
+                lambda received: (
+                    scripted.stream_head(received)
+                    + scripted.chunk(scripted.event(received.request_id, "t0", [0]))
+                )
+            ),
+            Reason.ANSWER_TRUNCATED,
+        ),
+        (
+            "ended by the last chunk, without the marker",
+            scripted.serve(
+                lambda received: (
+                    scripted.stream_head(received)
+                    + scripted.chunk(scripted.event(received.request_id, "t0", [0]))
+                    + scripted.LAST_CHUNK
+                )
+            ),
+            Reason.ANSWER_TRUNCATED,
+        ),
+        (
+            "another request's tokens",
+            scripted.serve(
+                lambda received: (
+                    scripted.stream_head(received)
+                    + scripted.chunk(scripted.event(received.request_id, "t0", [0]))
+                    + scripted.chunk(scripted.event("another", "no", [9]))
+                )
+            ),
+            Reason.ANSWER_MISMATCHED,
+        ),
+    )
+    def test_stream_is_resumed_from_the_tokens_so_far(self, name, script, reason):
+        """An engine fails in the middle of a stream; another can go on from there.
+
+        The caller sees one stream with each token once, the later ones with the weight
+        version of the engine that made them.
+        """
+        self.engine("e1", script, availability_zone="a")
+        second = self.engine("e2", finish(5, 4), availability_zone="far")
+        with unittest.mock.patch.object(attempts, "STALL_SECONDS", 0.1):
+            seen = list(resume.stream(self.dispatcher, call()))
+        self.assertEqual(seen[0].upstream_id, "e1", name)
+        self.assertEqual(text_of(seen), "t0t1t2t3t4", name)
+        self.assertIsInstance(seen[-1], model.Finished)
+        self.assertEqual(seen[-2].weight_version, 4)
+        self.assertEqual(len(second.received), 1)
+
+    def test_resumed_stream_goes_before_new_calls_when_the_queue_is_full(self):
+        """An engine crashed under a stream; its client's queue is full of new calls.
+
+        Refused, the stream would break off, and its tokens be made for nothing.
+        """
+        self.start(max_queue_per_caller=1)
+        self.engine("e1", finish(3), max_concurrency=1)
+        holder = self.dispatcher.stream(call())
+        next(holder)
+        new = eventlet.spawn(list, self.dispatcher.stream(call()))
+        eventlet.sleep(0.01)
+        resumed_call = call(resume_token_ids=(0, 1))
+        task = eventlet.spawn(list, self.dispatcher.stream(resumed_call))
+        eventlet.sleep(0.01)
+        holder.close()
+        self.assertEqual(text_of(task.wait()), "t2")
+        self.assertEqual(new.wait()[-1].reason, Reason.QUEUE_FULL)
+
+    def test_stream_that_no_engine_can_resume_ends_as_failed(self):
+        self.engine("e1", crash_after(2), can_resume=False)
+        seen = list(resume.stream(self.dispatcher, call()))
+        self.assertEqual(text_of(seen), "t0t1")
+        self.assertIsInstance(seen[-1], model.Failed)
+        self.assertTrue(seen[-1].may_have_run)
+
+    def test_dispatcher_leaves_a_begun_stream_to_its_caller(self):
+        self.engine("e1", crash_after(2))
+        self.engine("e2", crash_after(2))
+        seen = list(self.dispatcher.stream(call()))
+        self.assertIsInstance(seen[-1], model.Failed)
+        self.assertEqual(self.n_received(), 1)
+
+    def test_busy_engine_is_left_alone_and_the_call_goes_elsewhere(self):
+        self.engine("e1", busy)
+        self.engine("e2", finish(3))
+        for number in range(6):
+            # A busy engine has not run what it refused, so that may be sent again.
+            is_idempotent = number % 2 == 0
+            seen = list(self.dispatcher.stream(call(is_idempotent=is_idempotent)))
+            self.assertIsInstance(seen[-1], model.Finished)
+        self.assertLessEqual(len(self.fakes["e1"].received), 1)
+
+    def test_closing_the_iterator_closes_the_engines_connection(self):
+        """The caller has enough after the first token: the engine must stop."""
+
+        def endless(connection, received):
+            connection.sendall(scripted.stream_head(received))
+            while True:
+                part = scripted.event(received.request_id, "t", [1])
+                connection.sendall(scripted.chunk(part))
+                eventlet.sleep(0.01)
+
+        fake = self.engine("e1", endless)
+        events = self.dispatcher.stream(call())
+        next(events)
+        events.close()
+        with eventlet.Timeout(5):
+            while not fake.n_closed:
+                eventlet.sleep(0.01)
+        self.assertEqual(self.dispatcher.n_in_flight, 0)
+
+    def test_killed_task_leaves_the_queue(self):
+        """A call that waits for a place is given up on by killing its task.
+
+        Its entry must go, and the place it would have got must go to another.
+        """
+        self.engine("e1", lambda connection, received: eventlet.sleep(30))
+        self.registry.upstreams["e1"] = upstream_model.Upstream(
+            "e1",
+            "engine",
+            self.fakes["e1"].address,
+            max_concurrency=1,
+            models={"planner": upstream_model.ServedModel(3)},
+        )
+        first = eventlet.spawn(list, self.dispatcher.stream(call()))
+        eventlet.sleep(0.02)
+        second = eventlet.spawn(list, self.dispatcher.stream(call()))
+        eventlet.sleep(0.02)
+        self.assertEqual(self.dispatcher.n_waiting, 1)
+        second.kill()
+        self.assertEqual(self.dispatcher.n_waiting, 0)
+        first.kill()
+        self.assertEqual(self.dispatcher.n_in_flight, 0)
+
+    def test_place_given_to_a_task_that_is_killed_at_that_moment_is_given_back(self):
+        """A place falls to a waiting call, whose task is killed before it runs again.
+
+        Nobody would ever end that call: the engine would be one place short for good.
+        """
+        self.engine("e1", finish(1), max_concurrency=1)
+        self.registry.upstreams["e1"] = self.fakes["e1"].upstream("e1")
+        holder = self.dispatcher.stream(call())
+        next(holder)
+        waiting = eventlet.spawn(list, self.dispatcher.stream(call()))
+        eventlet.sleep(0.02)
+        self.assertEqual(self.dispatcher.n_waiting, 1)
+        # Gives the place to the waiting call, which has not run when it is killed.
+        holder.close()
+        waiting.kill()
+        self.assertEqual(self.dispatcher.n_in_flight, 0)
+        self.assertIsInstance(list(self.dispatcher.stream(call()))[-1], model.Finished)
+
+    def test_waiting_call_of_a_client_that_hangs_up_is_refused_at_once(self):
+        self.engine("e1", lambda c, r: eventlet.sleep(30), max_concurrency=1)
+        first = eventlet.spawn(list, self.dispatcher.stream(call()))
+        eventlet.sleep(0.02)
+        with eventlet.Timeout(3):
+            (failed,) = self.dispatcher.stream(call(is_client_gone=lambda: True))
+        self.assertEqual(failed.reason, Reason.CALLER_GONE)
+        self.assertFalse(failed.may_have_run)
+        first.kill()
+
+    def test_no_engine_has_the_version(self):
+        self.engine("e1", finish(3), weight_version=2)
+        (failed,) = self.dispatcher.stream(call(min_weight_version=3))
+        self.assertEqual(failed.reason, Reason.NO_UPSTREAM)
+        self.assertFalse(failed.may_have_run)
+        self.assertGreater(failed.retry_after_seconds, 0)
