--- a/misc/request_load.py
+++ b/misc/request_load.py
@@ -184,7 +184,10 @@
         self.seconds.clear()
         self.n_events = 0
         began = time.monotonic()
-        eventlet.sleep(self.options.seconds)
+        while time.monotonic() < began + self.options.seconds:
+            if all(task.dead for task in tasks):
+                break
+            eventlet.sleep(0.01)
         elapsed = time.monotonic() - began
         statuses, seconds = dict(self.statuses), sorted(self.seconds)
         n_events = self.n_events
--- a/misc/request_site.py
+++ b/misc/request_site.py
@@ -110,6 +110,7 @@
         seconds: float = 2.0,
         watched: str = "",
         leaves: bool = False,
+        warm_seconds: float = 0.3,
     ) -> Any:
         """Run callers as a process and return what they saw.
 
@@ -120,7 +121,7 @@
         arguments += ["--path", path, "--method", method, "--body", body]
         arguments += ["--n-connections", str(n_connections), "--rate", str(rate)]
         arguments += ["--retry-seconds", str(retry_seconds)]
-        arguments += ["--seconds", str(seconds)]
+        arguments += ["--seconds", str(seconds), "--warm-seconds", str(warm_seconds)]
         arguments += ["--leave-when-told"] if leaves else []
         for header in headers:
             arguments += ["--header", header]
@@ -142,6 +143,16 @@
         fields = text.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def n_answered(self, address: str) -> float:
+        """Return how many callers' requests a daemon has answered with 200."""
+        try:
+            text = self._http.request("GET", f"http://{address}/metrics").data.decode()
+        except urllib3.exceptions.HTTPError:
+            return 0.0
+        name = 'bilberrydrum_requests_total{kind="caller",status="200"} '
+        lines = [line for line in text.splitlines() if line.startswith(name)]
+        return sum(float(line.rpartition(" ")[2]) for line in lines)
+
     def memory_mib(self, name: str) -> float:
         """Return the memory that a process has in use."""
         path = pathlib.Path(f"/proc/{self._processes[name].pid}/statm")
--- a/tests/test_requests_processes.py
+++ b/tests/test_requests_processes.py
@@ -3,7 +3,6 @@
 import pathlib
 import tempfile
 import threading
-import time
 import unittest
 
 from misc import processes, request_site
@@ -31,8 +30,9 @@
                         site.gateway,
                         path,
                         *arguments,
-                        seconds=4.0,
+                        seconds=60.0,
                         leaves=True,
+                        warm_seconds=0.0,
                         **options,
                     )
                 )
@@ -49,10 +49,15 @@
                     kwargs={"headers": ("X-Caller: busy",), "n_connections": 16},
                 ),
             ]
-            for caller in callers:
+            # Streams first, so that both kinds are under way.
+            for n_answered, caller in zip((16, 48), callers, strict=True):
                 caller.start()
-            time.sleep(1.5)
-            code = started["gw-0"].terminate(timeout=20.0)
+                processes.wait_for(
+                    lambda n=n_answered: site.n_answered(site.gateway) >= n,
+                    60.0,
+                    "answers to callers",
+                )
+            code = started["gw-0"].terminate(timeout=60.0)
             for caller in callers:
                 caller.join()
             site.stop()
