Ask the registry at each choice; work out who is eligible only after a change

The list was up to 20 ms old, and at 870 upstreams would have been worked out anew for each request. The registry's mapping is a new one after each change.

--- a/bilberrydrum/interfaces.py
+++ b/bilberrydrum/interfaces.py
@@ -98,7 +98,11 @@
     """The upstreams this gateway may use. Kept by `upstreams.registry`."""
 
     def upstreams_by_id(self) -> Mapping[str, upstream_model.Upstream]:
-        """Return the upstreams whose lease stands now and that are not leaving."""
+        """Return the upstreams whose lease stands now and that are not leaving.
+
+        The mapping is not changed later: the same one again means that nothing has
+        changed.
+        """
 
     def home_of(self, upstream_id: str) -> str | None:
         """Return the process id of the gateway that hears the upstream's renewals."""
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -34,8 +34,8 @@
 
 # Time between looks at the queue when no call ends.
 PUMP_SECONDS: Final = 0.02
-# Age at which the registry's answer is asked for again.
-_SNAPSHOT_SECONDS: Final = 0.02
+# Time between counts of the gateways that share the upstreams.
+_COUNT_SECONDS: Final = 1.0
 # Time between looks whether the client of a waiting call is still there.
 GONE_CHECK_SECONDS: Final = 0.25
 
@@ -80,7 +80,7 @@
         self._events_by_number: dict[int, eventlet.event.Event] = {}
         self._upstreams_by_id: Mapping[str, upstream_model.Upstream] = {}
         self._eligible_by_need: dict[routing.Need, list[upstream_model.Upstream]] = {}
-        self._snapshot_at = float("-inf")
+        self._counted_at = float("-inf")
         self._n_gateways = 1
         self._task: Any = None
 
@@ -321,15 +321,14 @@
         return chosen
 
     def _refresh(self, now: float) -> None:
-        if now - self._snapshot_at < _SNAPSHOT_SECONDS:
-            return
-        self._snapshot_at = now
-        known = self._upstreams_by_id
-        self._upstreams_by_id = dict(self._registry.upstreams_by_id())
-        if known.keys() != self._upstreams_by_id.keys():
-            self._router.keep_only(frozenset(self._upstreams_by_id))
-        self._eligible_by_need.clear()
-        self._n_gateways = max(1, len(self._bundles.gateways_by_id()))
+        latest = self._registry.upstreams_by_id()
+        if latest is not self._upstreams_by_id:
+            self._upstreams_by_id = latest
+            self._eligible_by_need.clear()
+            self._router.keep_only(frozenset(latest))
+        if now >= self._counted_at + _COUNT_SECONDS:
+            self._counted_at = now
+            self._n_gateways = max(1, len(self._bundles.gateways_by_id()))
 
 
 def _give_up(
--- a/tests/fakes/gateway_parts.py
+++ b/tests/fakes/gateway_parts.py
@@ -53,7 +53,7 @@
         self.holders_by_prefix: dict[str, frozenset[str]] = {}
 
     def upstreams_by_id(self) -> dict[str, upstream_model.Upstream]:
-        return self.upstreams
+        return dict(self.upstreams)
 
     def home_of(self, upstream_id: str) -> str | None:
         return "g1"
