--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -29,6 +29,8 @@
 # A stream that has begun and stops for longer than a swap of weights takes is one of an
 # engine that hangs. It is broken off, so that another engine can go on.
 STALL_SECONDS: Final = 20.0
+# Largest answer of a plain service.
+MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
 _READ_BYTES: Final = 64 * 1024
 # Statuses by which a service says that another one might do better.
 _FAILED_STATUSES: Final = frozenset({502, 503, 504})
@@ -247,7 +249,14 @@
         raise AttemptError(
             reasons.Reason.ANSWER_TRUNCATED, True, "no length and no chunks"
         )
-    return b"".join(read_parts(answer))
+    parts, n_bytes = [], 0
+    for part in read_parts(answer):
+        n_bytes += len(part)
+        if n_bytes > MAX_ANSWER_BYTES:
+            # It is held in memory until it is known to be whole.
+            raise AttemptError(reasons.Reason.UPSTREAM_ERROR, True, "answer too large")
+        parts.append(part)
+    return b"".join(parts)
 
 
 def stream(
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -84,6 +84,7 @@
         ("body shorter than its length", truncated, Reason.ANSWER_TRUNCATED),
         ("cut exactly at a chunk's edge", cut_at_chunk_edge, Reason.ANSWER_TRUNCATED),
         ("neither length nor chunks", no_length, Reason.ANSWER_TRUNCATED),
+        ("too large", lambda r: scripted.answer(r, b"x" * 99), Reason.UPSTREAM_ERROR),
         ("for another request", other_id, Reason.ANSWER_MISMATCHED),
         ("no HTTP", no_http, Reason.CONNECTION_RESET),
         ("closed without an answer", nothing, Reason.CONNECTION_RESET),
@@ -96,7 +97,10 @@
         have run.
         """
         fake = self.upstream(scripted.serve_and_close(make))
-        with self.assertRaises(attempts.AttemptError) as caught:
+        with (
+            unittest.mock.patch.object(attempts, "MAX_ANSWER_BYTES", 50),
+            self.assertRaises(attempts.AttemptError) as caught,
+        ):
             self.call(fake)
         self.assertEqual(caught.exception.reason, reason, name)
         self.assertTrue(caught.exception.may_have_run)
