--- a/bilberrydrum/samples/applying.py
+++ b/bilberrydrum/samples/applying.py
@@ -208,8 +208,10 @@
         return
     ready = [
         (group, i)
-        for group, i, slot in section.slots_in_order(trainer)
-        if slot.position == model.UNASSIGNED and section.is_whole(group)
+        for group in trainer.groups_by_id.values()
+        if section.is_whole(group)
+        for i, slot in enumerate(group.slots)
+        if slot.position == model.UNASSIGNED
     ]
     for group, i in ready[:n_samples]:
         section.assign(trainer, group, i)
--- a/bilberrydrum/samples/section.py
+++ b/bilberrydrum/samples/section.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterator
-from typing import Final
+from typing import Any, Final
 
 import attrs
 import msgpack
@@ -230,11 +230,40 @@
 
 
 def pack_trace(group: Group) -> bytes:
-    """Return the slots of a finished group in few bytes."""
-    return bytes(msgpack.packb([codec.encode(slot) for slot in group.slots]))
+    """Return the slots of a finished group in few bytes.
+
+    Without names of fields and without what matters only until delivery, a slot takes
+    about 60 bytes in place of 250.
+    """
+    return bytes(msgpack.packb([_pack_slot(slot) for slot in group.slots]))
+
+
+def _pack_slot(slot: Slot) -> list[Any]:
+    record = slot.record
+    if record is None:
+        return [slot.n_attempts, slot.position, slot.delivered_version]
+    segments = [attrs.astuple(each) for each in record.segments]
+    return [
+        slot.n_attempts,
+        slot.position,
+        slot.delivered_version,
+        record.attempt,
+        record.owner_epoch,
+        record.upstream_id,
+        segments,
+        record.score,
+        record.n_tokens,
+    ]
 
 
 def unpack_trace(past: PastGroup, i_slot: int) -> Slot:
-    """Return one slot out of a packed trace."""
-    slot: Slot = codec.decode(msgpack.unpackb(past.trace)[i_slot])
-    return slot
+    """Return one slot out of a packed trace; its payload's digest is not kept."""
+    n_attempts, position, version, *rest = msgpack.unpackb(past.trace)[i_slot]
+    if not rest:
+        return Slot(n_attempts, None, position, version)
+    attempt, epoch, upstream_id, packed, score, n_tokens = rest
+    segments = tuple(model.Segment(*each) for each in packed)
+    record = model.Record(
+        attempt, epoch, upstream_id, segments, score, n_tokens, b"", ()
+    )
+    return Slot(n_attempts, record, position, version)
--- a/tests/test_samples_commands.py
+++ b/tests/test_samples_commands.py
@@ -429,7 +429,7 @@
         self.assertEqual(trace(machine, "g0", 0).state, queries.STATE_READY)
 
     def test_owner_that_comes_back_learns_of_its_groups(self) -> None:
-        """An owner loses its groups; the answer to its first renewal after that is lost.
+        """An owner loses its groups; the answer to its next renewal is lost.
 
         It still knows a revision of the time before. Met again, that number would mean
         that nothing has changed, and nobody would ever make the samples it got since.
