Let attempts outlive a short outage of the state group

Attempts now go on for five leases; nothing new starts, and what is recorded is checked against the owner's epoch as before. The test fails with the earlier rule (each sample generated twice). An error in a renewal no longer ends the task that renews.

--- a/bilberrydrum/samples/owner.py
+++ b/bilberrydrum/samples/owner.py
@@ -1,7 +1,9 @@
 """The task that drives the groups this gateway owns.
 
 It renews the owner's lease, takes the list of wanted slots, and starts and stops the
-attempts that the schedule names. The lease is counted from when its renewal was sent.
+attempts that the schedule names. The lease is counted from when its renewal was sent;
+without it nothing is started. What is recorded is checked against the owner's epoch in
+the state group.
 """
 
 from typing import Final
@@ -27,6 +29,8 @@
 
 _TICK_SECONDS: Final = 0.02
 _RENEWALS_PER_LEASE: Final = 4
+# Leases without renewal after which attempts are stopped.
+_ABANDON_LEASES: Final = 5
 # Reasons that are the slot's fate rather than an attempt's failure: no waiting.
 _SUPERSEDED: Final = (
     reasons.Reason.EPOCH_STALE,
@@ -110,7 +114,11 @@
             with eventlet.Timeout(interval, False):
                 self._wake.wait()
             self._wake = eventlet.event.Event()
-            self._renew()
+            try:
+                self._renew()
+            except Exception:
+                # Without renewals all groups of this gateway would go to others.
+                eliot.write_traceback()
 
     def _renew(self) -> None:
         lease = self._options.samples.owner_lease_seconds
@@ -165,9 +173,8 @@
         now = clock.now()
         current = self._bundles.current()
         if now >= self._leased_until:
-            # Another gateway may be driving the groups by now.
-            self._stop_attempts(self._schedule.drop_all())
             self._revision = 0
+            self._abandon(now)
             return
         if current.is_err():
             return
@@ -194,6 +201,19 @@
             thread = eventlet.spawn(self._attempt, task)
             self._attempts_by_start[(start.key, start.attempt)] = thread
 
+    def _abandon(self, now: float) -> None:
+        """Stop all attempts once the lease has been over for long.
+
+        Nothing new is started without the lease, as another gateway may be driving the
+        groups by now. What runs goes on for a while: if it was the state group that
+        could not be reached, the groups are still this owner's, and stopping would
+        throw away the work of all engines. If they are not, the state group refuses
+        what is made here.
+        """
+        lease = self._options.samples.owner_lease_seconds
+        if now >= self._leased_until + _ABANDON_LEASES * lease:
+            self._stop_attempts(self._schedule.drop_all())
+
     def _stop_attempts(self, cancels: list[scheduling.Cancel]) -> None:
         for cancel in cancels:
             self._trails_by_start.pop((cancel.key, cancel.attempt), None)
--- a/tests/test_samples_delivery.py
+++ b/tests/test_samples_delivery.py
@@ -299,6 +299,25 @@
         self.first.state.is_cut = True
         self.site.wait_for(lambda: dispatcher.n_closed == 2)
 
+    def test_attempts_outlive_a_short_outage_of_the_state_group(self) -> None:
+        """No gateway reaches the state group for longer than the owners' lease.
+
+        The groups are still their owners'; the samples that were being made are used,
+        and no engine generates any of them a second time.
+        """
+        for gateway in self.site.gateways:
+            pauses = [support.tokens(1), 1.5, support.tokens(2), support.finished()]
+            gateway.dispatcher.scripts = [pauses]
+        self.add("g0", "g1")
+        calls = [gateway.dispatcher.calls for gateway in self.site.gateways]
+        self.site.wait_for(lambda: sum(map(len, calls)) == 4)
+        for is_cut in (True, False):
+            for gateway in self.site.gateways:
+                gateway.state.is_cut = is_cut
+            clock.sleep(1.0 if is_cut else 0.0)
+        self.assertEqual(len(unwrap(self.first.read(0)).payloads), 4)
+        self.assertEqual(sum(map(len, calls)), 4)
+
     def test_gateway_that_stops_hands_its_groups_on_at_once(self) -> None:
         self.add("g0", "g1")
         self.second.service.stop()
