--- a/misc/demo_run.py
+++ b/misc/demo_run.py
@@ -201,6 +201,16 @@
             "planner": planner,
             "bookings": attrs.asdict(bookings),
             "reverts": self._probe.reverts,
+            "rolls": [
+                {
+                    "version": rolled.version,
+                    "seen_seconds": round(
+                        self._probe.seconds_in_force(rolled, gateways), 3
+                    ),
+                    "reported_seconds": round(rolled.reported - rolled.asked, 3),
+                }
+                for rolled, gateways in self._rolled
+            ],
         }
         return figures.summary(trainer, bookings, slowest), details, breaches
 
@@ -225,9 +235,9 @@
     except (processes.ConditionTimeoutError, andes.ToolError) as error:
         print(f"failed: {error}\nfiles are kept in {folder}", file=sys.stderr)
         return 1
-    except KeyboardInterrupt:
+    except SystemExit:
         print(f"interrupted; files are kept in {folder}", file=sys.stderr)
-        return 130
+        raise
     _say(f"took {time.monotonic() - start:.1f} s")
     print(json.dumps(details))
     print(json.dumps(summary), flush=True)
@@ -241,3 +251,7 @@
 
 def _say(text: str) -> None:
     print(text, file=sys.stderr, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/misc/processes.py
+++ b/misc/processes.py
@@ -221,13 +221,20 @@
 
 
 def exit_on_signals() -> None:
-    """Turn SIGTERM and SIGHUP into an exit, so that the processes are still ended."""
+    """Turn the signals that ask for an end into an exit that ends the processes.
+
+    Later ones are ignored: a second interrupt would break off the ending and leave
+    processes behind.
+    """
+    ending = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
     def handle(number: int, _frame: object) -> None:
+        for each in ending:
+            signal.signal(each, signal.SIG_IGN)
         raise SystemExit(128 + number)
 
-    signal.signal(signal.SIGTERM, handle)
-    signal.signal(signal.SIGHUP, handle)
+    for each in ending:
+        signal.signal(each, handle)
 
 
 def run_tool(arguments: Sequence[str], timeout: float) -> tuple[int, str, str]:
--- /dev/null
+++ b/tests/test_demo_process.py
@@ -0,0 +1,57 @@
+"""The demo ends the processes that it started, also when it is interrupted."""
+
+import pathlib
+import signal
+import tempfile
+import unittest
+
+from nose2.tools import params
+
+from bilberrydrum import runtime
+
+runtime.prepare()
+
+from misc import processes
+
+DEADLINE = 90.0
+
+
+def pids_that_name(text):
+    """Return the ids of the processes whose command line holds a text."""
+    pids = []
+    for path in pathlib.Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            words = path.read_bytes().split(b"\0")
+        except OSError:
+            # It ended meanwhile.
+            continue
+        if any(text.encode() in word for word in words):
+            pids.append(int(path.parent.name))
+    return pids
+
+
+class InterruptTest(unittest.TestCase):
+    @params(signal.SIGINT, signal.SIGTERM)
+    def test_interrupted_demo_leaves_no_process_behind(self, number):
+        """The demo is told to end while its processes start, and again meanwhile.
+
+        Each process names the demo's folder in its command line, so what is left
+        over can be seen. The second signal must not break off the ending.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            run = pathlib.Path(folder) / "run"
+            with processes.Processes(pathlib.Path(folder)) as started:
+                demo = started.start_module(
+                    "demo", "misc.demo_run", "--folder", str(run)
+                )
+
+                def are_started():
+                    self.assertTrue(demo.is_running(), demo.log_tail())
+                    return len(pids_that_name(str(run))) >= 4
+
+                processes.wait_for(are_started, DEADLINE, "daemons")
+                demo.send(number)
+                demo.send(number)
+                code = demo.popen.wait(DEADLINE)
+            self.assertEqual(128 + number, code, demo.log_tail())
+            self.assertEqual([], pids_that_name(str(run)))
