Import all of the state machine's commands in one place

Cause: tests.test_samples_invariants failed with 'no apply function for ExpireSamples' once the commands and their apply functions stood in two modules: the test imported the first only. A replica in a process that lacks such an import would meet a committed command that it can neither apply nor pass. Ruled out: a fault of the command; the daemon happened to import all modules. Change: registrations.py imports them all, for the daemon and the sample tests; a test compares its list with the modules that register functions.

--- a/bilberrydrum/daemon.py
+++ b/bilberrydrum/daemon.py
@@ -14,7 +14,13 @@
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, options, reasons, transport
+from bilberrydrum import (
+    clock,
+    options,
+    reasons,
+    registrations,  # noqa: F401, imported for what it registers
+    transport,
+)
 from bilberrydrum.bundles import grants, lease
 from bilberrydrum.http import (
     bundles,
--- /dev/null
+++ b/bilberrydrum/registrations.py
@@ -0,0 +1,33 @@
+"""Import every module that adds commands, queries or sections to the state machine.
+
+A replica applies whatever is in the log, also commands of parts that do not run in its
+process. If one of these modules were not imported there, the replica would find no
+function for a committed command and have to stop. Whoever makes a replica imports this
+module; a test checks that it leaves none out.
+"""
+
+from bilberrydrum.bundles import commands as bundle_commands
+from bilberrydrum.bundles import queries as bundle_queries
+from bilberrydrum.bundles import records as bundle_records
+from bilberrydrum.requests import claims_state
+from bilberrydrum.samples import applying, section
+from bilberrydrum.samples import queries as sample_queries
+from bilberrydrum.state import commands as state_commands
+from bilberrydrum.state import controller_commands, processes
+from bilberrydrum.weights import commands as weight_commands
+from bilberrydrum.weights import queries as weight_queries
+
+MODULES = (
+    bundle_commands,
+    bundle_queries,
+    bundle_records,
+    claims_state,
+    applying,
+    section,
+    sample_queries,
+    state_commands,
+    controller_commands,
+    processes,
+    weight_commands,
+    weight_queries,
+)
--- a/tests/samples_support.py
+++ b/tests/samples_support.py
@@ -7,7 +7,13 @@
 import attrs
 import result
 
-from bilberrydrum import clock, codec, interfaces, reasons
+from bilberrydrum import (
+    clock,
+    codec,
+    interfaces,
+    reasons,
+    registrations,  # noqa: F401, imported for what it registers
+)
 from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.requests import model as request_model
 from bilberrydrum.samples import commands, model
--- /dev/null
+++ b/tests/test_registrations.py
@@ -0,0 +1,26 @@
+"""Every command that can be committed can be applied in every process."""
+
+import pathlib
+import re
+import unittest
+
+from bilberrydrum import registrations
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+REGISTERS = re.compile(r"\b(apply|answer|keep_rising)\.register\b")
+
+
+class TestRegistrations(unittest.TestCase):
+    def test_no_module_of_the_state_machine_is_left_out(self):
+        """A replica meets a committed command of a part that it never imported.
+
+        It could neither apply the command nor go past it, so it would stop, and so
+        would each other replica of the same kind.
+        """
+        paths = (ROOT / "bilberrydrum").rglob("*.py")
+        found = {
+            ".".join(path.relative_to(ROOT).with_suffix("").parts)
+            for path in paths
+            if REGISTERS.search(path.read_text())
+        }
+        self.assertEqual({module.__name__ for module in registrations.MODULES}, found)
