--- a/misc/capacity_records.py
+++ b/misc/capacity_records.py
@@ -13,17 +13,16 @@
 
 import attrs
 
-from bilberrydrum import codec
+from bilberrydrum import codec, registrations
 from bilberrydrum.bundles import commands as bundle_commands
 from bilberrydrum.requests import claims_state
-from bilberrydrum.samples import applying
 from bilberrydrum.samples import commands as sample_commands
 from bilberrydrum.samples import model as sample_model
 from bilberrydrum.state import machine, processes
 from bilberrydrum.weights import commands as weight_commands
 
-# The module that applies the samples' commands; importing it registers them.
-APPLYING: Final = applying
+# Importing them registers what the commands do.
+COMMAND_MODULES: Final = registrations.MODULES
 DAY_SECONDS: Final = 24 * 3600.0
 SLOTS_PER_GROUP: Final = 8
 RECORDS_PER_COMMAND: Final = 64
