--- a/misc/capacity_records.py
+++ b/misc/capacity_records.py
@@ -43,8 +43,13 @@
     for i in range(n):
         key, claim_id = f"booking-{i:012}", f"{i:032x}"
         yield claims_state.ClaimKey(
-            *("planners", key, f"{i:064x}", claim_id),
-            *("gateway-17", 4711, 90.0, DAY_SECONDS),
+            caller="planners",
+            key=key,
+            digest=f"{i:064x}",
+            claim_id=claim_id,
+            holder="gateway-17",
+            holds_seconds=90.0,
+            lifetime_seconds=DAY_SECONDS,
         )
         answer = claims_state.Result(200, (("Content-Type", "text/json"),), RESULT)
         yield claims_state.FinishClaim("planners", key, claim_id, answer)
