--- a/tests/test_weights_processes.py
+++ b/tests/test_weights_processes.py
@@ -43,7 +43,7 @@
         cls.folder = pathlib.Path(folder.name)
         cls.running = processes.Processes(cls.folder)
         cls.addClassCleanup(cls.running.stop_all)
-        cls.pool = urllib3.PoolManager(retries=False, timeout=5.0)
+        cls.pool = urllib3.PoolManager(retries=False, timeout=15.0)
         cls.version = 0
         ports = iter(processes.free_ports(12))
         cls.http_ports = [next(ports) for _ in ZONES]
