Let one engine whose fencing number is ahead hold up only itself

Cause: after one refusal nothing was ordered until the lease changed hands, so an engine with a number of its own, or engines after a restore without raised numbers, stopped the roll-out on all engines for good, while the holder went on renewing. Ruled out: ignoring refusals, for a controller with a slow clock would go on. Change: nothing is ordered for a whole lease; a right that stands after that was renewed after the refusal, so there is no newer controller. The engine that refused is tried with growing delays and listed.

--- a/bilberrydrum/weights/planner.py
+++ b/bilberrydrum/weights/planner.py
@@ -92,13 +92,18 @@
     ----------
     swap_share : float
         Share of a model's engines that may swap at a time.
+    lease_seconds : float
+        Length of the lease behind the right to order.
     """
 
-    def __init__(self, swap_share: float) -> None:
+    def __init__(self, swap_share: float, lease_seconds: float) -> None:
         self._swap_share = swap_share
+        self._lease_seconds = lease_seconds
         self._fencing_number = 0
-        # Number under which an engine refused an order as old.
+        # Number under which an engine refused an order as old, and until when nothing
+        # is ordered under it.
         self._refused_number = 0
+        self._refused_until = 0.0
         self._order_numbers = itertools.count(1)
         self._targets_by_model: Mapping[str, views.Target] = {}
         self._engines_by_id: dict[str, Engine] = {}
@@ -146,9 +151,11 @@
 
     @_take.register
     def _(self, event: Observed, now: float) -> list[orders.Order]:
-        if event.fencing_number <= self._refused_number:
-            # A newer controller is at work: whatever this one sends is refused, or
-            # undoes the other's orders at engines that do not check.
+        if event.fencing_number == self._refused_number and now < self._refused_until:
+            # A newer controller may be at work: whatever this one sends is refused, or
+            # undoes the other's orders at engines that do not check. If the right
+            # still stands a whole lease later, it was renewed after the refusal, and
+            # it is the engine whose number is ahead; the others must not wait for it.
             return []
         if event.fencing_number != self._fencing_number:
             self._forget_all()
@@ -252,7 +259,11 @@
                 continue
             if not (upstream.checks_fencing or event.may_order_unfenced):
                 continue
-            wanted = _wanted(event, engine_id, views_by_id[engine_id])
+            wanted = views.wanted(
+                views_by_id[engine_id],
+                event.targets_by_model,
+                event.roles_by_id.get(engine_id),
+            )
             self._forget_unwanted(engine_id, wanted, views_by_id[engine_id])
             for action in wanted:
                 retry = self._retry_of(engine_id, action)
@@ -351,7 +362,10 @@
                     retry.at = max(retry.at, now + retry_after)
             case orders.Fenced():
                 self._refused_number = self._fencing_number
+                self._refused_until = now + self._lease_seconds
                 self._forget_all()
+                self._engines_by_id[order.upstream_id] = engine
+                self._retry_later(engine, action, "fenced", "", jitter, now)
             case orders.NotSent():
                 pass
 
@@ -371,20 +385,3 @@
         # otherwise come back together.
         at = now + delay * (0.5 + 0.5 * jitter)
         engine.retries_by_action[action] = Retry(n_failures, at, detail, order_id)
-
-
-def _wanted(
-    event: Observed, engine_id: str, view: views.EngineView
-) -> list[orders.Action]:
-    """Return what an engine has to do, the most urgent first."""
-    needs = []
-    role = event.roles_by_id.get(engine_id)
-    if role is not None and role != view.role:
-        action = orders.Action(orders.SET_ROLE, role=role)
-        needs.append(views.Need(views.Urgency.ROLE, action))
-    for name, model in view.models_by_name.items():
-        target = event.targets_by_model.get(name)
-        if target is not None:
-            needs.extend(views.needs(name, model, target))
-    needs.sort(key=lambda need: need.urgency)
-    return [need.action for need in needs]
--- a/bilberrydrum/weights/rollout.py
+++ b/bilberrydrum/weights/rollout.py
@@ -45,7 +45,9 @@
         self._bundles = bundles
         self._registry = registry
         self._controller = controller
-        self._planner = planner.Planner(options.samples.swap_share)
+        self._planner = planner.Planner(
+            options.samples.swap_share, options.upstreams.controller_lease_seconds
+        )
         self._answers: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         self._pool = eventlet.greenpool.GreenPool(MAX_FLIGHTS)
         self._random = random.Random()
--- a/bilberrydrum/weights/views.py
+++ b/bilberrydrum/weights/views.py
@@ -172,6 +172,22 @@
     action: orders.Action
 
 
+def wanted(
+    view: EngineView, targets_by_model: Mapping[str, Target], role: str | None
+) -> list[orders.Action]:
+    """Return what an engine has to do, the most urgent first."""
+    found = []
+    if role is not None and role != view.role:
+        action = orders.Action(orders.SET_ROLE, role=role)
+        found.append(Need(Urgency.ROLE, action))
+    for name, model in view.models_by_name.items():
+        target = targets_by_model.get(name)
+        if target is not None:
+            found.extend(needs(name, model, target))
+    found.sort(key=lambda need: need.urgency)
+    return [need.action for need in found]
+
+
 def needs(name: str, model: ModelView, target: Target) -> Iterator[Need]:
     """Yield what an engine has to do for `target`."""
     of = functools.partial(orders.Action, model=name)
