Run the demo and the tests of the whole path with CURVE keys

Cause: only a test of two transports used CURVE; no whole daemon did. Change: Andes of the demo generates a key pair for each daemon and a peers file.

--- a/misc/andes.py
+++ b/misc/andes.py
@@ -13,6 +13,7 @@
 import urllib3
 import yaml
 
+from bilberrydrum import keys
 from misc import processes
 
 ZONES: Final = ("Surquillo", "Callao", "Ate")
@@ -113,6 +114,7 @@
             {"process_id": daemon.process_id, "peer_address": daemon.peer_address}
             for daemon in self.daemons_by_id.values()
         ]
+        self._write_keys()
         for daemon in self.daemons_by_id.values():
             settings: dict[str, Any] = {
                 "process_id": daemon.process_id,
@@ -131,11 +133,30 @@
                     "operator_token_file": self.operator_token,
                     "upstream_token_file": self.upstream_token,
                 },
+                "curve": {
+                    "key_file": self._key_path(daemon.process_id),
+                    "peers_file": self._peers_path(),
+                },
                 "shutdown": {"balancer_seconds": 0.5, "limit_seconds": 20},
             }
             path = self._settings_path(daemon.process_id)
             path.write_text(yaml.safe_dump(settings, sort_keys=False))
 
+    def _write_keys(self) -> None:
+        """Generate a key pair for each daemon and list the public keys."""
+        keys_by_address = {}
+        for daemon in self.daemons_by_id.values():
+            pair = keys.generate()
+            keys.write(self._key_path(daemon.process_id), pair).unwrap()
+            keys_by_address[daemon.peer_address] = pair.public
+        Path(self._peers_path()).write_text(yaml.safe_dump({"peers": keys_by_address}))
+
+    def _key_path(self, process_id: str) -> str:
+        return str(self.folder / f"{process_id}.key")
+
+    def _peers_path(self) -> str:
+        return str(self.folder / "peers.yaml")
+
     def _settings_path(self, process_id: str) -> Path:
         return self.folder / f"{process_id}.yaml"
 
