Encode a back-up beside the hub

Found by reading: the leader encoded the state for a back-up in the hub. The applying task now encodes it in a thread, once for a query sent again, and the lease is looked at before the answer goes out.

--- a/bilberrydrum/state/applying.py
+++ b/bilberrydrum/state/applying.py
@@ -22,6 +22,7 @@
     intake,
     leader,
     node,
+    serving,
     snapshot,
     storage,
 )
@@ -63,8 +64,8 @@
         self._spread = self._draw_spread()
         self._effects: Any = eventlet.queue.Queue()
 
-    def put(self, effect: events.Commit | events.Restore) -> None:
-        """Have committed entries or a received snapshot applied."""
+    def put(self, effect: events.Commit | events.Restore | serving.Save) -> None:
+        """Have entries or a received snapshot applied, or the state encoded."""
         self._effects.put(effect)
 
     def run(self) -> None:
@@ -76,6 +77,9 @@
                 self._applier.restore(effect.data, restored)
                 self._intake.waiters.clear(effect.index)
                 continue
+            if isinstance(effect, serving.Save):
+                self._intake.saved(effect, self._encode())
+                continue
             for i, entry in enumerate(effect.entries, 1):
                 command = self._intake.waiters.command(entry.index, entry.term)
                 applied = self._applier.apply(entry, command)
@@ -121,9 +125,13 @@
     def _make_snapshot(self) -> None:
         header = self._applier.header()
         self._spread = self._draw_spread()
-        data = tpool.execute(snapshot.encode, header, self._applier.state)
+        data = self._encode()
         tpool.execute(self._store.write_snapshot, header.index, data)
         self._disk.put(disk.Adopt(header.index, len(data)))
         # The next one is not due before this one is in use.
         while self._owner.node.snapshot_index < header.index:
             clock.sleep(0.005)
+
+    def _encode(self) -> bytes:
+        header = self._applier.header()
+        return bytes(tpool.execute(snapshot.encode, header, self._applier.state))
--- a/bilberrydrum/state/intake.py
+++ b/bilberrydrum/state/intake.py
@@ -12,7 +12,6 @@
     queries,
     serving,
     sessions,
-    snapshot,
     stewardship,
 )
 
@@ -37,6 +36,9 @@
     def next_ticket(self) -> int:
         """Return a number for a proposal."""
 
+    def save(self, request: serving.Save) -> None:
+        """Have the state encoded, and `Intake.saved` called with it."""
+
     def has_lease(self) -> bool:
         """Tell whether this replica holds the leader lease now."""
 
@@ -59,6 +61,7 @@
         self._applier = applied
         self._steward = steward
         self._waiters_by_ticket: dict[int, list[serving.Waiter]] = {}
+        self._saves: set[serving.Save] = set()
         self.waiters = serving.Waiters(carrier.send)
         self._reads = serving.Reads(self.waiters.outbox, self._answer)
 
@@ -175,6 +178,9 @@
                     sender.address, ask.client_id, failed, is_query=True
                 )
                 continue
+            if isinstance(query, queries.SaveState):
+                self._save(serving.Save(sender.address, ask.client_id, item.number))
+                continue
             if self._steward.takes(sender.address, ask.client_id, item.number, query):
                 continue
             self._reads.add(
@@ -185,11 +191,26 @@
     def _answer(self, query: object) -> Any:
         if isinstance(query, queries.GetStatus):
             return self._owner.status()
-        if isinstance(query, queries.SaveState):
-            header = self._applier.header()
-            return queries.SavedState(snapshot.encode(header, self._applier.state))
         return serving.answer_query(query, self._applier.state, self._applier.time)
 
+    def _save(self, request: serving.Save) -> None:
+        # A large state takes seconds to encode. Done here, it would stop the hub, and
+        # with it the heartbeats: each back-up would cost the leadership.
+        if request not in self._saves:
+            self._saves.add(request)
+            self._owner.save(request)
+
+    def saved(self, request: serving.Save, data: bytes) -> None:
+        """Answer a query for a snapshot, if it is still the group's state."""
+        self._saves.discard(request)
+        if not self._owner.has_lease():
+            numbers = [request.number]
+            self._redirect(request.address, request.client_id, numbers, is_query=True)
+            return
+        item = messages.Item(request.number, codec.encode(queries.SavedState(data)))
+        answers = messages.Answers(request.client_id, [item], is_query=True)
+        self._carrier.send(request.address, answers)
+
     def serve_reads(self) -> None:
         """Answer the reads that can be answered now."""
         self._reads.serve(
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -237,6 +237,10 @@
         """Why the replica has stopped; empty: it runs."""
         return self._failure
 
+    def save(self, request: serving.Save) -> None:
+        """Have the state encoded, and the query for it answered."""
+        self._apply.put(request)
+
     def put(self, event: Any) -> None:
         """Let the core take in an event."""
         self._inbox.put(event)
--- a/bilberrydrum/state/serving.py
+++ b/bilberrydrum/state/serving.py
@@ -51,6 +51,15 @@
     needed_index: int | None = None
 
 
+@attrs.frozen
+class Save:
+    """A query for a snapshot of the state."""
+
+    address: str
+    client_id: str
+    number: int
+
+
 Answerer = Callable[[object], Any]
 Sender = Callable[[str, object], Any]
 
--- a/bilberrydrum/state/stewardship.py
+++ b/bilberrydrum/state/stewardship.py
@@ -39,9 +39,6 @@
     ) -> str | None:
         """Make one change; return why it is not made, or None."""
 
-    def status(self) -> queries.Status:
-        """Return how the group stands."""
-
 
 class StewardTask:
     """Membership changes, as the leader's process makes them."""
--- a/tests/test_state_group.py
+++ b/tests/test_state_group.py
@@ -7,7 +7,7 @@
 import result
 
 from bilberrydrum import options, transport
-from bilberrydrum.state import commands, queries, remote
+from bilberrydrum.state import commands, machine, queries, remote, snapshot
 from misc import processes, state_group, state_process
 
 
@@ -78,6 +78,10 @@
             group.processes[each.process_id].kill()
         group.heal()
         self.assertEqual(self.read(), 31)
+        saved = group.client.query(queries.SaveState()).unwrap().data
+        state = snapshot.decode(saved)
+        answer = machine.answer(state_process.Read(self.key), state, 0.0)
+        self.assertEqual(answer.total, 31)
 
     def test_lost_disk_then_second_host(self) -> None:
         """A disk is lost, its host comes back empty, and then a second host is lost.
