Keep published versions from falling when a back-up is restored

Found while reading: the section of weights had no part in what a restore keeps rising, so that a back-up took the newest version back, and with it the engines and the count of staleness. Shown to fail without.

--- a/bilberrydrum/weights/commands.py
+++ b/bilberrydrum/weights/commands.py
@@ -6,7 +6,7 @@
 before it publishes it: engines load it, but do not generate with it.
 """
 
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -125,6 +125,18 @@
     return Role(command.upstream_id, command.role)
 
 
+@machine.keep_rising.register
+def _(section: Section, current: Any) -> None:
+    # With the version of an old back-up samples would count as fresher than they are,
+    # and the engines would be taken back to older weights.
+    if not isinstance(current, Section):
+        return
+    for trainer, publication in current.publications_by_trainer.items():
+        restored = section.publications_by_trainer.get(trainer, publication)
+        if publication.weight_version >= restored.weight_version:
+            section.publications_by_trainer[trainer] = publication
+
+
 def section_of(state: machine.State) -> Section:
     """Return the section of published versions."""
     section = state.section(SECTION, Section)
--- a/tests/test_weights_commands.py
+++ b/tests/test_weights_commands.py
@@ -86,6 +86,19 @@
         answer = machine.answer(queries.ListPublications(), state, 0.0)
         self.assertEqual(answer.roles_by_upstream_id, {"e0": "prefill"})
 
+    @params((4, 6, 6), (6, 4, 6), (None, 6, 6), (6, None, 6))
+    def test_restored_from_a_back_up(self, saved, current, newest):
+        """The back-up is older than the state: the newest version does not fall."""
+        sections = []
+        for version in (saved, current):
+            state = machine.State()
+            if version is not None:
+                publish(state, "outage", "planner", version)
+            sections.append(commands.section_of(state))
+        machine.keep_rising(*sections)
+        restored = machine.State({commands.SECTION: sections[0]})
+        self.assertEqual(commands.newest_version(restored, "outage"), newest)
+
     def test_survives_the_codec(self):
         state = machine.State()
         publish(state, "outage", "planner", 7)
