--- a/bilberrydrum/weights/status.py
+++ b/bilberrydrum/weights/status.py
@@ -63,9 +63,11 @@
     targets = {}
     for name, rule in bundle.models.items():
         published = newest.get(name, 0)
+        ahead = prepared.get(name, 0)
         targets[name] = views.Target(
             weight_version=published or rule.weight_version,
-            prepared_version=prepared.get(name, 0),
+            # Another trainer of the model may have published a newer version since.
+            prepared_version=ahead if ahead > published else 0,
             source=rule.weight_store,
             max_concurrent_loads=rule.max_concurrent_loads,
             adapters=_adapters_of(name, rule, bundle),
--- a/tests/test_weights_http.py
+++ b/tests/test_weights_http.py
@@ -15,7 +15,7 @@
 from bilberrydrum.http import edge, weights
 from bilberrydrum.state import client
 from bilberrydrum.upstreams import model as upstream_model
-from bilberrydrum.weights import orders, planner
+from bilberrydrum.weights import commands, orders, planner
 from tests import weights_support as support
 
 
@@ -144,6 +144,14 @@
         )
         self.assertEqual(engine["failed_orders"][0]["n_failures"], 2)
 
+    @params((4, 5, 5), (5, 5, 0), (6, 5, 0))
+    def test_a_version_prepared_by_one_of_two_trainers(self, published, ahead, wanted):
+        """The other trainer's version is newer: the prepared one is of no use."""
+        self.state.submit(commands.PrepareWeights("exits", "planner", ahead))
+        self.state.submit(commands.PublishWeights("outage", "planner", published))
+        (model,) = self.call("GET", "/v1/weights")[1]["models"]
+        self.assertEqual(model["prepared_version"], wanted)
+
     @params(("GET", "/v1/weights"), ("POST", "/v1/upstreams/e0/role"))
     def test_operators_token(self, method, path):
         status, answer = self.call(method, path, token="other")
