Go by the trainers that the bundle names

A trainer that was taken out of the bundle held its model at its last version: the versions of those left, numbered lower, would never have reached the engines. Its publication is now left out, and so is what it prepared.

--- a/bilberrydrum/weights/queries.py
+++ b/bilberrydrum/weights/queries.py
@@ -1,6 +1,6 @@
 """Questions to the replicated state about weight versions and roles."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Mapping
 
 import attrs
 
@@ -24,13 +24,17 @@
     prepared_by_trainer: dict[str, commands.Publication] = attrs.field(factory=dict)
     roles_by_upstream_id: dict[str, str] = attrs.field(factory=dict)
 
-    def newest_model_versions(self) -> dict[str, int]:
-        """Return the newest published version of each model."""
-        return _newest_by_model(self.by_trainer.values())
+    def newest_model_versions(self, trainers: Container[str]) -> dict[str, int]:
+        """Return the newest version of each model that `trainers` have published.
 
-    def prepared_model_versions(self) -> dict[str, int]:
-        """Return the newest prepared version of each model."""
-        return _newest_by_model(self.prepared_by_trainer.values())
+        A trainer that the bundle no longer names must not hold its model at a version
+        that those which are left do not reach.
+        """
+        return _newest_by_model(self.by_trainer, trainers)
+
+    def prepared_model_versions(self, trainers: Container[str]) -> dict[str, int]:
+        """Return the newest version of each model that `trainers` have prepared."""
+        return _newest_by_model(self.prepared_by_trainer, trainers)
 
 
 @machine.answer.register
@@ -43,8 +47,11 @@
     )
 
 
-def _newest_by_model(publications: Iterable[commands.Publication]) -> dict[str, int]:
+def _newest_by_model(
+    by_trainer: Mapping[str, commands.Publication], trainers: Container[str]
+) -> dict[str, int]:
     versions: dict[str, int] = {}
-    for each in publications:
-        versions[each.model] = max(versions.get(each.model, 0), each.weight_version)
+    for name, each in by_trainer.items():
+        if name in trainers:
+            versions[each.model] = max(versions.get(each.model, 0), each.weight_version)
     return versions
--- a/bilberrydrum/weights/status.py
+++ b/bilberrydrum/weights/status.py
@@ -58,8 +58,8 @@
     bundle: bundle_model.Bundle, publications: queries.Publications
 ) -> dict[str, views.Target]:
     """Return what the engines of each model in `bundle` are to have."""
-    newest = publications.newest_model_versions()
-    prepared = publications.prepared_model_versions()
+    newest = publications.newest_model_versions(bundle.trainers)
+    prepared = publications.prepared_model_versions(bundle.trainers)
     targets = {}
     for name, rule in bundle.models.items():
         published = newest.get(name, 0)
--- a/tests/test_weights_commands.py
+++ b/tests/test_weights_commands.py
@@ -53,7 +53,11 @@
         )
         self.assertEqual(commands.newest_model_version(state, "drafter"), 5)
         answer = machine.answer(queries.ListPublications(), state, 0.0)
-        self.assertEqual(answer.newest_model_versions(), {"drafter": 5, "planner": 9})
+        for trainers, newest in (
+            (("wages", "exits", "outage"), {"drafter": 5, "planner": 9}),
+            (("exits",), {"drafter": 3}),
+        ):
+            self.assertEqual(answer.newest_model_versions(trainers), newest)
 
     @params(
         ("ahead", 4, 5, 5, {"planner": 5}),
@@ -71,11 +75,11 @@
             answer = machine.apply(command, state, context)
             self.assertEqual(answer.weight_version, answered)
         answer = machine.answer(queries.ListPublications(), state, 0.0)
-        self.assertEqual(answer.prepared_model_versions(), wanted)
+        self.assertEqual(answer.prepared_model_versions(["outage"]), wanted)
         self.assertEqual(commands.newest_version(state, "outage"), published or 0)
         publish(state, "outage", "planner", answered)
         answer = machine.answer(queries.ListPublications(), state, 0.0)
-        self.assertEqual(answer.prepared_model_versions(), {})
+        self.assertEqual(answer.prepared_model_versions(["outage"]), {})
 
     def test_roles(self):
         state = machine.State()
--- a/tests/weights_support.py
+++ b/tests/weights_support.py
@@ -126,7 +126,8 @@
 class FakeBundles:
     def __init__(self, **fields):
         rule = bundle_model.ModelRule("http://127.0.0.1:1", **fields)
-        trainers = {"outage": bundle_model.TrainerRule("planner", "scorer")}
+        trainer = bundle_model.TrainerRule("planner", "scorer")
+        trainers = {"outage": trainer, "exits": trainer}
         models = {"planner": rule}
         bundle = bundle_model.Bundle(1, 0, models=models, trainers=trainers)
         self.answer = result.Ok(bundle)
