--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -99,6 +99,7 @@
             self._store,
             self._disk,
             self._options.state.snapshot_entries,
+            random.Random(),
         )
         self._listen()
         self._intake.listen()
@@ -236,6 +237,10 @@
         """Why the replica has stopped; empty: it runs."""
         return self._failure
 
+    def save(self, request: serving.Save) -> None:
+        """Have the state encoded, and the query for it answered."""
+        self._apply.put(request)
+
     def put(self, event: Any) -> None:
         """Let the core take in an event."""
         self._inbox.put(event)
