Test that the old home's word bridges a take-over; drop an unused function

Without what is known of an upstream's last renewal, whoever its home was, the new test fails: the upstream is off the list of a gateway that has not heard the new home.

--- a/bilberrydrum/upstreams/records.py
+++ b/bilberrydrum/upstreams/records.py
@@ -67,13 +67,6 @@
         return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
 
 
-def newer(first: Record | None, second: Record) -> Record:
-    """Return the record of higher version."""
-    if first is None or second.version() > first.version():
-        return second
-    return first
-
-
 def wall_milliseconds() -> int:
     """Return the wall clock, for the first life of an upstream that names none.
 
--- a/tests/test_upstreams_directory.py
+++ b/tests/test_upstreams_directory.py
@@ -175,6 +175,19 @@
         others = net.nodes_by_id.keys() - {home}
         self.assertNotIn(home, {net.record(name, "e0").home for name in others})
 
+    def test_the_new_home_is_not_heard_and_the_old_one_is(self):
+        """gw-1 becomes the home; its message to gw-2 is lost, the old home's word that
+        it answers no more arrives. gw-2 still knows that the upstream has renewed, and
+        must not take it off its list until it hears the new home.
+        """
+        net = upstreams_net.Net(3, 0)
+        net.announce("e0", at="gw-0")
+        net.advance(0.6)
+        net.drop = lambda a, b, m: (a, b) == ("gw-1", "gw-2")
+        net.announce("e0", at="gw-1")
+        net._deliver()
+        self.assertEqual({"e0"}, net.listed("gw-2"))
+
     def test_home_and_upstream_die_together(self):
         net = upstreams_net.Net(4, 2)
         home = net.record("gw-0", "e0").home
--- a/tests/test_upstreams_parts.py
+++ b/tests/test_upstreams_parts.py
@@ -12,6 +12,7 @@
     prefixes,
     records,
     relayed_loads,
+    table,
     views,
 )
 from tests import upstreams_net
@@ -34,8 +35,11 @@
     )
     def test_which_of_two_records_is_newer(self, case, old, new):
         self.assertGreater(new.version(), old.version(), case)
-        self.assertEqual(new, records.newer(old, new))
-        self.assertEqual(new, records.newer(new, old))
+        for first, second in ((old, new), (new, old)):
+            known = table.Table("own", 1, 2.0, 2.75, 1.0)
+            known.merge(first, 0.0)
+            known.merge(second, 0.0)
+            self.assertEqual(new, known.records_by_id["e0"], case)
 
 
 class SenderClock(unittest.TestCase):
