--- a/misc/sample_engine.py
+++ b/misc/sample_engine.py
@@ -61,10 +61,16 @@
 
 
 def note_pace(batcher: SampleBatcher, notes: journal.Journal) -> None:
-    """Note how long steps really take: a busy machine makes them longer."""
+    """Note how long steps really take, which a busy machine makes longer."""
     while True:
         eventlet.sleep(PACE_SECONDS)
-        notes.write("pace", n_steps=batcher.n_steps, busy_seconds=batcher.busy_seconds)
+        notes.write(
+            "pace",
+            time=time.time(),
+            n_steps=batcher.n_steps,
+            busy_seconds=batcher.busy_seconds,
+            n_tokens=batcher.n_tokens,
+        )
 
 
 def main() -> None:
--- a/misc/sample_site.py
+++ b/misc/sample_site.py
@@ -65,6 +65,8 @@
     engine_lost_at: float
     # Time that a step really took, by engine.
     step_seconds: tuple[float, ...]
+    # Tokens that the engines made in the time that was measured.
+    n_tokens_in_window: int
 
 
 class Site:
@@ -279,7 +281,20 @@
         # have been delivered.
         n_made = sum(max(made[each], delivered[each]) for each in delivered)
         paces = tuple(self._step_seconds(i) for i in range(N_ENGINES))
-        return Run(reports, n_made, sum(delivered.values()), lost_at, paces)
+        began = min(report["began"] for report in reports)
+        ended = max(report["ended"] for report in reports)
+        n_in_window = sum(
+            self._n_tokens(i, ended) - self._n_tokens(i, began)
+            for i in range(N_ENGINES)
+        )
+        n_delivered = sum(delivered.values())
+        return Run(reports, n_made, n_delivered, lost_at, paces, n_in_window)
+
+    def _n_tokens(self, i_engine: int, until: float) -> int:
+        """Return the tokens that an engine had made by then, to half a second."""
+        notes = journal.read(Path(self._journal(i_engine)), "pace")
+        counts = [note["n_tokens"] for note in notes if note["time"] <= until]
+        return int(max(counts, default=0))
 
     def _step_seconds(self, i_engine: int) -> float:
         pace = list(journal.read(Path(self._journal(i_engine)), "pace"))[-1]
