--- a/tests/fakes/application.py
+++ b/tests/fakes/application.py
@@ -11,29 +11,7 @@
 import attrs
 import eventlet
 
-from tests.fakes import announcer, gateways, journal, server
-
-
-@attrs.define
-class Faults:
-    """Switches of one application; numbers count down to zero."""
-
-    # How long answers to changes are held after the work was done.
-    slow_changes_seconds: float = 0.0
-    # Calls that do their work and then close the connection without an answer.
-    lose_answers: int = 0
-    # Calls that do their work and whose answer ends before its length.
-    cut_answers: int = 0
-    # Calls that do nothing and answer 500.
-    fail_calls: int = 0
-
-    def take(self, name: str) -> bool:
-        """Tell whether a fault is to happen now, and count it down."""
-        left = getattr(self, name)
-        if left <= 0:
-            return False
-        setattr(self, name, left - 1)
-        return True
+from tests.fakes import announcer, faults, gateways, journal, server
 
 
 class Application:
@@ -50,7 +28,7 @@
     def __init__(self, name: str, options: argparse.Namespace) -> None:
         self.name = name
         self.options = options
-        self.faults = Faults()
+        self.faults = faults.ApplicationFaults()
         self.journal = journal.Journal(options.journal)
         self.server = server.Server()
         self.server.add("POST", "/control", self._control)
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -2,7 +2,7 @@
 
 It announces itself, streams tokens whose ids tell the weight version that made them,
 loads weights from the weight store and swaps them while streams run. Faults are
-switched on at ``POST /control``: see `faults.Faults`.
+switched on at ``POST /control``: see `faults.EngineFaults`.
 """
 
 import argparse
@@ -48,7 +48,7 @@
 
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
-        self.faults = faults.Faults()
+        self.faults = faults.EngineFaults()
         self.journal = journal.Journal(options.journal)
         client = gateways.GatewayClient(
             options.gateway, options.token_file, options.seed
--- a/tests/fakes/faults.py
+++ b/tests/fakes/faults.py
@@ -1,11 +1,24 @@
-"""Faults that a stand-in for an engine is told to have."""
+"""Faults that stand-ins for upstreams are told to have."""
 
 import attrs
 
 
 @attrs.define
-class Faults:
-    """Switches of one engine; numbers count down to zero."""
+class Switches:
+    """Switches of one upstream; numbers count down to zero."""
+
+    def take(self, name: str) -> bool:
+        """Tell whether a fault is to happen now, and count it down."""
+        left = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
+
+
+@attrs.define
+class EngineFaults(Switches):
+    """Switches of one engine."""
 
     # Ends the process once this many more tokens were made; -1: never.
     crash_after_tokens: int = -1
@@ -26,10 +39,16 @@
     # Factor on the time of a step.
     slowness: float = 1.0
 
-    def take(self, name: str) -> bool:
-        """Tell whether a fault is to happen now, and count it down."""
-        left = getattr(self, name)
-        if left <= 0:
-            return False
-        setattr(self, name, left - 1)
-        return True
+
+@attrs.define
+class ApplicationFaults(Switches):
+    """Switches of one application."""
+
+    # How long answers to changes are held after the work was done.
+    slow_changes_seconds: float = 0.0
+    # Calls that do their work and then close the connection without an answer.
+    lose_answers: int = 0
+    # Calls that do their work and whose answer ends before its length.
+    cut_answers: int = 0
+    # Calls that do nothing and answer 500.
+    fail_calls: int = 0
--- a/tests/fakes/orders.py
+++ b/tests/fakes/orders.py
@@ -29,7 +29,7 @@
         Refuse an order with a lower fencing number than one seen before.
     swap_seconds : float
         Time that a swap takes.
-    switches : faults.Faults
+    switches : faults.EngineFaults
         Faults of the engine.
     notes : journal.Journal
         Where orders are noted.
@@ -43,7 +43,7 @@
         weight_version: int,
         checks_fencing: bool,
         swap_seconds: float,
-        switches: faults.Faults,
+        switches: faults.EngineFaults,
         notes: journal.Journal,
         on_change: Callable[[], None],
     ) -> None:
