--- a/tests/fakes/application.py
+++ b/tests/fakes/application.py
@@ -59,16 +59,10 @@
     def _with_faults(
         self, handler: server.Handler, request: server.Request
     ) -> server.Answer:
-        if self.faults.take("fail_calls"):
-            return server.Answer(500, {"error": "told to fail"})
         answer = handler(request)
         eventlet.sleep(self.options.service_seconds)
         if request.method != "GET":
             eventlet.sleep(self.faults.slow_changes_seconds)
-        if self.faults.take("lose_answers"):
-            raise server.NoAnswerError
-        if self.faults.take("cut_answers"):
-            return attrs.evolve(answer, is_cut=True)
         return answer
 
     def _control(self, request: server.Request) -> server.Answer:
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -196,7 +196,6 @@
     def _events(self, stream: batching.Stream) -> Iterator[bytes]:
         is_reset = self.faults.take("reset_streams")
         is_cut = self.faults.take("cut_streams")
-        is_stalled = self.faults.take("stall_streams")
         is_versionless = self.faults.take("hide_versions")
         request_id = stream.request_id
         if is_versionless:
@@ -213,8 +212,6 @@
                 return
             if is_reset:
                 raise ConnectionDropError
-            if is_stalled:
-                eventlet.sleep(STREAM_SECONDS)
         yield b"data: [DONE]\n\n"
 
     def _whole(self, stream: batching.Stream) -> server.Answer:
--- a/tests/fakes/faults.py
+++ b/tests/fakes/faults.py
@@ -24,8 +24,6 @@
     crash_after_tokens: int = -1
     # Swap orders that fail.
     fail_swaps: int = 0
-    # Load orders that fail.
-    fail_loads: int = 0
     # Streams whose connection closes after their first event.
     reset_streams: int = 0
     # Streams that end after their first event, without a finish reason.
@@ -34,8 +32,6 @@
     wrong_ids: int = 0
     # Streams of a later weight version that leave the version out.
     hide_versions: int = 0
-    # Streams that send one event and then nothing more.
-    stall_streams: int = 0
     # Factor on the time of a step.
     slowness: float = 1.0
 
@@ -46,9 +42,3 @@
 
     # How long answers to changes are held after the work was done.
     slow_changes_seconds: float = 0.0
-    # Calls that do their work and then close the connection without an answer.
-    lose_answers: int = 0
-    # Calls that do their work and whose answer ends before its length.
-    cut_answers: int = 0
-    # Calls that do nothing and answer 500.
-    fail_calls: int = 0
--- a/tests/fakes/orders.py
+++ b/tests/fakes/orders.py
@@ -114,8 +114,6 @@
         return server.Answer(400, {"error": f"no order {kind}"})
 
     def _load(self, model: str, version: int, source: str) -> server.Answer:
-        if self._faults.take("fail_loads"):
-            return server.Answer(500, {"error": "load failed"})
         url = f"{source.rstrip('/')}/weights/{model}/{version}"
         for _ in range(N_LOAD_TRIES):
             if version in self.loaded_by_model[model]:
--- a/tests/fakes/server.py
+++ b/tests/fakes/server.py
@@ -3,7 +3,6 @@
 import json
 import re
 import signal
-import socket
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
 from urllib import parse
@@ -54,12 +53,6 @@
     data: bytes | None = None
     events: Iterator[bytes] | None = None
     headers: tuple[tuple[str, str], ...] = ()
-    # Announce the whole length and close the connection half-way.
-    is_cut: bool = False
-
-
-class NoAnswerError(Exception):
-    """Raised by a handler to close the connection without an answer."""
 
 
 Handler = Callable[[Request], Answer]
@@ -93,11 +86,7 @@
     def _application(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        try:
-            answer = self._answer(environ)
-        except NoAnswerError:
-            environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
-            raise
+        answer = self._answer(environ)
         headers = list(answer.headers)
         status = STATUS_TEXT[answer.status]
         if answer.events is not None:
@@ -110,7 +99,7 @@
             headers.append(("Content-Type", "application/json"))
         headers.append(("Content-Length", str(len(data))))
         start_response(status, headers)
-        return _half(data) if answer.is_cut else [data]
+        return [data]
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
         method = environ["REQUEST_METHOD"]
@@ -139,12 +128,6 @@
         return Answer(404, {"error": f"no {method} {path}"})
 
 
-def _half(data: bytes) -> Iterator[bytes]:
-    """Yield half of an answer, then close the connection."""
-    yield data[: len(data) // 2]
-    raise NoAnswerError
-
-
 def on_terminate(action: Callable[[], None]) -> None:
     """Run `action` in a task of its own once, when SIGTERM arrives."""
 
