Look at the schedule when there is news, not fifty times a second

A gateway with nothing to make ticked all the time. The task now waits for news (work, an attempt's end) and looks every 0.1 s only while it holds slots.

--- a/bilberrydrum/samples/owner.py
+++ b/bilberrydrum/samples/owner.py
@@ -27,7 +27,13 @@
 )
 from bilberrydrum.state import client
 
-_TICK_SECONDS: Final = 0.02
+# Longest time between two looks at the schedule while it holds slots: pauses after
+# failures end, and attempts turn out to be slow, without any news.
+_TICK_SECONDS: Final = 0.1
+# The same while it holds none.
+_IDLE_TICK_SECONDS: Final = 0.5
+# Time for news to gather before a look: a look goes through all slots.
+_GATHER_SECONDS: Final = 0.01
 _RENEWALS_PER_LEASE: Final = 4
 # Leases without renewal after which attempts are stopped.
 _ABANDON_LEASES: Final = 5
@@ -75,6 +81,7 @@
         self._trails_by_start: dict[tuple[scheduling.Key, int], provenance.Trail] = {}
         self._tasks: list[eventlet.greenthread.GreenThread] = []
         self._wake = eventlet.event.Event()
+        self._news = eventlet.event.Event()
 
     def start(self) -> None:
         """Start renewing and driving."""
@@ -141,6 +148,7 @@
             return
         self._revision = renewed.revision
         self._stop_attempts(self._schedule.update(renewed.index, renewed.work))
+        self._tell()
 
     def _learn_requests(self, work: tuple[commands.Work, ...]) -> bool:
         """Fetch the groups' content that is not known yet."""
@@ -162,7 +170,12 @@
 
     def _drive_forever(self) -> None:
         while True:
-            clock.sleep(_TICK_SECONDS)
+            is_idle = not self._schedule.wanted_by_key
+            tick = _IDLE_TICK_SECONDS if is_idle else _TICK_SECONDS
+            with eventlet.Timeout(tick, False):
+                self._news.wait()
+                clock.sleep(_GATHER_SECONDS)
+            self._news = eventlet.event.Event()
             try:
                 self._drive()
             except Exception:
@@ -201,6 +214,11 @@
             thread = eventlet.spawn(self._attempt, task)
             self._attempts_by_start[(start.key, start.attempt)] = thread
 
+    def _tell(self) -> None:
+        """Have the schedule looked at: an attempt ended, or slots are wanted."""
+        if not self._news.ready():
+            self._news.send(None)
+
     def _abandon(self, now: float) -> None:
         """Stop all attempts once the lease has been over for long.
 
@@ -230,6 +248,7 @@
             reason = reasons.Reason.INTERNAL_ERROR
         self._attempts_by_start.pop((start.key, start.attempt), None)
         self._trails_by_start.pop((start.key, start.attempt), None)
+        self._tell()
         if reason is None:
             return
         if reason in _SUPERSEDED:
@@ -250,7 +269,7 @@
             lambda upstream_id, n_tokens: self._schedule.progress(
                 clock.now(), key, number, upstream_id, n_tokens
             ),
-            lambda: self._schedule.generated(key, number),
+            lambda: self._generated(key, number),
         )
         earlier = self._trails_by_start.get((key, task.start.goes_on_from))
         if earlier is not None:
@@ -270,6 +289,10 @@
         self._stop_attempts(self._schedule.recorded(outcome.index, key, number))
         return None
 
+    def _generated(self, key: scheduling.Key, attempt: int) -> None:
+        self._schedule.generated(key, attempt)
+        self._tell()
+
     def _record(self, task: attempts.Task, made: attempts.Made) -> recorder.Outcome:
         key = task.start.key
         # The payload is kept before its record is committed: a record without a
