--- a/tests/test_samples_commands.py
+++ b/tests/test_samples_commands.py
@@ -142,7 +142,7 @@
         machine = ready_machine()
         first = places(machine.read(0))
         self.assertEqual(first, [(0, "g0", 0, 1), (1, "g0", 1, 1)])
-        machine.add("g1")
+        machine.add("g1", n_slots=1)
         machine.record("g1", 0)
         machine.restart()
         for n_samples in (1, 2, 3):
