--- a/bilberrydrum/samples/owner.py
+++ b/bilberrydrum/samples/owner.py
@@ -28,6 +28,8 @@
 from bilberrydrum.state import client
 
 _TICK_SECONDS: Final = 0.02
+# Time between looks at the schedule while it holds nothing.
+_IDLE_TICK_SECONDS: Final = 0.5
 _RENEWALS_PER_LEASE: Final = 4
 # Leases without renewal after which attempts are stopped.
 _ABANDON_LEASES: Final = 5
@@ -75,6 +77,7 @@
         self._trails_by_start: dict[tuple[scheduling.Key, int], provenance.Trail] = {}
         self._tasks: list[eventlet.greenthread.GreenThread] = []
         self._wake = eventlet.event.Event()
+        self._has_work = eventlet.event.Event()
 
     def start(self) -> None:
         """Start renewing and driving."""
@@ -141,6 +144,8 @@
             return
         self._revision = renewed.revision
         self._stop_attempts(self._schedule.update(renewed.index, renewed.work))
+        if self._schedule.wanted_by_key and not self._has_work.ready():
+            self._has_work.send(None)
 
     def _learn_requests(self, work: tuple[commands.Work, ...]) -> bool:
         """Fetch the groups' content that is not known yet."""
@@ -162,13 +167,24 @@
 
     def _drive_forever(self) -> None:
         while True:
-            clock.sleep(_TICK_SECONDS)
+            self._pause()
             try:
                 self._drive()
             except Exception:
                 # One bad record must not stop all groups of this gateway.
                 eliot.write_traceback()
 
+    def _pause(self) -> None:
+        """Wait for the next tick; while nothing is wanted, for work or a longer one."""
+        if self._schedule.wanted_by_key:
+            clock.sleep(_TICK_SECONDS)
+            return
+        # Most gateways of a fleet own no group; ticking on would be the largest part of
+        # what they spend on control.
+        with eventlet.Timeout(_IDLE_TICK_SECONDS, False):
+            self._has_work.wait()
+        self._has_work = eventlet.event.Event()
+
     def _drive(self) -> None:
         now = clock.now()
         current = self._bundles.current()
