Look after leases on time while gateways renew without a pause

Found by a test that failed once on a busy machine: a late renewal of a process that was forgotten opened a connection again, which nothing closed. Causes, each with its safeguard, which was taken out on a copy and the test failed: the leader's tick came only when no message had come for half a second, so with many gateways no process was ever forgotten; an answer to an unknown process left its connection open; a gateway that had stopped registered again when it was told that it wasn't known.

--- a/bilberrydrum/bundles/grants.py
+++ b/bilberrydrum/bundles/grants.py
@@ -44,6 +44,7 @@
         self._task: Any = None
         self._term = 0
         self._peers = peers.KnownPeers()
+        self._tick_at = clock.now()
         self._book: book.GrantBook | None = None
         transport_.on(messages.Renewal, self._on_renewal)
         transport_.on(messages.Release, self._on_release)
@@ -115,10 +116,18 @@
     def _next_event(self) -> Any:
         is_rolling = self._book is not None and self._book.newest.is_rolling
         tick = _ROLLING_TICK_SECONDS if is_rolling else _TICK_SECONDS
-        try:
-            return self._events.get(timeout=tick)
-        except eventlet.queue.Empty:
-            return book.Tick()
+        # A tick is due at its time, also while gateways renew without a pause.
+        now = clock.now()
+        self._tick_at = min(self._tick_at, now + tick)
+        if now < self._tick_at:
+            try:
+                return self._events.get(timeout=self._tick_at - now)
+            except eventlet.queue.Empty:
+                pass
+        self._tick_at = clock.now() + tick
+        for address in self._peers.find_strangers():
+            self._transport.forget(address)
+        return book.Tick()
 
     def _begin(self, leadership: interfaces.Leadership) -> book.GrantBook | None:
         gateway = self._options.gateway
@@ -155,6 +164,7 @@
         leadership = self._replica.leadership()
         if leadership is not None and leadership.term == self._term:
             self._transport.send(effect.address, effect.message)
+            self._peers.note_sent(effect.address)
 
     def _propose(self, command: object) -> None:
         answer = self._replica.propose(command)
--- a/bilberrydrum/bundles/lease.py
+++ b/bilberrydrum/bundles/lease.py
@@ -111,7 +111,8 @@
         self, sender: transport.Sender, message: messages.Unregistered
     ) -> None:
         is_current = message.incarnation == self._transport.incarnation
-        if not is_current or self._is_registering:
+        # A process that is going down stays unregistered.
+        if not is_current or self._is_registering or self._holder.is_released:
             return
         if message.is_superseded:
             # A host that was taken for lost is back beside the one that replaced it.
