--- a/misc/capacity_records.py
+++ b/misc/capacity_records.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from bilberrydrum import codec
+from bilberrydrum import codec, registrations
 from bilberrydrum.bundles import commands as bundle_commands
 from bilberrydrum.requests import claims_state
 from bilberrydrum.samples import commands as sample_commands
@@ -21,6 +21,8 @@
 from bilberrydrum.state import machine, processes
 from bilberrydrum.weights import commands as weight_commands
 
+# Importing them registers what the commands do.
+COMMAND_MODULES: Final = registrations.MODULES
 DAY_SECONDS: Final = 24 * 3600.0
 SLOTS_PER_GROUP: Final = 8
 RECORDS_PER_COMMAND: Final = 64
@@ -41,8 +43,13 @@
     for i in range(n):
         key, claim_id = f"booking-{i:012}", f"{i:032x}"
         yield claims_state.ClaimKey(
-            *("planners", key, f"{i:064x}", claim_id),
-            *("gateway-17", 4711, 90.0, DAY_SECONDS),
+            caller="planners",
+            key=key,
+            digest=f"{i:064x}",
+            claim_id=claim_id,
+            holder="gateway-17",
+            holds_seconds=90.0,
+            lifetime_seconds=DAY_SECONDS,
         )
         answer = claims_state.Result(200, (("Content-Type", "text/json"),), RESULT)
         yield claims_state.FinishClaim("planners", key, claim_id, answer)
@@ -192,12 +199,15 @@
 
 
 def slope(points: list[tuple[float, float]]) -> tuple[float, float]:
-    """Return the least-squares line through `points`: value at 0 and slope."""
+    """Return the least-squares line through `points`: value at 0 and slope.
+
+    Of a single size nothing but its value is known; the slope is 0 then.
+    """
     n = len(points)
     mean_x = sum(x for x, _ in points) / n
     mean_y = sum(y for _, y in points) / n
     spread = sum((x - mean_x) ** 2 for x, _ in points)
-    rise = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in points) / (spread or 1.0)
     return mean_y - rise * mean_x, rise
 
 
@@ -208,10 +218,11 @@
 
 
 def measure(share: float = 1.0) -> list[dict[str, Any]]:
-    """Return the slopes of all kinds of record, at a share of their sizes."""
+    """Return the slopes of all kinds of record, at a share of the large sizes."""
     rows = []
     for kind in KINDS:
-        sizes = [max(8, int(share * n)) for n in kind.sizes]
+        is_large = kind.sizes[0] >= 1_000
+        sizes = [int(share * n) if is_large else n for n in kind.sizes]
         rows.append(_row(kind.name, [cost(kind, n) for n in sizes]))
     return rows
 
