Report a log file that cannot be opened as a finding

Cause: such a file ended the daemon with a traceback and exit code 1, where every other fault of the settings is a finding and exit code 2. Figures: the new test fails before the change and passes after; tests.test_daemon passes.

--- a/bilberrydrum/main.py
+++ b/bilberrydrum/main.py
@@ -66,7 +66,9 @@
         return _report(secrets.err_value)
     if parsed.check:
         return EXIT_OK
-    logs.open_log(loaded.ok_value.log_file)
+    opened = logs.open_log(loaded.ok_value.log_file)
+    if isinstance(opened, result.Err):
+        return _report(opened.err_value)
     is_stopped_by_signal = daemon.Daemon(loaded.ok_value, secrets.ok_value).run()
     return EXIT_OK if is_stopped_by_signal else EXIT_START_FAILED
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -66,6 +66,12 @@
             self.assertEqual(process.popen.wait(DEADLINE_SECONDS), 1)
         self.assertIn("Address already in use", process.log_tail())
 
+    def test_log_file_that_cannot_be_opened_is_a_finding(self):
+        self.settings["log_file"] = str(self.folder / "absent" / "log")
+        process = self.start()
+        self.assertEqual(process.popen.wait(DEADLINE_SECONDS), 2)
+        self.assertIn("absent/log: error: cannot be opened", process.log_tail())
+
     def test_without_quorum_it_lives_is_not_ready_and_stops_when_told(self):
         """Two of three members are away: an operator can look, callers are refused."""
         self.settings["state"]["members"] += [
