--- a/bilberrydrum/daemon.py
+++ b/bilberrydrum/daemon.py
@@ -7,7 +7,7 @@
 
 import gc
 import signal
-from types import FrameType
+import types
 from typing import Any, Final
 
 import attrs
@@ -197,7 +197,7 @@
             self._start_failed = True
             self._ask_to_stop()
 
-    def _on_signal(self, number: int, frame: FrameType | None) -> None:
+    def _on_signal(self, number: int, frame: types.FrameType | None) -> None:
         # A handler runs between two steps of any task, so it only schedules.
         eventlet.hubs.get_hub().schedule_call_global(0, self._ask_to_stop)
 
--- a/misc/andes.py
+++ b/misc/andes.py
@@ -4,9 +4,9 @@
 """
 
 import json
+import pathlib
 import secrets
 import time
-from pathlib import Path
 from typing import Any, Final
 
 import attrs
@@ -84,7 +84,7 @@
         self, started: processes.Processes, sizes: Sizes | None = None
     ) -> None:
         self.processes = started
-        self.folder: Path = started.folder
+        self.folder: pathlib.Path = started.folder
         self.engines, schedules, scorers = _upstream_names(sizes or Sizes())
         names = [*self.engines, *schedules, *scorers]
         ports = processes.free_ports(2 * len(ZONES) + len(names) + 1)
@@ -149,7 +149,9 @@
             pair = keys.generate()
             keys.write(self._key_path(daemon.process_id), pair).unwrap()
             keys_by_address[daemon.peer_address] = pair.public
-        Path(self._peers_path()).write_text(yaml.safe_dump({"peers": keys_by_address}))
+        pathlib.Path(self._peers_path()).write_text(
+            yaml.safe_dump({"peers": keys_by_address})
+        )
 
     def _key_path(self, process_id: str) -> str:
         return str(self.folder / f"{process_id}.key")
@@ -157,7 +159,7 @@
     def _peers_path(self) -> str:
         return str(self.folder / "peers.yaml")
 
-    def _settings_path(self, process_id: str) -> Path:
+    def _settings_path(self, process_id: str) -> pathlib.Path:
         return self.folder / f"{process_id}.yaml"
 
     def start_daemons(self) -> None:
@@ -221,7 +223,7 @@
             return None
 
     def operator_headers(self) -> dict[str, str]:
-        token = Path(self.operator_token).read_text().strip()
+        token = pathlib.Path(self.operator_token).read_text().strip()
         return {"Authorization": f"Bearer {token}", "X-Operator": OPERATOR}
 
     # The world around.
@@ -346,8 +348,8 @@
         return value
 
     def write_bundle(
-        self, version: int, callers: list[str], folder: Path | None = None
-    ) -> Path:
+        self, version: int, callers: list[str], folder: pathlib.Path | None = None
+    ) -> pathlib.Path:
         """Write a bundle that lets some callers use the schedule application."""
         bundle = {
             "version": version,
@@ -374,7 +376,7 @@
         path.write_text(yaml.safe_dump(bundle, sort_keys=False))
         return path
 
-    def roll(self, path: Path, version: int) -> Rolled:
+    def roll(self, path: pathlib.Path, version: int) -> Rolled:
         """Check, submit, sign off and roll a bundle; wait until it is in force."""
         self.tool("bundle", "check", str(path))
         digest = self.tool("bundle", "submit", str(path))["digest"]
--- a/misc/capacity_daemons.py
+++ b/misc/capacity_daemons.py
@@ -7,6 +7,7 @@
 Ethernet, IP and TCP headers per segment.
 """
 
+import collections
 import json
 import os
 import pathlib
@@ -14,7 +15,6 @@
 import subprocess
 import tempfile
 import time
-from collections import defaultdict
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -243,7 +243,9 @@
 
 def _counters_by_pid(sockets: str, ports: set[int]) -> dict[int, dict[str, int]]:
     """Return the sums of the kernel's counters for connections on `ports`."""
-    counters: dict[int, dict[str, int]] = defaultdict(lambda: defaultdict(int))
+    counters: dict[int, dict[str, int]] = collections.defaultdict(
+        lambda: collections.defaultdict(int)
+    )
     for line in sockets.splitlines():
         found = _SOCKET.search(line)
         if found is None or not ports & {int(found[1]), int(found[2])}:
@@ -278,7 +280,7 @@
         before, started = deployment.usage_by_name(), time.monotonic()
         time.sleep(seconds)
         after, elapsed = deployment.usage_by_name(), time.monotonic() - started
-        rows: dict[str, Any] = defaultdict(list)
+        rows: dict[str, Any] = collections.defaultdict(list)
         for name, part in parts.items():
             rows[part].append(_rates(before[name], after[name], elapsed))
         return {
--- a/misc/demo_run.py
+++ b/misc/demo_run.py
@@ -8,12 +8,12 @@
 
 import argparse
 import json
+import pathlib
 import shutil
 import sys
 import tempfile
 import time
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any, Final
 
 import attrs
@@ -226,7 +226,9 @@
     parser.add_argument("--folder", help="keep the files of the run here")
     options = parser.parse_args(arguments)
     processes.exit_on_signals()
-    folder = Path(options.folder or tempfile.mkdtemp(prefix="bilberrydrum-demo-"))
+    folder = pathlib.Path(
+        options.folder or tempfile.mkdtemp(prefix="bilberrydrum-demo-")
+    )
     folder.mkdir(parents=True, exist_ok=True)
     start = time.monotonic()
     try:
--- a/misc/environment.py
+++ b/misc/environment.py
@@ -4,12 +4,12 @@
 """
 
 import os
+import pathlib
 import subprocess
 import sys
-from pathlib import Path
 from typing import Final
 
-REPOSITORY: Final = Path(__file__).resolve().parent.parent
+REPOSITORY: Final = pathlib.Path(__file__).resolve().parent.parent
 VENV: Final = REPOSITORY / ".venv"
 # Made last by the installation; its absence means that there is none, or half a one.
 MARKER: Final = VENV / "bin" / "bilberrydrumd"
@@ -17,7 +17,7 @@
 
 def reexecute() -> None:
     """Make the environment if there is none, and start the script again in it."""
-    if Path(sys.prefix).resolve() == VENV:
+    if pathlib.Path(sys.prefix).resolve() == VENV:
         return
     if not MARKER.exists():
         print(f"making {VENV}", file=sys.stderr)
--- a/misc/figures.py
+++ b/misc/figures.py
@@ -1,8 +1,8 @@
 """The figures of a run, worked out from what the stand-ins noted."""
 
+import collections
 import json
-from collections import Counter
-from pathlib import Path
+import pathlib
 from typing import Any, Final
 
 import attrs
@@ -28,9 +28,9 @@
     n_given_up: int
 
 
-def count_bookings(folder: Path) -> Bookings:
+def count_bookings(folder: pathlib.Path) -> Bookings:
     """Compare what the planners were told with what the application ran."""
-    runs = Counter(
+    runs = collections.Counter(
         event["booking_id"]
         for path in sorted(folder.glob("schedule-*.journal"))
         for event in journal.read(path, "booking")
@@ -39,7 +39,7 @@
         event["booking_id"]: event["outcome"]
         for event in journal.read(folder / "planner.journal", "outcome")
     }
-    n_by_outcome = Counter(outcomes.values())
+    n_by_outcome = collections.Counter(outcomes.values())
     return Bookings(
         n_confirmed=n_by_outcome["booked"],
         n_double=sum(1 for n_runs in runs.values() if n_runs > 1),
@@ -58,7 +58,7 @@
     )
 
 
-def read_report(folder: Path, name: str) -> dict[str, Any]:
+def read_report(folder: pathlib.Path, name: str) -> dict[str, Any]:
     """Return the report that a stand-in wrote when it ended."""
     value: dict[str, Any] = json.loads((folder / f"{name}.report").read_text())
     return value
--- a/misc/processes.py
+++ b/misc/processes.py
@@ -6,21 +6,21 @@
 """
 
 import os
+import pathlib
 import random
 import signal
 import socket
 import subprocess
 import sys
 import time
+import types
 from collections.abc import Callable, Sequence
-from pathlib import Path
-from types import TracebackType
 from typing import Final, Self
 
 import attrs
 import urllib3
 
-REPOSITORY: Final = Path(__file__).resolve().parent.parent
+REPOSITORY: Final = pathlib.Path(__file__).resolve().parent.parent
 
 # Listening ports are taken from below the range that the kernel gives to outgoing
 # connections: a port probed there could be taken by such a connection at any moment.
@@ -88,7 +88,7 @@
 
     name: str
     arguments: tuple[str, ...]
-    log_path: Path
+    log_path: pathlib.Path
     popen: subprocess.Popen[bytes]
 
     @property
@@ -135,7 +135,7 @@
 class Processes:
     """The processes of one run, by name; ends all of them on exit."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
         self.processes_by_name: dict[str, Process] = {}
 
@@ -146,7 +146,7 @@
         self,
         kind: type[BaseException] | None,
         error: BaseException | None,
-        traceback: TracebackType | None,
+        traceback: types.TracebackType | None,
     ) -> None:
         self.stop_all()
 
--- a/misc/routing_model.py
+++ b/misc/routing_model.py
@@ -7,10 +7,10 @@
 which send at once.
 """
 
+import collections
 import heapq
 import itertools
 import random
-from collections import OrderedDict, deque
 from collections.abc import Callable
 from typing import Final
 
@@ -53,8 +53,10 @@
 class _Engine:
     n_places: int
     n_running: int = 0
-    waiting: deque[_Call] = attrs.field(factory=deque)
-    cache: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+    waiting: collections.deque[_Call] = attrs.field(factory=collections.deque)
+    cache: collections.OrderedDict[str, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
 
 
 @attrs.frozen
--- a/misc/sample_site.py
+++ b/misc/sample_site.py
@@ -1,8 +1,8 @@
 """A deployment for the sample measurements: daemons, engines, scorers and trainers."""
 
 import json
+import pathlib
 import time
-from pathlib import Path
 from typing import Any, Final
 
 import attrs
@@ -79,7 +79,7 @@
         self._policy = policy
         self._faults = faults
         self._processes = started
-        self._folder: Path = started.folder
+        self._folder: pathlib.Path = started.folder
         n_daemons = len(load.zones)
         ports = processes.free_ports(2 * n_daemons + N_ENGINES + N_SCORERS + 1)
         addresses = [f"127.0.0.1:{port}" for port in ports]
@@ -273,7 +273,7 @@
             delivered |= report.pop("n_tokens_by_sample")
         made = dict.fromkeys(delivered, 0)
         for i in range(N_ENGINES):
-            for event in journal.read(Path(self._journal(i)), "stream"):
+            for event in journal.read(pathlib.Path(self._journal(i)), "stream"):
                 sample_id = event["id"].partition("#")[0]
                 if sample_id in made:
                     made[sample_id] += sum(segment[2] for segment in event["segments"])
@@ -292,10 +292,10 @@
 
     def _n_tokens(self, i_engine: int, until: float) -> int:
         """Return the tokens that an engine had made by then, to half a second."""
-        notes = journal.read(Path(self._journal(i_engine)), "pace")
+        notes = journal.read(pathlib.Path(self._journal(i_engine)), "pace")
         counts = [note["n_tokens"] for note in notes if note["time"] <= until]
         return int(max(counts, default=0))
 
     def _step_seconds(self, i_engine: int) -> float:
-        pace = list(journal.read(Path(self._journal(i_engine)), "pace"))[-1]
+        pace = list(journal.read(pathlib.Path(self._journal(i_engine)), "pace"))[-1]
         return float(pace["busy_seconds"]) / max(1, pace["n_steps"])
--- a/misc/sample_trainer.py
+++ b/misc/sample_trainer.py
@@ -6,8 +6,8 @@
 
 import argparse
 import json
+import pathlib
 import time
-from pathlib import Path
 from typing import Any
 
 from bilberrydrum import runtime
@@ -89,7 +89,7 @@
     )
     options = parser.parse_args()
     report = MeasuringTrainer(options).run()
-    Path(options.report).write_text(json.dumps(report))
+    pathlib.Path(options.report).write_text(json.dumps(report))
 
 
 if __name__ == "__main__":
--- a/tests/fakes/batching.py
+++ b/tests/fakes/batching.py
@@ -5,10 +5,10 @@
 the lowest priority value. A prompt whose prefix is not cached costs extra steps first.
 """
 
+import collections
 import heapq
 import itertools
 import random
-from collections import OrderedDict
 from typing import Final
 
 from bilberrydrum import runtime
@@ -76,7 +76,7 @@
 
     def __init__(self, size: int) -> None:
         self._size = size
-        self._used: OrderedDict[str, None] = OrderedDict()
+        self._used: collections.OrderedDict[str, None] = collections.OrderedDict()
         # What changed since it was last asked for.
         self.changes: list[dict[str, str]] = []
 
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -6,9 +6,9 @@
 """
 
 import argparse
+import collections
 import json
 import os
-from collections import deque
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -77,7 +77,9 @@
         self.batcher = batching.Batcher(
             self.settings, self.orders.versions_by_model, options.seed
         )
-        self._loads: deque[dict[str, Any]] = deque([self._load_now()], N_LOADS)
+        self._loads: collections.deque[dict[str, Any]] = collections.deque(
+            [self._load_now()], N_LOADS
+        )
 
     # What it tells of itself.
 
--- a/tests/fakes/journal.py
+++ b/tests/fakes/journal.py
@@ -6,8 +6,8 @@
 
 import json
 import os
+import pathlib
 from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
 
@@ -26,7 +26,7 @@
         os.write(self._file, line.encode())
 
 
-def read(path: Path, kind: str) -> Iterator[dict[str, Any]]:
+def read(path: pathlib.Path, kind: str) -> Iterator[dict[str, Any]]:
     """Yield the events of a kind; a file that does not exist has none."""
     if not path.exists():
         return
--- a/tests/fakes/overload.py
+++ b/tests/fakes/overload.py
@@ -4,10 +4,10 @@
 at once or when they were told to. What is tested is the real `Admission` and `Router`.
 """
 
+import collections
 import heapq
 import itertools
 import random
-from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import Any
 
@@ -69,12 +69,12 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self.clients = clients
-        self.n_done: Counter[str] = Counter()
-        self.n_late: Counter[str] = Counter()
-        self.n_refused: Counter[reasons.Reason] = Counter()
+        self.n_done: collections.Counter[str] = collections.Counter()
+        self.n_late: collections.Counter[str] = collections.Counter()
+        self.n_refused: collections.Counter[reasons.Reason] = collections.Counter()
         self.n_offered = 0
         self.most_waiting = 0
-        self.waits: dict[str, list[float]] = defaultdict(list)
+        self.waits: dict[str, list[float]] = collections.defaultdict(list)
         self._clients_by_ticket: dict[int, tuple[Client, float]] = {}
 
     def run(self, seconds: float) -> "Overload":
--- a/tests/fakes/planner.py
+++ b/tests/fakes/planner.py
@@ -7,11 +7,11 @@
 """
 
 import argparse
+import collections
 import json
 import os
+import pathlib
 import random
-from collections import Counter
-from pathlib import Path
 from typing import Any, Final
 
 from bilberrydrum import runtime
@@ -37,7 +37,7 @@
         self.outcomes_by_booking: dict[str, str] = {}
         self.n_lookups = 0
         self.n_mismatched = 0
-        self.n_by_retry: Counter[str] = Counter()
+        self.n_by_retry: collections.Counter[str] = collections.Counter()
         self._n_not_run = 0
         self._is_stopping = False
 
@@ -47,7 +47,7 @@
         tasks = [eventlet.spawn(self._work, i) for i in range(self.options.n_planners)]
         for task in tasks:
             task.wait()
-        outcomes = Counter(self.outcomes_by_booking.values())
+        outcomes = collections.Counter(self.outcomes_by_booking.values())
         return {
             "n_lookups": self.n_lookups,
             "n_bookings": outcomes["booked"],
@@ -173,7 +173,7 @@
     options = parser.parse_args()
     report = json.dumps(Planner(options).run())
     if options.report:
-        partial = Path(f"{options.report}.part")
+        partial = pathlib.Path(f"{options.report}.part")
         partial.write_text(report + "\n")
         os.replace(partial, options.report)
     print(report)
--- a/tests/fakes/samples.py
+++ b/tests/fakes/samples.py
@@ -1,6 +1,6 @@
 """A trainer's own account of the samples that it was given."""
 
-from collections import Counter
+import collections
 from typing import Any, Final
 
 import attrs
@@ -39,7 +39,7 @@
     n_replaced: int = 0
     untraceable_ids: set[str] = attrs.field(factory=set)
     tokens_by_id: dict[str, tuple[int, ...]] = attrs.field(factory=dict)
-    n_by_staleness: Counter[int] = attrs.field(factory=Counter)
+    n_by_staleness: collections.Counter[int] = attrs.field(factory=collections.Counter)
     n_mixed: int = 0
     examples: list[str] = attrs.field(factory=list)
 
--- a/tests/fakes/trainer.py
+++ b/tests/fakes/trainer.py
@@ -9,8 +9,8 @@
 
 import argparse
 import json
+import pathlib
 import time
-from pathlib import Path
 from typing import Any, Final
 
 from bilberrydrum import runtime
@@ -234,7 +234,7 @@
     options = parser.parse_args()
     report = json.dumps(Trainer(options).run())
     if options.report:
-        Path(options.report).write_text(report + "\n")
+        pathlib.Path(options.report).write_text(report + "\n")
     print(report)
 
 
--- a/tests/path_support.py
+++ b/tests/path_support.py
@@ -4,10 +4,10 @@
 with a deadline that is far beyond what a loaded machine needs.
 """
 
+import pathlib
 import shutil
 import tempfile
 import unittest
-from pathlib import Path
 
 from bilberrydrum import runtime
 
@@ -29,7 +29,7 @@
 
     @classmethod
     def setUpClass(cls):
-        cls.folder = Path(tempfile.mkdtemp(prefix="bilberrydrum-path-"))
+        cls.folder = pathlib.Path(tempfile.mkdtemp(prefix="bilberrydrum-path-"))
         cls.addClassCleanup(shutil.rmtree, cls.folder)
         cls.processes = processes.Processes(cls.folder)
         cls.addClassCleanup(cls.processes.stop_all)
--- a/tests/test_bundles_check.py
+++ b/tests/test_bundles_check.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum.bundles import check, model
 
@@ -56,7 +56,7 @@
         self.assertEqual(bundle.trainers["outage"].adapter, "wet")
         self.assertEqual(bundle.cut_policy, model.CUT_REFUSE)
 
-    @params(*FAULTS)
+    @tools.params(*FAULTS)
     def test_fault_is_found_at_its_place(
         self, name: str, old: str, new: str, line: int, column: int, message: str
     ) -> None:
@@ -82,7 +82,7 @@
         self.assertEqual(check.digest_of(VALID), check.digest_of(VALID))
         self.assertNotEqual(check.digest_of(VALID), check.digest_of(VALID + "\n"))
 
-    @params(
+    @tools.params(
         "",
         "[]",
         "\ud800",
--- a/tests/test_bundles_commands.py
+++ b/tests/test_bundles_commands.py
@@ -8,7 +8,7 @@
 import attrs
 import hypothesis
 from hypothesis import strategies
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import clock, codec, reasons
 from bilberrydrum.bundles import commands, model, queries, records
@@ -61,7 +61,7 @@
         self.assertEqual(section(self.state).in_force, 1)
         self.assertEqual(section(self.state).records_by_version[1].state, "in-force")
 
-    @params(
+    @tools.params(
         ("draft", commands.RollBundle(3, "digest-a", "ana"), "BUNDLE_NOT_SIGNED_OFF"),
         ("no such", commands.RollBundle(9, "digest-a", "ana"), "NOT_FOUND"),
         ("no such", commands.SignOffBundle(9, "digest-a", "ana"), "NOT_FOUND"),
@@ -257,7 +257,7 @@
 
 
 class TestRestore(unittest.TestCase):
-    @params(("older copy", 2, 3), ("copy of today", 3, 3), ("newer copy", 4, 4))
+    @tools.params(("older copy", 2, 3), ("copy of today", 3, 3), ("newer copy", 4, 4))
     def test_restore_takes_no_accepted_bundle_back(
         self, name: str, version_of_copy: int, in_force: int
     ) -> None:
--- a/tests/test_bundles_http.py
+++ b/tests/test_bundles_http.py
@@ -8,7 +8,7 @@
 
 import eventlet
 import result
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import options, reasons, transport
 from bilberrydrum.bundles import (
@@ -153,7 +153,7 @@
         found = self.call("GET", "/v1/bundles/1")[1]
         self.assertEqual((found["content"], found["author"]), (text_of(1), "ana"))
 
-    @params(
+    @tools.params(
         ("POST", "/v1/bundles", {"content": text_of(1, "x: 1")}, 409, "conflict"),
         ("POST", "/v1/bundles", {"content": text_of(3)}, 409, "bundle-stale"),
         ("POST", "/v1/bundles", {"content": "version: x"}, 422, "bundle-invalid"),
@@ -200,7 +200,7 @@
 
 
 class TestTasks(Site):
-    @params(("another leader", 2), ("the same leader, after a short cut", 1))
+    @tools.params(("another leader", 2), ("the same leader, after a short cut", 1))
     def test_new_leader_waits_for_a_silent_gateway(self, name: str, term: int) -> None:
         """A gateway is cut off, and the leader changes before a bundle is rolled.
 
--- a/tests/test_bundles_lease.py
+++ b/tests/test_bundles_lease.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Any
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import reasons
 from bilberrydrum.bundles import book, commands, holder, messages, model
@@ -252,7 +252,7 @@
 
 
 class TestCutPolicy(unittest.TestCase):
-    @params((model.CUT_REFUSE, lease_world.LEASE), (model.CUT_HOLD, 60.0))
+    @tools.params((model.CUT_REFUSE, lease_world.LEASE), (model.CUT_HOLD, 60.0))
     def test_cut_off_gateway_serves_for_as_long_as_the_bundle_says(
         self, policy: str, seconds: float
     ) -> None:
@@ -329,7 +329,7 @@
         bundle = holder.read(grant.version, grant.content)
         return holder.GrantHeard("leader", grant, bundle)
 
-    @params(
+    @tools.params(
         ("before the first grant", None, 100.0, "BUNDLE_LEASE_EXPIRED"),
         ("nothing rolled yet", {"version": 0, "content": None}, 101.0, "NO_BUNDLE"),
         ("held", {}, 109.4, ""),
--- a/tests/test_cli_arguments.py
+++ b/tests/test_cli_arguments.py
@@ -10,7 +10,7 @@
 import unittest
 
 import attrs
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum_cli import arguments, codes, main, messages, output, verbs
 
@@ -84,7 +84,7 @@
 
 
 class TestArguments(unittest.TestCase):
-    @params(*BAD)
+    @tools.params(*BAD)
     def test_wrong_command_line_is_refused_with_the_usage_code(self, line, message):
         err = io.StringIO()
         with contextlib.redirect_stderr(err), self.assertRaises(SystemExit) as caught:
@@ -92,7 +92,7 @@
         self.assertEqual(caught.exception.code, codes.USAGE)
         self.assertIn(message, err.getvalue())
 
-    @params(*GOOD)
+    @tools.params(*GOOD)
     def test_verb_and_its_arguments(self, line, verb):
         self.assertEqual(arguments.parse(line.split(), {}).verb, verb)
 
@@ -101,7 +101,7 @@
         self.assertEqual({type(verb) for _, verb in GOOD}, classes)
         self.assertEqual(classes | {object}, set(verbs.run.registry))
 
-    @params(
+    @tools.params(
         ((), "", ("http://127.0.0.1:8080",)),
         ((), "10.0.0.1:80, 10.0.0.2:80", ("http://10.0.0.1:80", "http://10.0.0.2:80")),
         (("10.0.0.3:80",), "10.0.0.1:80", ("http://10.0.0.3:80",)),
--- a/tests/test_cli_client.py
+++ b/tests/test_cli_client.py
@@ -5,7 +5,7 @@
 
 import attrs
 import urllib3
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum_cli import client, rotation
 
@@ -125,7 +125,7 @@
 
 
 class TestRotation(unittest.TestCase):
-    @params(*ROTATIONS)
+    @tools.params(*ROTATIONS)
     def test_order_and_times(self, name, gateways, deadline, steps):
         turn = rotation.Rotation(gateways)
         for now, event, expected in steps:
@@ -147,7 +147,7 @@
 
 
 class TestClient(unittest.TestCase):
-    @params(
+    @tools.params(
         ("dead", REFUSED, []),
         ("not connected in time", NOT_CONNECTED, []),
         ("died with the request in hand", RESET, []),
@@ -181,7 +181,7 @@
         self.assertTrue(made.json("GET", "/v1/bundles").is_ok())
         self.assertEqual(clock.sleeps, [2.0])
 
-    @params(
+    @tools.params(
         ("never sent", [REFUSED, NOT_CONNECTED], False),
         ("sent to one", [REFUSED, RESET], True),
         ("not known whether it ran", [BUSY, REFUSED], True),
@@ -201,7 +201,7 @@
         failure = made.json("GET", "/v1/bundles").err_value
         self.assertFalse(failure.may_have_run)
 
-    @params(
+    @tools.params(
         ("conflict", Response(409, b'{"reason": "bundle-conflict"}'), "Refused"),
         ("error that is no document", Response(500, b"<html>"), "Refused"),
         ("answer that is not JSON", Response(200, b"<html>"), "Senseless"),
--- a/tests/test_cli_verbs.py
+++ b/tests/test_cli_verbs.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 import result
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum.state import machine, membership, snapshot
 from bilberrydrum_cli import client, codes, output, session, verbs
@@ -163,27 +163,27 @@
 
 
 class TestVerbs(unittest.TestCase):
-    @params(*REQUESTS)
+    @tools.params(*REQUESTS)
     def test_request(self, verb, method, target, body):
         code, out, err, requests = run(verb, {"members": []})
         self.assertEqual(requests, [(method, target, body)])
         self.assertEqual((code, err), (codes.OK, ""))
         self.assertIn("(none)\n", out)
 
-    @params(*FAILURES)
+    @tools.params(*FAILURES)
     def test_failure_has_its_code_and_says_why(self, failure, code, message):
         verb = verbs.SignOffBundle(3, "ab")
         got, out, err, _ = run(verb, failure)
         self.assertEqual((got, out), (code, ""))
         self.assertIn(message, err)
 
-    @params(*FAILURES)
+    @tools.params(*FAILURES)
     def test_failure_in_json_is_one_value(self, failure, code, message):
         got, out, _, _ = run(verbs.ListBundles(), failure, form=output.FORM_JSON)
         self.assertEqual(got, code)
         self.assertIsInstance(json.loads(out), dict)
 
-    @params(*WAITS)
+    @tools.params(*WAITS)
     def test_roll_waits_until_in_force(self, name, polls, code, message):
         verb = verbs.RollBundle(3, "ab", wait=True, wait_seconds=1.0)
         rolling = {"version": 3, "digest": "ab", "state": "rolling"}
@@ -210,7 +210,7 @@
         self.addCleanup(folder.cleanup)
         self.file = pathlib.Path(folder.name) / "file"
 
-    @params(
+    @tools.params(
         (verbs.CheckBundle, "/v1/bundles/check"), (verbs.SubmitBundle, "/v1/bundles")
     )
     def test_bundle_is_sent_as_it_stands(self, verb_class, target):
@@ -220,7 +220,7 @@
         body = {"content": "version: 1 # ñ\n", "file_name": name}
         self.assertEqual((code, requests), (codes.OK, [("POST", target, body)]))
 
-    @params(
+    @tools.params(
         verbs.CheckBundle,
         verbs.SubmitBundle,
         verbs.CheckSettings,
@@ -268,7 +268,9 @@
         self.assertEqual((code, self.file.exists()), (codes.FILE, False))
         self.assertIn("No space left on device", err)
 
-    @params(b"", SNAPSHOT[:-1], SNAPSHOT[:-1] + b"\0", SNAPSHOT + b"\0", SNAPSHOT[1:])
+    @tools.params(
+        b"", SNAPSHOT[:-1], SNAPSHOT[:-1] + b"\0", SNAPSHOT + b"\0", SNAPSHOT[1:]
+    )
     def test_damaged_snapshot_is_neither_saved_nor_restored(self, data):
         code, _, err, _ = run(verbs.SaveSnapshot(str(self.file)), data)
         self.assertEqual((code, self.file.exists()), (codes.FINDINGS, False))
@@ -278,7 +280,7 @@
             code, _, _, requests = run(verb_class(str(self.file)))
             self.assertEqual((code, requests), (codes.FINDINGS, []))
 
-    @params(
+    @tools.params(
         ("process_id: a\nstate: {data_folder: d}\n", codes.OK, "no findings"),
         ("process_id: a b\nx: 1\n", codes.FINDINGS, ":2:1: error: unknown key 'x'"),
     )
@@ -349,7 +351,7 @@
 
 
 class TestOutput(unittest.TestCase):
-    @params(
+    @tools.params(
         ({"a": 1, "bc": "x"}, "a   1\nbc  x"),
         ({"v": 1, "rows": [{"a": 1}, {"b": "xy"}]}, "v  1\n\nrows:\nA  B\n1\n   xy"),
         ([{"a": None, "b": [1]}], "A     B\nnull  [1]"),
--- a/tests/test_demo_figures.py
+++ b/tests/test_demo_figures.py
@@ -1,12 +1,12 @@
 """The demo's own checks: a run in which something did not hold must not pass."""
 
 import json
+import pathlib
 import tempfile
 import unittest
-from pathlib import Path
 
 import attrs
-from nose2.tools import params
+from nose2 import tools
 
 from misc import andes, figures, probe
 from tests.fakes import samples, scorer, tokens
@@ -65,7 +65,7 @@
         report = self.account.report()
         self.assertEqual([0, 1], [report["n_duplicates"], report["n_redelivered"]])
 
-    @params(
+    @tools.params(
         ("one sample at two positions", make_sample(0, 0), make_sample(0, 1)),
         ("two samples at one position", make_sample(0, 0), make_sample(1, 0)),
     )
@@ -78,7 +78,7 @@
         self.account.take(make_sample(), published_version=5)
         self.assertEqual(1, self.account.report()["n_lost"])
 
-    @params(
+    @tools.params(
         ("a token lost", {"token_ids": TRUE_IDS[:3]}),
         ("a token twice", {"token_ids": [*TRUE_IDS[:2], TRUE_IDS[1], TRUE_IDS[3]]}),
         ("tokens swapped", {"token_ids": [TRUE_IDS[1], TRUE_IDS[0], *TRUE_IDS[2:]]}),
@@ -133,7 +133,7 @@
     }
     good_bookings = figures.Bookings(5, 0, 0, 0, 0, 0)
 
-    @params(
+    @tools.params(
         ("all well", ["a", "b"], {"a": "booked", "b": "booked"}, (0, 0, 0)),
         ("twice, at two processes", ["a", "a"], {"a": "booked"}, (1, 0, 0)),
         ("twice, the planner unsure", ["a", "b", "a"], {"a": "unknown"}, (1, 0, 0)),
@@ -144,7 +144,7 @@
     )
     def test_bookings_are_counted_from_the_journals(self, what, runs, outcomes, want):
         with tempfile.TemporaryDirectory() as folder:
-            found = make_bookings(Path(folder), runs, outcomes)
+            found = make_bookings(pathlib.Path(folder), runs, outcomes)
         got = (found.n_double, found.n_confirmed_not_run, found.n_refused_but_run)
         self.assertEqual(want, got, what)
 
@@ -159,7 +159,7 @@
     def test_good_run_passes(self):
         self.assertEqual([], self.breaches())
 
-    @params(
+    @tools.params(
         {"trainer": {"n_duplicates": 1}},
         {"trainer": {"n_lost": 1}},
         {"trainer": {"n_untraceable": 1}},
@@ -184,7 +184,7 @@
 
 
 class ProbeTest(unittest.TestCase):
-    @params(
+    @tools.params(
         ("before it was seen or reported", None, None, 100.0, 100.1, False),
         ("sent after this gateway acted on it", 99.0, None, 100.0, 100.1, True),
         ("sent after it was reported", None, 99.0, 100.0, 100.1, True),
--- a/tests/test_demo_process.py
+++ b/tests/test_demo_process.py
@@ -5,7 +5,7 @@
 import tempfile
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import runtime
 
@@ -31,7 +31,7 @@
 
 
 class InterruptTest(unittest.TestCase):
-    @params(signal.SIGINT, signal.SIGTERM)
+    @tools.params(signal.SIGINT, signal.SIGTERM)
     def test_interrupted_demo_leaves_no_process_behind(self, number):
         """The demo is told to end while its processes start, and again meanwhile.
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -7,7 +7,7 @@
 
 import eventlet
 import eventlet.wsgi
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import counters, options
 from bilberrydrum.http import edge, monitoring, server
@@ -82,7 +82,7 @@
             connection.shutdown(socket.SHUT_WR)
             return read_answer(connection)
 
-    @params(
+    @tools.params(
         ("not json", b"POST /v1/echo", b"{", 400, "invalid-json"),
         ("no object", b"POST /v1/echo", b"[1]", 400, "invalid-json"),
         ("deep nesting", b"POST /v1/echo", b"[" * 99, 400, "invalid-json"),
@@ -103,7 +103,7 @@
         self.assertEqual(refusals(reason), before + 1)
         self.assertEqual(self.edge.n_in_flight, 0)
 
-    @params(
+    @tools.params(
         (
             "truncated body",
             b"POST /v1/echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n{}",
@@ -131,7 +131,7 @@
         self.assertEqual(problem_of(answer)["reason"], reason)
         self.assertEqual(refusals(reason), before + 1)
 
-    @params(
+    @tools.params(
         ("slow headers", b"GET /v1/items/a HTTP/1.1\r\nX-A:"),
         ("slow body", b"POST /v1/echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"),
     )
--- a/tests/test_http_callers.py
+++ b/tests/test_http_callers.py
@@ -5,7 +5,7 @@
 import attrs
 import eventlet
 import result
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import clock as hub_clock
 from bilberrydrum import reasons
@@ -18,7 +18,7 @@
 
 
 class AtMostOnce(deployment.Deployment):
-    @params(
+    @tools.params(
         ("before the claim", 1, 201, "completed"),
         ("after the claim, before the first byte", 0, 409, "unknown"),
         ("after the answer, before it is recorded", 1, 409, "unknown"),
@@ -186,7 +186,7 @@
         eventlet.sleep(0.03)
         self.assertEqual(self.second.book().wait().status, 201)
 
-    @params(
+    @tools.params(
         ("reset", lambda received: b""),
         ("cut", lambda received: scripted.answer(received, b"booked")[:-2]),
         ("another's answer", lambda r: scripted.answer(r, b"no", request_id="x")),
@@ -348,7 +348,7 @@
         self.registry.upstreams = {}
         eventlet.sleep(0.03)
 
-    @params(
+    @tools.params(
         ("lose_lease", "bundle-lease-expired"),
         ("forbid_caller", "caller-not-allowed"),
         ("lose_application", "application-unknown"),
--- a/tests/test_http_refusals.py
+++ b/tests/test_http_refusals.py
@@ -3,7 +3,7 @@
 import attrs
 import eventlet
 import result
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import reasons
 from tests.fakes import deployment, gateway_parts, wsgi
@@ -30,7 +30,7 @@
         wsgi.run_until(lambda: self.n_bookings == 1)
         return pending
 
-    @params(
+    @tools.params(
         (result.Err(Reason.BUNDLE_LEASE_EXPIRED), "bundle-lease-expired"),
         (
             result.Ok(attrs.evolve(gateway_parts.BUNDLE, version=2, callers={})),
@@ -91,7 +91,7 @@
 
 
 class BadInput(deployment.Deployment):
-    @params(
+    @tools.params(
         ("no caller", {"X_Caller": ""}, None, 403, "caller-not-allowed"),
         ("unknown caller", {"X_Caller": "x"}, None, 403, "caller-not-allowed"),
         ("no JSON", {}, b"{", 400, "invalid-json"),
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -5,7 +5,7 @@
 import tempfile
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import curve, keys, options, tokens
 
@@ -45,7 +45,7 @@
     def test_the_secret_is_not_printed(self):
         self.assertNotIn(GOOD.secret, repr(GOOD))
 
-    @params(
+    @tools.params(
         ("short", f"public: abc\nsecret: {'b' * 40}\n", "1:9", "public must be 40"),
         ("not Z85", f"public: {'a' * 40}\nsecret: {'~' * 40}\n", "2:9", "of Z85"),
         ("too large", f"public: {'a' * 40}\nsecret: '{'#' * 40}'\n", "2:9", "of Z85"),
@@ -58,7 +58,7 @@
         self.assertEqual(f"{finding.line}:{finding.column}", place)
         self.assertIn(message, finding.message)
 
-    @params(0o640, 0o604, 0o666)
+    @tools.params(0o640, 0o604, 0o666)
     def test_key_file_that_others_may_read(self, mode):
         keys.write(str(self.key_file), GOOD)
         os.chmod(self.key_file, mode)
@@ -105,7 +105,7 @@
 
 
 class TestTokens(unittest.TestCase):
-    @params(
+    @tools.params(
         ("empty", b" \n", "the token is empty"),
         ("two lines", b"a\nb\n", "one line"),
         ("not ASCII", "schlüssel\n".encode(), "one line"),
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -6,7 +6,7 @@
 import threading
 import uuid
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import runtime
 
@@ -22,7 +22,7 @@
 class PathTest(path_support.PathCase):
     """One deployment for all tests; each mends what it breaks."""
 
-    @params(
+    @tools.params(
         ("the connection closes in mid-stream", "reset_streams"),
         ("the stream ends without its finish", "cut_streams"),
         ("the answer is that of another request", "wrong_ids"),
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -5,7 +5,7 @@
 import re
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "PROOFS.md"
@@ -89,7 +89,7 @@
     def test_each_cell_names_tests_that_exist_or_says_why_not(self):
         self.assertEqual([], find_faults(PAGE.read_text(), existing_ids()))
 
-    @params(
+    @tools.params(
         ("a test that is not there", "`tests.test_a.A.test_b`", "`tests.test_a.A.x`"),
         ("an empty cell", "`tests.test_a.A.test_b`", ""),
         ("no reason", "`tests.test_a.A.test_b`", "not proved:"),
--- a/tests/test_requests_admission.py
+++ b/tests/test_requests_admission.py
@@ -1,8 +1,8 @@
+import collections
 import random
 import unittest
-from collections import Counter
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import reasons
 from bilberrydrum.requests import admission, queues, routing
@@ -20,7 +20,7 @@
 
 
 class Overloaded(unittest.TestCase):
-    @params(
+    @tools.params(
         ("fixed times, retry at once", lambda rng: 0.1, 0.005),
         ("heavy tail, retry at once", heavy_tailed, 0.005),
         ("heavy tail, retry when told", heavy_tailed, None),
@@ -82,7 +82,7 @@
 
 
 class Fairness(unittest.TestCase):
-    @params(
+    @tools.params(
         ("equal shares", {"a": 1.0, "b": 1.0}, {"a": 100, "b": 100}),
         ("one asks ten times more", {"a": 1.0, "b": 1.0}, {"a": 30, "b": 300}),
         ("a trainer with three shares", {"a": 1.0, "b": 3.0}, {"a": 100, "b": 100}),
@@ -127,7 +127,7 @@
         for _ in range(100):
             for name in ("away", "busy"):
                 queue.offer(1000.0, queues.Ticket(name, overload.NEED, 1e9), no_room)
-        grants: Counter[str] = Counter()
+        grants: collections.Counter[str] = collections.Counter()
         n_left = iter(range(100))
         effects = queue.pump(
             1000.0,
@@ -151,7 +151,7 @@
             for name in n_tokens:
                 ticket = queues.Ticket(name, overload.NEED, 1e9, cost=1000.0)
                 queue.offer(1000.0, ticket, no_room)
-        spent: Counter[str] = Counter()
+        spent: collections.Counter[str] = collections.Counter()
         for _ in range(100):
             n_left = iter(range(1))
             (effect,) = queue.pump(
@@ -292,6 +292,6 @@
             (effect,) = queue.offer(1000.5, ticket, no_room)
             times.append(effect.retry_after_seconds)
         # 49 calls of half a second at a time: about 100 in a second.
-        per_second = Counter(int(seconds) for seconds in times)
+        per_second = collections.Counter(int(seconds) for seconds in times)
         self.assertLess(max(per_second.values()), 150)
         self.assertLessEqual(max(times), admission.MAX_RETRY_AFTER_SECONDS * 1.2)
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -4,7 +4,7 @@
 import unittest.mock
 
 import eventlet
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import clock, reasons
 from bilberrydrum.requests import (
@@ -80,7 +80,7 @@
     def call(self, fake, **fields):
         return attempts.call(self.means, fake.upstream("u"), outgoing(**fields))
 
-    @params(
+    @tools.params(
         ("body shorter than its length", truncated, Reason.ANSWER_TRUNCATED),
         ("cut exactly at a chunk's edge", cut_at_chunk_edge, Reason.ANSWER_TRUNCATED),
         ("neither length nor chunks", no_length, Reason.ANSWER_TRUNCATED),
@@ -291,7 +291,7 @@
 
 
 class Streams(unittest.TestCase):
-    @params(
+    @tools.params(
         ("no marker", [tokens(), END], None),
         ("no finish reason", [tokens(), scripted.DONE], Reason.ANSWER_TRUNCATED),
         ("nothing at all", [], None),
--- a/tests/test_requests_claims.py
+++ b/tests/test_requests_claims.py
@@ -5,7 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import codec
 from bilberrydrum.requests import claims_state, keys
@@ -58,7 +58,7 @@
 
 
 class Keys(unittest.TestCase):
-    @params(
+    @tools.params(
         (uuid_7(1_764_692_651.5), 1_764_692_651.5),
         (uuid_7(1_764_692_651.5).upper(), 1_764_692_651.5),
         ("1764692651-permit-17", 1_764_692_651.0),
@@ -72,7 +72,7 @@
     def test_time_of_a_key(self, key, expected):
         self.assertEqual(keys.time_of(key), expected)
 
-    @params(
+    @tools.params(
         ('"k"', "k"),
         (" k ", "k"),
         ('"', '"'),
@@ -81,7 +81,7 @@
     def test_quotes_are_not_part_of_a_key(self, text, expected):
         self.assertEqual(keys.normalise(text), expected)
 
-    @params(("", False), ("k", True), ("k" * 256, False), ("a\nb", False))
+    @tools.params(("", False), ("k", True), ("k" * 256, False), ("a\nb", False))
     def test_valid_keys(self, key, expected):
         self.assertEqual(keys.is_valid(key), expected)
 
@@ -156,7 +156,7 @@
         self.log.now += 10 * LIFETIME
         self.log.claim(key="other", claim_id="x")
 
-    @params(
+    @tools.params(
         ("without a time", "permit-17"),
         ("with seconds", f"{int(NOW)}-permit-17"),
         ("UUID of version 7", uuid_7(NOW)),
@@ -178,7 +178,7 @@
             found = self.log.find(key=key, lifetime=lifetime)
             self.assertEqual(found.outcome, claims_state.CLAIM_EXPIRED)
 
-    @params(("into the running group", True), ("after the group was lost", False))
+    @tools.params(("into the running group", True), ("after the group was lost", False))
     def test_key_claimed_after_the_back_up_does_not_run_again(self, name, has_current):
         """A back-up is restored; a key was claimed after it was made.
 
--- a/tests/test_requests_dispatch.py
+++ b/tests/test_requests_dispatch.py
@@ -5,7 +5,7 @@
 
 import eventlet
 import result
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import clock, reasons
 from bilberrydrum.requests import health, model, recovery
@@ -37,7 +37,7 @@
             answer = self.dispatcher.call_application(application_call())
             self.assertEqual(answer.ok_value.upstream_id, "a2")
 
-    @params(
+    @tools.params(
         ("reset after the request", scripted.serve_and_close(lambda r: b"")),
         (
             "cut in the body",
@@ -130,7 +130,7 @@
             self.dispatcher.call_application(application_call(deadline=deadline))
         self.assertEqual(self.dispatcher._router.health._records_by_id, {})
 
-    @params(("lookup", True), ("booking", False))
+    @tools.params(("lookup", True), ("booking", False))
     def test_service_that_hangs_holds_up_nothing_that_may_be_repeated(
         self, name, is_idempotent
     ):
--- a/tests/test_requests_routing.py
+++ b/tests/test_requests_routing.py
@@ -1,11 +1,11 @@
 """Which upstream a call goes to."""
 
+import collections
 import random
 import unittest
-from collections import Counter
 
 import attrs
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum.requests import health, routing
 from bilberrydrum.upstreams import model
@@ -31,7 +31,7 @@
 
 
 class Eligible(unittest.TestCase):
-    @params(
+    @tools.params(
         ("any version", engine("e"), NEED, True),
         ("other model", engine("e"), attrs.evolve(NEED, name="x"), False),
         ("adapter it has", engine("e"), attrs.evolve(NEED, adapter="dry"), True),
@@ -67,7 +67,7 @@
             return chosen
         return chosen.upstream_id
 
-    @params(
+    @tools.params(
         ("nobody", [], {}, (), routing.Lack.UPSTREAM),
         ("least loaded", [engine("e1"), engine("e2")], {"e1": 2, "e2": 1}, (), "e2"),
         ("full one", [engine("e1", 10), engine("e2", 9)], {"e1": 1}, (), "e2"),
@@ -104,7 +104,7 @@
 
     def test_report_draws_most_calls_to_the_engine_that_is_free(self):
         upstreams = (engine("e1", 9), engine("e2", 1))
-        counts = Counter(
+        counts = collections.Counter(
             self.choose(routing.Router("a", random.Random(seed)), *upstreams)
             for seed in range(200)
         )
@@ -117,7 +117,7 @@
         free then would fill it, while those that have become free get nothing.
         """
         upstreams = [engine("e0", 4)] + [engine(f"e{i}", 8) for i in range(1, 5)]
-        counts = Counter()
+        counts = collections.Counter()
         for seed in range(500):
             subject = routing.Router("a", random.Random(seed))
             for upstream in upstreams:
--- a/tests/test_requests_schedules.py
+++ b/tests/test_requests_schedules.py
@@ -1,8 +1,8 @@
 """Random schedules of stops, wakes, lost majorities and failing services."""
 
+import collections
 import random
 import unittest
-from collections import Counter
 
 import attrs
 import eventlet
@@ -32,11 +32,11 @@
         self.gateways = [
             request_path.Gateway(f"g{i}", self.group, self.registry) for i in range(3)
         ]
-        self.n_sent = Counter()
+        self.n_sent = collections.Counter()
         self.told_unknown = set()
         self.pending = []
         self.wrong = []
-        self.n_answers = Counter()
+        self.n_answers = collections.Counter()
 
     def serve(self, connection, received):
         key = received.headers["idempotency-key"]
--- a/tests/test_requests_streams.py
+++ b/tests/test_requests_streams.py
@@ -5,7 +5,7 @@
 import unittest.mock
 
 import eventlet
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import clock, reasons
 from bilberrydrum.requests import attempts, model, resume
@@ -88,7 +88,7 @@
             self.assertEqual(text_of(seen), "t0t1t2")
             self.assertIsInstance(seen[-1], model.Finished)
 
-    @params(
+    @tools.params(
         ("crash", crash_after(2), Reason.ANSWER_TRUNCATED),
         ("stall", stall_after_one, Reason.UPSTREAM_TIMEOUT),
         (
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 import hypothesis
 import result
 from hypothesis import strategies
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import findings, options, settings, yaml_places
 from bilberrydrum.bundles import check
@@ -154,7 +154,7 @@
 
 
 class TestSettings(unittest.TestCase):
-    @params(*BAD)
+    @tools.params(*BAD)
     def test_every_fault_is_found_with_its_place(self, name, text, expected):
         found = found_in(text)
         self.assertEqual(len(found), len(expected), findings.report(found))
@@ -221,7 +221,7 @@
     def test_there_are_examples(self):
         self.assertEqual(len(EXAMPLES), 16)
 
-    @params(*EXAMPLES)
+    @tools.params(*EXAMPLES)
     def test_example_has_no_findings(self, path):
         if "bundle" in path.name:
             outcome = check.check(path.read_text(), str(path))
@@ -229,7 +229,7 @@
             outcome = settings.load(str(path))
         self.assertEqual(findings.report(outcome.err() or ()), "")
 
-    @params("andes", "karoo")
+    @tools.params("andes", "karoo")
     def test_processes_of_a_deployment_agree(self, folder):
         loaded = [
             settings.load(str(path)).ok_value
--- a/tests/test_settings_process.py
+++ b/tests/test_settings_process.py
@@ -6,7 +6,7 @@
 import tempfile
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import main
 
@@ -27,7 +27,7 @@
             code = main.main(["--settings", str(file), *words])
         return code, err.getvalue()
 
-    @params(
+    @tools.params(
         ("a fault", SETTINGS + "rolls: []\n", ["settings.yaml:3:1: error: unknown"]),
         (
             "two token files and a key file that are not there",
--- a/tests/test_state_controller.py
+++ b/tests/test_state_controller.py
@@ -7,7 +7,7 @@
 import eventlet
 import hypothesis
 from hypothesis import stateful, strategies
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import options
 from bilberrydrum.state import (
@@ -165,7 +165,7 @@
         self.world.turn(self.second)
         self.assertEqual(self.world.number(self.second), 2)
 
-    @params(("an earlier number", "a", 1), ("another process", "b", 2))
+    @tools.params(("an earlier number", "a", 1), ("another process", "b", 2))
     def test_late_renewal_or_release_changes_nothing(
         self, name: str, process_id: str, number: int
     ) -> None:
@@ -192,7 +192,7 @@
         machine.keep_rising(copy, None if is_new_group else current)
         sections[controller_commands.SECTION] = copy
 
-    @params(
+    @tools.params(
         ("older copy", 0, False, 2),
         ("newer copy", 40, False, 41),
         ("new group", 40, True, 41),
@@ -227,7 +227,7 @@
 
 
 class TestOrders(unittest.TestCase):
-    @params((True, ["new"]), (False, ["old", "new"]))
+    @tools.params((True, ["new"]), (False, ["old", "new"]))
     def test_controller_wakes_with_an_order_in_hand(
         self, checks_fencing: bool, carried_out: list[str]
     ) -> None:
--- a/tests/test_state_core.py
+++ b/tests/test_state_core.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Any
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import codec
 from bilberrydrum.state import core, events, log, membership, messages, node
@@ -192,7 +192,7 @@
 class LeaderLeftAlone(unittest.TestCase):
     """A healthy leader is not deposed, and its lease is kept by its followers."""
 
-    @params(True, False)
+    @tools.params(True, False)
     def test_candidate_is_ignored_while_the_leader_is_heard(self, is_pre: bool) -> None:
         """A cut-off replica comes back with a higher term and asks for votes.
 
--- a/tests/test_state_log.py
+++ b/tests/test_state_log.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum.state import events, log, messages
 from tests import test_state_core
@@ -27,7 +27,7 @@
         one.acknowledge("b", 3)
         self.assertEqual(one.committed(), [1, 2, 3])
 
-    @params((1, 9, False), (5, 2, True), (2, 3, True), (2, 2, False))
+    @tools.params((1, 9, False), (5, 2, True), (2, 3, True), (2, 2, False))
     def test_vote_only_for_a_log_that_holds_as_much(
         self, last_term: int, last_index: int, is_granted: bool
     ) -> None:
--- a/tests/test_state_membership.py
+++ b/tests/test_state_membership.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum.state import events, membership, node, steward
 from tests import test_state_core
@@ -87,7 +87,7 @@
     MEMBERS = test_state_core.MEMBERS
     NEW_C = membership.ReplicaInfo("c2", "p-c", "at-c", is_voter=False)
 
-    @params(
+    @tools.params(
         ("joins", (), (0, False), 100, "add-learner"),
         ("old replica gone", ("c2",), (100, False), 100, "remove"),
         ("old replica heard", ("c2",), (100, True), 100, None),
--- a/tests/test_state_operators.py
+++ b/tests/test_state_operators.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import result
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import options, reasons
 from bilberrydrum.http import edge, state_operators
@@ -83,7 +83,7 @@
         status, _, body = self.call({}, "GET", "/v1/state", replica=FakeReplica())
         self.assertEqual((status, json.loads(body)["replica_id"]), (200, "r2"))
 
-    @params(
+    @tools.params(
         ("GET", "/v1/state", b""),
         ("GET", "/v1/state/snapshot", b""),
         ("POST", "/v1/state/snapshot", saved()),
@@ -100,7 +100,7 @@
         self.assertEqual(problem["outcome"], "unknown")
         self.assertEqual(self.call({}, method, path, body, token="no")[0], 401)
 
-    @params((True, "", 202), (False, "would lose its majority", 409))
+    @tools.params((True, "", 202), (False, "would lose its majority", 409))
     def test_removal(self, is_made: bool, detail: str, expected: int) -> None:
         changed = result.Ok(commands.MemberChanged(is_made, detail))
         answers = {commands.RemoveMember: changed}
@@ -109,7 +109,7 @@
         self.assertEqual(self.state.asked, [commands.RemoveMember("r1")])
         self.assertIn(detail, json.loads(body).get("detail", ""))
 
-    @params(
+    @tools.params(
         (b'{"process_id": "p4", "peer_address": "1.1.1.1:1"}', 202),
         (b'{"process_id": "p4"}', 400),
         (b'{"process_id": 4, "peer_address": "1.1.1.1:1"}', 400),
@@ -133,7 +133,7 @@
         status, _, body = self.call(answers, "POST", "/v1/state/snapshot", data)
         self.assertEqual((status, json.loads(body)), (200, {"digest": digest}))
 
-    @params(0, 40, -1)
+    @tools.params(0, 40, -1)
     def test_damaged_snapshot_is_refused_unsent(self, position: int) -> None:
         data = bytearray(saved())
         data[position] ^= 1
--- a/tests/test_state_replica.py
+++ b/tests/test_state_replica.py
@@ -8,7 +8,7 @@
 
 import eventlet
 import result
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import clock, transport
 from bilberrydrum.state import (
@@ -177,7 +177,7 @@
         one.establish()
         self.assertFalse(task.snapshot_is_due())
 
-    @params(
+    @tools.params(
         ("large, with a successor", applying.LARGE_BYTES, True, False),
         ("small", applying.LARGE_BYTES - 1, True, True),
         ("large, all others gone", applying.LARGE_BYTES, False, True),
--- a/tests/test_state_serving.py
+++ b/tests/test_state_serving.py
@@ -3,7 +3,7 @@
 import unittest
 from typing import Any
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import codec, options
 from bilberrydrum.state import applier, founding, messages, serving
@@ -74,7 +74,7 @@
         self.sent = Sent()
         self.waiters = serving.Waiters(self.sent)
 
-    @params((2, True), (3, False))
+    @tools.params((2, True), (3, False))
     def test_answer_goes_out_only_for_the_entry_that_was_taken(
         self, term: int, is_answered: bool
     ) -> None:
@@ -105,7 +105,7 @@
     ) -> founding.Founding:
         return founding.Founding(process_id, replica_id, "at-a", self.MEMBERS)
 
-    @params(
+    @tools.params(
         ("all are empty", "a", {"b": True, "c": True}, True),
         ("one is silent", "a", {"b": True}, False),
         ("one holds the group", "a", {"b": True, "c": False}, False),
--- a/tests/test_state_sessions.py
+++ b/tests/test_state_sessions.py
@@ -3,7 +3,7 @@
 import unittest
 
 import attrs
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import codec
 from bilberrydrum.state import (
@@ -165,7 +165,7 @@
         header = snapshot.Header(3, 1, 1.0, membership.Membership())
         return snapshot.encode(header, state)
 
-    @params((5, 9, 9), (9, 5, 9), (5, None, 5))
+    @tools.params((5, 9, 9), (9, 5, 9), (5, None, 5))
     def test_fencing_number_does_not_fall(
         self, saved: int, current: int | None, expected: int
     ) -> None:
@@ -200,7 +200,7 @@
         machine.apply(commands.RestoreState(data), state, context)
         self.assertEqual(list(sessions.table(state).by_id), [9])
 
-    @params(0, 31, 32, 60, -1)
+    @tools.params(0, 31, 32, 60, -1)
     def test_damaged_backup_changes_nothing(self, position: int) -> None:
         state = self.state(9, "current")
         data = bytearray(self.saved(self.state(5, "saved")))
--- a/tests/test_state_storage.py
+++ b/tests/test_state_storage.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import attrs
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum.state import (
     events,
@@ -145,7 +145,7 @@
 class PowerCut(unittest.TestCase):
     """The power goes between any write and its sync."""
 
-    @params(*LEFTOVERS)
+    @tools.params(*LEFTOVERS)
     def test_nothing_acknowledged_is_lost(self, leftover: str) -> None:
         """The operator restarts a host whose power went at any moment.
 
@@ -231,7 +231,7 @@
             n_refused += 1
         self.assertGreater(n_refused, 20)
 
-    @params("log-2", "snapshot-7", "replica-id")
+    @tools.params("log-2", "snapshot-7", "replica-id")
     def test_missing_file_is_refused(self, name: str) -> None:
         disk = self.folder(segment_bytes=300)
         store = storage.Storage(disk, FOLDER, 300)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -6,7 +6,7 @@
 import eventlet
 import eventlet.green.zmq as zmq
 import msgpack
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import codec, counters, transport
 from tests import helpers
@@ -59,7 +59,7 @@
         self.heard.append(message.number)
         self.receiver.answer(sender, Ping(message.number + 1))
 
-    @params(
+    @tools.params(
         ("newer version", envelope(version=99), "message-newer-version"),
         ("other group", envelope(group="other"), "message-wrong-group"),
         ("unknown type", envelope(body=b"\x92\xa1x\x80"), "message-unknown-type"),
@@ -159,7 +159,7 @@
         newer = b"\x92\xactest.unheard\x82\xa6number\x05\xa1z\x01"
         self.assertEqual(codec.decode(newer), Unheard(5))
 
-    @params(
+    @tools.params(
         ("wrong type", b"\x92\xa9test.ping\x81\xa6number\xa1x"),
         ("missing field", b"\x92\xa9test.ping\x80"),
         ("no name", b"\x92\x01\x80"),
--- a/tests/test_weights_commands.py
+++ b/tests/test_weights_commands.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import codec
 from bilberrydrum.state import machine
@@ -19,7 +19,7 @@
 
 
 class PublishTest(unittest.TestCase):
-    @params(
+    @tools.params(
         ("first", [3], [3], 3),
         ("rises", [1, 2], [1, 2], 2),
         ("resent", [2, 2], [2, 2], 2),
@@ -59,7 +59,7 @@
         ):
             self.assertEqual(answer.newest_model_versions(trainers), newest)
 
-    @params(
+    @tools.params(
         ("ahead", 4, 5, 5, {"planner": 5}),
         ("published_already", 4, 4, 4, {}),
         ("older", 4, 3, 4, {}),
@@ -90,7 +90,7 @@
         answer = machine.answer(queries.ListPublications(), state, 0.0)
         self.assertEqual(answer.roles_by_upstream_id, {"e0": "prefill"})
 
-    @params((4, 6, 6), (6, 4, 6), (None, 6, 6), (6, None, 6))
+    @tools.params((4, 6, 6), (6, 4, 6), (None, 6, 6), (6, None, 6))
     def test_restored_from_a_back_up(self, saved, current, newest):
         """The back-up is older than the state: the newest version does not fall."""
         sections = []
--- a/tests/test_weights_fencing.py
+++ b/tests/test_weights_fencing.py
@@ -9,7 +9,7 @@
 
 import eventlet
 import eventlet.event
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import clock, counters, options, reasons
 from bilberrydrum.state import controller
@@ -92,7 +92,7 @@
         numbers = [each["fencing_number"] for each in engine.received]
         self.assertGreater(min(numbers), older.stopped_number)
 
-    @params(True, False)
+    @tools.params(True, False)
     def test_stopped_before_the_check(self, checks_fencing):
         """A controller has connected to the engine to order version 1, and its process
         is stopped. Another takes over and brings version 2 to the engine. The first
--- a/tests/test_weights_http.py
+++ b/tests/test_weights_http.py
@@ -9,7 +9,7 @@
 runtime.prepare()
 
 import result
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import options, reasons
 from bilberrydrum.http import edge, weights
@@ -78,7 +78,7 @@
             )
             self.assertEqual((status, answer), (200, {"weight_version": newest}))
 
-    @params(
+    @tools.params(
         ("missing", "outage", b"{}", 400, "invalid-request"),
         ("zero", "outage", b'{"weight_version": 0}', 400, "invalid-request"),
         ("text", "outage", b'{"weight_version": "4"}', 400, "invalid-request"),
@@ -102,7 +102,7 @@
             self.assertEqual(answer[1]["outcome"], "not-run")
         self.assertEqual(self.state.state.sections, {})
 
-    @params((True, "unknown"), (False, "not-run"))
+    @tools.params((True, "unknown"), (False, "not-run"))
     def test_state_group_does_not_answer(self, may_have_applied, outcome):
         """The publication may or may not be kept: only if it certainly is not, the
         trainer is told "not-run". In both cases it may send it again.
@@ -144,7 +144,7 @@
         )
         self.assertEqual(engine["failed_orders"][0]["n_failures"], 2)
 
-    @params((4, 5, 5), (5, 5, 0), (6, 5, 0))
+    @tools.params((4, 5, 5), (5, 5, 0), (6, 5, 0))
     def test_a_version_prepared_by_one_of_two_trainers(self, published, ahead, wanted):
         """The other trainer's version is newer: the prepared one is of no use."""
         self.state.submit(commands.PrepareWeights("exits", "planner", ahead))
@@ -152,12 +152,14 @@
         (model,) = self.call("GET", "/v1/weights")[1]["models"]
         self.assertEqual(model["prepared_version"], wanted)
 
-    @params(("GET", "/v1/weights"), ("POST", "/v1/upstreams/e0/role"))
+    @tools.params(("GET", "/v1/weights"), ("POST", "/v1/upstreams/e0/role"))
     def test_operators_token(self, method, path):
         status, answer = self.call(method, path, token="other")
         self.assertEqual((status, answer["reason"]), (401, "unauthorized"))
 
-    @params(({"role": "prefill"}, 200), ({"role": 3}, 400), ({"role": "x" * 65}, 400))
+    @tools.params(
+        ({"role": "prefill"}, 200), ({"role": 3}, 400), ({"role": "x" * 65}, 400)
+    )
     def test_role(self, body, status):
         answer = self.post("/v1/upstreams/e0/role", body)
         self.assertEqual(answer[0], status)
--- a/tests/test_weights_planner.py
+++ b/tests/test_weights_planner.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum.upstreams import model as upstream_model
 from bilberrydrum.weights import limiter, orders, planner, swaps, views
@@ -10,7 +10,7 @@
 
 
 class LoadTest(unittest.TestCase):
-    @params((1, 1), (2, 2), (5, 5), (9, 5))
+    @tools.params((1, 1), (2, 2), (5, 5), (9, 5))
     def test_no_more_loads_at_a_time_than_the_bundle_says(self, cap, n_begun):
         bench = weights_bench.Bench(5, max_concurrent_loads=cap)
         given = bench.turn()
@@ -69,7 +69,7 @@
 
 
 class SwapTest(unittest.TestCase):
-    @params(
+    @tools.params(
         (1, 0.5, 1),
         (2, 0.5, 1),
         (3, 0.5, 1),
@@ -119,7 +119,7 @@
         (order,) = bench.turn(planner.RETRY_SECONDS)
         self.assertEqual(order.upstream_id, "e000")
 
-    @params((1, 0.5), (2, 1.0), (4, 4.0), (7, 30.0), (12, 30.0))
+    @tools.params((1, 0.5), (2, 1.0), (4, 4.0), (7, 30.0), (12, 30.0))
     def test_swap_fails_n_times(self, n_failures, delay):
         """One engine of two fails its swap n times and then carries it out.
 
@@ -192,7 +192,7 @@
         self.assertEqual(weights_bench.kinds([again]), [("load", 1)])
         self.assertNotEqual(again.order_id, load.order_id)
 
-    @params(
+    @tools.params(
         ("before", (0,), 0, [("load", 1)]),
         ("loaded", (0, 1), 0, [("swap", 1)]),
         ("after", (0, 1), 1, [("unload", 0)]),
@@ -212,7 +212,7 @@
         bench.report(weights_bench.upstream("e000", version, loaded))
         self.assertEqual(weights_bench.kinds(bench.turn(1.0)), following)
 
-    @params(("kept", (0, 1)), ("lost", (0,)))
+    @tools.params(("kept", (0, 1)), ("lost", (0,)))
     def test_engine_that_crashes_at_each_swap(self, _name, loaded):
         """The engine dies at each swap and comes back, with or without the version in
         memory. Its swaps are tried less and less often, also when it has to load first
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -7,7 +7,7 @@
 runtime.prepare()
 
 import eventlet
-from nose2.tools import params
+from nose2 import tools
 
 from bilberrydrum import options
 from bilberrydrum.weights import commands, orders, rollout, sender
@@ -47,7 +47,7 @@
     def wait_for(self, condition):
         support.wait_for(condition)
 
-    @params(True, False)
+    @tools.params(True, False)
     def test_newest_version_reaches_all_engines(self, checks_fencing):
         for _ in range(5):
             self.engine(checks_fencing=checks_fencing)
@@ -96,7 +96,7 @@
 
 
 class OutcomeTest(unittest.TestCase):
-    @params(
+    @tools.params(
         ("done", 200, None, b"{}", orders.Done()),
         ("fenced", 409, None, b'{"reason": "stale-fencing"}', orders.Fenced()),
         ("conflict", 409, None, b"no", orders.Failed("409 no")),
