--- a/tests/samples_support.py
+++ b/tests/samples_support.py
@@ -16,7 +16,7 @@
 )
 from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.requests import model as request_model
-from bilberrydrum.samples import commands, model
+from bilberrydrum.samples import commands, model, queries
 from bilberrydrum.state import client, machine
 from bilberrydrum.upstreams import model as upstream_model
 from bilberrydrum.weights import commands as weight_commands
@@ -266,3 +266,27 @@
         models={"planner": bundle_model.ModelRule()},
         trainers={TRAINER: bundle_model.TrainerRule("planner", "scorer", bound)},
     )
+
+
+def ready_machine() -> Machine:
+    """A group of two slots, both with a sample of version 0, owner gw-1, epoch 1."""
+    machine = Machine()
+    machine.renew("gw-1")
+    machine.renew("gw-2")
+    machine.add("g0")
+    machine.record("g0", 0)
+    machine.record("g0", 1)
+    machine.open_reader()
+    return machine
+
+
+def places(batch: commands.Batch) -> list[tuple[int, str, int, int]]:
+    return [
+        (each.position, each.group_id, each.slot, each.record.attempt)
+        for each in batch.samples
+    ]
+
+
+def trace(machine: Machine, group_id: str, slot: int) -> queries.Trace:
+    found: queries.Trace = machine.answer(queries.GetTrace(TRAINER, group_id, slot))
+    return found
--- a/tests/test_http_callers.py
+++ b/tests/test_http_callers.py
@@ -1,7 +1,5 @@
 """The callers' interface: what runs at most once, whole answers, refusals."""
 
-import json
-
 import attrs
 import eventlet
 import result
@@ -375,50 +373,3 @@
         self.lose_upstreams()
         self.assertEqual(self.second.book().wait().status, 201)
         self.assertEqual(self.second.book("new").wait().outcome, "not-run")
-
-
-class Streams(deployment.Deployment):
-    def complete(self, **body):
-        values = {"model": "planner", "prompt": "p", "max_tokens": 8, "stream": True}
-        return self.first.send("POST", "/v1/completions", values | body).wait()
-
-    def crash(self, connection, received):
-        part = scripted.event(received.request_id, "t0", [0])
-        connection.sendall(scripted.stream_head(received) + scripted.chunk(part))
-        return False
-
-    def test_stream_that_fails_ends_without_its_marker_and_with_a_cut(self):
-        """The engine crashes mid-stream and no other can go on.
-
-        The caller gets an error event; then its connection is cut, so that neither the
-        marker nor the end of the body makes it look whole.
-        """
-        self.engine("e1", self.crash)
-        answer = self.complete()
-        self.assertEqual(answer.status, 200)
-        self.assertFalse(answer.is_whole)
-        self.assertNotIn(b"[DONE]", answer.body)
-        last = answer.body.strip().split(b"\n\n")[-1].removeprefix(b"data: ")
-        self.assertEqual(json.loads(last)["error"]["outcome"], "unknown")
-
-    def test_stream_is_whole_when_another_engine_goes_on(self):
-        self.engine("e1", self.crash, availability_zone="a")
-        self.engine(
-            "e2",
-            scripted.serve(scripted.whole_stream),
-            availability_zone="far",
-            can_resume=True,
-        )
-        answer = self.complete()
-        self.assertTrue(answer.is_whole)
-        self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
-
-    def test_failure_before_the_first_token_is_told_by_the_status(self):
-        self.engine("e1", scripted.serve_and_close(lambda received: b""))
-        answer = self.complete()
-        self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
-
-    def test_whole_answer_that_is_cut_is_a_failure(self):
-        self.engine("e1", self.crash)
-        answer = self.complete(stream=False)
-        self.assertEqual((answer.status, answer.reason), (502, "answer-truncated"))
--- a/tests/test_samples_commands.py
+++ b/tests/test_samples_commands.py
@@ -6,40 +6,13 @@
 
 from nose2 import tools
 
-from bilberrydrum import codec, reasons
-from bilberrydrum.samples import commands, model, queries, section
-from bilberrydrum.state import machine as state_machine
+from bilberrydrum import reasons
+from bilberrydrum.samples import commands, model, queries
 from tests import samples_support as support
 
 R = reasons.Reason
 
 
-def ready_machine() -> support.Machine:
-    """A group of two slots, both with a sample of version 0, owner gw-1, epoch 1."""
-    machine = support.Machine()
-    machine.renew("gw-1")
-    machine.renew("gw-2")
-    machine.add("g0")
-    machine.record("g0", 0)
-    machine.record("g0", 1)
-    machine.open_reader()
-    return machine
-
-
-def places(batch: commands.Batch) -> list[tuple[int, str, int, int]]:
-    return [
-        (each.position, each.group_id, each.slot, each.record.attempt)
-        for each in batch.samples
-    ]
-
-
-def trace(machine: support.Machine, group_id: str, slot: int) -> queries.Trace:
-    found: queries.Trace = machine.answer(
-        queries.GetTrace(support.TRAINER, group_id, slot)
-    )
-    return found
-
-
 class Recording(unittest.TestCase):
     """One slot takes one attempt, of its present owner, that is fresh enough."""
 
@@ -52,10 +25,10 @@
     def test_second_record_of_a_slot(
         self, name: str, changes: dict[str, Any], refusal: reasons.Reason | None
     ) -> None:
-        machine = ready_machine()
-        before = trace(machine, "g0", 0)
+        machine = support.ready_machine()
+        before = support.trace(machine, "g0", 0)
         self.assertEqual(machine.record("g0", 0, **changes), refusal, name)
-        self.assertEqual(trace(machine, "g0", 0), before, name)
+        self.assertEqual(support.trace(machine, "g0", 0), before, name)
 
     def test_record_after_its_group_is_done_is_dropped(self) -> None:
         """The trainer has the sample; a second attempt ends long after.
@@ -63,7 +36,7 @@
         The group was forgotten when the cursor moved past it, so nothing is left that
         the late attempt could be put in.
         """
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.read(0)
         machine.read(2)
         self.assertEqual(machine.record("g0", 0, attempt=2), R.ATTEMPT_SUPERSEDED)
@@ -74,11 +47,11 @@
         The recorder got no answer to its first command and sends it again after the
         loss was reported. Taking it would bring the record back without its payload.
         """
-        machine = ready_machine()
+        machine = support.ready_machine()
         batch = machine.read(0)
         machine.apply(commands.ReportLost(support.TRAINER, batch.samples[:1]))
         self.assertEqual(machine.record("g0", 0), R.ATTEMPT_SUPERSEDED)
-        self.assertEqual(trace(machine, "g0", 0).state, queries.STATE_WANTED)
+        self.assertEqual(support.trace(machine, "g0", 0).state, queries.STATE_WANTED)
         self.assertIsNone(machine.record("g0", 0, attempt=2))
 
     def test_record_older_than_the_bound_is_refused(self) -> None:
@@ -139,17 +112,17 @@
         Meanwhile more samples become ready and all processes restart. The batch must
         not change until the cursor moves.
         """
-        machine = ready_machine()
-        first = places(machine.read(0))
+        machine = support.ready_machine()
+        first = support.places(machine.read(0))
         self.assertEqual(first, [(0, "g0", 0, 1), (1, "g0", 1, 1)])
         machine.add("g1", n_slots=1)
         machine.record("g1", 0)
         machine.restart()
         for n_samples in (1, 2, 3):
-            self.assertEqual(places(machine.read(0, n_samples)), first)
+            self.assertEqual(support.places(machine.read(0, n_samples)), first)
 
     def test_batch_that_is_not_ready_assigns_nothing(self) -> None:
-        machine = ready_machine()
+        machine = support.ready_machine()
         batch = machine.read(0, n_samples=3)
         self.assertEqual((batch.refusal, batch.n_assigned), (R.BATCH_NOT_READY, 0))
 
@@ -159,7 +132,7 @@
         None of its samples is delivered before it is whole, and the samples of a group
         follow one another.
         """
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.read(0)
         machine.add("g1", n_slots=3)
         machine.add("g2")
@@ -167,7 +140,9 @@
             machine.record(group_id, slot)
         self.assertEqual(machine.read(2, n_samples=1).refusal, R.BATCH_NOT_READY)
         machine.record("g2", 1)
-        self.assertEqual(places(machine.read(2)), [(2, "g2", 0, 1), (3, "g2", 1, 1)])
+        self.assertEqual(
+            support.places(machine.read(2)), [(2, "g2", 0, 1), (3, "g2", 1, 1)]
+        )
         machine.record("g1", 1)
         batch = machine.read(4, n_samples=3)
         self.assertEqual([each.slot for each in batch.samples], [0, 1, 2])
@@ -187,7 +162,7 @@
         Positions below the acknowledged cursor are forgotten; it is told what is known
         instead of being given other samples for them.
         """
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.read(0)
         machine.read(2)
         if refusal == R.READER_SUPERSEDED:
@@ -197,27 +172,27 @@
         self.assertEqual((batch.acknowledged, batch.n_assigned), (2, 2), name)
 
     def test_restarted_trainer_goes_on_at_the_acknowledged_cursor(self) -> None:
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.add("g1")
         machine.record("g1", 0)
         machine.record("g1", 1)
         machine.read(0)
-        before = places(machine.read(2))
+        before = support.places(machine.read(2))
         reader = machine.open_reader()
         self.assertEqual((reader.reader_epoch, reader.cursor), (2, 2))
-        self.assertEqual(places(machine.read(2, epoch=2)), before)
+        self.assertEqual(support.places(machine.read(2, epoch=2)), before)
 
     def test_cursor_within_a_batch_acknowledges_a_part(self) -> None:
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.read(0)
-        self.assertEqual(places(machine.read(1)), [(1, "g0", 1, 1)])
+        self.assertEqual(support.places(machine.read(1)), [(1, "g0", 1, 1)])
 
     def test_older_reader_moves_nothing(self) -> None:
         """Two processes read for one trainer; the older one asks for the next batch.
 
         Its cursor would acknowledge what the newer one has not received.
         """
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.read(0)
         machine.open_reader()
         self.assertEqual(machine.read(2, epoch=1).refusal, R.READER_SUPERSEDED)
@@ -230,17 +205,19 @@
         attempt fills the same position, and a repeated report about the lost one does
         not take away the new one.
         """
-        machine = ready_machine()
+        machine = support.ready_machine()
         batch = machine.read(0)
         report = commands.ReportLost(support.TRAINER, batch.samples[:1])
         self.assertEqual(machine.apply(report).n_expired, 1)
         self.assertEqual(machine.read(0).refusal, R.BATCH_NOT_READY)
         self.assertIsNone(machine.record("g0", 0, attempt=2))
         self.assertEqual(machine.apply(report).n_expired, 0)
-        self.assertEqual(places(machine.read(0)), [(0, "g0", 0, 2), (1, "g0", 1, 1)])
+        self.assertEqual(
+            support.places(machine.read(0)), [(0, "g0", 0, 2), (1, "g0", 1, 1)]
+        )
 
     def test_late_report_of_a_loss_after_the_cursor_moved(self) -> None:
-        machine = ready_machine()
+        machine = support.ready_machine()
         batch = machine.read(0, n_samples=1)
         machine.read(1, n_samples=1)
         report = commands.ReportLost(support.TRAINER, batch.samples)
@@ -251,7 +228,7 @@
     """No sample is delivered or delivered again beyond the bound in force."""
 
     def test_waiting_sample_that_becomes_too_old_is_not_assigned(self) -> None:
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.publish(3)
         batch = machine.read(0)
         self.assertEqual((batch.refusal, batch.n_expired), (R.BATCH_NOT_READY, 2))
@@ -275,7 +252,7 @@
         self.assertEqual(machine.read(0).refusal, R.BATCH_NOT_READY)
         self.assertIsNone(machine.record("g0", 0, attempt=2, version=3))
         batch = machine.read(0)
-        self.assertEqual(places(batch), [(0, "g0", 0, 2), (1, "g0", 1, 1)])
+        self.assertEqual(support.places(batch), [(0, "g0", 0, 2), (1, "g0", 1, 1)])
         self.assertEqual([each.staleness for each in batch.samples], [0, 2])
 
     def test_oldest_segment_counts(self) -> None:
@@ -307,7 +284,7 @@
         A gateway that has not heard of it comes next with the older bound, which must
         not come back.
         """
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.publish(1)
         if name == "assigned":
             machine.read(0)
@@ -316,7 +293,7 @@
 
     def test_sample_in_the_trainers_hands_is_not_made_again(self) -> None:
         """The trainer trains on a batch and publishes; its cursor has not moved yet."""
-        machine = ready_machine()
+        machine = support.ready_machine()
         machine.read(0)
         machine.publish(9)
         expire = commands.ExpireSamples(support.TRAINER, support.RULE)
@@ -335,7 +312,7 @@
         ]
         for name, change in [("nothing", lambda machine: None), *changes]:
             with self.subTest(name):
-                machine = ready_machine()
+                machine = support.ready_machine()
                 batch = machine.read(0)
                 change(machine)
                 rule = model.Rule(2, -1) if name == "bound" else support.RULE
@@ -352,199 +329,3 @@
         machine.apply(commands.ReportLost(support.TRAINER, lost))
         if replace:
             machine.record("g0", 0, attempt=2)
-
-
-class Ownership(unittest.TestCase):
-    """A group is driven by one gateway under an epoch."""
-
-    def machine(self) -> support.Machine:
-        machine = support.Machine()
-        for process_id in ("gw-1", "gw-2", "gw-3"):
-            machine.renew(process_id)
-        return machine
-
-    def work(self, machine: support.Machine, process_id: str) -> dict[str, int]:
-        renewed = machine.renew(process_id)
-        assert renewed.work is not None
-        return {each.group_id: each.owner_epoch for each in renewed.work}
-
-    def test_groups_are_spread(self) -> None:
-        machine = self.machine()
-        for i in range(6):
-            machine.add(f"g{i}")
-        sizes = [len(self.work(machine, f"gw-{i}")) for i in (1, 2, 3)]
-        self.assertEqual(sizes, [2, 2, 2])
-
-    def test_group_is_taken_over_and_the_earlier_owner_refused(self) -> None:
-        """An owner is frozen past its lease, wakes up and records its sample.
-
-        Another gateway drives the group by then; what the first one made under the
-        older epoch must not get into a slot.
-        """
-        machine = self.machine()
-        machine.add("g0")
-        for _ in range(4):
-            machine.time += 1.0
-            machine.renew("gw-2")
-            machine.renew("gw-3")
-        self.assertEqual(self.work(machine, "gw-2"), {"g0": 2})
-        self.assertEqual(machine.record("g0", 0, epoch=1), R.EPOCH_STALE)
-        self.assertIsNone(machine.record("g0", 0, epoch=2))
-        self.assertEqual(self.work(machine, "gw-1"), {})
-
-    def test_restarted_owner_is_another_life(self) -> None:
-        """A gateway restarts within its lease; its attempts and payloads are gone.
-
-        Records of its earlier life may still be on their way.
-        """
-        machine = self.machine()
-        machine.add("g0", n_slots=3)
-        machine.record("g0", 0, holders=("gw-1@1",))
-        machine.record("g0", 1, holders=("gw-1@1", "gw-2@1"))
-        machine.renew("gw-1", incarnation=2)
-        self.assertEqual(machine.record("g0", 2, epoch=1), R.EPOCH_STALE)
-        states = [trace(machine, "g0", i).state for i in range(3)]
-        self.assertEqual(states, ["wanted", "ready", "wanted"])
-        self.assertFalse(machine.renew("gw-1", incarnation=1).is_current)
-
-    def test_state_group_was_out(self) -> None:
-        """No leader for longer than a lease; then one owner renews before the others.
-
-        Nobody could renew, so nobody has lost its groups or its payloads.
-        """
-        machine = self.machine()
-        machine.add("g0")
-        machine.record("g0", 0, holders=("gw-1@1", "gw-2@1"))
-        machine.time += 60.0
-        machine.renew("gw-3")
-        self.assertEqual(trace(machine, "g0", 0).state, queries.STATE_READY)
-        self.assertIsNone(machine.record("g0", 1))
-
-    def test_owner_that_leaves_hands_its_groups_on(self) -> None:
-        machine = self.machine()
-        machine.add("g0")
-        machine.record("g0", 0)
-        machine.apply(commands.LeaveOwner("gw-1", 1))
-        self.assertEqual(self.work(machine, "gw-2"), {"g0": 2})
-        self.assertEqual(trace(machine, "g0", 0).state, queries.STATE_READY)
-
-    def test_owner_that_comes_back_learns_of_its_groups(self) -> None:
-        """An owner loses its groups; the answer to its next renewal is lost.
-
-        It still knows a revision of the time before. Met again, that number would mean
-        that nothing has changed, and nobody would ever make the samples it got since.
-        """
-        machine = self.machine()
-        machine.add("g0")
-        known = machine.renew("gw-1").revision
-        machine.apply(commands.LeaveOwner("gw-1", 1))
-        machine.renew("gw-1", revision=known)
-        machine.add("late")
-        self.assertIsNotNone(machine.renew("gw-1", revision=known).work)
-
-    def test_group_without_an_owner_waits_for_one(self) -> None:
-        machine = support.Machine()
-        machine.add("g0")
-        self.assertEqual(self.work(machine, "gw-1"), {"g0": 2})
-
-    def test_work_comes_once_per_change(self) -> None:
-        machine = self.machine()
-        machine.add("g0")
-        renewed = machine.renew("gw-1")
-        self.assertIsNone(machine.renew("gw-1", revision=renewed.revision).work)
-        machine.publish(9)
-        machine.record("g0", 0, version=9)
-        machine.publish(20)
-        machine.apply(commands.ExpireSamples(support.TRAINER, support.RULE))
-        again = machine.renew("gw-1", revision=renewed.revision)
-        assert again.work is not None
-        self.assertEqual(again.work[0].n_attempts_by_slot, {0: 1, 1: 0})
-
-
-class Traces(unittest.TestCase):
-    """A sample can be traced through its whole life, after every restart."""
-
-    def test_trace(self) -> None:
-        machine = support.Machine()
-        machine.renew("gw-1")
-        machine.open_reader()
-        steps: list[tuple[str, Callable[[], Any]]] = [
-            ("", lambda: None),
-            ("wanted", lambda: machine.add("g0", n_slots=1)),
-            ("ready", lambda: machine.record("g0", 0)),
-            ("assigned", lambda: machine.read(0, n_samples=1)),
-            ("acknowledged", lambda: machine.read(1, n_samples=1)),
-        ]
-        for state, step in steps:
-            step()
-            machine.restart()
-            with self.subTest(state):
-                self.assertEqual(trace(machine, "g0", 0).state, state)
-        found = trace(machine, "g0", 0)
-        self.assertEqual((found.position, found.staleness), (0, 0))
-        assert found.record is not None
-        self.assertEqual(found.record.segments, (model.Segment(0, 0, 1),))
-
-    def test_history_is_bounded(self) -> None:
-        machine = support.Machine()
-        machine.renew("gw-1")
-        machine.open_reader()
-        limit, section.HISTORY_SAMPLES = section.HISTORY_SAMPLES, 4
-        self.addCleanup(setattr, section, "HISTORY_SAMPLES", limit)
-        for i in range(4):
-            machine.add(f"g{i}")
-            machine.record(f"g{i}", 0)
-            machine.record(f"g{i}", 1)
-            machine.read(2 * i)
-        machine.read(8)
-        states = [trace(machine, f"g{i}", 0).state for i in range(4)]
-        self.assertEqual(states, ["", "", "acknowledged", "acknowledged"])
-
-
-class Restored(unittest.TestCase):
-    """A back-up of the state is restored."""
-
-    def test_what_was_received_since_is_not_delivered_again(self) -> None:
-        """A back-up is made, the trainer reads on, and the back-up is restored."""
-        machine = ready_machine()
-        old = codec.decode(codec.encode(section.of(machine.state)))
-        machine.read(0)
-        machine.read(2)
-        current = section.of(machine.state)
-        state_machine.keep_rising(old, current)
-        machine.state.sections[section.SECTION] = old
-        self.assertEqual(machine.read(0).refusal, R.CURSOR_INVALID)
-        self.assertEqual(machine.add("g0").n_known, 1)
-
-    def test_new_state_group_refuses_what_comes_from_the_old_one(self) -> None:
-        """A state group is made anew from a back-up; its owners and readers live on."""
-        machine = ready_machine()
-        machine.add("g1")
-        old = codec.decode(codec.encode(section.of(machine.state)))
-        state_machine.keep_rising(old, None)
-        machine.state.sections[section.SECTION] = old
-        self.assertEqual(machine.read(0).refusal, R.READER_SUPERSEDED)
-        self.assertEqual(machine.record("g1", 0), R.EPOCH_STALE)
-        renewed = machine.renew("gw-2")
-        assert renewed.work is not None
-        epochs = {each.owner_epoch for each in renewed.work}
-        self.assertGreater(min(epochs), section.EPOCH_JUMP)
-
-
-class Payloads(unittest.TestCase):
-    """A payload is needed until the cursor has moved past its sample."""
-
-    def test_payload_is_needed(self) -> None:
-        machine = ready_machine()
-        key = "outage/g0/0#1.1"
-        steps: list[tuple[str, Callable[[], Any], bool]] = [
-            ("ready", lambda: None, True),
-            ("assigned", lambda: machine.read(0), True),
-            ("acknowledged", lambda: machine.read(2), False),
-        ]
-        for name, step, is_needed in steps:
-            step()
-            unneeded = machine.answer(queries.ListUnneeded((key, "outage/g0/1#1.9")))
-            with self.subTest(name):
-                self.assertIn("outage/g0/1#1.9", unneeded.keys)
-                self.assertEqual(key not in unneeded.keys, is_needed)
