--- /dev/null
+++ b/bilberrydrum/batches/__init__.py
@@ -0,0 +1,1 @@
+"""Durable batches: accepted, run item by item, read by position."""
--- /dev/null
+++ b/bilberrydrum/batches/commands.py
@@ -0,0 +1,124 @@
+"""The stores' state: batches by id, their results and ends.
+
+A batch is kept while it is open, and for the retention after its submission, so that
+memory and disk stay flat however long the day is.
+"""
+
+from typing import Final
+
+import attrs
+
+from bilberrydrum import codec
+from bilberrydrum.batches import model
+from bilberrydrum.state import machine
+
+SECTION: Final = "batches"
+
+
+@codec.register("batches.section")
+@attrs.define
+class Section:
+    """All batches, the oldest first."""
+
+    batches_by_id: dict[str, model.KeptBatch] = attrs.field(factory=dict)
+
+
+def section_of(state: machine.State) -> Section:
+    """Return the section in `state`."""
+    found: Section = state.section(SECTION, Section)
+    return found
+
+
+@codec.register("batches.accept")
+@attrs.frozen
+class AcceptBatch:
+    """Keep a batch from now on; a second time it changes nothing."""
+
+    batch: model.Batch
+    # Ended batches older than this, in seconds, are dropped.
+    retention_seconds: float
+
+
+@codec.register("batches.accepted")
+@attrs.frozen
+class Accepted:
+    """The batch is kept."""
+
+    is_new: bool
+
+
+@codec.register("batches.finish")
+@attrs.frozen
+class FinishItems:
+    """Append results to a batch; items that have one already are passed over."""
+
+    batch_id: str
+    results: tuple[model.Result, ...]
+
+
+@codec.register("batches.finished")
+@attrs.frozen
+class Finished:
+    """How many results were appended."""
+
+    n_appended: int
+
+
+@codec.register("batches.end")
+@attrs.frozen
+class EndBatch:
+    """No more items of a batch are to run."""
+
+    batch_id: str
+
+
+@codec.register("batches.ended")
+@attrs.frozen
+class Ended:
+    """The batch has ended, or is not known."""
+
+    is_known: bool
+
+
+@machine.apply.register
+def _(command: AcceptBatch, state: machine.State, context: machine.Context) -> Accepted:
+    section = section_of(state)
+    _drop_old(section, context.time - command.retention_seconds)
+    batch = command.batch
+    if batch.batch_id in section.batches_by_id:
+        return Accepted(False)
+    kept = model.KeptBatch(batch, context.time)
+    section.batches_by_id[batch.batch_id] = kept
+    return Accepted(True)
+
+
+def _drop_old(section: Section, since: float) -> None:
+    for batch_id, kept in list(section.batches_by_id.items()):
+        if kept.submitted_at >= since:
+            return
+        if kept.is_ended:
+            del section.batches_by_id[batch_id]
+
+
+@machine.apply.register
+def _(command: FinishItems, state: machine.State, context: machine.Context) -> Finished:
+    kept = section_of(state).batches_by_id.get(command.batch_id)
+    if kept is None or kept.is_ended:
+        return Finished(0)
+    finished = kept.finished_ids()
+    n_before = len(finished)
+    for given in command.results:
+        # Run twice, by two leaders or after a lost answer, an item is listed once.
+        if given.item_id not in finished:
+            finished.add(given.item_id)
+            kept.results.append(given)
+    return Finished(len(finished) - n_before)
+
+
+@machine.apply.register
+def _(command: EndBatch, state: machine.State, context: machine.Context) -> Ended:
+    kept = section_of(state).batches_by_id.get(command.batch_id)
+    if kept is None:
+        return Ended(False)
+    kept.is_ended = True
+    return Ended(True)
--- /dev/null
+++ b/bilberrydrum/batches/engine_shares.py
@@ -0,0 +1,111 @@
+"""Split the engines among the models that are trained.
+
+An engine that serves one model loads each version of it once and keeps its prompts in
+memory; engines that serve all models load as many versions as there are models, and
+drop what they hold each time. So each model gets a share of the engines by its demand,
+at least one, and keeps the engines it has while its share stays.
+"""
+
+import math
+from collections.abc import Collection, Mapping
+
+import attrs
+
+# A model's share follows its demand only if it is off by more than this many engines:
+# an engine that changes hands costs a load of weights.
+HYSTERESIS_ENGINES = 0.75
+
+
+@attrs.frozen
+class Shares:
+    """The engines of each model."""
+
+    engine_ids_by_model: dict[str, frozenset[str]] = attrs.field(factory=dict)
+
+    def models_of(self, engine_id: str) -> list[str]:
+        """Return the models that an engine serves."""
+        return [
+            model
+            for model, engine_ids in self.engine_ids_by_model.items()
+            if engine_id in engine_ids
+        ]
+
+
+def divide(
+    engine_ids: Collection[str],
+    demand_by_model: Mapping[str, float],
+    previous: Shares,
+) -> Shares:
+    """Return the engines of each model.
+
+    Parameters
+    ----------
+    engine_ids : collection of str
+        The engines that can be used.
+    demand_by_model : mapping of str to float
+        Work that each model's trainer asks for, in any unit; models without demand
+        get an engine as well, if there is one to spare.
+    previous : Shares
+        The engines that the models have had.
+    """
+    models = sorted(demand_by_model)
+    if not models or not engine_ids:
+        return Shares()
+    if len(engine_ids) < len(models):
+        everything = frozenset(engine_ids)
+        return Shares({model: everything for model in models})
+    quotas = _quotas(len(engine_ids), demand_by_model, models, previous, engine_ids)
+    return Shares(_hand_out(sorted(engine_ids), quotas, previous))
+
+
+def _quotas(
+    n_engines: int,
+    demand_by_model: Mapping[str, float],
+    models: list[str],
+    previous: Shares,
+    engine_ids: Collection[str],
+) -> dict[str, int]:
+    total = sum(demand_by_model.values())
+    exact = {
+        model: n_engines
+        * (demand_by_model[model] / total if total else 1 / len(models))
+        for model in models
+    }
+    held = {
+        model: len(
+            previous.engine_ids_by_model.get(model, frozenset()) & set(engine_ids)
+        )
+        for model in models
+    }
+    is_settled = sum(held.values()) == n_engines and all(
+        held[model] and abs(held[model] - exact[model]) <= HYSTERESIS_ENGINES
+        for model in models
+    )
+    if is_settled:
+        return held
+    quotas = {model: max(1, math.floor(exact[model])) for model in models}
+    while sum(quotas.values()) > n_engines:
+        largest = max(models, key=lambda each: (quotas[each] - exact[each], each))
+        if quotas[largest] == 1:
+            largest = max(models, key=lambda each: (quotas[each], each))
+        quotas[largest] -= 1
+    while sum(quotas.values()) < n_engines:
+        neediest = max(models, key=lambda each: (exact[each] - quotas[each], each))
+        quotas[neediest] += 1
+    return quotas
+
+
+def _hand_out(
+    engine_ids: list[str], quotas: Mapping[str, int], previous: Shares
+) -> dict[str, frozenset[str]]:
+    free = set(engine_ids)
+    chosen: dict[str, set[str]] = {}
+    for model, quota in quotas.items():
+        kept = sorted(previous.engine_ids_by_model.get(model, frozenset()) & free)
+        chosen[model] = set(kept[:quota])
+        free -= chosen[model]
+    for model, quota in quotas.items():
+        wanted = sorted(free)[: quota - len(chosen[model])]
+        chosen[model].update(wanted)
+        free -= set(wanted)
+    return {model: frozenset(ids) for model, ids in chosen.items()}
--- /dev/null
+++ b/bilberrydrum/batches/engines.py
@@ -0,0 +1,157 @@
+"""What the runner knows of each engine."""
+
+import collections
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import attrs
+
+from bilberrydrum.batches import engine_shares, scheduling, weight_plan, work
+from bilberrydrum.fleet import model, policy
+
+# An engine that broke off a run gets no work for this long, in seconds, at first and at
+# most; doubled with each failure in a row. A crashed engine is back after 4 s and more.
+FIRST_BACKOFF_SECONDS: Final = 0.5
+MAX_BACKOFF_SECONDS: Final = 4.0
+# One that turned an item away is passed over as long as a place needs to come free.
+REJECTED_SECONDS: Final = 0.05
+
+
+@attrs.define(eq=False)
+class Engine:
+    """One incarnation of an engine."""
+
+    upstream: model.FleetUpstream
+    n_cache_tokens: int = 0
+    n_running: int = 0
+    n_tokens: int = 0
+    # Items that run there, by group.
+    n_by_group: collections.Counter[tuple[str, str]] = attrs.field(
+        factory=collections.Counter
+    )
+    # Newest versions known, from announcements, reports and answers.
+    versions_by_model: dict[str, int] = attrs.field(factory=dict)
+    loading: weight_plan.Load | None = None
+    n_failures: int = 0
+    backoff_until: float = float("-inf")
+
+    @property
+    def upstream_id(self) -> str:
+        """The incarnation's id."""
+        return self.upstream.upstream_id
+
+    def learn(self, versions_by_model: Mapping[str, int]) -> None:
+        """Take over versions that are newer than the known ones.
+
+        Announcements and reports lag; within one incarnation versions only rise.
+        """
+        for name, version in versions_by_model.items():
+            self.learn_version(name, version)
+
+    def learn_version(self, name: str, version: int) -> None:
+        """Note that the engine serves `version` of a model, or a newer one."""
+        known = self.versions_by_model.get(name)
+        if known is None or version > known:
+            self.versions_by_model[name] = version
+
+    def begin(self, run: work.ItemRun) -> None:
+        """Note that an item is sent."""
+        self.n_running += 1
+        self.n_tokens += run.n_expected_tokens()
+        self.n_by_group[run.group_key] += 1
+
+    def end(self, run: work.ItemRun) -> None:
+        """Note that an item's attempt has ended."""
+        self.n_running -= 1
+        self.n_tokens -= run.n_expected_tokens()
+        self.n_by_group[run.group_key] -= 1
+        if not self.n_by_group[run.group_key]:
+            del self.n_by_group[run.group_key]
+
+    def succeeded(self) -> None:
+        """Note a whole answer."""
+        self.n_failures = 0
+        self.backoff_until = float("-inf")
+
+    def failed(self, now: float) -> None:
+        """Note an answer that broke off, or none."""
+        if now < self.backoff_until:
+            # Runs that break together are one failure.
+            return
+        seconds = FIRST_BACKOFF_SECONDS * 2**self.n_failures
+        self.n_failures += 1
+        self.backoff_until = now + min(seconds, MAX_BACKOFF_SECONDS)
+
+    def turned_away(self, now: float) -> None:
+        """Note that it had no place."""
+        self.backoff_until = max(self.backoff_until, now + REJECTED_SECONDS)
+
+    def weights(self) -> weight_plan.EngineWeights:
+        """Return what the plan of loads needs."""
+        return weight_plan.EngineWeights(
+            self.upstream_id,
+            self.versions_by_model,
+            self.loading is not None,
+            self.n_running,
+        )
+
+    def place(self, shares: engine_shares.Shares) -> scheduling.Place:
+        """Return what the choice for items needs."""
+        loading = frozenset({self.loading.model} if self.loading else ())
+        return scheduling.Place(
+            self.upstream_id,
+            self.upstream.service,
+            self.upstream.n_slots,
+            self.n_running,
+            self.versions_by_model,
+            frozenset(shares.models_of(self.upstream_id)),
+            loading,
+            self.upstream.is_silent,
+            self.n_cache_tokens,
+            self.n_tokens,
+            set(self.n_by_group),
+        )
+
+
+class Engines:
+    """All engines that generate."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, Engine] = {}
+
+    def refresh(
+        self,
+        upstreams: Iterable[model.FleetUpstream],
+        services_by_name: Mapping[str, policy.Service],
+    ) -> None:
+        """Take over the registry."""
+        seen = set()
+        for upstream in upstreams:
+            service = services_by_name.get(upstream.service)
+            if service is None or not service.models:
+                continue
+            seen.add(upstream.upstream_id)
+            engine = self.by_id.get(upstream.upstream_id)
+            if engine is None:
+                engine = Engine(upstream)
+                self.by_id[upstream.upstream_id] = engine
+            engine.upstream = upstream
+            engine.n_cache_tokens = service.n_cache_tokens
+            engine.learn(upstream.versions_by_model)
+        for upstream_id in set(self.by_id) - seen:
+            del self.by_id[upstream_id]
+
+    def usable(self, now: float) -> list[Engine]:
+        """Return the engines that may be sent work now."""
+        return [
+            each
+            for each in self.by_id.values()
+            if not each.upstream.is_leaving and each.backoff_until <= now
+        ]
+
+    def models(self) -> list[str]:
+        """Return all models that some engine serves."""
+        found = {
+            name for each in self.by_id.values() for name in each.versions_by_model
+        }
+        return sorted(found)
--- /dev/null
+++ b/bilberrydrum/batches/item_run.py
@@ -0,0 +1,224 @@
+"""One attempt to run an item at one engine, and what it adds to the item's text."""
+
+import enum
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+import attrs
+
+from bilberrydrum import reasons, upstream_protocol
+from bilberrydrum.batches import event_stream, model
+from bilberrydrum.requests import attempts, outgoing_requests
+
+# An engine that sends no first event for this long, in seconds, hangs: items are sent
+# only to free places, where the first token takes some 20 ms and a load of weights
+# that holds it up about a second.
+FIRST_EVENT_SECONDS: Final = 4.0
+# A stream that pauses for this long, in seconds, is broken off and goes on at another
+# engine: ten times the pause of an engine that runs four times slower than usual, and
+# more than a load of weights takes.
+STALL_SECONDS: Final = 2.5
+_OK: Final = 200
+_IMPOSSIBLE: Final = 422
+
+
+class Outcome(enum.Enum):
+    """How an attempt ended."""
+
+    COMPLETED = "completed"
+    # The engine says that the item can never be done.
+    IMPOSSIBLE = "impossible"
+    # The engine ran it and failed.
+    FAILED = "failed"
+    # It did not run.
+    NOT_RUN = "not-run"
+    # The answer broke off, or was damaged; what was read stands.
+    BROKEN = "broken"
+    # The engine's weights are not those that the batch asks for.
+    WRONG_VERSION = "wrong-version"
+
+
+@attrs.frozen
+class Ended:
+    """The end of an attempt."""
+
+    outcome: Outcome
+    detail: str = ""
+
+
+@attrs.define
+class Text:
+    """What has been generated of an item so far."""
+
+    parts: list[bytes] = attrs.field(factory=list)
+    versions: set[int] = attrs.field(factory=set)
+    # Number of the last whole event; None: nothing yet.
+    last_number: int | None = None
+
+    def clear(self) -> None:
+        """Begin anew."""
+        self.parts.clear()
+        self.versions.clear()
+        self.last_number = None
+
+    def add(self, event: event_stream.Event, version: int) -> None:
+        """Add one event, made under `version`."""
+        self.parts.append(event.data)
+        self.versions.add(version)
+        self.last_number = event.number
+
+    def result(self, item_id: str) -> model.Result:
+        """Return the completed item's result."""
+        return model.Result(
+            item_id,
+            model.ItemState.COMPLETED,
+            b"\n".join(self.parts),
+            tuple(sorted(self.versions)),
+        )
+
+
+@attrs.frozen
+class Bounds:
+    """The weight versions that an item's text may come from."""
+
+    min_version: int = 0
+    is_single: bool = False
+
+    def allow(self, version: int, text: Text) -> bool:
+        """Tell whether the next event may be made under `version`."""
+        if version < self.min_version:
+            return False
+        return not self.is_single or not text.versions or text.versions == {version}
+
+
+@attrs.frozen
+class Run:
+    """What an attempt is made from."""
+
+    item: model.Item
+    host: str
+    text: Text
+    bounds: Bounds
+    # When the item is given up, in seconds of `clock.now`.
+    deadline: float
+    find_refusal: Callable[[], reasons.Reason | None]
+
+
+def carry_out(
+    means: attempts.Means,
+    protocol: upstream_protocol.UpstreamProtocol,
+    engine: attempts.Target,
+    run: Run,
+    remaining_seconds: float,
+) -> Ended:
+    """Send the item to `engine` and add what comes back to the run's text."""
+    attempt = upstream_protocol.Attempt(
+        run.item.item_id,
+        engine.upstream_id,
+        remaining_seconds,
+        last_event_number=run.text.last_number,
+    )
+    outgoing = outgoing_requests.Outgoing(
+        run.item.item_id,
+        "POST",
+        run.item.target,
+        protocol.relay_headers({**run.item.headers, "Host": run.host}, attempt),
+        run.item.body,
+        run.deadline,
+        True,
+        run.find_refusal,
+        id_header=protocol.request_id_header,
+        accepts_unframed=True,
+    )
+    try:
+        with attempts.waiting(means, outgoing, FIRST_EVENT_SECONDS):
+            connection, answer = attempts.open_answer(
+                means.pool, engine.address, outgoing
+            )
+    except attempts.AttemptError as error:
+        outcome = Outcome.BROKEN if error.may_have_run else Outcome.NOT_RUN
+        return Ended(outcome, f"{error.reason.value} {error.detail}".strip())
+    return _read(means, protocol, engine, run, outgoing, connection, answer)
+
+
+def _read(
+    means: attempts.Means,
+    protocol: upstream_protocol.UpstreamProtocol,
+    engine: attempts.Target,
+    run: Run,
+    outgoing: outgoing_requests.Outgoing,
+    connection: Any,
+    answer: Any,
+) -> Ended:
+    is_whole = False
+    try:
+        ended = _consume(means, protocol, run, outgoing, answer)
+        is_whole = ended.outcome not in (Outcome.BROKEN, Outcome.WRONG_VERSION)
+        return ended
+    except attempts.AttemptError as error:
+        return Ended(Outcome.BROKEN, f"{error.reason.value} {error.detail}".strip())
+    except event_stream.EventError as error:
+        run.text.clear()
+        return Ended(Outcome.BROKEN, str(error))
+    finally:
+        # A connection that is closed before its end makes the engine drop the run.
+        if is_whole:
+            is_named = protocol.request_id_header in answer.headers
+            attempts.settle(means.pool, engine.address, connection, answer, is_named)
+        else:
+            connection.close()
+
+
+def _consume(
+    means: attempts.Means,
+    protocol: upstream_protocol.UpstreamProtocol,
+    run: Run,
+    outgoing: outgoing_requests.Outgoing,
+    answer: Any,
+) -> Ended:
+    head = protocol.read_head(answer.headers)
+    if answer.status != _OK:
+        return _refused(means, outgoing, answer, head)
+    version = head.version
+    if version is None:
+        return Ended(Outcome.BROKEN, "the answer names no weight version")
+    reader = event_stream.EventReader(protocol.version_field, run.text.last_number)
+    for part in _parts(means, outgoing, answer):
+        for event in reader.feed(part):
+            version = event.version if event.version is not None else version
+            if not run.bounds.allow(version, run.text):
+                run.text.clear()
+                return Ended(Outcome.WRONG_VERSION, f"made under version {version}")
+            run.text.add(event, version)
+    if not reader.is_between_events() or run.text.last_number is None:
+        return Ended(Outcome.BROKEN, "ended in the middle of an event")
+    return Ended(Outcome.COMPLETED)
+
+
+def _refused(
+    means: attempts.Means,
+    outgoing: outgoing_requests.Outgoing,
+    answer: Any,
+    head: upstream_protocol.AnswerHead,
+) -> Ended:
+    # Read to its end, so that the connection can be used again.
+    for _ in _parts(means, outgoing, answer):
+        pass
+    detail = f"status {answer.status}"
+    if answer.status == _IMPOSSIBLE:
+        return Ended(Outcome.IMPOSSIBLE, detail)
+    if head.was_not_run:
+        return Ended(Outcome.NOT_RUN, detail)
+    return Ended(Outcome.FAILED, detail)
+
+
+def _parts(
+    means: attempts.Means, outgoing: outgoing_requests.Outgoing, answer: Any
+) -> Iterator[bytes]:
+    parts = attempts.read_parts(answer)
+    while True:
+        with attempts.waiting(means, outgoing, STALL_SECONDS):
+            part = next(parts, None)
+        if part is None:
+            return
+        yield part
--- /dev/null
+++ b/bilberrydrum/batches/model.py
@@ -0,0 +1,84 @@
+"""Batches, their items and results, as they are kept.
+
+A batch is submitted as a whole and accepted once. Its results stand at positions that
+never change; a reader goes on from the position that it has reached.
+"""
+
+import enum
+
+import attrs
+
+from bilberrydrum import codec
+
+
+class ItemState(enum.StrEnum):
+    """How an item ended."""
+
+    COMPLETED = "completed"
+    # Given up: impossible, failed too often, or out of time.
+    TERMINATED = "terminated"
+
+
+@codec.register("batches.item")
+@attrs.frozen
+class Item:
+    """One request of a batch."""
+
+    item_id: str
+    # Where it is sent, with the query.
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    # Prompt tokens and the most output tokens, added up.
+    n_tokens: int
+    # Items of one group share their prompt; empty: a group of its own.
+    group: str = ""
+    # The submitter's estimate of the output tokens; 0: none.
+    n_expected_tokens: int = 0
+
+
+@codec.register("batches.batch")
+@attrs.frozen
+class Batch:
+    """One submission."""
+
+    batch_id: str
+    # Host of the route it came in by; its items go by the same host.
+    host: str
+    items: tuple[Item, ...]
+    # The trainer's step; -1: not a trainer's.
+    step: int = -1
+    model: str = ""
+    # Oldest weight version that may generate its tokens.
+    min_version: int = 0
+    # Whole groups that the trainer waits for; 0: all.
+    n_wanted_groups: int = 0
+
+
+@codec.register("batches.result")
+@attrs.frozen
+class Result:
+    """One item's end."""
+
+    item_id: str
+    state: ItemState
+    # Data of all events in order, separated by line feeds.
+    text: bytes = b""
+    # Weight versions that made its events, rising.
+    versions: tuple[int, ...] = ()
+
+
+@codec.register("batches.kept")
+@attrs.define
+class KeptBatch:
+    """A batch and what has become of it."""
+
+    batch: Batch
+    # Time of its log entry, in seconds of the log's clock.
+    submitted_at: float
+    results: list[Result] = attrs.field(factory=list)
+    is_ended: bool = False
+
+    def finished_ids(self) -> set[str]:
+        """Return the ids of the items that have a result."""
+        return {each.item_id for each in self.results}
--- /dev/null
+++ b/bilberrydrum/batches/orders.py
@@ -0,0 +1,158 @@
+"""Have one engine load one version, and know when it has.
+
+An order whose answer is lost may be carried out seconds later, after newer ones. So the
+engine's own account is asked before each sending, and each order names the number of
+orders that the engine must have taken by then: of two sendings of the same order at
+most one is carried out, and one that comes late finds another number and is refused.
+"""
+
+import http.client
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import eliot
+import eventlet
+import urllib3.exceptions
+
+from bilberrydrum import clock, upstream_protocol
+from bilberrydrum.batches import weight_plan
+from bilberrydrum.requests import attempts
+
+# A load takes about a second, and longer while others load; an engine that needs more
+# than ten times that is given back, to be planned anew.
+LIMIT_SECONDS: Final = 10.0
+# Time for the answer to an order or a report.
+_ANSWER_SECONDS: Final = 1.0
+# A report is some hundred milliseconds old: what was sent just before doesn't show.
+_REPORT_LAG_SECONDS: Final = 0.3
+# First look after an order was taken, and the pause between later ones.
+_FIRST_LOOK_SECONDS: Final = 0.9
+_LOOK_SECONDS: Final = 0.25
+_FENCED: Final = 412
+_MISDIRECTED: Final = 421
+
+
+@attrs.frozen
+class Order:
+    """What an engine is to be told."""
+
+    load: weight_plan.Load
+    keeps_running: bool
+    holder: str
+
+
+class OrderSender:
+    """Gives orders, one at a time to each engine."""
+
+    def __init__(
+        self,
+        means: attempts.Means,
+        protocol: upstream_protocol.UpstreamProtocol,
+        fencing_number: Callable[[], int | None],
+    ) -> None:
+        self._means = means
+        self._protocol = protocol
+        self._fencing_number = fencing_number
+
+    def carry_out(
+        self, engine: attempts.Target, order: Order
+    ) -> upstream_protocol.EngineReport | None:
+        """Return the engine's report once it serves the version; None: it doesn't."""
+        deadline = clock.now() + LIMIT_SECONDS
+        load = order.load
+        while clock.now() < deadline:
+            report = self._ask_report(engine)
+            if report is None:
+                clock.sleep(_LOOK_SECONDS)
+                continue
+            if report.versions_by_model.get(load.model, -1) >= load.version:
+                return report
+            if report.is_busy:
+                clock.sleep(_LOOK_SECONDS)
+                continue
+            if not self._send(engine, order, report.sequence):
+                return None
+        return None
+
+    def _send(self, engine: attempts.Target, order: Order, sequence: int) -> bool:
+        """Send the order once; False: there is no use in trying again."""
+        # Asked right before the sending: a process that was stopped since the report
+        # may not hold the right to give orders any more.
+        number = self._fencing_number()
+        if number is None:
+            return False
+        message = self._protocol.order(
+            upstream_protocol.WeightOrder(
+                order.load.model,
+                order.load.version,
+                order.keeps_running,
+                order.holder,
+                number,
+                sequence,
+                engine.upstream_id,
+            )
+        )
+        status, _ = self._exchange(engine, message)
+        eliot.log_message(
+            message_type="weights:ordered",
+            upstream_id=engine.upstream_id,
+            model=order.load.model,
+            version=order.load.version,
+            fencing_number=number,
+            expected_sequence=sequence,
+            status=status,
+        )
+        if status in (_FENCED, _MISDIRECTED):
+            return False
+        is_taken = status in (200, 202)
+        clock.sleep(_FIRST_LOOK_SECONDS if is_taken else _REPORT_LAG_SECONDS)
+        return True
+
+    def _ask_report(
+        self, engine: attempts.Target
+    ) -> upstream_protocol.EngineReport | None:
+        message = self._protocol.ask_report(engine.upstream_id)
+        status, body = self._exchange(engine, message)
+        return self._protocol.read_report(body) if status == 200 else None
+
+    def _exchange(
+        self, engine: attempts.Target, message: upstream_protocol.OrderMessage
+    ) -> tuple[int, bytes]:
+        """Return the answer's status and body; 0: there is no answer."""
+        with eventlet.Timeout(_ANSWER_SECONDS, False):
+            try:
+                return self._ask(engine, message)
+            except (
+                OSError,
+                http.client.HTTPException,
+                urllib3.exceptions.HTTPError,
+            ) as error:
+                eliot.log_message(
+                    message_type="weights:no-answer",
+                    upstream_id=engine.upstream_id,
+                    detail=repr(error),
+                )
+        return 0, b""
+
+    def _ask(
+        self, engine: attempts.Target, message: upstream_protocol.OrderMessage
+    ) -> tuple[int, bytes]:
+        connection: Any = self._means.pool.take(engine.address, _ANSWER_SECONDS)
+        is_whole = False
+        try:
+            connection.request(
+                message.method,
+                message.target,
+                body=message.body or None,
+                headers=message.headers,
+                preload_content=False,
+            )
+            answer = connection.getresponse()
+            body = answer.read()
+            is_whole = True
+        finally:
+            if not is_whole:
+                connection.close()
+        attempts.settle(self._means.pool, engine.address, connection, answer, True)
+        return answer.status, body
--- /dev/null
+++ b/bilberrydrum/batches/runner.py
@@ -0,0 +1,351 @@
+"""Run the items of all open batches, at the leader of the stores' group.
+
+One process sends all items, so it knows what runs at each engine without asking, and a
+result is committed by the process that read it. Runs and texts that are not finished
+live in memory only: a new leader starts the unfinished items again. The decisions are
+in `scheduling`, `engine_shares` and `weight_plan`.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+import attrs
+import eliot
+import eventlet
+import eventlet.event
+
+from bilberrydrum import clock, counters, reasons, upstream_protocol
+from bilberrydrum.batches import (
+    engine_shares,
+    engines,
+    item_run,
+    model,
+    orders,
+    scheduling,
+    weight_plan,
+    work,
+)
+from bilberrydrum.fleet import policy, subscriber
+from bilberrydrum.requests import attempts
+
+# Looks at the clock when nothing else happens: for items whose time is up and engines
+# whose backoff has ended.
+_TICK_SECONDS: Final = 0.25
+# News that come together are looked at together.
+_GATHER_SECONDS: Final = 0.01
+# Demand of a model counts the batches of about the last two steps.
+_DEMAND_SECONDS: Final = 8.0
+
+
+@attrs.frozen
+class Hooks:
+    """What the runner needs of the process around it."""
+
+    # Hand over an item's result, to be committed.
+    finish: Callable[[str, model.Result], None]
+    # The number for an order sent now; None: this process gives no orders.
+    fencing_number: Callable[[], int | None]
+    # Whether this process may still send items.
+    may_send: Callable[[], bool]
+    holder: str
+
+
+class BatchRunner:
+    """The items that wait and run, while one process leads."""
+
+    def __init__(
+        self,
+        protocol: upstream_protocol.UpstreamProtocol,
+        view: subscriber.Subscriber,
+        means: attempts.Means,
+        hooks: Hooks,
+    ) -> None:
+        self._protocol = protocol
+        self._view = view
+        self._means = means
+        self._hooks = hooks
+        self._sender = orders.OrderSender(means, protocol, hooks.fencing_number)
+        self._engines = engines.Engines()
+        self._work = work.Work()
+        self._shares = engine_shares.Shares()
+        self._demand = work.Demand(_DEMAND_SECONDS)
+        self._wake = eventlet.event.Event()
+        self._tasks_by_key: dict[tuple[str, str], Any] = {}
+        self._order_tasks: list[Any] = []
+        self._task: Any = None
+        view.watch(self.wake)
+
+    # Life
+
+    def start(self, kept: Iterable[model.KeptBatch]) -> None:
+        """Take over the open batches among `kept` and start to run them."""
+        for each in kept:
+            self.accept(each)
+        self._task = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Break off all runs."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+        for task in [*self._tasks_by_key.values(), *self._order_tasks]:
+            task.kill()
+        self._tasks_by_key.clear()
+        self._order_tasks.clear()
+
+    def wake(self) -> None:
+        """Look at once what can be sent."""
+        if not self._wake.ready():
+            self._wake.send(None)
+
+    # Batches
+
+    def accept(self, kept: model.KeptBatch) -> None:
+        """Run a batch that is kept from now on."""
+        if kept.is_ended:
+            self._work.remember(kept)
+            return
+        age = max(time.time() - kept.submitted_at, 0.0)
+        opened = self._work.open(kept, clock.now() - age)
+        self._demand.note(kept.batch.model, opened.n_tokens(), clock.now())
+        for result in self._work.carried_results(opened, self._route_of(opened)):
+            self._hooks.finish(kept.batch.batch_id, result)
+        self.wake()
+
+    def finished(self, batch_id: str, results: Iterable[model.Result]) -> None:
+        """Note results that are committed."""
+        self._work.finished(batch_id, results)
+
+    def end(self, batch_id: str) -> None:
+        """Break off the runs of a batch that has ended."""
+        for key in [each for each in self._tasks_by_key if each[0] == batch_id]:
+            self._tasks_by_key[key].kill()
+        self._work.end(batch_id)
+        self.wake()
+
+    # The loop
+
+    def _run(self) -> None:
+        while True:
+            with eventlet.Timeout(_TICK_SECONDS, False):
+                self._wake.wait()
+            clock.sleep(_GATHER_SECONDS)
+            self._wake = eventlet.event.Event()
+            if not self._hooks.may_send():
+                continue
+            try:
+                self._look()
+            except Exception:
+                # Were this task to end, no item would run until another leader.
+                eliot.write_traceback()
+
+    def _look(self) -> None:
+        now = clock.now()
+        self._engines.refresh(
+            self._view.registry.upstreams, self._view.routes.services_by_name
+        )
+        self._give_up_late(now)
+        self._divide(now)
+        self._load_weights(now)
+        self._send_items(now)
+
+    def _give_up_late(self, now: float) -> None:
+        for opened in self._work.open_batches():
+            route = self._route_of(opened)
+            for run in opened.waiting_runs():
+                if now >= opened.give_up_at(route):
+                    self._finish(opened, run, _terminated(run), "out of time")
+
+    def _divide(self, now: float) -> None:
+        models = self._engines.models()
+        demand = self._demand.by_model(models, now)
+        usable = [each.upstream_id for each in self._engines.usable(now)]
+        self._shares = engine_shares.divide(usable, demand, self._shares)
+
+    def _load_weights(self, now: float) -> None:
+        loads = weight_plan.plan(
+            [each.weights() for each in self._engines.usable(now)],
+            self._shares.engine_ids_by_model,
+            self._view.registry.versions_by_model,
+        )
+        self._order_tasks = [each for each in self._order_tasks if not each.dead]
+        for load in loads:
+            engine = self._engines.by_id[load.engine_id]
+            engine.loading = load
+            self._order_tasks.append(eventlet.spawn(self._load, engine, load))
+
+    def _load(self, engine: engines.Engine, load: weight_plan.Load) -> None:
+        try:
+            # What runs goes on under the new version where the step allows both: the
+            # engine serves without a pause, and only what it had stored is read again.
+            keeps_running = not self._needs_single(load.model)
+            order = orders.Order(load, keeps_running, self._hooks.holder)
+            report = self._sender.carry_out(engine.upstream, order)
+            if report is None:
+                engine.failed(clock.now())
+            else:
+                engine.learn(report.versions_by_model)
+        finally:
+            engine.loading = None
+            self.wake()
+
+    def _send_items(self, now: float) -> None:
+        waiting = [
+            self._waiting_item(opened, run)
+            for opened in self._work.open_batches()
+            for run in opened.waiting_runs()
+            if run.not_before <= now
+        ]
+        sendable = [each for each in waiting if each is not None]
+        if not sendable:
+            return
+        places = [each.place(self._shares) for each in self._engines.usable(now)]
+        for assignment in scheduling.assign(sendable, places):
+            self._send(assignment)
+
+    def _waiting_item(
+        self, opened: work.OpenBatch, run: work.ItemRun
+    ) -> scheduling.WaitingItem | None:
+        route = self._route_of(opened)
+        if route is None:
+            return None
+        return work.waiting_item(opened, run, route)
+
+    def _needs_single(self, model_name: str) -> bool:
+        routes = [self._route_of(each) for each in self._work.of_model(model_name)]
+        return any(route is not None and route.is_single_version for route in routes)
+
+    def _route_of(self, opened: work.OpenBatch) -> policy.Route | None:
+        item = opened.kept.batch.items[0]
+        path = item.target.partition("?")[0]
+        return self._view.routes.find(opened.kept.batch.host, path)
+
+    # One item
+
+    def _send(self, assignment: scheduling.Assignment) -> None:
+        opened, run = self._work.find(assignment.key)
+        engine = self._engines.by_id[assignment.engine_id]
+        run.is_running = True
+        engine.begin(run)
+        self._tasks_by_key[assignment.key] = eventlet.spawn(
+            self._run_item, opened, run, engine
+        )
+
+    def _run_item(
+        self, opened: work.OpenBatch, run: work.ItemRun, engine: engines.Engine
+    ) -> None:
+        key = (opened.kept.batch.batch_id, run.item.item_id)
+        began = clock.now()
+        try:
+            ended = self._attempt(opened, run, engine)
+        finally:
+            engine.end(run)
+            run.is_running = False
+            self._tasks_by_key.pop(key, None)
+            self.wake()
+        eliot.log_message(
+            message_type="batches:attempt",
+            batch_id=key[0],
+            item_id=key[1],
+            upstream_id=engine.upstream_id,
+            outcome=ended.outcome.value,
+            detail=ended.detail,
+            n_events=len(run.text.parts),
+            versions=sorted(run.text.versions),
+            seconds=round(clock.now() - began, 3),
+        )
+        self._settle(opened, run, engine, ended)
+
+    def _attempt(
+        self, opened: work.OpenBatch, run: work.ItemRun, engine: engines.Engine
+    ) -> item_run.Ended:
+        route = self._route_of(opened)
+        deadline = opened.give_up_at(route)
+        bounds = opened.bounds(route)
+        if not all(bounds.allow(each, item_run.Text()) for each in run.text.versions):
+            run.text.clear()
+
+        def find_refusal() -> reasons.Reason | None:
+            if not self._hooks.may_send() or opened.is_ended:
+                return reasons.Reason.ATTEMPT_SUPERSEDED
+            if not self._is_registered(engine.upstream_id):
+                return reasons.Reason.UPSTREAM_LEFT
+            return None
+
+        prepared = item_run.Run(
+            run.item,
+            opened.kept.batch.host,
+            run.text,
+            bounds,
+            deadline,
+            find_refusal,
+        )
+        return item_run.carry_out(
+            self._means,
+            self._protocol,
+            engine.upstream,
+            prepared,
+            deadline - clock.now(),
+        )
+
+    def _is_registered(self, upstream_id: str) -> bool:
+        for each in self._view.registry.upstreams:
+            if each.upstream_id == upstream_id:
+                return not each.is_leaving
+        return False
+
+    def _settle(
+        self,
+        opened: work.OpenBatch,
+        run: work.ItemRun,
+        engine: engines.Engine,
+        ended: item_run.Ended,
+    ) -> None:
+        now = clock.now()
+        outcome = ended.outcome
+        if outcome is item_run.Outcome.COMPLETED:
+            engine.succeeded()
+            engine.learn_version(opened.kept.batch.model, max(run.text.versions))
+            result = run.text.result(run.item.item_id)
+            self._finish(opened, run, result, "completed")
+            return
+        counters.retried(reasons.Reason.UPSTREAM_ERROR)
+        if outcome is item_run.Outcome.IMPOSSIBLE:
+            self._finish(opened, run, _terminated(run), ended.detail)
+            return
+        run.excluded_ids = frozenset({engine.upstream_id})
+        if outcome is item_run.Outcome.FAILED:
+            run.n_failures += 1
+            route = self._route_of(opened)
+            if route is not None and run.n_failures >= route.max_attempts:
+                self._finish(opened, run, _terminated(run), ended.detail)
+            return
+        if outcome is item_run.Outcome.NOT_RUN:
+            engine.turned_away(now)
+            run.not_before = now + work.REJECTED_PAUSE_SECONDS
+        elif outcome is item_run.Outcome.BROKEN:
+            engine.failed(now)
+
+    def _finish(
+        self,
+        opened: work.OpenBatch,
+        run: work.ItemRun,
+        result: model.Result,
+        why: str,
+    ) -> None:
+        run.is_done = True
+        eliot.log_message(
+            message_type="batches:item-ended",
+            batch_id=opened.kept.batch.batch_id,
+            item_id=run.item.item_id,
+            state=result.state.value,
+            why=why,
+            n_failures=run.n_failures,
+            versions=result.versions,
+        )
+        self._hooks.finish(opened.kept.batch.batch_id, result)
+
+
+def _terminated(run: work.ItemRun) -> model.Result:
+    return model.Result(run.item.item_id, model.ItemState.TERMINATED)
--- /dev/null
+++ b/bilberrydrum/batches/scheduling.py
@@ -0,0 +1,115 @@
+"""Which waiting items go to which engines now.
+
+Pure: items and engines in, assignments out. Answers the load in which several trainers'
+batches are open and places at engines are scarce:
+
+- the batch submitted first goes first, as its trainer is the one that stalls;
+- within it, groups that have begun go first, since only whole groups count, then the
+  group whose longest item is expected to be shortest, so that the few groups that a
+  trainer does not wait for are the ones left over;
+- the items of a group go to one engine, which reads their shared prompt once, unless
+  that engine is full.
+"""
+
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+
+@attrs.frozen
+class WaitingItem:
+    """An item that could be sent now."""
+
+    key: tuple[str, str]
+    # Groups of different batches differ.
+    group_key: tuple[str, str]
+    # Rank of its batch; lower goes first.
+    batch_rank: float
+    # Rank of its group within the batch; lower goes first.
+    group_rank: float
+    model: str
+    min_version: int
+    services: frozenset[str]
+    # Tokens it needs in an engine's memory.
+    n_tokens: int = 0
+    # Engines that it should not go to again soon.
+    excluded_ids: frozenset[str] = frozenset()
+    # Text of a broken run can go on only under this version; None: any.
+    only_version: int | None = None
+
+
+@attrs.define
+class Place:
+    """One engine, as far as sending items matters; changed as places are taken."""
+
+    engine_id: str
+    service: str
+    n_slots: int
+    n_running: int
+    versions_by_model: Mapping[str, int]
+    # Models that it is meant to serve; others only if nobody else can.
+    models: frozenset[str] = frozenset()
+    # Loading weights of these models: items of theirs would be turned away.
+    loading_models: frozenset[str] = frozenset()
+    is_silent: bool = False
+    # Tokens that its memory holds, and those of what runs; 0 slots known: no bound.
+    n_cache_tokens: int = 0
+    n_tokens: int = 0
+    # Group keys of what runs there.
+    group_keys: set[tuple[str, str]] = attrs.field(factory=set)
+
+    def can_take(self, item: WaitingItem) -> bool:
+        """Tell whether `item` may be sent here."""
+        if self.service not in item.services or self.n_running >= self.n_slots:
+            return False
+        if self.engine_id in item.excluded_ids or item.model in self.loading_models:
+            return False
+        if not self._has_version(item):
+            return False
+        fits = self.n_tokens + item.n_tokens <= self.n_cache_tokens
+        return not self.n_cache_tokens or not self.n_running or fits
+
+    def _has_version(self, item: WaitingItem) -> bool:
+        if not item.model:
+            return True
+        version = self.versions_by_model.get(item.model)
+        if version is None or version < item.min_version:
+            return False
+        return item.only_version is None or version == item.only_version
+
+    def take(self, item: WaitingItem) -> None:
+        """Note that `item` goes here."""
+        self.n_running += 1
+        self.n_tokens += item.n_tokens
+        self.group_keys.add(item.group_key)
+
+
+@attrs.frozen
+class Assignment:
+    """An item goes to an engine."""
+
+    key: tuple[str, str]
+    engine_id: str
+
+
+def assign(items: Sequence[WaitingItem], places: Sequence[Place]) -> list[Assignment]:
+    """Return what is to be sent now; `places` are changed accordingly."""
+    assignments = []
+    for item in sorted(items, key=lambda each: (each.batch_rank, each.group_rank)):
+        able = [each for each in places if each.can_take(item)]
+        if not able:
+            continue
+        place = min(able, key=lambda each: _rank(each, item))
+        place.take(item)
+        assignments.append(Assignment(item.key, place.engine_id))
+    return assignments
+
+
+def _rank(place: Place, item: WaitingItem) -> tuple[bool, bool, bool, float, str]:
+    return (
+        place.is_silent,
+        item.model not in place.models,
+        item.group_key not in place.group_keys,
+        place.n_running / max(place.n_slots, 1),
+        place.engine_id,
+    )
--- /dev/null
+++ b/bilberrydrum/batches/service.py
@@ -0,0 +1,241 @@
+"""The stores' leader: keeps batches, answers gateways, and has the items run."""
+
+import collections
+from collections.abc import Mapping
+from typing import Any, Final
+
+import eliot
+import eventlet
+import eventlet.event
+import eventlet.queue
+
+from bilberrydrum import clock, transport, upstream_protocol
+from bilberrydrum.batches import commands, messages, model, runner
+from bilberrydrum.fleet import subscriber
+from bilberrydrum.requests import attempts
+from bilberrydrum.state import leader_calls, replica
+
+# Time for a change to be committed before the caller is sent on to ask again.
+COMMIT_SECONDS: Final = 2.0
+# Result bytes in one page, so that its JSON stays below a megabyte even if some bytes
+# are escaped.
+MAX_PAGE_BYTES: Final = 600_000
+# How often the leadership is looked at; its lease is checked before each sending.
+_LOOK_SECONDS: Final = 0.1
+# Results committed in one entry.
+_MAX_RESULTS: Final = 64
+
+
+class BatchService:
+    """The tasks beside one replica of the stores' group."""
+
+    def __init__(
+        self,
+        replica_: replica.Replica,
+        carrier: transport.Transport,
+        view: subscriber.Subscriber,
+        protocol: upstream_protocol.UpstreamProtocol,
+        means: attempts.Means,
+        retention_seconds: float,
+        order_lease_seconds: float,
+    ) -> None:
+        self._replica = replica_
+        self._carrier = carrier
+        self._view = view
+        self._protocol = protocol
+        self._means = means
+        self._retention_seconds = retention_seconds
+        # An earlier leader may have given orders until just now; engines that take
+        # turns between two holders can be told contradicting things.
+        self._order_lease_seconds = order_lease_seconds
+        self._service = leader_calls.LeaderService(replica_, carrier)
+        self._runner: runner.BatchRunner | None = None
+        self._term = 0
+        self._led_since = 0.0
+        self._news = eventlet.event.Event()
+        self._finished: Any = eventlet.queue.Queue()
+        self._tasks: list[Any] = []
+
+    def start(self) -> None:
+        """Start to answer, and to run items whenever this replica leads."""
+        handlers: Mapping[type[Any], leader_calls.Handler] = {
+            messages.Submit: self._on_submit,
+            messages.Read: self._on_read,
+            messages.ReadBody: self._on_read_body,
+            messages.AskEnd: self._on_ask_end,
+        }
+        for message_class, handler in handlers.items():
+            self._service.serve(message_class, handler)
+        self._replica.watch(self._on_applied)
+        self._tasks = [eventlet.spawn(self._lead), eventlet.spawn(self._commit_results)]
+
+    def stop(self) -> None:
+        """Break off all runs."""
+        for task in self._tasks:
+            task.kill()
+        self._tasks.clear()
+        self._stop_runner()
+
+    # Leadership
+
+    def _lead(self) -> None:
+        while True:
+            held = self._replica.leadership()
+            if held is None:
+                self._stop_runner()
+            elif self._runner is None or held.term != self._term:
+                self._stop_runner()
+                self._start_runner(held.term)
+            clock.sleep(_LOOK_SECONDS)
+
+    def _start_runner(self, term: int) -> None:
+        self._term = term
+        self._led_since = clock.now()
+        hooks = runner.Hooks(
+            finish=lambda batch_id, each: self._finished.put((term, batch_id, each)),
+            fencing_number=self._fencing_number,
+            may_send=lambda: self._leads(term),
+            holder=self._carrier.process_id,
+        )
+        started = runner.BatchRunner(self._protocol, self._view, self._means, hooks)
+        kept = self._section().batches_by_id.values()
+        eliot.log_message(message_type="batches:leads", term=term, n_batches=len(kept))
+        started.start(list(kept))
+        self._runner = started
+
+    def _stop_runner(self) -> None:
+        if self._runner is not None:
+            eliot.log_message(message_type="batches:stops-leading", term=self._term)
+            self._runner.stop()
+            self._runner = None
+
+    def _leads(self, term: int) -> bool:
+        held = self._replica.leadership()
+        return held is not None and held.term == term
+
+    def _fencing_number(self) -> int | None:
+        """Return the number for an order sent now.
+
+        The term of the group's log: no two leaders have the same, and it only rises.
+        """
+        is_early = clock.now() - self._led_since < self._order_lease_seconds
+        if is_early or not self._leads(self._term):
+            return None
+        return self._term
+
+    def _section(self) -> commands.Section:
+        return commands.section_of(self._replica.state())
+
+    # Results
+
+    def _commit_results(self) -> None:
+        while True:
+            finished = [self._finished.get()]
+            while not self._finished.empty() and len(finished) < _MAX_RESULTS:
+                finished.append(self._finished.get())
+            by_batch: dict[str, list[model.Result]] = collections.defaultdict(list)
+            for term, batch_id, result in finished:
+                if term == self._term:
+                    by_batch[batch_id].append(result)
+            for batch_id, results in by_batch.items():
+                self._commit(batch_id, tuple(results))
+
+    def _commit(self, batch_id: str, results: tuple[model.Result, ...]) -> None:
+        term = self._term
+        command = commands.FinishItems(batch_id, results)
+        while self._leads(term):
+            if self._replica.propose(command, COMMIT_SECONDS).is_ok():
+                return
+        # The next leader runs these items again.
+        eliot.log_message(
+            message_type="batches:results-dropped",
+            batch_id=batch_id,
+            item_ids=[each.item_id for each in results],
+            term=term,
+        )
+
+    def _on_applied(self, command: object, answer: Any) -> None:
+        active = self._runner
+        if isinstance(command, commands.AcceptBatch):
+            kept = self._section().batches_by_id.get(command.batch.batch_id)
+            if active is not None and kept is not None and answer.is_new:
+                active.accept(kept)
+        elif isinstance(command, commands.FinishItems):
+            if active is not None:
+                active.finished(command.batch_id, command.results)
+            self._tell_news()
+        elif isinstance(command, commands.EndBatch):
+            if active is not None:
+                active.end(command.batch_id)
+            self._tell_news()
+
+    def _tell_news(self) -> None:
+        if not self._news.ready():
+            self._news.send(None)
+            self._news = eventlet.event.Event()
+
+    # Gateways
+
+    def _on_submit(self, sender: transport.Sender, message: messages.Submit) -> Any:
+        batch = message.batch
+        if batch.batch_id not in self._section().batches_by_id:
+            command = commands.AcceptBatch(batch, self._retention_seconds)
+            if not self._replica.propose(command, COMMIT_SECONDS).is_ok():
+                return None
+        eliot.log_message(
+            message_type="batches:accepted",
+            batch_id=batch.batch_id,
+            step=batch.step,
+            model=batch.model,
+            min_version=batch.min_version,
+            n_items=len(batch.items),
+        )
+        return messages.Submitted()
+
+    def _on_read(self, sender: transport.Sender, message: messages.Read) -> Any:
+        deadline = clock.now() + message.wait_seconds
+        while True:
+            kept = self._section().batches_by_id.get(message.batch_id)
+            if kept is None:
+                return messages.Page(False)
+            results = _page(kept.results[max(message.position, 0) :])
+            remaining = deadline - clock.now()
+            if results or kept.is_ended or remaining <= 0:
+                return messages.Page(True, len(kept.batch.items), results)
+            with eventlet.Timeout(remaining, False):
+                self._news.wait()
+
+    def _on_read_body(
+        self, sender: transport.Sender, message: messages.ReadBody
+    ) -> Any:
+        kept = self._section().batches_by_id.get(message.batch_id)
+        if kept is None or kept.is_ended:
+            return messages.Body(False)
+        if message.item_id in kept.finished_ids():
+            return messages.Body(False)
+        for item in kept.batch.items:
+            if item.item_id == message.item_id:
+                return messages.Body(True, item.body)
+        return messages.Body(False)
+
+    def _on_ask_end(self, sender: transport.Sender, message: messages.AskEnd) -> Any:
+        kept = self._section().batches_by_id.get(message.batch_id)
+        if kept is None:
+            return messages.EndTaken(False)
+        if not kept.is_ended:
+            command = commands.EndBatch(message.batch_id)
+            if not self._replica.propose(command, COMMIT_SECONDS).is_ok():
+                return None
+        return messages.EndTaken(True)
+
+
+def _page(results: list[model.Result]) -> tuple[model.Result, ...]:
+    """Return as many results as fit into one page, at least one."""
+    page: list[model.Result] = []
+    n_bytes = 0
+    for each in results:
+        n_bytes += len(each.text)
+        if page and n_bytes > MAX_PAGE_BYTES:
+            break
+        page.append(each)
+    return tuple(page)
--- /dev/null
+++ b/bilberrydrum/batches/work.py
@@ -0,0 +1,224 @@
+"""The open batches and how far each item is, in the runner's memory."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Final
+
+import attrs
+
+from bilberrydrum.batches import item_run, model, scheduling
+from bilberrydrum.fleet import policy
+
+# Pause before an item that was turned away is sent again, in seconds: a place at an
+# engine comes free every 20 to 50 ms.
+REJECTED_PAUSE_SECONDS: Final = 0.1
+# Unfinished texts that are remembered for later batches with the same items.
+_MAX_REMEMBERED_TEXTS: Final = 2000
+# Ranks of groups: those that came back from an earlier batch go first, then begun ones.
+_CARRIED_RANK: Final = -2e9
+_BEGUN_RANK: Final = -1e9
+
+
+@attrs.define(eq=False)
+class ItemRun:
+    """One item of an open batch."""
+
+    item: model.Item
+    group_key: tuple[str, str]
+    text: item_run.Text = attrs.field(factory=item_run.Text)
+    is_running: bool = False
+    is_done: bool = False
+    # Runs that the engine ended with a failure of its own.
+    n_failures: int = 0
+    not_before: float = float("-inf")
+    # Engines that the last attempt failed at.
+    excluded_ids: frozenset[str] = frozenset()
+
+    def n_expected_tokens(self) -> int:
+        """Return the tokens that the item is likely to take."""
+        return self.item.n_expected_tokens or self.item.n_tokens
+
+
+@attrs.define(eq=False)
+class OpenBatch:
+    """One batch that has not ended."""
+
+    kept: model.KeptBatch
+    # When it was submitted, in seconds of `clock.now`.
+    submitted_at: float
+    runs_by_item_id: dict[str, ItemRun]
+    carried_groups: frozenset[tuple[str, str]] = frozenset()
+    is_ended: bool = False
+
+    def waiting_runs(self) -> Iterator[ItemRun]:
+        """Yield the items that neither run nor are done."""
+        for run in self.runs_by_item_id.values():
+            if not run.is_done and not run.is_running:
+                yield run
+
+    def n_tokens(self) -> int:
+        """Return the tokens that the whole batch is likely to take."""
+        return sum(each.n_expected_tokens() for each in self.runs_by_item_id.values())
+
+    def give_up_at(self, route: policy.Route | None) -> float:
+        """Return when its items may be given up, in seconds of `clock.now`."""
+        if route is None or not route.max_queue_seconds:
+            return float("inf")
+        return self.submitted_at + route.max_queue_seconds
+
+    def bounds(self, route: policy.Route | None) -> item_run.Bounds:
+        """Return the weight versions that its texts may come from."""
+        is_single = route is not None and route.is_single_version
+        return item_run.Bounds(self.kept.batch.min_version, is_single)
+
+    def group_rank(self, group_key: tuple[str, str]) -> float:
+        """Return the rank of a group; lower goes first."""
+        runs = [e for e in self.runs_by_item_id.values() if e.group_key == group_key]
+        longest = max(each.n_expected_tokens() for each in runs)
+        if group_key in self.carried_groups:
+            return _CARRIED_RANK + longest
+        if any(each.is_running or each.is_done for each in runs):
+            return _BEGUN_RANK + longest
+        return longest
+
+
+class Work:
+    """All open batches, and what is left of ended ones that can still be used."""
+
+    def __init__(self) -> None:
+        self._open_by_id: dict[str, OpenBatch] = {}
+        # By item id: the same items may come again in a later batch.
+        self._results_by_item_id: dict[str, model.Result] = {}
+        self._texts_by_item_id: dict[str, item_run.Text] = {}
+
+    def open_batches(self) -> list[OpenBatch]:
+        """Return the open batches, the oldest first."""
+        return list(self._open_by_id.values())
+
+    def open(self, kept: model.KeptBatch, submitted_at: float) -> OpenBatch:
+        """Begin to run a batch."""
+        batch = kept.batch
+        finished = kept.finished_ids()
+        runs = {}
+        carried = set()
+        for item in batch.items:
+            group_key = (batch.batch_id, item.group or item.item_id)
+            run = ItemRun(item, group_key, is_done=item.item_id in finished)
+            text = self._texts_by_item_id.pop(item.item_id, None)
+            if text is not None and not run.is_done:
+                run.text = text
+                carried.add(group_key)
+            if item.item_id in self._results_by_item_id:
+                carried.add(group_key)
+            runs[item.item_id] = run
+        opened = OpenBatch(kept, submitted_at, runs, frozenset(carried))
+        self._open_by_id[batch.batch_id] = opened
+        return opened
+
+    def carried_results(
+        self, opened: OpenBatch, route: policy.Route | None
+    ) -> list[model.Result]:
+        """Return earlier results that the batch may use; their items are done."""
+        bounds = opened.bounds(route)
+        usable = []
+        for item_id, run in opened.runs_by_item_id.items():
+            result = self._results_by_item_id.get(item_id)
+            if run.is_done or result is None or not result.versions:
+                continue
+            is_single = len(result.versions) == 1 or not bounds.is_single
+            if is_single and min(result.versions) >= bounds.min_version:
+                run.is_done = True
+                usable.append(result)
+        return usable
+
+    def find(self, key: tuple[str, str]) -> tuple[OpenBatch, ItemRun]:
+        """Return a batch and an item of it."""
+        opened = self._open_by_id[key[0]]
+        return opened, opened.runs_by_item_id[key[1]]
+
+    def finished(self, batch_id: str, results: Iterable[model.Result]) -> None:
+        """Note results that are committed."""
+        opened = self._open_by_id.get(batch_id)
+        for result in results:
+            if opened is not None and result.item_id in opened.runs_by_item_id:
+                opened.runs_by_item_id[result.item_id].is_done = True
+
+    def end(self, batch_id: str) -> None:
+        """Forget a batch that has ended, but for what a later one may use."""
+        opened = self._open_by_id.pop(batch_id, None)
+        if opened is None:
+            return
+        opened.is_ended = True
+        self.remember(opened.kept)
+        for item_id, run in opened.runs_by_item_id.items():
+            if run.text.parts and item_id not in self._results_by_item_id:
+                self._texts_by_item_id[item_id] = run.text
+        while len(self._texts_by_item_id) > _MAX_REMEMBERED_TEXTS:
+            del self._texts_by_item_id[next(iter(self._texts_by_item_id))]
+
+    def remember(self, kept: model.KeptBatch) -> None:
+        """Remember the results of groups that were not complete."""
+        finished = {each.item_id: each for each in kept.results}
+        groups: dict[str, list[str]] = {}
+        for item in kept.batch.items:
+            groups.setdefault(item.group or item.item_id, []).append(item.item_id)
+        for item_ids in groups.values():
+            if all(each in finished for each in item_ids):
+                continue
+            for item_id in item_ids:
+                result = finished.get(item_id)
+                if result and result.state is model.ItemState.COMPLETED:
+                    self._results_by_item_id[item_id] = result
+        while len(self._results_by_item_id) > _MAX_REMEMBERED_TEXTS:
+            del self._results_by_item_id[next(iter(self._results_by_item_id))]
+
+    def of_model(self, model_name: str) -> list[OpenBatch]:
+        """Return the open batches of a model's trainer."""
+        return [
+            each
+            for each in self._open_by_id.values()
+            if each.kept.batch.model == model_name
+        ]
+
+
+def waiting_item(
+    opened: OpenBatch, run: ItemRun, route: policy.Route
+) -> scheduling.WaitingItem:
+    """Return what the choice of an engine needs to know of an item."""
+    batch = opened.kept.batch
+    only_version = None
+    if route.is_single_version and run.text.versions:
+        only_version = max(run.text.versions)
+    return scheduling.WaitingItem(
+        (batch.batch_id, run.item.item_id),
+        run.group_key,
+        opened.submitted_at,
+        opened.group_rank(run.group_key),
+        batch.model,
+        batch.min_version,
+        frozenset(route.services()),
+        run.n_expected_tokens(),
+        run.excluded_ids,
+        only_version,
+    )
+
+
+class Demand:
+    """How much work each model's trainer has asked for lately."""
+
+    def __init__(self, window_seconds: float) -> None:
+        self._window_seconds = window_seconds
+        self._noted: list[tuple[float, str, float]] = []
+
+    def note(self, model_name: str, amount: float, now: float) -> None:
+        """Note work that was asked for."""
+        self._noted.append((now, model_name, amount))
+
+    def by_model(self, models: Sequence[str], now: float) -> dict[str, float]:
+        """Return the demand of the last window by model, those without included."""
+        since = now - self._window_seconds
+        self._noted = [each for each in self._noted if each[0] >= since]
+        demand = dict.fromkeys(models, 0.0)
+        for _, model_name, amount in self._noted:
+            if model_name in demand:
+                demand[model_name] += amount
+        return demand
--- /dev/null
+++ b/bilberrydrum/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the control group decides for all gateways: policy, upstreams, versions."""
--- /dev/null
+++ b/bilberrydrum/fleet/messages.py
@@ -0,0 +1,125 @@
+"""Messages to the control group's leader, and its answers.
+
+All of them are safe to repeat, as `state.leader_calls` asks.
+"""
+
+import attrs
+
+from bilberrydrum import codec
+from bilberrydrum.fleet import model
+from bilberrydrum.fleet import policy as fleet_policy
+
+
+@codec.register("fleet.announce")
+@attrs.frozen
+class Announce:
+    """An upstream's announcement, as a control process heard it."""
+
+    upstream: model.FleetUpstream
+
+
+@codec.register("fleet.depart")
+@attrs.frozen
+class Depart:
+    """An upstream says that it takes no more work and ends."""
+
+    upstream_id: str
+
+
+@codec.register("fleet.submit-policy")
+@attrs.frozen
+class SubmitPolicy:
+    """Put a policy into force; checked before it is sent here."""
+
+    policy: fleet_policy.Policy
+    document: bytes
+
+
+@codec.register("fleet.read-policy")
+@attrs.frozen
+class ReadPolicy:
+    """Ask for the policy in force, as it was submitted."""
+
+
+@codec.register("fleet.policy-document")
+@attrs.frozen
+class PolicyDocument:
+    """The policy in force; version 0: there is none yet."""
+
+    version: int
+    document: bytes
+
+
+@codec.register("fleet.publish-version")
+@attrs.frozen
+class PublishVersion:
+    """A trainer names a version of its model's weights."""
+
+    model: str
+    version: int
+
+
+@codec.register("fleet.begin-retirement")
+@attrs.frozen
+class BeginRetirement:
+    """Have a store emptied, so that its host can be taken away."""
+
+    name: str
+
+
+@codec.register("fleet.read-retirement")
+@attrs.frozen
+class ReadRetirement:
+    """Ask how far the emptying of a store is."""
+
+    name: str
+
+
+@codec.register("fleet.retirement")
+@attrs.frozen
+class Retirement:
+    """How far the emptying of a store is."""
+
+    is_known: bool = True
+    # Too few stores would be left.
+    is_refused: bool = False
+    is_done: bool = False
+
+
+@codec.register("fleet.done")
+@attrs.frozen
+class Done:
+    """What was asked is committed, or held already."""
+
+
+@codec.register("fleet.subscribe")
+@attrs.frozen
+class Subscribe:
+    """A process asks to be told of changes, and again before its time is up."""
+
+    # Indexes of what it has.
+    policy_index: int = 0
+    registry_index: int = 0
+    # Set by stores: the host's name and the address for the stores' group.
+    store_name: str = ""
+    store_address: str = ""
+    # The store has an empty disk and was started with the whole deployment.
+    may_found: bool = False
+    # Set by the stores' leader: its term and the members' addresses.
+    store_term: int = 0
+    store_member_addresses: tuple[str, ...] = ()
+
+
+@codec.register("fleet.feed")
+@attrs.frozen
+class Feed:
+    """What has changed, as the answer to `Subscribe` or by itself."""
+
+    policy_index: int
+    # Codec bytes of the policy; empty: the receiver has it.
+    policy: bytes
+    registry_index: int
+    # Codec bytes of the registry; empty: the receiver has it.
+    registry: bytes
+    # Addresses of the control group's members.
+    control_addresses: tuple[str, ...] = ()
--- /dev/null
+++ b/bilberrydrum/fleet/model.py
@@ -0,0 +1,57 @@
+"""What the control group knows of upstreams and of the stores."""
+
+import attrs
+
+from bilberrydrum import codec
+
+
+@codec.register("fleet.upstream")
+@attrs.frozen
+class FleetUpstream:
+    """One incarnation of an upstream, as it announced itself."""
+
+    # Unlike that of any other start of the same program.
+    upstream_id: str
+    service: str
+    # ``IP:port``; may be taken over by another upstream once this one has ended.
+    address: str
+    availability_zone: str
+    # Requests that it works on at a time.
+    n_slots: int
+    is_leaving: bool = False
+    # Seconds for which it is slower than usual after its start.
+    cold_seconds: float = 0.0
+    # Weight versions by model; empty: a plain service.
+    versions_by_model: dict[str, int] = attrs.field(factory=dict)
+    # Number of the announcement; a later one of the same upstream has a higher one.
+    sequence: int = 0
+    # Not heard from for long: it may have crashed, or only its announcements are lost.
+    is_silent: bool = False
+
+
+@codec.register("fleet.store")
+@attrs.frozen
+class Store:
+    """A process that can hold a replica of the stores' group."""
+
+    # Name of its host.
+    name: str
+    # Address of its ROUTER for the stores' group, ``IP:port``.
+    address: str
+    # Index of the log entry since which it is being emptied; 0: it is not.
+    retiring_index: int = 0
+
+
+@codec.register("fleet.registry")
+@attrs.frozen
+class Registry:
+    """What gateways and stores act on, besides the policy."""
+
+    # Index of the last log entry that changed it; a higher one is newer.
+    index: int = 0
+    upstreams: tuple[FleetUpstream, ...] = ()
+    # Newest named version by model.
+    versions_by_model: dict[str, int] = attrs.field(factory=dict)
+    stores: tuple[Store, ...] = ()
+    # Addresses that the stores' group starts with; empty: not chosen yet.
+    founder_addresses: tuple[str, ...] = ()
--- /dev/null
+++ b/bilberrydrum/fleet/policy.py
@@ -0,0 +1,132 @@
+"""The traffic policy: which requests go where, and within which limits.
+
+A policy is one document with a version. The highest version that was committed is in
+force; it is replaced as a whole. Routes are chosen by host and by the longest path
+prefix; a route spreads its requests over services by weight.
+"""
+
+import enum
+import random
+from collections.abc import Iterator
+
+import attrs
+
+from bilberrydrum import codec
+
+
+class RouteKind(enum.StrEnum):
+    """What a route's requests allow."""
+
+    # May run more than once.
+    IDEMPOTENT = "idempotent"
+    # Runs at most once.
+    NON_IDEMPOTENT = "non-idempotent"
+    # Answered by a stream of events, each sent on as it comes.
+    STREAMING = "streaming"
+    # Batches of items that run later.
+    BATCH = "batch"
+
+
+@attrs.frozen
+class Share:
+    """A service's share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """One route; times are in seconds."""
+
+    name: str
+    host: str
+    # Begins and ends with a slash.
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[Share, ...]
+    # Longest time that a caller is kept waiting; 0: not bounded (batches).
+    timeout_seconds: float = 0.0
+    # Time within which an answer has its full value.
+    target_latency_seconds: float = 0.0
+    # 0 is the most urgent.
+    priority: int = 0
+    # Most upstreams that one request may be sent to.
+    max_attempts: int = 1
+    # A stream may go on at another upstream after the last whole event.
+    is_resumable: bool = False
+    # An item of a batch may be given up this long after the batch was submitted.
+    max_queue_seconds: float = 0.0
+    # All results of a batch are due this long after it was submitted.
+    result_deadline_seconds: float = 0.0
+    # All events of a result must come from one weight version.
+    is_single_version: bool = False
+
+    def choose_service(self, rng: random.Random) -> str:
+        """Return a service, drawn by weight."""
+        total = sum(each.weight for each in self.shares)
+        point = rng.random() * total
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+    def services(self) -> Iterator[str]:
+        """Yield the services that the route may use."""
+        for share in self.shares:
+            if share.weight > 0:
+                yield share.service
+
+
+@attrs.frozen
+class Service:
+    """One kind of upstream."""
+
+    name: str
+    # Most connections that one upstream takes from all processes together.
+    max_connections: int = 0
+    # Models that the upstreams generate with; none: a plain service.
+    models: tuple[str, ...] = ()
+    # Tokens that an engine's memory holds; 0: not told.
+    n_cache_tokens: int = 0
+
+
+@attrs.frozen
+class ClientLimits:
+    """What a client of the gateways may send; 0: the process's own limit."""
+
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+    header_timeout_seconds: float = 0.0
+    idle_timeout_seconds: float = 0.0
+
+
+@codec.register("fleet.policy")
+@attrs.frozen
+class Policy:
+    """All routes and services of one version."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    limits: ClientLimits = attrs.field(factory=ClientLimits)
+
+
+class RouteTable:
+    """A policy's routes, by host and with the longest prefix first."""
+
+    def __init__(self, policy: Policy) -> None:
+        self.policy = policy
+        self.services_by_name = {each.name: each for each in policy.services}
+        self._routes_by_host: dict[str, list[Route]] = {}
+        longest_first = sorted(policy.routes, key=lambda each: -len(each.path_prefix))
+        for route in longest_first:
+            self._routes_by_host.setdefault(route.host.lower(), []).append(route)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None if there is none."""
+        for route in self._routes_by_host.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/bilberrydrum/fleet/policy_check.py
@@ -0,0 +1,41 @@
+"""What makes a traffic policy invalid, all findings together."""
+
+from bilberrydrum import findings
+from bilberrydrum.fleet import policy
+
+
+def check(document: policy.Policy, name: str = "policy") -> list[findings.Finding]:
+    """Return what is wrong with `document`; empty: it may be committed."""
+    found: list[str] = []
+    known = {each.name for each in document.services}
+    if len(known) != len(document.services):
+        found.append("two services have the same name")
+    places = set()
+    for route in document.routes:
+        found += [f"route {route.name}: {text}" for text in _faults(route, known)]
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            found.append(f"route {route.name}: another route has its host and prefix")
+        places.add(place)
+    return [findings.Finding(name, 0, 0, text) for text in found]
+
+
+def _faults(route: policy.Route, known: set[str]) -> list[str]:
+    found = []
+    prefix = route.path_prefix
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        found.append("the prefix must begin and end with a slash")
+    if not route.host:
+        found.append("the host must not be empty")
+    for share in route.shares:
+        if share.service not in known:
+            found.append(f"no service is named {share.service!r}")
+        if share.weight < 0:
+            found.append(f"the weight of {share.service!r} must not be negative")
+    if sum(each.weight for each in route.shares) <= 0:
+        found.append("the weights add up to nothing")
+    if route.timeout_seconds <= 0:
+        found.append("the timeout must be more than 0")
+    if route.max_attempts < 1:
+        found.append("there must be at least one attempt")
+    return found
--- /dev/null
+++ b/bilberrydrum/fleet/subscriber.py
@@ -0,0 +1,101 @@
+"""A process's copy of the policy and the registry, kept up by the control leader.
+
+The leader pushes each change at once; the renewal, twice a second, fetches what was
+lost on the way and finds a new leader. A copy never goes back: what comes with a lower
+index is older and is dropped. A process that reaches no leader goes on with what it
+has, as its requests would gain nothing by being refused.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import eliot
+import eventlet
+import result
+
+from bilberrydrum import clock, codec, transport
+from bilberrydrum.fleet import messages, model, policy
+from bilberrydrum.state import leader_calls
+
+RENEW_SECONDS: Final = 0.5
+# Time for one renewal, over all control processes.
+_CALL_SECONDS: Final = 2.0
+
+
+class Subscriber:
+    """The task that keeps the copy."""
+
+    def __init__(
+        self,
+        carrier: transport.Transport,
+        calls: leader_calls.LeaderCalls,
+        make_request: Callable[[int, int], messages.Subscribe] = messages.Subscribe,
+    ) -> None:
+        self._carrier = carrier
+        self._calls = calls
+        self._make_request = make_request
+        self.routes = policy.RouteTable(policy.Policy(0))
+        self.registry = model.Registry()
+        self._policy_index = 0
+        self._is_connected = False
+        self._watchers: list[Callable[[], None]] = []
+        self._task: Any = None
+
+    @property
+    def has_policy(self) -> bool:
+        """Whether there is a policy to act on."""
+        return self._policy_index > 0
+
+    def watch(self, callback: Callable[[], None]) -> None:
+        """Call `callback()` after each change; it must not block."""
+        self._watchers.append(callback)
+
+    def start(self) -> None:
+        """Start to renew."""
+        self._carrier.on(messages.Feed, self._on_feed)
+        self._task = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to renew."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+
+    def _run(self) -> None:
+        while True:
+            request = self._make_request(self._policy_index, self.registry.index)
+            answer = self._calls.call(request, _CALL_SECONDS)
+            self._note_connection(answer.is_ok())
+            if isinstance(answer, result.Ok):
+                self._take(answer.ok_value)
+            clock.sleep(RENEW_SECONDS)
+
+    def _note_connection(self, is_connected: bool) -> None:
+        if is_connected != self._is_connected:
+            self._is_connected = is_connected
+            name = "control:regained" if is_connected else "control:lost"
+            eliot.log_message(
+                message_type=name,
+                policy_version=self.routes.policy.version,
+                registry_index=self.registry.index,
+            )
+
+    def _on_feed(self, sender: transport.Sender, feed: messages.Feed) -> None:
+        self._take(feed)
+
+    def _take(self, feed: messages.Feed) -> None:
+        self._calls.learn(feed.control_addresses)
+        is_changed = False
+        if feed.policy and feed.policy_index > self._policy_index:
+            self._policy_index = feed.policy_index
+            self.routes = policy.RouteTable(codec.decode(feed.policy))
+            is_changed = True
+            eliot.log_message(
+                message_type="policy:in-force", version=self.routes.policy.version
+            )
+        if feed.registry and feed.registry_index > self.registry.index:
+            self.registry = codec.decode(feed.registry)
+            is_changed = True
+        if is_changed:
+            for callback in self._watchers:
+                callback()
--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -188,9 +188,14 @@
     """The WSGI application."""
 
     def __init__(
-        self, limits: options.LimitOptions, tokens_by_guard: dict[str, bytes]
+        self,
+        limits: options.LimitOptions,
+        tokens_by_guard: dict[str, bytes],
+        fallback: Handler | None = None,
     ) -> None:
         self._limits = limits
+        # Serves what no route takes; None: such requests are refused.
+        self._fallback = fallback
         self._tokens_by_guard = tokens_by_guard
         self._routes_by_head: dict[str, list[Route]] = collections.defaultdict(list)
         # Requests being worked on, for a graceful shutdown.
@@ -277,6 +282,8 @@
             self._check_token(request, route.guard)
             request.variables = variables
             return route.handler
+        if self._fallback is not None:
+            return self._fallback
         if methods:
             raise refuse(
                 405, reasons.Reason.METHOD_NOT_ALLOWED, f"use {', '.join(methods)}"
--- /dev/null
+++ b/bilberrydrum/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of one role each: gateways, control processes and stores."""
--- /dev/null
+++ b/bilberrydrum/nodes/gateway.py
@@ -0,0 +1,62 @@
+"""The gateway: serves clients, keeps nothing.
+
+All gateways may die together: what must outlive them is at the control group and at the
+stores.
+"""
+
+import random
+
+from bilberrydrum import upstream_protocol
+from bilberrydrum.fleet import subscriber
+from bilberrydrum.nodes import links, options
+from bilberrydrum.relay import relay
+from bilberrydrum.requests import attempts, connections, watch
+
+
+class Gateway:
+    """The parts of one gateway."""
+
+    def __init__(
+        self,
+        node: options.NodeOptions,
+        protocol: upstream_protocol.UpstreamProtocol,
+    ) -> None:
+        self._control = links.ControlLink(node)
+        self._stores = links.StoreLink(node)
+        self.view = subscriber.Subscriber(self._control.carrier, self._control.calls)
+        self.view.watch(self._on_news)
+        self.store_calls = self._stores.calls
+        self._clients = watch.Watch()
+        self._pool = connections.Connections()
+        means = attempts.Means(self._pool, self._clients)
+        self.relay = relay.Relay(
+            protocol, self.view, means, node.availability_zone, random.Random()
+        )
+        self.is_draining = False
+
+    def _on_news(self) -> None:
+        stores = self.view.registry.stores
+        self.store_calls.learn([each.address for each in stores])
+
+    def is_ready(self) -> bool:
+        """Tell whether new clients should be sent here."""
+        return self.view.has_policy and not self.is_draining
+
+    def start(self) -> None:
+        """Start all tasks."""
+        self._control.carrier.start()
+        self._stores.carrier.start()
+        self._clients.start()
+        self.view.start()
+
+    def learn_seeds(self, addresses: tuple[str, ...]) -> None:
+        """Take over control addresses from changed settings."""
+        self._control.calls.learn(addresses)
+
+    def stop(self) -> None:
+        """End all tasks."""
+        self.view.stop()
+        self._clients.stop()
+        self._pool.close()
+        self._control.carrier.stop()
+        self._stores.carrier.stop()
--- /dev/null
+++ b/bilberrydrum/nodes/groups.py
@@ -0,0 +1,75 @@
+"""Options of the two replicated groups, made from a node's options."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from bilberrydrum import options
+from bilberrydrum.nodes import options as node_options
+
+# The control group keeps at most this many votes; more would only make commits wait
+# for more disks.
+MAX_CONTROL_VOTERS: Final = 5
+# Heartbeats and elections: a lost leader is replaced within some 2 s, below the 3 s in
+# which a lost process must not be missed, at 5 heartbeats a second for each replica.
+HEARTBEAT_SECONDS: Final = 0.2
+ELECTION_TIMEOUT_SECONDS: Final = 0.9
+# Batches make the log grow by some 100 KB a second; memory for it is bounded here.
+_STORE_LOG_BYTES: Final = 16 * 1024 * 1024
+_SNAPSHOT_ENTRIES: Final = 4_000
+
+
+def control_options(node: node_options.NodeOptions) -> options.Options:
+    """Return the options of a control process's replica."""
+    founders = node.seed_addresses
+    may_found = node.is_first_start and node.control_address in founders
+    return _options(
+        node.control_address,
+        node_options.CONTROL_GROUP,
+        options.StateOptions(
+            members=_members(founders),
+            data_folder=node.data_folder,
+            heartbeat_seconds=HEARTBEAT_SECONDS,
+            election_timeout_seconds=ELECTION_TIMEOUT_SECONDS,
+            snapshot_entries=_SNAPSHOT_ENTRIES,
+            may_found=may_found,
+            is_open=True,
+            n_voters=max(MAX_CONTROL_VOTERS, node.n_voters()),
+        ),
+    )
+
+
+def store_options(
+    node: node_options.NodeOptions, founders: Sequence[str]
+) -> options.Options:
+    """Return the options of a store's replica; `founders` start the group."""
+    may_found = node.is_first_start and node.store_address in founders
+    return _options(
+        node.store_address,
+        node_options.STORE_GROUP,
+        options.StateOptions(
+            members=_members(founders),
+            data_folder=node.data_folder,
+            heartbeat_seconds=HEARTBEAT_SECONDS,
+            election_timeout_seconds=ELECTION_TIMEOUT_SECONDS,
+            snapshot_entries=_SNAPSHOT_ENTRIES,
+            max_log_bytes=_STORE_LOG_BYTES,
+            may_found=may_found,
+            is_open=True,
+            n_voters=node.n_voters(),
+        ),
+    )
+
+
+def _members(addresses: Sequence[str]) -> tuple[options.Member, ...]:
+    # A process is known by its address: nobody names the hosts in advance.
+    return tuple(options.Member(each, each) for each in addresses)
+
+
+def _options(address: str, group: str, state: options.StateOptions) -> options.Options:
+    return options.Options(
+        process_id=address,
+        group=group,
+        roles=(options.ROLE_STATE,),
+        peer_address=address,
+        state=state,
+    )
--- /dev/null
+++ b/bilberrydrum/nodes/links.py
@@ -0,0 +1,24 @@
+"""A process's connections to the two groups."""
+
+from bilberrydrum import transport
+from bilberrydrum.nodes import options
+from bilberrydrum.state import leader_calls
+
+
+class ControlLink:
+    """The way to the control group's leader."""
+
+    def __init__(self, node: options.NodeOptions) -> None:
+        address = node.control_address
+        self.carrier = transport.Transport(address, options.CONTROL_GROUP, address)
+        others = [each for each in node.seed_addresses if each != address]
+        self.calls = leader_calls.LeaderCalls(self.carrier, others or [address])
+
+
+class StoreLink:
+    """The way to the stores' leader; its addresses come with the registry."""
+
+    def __init__(self, node: options.NodeOptions) -> None:
+        address = node.store_address
+        self.carrier = transport.Transport(address, options.STORE_GROUP, address)
+        self.calls = leader_calls.LeaderCalls(self.carrier)
--- /dev/null
+++ b/bilberrydrum/nodes/options.py
@@ -0,0 +1,62 @@
+"""Options of a process that has one role in a deployment.
+
+Times are in seconds; addresses are ``IP:port``. A deployment's adapter reads them from
+the deployment's own settings.
+"""
+
+import enum
+
+import attrs
+
+from bilberrydrum import options
+
+
+class Role(enum.StrEnum):
+    """What a process does."""
+
+    GATEWAY = "gateway"
+    CONTROL = "control"
+    STORE = "store"
+
+
+CONTROL_GROUP = "control"
+STORE_GROUP = "stores"
+
+
+@attrs.frozen
+class NodeOptions:
+    """All options of one process."""
+
+    role: Role
+    # Name of the host.
+    name: str
+    availability_zone: str
+    # Address of this process in the control group's transport.
+    control_address: str
+    # Address of this process in the stores' group's transport.
+    store_address: str
+    # Control processes that were there when the settings were written.
+    seed_addresses: tuple[str, ...]
+    # The whole deployment starts for the first time, with empty disks.
+    is_first_start: bool = False
+    # Folder on the process's own disk; empty: it has none.
+    data_folder: str = ""
+    # Where clients of the role are served.
+    http_address: str = ""
+    # Where the balancer asks whether a gateway takes new connections.
+    ready_address: str = ""
+    # Processes with a disk that may be lost at the same time.
+    n_losses: int = 1
+    # How often upstreams announce themselves.
+    announce_seconds: float = 1.0
+    # How long an ended batch can be read, from its submission on.
+    retention_seconds: float = 120.0
+    # Time between the orders of two holders.
+    order_lease_seconds: float = 3.0
+    # Time that a stopping process has.
+    shutdown_seconds: float = 8.0
+    limits: options.LimitOptions = attrs.field(factory=options.LimitOptions)
+
+    def n_voters(self) -> int:
+        """Return how many replicas bear the losses and still have a majority."""
+        return 2 * self.n_losses + 1
--- /dev/null
+++ b/bilberrydrum/nodes/store.py
@@ -0,0 +1,121 @@
+"""The store: a replica of the stores' group, and the batches' tasks beside it."""
+
+import eventlet
+
+from bilberrydrum import (
+    clock,
+    registrations,  # noqa: F401, imported for what it registers
+    upstream_protocol,
+)
+from bilberrydrum.batches import service
+from bilberrydrum.fleet import messages, subscriber
+from bilberrydrum.nodes import groups, links, options
+from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.state import node as state_node
+from bilberrydrum.state import replica
+
+_LOOK_SECONDS = 0.1
+
+
+class Store:
+    """The parts of one store."""
+
+    def __init__(
+        self,
+        node: options.NodeOptions,
+        protocol: upstream_protocol.UpstreamProtocol,
+    ) -> None:
+        self._node = node
+        self._protocol = protocol
+        self._control = links.ControlLink(node)
+        self._stores = links.StoreLink(node)
+        self.view = subscriber.Subscriber(
+            self._control.carrier, self._control.calls, self._make_request
+        )
+        self.view.watch(self._on_news)
+        self._clients = watch.Watch()
+        self._pool = connections.Connections()
+        self.replica: replica.Replica | None = None
+        self.service: service.BatchService | None = None
+        self._starter: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Start all tasks; the replica once the group's founders are known."""
+        self._control.carrier.start()
+        self._stores.carrier.start()
+        self._clients.start()
+        self.view.start()
+        self._starter = eventlet.spawn(self._start_replica)
+
+    def _start_replica(self) -> None:
+        # Only the control group knows which stores start the group: with a list of
+        # its own, each store could start one.
+        while not self.view.registry.founder_addresses:
+            clock.sleep(_LOOK_SECONDS)
+        founders = self.view.registry.founder_addresses
+        self.replica = replica.Replica(
+            groups.store_options(self._node, founders), self._stores.carrier
+        )
+        self.replica.start()
+        self.service = service.BatchService(
+            self.replica,
+            self._stores.carrier,
+            self.view,
+            self._protocol,
+            attempts.Means(self._pool, self._clients),
+            self._node.retention_seconds,
+            self._node.order_lease_seconds,
+        )
+        self.service.start()
+        self._on_news()
+
+    def _make_request(
+        self, policy_index: int, registry_index: int
+    ) -> messages.Subscribe:
+        term = 0
+        members: tuple[str, ...] = ()
+        if self.replica is not None and self.replica.leadership() is not None:
+            state = self.replica.node
+            if state.membership_index <= state.commit_index:
+                term = state.term
+                members = self._member_addresses(state)
+        return messages.Subscribe(
+            policy_index,
+            registry_index,
+            self._node.name,
+            self._node.store_address,
+            self._node.is_first_start,
+            term,
+            members,
+        )
+
+    @staticmethod
+    def _member_addresses(state: state_node.Node) -> tuple[str, ...]:
+        return tuple(each.peer_address for each in state.members.replicas)
+
+    def _on_news(self) -> None:
+        if self.replica is None:
+            return
+        stores = self.view.registry.stores
+        self.replica.learn(tuple(each.address for each in stores))
+        self.replica.replace_processes(
+            frozenset(each.address for each in stores if each.retiring_index)
+        )
+
+    def learn_seeds(self, addresses: tuple[str, ...]) -> None:
+        """Take over control addresses from changed settings."""
+        self._control.calls.learn(addresses)
+
+    def stop(self) -> None:
+        """End all tasks; the leadership is handed over."""
+        if self._starter is not None:
+            self._starter.kill()
+        if self.service is not None:
+            self.service.stop()
+        if self.replica is not None:
+            self.replica.stop()
+        self.view.stop()
+        self._clients.stop()
+        self._pool.close()
+        self._control.carrier.stop()
+        self._stores.carrier.stop()
--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -37,6 +37,19 @@
     drift_margin: float = 0.05
     # Entries in the log after which a snapshot is made.
     snapshot_entries: int = 20_000
+    # The log's bytes in memory after which a snapshot is made sooner.
+    max_log_bytes: int = 32 * 1024 * 1024
+    # Whether this process may start the group. False on a host whose disk may have
+    # been lost: a second group beside the first would acknowledge what the first
+    # never sees.
+    may_found: bool = True
+    # Whether the group lets in processes that neither settings nor membership name.
+    is_open: bool = False
+    # Replicas with a vote that the group keeps to; 0: every process that joins gets
+    # one. Further processes stand by until a replica is lost or leaves.
+    n_voters: int = 0
+    # A replica not heard from for this long is replaced, if another can take its place.
+    lost_seconds: float = 3.0
 
 
 @attrs.frozen
--- a/bilberrydrum/registrations.py
+++ b/bilberrydrum/registrations.py
@@ -6,9 +6,11 @@
 module; a test checks that it leaves none out.
 """
 
+from bilberrydrum.batches import commands as batch_commands
 from bilberrydrum.bundles import commands as bundle_commands
 from bilberrydrum.bundles import queries as bundle_queries
 from bilberrydrum.bundles import records as bundle_records
+from bilberrydrum.fleet import commands as fleet_commands
 from bilberrydrum.requests import claims_state
 from bilberrydrum.samples import applying, section
 from bilberrydrum.samples import queries as sample_queries
@@ -18,6 +20,8 @@
 from bilberrydrum.weights import queries as weight_queries
 
 MODULES = (
+    batch_commands,
+    fleet_commands,
     bundle_commands,
     bundle_queries,
     bundle_records,
--- /dev/null
+++ b/bilberrydrum/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Opaque requests passed on to upstreams."""
--- /dev/null
+++ b/bilberrydrum/relay/model.py
@@ -0,0 +1,47 @@
+"""A caller's request that is passed on, and what comes back."""
+
+from collections.abc import Callable
+
+import attrs
+
+from bilberrydrum import reasons
+from bilberrydrum.requests import model as request_model
+
+
+@attrs.frozen
+class Inbound:
+    """One request as it came in; its body is not looked into."""
+
+    request_id: str
+    host: str
+    method: str
+    # Path and query as the caller wrote them.
+    target: str
+    # The path that routes are chosen by.
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    # When the caller stops waiting, in seconds of `clock.now`.
+    deadline: float
+    is_client_gone: Callable[[], bool] = request_model.never
+
+
+@attrs.frozen
+class Answered:
+    """An upstream's answer, passed on unchanged."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@attrs.frozen
+class Refused:
+    """There is no upstream's answer."""
+
+    reason: reasons.Reason
+    # Whether an upstream may have run the request.
+    may_have_run: bool
+    # When coming back is worthwhile, in seconds.
+    retry_after_seconds: float = 0.0
+    is_timeout: bool = False
--- /dev/null
+++ b/bilberrydrum/relay/relay.py
@@ -0,0 +1,272 @@
+"""Pass a request on to an upstream and its whole answer back.
+
+An idempotent request goes to another upstream after a failure, as long as the caller's
+time allows and the route's number of attempts is not used up. One that may run once
+only goes on to another upstream just after a promise that it has not run. A refusal is
+called "not run" only if every upstream that was sent a byte has promised so.
+"""
+
+import random
+from typing import Final
+
+import attrs
+import eliot
+
+from bilberrydrum import clock, counters, reasons, upstream_protocol
+from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.fleet import policy, subscriber
+from bilberrydrum.relay import balancing, model
+from bilberrydrum.requests import attempts, outgoing_requests
+from bilberrydrum.requests import model as request_model
+
+# Share of the time left that one attempt may take while others may follow: a silent
+# upstream then leaves time for two more.
+_TRY_SHARE: Final = 0.45
+# An attempt that may be followed by another is given at least this many times the
+# route's target latency, so that a slow answer isn't taken for a lost one.
+_TRY_TARGETS: Final = 2.0
+# A request whose time is up is answered this long, in seconds, before the caller stops
+# to wait: a way of 1 ms and a hub turn.
+ANSWER_MARGIN_SECONDS: Final = 0.02
+# Upstreams that turned a request away before it ran; beyond it the caller is told.
+_MAX_REJECTIONS: Final = 6
+# When to come back after a refusal, in seconds: a few service times, spread out so that
+# those refused together don't come back together.
+_RETRY_AFTER_RANGE: Final = (0.05, 0.25)
+
+
+@attrs.define
+class _Course:
+    """What has become of one request so far."""
+
+    inbound: model.Inbound
+    route: policy.Route
+    deadline: float
+    excluded_ids: set[str] = attrs.field(factory=set)
+    # Attempts that may have run.
+    n_run: int = 0
+    n_rejections: int = 0
+    last_failure: request_model.ApplicationAnswer | None = None
+    last_reason: reasons.Reason = reasons.Reason.NO_UPSTREAM
+
+    @property
+    def is_idempotent(self) -> bool:
+        return self.route.kind is policy.RouteKind.IDEMPOTENT
+
+    def may_go_on(self) -> bool:
+        """Tell whether another attempt is allowed."""
+        if clock.now() >= self.deadline or self.n_rejections > _MAX_REJECTIONS:
+            return False
+        if self.n_run == 0:
+            return True
+        return self.is_idempotent and self.n_run < self.route.max_attempts
+
+
+class Relay:
+    """Passes requests on at one gateway."""
+
+    def __init__(
+        self,
+        protocol: upstream_protocol.UpstreamProtocol,
+        view: subscriber.Subscriber,
+        means: attempts.Means,
+        availability_zone: str,
+        rng: random.Random,
+    ) -> None:
+        self._protocol = protocol
+        self._view = view
+        self._means = means
+        self._rng = rng
+        self._balancer = balancing.Balancer(availability_zone, rng)
+        view.watch(self._on_news)
+
+    def _on_news(self) -> None:
+        known = {each.upstream_id for each in self._view.registry.upstreams}
+        self._balancer.keep_only(known)
+
+    def handle(
+        self, inbound: model.Inbound, route: policy.Route
+    ) -> model.Answered | model.Refused:
+        """Return an upstream's answer to `inbound`, or why there is none."""
+        deadline = min(inbound.deadline, clock.now() + route.timeout_seconds)
+        course = _Course(inbound, route, deadline - ANSWER_MARGIN_SECONDS)
+        service = route.choose_service(self._rng)
+        while course.may_go_on():
+            upstream = self._choose(service, course)
+            if upstream is None:
+                break
+            answer = self._try(upstream, course)
+            if answer is not None:
+                return answer
+        return self._give_up(course)
+
+    def _choose(
+        self, service: str, course: _Course
+    ) -> fleet_model.FleetUpstream | None:
+        upstreams = [
+            each for each in self._view.registry.upstreams if each.service == service
+        ]
+        return self._balancer.choose(upstreams, course.excluded_ids, clock.now())
+
+    def _try(
+        self, upstream: fleet_model.FleetUpstream, course: _Course
+    ) -> model.Answered | None:
+        """Make one attempt; None: it gave nothing to be passed on."""
+        outgoing = self._outgoing(upstream, course)
+        course.excluded_ids.add(upstream.upstream_id)
+        self._balancer.begin(upstream.upstream_id)
+        try:
+            answer = attempts.call(self._means, upstream, outgoing)
+        except attempts.AttemptError as error:
+            return self._failed(upstream, course, error)
+        finally:
+            self._balancer.end(upstream.upstream_id)
+        return self._answered(upstream, course, answer)
+
+    def _outgoing(
+        self, upstream: fleet_model.FleetUpstream, course: _Course
+    ) -> outgoing_requests.Outgoing:
+        inbound = course.inbound
+        now = clock.now()
+        remaining = course.deadline - now
+        seconds = remaining
+        is_last = course.n_run + 1 >= course.route.max_attempts
+        if course.is_idempotent and not is_last:
+            floor = _TRY_TARGETS * course.route.target_latency_seconds
+            seconds = min(remaining, max(floor, remaining * _TRY_SHARE))
+        attempt = upstream_protocol.Attempt(
+            inbound.request_id, upstream.upstream_id, remaining
+        )
+        return outgoing_requests.Outgoing(
+            inbound.request_id,
+            inbound.method,
+            inbound.target,
+            self._protocol.relay_headers(inbound.headers, attempt),
+            inbound.body,
+            now + seconds,
+            course.is_idempotent,
+            lambda: self._find_refusal(upstream),
+            inbound.is_client_gone,
+            id_header=self._protocol.request_id_header,
+            accepts_unframed=True,
+        )
+
+    def _find_refusal(
+        self, upstream: fleet_model.FleetUpstream
+    ) -> reasons.Reason | None:
+        """Return why `upstream` must not be sent anything any more."""
+        for known in self._view.registry.upstreams:
+            if known.upstream_id == upstream.upstream_id and not known.is_leaving:
+                return None
+        return reasons.Reason.UPSTREAM_LEFT
+
+    def _answered(
+        self,
+        upstream: fleet_model.FleetUpstream,
+        course: _Course,
+        answer: request_model.ApplicationAnswer,
+    ) -> model.Answered | None:
+        head = self._protocol.read_head(dict(answer.headers))
+        if head.was_not_run:
+            self._rejected(upstream, course, answer)
+            return None
+        if answer.status < 300 and not head.is_genuine:
+            # Passed on, it would be taken for the work's result.
+            course.n_run += 1
+            self._balancer.failed(upstream.upstream_id, clock.now())
+            self._note_retry(upstream, course, reasons.Reason.ANSWER_MISMATCHED)
+            return None
+        self._balancer.succeeded(upstream.upstream_id, head, clock.now())
+        course.n_run += 1
+        if answer.status >= 500 and course.is_idempotent and course.may_go_on():
+            course.last_failure = answer
+            self._note_retry(upstream, course, reasons.Reason.UPSTREAM_ERROR)
+            return None
+        _log_end(course, upstream.upstream_id, answer.status)
+        return model.Answered(answer.status, answer.headers, answer.body)
+
+    def _rejected(
+        self,
+        upstream: fleet_model.FleetUpstream,
+        course: _Course,
+        answer: request_model.ApplicationAnswer,
+    ) -> None:
+        course.n_rejections += 1
+        if answer.status != 503:
+            # Another incarnation has its address, or it takes no requests at all.
+            self._balancer.failed(upstream.upstream_id, clock.now())
+        self._note_retry(upstream, course, reasons.Reason.UPSTREAM_BUSY)
+
+    def _failed(
+        self,
+        upstream: fleet_model.FleetUpstream,
+        course: _Course,
+        error: attempts.AttemptError,
+    ) -> model.Answered | None:
+        if error.answer is not None:
+            return self._answered(upstream, course, error.answer)
+        if error.may_have_run:
+            course.n_run += 1
+        else:
+            course.n_rejections += 1
+        if not error.is_refusal:
+            self._balancer.failed(upstream.upstream_id, clock.now())
+        if error.reason is reasons.Reason.CALLER_GONE:
+            course.n_rejections = _MAX_REJECTIONS + 1
+            course.n_run = max(course.n_run, course.route.max_attempts)
+        self._note_retry(upstream, course, error.reason)
+        return None
+
+    def _note_retry(
+        self,
+        upstream: fleet_model.FleetUpstream,
+        course: _Course,
+        reason: reasons.Reason,
+    ) -> None:
+        course.last_reason = reason
+        counters.retried(reason)
+        eliot.log_message(
+            message_type="relay:attempt-failed",
+            request_id=course.inbound.request_id,
+            upstream_id=upstream.upstream_id,
+            reason=reason.value,
+            n_run=course.n_run,
+            remaining_seconds=round(course.deadline - clock.now(), 3),
+            registry_index=self._view.registry.index,
+        )
+
+    def _give_up(self, course: _Course) -> model.Answered | model.Refused:
+        if course.last_failure is not None:
+            answer = course.last_failure
+            _log_end(course, answer.upstream_id, answer.status)
+            return model.Answered(answer.status, answer.headers, answer.body)
+        may_have_run = course.n_run > 0
+        counters.refused(course.last_reason)
+        eliot.log_message(
+            message_type="relay:refused",
+            request_id=course.inbound.request_id,
+            route=course.route.name,
+            reason=course.last_reason.value,
+            may_have_run=may_have_run,
+            n_run=course.n_run,
+            n_rejections=course.n_rejections,
+            policy_version=self._view.routes.policy.version,
+            registry_index=self._view.registry.index,
+        )
+        return model.Refused(
+            course.last_reason,
+            may_have_run,
+            0.0 if may_have_run else self._rng.uniform(*_RETRY_AFTER_RANGE),
+            is_timeout=clock.now() >= course.deadline,
+        )
+
+
+def _log_end(course: _Course, upstream_id: str, status: int) -> None:
+    eliot.log_message(
+        message_type="relay:answered",
+        request_id=course.inbound.request_id,
+        route=course.route.name,
+        upstream_id=upstream_id,
+        status=status,
+        n_run=course.n_run,
+    )
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -8,7 +8,7 @@
 import http.client
 import math
 from collections.abc import Generator, Iterator
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import attrs
 import eventlet
@@ -22,13 +22,14 @@
     outgoing_requests,
     watch,
 )
-from bilberrydrum.upstreams import model as upstream_model
 
 # Time that connecting to an upstream may take.
 CONNECT_SECONDS: Final = 2.0
 # A stream that has begun and stops for longer than a swap of weights takes is one of an
 # engine that hangs. It is broken off, so that another engine can go on.
 STALL_SECONDS: Final = 20.0
+# An idle connection is given up this long before the upstream says that it closes it.
+KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 # Largest answer of a plain service.
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
 _READ_BYTES: Final = 64 * 1024
@@ -68,7 +69,7 @@
 
 
 @contextlib.contextmanager
-def _waiting(
+def waiting(
     means: Means, outgoing: outgoing_requests.Outgoing, patience: float = math.inf
 ) -> Iterator[None]:
     """End the block with an error at the deadline, or when the client is gone.
@@ -163,7 +164,7 @@
 
 
 def _check_id(answer: Any, outgoing: outgoing_requests.Outgoing) -> None:
-    given = answer.headers.get(outgoing_requests.REQUEST_ID)
+    given = answer.headers.get(outgoing.id_header)
     if given is not None and given != outgoing.request_id:
         raise AttemptError(
             reasons.Reason.ANSWER_MISMATCHED, True, f"answer for {given!r}"
@@ -187,7 +188,7 @@
         ) from error
 
 
-def _settle(
+def settle(
     pool: connections.Connections,
     address: str,
     connection: connections.Connection,
@@ -200,15 +201,29 @@
     them the second answer would be taken for that to the next request.
     """
     closes = answer.headers.get("Connection", "").lower() == "close"
-    if is_named and not closes:
-        pool.keep(address, connection)
+    framed = "Content-Length" in answer.headers or "Transfer-Encoding" in answer.headers
+    if is_named and framed and not closes:
+        idle_seconds = _idle_seconds(answer.headers.get("Keep-Alive", ""))
+        pool.keep(address, connection, idle_seconds)
     else:
         connection.close()
 
 
+class Target(Protocol):
+    """Where an attempt is sent."""
+
+    @property
+    def upstream_id(self) -> str:
+        """Name of the upstream."""
+
+    @property
+    def address(self) -> str:
+        """Address of the upstream, ``IP:port``."""
+
+
 def call(
     means: Means,
-    upstream: upstream_model.Upstream,
+    upstream: Target,
     outgoing: outgoing_requests.Outgoing,
 ) -> model.ApplicationAnswer:
     """Make one call and return its whole answer.
@@ -218,15 +233,15 @@
     AttemptError
         If there is no whole answer.
     """
-    with _waiting(means, outgoing):
+    with waiting(means, outgoing):
         connection, answer = open_answer(means.pool, upstream.address, outgoing)
         try:
-            body = _read_whole(answer, outgoing.method)
+            body = _read_whole(answer, outgoing)
         except BaseException:
             connection.close()
             raise
-        is_named = outgoing_requests.REQUEST_ID in answer.headers
-        _settle(means.pool, upstream.address, connection, answer, is_named)
+        is_named = outgoing.id_header in answer.headers
+        settle(means.pool, upstream.address, connection, answer, is_named)
     headers = tuple(
         (name, value)
         for name, value in answer.headers.items()
@@ -239,11 +254,12 @@
     return whole
 
 
-def _read_whole(answer: Any, method: str) -> bytes:
-    has_no_body = method == "HEAD" or answer.status in (204, 304)
+def _read_whole(answer: Any, outgoing: outgoing_requests.Outgoing) -> bytes:
+    has_no_body = outgoing.method == "HEAD" or answer.status in (204, 304)
     length = answer.headers.get("Content-Length")
     chunked = "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
-    if not has_no_body and length is None and not chunked:
+    is_framed = has_no_body or length is not None or chunked
+    if not is_framed and not outgoing.accepts_unframed:
         # Only the closing of the connection would end this body, which looks the same
         # whether the upstream had said all or crashed.
         raise AttemptError(
@@ -261,7 +277,7 @@
 
 def stream(
     means: Means,
-    upstream: upstream_model.Upstream,
+    upstream: Target,
     outgoing: outgoing_requests.Outgoing,
 ) -> Generator[model.StreamEvent, None, None]:
     """Yield the events of one engine's answer; the last is `Finished`.
@@ -273,7 +289,7 @@
     AttemptError
         If the stream does not end whole.
     """
-    with _waiting(means, outgoing):
+    with waiting(means, outgoing):
         connection, answer = open_answer(means.pool, upstream.address, outgoing)
     is_whole = False
     try:
@@ -283,7 +299,7 @@
         # The first token may wait in the engine's queue for as long as the call may.
         patience = math.inf
         while True:
-            with _waiting(means, outgoing, patience):
+            with waiting(means, outgoing, patience):
                 part = next(parts, None)
             if part is None:
                 break
@@ -297,11 +313,24 @@
     finally:
         if is_whole:
             # Each event named the request, so nothing else can have been read.
-            _settle(means.pool, upstream.address, connection, answer, is_named=True)
+            settle(means.pool, upstream.address, connection, answer, is_named=True)
         else:
             connection.close()
 
 
+def _idle_seconds(keep_alive: str) -> float:
+    """Return for how long an idle connection may be used again.
+
+    An upstream that names its timeout closes the connection then; a request on its way
+    at that moment is lost with unknown outcome, so the last second is not used.
+    """
+    for part in keep_alive.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            return max(float(value) - KEEP_ALIVE_MARGIN_SECONDS, 0.0)
+    return connections.MAX_IDLE_SECONDS
+
+
 def _feed(reader: events.StreamReader, part: bytes) -> list[model.StreamEvent]:
     try:
         return reader.feed(part)
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -31,7 +31,8 @@
 @attrs.frozen
 class _Idle:
     connection: Connection
-    since: float
+    # When it is given up.
+    until: float
 
 
 class Connections:
@@ -77,13 +78,18 @@
         connection.sock.settimeout(None)
         return connection
 
-    def keep(self, address: str, connection: Connection) -> None:
+    def keep(
+        self,
+        address: str,
+        connection: Connection,
+        idle_seconds: float = MAX_IDLE_SECONDS,
+    ) -> None:
         """Keep `connection`, on which a whole answer was read, for reuse."""
         idle = self._idle_by_address.setdefault(address, collections.deque())
         if connection.sock is None or len(idle) >= MAX_IDLE:
             connection.close()
             return
-        idle.append(_Idle(connection, clock.now()))
+        idle.append(_Idle(connection, clock.now() + idle_seconds))
 
     def forget(self, address: str) -> None:
         """Close the idle connections to `address`."""
@@ -97,10 +103,10 @@
 
     def _take_idle(self, address: str) -> Connection | None:
         idle = self._idle_by_address.get(address)
-        oldest = clock.now() - MAX_IDLE_SECONDS
+        now = clock.now()
         while idle:
             kept = idle.pop()
-            if kept.since >= oldest and _is_silent(kept.connection):
+            if kept.until >= now and _is_silent(kept.connection):
                 return kept.connection
             kept.connection.close()
         return None
--- a/bilberrydrum/requests/outgoing_requests.py
+++ b/bilberrydrum/requests/outgoing_requests.py
@@ -51,6 +51,11 @@
     is_client_gone: Callable[[], bool] = model.never
     # A byte may have gone out.
     has_begun: bool = False
+    # Header by which the answer names this request.
+    id_header: str = REQUEST_ID
+    # An answer without a length ends whole where its connection is closed in order.
+    # Such answers are taken where the upstreams' protocol has them.
+    accepts_unframed: bool = False
 
 
 def for_engine(
--- a/bilberrydrum/runtime.py
+++ b/bilberrydrum/runtime.py
@@ -2,10 +2,11 @@
 
 `prepare` must be the first call of a process. It patches the standard library, so
 that blocking calls yield to the hub, and silences the one warning eventlet prints
-when it is imported.
+when it is imported. It also lets the hub run on the clock that counts suspended time.
 """
 
 import os
+import time
 import warnings
 
 
@@ -18,3 +19,15 @@
         warnings.filterwarnings("ignore", message=r"(?s).*Eventlet is deprecated.*")
         import eventlet
     eventlet.monkey_patch()
+    from eventlet import hubs
+
+    hubs.get_hub().clock = boot_time
+
+
+def boot_time() -> float:
+    """Return the seconds since the host was started, suspended time included.
+
+    The monotonic clock stands still while a host is suspended: the holder of a lease
+    would wake up and go on believing in it, while another holder has been chosen.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/bilberrydrum/state/applying.py
+++ b/bilberrydrum/state/applying.py
@@ -53,7 +53,9 @@
         disk_task: disk.DiskTask,
         snapshot_entries: int,
         rng: random.Random,
+        max_log_bytes: int = MAX_LOG_BYTES,
     ) -> None:
+        self._max_log_bytes = max_log_bytes
         self._owner = owner
         self._applier = applied
         self._intake = clients
@@ -102,7 +104,7 @@
             limit *= LEADER_FACTOR
         if n_entries >= limit:
             return True
-        return self._owner.node.log.n_bytes >= MAX_LOG_BYTES and n_entries > 1
+        return self._owner.node.log.n_bytes >= self._max_log_bytes and n_entries > 1
 
     def _draw_spread(self) -> float:
         # All replicas count the same entries. In step, the leader would hand over to
--- a/bilberrydrum/state/founding.py
+++ b/bilberrydrum/state/founding.py
@@ -22,13 +22,34 @@
     replica_id: str
     peer_address: str
     members: tuple[options.Member, ...]
+    # Whether this process may start the group at all.
+    may_found: bool = True
     empty_ids_by_process: dict[str, str] = attrs.field(factory=dict)
     group_exists: bool = False
+    # Addresses of further processes that may know the group.
+    learned_addresses: tuple[str, ...] = ()
 
     def others(self) -> list[options.Member]:
         """Return the processes to ask."""
         return [each for each in self.members if each.process_id != self.process_id]
 
+    def learn(self, addresses: tuple[str, ...]) -> None:
+        """Note processes to ask besides those that the settings name.
+
+        They are asked only: who may start the group is left to the settings.
+        """
+        named = {each.peer_address for each in self.members}
+        self.learned_addresses = tuple(
+            each
+            for each in addresses
+            if each not in named and each != self.peer_address
+        )
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of all processes to ask."""
+        named = [each.peer_address for each in self.others()]
+        return [*named, *self.learned_addresses]
+
     def heard(self, reply: messages.ProbeReply) -> None:
         """Take in an answer."""
         if reply.asked_by != self.replica_id:
@@ -41,7 +62,7 @@
 
     def first_membership(self) -> membership.Membership | None:
         """Return the membership to start with, or None if it is not ours to start."""
-        if self.group_exists:
+        if self.group_exists or not self.may_found:
             return None
         members = self.members or (options.Member(self.process_id, self.peer_address),)
         if min(each.process_id for each in members) != self.process_id:
--- /dev/null
+++ b/bilberrydrum/state/leader_calls.py
@@ -0,0 +1,148 @@
+"""Calls that the leader of a group answers, from any process.
+
+A replica that does not lead answers `NotLeading` with the leader it knows of. The
+caller follows such hints and moves on from replicas that are silent, until its time is
+up. A call may therefore be carried out more than once, by the same leader or by two in
+turn: every message served here must be safe to repeat.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import attrs
+import eliot
+import eventlet
+import result
+
+from bilberrydrum import clock, codec, reasons, transport
+from bilberrydrum.state import client, messages, replica, targets
+
+# Time for one replica to answer a call that needs no more than a commit. A commit takes
+# some 20 ms across availability zones; the rest is for a slow disk.
+TRY_SECONDS: Final = 0.7
+# Pause before the next replica is asked when none is known to lead.
+_SEARCH_SECONDS: Final = 0.05
+
+
+@codec.register("state.not-leading")
+@attrs.frozen
+class NotLeading:
+    """The asked replica does not lead; nothing was done."""
+
+    leader_address: str = ""
+    addresses: tuple[str, ...] = ()
+
+
+# Answers a message; None: this replica cannot tell, another may.
+Handler = Callable[[transport.Sender, Any], Any]
+
+
+class LeaderService:
+    """The serving side, beside one replica."""
+
+    def __init__(self, replica_: replica.Replica, carrier: transport.Transport) -> None:
+        self._replica = replica_
+        self._carrier = carrier
+
+    def serve(self, message_class: type[Any], handler: Handler) -> None:
+        """Answer messages of `message_class` with `handler` while this replica leads.
+
+        The handler runs in a task of its own and may wait.
+        """
+
+        def take(sender: transport.Sender, message: Any) -> None:
+            eventlet.spawn_n(self._answer, handler, sender, message)
+
+        self._carrier.on(message_class, take)
+
+    def _answer(self, handler: Handler, sender: transport.Sender, message: Any) -> None:
+        before = self._replica.leadership()
+        answer = None
+        if before is not None:
+            try:
+                answer = handler(sender, message)
+            except Exception as error:
+                eliot.write_traceback()
+                answer = messages.Failed(f"{type(error).__name__}: {error}")
+        # The lease is looked at again once the answer is made: a process that was
+        # stopped in between would answer from the past.
+        after = self._replica.leadership()
+        is_same = after is not None and before is not None and after.term == before.term
+        if answer is None or not is_same:
+            hint = self._replica.leader_hint()
+            answer = NotLeading(hint.leader_address, hint.addresses)
+        self._carrier.answer(sender, answer)
+
+
+class LeaderCalls:
+    """The calling side, in any process."""
+
+    def __init__(
+        self, carrier: transport.Transport, addresses: Sequence[str] = ()
+    ) -> None:
+        self._carrier = carrier
+        self._targets = targets.Targets(addresses) if addresses else None
+
+    def learn(self, addresses: Sequence[str]) -> None:
+        """Take over the addresses of the group's processes."""
+        if not addresses:
+            return
+        if self._targets is None:
+            self._targets = targets.Targets(addresses)
+        else:
+            self._targets.learn(addresses)
+
+    def call(
+        self, message: object, timeout: float, try_seconds: float = TRY_SECONDS
+    ) -> result.Result[Any, client.StateError]:
+        """Return the leader's answer to `message`.
+
+        Parameters
+        ----------
+        message : object
+            A registered message that is safe to repeat.
+        timeout : float
+            Seconds after which the call is given up.
+        try_seconds : float
+            Seconds for one replica to answer.
+        """
+        deadline = clock.now() + timeout
+        may_have_applied = False
+        while self._targets is not None:
+            remaining = deadline - clock.now()
+            if remaining <= 0:
+                break
+            answer = self._try(message, min(try_seconds, remaining))
+            if isinstance(answer, messages.Failed):
+                return result.Err(
+                    client.StateError(
+                        reasons.Reason.INTERNAL_ERROR, True, answer.detail
+                    )
+                )
+            if answer is None:
+                may_have_applied = True
+            elif not isinstance(answer, NotLeading):
+                return result.Ok(answer)
+        return result.Err(
+            client.StateError(reasons.Reason.STATE_UNAVAILABLE, may_have_applied)
+        )
+
+    def _try(self, message: object, seconds: float) -> Any:
+        assert self._targets is not None
+        address = self._targets.current
+        answer = self._carrier.call(address, message, seconds)
+        now = clock.now()
+        if isinstance(answer, result.Err):
+            if self._targets.current == address:
+                self._targets.give_up_current(now)
+            # A message that could not be queued was not sent; waiting a little keeps
+            # the loop from spinning on it.
+            clock.sleep(_SEARCH_SECONDS)
+            return None
+        self._targets.heard(address)
+        reply = answer.ok_value
+        if isinstance(reply, NotLeading) and self._targets.current == address:
+            self._targets.learn(reply.addresses)
+            if not self._targets.redirected(now, reply.leader_address):
+                clock.sleep(_SEARCH_SECONDS)
+        return reply
--- a/bilberrydrum/state/messages.py
+++ b/bilberrydrum/state/messages.py
@@ -113,6 +113,10 @@
     is_empty: bool
     # The replica id in the probe.
     asked_by: str
+    # Addresses of the members that the asked process knows.
+    addresses: tuple[str, ...] = ()
+    # The asked process leads and has committed a membership without the asking replica.
+    has_removed_asker: bool = False
 
 
 @codec.register("state.session-item")
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+import attrs
 import eliot
 import eventlet
 import eventlet.event
@@ -46,6 +47,19 @@
 _STOP_SECONDS: Final = 5.0
 # Events taken by the core before other tasks run.
 _EVENT_SLICE: Final = 256
+# A replica that heard no leader for this long asks whether it was removed: the leader
+# of a group sends nothing to who is not in it. Longer than any election.
+_UNHEARD_SECONDS: Final = 3.0
+
+
+@attrs.frozen
+class LeaderHint:
+    """Where to look for the leader of the group."""
+
+    # Empty: not known.
+    leader_address: str = ""
+    # Addresses of all members.
+    addresses: tuple[str, ...] = ()
 
 
 class Replica:
@@ -69,6 +83,8 @@
         self._tasks: list[Any] = []
         self._failure = "not started"
         self._led_since = 0.0
+        # Sent when the group has replaced this replica.
+        self.removed = eventlet.event.Event()
 
     # Life
 
@@ -89,6 +105,7 @@
             recovered.replica_id,
             self._options.peer_address,
             self._options.state.members,
+            self._options.state.may_found,
         )
         self._steward = stewardship.StewardTask(self, self._carrier, self._options)
         self._intake = intake.Intake(self, self._carrier, self._applier, self._steward)
@@ -100,6 +117,7 @@
             self._disk,
             self._options.state.snapshot_entries,
             random.Random(),
+            self._options.state.max_log_bytes,
         )
         self._listen()
         self._intake.listen()
@@ -348,9 +366,14 @@
     def _on_probe(self, sender: transport.Sender, probe: messages.Probe) -> None:
         if self._failure:
             return
-        is_empty = not self.node.members.replicas
+        members = self.node.members
         reply = messages.ProbeReply(
-            self._options.process_id, self.node.replica_id, is_empty, probe.replica_id
+            self._options.process_id,
+            self.node.replica_id,
+            not members.replicas,
+            probe.replica_id,
+            tuple(each.peer_address for each in members.replicas),
+            self._has_removed(probe),
         )
         self._carrier.answer(sender, reply)
         if probe.is_empty and isinstance(self.node.role, node.Leader):
@@ -360,6 +383,46 @@
         self, sender: transport.Sender, reply: messages.ProbeReply
     ) -> None:
         self._founding.heard(reply)
+        if reply.addresses:
+            self._founding.learn(reply.addresses)
+        is_for_this = reply.asked_by == self.node.replica_id
+        if reply.has_removed_asker and is_for_this and not self._failure:
+            self._on_removed()
+
+    def _has_removed(self, probe: messages.Probe) -> bool:
+        """Tell whether the group, led from here, goes on without the asking replica."""
+        if probe.is_empty or self.leadership() is None:
+            return False
+        # A change that is not committed yet could still be undone.
+        is_settled = self.node.membership_index <= self.node.commit_index
+        return is_settled and self.node.members.find(probe.replica_id) is None
+
+    def _on_removed(self) -> None:
+        """Take part no more: the group has replaced this replica.
+
+        Its process may come back as a new replica once the folder is emptied.
+        """
+        eliot.log_message(message_type="state:removed", replica_id=self.node.replica_id)
+        self._failure = "removed from the group"
+        self.removed.send(None)
+
+    def learn(self, addresses: tuple[str, ...]) -> None:
+        """Note addresses of processes that may hold the group."""
+        if not self._failure:
+            self._founding.learn(addresses)
+
+    def replace_processes(self, process_ids: frozenset[str]) -> None:
+        """Have the replicas of these processes replaced while this replica leads."""
+        self._steward.leaving_process_ids = process_ids
+
+    def leader_hint(self) -> LeaderHint:
+        """Return who is believed to lead, and all members' addresses."""
+        if self._failure:
+            return LeaderHint()
+        role = self.node.role
+        address = role.leader_address if isinstance(role, node.Follower) else ""
+        members = tuple(each.peer_address for each in self.node.members.replicas)
+        return LeaderHint(address, members)
 
     def _keep_members(self) -> None:
         while True:
@@ -367,6 +430,8 @@
                 self._found_or_wait()
             elif isinstance(self.node.role, node.Leader):
                 self._steward.step()
+            elif clock.now() - self.node.heard_at > _UNHEARD_SECONDS:
+                self._probe_all(is_empty=False)
             clock.sleep(founding.PROBE_SECONDS)
 
     def _found_or_wait(self) -> None:
@@ -374,11 +439,14 @@
         if first is not None:
             self._inbox.put(events.Found(first))
             return
-        probe = messages.Probe(
-            self._options.process_id, self.node.replica_id, is_empty=True
-        )
-        for member in self._founding.others():
-            self._carrier.send(member.peer_address, probe)
+        self._probe_all(is_empty=True)
+
+    def _probe_all(self, is_empty: bool) -> None:
+        probe = messages.Probe(self._options.process_id, self.node.replica_id, is_empty)
+        known = {each.peer_address for each in self.node.members.replicas}
+        known.discard(self._options.peer_address)
+        for address in known | set(self._founding.addresses()):
+            self._carrier.send(address, probe)
 
 
 def _change_end(
--- a/bilberrydrum/state/stewardship.py
+++ b/bilberrydrum/state/stewardship.py
@@ -14,6 +14,7 @@
 from bilberrydrum.state import (
     commands,
     core,
+    events,
     leader,
     membership,
     messages,
@@ -39,6 +40,9 @@
     ) -> str | None:
         """Make one change; return why it is not made, or None."""
 
+    def put(self, event: Any) -> None:
+        """Let the core take in an event."""
+
 
 class StewardTask:
     """Membership changes, as the leader's process makes them."""
@@ -57,12 +61,18 @@
         self._under_way: set[tuple[str, int]] = set()
         # Why the change that was due last is not made.
         self.pending_change = ""
+        # Processes whose replicas are to be replaced by others.
+        self.leaving_process_ids: frozenset[str] = frozenset()
 
     def joins(self, probe: messages.Probe, address: str) -> None:
         """Note that an empty replica asks to join.
 
-        Only a process that the settings or the membership name is let in unasked.
+        Only a process that the settings or the membership name is let in unasked,
+        unless the settings leave the group open.
         """
+        if self._options.state.is_open:
+            self._note(probe.process_id, probe.replica_id, address)
+            return
         known = {each.process_id for each in self._options.state.members}
         known |= {each.process_id for each in self._replica.node.members.replicas}
         if probe.process_id in known:
@@ -85,12 +95,29 @@
             self._joining_by_process,
             learned_by_id(state, role),
             state.commit_index,
+            self._policy(role),
         )
         if change is None:
             self.pending_change = ""
             return
+        is_removal = change.kind == membership.REMOVE
+        if is_removal and change.replica.replica_id == state.replica_id:
+            # Removed while it leads, the group would stand without a leader for an
+            # election timeout; handed over, it goes on at once.
+            self._replica.put(events.GiveUpLeadership())
+            return
         self._make(change)
 
+    def _policy(self, role: node.Leader) -> steward.Policy:
+        opts = self._options.state
+        now = clock.now()
+        lost_ids = frozenset(
+            replica_id
+            for replica_id, progress in role.progress_by_id.items()
+            if now - max(progress.heard_at, role.since) > opts.lost_seconds
+        )
+        return steward.Policy(opts.n_voters, lost_ids, self.leaving_process_ids)
+
     def _forget_old(self) -> None:
         since = clock.now() - JOIN_SECONDS
         for process_id, joined_at in list(self._joined_at.items()):
--- a/bilberrydrum/state/storage.py
+++ b/bilberrydrum/state/storage.py
@@ -23,6 +23,7 @@
 _LOG_PREFIX: Final = "log-"
 _SNAPSHOT_PREFIX: Final = "snapshot-"
 _PART_SUFFIX: Final = ".part"
+_DISCARD_NAME: Final = "discarded"
 _SEGMENT_MAGIC: Final = b"bdlog\x00\x00\x01"
 _N_SALT_BYTES: Final = 4
 _N_HEAD_BYTES: Final = len(_SEGMENT_MAGIC) + _N_SALT_BYTES
@@ -103,6 +104,7 @@
             If something synced before is missing or damaged.
         """
         self._disk.make_folder(self._folder)
+        self._empty_if_discarded()
         names = self._disk.names(self._folder)
         for name in [each for each in names if each.endswith(_PART_SUFFIX)]:
             self._disk.remove(self._path(name))
@@ -114,6 +116,25 @@
         self._start_segment()
         return recovered, data
 
+    def discard(self) -> None:
+        """Have the folder emptied at its next opening.
+
+        For a replica that its group has replaced. Its files go only once the mark is
+        synced: half of them gone without a mark would look like damage.
+        """
+        self._replace(_DISCARD_NAME, b"")
+
+    def _empty_if_discarded(self) -> None:
+        names = self._disk.names(self._folder)
+        if _DISCARD_NAME not in names:
+            return
+        for name in names:
+            if name != _DISCARD_NAME:
+                self._disk.remove(self._path(name))
+        self._disk.sync_folder(self._folder)
+        self._disk.remove(self._path(_DISCARD_NAME))
+        self._disk.sync_folder(self._folder)
+
     def _path(self, name: str) -> str:
         return os.path.join(self._folder, name)
 
--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -25,6 +25,13 @@
 PROTOCOL_VERSION: Final = 1
 # Messages waiting for one peer; beyond it new ones are dropped and counted.
 SEND_HIGH_WATER_MARK: Final = 2_000
+# A connection is asked for a sign of life this often, in milliseconds, and given up
+# after the timeout without one: within 2 s in all, so that a connection that went
+# silent is replaced before the processes behind it count as lost (3 s).
+HEARTBEAT_MS: Final = 500
+HEARTBEAT_TIMEOUT_MS: Final = 1500
+# A connection request is given up after this long, in milliseconds, and made again.
+CONNECT_TIMEOUT_MS: Final = 1000
 # Messages received before the other tasks get a turn.
 RECEIVE_BATCH: Final = 16
 
@@ -240,10 +247,13 @@
             dealer = self._context.socket(zmq.DEALER)
             dealer.setsockopt(zmq.LINGER, 0)
             dealer.setsockopt(zmq.SNDHWM, SEND_HIGH_WATER_MARK)
-            # A peer that stopped without closing would keep the connection half open
-            # until the kernel gives up, minutes later.
-            dealer.setsockopt(zmq.HEARTBEAT_IVL, 1000)
-            dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, 3000)
+            # A peer that stopped without closing, or a connection that went silent,
+            # would keep it half open until the kernel gives up, minutes later.
+            dealer.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+            dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+            # A host without power answers no connection request; its successor at the
+            # same address would be reached only when the kernel asks again.
+            dealer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
             dealer.setsockopt(zmq.RECONNECT_IVL, 50)
             dealer.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
             if self._keys is not None:
