--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -180,16 +180,18 @@
     if answer.status != _OK:
         return _refused(means, outgoing, answer, head)
     version = head.version
-    if version is None:
-        return Ended(Outcome.BROKEN, "the answer names no weight version")
     reader = event_stream.EventReader(protocol.version_field, run.text.last_number)
     for part in _parts(means, outgoing, answer):
         for event in reader.feed(part):
             version = event.version if event.version is not None else version
+            if version is None:
+                return Ended(Outcome.BROKEN, "an event names no weight version")
             if not run.bounds.allow(version, run.text):
                 run.text.clear()
                 return Ended(Outcome.WRONG_VERSION, f"made under version {version}")
             run.text.add(event, version)
+    # A text whose last event was read before its end was is whole: resumed after that
+    # event, the engine has nothing to add.
     if not reader.is_between_events() or run.text.last_number is None:
         return Ended(Outcome.BROKEN, "ended in the middle of an event")
     return Ended(Outcome.COMPLETED)
