--- /dev/null
+++ b/tests/test_batches.py
@@ -0,0 +1,329 @@
+"""Batches: what is kept, how streams are read, and what is sent where."""
+
+import unittest
+
+from nose2 import tools
+
+from bilberrydrum.batches import (
+    commands,
+    engine_shares,
+    event_stream,
+    item_run,
+    model,
+    scheduling,
+    weight_plan,
+    work,
+)
+from bilberrydrum.state import machine
+
+
+def batch(batch_id="b", n_items=2, **fields):
+    items = tuple(
+        model.Item(f"i{n}", "/p/x", {}, b"body", 10, f"g{n // 2}")
+        for n in range(n_items)
+    )
+    return model.Batch(batch_id, "h", items, **fields)
+
+
+def result(item_id="i0", versions=(1,), text=b"x"):
+    return model.Result(item_id, model.ItemState.COMPLETED, text, versions)
+
+
+class Kept(unittest.TestCase):
+    """A batch is accepted once; a result's position and content never change."""
+
+    def setUp(self):
+        self.state = machine.State()
+        self.index = 0
+
+    def apply(self, command, time=100.0):
+        self.index += 1
+        return machine.apply(command, self.state, machine.Context(self.index, time))
+
+    def results(self, batch_id="b"):
+        kept = commands.section_of(self.state).batches_by_id[batch_id]
+        return [(each.item_id, each.text) for each in kept.results]
+
+    def test_accepted_once(self):
+        self.assertTrue(self.apply(commands.AcceptBatch(batch(), 60.0)).is_new)
+        self.apply(commands.FinishItems("b", (result(),)))
+        self.assertFalse(self.apply(commands.AcceptBatch(batch(), 60.0)).is_new)
+        self.assertEqual(self.results(), [("i0", b"x")])
+
+    def test_item_that_ran_twice_is_listed_once(self):
+        """Two leaders in turn run the same item and both commit a result.
+
+        A reader may have read the first; the second must not stand at another place,
+        nor replace it.
+        """
+        self.apply(commands.AcceptBatch(batch(), 60.0))
+        self.apply(commands.FinishItems("b", (result(),)))
+        self.apply(commands.FinishItems("b", (result(text=b"y"), result("i1"))))
+        self.assertEqual(self.results(), [("i0", b"x"), ("i1", b"x")])
+
+    def test_nothing_is_listed_after_the_end(self):
+        self.apply(commands.AcceptBatch(batch(), 60.0))
+        self.assertTrue(self.apply(commands.EndBatch("b")).is_known)
+        self.assertTrue(self.apply(commands.EndBatch("b")).is_known)
+        self.apply(commands.FinishItems("b", (result(),)))
+        self.assertEqual(self.results(), [])
+
+    def test_unknown_batch(self):
+        self.assertFalse(self.apply(commands.EndBatch("b")).is_known)
+        finished = self.apply(commands.FinishItems("b", (result(),)))
+        self.assertEqual(finished.n_appended, 0)
+
+    @tools.params(
+        ("young", True, 159.0, True),
+        ("old", True, 161.0, False),
+        ("old and open", False, 161.0, True),
+    )
+    def test_retention(self, name, is_ended, time, is_kept):
+        self.apply(commands.AcceptBatch(batch(), 60.0))
+        if is_ended:
+            self.apply(commands.EndBatch("b"))
+        self.apply(commands.AcceptBatch(batch("later"), 60.0), time)
+        kept = commands.section_of(self.state).batches_by_id
+        self.assertEqual("b" in kept, is_kept, name)
+
+
+class Stream(unittest.TestCase):
+    """Events are whole, in order, and name the version that made them."""
+
+    WHOLE = b"id: 1\ndata: a\n\nid: 2\nx-v: 7\ndata: b\ndata: c\n\n"
+
+    @tools.params(1, 3, 100)
+    def test_any_cut(self, size):
+        reader = event_stream.EventReader("X-V")
+        events = []
+        for start in range(0, len(self.WHOLE), size):
+            events += reader.feed(self.WHOLE[start : start + size])
+        expected = [event_stream.Event(1, b"a"), event_stream.Event(2, b"b\nc", 7)]
+        self.assertEqual(events, expected)
+        self.assertTrue(reader.is_between_events())
+
+    def test_broken_off(self):
+        reader = event_stream.EventReader("X-V")
+        events = reader.feed(self.WHOLE[:-1])
+        self.assertEqual([each.number for each in events], [1])
+        self.assertFalse(reader.is_between_events())
+
+    @tools.params(
+        ("gap", 1, b"id: 3\ndata: x\n\n"),
+        ("twice", 1, b"id: 1\ndata: x\n\n"),
+        ("no number", None, b"data: x\n\n"),
+        ("not a number", None, b"id: x\ndata: x\n\n"),
+        ("not a version", None, b"id: 1\nx-v: y\ndata: x\n\n"),
+        ("endless", None, b"x" * (event_stream.MAX_EVENT_BYTES + 1)),
+    )
+    def test_damaged(self, name, last, data):
+        reader = event_stream.EventReader("X-V", last)
+        with self.assertRaises(event_stream.EventError, msg=name):
+            reader.feed(data)
+
+
+class Bounds(unittest.TestCase):
+    """Which versions an item's text may come from."""
+
+    @tools.params(
+        ("below", (2, False), (), 1, False),
+        ("at the bound", (2, False), (), 2, True),
+        ("another one", (2, False), (2,), 3, True),
+        ("single, first", (2, True), (), 3, True),
+        ("single, same", (2, True), (3,), 3, True),
+        ("single, another", (2, True), (2,), 3, False),
+    )
+    def test_allow(self, name, bounds, versions, version, expected):
+        text = item_run.Text(versions=set(versions))
+        allowed = item_run.Bounds(*bounds).allow(version, text)
+        self.assertEqual(allowed, expected, name)
+
+
+class Shares(unittest.TestCase):
+    """Engines follow the demand, and stay where they are while it hardly changes."""
+
+    ENGINES = ("e1", "e2", "e3", "e4", "e5")
+
+    @tools.params(
+        ("by demand", {"a": 20.0, "b": 40.0, "c": 40.0}, {"a": 1, "b": 2, "c": 2}),
+        ("alike", {"a": 1.0, "b": 1.0}, {"a": 2, "b": 3}),
+        ("no demand at all", {"a": 0.0, "b": 0.0}, {"a": 2, "b": 3}),
+        ("one without demand", {"a": 90.0, "b": 0.0}, {"a": 4, "b": 1}),
+        ("one model", {"a": 1.0}, {"a": 5}),
+    )
+    def test_sizes(self, name, demand, expected):
+        shares = engine_shares.divide(self.ENGINES, demand, engine_shares.Shares())
+        sizes = {k: len(v) for k, v in shares.engine_ids_by_model.items()}
+        self.assertEqual(sizes, expected, name)
+        everyone = [e for ids in shares.engine_ids_by_model.values() for e in ids]
+        self.assertEqual(sorted(everyone), list(self.ENGINES))
+
+    def test_more_models_than_engines(self):
+        shares = engine_shares.divide(
+            ("e1",), {"a": 1.0, "b": 1.0}, engine_shares.Shares()
+        )
+        self.assertEqual(shares.models_of("e1"), ["a", "b"])
+
+    def test_stays_while_demand_hardly_changes(self):
+        first = engine_shares.divide(
+            self.ENGINES, {"a": 40.0, "b": 60.0}, engine_shares.Shares()
+        )
+        second = engine_shares.divide(self.ENGINES, {"a": 52.0, "b": 48.0}, first)
+        self.assertEqual(second, first)
+        third = engine_shares.divide(self.ENGINES, {"a": 90.0, "b": 10.0}, first)
+        self.assertNotEqual(third, first)
+
+    def test_lost_engine_is_replaced_only_where_it_was(self):
+        first = engine_shares.divide(
+            self.ENGINES, {"a": 40.0, "b": 60.0}, engine_shares.Shares()
+        )
+        lost = min(first.engine_ids_by_model["b"])
+        left = [each for each in self.ENGINES if each != lost]
+        second = engine_shares.divide(left, {"a": 40.0, "b": 60.0}, first)
+        kept = first.engine_ids_by_model["a"]
+        self.assertEqual(second.engine_ids_by_model["a"], kept)
+
+
+def weights(engine_id, version, is_loading=False, n_running=0, model="m"):
+    return weight_plan.EngineWeights(engine_id, {model: version}, is_loading, n_running)
+
+
+class Plan(unittest.TestCase):
+    """A few engines load at a time, and half of a model's go on serving."""
+
+    @tools.params(
+        ("all behind", [("a", 1, 0), ("b", 1, 0), ("c", 1, 0), ("d", 1, 0)], 2),
+        ("one loads", [("a", 1, 1), ("b", 1, 0), ("c", 1, 0), ("d", 1, 0)], 1),
+        ("two load", [("a", 1, 1), ("b", 1, 1), ("c", 1, 0), ("d", 1, 0)], 0),
+        ("two engines", [("a", 1, 0), ("b", 1, 0)], 1),
+        ("the only engine", [("a", 1, 0)], 1),
+        ("none behind", [("a", 2, 0), ("b", 2, 0)], 0),
+    )
+    def test_number(self, name, engines, expected):
+        given = [weights(each, version, bool(busy)) for each, version, busy in engines]
+        shares = {"m": frozenset(each for each, _, _ in engines)}
+        loads = weight_plan.plan(given, shares, {"m": 2})
+        self.assertEqual(len(loads), expected, name)
+        self.assertTrue(all(each.version == 2 for each in loads))
+
+    def test_idle_engine_first(self):
+        given = [weights("a", 1, n_running=3), weights("b", 1), weights("c", 1)]
+        shares = {"m": frozenset("abc")}
+        loads = weight_plan.plan(given, shares, {"m": 2}, max_loading=1)
+        self.assertEqual([each.engine_id for each in loads], ["b"])
+
+    def test_engines_of_other_models_do_not_load(self):
+        given = [weights("a", 1), weights("b", 1)]
+        loads = weight_plan.plan(given, {"m": frozenset("a")}, {"m": 2})
+        self.assertEqual([each.engine_id for each in loads], ["a"])
+
+
+def waiting(item_id="i", batch_rank=0.0, group_rank=0.0, **fields):
+    values = {"model": "m", "min_version": 1, "services": frozenset({"s"})}
+    values.update(fields)
+    group = values.pop("group", item_id)
+    return scheduling.WaitingItem(
+        ("b", item_id), ("b", group), batch_rank, group_rank, **values
+    )
+
+
+def place(engine_id="e", n_slots=2, n_running=0, version=1, **fields):
+    values = {"models": frozenset({"m"})}
+    values.update(fields)
+    service = values.pop("service", "s")
+    return scheduling.Place(
+        engine_id, service, n_slots, n_running, {"m": version}, **values
+    )
+
+
+class Assign(unittest.TestCase):
+    """What goes first, and where."""
+
+    def keys(self, items, places):
+        assigned = scheduling.assign(items, places)
+        return [(each.key[1], each.engine_id) for each in assigned]
+
+    @tools.params(
+        ("no place", place(n_running=2), ()),
+        ("version too old", place(version=0), ()),
+        ("loads its model", place(loading_models=frozenset({"m"})), ()),
+        ("loads another model", place(loading_models=frozenset({"o"})), ("i",)),
+        ("other service", place(service="t"), ()),
+        ("memory full", place(n_running=1, n_cache_tokens=9, n_tokens=5), ()),
+        ("memory empty", place(n_cache_tokens=4), ("i",)),
+        ("failed there", place("bad"), ()),
+    )
+    def test_can_take(self, name, given, expected):
+        item = waiting(n_tokens=5, excluded_ids=frozenset({"bad"}))
+        taken = tuple(item_id for item_id, _ in self.keys([item], [given]))
+        self.assertEqual(taken, expected, name)
+
+    def test_oldest_batch_and_begun_group_first(self):
+        """Places are scarce while two trainers wait.
+
+        Shared evenly, both would wait until the end; the one that asked first is the
+        one that stalls.
+        """
+        items = [
+            waiting("new", batch_rank=9.0),
+            waiting("old-long", group_rank=7.0),
+            waiting("old-short", group_rank=3.0),
+            waiting("old-begun", group_rank=-1.0),
+        ]
+        taken = self.keys(items, [place(n_slots=3)])
+        names = [item_id for item_id, _ in taken]
+        self.assertEqual(names, ["old-begun", "old-short", "old-long"])
+
+    def test_group_stays_on_one_engine(self):
+        items = [waiting(f"{g}{n}", group=g) for g in "xy" for n in range(2)]
+        taken = self.keys(items, [place("e1", 4), place("e2", 4)])
+        engines = {}
+        for item_id, engine_id in taken:
+            engines.setdefault(item_id[0], set()).add(engine_id)
+        self.assertEqual([len(each) for each in engines.values()], [1, 1])
+        self.assertEqual(len(set.union(*engines.values())), 2)
+
+    @tools.params(
+        ("silent", {"is_silent": True}),
+        ("meant for another model", {"models": frozenset({"o"})}),
+    )
+    def test_second_choice(self, name, fields):
+        places = [place("e1", **fields), place("e2", n_running=1)]
+        self.assertEqual(self.keys([waiting()], places), [("i", "e2")], name)
+
+    def test_resumed_text_of_one_version(self):
+        item = waiting(only_version=1)
+        places = [place("e1", version=2), place("e2", version=1, n_running=1)]
+        self.assertEqual(self.keys([item], places), [("i", "e2")])
+
+
+class Carried(unittest.TestCase):
+    """Groups that were not complete come again in a later batch."""
+
+    def reopen(self, kept_results, min_version, is_complete=False):
+        known = work.Work()
+        earlier = batch("b1", 2 if not is_complete else 1)
+        kept = model.KeptBatch(earlier, 0.0, list(kept_results), is_ended=True)
+        known.remember(kept)
+        later = model.KeptBatch(batch("b2", 2, min_version=min_version), 8.0)
+        opened = known.open(later, 8.0)
+        return opened, known.carried_results(opened, None)
+
+    @tools.params(
+        ("fits", [result(versions=(2, 3))], 2, ["i0"]),
+        ("too old", [result(versions=(1, 3))], 2, []),
+        ("given up", [model.Result("i0", model.ItemState.TERMINATED)], 0, []),
+    )
+    def test_results(self, name, kept, min_version, expected):
+        _, carried = self.reopen(kept, min_version)
+        self.assertEqual([each.item_id for each in carried], expected, name)
+
+    def test_unfinished_text_goes_on(self):
+        known = work.Work()
+        opened = known.open(model.KeptBatch(batch("b1", 2), 0.0), 0.0)
+        run = opened.runs_by_item_id["i0"]
+        run.text.add(event_stream.Event(1, b"a"), 2)
+        known.end("b1")
+        again = known.open(model.KeptBatch(batch("b2", 2), 8.0), 8.0)
+        self.assertEqual(again.runs_by_item_id["i0"].text.last_number, 1)
+        self.assertLess(again.group_rank(("b2", "g0")), -1e9)
--- /dev/null
+++ b/tests/test_batches_item_run.py
@@ -0,0 +1,160 @@
+"""One attempt to run an item: every way an engine may end it."""
+
+import unittest
+
+import eventlet
+from nose2 import tools
+
+from bilberrydrum import clock, reasons, upstream_protocol
+from bilberrydrum.batches import event_stream, item_run, model
+from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.upstreams import model as upstream_model
+from tests.fakes import scripted
+
+Outcome = item_run.Outcome
+ID = "X-Request-Id"
+
+
+class Protocol:
+    """The names that this stand-in speaks."""
+
+    request_id_header = ID
+    version_field = "version"
+
+    def relay_headers(self, headers, attempt):
+        sent = {**headers, ID: attempt.request_id}
+        if attempt.last_event_number is not None:
+            sent["Last-Event-Id"] = str(attempt.last_event_number)
+        return sent
+
+    def read_head(self, headers):
+        version = headers.get("Version", "")
+        return upstream_protocol.AnswerHead(
+            was_not_run="Not-Run" in headers,
+            version=int(version) if version else None,
+        )
+
+
+def chunked(*parts, is_whole=True):
+    body = b"".join(b"%x\r\n%s\r\n" % (len(each), each) for each in parts)
+    return body + (b"0\r\n\r\n" if is_whole else b"")
+
+
+def answer(body, status=200, headers=("Version: 3",), request_id="i"):
+    lines = [f"HTTP/1.1 {status} X", f"{ID}: {request_id}", *headers]
+    lines.append("Transfer-Encoding: chunked")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def event(number, data=b"x", version=b""):
+    line = b"version: %s\n" % version if version else b""
+    return b"id: %d\n%sdata: %s\n\n" % (number, line, data)
+
+
+TWO = chunked(event(1, b"a"), event(2, b"b"))
+
+
+class CarryOut(unittest.TestCase):
+    def run_item(self, data, text=None, bounds=None, find_refusal=lambda: None):
+        def script(connection, received):
+            connection.sendall(data)
+            return False
+
+        engine = scripted.Scripted(script, kind=upstream_model.KIND_ENGINE)
+        self.addCleanup(engine.stop)
+        self.engine = engine
+        self.text = text or item_run.Text()
+        run = item_run.Run(
+            model.Item("i", "/x", {}, b"body", 1),
+            "h",
+            self.text,
+            bounds or item_run.Bounds(),
+            clock.now() + 5.0,
+            find_refusal,
+        )
+        means = attempts.Means(connections.Connections(), watch.Watch())
+        with eventlet.Timeout(5.0):
+            upstream = engine.upstream("e")
+            return item_run.carry_out(means, Protocol(), upstream, run, 5.0).outcome
+
+    @tools.params(
+        ("whole", answer(TWO), Outcome.COMPLETED, [b"a", b"b"]),
+        (
+            "cut after an event",
+            answer(chunked(event(1, b"a"), is_whole=False)),
+            Outcome.BROKEN,
+            [b"a"],
+        ),
+        (
+            "cut in an event",
+            answer(chunked(event(1, b"a"), b"id: 2\nda")),
+            Outcome.BROKEN,
+            [b"a"],
+        ),
+        ("no event", answer(chunked()), Outcome.BROKEN, []),
+        ("no version", answer(TWO, headers=()), Outcome.BROKEN, []),
+        ("a gap", answer(chunked(event(1), event(3))), Outcome.BROKEN, []),
+        ("another's answer", answer(TWO, request_id="j"), Outcome.BROKEN, []),
+        ("no answer", b"", Outcome.BROKEN, []),
+        ("not HTTP", b"garbage\r\n\r\n", Outcome.BROKEN, []),
+        ("impossible", answer(chunked(b"x"), 422), Outcome.IMPOSSIBLE, []),
+        ("failed", answer(chunked(b"x"), 500), Outcome.FAILED, []),
+        (
+            "full",
+            answer(chunked(), 503, headers=("Not-Run: 1",)),
+            Outcome.NOT_RUN,
+            [],
+        ),
+        ("503 without a promise", answer(chunked(), 503), Outcome.FAILED, []),
+    )
+    def test_outcome(self, name, data, outcome, parts):
+        self.assertEqual(self.run_item(data), outcome, name)
+        self.assertEqual(self.text.parts, parts, name)
+
+    def test_versions_of_each_event(self):
+        data = answer(chunked(event(1, b"a"), event(2, b"b", b"4"), event(3, b"c")))
+        self.assertEqual(self.run_item(data), Outcome.COMPLETED)
+        result = self.text.result("i")
+        self.assertEqual((result.text, result.versions), (b"a\nb\nc", (3, 4)))
+
+    @tools.params(
+        ("too old", item_run.Bounds(4), Outcome.WRONG_VERSION),
+        ("single", item_run.Bounds(0, True), Outcome.WRONG_VERSION),
+        ("both fit", item_run.Bounds(3), Outcome.COMPLETED),
+    )
+    def test_versions_that_the_batch_does_not_allow(self, name, bounds, outcome):
+        data = answer(chunked(event(1), event(2, b"b", b"4")))
+        self.assertEqual(self.run_item(data, bounds=bounds), outcome, name)
+
+    def test_resumed_after_the_last_whole_event(self):
+        text = item_run.Text([b"a"], {2}, 1)
+        data = answer(chunked(event(2, b"b")))
+        self.assertEqual(self.run_item(data, text), Outcome.COMPLETED)
+        self.assertEqual(self.engine.received[0].headers["last-event-id"], "1")
+        self.assertEqual(text.result("i").versions, (2, 3))
+
+    def test_resumed_after_the_very_last_event(self):
+        """The batch ends after an item's last event was read, and the item comes again.
+
+        The engine has nothing to add and so names no version; taken for a broken
+        answer, the item would be sent again and again until its time is up.
+        """
+        text = item_run.Text([b"a", b"b"], {2}, 2)
+        data = answer(chunked(), headers=())
+        self.assertEqual(self.run_item(data, text), Outcome.COMPLETED)
+        self.assertEqual(text.result("i").text, b"a\nb")
+
+    def test_resumed_at_another_place(self):
+        text = item_run.Text([b"a"], {2}, 1)
+        outcome = self.run_item(answer(chunked(event(1, b"a"))), text)
+        self.assertEqual((outcome, text.parts), (Outcome.BROKEN, []))
+
+    def test_refused_before_it_is_sent(self):
+        refusal = reasons.Reason.UPSTREAM_LEFT
+        outcome = self.run_item(answer(TWO), find_refusal=lambda: refusal)
+        self.assertEqual(outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.engine.received, [])
+
+    def test_nothing_is_added_beyond_the_stream(self):
+        reader = event_stream.EventReader("version", 1)
+        self.assertEqual(reader.feed(event(2))[0].number, 2)
