Let a stopping gateway serve until the balancer has noticed

Cause: seen in reading, not in a run: the process closed its listener as soon as nothing was under way, while the balancer goes on sending new clients for up to two seconds. Change: it reports not ready and serves for 2.3 s before it closes.

--- a/bilberrydrum/nodes/process.py
+++ b/bilberrydrum/nodes/process.py
@@ -16,6 +16,8 @@
 from bilberrydrum.nodes import options
 
 _POLL_SECONDS: Final = 0.02
+# Two questions of the balancer without a good answer, one a second, take a process out.
+BALANCER_SECONDS: Final = 2.3
 # Share of the time for stopping that requests under way may use; the rest is for
 # handing leaderships over and closing.
 _DRAIN_SHARE: Final = 0.8
@@ -108,13 +110,18 @@
         """Let no new connection in, and answer what has been read."""
         eliot.log_message(message_type="process:draining", name=self._options.name)
         self._on_draining()
-        deadline = clock.now() + self._options.shutdown_seconds * _DRAIN_SHARE
+        began = clock.now()
         for each in self._edges_by_address.values():
             each.is_draining = True
-        while clock.now() < deadline and self._n_in_flight():
-            clock.sleep(_POLL_SECONDS)
+        if self._options.ready_address:
+            # Until the balancer has noticed, it sends new clients here; closed at
+            # once, the process would turn them away without an answer.
+            clock.sleep(BALANCER_SECONDS)
         for server_ in self._servers:
             server_.stop_accepting()
+        deadline = began + self._options.shutdown_seconds * _DRAIN_SHARE
+        while clock.now() < deadline and self._n_in_flight():
+            clock.sleep(_POLL_SECONDS)
 
     def _n_in_flight(self) -> int:
         return sum(each.n_in_flight for each in self._edges_by_address.values())
