Keep unfinished texts, and take items away from slow engines

After a loss of power everywhere the stores waited for the control group before they started, and then three seconds before the first order. Ruled out: a lack of places (five engines of 12 slots, under half full). Change: new events of unfinished items are committed twice a second; an engine whose pace is over 2.2 times the others' median gets no new items while others have room, and gives up those it has; a silent stream is given up after 1 s instead of 2.5; a store that holds data starts at once; elections after 0.6 s; no wait before orders where upstreams check the fencing number.

--- a/bilberrydrum/batches/commands.py
+++ b/bilberrydrum/batches/commands.py
@@ -64,6 +64,15 @@
     n_appended: int
 
 
+@codec.register("batches.save-progress")
+@attrs.frozen
+class SaveProgress:
+    """Keep what has been generated of unfinished items."""
+
+    batch_id: str
+    progress: tuple[model.Progress, ...]
+
+
 @codec.register("batches.end")
 @attrs.frozen
 class EndBatch:
@@ -112,13 +121,41 @@
         if given.item_id not in finished:
             finished.add(given.item_id)
             kept.results.append(given)
+            kept.progress_by_item_id.pop(given.item_id, None)
     return Finished(len(finished) - n_before)
 
 
+@machine.apply.register
+def _(
+    command: SaveProgress, state: machine.State, context: machine.Context
+) -> Finished:
+    kept = section_of(state).batches_by_id.get(command.batch_id)
+    if kept is None or kept.is_ended:
+        return Finished(0)
+    finished = kept.finished_ids()
+    for given in command.progress:
+        if given.item_id not in finished:
+            _add_progress(kept.progress_by_item_id, given)
+    return Finished(0)
+
+
+def _add_progress(
+    known_by_item_id: dict[str, model.Progress], given: model.Progress
+) -> None:
+    known = known_by_item_id.get(given.item_id)
+    if given.n_before == 0:
+        known_by_item_id[given.item_id] = given
+    elif known is not None and len(known.parts) == given.n_before:
+        joined = attrs.evolve(given, parts=known.parts + given.parts, n_before=0)
+        known_by_item_id[given.item_id] = joined
+    # Else something in between is missing; joined, the text would have a gap.
+
+
 @machine.apply.register
 def _(command: EndBatch, state: machine.State, context: machine.Context) -> Ended:
     kept = section_of(state).batches_by_id.get(command.batch_id)
     if kept is None:
         return Ended(False)
     kept.is_ended = True
+    kept.progress_by_item_id.clear()
     return Ended(True)
--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -1,18 +1,36 @@
 """What the runner knows of each engine."""
 
 import collections
+import statistics
 from collections.abc import Iterable, Mapping
 from typing import Final
 
 import attrs
 
-from bilberrydrum.batches import engine_shares, scheduling, weight_plan, work
+from bilberrydrum.batches import (
+    engine_shares,
+    item_run,
+    scheduling,
+    weight_plan,
+    work,
+)
 from bilberrydrum.fleet import model, policy
 
 # An engine that broke off a run gets no work for this long, in seconds, at first and at
 # most; doubled with each failure in a row. A crashed engine is back after 4 s and more.
 FIRST_BACKOFF_SECONDS: Final = 0.5
 MAX_BACKOFF_SECONDS: Final = 4.0
+# Weight of one pause in an engine's pace: it follows a change within some 20 events,
+# which come in a tenth of a second when the engine is full.
+PACE_WEIGHT: Final = 0.05
+# A pace that was not renewed for this long, in seconds, says nothing: the engine may
+# have recovered, and is tried again.
+PACE_SECONDS: Final = 3.0
+# An engine whose pace is this many times the median of the others is slow. Full and
+# empty engines differ by 1.5 (0.84 and 0.57 ms a step).
+SLOW_FACTOR: Final = 2.2
+# A stream may pause for this many times its engine's pace.
+STALL_PACES: Final = 8.0
 # One that turned an item away is passed over as long as a place needs to come free.
 REJECTED_SECONDS: Final = 0.05
 
@@ -34,6 +52,9 @@
     loading: weight_plan.Load | None = None
     n_failures: int = 0
     backoff_until: float = float("-inf")
+    # Mean pause between two events of a stream, in seconds, lately; 0: not known.
+    pace_seconds: float = 0.0
+    paced_at: float = float("-inf")
 
     @property
     def upstream_id(self) -> str:
@@ -68,6 +89,22 @@
         if not self.n_by_group[run.group_key]:
             del self.n_by_group[run.group_key]
 
+    def note_pause(self, seconds: float, now: float) -> None:
+        """Note the pause before an event of a stream."""
+        if self.loading is not None:
+            # It says how long a load takes, not how fast the engine is.
+            return
+        if now - self.paced_at > PACE_SECONDS:
+            self.pace_seconds = seconds
+        self.paced_at = now
+        self.pace_seconds += PACE_WEIGHT * (seconds - self.pace_seconds)
+
+    def stall_seconds(self) -> float:
+        """Return the longest pause of a stream that is not taken for its end."""
+        if self.loading is not None:
+            return item_run.LOADING_STALL_SECONDS
+        return max(item_run.STALL_SECONDS, STALL_PACES * self.pace_seconds)
+
     def succeeded(self) -> None:
         """Note a whole answer."""
         self.n_failures = 0
@@ -95,7 +132,9 @@
             self.n_running,
         )
 
-    def place(self, shares: engine_shares.Shares) -> scheduling.Place:
+    def place(
+        self, shares: engine_shares.Shares, slow_ids: frozenset[str] = frozenset()
+    ) -> scheduling.Place:
         """Return what the choice for items needs."""
         loading = frozenset({self.loading.model} if self.loading else ())
         return scheduling.Place(
@@ -107,6 +146,7 @@
             frozenset(shares.models_of(self.upstream_id)),
             loading,
             self.upstream.is_silent,
+            self.upstream_id in slow_ids,
             self.n_cache_tokens,
             self.n_tokens,
             set(self.n_by_group),
@@ -149,6 +189,33 @@
             if not each.upstream.is_leaving and each.backoff_until <= now
         ]
 
+    def lasting(self, now: float) -> list[Engine]:
+        """Return the engines that a model may be given to.
+
+        One that failed once may be back at once; a model that moved would have to be
+        loaded elsewhere.
+        """
+        return [
+            each
+            for each in self.by_id.values()
+            if not each.upstream.is_leaving
+            and (each.backoff_until <= now or each.n_failures < 2)
+        ]
+
+    def slow_ids(self, now: float) -> frozenset[str]:
+        """Return the engines that are much slower than the others now."""
+        paces_by_id = {
+            engine_id: each.pace_seconds
+            for engine_id, each in self.by_id.items()
+            if each.pace_seconds and now - each.paced_at <= PACE_SECONDS
+        }
+        slow = set()
+        for engine_id, pace in paces_by_id.items():
+            others = [p for other, p in paces_by_id.items() if other != engine_id]
+            if others and pace > SLOW_FACTOR * statistics.median(others):
+                slow.add(engine_id)
+        return frozenset(slow)
+
     def models(self) -> list[str]:
         """Return all models that some engine serves."""
         found = {
--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -6,18 +6,19 @@
 
 import attrs
 
-from bilberrydrum import reasons, upstream_protocol
+from bilberrydrum import clock, reasons, upstream_protocol
 from bilberrydrum.batches import event_stream, model
 from bilberrydrum.requests import attempts, outgoing_requests
 
-# An engine that sends no first event for this long, in seconds, hangs: items are sent
-# only to free places, where the first token takes some 20 ms and a load of weights
-# that holds it up about a second.
-FIRST_EVENT_SECONDS: Final = 4.0
+# An engine that sends no answer's head for this long, in seconds, hangs: items are sent
+# only to free places, where the first token takes some 20 ms.
+FIRST_EVENT_SECONDS: Final = 1.5
 # A stream that pauses for this long, in seconds, is broken off and goes on at another
-# engine: ten times the pause of an engine that runs four times slower than usual, and
-# more than a load of weights takes.
-STALL_SECONDS: Final = 2.5
+# engine: six times the pause of an engine that runs four times slower than usual. What
+# a false alarm costs is one reading of the prompt.
+STALL_SECONDS: Final = 1.0
+# The same while the engine loads weights, which takes a second and more.
+LOADING_STALL_SECONDS: Final = 4.0
 _OK: Final = 200
 _IMPOSSIBLE: Final = 422
 
@@ -54,12 +55,36 @@
     versions: set[int] = attrs.field(factory=set)
     # Number of the last whole event; None: nothing yet.
     last_number: int | None = None
+    # Parts that were handed over to be kept.
+    n_taken: int = 0
 
     def clear(self) -> None:
         """Begin anew."""
         self.parts.clear()
         self.versions.clear()
         self.last_number = None
+        self.n_taken = 0
+
+    @classmethod
+    def of_progress(cls, kept: model.Progress) -> "Text":
+        """Return the text that was kept of an unfinished item."""
+        return cls(
+            list(kept.parts), set(kept.versions), kept.last_number, len(kept.parts)
+        )
+
+    def take_progress(self, item_id: str) -> model.Progress | None:
+        """Return what is to be kept besides what was taken before; None: nothing."""
+        if self.last_number is None or len(self.parts) <= self.n_taken:
+            return None
+        progress = model.Progress(
+            item_id,
+            tuple(self.parts[self.n_taken :]),
+            tuple(sorted(self.versions)),
+            self.last_number,
+            self.n_taken,
+        )
+        self.n_taken = len(self.parts)
+        return progress
 
     def add(self, event: event_stream.Event, version: int) -> None:
         """Add one event, made under `version`."""
@@ -102,6 +127,10 @@
     # When the item is given up, in seconds of `clock.now`.
     deadline: float
     find_refusal: Callable[[], reasons.Reason | None]
+    # Longest pause of a healthy engine now, in seconds.
+    stall_seconds: Callable[[], float] = lambda: STALL_SECONDS
+    # Told the pause before each event but the first.
+    on_event: Callable[[float], None] = lambda seconds: None
 
 
 def carry_out(
@@ -131,7 +160,8 @@
         accepts_unframed=True,
     )
     try:
-        with attempts.waiting(means, outgoing, FIRST_EVENT_SECONDS):
+        first = max(FIRST_EVENT_SECONDS, run.stall_seconds())
+        with attempts.waiting(means, outgoing, first):
             connection, answer = attempts.open_answer(
                 means.pool, engine.address, outgoing
             )
@@ -181,8 +211,13 @@
         return _refused(means, outgoing, answer, head)
     version = head.version
     reader = event_stream.EventReader(protocol.version_field, run.text.last_number)
-    for part in _parts(means, outgoing, answer):
+    last_at = None
+    for part in _parts(means, outgoing, answer, run.stall_seconds):
         for event in reader.feed(part):
+            now = clock.now()
+            if last_at is not None:
+                run.on_event(now - last_at)
+            last_at = now
             version = event.version if event.version is not None else version
             if version is None:
                 return Ended(Outcome.BROKEN, "an event names no weight version")
@@ -204,7 +239,7 @@
     head: upstream_protocol.AnswerHead,
 ) -> Ended:
     # Read to its end, so that the connection can be used again.
-    for _ in _parts(means, outgoing, answer):
+    for _ in _parts(means, outgoing, answer, lambda: STALL_SECONDS):
         pass
     detail = f"status {answer.status}"
     if answer.status == _IMPOSSIBLE:
@@ -215,11 +250,14 @@
 
 
 def _parts(
-    means: attempts.Means, outgoing: outgoing_requests.Outgoing, answer: Any
+    means: attempts.Means,
+    outgoing: outgoing_requests.Outgoing,
+    answer: Any,
+    stall_seconds: Callable[[], float],
 ) -> Iterator[bytes]:
     parts = attempts.read_parts(answer)
     while True:
-        with attempts.waiting(means, outgoing, STALL_SECONDS):
+        with attempts.waiting(means, outgoing, stall_seconds()):
             part = next(parts, None)
         if part is None:
             return
--- a/bilberrydrum/batches/model.py
+++ b/bilberrydrum/batches/model.py
@@ -68,6 +68,22 @@
     versions: tuple[int, ...] = ()
 
 
+@codec.register("batches.progress")
+@attrs.frozen
+class Progress:
+    """The text of an item that is not finished, as far as it is kept."""
+
+    item_id: str
+    # Data of its events, in order.
+    parts: tuple[bytes, ...]
+    # Weight versions that made them, rising.
+    versions: tuple[int, ...]
+    # Number of the last event.
+    last_number: int
+    # Events kept before; these parts follow them. 0: they replace what was kept.
+    n_before: int = 0
+
+
 @codec.register("batches.kept")
 @attrs.define
 class KeptBatch:
@@ -78,6 +94,8 @@
     submitted_at: float
     results: list[Result] = attrs.field(factory=list)
     is_ended: bool = False
+    # By item id; a new leader goes on from here.
+    progress_by_item_id: dict[str, Progress] = attrs.field(factory=dict)
 
     def finished_ids(self) -> set[str]:
         """Return the ids of the items that have a result."""
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -34,6 +34,12 @@
 _TICK_SECONDS: Final = 0.25
 # News that come together are looked at together.
 _GATHER_SECONDS: Final = 0.01
+# Times that one item may be taken away from a slow engine.
+_MAX_MOVES: Final = 3
+# How often unfinished texts are kept, and the fewest new events of one that are worth
+# it: an item of 140 events takes 5 s, and its group and trainer wait for it.
+_PROGRESS_SECONDS: Final = 0.5
+_PROGRESS_EVENTS: Final = 8
 # Demand of a model counts the batches of about the last two steps.
 _DEMAND_SECONDS: Final = 8.0
 
@@ -44,6 +50,8 @@
 
     # Hand over an item's result, to be committed.
     finish: Callable[[str, model.Result], None]
+    # Hand over unfinished texts, to be kept.
+    save: Callable[[str, tuple[model.Progress, ...]], None]
     # The number for an order sent now; None: this process gives no orders.
     fencing_number: Callable[[], int | None]
     # Whether this process may still send items.
@@ -74,6 +82,7 @@
         self._tasks_by_key: dict[tuple[str, str], Any] = {}
         self._order_tasks: list[Any] = []
         self._task: Any = None
+        self._progress_at = float("-inf")
         view.watch(self.wake)
 
     # Life
@@ -149,6 +158,16 @@
         self._divide(now)
         self._load_weights(now)
         self._send_items(now)
+        self._save_progress(now)
+
+    def _save_progress(self, now: float) -> None:
+        if now - self._progress_at < _PROGRESS_SECONDS:
+            return
+        self._progress_at = now
+        for opened in self._work.open_batches():
+            progress = opened.take_progress(_PROGRESS_EVENTS)
+            if progress:
+                self._hooks.save(opened.kept.batch.batch_id, tuple(progress))
 
     def _give_up_late(self, now: float) -> None:
         for opened in self._work.open_batches():
@@ -160,8 +179,8 @@
     def _divide(self, now: float) -> None:
         models = self._engines.models()
         demand = self._demand.by_model(models, now)
-        usable = [each.upstream_id for each in self._engines.usable(now)]
-        self._shares = engine_shares.divide(usable, demand, self._shares)
+        lasting = [each.upstream_id for each in self._engines.lasting(now)]
+        self._shares = engine_shares.divide(lasting, demand, self._shares)
 
     def _load_weights(self, now: float) -> None:
         loads = weight_plan.plan(
@@ -198,19 +217,56 @@
             if run.not_before <= now
         ]
         sendable = [each for each in waiting if each is not None]
-        if not sendable:
+        slow_ids = self._engines.slow_ids(now)
+        if not sendable and not slow_ids:
             return
-        places = [each.place(self._shares) for each in self._engines.usable(now)]
+        usable = self._engines.usable(now)
+        places = [each.place(self._shares, slow_ids) for each in usable]
+        self._assign(sendable, places)
+        if slow_ids:
+            self._move_from_slow(slow_ids, places)
+
+    def _assign(
+        self,
+        sendable: list[scheduling.WaitingItem],
+        places: list[scheduling.Place],
+    ) -> None:
         for assignment in scheduling.assign(sendable, places):
             self._send(assignment)
 
+    def _move_from_slow(
+        self, slow_ids: frozenset[str], places: list[scheduling.Place]
+    ) -> None:
+        """Take items away from slow engines if others have a place for them."""
+        movable = [
+            self._waiting_item(opened, run)
+            for opened in self._work.open_batches()
+            for run in opened.runs_by_item_id.values()
+            if run.engine_id in slow_ids and run.n_moves < _MAX_MOVES
+        ]
+        items = [each for each in movable if each is not None]
+        for assignment in scheduling.move(items, places):
+            _, run = self._work.find(assignment.key)
+            eliot.log_message(
+                message_type="batches:moved",
+                batch_id=assignment.key[0],
+                item_id=assignment.key[1],
+                slow_upstream_id=run.engine_id,
+                upstream_id=assignment.engine_id,
+                n_events=len(run.text.parts),
+            )
+            run.n_moves += 1
+            run.exclude(run.engine_id, clock.now())
+            self._tasks_by_key[assignment.key].kill()
+            self._send(assignment)
+
     def _waiting_item(
         self, opened: work.OpenBatch, run: work.ItemRun
     ) -> scheduling.WaitingItem | None:
         route = self._route_of(opened)
         if route is None:
             return None
-        return work.waiting_item(opened, run, route)
+        return work.waiting_item(opened, run, route, clock.now())
 
     def _needs_single(self, model_name: str) -> bool:
         routes = [self._route_of(each) for each in self._work.of_model(model_name)]
@@ -227,6 +283,7 @@
         opened, run = self._work.find(assignment.key)
         engine = self._engines.by_id[assignment.engine_id]
         run.is_running = True
+        run.engine_id = engine.upstream_id
         engine.begin(run)
         self._tasks_by_key[assignment.key] = eventlet.spawn(
             self._run_item, opened, run, engine
@@ -242,6 +299,7 @@
         finally:
             engine.end(run)
             run.is_running = False
+            run.engine_id = ""
             self._tasks_by_key.pop(key, None)
             self.wake()
         eliot.log_message(
@@ -280,6 +338,8 @@
             bounds,
             deadline,
             find_refusal,
+            engine.stall_seconds,
+            lambda seconds: engine.note_pause(seconds, clock.now()),
         )
         return item_run.carry_out(
             self._means,
@@ -314,7 +374,7 @@
         if outcome is item_run.Outcome.IMPOSSIBLE:
             self._finish(opened, run, _terminated(run), ended.detail)
             return
-        run.excluded_ids = frozenset({engine.upstream_id})
+        run.exclude(engine.upstream_id, now)
         if outcome is item_run.Outcome.FAILED:
             run.n_failures += 1
             route = self._route_of(opened)
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -52,6 +52,8 @@
     # Loading weights of these models: items of theirs would be turned away.
     loading_models: frozenset[str] = frozenset()
     is_silent: bool = False
+    # Much slower than the others lately.
+    is_slow: bool = False
     # Tokens that its memory holds, and those of what runs; 0 slots known: no bound.
     n_cache_tokens: int = 0
     n_tokens: int = 0
@@ -105,9 +107,20 @@
     return assignments
 
 
-def _rank(place: Place, item: WaitingItem) -> tuple[bool, bool, bool, float, str]:
+def move(items: Sequence[WaitingItem], places: Sequence[Place]) -> list[Assignment]:
+    """Return which items that run at slow engines should go on elsewhere.
+
+    A text goes on where it stopped, so a move costs one reading of the prompt; left
+    there, one slow engine holds up every group that has an item on it. `places` are
+    what is left after `assign`.
+    """
+    return assign(items, [each for each in places if not each.is_slow])
+
+
+def _rank(place: Place, item: WaitingItem) -> tuple[bool, bool, bool, bool, float, str]:
     return (
         place.is_silent,
+        place.is_slow,
         item.model not in place.models,
         item.group_key not in place.group_keys,
         place.n_running / max(place.n_slots, 1),
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -39,14 +39,24 @@
         retention_seconds: float,
         order_lease_seconds: float,
     ) -> None:
+        """Make the service; nothing runs before `start`.
+
+        Parameters
+        ----------
+        retention_seconds : float
+            How long an ended batch can be read, from its submission on.
+        order_lease_seconds : float
+            How long a new leader gives no orders; 0 where upstreams refuse the orders
+            of an earlier one by themselves.
+        """
         self._replica = replica_
         self._carrier = carrier
         self._view = view
         self._protocol = protocol
         self._means = means
         self._retention_seconds = retention_seconds
-        # An earlier leader may have given orders until just now; engines that take
-        # turns between two holders can be told contradicting things.
+        # An earlier leader may have given orders until just now; engines that obey two
+        # holders in turn can be told contradicting things.
         self._order_lease_seconds = order_lease_seconds
         self._service = leader_calls.LeaderService(replica_, carrier)
         self._runner: runner.BatchRunner | None = None
@@ -93,6 +103,7 @@
         self._led_since = clock.now()
         hooks = runner.Hooks(
             finish=lambda batch_id, each: self._finished.put((term, batch_id, each)),
+            save=self._save,
             fencing_number=self._fencing_number,
             may_send=lambda: self._leads(term),
             holder=self._carrier.process_id,
@@ -154,6 +165,11 @@
             term=term,
         )
 
+    def _save(self, batch_id: str, progress: tuple[model.Progress, ...]) -> None:
+        command = commands.SaveProgress(batch_id, progress)
+        # Lost, it is run again; nobody waits for it.
+        eventlet.spawn_n(self._replica.propose, command, COMMIT_SECONDS)
+
     def _on_applied(self, command: object, answer: Any) -> None:
         active = self._runner
         if isinstance(command, commands.AcceptBatch):
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -11,6 +11,9 @@
 # Pause before an item that was turned away is sent again, in seconds: a place at an
 # engine comes free every 20 to 50 ms.
 REJECTED_PAUSE_SECONDS: Final = 0.1
+# An item does not go back to an engine that it failed at for this long, in seconds, if
+# that engine is the only one; others take it at once.
+EXCLUDED_SECONDS: Final = 1.0
 # Unfinished texts that are remembered for later batches with the same items.
 _MAX_REMEMBERED_TEXTS: Final = 2000
 # Ranks of groups: those that came back from an earlier batch go first, then begun ones.
@@ -30,8 +33,27 @@
     # Runs that the engine ended with a failure of its own.
     n_failures: int = 0
     not_before: float = float("-inf")
-    # Engines that the last attempt failed at.
-    excluded_ids: frozenset[str] = frozenset()
+    # The engine that the last attempt failed at, and how long it is passed over.
+    excluded_id: str = ""
+    excluded_until: float = float("-inf")
+    # The engine that it runs at; empty: none.
+    engine_id: str = ""
+    # Times that it was taken away from a slow engine.
+    n_moves: int = 0
+
+    def exclude(self, engine_id: str, now: float) -> None:
+        """Pass over an engine for a while.
+
+        For a while only: it may be the one engine that serves the version asked for.
+        """
+        self.excluded_id = engine_id
+        self.excluded_until = now + EXCLUDED_SECONDS
+
+    def excluded_ids(self, now: float) -> frozenset[str]:
+        """Return the engines that are passed over now."""
+        if self.excluded_id and now < self.excluded_until:
+            return frozenset({self.excluded_id})
+        return frozenset()
 
     def n_expected_tokens(self) -> int:
         """Return the tokens that the item is likely to take."""
@@ -55,6 +77,21 @@
             if not run.is_done and not run.is_running:
                 yield run
 
+    def take_progress(self, min_events: int) -> list[model.Progress]:
+        """Return what is to be kept of the items that run.
+
+        `min_events` is the least number of new events that is worth keeping.
+        """
+        taken = []
+        for item_id, run in self.runs_by_item_id.items():
+            n_new = len(run.text.parts) - run.text.n_taken
+            if run.is_done or n_new < min_events:
+                continue
+            progress = run.text.take_progress(item_id)
+            if progress is not None:
+                taken.append(progress)
+        return taken
+
     def n_tokens(self) -> int:
         """Return the tokens that the whole batch is likely to take."""
         return sum(each.n_expected_tokens() for each in self.runs_by_item_id.values())
@@ -106,7 +143,11 @@
             text = self._texts_by_item_id.pop(item.item_id, None)
             if text is not None and not run.is_done:
                 run.text = text
+                run.text.n_taken = 0
                 carried.add(group_key)
+            progress = kept.progress_by_item_id.get(item.item_id)
+            if progress is not None and not run.is_done:
+                run.text = item_run.Text.of_progress(progress)
             if item.item_id in self._results_by_item_id:
                 carried.add(group_key)
             runs[item.item_id] = run
@@ -181,7 +222,7 @@
 
 
 def waiting_item(
-    opened: OpenBatch, run: ItemRun, route: policy.Route
+    opened: OpenBatch, run: ItemRun, route: policy.Route, now: float
 ) -> scheduling.WaitingItem:
     """Return what the choice of an engine needs to know of an item."""
     batch = opened.kept.batch
@@ -197,7 +238,7 @@
         batch.min_version,
         frozenset(route.services()),
         run.n_expected_tokens(),
-        run.excluded_ids,
+        run.excluded_ids(now),
         only_version,
     )
 
--- a/bilberrydrum/nodes/groups.py
+++ b/bilberrydrum/nodes/groups.py
@@ -9,10 +9,11 @@
 # The control group keeps at most this many votes; more would only make commits wait
 # for more disks.
 MAX_CONTROL_VOTERS: Final = 5
-# Heartbeats and elections: a lost leader is replaced within some 2 s, below the 3 s in
-# which a lost process must not be missed, at 5 heartbeats a second for each replica.
-HEARTBEAT_SECONDS: Final = 0.2
-ELECTION_TIMEOUT_SECONDS: Final = 0.9
+# Heartbeats and elections: a lost leader is replaced within some 1.3 s, at 7 heartbeats
+# a second for each replica. A replica that starts leaves an earlier leader alone for
+# one election timeout, so this is also what a restart of all replicas waits for.
+HEARTBEAT_SECONDS: Final = 0.15
+ELECTION_TIMEOUT_SECONDS: Final = 0.6
 # Batches make the log grow by some 100 KB a second; memory for it is bounded here.
 _STORE_LOG_BYTES: Final = 16 * 1024 * 1024
 _SNAPSHOT_ENTRIES: Final = 4_000
--- a/bilberrydrum/nodes/options.py
+++ b/bilberrydrum/nodes/options.py
@@ -51,7 +51,9 @@
     announce_seconds: float = 1.0
     # How long an ended batch can be read, from its submission on.
     retention_seconds: float = 120.0
-    # Time between the orders of two holders.
+    # Upstreams refuse an order with a lower fencing number than one they have seen.
+    do_upstreams_check_fencing: bool = True
+    # Time between the orders of two holders to upstreams that do not.
     order_lease_seconds: float = 3.0
     # Time that a stopping process has.
     shutdown_seconds: float = 8.0
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -11,8 +11,8 @@
 from bilberrydrum.fleet import messages, subscriber
 from bilberrydrum.nodes import groups, links, options
 from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.state import files, replica, storage
 from bilberrydrum.state import node as state_node
-from bilberrydrum.state import replica
 
 _LOOK_SECONDS = 0.1
 
@@ -49,8 +49,10 @@
 
     def _start_replica(self) -> None:
         # Only the control group knows which stores start the group: with a list of
-        # its own, each store could start one.
-        while not self.view.registry.founder_addresses:
+        # its own, each store could start one. A store that holds data knows the group:
+        # after a loss of power everywhere it does not wait for the control group.
+        is_known = self._holds_data() and not self._node.is_first_start
+        while not self.view.registry.founder_addresses and not is_known:
             clock.sleep(_LOOK_SECONDS)
         founders = self.view.registry.founder_addresses
         self.replica = replica.Replica(
@@ -64,11 +66,16 @@
             self._protocol,
             attempts.Means(self._pool, self._clients),
             self._node.retention_seconds,
-            self._node.order_lease_seconds,
+            0.0
+            if self._node.do_upstreams_check_fencing
+            else self._node.order_lease_seconds,
         )
         self.service.start()
         self._on_news()
 
+    def _holds_data(self) -> bool:
+        return storage.holds_log(files.DiskFiles(), self._node.data_folder)
+
     def _make_request(
         self, policy_index: int, registry_index: int
     ) -> messages.Subscribe:
--- a/bilberrydrum/state/storage.py
+++ b/bilberrydrum/state/storage.py
@@ -335,6 +335,14 @@
         self._disk.close()
 
 
+def holds_log(disk: files.Files, folder: str) -> bool:
+    """Tell whether `folder` has the log of a replica that goes on with it."""
+    disk.make_folder(folder)
+    names = disk.names(folder)
+    is_kept = _DISCARD_NAME not in names
+    return is_kept and any(each.startswith(_LOG_PREFIX) for each in names)
+
+
 def _numbers(names: Sequence[str], prefix: str) -> list[int]:
     """Return the numbers behind `prefix`, in ascending order."""
     texts = [each.removeprefix(prefix) for each in names if each.startswith(prefix)]
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -7,6 +7,7 @@
 from bilberrydrum.batches import (
     commands,
     engine_shares,
+    engines,
     event_stream,
     item_run,
     model,
@@ -14,6 +15,7 @@
     weight_plan,
     work,
 )
+from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.state import machine
 
 
@@ -297,6 +299,116 @@
         self.assertEqual(self.keys([item], places), [("i", "e2")])
 
 
+class SlowEngine(unittest.TestCase):
+    """An engine turns slow in the middle of its streams."""
+
+    def engines(self, paces, age=0.0):
+        known = engines.Engines()
+        for engine_id, pace in paces.items():
+            upstream = fleet_model.FleetUpstream(engine_id, "s", "a", "z", 2)
+            known.by_id[engine_id] = engines.Engine(upstream)
+            for n in range(100):
+                known.by_id[engine_id].note_pause(pace, 100.0 - age + n / 1000)
+        return known
+
+    @tools.params(
+        ("alike", {"a": 0.04, "b": 0.03, "c": 0.04}, 0.0, set()),
+        ("one slow", {"a": 0.15, "b": 0.03, "c": 0.04}, 0.0, {"a"}),
+        (
+            "two slow of five",
+            {"a": 0.15, "b": 0.15, "c": 0.04, "d": 0.04, "e": 0.04},
+            0.0,
+            {"a", "b"},
+        ),
+        ("long ago", {"a": 0.15, "b": 0.03, "c": 0.04}, 4.0, set()),
+        ("alone", {"a": 0.15}, 0.0, set()),
+    )
+    def test_slow(self, name, paces, age, expected):
+        self.assertEqual(self.engines(paces, age).slow_ids(100.1), expected, name)
+
+    def test_a_load_is_no_sign_of_slowness(self):
+        known = self.engines({"a": 0.04, "b": 0.04})
+        known.by_id["a"].loading = weight_plan.Load("a", "m", 2)
+        known.by_id["a"].note_pause(1.2, 100.1)
+        self.assertEqual(known.slow_ids(100.1), frozenset())
+
+    def test_items_move_where_there_is_room(self):
+        """A slow engine holds items of every group; two places are free elsewhere.
+
+        Left there, they would take four times as long and hold up their trainer.
+        """
+        items = [waiting(each) for each in ("x", "y", "z")]
+        places = [place("slow", 9, is_slow=True), place("e2", 4, n_running=2)]
+        moved = [each.engine_id for each in scheduling.move(items, places)]
+        self.assertEqual(moved, ["e2", "e2"])
+
+    def test_engine_that_failed_is_passed_over_for_a_while_only(self):
+        """The one engine that serves a version fails once.
+
+        Passed over for good, the items would wait until their time is up.
+        """
+        run = work.ItemRun(batch().items[0], ("b", "g0"))
+        run.exclude("e", 100.0)
+        self.assertEqual(run.excluded_ids(100.5), {"e"})
+        self.assertEqual(run.excluded_ids(101.5), frozenset())
+
+
+class KeptProgress(unittest.TestCase):
+    """A new leader goes on with long texts where the last one had kept them."""
+
+    def setUp(self):
+        self.state = machine.State()
+        self.apply(commands.AcceptBatch(batch(), 60.0))
+
+    def apply(self, command):
+        return machine.apply(command, self.state, machine.Context(1, 1.0))
+
+    def kept(self):
+        return commands.section_of(self.state).batches_by_id["b"]
+
+    def test_parts_are_joined(self):
+        text = item_run.Text()
+        for n in range(4):
+            text.add(event_stream.Event(n, b"%d" % n), 1 + n // 3)
+            if n % 2:
+                progress = text.take_progress("i0")
+                self.apply(commands.SaveProgress("b", (progress,)))
+        self.assertIsNone(text.take_progress("i0"))
+        opened = work.Work().open(self.kept(), 0.0)
+        again = opened.runs_by_item_id["i0"].text
+        self.assertEqual(again.parts, [b"0", b"1", b"2", b"3"])
+        self.assertEqual((again.versions, again.last_number), ({1, 2}, 3))
+        self.assertIsNone(again.take_progress("i0"))
+
+    def test_gap_is_not_joined(self):
+        first = model.Progress("i0", (b"a",), (1,), 1)
+        later = model.Progress("i0", (b"c",), (1,), 3, n_before=2)
+        self.apply(commands.SaveProgress("b", (first, later)))
+        self.assertEqual(self.kept().progress_by_item_id["i0"], first)
+
+    def test_text_that_began_anew_replaces(self):
+        first = model.Progress("i0", (b"a", b"b"), (1,), 2)
+        anew = model.Progress("i0", (b"x",), (2,), 1)
+        self.apply(commands.SaveProgress("b", (first, anew)))
+        self.assertEqual(self.kept().progress_by_item_id["i0"], anew)
+
+    def test_nothing_is_kept_of_what_has_ended(self):
+        progress = model.Progress("i0", (b"a",), (1,), 1)
+        self.apply(commands.SaveProgress("b", (progress,)))
+        self.apply(commands.FinishItems("b", (result(),)))
+        self.apply(commands.SaveProgress("b", (progress,)))
+        self.assertEqual(self.kept().progress_by_item_id, {})
+
+    def test_only_what_is_worth_it_is_taken(self):
+        opened = work.Work().open(model.KeptBatch(batch(), 0.0), 0.0)
+        text = opened.runs_by_item_id["i0"].text
+        for n in range(7):
+            text.add(event_stream.Event(n, b"x"), 1)
+        self.assertEqual(opened.take_progress(8), [])
+        text.add(event_stream.Event(7, b"x"), 1)
+        self.assertEqual(len(opened.take_progress(8)), 1)
+
+
 class Carried(unittest.TestCase):
     """Groups that were not complete come again in a later batch."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -51,6 +51,7 @@
 machines = 2
 [bounds]
 retention_s = 120
+fencing_enforced = true
 lease_ms = 3000
 grace_s = 8
 """
