End a process whose replica cannot go on; start with less; serve metrics

Change: such a process ends; a replaced or damaged replica's folder is emptied at the next opening and joins as a new one. Counters and histograms on each process's metrics address.

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -302,6 +302,9 @@
             run.engine_id = ""
             self._tasks_by_key.pop(key, None)
             self.wake()
+        seconds = clock.now() - began
+        histogram = counters.ITEM_ATTEMPT_SECONDS.labels(ended.outcome.value)
+        histogram.observe(seconds)
         eliot.log_message(
             message_type="batches:attempt",
             batch_id=key[0],
@@ -311,7 +314,7 @@
             detail=ended.detail,
             n_events=len(run.text.parts),
             versions=sorted(run.text.versions),
-            seconds=round(clock.now() - began, 3),
+            seconds=round(seconds, 3),
         )
         self._settle(opened, run, engine, ended)
 
--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -34,6 +34,34 @@
 )
 
 
+RELAY_SECONDS: Final = prometheus_client.Histogram(
+    "bilberrydrum_relay_seconds",
+    "Time from a request's arrival to its answer.",
+    ["outcome"],
+    buckets=(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2),
+)
+ITEM_ATTEMPT_SECONDS: Final = prometheus_client.Histogram(
+    "bilberrydrum_item_attempt_seconds",
+    "Time of one attempt to run an item of a batch.",
+    ["outcome"],
+    buckets=(0.1, 0.25, 0.5, 1, 2, 4, 8, 16),
+)
+COMMIT_SECONDS: Final = prometheus_client.Histogram(
+    "bilberrydrum_commit_seconds",
+    "Time from a command's proposal at the leader to its application.",
+    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2),
+)
+LEADER_CALL_SECONDS: Final = prometheus_client.Histogram(
+    "bilberrydrum_leader_call_seconds",
+    "Time of a call to the leader of a group, all tries together.",
+    ["message", "outcome"],
+    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2),
+)
+LOG_LINES_DROPPED: Final = prometheus_client.Counter(
+    "bilberrydrum_log_lines_dropped_total", "Log lines that did not fit in the queue."
+)
+
+
 def refused(reason: reasons.Reason) -> None:
     """Count one refusal."""
     REFUSALS.labels(reason.value).inc()
--- a/bilberrydrum/http/monitoring.py
+++ b/bilberrydrum/http/monitoring.py
@@ -4,7 +4,7 @@
 
 import prometheus_client
 
-from bilberrydrum import reasons
+from bilberrydrum import options, reasons
 from bilberrydrum.http import edge
 
 
@@ -31,10 +31,18 @@
         status = 503 if unready else 200
         return edge.Response.of_json({"ready": not unready, "why": unready}, status)
 
-    def metrics(request: edge.Request) -> edge.Response:
-        content_type = ("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
-        return edge.Response(200, prometheus_client.generate_latest(), [content_type])
-
     edge_.add("GET", "/healthz", healthz)
     edge_.add("GET", "/readyz", readyz)
-    edge_.add("GET", "/metrics", metrics)
+    edge_.add("GET", "/metrics", _metrics)
+
+
+def metrics_edge(limits: options.LimitOptions) -> edge.Edge:
+    """Return an edge that serves `/metrics` only."""
+    edge_ = edge.Edge(limits, {})
+    edge_.add("GET", "/metrics", _metrics)
+    return edge_
+
+
+def _metrics(request: edge.Request) -> edge.Response:
+    content_type = ("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
+    return edge.Response(200, prometheus_client.generate_latest(), [content_type])
--- a/bilberrydrum/logs.py
+++ b/bilberrydrum/logs.py
@@ -17,7 +17,7 @@
 import eventlet
 import result
 
-from bilberrydrum import clock, findings
+from bilberrydrum import clock, counters, findings
 
 # Lines that wait to be written; further ones are counted and dropped, the plain ones
 # first. At 600 bytes a line this is 1.2 MB.
@@ -63,6 +63,7 @@
         limit = self._max_waiting * (1.0 if is_failure else _PLAIN_SHARE)
         if len(self._lines) >= limit:
             self.n_dropped += 1
+            counters.LOG_LINES_DROPPED.inc()
             return
         self._lines.append(_encode(message))
 
--- a/bilberrydrum/nodes/control.py
+++ b/bilberrydrum/nodes/control.py
@@ -1,8 +1,9 @@
-"""The control process: a replica of the control group, and the way to its leader."""
+"""The control process: a replica of the control group, and the way to its leader.
+
+The group's log holds commands of `fleet.commands` only, so no other part of the state
+machine is imported: that would double the time to start.
+"""
 
-from bilberrydrum import (
-    registrations,  # noqa: F401, imported for what it registers
-)
 from bilberrydrum.fleet import control
 from bilberrydrum.nodes import groups, links, options
 from bilberrydrum.state import replica
@@ -30,9 +31,13 @@
     def start(self) -> None:
         """Start all tasks."""
         self._link.carrier.start()
-        self.replica.start()
+        groups.start_replica(self.replica)
         self.service.start()
 
+    def failure(self) -> str:
+        """Return why the process cannot go on; empty: it can."""
+        return groups.failure_of(self.replica)
+
     def learn_seeds(self, addresses: tuple[str, ...]) -> None:
         """Take over control addresses from changed settings."""
         self.calls.learn(addresses)
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -42,6 +42,10 @@
         """Tell whether new clients should be sent here."""
         return self.view.has_policy and not self.is_draining
 
+    def begin_draining(self) -> None:
+        """Ask for no more new clients: the process is going to stop."""
+        self.is_draining = True
+
     def start(self) -> None:
         """Start all tasks."""
         self._control.carrier.start()
@@ -49,6 +53,10 @@
         self._clients.start()
         self.view.start()
 
+    def failure(self) -> str:
+        """Return why the process cannot go on; a gateway always can."""
+        return ""
+
     def learn_seeds(self, addresses: tuple[str, ...]) -> None:
         """Take over control addresses from changed settings."""
         self._control.calls.learn(addresses)
--- a/bilberrydrum/nodes/groups.py
+++ b/bilberrydrum/nodes/groups.py
@@ -3,8 +3,11 @@
 from collections.abc import Sequence
 from typing import Final
 
+import eliot
+
 from bilberrydrum import options
 from bilberrydrum.nodes import options as node_options
+from bilberrydrum.state import replica, storage
 
 # The control group keeps at most this many votes; more would only make commits wait
 # for more disks.
@@ -61,6 +64,26 @@
     )
 
 
+def start_replica(replica_: replica.Replica) -> None:
+    """Start a replica; one whose folder is damaged is left stopped.
+
+    The process then ends and joins again as a new replica: the group has its data.
+    """
+    try:
+        replica_.start()
+    except storage.DamageError as error:
+        eliot.log_message(message_type="state:damaged", detail=str(error))
+        replica_.discard()
+
+
+def failure_of(replica_: replica.Replica) -> str:
+    """Return why `replica_` cannot go on; empty: it can."""
+    failure = replica_.failure
+    if failure == replica.REMOVED:
+        replica_.discard()
+    return failure
+
+
 def _members(addresses: Sequence[str]) -> tuple[options.Member, ...]:
     # A process is known by its address: nobody names the hosts in advance.
     return tuple(options.Member(each, each) for each in addresses)
--- a/bilberrydrum/nodes/options.py
+++ b/bilberrydrum/nodes/options.py
@@ -45,6 +45,8 @@
     http_address: str = ""
     # Where the balancer asks whether a gateway takes new connections.
     ready_address: str = ""
+    # Where counters and histograms are served.
+    metrics_address: str = ""
     # Processes with a disk that may be lost at the same time.
     n_losses: int = 1
     # How often upstreams announce themselves.
--- a/bilberrydrum/nodes/process.py
+++ b/bilberrydrum/nodes/process.py
@@ -1,6 +1,7 @@
 """The life of a process of one role: start, signals, graceful stop."""
 
 import gc
+import os
 import signal
 import types
 from collections.abc import Callable
@@ -16,6 +17,8 @@
 from bilberrydrum.nodes import options
 
 _POLL_SECONDS: Final = 0.02
+_WATCH_SECONDS: Final = 0.5
+EXIT_FAILED: Final = 1
 # Two questions of the balancer without a good answer, one a second, take a process out.
 BALANCER_SECONDS: Final = 2.3
 # Share of the time for stopping that requests under way may use; the rest is for
@@ -35,6 +38,9 @@
     def learn_seeds(self, addresses: tuple[str, ...]) -> None:
         """Take over control addresses from changed settings."""
 
+    def failure(self) -> str:
+        """Return why the node cannot go on; empty: it can."""
+
 
 class Process:
     """One node, its HTTP servers, and the signals."""
@@ -45,13 +51,15 @@
         node: Node,
         edges_by_address: dict[str, edge.Edge],
         read_options: Callable[[], options.NodeOptions],
-        on_draining: Callable[[], None],
+        on_draining: Callable[[], None] = lambda: None,
+        flush_log: Callable[[], None] = lambda: None,
     ) -> None:
         self._options = node_options
         self._node = node
         self._edges_by_address = edges_by_address
         self._read_options = read_options
         self._on_draining = on_draining
+        self._flush_log = flush_log
         self._servers = [
             server.HttpServer(address, each, node_options.limits)
             for address, each in edges_by_address.items()
@@ -68,8 +76,8 @@
             each.start()
         # What was made until now stays for good; walking through it in each full
         # collection would hold up all requests meanwhile.
-        gc.collect()
         gc.freeze()
+        gc.enable()
         eliot.log_message(
             message_type="process:started",
             name=self._options.name,
@@ -77,10 +85,27 @@
             availability_zone=self._options.availability_zone,
             is_first_start=self._options.is_first_start,
         )
+        watcher = eventlet.spawn(self._watch)
         self._stop_asked.wait()
+        watcher.kill()
         self._drain()
         self._node.stop()
         eliot.log_message(message_type="process:stopped", name=self._options.name)
+        self._flush_log()
+
+    def _watch(self) -> None:
+        """End the process when its node cannot go on.
+
+        A replica that has stopped would leave the process there, alive and without
+        use. Started again, it opens its folder anew or joins as a new replica.
+        """
+        while True:
+            clock.sleep(_WATCH_SECONDS)
+            failure = self._node.failure()
+            if failure:
+                eliot.log_message(message_type="process:failed", detail=failure)
+                self._flush_log()
+                os._exit(EXIT_FAILED)
 
     def _on_terminate(self, number: int, frame: types.FrameType | None) -> None:
         # A handler runs between two steps of any task, so it only schedules.
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -1,10 +1,13 @@
-"""The store: a replica of the stores' group, and the batches' tasks beside it."""
+"""The store: a replica of the stores' group, and the batches' tasks beside it.
+
+The group's log holds commands of `batches.commands` only, so no other part of the state
+machine is imported: that would double the time to start.
+"""
 
 import eventlet
 
 from bilberrydrum import (
     clock,
-    registrations,  # noqa: F401, imported for what it registers
     upstream_protocol,
 )
 from bilberrydrum.batches import service
@@ -58,7 +61,9 @@
         self.replica = replica.Replica(
             groups.store_options(self._node, founders), self._stores.carrier
         )
-        self.replica.start()
+        groups.start_replica(self.replica)
+        if self.replica.failure:
+            return
         self.service = service.BatchService(
             self.replica,
             self._stores.carrier,
@@ -109,6 +114,10 @@
             frozenset(each.address for each in stores if each.retiring_index)
         )
 
+    def failure(self) -> str:
+        """Return why the process cannot go on; empty: it can."""
+        return groups.failure_of(self.replica) if self.replica is not None else ""
+
     def learn_seeds(self, addresses: tuple[str, ...]) -> None:
         """Take over control addresses from changed settings."""
         self._control.calls.learn(addresses)
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -88,6 +88,17 @@
         self, inbound: model.Inbound, route: policy.Route
     ) -> model.Answered | model.Refused:
         """Return an upstream's answer to `inbound`, or why there is none."""
+        began = clock.now()
+        answer = self._handle(inbound, route)
+        outcome = "refused"
+        if isinstance(answer, model.Answered):
+            outcome = f"{answer.status // 100}xx"
+        counters.RELAY_SECONDS.labels(outcome).observe(clock.now() - began)
+        return answer
+
+    def _handle(
+        self, inbound: model.Inbound, route: policy.Route
+    ) -> model.Answered | model.Refused:
         deadline = min(inbound.deadline, clock.now() + route.timeout_seconds)
         course = _Course(inbound, route, deadline - ANSWER_MARGIN_SECONDS)
         service = route.choose_service(self._rng)
--- a/bilberrydrum/runtime.py
+++ b/bilberrydrum/runtime.py
@@ -5,6 +5,7 @@
 when it is imported. It also lets the hub run on the clock that counts suspended time.
 """
 
+import gc
 import os
 import time
 import warnings
@@ -24,6 +25,15 @@
     hubs.get_hub().clock = boot_time
 
 
+def pause_collection() -> None:
+    """Keep the garbage collector from running while a process is being made.
+
+    Most of what imports make stays; walking through it again and again is a tenth of
+    the time to start. `process` turns the collector on again.
+    """
+    gc.disable()
+
+
 def boot_time() -> float:
     """Return the seconds since the host was started, suspended time included.
 
--- a/bilberrydrum/state/leader_calls.py
+++ b/bilberrydrum/state/leader_calls.py
@@ -14,7 +14,7 @@
 import eventlet
 import result
 
-from bilberrydrum import clock, codec, reasons, transport
+from bilberrydrum import clock, codec, counters, reasons, transport
 from bilberrydrum.state import client, messages, replica, targets
 
 # Time for one replica to answer a call that needs no more than a commit. A commit takes
@@ -106,7 +106,17 @@
         try_seconds : float
             Seconds for one replica to answer.
         """
-        deadline = clock.now() + timeout
+        began = clock.now()
+        answer = self._call(message, began + timeout, try_seconds)
+        outcome = "answered" if answer.is_ok() else "not-answered"
+        name = type(message).__name__
+        histogram = counters.LEADER_CALL_SECONDS.labels(name, outcome)
+        histogram.observe(clock.now() - began)
+        return answer
+
+    def _call(
+        self, message: object, deadline: float, try_seconds: float
+    ) -> result.Result[Any, client.StateError]:
         may_have_applied = False
         while self._targets is not None:
             remaining = deadline - clock.now()
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -17,7 +17,15 @@
 import result
 from eventlet import tpool
 
-from bilberrydrum import clock, codec, interfaces, options, reasons, transport
+from bilberrydrum import (
+    clock,
+    codec,
+    counters,
+    interfaces,
+    options,
+    reasons,
+    transport,
+)
 from bilberrydrum.state import (
     applier,
     applying,
@@ -45,6 +53,8 @@
 _HANDOVER_SECONDS: Final = 0.05
 # Time the disk may take to end what it is writing when the replica stops.
 _STOP_SECONDS: Final = 5.0
+# Why a replica takes part no more that its group has replaced.
+REMOVED: Final = "removed from the group"
 # Events taken by the core before other tasks run.
 _EVENT_SLICE: Final = 256
 # A replica that heard no leader for this long asks whether it was removed: the leader
@@ -83,8 +93,6 @@
         self._tasks: list[Any] = []
         self._failure = "not started"
         self._led_since = 0.0
-        # Sent when the group has replaced this replica.
-        self.removed = eventlet.event.Event()
 
     # Life
 
@@ -199,6 +207,7 @@
         self, command: object, timeout: float = 5.0
     ) -> result.Result[Any, client.StateError]:
         """Commit `command` once and return the answer of its apply function."""
+        began = clock.now()
         done = eventlet.event.Event()
         waiter = serving.Waiter(0, command, done=done.send)
         self._intake.take([(log.KIND_LOCAL, codec.encode(command))], [waiter])
@@ -214,6 +223,7 @@
                         reasons.Reason.INTERNAL_ERROR, True, applied.value.detail
                     )
                 )
+            counters.COMMIT_SECONDS.observe(clock.now() - began)
             return result.Ok(applied.value)
         return result.Err(client.StateError(reasons.Reason.STATE_UNAVAILABLE))
 
@@ -403,8 +413,16 @@
         Its process may come back as a new replica once the folder is emptied.
         """
         eliot.log_message(message_type="state:removed", replica_id=self.node.replica_id)
-        self._failure = "removed from the group"
-        self.removed.send(None)
+        self._failure = REMOVED
+
+    def discard(self) -> None:
+        """Have the data folder emptied at its next opening.
+
+        For a replica that was removed, or whose folder is damaged: its process then
+        joins again under a new replica id and vouches for nothing that it lost.
+        """
+        eliot.log_message(message_type="state:discarded", detail=self._failure)
+        tpool.execute(self._store.discard)
 
     def learn(self, addresses: tuple[str, ...]) -> None:
         """Note addresses of processes that may hold the group."""
--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -32,6 +32,9 @@
 HEARTBEAT_TIMEOUT_MS: Final = 1500
 # A connection request is given up after this long, in milliseconds, and made again.
 CONNECT_TIMEOUT_MS: Final = 1000
+# A peer that is not there is tried again at least this often, in milliseconds: it is
+# what all processes wait for after they were started together.
+RECONNECT_MAX_MS: Final = 200
 # Messages received before the other tasks get a turn.
 RECEIVE_BATCH: Final = 16
 
@@ -255,7 +258,7 @@
             # same address would be reached only when the kernel asks again.
             dealer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
             dealer.setsockopt(zmq.RECONNECT_IVL, 50)
-            dealer.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
+            dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
             if self._keys is not None:
                 dealer.curve_secretkey = self._keys.secret
                 dealer.curve_publickey = self._keys.public
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,8 +25,8 @@
 sys.path.append(str(ROOT / "platform"))
 
 from bilberrydrum_platform import (  # noqa: E402
-    control,
-    frontend,
+    client_calls,
+    control_calls,
     policies,
     settings,
     upstreams,
@@ -243,7 +243,7 @@
     return value if isinstance(value, bytes) else json.dumps(value).encode()
 
 
-class ControlCalls(unittest.TestCase):
+class ControlInterface(unittest.TestCase):
     """Each call's status for good input, bad input, and an unreachable leader."""
 
     @tools.params(
@@ -291,7 +291,7 @@
     def test_status(self, name, method, path, body, answer, status):
         node = Node(answer)
         app = edge.Edge(options.LimitOptions(), {})
-        control.ControlEdge(node).add_routes(app)
+        control_calls.ControlCalls(node).add_routes(app)
         given = call(app, method, path, dumped(body))
         self.assertEqual(given.status, status, (name, given.body))
         self.assertEqual(len(node.calls.asked), 0 if answer is None else 1, name)
@@ -299,7 +299,7 @@
     def test_announcement_is_translated(self):
         node = Node(DONE)
         app = edge.Edge(options.LimitOptions(), {})
-        control.ControlEdge(node).add_routes(app)
+        control_calls.ControlCalls(node).add_routes(app)
         leaving = {**ANNOUNCED, "state": "draining"}
         call(app, "POST", BEAT, dumped(leaving))
         upstream = node.calls.asked[0].upstream
@@ -310,7 +310,7 @@
     @tools.params((ACTIVE, "active"), (FINISHED, "completed"))
     def test_state_of_an_emptied_store(self, answer, state):
         app = edge.Edge(options.LimitOptions(), {})
-        control.ControlEdge(Node(answer)).add_routes(app)
+        control_calls.ControlCalls(Node(answer)).add_routes(app)
         given = call(app, "GET", "/api/retire/s-1/read", b"")
         self.assertEqual(json.loads(given.body), {"state": state})
 
@@ -334,11 +334,11 @@
 NOT_ENDED = result.Ok(batch_messages.EndTaken(False))
 
 
-class ClientCalls(unittest.TestCase):
+class ClientInterface(unittest.TestCase):
     """Each call's status for good input, bad input, and unreachable stores."""
 
     def call(self, node, method, path, body, headers=()):
-        clients = frontend.FrontendEdge(node)
+        clients = client_calls.ClientCalls(node)
         app = edge.Edge(options.LimitOptions(), {}, fallback=clients.serve)
         clients.add_routes(app)
         names = {"Host": "h.example:80", "X-Attempt-Id": "b1", **dict(headers)}
