--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -43,6 +43,8 @@
     route: policy.Route
     deadline: float
     excluded_ids: set[str] = attrs.field(factory=set)
+    # When the last attempt began.
+    tried_at: float = 0.0
     # Attempts that may have run.
     n_run: int = 0
     n_rejections: int = 0
@@ -125,6 +127,7 @@
         """Make one attempt; None: it gave nothing to be passed on."""
         outgoing = self._outgoing(upstream, course)
         course.excluded_ids.add(upstream.upstream_id)
+        course.tried_at = clock.now()
         self._balancer.begin(upstream.upstream_id)
         try:
             answer = attempts.call(self._means, upstream, outgoing)
@@ -220,7 +223,7 @@
             course.n_run += 1
         else:
             course.n_rejections += 1
-        if not error.is_refusal:
+        if not error.is_refusal and not self._was_hurried(course, error):
             self._balancer.failed(upstream.upstream_id, clock.now())
         if error.reason is reasons.Reason.CALLER_GONE:
             course.n_rejections = _MAX_REJECTIONS + 1
@@ -228,6 +231,17 @@
         self._note_retry(upstream, course, error.reason)
         return None
 
+    @staticmethod
+    def _was_hurried(course: _Course, error: attempts.AttemptError) -> bool:
+        """Tell whether the caller's own short time ended the attempt.
+
+        Held against the upstream, callers in a hurry would drive all others away from
+        healthy upstreams.
+        """
+        is_timeout = error.reason is reasons.Reason.UPSTREAM_TIMEOUT
+        fair = _TRY_TARGETS * course.route.target_latency_seconds
+        return is_timeout and clock.now() - course.tried_at < fair
+
     def _note_retry(
         self,
         upstream: fleet_model.FleetUpstream,
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,256 @@
+"""Requests that are passed on: what each way of failing means for the caller."""
+
+import random
+import unittest
+
+import eventlet
+from nose2 import tools
+
+from bilberrydrum import clock, reasons, upstream_protocol
+from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.fleet import policy
+from bilberrydrum.relay import balancing, model, relay
+from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.upstreams import model as upstream_model
+from tests.fakes import scripted
+
+ID = "X-Request-Id"
+
+
+class Protocol:
+    """The names that this stand-in speaks."""
+
+    request_id_header = ID
+
+    def relay_headers(self, headers, attempt):
+        milliseconds = str(int(attempt.remaining_seconds * 1000))
+        sent = {**headers, ID: attempt.request_id, "X-Only": attempt.upstream_id}
+        return {**sent, "X-Left": milliseconds}
+
+    def read_head(self, headers):
+        return upstream_protocol.AnswerHead(
+            was_not_run="Not-Run" in headers, is_genuine="Foreign" not in headers
+        )
+
+
+class View:
+    """Stands for a gateway's copy of the registry."""
+
+    def __init__(self, upstreams):
+        self.registry = fleet_model.Registry(1, tuple(upstreams))
+        self.routes = policy.RouteTable(policy.Policy(1))
+
+    def watch(self, callback):
+        self.changed = callback
+
+
+def answer(body=b"ok", status=200, *headers):
+    def script(connection, received):
+        lines = [f"HTTP/1.1 {status} X", f"{ID}: {received.request_id}", *headers]
+        lines.append(f"Content-Length: {len(body)}")
+        connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    return script
+
+
+def unframed(connection, received):
+    head = f"HTTP/1.1 200 X\r\n{ID}: {received.request_id}\r\n\r\n"
+    connection.sendall(head.encode() + b"all of it")
+    return False
+
+
+def cut(connection, received):
+    head = f"HTTP/1.1 200 X\r\n{ID}: {received.request_id}\r\nContent-Length: 9\r\n\r\n"
+    connection.sendall(head.encode() + b"half")
+    return False
+
+
+def close(connection, received):
+    return False
+
+
+def hang(connection, received):
+    eventlet.sleep(5.0)
+
+
+def others_answer(connection, received):
+    connection.sendall(scripted.answer(received, request_id="other"))
+
+
+OK = answer()
+FULL = answer(b"", 503, "Not-Run: 1")
+ELSEWHERE = answer(b"", 421, "Not-Run: 1")
+FAILED = answer(b"broken", 500)
+FOREIGN = answer(b"ok", 200, "Foreign: 1")
+IDEMPOTENT = policy.RouteKind.IDEMPOTENT
+ONCE = policy.RouteKind.NON_IDEMPOTENT
+
+
+class RelayCase(unittest.TestCase):
+    def relay(self, *scripts):
+        self.servers = []
+        for script in scripts:
+            server = scripted.Scripted(script, kind=upstream_model.KIND_APPLICATION)
+            self.addCleanup(server.stop)
+            self.servers.append(server)
+        # The zone decides between idle upstreams, so they are asked in this order.
+        zones = ["near", *["far"] * (len(scripts) - 1)]
+        upstreams = [
+            fleet_model.FleetUpstream(f"u{n}", "s", server.address, zones[n], 6)
+            for n, server in enumerate(self.servers)
+        ]
+        self.view = View(upstreams)
+        means = attempts.Means(connections.Connections(), watch.Watch())
+        return relay.Relay(Protocol(), self.view, means, "near", random.Random(1))
+
+    def handle(self, relay_, kind=IDEMPOTENT, seconds=1.0, max_attempts=2):
+        route = policy.Route(
+            "r",
+            "h",
+            "/",
+            kind,
+            (policy.Share("s", 1.0),),
+            timeout_seconds=seconds,
+            target_latency_seconds=0.05,
+            max_attempts=max_attempts,
+        )
+        inbound = model.Inbound(
+            "r1", "h", "POST", "/x?q=1", "/x", {}, b"body", clock.now() + seconds
+        )
+        with eventlet.Timeout(5.0):
+            return relay_.handle(inbound, route)
+
+    def n_received(self):
+        return [len(each.received) for each in self.servers]
+
+
+class Outcomes(RelayCase):
+    """The caller's answer, and how often each upstream was asked."""
+
+    @tools.params(
+        ("answered", IDEMPOTENT, (OK, OK), 200, [1, 0]),
+        ("full, then answered", IDEMPOTENT, (FULL, OK), 200, [1, 1]),
+        ("another's address", IDEMPOTENT, (ELSEWHERE, OK), 200, [1, 1]),
+        ("failed, then answered", IDEMPOTENT, (FAILED, OK), 200, [1, 1]),
+        ("closed, then answered", IDEMPOTENT, (close, OK), 200, [1, 1]),
+        ("cut, then answered", IDEMPOTENT, (cut, OK), 200, [1, 1]),
+        ("hung, then answered", IDEMPOTENT, (hang, OK), 200, [1, 1]),
+        ("other's answer", IDEMPOTENT, (others_answer, OK), 200, [1, 1]),
+        ("not its own answer", IDEMPOTENT, (FOREIGN, OK), 200, [1, 1]),
+        ("ends with its connection", IDEMPOTENT, (unframed,), 200, [1]),
+        ("both failed", IDEMPOTENT, (FAILED, FAILED), 500, [1, 1]),
+        ("both full", IDEMPOTENT, (FULL, FULL), "not run", [1, 1]),
+        ("full and closed", IDEMPOTENT, (FULL, close), "may have run", [1, 1]),
+        ("once: answered", ONCE, (OK, OK), 200, [1, 0]),
+        ("once: full, then answered", ONCE, (FULL, OK), 200, [1, 1]),
+        ("once: failed", ONCE, (FAILED, OK), 500, [1, 0]),
+        ("once: closed", ONCE, (close, OK), "may have run", [1, 0]),
+        ("once: cut", ONCE, (cut, OK), "may have run", [1, 0]),
+        ("once: both full", ONCE, (FULL, FULL), "not run", [1, 1]),
+    )
+    def test_outcome(self, name, kind, scripts, expected, n_received):
+        given = self.handle(self.relay(*scripts), kind)
+        if isinstance(given, model.Answered):
+            outcome = given.status
+        else:
+            outcome = "may have run" if given.may_have_run else "not run"
+            self.assertEqual(given.retry_after_seconds > 0, not given.may_have_run)
+        self.assertEqual(outcome, expected, name)
+        self.assertEqual(self.n_received(), n_received, name)
+
+    def test_no_upstream(self):
+        given = self.handle(self.relay())
+        self.assertEqual(given.reason, reasons.Reason.NO_UPSTREAM)
+        self.assertFalse(given.may_have_run)
+
+    def test_unreachable(self):
+        relay_ = self.relay(OK)
+        self.servers[0].stop()
+        self.assertFalse(self.handle(relay_).may_have_run)
+
+    def test_leaving_upstream_gets_nothing(self):
+        relay_ = self.relay(OK)
+        known = self.view.registry.upstreams[0]
+        gone = fleet_model.FleetUpstream(
+            known.upstream_id, "s", known.address, "near", 6, is_leaving=True
+        )
+        self.view.registry = fleet_model.Registry(2, (gone,))
+        self.assertEqual(self.handle(relay_).reason, reasons.Reason.NO_UPSTREAM)
+        self.assertEqual(self.n_received(), [0])
+
+    def test_time_left_and_incarnation_are_sent(self):
+        self.handle(self.relay(FULL, OK), seconds=1.0)
+        for n, server in enumerate(self.servers):
+            headers = server.received[0].headers
+            self.assertEqual(headers["x-only"], f"u{n}")
+            self.assertLess(int(headers["x-left"]), 1000)
+            self.assertEqual(server.received[0].target, "/x?q=1")
+
+    def test_hung_upstream_leaves_time_for_another(self):
+        began = clock.now()
+        given = self.handle(self.relay(hang, OK), seconds=1.0)
+        self.assertEqual(given.status, 200)
+        self.assertLess(clock.now() - began, 0.7)
+
+
+class Hurry(RelayCase):
+    def test_hurried_callers_do_not_drive_others_away(self):
+        """Callers with a few milliseconds each time out at a healthy upstream.
+
+        Held against it, the next caller would be sent to the far one, and with all
+        upstreams marked to whichever was marked first.
+        """
+
+        def slowly(connection, received):
+            eventlet.sleep(0.05)
+            return OK(connection, received)
+
+        relay_ = self.relay(slowly, OK)
+        for _ in range(3):
+            self.handle(relay_, seconds=0.03, max_attempts=1)
+        self.handle(relay_)
+        self.assertEqual(self.n_received()[1], 0)
+
+
+class Balance(unittest.TestCase):
+    """The choice, from what one gateway knows."""
+
+    def upstreams(self, *zones):
+        return [
+            fleet_model.FleetUpstream(f"u{n}", "s", f"a{n}", zone, 2)
+            for n, zone in enumerate(zones)
+        ]
+
+    def test_near_until_busy(self):
+        balancer = balancing.Balancer("near", random.Random(1))
+        known = self.upstreams("near", "far")
+        chosen = []
+        for _ in range(3):
+            upstream = balancer.choose(known, (), 100.0)
+            balancer.begin(upstream.upstream_id)
+            chosen.append(upstream.upstream_id)
+        self.assertEqual(chosen, ["u0", "u1", "u0"])
+
+    def test_failed_is_passed_over_for_a_while(self):
+        balancer = balancing.Balancer("near", random.Random(1))
+        known = self.upstreams("near", "far")
+        balancer.failed("u0", 100.0)
+        self.assertEqual(balancer.choose(known, (), 100.1).upstream_id, "u1")
+        self.assertEqual(balancer.choose(known, (), 100.6).upstream_id, "u0")
+
+    def test_all_failed(self):
+        """The one whose time ends first is tried; refusing would help nobody."""
+        balancer = balancing.Balancer("near", random.Random(1))
+        balancer.failed("u0", 100.2)
+        balancer.failed("u1", 100.0)
+        known = self.upstreams("near", "far")
+        self.assertEqual(balancer.choose(known, (), 100.3).upstream_id, "u1")
+
+    def test_reported_load_counts_while_it_is_fresh(self):
+        balancer = balancing.Balancer("near", random.Random(1))
+        known = self.upstreams("near", "near")
+        head = upstream_protocol.AnswerHead(n_running=2, n_waiting=3)
+        balancer.succeeded("u0", head, 100.0)
+        for _ in range(20):
+            chosen = balancer.choose(known, (), 100.1)
+            self.assertEqual(chosen.upstream_id, "u1")
