Write a line for each decision that a request or a registration depends on

Gateways say which registry they took and why a request found no route; control leaders say what they registered, named and removed; a call to a leader that got no answer names the request that waited for it.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -242,6 +242,12 @@
             command = commands.EndBatch(message.batch_id)
             if not self._replica.propose(command, COMMIT_SECONDS).is_ok():
                 return None
+            eliot.log_message(
+                message_type="batches:ended",
+                batch_id=message.batch_id,
+                n_results=len(kept.results),
+                n_items=len(kept.batch.items),
+            )
         return messages.EndTaken(True)
 
 
--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -117,13 +117,31 @@
         known = section.upstreams_by_id.get(given.upstream_id)
         if known is not None and _says_nothing_new(known, given):
             return messages.Done()
-        return messages.Done() if self._commit(commands.PutUpstream(given)) else None
+        is_committed = self._commit(commands.PutUpstream(given))
+        eliot.log_message(
+            message_type="upstreams:announced",
+            upstream_id=given.upstream_id,
+            service=given.service,
+            address=given.address,
+            is_leaving=given.is_leaving,
+            versions_by_model=given.versions_by_model,
+            sequence=given.sequence,
+            sequence_before=known.sequence if known is not None else None,
+            is_committed=is_committed,
+        )
+        return messages.Done() if is_committed else None
 
     def _on_depart(self, sender: transport.Sender, message: messages.Depart) -> Any:
         if message.upstream_id in self._section().departed_by_id:
             return messages.Done()
         command = commands.RemoveUpstreams((message.upstream_id,))
-        return messages.Done() if self._commit(command) else None
+        is_committed = self._commit(command)
+        eliot.log_message(
+            message_type="upstreams:departed",
+            upstream_id=message.upstream_id,
+            is_committed=is_committed,
+        )
+        return messages.Done() if is_committed else None
 
     # Policy and versions
 
@@ -155,7 +173,15 @@
         if named >= message.version:
             return messages.Done()
         command = commands.NameVersion(message.model, message.version)
-        return messages.Done() if self._commit(command) else None
+        is_committed = self._commit(command)
+        eliot.log_message(
+            message_type="weights:named",
+            model=message.model,
+            version=message.version,
+            version_before=named,
+            is_committed=is_committed,
+        )
+        return messages.Done() if is_committed else None
 
     # Stores
 
@@ -177,6 +203,11 @@
             return messages.Retirement(is_refused=True)
         if not self._commit(commands.RetireStore(message.name)):
             return None
+        eliot.log_message(
+            message_type="stores:retiring",
+            name=message.name,
+            live_addresses=sorted(live),
+        )
         return messages.Retirement()
 
     def _on_read_retirement(
--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -94,8 +94,26 @@
                 message_type="policy:in-force", version=self.routes.policy.version
             )
         if feed.registry and feed.registry_index > self.registry.index:
+            before = self.registry
             self.registry = codec.decode(feed.registry)
             is_changed = True
+            _log_registry(before, self.registry)
         if is_changed:
             for callback in self._watchers:
                 callback()
+
+
+def _log_registry(before: model.Registry, after: model.Registry) -> None:
+    known = {each.upstream_id for each in before.upstreams}
+    present = {each.upstream_id for each in after.upstreams}
+    eliot.log_message(
+        message_type="registry:taken",
+        index=after.index,
+        index_before=before.index,
+        n_upstreams=len(present),
+        new_ids=sorted(present - known),
+        gone_ids=sorted(known - present),
+        leaving_ids=[e.upstream_id for e in after.upstreams if e.is_leaving],
+        silent_ids=[e.upstream_id for e in after.upstreams if e.is_silent],
+        versions_by_model=after.versions_by_model,
+    )
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -5,13 +5,21 @@
 """
 
 import random
+from typing import Final
 
-from bilberrydrum import upstream_protocol
-from bilberrydrum.fleet import subscriber
+import eliot
+
+from bilberrydrum import counters, reasons, upstream_protocol
+from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.nodes import links, options
+from bilberrydrum.relay import model as relay_model
 from bilberrydrum.relay import relay
 from bilberrydrum.requests import attempts, connections, watch
 
+# When to come back to a gateway that has just started, in seconds: all processes
+# started together have a policy after some 1.5 s.
+NO_POLICY_RETRY_SECONDS: Final = 0.5
+
 
 class Gateway:
     """The parts of one gateway."""
@@ -42,6 +50,29 @@
         """Tell whether new clients should be sent here."""
         return self.view.has_policy and not self.is_draining
 
+    def find_route(
+        self, request_id: str, host: str, path: str
+    ) -> policy.Route | relay_model.Refused:
+        """Return the route of a request, or why it is not served."""
+        if not self.view.has_policy:
+            reason = reasons.Reason.NO_BUNDLE
+            refused = relay_model.Refused(reason, False, NO_POLICY_RETRY_SECONDS)
+        else:
+            route = self.view.routes.find(host, path)
+            if route is not None:
+                return route
+            refused = relay_model.Refused(reasons.Reason.NOT_FOUND, False)
+        counters.refused(refused.reason)
+        eliot.log_message(
+            message_type="relay:refused",
+            request_id=request_id,
+            reason=refused.reason.value,
+            host=host,
+            path=path,
+            policy_version=self.view.routes.policy.version,
+        )
+        return refused
+
     def begin_draining(self) -> None:
         """Ask for no more new clients: the process is going to stop."""
         self.is_draining = True
--- a/bilberrydrum/state/leader_calls.py
+++ b/bilberrydrum/state/leader_calls.py
@@ -93,7 +93,11 @@
             self._targets.learn(addresses)
 
     def call(
-        self, message: object, timeout: float, try_seconds: float = TRY_SECONDS
+        self,
+        message: object,
+        timeout: float,
+        try_seconds: float = TRY_SECONDS,
+        request_id: str = "",
     ) -> result.Result[Any, client.StateError]:
         """Return the leader's answer to `message`.
 
@@ -105,6 +109,8 @@
             Seconds after which the call is given up.
         try_seconds : float
             Seconds for one replica to answer.
+        request_id : str
+            The request that waits for the answer, for the log; empty: none does.
         """
         began = clock.now()
         answer = self._call(message, began + timeout, try_seconds)
@@ -112,6 +118,17 @@
         name = type(message).__name__
         histogram = counters.LEADER_CALL_SECONDS.labels(name, outcome)
         histogram.observe(clock.now() - began)
+        if request_id and isinstance(answer, result.Err):
+            eliot.log_message(
+                message_type="call:failed",
+                request_id=request_id,
+                message=name,
+                reason=answer.err_value.reason.value,
+                detail=answer.err_value.detail,
+                may_have_applied=answer.err_value.may_have_applied,
+                asked_address=self._targets.current if self._targets else "",
+                seconds=round(clock.now() - began, 3),
+            )
         return answer
 
     def _call(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -180,7 +180,7 @@
         self.answers = list(answers)
         self.asked = []
 
-    def call(self, message, timeout, try_seconds=0.0):
+    def call(self, message, timeout, try_seconds=0.0, request_id=""):
         self.asked.append(message)
         return self.answers.pop(0)
 
@@ -203,6 +203,10 @@
     def is_ready(self):
         return True
 
+    def find_route(self, request_id, host, path):
+        found = self.view.routes.find(host, path)
+        return found or relay_model.Refused(reasons.Reason.NOT_FOUND, False)
+
     def handle(self, inbound, route):
         self.inbound.append(inbound)
         return self.relayed
