Keep an emptied store's vote until its place is taken

A store is emptied while a fourth stands by; the group removed it as soon as the learner had caught up, said that it was empty, and stood on two votes; the platform took it away and another store lost its disk 0.4 s later: no majority, for good. Ruled out: lost entries (both disks that were left held the log). Change: the learner gets its vote first, and the emptied one goes then; a store counts as empty only when its place is taken. Lost replicas go first, as before. Test: a table of what is due in a group of three votes; its line failed before (remove in place of promote).

--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -220,12 +220,14 @@
             retirement.Report(
                 each.request.store_term,
                 each.registry_index,
-                each.request.store_member_addresses,
+                each.request.store_voter_addresses,
             )
             for each in self._live_subscribers().values()
             if each.request.store_term
         ]
-        return messages.Retirement(is_done=retirement.is_done(known, reports))
+        n_voters = self._options.n_store_voters
+        is_done = retirement.is_done(known, reports, n_voters)
+        return messages.Retirement(is_done=is_done)
 
     def _live_store_addresses(self) -> set[str]:
         return {
--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -105,9 +105,9 @@
     store_address: str = ""
     # The store has an empty disk and was started with the whole deployment.
     may_found: bool = False
-    # Set by the stores' leader: its term and the members' addresses.
+    # Set by the stores' leader: its term and the voters' addresses.
     store_term: int = 0
-    store_member_addresses: tuple[str, ...] = ()
+    store_voter_addresses: tuple[str, ...] = ()
 
 
 @codec.register("fleet.feed")
--- a/bilberrydrum/fleet/retirement.py
+++ b/bilberrydrum/fleet/retirement.py
@@ -9,12 +9,12 @@
 
 @attrs.frozen
 class Report:
-    """What a leader of the stores' group says of its members."""
+    """What a leader of the stores' group says of the replicas with a vote."""
 
     term: int
     # Index of the registry that it acts on.
     registry_index: int
-    member_addresses: tuple[str, ...]
+    voter_addresses: tuple[str, ...]
 
 
 def may_retire(
@@ -34,17 +34,17 @@
     return len(others) >= n_voters
 
 
-def is_done(store: model.Store, reports: Collection[Report]) -> bool:
+def is_done(store: model.Store, reports: Collection[Report], n_voters: int) -> bool:
     """Tell whether the group goes on without `store` and will not take it back.
 
-    Only the newest leader's word counts, and only once it knows of the retirement: it
-    could otherwise still choose the store to replace a lost one.
+    Its place must be taken: gone before that, the group would not bear the loss of
+    another disk. Only the newest leader's word counts, and only once it knows of the
+    retirement: it could otherwise still choose the store to replace a lost one.
     """
     if not reports:
         return False
     newest = max(reports, key=lambda each: each.term)
     if newest.registry_index < store.retiring_index:
         return False
-    return bool(newest.member_addresses) and (
-        store.address not in newest.member_addresses
-    )
+    voters = newest.voter_addresses
+    return len(voters) >= n_voters and store.address not in voters
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -85,12 +85,12 @@
         self, policy_index: int, registry_index: int
     ) -> messages.Subscribe:
         term = 0
-        members: tuple[str, ...] = ()
+        voters: tuple[str, ...] = ()
         if self.replica is not None and self.replica.leadership() is not None:
             state = self.replica.node
             if state.membership_index <= state.commit_index:
                 term = state.term
-                members = self._member_addresses(state)
+                voters = _voter_addresses(state)
         return messages.Subscribe(
             policy_index,
             registry_index,
@@ -98,13 +98,9 @@
             self._node.store_address,
             self._node.is_first_start,
             term,
-            members,
+            voters,
         )
 
-    @staticmethod
-    def _member_addresses(state: state_node.Node) -> tuple[str, ...]:
-        return tuple(each.peer_address for each in state.members.replicas)
-
     def _on_news(self) -> None:
         if self.replica is None:
             return
@@ -135,3 +131,7 @@
         self._pool.close()
         self._control.carrier.stop()
         self._stores.carrier.stop()
+
+
+def _voter_addresses(state: state_node.Node) -> tuple[str, ...]:
+    return tuple(e.peer_address for e in state.members.replicas if e.is_voter)
--- a/bilberrydrum/state/steward.py
+++ b/bilberrydrum/state/steward.py
@@ -5,9 +5,10 @@
 vote when it has caught up. Removing first keeps the majority among replicas that are
 there: two of two, where promoting first would need three of four.
 
-A group that keeps to a number of votes replaces a lost or leaving replica in the same
-order: a process that stood by becomes a learner, and once it has caught up the old
-replica is removed and the learner promoted.
+A group that keeps to a number of votes replaces a lost replica in the same order: a
+process that stood by becomes a learner, and once it has caught up the old replica is
+removed and the learner promoted. A replica that is there and is to be taken away goes
+last: it is removed once the learner has its vote.
 """
 
 from collections.abc import Collection, Mapping
@@ -131,9 +132,14 @@
     n_voters = len(group.current.voter_ids())
     if not group.policy.n_voters or n_voters < group.policy.n_voters:
         return membership.Change(membership.PROMOTE, learner)
-    for voter in group.current.replicas:
-        if voter.is_voter and group.is_to_go(voter):
-            return membership.Change(membership.REMOVE, voter)
+    going = [e for e in group.current.replicas if e.is_voter and group.is_to_go(e)]
+    lost = [each for each in going if each.replica_id in group.policy.lost_ids]
+    if lost:
+        return membership.Change(membership.REMOVE, lost[0])
+    if going:
+        # One that is there keeps its vote until its place is taken: with one vote
+        # less, the loss of another disk would leave no majority.
+        return membership.Change(membership.PROMOTE, learner)
     return None
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -280,10 +280,15 @@
         ("nobody says", (), False),
         ("still a member", ((2, 9, ("a0", "a3")),), False),
         ("does not know yet", ((2, 8, ("a0", "a1")),), False),
-        ("gone", ((2, 9, ("a0", "a1")),), True),
-        ("an older leader's word", ((2, 9, ("a0", "a1")), (3, 9, ("a3",))), False),
+        ("gone", ((2, 9, ("a0", "a1", "a2")),), True),
+        ("its place is not taken", ((2, 9, ("a0", "a1")),), False),
+        (
+            "an older leader's word",
+            ((2, 9, ("a0", "a1", "a2")), (3, 9, ("a0", "a1", "a3"))),
+            False,
+        ),
     )
     def test_is_done(self, name, reports, expected):
         store = attrs.evolve(self.STORES[3], retiring_index=9)
         given = [retirement.Report(*each) for each in reports]
-        self.assertEqual(retirement.is_done(store, given), expected, name)
+        self.assertEqual(retirement.is_done(store, given, 3), expected, name)
--- a/tests/test_state_membership.py
+++ b/tests/test_state_membership.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from nose2 import tools
 
 from bilberrydrum.state import events, membership, node, steward
@@ -124,6 +125,63 @@
         self.assertEqual(change.kind if change else None, kind, name)
 
 
+class BoundedGroup(unittest.TestCase):
+    """A group of three votes replaces who is lost or taken away."""
+
+    VOTERS = tuple(membership.ReplicaInfo(f"r{i}", f"p{i}", f"a{i}") for i in range(4))
+    LEARNER = attrs.evolve(VOTERS[3], is_voter=False)
+
+    def due(self, replicas, lost=(), leaving=(), joining=(), behind=()):
+        """Return the kind of the change that is due, and whose."""
+        learned = {
+            each.replica_id: steward.Learned(
+                100 if each.replica_id not in behind else 0,
+                each.replica_id not in lost,
+            )
+            for each in replicas
+        }
+        policy = steward.Policy(3, frozenset(lost), frozenset(leaving))
+        change = steward.next_change(
+            membership.Membership(tuple(replicas)),
+            {each.process_id: each for each in joining},
+            learned,
+            100,
+            policy,
+        )
+        return (change.kind, change.replica.replica_id) if change else None
+
+    @tools.params(
+        ("all well", VOTERS[:3], (), (), (), None),
+        ("one stands by", VOTERS[:3], (), (), (LEARNER,), None),
+        ("one is lost", VOTERS[:3], ("r0",), (), (LEARNER,), ("add-learner", "r3")),
+        ("one leaves", VOTERS[:3], (), ("p0",), (LEARNER,), ("add-learner", "r3")),
+        ("a leaving one stands by", VOTERS[:3], ("r0",), ("p3",), (LEARNER,), None),
+        ("lost, caught up", (*VOTERS[:3], LEARNER), ("r0",), (), (), ("remove", "r0")),
+        ("then promoted", (*VOTERS[1:3], LEARNER), (), (), (), ("promote", "r3")),
+        (
+            "leaves, caught up",
+            (*VOTERS[:3], LEARNER),
+            (),
+            ("p0",),
+            (),
+            ("promote", "r3"),
+        ),
+        ("then removed", VOTERS, (), ("p0",), (), ("remove", "r0")),
+        ("nobody to take its place", VOTERS[:3], ("r0",), (), (), None),
+    )
+    def test_due(self, name, replicas, lost, leaving, joining, expected):
+        self.assertEqual(self.due(replicas, lost, leaving, joining), expected, name)
+
+    def test_leaving_one_stays_until_its_place_is_taken(self):
+        """A store is emptied, and another loses its disk right after it is gone.
+
+        Removed before the fourth had its vote, two votes would be left; with one of
+        the two disks lost as well, the group could never commit again.
+        """
+        replicas = (*self.VOTERS[:3], self.LEARNER)
+        self.assertIsNone(self.due(replicas, leaving=("p0",), behind=("r3",)))
+
+
 class LostDisk(unittest.TestCase):
     """A host comes back empty; then a second one is lost."""
 
