Try an engine that was slow with one item

An engine that is slow for long loses its items, its pace is not known after 3 s, it gets all its places filled again, and so on. Ruled out: errors in the runs' tasks (no traceback in the log) and leaders in pairs (each term once). Change: an engine that was slow when its pace was last known is tried with one item. Test: the places of such an engine, before and after its recovery.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -29,6 +29,10 @@
 # An engine whose pace is this many times the median of the others is slow. Full and
 # empty engines differ by 1.5 (0.84 and 0.57 ms a step).
 SLOW_FACTOR: Final = 2.2
+# An engine that was slow is tried with this many items at a time. With all its places
+# filled at each try, a dozen streams are broken off every few seconds (548 on a day
+# with a slow engine), and each prompt is read again.
+PROBE_SLOTS: Final = 1
 # A stream may pause for this many times its engine's pace.
 STALL_PACES: Final = 8.0
 # One that turned an item away is passed over as long as a place needs to come free.
@@ -55,6 +59,8 @@
     # Mean pause between two events of a stream, in seconds, lately; 0: not known.
     pace_seconds: float = 0.0
     paced_at: float = float("-inf")
+    # It was slow when its pace was last known.
+    was_slow: bool = False
 
     @property
     def upstream_id(self) -> str:
@@ -140,7 +146,7 @@
         return scheduling.Place(
             self.upstream_id,
             self.upstream.service,
-            self.upstream.n_slots,
+            PROBE_SLOTS if self.was_slow else self.upstream.n_slots,
             self.n_running,
             self.versions_by_model,
             frozenset(shares.models_of(self.upstream_id)),
@@ -203,7 +209,10 @@
         ]
 
     def slow_ids(self, now: float) -> frozenset[str]:
-        """Return the engines that are much slower than the others now."""
+        """Return the engines that are much slower than the others now.
+
+        Each engine remembers the verdict for when its pace is not known any more.
+        """
         paces_by_id = {
             engine_id: each.pace_seconds
             for engine_id, each in self.by_id.items()
@@ -212,7 +221,11 @@
         slow = set()
         for engine_id, pace in paces_by_id.items():
             others = [p for other, p in paces_by_id.items() if other != engine_id]
-            if others and pace > SLOW_FACTOR * statistics.median(others):
+            engine = self.by_id[engine_id]
+            engine.was_slow = bool(others) and (
+                pace > SLOW_FACTOR * statistics.median(others)
+            )
+            if engine.was_slow:
                 slow.add(engine_id)
         return frozenset(slow)
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -326,6 +326,23 @@
     def test_slow(self, name, paces, age, expected):
         self.assertEqual(self.engines(paces, age).slow_ids(100.1), expected, name)
 
+    def test_slow_engine_is_tried_with_one_item(self):
+        """All items were moved away from a slow engine, so its pace is not known.
+
+        Given all its places again, it would hold up a dozen items at each try.
+        """
+        known = self.engines({"a": 0.15, "b": 0.03, "c": 0.04})
+        known.slow_ids(100.1)
+        shares = engine_shares.Shares()
+        self.assertEqual(known.slow_ids(110.0), frozenset())
+        self.assertEqual(known.by_id["a"].place(shares).n_slots, 1)
+        self.assertEqual(known.by_id["b"].place(shares).n_slots, 2)
+        for n in range(60):
+            known.by_id["a"].note_pause(0.04, 110.0 + n / 100)
+            known.by_id["b"].note_pause(0.04, 110.0 + n / 100)
+        known.slow_ids(110.7)
+        self.assertEqual(known.by_id["a"].place(shares).n_slots, 2)
+
     def test_a_load_is_no_sign_of_slowness(self):
         known = self.engines({"a": 0.04, "b": 0.04})
         known.by_id["a"].loading = weight_plan.Load("a", "m", 2)
