--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -71,13 +71,22 @@
             clock.sleep(RENEW_SECONDS)
 
     def _note_connection(self, is_connected: bool) -> None:
-        if is_connected != self._is_connected:
-            self._is_connected = is_connected
-            name = "control:regained" if is_connected else "control:lost"
+        if is_connected == self._is_connected:
+            return
+        self._is_connected = is_connected
+        version = self.routes.policy.version
+        index = self.registry.index
+        if is_connected:
             eliot.log_message(
-                message_type=name,
-                policy_version=self.routes.policy.version,
-                registry_index=self.registry.index,
+                message_type="control:regained",
+                policy_version=version,
+                registry_index=index,
+            )
+        else:
+            eliot.log_message(
+                message_type="control:lost",
+                policy_version=version,
+                registry_index=index,
             )
 
     def _on_feed(self, sender: transport.Sender, feed: messages.Feed) -> None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,5 +1,6 @@
 """The operators' page explains each reason, metric and exit code there is."""
 
+import json
 import pathlib
 import re
 import unittest
@@ -41,3 +42,36 @@
                 self.assertTrue(path.exists(), f"{page.name}: {target}")
                 if anchor:
                     self.assertIn(anchor, anchors_of(path.read_text()), page.name)
+
+
+class TestLogLines(unittest.TestCase):
+    """The lines on the page are lines that the program writes."""
+
+    LINE = re.compile(r"^ *(\{\"[a-z_]+\": .*\"message_type\": \"[a-z:-]+\"\})$", re.M)
+    CALL = re.compile(r"eliot\.log_message\(.*?\n? *\)\n", re.S)
+    ALWAYS = {"timestamp", "message_type"}
+
+    def fields_by_type(self):
+        found = {}
+        for path in (ROOT / "bilberrydrum").rglob("*.py"):
+            for call in self.CALL.findall(path.read_text()):
+                named = re.search(r"message_type=\"([a-z:-]+)\"", call)
+                if named:
+                    fields = set(re.findall(r"[(\s]([a-z_]+)=", call))
+                    found.setdefault(named[1], set()).update(fields)
+        return found
+
+    def test_every_field_is_written(self):
+        lines = [json.loads(line) for line in self.LINE.findall(PAGE)]
+        self.assertGreater(len(lines), 8)
+        known = self.fields_by_type()
+        for line in lines:
+            name = line["message_type"]
+            self.assertIn(name, known)
+            missing = set(line) - self.ALWAYS - known[name]
+            self.assertEqual(missing, set(), name)
+
+    def test_every_type_on_the_page_is_written(self):
+        text = "\n".join(p.read_text() for p in (ROOT / "bilberrydrum").rglob("*.py"))
+        for name in re.findall(r"`([a-z]+:[a-z-]+)`", PAGE):
+            self.assertIn(f'"{name}"', text)
