Check the promises of batches and registrations over random schedules

Accepted batches, results at their positions, ends, departures and the highest policy, as each later leader that may answer sees them, while hosts crash, stand still, are cut off, come back empty, are taken away and replaced within a bounded number of votes.

--- /dev/null
+++ b/tests/fakes/promise_group.py
@@ -0,0 +1,196 @@
+"""A simulated group whose commands are batches and registrations, and its promises.
+
+What a leader has acknowledged must be seen by every later leader that may answer: a
+batch that was accepted, a result at the position where it was read, an end after which
+nothing is listed, an upstream that said it leaves, the highest policy.
+"""
+
+import attrs
+
+from bilberrydrum import codec
+from bilberrydrum.batches import commands as batch_commands
+from bilberrydrum.batches import model as batch_model
+from bilberrydrum.fleet import commands as fleet_commands
+from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.fleet import policy
+from bilberrydrum.state import events, log, node, steward, stewardship
+from tests.fakes import group_hosts, replica_group
+
+RETENTION_SECONDS = 1e9
+LOST_SECONDS = 3.0
+N_ITEMS = 4
+
+
+@attrs.define
+class Promises:
+    """What has been acknowledged or read so far."""
+
+    batch_ids: set[str] = attrs.field(factory=set)
+    results_by_batch: dict[str, list[batch_model.Result]] = attrs.field(factory=dict)
+    # Number of results of a batch when its end was acknowledged.
+    ended_lengths_by_batch: dict[str, int] = attrs.field(factory=dict)
+    leaving_ids: set[str] = attrs.field(factory=set)
+    policy_version: int = 0
+
+
+class PromiseGroup(replica_group.Group):
+    """A group that proposes random commands and checks its leaders' answers."""
+
+    def __init__(self, n_hosts: int, seed: int, n_voters: int = 0) -> None:
+        self.promises = Promises()
+        self.n_voters = n_voters
+        self.leaving: set[str] = set()
+        self._proposals: dict[int, object] = {}
+        self._placed: dict[tuple[str, int], tuple[int, object]] = {}
+        self._last_proposal = 1_000_000
+        self._n_made = 0
+        super().__init__(n_hosts, seed)
+
+    def submit(self, client: object, host: group_hosts.Host, number: int = 0) -> None:
+        command = self._draw()
+        self._last_proposal += 1
+        self._proposals[self._last_proposal] = command
+        item = (log.KIND_LOCAL, codec.encode(command))
+        self.take(host, events.Propose((item,), self.now, self._last_proposal))
+
+    def _draw(self) -> object:
+        self._n_made += 1
+        batch_id = f"b{self.random.randrange(4)}"
+        item_id = f"i{self.random.randrange(N_ITEMS)}"
+        upstream_id = f"u{self.random.randrange(3)}"
+        makers = (
+            lambda: batch_commands.AcceptBatch(_batch(batch_id), RETENTION_SECONDS),
+            lambda: batch_commands.FinishItems(
+                batch_id, (_result(item_id, self._n_made),)
+            ),
+            lambda: batch_commands.FinishItems(
+                batch_id, (_result(item_id, self._n_made),)
+            ),
+            lambda: batch_commands.EndBatch(batch_id),
+            lambda: fleet_commands.PutUpstream(
+                _upstream(upstream_id, self._n_made, self.random.random() < 0.2)
+            ),
+            lambda: fleet_commands.PutPolicy(
+                policy.Policy(self.random.randrange(self._n_made + 1)), b""
+            ),
+        )
+        return self.random.choice(makers)()
+
+    def _carry_out(self, host: group_hosts.Host, effect: object) -> None:
+        if isinstance(effect, events.Accepted) and effect.ticket in self._proposals:
+            command = self._proposals.pop(effect.ticket)
+            self._placed[host.name, effect.first_index] = (effect.term, command)
+        super()._carry_out(host, effect)
+
+    def _commit(self, host: group_hosts.Host, entry: log.Entry) -> None:
+        super()._commit(host, entry)
+        placed = self._placed.pop((host.name, entry.index), None)
+        if placed is not None and placed[0] == entry.term:
+            self._acknowledge(host, placed[1])
+
+    def _acknowledge(self, host: group_hosts.Host, command: object) -> None:
+        promises = self.promises
+        batches = batch_commands.section_of(host.applied.state).batches_by_id
+        if isinstance(command, batch_commands.AcceptBatch):
+            promises.batch_ids.add(command.batch.batch_id)
+        elif isinstance(command, batch_commands.EndBatch):
+            kept = batches.get(command.batch_id)
+            if kept is not None:
+                n_results = len(kept.results)
+                promises.ended_lengths_by_batch.setdefault(
+                    kept.batch.batch_id, n_results
+                )
+        elif isinstance(command, fleet_commands.PutUpstream):
+            if command.upstream.is_leaving and self._is_known(host, command):
+                promises.leaving_ids.add(command.upstream.upstream_id)
+        elif isinstance(command, fleet_commands.PutPolicy):
+            version = command.policy.version
+            promises.policy_version = max(promises.policy_version, version)
+
+    @staticmethod
+    def _is_known(host: group_hosts.Host, command: fleet_commands.PutUpstream) -> bool:
+        section = fleet_commands.section_of(host.applied.state)
+        known = section.upstreams_by_id.get(command.upstream.upstream_id)
+        return known is not None and known.is_leaving
+
+    def check(self) -> None:
+        super().check()
+        for host in self.hosts_by_name.values():
+            if host.is_up and self._may_answer(host):
+                self._check_batches(host)
+                self._check_fleet(host)
+
+    def _may_answer(self, host: group_hosts.Host) -> bool:
+        role = host.decisions.node.role
+        is_leader = isinstance(role, node.Leader) and self._has_lease(host)
+        return is_leader and host.applied.index >= role.first_index
+
+    def _check_batches(self, host: group_hosts.Host) -> None:
+        promises = self.promises
+        kept_by_id = batch_commands.section_of(host.applied.state).batches_by_id
+        for batch_id in promises.batch_ids:
+            assert batch_id in kept_by_id, f"accepted batch {batch_id} is gone"
+        for batch_id, kept in kept_by_id.items():
+            read = promises.results_by_batch.setdefault(batch_id, [])
+            assert kept.results[: len(read)] == read, f"results of {batch_id} changed"
+            read[:] = kept.results
+            item_ids = [each.item_id for each in kept.results]
+            assert len(set(item_ids)) == len(item_ids), "an item is listed twice"
+            n_ended = promises.ended_lengths_by_batch.get(batch_id)
+            assert n_ended in (None, len(read)), f"{batch_id} grew after its end"
+
+    def _check_fleet(self, host: group_hosts.Host) -> None:
+        section = fleet_commands.section_of(host.applied.state)
+        for upstream_id in self.promises.leaving_ids:
+            known = section.upstreams_by_id.get(upstream_id)
+            assert known is None or known.is_leaving, f"{upstream_id} came back"
+        assert section.policy.version >= self.promises.policy_version, "policy fell"
+
+    def tend(self) -> None:
+        """Make the membership change that a leader finds due, within the bound."""
+        for host in self.hosts_by_name.values():
+            state = host.decisions.node
+            if not self._runs(host) or not isinstance(state.role, node.Leader):
+                continue
+            due = steward.next_change(
+                state.members,
+                group_hosts.joining(self.hosts_by_name.values()),
+                stewardship.learned_by_id(state, state.role),
+                state.commit_index,
+                self._policy(host),
+            )
+            if due is None:
+                continue
+            if due.kind == "remove" and due.replica.replica_id == state.replica_id:
+                self.give_up(host)
+            else:
+                self.change(host, due)
+
+    def _policy(self, host: group_hosts.Host) -> steward.Policy:
+        role = host.decisions.node.role
+        assert isinstance(role, node.Leader)
+        now = self.time_at(host)
+        lost = frozenset(
+            replica_id
+            for replica_id, progress in role.progress_by_id.items()
+            if now - max(progress.heard_at, role.since) > LOST_SECONDS
+        )
+        return steward.Policy(self.n_voters, lost, frozenset(self.leaving))
+
+
+def _batch(batch_id: str) -> batch_model.Batch:
+    items = tuple(batch_model.Item(f"i{n}", "/p/x", {}, b"", 1) for n in range(N_ITEMS))
+    return batch_model.Batch(batch_id, "h", items)
+
+
+def _result(item_id: str, number: int) -> batch_model.Result:
+    text = str(number).encode()
+    return batch_model.Result(item_id, batch_model.ItemState.COMPLETED, text, (1,))
+
+
+def _upstream(
+    upstream_id: str, sequence: int, is_leaving: bool
+) -> fleet_model.FleetUpstream:
+    return fleet_model.FleetUpstream(
+        upstream_id, "s", upstream_id, "z", 1, is_leaving, sequence=sequence
+    )
