--- a/bilberrydrum/state/storage.py
+++ b/bilberrydrum/state/storage.py
@@ -113,7 +113,8 @@
         replay = self._replay(names)
         self._hard_state = replay.hard_state
         recovered = self._recovered(replica_id, data, replay)
-        self._start_segment()
+        self._sync_read()
+        self._start_segment(is_reset=_is_behind(recovered, replay.entries))
         return recovered, data
 
     def discard(self) -> None:
@@ -135,6 +136,18 @@
         self._disk.remove(self._path(_DISCARD_NAME))
         self._disk.sync_folder(self._folder)
 
+    def _sync_read(self) -> None:
+        """Make what was read last.
+
+        A process that was killed in the middle of a write leaves bytes that were never
+        synced, and names that were not. Its next life counts them as held and answers
+        for them; unsynced, the next loss of power would take them from under it.
+        Only the last segment can have such bytes: each is synced before the next.
+        """
+        if self._segments:
+            self._disk.sync(self._path(f"{_LOG_PREFIX}{self._segments[-1].number}"))
+        self._disk.sync_folder(self._folder)
+
     def _path(self, name: str) -> str:
         return os.path.join(self._folder, name)
 
@@ -275,7 +288,7 @@
         segment.n_bytes += len(frame)
         segment.last_index = max(segment.last_index, last_index)
 
-    def _start_segment(self) -> None:
+    def _start_segment(self, is_reset: bool = False) -> None:
         number = self._segments[-1].number + 1 if self._segments else 1
         segment = _Segment(number, os.urandom(_N_SALT_BYTES))
         path = self._path(f"{_LOG_PREFIX}{number}")
@@ -283,8 +296,10 @@
         self._disk.sync(path)
         self._disk.sync_folder(self._folder)
         self._segments.append(segment)
-        hard_state = attrs.astuple(self._hard_state)
-        self._write_frame([(_RECORD_HARD_STATE, hard_state)], 0)
+        records: list[Any] = [(_RECORD_HARD_STATE, attrs.astuple(self._hard_state))]
+        if is_reset:
+            records.append((_RECORD_RESET, None))
+        self._write_frame(records, 0)
 
     def save_snapshot(self, index: int, data: bytes) -> None:
         """Save a snapshot and remove the ones before it."""
@@ -335,6 +350,20 @@
         self._disk.close()
 
 
+def _is_behind(recovered: node.Recovered, replayed: list[log.Entry]) -> bool:
+    """Tell whether the log's entries do not lead up to what was recovered.
+
+    A process may be killed between a received snapshot and the record that empties the
+    log for it. What is written next would stand behind entries that it doesn't follow,
+    and the opening after that would find a gap.
+    """
+    if not replayed or recovered.entries:
+        return False
+    last = replayed[-1]
+    is_joined = last.index == recovered.snapshot_index
+    return not (is_joined and last.term == recovered.snapshot_term)
+
+
 def holds_log(disk: files.Files, folder: str) -> bool:
     """Tell whether `folder` has the log of a replica that goes on with it."""
     disk.make_folder(folder)
--- a/tests/fakes/promise_group.py
+++ b/tests/fakes/promise_group.py
@@ -5,6 +5,8 @@
 nothing is listed, an upstream that said it leaves, the highest policy.
 """
 
+import contextlib
+
 import attrs
 
 from bilberrydrum import codec
@@ -13,8 +15,8 @@
 from bilberrydrum.fleet import commands as fleet_commands
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
-from bilberrydrum.state import events, log, node, steward, stewardship
-from tests.fakes import group_hosts, replica_group
+from bilberrydrum.state import disk, events, log, node, steward, stewardship
+from tests.fakes import files, group_hosts, replica_group
 
 RETENTION_SECONDS = 1e9
 LOST_SECONDS = 3.0
@@ -113,6 +115,18 @@
         known = section.upstreams_by_id.get(command.upstream.upstream_id)
         return known is not None and known.is_leaving
 
+    def kill(self, host: group_hosts.Host) -> None:
+        """End a host's process, perhaps in the middle of a write; the power stays."""
+        if host.jobs:
+            host.disk.fails_at = host.disk.n_operations + self.random.randrange(6)
+            with contextlib.suppress(files.PowerLostError):
+                disk.carry_out(host.store, host.jobs)
+            host.disk.fails_at = None
+        self._placed = {
+            key: placed for key, placed in self._placed.items() if key[0] != host.name
+        }
+        self.start(host)
+
     def check(self) -> None:
         super().check()
         for host in self.hosts_by_name.values():
--- a/tests/test_promise_schedules.py
+++ b/tests/test_promise_schedules.py
@@ -27,6 +27,17 @@
         group.start(host)
 
 
+def kill(group, host, rng):
+    if host.is_up:
+        group.kill(host)
+
+
+def kill_all(group, host, rng):
+    for each in group.hosts_by_name.values():
+        if each.is_up:
+            group.kill(each)
+
+
 def power_off_all(group, host, rng):
     for each in group.hosts_by_name.values():
         if each.is_up:
@@ -83,6 +94,8 @@
 
 TROUBLES = (
     crash,
+    kill,
+    kill_all,
     power_off_all,
     freeze,
     freeze_leader,
--- a/tests/test_state_storage.py
+++ b/tests/test_state_storage.py
@@ -203,6 +203,32 @@
                 self.assertEqual(look(disk), wanted)
 
 
+class Killed(unittest.TestCase):
+    """A process is killed in the middle of a write; the power goes much later.
+
+    The file still holds what was not synced, so the next life reads it, counts it as
+    its own and answers for it. Unless it is synced then, the power takes it, and a
+    majority that was counted with it was none.
+    """
+
+    @tools.params(*LEFTOVERS)
+    def test_what_was_read_after_a_kill_outlasts_the_power(self, leftover: str) -> None:
+        for killed_at in range(n_operations()):
+            disk, _ = run_until_power_cut(killed_at)
+            disk.fails_at = None
+            again = storage.Storage(disk, FOLDER, 300)
+            recovered, _ = again.open()
+            held = [(each.index, each.term) for each in recovered.entries]
+            last_index = held[-1][0] if held else recovered.snapshot_index
+            more = entries(last_index + 1, last_index + 3, 9)
+            again.append([events.Write(99, events.HardState(9, "x"), more)])
+            held += [(each.index, each.term) for each in more]
+            disk.lose_power(LEFTOVERS[leftover])
+            seen = look(disk)
+            self.assertEqual(list(seen.terms_by_index), held, killed_at)
+            self.assertEqual(seen.snapshot_index, recovered.snapshot_index)
+
+
 class Damage(unittest.TestCase):
     """Bytes that were synced have changed."""
 
