Wait for a full disk before a process ends

Change: a replica that its disk stopped, or that could not start for it, leaves its process there until the disk takes a write and its sync. Test: the probe, and which failures end a process.

--- a/bilberrydrum/nodes/groups.py
+++ b/bilberrydrum/nodes/groups.py
@@ -73,12 +73,22 @@
         replica_.start()
     except storage.DamageError as error:
         eliot.log_message(message_type="state:damaged", detail=str(error))
+        replica_.fail(error)
         replica_.discard()
+    except OSError as error:
+        eliot.log_message(message_type="state:disk-failed", detail=str(error))
+        replica_.fail(error)
 
 
 def failure_of(replica_: replica.Replica) -> str:
-    """Return why `replica_` cannot go on; empty: it can."""
+    """Return why the process of `replica_` is to end; empty: it is not.
+
+    A replica whose disk refuses writes waits for the disk first: started again before
+    that, its process would end again and again.
+    """
     failure = replica_.failure
+    if failure and replica_.waits_for_disk():
+        return ""
     if failure == replica.REMOVED:
         replica_.discard()
     return failure
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -93,6 +93,7 @@
         self._tasks: list[Any] = []
         self._failure = "not started"
         self._led_since = 0.0
+        self._is_disk_fault = False
 
     # Life
 
@@ -162,7 +163,7 @@
         try:
             task()
         except Exception as error:
-            self._failure = f"{type(error).__name__}: {error}"
+            self.fail(error)
             eliot.write_traceback()
             for other in self._tasks:
                 if other is not eventlet.getcurrent():
@@ -415,6 +416,15 @@
         eliot.log_message(message_type="state:removed", replica_id=self.node.replica_id)
         self._failure = REMOVED
 
+    def fail(self, error: Exception) -> None:
+        """Take part no more because of `error`."""
+        self._failure = f"{type(error).__name__}: {error}"
+        self._is_disk_fault = isinstance(error, OSError)
+
+    def waits_for_disk(self) -> bool:
+        """Tell whether the disk that ended this replica still refuses writes."""
+        return self._is_disk_fault and not tpool.execute(self._store.takes_writes)
+
     def discard(self) -> None:
         """Have the data folder emptied at its next opening.
 
--- a/bilberrydrum/state/storage.py
+++ b/bilberrydrum/state/storage.py
@@ -24,6 +24,7 @@
 _SNAPSHOT_PREFIX: Final = "snapshot-"
 _PART_SUFFIX: Final = ".part"
 _DISCARD_NAME: Final = "discarded"
+_PROBE_NAME: Final = "probe"
 _SEGMENT_MAGIC: Final = b"bdlog\x00\x00\x01"
 _N_SALT_BYTES: Final = 4
 _N_HEAD_BYTES: Final = len(_SEGMENT_MAGIC) + _N_SALT_BYTES
@@ -125,6 +126,18 @@
         """
         self._replace(_DISCARD_NAME, b"")
 
+    def takes_writes(self) -> bool:
+        """Tell whether the disk takes a write and its sync now."""
+        path = self._path(_PROBE_NAME + _PART_SUFFIX)
+        try:
+            self._disk.make_folder(self._folder)
+            self._disk.write(path, b"probe" * 1024)
+            self._disk.remove(path)
+        except OSError:
+            # Full or failing: the caller asks again.
+            return False
+        return True
+
     def _empty_if_discarded(self) -> None:
         names = self._disk.names(self._folder)
         if _DISCARD_NAME not in names:
--- a/tests/test_state_storage.py
+++ b/tests/test_state_storage.py
@@ -2,11 +2,13 @@
 
 import contextlib
 import unittest
+import unittest.mock
 from collections.abc import Callable
 
 import attrs
 from nose2 import tools
 
+from bilberrydrum.nodes import groups
 from bilberrydrum.state import (
     events,
     frames,
@@ -291,6 +293,34 @@
         self.assertEqual(look(disk).hard_state, events.HardState(1, "r1"))
 
 
+class FullDisk(unittest.TestCase):
+    """A disk takes no more bytes for some seconds.
+
+    The replica stops. Its process must not end before the disk takes writes again, or
+    it would be started and end every second.
+    """
+
+    def test_probe(self) -> None:
+        disk = files.FakeFiles()
+        store = storage.Storage(disk, FOLDER, 300)
+        self.assertTrue(store.takes_writes())
+        disk.write = unittest.mock.Mock(side_effect=OSError(28, "full"))
+        self.assertFalse(store.takes_writes())
+
+    @tools.params(
+        ("runs", "", False, ""),
+        ("disk is full", "OSError: full", True, ""),
+        ("disk is well again", "OSError: full", False, "OSError: full"),
+        ("another fault", "KeyError: x", False, "KeyError: x"),
+    )
+    def test_process_waits(
+        self, name: str, failure: str, waits: bool, expected: str
+    ) -> None:
+        replica = unittest.mock.Mock(failure=failure)
+        replica.waits_for_disk.return_value = waits
+        self.assertEqual(groups.failure_of(replica), expected, name)
+
+
 class Identity(unittest.TestCase):
     def test_replica_id_is_kept_with_the_folder_and_lost_with_it(self) -> None:
         disk = files.FakeFiles()
