Split the runner and the replica, and share the backoff

The runner keeps the loop, item_sender the attempts and what becomes of them; joining takes founding, probes and the word of a removal out of the replica. One backoff for engines and plain upstreams. An engine whose address refuses connections counts as failed, not as full (a test: unreachable). A runner that has stopped is not woken any more.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bilberrydrum import backoff
 from bilberrydrum.batches import (
     engine_shares,
     item_run,
@@ -54,8 +55,11 @@
     # Newest versions known, from announcements, reports and answers.
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
     loading: weight_plan.Load | None = None
-    n_failures: int = 0
-    backoff_until: float = float("-inf")
+    pause: backoff.Backoff = attrs.field(
+        factory=lambda: backoff.Backoff(FIRST_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
+    )
+    # It turned an item away and is passed over until then.
+    full_until: float = float("-inf")
     # Mean pause between two events of a stream, in seconds, lately; 0: not known.
     pace_seconds: float = 0.0
     paced_at: float = float("-inf")
@@ -113,21 +117,21 @@
 
     def succeeded(self) -> None:
         """Note a whole answer."""
-        self.n_failures = 0
-        self.backoff_until = float("-inf")
+        self.pause.succeeded()
 
     def failed(self, now: float) -> None:
         """Note an answer that broke off, or none."""
-        if now < self.backoff_until:
-            # Runs that break together are one failure.
-            return
-        seconds = FIRST_BACKOFF_SECONDS * 2**self.n_failures
-        self.n_failures += 1
-        self.backoff_until = now + min(seconds, MAX_BACKOFF_SECONDS)
+        # Runs that break together are one failure.
+        if not self.pause.remaining(now):
+            self.pause.failed(now)
 
     def turned_away(self, now: float) -> None:
         """Note that it had no place."""
-        self.backoff_until = max(self.backoff_until, now + REJECTED_SECONDS)
+        self.full_until = now + REJECTED_SECONDS
+
+    def is_passed_over(self, now: float) -> bool:
+        """Tell whether it is sent nothing for a while."""
+        return bool(self.pause.remaining(now)) or now < self.full_until
 
     def weights(self) -> weight_plan.EngineWeights:
         """Return what the plan of loads needs."""
@@ -192,7 +196,7 @@
         return [
             each
             for each in self.by_id.values()
-            if not each.upstream.is_leaving and each.backoff_until <= now
+            if not each.upstream.is_leaving and not each.is_passed_over(now)
         ]
 
     def lasting(self, now: float) -> list[Engine]:
@@ -205,7 +209,7 @@
             each
             for each in self.by_id.values()
             if not each.upstream.is_leaving
-            and (each.backoff_until <= now or each.n_failures < 2)
+            and (not each.pause.remaining(now) or each.pause.n_failures < 2)
         ]
 
     def slow_ids(self, now: float) -> frozenset[str]:
--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -33,6 +33,8 @@
     FAILED = "failed"
     # It did not run.
     NOT_RUN = "not-run"
+    # There is no connection to the engine.
+    UNREACHABLE = "unreachable"
     # The answer broke off, or was damaged; what was read stands.
     BROKEN = "broken"
     # The engine's weights are not those that the batch asks for.
@@ -166,11 +168,20 @@
                 means.pool, engine.address, outgoing
             )
     except attempts.AttemptError as error:
-        outcome = Outcome.BROKEN if error.may_have_run else Outcome.NOT_RUN
-        return Ended(outcome, f"{error.reason.value} {error.detail}".strip())
+        detail = f"{error.reason.value} {error.detail}".strip()
+        return Ended(_outcome_of(error), detail)
     return _read(means, protocol, engine, run, outgoing, connection, answer)
 
 
+def _outcome_of(error: attempts.AttemptError) -> Outcome:
+    """Return what an attempt without an answer was."""
+    if error.may_have_run:
+        return Outcome.BROKEN
+    if error.is_refusal:
+        return Outcome.NOT_RUN
+    return Outcome.UNREACHABLE
+
+
 def _read(
     means: attempts.Means,
     protocol: upstream_protocol.UpstreamProtocol,
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -7,19 +7,18 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any, Final
 
-import attrs
 import eliot
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, counters, reasons, upstream_protocol
+from bilberrydrum import clock, upstream_protocol
 from bilberrydrum.batches import (
     engine_shares,
     engines,
-    item_run,
+    item_sender,
     model,
     orders,
     scheduling,
@@ -44,21 +43,6 @@
 _DEMAND_SECONDS: Final = 8.0
 
 
-@attrs.frozen
-class Hooks:
-    """What the runner needs of the process around it."""
-
-    # Hand over an item's result, to be committed.
-    finish: Callable[[str, model.Result], None]
-    # Hand over unfinished texts, to be kept.
-    save: Callable[[str, tuple[model.Progress, ...]], None]
-    # The number for an order sent now; None: this process gives no orders.
-    fencing_number: Callable[[], int | None]
-    # Whether this process may still send items.
-    may_send: Callable[[], bool]
-    holder: str
-
-
 class BatchRunner:
     """The items that wait and run, while one process leads."""
 
@@ -67,7 +51,7 @@
         protocol: upstream_protocol.UpstreamProtocol,
         view: subscriber.Subscriber,
         means: attempts.Means,
-        hooks: Hooks,
+        hooks: item_sender.Hooks,
     ) -> None:
         self._protocol = protocol
         self._view = view
@@ -79,29 +63,30 @@
         self._shares = engine_shares.Shares()
         self._demand = work.Demand(_DEMAND_SECONDS)
         self._wake = eventlet.event.Event()
-        self._tasks_by_key: dict[tuple[str, str], Any] = {}
+        self._items = item_sender.ItemSender(means, protocol, view, hooks, self.wake)
         self._order_tasks: list[Any] = []
         self._task: Any = None
         self._progress_at = float("-inf")
-        view.watch(self.wake)
 
     # Life
 
     def start(self, kept: Iterable[model.KeptBatch]) -> None:
         """Take over the open batches among `kept` and start to run them."""
+        self._view.watch(self.wake)
         for each in kept:
             self.accept(each)
         self._task = eventlet.spawn(self._run)
 
     def stop(self) -> None:
         """Break off all runs."""
+        self._view.unwatch(self.wake)
         if self._task is not None:
             self._task.kill()
             self._task = None
-        for task in [*self._tasks_by_key.values(), *self._order_tasks]:
+        for task in self._order_tasks:
             task.kill()
-        self._tasks_by_key.clear()
         self._order_tasks.clear()
+        self._items.stop()
 
     def wake(self) -> None:
         """Look at once what can be sent."""
@@ -128,8 +113,7 @@
 
     def end(self, batch_id: str) -> None:
         """Break off the runs of a batch that has ended."""
-        for key in [each for each in self._tasks_by_key if each[0] == batch_id]:
-            self._tasks_by_key[key].kill()
+        self._items.cancel_batch(batch_id)
         self._work.end(batch_id)
         self.wake()
 
@@ -174,7 +158,7 @@
             route = self._route_of(opened)
             for run in opened.waiting_runs():
                 if now >= opened.give_up_at(route):
-                    self._finish(opened, run, _terminated(run), "out of time")
+                    self._items.give_up(opened, run, "out of time")
 
     def _divide(self, now: float) -> None:
         models = self._engines.models()
@@ -257,7 +241,7 @@
             )
             run.n_moves += 1
             run.exclude(run.engine_id, clock.now())
-            self._tasks_by_key[assignment.key].kill()
+            self._items.cancel(assignment.key)
             self._send(assignment)
 
     def _waiting_item(
@@ -273,142 +257,8 @@
         return any(route is not None and route.is_single_version for route in routes)
 
     def _route_of(self, opened: work.OpenBatch) -> policy.Route | None:
-        item = opened.kept.batch.items[0]
-        path = item.target.partition("?")[0]
-        return self._view.routes.find(opened.kept.batch.host, path)
-
-    # One item
+        return opened.route(self._view.routes)
 
     def _send(self, assignment: scheduling.Assignment) -> None:
         opened, run = self._work.find(assignment.key)
-        engine = self._engines.by_id[assignment.engine_id]
-        run.is_running = True
-        run.engine_id = engine.upstream_id
-        engine.begin(run)
-        self._tasks_by_key[assignment.key] = eventlet.spawn(
-            self._run_item, opened, run, engine
-        )
-
-    def _run_item(
-        self, opened: work.OpenBatch, run: work.ItemRun, engine: engines.Engine
-    ) -> None:
-        key = (opened.kept.batch.batch_id, run.item.item_id)
-        began = clock.now()
-        try:
-            ended = self._attempt(opened, run, engine)
-        finally:
-            engine.end(run)
-            run.is_running = False
-            run.engine_id = ""
-            self._tasks_by_key.pop(key, None)
-            self.wake()
-        seconds = clock.now() - began
-        histogram = counters.ITEM_ATTEMPT_SECONDS.labels(ended.outcome.value)
-        histogram.observe(seconds)
-        eliot.log_message(
-            message_type="batches:attempt",
-            batch_id=key[0],
-            item_id=key[1],
-            upstream_id=engine.upstream_id,
-            outcome=ended.outcome.value,
-            detail=ended.detail,
-            n_events=len(run.text.parts),
-            versions=sorted(run.text.versions),
-            seconds=round(seconds, 3),
-        )
-        self._settle(opened, run, engine, ended)
-
-    def _attempt(
-        self, opened: work.OpenBatch, run: work.ItemRun, engine: engines.Engine
-    ) -> item_run.Ended:
-        route = self._route_of(opened)
-        deadline = opened.give_up_at(route)
-        bounds = opened.bounds(route)
-        if not all(bounds.allow(each, item_run.Text()) for each in run.text.versions):
-            run.text.clear()
-
-        def find_refusal() -> reasons.Reason | None:
-            if not self._hooks.may_send() or opened.is_ended:
-                return reasons.Reason.ATTEMPT_SUPERSEDED
-            if not self._is_registered(engine.upstream_id):
-                return reasons.Reason.UPSTREAM_LEFT
-            return None
-
-        prepared = item_run.Run(
-            run.item,
-            opened.kept.batch.host,
-            run.text,
-            bounds,
-            deadline,
-            find_refusal,
-            engine.stall_seconds,
-            lambda seconds: engine.note_pause(seconds, clock.now()),
-        )
-        return item_run.carry_out(
-            self._means,
-            self._protocol,
-            engine.upstream,
-            prepared,
-            deadline - clock.now(),
-        )
-
-    def _is_registered(self, upstream_id: str) -> bool:
-        for each in self._view.registry.upstreams:
-            if each.upstream_id == upstream_id:
-                return not each.is_leaving
-        return False
-
-    def _settle(
-        self,
-        opened: work.OpenBatch,
-        run: work.ItemRun,
-        engine: engines.Engine,
-        ended: item_run.Ended,
-    ) -> None:
-        now = clock.now()
-        outcome = ended.outcome
-        if outcome is item_run.Outcome.COMPLETED:
-            engine.succeeded()
-            engine.learn_version(opened.kept.batch.model, max(run.text.versions))
-            result = run.text.result(run.item.item_id)
-            self._finish(opened, run, result, "completed")
-            return
-        counters.retried(reasons.Reason.UPSTREAM_ERROR)
-        if outcome is item_run.Outcome.IMPOSSIBLE:
-            self._finish(opened, run, _terminated(run), ended.detail)
-            return
-        run.exclude(engine.upstream_id, now)
-        if outcome is item_run.Outcome.FAILED:
-            run.n_failures += 1
-            route = self._route_of(opened)
-            if route is not None and run.n_failures >= route.max_attempts:
-                self._finish(opened, run, _terminated(run), ended.detail)
-            return
-        if outcome is item_run.Outcome.NOT_RUN:
-            engine.turned_away(now)
-            run.not_before = now + work.REJECTED_PAUSE_SECONDS
-        elif outcome is item_run.Outcome.BROKEN:
-            engine.failed(now)
-
-    def _finish(
-        self,
-        opened: work.OpenBatch,
-        run: work.ItemRun,
-        result: model.Result,
-        why: str,
-    ) -> None:
-        run.is_done = True
-        eliot.log_message(
-            message_type="batches:item-ended",
-            batch_id=opened.kept.batch.batch_id,
-            item_id=run.item.item_id,
-            state=result.state.value,
-            why=why,
-            n_failures=run.n_failures,
-            versions=result.versions,
-        )
-        self._hooks.finish(opened.kept.batch.batch_id, result)
-
-
-def _terminated(run: work.ItemRun) -> model.Result:
-    return model.Result(run.item.item_id, model.ItemState.TERMINATED)
+        self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -10,7 +10,7 @@
 import eventlet.queue
 
 from bilberrydrum import clock, transport, upstream_protocol
-from bilberrydrum.batches import commands, messages, model, runner
+from bilberrydrum.batches import commands, item_sender, messages, model, runner
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.requests import attempts
 from bilberrydrum.state import leader_calls, replica
@@ -101,7 +101,7 @@
     def _start_runner(self, term: int) -> None:
         self._term = term
         self._led_since = clock.now()
-        hooks = runner.Hooks(
+        hooks = item_sender.Hooks(
             finish=lambda batch_id, each: self._finished.put((term, batch_id, each)),
             save=self._save,
             fencing_number=self._fencing_number,
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -96,6 +96,11 @@
         """Return the tokens that the whole batch is likely to take."""
         return sum(each.n_expected_tokens() for each in self.runs_by_item_id.values())
 
+    def route(self, routes: policy.RouteTable) -> policy.Route | None:
+        """Return the route that its items go by now; None: it was dropped."""
+        path = self.kept.batch.items[0].target.partition("?")[0]
+        return routes.find(self.kept.batch.host, path)
+
     def give_up_at(self, route: policy.Route | None) -> float:
         """Return when its items may be given up, in seconds of `clock.now`."""
         if route is None or not route.max_queue_seconds:
--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -50,6 +50,10 @@
         """Call `callback()` after each change; it must not block."""
         self._watchers.append(callback)
 
+    def unwatch(self, callback: Callable[[], None]) -> None:
+        """Call `callback` no more."""
+        self._watchers.remove(callback)
+
     def start(self) -> None:
         """Start to renew."""
         self._carrier.on(messages.Feed, self._on_feed)
--- a/bilberrydrum/relay/balancing.py
+++ b/bilberrydrum/relay/balancing.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from bilberrydrum import upstream_protocol
+from bilberrydrum import backoff, upstream_protocol
 from bilberrydrum.fleet import model
 
 # An upstream that failed is passed over for this long, in seconds, first and at most.
@@ -29,8 +29,9 @@
     """What this process knows of one upstream."""
 
     n_in_flight: int = 0
-    n_failures: int = 0
-    backoff_until: float = float("-inf")
+    pause: backoff.Backoff = attrs.field(
+        factory=lambda: backoff.Backoff(FIRST_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
+    )
     # Requests at the upstream as last reported, and when.
     n_reported: int = 0
     reported_at: float = float("-inf")
@@ -70,7 +71,7 @@
         self, upstream: model.FleetUpstream, now: float
     ) -> tuple[float, bool, float, bool, float]:
         known = self._known_by_id.get(upstream.upstream_id, _Known())
-        wait = max(known.backoff_until - now, 0.0)
+        wait = known.pause.remaining(now)
         load = known.load(now) / max(upstream.n_slots, 1)
         # Below one place in use the zone decides: an answer from another one takes
         # longer and its bytes cost, a second request on an engine hardly shows.
@@ -97,18 +98,14 @@
     ) -> None:
         """Note an answer."""
         known = self._known(upstream_id)
-        known.n_failures = 0
-        known.backoff_until = float("-inf")
+        known.pause.succeeded()
         if head.n_running is not None:
             known.n_reported = head.n_running + (head.n_waiting or 0)
             known.reported_at = now
 
     def failed(self, upstream_id: str, now: float) -> None:
         """Note that an upstream gave no sound answer."""
-        known = self._known(upstream_id)
-        seconds = FIRST_BACKOFF_SECONDS * 2**known.n_failures
-        known.n_failures += 1
-        known.backoff_until = now + min(seconds, MAX_BACKOFF_SECONDS)
+        self._known(upstream_id).pause.failed(now)
 
     def keep_only(self, upstream_ids: Collection[str]) -> None:
         """Forget upstreams that are gone, unless a request is under way there."""
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -34,8 +34,8 @@
     disk,
     events,
     files,
-    founding,
     intake,
+    joining,
     log,
     machine,
     membership,
@@ -57,9 +57,6 @@
 REMOVED: Final = "removed from the group"
 # Events taken by the core before other tasks run.
 _EVENT_SLICE: Final = 256
-# A replica that heard no leader for this long asks whether it was removed: the leader
-# of a group sends nothing to who is not in it. Longer than any election.
-_UNHEARD_SECONDS: Final = 3.0
 
 
 @attrs.frozen
@@ -109,14 +106,10 @@
         if data:
             self._applier.restore(data)
         self._core = core.Core(self._settings, recovered, random.Random(), clock.now())
-        self._founding = founding.Founding(
-            self._options.process_id,
-            recovered.replica_id,
-            self._options.peer_address,
-            self._options.state.members,
-            self._options.state.may_found,
-        )
         self._steward = stewardship.StewardTask(self, self._carrier, self._options)
+        self._joining = joining.Joining(
+            self, self._options, self._carrier, self._steward
+        )
         self._intake = intake.Intake(self, self._carrier, self._applier, self._steward)
         self._apply = applying.ApplyTask(
             self,
@@ -130,8 +123,9 @@
         )
         self._listen()
         self._intake.listen()
+        self._joining.listen()
         self._failure = ""
-        for task in (self._run, self._apply.run, self._keep_members, self._disk.run):
+        for task in (self._run, self._apply.run, self._joining.run, self._disk.run):
             self._tasks.append(eventlet.spawn(self._guard, task))
 
     def stop(self) -> None:
@@ -180,8 +174,6 @@
             messages.StandNow,
         ):
             self._carrier.on(message_class, self._on_peer)
-        self._carrier.on(messages.Probe, self._on_probe)
-        self._carrier.on(messages.ProbeReply, self._on_probe_reply)
 
     # What the process sees (interfaces.Replica)
 
@@ -374,41 +366,7 @@
 
     # Founding and membership
 
-    def _on_probe(self, sender: transport.Sender, probe: messages.Probe) -> None:
-        if self._failure:
-            return
-        members = self.node.members
-        reply = messages.ProbeReply(
-            self._options.process_id,
-            self.node.replica_id,
-            not members.replicas,
-            probe.replica_id,
-            tuple(each.peer_address for each in members.replicas),
-            self._has_removed(probe),
-        )
-        self._carrier.answer(sender, reply)
-        if probe.is_empty and isinstance(self.node.role, node.Leader):
-            self._steward.joins(probe, sender.address)
-
-    def _on_probe_reply(
-        self, sender: transport.Sender, reply: messages.ProbeReply
-    ) -> None:
-        self._founding.heard(reply)
-        if reply.addresses:
-            self._founding.learn(reply.addresses)
-        is_for_this = reply.asked_by == self.node.replica_id
-        if reply.has_removed_asker and is_for_this and not self._failure:
-            self._on_removed()
-
-    def _has_removed(self, probe: messages.Probe) -> bool:
-        """Tell whether the group, led from here, goes on without the asking replica."""
-        if probe.is_empty or self.leadership() is None:
-            return False
-        # A change that is not committed yet could still be undone.
-        is_settled = self.node.membership_index <= self.node.commit_index
-        return is_settled and self.node.members.find(probe.replica_id) is None
-
-    def _on_removed(self) -> None:
+    def removed(self) -> None:
         """Take part no more: the group has replaced this replica.
 
         Its process may come back as a new replica once the folder is emptied.
@@ -437,7 +395,7 @@
     def learn(self, addresses: tuple[str, ...]) -> None:
         """Note addresses of processes that may hold the group."""
         if not self._failure:
-            self._founding.learn(addresses)
+            self._joining.learn(addresses)
 
     def replace_processes(self, process_ids: frozenset[str]) -> None:
         """Have the replicas of these processes replaced while this replica leads."""
@@ -452,30 +410,6 @@
         members = tuple(each.peer_address for each in self.node.members.replicas)
         return LeaderHint(address, members)
 
-    def _keep_members(self) -> None:
-        while True:
-            if not self.node.members.replicas:
-                self._found_or_wait()
-            elif isinstance(self.node.role, node.Leader):
-                self._steward.step()
-            elif clock.now() - self.node.heard_at > _UNHEARD_SECONDS:
-                self._probe_all(is_empty=False)
-            clock.sleep(founding.PROBE_SECONDS)
-
-    def _found_or_wait(self) -> None:
-        first = self._founding.first_membership()
-        if first is not None:
-            self._inbox.put(events.Found(first))
-            return
-        self._probe_all(is_empty=True)
-
-    def _probe_all(self, is_empty: bool) -> None:
-        probe = messages.Probe(self._options.process_id, self.node.replica_id, is_empty)
-        known = {each.peer_address for each in self.node.members.replicas}
-        known.discard(self._options.peer_address)
-        for address in known | set(self._founding.addresses()):
-            self._carrier.send(address, probe)
-
 
 def _change_end(
     asked: eventlet.event.Event,
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -155,6 +155,26 @@
         self.assertEqual(outcome, Outcome.NOT_RUN)
         self.assertEqual(self.engine.received, [])
 
+    def test_unreachable(self):
+        """A crashed engine's address refuses connections.
+
+        Taken for an engine that is full, it would be tried again every few hundredths
+        of a second.
+        """
+        engine = scripted.Scripted(lambda c, r: False, kind=upstream_model.KIND_ENGINE)
+        engine.stop()
+        run = item_run.Run(
+            model.Item("i", "/x", {}, b"", 1),
+            "h",
+            item_run.Text(),
+            item_run.Bounds(),
+            clock.now() + 5.0,
+            lambda: None,
+        )
+        means = attempts.Means(connections.Connections(), watch.Watch())
+        ended = item_run.carry_out(means, Protocol(), engine.upstream("e"), run, 5.0)
+        self.assertEqual(ended.outcome, Outcome.UNREACHABLE)
+
     def test_nothing_is_added_beyond_the_stream(self):
         reader = event_stream.EventReader("version", 1)
         self.assertEqual(reader.feed(event(2))[0].number, 2)
