Pass streams on event by event, and go on elsewhere when one breaks

A streaming route was answered whole, after its last event. Now each whole event goes on as it comes; a resumable stream goes on at another upstream after its last whole event, inside the same answer; any other is cut when it breaks. One place each for an upstream's refusal, a service's upstreams and the headers that are passed back.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from bilberrydrum import clock, reasons, upstream_protocol
-from bilberrydrum.batches import event_stream, model
+from bilberrydrum import clock, event_stream, reasons, upstream_protocol
+from bilberrydrum.batches import model
 from bilberrydrum.requests import attempts, outgoing_requests
 
 # An engine that sends no answer's head for this long, in seconds, hangs: items are sent
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -145,10 +145,7 @@
         """Return why nothing must be sent, looked up right before the first byte."""
         if not self._hooks.may_send() or opened.is_ended:
             return reasons.Reason.ATTEMPT_SUPERSEDED
-        for each in self._view.registry.upstreams:
-            if each.upstream_id == engine.upstream_id and not each.is_leaving:
-                return None
-        return reasons.Reason.UPSTREAM_LEFT
+        return self._view.registry.find_refusal(engine.upstream_id)
 
     def _settle(
         self,
--- a/bilberrydrum/batches/event_stream.py
+++ b/bilberrydrum/event_stream.py
@@ -25,6 +25,8 @@
     data: bytes
     # Weight version from this event on; None: as before.
     version: int | None = None
+    # Its bytes as they came, with the empty line.
+    raw: bytes = attrs.field(default=b"", eq=False, repr=False)
 
 
 @attrs.define
@@ -73,7 +75,7 @@
         if self.last_number is not None and number != self.last_number + 1:
             raise EventError(f"event {number} after {self.last_number}")
         self.last_number = number
-        return Event(number, b"\n".join(lines), version)
+        return Event(number, b"\n".join(lines), version, block + b"\n\n")
 
 
 def _whole_number(value: bytes) -> int:
--- a/bilberrydrum/fleet/model.py
+++ b/bilberrydrum/fleet/model.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from bilberrydrum import codec
+from bilberrydrum import codec, reasons
 
 
 @codec.register("fleet.upstream")
@@ -55,3 +55,14 @@
     stores: tuple[Store, ...] = ()
     # Addresses that the stores' group starts with; empty: not chosen yet.
     founder_addresses: tuple[str, ...] = ()
+
+    def of_service(self, service: str) -> list[FleetUpstream]:
+        """Return the upstreams of one service."""
+        return [each for each in self.upstreams if each.service == service]
+
+    def find_refusal(self, upstream_id: str) -> reasons.Reason | None:
+        """Return why an upstream must be sent nothing any more; None: it may."""
+        for each in self.upstreams:
+            if each.upstream_id == upstream_id and not each.is_leaving:
+                return None
+        return reasons.Reason.UPSTREAM_LEFT
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -12,8 +12,8 @@
 from bilberrydrum import counters, reasons, upstream_protocol
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.nodes import links, options
+from bilberrydrum.relay import balancing, relay, streams
 from bilberrydrum.relay import model as relay_model
-from bilberrydrum.relay import relay
 from bilberrydrum.requests import attempts, connections, watch
 
 # When to come back to a gateway that has just started, in seconds: all processes
@@ -37,9 +37,10 @@
         self._clients = watch.Watch()
         self._pool = connections.Connections()
         means = attempts.Means(self._pool, self._clients)
-        self.relay = relay.Relay(
-            protocol, self.view, means, node.availability_zone, random.Random()
-        )
+        rng = random.Random()
+        balancer = balancing.Balancer(node.availability_zone, rng)
+        self.relay = relay.Relay(protocol, self.view, means, balancer, rng)
+        self.streams = streams.StreamRelay(protocol, self.view, means, balancer, rng)
         self.is_draining = False
 
     def _on_news(self) -> None:
--- a/bilberrydrum/relay/model.py
+++ b/bilberrydrum/relay/model.py
@@ -1,6 +1,6 @@
 """A caller's request that is passed on, and what comes back."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -35,6 +35,15 @@
     body: bytes
 
 
+@attrs.frozen
+class Streamed:
+    """An upstream's stream that has begun."""
+
+    headers: tuple[tuple[str, str], ...]
+    # Whole events, each as soon as it is there; raises if the stream breaks off.
+    parts: Iterator[bytes]
+
+
 @attrs.frozen
 class Refused:
     """There is no upstream's answer."""
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -72,14 +72,14 @@
         protocol: upstream_protocol.UpstreamProtocol,
         view: subscriber.Subscriber,
         means: attempts.Means,
-        availability_zone: str,
+        balancer: balancing.Balancer,
         rng: random.Random,
     ) -> None:
         self._protocol = protocol
         self._view = view
         self._means = means
         self._rng = rng
-        self._balancer = balancing.Balancer(availability_zone, rng)
+        self._balancer = balancer
         view.watch(self._on_news)
 
     def _on_news(self) -> None:
@@ -116,9 +116,7 @@
     def _choose(
         self, service: str, course: _Course
     ) -> fleet_model.FleetUpstream | None:
-        upstreams = [
-            each for each in self._view.registry.upstreams if each.service == service
-        ]
+        upstreams = self._view.registry.of_service(service)
         return self._balancer.choose(upstreams, course.excluded_ids, clock.now())
 
     def _try(
@@ -159,21 +157,12 @@
             inbound.body,
             now + seconds,
             course.is_idempotent,
-            lambda: self._find_refusal(upstream),
+            lambda: self._view.registry.find_refusal(upstream.upstream_id),
             inbound.is_client_gone,
             id_header=self._protocol.request_id_header,
             accepts_unframed=True,
         )
 
-    def _find_refusal(
-        self, upstream: fleet_model.FleetUpstream
-    ) -> reasons.Reason | None:
-        """Return why `upstream` must not be sent anything any more."""
-        for known in self._view.registry.upstreams:
-            if known.upstream_id == upstream.upstream_id and not known.is_leaving:
-                return None
-        return reasons.Reason.UPSTREAM_LEFT
-
     def _answered(
         self,
         upstream: fleet_model.FleetUpstream,
--- /dev/null
+++ b/bilberrydrum/relay/streams.py
@@ -0,0 +1,286 @@
+"""Pass a stream of events on as it comes, and go on elsewhere when it breaks.
+
+A stream that may be resumed goes on at another upstream after its last whole event,
+inside the same answer; the upstream before is let go first, so that no two work on it.
+Any other stream may run once only: it is sent elsewhere only after a promise that it
+has not run, and when it breaks the caller's connection is cut, so that what it got does
+not look complete.
+"""
+
+import random
+from collections.abc import Iterator
+from typing import Any, Final
+
+import attrs
+import eliot
+
+from bilberrydrum import clock, counters, event_stream, reasons, upstream_protocol
+from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.fleet import policy, subscriber
+from bilberrydrum.relay import balancing, model
+from bilberrydrum.requests import attempts, outgoing_requests
+
+_OK: Final = 200
+# A stream that pauses for this long, in seconds, has lost its upstream: callers abandon
+# one after two seconds at the least.
+STALL_SECONDS: Final = 1.5
+# Upstreams that turned a stream away before it ran; beyond it the caller is told.
+_MAX_REJECTIONS: Final = 4
+# When to come back after a refusal, in seconds, spread out.
+_RETRY_AFTER_RANGE: Final = (0.1, 0.4)
+
+
+class BrokenError(Exception):
+    """The stream ended early; its caller must see that."""
+
+
+@attrs.define
+class _Source:
+    """One upstream's answer, being read."""
+
+    upstream: fleet_model.FleetUpstream
+    outgoing: outgoing_requests.Outgoing
+    connection: Any
+    answer: Any
+
+
+@attrs.define
+class _Course:
+    """How far one stream is."""
+
+    inbound: model.Inbound
+    route: policy.Route
+    service: str
+    deadline: float
+    last_number: int | None
+    excluded_ids: set[str] = attrs.field(factory=set)
+    n_run: int = 0
+    n_rejections: int = 0
+    last_reason: reasons.Reason = reasons.Reason.NO_UPSTREAM
+
+    def may_go_on(self) -> bool:
+        """Tell whether another upstream may be asked."""
+        if clock.now() >= self.deadline or self.n_rejections > _MAX_REJECTIONS:
+            return False
+        if self.n_run == 0:
+            return True
+        return self.route.is_resumable and self.n_run < self.route.max_attempts
+
+
+class StreamRelay:
+    """Passes streams on at one gateway."""
+
+    def __init__(
+        self,
+        protocol: upstream_protocol.UpstreamProtocol,
+        view: subscriber.Subscriber,
+        means: attempts.Means,
+        balancer: balancing.Balancer,
+        rng: random.Random,
+    ) -> None:
+        self._protocol = protocol
+        self._view = view
+        self._means = means
+        self._balancer = balancer
+        self._rng = rng
+
+    def handle(
+        self, inbound: model.Inbound, route: policy.Route
+    ) -> model.Streamed | model.Answered | model.Refused:
+        """Return a stream that has begun, an upstream's own refusal, or why none."""
+        deadline = min(inbound.deadline, clock.now() + route.timeout_seconds)
+        service = route.choose_service(self._rng)
+        last_number = self._protocol.last_event_number(inbound.headers)
+        course = _Course(inbound, route, service, deadline, last_number)
+        while course.may_go_on():
+            source = self._open(course)
+            if source is None:
+                continue
+            if source.answer.status == _OK:
+                headers = outgoing_requests.passed_back(source.answer.headers)
+                return model.Streamed(headers, self._events(course, source))
+            return self._whole_refusal(source)
+        return self._refuse(course)
+
+    def _open(self, course: _Course) -> _Source | None:
+        """Begin an attempt; None: it gave nothing to be passed on."""
+        upstreams = self._view.registry.of_service(course.service)
+        now = clock.now()
+        upstream = self._balancer.choose(upstreams, course.excluded_ids, now)
+        if upstream is None:
+            course.n_rejections = _MAX_REJECTIONS + 1
+            return None
+        course.excluded_ids.add(upstream.upstream_id)
+        outgoing = self._outgoing(course, upstream)
+        self._balancer.begin(upstream.upstream_id)
+        try:
+            with attempts.waiting(self._means, outgoing):
+                connection, answer = attempts.open_answer(
+                    self._means.pool, upstream.address, outgoing
+                )
+        except attempts.AttemptError as error:
+            self._balancer.end(upstream.upstream_id)
+            self._failed(course, upstream, error.reason, error.may_have_run)
+            return None
+        except BaseException:
+            self._balancer.end(upstream.upstream_id)
+            raise
+        return self._taken(course, _Source(upstream, outgoing, connection, answer))
+
+    def _outgoing(
+        self, course: _Course, upstream: fleet_model.FleetUpstream
+    ) -> outgoing_requests.Outgoing:
+        inbound = course.inbound
+        attempt = upstream_protocol.Attempt(
+            inbound.request_id,
+            upstream.upstream_id,
+            course.deadline - clock.now(),
+            course.last_number,
+        )
+        return outgoing_requests.Outgoing(
+            inbound.request_id,
+            inbound.method,
+            inbound.target,
+            self._protocol.relay_headers(inbound.headers, attempt),
+            inbound.body,
+            course.deadline,
+            True,
+            lambda: self._view.registry.find_refusal(upstream.upstream_id),
+            inbound.is_client_gone,
+            id_header=self._protocol.request_id_header,
+            accepts_unframed=True,
+        )
+
+    def _taken(self, course: _Course, source: _Source) -> _Source | None:
+        head = self._protocol.read_head(source.answer.headers)
+        is_stream = source.answer.status == _OK
+        if head.was_not_run or (is_stream and not head.is_genuine):
+            self._let_go(source)
+            may_have_run = not head.was_not_run
+            reason = reasons.Reason.UPSTREAM_BUSY
+            self._failed(course, source.upstream, reason, may_have_run)
+            return None
+        course.n_run += 1
+        if is_stream or not (course.route.is_resumable and course.may_go_on()):
+            return source
+        self._let_go(source)
+        self._note(course, source.upstream, reasons.Reason.UPSTREAM_ERROR)
+        return None
+
+    def _events(self, course: _Course, source: _Source) -> Iterator[bytes]:
+        """Yield the events' bytes; raise if the stream does not end whole."""
+        current: _Source | None = source
+        while current is not None:
+            try:
+                yield from self._read(course, current)
+                return
+            except (attempts.AttemptError, event_stream.EventError) as error:
+                reason = getattr(error, "reason", reasons.Reason.ANSWER_TRUNCATED)
+                self._failed(course, current.upstream, reason, False)
+            finally:
+                self._let_go(current)
+            current = self._reopen(course)
+        counters.refused(course.last_reason)
+        raise BrokenError(course.last_reason.value)
+
+    def _reopen(self, course: _Course) -> _Source | None:
+        while course.may_go_on():
+            source = self._open(course)
+            if source is not None and source.answer.status == _OK:
+                return source
+            if source is not None:
+                self._let_go(source)
+        return None
+
+    def _read(self, course: _Course, source: _Source) -> Iterator[bytes]:
+        reader = event_stream.EventReader(
+            self._protocol.version_field, course.last_number
+        )
+        parts = attempts.read_parts(source.answer)
+        patience = max(STALL_SECONDS, course.route.target_latency_seconds * 4)
+        while True:
+            with attempts.waiting(self._means, source.outgoing, patience):
+                part = next(parts, None)
+            if part is None:
+                break
+            for event in reader.feed(part):
+                course.last_number = event.number
+                yield event.raw
+        if not reader.is_between_events():
+            raise event_stream.EventError("ended in the middle of an event")
+        head = self._protocol.read_head(source.answer.headers)
+        self._balancer.succeeded(source.upstream.upstream_id, head, clock.now())
+
+    def _let_go(self, source: _Source) -> None:
+        """Close the connection, which ends the work at the upstream."""
+        if source.connection is not None:
+            source.connection.close()
+            source.connection = None
+            self._balancer.end(source.upstream.upstream_id)
+
+    def _whole_refusal(self, source: _Source) -> model.Answered | model.Refused:
+        """Pass on an upstream's own failure, unchanged."""
+        try:
+            with attempts.waiting(self._means, source.outgoing):
+                body = b"".join(attempts.read_parts(source.answer))
+        except attempts.AttemptError as error:
+            return model.Refused(error.reason, True)
+        finally:
+            self._let_go(source)
+        headers = outgoing_requests.passed_back(source.answer.headers)
+        return model.Answered(source.answer.status, headers, body)
+
+    def _failed(
+        self,
+        course: _Course,
+        upstream: fleet_model.FleetUpstream,
+        reason: reasons.Reason,
+        may_have_run: bool,
+    ) -> None:
+        if may_have_run:
+            course.n_run += 1
+        else:
+            course.n_rejections += 1
+        if reason is reasons.Reason.CALLER_GONE:
+            course.n_rejections = _MAX_REJECTIONS + 1
+        elif reason is not reasons.Reason.UPSTREAM_BUSY:
+            self._balancer.failed(upstream.upstream_id, clock.now())
+        self._note(course, upstream, reason)
+
+    def _note(
+        self,
+        course: _Course,
+        upstream: fleet_model.FleetUpstream,
+        reason: reasons.Reason,
+    ) -> None:
+        course.last_reason = reason
+        counters.retried(reason)
+        eliot.log_message(
+            message_type="stream:attempt-failed",
+            request_id=course.inbound.request_id,
+            upstream_id=upstream.upstream_id,
+            reason=reason.value,
+            n_run=course.n_run,
+            last_event_number=course.last_number,
+            registry_index=self._view.registry.index,
+        )
+
+    def _refuse(self, course: _Course) -> model.Refused:
+        may_have_run = course.n_run > 0
+        counters.refused(course.last_reason)
+        eliot.log_message(
+            message_type="stream:refused",
+            request_id=course.inbound.request_id,
+            route=course.route.name,
+            reason=course.last_reason.value,
+            may_have_run=may_have_run,
+            n_run=course.n_run,
+            n_rejections=course.n_rejections,
+            registry_index=self._view.registry.index,
+        )
+        return model.Refused(
+            course.last_reason,
+            may_have_run,
+            0.0 if may_have_run else self._rng.uniform(*_RETRY_AFTER_RANGE),
+            is_timeout=clock.now() >= course.deadline,
+        )
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -242,11 +242,7 @@
             raise
         is_named = outgoing.id_header in answer.headers
         settle(means.pool, upstream.address, connection, answer, is_named)
-    headers = tuple(
-        (name, value)
-        for name, value in answer.headers.items()
-        if name.lower() not in outgoing_requests.NOT_PASSED_ON
-    )
+    headers = outgoing_requests.passed_back(answer.headers)
     whole = model.ApplicationAnswer(answer.status, headers, body, upstream.upstream_id)
     if outgoing.is_idempotent and answer.status in _FAILED_STATUSES:
         detail = f"status {answer.status}"
--- a/bilberrydrum/requests/outgoing_requests.py
+++ b/bilberrydrum/requests/outgoing_requests.py
@@ -1,7 +1,7 @@
 """The request of one attempt, made of a call."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import attrs
@@ -58,6 +58,15 @@
     accepts_unframed: bool = False
 
 
+def passed_back(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
+    """Return an answer's headers without those of its connection alone."""
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in NOT_PASSED_ON
+    )
+
+
 def for_engine(
     call: model.ModelCall,
     attempt_id: str,
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -100,6 +100,9 @@
     ) -> dict[str, str]:
         """Return the headers of a request that is passed on."""
 
+    def last_event_number(self, headers: Mapping[str, str]) -> int | None:
+        """Return the event after which a caller wants its stream to go on."""
+
     def read_head(self, headers: Mapping[str, str]) -> AnswerHead:
         """Return what the headers of an answer say."""
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -4,11 +4,11 @@
 
 from nose2 import tools
 
+from bilberrydrum import event_stream
 from bilberrydrum.batches import (
     commands,
     engine_shares,
     engines,
-    event_stream,
     item_run,
     model,
     scheduling,
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -5,8 +5,8 @@
 import eventlet
 from nose2 import tools
 
-from bilberrydrum import clock, reasons, upstream_protocol
-from bilberrydrum.batches import event_stream, item_run, model
+from bilberrydrum import clock, event_stream, reasons, upstream_protocol
+from bilberrydrum.batches import item_run, model
 from bilberrydrum.requests import attempts, connections, watch
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import scripted
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,7 +9,7 @@
 from bilberrydrum import clock, reasons, upstream_protocol
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
-from bilberrydrum.relay import balancing, model, relay
+from bilberrydrum.relay import balancing, model, relay, streams
 from bilberrydrum.requests import attempts, connections, watch
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import scripted
@@ -21,9 +21,15 @@
     """The names that this stand-in speaks."""
 
     request_id_header = ID
+    version_field = "version"
+
+    def last_event_number(self, headers):
+        return int(headers["Last"]) if "Last" in headers else None
 
     def relay_headers(self, headers, attempt):
         milliseconds = str(int(attempt.remaining_seconds * 1000))
+        if attempt.last_event_number is not None:
+            headers = {**headers, "Last": str(attempt.last_event_number)}
         sent = {**headers, ID: attempt.request_id, "X-Only": attempt.upstream_id}
         return {**sent, "X-Left": milliseconds}
 
@@ -101,7 +107,10 @@
         ]
         self.view = View(upstreams)
         means = attempts.Means(connections.Connections(), watch.Watch())
-        return relay.Relay(Protocol(), self.view, means, "near", random.Random(1))
+        rng = random.Random(1)
+        balancer = balancing.Balancer("near", rng)
+        self.streams = streams.StreamRelay(Protocol(), self.view, means, balancer, rng)
+        return relay.Relay(Protocol(), self.view, means, balancer, rng)
 
     def handle(self, relay_, kind=IDEMPOTENT, seconds=1.0, max_attempts=2):
         route = policy.Route(
@@ -193,6 +202,91 @@
         self.assertLess(clock.now() - began, 0.7)
 
 
+def events(*numbers, is_whole=True):
+    def script(connection, received):
+        head = f"HTTP/1.1 200 X\r\n{ID}: {received.request_id}\r\n"
+        connection.sendall(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in numbers:
+            data = b"id: %d\ndata: x\n\n" % number
+            connection.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+        if is_whole:
+            connection.sendall(b"0\r\n\r\n")
+        return False
+
+    return script
+
+
+def half_an_event(connection, received):
+    events(1, is_whole=False)(connection, received)
+    connection.sendall(b"7\r\nid: 2\nd\r\n")
+    return False
+
+
+class Streams(RelayCase):
+    """What the caller of a stream gets, and how often each upstream was asked."""
+
+    def stream(self, scripts, is_resumable):
+        self.relay(*scripts)
+        route = policy.Route(
+            "r",
+            "h",
+            "/",
+            policy.RouteKind.STREAMING,
+            (policy.Share("s", 1.0),),
+            timeout_seconds=3.0,
+            target_latency_seconds=0.05,
+            max_attempts=2,
+            is_resumable=is_resumable,
+        )
+        inbound = model.Inbound(
+            "r1", "h", "POST", "/x", "/x", {}, b"body", clock.now() + 3.0
+        )
+        with eventlet.Timeout(5.0):
+            answer = self.streams.handle(inbound, route)
+            if isinstance(answer, model.Answered):
+                return [], str(answer.status)
+            if isinstance(answer, model.Refused):
+                return [], "may have run" if answer.may_have_run else "not run"
+            numbers = []
+            try:
+                for part in answer.parts:
+                    numbers.append(int(part.split(b"\n")[0][4:]))
+            except streams.BrokenError:
+                return numbers, "broken"
+            return numbers, "whole"
+
+    CUT = staticmethod(events(1, 2, is_whole=False))
+
+    @tools.params(
+        ("whole", (events(1, 2),), False, [1, 2], "whole", [1]),
+        ("full, then whole", (FULL, events(1)), False, [1], "whole", [1, 1]),
+        ("cut", (CUT, events(3)), False, [1, 2], "broken", [1, 0]),
+        ("cut, resumed", (CUT, events(3)), True, [1, 2, 3], "whole", [1, 1]),
+        ("cut in an event", (half_an_event, events(2)), True, [1, 2], "whole", [1, 1]),
+        ("resumed elsewhere wrongly", (CUT, events(1)), True, [1, 2], "broken", [1, 1]),
+        (
+            "cut twice",
+            (CUT, events(3, is_whole=False)),
+            True,
+            [1, 2, 3],
+            "broken",
+            [1, 1],
+        ),
+        ("closed", (close, events(1)), False, [], "may have run", [1, 0]),
+        ("closed, resumable", (close, events(1)), True, [1], "whole", [1, 1]),
+        ("failed", (FAILED, events(1)), False, [], "500", [1, 0]),
+        ("failed, resumable", (FAILED, events(1)), True, [1], "whole", [1, 1]),
+        ("both full", (FULL, FULL), True, [], "not run", [1, 1]),
+    )
+    def test_stream(self, name, scripts, is_resumable, numbers, outcome, n_received):
+        self.assertEqual(self.stream(scripts, is_resumable), (numbers, outcome), name)
+        self.assertEqual(self.n_received(), n_received, name)
+
+    def test_resumed_after_the_last_whole_event(self):
+        self.stream((self.CUT, events(3)), True)
+        self.assertEqual(self.servers[1].received[0].headers["last"], "2")
+
+
 class Hurry(RelayCase):
     def test_hurried_callers_do_not_drive_others_away(self):
         """Callers with a few milliseconds each time out at a healthy upstream.
