Test the three roles together on loopback, and their restart

A policy, a look-up, a batch, a version, an end and a departure through a control process, a store and a gateway in one process; then all of them again on the same folders. 2 tests passed in 7.5 s (one run).

--- /dev/null
+++ b/tests/fakes/node_protocol.py
@@ -0,0 +1,90 @@
+"""A protocol of upstreams for tests, and an engine that speaks it."""
+
+import json
+from typing import Any
+
+import attrs
+
+from bilberrydrum import upstream_protocol
+from tests.fakes import scripted
+
+ID = "X-Request-Id"
+
+
+class PlainProtocol:
+    """Keeps `upstream_protocol.UpstreamProtocol` with names of its own."""
+
+    request_id_header = ID
+    version_field = "version"
+
+    def relay_headers(self, headers, attempt):
+        sent = {**headers, ID: attempt.request_id, "X-Only": attempt.upstream_id}
+        if attempt.last_event_number is not None:
+            sent["Last"] = str(attempt.last_event_number)
+        return sent
+
+    def last_event_number(self, headers):
+        return int(headers["Last"]) if "Last" in headers else None
+
+    def read_head(self, headers):
+        version = headers.get("Version", "")
+        return upstream_protocol.AnswerHead(
+            was_not_run="Not-Run" in headers,
+            version=int(version) if version else None,
+        )
+
+    def order(self, order):
+        body = json.dumps(attrs.asdict(order)).encode()
+        return upstream_protocol.OrderMessage("POST", "/order", {}, body)
+
+    def ask_report(self, upstream_id):
+        return upstream_protocol.OrderMessage("GET", "/report", {})
+
+    def read_report(self, body):
+        return upstream_protocol.EngineReport(**json.loads(body))
+
+
+class PlainEngine:
+    """An engine that answers each item with a few events and obeys orders at once."""
+
+    def __init__(self, n_events: int = 3) -> None:
+        self.n_events = n_events
+        self.version = 1
+        self.orders: list[dict[str, Any]] = []
+        self.server = scripted.Scripted(self._answer, kind="engine")
+
+    @property
+    def address(self) -> str:
+        return self.server.address
+
+    def stop(self) -> None:
+        self.server.stop()
+
+    def _answer(self, connection: Any, received: scripted.Received) -> None:
+        if received.target == "/report":
+            report = {
+                "versions_by_model": {"m": self.version},
+                "is_busy": False,
+                "sequence": len(self.orders),
+            }
+            self._send(connection, received, json.dumps(report).encode())
+        elif received.target == "/order":
+            order = json.loads(received.body)
+            self.orders.append(order)
+            self.version = order["version"]
+            self._send(connection, received, b"")
+        else:
+            self._stream(connection, received)
+
+    def _send(self, connection: Any, received: scripted.Received, body: bytes) -> None:
+        connection.sendall(scripted.answer(received, body))
+
+    def _stream(self, connection: Any, received: scripted.Received) -> None:
+        first = int(received.headers.get("last", 0)) + 1
+        head = f"HTTP/1.1 200 OK\r\n{ID}: {received.request_id}\r\n"
+        head += f"Version: {self.version}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.sendall(head.encode())
+        for number in range(first, self.n_events + 1):
+            event = b"id: %d\ndata: e%d\n\n" % (number, number)
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        connection.sendall(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/test_nodes_path.py
@@ -0,0 +1,202 @@
+"""The three roles together, in one process on loopback, with a stand-in engine."""
+
+import tempfile
+import unittest
+
+import attrs
+import eventlet
+
+from bilberrydrum import clock
+from bilberrydrum.batches import messages as batch_messages
+from bilberrydrum.batches import model as batch_model
+from bilberrydrum.fleet import messages, model, policy
+from bilberrydrum.nodes import control, gateway, options, store
+from bilberrydrum.relay import model as relay_model
+from tests import helpers
+from tests.fakes import node_protocol
+
+ROUTES = (
+    policy.Route(
+        "plain",
+        "h",
+        "/plain/",
+        policy.RouteKind.IDEMPOTENT,
+        (policy.Share("apps", 1.0),),
+        timeout_seconds=2.0,
+        target_latency_seconds=0.2,
+    ),
+    policy.Route(
+        "batches",
+        "h",
+        "/batches/",
+        policy.RouteKind.BATCH,
+        (policy.Share("engines", 1.0),),
+        timeout_seconds=2.0,
+        max_queue_seconds=30.0,
+        max_attempts=3,
+    ),
+)
+SERVICES = (
+    policy.Service("apps"),
+    policy.Service("engines", models=("m",), n_cache_tokens=1000),
+)
+
+
+def node(role, folder, control_address, is_first=True):
+    first = helpers.free_port()
+    own = control_address if role is options.Role.CONTROL else f"127.0.0.1:{first}"
+    return options.NodeOptions(
+        role,
+        f"{role}-1",
+        "zone",
+        own,
+        f"127.0.0.1:{helpers.free_port()}",
+        (control_address,),
+        is_first,
+        folder,
+        n_losses=0,
+        announce_seconds=5.0,
+    )
+
+
+class Path(unittest.TestCase):
+    def setUp(self):
+        self.folders = [tempfile.TemporaryDirectory() for _ in range(2)]
+        for folder in self.folders:
+            self.addCleanup(folder.cleanup)
+        self.control_address = f"127.0.0.1:{helpers.free_port()}"
+        protocol = node_protocol.PlainProtocol()
+        self.control = self.start(control.Control, options.Role.CONTROL, 0)
+        self.store = self.start(store.Store, options.Role.STORE, 1, protocol)
+        self.gateway = self.start(gateway.Gateway, options.Role.GATEWAY, None, protocol)
+        self.engine = node_protocol.PlainEngine()
+        self.addCleanup(self.engine.stop)
+        document = policy.Policy(3, ROUTES, SERVICES)
+        self.ask_control(messages.SubmitPolicy(document, b"as submitted"))
+        self.announce("engine-1", "engines", {"m": 1})
+        self.announce("app-1", "apps", {})
+
+    def start(self, make, role, folder, *more):
+        name = self.folders[folder].name if folder is not None else ""
+        started = make(node(role, name, self.control_address), *more)
+        started.start()
+        self.addCleanup(started.stop)
+        return started
+
+    def ask_control(self, message):
+        return self.control.calls.call(message, 10.0).unwrap()
+
+    def ask_stores(self, message):
+        return self.gateway.store_calls.call(message, 10.0).unwrap()
+
+    def announce(self, upstream_id, service, versions):
+        upstream = model.FleetUpstream(
+            upstream_id,
+            service,
+            self.engine.address,
+            "zone",
+            4,
+            False,
+            0.0,
+            versions,
+            1,
+        )
+        # Two services at one address: the second would take the first one's place.
+        if service == "apps":
+            self.app = node_protocol.PlainEngine()
+            self.addCleanup(self.app.stop)
+            upstream = model.FleetUpstream(
+                upstream_id, service, self.app.address, "zone", 4, sequence=1
+            )
+        self.ask_control(messages.Announce(upstream))
+
+    def wait_for(self, condition):
+        with eventlet.Timeout(15.0):
+            while not condition():
+                clock.sleep(0.02)
+
+    def is_ready(self):
+        stores = self.gateway.view.registry.founder_addresses
+        return self.gateway.is_ready() and bool(stores) and self.n_upstreams() == 2
+
+    def n_upstreams(self):
+        return len(self.gateway.view.registry.upstreams)
+
+    def batch(self, batch_id="b1", min_version=0):
+        items = tuple(
+            batch_model.Item(f"{batch_id}-{n}", "/batches/x", {}, b"body", 9, "g")
+            for n in range(6)
+        )
+        return batch_model.Batch(batch_id, "h", items, 0, "m", min_version)
+
+    def read(self, batch_id, n_wanted):
+        results = []
+        with eventlet.Timeout(15.0):
+            while len(results) < n_wanted:
+                read = batch_messages.Read(batch_id, len(results), 0.5)
+                results += self.ask_stores(read).results
+        return results
+
+    def test_whole_path(self):
+        """A policy, a look-up, a batch, a version, an end, and a departure."""
+        self.wait_for(self.is_ready)
+        inbound = relay_model.Inbound(
+            "r1", "h", "POST", "/plain/x", "/plain/x", {}, b"", clock.now() + 2.0
+        )
+        route = self.gateway.find_route("r1", "h", "/plain/x")
+        self.assertEqual(self.gateway.relay.handle(inbound, route).status, 200)
+
+        self.ask_stores(batch_messages.Submit(self.batch()))
+        results = self.read("b1", 6)
+        self.assertEqual({each.text for each in results}, {b"e1\ne2\ne3"})
+        self.assertEqual({each.versions for each in results}, {(1,)})
+        again = self.ask_stores(batch_messages.Read("b1", 0, 0.0)).results
+        self.assertEqual(list(again), results)
+
+        self.ask_control(messages.PublishVersion("m", 2))
+        self.ask_stores(batch_messages.Submit(self.batch("b2", min_version=2)))
+        versions = {each.versions for each in self.read("b2", 6)}
+        self.assertEqual(versions, {(2,)})
+        self.assertEqual(len(self.engine.orders), 1)
+        self.assertEqual(self.engine.orders[0]["expected_sequence"], 0)
+
+        ended = self.ask_stores(batch_messages.AskEnd("b2"))
+        self.assertTrue(ended.is_known)
+        self.ask_control(messages.Depart("app-1"))
+        self.wait_for(lambda: self.n_upstreams() == 1)
+        refused = self.gateway.relay.handle(inbound, route)
+        self.assertFalse(refused.may_have_run)
+
+    def test_everything_stops_and_starts_again(self):
+        """All processes end in the middle of a day and are started again.
+
+        What was acknowledged is on the disks of the control process and the store; the
+        gateway keeps nothing and learns it anew.
+        """
+        self.wait_for(self.is_ready)
+        self.ask_stores(batch_messages.Submit(self.batch()))
+        results = self.read("b1", 6)
+        for each in (self.gateway, self.store, self.control):
+            each.stop()
+        protocol = node_protocol.PlainProtocol()
+        controls = node(
+            options.Role.CONTROL, self.folders[0].name, self.control_address, False
+        )
+        self.control = control.Control(controls)
+        stores = node(
+            options.Role.STORE, self.folders[1].name, self.control_address, False
+        )
+        # The store keeps its address: its group knows it by that.
+        kept = self.store._node.store_address
+        stores = attrs.evolve(stores, store_address=kept)
+        self.store = store.Store(stores, protocol)
+        self.gateway = gateway.Gateway(
+            node(options.Role.GATEWAY, "", self.control_address), protocol
+        )
+        for each in (self.control, self.store, self.gateway):
+            each.start()
+            self.addCleanup(each.stop)
+        self.wait_for(self.is_ready)
+        again = self.read("b1", 6)
+        self.assertEqual(again, results)
+        self.assertEqual(self.ask_control(messages.ReadPolicy()).version, 3)
