--- a/bilberrydrum/batches/commands.py
+++ b/bilberrydrum/batches/commands.py
@@ -34,7 +34,10 @@
 class AcceptBatch:
     """Keep a batch from now on; a second time it changes nothing."""
 
-    batch: model.Batch
+    batch_id: str
+    n_items: int
+    # Codec bytes of the `Batch`; not looked into here.
+    data: bytes
     # Ended batches older than this, in seconds, are dropped.
     retention_seconds: float
 
@@ -93,11 +96,11 @@
 def _(command: AcceptBatch, state: machine.State, context: machine.Context) -> Accepted:
     section = section_of(state)
     _drop_old(section, context.time - command.retention_seconds)
-    batch = command.batch
-    if batch.batch_id in section.batches_by_id:
+    if command.batch_id in section.batches_by_id:
         return Accepted(False)
-    kept = model.KeptBatch(batch, context.time)
-    section.batches_by_id[batch.batch_id] = kept
+    section.batches_by_id[command.batch_id] = model.KeptBatch(
+        command.batch_id, command.n_items, command.data, context.time
+    )
     return Accepted(True)
 
 
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -57,7 +57,7 @@
         run.is_running = True
         run.engine_id = engine.upstream_id
         engine.begin(run)
-        key = (opened.kept.batch.batch_id, run.item.item_id)
+        key = (opened.batch.batch_id, run.item.item_id)
         self._tasks_by_key[key] = eventlet.spawn(
             self._run_item, opened, run, engine, key
         )
@@ -123,7 +123,7 @@
             run.text.clear()
         prepared = item_run.Run(
             run.item,
-            opened.kept.batch.host,
+            opened.batch.host,
             run.text,
             bounds,
             deadline,
@@ -158,7 +158,7 @@
         outcome = ended.outcome
         if outcome is item_run.Outcome.COMPLETED:
             engine.succeeded()
-            engine.learn_version(opened.kept.batch.model, max(run.text.versions))
+            engine.learn_version(opened.batch.model, max(run.text.versions))
             result = run.text.result(run.item.item_id)
             self._finish(opened, run, result, "completed")
             return
@@ -194,11 +194,11 @@
         run.is_done = True
         eliot.log_message(
             message_type="batches:item-ended",
-            batch_id=opened.kept.batch.batch_id,
+            batch_id=opened.batch.batch_id,
             item_id=run.item.item_id,
             state=result.state.value,
             why=why,
             n_failures=run.n_failures,
             versions=result.versions,
         )
-        self._hooks.finish(opened.kept.batch.batch_id, result)
+        self._hooks.finish(opened.batch.batch_id, result)
--- a/bilberrydrum/batches/messages.py
+++ b/bilberrydrum/batches/messages.py
@@ -14,7 +14,15 @@
 class Submit:
     """Keep a batch and have it run."""
 
-    batch: model.Batch
+    batch_id: str
+    n_items: int
+    # Codec bytes of the `Batch`.
+    data: bytes
+
+    @classmethod
+    def of(cls, batch: model.Batch) -> "Submit":
+        """Return the message that hands in `batch`."""
+        return cls(batch.batch_id, len(batch.items), codec.encode(batch))
 
 
 @codec.register("batches.submitted")
--- a/bilberrydrum/batches/model.py
+++ b/bilberrydrum/batches/model.py
@@ -87,9 +87,16 @@
 @codec.register("batches.kept")
 @attrs.define
 class KeptBatch:
-    """A batch and what has become of it."""
+    """A batch and what has become of it.
 
-    batch: Batch
+    The batch itself stays in bytes: some hundred items as objects take three times the
+    memory, and a snapshot would walk through each of them while nothing is applied.
+    """
+
+    batch_id: str
+    n_items: int
+    # Codec bytes of the `Batch`.
+    data: bytes
     # Time of its log entry, in seconds of the log's clock.
     submitted_at: float
     results: list[Result] = attrs.field(factory=list)
@@ -97,6 +104,17 @@
     # By item id; a new leader goes on from here.
     progress_by_item_id: dict[str, Progress] = attrs.field(factory=dict)
 
+    @classmethod
+    def of(cls, batch: Batch, submitted_at: float) -> "KeptBatch":
+        """Return a batch without results."""
+        data = codec.encode(batch)
+        return cls(batch.batch_id, len(batch.items), data, submitted_at)
+
+    def decode(self) -> Batch:
+        """Return the batch; a few milliseconds for a hundred items."""
+        decoded: Batch = codec.decode(self.data)
+        return decoded
+
     def finished_ids(self) -> set[str]:
         """Return the ids of the items that have a result."""
         return {each.item_id for each in self.results}
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -35,6 +35,9 @@
 _GATHER_SECONDS: Final = 0.01
 # Times that one item may be taken away from a slow engine.
 _MAX_MOVES: Final = 3
+# A new leader looks for groups that may come again in the batches of this many seconds:
+# a trainer hands them in with its next step. Each batch takes milliseconds to decode.
+_CARRY_SECONDS: Final = 20.0
 # How often unfinished texts are kept, and the fewest new events of one that are worth
 # it: an item of 140 events takes 5 s, and its group and trainer wait for it.
 _PROGRESS_SECONDS: Final = 0.5
@@ -97,14 +100,26 @@
 
     def accept(self, kept: model.KeptBatch) -> None:
         """Run a batch that is kept from now on."""
+        age = max(time.time() - kept.submitted_at, 0.0)
         if kept.is_ended:
-            self._work.remember(kept)
+            if age <= _CARRY_SECONDS:
+                self._work.remember(kept.decode(), kept)
             return
-        age = max(time.time() - kept.submitted_at, 0.0)
         opened = self._work.open(kept, clock.now() - age)
-        self._demand.note(kept.batch.model, opened.n_tokens(), clock.now())
+        batch = opened.batch
+        eliot.log_message(
+            message_type="batches:accepted",
+            batch_id=batch.batch_id,
+            step=batch.step,
+            model=batch.model,
+            min_version=batch.min_version,
+            n_items=len(batch.items),
+            n_finished=len(kept.results),
+            age_seconds=round(age, 3),
+        )
+        self._demand.note(batch.model, opened.n_tokens(), clock.now())
         for result in self._work.carried_results(opened, self._route_of(opened)):
-            self._hooks.finish(kept.batch.batch_id, result)
+            self._hooks.finish(batch.batch_id, result)
         self.wake()
 
     def finished(self, batch_id: str, results: Iterable[model.Result]) -> None:
@@ -151,7 +166,7 @@
         for opened in self._work.open_batches():
             progress = opened.take_progress(_PROGRESS_EVENTS)
             if progress:
-                self._hooks.save(opened.kept.batch.batch_id, tuple(progress))
+                self._hooks.save(opened.batch.batch_id, tuple(progress))
 
     def _give_up_late(self, now: float) -> None:
         for opened in self._work.open_batches():
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -90,14 +90,21 @@
 
     def _lead(self) -> None:
         while True:
-            held = self._replica.leadership()
-            if held is None:
-                self._stop_runner()
-            elif self._runner is None or held.term != self._term:
-                self._stop_runner()
-                self._start_runner(held.term)
+            try:
+                self._follow_leadership()
+            except Exception:
+                # Were this task to end, this replica could lead without running items.
+                eliot.write_traceback()
             clock.sleep(_LOOK_SECONDS)
 
+    def _follow_leadership(self) -> None:
+        held = self._replica.leadership()
+        if held is None:
+            self._stop_runner()
+        elif self._runner is None or held.term != self._term:
+            self._stop_runner()
+            self._start_runner(held.term)
+
     def _start_runner(self, term: int) -> None:
         self._term = term
         self._led_since = clock.now()
@@ -111,8 +118,8 @@
         started = runner.BatchRunner(self._protocol, self._view, self._means, hooks)
         kept = self._section().batches_by_id.values()
         eliot.log_message(message_type="batches:leads", term=term, n_batches=len(kept))
-        started.start(list(kept))
         self._runner = started
+        started.start(list(kept))
 
     def _stop_runner(self) -> None:
         if self._runner is not None:
@@ -173,7 +180,7 @@
     def _on_applied(self, command: object, answer: Any) -> None:
         active = self._runner
         if isinstance(command, commands.AcceptBatch):
-            kept = self._section().batches_by_id.get(command.batch.batch_id)
+            kept = self._section().batches_by_id.get(command.batch_id)
             if active is not None and kept is not None and answer.is_new:
                 active.accept(kept)
         elif isinstance(command, commands.FinishItems):
@@ -193,19 +200,13 @@
     # Gateways
 
     def _on_submit(self, sender: transport.Sender, message: messages.Submit) -> Any:
-        batch = message.batch
-        if batch.batch_id not in self._section().batches_by_id:
-            command = commands.AcceptBatch(batch, self._retention_seconds)
-            if not self._replica.propose(command, COMMIT_SECONDS).is_ok():
-                return None
-        eliot.log_message(
-            message_type="batches:accepted",
-            batch_id=batch.batch_id,
-            step=batch.step,
-            model=batch.model,
-            min_version=batch.min_version,
-            n_items=len(batch.items),
+        if message.batch_id in self._section().batches_by_id:
+            return messages.Submitted()
+        command = commands.AcceptBatch(
+            message.batch_id, message.n_items, message.data, self._retention_seconds
         )
+        if not self._replica.propose(command, COMMIT_SECONDS).is_ok():
+            return None
         return messages.Submitted()
 
     def _on_read(self, sender: transport.Sender, message: messages.Read) -> Any:
@@ -217,7 +218,7 @@
             results = _page(kept.results[max(message.position, 0) :])
             remaining = deadline - clock.now()
             if results or kept.is_ended or remaining <= 0:
-                return messages.Page(True, len(kept.batch.items), results)
+                return messages.Page(True, kept.n_items, results)
             with eventlet.Timeout(remaining, False):
                 self._news.wait()
 
@@ -229,7 +230,7 @@
             return messages.Body(False)
         if message.item_id in kept.finished_ids():
             return messages.Body(False)
-        for item in kept.batch.items:
+        for item in kept.decode().items:
             if item.item_id == message.item_id:
                 return messages.Body(True, item.body)
         return messages.Body(False)
@@ -246,7 +247,7 @@
                 message_type="batches:ended",
                 batch_id=message.batch_id,
                 n_results=len(kept.results),
-                n_items=len(kept.batch.items),
+                n_items=kept.n_items,
             )
         return messages.EndTaken(True)
 
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -65,6 +65,7 @@
     """One batch that has not ended."""
 
     kept: model.KeptBatch
+    batch: model.Batch
     # When it was submitted, in seconds of `clock.now`.
     submitted_at: float
     runs_by_item_id: dict[str, ItemRun]
@@ -98,8 +99,8 @@
 
     def route(self, routes: policy.RouteTable) -> policy.Route | None:
         """Return the route that its items go by now; None: it was dropped."""
-        path = self.kept.batch.items[0].target.partition("?")[0]
-        return routes.find(self.kept.batch.host, path)
+        path = self.batch.items[0].target.partition("?")[0]
+        return routes.find(self.batch.host, path)
 
     def give_up_at(self, route: policy.Route | None) -> float:
         """Return when its items may be given up, in seconds of `clock.now`."""
@@ -110,7 +111,7 @@
     def bounds(self, route: policy.Route | None) -> item_run.Bounds:
         """Return the weight versions that its texts may come from."""
         is_single = route is not None and route.is_single_version
-        return item_run.Bounds(self.kept.batch.min_version, is_single)
+        return item_run.Bounds(self.batch.min_version, is_single)
 
     def group_rank(self, group_key: tuple[str, str]) -> float:
         """Return the rank of a group; lower goes first."""
@@ -138,7 +139,7 @@
 
     def open(self, kept: model.KeptBatch, submitted_at: float) -> OpenBatch:
         """Begin to run a batch."""
-        batch = kept.batch
+        batch = kept.decode()
         finished = kept.finished_ids()
         runs = {}
         carried = set()
@@ -156,7 +157,7 @@
             if item.item_id in self._results_by_item_id:
                 carried.add(group_key)
             runs[item.item_id] = run
-        opened = OpenBatch(kept, submitted_at, runs, frozenset(carried))
+        opened = OpenBatch(kept, batch, submitted_at, runs, frozenset(carried))
         self._open_by_id[batch.batch_id] = opened
         return opened
 
@@ -194,18 +195,18 @@
         if opened is None:
             return
         opened.is_ended = True
-        self.remember(opened.kept)
+        self.remember(opened.batch, opened.kept)
         for item_id, run in opened.runs_by_item_id.items():
             if run.text.parts and item_id not in self._results_by_item_id:
                 self._texts_by_item_id[item_id] = run.text
         while len(self._texts_by_item_id) > _MAX_REMEMBERED_TEXTS:
             del self._texts_by_item_id[next(iter(self._texts_by_item_id))]
 
-    def remember(self, kept: model.KeptBatch) -> None:
+    def remember(self, batch: model.Batch, kept: model.KeptBatch) -> None:
         """Remember the results of groups that were not complete."""
         finished = {each.item_id: each for each in kept.results}
         groups: dict[str, list[str]] = {}
-        for item in kept.batch.items:
+        for item in batch.items:
             groups.setdefault(item.group or item.item_id, []).append(item.item_id)
         for item_ids in groups.values():
             if all(each in finished for each in item_ids):
@@ -220,9 +221,7 @@
     def of_model(self, model_name: str) -> list[OpenBatch]:
         """Return the open batches of a model's trainer."""
         return [
-            each
-            for each in self._open_by_id.values()
-            if each.kept.batch.model == model_name
+            each for each in self._open_by_id.values() if each.batch.model == model_name
         ]
 
 
@@ -230,7 +229,7 @@
     opened: OpenBatch, run: ItemRun, route: policy.Route, now: float
 ) -> scheduling.WaitingItem:
     """Return what the choice of an engine needs to know of an item."""
-    batch = opened.kept.batch
+    batch = opened.batch
     only_version = None
     if route.is_single_version and run.text.versions:
         only_version = max(run.text.versions)
--- a/bilberrydrum/nodes/groups.py
+++ b/bilberrydrum/nodes/groups.py
@@ -17,8 +17,11 @@
 # one election timeout, so this is also what a restart of all replicas waits for.
 HEARTBEAT_SECONDS: Final = 0.15
 ELECTION_TIMEOUT_SECONDS: Final = 0.6
-# Batches make the log grow by some 100 KB a second; memory for it is bounded here.
-_STORE_LOG_BYTES: Final = 16 * 1024 * 1024
+# Batches make the log grow by some 150 KB a second; memory for it is bounded here.
+_STORE_LOG_BYTES: Final = 8 * 1024 * 1024
+# The stores' leader never hands over for a snapshot: all items that run would be broken
+# off, which costs seconds, and the state is nearly all bytes that are only copied.
+_STORE_HANDOVER_BYTES: Final = 1024 * 1024 * 1024
 _SNAPSHOT_ENTRIES: Final = 4_000
 
 
@@ -57,6 +60,7 @@
             election_timeout_seconds=ELECTION_TIMEOUT_SECONDS,
             snapshot_entries=_SNAPSHOT_ENTRIES,
             max_log_bytes=_STORE_LOG_BYTES,
+            handover_bytes=_STORE_HANDOVER_BYTES,
             may_found=may_found,
             is_open=True,
             n_voters=node.n_voters(),
--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -39,6 +39,9 @@
     snapshot_entries: int = 20_000
     # The log's bytes in memory after which a snapshot is made sooner.
     max_log_bytes: int = 32 * 1024 * 1024
+    # The leader hands over before it makes a snapshot of at least this size: commands
+    # wait while the state is encoded, a tenth of a second for each 4 MiB.
+    handover_bytes: int = 4 * 1024 * 1024
     # Whether this process may start the group. False on a host whose disk may have
     # been lost: a second group beside the first would acknowledge what the first
     # never sees.
--- a/bilberrydrum/settings.py
+++ b/bilberrydrum/settings.py
@@ -57,6 +57,7 @@
     ("state", "drift_margin"): Range(0, 0.5),
     ("state", "snapshot_entries"): Range(10, 10_000_000),
     ("state", "max_log_bytes"): Range(64 * 1024, 1024 * _MIB),
+    ("state", "handover_bytes"): Range(64 * 1024, 1024 * _MIB),
     ("state", "n_voters"): Range(0, 9),
     ("state", "lost_seconds"): Range(0.5, _DAY),
     ("gateway", "bundle_lease_seconds"): Range(0.2, 300),
--- a/bilberrydrum/state/applying.py
+++ b/bilberrydrum/state/applying.py
@@ -29,12 +29,12 @@
 
 # A snapshot is made sooner if the log's commands take this much memory.
 MAX_LOG_BYTES: Final = 32 * 1024 * 1024
+# A snapshot of this size takes about a tenth of a second to encode.
+HANDOVER_BYTES: Final = 4 * 1024 * 1024
 # Entries until a snapshot at the leader, as a multiple of those at a follower.
 LEADER_FACTOR: Final = 2
 # Snapshots are made after as many entries, give or take this share.
 SPREAD: Final = 0.2
-# A snapshot of this size takes about a tenth of a second to encode.
-LARGE_BYTES: Final = 4 * 1024 * 1024
 # Time for the leadership to pass on before the snapshot is made all the same.
 _HANDOVER_SECONDS: Final = 1.0
 # Entries applied before other tasks run.
@@ -54,7 +54,9 @@
         snapshot_entries: int,
         rng: random.Random,
         max_log_bytes: int = MAX_LOG_BYTES,
+        handover_bytes: int = HANDOVER_BYTES,
     ) -> None:
+        self._handover_bytes = handover_bytes
         self._max_log_bytes = max_log_bytes
         self._owner = owner
         self._applier = applied
@@ -115,7 +117,10 @@
         """Pass the leadership on before a long pause, if someone can take it."""
         state = self._owner.node
         role = state.role
-        if not isinstance(role, node.Leader) or state.snapshot_bytes < LARGE_BYTES:
+        if (
+            not isinstance(role, node.Leader)
+            or state.snapshot_bytes < self._handover_bytes
+        ):
             return
         if not leader.successor(state, role):
             return
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -120,6 +120,7 @@
             self._options.state.snapshot_entries,
             random.Random(),
             self._options.state.max_log_bytes,
+            self._options.state.handover_bytes,
         )
         self._listen()
         self._intake.listen()
--- a/tests/fakes/promise_group.py
+++ b/tests/fakes/promise_group.py
@@ -61,7 +61,7 @@
         item_id = f"i{self.random.randrange(N_ITEMS)}"
         upstream_id = f"u{self.random.randrange(3)}"
         makers = (
-            lambda: batch_commands.AcceptBatch(_batch(batch_id), RETENTION_SECONDS),
+            lambda: _accept(batch_id),
             lambda: batch_commands.FinishItems(
                 batch_id, (_result(item_id, self._n_made),)
             ),
@@ -94,14 +94,12 @@
         promises = self.promises
         batches = batch_commands.section_of(host.applied.state).batches_by_id
         if isinstance(command, batch_commands.AcceptBatch):
-            promises.batch_ids.add(command.batch.batch_id)
+            promises.batch_ids.add(command.batch_id)
         elif isinstance(command, batch_commands.EndBatch):
             kept = batches.get(command.batch_id)
             if kept is not None:
                 n_results = len(kept.results)
-                promises.ended_lengths_by_batch.setdefault(
-                    kept.batch.batch_id, n_results
-                )
+                promises.ended_lengths_by_batch.setdefault(kept.batch_id, n_results)
         elif isinstance(command, fleet_commands.PutUpstream):
             if command.upstream.is_leaving and self._is_known(host, command):
                 promises.leaving_ids.add(command.upstream.upstream_id)
@@ -192,9 +190,10 @@
         return steward.Policy(self.n_voters, lost, frozenset(self.leaving))
 
 
-def _batch(batch_id: str) -> batch_model.Batch:
+def _accept(batch_id: str) -> batch_commands.AcceptBatch:
     items = tuple(batch_model.Item(f"i{n}", "/p/x", {}, b"", 1) for n in range(N_ITEMS))
-    return batch_model.Batch(batch_id, "h", items)
+    data = codec.encode(batch_model.Batch(batch_id, "h", items))
+    return batch_commands.AcceptBatch(batch_id, N_ITEMS, data, RETENTION_SECONDS)
 
 
 def _result(item_id: str, number: int) -> batch_model.Result:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -4,7 +4,7 @@
 
 from nose2 import tools
 
-from bilberrydrum import event_stream
+from bilberrydrum import codec, event_stream
 from bilberrydrum.batches import (
     commands,
     engine_shares,
@@ -27,6 +27,11 @@
     return model.Batch(batch_id, "h", items, **fields)
 
 
+def accept(given):
+    data = codec.encode(given)
+    return commands.AcceptBatch(given.batch_id, len(given.items), data, 60.0)
+
+
 def result(item_id="i0", versions=(1,), text=b"x"):
     return model.Result(item_id, model.ItemState.COMPLETED, text, versions)
 
@@ -47,9 +52,9 @@
         return [(each.item_id, each.text) for each in kept.results]
 
     def test_accepted_once(self):
-        self.assertTrue(self.apply(commands.AcceptBatch(batch(), 60.0)).is_new)
+        self.assertTrue(self.apply(accept(batch())).is_new)
         self.apply(commands.FinishItems("b", (result(),)))
-        self.assertFalse(self.apply(commands.AcceptBatch(batch(), 60.0)).is_new)
+        self.assertFalse(self.apply(accept(batch())).is_new)
         self.assertEqual(self.results(), [("i0", b"x")])
 
     def test_item_that_ran_twice_is_listed_once(self):
@@ -58,13 +63,13 @@
         A reader may have read the first; the second must not stand at another place,
         nor replace it.
         """
-        self.apply(commands.AcceptBatch(batch(), 60.0))
+        self.apply(accept(batch()))
         self.apply(commands.FinishItems("b", (result(),)))
         self.apply(commands.FinishItems("b", (result(text=b"y"), result("i1"))))
         self.assertEqual(self.results(), [("i0", b"x"), ("i1", b"x")])
 
     def test_nothing_is_listed_after_the_end(self):
-        self.apply(commands.AcceptBatch(batch(), 60.0))
+        self.apply(accept(batch()))
         self.assertTrue(self.apply(commands.EndBatch("b")).is_known)
         self.assertTrue(self.apply(commands.EndBatch("b")).is_known)
         self.apply(commands.FinishItems("b", (result(),)))
@@ -81,10 +86,10 @@
         ("old and open", False, 161.0, True),
     )
     def test_retention(self, name, is_ended, time, is_kept):
-        self.apply(commands.AcceptBatch(batch(), 60.0))
+        self.apply(accept(batch()))
         if is_ended:
             self.apply(commands.EndBatch("b"))
-        self.apply(commands.AcceptBatch(batch("later"), 60.0), time)
+        self.apply(accept(batch("later")), time)
         kept = commands.section_of(self.state).batches_by_id
         self.assertEqual("b" in kept, is_kept, name)
 
@@ -375,7 +380,7 @@
 
     def setUp(self):
         self.state = machine.State()
-        self.apply(commands.AcceptBatch(batch(), 60.0))
+        self.apply(accept(batch()))
 
     def apply(self, command):
         return machine.apply(command, self.state, machine.Context(1, 1.0))
@@ -417,7 +422,7 @@
         self.assertEqual(self.kept().progress_by_item_id, {})
 
     def test_only_what_is_worth_it_is_taken(self):
-        opened = work.Work().open(model.KeptBatch(batch(), 0.0), 0.0)
+        opened = work.Work().open(model.KeptBatch.of(batch(), 0.0), 0.0)
         text = opened.runs_by_item_id["i0"].text
         for n in range(7):
             text.add(event_stream.Event(n, b"x"), 1)
@@ -432,9 +437,10 @@
     def reopen(self, kept_results, min_version, is_complete=False):
         known = work.Work()
         earlier = batch("b1", 2 if not is_complete else 1)
-        kept = model.KeptBatch(earlier, 0.0, list(kept_results), is_ended=True)
-        known.remember(kept)
-        later = model.KeptBatch(batch("b2", 2, min_version=min_version), 8.0)
+        kept = model.KeptBatch.of(earlier, 0.0)
+        kept.results = list(kept_results)
+        known.remember(earlier, kept)
+        later = model.KeptBatch.of(batch("b2", 2, min_version=min_version), 8.0)
         opened = known.open(later, 8.0)
         return opened, known.carried_results(opened, None)
 
@@ -449,10 +455,10 @@
 
     def test_unfinished_text_goes_on(self):
         known = work.Work()
-        opened = known.open(model.KeptBatch(batch("b1", 2), 0.0), 0.0)
+        opened = known.open(model.KeptBatch.of(batch("b1", 2), 0.0), 0.0)
         run = opened.runs_by_item_id["i0"]
         run.text.add(event_stream.Event(1, b"a"), 2)
         known.end("b1")
-        again = known.open(model.KeptBatch(batch("b2", 2), 8.0), 8.0)
+        again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
         self.assertEqual(again.runs_by_item_id["i0"].text.last_number, 1)
         self.assertLess(again.group_rank(("b2", "g0")), -1e9)
--- a/tests/test_nodes_path.py
+++ b/tests/test_nodes_path.py
@@ -146,7 +146,7 @@
         route = self.gateway.find_route("r1", "h", "/plain/x")
         self.assertEqual(self.gateway.relay.handle(inbound, route).status, 200)
 
-        self.ask_stores(batch_messages.Submit(self.batch()))
+        self.ask_stores(batch_messages.Submit.of(self.batch()))
         results = self.read("b1", 6)
         self.assertEqual({each.text for each in results}, {b"e1\ne2\ne3"})
         self.assertEqual({each.versions for each in results}, {(1,)})
@@ -154,7 +154,7 @@
         self.assertEqual(list(again), results)
 
         self.ask_control(messages.PublishVersion("m", 2))
-        self.ask_stores(batch_messages.Submit(self.batch("b2", min_version=2)))
+        self.ask_stores(batch_messages.Submit.of(self.batch("b2", min_version=2)))
         versions = {each.versions for each in self.read("b2", 6)}
         self.assertEqual(versions, {(2,)})
         self.assertEqual(len(self.engine.orders), 1)
@@ -174,7 +174,7 @@
         gateway keeps nothing and learns it anew.
         """
         self.wait_for(self.is_ready)
-        self.ask_stores(batch_messages.Submit(self.batch()))
+        self.ask_stores(batch_messages.Submit.of(self.batch()))
         results = self.read("b1", 6)
         for each in (self.gateway, self.store, self.control):
             each.stop()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,7 @@
 import result
 from nose2 import tools
 
-from bilberrydrum import clock, options, reasons, upstream_protocol
+from bilberrydrum import clock, codec, options, reasons, upstream_protocol
 from bilberrydrum.batches import messages as batch_messages
 from bilberrydrum.batches import model as batch_model
 from bilberrydrum.fleet import messages, policy
@@ -409,7 +409,7 @@
     def test_batch_is_translated(self):
         node = Node(KEPT)
         self.call(node, "POST", "/b/1", BATCH)
-        kept = node.calls.asked[0].batch
+        kept = codec.decode(node.calls.asked[0].data)
         self.assertEqual((kept.batch_id, kept.host), ("b1", "h.example"))
         self.assertEqual((kept.step, kept.min_version), (7, 6))
         item = kept.items[0]
--- a/tests/test_state_replica.py
+++ b/tests/test_state_replica.py
@@ -178,9 +178,9 @@
         self.assertFalse(task.snapshot_is_due())
 
     @tools.params(
-        ("large, with a successor", applying.LARGE_BYTES, True, False),
-        ("small", applying.LARGE_BYTES - 1, True, True),
-        ("large, all others gone", applying.LARGE_BYTES, False, True),
+        ("large, with a successor", applying.HANDOVER_BYTES, True, False),
+        ("small", applying.HANDOVER_BYTES - 1, True, True),
+        ("large, all others gone", applying.HANDOVER_BYTES, False, True),
     )
     def test_leader_of_a_large_state_hands_over_first(
         self, name: str, n_bytes: int, is_heard: bool, leads: bool
