--- a/tests/test_nodes_path.py
+++ b/tests/test_nodes_path.py
@@ -1,5 +1,6 @@
 """The three roles together, in one process on loopback, with a stand-in engine."""
 
+import socket
 import tempfile
 import unittest
 
@@ -59,6 +60,16 @@
     )
 
 
+def _is_free(address):
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
 class Path(unittest.TestCase):
     def setUp(self):
         self.folders = [tempfile.TemporaryDirectory() for _ in range(2)]
@@ -178,6 +189,9 @@
         results = self.read("b1", 6)
         for each in (self.gateway, self.store, self.control):
             each.stop()
+        # A closed socket gives its port back a little later, in a thread of its own.
+        self.wait_for(lambda: _is_free(self.control_address))
+        self.wait_for(lambda: _is_free(self.store._node.store_address))
         protocol = node_protocol.PlainProtocol()
         controls = node(
             options.Role.CONTROL, self.folders[0].name, self.control_address, False
