--- a/bilberrydrum/runtime.py
+++ b/bilberrydrum/runtime.py
@@ -5,10 +5,19 @@
 when it is imported. It also lets the hub run on the clock that counts suspended time.
 """
 
+import ctypes
 import gc
 import os
 import time
 import warnings
+from typing import Final
+
+# `mallopt`'s number for the size from which a block is mapped by itself (malloc.h).
+_M_MMAP_THRESHOLD: Final = -3
+# Above the requests and answers of a busy process, below a snapshot's buffers.
+_MMAP_THRESHOLD_BYTES: Final = 256 * 1024
+# Writes of the log, of a snapshot, and the reading of one; and one to spare.
+_N_THREADS: Final = 4
 
 
 def prepare() -> None:
@@ -25,6 +34,21 @@
     hubs.get_hub().clock = boot_time
 
 
+def bound_memory() -> None:
+    """Have freed memory given back; called before `prepare`.
+
+    The C library raises the size from which it maps a block by itself to that of the
+    largest block freed so far. After the first snapshot all others' buffers come from
+    the heap, which they leave full of holes: 124 MB resident after four snapshots of up
+    to 11 MB beside 63 MB with the size held (one run each of the same commands, with
+    the library's arenas bounded to two). Few threads, for each may have a heap of its own.
+    """
+    os.environ.setdefault("EVENTLET_THREADPOOL_SIZE", str(_N_THREADS))
+    library = ctypes.CDLL(None)
+    if hasattr(library, "mallopt"):
+        library.mallopt(_M_MMAP_THRESHOLD, _MMAP_THRESHOLD_BYTES)
+
+
 def pause_collection() -> None:
     """Keep the garbage collector from running while a process is being made.
 
