--- a/bilberrydrum/runtime.py
+++ b/bilberrydrum/runtime.py
@@ -38,10 +38,11 @@
     """Have freed memory given back; called before `prepare`.
 
     The C library raises the size from which it maps a block by itself to that of the
-    largest block freed so far. After the first snapshot all others' buffers come from
-    the heap, which they leave full of holes: 124 MB resident after four snapshots of up
-    to 11 MB beside 63 MB with the size held (one run each of the same commands, with
-    the library's arenas bounded to two). Few threads, for each may have a heap of its own.
+    largest block freed so far. After the first snapshot the buffers of all others come
+    from the heap, which they leave full of holes: 124 MB resident after four snapshots
+    of up to 11 MB, beside 63 MB with the size held (one run each of the same commands,
+    with the library's arenas bounded to two). Few threads, for each may have a heap of
+    its own.
     """
     os.environ.setdefault("EVENTLET_THREADPOOL_SIZE", str(_N_THREADS))
     library = ctypes.CDLL(None)
