Let the number of engines that load at a time follow the fleet

Cause: at most two engines loaded weights at a time whatever the size of the fleet. With 24 engines a version took some 13 s to reach all of them, while three trainers name one every 4 s, so that most engines served versions that no step accepted any more.

Ruled out: processor time of the stores' leader (0.25 of a core at most), memory (118 MB at most), places at engines (a third in use by the sheet).

Change: the bound starts at 0.4 of the engines (2 of 5, 10 of 24) and follows the time that loads take. The default of weight_plan.plan is gone; its tests name the bound they had.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -212,6 +212,10 @@
             and (not each.pause.remaining(now) or each.pause.n_failures < 2)
         ]
 
+    def n_loading(self) -> int:
+        """Return how many engines load weights."""
+        return sum(1 for each in self.by_id.values() if each.loading is not None)
+
     def slow_ids(self, now: float) -> frozenset[str]:
         """Return the engines that are much slower than the others now.
 
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -19,6 +19,7 @@
     engine_shares,
     engines,
     item_sender,
+    load_limit,
     model,
     orders,
     scheduling,
@@ -67,6 +68,7 @@
         self._demand = work.Demand(_DEMAND_SECONDS)
         self._wake = eventlet.event.Event()
         self._items = item_sender.ItemSender(means, protocol, view, hooks, self.wake)
+        self._load_limit = load_limit.LoadLimit()
         self._order_tasks: list[Any] = []
         self._task: Any = None
         self._progress_at = float("-inf")
@@ -186,6 +188,7 @@
             [each.weights() for each in self._engines.usable(now)],
             self._shares.engine_ids_by_model,
             self._view.registry.versions_by_model,
+            self._load_limit.number(len(self._engines.by_id)),
         )
         self._order_tasks = [each for each in self._order_tasks if not each.dead]
         for load in loads:
@@ -194,6 +197,8 @@
             self._order_tasks.append(eventlet.spawn(self._load, engine, load))
 
     def _load(self, engine: engines.Engine, load: weight_plan.Load) -> None:
+        began = clock.now()
+        n_beside = self._engines.n_loading()
         try:
             # What runs goes on under the new version where the step allows both: the
             # engine serves without a pause, and only what it had stored is read again.
@@ -204,6 +209,10 @@
                 engine.failed(clock.now())
             else:
                 engine.learn(report.versions_by_model)
+                n_beside = max(n_beside, self._engines.n_loading())
+                seconds = clock.now() - began
+                n_engines = len(self._engines.by_id)
+                self._load_limit.note(seconds, n_beside, n_engines)
         finally:
             engine.loading = None
             self.wake()
--- a/bilberrydrum/batches/weight_plan.py
+++ b/bilberrydrum/batches/weight_plan.py
@@ -9,10 +9,6 @@
 
 import attrs
 
-# Engines that may load at a time in the whole deployment. More than two slow each
-# other down on the smallest deployments that are served.
-MAX_LOADING = 2
-
 
 @attrs.frozen
 class EngineWeights:
@@ -39,7 +35,7 @@
     engines: Collection[EngineWeights],
     engine_ids_by_model: Mapping[str, frozenset[str]],
     named_versions_by_model: Mapping[str, int],
-    max_loading: int = MAX_LOADING,
+    max_loading: int,
 ) -> list[Load]:
     """Return the loads that are to begin now."""
     by_id = {each.engine_id: each for each in engines}
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -209,7 +209,7 @@
     def test_number(self, name, engines, expected):
         given = [weights(each, version, bool(busy)) for each, version, busy in engines]
         shares = {"m": frozenset(each for each, _, _ in engines)}
-        loads = weight_plan.plan(given, shares, {"m": 2})
+        loads = weight_plan.plan(given, shares, {"m": 2}, max_loading=2)
         self.assertEqual(len(loads), expected, name)
         self.assertTrue(all(each.version == 2 for each in loads))
 
@@ -221,7 +221,7 @@
 
     def test_engines_of_other_models_do_not_load(self):
         given = [weights("a", 1), weights("b", 1)]
-        loads = weight_plan.plan(given, {"m": frozenset("a")}, {"m": 2})
+        loads = weight_plan.plan(given, {"m": frozenset("a")}, {"m": 2}, 2)
         self.assertEqual([each.engine_id for each in loads], ["a"])
 
 
--- /dev/null
+++ b/tests/test_batches_load_limit.py
@@ -0,0 +1,81 @@
+"""How many engines load weights at a time."""
+
+import unittest
+
+from nose2 import tools
+
+from bilberrydrum.batches import load_limit, weight_plan
+
+
+def seconds_to_load_all(n_engines, n_at_once, load_seconds, limit):
+    """Replay a version that is named while all engines serve the one before.
+
+    The source of the weights gives `n_at_once` engines their full share; the loads of
+    more of them take longer in proportion.
+    """
+    versions = dict.fromkeys(range(n_engines), 1)
+    seconds = 0.0
+    while any(each == 1 for each in versions.values()):
+        engines = [
+            weight_plan.EngineWeights(str(n), {"m": version}, False, 0)
+            for n, version in versions.items()
+        ]
+        ids = frozenset(each.engine_id for each in engines)
+        bound = limit.number(n_engines)
+        loads = weight_plan.plan(engines, {"m": ids}, {"m": 2}, bound)
+        took = load_seconds * max(1.0, len(loads) / n_at_once)
+        seconds += took
+        for load in loads:
+            versions[int(load.engine_id)] = 2
+            limit.note(took, len(loads), n_engines)
+    return seconds
+
+
+class Replayed(unittest.TestCase):
+    """Trainers name a version every four seconds; each must reach all engines."""
+
+    @tools.params(
+        ("small", 5, 2, 0.9, 2.8),
+        ("grown", 24, 10, 0.9, 2.8),
+        ("grown, a narrow source", 24, 4, 0.9, 8.0),
+        ("one engine", 1, 1, 0.9, 0.95),
+    )
+    def test_version_reaches_all(self, name, n_engines, n_at_once, load, most):
+        limit = load_limit.LoadLimit()
+        seconds = seconds_to_load_all(n_engines, n_at_once, load, limit)
+        self.assertLessEqual(seconds, most, name)
+
+    def test_follows_a_narrow_source(self):
+        """The source gives four engines their share; ten at once take 2.5 times.
+
+        All ten would start nothing meanwhile; after a few versions loads overlap no
+        more than the source bears, give or take what is tried.
+        """
+        limit = load_limit.LoadLimit()
+        limit.note(0.9, 1, 24)
+        for _ in range(6):
+            seconds_to_load_all(24, 4, 0.9, limit)
+        self.assertLessEqual(limit.number(24), 8)
+        self.assertGreaterEqual(limit.number(24), 4)
+
+
+class Bound(unittest.TestCase):
+    """The bound's limits."""
+
+    @tools.params((1, 2), (2, 2), (5, 2), (12, 5), (24, 10))
+    def test_first(self, n_engines, expected):
+        self.assertEqual(load_limit.LoadLimit().number(n_engines), expected)
+
+    @tools.params(
+        ("quick at the bound", [(0.9, 10)], 11),
+        ("quick below it", [(0.9, 4)], 10),
+        ("never over half", [(0.9, 12)] * 9, 12),
+        ("slow together", [(0.9, 1), (2.0, 10), (2.0, 10)], 8),
+        ("slow for another reason", [(0.9, 1), (2.0, 2)], 10),
+        ("never below two", [(0.9, 1)] + [(9.0, 3)] * 9, 2),
+    )
+    def test_notes(self, name, notes, expected):
+        limit = load_limit.LoadLimit()
+        for seconds, n_beside in notes:
+            limit.note(seconds, n_beside, 24)
+        self.assertEqual(limit.number(24), expected, name)
