Send again on a fresh connection what met a dropped one

Cause: an upstream, or what lies on the way, may drop an idle connection without a word; the next request on it is reset. The relay counted that as a run, passed the healthy upstream over for half a second and more, and with two attempts allowed had one left; the runner backed off from the engine.

Change: a request that may be repeated and is reset within 0.25 s on a kept connection goes out once more to the same upstream, on a fresh one, and the other kept ones are closed. What may run once only (streams that cannot be resumed too) uses no kept connection.

Test first: test_kept_connection_was_dropped failed with connection-reset for a request that may be repeated.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -160,6 +160,7 @@
         run.find_refusal,
         id_header=protocol.request_id_header,
         accepts_unframed=True,
+        may_repeat=True,
     )
     try:
         first = max(FIRST_EVENT_SECONDS, run.stall_seconds())
--- a/bilberrydrum/batches/orders.py
+++ b/bilberrydrum/batches/orders.py
@@ -138,7 +138,8 @@
     def _ask(
         self, engine: attempts.Target, message: upstream_protocol.OrderMessage
     ) -> tuple[int, bytes]:
-        connection: Any = self._means.pool.take(engine.address, _ANSWER_SECONDS)
+        taken = self._means.pool.take(engine.address, _ANSWER_SECONDS)
+        connection: Any = taken.connection
         is_whole = False
         try:
             connection.request(
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -161,6 +161,7 @@
             inbound.is_client_gone,
             id_header=self._protocol.request_id_header,
             accepts_unframed=True,
+            may_repeat=course.is_idempotent,
         )
 
     def _answered(
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -149,6 +149,8 @@
             inbound.is_client_gone,
             id_header=self._protocol.request_id_header,
             accepts_unframed=True,
+            may_repeat=course.route.is_resumable,
+            uses_kept=course.route.is_resumable,
         )
 
     def _taken(self, course: _Course, source: _Source) -> _Source | None:
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -1,7 +1,9 @@
 """One attempt at one upstream: what goes out, what comes back, and what it means.
 
-An attempt uses one connection and never sends a request twice. Its error tells whether
-a byte may have gone out: only when none has is the request known not to have run.
+An attempt uses one connection and sends a request once; only if a kept connection turns
+out to be closed, a request that may be repeated is sent again on a fresh one. Its error
+tells whether a byte may have gone out: only when none has is the request known not to
+have run.
 """
 
 import contextlib
@@ -28,6 +30,9 @@
 # A stream that has begun and stops for longer than a swap of weights takes is one of an
 # engine that hangs. It is broken off, so that another engine can go on.
 STALL_SECONDS: Final = 20.0
+# A kept connection that the upstream had dropped is reset within a round trip of the
+# sending; what breaks later than this, in seconds, may be a run that was cut short.
+STALE_SECONDS: Final = 0.25
 # An idle connection is given up this long before the upstream says that it closes it.
 KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 # Largest answer of a plain service.
@@ -109,18 +114,48 @@
     AttemptError
         If there is no answer.
     """
-    connection = _connect(pool, address, outgoing)
+    taken = _connect(pool, address, outgoing)
+    sent_at = clock.now()
     try:
-        return connection, _exchange(connection, outgoing)
+        return taken.connection, _exchange(taken.connection, outgoing)
+    except AttemptError as error:
+        taken.connection.close()
+        is_young = clock.now() - sent_at <= STALE_SECONDS
+        is_reset = error.reason is reasons.Reason.CONNECTION_RESET
+        if not (taken.is_kept and is_reset and is_young and outgoing.may_repeat):
+            raise
     except BaseException:
         # What may still come belongs to this request; nobody else may read it.
-        connection.close()
+        taken.connection.close()
+        raise
+    return _open_again(pool, address, outgoing)
+
+
+def _open_again(
+    pool: connections.Connections, address: str, outgoing: outgoing_requests.Outgoing
+) -> tuple[connections.Connection, Any]:
+    """Send `outgoing` once more, on a fresh connection.
+
+    An upstream, or something on the way to it, may drop an idle connection without a
+    word; what is sent next on it is reset. Taken for a failure of the upstream, it
+    would use up one of the request's attempts and have the upstream passed over. The
+    others that are kept have most likely been dropped as well.
+    """
+    pool.forget(address)
+    try:
+        taken = _connect(pool, address, outgoing)
+    except AttemptError as error:
+        raise AttemptError(error.reason, True, error.detail) from error
+    try:
+        return taken.connection, _exchange(taken.connection, outgoing)
+    except BaseException:
+        taken.connection.close()
         raise
 
 
 def _connect(
     pool: connections.Connections, address: str, outgoing: outgoing_requests.Outgoing
-) -> connections.Connection:
+) -> connections.Taken:
     remaining = outgoing.deadline - clock.now()
     if remaining <= 0:
         raise AttemptError(reasons.Reason.UPSTREAM_TIMEOUT, False)
@@ -128,7 +163,7 @@
         return pool.take(
             address,
             timeout=min(CONNECT_SECONDS, remaining),
-            fresh=not outgoing.is_idempotent,
+            fresh=not (outgoing.is_idempotent and outgoing.uses_kept),
         )
     except (OSError, urllib3.exceptions.HTTPError) as error:
         raise AttemptError(reasons.Reason.CONNECT_FAILED, False, str(error)) from error
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -28,6 +28,15 @@
 Connection = urllib3.connection.HTTPConnection
 
 
+@attrs.frozen
+class Taken:
+    """A connection that is ready for a request."""
+
+    connection: Connection
+    # It was kept since an earlier request; the upstream may have dropped it.
+    is_kept: bool
+
+
 @attrs.frozen
 class _Idle:
     connection: Connection
@@ -46,7 +55,7 @@
         """Number of connections that are kept."""
         return sum(len(idle) for idle in self._idle_by_address.values())
 
-    def take(self, address: str, timeout: float, fresh: bool = False) -> Connection:
+    def take(self, address: str, timeout: float, fresh: bool = False) -> Taken:
         """Return a connected connection to `address`.
 
         Parameters
@@ -67,7 +76,7 @@
         if not fresh:
             kept = self._take_idle(address)
             if kept is not None:
-                return kept
+                return Taken(kept, is_kept=True)
         host, _, port = address.rpartition(":")
         connection = Connection(host.strip("[]"), int(port), timeout=timeout)
         connection.connect()
@@ -76,7 +85,7 @@
         # connecting, it would cut off an upstream whose first byte takes longer.
         connection.timeout = None
         connection.sock.settimeout(None)
-        return connection
+        return Taken(connection, is_kept=False)
 
     def keep(
         self,
--- a/bilberrydrum/requests/outgoing_requests.py
+++ b/bilberrydrum/requests/outgoing_requests.py
@@ -56,6 +56,10 @@
     # An answer without a length ends whole where its connection is closed in order.
     # Such answers are taken where the upstreams' protocol has them.
     accepts_unframed: bool = False
+    # May be sent again to the same upstream if a kept connection was dropped.
+    may_repeat: bool = False
+    # May go out on a kept connection; one that was dropped loses what may run once.
+    uses_kept: bool = True
 
 
 def passed_back(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -106,6 +106,41 @@
         self.assertTrue(caught.exception.may_have_run)
         self.assertEqual(self.means.pool.n_idle, 0)
 
+    @tools.params(
+        ("may be repeated", {"may_repeat": True}, False, [1, 1]),
+        ("may not", {}, True, [1]),
+        ("uses fresh ones only", {"uses_kept": False}, False, [1, 1]),
+    )
+    def test_kept_connection_was_dropped(self, name, fields, is_lost, expected):
+        """The upstream has dropped an idle connection without a word.
+
+        What is sent next on it is reset although the upstream is well. A request that
+        may be repeated goes out again on a fresh connection, and its caller sees
+        nothing of it.
+        """
+        received = []
+
+        def once_per_connection(connection, request):
+            received.append(1)
+            connection.sendall(scripted.answer(request))
+            return False
+
+        fake = self.upstream(once_per_connection)
+        first = self.call(fake)
+        self.assertEqual(first.status, 200)
+        with unittest.mock.patch.object(
+            connections, "_is_silent", lambda connection: True
+        ):
+            if is_lost:
+                with self.assertRaises(attempts.AttemptError) as caught:
+                    self.call(fake, **fields)
+                self.assertTrue(caught.exception.may_have_run)
+            else:
+                self.assertEqual(self.call(fake, **fields).status, 200)
+        self.assertEqual(received, expected, name)
+        if fields.get("may_repeat"):
+            self.assertEqual(self.means.pool.n_idle, 1)
+
     def test_connection_refused_is_known_not_to_have_run(self):
         fake = self.upstream(scripted.serve(scripted.answer))
         fake.stop()
