Believe an engine's version by its own answers, and keep late trainers' engines

Ruled out: loads taking long (1.2 s each), slow engines (10 items moved).

Change: an attempt tells the version of its own last event, which corrects what is believed; an item counts as late only if even 0.4 of its estimate is too long; demand is counted over 24 s, in output tokens. An attempt under too old a version leaves the text as it was.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -85,6 +85,14 @@
         if known is None or version > known:
             self.versions_by_model[name] = version
 
+    def correct_version(self, name: str, version: int) -> None:
+        """Note that the engine has just worked under `version` of a model.
+
+        Believed to serve a later one, it would be sent items that it cannot serve, as
+        fast as it answers, and would never be told to load.
+        """
+        self.versions_by_model[name] = version
+
     def begin(self, run: work.ItemRun) -> None:
         """Note that an item is sent."""
         self.n_running += 1
--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -47,6 +47,8 @@
 
     outcome: Outcome
     detail: str = ""
+    # Weight version of the last event that this attempt read; None: it read none.
+    version: int | None = None
 
 
 @attrs.define
@@ -224,6 +226,7 @@
     version = head.version
     reader = event_stream.EventReader(protocol.version_field, run.text.last_number)
     last_at = None
+    last_version = None
     for part in _parts(means, outgoing, answer, run.stall_seconds):
         for event in reader.feed(part):
             now = clock.now()
@@ -233,15 +236,19 @@
             version = event.version if event.version is not None else version
             if version is None:
                 return Ended(Outcome.BROKEN, "an event names no weight version")
+            last_version = version
             if not run.bounds.allow(version, run.text):
-                run.text.clear()
-                return Ended(Outcome.WRONG_VERSION, f"made under version {version}")
+                if run.bounds.is_single:
+                    # All engines may have left the text's version behind.
+                    run.text.clear()
+                detail = f"made under version {version}"
+                return Ended(Outcome.WRONG_VERSION, detail, version)
             run.text.add(event, version)
     # A text whose last event was read before its end was is whole: resumed after that
     # event, the engine has nothing to add.
     if not reader.is_between_events() or run.text.last_number is None:
         return Ended(Outcome.BROKEN, "ended in the middle of an event")
-    return Ended(Outcome.COMPLETED)
+    return Ended(Outcome.COMPLETED, version=last_version)
 
 
 def _refused(
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -164,7 +164,9 @@
         outcome = ended.outcome
         if outcome is item_run.Outcome.COMPLETED:
             engine.succeeded()
-            engine.learn_version(opened.batch.model, max(run.text.versions))
+            if ended.version is not None:
+                # Not the text's versions: others may have made a part of it.
+                engine.learn_version(opened.batch.model, ended.version)
             result = run.text.result(run.item.item_id)
             self._finish(opened, run, result, "completed")
             return
@@ -178,7 +180,10 @@
         elif outcome is item_run.Outcome.NOT_RUN:
             engine.turned_away(now)
             run.not_before = now + work.REJECTED_PAUSE_SECONDS
-        elif outcome is not item_run.Outcome.WRONG_VERSION:
+        elif outcome is item_run.Outcome.WRONG_VERSION:
+            if ended.version is not None:
+                engine.correct_version(opened.batch.model, ended.version)
+        else:
             engine.failed(now)
 
     def _failed(
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -44,8 +44,11 @@
 # it: an item of 140 events takes 5 s, and its group and trainer wait for it.
 _PROGRESS_SECONDS: Final = 0.5
 _PROGRESS_EVENTS: Final = 8
-# Demand of a model counts the batches of about the last two steps.
-_DEMAND_SECONDS: Final = 8.0
+# Demand of a model counts the batches of this many seconds: several steps. A trainer
+# whose step is late hands in nothing meanwhile. Counted over 8 s, two steps, it lost
+# its engines to the others, and they had to be loaded again for its next step: of 17
+# engines that loaded one model's version, 9 had been another's a second before.
+_DEMAND_SECONDS: Final = 24.0
 
 
 class BatchRunner:
@@ -123,7 +126,7 @@
             n_finished=len(kept.results),
             age_seconds=round(age, 3),
         )
-        self._demand.note(batch.model, opened.n_tokens(), clock.now())
+        self._demand.note(batch.model, opened.n_expected_output_tokens(), clock.now())
         for result in self._work.carried_results(opened, self._route_of(opened)):
             self._hooks.finish(batch.batch_id, result)
         self.wake()
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -30,6 +30,8 @@
     group_key: tuple[str, str]
     # Latest start, in seconds of the clock, to be done in time.
     start_by: float
+    # When it cannot be done in time any more.
+    late_at: float
     # Its group is not waited for.
     is_spare: bool
     model: str
@@ -105,7 +107,7 @@
     """Return what is to be sent now; `places` are changed accordingly."""
     assignments = []
     tiers = urgency.tiers_by_group(
-        (urgency.Candidate(e.group_key, e.start_by, e.is_spare) for e in items), now
+        (urgency.Candidate(e.group_key, e.late_at, e.is_spare) for e in items), now
     )
     free = [each for each in places if each.n_running < each.n_slots]
     for item in sorted(items, key=lambda e: (tiers[e.group_key], e.start_by, e.key)):
--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -34,6 +34,11 @@
 # An item without a bound on its batch's time is due after this many seconds, so that
 # such batches are served in the order in which they came.
 UNBOUNDED_SECONDS: Final = 60.0
+# An item is held to be late only if even this share of its expected time is more than
+# is left. Estimates are off by half and more: taken at their word, they had a quarter
+# of the long items, of 4.8 s each, called late before they began, and these then began
+# 7 s after their batch.
+SURE_SHARE: Final = 0.4
 
 
 class Tier(enum.IntEnum):
@@ -110,8 +115,8 @@
     """A waiting item, as far as the order matters."""
 
     group_key: GroupKey
-    # Latest start, in seconds of the clock, to be done in time.
-    start_by: float
+    # When it cannot be done in time any more, in seconds of the clock.
+    late_at: float
     is_spare: bool
 
 
@@ -121,6 +126,6 @@
     for each in candidates:
         tier = Tier.SPARE
         if not each.is_spare:
-            tier = Tier.LATE if each.start_by < now else Tier.IN_TIME
+            tier = Tier.LATE if each.late_at < now else Tier.IN_TIME
         tiers[each.group_key] = max(tier, tiers.get(each.group_key, Tier.IN_TIME))
     return tiers
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -96,9 +96,10 @@
                 taken.append(progress)
         return taken
 
-    def n_tokens(self) -> int:
-        """Return the tokens that the whole batch is likely to take."""
-        return sum(each.n_expected_tokens() for each in self.runs_by_item_id.values())
+    def n_expected_output_tokens(self) -> int:
+        """Return the tokens that are likely to be generated for the whole batch."""
+        runs = self.runs_by_item_id.values()
+        return sum(each.n_expected_output_tokens() for each in runs)
 
     def route(self, routes: policy.RouteTable) -> policy.Route | None:
         """Return the route that its items go by now; None: it was dropped."""
@@ -121,14 +122,9 @@
         seconds = route.result_deadline_seconds if route is not None else 0.0
         return self.submitted_at + (seconds or urgency.UNBOUNDED_SECONDS)
 
-    def start_by(
-        self, run: ItemRun, route: policy.Route | None, pace: urgency.Pace
-    ) -> float:
-        """Return the latest time at which an item may start to be done in time."""
-        seconds = pace.remaining_seconds(
-            run.n_expected_output_tokens(), len(run.text.parts)
-        )
-        return self.due_at(route) - urgency.READ_SECONDS - seconds
+    def done_by(self, route: policy.Route | None) -> float:
+        """Return when its last item has to be done, in seconds of `clock.now`."""
+        return self.due_at(route) - urgency.READ_SECONDS
 
 
 class Work:
@@ -258,13 +254,18 @@
 ) -> scheduling.WaitingItem:
     """Return what the choice of an engine needs to know of an item."""
     batch = opened.batch
+    seconds = pace.remaining_seconds(
+        run.n_expected_output_tokens(), len(run.text.parts)
+    )
+    done_by = opened.done_by(route)
     only_version = None
     if route.is_single_version and run.text.versions:
         only_version = max(run.text.versions)
     return scheduling.WaitingItem(
         (batch.batch_id, run.item.item_id),
         run.group_key,
-        opened.start_by(run, route, pace),
+        done_by - seconds,
+        done_by - seconds * urgency.SURE_SHARE,
         run.group_key in opened.spare_groups,
         batch.model,
         batch.min_version,
