Wait for a group that comes again though none of its items had begun

Cause: a group counted as carried over only if an item of it had a text or a result.

Change: the ids of all items in groups that were not complete are kept. Test first: test_carried_group_is_waited_for, 'it had not begun'.

--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -17,6 +17,8 @@
 # Unfinished texts, and results, that are remembered for later batches with the same
 # items: those of the last few steps.
 _MAX_REMEMBERED_TEXTS: Final = 400
+# Ids of items in groups that were not complete: those of the last few steps.
+_MAX_REMEMBERED_IDS: Final = 4_000
 
 
 @attrs.define(eq=False)
@@ -135,6 +137,8 @@
         # By item id: the same items may come again in a later batch.
         self._results_by_item_id: dict[str, model.Result] = {}
         self._texts_by_item_id: dict[str, item_run.Text] = {}
+        # Items of groups that were not complete, begun or not; the oldest first.
+        self._left_ids: dict[str, None] = {}
 
     def open_batches(self) -> list[OpenBatch]:
         """Return the open batches, the oldest first."""
@@ -153,11 +157,10 @@
             if text is not None and not run.is_done:
                 run.text = text
                 run.text.n_taken = 0
-                carried.add(group_key)
             progress = kept.progress_by_item_id.get(item.item_id)
             if progress is not None and not run.is_done:
                 run.text = item_run.Text.of_progress(progress)
-            if item.item_id in self._results_by_item_id:
+            if item.item_id in self._left_ids:
                 carried.add(group_key)
             runs[item.item_id] = run
         spare = _spare_groups(batch, runs.values(), frozenset(carried))
@@ -210,7 +213,11 @@
             del self._texts_by_item_id[next(iter(self._texts_by_item_id))]
 
     def remember(self, batch: model.Batch, kept: model.KeptBatch) -> None:
-        """Remember the results of groups that were not complete."""
+        """Remember what there is of groups that were not complete.
+
+        Their trainer waits for such a group when it comes again, also if none of its
+        items had begun.
+        """
         finished = {each.item_id: each for each in kept.results}
         groups: dict[str, list[str]] = {}
         for item in batch.items:
@@ -219,11 +226,14 @@
             if all(each in finished for each in item_ids):
                 continue
             for item_id in item_ids:
+                self._left_ids[item_id] = None
                 result = finished.get(item_id)
                 if result and result.state is model.ItemState.COMPLETED:
                     self._results_by_item_id[item_id] = result
         while len(self._results_by_item_id) > _MAX_REMEMBERED_TEXTS:
             del self._results_by_item_id[next(iter(self._results_by_item_id))]
+        while len(self._left_ids) > _MAX_REMEMBERED_IDS:
+            del self._left_ids[next(iter(self._left_ids))]
 
     def of_model(self, model_name: str) -> list[OpenBatch]:
         """Return the open batches of a model's trainer."""
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -502,12 +502,25 @@
         self.assertEqual(again.runs_by_item_id["i0"].text.last_number, 1)
         self.assertEqual(again.spare_groups, frozenset())
 
-    def test_carried_group_is_waited_for(self):
-        """A trainer waits for one of two groups; one had begun in an earlier batch."""
+    @tools.params(
+        ("it had begun", ("i0", "i1"), True, {("b2", "g0")}),
+        ("it had not begun", ("i0", "i1"), False, {("b2", "g0")}),
+        ("all were complete", ("i0", "i1", "i2", "i3"), False, {("b2", "g1")}),
+    )
+    def test_carried_group_is_waited_for(self, name, finished, has_begun, expected):
+        """A trainer waits for one of two groups, and for each that comes again.
+
+        The second group comes again. Not known as such it goes behind all others, and
+        its trainer waits for it until its time is up.
+        """
         known = work.Work()
-        opened = known.open(model.KeptBatch.of(batch("b1", 4), 0.0), 0.0)
-        opened.runs_by_item_id["i3"].text.add(event_stream.Event(1, b"a"), 2)
+        kept = model.KeptBatch.of(batch("b1", 4), 0.0)
+        opened = known.open(kept, 0.0)
+        kept.results = [result(each) for each in finished]
+        known.finished("b1", kept.results)
+        if has_begun:
+            opened.runs_by_item_id["i3"].text.add(event_stream.Event(1, b"a"), 2)
         known.end("b1")
         later = batch("b2", 4, n_wanted_groups=1)
         again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
-        self.assertEqual(again.spare_groups, {("b2", "g0")})
+        self.assertEqual(again.spare_groups, expected, name)
