Let the halves of a model's engines load by turns

Cause: each engine loaded each version as soon as it was named, which is when the trainer hands in its next step.

Ruled out: the pace of full engines (46 to 50 ms an event in all lines).

Change: what is too old for the newest step loads at once; of the others half load when nothing waits, or 1.5 s after the version was named at the latest; the rest skips a version, as the steps allow. How old a version steps allow is learned from them.

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -76,6 +76,7 @@
             means, protocol, view, hooks, self._pace, self.wake
         )
         self._load_limit = load_limit.LoadLimit()
+        self._named = work.NamedVersions()
         self._order_tasks: list[Any] = []
         self._task: Any = None
         self._progress_at = float("-inf")
@@ -126,6 +127,7 @@
             n_finished=len(kept.results),
             age_seconds=round(age, 3),
         )
+        self._named.note_step(batch.model, batch.min_version, clock.now())
         self._demand.note(batch.model, opened.n_expected_output_tokens(), clock.now())
         for result in self._work.carried_results(opened, self._route_of(opened)):
             self._hooks.finish(batch.batch_id, result)
@@ -194,7 +196,7 @@
         loads = weight_plan.plan(
             [each.weights() for each in self._engines.usable(now)],
             self._shares.engine_ids_by_model,
-            self._view.registry.versions_by_model,
+            self._wanted_by_model(now),
             self._load_limit.number(len(self._engines.by_id)),
         )
         self._order_tasks = [each for each in self._order_tasks if not each.dead]
@@ -203,6 +205,23 @@
             engine.loading = load
             self._order_tasks.append(eventlet.spawn(self._load, engine, load))
 
+    def _wanted_by_model(self, now: float) -> dict[str, weight_plan.Wanted]:
+        self._named.note(self._view.registry.versions_by_model, now)
+        waiting_models = {
+            opened.batch.model
+            for opened in self._work.open_batches()
+            if any(True for _ in opened.waiting_runs())
+        }
+        return {
+            model_name: weight_plan.Wanted(
+                version,
+                self._named.lag(model_name),
+                now - self._named.named_at(model_name),
+                model_name in waiting_models,
+            )
+            for model_name, version in self._view.registry.versions_by_model.items()
+        }
+
     def _load(self, engine: engines.Engine, load: weight_plan.Load) -> None:
         began = clock.now()
         n_beside = self._engines.n_loading()
--- a/bilberrydrum/batches/weight_plan.py
+++ b/bilberrydrum/batches/weight_plan.py
@@ -2,13 +2,31 @@
 
 Engines are loaded a few at a time, as each load takes longer while others load, and
 never more than half of a model's engines at once: the others go on under the version
-before, which a step still allows.
+before, if a step allows it.
+
+Answers the load in which a trainer names a version and hands in its next step at the
+same moment, every few seconds. A load stops an engine for a second: its streams pause
+and it starts nothing. Were each engine to load each version at once, half of them would
+be away just when the step comes, and each item of 5 s would be paused once. So:
+
+- an engine that is too old for the next step loads at once;
+- of the others, half are kept at the newest version, so that not all are too old when
+  the next one is named; the two halves then load by turns, each every second version.
+  They wait until nothing waits for them, or for so long that they would be late;
+- an engine without work loads what is newest: its next samples are fresher for it.
 """
 
 from collections.abc import Collection, Mapping
+from typing import Final
 
 import attrs
 
+# A step that is handed in with a new version is there within this time, in seconds.
+SETTLE_SECONDS: Final = 0.3
+# Loads that are put off begin this long after the version was named, in seconds, at the
+# latest: the next one may come after 4 s, and two loads one after the other take 2.4 s.
+DEFER_SECONDS: Final = 1.5
+
 
 @attrs.frozen
 class EngineWeights:
@@ -22,6 +40,25 @@
     n_running: int
 
 
+@attrs.frozen
+class Wanted:
+    """What a model's trainer asks for."""
+
+    # The newest version that was named.
+    version: int
+    # Versions by which an engine may be behind and still serve the newest step.
+    lag: int = 0
+    # Time since it was named, in seconds.
+    age_seconds: float = float("inf")
+    # Items of the model wait for a place.
+    has_waiting: bool = False
+
+    def may_defer_no_longer(self) -> bool:
+        """Tell whether loads that can wait should begin."""
+        is_quiet = not self.has_waiting and self.age_seconds >= SETTLE_SECONDS
+        return is_quiet or self.age_seconds >= DEFER_SECONDS
+
+
 @attrs.frozen
 class Load:
     """An engine is to serve a version."""
@@ -34,7 +71,7 @@
 def plan(
     engines: Collection[EngineWeights],
     engine_ids_by_model: Mapping[str, frozenset[str]],
-    named_versions_by_model: Mapping[str, int],
+    wanted_by_model: Mapping[str, Wanted],
     max_loading: int,
 ) -> list[Load]:
     """Return the loads that are to begin now."""
@@ -42,7 +79,7 @@
     n_free = max_loading - sum(1 for each in engines if each.is_loading)
     begun: set[str] = set()
     loads: list[Load] = []
-    for need in _needs(by_id, engine_ids_by_model, named_versions_by_model):
+    for need in _needs(by_id, engine_ids_by_model, wanted_by_model):
         if len(loads) >= n_free:
             break
         if need.engine_id in begun:
@@ -58,26 +95,48 @@
 def _needs(
     by_id: Mapping[str, EngineWeights],
     engine_ids_by_model: Mapping[str, frozenset[str]],
-    named_versions_by_model: Mapping[str, int],
+    wanted_by_model: Mapping[str, Wanted],
 ) -> list[Load]:
-    """Return all loads that are wanted, the model furthest behind first."""
+    """Return all loads that are due, the engine furthest behind first."""
     ranked = []
     for model, engine_ids in engine_ids_by_model.items():
-        named = named_versions_by_model.get(model)
-        if named is None:
+        wanted = wanted_by_model.get(model)
+        if wanted is None:
             continue
-        for engine_id in engine_ids:
-            engine = by_id.get(engine_id)
-            if engine is None or model not in engine.versions_by_model:
-                continue
-            behind = named - engine.versions_by_model[model]
-            if behind > 0:
-                rank = (-behind, engine.n_running, engine_id)
-                ranked.append((rank, Load(engine_id, model, named)))
+        present = [by_id[each] for each in engine_ids if each in by_id]
+        able = [each for each in present if model in each.versions_by_model]
+        for engine in _due(model, wanted, able):
+            behind = wanted.version - engine.versions_by_model[model]
+            rank = (-behind, engine.n_running, engine.engine_id)
+            ranked.append((rank, Load(engine.engine_id, model, wanted.version)))
     ranked.sort(key=lambda each: each[0])
     return [load for _, load in ranked]
 
 
+def _due(
+    model: str, wanted: Wanted, engines: Collection[EngineWeights]
+) -> list[EngineWeights]:
+    """Return the engines of a model that should load now."""
+    oldest = wanted.version - wanted.lag
+    too_old = [e for e in engines if e.versions_by_model[model] < oldest]
+    if not wanted.may_defer_no_longer():
+        return too_old
+    behind = [e for e in engines if oldest <= e.versions_by_model[model]]
+    behind = [e for e in behind if e.versions_by_model[model] < wanted.version]
+    behind.sort(key=lambda e: (e.versions_by_model[model], e.n_running, e.engine_id))
+    # Those that are too old will have the newest version as well.
+    n_newest = len(engines) - len(behind) + sum(1 for e in behind if e.is_loading)
+    n_missing = max(len(engines) // 2 - n_newest, 0)
+    waiting = [each for each in behind if not each.is_loading]
+    idle = [
+        each
+        for each in waiting[n_missing:]
+        if not each.n_running and not wanted.has_waiting
+    ]
+    is_settled = wanted.age_seconds >= DEFER_SECONDS
+    return too_old + waiting[:n_missing] + (idle if is_settled else [])
+
+
 def _may_begin(
     engine_id: str,
     mates: frozenset[str],
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -1,6 +1,6 @@
 """The open batches and how far each item is, in the runner's memory."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -17,6 +17,8 @@
 # Unfinished texts, and results, that are remembered for later batches with the same
 # items: those of the last few steps.
 _MAX_REMEMBERED_TEXTS: Final = 400
+# The newest version is known this long after the step that was handed in with it.
+LAG_SECONDS: Final = 0.3
 # Ids of items in groups that were not complete: those of the last few steps.
 _MAX_REMEMBERED_IDS: Final = 4_000
 
@@ -306,3 +308,42 @@
             if model_name in demand:
                 demand[model_name] += amount
         return demand
+
+
+class NamedVersions:
+    """When versions were named, and how old a version a model's steps allow."""
+
+    def __init__(self) -> None:
+        self._versions_by_model: dict[str, int] = {}
+        self._named_at_by_model: dict[str, float] = {}
+        self._lags_by_model: dict[str, int] = {}
+        # Oldest version that the newest step allows, and when the step came.
+        self._new_steps_by_model: dict[str, tuple[int, float]] = {}
+
+    def note(self, versions_by_model: Mapping[str, int], now: float) -> None:
+        """Take in the newest versions."""
+        for name, version in versions_by_model.items():
+            if self._versions_by_model.get(name) != version:
+                self._versions_by_model[name] = version
+                self._named_at_by_model[name] = now
+        for name, (min_version, came_at) in list(self._new_steps_by_model.items()):
+            if now - came_at >= LAG_SECONDS:
+                newest = self._versions_by_model.get(name, min_version)
+                self._lags_by_model[name] = max(newest - min_version, 0)
+                del self._new_steps_by_model[name]
+
+    def note_step(self, model_name: str, min_version: int, now: float) -> None:
+        """Take in the oldest version that a new step allows.
+
+        Its trainer has named a version just before. The news of that takes another
+        way and may come after the step, so the two are compared a little later.
+        """
+        self._new_steps_by_model[model_name] = (min_version, now)
+
+    def named_at(self, model_name: str) -> float:
+        """Return when the newest version was heard of; long ago if it is not known."""
+        return self._named_at_by_model.get(model_name, float("-inf"))
+
+    def lag(self, model_name: str) -> int:
+        """Return by how many versions an engine may be behind; 0: not known."""
+        return self._lags_by_model.get(model_name, 0)
--- a/tests/test_batches_load_limit.py
+++ b/tests/test_batches_load_limit.py
@@ -22,7 +22,8 @@
         ]
         ids = frozenset(each.engine_id for each in engines)
         bound = limit.number(n_engines)
-        loads = weight_plan.plan(engines, {"m": ids}, {"m": 2}, bound)
+        wanted = {"m": weight_plan.Wanted(2)}
+        loads = weight_plan.plan(engines, {"m": ids}, wanted, bound)
         took = load_seconds * max(1.0, len(loads) / n_at_once)
         seconds += took
         for load in loads:
