A fault soak: the platform's processes under drawn faults, checked from outside

misc/soak starts control processes, stores and gateways with the adapter on loopback addresses of their own, behind links that delay, hold back, mute and reset; kills, pauses, wipes and restarts them by signals, steps their wall clocks, tears the ends of their logs; and checks what clients and stand-in upstreams see: answers, runs of what may run once, refusals, policies read back, results and their positions, texts, versions, ends, departures, fencing numbers. Transports may bind another address than the one they are known by, which the links need and an address translation too.

--- a/bilberrydrum/nodes/links.py
+++ b/bilberrydrum/nodes/links.py
@@ -10,7 +10,7 @@
 
     def __init__(self, node: options.NodeOptions) -> None:
         address = node.control_address
-        self.carrier = transport.Transport(address, options.CONTROL_GROUP, address)
+        self.carrier = _carrier(node, address, options.CONTROL_GROUP)
         others = [each for each in node.seed_addresses if each != address]
         self.calls = leader_calls.LeaderCalls(self.carrier, others or [address])
 
@@ -20,5 +20,11 @@
 
     def __init__(self, node: options.NodeOptions) -> None:
         address = node.store_address
-        self.carrier = transport.Transport(address, options.STORE_GROUP, address)
+        self.carrier = _carrier(node, address, options.STORE_GROUP)
         self.calls = leader_calls.LeaderCalls(self.carrier)
+
+
+def _carrier(
+    node: options.NodeOptions, address: str, group: str
+) -> transport.Transport:
+    return transport.Transport(address, group, address, bind_host=node.bind_host)
--- a/bilberrydrum/nodes/options.py
+++ b/bilberrydrum/nodes/options.py
@@ -59,6 +59,8 @@
     order_lease_seconds: float = 3.0
     # Time that a stopping process has.
     shutdown_seconds: float = 8.0
+    # IP that the transports bind where it is not that of their addresses.
+    bind_host: str = ""
     limits: options.LimitOptions = attrs.field(factory=options.LimitOptions)
 
     def n_voters(self) -> int:
--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -132,10 +132,22 @@
         group: str,
         address: str,
         keys: CurveKeys | None = None,
+        bind_host: str = "",
     ) -> None:
+        """Make the transport; nothing is bound before `start`.
+
+        Parameters
+        ----------
+        address : str
+            Where others reach this process, ``IP:port``.
+        bind_host : str
+            The IP to bind where it is not that of `address`, as behind an address
+            translation; empty: the same.
+        """
         self.process_id = process_id
         self.group = group
         self.address = address
+        self._bind_host = bind_host
         self.incarnation = 0
         self._keys = keys
         self._context = zmq.Context()
@@ -163,7 +175,8 @@
             router.curve_secretkey = self._keys.secret
             router.curve_publickey = self._keys.public
             router.zap_domain = b"peers"
-        router.bind(f"tcp://{self.address}")
+        host, _, port = self.address.rpartition(":")
+        router.bind(f"tcp://{self._bind_host or host}:{port}")
         self._router = router
         self._tasks.append(eventlet.spawn(self._receive))
 
--- a/misc/processes.py
+++ b/misc/processes.py
@@ -123,6 +123,10 @@
         """Let a frozen process go on."""
         self.send(signal.SIGCONT)
 
+    def hang_up(self) -> None:
+        """Ask the process to read its settings again."""
+        self.send(signal.SIGHUP)
+
     def terminate(self, timeout: float) -> int | None:
         """Ask the process to end; return its exit code, None if it did not end."""
         self.send(signal.SIGTERM)
--- /dev/null
+++ b/misc/soak_clients.py
@@ -0,0 +1,300 @@
+"""The traffic of a soak: look-ups, requests that run once, batches, policies, readers.
+
+Clients keep their connections for as long as the process behind them lasts, ask other
+processes when one fails, and tell the ledger what they saw.
+"""
+
+import http.client
+import itertools
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import attrs
+import eventlet
+from bilberrydrum_platform import standins
+
+from bilberrydrum import clock
+from bilberrydrum.batches import model as batch_model
+from misc import soak_ledger, soak_upstreams
+
+HOST: Final = "soak.example"
+MODEL: Final = "m"
+ASK_SECONDS: Final = 2.0
+READ_PAUSE_SECONDS: Final = 0.3
+STEP_SECONDS: Final = 8.0
+GROUPS: Final = 4
+GROUP_ITEMS: Final = 4
+WANTED_GROUPS: Final = 3
+
+
+@attrs.frozen
+class Answer:
+    """An HTTP answer; status 0: there is none."""
+
+    status: int = 0
+    body: bytes = b""
+    stamp: str = ""
+    ends_connection: bool = False
+
+
+NO_ANSWER: Final = Answer()
+
+
+def ask(
+    connection: http.client.HTTPConnection, call: standins.Call, seconds: float
+) -> Answer:
+    """Send a call on a connection and return the answer."""
+    with eventlet.Timeout(seconds, False):
+        try:
+            connection.request(call.method, call.target, call.body, call.headers)
+            answer = connection.getresponse()
+            body = answer.read()
+        except (OSError, http.client.HTTPException):
+            return NO_ANSWER
+        ends = answer.getheader("Connection", "").lower() == "close"
+        stamp = answer.getheader(standins.STAMP_HEADER, "")
+        return Answer(answer.status, body, stamp, ends)
+    return NO_ANSWER
+
+
+def ask_once(address: str, call: standins.Call, seconds: float = ASK_SECONDS) -> Answer:
+    """Send a call on a connection of its own and return the answer."""
+    connection = http.client.HTTPConnection(address)
+    try:
+        return ask(connection, call, seconds)
+    finally:
+        connection.close()
+
+
+class Clients:
+    """All clients of one run."""
+
+    def __init__(
+        self,
+        ledger: soak_ledger.Ledger,
+        seed: int,
+        gateways: Sequence[str],
+        controls: Sequence[str],
+    ) -> None:
+        self._ledger = ledger
+        self._rng = random.Random(seed)
+        self._gateways = gateways
+        self._controls = controls
+        self._numbers = itertools.count(1)
+        self._policy_number = itertools.count(1)
+        self._prefix = f"s{seed}"
+        self._tasks: list[Any] = []
+
+    def start(self) -> None:
+        """Start all clients."""
+        tasks: list[Callable[[], None]] = [self._operate, self._read_policies]
+        tasks += [self._train, self._reread, self._reread]
+        tasks += [self._look_up] * 3 + [self._run_once] * 2
+        self._tasks = [eventlet.spawn(each) for each in tasks]
+
+    def stop(self) -> None:
+        """Stop all clients."""
+        for task in self._tasks:
+            task.kill()
+        self._tasks.clear()
+
+    def _new_id(self, kind: str) -> str:
+        return f"{self._prefix}-{kind}-{next(self._numbers)}"
+
+    # Control
+
+    def announce(self, call: standins.Call) -> bool:
+        """Send an upstream's call to the control processes until one takes it."""
+        for address in self._shuffled(self._controls):
+            if ask_once(address, call, 1.0).status // 100 == 2:
+                return True
+        return False
+
+    def _shuffled(self, addresses: Sequence[str]) -> list[str]:
+        return self._rng.sample(list(addresses), len(addresses))
+
+    def put_policy(self) -> bool:
+        """Send the next policy once to each control process until one takes it."""
+        version = next(self._policy_number) * 3
+        policy = standins.Policy(
+            version,
+            HOST,
+            (
+                standins.PlainRoute("look-ups", "/look-up/", "apps", True),
+                standins.PlainRoute("once", "/once/", "apps", False),
+                standins.PlainRoute("extra", f"/extra-{version}/", "apps", True),
+            ),
+            (standins.BatchRoute("batches", "/batches/", "engines"),),
+            {"apps": (), "engines": (MODEL,)},
+        )
+        if not self.announce(standins.submit_policy(policy)):
+            return False
+        self._ledger.put_policy(version)
+        return True
+
+    def _operate(self) -> None:
+        while True:
+            eventlet.sleep(self._rng.uniform(0.5, 2.5))
+            self.put_policy()
+
+    def read_policy(self) -> bool:
+        """Read the policy back at some control process."""
+        before = self._ledger.policy_version
+        answer = ask_once(self._rng.choice(self._controls), standins.READ_POLICY)
+        if answer.status != 200:
+            return False
+        self._ledger.read_policy(standins.policy_version(answer.body), before)
+        return True
+
+    def _read_policies(self) -> None:
+        while True:
+            eventlet.sleep(self._rng.uniform(0.1, 0.6))
+            self.read_policy()
+
+    # Single requests
+
+    def _look_up(self) -> None:
+        while True:
+            self._use_connection("look-up")
+
+    def _run_once(self) -> None:
+        while True:
+            self._use_connection("once")
+
+    def _use_connection(self, kind: str) -> None:
+        """Send one request after the other to one gateway until it fails."""
+        connection = http.client.HTTPConnection(self._rng.choice(self._gateways))
+        try:
+            while self._send_single(connection, kind):
+                eventlet.sleep(self._rng.uniform(0.02, 0.15))
+        finally:
+            connection.close()
+        eventlet.sleep(0.1)
+
+    def _send_single(self, connection: http.client.HTTPConnection, kind: str) -> bool:
+        request_id = self._new_id(kind)
+        headers = standins.request_headers(HOST, request_id, ASK_SECONDS)
+        call = standins.Call("POST", f"/{kind}/x", headers, b"body")
+        answer = ask(connection, call, ASK_SECONDS + 0.5)
+        self._ledger.answered(request_id, answer.status, answer.body, answer.stamp)
+        if kind == "once":
+            self._ledger.answered_once_only(request_id, answer.status)
+        return bool(answer.status) and not answer.ends_connection
+
+    def look_up_at(self, gateway: str) -> bool:
+        """Tell whether a look-up is served at a gateway."""
+        connection = http.client.HTTPConnection(gateway)
+        request_id = self._new_id("look-up")
+        headers = standins.request_headers(HOST, request_id, ASK_SECONDS)
+        call = standins.Call("POST", "/look-up/x", headers, b"body")
+        try:
+            return ask(connection, call, ASK_SECONDS).status == 200
+        finally:
+            connection.close()
+
+    # Batches
+
+    def _train(self) -> None:
+        for step in itertools.count(1):
+            version = self._ledger.named_by_model.get(MODEL, 1)
+            batch = self._batch(step, max(version - 1, 1))
+            if self.submit(batch):
+                self._await_groups(batch)
+                self._end(batch.batch_id)
+            if self.announce(standins.name_version(MODEL, version + 1)):
+                self._ledger.named(MODEL, version + 1)
+
+    def _batch(self, step: int, min_version: int) -> batch_model.Batch:
+        batch_id = self._new_id("batch")
+        items = tuple(
+            batch_model.Item(
+                f"{batch_id}-{n}",
+                "/batches/x",
+                {"X-Model": MODEL, "X-Token-Count": "10,90"},
+                b"prompt",
+                100,
+                f"{batch_id}-g{n // GROUP_ITEMS}",
+            )
+            for n in range(GROUPS * GROUP_ITEMS)
+        )
+        return batch_model.Batch(
+            batch_id, HOST, items, step, MODEL, min_version, WANTED_GROUPS
+        )
+
+    def submit(self, batch: batch_model.Batch) -> bool:
+        """Submit a batch at one gateway after the other until it is accepted."""
+        call = standins.submit_batch(batch, "/batches/x", ASK_SECONDS)
+        deadline = clock.now() + STEP_SECONDS
+        while clock.now() < deadline:
+            if ask_once(self._rng.choice(self._gateways), call).status == 202:
+                n_events = {
+                    e.item_id: soak_upstreams.n_events(e.item_id) for e in batch.items
+                }
+                now = clock.now()
+                self._ledger.accepted(batch.batch_id, n_events, batch.min_version, now)
+                return True
+            eventlet.sleep(0.1)
+        return False
+
+    def _await_groups(self, batch: batch_model.Batch) -> None:
+        deadline = clock.now() + STEP_SECONDS
+        while clock.now() < deadline:
+            self.read(batch.batch_id, self._ledger.n_listed(batch.batch_id))
+            if self._n_whole_groups(batch) >= WANTED_GROUPS:
+                return
+            eventlet.sleep(READ_PAUSE_SECONDS)
+
+    def _n_whole_groups(self, batch: batch_model.Batch) -> int:
+        missing = self._ledger.missing(batch.batch_id)
+        broken = {each.group for each in batch.items if each.item_id in missing}
+        return GROUPS - len(broken)
+
+    def read(self, batch_id: str, position: int) -> bool:
+        """Read a page of a batch at some gateway; tell whether there was one."""
+        asked_at = clock.now()
+        call = standins.read_results(HOST, batch_id, position)
+        answer = ask_once(self._rng.choice(self._gateways), call)
+        if answer.status == 200:
+            self._ledger.read(batch_id, position, standins.page(answer.body))
+        elif answer.status == 404:
+            self._ledger.not_found(batch_id, asked_at)
+        return answer.status == 200
+
+    def _end(self, batch_id: str) -> None:
+        call = standins.end_batch(HOST, batch_id)
+        for _ in range(20):
+            if ask_once(self._rng.choice(self._gateways), call).status == 200:
+                self._ledger.ended(batch_id, clock.now())
+                return
+            eventlet.sleep(0.1)
+
+    def _reread(self) -> None:
+        """Read batches again from some earlier position."""
+        while True:
+            eventlet.sleep(self._rng.uniform(0.1, 0.5))
+            batch_ids = self._ledger.batch_ids()
+            if batch_ids:
+                batch_id = self._rng.choice(batch_ids)
+                n_listed = self._ledger.n_listed(batch_id)
+                self.read(batch_id, self._rng.randint(0, n_listed))
+
+    def read_whole(self, batch_id: str) -> bool:
+        """Read a batch from the start to where it was read before."""
+        position = 0
+        while position <= self._ledger.n_listed(batch_id):
+            if not self.read(batch_id, position):
+                return False
+            position += max(self._ledger.n_listed(batch_id) - position, 1)
+        return True
+
+    def is_batch_served(self) -> bool:
+        """Tell whether a new batch is accepted and all of it is made."""
+        batch = self._batch(0, 1)
+        if not self.submit(batch):
+            return False
+        deadline = clock.now() + STEP_SECONDS
+        while clock.now() < deadline and self._ledger.missing(batch.batch_id):
+            self.read(batch.batch_id, self._ledger.n_listed(batch.batch_id))
+            eventlet.sleep(0.1)
+        return not self._ledger.missing(batch.batch_id)
--- /dev/null
+++ b/misc/soak_faults.py
@@ -0,0 +1,141 @@
+"""Which faults a soak injects, and when: drawn from a seed."""
+
+import enum
+import random
+from collections.abc import Sequence
+from typing import Final
+
+import attrs
+
+
+class Kind(enum.Enum):
+    """What is done to its target."""
+
+    # To processes.
+    KILL = "kill"
+    # Killed, with bytes at the end of its log that were never synced.
+    TEAR = "tear"
+    # Killed, its disk lost.
+    WIPE = "wipe"
+    TERMINATE = "terminate"
+    PAUSE = "pause"
+    HANGUP = "hangup"
+    CLOCK = "clock"
+    # To all processes of a role, or to all there are.
+    KILL_ROLE = "kill-role"
+    KILL_ALL = "kill-all"
+    # To links.
+    DELAY = "delay"
+    SILENCE = "silence"
+    SILENCE_INWARD = "silence-inward"
+    SILENCE_OUTWARD = "silence-outward"
+    MUTE = "mute"
+    RESET = "reset"
+    # To upstreams.
+    CRASH = "crash"
+    SLOW = "slow"
+    LEAVE = "leave"
+
+
+PROCESS_KINDS: Final = (
+    Kind.KILL,
+    Kind.TERMINATE,
+    Kind.PAUSE,
+    Kind.HANGUP,
+    Kind.CLOCK,
+)
+LINK_KINDS: Final = (
+    Kind.DELAY,
+    Kind.SILENCE,
+    Kind.SILENCE_INWARD,
+    Kind.SILENCE_OUTWARD,
+    Kind.MUTE,
+    Kind.RESET,
+)
+UPSTREAM_KINDS: Final = (Kind.CRASH, Kind.SLOW, Kind.LEAVE)
+# Mean pause between two faults, in seconds: most faults last longer, so they overlap.
+MEAN_PAUSE_SECONDS: Final = 0.8
+# Between two lost disks of one group: a group bears one, and the next one only when
+# the lost one's successor has caught up, which takes a start and a few elections.
+WIPE_SECONDS: Final = 9.0
+_FIRST_SECONDS: Final = 0.5
+
+
+@attrs.frozen
+class Fault:
+    """One fault; times are in seconds from the start of the traffic."""
+
+    at: float
+    kind: Kind
+    target: str
+    seconds: float
+
+
+@attrs.frozen
+class Targets:
+    """Names that faults may be drawn for."""
+
+    processes_by_role: dict[str, tuple[str, ...]]
+    # Roles whose processes have a disk.
+    roles_with_disk: tuple[str, ...]
+    upstreams: tuple[str, ...]
+
+    def processes(self) -> tuple[str, ...]:
+        """Return the names of all processes."""
+        return tuple(n for names in self.processes_by_role.values() for n in names)
+
+
+def draw(seed: int, seconds: float, targets: Targets) -> tuple[Fault, ...]:
+    """Return the faults of one run, the earliest first."""
+    rng = random.Random(seed)
+    faults: list[Fault] = []
+    wiped_at_by_role = dict.fromkeys(targets.roles_with_disk, -WIPE_SECONDS)
+    at = _FIRST_SECONDS
+    while True:
+        at += rng.expovariate(1 / MEAN_PAUSE_SECONDS)
+        if at >= seconds:
+            return tuple(faults)
+        kind = _draw_kind(rng)
+        fault = Fault(at, kind, _draw_target(rng, kind, targets), rng.uniform(0.2, 3.5))
+        if kind is Kind.WIPE:
+            role = _role_of(fault.target, targets)
+            if at - wiped_at_by_role[role] < WIPE_SECONDS:
+                continue
+            wiped_at_by_role[role] = at
+        faults.append(fault)
+
+
+def _draw_kind(rng: random.Random) -> Kind:
+    point = rng.random()
+    if point < 0.4:
+        return rng.choice(PROCESS_KINDS)
+    if point < 0.65:
+        return rng.choice(LINK_KINDS)
+    if point < 0.83:
+        return rng.choice(UPSTREAM_KINDS)
+    if point < 0.93:
+        return rng.choice((Kind.WIPE, Kind.TEAR))
+    return rng.choice((Kind.KILL_ROLE, Kind.KILL_ALL))
+
+
+def _draw_target(rng: random.Random, kind: Kind, targets: Targets) -> str:
+    if kind is Kind.KILL_ALL:
+        return ""
+    if kind is Kind.KILL_ROLE:
+        return rng.choice(sorted(targets.processes_by_role))
+    if kind in UPSTREAM_KINDS:
+        return rng.choice(targets.upstreams)
+    names: Sequence[str] = targets.processes()
+    if kind in (Kind.WIPE, Kind.TEAR):
+        names = [
+            name
+            for role in targets.roles_with_disk
+            for name in targets.processes_by_role[role]
+        ]
+    elif kind in LINK_KINDS:
+        names = [*names, *targets.upstreams]
+    return rng.choice(names)
+
+
+def _role_of(name: str, targets: Targets) -> str:
+    return next(r for r, names in targets.processes_by_role.items() if name in names)
--- /dev/null
+++ b/misc/soak_ledger.py
@@ -0,0 +1,240 @@
+"""What a soak has seen, and the promises that it breaks.
+
+Pure: clients and upstreams of the soak tell what they saw on their sockets. A finding
+is a sentence with the ids to look for in the processes' logs.
+"""
+
+import collections
+from collections.abc import Collection, Mapping
+from typing import Final
+
+import attrs
+from bilberrydrum_platform import standins
+
+# Statuses by which a gateway promises that a request did not run and never will.
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+# Time in which an acknowledged end or departure must be in force, in seconds, while
+# nothing is disturbed.
+IN_FORCE_SECONDS: Final = 3.0
+# Disturbances less than this long ago excuse what has a bound on its time.
+SETTLE_SECONDS: Final = 6.0
+# An accepted batch may be unknown for this long after its acknowledgement.
+KNOWN_SECONDS: Final = 1.0
+
+
+@attrs.define
+class _Batch:
+    """What is known of one accepted batch."""
+
+    n_events_by_item_id: Mapping[str, int]
+    min_version: int
+    accepted_at: float
+    results: list[standins.Listed] = attrs.field(factory=list)
+    ended_at: float | None = None
+
+
+class Ledger:
+    """Everything seen in one run."""
+
+    def __init__(self) -> None:
+        self.findings: list[str] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.disturbed_at = float("-inf")
+        self.policy_version = 0
+        self.named_by_model: dict[str, int] = {}
+        self._runs_by_request: collections.Counter[str] = collections.Counter()
+        self._refused: set[str] = set()
+        self._batches: dict[str, _Batch] = {}
+        self._batch_by_item: dict[str, str] = {}
+        self._left_at_by_upstream: dict[str, float] = {}
+        self._holders_by_order: dict[tuple[str, int], str] = {}
+
+    def _find(self, text: str) -> None:
+        self.counts["findings"] += 1
+        if text not in self.findings:
+            self.findings.append(text)
+
+    def disturbed(self, now: float) -> None:
+        """Note that a fault is there at this moment."""
+        self.disturbed_at = max(self.disturbed_at, now)
+
+    def is_calm(self, now: float) -> bool:
+        """Tell whether nothing was disturbed for a while."""
+        return now - self.disturbed_at > SETTLE_SECONDS
+
+    # Single requests
+
+    def ran_once_only(self, request_id: str, upstream_id: str) -> None:
+        """Note that a request that may run once has begun to run."""
+        self._runs_by_request[request_id] += 1
+        if self._runs_by_request[request_id] > 1:
+            self._find(f"{request_id} ran again, at {upstream_id}")
+        if request_id in self._refused:
+            self._find(f"{request_id} ran at {upstream_id} after a refusal as not run")
+
+    def answered_once_only(self, request_id: str, status: int) -> None:
+        """Note the answer to a request that may run once."""
+        self.counts[f"once-only {status}"] += 1
+        if status not in NOT_RUN_STATUSES:
+            return
+        self._refused.add(request_id)
+        if self._runs_by_request[request_id]:
+            self._find(f"{request_id} was refused with {status} and had run")
+
+    def answered(self, request_id: str, status: int, body: bytes, stamp: str) -> None:
+        """Note the answer to any request."""
+        self.counts[f"look-up {status}"] += 1
+        if status != 200:
+            return
+        if body.decode("utf-8", "replace") != request_id:
+            self._find(f"{request_id} got another answer: {body[:60]!r}")
+        if not stamp:
+            self._find(f"{request_id} got a success that no upstream made")
+
+    # Policies and versions
+
+    def put_policy(self, version: int) -> None:
+        """Note an acknowledged policy."""
+        self.counts["policies"] += 1
+        self.policy_version = max(self.policy_version, version)
+
+    def read_policy(self, version: int, version_before: int) -> None:
+        """Note a policy that was read; `version_before` was in force at the asking."""
+        self.counts["policies read"] += 1
+        if version < version_before:
+            self._find(f"policy {version} was read after {version_before} was taken")
+
+    def named(self, model: str, version: int) -> None:
+        """Note an acknowledged version of a model."""
+        self.named_by_model[model] = max(version, self.named_by_model.get(model, 0))
+
+    def ordered(self, upstream_id: str, order: standins.OrderGiven) -> None:
+        """Note an order that an engine has got."""
+        self.counts["orders"] += 1
+        key = (upstream_id, order.fencing_number)
+        holder = self._holders_by_order.setdefault(key, order.holder)
+        if holder != order.holder:
+            self._find(
+                f"{upstream_id} got orders with {order.fencing_number} from {holder} "
+                f"and {order.holder}"
+            )
+
+    # Upstreams
+
+    def left(self, upstream_id: str, now: float) -> None:
+        """Note that an upstream's leaving was acknowledged."""
+        self._left_at_by_upstream.setdefault(upstream_id, now)
+
+    def received(self, upstream_id: str, request_id: str, now: float) -> None:
+        """Note that an upstream got a request."""
+        left_at = self._left_at_by_upstream.get(upstream_id, now)
+        if now - left_at > IN_FORCE_SECONDS and self.is_calm(now):
+            self._find(f"{upstream_id} got {request_id} {now - left_at:.1f} s late")
+        batch = self._batches.get(self._batch_by_item.get(request_id, ""))
+        if batch is None or batch.ended_at is None or not self.is_calm(now):
+            return
+        if now - batch.ended_at > IN_FORCE_SECONDS:
+            self._find(f"item {request_id} ran after the end of its batch")
+
+    # Batches
+
+    def accepted(
+        self,
+        batch_id: str,
+        n_events_by_item_id: Mapping[str, int],
+        min_version: int,
+        now: float,
+    ) -> None:
+        """Note an acknowledged batch."""
+        self.counts["batches"] += 1
+        if batch_id in self._batches:
+            return
+        self._batches[batch_id] = _Batch(n_events_by_item_id, min_version, now)
+        for item_id in n_events_by_item_id:
+            self._batch_by_item[item_id] = batch_id
+
+    def batch_ids(self) -> list[str]:
+        """Return the accepted batches, the oldest first."""
+        return list(self._batches)
+
+    def n_listed(self, batch_id: str) -> int:
+        """Return how many results of a batch were read so far."""
+        return len(self._batches[batch_id].results)
+
+    def is_ended(self, batch_id: str) -> bool:
+        """Tell whether the end of a batch was acknowledged."""
+        return self._batches[batch_id].ended_at is not None
+
+    def ended(self, batch_id: str, now: float) -> None:
+        """Note an acknowledged end."""
+        self.counts["ends"] += 1
+        batch = self._batches[batch_id]
+        if batch.ended_at is None:
+            batch.ended_at = now
+
+    def not_found(self, batch_id: str, asked_at: float) -> None:
+        """Note that a batch was called unknown."""
+        batch = self._batches.get(batch_id)
+        if batch is not None and asked_at - batch.accepted_at > KNOWN_SECONDS:
+            self._find(f"accepted batch {batch_id} was called unknown")
+
+    def read(self, batch_id: str, position: int, page: standins.Page) -> None:
+        """Note results that were read from `position` on."""
+        self.counts["pages"] += 1
+        batch = self._batches[batch_id]
+        if page.n_items != len(batch.n_events_by_item_id):
+            self._find(f"{batch_id} has {page.n_items} items by its page")
+        for i, listed in enumerate(page.results, position):
+            if i < len(batch.results):
+                if batch.results[i] != listed:
+                    self._find(f"{batch_id} has another result at {i}")
+                continue
+            if i > len(batch.results):
+                return
+            self._check_result(batch_id, batch, listed)
+            batch.results.append(listed)
+
+    def _check_result(
+        self, batch_id: str, batch: _Batch, listed: standins.Listed
+    ) -> None:
+        item_id = listed.item_id
+        if item_id not in batch.n_events_by_item_id:
+            self._find(f"{batch_id} lists {item_id}, which it doesn't have")
+            return
+        if any(each.item_id == item_id for each in batch.results):
+            self._find(f"{batch_id} lists {item_id} twice")
+        if listed.is_completed:
+            for fault in text_faults(listed, batch):
+                self._find(f"{item_id} of {batch_id}: {fault}")
+
+    def missing(self, batch_id: str) -> Collection[str]:
+        """Return the items of a batch that are not listed yet."""
+        batch = self._batches[batch_id]
+        listed = {each.item_id for each in batch.results}
+        return batch.n_events_by_item_id.keys() - listed
+
+
+def event_data(item_id: str, number: int, version: int) -> str:
+    """Return what an engine of the soak makes as an event of an item."""
+    return f"{item_id}:{number}:{version}"
+
+
+def text_faults(listed: standins.Listed, batch: _Batch) -> list[str]:
+    """Return what is wrong with a completed text."""
+    faults = []
+    versions = set()
+    lines = listed.text.split("\n")
+    for number, line in enumerate(lines, 1):
+        item_id, _, rest = line.partition(":")
+        made_as, _, version = rest.partition(":")
+        if item_id != listed.item_id or made_as != str(number):
+            faults.append(f"event {number} is {line!r}")
+            break
+        versions.add(int(version))
+    if len(lines) != batch.n_events_by_item_id[listed.item_id]:
+        faults.append(f"{len(lines)} events")
+    if not faults and versions != set(listed.versions):
+        faults.append(f"made under {sorted(versions)}, listed as {listed.versions}")
+    if versions and min(versions) < batch.min_version:
+        faults.append(f"made under {min(versions)}, allowed from {batch.min_version}")
+    return faults
--- /dev/null
+++ b/misc/soak_upstreams.py
@@ -0,0 +1,207 @@
+"""Stand-in upstreams of the soak: engines that generate, and a plain service.
+
+They tell the ledger each request that they get and run. An engine makes the events of
+an item from its id alone, so that a text can be checked without asking who made it.
+"""
+
+import random
+from typing import Any, Final
+
+import eventlet
+from bilberrydrum_platform import standins
+
+from bilberrydrum import clock
+from misc import soak_ledger, soak_links
+from tests.fakes import scripted
+
+SLOTS: Final = 6
+EVENT_SECONDS: Final = 0.015
+LOAD_SECONDS: Final = 0.25
+ANNOUNCE_SECONDS: Final = 0.5
+SLOW_FACTOR: Final = 6.0
+_MODEL: Final = "m"
+
+
+def n_events(item_id: str) -> int:
+    """Return how many events an item has: a few, or many for one in ten."""
+    rng = random.Random(item_id)
+    return rng.randint(60, 90) if rng.random() < 0.1 else rng.randint(3, 20)
+
+
+class Upstream:
+    """One incarnation after the other at one address, behind a link."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        link_ip: str,
+        ledger: soak_ledger.Ledger,
+        announce: Any,
+    ) -> None:
+        self.name = name
+        self.link = None
+        self._service = service
+        self._link_ip = link_ip
+        self._ledger = ledger
+        # Sends a call to some control process; tells whether it was acknowledged.
+        self._announce = announce
+        self._n_lives = 0
+        self._server: scripted.Scripted | None = None
+        self._tasks: list[Any] = []
+        self.slow_factor = 1.0
+        self.version = 1
+
+    @property
+    def upstream_id(self) -> str:
+        """The incarnation's id."""
+        return f"{self.name}-{self._n_lives}"
+
+    def start(self) -> None:
+        """Begin a new life."""
+        self._n_lives += 1
+        self.slow_factor = 1.0
+        self._n_running = 0
+        self._n_orders = 0
+        self._is_busy = False
+        self._highest_number = 0
+        self._is_leaving = False
+        self._sequence = 0
+        self._server = scripted.Scripted(self._serve, kind="engine")
+        host, _, port = self._server.address.rpartition(":")
+        if self.link is None:
+            self.link = soak_links.Link((self._link_ip, 0), (host, int(port)))
+        else:
+            self.link.retarget((host, int(port)))
+        self._tasks = [eventlet.spawn(self._renew)]
+
+    def crash(self) -> None:
+        """End without a word."""
+        for task in self._tasks:
+            task.kill()
+        self._tasks = []
+        if self._server is not None:
+            self._server.stop()
+            self._server = None
+        if self.link is not None:
+            self.link.reset()
+
+    def leave(self) -> None:
+        """Say that it leaves; it goes on serving."""
+        self._is_leaving = True
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it serves."""
+        return self._server is not None
+
+    # Announcements
+
+    def _renew(self) -> None:
+        while True:
+            self._sequence += 1
+            versions = {_MODEL: self.version} if self._generates else {}
+            assert self.link is not None
+            call = standins.announce(
+                standins.Announcement(
+                    self.upstream_id,
+                    self._service,
+                    self.link.address,
+                    "zone",
+                    SLOTS,
+                    self._sequence,
+                    self._is_leaving,
+                    versions,
+                )
+            )
+            is_leaving = self._is_leaving
+            if self._announce(call) and is_leaving:
+                self._ledger.left(self.upstream_id, clock.now())
+            eventlet.sleep(ANNOUNCE_SECONDS)
+
+    @property
+    def _generates(self) -> bool:
+        return self._service == "engines"
+
+    # Requests
+
+    def _serve(self, connection: Any, received: scripted.Received) -> Any:
+        work = standins.work(received.headers)
+        if work.expected_id and work.expected_id != self.upstream_id:
+            return self._send(connection, 421, b"", standins.NOT_RUN_HEADERS)
+        if received.target == standins.REPORT_TARGET:
+            body = standins.report(
+                {_MODEL: self.version}, self._is_busy, self._n_orders, self._n_running
+            )
+            return self._send(connection, 200, body, {})
+        if received.target == standins.ORDER_TARGET:
+            return self._order(connection, received)
+        self._ledger.received(self.upstream_id, work.request_id, clock.now())
+        if self._n_running >= SLOTS:
+            headers = standins.answer_headers(work.request_id)
+            headers.update(standins.NOT_RUN_HEADERS)
+            return self._send(connection, 503, b"", headers)
+        self._n_running += 1
+        try:
+            if self._generates:
+                return self._stream(connection, work)
+            return self._answer(connection, received, work)
+        finally:
+            self._n_running -= 1
+
+    def _send(
+        self, connection: Any, status: int, body: bytes, headers: dict[str, str]
+    ) -> None:
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    def _answer(
+        self, connection: Any, received: scripted.Received, work: standins.Work
+    ) -> None:
+        if received.target.startswith("/once/"):
+            self._ledger.ran_once_only(work.request_id, self.upstream_id)
+        eventlet.sleep(random.uniform(0.005, 0.03) * self.slow_factor)
+        headers = standins.answer_headers(work.request_id)
+        self._send(connection, 200, work.request_id.encode(), headers)
+
+    def _stream(self, connection: Any, work: standins.Work) -> None:
+        version = self.version
+        headers = standins.answer_headers(work.request_id, version)
+        lines = ["HTTP/1.1 200 X", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        connection.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+        for number in range((work.last_event or 0) + 1, n_events(work.request_id) + 1):
+            eventlet.sleep(EVENT_SECONDS * self.slow_factor)
+            changed = self.version if self.version != version else None
+            version = self.version
+            data = soak_ledger.event_data(work.request_id, number, version)
+            event = standins.event(number, data, changed)
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        connection.sendall(b"0\r\n\r\n")
+
+    # Orders
+
+    def _order(self, connection: Any, received: scripted.Received) -> None:
+        order = standins.order_given(received.body)
+        self._ledger.ordered(self.upstream_id, order)
+        status = self._order_status(order)
+        self._send(connection, status, b"", {})
+
+    def _order_status(self, order: standins.OrderGiven) -> int:
+        if order.fencing_number < self._highest_number:
+            return 412
+        self._highest_number = order.fencing_number
+        if order.expected_sequence not in (None, self._n_orders) or self._is_busy:
+            return 409
+        if order.version <= self.version:
+            return 200
+        self._n_orders += 1
+        self._is_busy = True
+        self._tasks.append(eventlet.spawn(self._load, order.version))
+        return 202
+
+    def _load(self, version: int) -> None:
+        eventlet.sleep(LOAD_SECONDS)
+        self.version = version
+        self._is_busy = False
