--- a/misc/soak_site.py
+++ b/misc/soak_site.py
@@ -8,6 +8,7 @@
 import attrs
 import eventlet
 from bilberrydrum_platform import standins
+from eventlet import semaphore
 
 from bilberrydrum import clock
 from bilberrydrum.nodes import options
@@ -53,7 +54,12 @@
         self.hosts_by_name: dict[str, standins.Host] = {}
         self.links_by_name: dict[str, list[soak_links.Link]] = {}
         self._tasks: list[Any] = []
+        # Processes that a fault keeps down.
+        self._down: set[str] = set()
         self._make_hosts(slot, sizes)
+        self._starting_by_name = {
+            name: semaphore.Semaphore() for name in self.hosts_by_name
+        }
         self.upstreams_by_name = {
             f"{service}-{n}": soak_upstreams.Upstream(
                 f"{service}-{n}", service, f"127.{slot}.2.{200 + n}", ledger, announce
@@ -133,9 +139,20 @@
                 link.stop()
 
     def _start_process(self, name: str) -> None:
+        # Starting a process lets other tasks run: two of them that find it down would
+        # start it twice, and one of the two would never be ended.
+        with self._starting_by_name[name]:
+            known = self.processes.processes_by_name.get(name)
+            if known is None or not known.is_running():
+                self._start(name)
+
+    def _start(self, name: str) -> None:
         host = self.hosts_by_name[name]
         settings_path = self._folder / f"{name}.toml"
-        settings_path.write_text(standins.settings_text(host))
+        # In one step: half a file would end the process that reads it.
+        part = settings_path.with_suffix(".part")
+        part.write_text(standins.settings_text(host))
+        part.rename(settings_path)
         script = str(processes.REPOSITORY / "misc" / "soak_node.py")
         clock_path = str(self._folder / f"{name}.clock")
         command = [sys.executable, script, str(settings_path), host.own_ip, clock_path]
@@ -173,10 +190,6 @@
                     self._ledger.disturbed(clock.now())
                     self._start_process(name)
 
-    @property
-    def _down(self) -> set[str]:
-        return self.__dict__.setdefault("_down_names", set())
-
     # Faults
 
     def inject(self, fault: soak_faults.Fault) -> None:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,174 @@
+"""The soak: what it draws, what its ledger finds, and a short run of it."""
+
+import pathlib
+import subprocess
+import sys
+import unittest
+
+from nose2 import tools
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "platform"))
+
+from bilberrydrum_platform import standins  # noqa: E402
+
+from misc import soak_faults, soak_ledger  # noqa: E402
+
+TARGETS = soak_faults.Targets(
+    {"control": ("c0", "c1"), "store": ("s0", "s1"), "gateway": ("g0",)},
+    ("control", "store"),
+    ("e0", "a0"),
+)
+# Seeds that have found a fault, with the fault; run on each change.
+REGRESSION_SEEDS = ()
+
+
+class Faults(unittest.TestCase):
+    """The faults of a seed."""
+
+    def test_same_seed_same_faults(self):
+        first = soak_faults.draw(7, 30.0, TARGETS)
+        self.assertEqual(first, soak_faults.draw(7, 30.0, TARGETS))
+        self.assertNotEqual(first, soak_faults.draw(8, 30.0, TARGETS))
+
+    def test_all_kinds_come(self):
+        drawn = [f for seed in range(20) for f in soak_faults.draw(seed, 30.0, TARGETS)]
+        self.assertEqual({each.kind for each in drawn}, set(soak_faults.Kind))
+
+    def test_one_disk_of_a_group_at_a_time(self):
+        """A group of three bears one lost disk until its successor has caught up."""
+        for seed in range(50):
+            wiped_at = {}
+            for fault in soak_faults.draw(seed, 60.0, TARGETS):
+                if fault.kind is soak_faults.Kind.WIPE:
+                    group = fault.target[0]
+                    earlier = wiped_at.get(group, -soak_faults.WIPE_SECONDS)
+                    self.assertGreaterEqual(
+                        fault.at - earlier, soak_faults.WIPE_SECONDS
+                    )
+                    wiped_at[group] = fault.at
+
+
+def listed(item_id="i", versions=(2,), n_events=2, made_under=2, **fields):
+    text = "\n".join(
+        soak_ledger.event_data(item_id, n, made_under) for n in range(1, n_events + 1)
+    )
+    return standins.Listed(item_id, True, fields.get("text", text), versions)
+
+
+class Found(unittest.TestCase):
+    """What breaks a promise is found; what keeps it is not."""
+
+    def setUp(self):
+        self.ledger = soak_ledger.Ledger()
+        self.ledger.accepted("b", {"i": 2, "j": 2}, 2, 0.0)
+
+    def n_findings(self):
+        return len(self.ledger.findings)
+
+    @tools.params(
+        ("as promised", [listed(), listed("j")], 0),
+        ("an event is missing", [listed(n_events=1)], 1),
+        ("an event twice", [listed(text="i:1:2\ni:1:2")], 1),
+        ("another item's text", [listed(text="j:1:2\nj:2:2")], 1),
+        ("a version is not named", [listed(versions=(2, 3))], 1),
+        ("too old", [listed(versions=(1,), made_under=1)], 1),
+        ("listed twice", [listed(), listed()], 1),
+        ("not an item of it", [listed("k")], 1),
+    )
+    def test_results(self, name, results, expected):
+        self.ledger.read("b", 0, standins.Page(2, tuple(results)))
+        self.assertEqual(self.n_findings(), expected, self.ledger.findings)
+
+    def test_result_that_changed(self):
+        self.ledger.read("b", 0, standins.Page(2, (listed(),)))
+        self.ledger.read("b", 0, standins.Page(2, (listed(),)))
+        self.assertEqual(self.n_findings(), 0)
+        self.ledger.read("b", 0, standins.Page(2, (listed("j"),)))
+        self.assertEqual(self.n_findings(), 1)
+
+    @tools.params(
+        ("served", [("ran", "r"), ("answered", "r", 200)], 0),
+        ("refused", [("answered", "r", 503)], 0),
+        ("unknown", [("ran", "r"), ("answered", "r", 502)], 0),
+        ("twice", [("ran", "r"), ("ran", "r")], 1),
+        ("refused, had run", [("ran", "r"), ("answered", "r", 503)], 1),
+        ("refused, ran later", [("answered", "r", 429), ("ran", "r")], 1),
+    )
+    def test_once_only(self, name, steps, expected):
+        for what, request_id, *status in steps:
+            if what == "ran":
+                self.ledger.ran_once_only(request_id, "u")
+            else:
+                self.ledger.answered_once_only(request_id, *status)
+        self.assertEqual(self.n_findings(), expected, name)
+
+    @tools.params(
+        ("its own answer", (200, b"r", "s"), 0),
+        ("another's answer", (200, b"q", "s"), 1),
+        ("nobody's answer", (200, b"r", ""), 1),
+        ("a failure", (502, b"", ""), 0),
+    )
+    def test_answers(self, name, answer, expected):
+        self.ledger.answered("r", *answer)
+        self.assertEqual(self.n_findings(), expected, name)
+
+    def test_policy_that_fell_back(self):
+        self.ledger.put_policy(6)
+        self.ledger.read_policy(6, 6)
+        self.assertEqual(self.n_findings(), 0)
+        self.ledger.read_policy(3, 6)
+        self.assertEqual(self.n_findings(), 1)
+
+    @tools.params(
+        ("in time", 2.0, -100.0, 0),
+        ("late", 4.0, -100.0, 1),
+        ("late after a fault", 4.0, 1.0, 0),
+    )
+    def test_after_leaving(self, name, at, disturbed_at, expected):
+        self.ledger.disturbed(disturbed_at)
+        self.ledger.left("u", 0.0)
+        self.ledger.received("u", "r", at)
+        self.assertEqual(self.n_findings(), expected, name)
+
+    @tools.params(("in time", 2.0, 0), ("late", 4.0, 1))
+    def test_after_the_end(self, name, at, expected):
+        self.ledger.ended("b", 0.0)
+        self.ledger.received("u", "i", at)
+        self.assertEqual(self.n_findings(), expected, name)
+
+    def test_two_holders_of_one_number(self):
+        order = standins.OrderGiven("m", 2, "s0", 7, 0)
+        other = standins.OrderGiven("m", 3, "s1", 7, 1)
+        self.ledger.ordered("e", order)
+        self.assertEqual(self.n_findings(), 0)
+        self.ledger.ordered("e", other)
+        self.assertEqual(self.n_findings(), 1)
+
+    @tools.params((0.5, 0), (1.5, 1))
+    def test_unknown_batch(self, asked_at, expected):
+        self.ledger.not_found("b", asked_at)
+        self.assertEqual(self.n_findings(), expected)
+
+
+class Run(unittest.TestCase):
+    """Short runs of the real processes."""
+
+    def run_seed(self, seed, seconds):
+        script = str(ROOT / "misc" / "soak")
+        command = [sys.executable, script, "--seeds", "1", "--first", str(seed)]
+        done = subprocess.run(
+            [*command, "--seconds", str(seconds)],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=200,
+        )
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+
+    def test_one_seed(self):
+        self.run_seed(3, 6.0)
+
+    def test_regressions(self):
+        for seed, seconds in REGRESSION_SEEDS:
+            self.run_seed(seed, seconds)
