Tell processes what has changed of the registry, not all of it

Cause: each change of the registry was pushed whole to every process.

Change: a process that has a known earlier state gets the difference, made and encoded once for all that have the same; one that missed a change, or is further behind than 64, gets all of it with its next renewal.

--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -12,8 +12,15 @@
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, codec, transport
-from bilberrydrum.fleet import commands, liveness, messages, model, retirement
+from bilberrydrum import clock, transport
+from bilberrydrum.fleet import (
+    commands,
+    feeds,
+    liveness,
+    messages,
+    model,
+    retirement,
+)
 from bilberrydrum.state import leader_calls, replica
 
 # Time for a change to be committed before the caller is sent on to ask again.
@@ -72,7 +79,7 @@
         self._term = 0
         self._led_since = 0.0
         self._changed = eventlet.event.Event()
-        self._encoded: dict[int, bytes] = {}
+        self._feeds = feeds.Feeds()
         self._tasks: list[Any] = []
 
     def start(self) -> None:
@@ -280,29 +287,13 @@
         }
 
     def _feed_for(self, subscriber: _Subscriber) -> messages.Feed:
-        section = self._section()
-        policy = registry = b""
-        if subscriber.policy_index < section.policy_index:
-            policy = self._encode(section.policy_index, section.policy)
-        if subscriber.registry_index < section.registry_index:
-            registry = self._encode(section.registry_index, section.registry())
-        return messages.Feed(
-            section.policy_index,
-            policy,
-            section.registry_index,
-            registry,
+        return self._feeds.make(
+            self._section(),
+            subscriber.policy_index,
+            subscriber.registry_index,
             self._replica.leader_hint().addresses,
         )
 
-    def _encode(self, index: int, value: object) -> bytes:
-        """Return codec bytes; one change is encoded once for all subscribers."""
-        if index not in self._encoded:
-            section = self._section()
-            kept = {section.policy_index, section.registry_index}
-            self._encoded = {k: v for k, v in self._encoded.items() if k in kept}
-            self._encoded[index] = codec.encode(value)
-        return self._encoded[index]
-
     def _on_applied(self, command: object, answer: Any) -> None:
         if not self._changed.ready():
             self._changed.send(None)
@@ -316,7 +307,7 @@
             section = self._section()
             for address, each in self._live_subscribers().items():
                 feed = self._feed_for(each)
-                if not feed.policy and not feed.registry:
+                if not (feed.policy or feed.registry or feed.registry_change):
                     continue
                 each.policy_index = section.policy_index
                 each.registry_index = section.registry_index
@@ -329,6 +320,7 @@
             self._led_since = clock.now()
             self._liveness.begin(self._led_since)
             self._subscribers_by_address.clear()
+            self._feeds.clear()
             self._founders.clear()
             eliot.log_message(message_type="control:leads", term=held.term)
 
--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -123,3 +123,6 @@
     registry: bytes
     # Addresses of the control group's members.
     control_addresses: tuple[str, ...] = ()
+    # Codec bytes of the change from the registry that the receiver has, in place of
+    # the whole registry; empty: none.
+    registry_change: bytes = b""
--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -14,7 +14,7 @@
 import result
 
 from bilberrydrum import clock, codec, transport
-from bilberrydrum.fleet import messages, model, policy
+from bilberrydrum.fleet import changes, messages, model, policy
 from bilberrydrum.state import leader_calls
 
 RENEW_SECONDS: Final = 0.5
@@ -106,15 +106,31 @@
             eliot.log_message(
                 message_type="policy:in-force", version=self.routes.policy.version
             )
-        if feed.registry and feed.registry_index > self.registry.index:
+        registry = self._fed_registry(feed)
+        if registry is not None:
             before = self.registry
-            self.registry = codec.decode(feed.registry)
+            self.registry = registry
             is_changed = True
             _log_registry(before, self.registry)
         if is_changed:
             for callback in self._watchers:
                 callback()
 
+    def _fed_registry(self, feed: messages.Feed) -> model.Registry | None:
+        """Return the newer registry in `feed`; None: there is none.
+
+        A change for another state follows one that was lost; the next renewal tells
+        what is here and fetches what lacks.
+        """
+        if feed.registry_index <= self.registry.index:
+            return None
+        if feed.registry:
+            whole: model.Registry = codec.decode(feed.registry)
+            return whole
+        if feed.registry_change:
+            return changes.changed(self.registry, codec.decode(feed.registry_change))
+        return None
+
 
 def _log_registry(before: model.Registry, after: model.Registry) -> None:
     known = {each.upstream_id for each in before.upstreams}
--- a/misc/soak_links.py
+++ b/misc/soak_links.py
@@ -5,6 +5,7 @@
 connection that was muted stays silent for good, without a reset.
 """
 
+import contextlib
 import enum
 import socket
 import struct
@@ -33,22 +34,39 @@
 
 
 class _Pair:
-    """The two sockets of one connection through a link."""
+    """The two sockets of one connection through a link.
+
+    Only its two pumps close them, the last one both: a socket that is closed while
+    another task waits on it leaves that task waiting on whatever gets its number next.
+    """
 
     def __init__(self, outer: Any, inner: Any) -> None:
         self.outer = outer
         self.inner = inner
         self.is_muted = False
+        self._n_pumps = 2
 
     def reset(self) -> None:
+        """Have both sides reset."""
         for each in (self.outer, self.inner):
-            try:
+            # It may have ended already.
+            with contextlib.suppress(OSError):
                 each.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let both pumps see that the connection has ended."""
+        self.is_muted = False
+        for each in (self.outer, self.inner):
+            with contextlib.suppress(OSError):
                 each.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                # It has been closed already.
-                pass
-            each.close()
+
+    def pump_ended(self) -> None:
+        """Close both sockets after the second pump."""
+        self._n_pumps -= 1
+        if not self._n_pumps:
+            self.outer.close()
+            self.inner.close()
 
 
 class Link:
@@ -93,6 +111,7 @@
         self._listener.close()
         for task in self._tasks:
             task.kill()
+        self.heal()
         self.reset()
 
     def _accept(self) -> None:
@@ -126,9 +145,10 @@
                     eventlet.sleep(_LOOK_SECONDS)
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
-        except (OSError, EOFError):
-            # One side has gone, or was closed here; the other is told by the closing.
+        except OSError:
+            # One side has gone; the other has to see it too.
+            pair.wake()
+        finally:
             if pair in self._pairs:
                 self._pairs.remove(pair)
-            source.close()
-            sink.close()
+            pair.pump_ended()
