Apply the policy's limits of sizes, and read settings that change without a signal

The limits of header and body sizes were decoded but not applied; they now narrow those of the process. Its times are not narrowed: a gateway that was suspended would otherwise turn away callers that had sent in time. A change of the settings file without a signal was read at the next start only; its stamp is now looked at every 2 s.

--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -193,6 +193,7 @@
         tokens_by_guard: dict[str, bytes],
         fallback: Handler | None = None,
     ) -> None:
+        self._own_limits = limits
         self._limits = limits
         # Serves what no route takes; None: such requests are refused.
         self._fallback = fallback
@@ -203,6 +204,22 @@
         # Set once the process is told to stop.
         self.is_draining = False
 
+    def take_limits(self, max_header_bytes: int, max_body_bytes: int) -> None:
+        """Take over what an operator allows a client to send; 0: as the process has it.
+
+        What the process itself can take is not exceeded.
+        """
+        own = self._own_limits
+        self._limits = attrs.evolve(
+            own,
+            max_header_bytes=min(
+                max_header_bytes or own.max_header_bytes, own.max_header_bytes
+            ),
+            max_body_bytes=min(
+                max_body_bytes or own.max_body_bytes, own.max_body_bytes
+            ),
+        )
+
     def routes(self) -> list[Route]:
         """Return all routes, for tests that compare them with the documentation."""
         return [route for routes in self._routes_by_head.values() for route in routes]
--- a/bilberrydrum/nodes/process.py
+++ b/bilberrydrum/nodes/process.py
@@ -19,6 +19,8 @@
 _POLL_SECONDS: Final = 0.02
 _WATCH_SECONDS: Final = 0.5
 EXIT_FAILED: Final = 1
+# How often a change of the settings file without a signal is looked for, in seconds.
+SETTINGS_SECONDS: Final = 2.0
 # Two questions of the balancer without a good answer, one a second, take a process out.
 BALANCER_SECONDS: Final = 2.3
 # Share of the time for stopping that requests under way may use; the rest is for
@@ -51,6 +53,7 @@
         node: Node,
         edges_by_address: dict[str, edge.Edge],
         read_options: Callable[[], options.NodeOptions],
+        settings_stamp: Callable[[], object] = lambda: None,
         on_draining: Callable[[], None] = lambda: None,
         flush_log: Callable[[], None] = lambda: None,
     ) -> None:
@@ -58,6 +61,9 @@
         self._node = node
         self._edges_by_address = edges_by_address
         self._read_options = read_options
+        # Differs once the settings have changed; they may change without a signal.
+        self._settings_stamp = settings_stamp
+        self._stamp_read = settings_stamp()
         self._on_draining = on_draining
         self._flush_log = flush_log
         self._servers = [
@@ -94,11 +100,12 @@
         self._flush_log()
 
     def _watch(self) -> None:
-        """End the process when its node cannot go on.
+        """End the process when its node cannot go on; read changed settings.
 
         A replica that has stopped would leave the process there, alive and without
         use. Started again, it opens its folder anew or joins as a new replica.
         """
+        look_at = clock.now() + SETTINGS_SECONDS
         while True:
             clock.sleep(_WATCH_SECONDS)
             failure = self._node.failure()
@@ -106,6 +113,10 @@
                 eliot.log_message(message_type="process:failed", detail=failure)
                 self._flush_log()
                 os._exit(EXIT_FAILED)
+            if clock.now() >= look_at:
+                look_at = clock.now() + SETTINGS_SECONDS
+                if self._settings_stamp() != self._stamp_read:
+                    self._reload()
 
     def _on_terminate(self, number: int, frame: types.FrameType | None) -> None:
         # A handler runs between two steps of any task, so it only schedules.
@@ -119,6 +130,7 @@
             self._stop_asked.send(None)
 
     def _reload(self) -> None:
+        stamp = self._settings_stamp()
         try:
             read = self._read_options()
         except (OSError, ValueError) as error:
@@ -126,6 +138,7 @@
             # stands.
             eliot.log_message(message_type="process:reload-failed", detail=repr(error))
             return
+        self._stamp_read = stamp
         self._node.learn_seeds(read.seed_addresses)
         eliot.log_message(
             message_type="process:reloaded", seed_addresses=read.seed_addresses
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -188,3 +188,22 @@
             connection.sendall(b"GET /v1/items/a HTTP/1.1\r\n\r\n")
             answer = read_answer(connection)
         self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+
+
+class Limits(unittest.TestCase):
+    """An operator narrows what clients may send."""
+
+    @tools.params(
+        ("as the process has it", (0, 0), (512, 100)),
+        ("narrower", (300, 50), (300, 50)),
+        ("wider than the process takes", (9000, 9000), (512, 100)),
+        ("wider again after narrower", (300, 50), (512, 100), (0, 0)),
+    )
+    def test_taken(self, name, first, expected, *later):
+        own = options.LimitOptions(max_header_bytes=512, max_body_bytes=100)
+        app = edge.Edge(own, {})
+        for limits in (first, *later):
+            app.take_limits(*limits)
+        taken = app._limits
+        found = (taken.max_header_bytes, taken.max_body_bytes)
+        self.assertEqual(found, expected, name)
