Ask absent peers again sooner, and give up connections that nobody answers on

The first control processes run again at 37.10 s and ask those that come at 37.44 to 37.49 s while these have no power: the request is lost, and the kernel repeats it after a second. The group has its leader at 38.27 s only, and 25 gateways of two zones refuse what comes (no-bundle) until then.

Change: a connection request is given up after 0.3 s and made anew; one that was taken but not answered on after 1 s (ZeroMQ's own 30 s).

Test: a port that takes a connection and says nothing; without the handshake timeout it fails after 6 s.

--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -30,8 +30,14 @@
 # silent is replaced before the processes behind it count as lost (3 s).
 HEARTBEAT_MS: Final = 500
 HEARTBEAT_TIMEOUT_MS: Final = 1500
-# A connection request is given up after this long, in milliseconds, and made again.
-CONNECT_TIMEOUT_MS: Final = 1000
+# A connection request is given up after this long, in milliseconds, and made again:
+# a few times the longest way between two regions. A host without power answers none.
+# After a loss of power everywhere the first replica that was back waited a second, the
+# kernel's first repetition, for those that came 0.4 s later, and so did its group.
+CONNECT_TIMEOUT_MS: Final = 300
+# A connection that was taken but not answered on is given up after this long, in
+# milliseconds; by itself ZeroMQ waits for 30 s.
+HANDSHAKE_TIMEOUT_MS: Final = 1000
 # A peer that is not there is tried again at least this often, in milliseconds: it is
 # what all processes wait for after they were started together.
 RECONNECT_MAX_MS: Final = 200
@@ -270,6 +276,7 @@
             # A host without power answers no connection request; its successor at the
             # same address would be reached only when the kernel asks again.
             dealer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+            dealer.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
             dealer.setsockopt(zmq.RECONNECT_IVL, 50)
             dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
             if self._keys is not None:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -131,6 +131,28 @@
                 sender.send(absent, Ping(n))
         self.assertTrue(answer.is_err())
 
+    def test_connection_without_an_answer_is_given_up(self):
+        """The peer's port takes a connection, and nobody answers on it.
+
+        So does a link that goes silent as the connection is made. The process that is
+        there a little later must be heard soon, not after ZeroMQ's own 30 s.
+        """
+        port = helpers.free_port()
+        mute = eventlet.listen(("127.0.0.1", port))
+        sender = make_transport("a")
+        self.addCleanup(sender.stop)
+        sender.send(f"127.0.0.1:{port}", Ping(1))
+        taken, _ = mute.accept()
+        self.addCleanup(taken.close)
+        mute.close()
+        receiver = make_transport("c", address=f"127.0.0.1:{port}")
+        self.addCleanup(receiver.stop)
+        receiver.on(Ping, self.hear)
+        with eventlet.Timeout(6.0):
+            while not self.heard:
+                sender.send(f"127.0.0.1:{port}", Ping(2))
+                eventlet.sleep(0.05)
+
     def test_wrong_curve_key_is_refused_and_right_one_heard(self):
         """A process with a key that is not listed gets no message through."""
         public, secret = zmq.curve_keypair()
