--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -3,7 +3,7 @@
 One process sends all items, so it knows what runs at each engine without asking, and a
 result is committed by the process that read it. Runs and texts that are not finished
 live in memory only: a new leader starts the unfinished items again. The decisions are
-in `scheduling`, `engine_shares` and `weight_plan`.
+in `scheduling` and `engine_shares`; `loader` has engines load new weights.
 """
 
 import time
@@ -19,12 +19,10 @@
     engine_shares,
     engines,
     item_sender,
-    load_limit,
+    loader,
     model,
-    orders,
     scheduling,
     urgency,
-    weight_plan,
     work,
 )
 from bilberrydrum.fleet import policy, subscriber
@@ -61,11 +59,8 @@
         means: attempts.Means,
         hooks: item_sender.Hooks,
     ) -> None:
-        self._protocol = protocol
         self._view = view
-        self._means = means
         self._hooks = hooks
-        self._sender = orders.OrderSender(means, protocol, hooks.fencing_number)
         self._engines = engines.Engines()
         self._work = work.Work()
         self._shares = engine_shares.Shares()
@@ -75,9 +70,10 @@
         self._items = item_sender.ItemSender(
             means, protocol, view, hooks, self._pace, self.wake
         )
-        self._load_limit = load_limit.LoadLimit()
-        self._named = work.NamedVersions()
-        self._order_tasks: list[Any] = []
+        duties = loader.Duties(
+            hooks.holder, hooks.fencing_number, self._needs_single, self.wake
+        )
+        self._loader = loader.Loader(means, protocol, self._engines, duties)
         self._task: Any = None
         self._progress_at = float("-inf")
 
@@ -96,9 +92,7 @@
         if self._task is not None:
             self._task.kill()
             self._task = None
-        for task in self._order_tasks:
-            task.kill()
-        self._order_tasks.clear()
+        self._loader.stop()
         self._items.stop()
 
     def wake(self) -> None:
@@ -127,7 +121,7 @@
             n_finished=len(kept.results),
             age_seconds=round(age, 3),
         )
-        self._named.note_step(batch.model, batch.min_version, clock.now())
+        self._loader.note_step(batch.model, batch.min_version)
         self._demand.note(batch.model, opened.n_expected_output_tokens(), clock.now())
         for result in self._work.carried_results(opened, self._route_of(opened)):
             self._hooks.finish(batch.batch_id, result)
@@ -193,55 +187,13 @@
         self._shares = engine_shares.divide(lasting, demand, self._shares)
 
     def _load_weights(self, now: float) -> None:
-        loads = weight_plan.plan(
-            [each.weights() for each in self._engines.usable(now)],
-            self._shares.engine_ids_by_model,
-            self._wanted_by_model(now),
-            self._load_limit.number(len(self._engines.by_id)),
-        )
-        self._order_tasks = [each for each in self._order_tasks if not each.dead]
-        for load in loads:
-            engine = self._engines.by_id[load.engine_id]
-            engine.loading = load
-            self._order_tasks.append(eventlet.spawn(self._load, engine, load))
-
-    def _wanted_by_model(self, now: float) -> dict[str, weight_plan.Wanted]:
-        self._named.note(self._view.registry.versions_by_model, now)
         waiting_models = {
             opened.batch.model
             for opened in self._work.open_batches()
             if any(True for _ in opened.waiting_runs())
         }
-        return {
-            model_name: weight_plan.Wanted(
-                version,
-                self._named.lag(model_name),
-                now - self._named.named_at(model_name),
-                model_name in waiting_models,
-            )
-            for model_name, version in self._view.registry.versions_by_model.items()
-        }
-
-    def _load(self, engine: engines.Engine, load: weight_plan.Load) -> None:
-        began = clock.now()
-        n_beside = self._engines.n_loading()
-        try:
-            # What runs goes on under the new version where the step allows both: the
-            # engine serves without a pause, and only what it had stored is read again.
-            keeps_running = not self._needs_single(load.model)
-            order = orders.Order(load, keeps_running, self._hooks.holder)
-            report = self._sender.carry_out(engine.upstream, order)
-            if report is None:
-                engine.failed(clock.now())
-            else:
-                engine.learn(report.versions_by_model)
-                n_beside = max(n_beside, self._engines.n_loading())
-                seconds = clock.now() - began
-                n_engines = len(self._engines.by_id)
-                self._load_limit.note(seconds, n_beside, n_engines)
-        finally:
-            engine.loading = None
-            self.wake()
+        versions_by_model = self._view.registry.versions_by_model
+        self._loader.step(now, versions_by_model, waiting_models, self._shares)
 
     def _send_items(self, now: float) -> None:
         waiting = [
--- a/bilberrydrum/fleet/commands.py
+++ b/bilberrydrum/fleet/commands.py
@@ -18,6 +18,8 @@
 # An upstream that left is remembered this long, in seconds: announcements that were
 # held up on the way by a cut arrive some ten seconds late.
 DEPARTED_SECONDS: Final = 600.0
+# Time for a command to be committed before its caller is sent on to ask again.
+COMMIT_SECONDS: Final = 3.0
 
 
 @codec.register("fleet.section")
--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -1,7 +1,7 @@
 """The control group's leader: answers processes and tells them of changes.
 
-The decisions are in `commands`, `liveness` and `retirement`; this module carries
-messages between them, the log and the subscribers.
+The decisions are in `commands` and `liveness`; this module carries messages between
+them, the log and the subscribers. What concerns the stores is in `store_calls`.
 """
 
 from collections.abc import Mapping
@@ -19,20 +19,13 @@
     liveness,
     messages,
     model,
-    retirement,
+    store_calls,
+    subscribers,
 )
 from bilberrydrum.state import leader_calls, replica
 
-# Time for a change to be committed before the caller is sent on to ask again.
-COMMIT_SECONDS: Final = 3.0
-# A subscriber that did not renew for this long is told nothing more; six renewals.
-SUBSCRIBER_SECONDS: Final = 3.0
 # How often silences are looked for.
 _SWEEP_SECONDS: Final = 0.3
-# Stores that start with the deployment are waited for this long after the first one,
-# so that the group starts with all of them; they start within 0.3 s of each other and
-# need some 0.5 s to get here.
-GATHER_SECONDS: Final = 1.5
 # An upstream that is not heard is removed after this many times the silence that marks
 # it: until then gateways that reach it may go on using it.
 _GONE_FACTOR: Final = 8
@@ -48,16 +41,6 @@
     n_store_voters: int = 3
 
 
-@attrs.define
-class _Subscriber:
-    """One process that is told of changes."""
-
-    heard_at: float
-    policy_index: int
-    registry_index: int
-    request: messages.Subscribe
-
-
 class ControlService:
     """The leader's answers and its pushes, beside one replica."""
 
@@ -74,8 +57,10 @@
         self._liveness = liveness.Liveness(
             options.silent_seconds, options.silent_seconds * _GONE_FACTOR
         )
-        self._subscribers_by_address: dict[str, _Subscriber] = {}
-        self._founders: dict[str, float] = {}
+        self._subscribers = subscribers.Subscribers()
+        self._stores = store_calls.StoreCalls(
+            replica_, self._subscribers, options.n_store_voters, self._led_seconds
+        )
         self._term = 0
         self._led_since = 0.0
         self._changed = eventlet.event.Event()
@@ -91,8 +76,8 @@
             messages.ReadPolicy: self._on_read_policy,
             messages.PublishVersion: self._on_publish_version,
             messages.Subscribe: self._on_subscribe,
-            messages.BeginRetirement: self._on_begin_retirement,
-            messages.ReadRetirement: self._on_read_retirement,
+            messages.BeginRetirement: self._stores.on_begin_retirement,
+            messages.ReadRetirement: self._stores.on_read_retirement,
         }
         for message_class, handler in handlers.items():
             self._service.serve(message_class, handler)
@@ -109,7 +94,7 @@
         return commands.section_of(self._replica.state())
 
     def _commit(self, command: object) -> bool:
-        return self._replica.propose(command, COMMIT_SECONDS).is_ok()
+        return self._replica.propose(command, commands.COMMIT_SECONDS).is_ok()
 
     # Upstreams
 
@@ -190,103 +175,18 @@
         )
         return messages.Done() if is_committed else None
 
-    # Stores
-
-    def _on_begin_retirement(
-        self, sender: transport.Sender, message: messages.BeginRetirement
-    ) -> Any:
-        if not self._has_heard_all():
-            return None
-        section = self._section()
-        known = section.stores_by_name.get(message.name)
-        if known is None:
-            return messages.Retirement(is_known=False)
-        if known.retiring_index:
-            return messages.Retirement()
-        live = self._live_store_addresses()
-        if not retirement.may_retire(
-            known, section.stores_by_name.values(), live, self._options.n_store_voters
-        ):
-            return messages.Retirement(is_refused=True)
-        if not self._commit(commands.RetireStore(message.name)):
-            return None
-        eliot.log_message(
-            message_type="stores:retiring",
-            name=message.name,
-            live_addresses=sorted(live),
-        )
-        return messages.Retirement()
-
-    def _on_read_retirement(
-        self, sender: transport.Sender, message: messages.ReadRetirement
-    ) -> Any:
-        known = self._section().stores_by_name.get(message.name)
-        if known is None or not known.retiring_index:
-            return messages.Retirement(is_known=known is not None)
-        reports = [
-            retirement.Report(
-                each.request.store_term,
-                each.registry_index,
-                each.request.store_voter_addresses,
-            )
-            for each in self._live_subscribers().values()
-            if each.request.store_term
-        ]
-        n_voters = self._options.n_store_voters
-        is_done = retirement.is_done(known, reports, n_voters)
-        return messages.Retirement(is_done=is_done)
-
-    def _live_store_addresses(self) -> set[str]:
-        return {
-            each.request.store_address
-            for each in self._live_subscribers().values()
-            if each.request.store_address
-        }
-
-    def _has_heard_all(self) -> bool:
-        """Tell whether this leader has led for long enough to know who is there."""
-        self._notice_leadership()
-        return clock.now() - self._led_since > SUBSCRIBER_SECONDS
-
-    def _choose_founders(self) -> None:
-        if not self._founders or self._section().founder_addresses:
-            return
-        if clock.now() - min(self._founders.values()) < GATHER_SECONDS:
-            return
-        addresses = tuple(sorted(self._founders)[: self._options.n_store_voters])
-        if self._commit(commands.FoundStores(addresses)):
-            eliot.log_message(message_type="stores:founded", addresses=addresses)
-
     # Subscribers
 
     def _on_subscribe(
         self, sender: transport.Sender, message: messages.Subscribe
     ) -> Any:
         self._notice_leadership()
-        now = clock.now()
-        self._subscribers_by_address[sender.address] = _Subscriber(
-            now, message.policy_index, message.registry_index, message
-        )
+        noted = self._subscribers.heard(sender.address, message)
         if message.store_name:
-            self._note_store(message, now)
-        return self._feed_for(self._subscribers_by_address[sender.address])
-
-    def _note_store(self, message: messages.Subscribe, now: float) -> None:
-        known = self._section().stores_by_name.get(message.store_name)
-        if known is None or known.address != message.store_address:
-            self._commit(commands.PutStore(message.store_name, message.store_address))
-        if message.may_found:
-            self._founders.setdefault(message.store_address, now)
-
-    def _live_subscribers(self) -> dict[str, _Subscriber]:
-        since = clock.now() - SUBSCRIBER_SECONDS
-        return {
-            address: each
-            for address, each in self._subscribers_by_address.items()
-            if each.heard_at >= since
-        }
+            self._stores.note(message)
+        return self._feed_for(noted)
 
-    def _feed_for(self, subscriber: _Subscriber) -> messages.Feed:
+    def _feed_for(self, subscriber: subscribers.Subscriber) -> messages.Feed:
         return self._feeds.make(
             self._section(),
             subscriber.policy_index,
@@ -305,7 +205,7 @@
             if self._replica.leadership() is None:
                 continue
             section = self._section()
-            for address, each in self._live_subscribers().items():
+            for address, each in self._subscribers.live().items():
                 feed = self._feed_for(each)
                 if not (feed.policy or feed.registry or feed.registry_change):
                     continue
@@ -313,15 +213,20 @@
                 each.registry_index = section.registry_index
                 self._carrier.send(address, feed)
 
+    def _led_seconds(self) -> float:
+        """Return for how long this replica has led."""
+        self._notice_leadership()
+        return clock.now() - self._led_since
+
     def _notice_leadership(self) -> None:
         held = self._replica.leadership()
         if held is not None and held.term != self._term:
             self._term = held.term
             self._led_since = clock.now()
             self._liveness.begin(self._led_since)
-            self._subscribers_by_address.clear()
+            self._subscribers.clear()
             self._feeds.clear()
-            self._founders.clear()
+            self._stores.clear()
             eliot.log_message(message_type="control:leads", term=held.term)
 
     def _sweep(self) -> None:
@@ -330,7 +235,7 @@
             if self._replica.leadership() is None:
                 continue
             self._notice_leadership()
-            self._choose_founders()
+            self._stores.choose_founders()
             due = self._liveness.due(
                 clock.now(), self._section().upstreams_by_id.values()
             )
--- /dev/null
+++ b/bilberrydrum/relay/courses.py
@@ -0,0 +1,107 @@
+"""What has become of one request or stream so far, and whether it may go on."""
+
+import random
+
+import attrs
+import eliot
+
+from bilberrydrum import clock, counters, reasons
+from bilberrydrum.fleet import policy, subscriber
+from bilberrydrum.relay import model
+
+
+@attrs.frozen
+class Rules:
+    """How far one kind of request goes on."""
+
+    # What it is called in the log.
+    kind: str
+    # Upstreams that may turn it away before it runs; beyond it the caller is told.
+    max_rejections: int
+    # When a refused caller may come back, in seconds, from and to: spread out, so that
+    # those refused together don't come back together.
+    retry_after_range: tuple[float, float]
+
+
+@attrs.define
+class Course:
+    """One request on its way from upstream to upstream."""
+
+    rules: Rules
+    inbound: model.Inbound
+    route: policy.Route
+    # May be sent to another upstream after it may have run.
+    may_run_again: bool
+    # When its caller must have an answer, in seconds of `clock.now`.
+    deadline: float
+    excluded_ids: set[str] = attrs.field(factory=set)
+    # Attempts that may have run.
+    n_run: int = 0
+    n_rejections: int = 0
+    last_reason: reasons.Reason = reasons.Reason.NO_UPSTREAM
+    # Number of the last event that was passed on; None: none, or it is no stream.
+    last_number: int | None = None
+
+    def may_go_on(self) -> bool:
+        """Tell whether another upstream may be asked."""
+        is_over = self.n_rejections > self.rules.max_rejections
+        if is_over or clock.now() >= self.deadline:
+            return False
+        if self.n_run == 0:
+            return True
+        return self.may_run_again and self.n_run < self.route.max_attempts
+
+    def stop(self) -> None:
+        """Ask nobody any more: the caller has gone, or no upstream is left."""
+        self.n_rejections = self.rules.max_rejections + 1
+
+    def count(self, may_have_run: bool) -> None:
+        """Count an attempt that gave no answer."""
+        if may_have_run:
+            self.n_run += 1
+        else:
+            self.n_rejections += 1
+
+    def note_failure(
+        self,
+        upstream_id: str,
+        reason: reasons.Reason,
+        view: subscriber.Subscriber,
+    ) -> None:
+        """Note an attempt that gave nothing to be passed on."""
+        self.last_reason = reason
+        counters.retried(reason)
+        eliot.log_message(
+            message_type="relay:attempt-failed",
+            kind=self.rules.kind,
+            request_id=self.inbound.request_id,
+            upstream_id=upstream_id,
+            reason=reason.value,
+            n_run=self.n_run,
+            remaining_seconds=round(self.deadline - clock.now(), 3),
+            last_event_number=self.last_number,
+            registry_index=view.registry.index,
+        )
+
+    def refusal(self, view: subscriber.Subscriber, rng: random.Random) -> model.Refused:
+        """Return what the caller is told when no upstream is left."""
+        may_have_run = self.n_run > 0
+        counters.refused(self.last_reason)
+        eliot.log_message(
+            message_type="relay:refused",
+            kind=self.rules.kind,
+            request_id=self.inbound.request_id,
+            route=self.route.name,
+            reason=self.last_reason.value,
+            may_have_run=may_have_run,
+            n_run=self.n_run,
+            n_rejections=self.n_rejections,
+            policy_version=view.routes.policy.version,
+            registry_index=view.registry.index,
+        )
+        return model.Refused(
+            self.last_reason,
+            may_have_run,
+            0.0 if may_have_run else rng.uniform(*self.rules.retry_after_range),
+            is_timeout=clock.now() >= self.deadline,
+        )
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -15,7 +15,7 @@
 from bilberrydrum import clock, counters, reasons, upstream_protocol
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy, subscriber
-from bilberrydrum.relay import balancing, model
+from bilberrydrum.relay import balancing, courses, model
 from bilberrydrum.requests import attempts, outgoing_requests
 from bilberrydrum.requests import model as request_model
 
@@ -28,40 +28,19 @@
 # A request whose time is up is answered this long, in seconds, before the caller stops
 # to wait: a way of 1 ms and a hub turn.
 ANSWER_MARGIN_SECONDS: Final = 0.02
-# Upstreams that turned a request away before it ran; beyond it the caller is told.
-_MAX_REJECTIONS: Final = 6
-# When to come back after a refusal, in seconds: a few service times, spread out so that
-# those refused together don't come back together.
-_RETRY_AFTER_RANGE: Final = (0.05, 0.25)
+# A caller that was refused comes back after a few service times.
+_RULES: Final = courses.Rules(
+    "request", max_rejections=6, retry_after_range=(0.05, 0.25)
+)
 
 
 @attrs.define
-class _Course:
+class _Course(courses.Course):
     """What has become of one request so far."""
 
-    inbound: model.Inbound
-    route: policy.Route
-    deadline: float
-    excluded_ids: set[str] = attrs.field(factory=set)
     # When the last attempt began.
     tried_at: float = 0.0
-    # Attempts that may have run.
-    n_run: int = 0
-    n_rejections: int = 0
     last_failure: request_model.ApplicationAnswer | None = None
-    last_reason: reasons.Reason = reasons.Reason.NO_UPSTREAM
-
-    @property
-    def is_idempotent(self) -> bool:
-        return self.route.kind is policy.RouteKind.IDEMPOTENT
-
-    def may_go_on(self) -> bool:
-        """Tell whether another attempt is allowed."""
-        if clock.now() >= self.deadline or self.n_rejections > _MAX_REJECTIONS:
-            return False
-        if self.n_run == 0:
-            return True
-        return self.is_idempotent and self.n_run < self.route.max_attempts
 
 
 class Relay:
@@ -102,7 +81,9 @@
         self, inbound: model.Inbound, route: policy.Route
     ) -> model.Answered | model.Refused:
         deadline = min(inbound.deadline, clock.now() + route.timeout_seconds)
-        course = _Course(inbound, route, deadline - ANSWER_MARGIN_SECONDS)
+        is_idempotent = route.kind is policy.RouteKind.IDEMPOTENT
+        deadline -= ANSWER_MARGIN_SECONDS
+        course = _Course(_RULES, inbound, route, is_idempotent, deadline)
         service = route.choose_service(self._rng)
         while course.may_go_on():
             upstream = self._choose(service, course)
@@ -143,7 +124,7 @@
         remaining = course.deadline - now
         seconds = remaining
         is_last = course.n_run + 1 >= course.route.max_attempts
-        if course.is_idempotent and not is_last:
+        if course.may_run_again and not is_last:
             floor = _TRY_TARGETS * course.route.target_latency_seconds
             seconds = min(remaining, max(floor, remaining * _TRY_SHARE))
         attempt = upstream_protocol.Attempt(
@@ -156,12 +137,12 @@
             self._protocol.relay_headers(inbound.headers, attempt),
             inbound.body,
             now + seconds,
-            course.is_idempotent,
+            course.may_run_again,
             lambda: self._view.registry.find_refusal(upstream.upstream_id),
             inbound.is_client_gone,
             id_header=self._protocol.request_id_header,
             accepts_unframed=True,
-            may_repeat=course.is_idempotent,
+            may_repeat=course.may_run_again,
         )
 
     def _answered(
@@ -178,13 +159,15 @@
             # Passed on, it would be taken for the work's result.
             course.n_run += 1
             self._balancer.failed(upstream.upstream_id, clock.now())
-            self._note_retry(upstream, course, reasons.Reason.ANSWER_MISMATCHED)
+            reason = reasons.Reason.ANSWER_MISMATCHED
+            course.note_failure(upstream.upstream_id, reason, self._view)
             return None
         self._balancer.succeeded(upstream.upstream_id, head, clock.now())
         course.n_run += 1
-        if answer.status >= 500 and course.is_idempotent and course.may_go_on():
+        if answer.status >= 500 and course.may_run_again and course.may_go_on():
             course.last_failure = answer
-            self._note_retry(upstream, course, reasons.Reason.UPSTREAM_ERROR)
+            reason = reasons.Reason.UPSTREAM_ERROR
+            course.note_failure(upstream.upstream_id, reason, self._view)
             return None
         _log_end(course, upstream.upstream_id, answer.status)
         return model.Answered(answer.status, answer.headers, answer.body)
@@ -199,7 +182,8 @@
         if answer.status != 503:
             # Another incarnation has its address, or it takes no requests at all.
             self._balancer.failed(upstream.upstream_id, clock.now())
-        self._note_retry(upstream, course, reasons.Reason.UPSTREAM_BUSY)
+        reason = reasons.Reason.UPSTREAM_BUSY
+        course.note_failure(upstream.upstream_id, reason, self._view)
 
     def _failed(
         self,
@@ -209,16 +193,12 @@
     ) -> model.Answered | None:
         if error.answer is not None:
             return self._answered(upstream, course, error.answer)
-        if error.may_have_run:
-            course.n_run += 1
-        else:
-            course.n_rejections += 1
+        course.count(error.may_have_run)
         if not error.is_refusal and not self._was_hurried(course, error):
             self._balancer.failed(upstream.upstream_id, clock.now())
         if error.reason is reasons.Reason.CALLER_GONE:
-            course.n_rejections = _MAX_REJECTIONS + 1
-            course.n_run = max(course.n_run, course.route.max_attempts)
-        self._note_retry(upstream, course, error.reason)
+            course.stop()
+        course.note_failure(upstream.upstream_id, error.reason, self._view)
         return None
 
     @staticmethod
@@ -232,48 +212,12 @@
         fair = _TRY_TARGETS * course.route.target_latency_seconds
         return is_timeout and clock.now() - course.tried_at < fair
 
-    def _note_retry(
-        self,
-        upstream: fleet_model.FleetUpstream,
-        course: _Course,
-        reason: reasons.Reason,
-    ) -> None:
-        course.last_reason = reason
-        counters.retried(reason)
-        eliot.log_message(
-            message_type="relay:attempt-failed",
-            request_id=course.inbound.request_id,
-            upstream_id=upstream.upstream_id,
-            reason=reason.value,
-            n_run=course.n_run,
-            remaining_seconds=round(course.deadline - clock.now(), 3),
-            registry_index=self._view.registry.index,
-        )
-
     def _give_up(self, course: _Course) -> model.Answered | model.Refused:
         if course.last_failure is not None:
             answer = course.last_failure
             _log_end(course, answer.upstream_id, answer.status)
             return model.Answered(answer.status, answer.headers, answer.body)
-        may_have_run = course.n_run > 0
-        counters.refused(course.last_reason)
-        eliot.log_message(
-            message_type="relay:refused",
-            request_id=course.inbound.request_id,
-            route=course.route.name,
-            reason=course.last_reason.value,
-            may_have_run=may_have_run,
-            n_run=course.n_run,
-            n_rejections=course.n_rejections,
-            policy_version=self._view.routes.policy.version,
-            registry_index=self._view.registry.index,
-        )
-        return model.Refused(
-            course.last_reason,
-            may_have_run,
-            0.0 if may_have_run else self._rng.uniform(*_RETRY_AFTER_RANGE),
-            is_timeout=clock.now() >= course.deadline,
-        )
+        return course.refusal(self._view, self._rng)
 
 
 def _log_end(course: _Course, upstream_id: str, status: int) -> None:
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -12,22 +12,18 @@
 from typing import Any, Final
 
 import attrs
-import eliot
 
 from bilberrydrum import clock, counters, event_stream, reasons, upstream_protocol
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy, subscriber
-from bilberrydrum.relay import balancing, model
+from bilberrydrum.relay import balancing, courses, model
 from bilberrydrum.requests import attempts, outgoing_requests
 
 _OK: Final = 200
 # A stream that pauses for this long, in seconds, has lost its upstream: callers abandon
 # one after two seconds at the least.
 STALL_SECONDS: Final = 1.5
-# Upstreams that turned a stream away before it ran; beyond it the caller is told.
-_MAX_REJECTIONS: Final = 4
-# When to come back after a refusal, in seconds, spread out.
-_RETRY_AFTER_RANGE: Final = (0.1, 0.4)
+_RULES: Final = courses.Rules("stream", max_rejections=4, retry_after_range=(0.1, 0.4))
 
 
 class BrokenError(Exception):
@@ -45,26 +41,10 @@
 
 
 @attrs.define
-class _Course:
+class _Course(courses.Course):
     """How far one stream is."""
 
-    inbound: model.Inbound
-    route: policy.Route
-    service: str
-    deadline: float
-    last_number: int | None
-    excluded_ids: set[str] = attrs.field(factory=set)
-    n_run: int = 0
-    n_rejections: int = 0
-    last_reason: reasons.Reason = reasons.Reason.NO_UPSTREAM
-
-    def may_go_on(self) -> bool:
-        """Tell whether another upstream may be asked."""
-        if clock.now() >= self.deadline or self.n_rejections > _MAX_REJECTIONS:
-            return False
-        if self.n_run == 0:
-            return True
-        return self.route.is_resumable and self.n_run < self.route.max_attempts
+    service: str = ""
 
 
 class StreamRelay:
@@ -91,7 +71,15 @@
         deadline = min(inbound.deadline, clock.now() + route.timeout_seconds)
         service = route.choose_service(self._rng)
         last_number = self._protocol.last_event_number(inbound.headers)
-        course = _Course(inbound, route, service, deadline, last_number)
+        course = _Course(
+            _RULES,
+            inbound,
+            route,
+            route.is_resumable,
+            deadline,
+            service=service,
+            last_number=last_number,
+        )
         while course.may_go_on():
             source = self._open(course)
             if source is None:
@@ -100,7 +88,7 @@
                 headers = outgoing_requests.passed_back(source.answer.headers)
                 return model.Streamed(headers, self._events(course, source))
             return self._whole_refusal(source)
-        return self._refuse(course)
+        return course.refusal(self._view, self._rng)
 
     def _open(self, course: _Course) -> _Source | None:
         """Begin an attempt; None: it gave nothing to be passed on."""
@@ -108,7 +96,7 @@
         now = clock.now()
         upstream = self._balancer.choose(upstreams, course.excluded_ids, now)
         if upstream is None:
-            course.n_rejections = _MAX_REJECTIONS + 1
+            course.stop()
             return None
         course.excluded_ids.add(upstream.upstream_id)
         outgoing = self._outgoing(course, upstream)
@@ -166,7 +154,8 @@
         if is_stream or not (course.route.is_resumable and course.may_go_on()):
             return source
         self._let_go(source)
-        self._note(course, source.upstream, reasons.Reason.UPSTREAM_ERROR)
+        reason = reasons.Reason.UPSTREAM_ERROR
+        course.note_failure(source.upstream.upstream_id, reason, self._view)
         return None
 
     def _events(self, course: _Course, source: _Source) -> Iterator[bytes]:
@@ -239,50 +228,9 @@
         reason: reasons.Reason,
         may_have_run: bool,
     ) -> None:
-        if may_have_run:
-            course.n_run += 1
-        else:
-            course.n_rejections += 1
+        course.count(may_have_run)
         if reason is reasons.Reason.CALLER_GONE:
-            course.n_rejections = _MAX_REJECTIONS + 1
+            course.stop()
         elif reason is not reasons.Reason.UPSTREAM_BUSY:
             self._balancer.failed(upstream.upstream_id, clock.now())
-        self._note(course, upstream, reason)
-
-    def _note(
-        self,
-        course: _Course,
-        upstream: fleet_model.FleetUpstream,
-        reason: reasons.Reason,
-    ) -> None:
-        course.last_reason = reason
-        counters.retried(reason)
-        eliot.log_message(
-            message_type="stream:attempt-failed",
-            request_id=course.inbound.request_id,
-            upstream_id=upstream.upstream_id,
-            reason=reason.value,
-            n_run=course.n_run,
-            last_event_number=course.last_number,
-            registry_index=self._view.registry.index,
-        )
-
-    def _refuse(self, course: _Course) -> model.Refused:
-        may_have_run = course.n_run > 0
-        counters.refused(course.last_reason)
-        eliot.log_message(
-            message_type="stream:refused",
-            request_id=course.inbound.request_id,
-            route=course.route.name,
-            reason=course.last_reason.value,
-            may_have_run=may_have_run,
-            n_run=course.n_run,
-            n_rejections=course.n_rejections,
-            registry_index=self._view.registry.index,
-        )
-        return model.Refused(
-            course.last_reason,
-            may_have_run,
-            0.0 if may_have_run else self._rng.uniform(*_RETRY_AFTER_RANGE),
-            is_timeout=clock.now() >= course.deadline,
-        )
+        course.note_failure(upstream.upstream_id, reason, self._view)
