Begin with few loads at a time, and tell gateways of engines' versions later

Change: at most ten load at first, and the bound doubles from round to round while loads stay quick; engines without work load only if no other load is due. A change of what engines have loaded goes to stores at once and to gateways with their next renewal.

Tests: hundreds of engines at a narrow and at a wide source; what concerns requests.

--- a/bilberrydrum/batches/load_limit.py
+++ b/bilberrydrum/batches/load_limit.py
@@ -7,9 +7,10 @@
 for a version while the trainers named one every 4 s, and two of three trainers got half
 of their groups.
 
-So the number starts as a share of the engines and follows the time that loads take:
-one more after each load at the bound that was as quick as the quickest, a quarter less
-after one that was much slower.
+So the number starts as a share of the engines, but at few, and follows the time that
+loads take: one more after each load at the bound that was as quick as the quickest, so
+that it doubles from one round of loads to the next, and a quarter less after one that
+was much slower. Were it to start at many, all loads would be slow and none would tell.
 """
 
 from typing import Final
@@ -19,6 +20,8 @@
 # Share of the engines that may load at first. Small deployments bear 2 of 5, larger
 # ones 10 of 24, before loads slow one another down.
 FIRST_SHARE: Final = 0.4
+# Most engines that load at first: what sources of larger deployments bear.
+FIRST_MOST: Final = 10
 # More than half of the engines never load at once: the others serve.
 MAX_SHARE: Final = 0.5
 # A load this many times as long as the quickest one is held up by the others. An engine
@@ -43,7 +46,7 @@
         most = max(MIN_LOADING, int(n_engines * MAX_SHARE))
         wanted = self._learned
         if wanted is None:
-            wanted = n_engines * FIRST_SHARE
+            wanted = min(n_engines * FIRST_SHARE, FIRST_MOST)
         return max(MIN_LOADING, min(round(wanted), most))
 
     def note(self, seconds: float, n_beside: int, n_engines: int) -> None:
@@ -65,5 +68,6 @@
             self._learned = max(
                 float(MIN_LOADING), min(float(bound), n_beside * DECREASE)
             )
-        elif seconds <= self._quickest_seconds * QUICK_FACTOR and n_beside >= bound:
+        elif seconds <= self._quickest_seconds * QUICK_FACTOR and 2 * n_beside > bound:
+            # Loads that began together each count until the bound has doubled.
             self._learned = bound + 1.0
--- a/bilberrydrum/batches/weight_plan.py
+++ b/bilberrydrum/batches/weight_plan.py
@@ -97,22 +97,41 @@
     engine_ids_by_model: Mapping[str, frozenset[str]],
     wanted_by_model: Mapping[str, Wanted],
 ) -> list[Load]:
-    """Return all loads that are due, the engine furthest behind first."""
-    ranked = []
+    """Return all loads that are due, the engine furthest behind first.
+
+    Loads of engines without work come only if no other is due: there may be hundreds
+    of them, and they would hold up the one that a step waits for.
+    """
+    due = []
+    idle = []
     for model, engine_ids in engine_ids_by_model.items():
         wanted = wanted_by_model.get(model)
         if wanted is None:
             continue
         present = [by_id[each] for each in engine_ids if each in by_id]
         able = [each for each in present if model in each.versions_by_model]
-        for engine in _due(model, wanted, able):
-            behind = wanted.version - engine.versions_by_model[model]
-            rank = (-behind, engine.n_running, engine.engine_id)
-            ranked.append((rank, Load(engine.engine_id, model, wanted.version)))
-    ranked.sort(key=lambda each: each[0])
+        due += _ranked(model, wanted, _due(model, wanted, able))
+        idle += _ranked(model, wanted, _idle(model, wanted, able))
+    ranked = sorted(due or idle, key=lambda each: each[0])
     return [load for _, load in ranked]
 
 
+def _ranked(
+    model: str, wanted: Wanted, engines: Collection[EngineWeights]
+) -> list[tuple[tuple[int, int, str], Load]]:
+    return [
+        (
+            (
+                each.versions_by_model[model] - wanted.version,
+                each.n_running,
+                each.engine_id,
+            ),
+            Load(each.engine_id, model, wanted.version),
+        )
+        for each in engines
+    ]
+
+
 def _due(
     model: str, wanted: Wanted, engines: Collection[EngineWeights]
 ) -> list[EngineWeights]:
@@ -128,13 +147,20 @@
     n_newest = len(engines) - len(behind) + sum(1 for e in behind if e.is_loading)
     n_missing = max(len(engines) // 2 - n_newest, 0)
     waiting = [each for each in behind if not each.is_loading]
-    idle = [
+    return too_old + waiting[:n_missing]
+
+
+def _idle(
+    model: str, wanted: Wanted, engines: Collection[EngineWeights]
+) -> list[EngineWeights]:
+    """Return the engines without work that could load what is newest."""
+    if wanted.has_waiting or wanted.age_seconds < DEFER_SECONDS:
+        return []
+    return [
         each
-        for each in waiting[n_missing:]
-        if not each.n_running and not wanted.has_waiting
+        for each in engines
+        if each.versions_by_model[model] < wanted.version and not each.n_running
     ]
-    is_settled = wanted.age_seconds >= DEFER_SECONDS
-    return too_old + waiting[:n_missing] + (idle if is_settled else [])
 
 
 def _may_begin(
--- a/bilberrydrum/fleet/changes.py
+++ b/bilberrydrum/fleet/changes.py
@@ -71,3 +71,30 @@
         if change.founder_addresses is None
         else change.founder_addresses,
     )
+
+
+def concerns_requests(before: model.Registry, after: model.Registry) -> bool:
+    """Tell whether a process that passes requests on must know of the change at once.
+
+    What engines have loaded concerns only those who send them items. With hundreds of
+    engines, each of which loads every few versions, such changes are nearly all there
+    are, and telling all processes of each grows with the square of the fleet.
+    """
+    if before.stores != after.stores:
+        return True
+    return _passed_on_by_id(before) != _passed_on_by_id(after)
+
+
+def _passed_on_by_id(
+    registry: model.Registry,
+) -> dict[str, tuple[str, str, bool, bool]]:
+    """Return what requests are passed on by, by upstream."""
+    return {
+        each.upstream_id: (
+            each.service,
+            each.address,
+            each.is_leaving,
+            each.is_silent,
+        )
+        for each in registry.upstreams
+    }
--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -206,6 +206,8 @@
                 continue
             section = self._section()
             for address, each in self._subscribers.live().items():
+                if self._can_wait(each, section):
+                    continue
                 feed = self._feed_for(each)
                 if not (feed.policy or feed.registry or feed.registry_change):
                     continue
@@ -213,6 +215,14 @@
                 each.registry_index = section.registry_index
                 self._carrier.send(address, feed)
 
+    def _can_wait(
+        self, subscriber: subscribers.Subscriber, section: commands.Section
+    ) -> bool:
+        is_store = bool(subscriber.request.store_address)
+        if is_store or subscriber.policy_index < section.policy_index:
+            return False
+        return self._feeds.can_wait(section, subscriber.registry_index)
+
     def _led_seconds(self) -> float:
         """Return for how long this replica has led."""
         self._notice_leadership()
--- a/bilberrydrum/fleet/feeds.py
+++ b/bilberrydrum/fleet/feeds.py
@@ -19,11 +19,14 @@
             collections.OrderedDict()
         )
         self._encoded_by_key: dict[tuple[str, int, int], bytes] = {}
+        # By the indexes of an earlier state and of the current one.
+        self._can_wait_by_indexes: dict[tuple[int, int], bool] = {}
 
     def clear(self) -> None:
         """Forget all earlier states: another log may have led to them."""
         self._states_by_index.clear()
         self._encoded_by_key.clear()
+        self._can_wait_by_indexes.clear()
 
     def make(
         self,
@@ -54,6 +57,24 @@
             change,
         )
 
+    def can_wait(self, section: commands.Section, registry_index: int) -> bool:
+        """Tell whether a gateway may hear of a change with its next renewal."""
+        key = (registry_index, section.registry_index)
+        if key not in self._can_wait_by_indexes:
+            self._forget_other_states(section.registry_index)
+            before = self._states_by_index.get(registry_index)
+            self._can_wait_by_indexes[key] = before is not None and (
+                not changes.concerns_requests(before, self._note(section))
+            )
+        return self._can_wait_by_indexes[key]
+
+    def _forget_other_states(self, index: int) -> None:
+        self._can_wait_by_indexes = {
+            key: can_wait
+            for key, can_wait in self._can_wait_by_indexes.items()
+            if key[1] == index
+        }
+
     def _note(self, section: commands.Section) -> model.Registry:
         index = section.registry_index
         if index not in self._states_by_index:
--- a/tests/test_batches_load_limit.py
+++ b/tests/test_batches_load_limit.py
@@ -40,6 +40,8 @@
         ("grown", 24, 10, 0.9, 2.8),
         ("grown, a narrow source", 24, 4, 0.9, 8.0),
         ("one engine", 1, 1, 0.9, 0.95),
+        ("hundreds", 300, 10, 0.9, 34.0),
+        ("hundreds, a wide source", 300, 150, 0.9, 6.0),
     )
     def test_version_reaches_all(self, name, n_engines, n_at_once, load, most):
         limit = load_limit.LoadLimit()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -331,6 +331,32 @@
         sent = codec.decode(codec.encode(change))
         self.assertEqual(changes.changed(self.BEFORE, sent), after, name)
 
+    @tools.params(
+        ("a version", {"versions_by_model": {"m": 2}, "sequence": 9}, False),
+        ("leaving", {"is_leaving": True}, True),
+        ("silent", {"is_silent": True}, True),
+        ("another address", {"address": "2.2.2.2:80"}, True),
+    )
+    def test_concerns_requests(self, name, fields, expected):
+        """What engines load is told to gateways with their next renewal only."""
+        first, second = self.BEFORE.upstreams
+        upstreams = (attrs.evolve(first, **fields), second)
+        after = attrs.evolve(self.BEFORE, index=6, upstreams=upstreams)
+        found = changes.concerns_requests(self.BEFORE, after)
+        self.assertEqual(found, expected, name)
+
+    @tools.params(
+        ("new", ("a", "b", "c"), True),
+        ("gone", ("a",), True),
+        ("same", ("a", "b"), False),
+    )
+    def test_comings_and_goings_concern_requests(self, name, ids, expected):
+        after = attrs.evolve(
+            self.BEFORE, index=6, upstreams=tuple(upstream(each) for each in ids)
+        )
+        found = changes.concerns_requests(self.BEFORE, after)
+        self.assertEqual(found, expected, name)
+
     def test_change_for_another_state(self):
         """The change before was lost; taken all the same, its part would be missing."""
         later = attrs.evolve(self.BEFORE, index=7)
@@ -372,6 +398,18 @@
             self.make(0)
         self.assertTrue(self.make(2).registry)
 
+    def test_what_can_wait(self):
+        self.put("u0")
+        self.make(0)
+        index = self.section.registry_index
+        engine = upstream("u0", sequence=2, versions_by_model={"m": 1})
+        self.section.upstreams_by_id["u0"] = engine
+        self.section.registry_index += 1
+        self.assertTrue(self.feeds.can_wait(self.section, index))
+        self.assertFalse(self.feeds.can_wait(self.section, 0))
+        self.put("u1")
+        self.assertFalse(self.feeds.can_wait(self.section, index))
+
     def test_up_to_date(self):
         feed = self.make(1)
         self.assertEqual((feed.registry, feed.registry_change), (b"", b""))
