--- a/misc/soak_ledger.py
+++ b/misc/soak_ledger.py
@@ -18,6 +18,9 @@
 IN_FORCE_SECONDS: Final = 3.0
 # Disturbances less than this long ago excuse what has a bound on its time.
 SETTLE_SECONDS: Final = 6.0
+# A process may end by itself this often in a run: one that was replaced, or whose disk
+# failed, ends once and comes back as a new one.
+MAX_OWN_ENDS: Final = 3
 # An accepted batch may be unknown for this long after its acknowledgement.
 KNOWN_SECONDS: Final = 1.0
 
@@ -48,6 +51,7 @@
         self._batch_by_item: dict[str, str] = {}
         self._left_at_by_upstream: dict[str, float] = {}
         self._holders_by_order: dict[tuple[str, int], str] = {}
+        self._own_ends_by_process: collections.Counter[str] = collections.Counter()
 
     def _find(self, text: str) -> None:
         self.counts["findings"] += 1
@@ -62,6 +66,14 @@
         """Tell whether nothing was disturbed for a while."""
         return now - self.disturbed_at > SETTLE_SECONDS
 
+    def ended_by_itself(self, process: str, now: float) -> None:
+        """Note that a process has ended though nobody ended it."""
+        self.counts["ended by themselves"] += 1
+        self.disturbed(now)
+        self._own_ends_by_process[process] += 1
+        if self._own_ends_by_process[process] > MAX_OWN_ENDS:
+            self._find(f"{process} ended by itself again and again")
+
     # Single requests
 
     def ran_once_only(self, request_id: str, upstream_id: str) -> None:
--- a/misc/soak_site.py
+++ b/misc/soak_site.py
@@ -186,8 +186,7 @@
             eventlet.sleep(0.3)
             for name, process in self.processes.processes_by_name.items():
                 if name not in self._down and not process.is_running():
-                    self._ledger.counts["ended by themselves"] += 1
-                    self._ledger.disturbed(clock.now())
+                    self._ledger.ended_by_itself(name, clock.now())
                     self._start_process(name)
 
     # Faults
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,8 +19,10 @@
     ("control", "store"),
     ("e0", "a0"),
 )
-# Seeds that have found a fault, with the fault; run on each change.
-REGRESSION_SEEDS = ()
+# Seeds that have found a fault, and how long they run; run on each change.
+# 202: two tasks of the soak started the same process, and the second ended again and
+# again on the ports of the first.
+REGRESSION_SEEDS = ((202, 15.0),)
 
 
 class Faults(unittest.TestCase):
@@ -145,6 +147,13 @@
         self.ledger.ordered("e", other)
         self.assertEqual(self.n_findings(), 1)
 
+    @tools.params((3, 0), (4, 1), (9, 1))
+    def test_process_that_ends_again_and_again(self, n_ends, expected):
+        for _ in range(n_ends):
+            self.ledger.ended_by_itself("store-0", 0.0)
+        self.ledger.ended_by_itself("store-1", 0.0)
+        self.assertEqual(self.n_findings(), expected)
+
     @tools.params((0.5, 0), (1.5, 1))
     def test_unknown_batch(self, asked_at, expected):
         self.ledger.not_found("b", asked_at)
