Soak: tell what a fault holds down from what has ended by itself

The exit code is counted. SIGHUP in the first tenths of a second of a process ends it: listed as open.

--- a/misc/soak_ledger.py
+++ b/misc/soak_ledger.py
@@ -66,9 +66,9 @@
         """Tell whether nothing was disturbed for a while."""
         return now - self.disturbed_at > SETTLE_SECONDS
 
-    def ended_by_itself(self, process: str, now: float) -> None:
+    def ended_by_itself(self, process: str, exit_code: int | None, now: float) -> None:
         """Note that a process has ended though nobody ended it."""
-        self.counts["ended by themselves"] += 1
+        self.counts[f"ended by themselves with {exit_code}"] += 1
         self.disturbed(now)
         self._own_ends_by_process[process] += 1
         if self._own_ends_by_process[process] > MAX_OWN_ENDS:
--- a/misc/soak_site.py
+++ b/misc/soak_site.py
@@ -162,9 +162,12 @@
 
     def heal(self) -> None:
         """End all faults, and start what is down."""
+        # What a fault holds down at this moment has not ended by itself.
+        self._down.update(self.hosts_by_name)
         for task in self._tasks:
             task.kill()
         self._tasks.clear()
+        self._down.update(self.hosts_by_name)
         for links in self.links_by_name.values():
             for link in links:
                 link.heal()
@@ -174,6 +177,7 @@
             process.thaw()
             if not process.is_running():
                 self._start_process(name)
+        self._down.clear()
         for upstream in self.upstreams_by_name.values():
             upstream.slow_factor = 1.0
             upstream.link.heal()
@@ -186,7 +190,8 @@
             eventlet.sleep(0.3)
             for name, process in self.processes.processes_by_name.items():
                 if name not in self._down and not process.is_running():
-                    self._ledger.ended_by_itself(name, clock.now())
+                    exit_code = process.popen.returncode
+                    self._ledger.ended_by_itself(name, exit_code, clock.now())
                     self._start_process(name)
 
     # Faults
