Have the texts of scored items scored, by requests of their own

Ruled out: waiting for the group's commit of a text before it is scored (adds a commit to each item's way and prevents nothing: the text and its score are committed in order, and a score without its text lists nothing); a third sender (the scoring request goes out by the relay, from the stores' leader, with a balancer of its own).

Change: an item's course is one lifecycle (waiting, generating, unscored, scoring, finished). A whole text without a score is kept by the stores' group; the next leader has it scored and does not generate it again. Failures of the service's own are counted over all upstreams against the route's attempts; nothing but an answer that is signed and names this request is a score. Scoring requests take all places of the service but one at each upstream; the group that lacks the fewest results goes first, spare groups last. What was in work.py is split: lifecycle, carried, demand.

Also: a task that is broken off before its first turn gives back its place, and a header or path with control characters is refused with its batch.

Tests: test_batches_scoring (68), test_platform, test_nodes_path; the model check of promises draws texts and scores (30 schedules by hand).

--- a/bilberrydrum/batches/commands.py
+++ b/bilberrydrum/batches/commands.py
@@ -4,6 +4,7 @@
 memory and disk stay flat however long the day is.
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
@@ -50,13 +51,50 @@
     is_new: bool
 
 
+@codec.register("batches.score")
+@attrs.frozen
+class Score:
+    """The score of a whole text that is kept."""
+
+    item_id: str
+    # Signature of the answer to the item's scoring request.
+    score: str
+
+
 @codec.register("batches.finish")
 @attrs.frozen
 class FinishItems:
-    """Append results to a batch; items that have one already are passed over."""
+    """Note how far items of a batch are; those that have a result are passed over.
+
+    An item's text comes before its score, in an earlier command or in the same one.
+    """
 
     batch_id: str
-    results: tuple[model.Result, ...]
+    # Appended to the batch's results.
+    results: tuple[model.Result, ...] = ()
+    # Whole texts that wait for their score.
+    unscored: tuple[model.Result, ...] = ()
+    # With these, texts that are kept are appended to the results.
+    scores: tuple[Score, ...] = ()
+
+    def finished_ids(self) -> list[str]:
+        """Return the items that have a result by this."""
+        by_result = [each.item_id for each in self.results]
+        return by_result + [each.item_id for each in self.scores]
+
+
+def joined(given: Iterable[FinishItems]) -> list[FinishItems]:
+    """Return one command for each batch that says what `given` say in their order."""
+    joined_by_batch: dict[str, FinishItems] = {}
+    for each in given:
+        known = joined_by_batch.get(each.batch_id, FinishItems(each.batch_id))
+        joined_by_batch[each.batch_id] = FinishItems(
+            each.batch_id,
+            known.results + each.results,
+            known.unscored + each.unscored,
+            known.scores + each.scores,
+        )
+    return list(joined_by_batch.values())
 
 
 @codec.register("batches.finished")
@@ -117,15 +155,29 @@
     kept = section_of(state).batches_by_id.get(command.batch_id)
     if kept is None or kept.is_ended:
         return Finished(0)
+    n_before = len(kept.results)
     finished = kept.finished_ids()
-    n_before = len(finished)
-    for given in command.results:
+    for text in command.unscored:
+        if text.item_id not in finished:
+            kept.forget_unfinished(text.item_id)
+            kept.unscored_by_item_id[text.item_id] = text
+    for result in [*_scored(kept, command.scores), *command.results]:
         # Run twice, by two leaders or after a lost answer, an item is listed once.
-        if given.item_id not in finished:
-            finished.add(given.item_id)
-            kept.results.append(given)
-            kept.progress_by_item_id.pop(given.item_id, None)
-    return Finished(len(finished) - n_before)
+        if result.item_id not in finished:
+            finished.add(result.item_id)
+            kept.results.append(result)
+            kept.forget_unfinished(result.item_id)
+    return Finished(len(kept.results) - n_before)
+
+
+def _scored(kept: model.KeptBatch, scores: tuple[Score, ...]) -> list[model.Result]:
+    """Return the results made of kept texts and their scores."""
+    results = []
+    for each in scores:
+        text = kept.unscored_by_item_id.get(each.item_id)
+        if text is not None:
+            results.append(attrs.evolve(text, score=each.score))
+    return results
 
 
 @machine.apply.register
@@ -137,7 +189,9 @@
         return Finished(0)
     finished = kept.finished_ids()
     for given in command.progress:
-        if given.item_id not in finished:
+        is_whole = given.item_id in kept.unscored_by_item_id
+        # Kept late, it would be a part of what is whole already.
+        if given.item_id not in finished and not is_whole:
             _add_progress(kept.progress_by_item_id, given)
     return Finished(0)
 
@@ -161,4 +215,5 @@
         return Ended(False)
     kept.is_ended = True
     kept.progress_by_item_id.clear()
+    kept.unscored_by_item_id.clear()
     return Ended(True)
--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -11,9 +11,9 @@
 from bilberrydrum.batches import (
     engine_shares,
     item_run,
+    lifecycle,
     scheduling,
     weight_plan,
-    work,
 )
 from bilberrydrum.fleet import model, policy
 
@@ -93,13 +93,13 @@
         """
         self.versions_by_model[name] = version
 
-    def begin(self, run: work.ItemRun) -> None:
+    def begin(self, run: lifecycle.ItemRun) -> None:
         """Note that an item is sent."""
         self.n_running += 1
         self.n_tokens += run.n_expected_tokens()
         self.n_by_group[run.group_key] += 1
 
-    def end(self, run: work.ItemRun) -> None:
+    def end(self, run: lifecycle.ItemRun) -> None:
         """Note that an item's attempt has ended."""
         self.n_running -= 1
         self.n_tokens -= run.n_expected_tokens()
--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -1,7 +1,7 @@
 """One attempt to run an item at one engine, and what it adds to the item's text."""
 
 import enum
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from typing import Any, Final
 
 import attrs
@@ -119,6 +119,12 @@
             return False
         return not self.is_single or not text.versions or text.versions == {version}
 
+    def allow_all(self, versions: Collection[int]) -> bool:
+        """Tell whether a whole text may be made of `versions`; none: it is unknown."""
+        if not versions or min(versions) < self.min_version:
+            return False
+        return not self.is_single or len(set(versions)) == 1
+
 
 @attrs.frozen
 class Run:
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -1,35 +1,24 @@
 """Send items to engines, and decide what becomes of them when an attempt ends."""
 
+import functools
 from collections.abc import Callable
-from typing import Any
 
-import attrs
 import eliot
-import eventlet
 
 from bilberrydrum import clock, counters, reasons, upstream_protocol
-from bilberrydrum.batches import engines, item_run, model, urgency, work
+from bilberrydrum.batches import (
+    engines,
+    hooks,
+    item_run,
+    item_tasks,
+    lifecycle,
+    model,
+    urgency,
+    work,
+)
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.requests import attempts
 
-# A batch and an item of it.
-Key = tuple[str, str]
-
-
-@attrs.frozen
-class Hooks:
-    """What the runner needs of the process around it."""
-
-    # Hand over an item's result, to be committed.
-    finish: Callable[[str, model.Result], None]
-    # Hand over unfinished texts, to be kept.
-    save: Callable[[str, tuple[model.Progress, ...]], None]
-    # The number for an order sent now; None: this process gives no orders.
-    fencing_number: Callable[[], int | None]
-    # Whether this process may still send items.
-    may_send: Callable[[], bool]
-    holder: str
-
 
 class ItemSender:
     """The tasks of the items that run."""
@@ -39,46 +28,43 @@
         means: attempts.Means,
         protocol: upstream_protocol.UpstreamProtocol,
         view: subscriber.Subscriber,
-        hooks: Hooks,
+        given_hooks: hooks.Hooks,
         pace: urgency.Pace,
         wake: Callable[[], None],
     ) -> None:
         self._means = means
         self._protocol = protocol
         self._view = view
-        self._hooks = hooks
+        self._hooks = given_hooks
         self._pace = pace
         # Called when a place at an engine has come free.
         self._wake = wake
-        self._tasks_by_key: dict[Key, Any] = {}
+        self._tasks = item_tasks.ItemTasks()
 
     def send(
-        self, opened: work.OpenBatch, run: work.ItemRun, engine: engines.Engine
+        self, opened: work.OpenBatch, run: lifecycle.ItemRun, engine: engines.Engine
     ) -> None:
         """Start an attempt at `engine`."""
-        run.is_running = True
-        run.engine_id = engine.upstream_id
+        run.begin_generating(engine.upstream_id)
         engine.begin(run)
         key = (opened.batch.batch_id, run.item.item_id)
-        self._tasks_by_key[key] = eventlet.spawn(
-            self._run_item, opened, run, engine, key
-        )
+        run_item = functools.partial(self._run_item, opened, run, engine, key)
+        ended = functools.partial(self._ended, run, engine, key)
+        self._tasks.start(key, run_item, ended)
 
-    def cancel(self, key: Key) -> None:
+    def cancel(self, key: item_tasks.Key) -> None:
         """Break off an item's attempt; what it has read stays with the item."""
-        self._tasks_by_key[key].kill()
+        self._tasks.cancel(key)
 
     def cancel_batch(self, batch_id: str) -> None:
         """Break off all attempts of a batch."""
-        for key in [each for each in self._tasks_by_key if each[0] == batch_id]:
-            self.cancel(key)
+        self._tasks.cancel_batch(batch_id)
 
     def stop(self) -> None:
         """Break off all attempts."""
-        for key in list(self._tasks_by_key):
-            self.cancel(key)
+        self._tasks.cancel_all()
 
-    def give_up(self, opened: work.OpenBatch, run: work.ItemRun, why: str) -> None:
+    def give_up(self, opened: work.OpenBatch, run: lifecycle.ItemRun, why: str) -> None:
         """End an item without a text."""
         result = model.Result(run.item.item_id, model.ItemState.TERMINATED)
         self._finish(opened, run, result, why)
@@ -86,20 +72,16 @@
     def _run_item(
         self,
         opened: work.OpenBatch,
-        run: work.ItemRun,
+        run: lifecycle.ItemRun,
         engine: engines.Engine,
-        key: Key,
+        key: item_tasks.Key,
     ) -> None:
         began = clock.now()
         n_before = len(run.text.parts)
         try:
             ended = self._attempt(opened, run, engine)
         finally:
-            engine.end(run)
-            run.is_running = False
-            run.engine_id = ""
-            self._tasks_by_key.pop(key, None)
-            self._wake()
+            self._ended(run, engine, key)
         seconds = clock.now() - began
         histogram = counters.ITEM_ATTEMPT_SECONDS.labels(ended.outcome.value)
         histogram.observe(seconds)
@@ -119,8 +101,16 @@
             self._pace.note(n_expected, len(run.text.parts), seconds)
         self._settle(opened, run, engine, ended)
 
+    def _ended(
+        self, run: lifecycle.ItemRun, engine: engines.Engine, key: item_tasks.Key
+    ) -> None:
+        engine.end(run)
+        run.end_generating()
+        self._tasks.ended(key)
+        self._wake()
+
     def _attempt(
-        self, opened: work.OpenBatch, run: work.ItemRun, engine: engines.Engine
+        self, opened: work.OpenBatch, run: lifecycle.ItemRun, engine: engines.Engine
     ) -> item_run.Ended:
         route = opened.route(self._view.routes)
         deadline = opened.give_up_at(route)
@@ -156,7 +146,7 @@
     def _settle(
         self,
         opened: work.OpenBatch,
-        run: work.ItemRun,
+        run: lifecycle.ItemRun,
         engine: engines.Engine,
         ended: item_run.Ended,
     ) -> None:
@@ -167,8 +157,7 @@
             if ended.version is not None:
                 # Not the text's versions: others may have made a part of it.
                 engine.learn_version(opened.batch.model, ended.version)
-            result = run.text.result(run.item.item_id)
-            self._finish(opened, run, result, "completed")
+            self._completed(opened, run)
             return
         counters.retried(reasons.Reason.UPSTREAM_ERROR)
         if outcome is item_run.Outcome.IMPOSSIBLE:
@@ -186,8 +175,16 @@
         else:
             engine.failed(now)
 
+    def _completed(self, opened: work.OpenBatch, run: lifecycle.ItemRun) -> None:
+        result = run.text.result(run.item.item_id)
+        if run.item.scoring is None:
+            self._finish(opened, run, result, "completed")
+            return
+        run.take_whole_text(result)
+        self._hooks.keep_text(opened.batch.batch_id, result)
+
     def _failed(
-        self, opened: work.OpenBatch, run: work.ItemRun, ended: item_run.Ended
+        self, opened: work.OpenBatch, run: lifecycle.ItemRun, ended: item_run.Ended
     ) -> None:
         """Count a failure of the engine's own; the route allows so many."""
         run.n_failures += 1
@@ -198,11 +195,11 @@
     def _finish(
         self,
         opened: work.OpenBatch,
-        run: work.ItemRun,
+        run: lifecycle.ItemRun,
         result: model.Result,
         why: str,
     ) -> None:
-        run.is_done = True
+        run.finish()
         eliot.log_message(
             message_type="batches:item-ended",
             batch_id=opened.batch.batch_id,
--- a/bilberrydrum/batches/loader.py
+++ b/bilberrydrum/batches/loader.py
@@ -12,12 +12,12 @@
 
 from bilberrydrum import clock, upstream_protocol
 from bilberrydrum.batches import (
+    demand,
     engine_shares,
     engines,
     load_limit,
     orders,
     weight_plan,
-    work,
 )
 from bilberrydrum.requests import attempts
 
@@ -50,7 +50,7 @@
         self._engines = known
         self._duties = duties
         self._limit = load_limit.LoadLimit()
-        self._named = work.NamedVersions()
+        self._named = demand.NamedVersions()
         self._tasks: list[Any] = []
 
     def stop(self) -> None:
--- a/bilberrydrum/batches/model.py
+++ b/bilberrydrum/batches/model.py
@@ -25,6 +25,18 @@
     TERMINATED = "terminated"
 
 
+@codec.register("batches.scoring-request")
+@attrs.frozen
+class ScoringRequest:
+    """A request whose answer's signature is the score of an item's whole text."""
+
+    request_id: str
+    host: str
+    # Where it is sent, with the query.
+    target: str
+    body: bytes
+
+
 @codec.register("batches.item")
 @attrs.frozen
 class Item:
@@ -43,6 +55,13 @@
     n_expected_tokens: int = 0
     # The submitter's estimate of the output tokens; 0: no estimate.
     n_expected_output_tokens: int = 0
+    # Made once the text is whole; None: the item is not scored.
+    scoring: ScoringRequest | None = None
+
+    def is_settled_by(self, result: "Result") -> bool:
+        """Tell whether `result` can be listed as it is."""
+        is_completed = result.state is ItemState.COMPLETED
+        return not is_completed or self.scoring is None or bool(result.score)
 
 
 @codec.register("batches.batch")
@@ -95,6 +114,8 @@
     # Weight versions that made its events, rising.
     versions: tuple[int, ...] = ()
     n_text_bytes: int = 0
+    # Signature of the answer to the item's scoring request; empty: it has none.
+    score: str = ""
 
     @classmethod
     def of(
@@ -149,6 +170,9 @@
     is_ended: bool = False
     # By item id; a new leader goes on from here.
     progress_by_item_id: dict[str, Progress] = attrs.field(factory=dict)
+    # Whole texts without a score yet. A new leader has them scored; generated again, an
+    # item would cost seconds and might come out under other weights.
+    unscored_by_item_id: dict[str, Result] = attrs.field(factory=dict)
 
     @classmethod
     def of(cls, batch: Batch, submitted_at: float) -> "KeptBatch":
@@ -163,3 +187,8 @@
     def finished_ids(self) -> set[str]:
         """Return the ids of the items that have a result."""
         return {each.item_id for each in self.results}
+
+    def forget_unfinished(self, item_id: str) -> None:
+        """Drop what was kept of an item that goes on from something later."""
+        self.progress_by_item_id.pop(item_id, None)
+        self.unscored_by_item_id.pop(item_id, None)
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -16,16 +16,21 @@
 
 from bilberrydrum import clock, upstream_protocol
 from bilberrydrum.batches import (
+    demand,
     engine_shares,
     engines,
+    hooks,
     item_sender,
+    lifecycle,
     loader,
     model,
     scheduling,
+    score_sender,
     urgency,
     work,
 )
 from bilberrydrum.fleet import policy, subscriber
+from bilberrydrum.relay import relay
 from bilberrydrum.requests import attempts
 
 # Looks at the clock when nothing else happens: for items whose time is up and engines
@@ -57,21 +62,28 @@
         protocol: upstream_protocol.UpstreamProtocol,
         view: subscriber.Subscriber,
         means: attempts.Means,
-        hooks: item_sender.Hooks,
+        given_hooks: hooks.Hooks,
+        passing_on: relay.Relay,
     ) -> None:
         self._view = view
-        self._hooks = hooks
+        self._hooks = given_hooks
         self._engines = engines.Engines()
         self._work = work.Work()
         self._shares = engine_shares.Shares()
-        self._demand = work.Demand(_DEMAND_SECONDS)
+        self._demand = demand.Demand(_DEMAND_SECONDS)
         self._wake = eventlet.event.Event()
         self._pace = urgency.Pace()
         self._items = item_sender.ItemSender(
-            means, protocol, view, hooks, self._pace, self.wake
+            means, protocol, view, given_hooks, self._pace, self.wake
+        )
+        self._scores = score_sender.ScoreSender(
+            passing_on, view, given_hooks, self._pace, self.wake
         )
         duties = loader.Duties(
-            hooks.holder, hooks.fencing_number, self._needs_single, self.wake
+            given_hooks.holder,
+            given_hooks.fencing_number,
+            self._needs_single,
+            self.wake,
         )
         self._loader = loader.Loader(means, protocol, self._engines, duties)
         self._task: Any = None
@@ -94,6 +106,7 @@
             self._task = None
         self._loader.stop()
         self._items.stop()
+        self._scores.stop()
 
     def wake(self) -> None:
         """Look at once what can be sent."""
@@ -124,16 +137,24 @@
         self._loader.note_step(batch.model, batch.min_version)
         self._demand.note(batch.model, opened.n_expected_output_tokens(), clock.now())
         for result in self._work.carried_results(opened, self._route_of(opened)):
-            self._hooks.finish(batch.batch_id, result)
+            self._take_carried(opened, result)
         self.wake()
 
-    def finished(self, batch_id: str, results: Iterable[model.Result]) -> None:
-        """Note results that are committed."""
-        self._work.finished(batch_id, results)
+    def _take_carried(self, opened: work.OpenBatch, result: model.Result) -> None:
+        run = opened.runs_by_item_id[result.item_id]
+        if run.item.is_settled_by(result):
+            self._hooks.finish(opened.batch.batch_id, result)
+        else:
+            self._hooks.keep_text(opened.batch.batch_id, result)
+
+    def finished(self, batch_id: str, item_ids: Iterable[str]) -> None:
+        """Note items whose results are committed."""
+        self._work.finished(batch_id, item_ids)
 
     def end(self, batch_id: str) -> None:
         """Break off the runs of a batch that has ended."""
         self._items.cancel_batch(batch_id)
+        self._scores.cancel_batch(batch_id)
         self._work.end(batch_id)
         self.wake()
 
@@ -162,6 +183,7 @@
         self._divide(now)
         self._load_weights(now)
         self._send_items(now)
+        self._scores.step(self._work.open_batches(), now)
         self._save_progress(now)
 
     def _save_progress(self, now: float) -> None:
@@ -176,9 +198,10 @@
     def _give_up_late(self, now: float) -> None:
         for opened in self._work.open_batches():
             route = self._route_of(opened)
-            for run in opened.waiting_runs():
-                if now >= opened.give_up_at(route):
-                    self._items.give_up(opened, run, "out of time")
+            if now < opened.give_up_at(route):
+                continue
+            for run in [*opened.waiting_runs(), *opened.unscored_runs()]:
+                self._items.give_up(opened, run, "out of time")
 
     def _divide(self, now: float) -> None:
         models = self._engines.models()
@@ -240,7 +263,7 @@
             self._send(assignment)
 
     def _waiting_item(
-        self, opened: work.OpenBatch, run: work.ItemRun
+        self, opened: work.OpenBatch, run: lifecycle.ItemRun
     ) -> scheduling.WaitingItem | None:
         route = self._route_of(opened)
         if route is None:
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -1,17 +1,18 @@
 """The stores' leader: keeps batches, answers gateways, and has the items run."""
 
-import collections
 from collections.abc import Mapping
 from typing import Any, Final
 
+import attrs
 import eliot
 import eventlet
 import eventlet.event
 import eventlet.queue
 
 from bilberrydrum import clock, transport, upstream_protocol
-from bilberrydrum.batches import commands, item_sender, messages, model, runner
+from bilberrydrum.batches import commands, hooks, messages, model, runner
 from bilberrydrum.fleet import subscriber
+from bilberrydrum.relay import relay
 from bilberrydrum.requests import attempts
 from bilberrydrum.state import leader_service, replica
 
@@ -26,6 +27,14 @@
 _MAX_RESULTS: Final = 64
 
 
+@attrs.frozen
+class _Advance:
+    """How far an item is, to be committed by the leader of `term` only."""
+
+    term: int
+    command: commands.FinishItems
+
+
 class BatchService:
     """The tasks beside one replica of the stores' group."""
 
@@ -36,6 +45,7 @@
         view: subscriber.Subscriber,
         protocol: upstream_protocol.UpstreamProtocol,
         means: attempts.Means,
+        passing_on: relay.Relay,
         retention_seconds: float,
         order_lease_seconds: float,
     ) -> None:
@@ -43,6 +53,8 @@
 
         Parameters
         ----------
+        passing_on : relay.Relay
+            Sends scoring requests.
         retention_seconds : float
             How long an ended batch can be read, from its submission on.
         order_lease_seconds : float
@@ -54,6 +66,7 @@
         self._view = view
         self._protocol = protocol
         self._means = means
+        self._relay = passing_on
         self._retention_seconds = retention_seconds
         # An earlier leader may have given orders until just now; engines that obey two
         # holders in turn can be told contradicting things.
@@ -63,7 +76,7 @@
         self._term = 0
         self._led_since = 0.0
         self._news = eventlet.event.Event()
-        self._finished: Any = eventlet.queue.Queue()
+        self._advanced: Any = eventlet.queue.Queue()
         self._tasks: list[Any] = []
 
     def start(self) -> None:
@@ -77,7 +90,10 @@
         for message_class, handler in handlers.items():
             self._service.serve(message_class, handler)
         self._replica.watch(self._on_applied)
-        self._tasks = [eventlet.spawn(self._lead), eventlet.spawn(self._commit_results)]
+        self._tasks = [
+            eventlet.spawn(self._lead),
+            eventlet.spawn(self._commit_advances),
+        ]
 
     def stop(self) -> None:
         """Break off all runs."""
@@ -108,14 +124,25 @@
     def _start_runner(self, term: int) -> None:
         self._term = term
         self._led_since = clock.now()
-        hooks = item_sender.Hooks(
-            finish=lambda batch_id, each: self._finished.put((term, batch_id, each)),
+
+        def hand_over(batch_id: str, **fields: Any) -> None:
+            command = commands.FinishItems(batch_id, **fields)
+            self._advanced.put(_Advance(term, command))
+
+        given = hooks.Hooks(
+            finish=lambda batch_id, each: hand_over(batch_id, results=(each,)),
+            keep_text=lambda batch_id, each: hand_over(batch_id, unscored=(each,)),
+            score=lambda batch_id, item_id, score: hand_over(
+                batch_id, scores=(commands.Score(item_id, score),)
+            ),
             save=self._save,
             fencing_number=self._fencing_number,
             may_send=lambda: self._leads(term),
             holder=self._carrier.process_id,
         )
-        started = runner.BatchRunner(self._protocol, self._view, self._means, hooks)
+        started = runner.BatchRunner(
+            self._protocol, self._view, self._means, given, self._relay
+        )
         kept = self._section().batches_by_id.values()
         eliot.log_message(message_type="batches:leads", term=term, n_batches=len(kept))
         self._runner = started
@@ -146,29 +173,26 @@
 
     # Results
 
-    def _commit_results(self) -> None:
+    def _commit_advances(self) -> None:
         while True:
-            finished = [self._finished.get()]
-            while not self._finished.empty() and len(finished) < _MAX_RESULTS:
-                finished.append(self._finished.get())
-            by_batch: dict[str, list[model.Result]] = collections.defaultdict(list)
-            for term, batch_id, result in finished:
-                if term == self._term:
-                    by_batch[batch_id].append(result)
-            for batch_id, results in by_batch.items():
-                self._commit(batch_id, tuple(results))
-
-    def _commit(self, batch_id: str, results: tuple[model.Result, ...]) -> None:
+            advanced = [self._advanced.get()]
+            while not self._advanced.empty() and len(advanced) < _MAX_RESULTS:
+                advanced.append(self._advanced.get())
+            given = [each.command for each in advanced if each.term == self._term]
+            for command in commands.joined(given):
+                self._commit(command)
+
+    def _commit(self, command: commands.FinishItems) -> None:
         term = self._term
-        command = commands.FinishItems(batch_id, results)
         while self._leads(term):
             if self._replica.propose(command, COMMIT_SECONDS).is_ok():
                 return
-        # The next leader runs these items again.
+        # The next leader runs or scores these items again.
         eliot.log_message(
             message_type="batches:results-dropped",
-            batch_id=batch_id,
-            item_ids=[each.item_id for each in results],
+            batch_id=command.batch_id,
+            item_ids=command.finished_ids(),
+            unscored_ids=[each.item_id for each in command.unscored],
             term=term,
         )
 
@@ -185,7 +209,7 @@
                 active.accept(kept)
         elif isinstance(command, commands.FinishItems):
             if active is not None:
-                active.finished(command.batch_id, command.results)
+                active.finished(command.batch_id, command.finished_ids())
             self._tell_news()
         elif isinstance(command, commands.EndBatch):
             if active is not None:
--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -46,6 +46,12 @@
     ["outcome"],
     buckets=(0.1, 0.25, 0.5, 1, 2, 4, 8, 16),
 )
+SCORING_SECONDS: Final = prometheus_client.Histogram(
+    "bilberrydrum_scoring_seconds",
+    "Time of one scoring request, its attempts at several upstreams together.",
+    ["outcome"],
+    buckets=(0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2),
+)
 COMMIT_SECONDS: Final = prometheus_client.Histogram(
     "bilberrydrum_commit_seconds",
     "Time from a command's proposal at the leader to its application.",
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -4,6 +4,8 @@
 machine is imported: that would double the time to start.
 """
 
+import random
+
 import eventlet
 
 from bilberrydrum import (
@@ -13,6 +15,7 @@
 from bilberrydrum.batches import service
 from bilberrydrum.fleet import messages, subscriber
 from bilberrydrum.nodes import groups, links, options
+from bilberrydrum.relay import balancing, relay
 from bilberrydrum.requests import attempts, connections, watch
 from bilberrydrum.state import files, replica, storage
 from bilberrydrum.state import node as state_node
@@ -64,12 +67,14 @@
         groups.start_replica(self.replica)
         if self.replica.failure:
             return
+        means = attempts.Means(self._pool, self._clients)
         self.service = service.BatchService(
             self.replica,
             self._stores.carrier,
             self.view,
             self._protocol,
-            attempts.Means(self._pool, self._clients),
+            means,
+            self._make_relay(means),
             self._node.retention_seconds,
             0.0
             if self._node.do_upstreams_check_fencing
@@ -78,6 +83,11 @@
         self.service.start()
         self._on_news()
 
+    def _make_relay(self, means: attempts.Means) -> relay.Relay:
+        rng = random.Random()
+        balancer = balancing.Balancer(self._node.availability_zone, rng)
+        return relay.Relay(self._protocol, self.view, means, balancer, rng)
+
     def _holds_data(self) -> bool:
         return storage.holds_log(files.DiskFiles(), self._node.data_folder)
 
--- a/bilberrydrum/relay/courses.py
+++ b/bilberrydrum/relay/courses.py
@@ -38,6 +38,8 @@
     # Attempts that may have run.
     n_run: int = 0
     n_rejections: int = 0
+    # Answers by which upstreams said that they had failed.
+    n_failures: int = 0
     last_reason: reasons.Reason = reasons.Reason.NO_UPSTREAM
     # Number of the last event that was passed on; None: none, or it is no stream.
     last_number: int | None = None
@@ -104,4 +106,5 @@
             may_have_run,
             0.0 if may_have_run else rng.uniform(*self.rules.retry_after_range),
             is_timeout=clock.now() >= self.deadline,
+            n_failures=self.n_failures,
         )
--- a/bilberrydrum/relay/model.py
+++ b/bilberrydrum/relay/model.py
@@ -8,6 +8,11 @@
 from bilberrydrum.requests import model as request_model
 
 
+def never_refused() -> reasons.Reason | None:
+    """Return that a request's sender still wants it."""
+    return None
+
+
 @attrs.frozen
 class Inbound:
     """One request as it came in; its body is not looked into."""
@@ -24,6 +29,10 @@
     # When the caller stops waiting, in seconds of `clock.now`.
     deadline: float
     is_client_gone: Callable[[], bool] = request_model.never
+    # Its sender lets it run more than once, whatever its route says.
+    may_run_again: bool = False
+    # Asked right before each sending: why the sender does not want it any more, if so.
+    find_refusal: Callable[[], reasons.Reason | None] = never_refused
 
 
 @attrs.frozen
@@ -33,6 +42,12 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    # The upstream's signature; empty: it gave none, or the answer does not name the
+    # request and may be another one's.
+    signature: str = ""
+    # Upstreams that answered the request with a failure of their own, this answer
+    # included.
+    n_failures: int = 0
 
 
 @attrs.frozen
@@ -54,3 +69,5 @@
     # When coming back is worthwhile, in seconds.
     retry_after_seconds: float = 0.0
     is_timeout: bool = False
+    # Upstreams that answered the request with a failure of their own.
+    n_failures: int = 0
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -25,9 +25,15 @@
 # An attempt that may be followed by another is given at least this many times the
 # route's target latency, so that a slow answer isn't taken for a lost one.
 _TRY_TARGETS: Final = 2.0
+# Status by which an upstream says that it ran a request and failed.
+_FAILED_STATUS: Final = 500
 # A request whose time is up is answered this long, in seconds, before the caller stops
 # to wait: a way of 1 ms and a hub turn.
 ANSWER_MARGIN_SECONDS: Final = 0.02
+# Reasons by which no upstream is to be asked any more.
+_NOBODY_WAITS: Final = frozenset(
+    {reasons.Reason.CALLER_GONE, reasons.Reason.ATTEMPT_SUPERSEDED}
+)
 # A caller that was refused comes back after a few service times.
 _RULES: Final = courses.Rules(
     "request", max_rejections=6, retry_after_range=(0.05, 0.25)
@@ -82,8 +88,9 @@
     ) -> model.Answered | model.Refused:
         deadline = min(inbound.deadline, clock.now() + route.timeout_seconds)
         is_idempotent = route.kind is policy.RouteKind.IDEMPOTENT
+        may_run_again = is_idempotent or inbound.may_run_again
         deadline -= ANSWER_MARGIN_SECONDS
-        course = _Course(_RULES, inbound, route, is_idempotent, deadline)
+        course = _Course(_RULES, inbound, route, may_run_again, deadline)
         service = route.choose_service(self._rng)
         while course.may_go_on():
             upstream = self._choose(service, course)
@@ -138,13 +145,21 @@
             inbound.body,
             now + seconds,
             course.may_run_again,
-            lambda: self._view.registry.find_refusal(upstream.upstream_id),
+            lambda: self._find_refusal(inbound, upstream),
             inbound.is_client_gone,
             id_header=self._protocol.request_id_header,
             accepts_unframed=True,
             may_repeat=course.may_run_again,
         )
 
+    def _find_refusal(
+        self, inbound: model.Inbound, upstream: fleet_model.FleetUpstream
+    ) -> reasons.Reason | None:
+        refusal = inbound.find_refusal()
+        if refusal is not None:
+            return refusal
+        return self._view.registry.find_refusal(upstream.upstream_id)
+
     def _answered(
         self,
         upstream: fleet_model.FleetUpstream,
@@ -164,13 +179,15 @@
             return None
         self._balancer.succeeded(upstream.upstream_id, head, clock.now())
         course.n_run += 1
+        if answer.status == _FAILED_STATUS:
+            course.n_failures += 1
         if answer.status >= 500 and course.may_run_again and course.may_go_on():
             course.last_failure = answer
             reason = reasons.Reason.UPSTREAM_ERROR
             course.note_failure(upstream.upstream_id, reason, self._view)
             return None
         _log_end(course, upstream.upstream_id, answer.status)
-        return model.Answered(answer.status, answer.headers, answer.body)
+        return self._passed_on(course, answer)
 
     def _rejected(
         self,
@@ -196,7 +213,7 @@
         course.count(error.may_have_run)
         if not error.is_refusal and not self._was_hurried(course, error):
             self._balancer.failed(upstream.upstream_id, clock.now())
-        if error.reason is reasons.Reason.CALLER_GONE:
+        if error.reason in _NOBODY_WAITS:
             course.stop()
         course.note_failure(upstream.upstream_id, error.reason, self._view)
         return None
@@ -216,9 +233,18 @@
         if course.last_failure is not None:
             answer = course.last_failure
             _log_end(course, answer.upstream_id, answer.status)
-            return model.Answered(answer.status, answer.headers, answer.body)
+            return self._passed_on(course, answer)
         return course.refusal(self._view, self._rng)
 
+    def _passed_on(
+        self, course: _Course, answer: request_model.ApplicationAnswer
+    ) -> model.Answered:
+        head = self._protocol.read_head(dict(answer.headers))
+        signature = head.signature if answer.is_named else ""
+        return model.Answered(
+            answer.status, answer.headers, answer.body, signature, course.n_failures
+        )
+
 
 def _log_end(course: _Course, upstream_id: str, status: int) -> None:
     eliot.log_message(
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -278,7 +278,9 @@
         is_named = outgoing.id_header in answer.headers
         settle(means.pool, upstream.address, connection, answer, is_named)
     headers = outgoing_requests.passed_back(answer.headers)
-    whole = model.ApplicationAnswer(answer.status, headers, body, upstream.upstream_id)
+    whole = model.ApplicationAnswer(
+        answer.status, headers, body, upstream.upstream_id, is_named
+    )
     if outgoing.is_idempotent and answer.status in _FAILED_STATUSES:
         detail = f"status {answer.status}"
         raise AttemptError(reasons.Reason.UPSTREAM_ERROR, True, detail, answer=whole)
--- a/bilberrydrum/requests/model.py
+++ b/bilberrydrum/requests/model.py
@@ -132,3 +132,5 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     upstream_id: str
+    # It named the request; another one's answer cannot be told apart without.
+    is_named: bool = False
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -34,6 +34,8 @@
     request_id: str = ""
     # It bears the upstream's own mark; without one it is not the upstream's answer.
     is_genuine: bool = True
+    # That mark, by which the upstream can show that it gave the answer; empty: none.
+    signature: str = ""
     # The upstream promises that the request did not run.
     was_not_run: bool = False
     # Weight version of the first event; None: not said.
--- a/tests/fakes/node_protocol.py
+++ b/tests/fakes/node_protocol.py
@@ -31,6 +31,7 @@
         return upstream_protocol.AnswerHead(
             was_not_run="Not-Run" in headers,
             version=int(version) if version else None,
+            signature=headers.get("Signature", ""),
         )
 
     def order(self, order):
@@ -45,10 +46,15 @@
 
 
 class PlainEngine:
-    """An engine that answers each item with a few events and obeys orders at once."""
+    """An engine that answers each item with a few events and obeys orders at once.
+
+    Other requests, with targets under ``/plain/``, get an answer that it signs.
+    """
 
     def __init__(self, n_events: int = 3) -> None:
         self.n_events = n_events
+        # Ids of the requests that it has begun, in order.
+        self.request_ids: list[str] = []
         self.version = 1
         self.orders: list[dict[str, Any]] = []
         self.server = scripted.Scripted(self._answer, kind="engine")
@@ -73,7 +79,13 @@
             self.orders.append(order)
             self.version = order["version"]
             self._send(connection, received, b"")
+        elif received.target.startswith("/plain/"):
+            self.request_ids.append(received.request_id)
+            signature = f"Signature: by-{received.request_id}\r\n"
+            given = scripted.answer(received).decode()
+            connection.sendall(given.replace("\r\n", f"\r\n{signature}", 1).encode())
         else:
+            self.request_ids.append(received.request_id)
             self._stream(connection, received)
 
     def _send(self, connection: Any, received: scripted.Received, body: bytes) -> None:
--- a/tests/fakes/promise_group.py
+++ b/tests/fakes/promise_group.py
@@ -1,8 +1,9 @@
 """A simulated group whose commands are batches and registrations, and its promises.
 
 What a leader has acknowledged must be seen by every later leader that may answer: a
-batch that was accepted, a result at the position where it was read, an end after which
-nothing is listed, an upstream that said it leaves, the highest policy.
+batch that was accepted, a whole text that waits for its score, a result at the position
+where it was read, an end after which nothing is listed, an upstream that said it
+leaves, the highest policy.
 """
 
 import contextlib
@@ -28,6 +29,8 @@
     """What has been acknowledged or read so far."""
 
     batch_ids: set[str] = attrs.field(factory=set)
+    # Whole texts that were kept, by batch and item.
+    texts_by_key: dict[tuple[str, str], bytes] = attrs.field(factory=dict)
     results_by_batch: dict[str, list[batch_model.Result]] = attrs.field(factory=dict)
     # Number of results of a batch when its end was acknowledged.
     ended_lengths_by_batch: dict[str, int] = attrs.field(factory=dict)
@@ -68,6 +71,12 @@
             lambda: batch_commands.FinishItems(
                 batch_id, (_result(item_id, self._n_made),)
             ),
+            lambda: batch_commands.FinishItems(
+                batch_id, unscored=(_result(item_id, self._n_made),)
+            ),
+            lambda: batch_commands.FinishItems(
+                batch_id, scores=(batch_commands.Score(item_id, f"s{self._n_made}"),)
+            ),
             lambda: batch_commands.EndBatch(batch_id),
             lambda: fleet_commands.PutUpstream(
                 _upstream(upstream_id, self._n_made, self.random.random() < 0.2)
@@ -95,6 +104,10 @@
         batches = batch_commands.section_of(host.applied.state).batches_by_id
         if isinstance(command, batch_commands.AcceptBatch):
             promises.batch_ids.add(command.batch_id)
+        elif isinstance(command, batch_commands.FinishItems):
+            for text in command.unscored:
+                if command.batch_id in batches:
+                    promises.texts_by_key[command.batch_id, text.item_id] = text.text
         elif isinstance(command, batch_commands.EndBatch):
             kept = batches.get(command.batch_id)
             if kept is not None:
@@ -148,9 +161,22 @@
             read[:] = kept.results
             item_ids = [each.item_id for each in kept.results]
             assert len(set(item_ids)) == len(item_ids), "an item is listed twice"
+            self._check_texts(kept)
             n_ended = promises.ended_lengths_by_batch.get(batch_id)
             assert n_ended in (None, len(read)), f"{batch_id} grew after its end"
 
+    def _check_texts(self, kept: batch_model.KeptBatch) -> None:
+        """A text that is kept is scored some time, never generated again."""
+        finished = kept.finished_ids()
+        for batch_id, item_id in self.promises.texts_by_key:
+            if batch_id != kept.batch_id or kept.is_ended:
+                continue
+            is_there = item_id in kept.unscored_by_item_id or item_id in finished
+            assert is_there, f"the text of {item_id} of {batch_id} is gone"
+        scored = [each for each in kept.results if each.score]
+        for each in scored:
+            assert each.text, f"{each.item_id} of {kept.batch_id} has only a score"
+
     def _check_fleet(self, host: group_hosts.Host) -> None:
         section = fleet_commands.section_of(host.applied.state)
         for upstream_id in self.promises.leaving_ids:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -258,7 +258,7 @@
         for item_id in ("i0", "i1"):
             run = opened.runs_by_item_id[item_id]
             run.text.add(event_stream.Event(1, b"a"), 2)
-            known.finished("b1", [result(item_id)])
+            known.finished("b1", [item_id])
             self.assertEqual(run.text.parts, [])
         known.end("b1")
         again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
@@ -289,7 +289,7 @@
         kept = model.KeptBatch.of(batch("b1", 4), 0.0)
         opened = known.open(kept, 0.0)
         kept.results = [result(each) for each in finished]
-        known.finished("b1", kept.results)
+        known.finished("b1", finished)
         if has_begun:
             opened.runs_by_item_id["i3"].text.add(event_stream.Event(1, b"a"), 2)
         known.end("b1")
--- a/tests/test_batches_engines.py
+++ b/tests/test_batches_engines.py
@@ -7,11 +7,12 @@
 from nose2 import tools
 
 from bilberrydrum.batches import (
+    demand,
     engine_shares,
     engines,
+    lifecycle,
     scheduling,
     weight_plan,
-    work,
 )
 from bilberrydrum.fleet import model as fleet_model
 from tests import test_batches
@@ -167,7 +168,7 @@
         ("no step yet", [("v", 4, 0.0)], 0),
     )
     def test_lag(self, name, news, expected):
-        named = work.NamedVersions()
+        named = demand.NamedVersions()
         for kind, version, at in news:
             if kind == "v":
                 named.note({"m": version}, at)
@@ -177,7 +178,7 @@
         self.assertEqual(named.lag("m"), expected, name)
 
     def test_next_version_changes_nothing_until_its_step_comes(self):
-        named = work.NamedVersions()
+        named = demand.NamedVersions()
         named.note({"m": 4}, 0.0)
         named.note_step("m", 3, 0.1)
         named.note({"m": 4}, 1.0)
@@ -354,7 +355,7 @@
 
         Passed over for good, the items would wait until their time is up.
         """
-        run = work.ItemRun(test_batches.batch().items[0], ("b", "g0"))
+        run = lifecycle.ItemRun(test_batches.batch().items[0], ("b", "g0"))
         run.exclude("e", 100.0)
         self.assertEqual(run.excluded_ids(100.5), {"e"})
         self.assertEqual(run.excluded_ids(101.5), frozenset())
--- a/tests/test_nodes_path.py
+++ b/tests/test_nodes_path.py
@@ -133,9 +133,21 @@
     def n_upstreams(self):
         return len(self.gateway.view.registry.upstreams)
 
-    def batch(self, batch_id="b1", min_version=0):
+    def batch(self, batch_id="b1", min_version=0, is_scored=False):
         items = tuple(
-            batch_model.Item(f"{batch_id}-{n}", "/batches/x", {}, b"body", 9, "g")
+            batch_model.Item(
+                f"{batch_id}-{n}",
+                "/batches/x",
+                {},
+                b"body",
+                9,
+                "g",
+                scoring=batch_model.ScoringRequest(
+                    f"score-{batch_id}-{n}", "h", "/plain/score", b"mark"
+                )
+                if is_scored
+                else None,
+            )
             for n in range(6)
         )
         return batch_model.Batch(batch_id, "h", items, 0, "m", min_version)
@@ -178,6 +190,17 @@
         refused = self.gateway.relay.handle(inbound, route)
         self.assertFalse(refused.may_have_run)
 
+    def test_scored_batch(self):
+        """Each item's text is whole, then it is scored by the plain service."""
+        self.wait_for(self.is_ready)
+        self.ask_stores(batch_messages.Submit.of(self.batch("b3", is_scored=True)))
+        results = self.read("b3", 6)
+        self.assertEqual({each.text for each in results}, {b"e1\ne2\ne3"})
+        expected = {f"b3-{n}": f"by-score-b3-{n}" for n in range(6)}
+        self.assertEqual({e.item_id: e.score for e in results}, expected)
+        self.assertEqual(sorted(self.engine.request_ids), sorted(expected))
+        self.assertEqual(len(self.app.request_ids), 6)
+
     def test_everything_stops_and_starts_again(self):
         """All processes end in the middle of a day and are started again.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 import tomllib
 import unittest
 
+import attrs
 import result
 from nose2 import tools
 
@@ -327,6 +328,13 @@
     "tokens": 940,
     "group": "g",
 }
+SCORER = {
+    "id": "s1",
+    "host": "h.example:80",
+    "path": "/a/x?q=%41",
+    "body": base64.b64encode(b"mark").decode(),
+}
+SCORED_ITEM = {**ITEM, "scorer": SCORER}
 BATCH = {"step": 7, "model": "m", "min_version": 6, "desired": 1, "requests": [ITEM]}
 KEPT = result.Ok(batch_messages.Submitted())
 RESULT = batch_model.Result.of("i1", batch_model.ItemState.COMPLETED, b"a\nb", (6, 7))
@@ -416,6 +424,62 @@
         self.assertEqual((item.body, item.target), (b"bytes", "/b/3/x"))
         self.assertEqual(item.n_expected_tokens, 660)
 
+    def test_scoring_request_is_translated(self):
+        node = Node(KEPT)
+        self.call(node, "POST", "/b/1", {**BATCH, "requests": [SCORED_ITEM]})
+        kept = batch_model.unpack_batch(node.calls.asked[0].data)
+        expected = batch_model.ScoringRequest("s1", "h.example", "/a/x?q=%41", b"mark")
+        self.assertEqual(kept.items[0].scoring, expected)
+
+    @tools.params(
+        ("not an object", "x", "requests[1].scorer: not an object"),
+        ("no id", without(SCORER, "id"), "requests[1].scorer.id: not a text"),
+        ("no host", without(SCORER, "host"), "requests[1].scorer.host: not a text"),
+        ("id is a number", {**SCORER, "id": 7}, "requests[1].scorer.id: not a text"),
+        (
+            "path without a slash",
+            {**SCORER, "path": "a/x"},
+            "requests[1].scorer.path: does not begin with a slash",
+        ),
+        (
+            "path with a line end",
+            {**SCORER, "path": "/a HTTP/1.1\r\nX: y"},
+            "requests[1].scorer.path: has blanks or control characters",
+        ),
+        ("body", {**SCORER, "body": "*"}, "requests[1].scorer.body: not base64"),
+        (
+            "body is null",
+            {**SCORER, "body": None},
+            "requests[1].scorer.body: not base64",
+        ),
+        ("twice the same id", SCORER, "scorer: the same id twice"),
+    )
+    def test_unreadable_scoring_request(self, name, scorer, expected):
+        """One of two items names a scoring request that cannot be made.
+
+        Kept, the batch could never be whole; the submitter is told where and why, and
+        nothing of the batch is kept.
+        """
+        node = Node()
+        items = [SCORED_ITEM, {**ITEM, "id": "i2", "scorer": scorer}]
+        given = self.call(node, "POST", "/b/1", {**BATCH, "requests": items})
+        self.assertEqual(given.status, 400, name)
+        self.assertIn(expected, given.body.decode())
+        self.assertEqual(node.calls.asked, [])
+
+    def test_headers_that_would_end_a_line(self):
+        node = Node()
+        item = {**ITEM, "headers": {"X-A": "b\r\nX-C: d"}}
+        given = self.call(node, "POST", "/b/1", {**BATCH, "requests": [item]})
+        self.assertEqual(given.status, 400)
+
+    def test_score_is_translated(self):
+        scored = attrs.evolve(RESULT, score="mark")
+        page = result.Ok(batch_messages.Page(True, 3, (scored, RESULT)))
+        given = self.call(Node(page), "GET", "/api/lots/b1", b"")
+        entries = json.loads(given.body)["results"]
+        self.assertEqual([e.get("score") for e in entries], ["mark", None])
+
     def test_results_are_translated(self):
         given = self.call(Node(PAGE), "GET", "/api/lots/b1?after=2", b"")
         entry = {"id": "i1", "state": "completed", "text": "a\nb", "versions": [6, 7]}
