Soak: half of the items are scored, and the ledger checks their scores

The scoring request's signature must be the listed score, and the request must not come before the last event of the text; one in ten is answered with a failure.

--- a/misc/soak_clients.py
+++ b/misc/soak_clients.py
@@ -207,16 +207,19 @@
 
     def _batch(self, step: int, min_version: int) -> batch_model.Batch:
         batch_id = self._new_id("batch")
+        item_ids = [f"{batch_id}-{n}" for n in range(GROUPS * GROUP_ITEMS)]
         items = tuple(
             batch_model.Item(
-                f"{batch_id}-{n}",
+                item_id,
                 "/batches/x",
                 {"X-Model": MODEL, "X-Token-Count": "10,90"},
                 b"prompt",
                 100,
                 f"{batch_id}-g{n // GROUP_ITEMS}",
+                # Every other item is scored.
+                scoring=_scoring_request(item_id) if n % 2 else None,
             )
-            for n in range(GROUPS * GROUP_ITEMS)
+            for n, item_id in enumerate(item_ids)
         )
         return batch_model.Batch(
             batch_id, HOST, items, step, MODEL, min_version, WANTED_GROUPS
@@ -231,8 +234,10 @@
                 n_events = {
                     e.item_id: soak_upstreams.n_events(e.item_id) for e in batch.items
                 }
-                now = clock.now()
-                self._ledger.accepted(batch.batch_id, n_events, batch.min_version, now)
+                scored = frozenset(e.item_id for e in batch.items if e.scoring)
+                self._ledger.accepted(
+                    batch.batch_id, n_events, batch.min_version, clock.now(), scored
+                )
                 return True
             eventlet.sleep(0.1)
         return False
@@ -299,3 +304,8 @@
             self.read(batch.batch_id, self._ledger.n_listed(batch.batch_id))
             eventlet.sleep(0.1)
         return not self._ledger.missing(batch.batch_id)
+
+
+def _scoring_request(item_id: str) -> batch_model.ScoringRequest:
+    request_id = soak_ledger.scoring_id(item_id)
+    return batch_model.ScoringRequest(request_id, HOST, "/look-up/score", b"mark")
--- a/misc/soak_ledger.py
+++ b/misc/soak_ledger.py
@@ -32,6 +32,8 @@
     n_events_by_item_id: Mapping[str, int]
     min_version: int
     accepted_at: float
+    # Items that are scored.
+    scored_ids: frozenset[str] = frozenset()
     results: list[standins.Listed] = attrs.field(factory=list)
     ended_at: float | None = None
     # Its end was asked for; it may hold, whether or not the answer was seen.
@@ -51,6 +53,8 @@
         self._refused: set[str] = set()
         self._batches: dict[str, _Batch] = {}
         self._batch_by_item: dict[str, str] = {}
+        # Items of which an engine has made the last event.
+        self._whole_ids: set[str] = set()
         self._left_at_by_upstream: dict[str, float] = {}
         self._holders_by_order: dict[tuple[str, int], str] = {}
         self._own_ends_by_process: collections.Counter[str] = collections.Counter()
@@ -150,6 +154,21 @@
         if now - batch.ended_at > IN_FORCE_SECONDS:
             self._find(f"item {request_id} ran after the end of its batch")
 
+    # Scores
+
+    def made_whole(self, item_id: str) -> None:
+        """Note that an engine has made the last event of an item."""
+        self._whole_ids.add(item_id)
+
+    def scored(self, request_id: str) -> None:
+        """Note that a service has got a request that may be a scoring request."""
+        item_id = scored_item(request_id)
+        if not item_id:
+            return
+        self.counts["scoring requests"] += 1
+        if item_id not in self._whole_ids:
+            self._find(f"{item_id} was to be scored before its text was whole")
+
     # Batches
 
     def accepted(
@@ -158,12 +177,15 @@
         n_events_by_item_id: Mapping[str, int],
         min_version: int,
         now: float,
+        scored_ids: frozenset[str] = frozenset(),
     ) -> None:
-        """Note an acknowledged batch."""
+        """Note an acknowledged batch; `scored_ids` are its items that are scored."""
         self.counts["batches"] += 1
         if batch_id in self._batches:
             return
-        self._batches[batch_id] = _Batch(n_events_by_item_id, min_version, now)
+        self._batches[batch_id] = _Batch(
+            n_events_by_item_id, min_version, now, scored_ids
+        )
         for item_id in n_events_by_item_id:
             self._batch_by_item[item_id] = batch_id
 
@@ -226,6 +248,10 @@
         if any(each.item_id == item_id for each in batch.results):
             self._find(f"{batch_id} lists {item_id} twice")
         if listed.is_completed:
+            if item_id in batch.scored_ids:
+                expected = standins.signature(scoring_id(item_id))
+                if listed.score != expected:
+                    self._find(f"{item_id} of {batch_id} has {listed.score!r} as score")
             for fault in text_faults(listed, batch):
                 self._find(f"{item_id} of {batch_id}: {fault}")
 
@@ -236,6 +262,21 @@
         return batch.n_events_by_item_id.keys() - listed
 
 
+_SCORING_SUFFIX: Final = "-score"
+
+
+def scoring_id(item_id: str) -> str:
+    """Return the id of an item's scoring request."""
+    return item_id + _SCORING_SUFFIX
+
+
+def scored_item(request_id: str) -> str:
+    """Return the item that a request scores; empty: it is no scoring request."""
+    if not request_id.endswith(_SCORING_SUFFIX):
+        return ""
+    return request_id.removesuffix(_SCORING_SUFFIX)
+
+
 def event_data(item_id: str, number: int, version: int) -> str:
     """Return what an engine of the soak makes as an event of an item."""
     return f"{item_id}:{number}:{version}"
--- a/misc/soak_upstreams.py
+++ b/misc/soak_upstreams.py
@@ -19,6 +19,8 @@
 LOAD_SECONDS: Final = 0.25
 ANNOUNCE_SECONDS: Final = 0.5
 SLOW_FACTOR: Final = 6.0
+# Share of the scoring requests that the service fails at.
+FAILED_SHARE: Final = 0.1
 _MODEL: Final = "m"
 
 
@@ -161,9 +163,12 @@
     ) -> None:
         if received.target.startswith("/once/"):
             self._ledger.ran_once_only(work.request_id, self.upstream_id)
+        self._ledger.scored(work.request_id)
         eventlet.sleep(random.uniform(0.005, 0.03) * self.slow_factor)
         headers = standins.answer_headers(work.request_id)
-        self._send(connection, 200, work.request_id.encode(), headers)
+        is_scoring = bool(soak_ledger.scored_item(work.request_id))
+        status = 500 if is_scoring and random.random() < FAILED_SHARE else 200
+        self._send(connection, status, work.request_id.encode(), headers)
 
     def _stream(self, connection: Any, work: standins.Work) -> None:
         version = self.version
@@ -178,6 +183,7 @@
             data = soak_ledger.event_data(work.request_id, number, version)
             event = standins.event(number, data, changed)
             connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        self._ledger.made_whole(work.request_id)
         connection.sendall(b"0\r\n\r\n")
 
     # Orders
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,7 +57,8 @@
     text = "\n".join(
         soak_ledger.event_data(item_id, n, made_under) for n in range(1, n_events + 1)
     )
-    return standins.Listed(item_id, True, fields.get("text", text), versions)
+    score = fields.get("score", "")
+    return standins.Listed(item_id, True, fields.get("text", text), versions, score)
 
 
 class Found(unittest.TestCase):
@@ -84,6 +85,27 @@
         self.ledger.read("b", 0, standins.Page(2, tuple(results)))
         self.assertEqual(self.n_findings(), expected, self.ledger.findings)
 
+    @tools.params(
+        ("as promised", "s.k-score", 0),
+        ("none", "", 1),
+        ("another's", "s.j-score", 1),
+    )
+    def test_scores(self, name, score, expected):
+        self.ledger.accepted("c", {"k": 2}, 2, 0.0, frozenset({"k"}))
+        self.ledger.read("c", 0, standins.Page(1, (listed("k", score=score),)))
+        self.assertEqual(self.n_findings(), expected, name)
+
+    @tools.params(
+        ("after the text", "k-score", True, 0),
+        ("before the text", "k-score", False, 1),
+        ("no scoring request", "k", False, 0),
+    )
+    def test_scored_too_early(self, name, request_id, is_whole, expected):
+        if is_whole:
+            self.ledger.made_whole("k")
+        self.ledger.scored(request_id)
+        self.assertEqual(self.n_findings(), expected, name)
+
     def test_result_that_changed(self):
         self.ledger.read("b", 0, standins.Page(2, (listed(),)))
         self.ledger.read("b", 0, standins.Page(2, (listed(),)))
