--- a/bilberrydrum/nodes/process.py
+++ b/bilberrydrum/nodes/process.py
@@ -54,20 +54,38 @@
         edges_by_address: dict[str, edge.Edge],
         read_options: Callable[[], options.NodeOptions],
         settings_stamp: Callable[[], object] = lambda: None,
+        stamp_read: object = None,
         on_draining: Callable[[], None] = lambda: None,
         flush_log: Callable[[], None] = lambda: None,
+        listener: Any = None,
     ) -> None:
+        """Make the process; nothing runs before `run`.
+
+        Parameters
+        ----------
+        settings_stamp : callable
+            Returns what differs once the settings have changed; they may change
+            without a signal.
+        stamp_read : object
+            What it returned when the options were read.
+        listener : socket or None
+            Listens at the options' HTTP address already.
+        """
         self._options = node_options
         self._node = node
         self._edges_by_address = edges_by_address
         self._read_options = read_options
-        # Differs once the settings have changed; they may change without a signal.
         self._settings_stamp = settings_stamp
-        self._stamp_read = settings_stamp()
+        self._stamp_read = stamp_read
         self._on_draining = on_draining
         self._flush_log = flush_log
         self._servers = [
-            server.HttpServer(address, each, node_options.limits)
+            server.HttpServer(
+                address,
+                each,
+                node_options.limits,
+                listener if address == node_options.http_address else None,
+            )
             for address, each in edges_by_address.items()
         ]
         self._stop_asked = eventlet.event.Event()
--- a/tests/test_nodes_process.py
+++ b/tests/test_nodes_process.py
@@ -41,7 +41,7 @@
             last[0] = next(given, last[0])
             return last[0]
 
-        made = process.Process(node_options(()), node, {}, read, stamp)
+        made = process.Process(node_options(()), node, {}, read, stamp, stamp())
         with (
             unittest.mock.patch.object(process, "_WATCH_SECONDS", 0.002),
             unittest.mock.patch.object(process, "SETTINGS_SECONDS", 0.004),
