--- /dev/null
+++ b/misc/demos/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration of the whole path, and what it measures."""
--- a/misc/demo_run.py
+++ b/misc/demos/demo_run.py
@@ -18,7 +18,8 @@
 
 import attrs
 
-from misc import andes, figures, probe, processes
+from misc import processes
+from misc.demos import andes, figures, probe
 from tests.fakes import journal
 
 READY_SECONDS: Final = 60.0
--- a/misc/figures.py
+++ b/misc/demos/figures.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from misc import andes
+from misc.demos import andes
 from tests.fakes import journal
 
 MIN_STEPS: Final = 20
--- a/misc/probe.py
+++ b/misc/demos/probe.py
@@ -9,7 +9,7 @@
 import time
 from typing import Final
 
-from misc import andes
+from misc.demos import andes
 
 PAUSE_SECONDS: Final = 0.05
 # A request may wait in a frozen gateway; its answer once it goes on counts.
--- /dev/null
+++ b/misc/measures/__init__.py
@@ -0,0 +1,1 @@
+"""What the measurements share: load, stand-ins, records."""
--- a/misc/capacity_daemons.py
+++ b/misc/measures/capacity_daemons.py
@@ -145,7 +145,7 @@
             gateways += ["--gateway", f"127.0.0.1:{gateway.http_port}"]
         self.running.start_module(
             "engines",
-            "misc.light_engines",
+            "misc.measures.light_engines",
             *("--port", str(self._engines_port), "--engines", str(self.n_engines)),
             *("--swap-seconds", "0.2", "--load-seconds", "0.2"),
             *("--store-rate", "1000"),
--- a/misc/capacity_relay.py
+++ b/misc/measures/capacity_relay.py
@@ -15,7 +15,8 @@
 import eventlet
 import urllib3
 
-from misc import capacity_daemons, capacity_records, processes
+from misc import processes
+from misc.measures import capacity_daemons, capacity_records
 
 RATE: Final = 12.0
 # Tokens per request; the engine puts four into an event.
--- a/misc/capacity_values.py
+++ b/misc/measures/capacity_values.py
@@ -8,7 +8,7 @@
 from bilberrydrum import options
 from bilberrydrum.requests import claims_state
 from bilberrydrum.samples import section
-from misc import capacity_records
+from misc.measures import capacity_records
 
 N_GATEWAYS: Final = 330
 N_REQUESTS: Final = 8_800.0
--- a/misc/request_site.py
+++ b/misc/measures/request_site.py
@@ -117,7 +117,13 @@
         `watched` names the process whose processor time per request is wanted. With
         `leaves`, a caller goes elsewhere when it is told that its connection ends.
         """
-        arguments = ["-m", "misc.request_load", "callers", "--address", address]
+        arguments = [
+            "-m",
+            "misc.measures.request_load",
+            "callers",
+            "--address",
+            address,
+        ]
         arguments += ["--path", path, "--method", method, "--body", body]
         arguments += ["--n-connections", str(n_connections), "--rate", str(rate)]
         arguments += ["--retry-seconds", str(retry_seconds)]
@@ -206,7 +212,7 @@
         self._load(name, "upstream", "--port", _port(address), *arguments)
 
     def _load(self, name: str, *arguments: str) -> None:
-        self._processes.start_module(name, "misc.request_load", *arguments)
+        self._processes.start_module(name, "misc.measures.request_load", *arguments)
 
     def _roll(self) -> None:
         content = {"content": yaml.safe_dump(BUNDLE), "file_name": "b.yaml"}
--- a/misc/sample_site.py
+++ b/misc/measures/sample_site.py
@@ -113,7 +113,7 @@
             for i, peer in enumerate(self._peers)
         ]
         plain = self._policy == POLICY_PLAIN
-        module = "misc.plain_daemon" if plain else "bilberrydrum.main"
+        module = "misc.measures.plain_daemon" if plain else "bilberrydrum.main"
         for i, zone in enumerate(self.load.zones):
             settings = {
                 "process_id": f"gw-{i}",
@@ -187,7 +187,7 @@
         for i, address in enumerate(self._engines):
             self._start(
                 f"engine-{i}",
-                "misc.sample_engine",
+                "misc.measures.sample_engine",
                 address,
                 *("--id", f"engine-{i}"),
                 *("--zone", load.zones[i % len(load.zones)]),
@@ -227,7 +227,7 @@
         load = self.load
         return self._processes.start_module(
             f"trainer-{name}",
-            "misc.sample_trainer",
+            "misc.measures.sample_trainer",
             *("--id", name, "--model", load.model),
             *("--store", f"http://{self._store}"),
             *("--n-groups", str(load.n_groups), "--n-slots", str(load.n_slots)),
--- a/misc/state_group.py
+++ b/misc/measures/state_group.py
@@ -9,7 +9,8 @@
 
 from bilberrydrum import options, transport
 from bilberrydrum.state import queries, remote
-from misc import processes, state_process
+from misc import processes
+from misc.measures import state_process
 
 
 class StateGroup:
@@ -59,7 +60,9 @@
         arguments += ["--address", address]
         for each in self.members:
             arguments += ["--member", f"{each.process_id}={each.peer_address}"]
-        self.processes.start_module(process_id, "misc.state_process", *arguments)
+        self.processes.start_module(
+            process_id, "misc.measures.state_process", *arguments
+        )
 
     def data(self, process_id: str) -> str:
         return str(self.folder / process_id)
--- a/misc/state_process.py
+++ b/misc/measures/state_process.py
@@ -1,6 +1,6 @@
 """A process that holds one replica and counts what `Add` commands say.
 
-Run as ``python -m misc.state_process --process-id p0 --folder FOLDER --member
+Run as ``python -m misc.measures.state_process --process-id p0 --folder FOLDER --member
 p0=IP:port ...``; it ends on SIGTERM.
 """
 
@@ -75,8 +75,11 @@
         super()._take(data)
 
     def report(self, path: pathlib.Path) -> None:
+        written = path.with_suffix(".new")
         while True:
-            path.write_text(f"{self.n_bytes}")
+            written.write_text(f"{self.n_bytes}")
+            # In one step: a reader could find the file empty while it is written.
+            written.replace(path)
             clock.sleep(1.0)
 
 
--- /dev/null
+++ b/misc/soaks/__init__.py
@@ -0,0 +1,1 @@
+"""The soak: the platform's processes under drawn faults."""
--- a/misc/soak_clients.py
+++ b/misc/soaks/soak_clients.py
@@ -16,7 +16,7 @@
 
 from bilberrydrum import clock
 from bilberrydrum.batches import model as batch_model
-from misc import soak_ledger, soak_upstreams
+from misc.soaks import soak_ledger, soak_upstreams
 
 HOST: Final = "soak.example"
 MODEL: Final = "m"
--- a/misc/soak_node.py
+++ b/misc/soaks/soak_node.py
@@ -10,7 +10,7 @@
 import time
 from typing import Final
 
-ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
+ROOT: Final = pathlib.Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
 
 from bilberrydrum import runtime
--- a/misc/soak_run.py
+++ b/misc/soaks/soak_run.py
@@ -13,7 +13,7 @@
 
 from bilberrydrum import clock
 from bilberrydrum.nodes import options
-from misc import soak_clients, soak_faults, soak_ledger, soak_site
+from misc.soaks import soak_clients, soak_faults, soak_ledger, soak_site
 
 START_SECONDS: Final = 40.0
 # Time for everything to be served again once all faults have ended. A wiped replica
--- a/misc/soak_site.py
+++ b/misc/soaks/soak_site.py
@@ -12,7 +12,8 @@
 
 from bilberrydrum import clock
 from bilberrydrum.nodes import options
-from misc import processes, soak_faults, soak_ledger, soak_links, soak_upstreams
+from misc import processes
+from misc.soaks import soak_faults, soak_ledger, soak_links, soak_upstreams
 
 # Internal ports by role: those of the two transports.
 _PORTS_BY_ROLE: Final = {
@@ -153,7 +154,7 @@
         part = settings_path.with_suffix(".part")
         part.write_text(standins.settings_text(host))
         part.rename(settings_path)
-        script = str(processes.REPOSITORY / "misc" / "soak_node.py")
+        script = str(processes.REPOSITORY / "misc" / "soaks" / "soak_node.py")
         clock_path = str(self._folder / f"{name}.clock")
         command = [sys.executable, script, str(settings_path), host.own_ip, clock_path]
         self.processes.start(name, command)
--- a/misc/soak_upstreams.py
+++ b/misc/soaks/soak_upstreams.py
@@ -11,7 +11,7 @@
 from bilberrydrum_platform import standins
 
 from bilberrydrum import clock
-from misc import soak_ledger, soak_links
+from misc.soaks import soak_ledger, soak_links
 from tests.fakes import scripted
 
 SLOTS: Final = 6
--- a/tests/path_support.py
+++ b/tests/path_support.py
@@ -13,7 +13,8 @@
 
 runtime.prepare()
 
-from misc import andes, processes
+from misc import processes
+from misc.demos import andes
 from tests.fakes import journal, samples
 
 # Far beyond what any step takes, so that a loaded machine changes no verdict.
--- a/tests/test_demo_figures.py
+++ b/tests/test_demo_figures.py
@@ -8,7 +8,7 @@
 import attrs
 from nose2 import tools
 
-from misc import andes, figures, probe
+from misc.demos import andes, figures, probe
 from tests.fakes import samples, scorer, tokens
 
 PROMPT = "Plan week 7."
--- a/tests/test_demo_process.py
+++ b/tests/test_demo_process.py
@@ -42,7 +42,7 @@
             run = pathlib.Path(folder) / "run"
             with processes.Processes(pathlib.Path(folder)) as started:
                 demo = started.start_module(
-                    "demo", "misc.demo_run", "--folder", str(run)
+                    "demo", "misc.demos.demo_run", "--folder", str(run)
                 )
 
                 def are_started():
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -14,7 +14,7 @@
 
 import urllib3
 
-from misc import andes
+from misc.demos import andes
 from tests import path_support
 from tests.fakes import tokens
 
--- a/tests/test_path_losses.py
+++ b/tests/test_path_losses.py
@@ -7,7 +7,7 @@
 
 runtime.prepare()
 
-from misc import andes, figures
+from misc.demos import andes, figures
 from tests import path_support
 from tests.fakes import journal
 
--- a/tests/test_requests_processes.py
+++ b/tests/test_requests_processes.py
@@ -5,7 +5,8 @@
 import threading
 import unittest
 
-from misc import processes, request_site
+from misc import processes
+from misc.measures import request_site
 
 
 class GracefulShutdown(unittest.TestCase):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 
 from bilberrydrum_platform import standins  # noqa: E402
 
-from misc import soak_faults, soak_ledger  # noqa: E402
+from misc.soaks import soak_faults, soak_ledger  # noqa: E402
 
 TARGETS = soak_faults.Targets(
     {"control": ("c0", "c1"), "store": ("s0", "s1"), "gateway": ("g0",)},
--- a/tests/test_state_group.py
+++ b/tests/test_state_group.py
@@ -8,7 +8,8 @@
 
 from bilberrydrum import options, transport
 from bilberrydrum.state import commands, machine, queries, remote, snapshot
-from misc import processes, state_group, state_process
+from misc import processes
+from misc.measures import state_group, state_process
 
 
 def reachable(status: queries.Status, process_id: str) -> bool:
--- a/tests/test_state_remote.py
+++ b/tests/test_state_remote.py
@@ -11,7 +11,7 @@
 
 from bilberrydrum import clock, codec, options, transport
 from bilberrydrum.state import messages, remote
-from misc import state_process
+from misc.measures import state_process
 
 
 class FakeTransport:
--- a/tests/test_state_replica.py
+++ b/tests/test_state_replica.py
@@ -21,7 +21,8 @@
     snapshot,
     storage,
 )
-from misc import processes, state_process
+from misc import processes
+from misc.measures import state_process
 from tests import test_state_core
 
 
--- a/tests/test_state_serving.py
+++ b/tests/test_state_serving.py
@@ -7,7 +7,7 @@
 
 from bilberrydrum import codec, options
 from bilberrydrum.state import applier, founding, messages, serving
-from misc import state_process
+from misc.measures import state_process
 
 
 class Sent:
--- a/tests/test_state_sessions.py
+++ b/tests/test_state_sessions.py
@@ -16,7 +16,7 @@
     sessions,
     snapshot,
 )
-from misc import state_process
+from misc.measures import state_process
 
 
 @codec.register("test.lease-section")
