Revert early listening and the wait for a first policy; keep SIGHUP and the stamp

Hypothesis: clients taken while a gateway is made, and held for a moment until its first policy, are served where they were refused (look-ups around a final fault).

A client whose connection is refused comes back at once elsewhere; one that waits is late as well. The code goes; a process still ignores SIGHUP until it has a handler, and takes the settings' stamp before it reads them.

--- a/bilberrydrum/http/server.py
+++ b/bilberrydrum/http/server.py
@@ -12,7 +12,7 @@
 import eventlet.wsgi
 
 from bilberrydrum import counters, options, problems, reasons
-from bilberrydrum.http import edge, listening
+from bilberrydrum.http import edge
 
 # How long a client that was refused at once gets to read why.
 _REFUSAL_LINGER_SECONDS: Final = 1.0
@@ -20,6 +20,7 @@
 _MAX_REFUSALS: Final = 64
 # A connection without a request is closed after this long.
 _IDLE_SECONDS: Final = 75.0
+_BACKLOG: Final = 1024
 
 
 def raw_answer(problem: problems.Problem) -> bytes:
@@ -127,31 +128,18 @@
 class HttpServer:
     """The task that listens for HTTP and serves the edge."""
 
-    def __init__(
-        self,
-        address: str,
-        app: edge.Edge,
-        limits: options.LimitOptions,
-        listener: Any = None,
-    ) -> None:
-        """Make the server.
-
-        Parameters
-        ----------
-        listener : socket or None
-            Listens at `address` already; None: `start` makes one.
-        """
+    def __init__(self, address: str, app: edge.Edge, limits: options.LimitOptions):
         self._address = address
         self._app = app
         self._limits = limits
         self._pool = eventlet.GreenPool(limits.max_connections)
-        self._listener = listener
+        self._listener: Any = None
         self._task: Any = None
 
     def start(self) -> None:
         """Bind the address and start to serve."""
-        if self._listener is None:
-            self._listener = listening.listen(self._address)
+        host, _, port = self._address.rpartition(":")
+        self._listener = eventlet.listen((host, int(port)), backlog=_BACKLOG)
         limits = self._limits
         # The server's own limits are module constants. One header line may take all
         # that is allowed; the edge checks the exact sum.
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -8,10 +8,8 @@
 from typing import Final
 
 import eliot
-import eventlet
-import eventlet.event
 
-from bilberrydrum import clock, counters, reasons, upstream_protocol
+from bilberrydrum import counters, reasons, upstream_protocol
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.nodes import links, options
 from bilberrydrum.relay import balancing, relay, streams
@@ -21,12 +19,6 @@
 # When to come back to a gateway that has just started, in seconds: all processes
 # started together have a policy after some 1.5 s.
 NO_POLICY_RETRY_SECONDS: Final = 0.5
-# A gateway that has just started waits this long, in seconds from its start, for its
-# first policy with a request in hand. When all processes start together it comes 0.15
-# to 0.45 s later; refused in that time, a client that comes with its last try is lost,
-# and any other comes back later than it would have been served. After that nobody
-# knows when there will be one, and requests are refused at once.
-FIRST_POLICY_SECONDS: Final = 0.6
 
 
 class Gateway:
@@ -50,12 +42,8 @@
         self.relay = relay.Relay(protocol, self.view, means, balancer, rng)
         self.streams = streams.StreamRelay(protocol, self.view, means, balancer, rng)
         self.is_draining = False
-        self._made_at = clock.now()
-        self._first_policy = eventlet.event.Event()
 
     def _on_news(self) -> None:
-        if self.view.has_policy and not self._first_policy.ready():
-            self._first_policy.send(None)
         stores = self.view.registry.stores
         self.store_calls.learn([each.address for each in stores])
 
@@ -64,14 +52,9 @@
         return self.view.has_policy and not self.is_draining
 
     def find_route(
-        self, request_id: str, host: str, path: str, patience_seconds: float = 0.0
+        self, request_id: str, host: str, path: str
     ) -> policy.Route | relay_model.Refused:
-        """Return the route of a request, or why it is not served.
-
-        In the first moments of the process's life it may wait for a policy, for
-        `patience_seconds` at most.
-        """
-        self._await_first_policy(patience_seconds)
+        """Return the route of a request, or why it is not served."""
         if not self.view.has_policy:
             reason = reasons.Reason.NO_BUNDLE
             refused = relay_model.Refused(reason, False, NO_POLICY_RETRY_SECONDS)
@@ -91,14 +74,6 @@
         )
         return refused
 
-    def _await_first_policy(self, patience_seconds: float) -> None:
-        remaining = self._made_at + FIRST_POLICY_SECONDS - clock.now()
-        seconds = min(remaining, patience_seconds)
-        if self.view.has_policy or seconds <= 0:
-            return
-        with eventlet.Timeout(seconds, False):
-            self._first_policy.wait()
-
     def begin_draining(self) -> None:
         """Ask for no more new clients: the process is going to stop."""
         self.is_draining = True
--- a/bilberrydrum/nodes/process.py
+++ b/bilberrydrum/nodes/process.py
@@ -57,7 +57,6 @@
         stamp_read: object = None,
         on_draining: Callable[[], None] = lambda: None,
         flush_log: Callable[[], None] = lambda: None,
-        listener: Any = None,
     ) -> None:
         """Make the process; nothing runs before `run`.
 
@@ -67,9 +66,7 @@
             Returns what differs once the settings have changed; they may change
             without a signal.
         stamp_read : object
-            What it returned when the options were read.
-        listener : socket or None
-            Listens at the options' HTTP address already.
+            What it returned before the options were read.
         """
         self._options = node_options
         self._node = node
@@ -80,12 +77,7 @@
         self._on_draining = on_draining
         self._flush_log = flush_log
         self._servers = [
-            server.HttpServer(
-                address,
-                each,
-                node_options.limits,
-                listener if address == node_options.http_address else None,
-            )
+            server.HttpServer(address, each, node_options.limits)
             for address, each in edges_by_address.items()
         ]
         self._stop_asked = eventlet.event.Event()
--- a/misc/soaks/soak_node.py
+++ b/misc/soaks/soak_node.py
@@ -20,7 +20,7 @@
 
 import attrs
 import eventlet
-from bilberrydrum_platform import first_steps, main, settings
+from bilberrydrum_platform import main, settings
 
 from bilberrydrum import logs
 
@@ -62,7 +62,7 @@
     node_options = attrs.evolve(
         settings.read(), bind_host=own_ip, metrics_address=f"{own_ip}:{_METRICS_PORT}"
     )
-    main.run(first_steps.Begun(node_options, settings.stamp()), log.flush)
+    main.run(node_options, settings.stamp(), log.flush)
 
 
 if __name__ == "__main__":
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -204,7 +204,7 @@
     def is_ready(self):
         return True
 
-    def find_route(self, request_id, host, path, patience_seconds):
+    def find_route(self, request_id, host, path):
         found = self.view.routes.find(host, path)
         return found or relay_model.Refused(reasons.Reason.NOT_FOUND, False)
 
