--- a/simulation/load.py
+++ b/simulation/load.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from bilberrydrum.batches import scoring
+
 
 @attrs.frozen
 class Trainer:
@@ -12,6 +14,8 @@
     # Mean number of events of an item, and the spread of its logarithm.
     n_events: float = 20.0
     spread: float = 0.84
+    # Most events of an item, as a multiple of the mean.
+    most_events: float = 7.2
 
 
 @attrs.frozen
@@ -42,10 +46,24 @@
 
 @attrs.frozen
 class Policy:
-    """What is compared."""
+    """What is compared: a mechanism that is off is not told what it needs."""
 
     # Places of each upstream that scoring requests leave free.
-    n_free_places: int
+    n_free_places: int = scoring.FREE_PLACES
+    # Groups that the trainer does not wait for go last.
+    has_spare_groups: bool = True
+    # Groups that cannot be in time go behind those that can.
+    has_tiers: bool = True
+    # Long items start first; else in the order in which their batches came.
+    has_start_by: bool = True
+    # Items of a group go where its prompt is.
+    has_affinity: bool = True
+    # The group that lacks the fewest scores goes first; else the oldest text.
+    has_scoring_order: bool = True
+    # An item's remaining time counts its score.
+    counts_scoring: bool = True
+    # Each model has engines of its own.
+    has_shares: bool = True
 
 
 @attrs.define
--- a/simulation/rollouts.py
+++ b/simulation/rollouts.py
@@ -85,7 +85,8 @@
             known = longest.get(each.group_key, 0)
             longest[each.group_key] = max(known, each.n_expected)
         n_wanted = math.ceil(self._load.wanted_share * trainer.n_groups)
-        spare = urgency.spare_groups(longest, frozenset(), n_wanted)
+        n_first = n_wanted if self._policy.has_spare_groups else 0
+        spare = urgency.spare_groups(longest, frozenset(), n_first)
         begun = _Step(self._loop.now, f"m{number}", items, n_wanted, spare)
         self._steps_by_batch[batch_id] = begun
         for each in items:
@@ -98,7 +99,7 @@
         self, batch_id: str, group: int, n: int, trainer: load.Trainer
     ) -> _Item:
         drawn = service.lognormal(self._rng, trainer.n_events, trainer.spread)
-        n_events = max(1, round(drawn))
+        n_events = max(1, round(min(drawn, trainer.n_events * trainer.most_events)))
         error = float(self._rng.normal(0.0, self._load.estimate_spread))
         return _Item(
             (batch_id, f"{group}-{n}"),
@@ -125,14 +126,17 @@
                 self._go_on(engine)
 
     def _waiting_item(self, step: _Step, item: _Item) -> scheduling.WaitingItem:
+        policy = self._policy
         seconds = self._pace.remaining_seconds(item.n_expected, 0)
-        seconds += self._pace.scoring_seconds
+        if policy.counts_scoring:
+            seconds += self._pace.scoring_seconds
         done_by = step.came_at + self._load.due_seconds - urgency.READ_SECONDS
+        late_at = done_by - seconds * urgency.SURE_SHARE
         return scheduling.WaitingItem(
             item.key,
             item.group_key,
-            done_by - seconds,
-            done_by - seconds * urgency.SURE_SHARE,
+            done_by - seconds if policy.has_start_by else step.came_at,
+            late_at if policy.has_tiers else math.inf,
             item.group_key in step.spare_groups,
             step.model,
             0,
@@ -143,14 +147,16 @@
         n_models = len(self._load.trainers)
         versions = {f"m{n}": 0 for n in range(n_models)}
         running = self._running[engine]
+        models = {f"m{engine % n_models}"} if self._policy.has_shares else set(versions)
+        groups = {each.group_key for each in running}
         return scheduling.Place(
             str(engine),
             "engines",
             self._load.n_places,
             len(running),
             versions,
-            frozenset({f"m{engine % n_models}"}),
-            group_keys={each.group_key for each in running},
+            frozenset(models),
+            group_keys=groups if self._policy.has_affinity else set(),
         )
 
     def _go_on(self, engine: int) -> None:
@@ -186,8 +192,8 @@
             scoring.Unscored(
                 item.key,
                 item.group_key in step.spare_groups,
-                sum(1 for e in step.group(item.group_key) if not e.is_finished),
-                step.came_at + self._load.due_seconds,
+                self._n_missing(step, item),
+                item.ended_at + self._load.due_seconds,
             )
             for step, item in self._unscored.values()
         ]
@@ -197,6 +203,11 @@
             done = functools.partial(self._scored, step, item)
             self._service.send(self._leader, self._load.scoring_seconds, done)
 
+    def _n_missing(self, step: _Step, item: _Item) -> int:
+        if not self._policy.has_scoring_order:
+            return 0
+        return sum(1 for each in step.group(item.group_key) if not each.is_finished)
+
     def _scored(self, step: _Step, item: _Item, seconds: float) -> None:
         self._n_scoring -= 1
         item.is_finished = True
