Test: a store that starts again between texts and scores generates none again

The probe for a free port binds as ZeroMQ does: ended connections of the others kept it from ever calling the port free. Comments: what the time of a score is counted from.

--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -30,7 +30,7 @@
 # which finish within a second when the engines are full.
 PACE_WEIGHT: Final = 0.02
 # Time that a scoring request takes before any was seen, in seconds: a few service times
-# of a plain service, and the wait for a place in a burst.
+# of a plain service.
 FIRST_SCORING_SECONDS: Final = 0.2
 # Time for a result to be committed and read, in seconds: readers come twice a second.
 READ_SECONDS: Final = 0.6
@@ -62,11 +62,11 @@
         self._event_seconds = FIRST_EVENT_SECONDS
         self._tokens_per_event = 1.0
         self._has_noted = False
-        # How long a whole text waits for its score, its turn included.
+        # How long a scoring request takes, without the wait for its turn.
         self.scoring_seconds = FIRST_SCORING_SECONDS
 
     def note_scoring(self, seconds: float) -> None:
-        """Take in the time from a text's last event to its score."""
+        """Take in how long a scoring request has taken that gave a score."""
         self.scoring_seconds += PACE_WEIGHT * (seconds - self.scoring_seconds)
 
     def note(self, n_expected_tokens: int, n_events: int, seconds: float) -> None:
--- a/simulation/rollouts.py
+++ b/simulation/rollouts.py
@@ -211,9 +211,8 @@
     def _scored(self, step: _Step, item: _Item, seconds: float) -> None:
         self._n_scoring -= 1
         item.is_finished = True
-        waited = self._loop.now - item.ended_at
-        self._pace.note_scoring(waited)
-        self.figures.scoring_seconds.append(waited)
+        self._pace.note_scoring(seconds)
+        self.figures.scoring_seconds.append(self._loop.now - item.ended_at)
         if not step.is_whole and step.n_whole_groups() >= step.n_wanted:
             step.is_whole = True
             self.figures.step_seconds.append(self._loop.now - step.came_at)
--- a/tests/fakes/node_protocol.py
+++ b/tests/fakes/node_protocol.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import attrs
+import eventlet
 
 from bilberrydrum import upstream_protocol
 from tests.fakes import scripted
@@ -55,6 +56,8 @@
         self.n_events = n_events
         # Ids of the requests that it has begun, in order.
         self.request_ids: list[str] = []
+        # Other requests are not answered while this is set.
+        self.is_silent = False
         self.version = 1
         self.orders: list[dict[str, Any]] = []
         self.server = scripted.Scripted(self._answer, kind="engine")
@@ -81,6 +84,8 @@
             self._send(connection, received, b"")
         elif received.target.startswith("/plain/"):
             self.request_ids.append(received.request_id)
+            while self.is_silent:
+                eventlet.sleep(0.02)
             signature = f"Signature: by-{received.request_id}\r\n"
             given = scripted.answer(received).decode()
             connection.sendall(given.replace("\r\n", f"\r\n{signature}", 1).encode())
--- a/tests/test_nodes_path.py
+++ b/tests/test_nodes_path.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from bilberrydrum import clock
+from bilberrydrum.batches import commands
 from bilberrydrum.batches import messages as batch_messages
 from bilberrydrum.batches import model as batch_model
 from bilberrydrum.fleet import messages, model, policy
@@ -63,6 +64,8 @@
 def _is_free(address):
     host, _, port = address.rpartition(":")
     with socket.socket() as probe:
+        # As ZeroMQ binds: connections that have ended do not count.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             probe.bind((host, int(port)))
         except OSError:
@@ -201,6 +204,39 @@
         self.assertEqual(sorted(self.engine.request_ids), sorted(expected))
         self.assertEqual(len(self.app.request_ids), 6)
 
+    def store_options(self):
+        """Return the options of the store when it is started again."""
+        again = node(
+            options.Role.STORE, self.folders[1].name, self.control_address, False
+        )
+        # The store keeps its address: its group knows it by that.
+        return attrs.evolve(again, store_address=self.store._node.store_address)
+
+    def test_store_starts_again_between_texts_and_scores(self):
+        """The texts of a batch are whole, and the service that scores is silent.
+
+        The store that leads ends and starts again. It must have the texts scored that
+        it had kept, and generate none of them a second time: they might come out under
+        other weights, and cost their trainer seconds.
+        """
+        self.wait_for(self.is_ready)
+        self.app.is_silent = True
+        self.ask_stores(batch_messages.Submit.of(self.batch("b4", is_scored=True)))
+        section = commands.section_of(self.store.replica.state()).batches_by_id
+        self.wait_for(lambda: len(section["b4"].unscored_by_item_id) == 6)
+        self.assertEqual(section["b4"].results, [])
+        self.store.stop()
+        self.wait_for(lambda: _is_free(self.store._node.store_address))
+        self.app.is_silent = False
+        protocol = node_protocol.PlainProtocol()
+        self.store = store.Store(self.store_options(), protocol)
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        results = self.read("b4", 6)
+        expected = {f"b4-{n}": f"by-score-b4-{n}" for n in range(6)}
+        self.assertEqual({e.item_id: e.score for e in results}, expected)
+        self.assertEqual(len(self.engine.request_ids), 6)
+
     def test_everything_stops_and_starts_again(self):
         """All processes end in the middle of a day and are started again.
 
@@ -220,13 +256,7 @@
             options.Role.CONTROL, self.folders[0].name, self.control_address, False
         )
         self.control = control.Control(controls)
-        stores = node(
-            options.Role.STORE, self.folders[1].name, self.control_address, False
-        )
-        # The store keeps its address: its group knows it by that.
-        kept = self.store._node.store_address
-        stores = attrs.evolve(stores, store_address=kept)
-        self.store = store.Store(stores, protocol)
+        self.store = store.Store(self.store_options(), protocol)
         self.gateway = gateway.Gateway(
             node(options.Role.GATEWAY, "", self.control_address), protocol
         )
