--- a/simulation/__main__.py
+++ b/simulation/__main__.py
@@ -42,10 +42,8 @@
     "no spare groups": attrs.evolve(_FULL, has_spare_groups=False),
     "no tiers": attrs.evolve(_FULL, has_tiers=False),
     "batches in their order": attrs.evolve(_FULL, has_start_by=False),
-    "no affinity": attrs.evolve(_FULL, has_affinity=False),
     "no engines of its own": attrs.evolve(_FULL, has_shares=False),
     "oldest text scored first": attrs.evolve(_FULL, has_scoring_order=False),
-    "scores take no time": attrs.evolve(_FULL, counts_scoring=False),
     "no place left free": attrs.evolve(_FULL, n_free_places=0),
 }
 
--- a/simulation/load.py
+++ b/simulation/load.py
@@ -56,12 +56,8 @@
     has_tiers: bool = True
     # Long items start first; else in the order in which their batches came.
     has_start_by: bool = True
-    # Items of a group go where its prompt is.
-    has_affinity: bool = True
     # The group that lacks the fewest scores goes first; else the oldest text.
     has_scoring_order: bool = True
-    # An item's remaining time counts its score.
-    counts_scoring: bool = True
     # Each model has engines of its own.
     has_shares: bool = True
 
--- a/simulation/rollouts.py
+++ b/simulation/rollouts.py
@@ -128,8 +128,7 @@
     def _waiting_item(self, step: _Step, item: _Item) -> scheduling.WaitingItem:
         policy = self._policy
         seconds = self._pace.remaining_seconds(item.n_expected, 0)
-        if policy.counts_scoring:
-            seconds += self._pace.scoring_seconds
+        seconds += self._pace.scoring_seconds
         done_by = step.came_at + self._load.due_seconds - urgency.READ_SECONDS
         late_at = done_by - seconds * urgency.SURE_SHARE
         return scheduling.WaitingItem(
@@ -148,7 +147,6 @@
         versions = {f"m{n}": 0 for n in range(n_models)}
         running = self._running[engine]
         models = {f"m{engine % n_models}"} if self._policy.has_shares else set(versions)
-        groups = {each.group_key for each in running}
         return scheduling.Place(
             str(engine),
             "engines",
@@ -156,7 +154,7 @@
             len(running),
             versions,
             frozenset(models),
-            group_keys=groups if self._policy.has_affinity else set(),
+            group_keys={each.group_key for each in running},
         )
 
     def _go_on(self, engine: int) -> None:
