--- a/simulation/load.py
+++ b/simulation/load.py
@@ -14,7 +14,9 @@
     # Mean number of events of an item, and the spread of its logarithm.
     n_events: float = 20.0
     spread: float = 0.84
-    # Most events of an item, as a multiple of the mean.
+    # Some items are so many times as long as the others, up to a multiple of the mean.
+    long_share: float = 0.08
+    long_factor: float = 5.0
     most_events: float = 7.2
 
 
--- a/simulation/rollouts.py
+++ b/simulation/rollouts.py
@@ -99,6 +99,8 @@
         self, batch_id: str, group: int, n: int, trainer: load.Trainer
     ) -> _Item:
         drawn = service.lognormal(self._rng, trainer.n_events, trainer.spread)
+        if self._rng.random() < trainer.long_share:
+            drawn *= trainer.long_factor
         n_events = max(1, round(min(drawn, trainer.n_events * trainer.most_events)))
         error = float(self._rng.normal(0.0, self._load.estimate_spread))
         return _Item(
