Tell one start of an upstream from the next, and take nothing from foreign announcements

Cause, by reading and from trial plays with lines: an upstream that starts again under its name was taken for the earlier one (numbers begin anew, so its words counted as late ones; an order made for the one before could be carried out).

Ruled out: trusting the number of the last announcement alone. The log keeps that of the last change only, so nearly every late word has a higher one.

Change: the registry, choices, judgements, loads and orders hang on name and start together (fleet/incarnations, pure). A word of an incarnation that another has replaced is not acknowledged, and is believed only after later and later words over the time in which silence is noticed, with nothing heard from the other. A departure without a start concerns the one that is known. Silence for long takes an upstream out, but does not keep it out. Services that the policy does not know take nobody's place.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -8,6 +8,7 @@
 
 from bilberrydrum import clock, event_stream, reasons, upstream_protocol
 from bilberrydrum.batches import model
+from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.requests import attempts, outgoing_requests
 
 # An engine that sends no answer's head for this long, in seconds, hangs: items are sent
@@ -146,14 +147,14 @@
 def carry_out(
     means: attempts.Means,
     protocol: upstream_protocol.UpstreamProtocol,
-    engine: attempts.Target,
+    engine: fleet_model.FleetUpstream,
     run: Run,
     remaining_seconds: float,
 ) -> Ended:
     """Send the item to `engine` and add what comes back to the run's text."""
     attempt = upstream_protocol.Attempt(
         run.item.item_id,
-        engine.upstream_id,
+        engine.announced_id,
         remaining_seconds,
         last_event_number=run.text.last_number,
     )
@@ -194,7 +195,7 @@
 def _read(
     means: attempts.Means,
     protocol: upstream_protocol.UpstreamProtocol,
-    engine: attempts.Target,
+    engine: fleet_model.FleetUpstream,
     run: Run,
     outgoing: outgoing_requests.Outgoing,
     connection: Any,
--- a/bilberrydrum/batches/loader.py
+++ b/bilberrydrum/batches/loader.py
@@ -110,7 +110,12 @@
             # What runs goes on under the new version where the step allows both: the
             # engine serves without a pause, and only what it had stored is read again.
             keeps_running = not self._duties.needs_single(load.model)
-            order = orders.Order(load, keeps_running, self._duties.holder)
+            order = orders.Order(
+                load,
+                keeps_running,
+                self._duties.holder,
+                lambda: self._engines.by_id.get(engine.upstream_id) is engine,
+            )
             report = self._sender.carry_out(engine.upstream, order)
             if report is None:
                 engine.failed(clock.now())
--- a/bilberrydrum/batches/orders.py
+++ b/bilberrydrum/batches/orders.py
@@ -17,6 +17,7 @@
 
 from bilberrydrum import clock, upstream_protocol
 from bilberrydrum.batches import weight_plan
+from bilberrydrum.fleet import model
 from bilberrydrum.requests import attempts
 
 # A load takes about a second, and longer while others load; an engine that needs more
@@ -40,6 +41,8 @@
     load: weight_plan.Load
     keeps_running: bool
     holder: str
+    # Whether the engine is still there to be told, as far as is known.
+    is_wanted: Callable[[], bool] = lambda: True
 
 
 class OrderSender:
@@ -56,7 +59,7 @@
         self._fencing_number = fencing_number
 
     def carry_out(
-        self, engine: attempts.Target, order: Order
+        self, engine: model.FleetUpstream, order: Order
     ) -> upstream_protocol.EngineReport | None:
         """Return the engine's report once it serves the version; None: it doesn't."""
         deadline = clock.now() + LIMIT_SECONDS
@@ -66,6 +69,8 @@
             if report is None:
                 clock.sleep(_LOOK_SECONDS)
                 continue
+            if not _is_from(engine, report):
+                return None
             if report.versions_by_model.get(load.model, -1) >= load.version:
                 return report
             if report.is_busy:
@@ -75,12 +80,12 @@
                 return None
         return None
 
-    def _send(self, engine: attempts.Target, order: Order, sequence: int) -> bool:
+    def _send(self, engine: model.FleetUpstream, order: Order, sequence: int) -> bool:
         """Send the order once; False: there is no use in trying again."""
         # Asked right before the sending: a process that was stopped since the report
         # may not hold the right to give orders any more.
         number = self._fencing_number()
-        if number is None:
+        if number is None or not order.is_wanted():
             return False
         message = self._protocol.order(
             upstream_protocol.WeightOrder(
@@ -90,7 +95,7 @@
                 order.holder,
                 number,
                 sequence,
-                engine.upstream_id,
+                engine.announced_id,
             )
         )
         status, _ = self._exchange(engine, message)
@@ -110,14 +115,14 @@
         return True
 
     def _ask_report(
-        self, engine: attempts.Target
+        self, engine: model.FleetUpstream
     ) -> upstream_protocol.EngineReport | None:
-        message = self._protocol.ask_report(engine.upstream_id)
+        message = self._protocol.ask_report(engine.announced_id)
         status, body = self._exchange(engine, message)
         return self._protocol.read_report(body) if status == 200 else None
 
     def _exchange(
-        self, engine: attempts.Target, message: upstream_protocol.OrderMessage
+        self, engine: model.FleetUpstream, message: upstream_protocol.OrderMessage
     ) -> tuple[int, bytes]:
         """Return the answer's status and body; 0: there is no answer."""
         with eventlet.Timeout(_ANSWER_SECONDS, False):
@@ -136,7 +141,7 @@
         return 0, b""
 
     def _ask(
-        self, engine: attempts.Target, message: upstream_protocol.OrderMessage
+        self, engine: model.FleetUpstream, message: upstream_protocol.OrderMessage
     ) -> tuple[int, bytes]:
         taken = self._means.pool.take(engine.address, _ANSWER_SECONDS)
         connection: Any = taken.connection
@@ -157,3 +162,16 @@
                 connection.close()
         attempts.settle(self._means.pool, engine.address, connection, answer, True)
         return answer.status, body
+
+
+def _is_from(
+    engine: model.FleetUpstream, report: upstream_protocol.EngineReport
+) -> bool:
+    """Tell whether a report is from this incarnation of the engine.
+
+    One that has crashed and started again under its name counts its orders anew: it
+    would carry out an order that was made for the one before.
+    """
+    if None in (engine.started_at_ms, report.started_at_ms):
+        return True
+    return engine.started_at_ms == report.started_at_ms
--- a/bilberrydrum/fleet/commands.py
+++ b/bilberrydrum/fleet/commands.py
@@ -10,14 +10,14 @@
 import attrs
 
 from bilberrydrum import codec
-from bilberrydrum.fleet import model
+from bilberrydrum.fleet import incarnations, model
 from bilberrydrum.fleet import policy as fleet_policy
 from bilberrydrum.state import machine
 
 SECTION: Final = "fleet"
-# An upstream that left is remembered this long, in seconds: announcements that were
+# An upstream that is gone is remembered this long, in seconds: announcements that were
 # held up on the way by a cut arrive some ten seconds late.
-DEPARTED_SECONDS: Final = 600.0
+FORMER_SECONDS: Final = 600.0
 # Time for a command to be committed before its caller is sent on to ask again.
 COMMIT_SECONDS: Final = 3.0
 
@@ -33,10 +33,8 @@
     document: bytes = b""
     registry_index: int = 0
     upstreams_by_id: dict[str, model.FleetUpstream] = attrs.field(factory=dict)
-    # When upstreams left, by id, in seconds of the log's time.
-    departed_by_id: dict[str, float] = attrs.field(factory=dict)
-    # The last announcement of upstreams whose address was taken over, by id.
-    displaced_sequences_by_id: dict[str, int] = attrs.field(factory=dict)
+    # Upstreams that are not there any more, by the name that they gave themselves.
+    formers_by_announced_id: dict[str, incarnations.Former] = attrs.field(factory=dict)
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
     stores_by_name: dict[str, model.Store] = attrs.field(factory=dict)
     founder_addresses: tuple[str, ...] = ()
@@ -51,6 +49,67 @@
             self.founder_addresses,
         )
 
+    def judge(self, given: model.FleetUpstream) -> incarnations.Judgement:
+        """Return what an announcement is worth."""
+        former = self.formers_by_announced_id.get(given.announced_id)
+        return incarnations.judge(given, self.upstreams_by_id.values(), former)
+
+    def lacks_service(self, given: model.FleetUpstream) -> bool:
+        """Tell whether `given` names a service that the policy does not know.
+
+        Taken in, it could take the place of an upstream that is in use. Without a
+        policy no service is known yet, and none is lacking.
+        """
+        known = self.upstreams_by_id.get(given.upstream_id)
+        if not self.policy.version or (
+            known is not None and known.service == given.service
+        ):
+            return False
+        return all(each.name != given.service for each in self.policy.services)
+
+    def is_departure_known(self, announced_id: str, started_at_ms: int | None) -> bool:
+        """Tell whether a departure is noted already, or comes from an earlier start.
+
+        One that names no start concerns the incarnation that is known: what has said
+        that it leaves must be sent nothing.
+        """
+        starts = [
+            each.started_at_ms
+            for each in self.upstreams_by_id.values()
+            if each.announced_id == announced_id
+        ]
+        former = self.formers_by_announced_id.get(announced_id)
+        if not starts and former is not None:
+            if former.has_left and started_at_ms in (None, former.started_at_ms):
+                return True
+            starts = [former.started_at_ms]
+        return started_at_ms is not None and any(
+            incarnations.compare_starts(started_at_ms, each) < 0 for each in starts
+        )
+
+    def take_out(self, upstream_id: str, time: float) -> None:
+        """Remove an upstream and remember its last word."""
+        known = self.upstreams_by_id.pop(upstream_id, None)
+        if known is not None:
+            self.formers_by_announced_id[known.announced_id] = incarnations.Former(
+                known.started_at_ms, known.sequence, False, time
+            )
+
+    def take_out_all(self, announced_id: str, time: float) -> None:
+        """Remove the upstreams of one name."""
+        for each in list(self.upstreams_by_id.values()):
+            if each.announced_id == announced_id:
+                self.take_out(each.upstream_id, time)
+
+    def forget_formers(self, time: float) -> None:
+        """Forget upstreams whose words are not on their way any more."""
+        since = time - FORMER_SECONDS
+        self.formers_by_announced_id = {
+            announced_id: former
+            for announced_id, former in self.formers_by_announced_id.items()
+            if former.at >= since
+        }
+
 
 def section_of(state: machine.State) -> Section:
     """Return the section in `state`."""
@@ -81,16 +140,28 @@
     """Note a new upstream, or what has changed of a known one."""
 
     upstream: model.FleetUpstream
+    # The leader believes it, though another incarnation has replaced it.
+    is_established: bool = False
 
 
 @codec.register("fleet.remove-upstreams")
 @attrs.frozen
 class RemoveUpstreams:
-    """Note that upstreams have left for good."""
+    """Take out upstreams that were silent for too long; they may be heard again."""
 
     upstream_ids: tuple[str, ...]
 
 
+@codec.register("fleet.note-departure")
+@attrs.frozen
+class NoteDeparture:
+    """Note that an upstream has left for good."""
+
+    announced_id: str
+    # Start of the incarnation that left; None: the one that is known.
+    started_at_ms: int | None = None
+
+
 @codec.register("fleet.mark-silent")
 @attrs.frozen
 class MarkSilent:
@@ -164,17 +235,15 @@
 def _(command: PutUpstream, state: machine.State, context: machine.Context) -> Noted:
     section = section_of(state)
     given = command.upstream
-    if given.upstream_id in section.departed_by_id:
+    judgement = section.judge(given)
+    is_doubtful = judgement.verdict is incarnations.Verdict.DOUBTFUL
+    is_believed = is_doubtful and command.is_established
+    if judgement.verdict is not incarnations.Verdict.TAKEN and not is_believed:
         return Noted(False)
     known = section.upstreams_by_id.get(given.upstream_id)
-    if known is not None and given.sequence < known.sequence:
-        return Noted(False)
-    last = section.displaced_sequences_by_id.get(given.upstream_id)
-    if last is not None and given.sequence <= last:
-        # Held up on its way until after another upstream took over the address.
-        return Noted(False)
-    _displace(section, given)
-    section.displaced_sequences_by_id.pop(given.upstream_id, None)
+    for upstream_id in judgement.holder_ids:
+        section.take_out(upstream_id, context.time)
+    section.formers_by_announced_id.pop(given.announced_id, None)
     if known is not None and known.is_leaving:
         # Who has said that it leaves stays gone, whatever comes late.
         given = attrs.evolve(given, is_leaving=True)
@@ -182,26 +251,32 @@
     return _touch(section, context)
 
 
-def _displace(section: Section, given: model.FleetUpstream) -> None:
-    """Remove the upstreams whose address `given` has."""
-    for known in list(section.upstreams_by_id.values()):
-        if known.address == given.address and known.upstream_id != given.upstream_id:
-            del section.upstreams_by_id[known.upstream_id]
-            section.displaced_sequences_by_id[known.upstream_id] = known.sequence
-
-
 @machine.apply.register
 def _(
     command: RemoveUpstreams, state: machine.State, context: machine.Context
 ) -> Noted:
     section = section_of(state)
     for upstream_id in command.upstream_ids:
-        section.upstreams_by_id.pop(upstream_id, None)
-        section.displaced_sequences_by_id.pop(upstream_id, None)
-        section.departed_by_id[upstream_id] = context.time
-    since = context.time - DEPARTED_SECONDS
-    for upstream_id in [k for k, at in section.departed_by_id.items() if at < since]:
-        del section.departed_by_id[upstream_id]
+        section.take_out(upstream_id, context.time)
+    section.forget_formers(context.time)
+    return _touch(section, context)
+
+
+@machine.apply.register
+def _(command: NoteDeparture, state: machine.State, context: machine.Context) -> Noted:
+    section = section_of(state)
+    announced_id = command.announced_id
+    if section.is_departure_known(announced_id, command.started_at_ms):
+        return Noted(False)
+    section.take_out_all(announced_id, context.time)
+    former = section.formers_by_announced_id.get(announced_id)
+    started_at_ms = command.started_at_ms
+    if started_at_ms is None and former is not None:
+        started_at_ms = former.started_at_ms
+    section.formers_by_announced_id[announced_id] = incarnations.Former(
+        started_at_ms, 0, True, context.time
+    )
+    section.forget_formers(context.time)
     return _touch(section, context)
 
 
--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -12,10 +12,11 @@
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, transport
+from bilberrydrum import clock, line_limit, transport
 from bilberrydrum.fleet import (
     commands,
     feeds,
+    incarnations,
     liveness,
     messages,
     model,
@@ -65,6 +66,7 @@
         self._led_since = 0.0
         self._changed = eventlet.event.Event()
         self._feeds = feeds.Feeds()
+        self._not_taken_lines = line_limit.LineLimit()
         self._tasks: list[Any] = []
 
     def start(self) -> None:
@@ -102,14 +104,36 @@
         self._notice_leadership()
         given = message.upstream
         section = self._section()
-        if given.upstream_id in section.departed_by_id:
-            return messages.Done()
-        if not self._liveness.heard(given, clock.now()):
-            return messages.Done()
         known = section.upstreams_by_id.get(given.upstream_id)
-        if known is not None and _says_nothing_new(known, given):
+        if section.lacks_service(given):
+            return self._not_taken(given, "the policy has no such service")
+        if known is not None:
+            if not self._liveness.heard(given, clock.now()):
+                return messages.Done()
+            if _says_nothing_new(known, given):
+                return messages.Done()
+        judgement = section.judge(given)
+        verdict = judgement.verdict
+        if verdict is incarnations.Verdict.LATE:
             return messages.Done()
-        is_committed = self._commit(commands.PutUpstream(given))
+        if verdict is incarnations.Verdict.INCOMPLETE:
+            return self._not_taken(given, "its start is not told")
+        is_doubtful = verdict is incarnations.Verdict.DOUBTFUL
+        if is_doubtful and not self._liveness.is_established(
+            given, judgement.holder_ids, clock.now()
+        ):
+            return self._not_taken(given, "another incarnation has replaced it")
+        return self._put(given, known, judgement, is_doubtful)
+
+    def _put(
+        self,
+        given: model.FleetUpstream,
+        known: model.FleetUpstream | None,
+        judgement: incarnations.Judgement,
+        is_established: bool,
+    ) -> Any:
+        is_committed = self._commit(commands.PutUpstream(given, is_established))
+        self._liveness.heard(given, clock.now())
         eliot.log_message(
             message_type="upstreams:announced",
             upstream_id=given.upstream_id,
@@ -119,18 +143,36 @@
             versions_by_model=given.versions_by_model,
             sequence=given.sequence,
             sequence_before=known.sequence if known is not None else None,
+            verdict=judgement.verdict.value,
+            replaced_ids=judgement.holder_ids,
             is_committed=is_committed,
         )
         return messages.Done() if is_committed else None
 
+    def _not_taken(self, given: model.FleetUpstream, why: str) -> messages.NotTaken:
+        n_before = self._not_taken_lines.admit(clock.now())
+        if n_before is not None:
+            eliot.log_message(
+                message_type="upstreams:not-taken",
+                upstream_id=given.upstream_id,
+                service=given.service,
+                address=given.address,
+                sequence=given.sequence,
+                why=why,
+                n_not_logged=n_before,
+            )
+        return messages.NotTaken(why)
+
     def _on_depart(self, sender: transport.Sender, message: messages.Depart) -> Any:
-        if message.upstream_id in self._section().departed_by_id:
+        announced_id, started_at_ms = message.announced_id, message.started_at_ms
+        if self._section().is_departure_known(announced_id, started_at_ms):
             return messages.Done()
-        command = commands.RemoveUpstreams((message.upstream_id,))
+        command = commands.NoteDeparture(announced_id, started_at_ms)
         is_committed = self._commit(command)
         eliot.log_message(
             message_type="upstreams:departed",
-            upstream_id=message.upstream_id,
+            announced_id=announced_id,
+            started_at_ms=started_at_ms,
             is_committed=is_committed,
         )
         return messages.Done() if is_committed else None
--- a/bilberrydrum/fleet/liveness.py
+++ b/bilberrydrum/fleet/liveness.py
@@ -4,7 +4,7 @@
 most of its entries. A new leader starts with everyone heard at the moment it took over.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -19,6 +19,14 @@
     gone_ids: tuple[str, ...] = ()
 
 
+@attrs.define
+class _Claim:
+    """Doubtful announcements of one incarnation, in a row."""
+
+    since: float
+    sequence: int
+
+
 class Liveness:
     """When each upstream was last heard."""
 
@@ -27,6 +35,7 @@
         self._gone_seconds = gone_seconds
         self._heard_at_by_id: dict[str, float] = {}
         self._sequences_by_id: dict[str, int] = {}
+        self._claims_by_id: dict[str, _Claim] = {}
         self._since = float("-inf")
 
     def begin(self, now: float) -> None:
@@ -34,6 +43,7 @@
         self._since = now
         self._heard_at_by_id.clear()
         self._sequences_by_id.clear()
+        self._claims_by_id.clear()
 
     def heard(self, upstream: model.FleetUpstream, now: float) -> bool:
         """Note an announcement; False if a later one was heard before it."""
@@ -44,6 +54,29 @@
         self._heard_at_by_id[upstream.upstream_id] = now
         return True
 
+    def is_established(
+        self, upstream: model.FleetUpstream, holder_ids: Collection[str], now: float
+    ) -> bool:
+        """Tell whether a doubtful announcement is to be believed; note it.
+
+        A living upstream announces itself again and again. One that crashed is heard
+        for as long as its last words are on their way, a few seconds, while the one in
+        its place is heard too. So it takes later and later words over the time in
+        which silence is noticed, and nothing from those in its place meanwhile.
+        """
+        heard_at = max(
+            (self._heard_at_by_id.get(each, self._since) for each in holder_ids),
+            default=float("-inf"),
+        )
+        claim = self._claims_by_id.get(upstream.upstream_id)
+        if claim is None or claim.since <= heard_at:
+            claim = _Claim(now, upstream.sequence)
+            self._claims_by_id[upstream.upstream_id] = claim
+        if upstream.sequence <= claim.sequence:
+            return False
+        claim.sequence = upstream.sequence
+        return now - claim.since >= self._silent_seconds
+
     def due(self, now: float, upstreams: Iterable[model.FleetUpstream]) -> Due:
         """Return the upstreams to be marked silent, and those to be removed."""
         silent, gone = [], []
--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -23,7 +23,18 @@
 class Depart:
     """An upstream says that it takes no more work and ends."""
 
-    upstream_id: str
+    announced_id: str
+    # Start of the incarnation that ends; None: not told.
+    started_at_ms: int | None = None
+
+
+@codec.register("fleet.not-taken")
+@attrs.frozen
+class NotTaken:
+    """An announcement was not believed and changed nothing; it may come again."""
+
+    # Why, for the log and for whoever sent it.
+    why: str
 
 
 @codec.register("fleet.submit-policy")
--- a/bilberrydrum/fleet/model.py
+++ b/bilberrydrum/fleet/model.py
@@ -10,8 +10,9 @@
 class FleetUpstream:
     """One incarnation of an upstream, as it announced itself."""
 
-    # Unlike that of any other start of the same program.
-    upstream_id: str
+    # Its own name for itself: one segment of a path, so it has no slash. An upstream
+    # that starts again may keep it.
+    announced_id: str
     service: str
     # ``IP:port``; may be taken over by another upstream once this one has ended.
     address: str
@@ -27,6 +28,20 @@
     sequence: int = 0
     # Not heard from for long: it may have crashed, or only its announcements are lost.
     is_silent: bool = False
+    # Unix time of its start, in milliseconds; None: not told, and its name alone tells
+    # it from its other incarnations.
+    started_at_ms: int | None = None
+
+    @property
+    def upstream_id(self) -> str:
+        """Name of this incarnation, unlike that of any other.
+
+        Whatever is known of an upstream hangs on it: a load that an earlier incarnation
+        reported, its failures or its weight versions say nothing of the next one.
+        """
+        if self.started_at_ms is None:
+            return self.announced_id
+        return f"{self.announced_id}/{self.started_at_ms}"
 
 
 @codec.register("fleet.store")
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -135,7 +135,7 @@
             floor = _TRY_TARGETS * course.route.target_latency_seconds
             seconds = min(remaining, max(floor, remaining * _TRY_SHARE))
         attempt = upstream_protocol.Attempt(
-            inbound.request_id, upstream.upstream_id, remaining
+            inbound.request_id, upstream.announced_id, remaining
         )
         return outgoing_requests.Outgoing(
             inbound.request_id,
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -121,7 +121,7 @@
         inbound = course.inbound
         attempt = upstream_protocol.Attempt(
             inbound.request_id,
-            upstream.upstream_id,
+            upstream.announced_id,
             course.deadline - clock.now(),
             course.last_number,
         )
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -16,8 +16,8 @@
 
     # The caller's id for its own attempt; the upstream's answer names it.
     request_id: str
-    # The only incarnation that may run it: addresses are taken over by others.
-    upstream_id: str
+    # Name of the only upstream that may run it: addresses are taken over by others.
+    announced_id: str
     # Time that is left, in seconds.
     remaining_seconds: float
     # The last event that was read of an earlier answer; None: from the start.
@@ -60,7 +60,8 @@
     fencing_number: int
     # Number of orders that the upstream must have taken so far.
     expected_sequence: int
-    upstream_id: str
+    # Name of the only upstream that may take it.
+    announced_id: str
 
 
 @attrs.frozen
@@ -87,6 +88,8 @@
     # Tokens in its memory that cannot yield, and all that it holds.
     n_cache_used: int = 0
     n_cache_total: int = 0
+    # Unix time of its start, in milliseconds; None: not told.
+    started_at_ms: int | None = None
 
 
 class UpstreamProtocol(Protocol):
@@ -111,7 +114,7 @@
     def order(self, order: WeightOrder) -> OrderMessage:
         """Return the request that gives `order`."""
 
-    def ask_report(self, upstream_id: str) -> OrderMessage:
+    def ask_report(self, announced_id: str) -> OrderMessage:
         """Return the request that asks for an engine's report."""
 
     def read_report(self, body: bytes) -> EngineReport | None:
--- a/misc/soaks/soak_ledger.py
+++ b/misc/soaks/soak_ledger.py
@@ -143,6 +143,12 @@
         """Note that an upstream's leaving was acknowledged."""
         self._left_at_by_upstream.setdefault(upstream_id, now)
 
+    def announced_wrongly(self, body: bytes, is_acknowledged: bool) -> None:
+        """Note an announcement that names no upstream."""
+        self.counts["announced wrongly"] += 1
+        if is_acknowledged:
+            self._find(f"acknowledged an announcement of nobody: {body[:300]!r}")
+
     def received(self, upstream_id: str, request_id: str, now: float) -> None:
         """Note that an upstream got a request."""
         left_at = self._left_at_by_upstream.get(upstream_id, now)
--- a/misc/soaks/soak_upstreams.py
+++ b/misc/soaks/soak_upstreams.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import time
 from typing import Any, Final
 
 import eventlet
@@ -21,6 +22,8 @@
 SLOW_FACTOR: Final = 6.0
 # Share of the scoring requests that the service fails at.
 FAILED_SHARE: Final = 0.1
+# Share of the announcements that another program follows up with one of its own.
+WRONG_SHARE: Final = 0.2
 _MODEL: Final = "m"
 
 
@@ -53,15 +56,26 @@
         self._tasks: list[Any] = []
         self.slow_factor = 1.0
         self.version = 1
+        # Every second upstream starts again under its name and tells its start; the
+        # others have a new name each time, and don't.
+        self._keeps_name = int(name.rpartition("-")[2]) % 2 == 0
+        self._started_at_ms: int | None = None
 
     @property
     def upstream_id(self) -> str:
-        """The incarnation's id."""
+        """The incarnation's id, for the ledger."""
         return f"{self.name}-{self._n_lives}"
 
+    @property
+    def announced_id(self) -> str:
+        """The name under which it announces itself."""
+        return self.name if self._keeps_name else self.upstream_id
+
     def start(self) -> None:
         """Begin a new life."""
         self._n_lives += 1
+        if self._keeps_name:
+            self._started_at_ms = int(time.time() * 1000)
         self.slow_factor = 1.0
         self._n_running = 0
         self._n_orders = 0
@@ -104,23 +118,29 @@
             self._sequence += 1
             versions = {_MODEL: self.version} if self._generates else {}
             assert self.link is not None
-            call = standins.announce(
-                standins.Announcement(
-                    self.upstream_id,
-                    self._service,
-                    self.link.address,
-                    "zone",
-                    SLOTS,
-                    self._sequence,
-                    self._is_leaving,
-                    versions,
-                )
+            announcement = standins.Announcement(
+                self.announced_id,
+                self._service,
+                self.link.address,
+                "zone",
+                SLOTS,
+                self._sequence,
+                self._is_leaving,
+                versions,
+                self._started_at_ms,
             )
             is_leaving = self._is_leaving
-            if self._announce(call) and is_leaving:
+            if self._announce(standins.announce(announcement)) and is_leaving:
                 self._ledger.left(self.upstream_id, clock.now())
+            # Services are known once there is a policy.
+            if self._ledger.policy_version and random.random() < WRONG_SHARE:
+                self._announce_wrongly(announcement)
             eventlet.sleep(ANNOUNCE_SECONDS)
 
+    def _announce_wrongly(self, announcement: standins.Announcement) -> None:
+        call = standins.announce_wrongly(announcement, random.Random())
+        self._ledger.announced_wrongly(call.body, self._announce(call))
+
     @property
     def _generates(self) -> bool:
         return self._service == "engines"
@@ -129,11 +149,15 @@
 
     def _serve(self, connection: Any, received: scripted.Received) -> Any:
         work = standins.work(received.headers)
-        if work.expected_id and work.expected_id != self.upstream_id:
+        if work.expected_id and work.expected_id != self.announced_id:
             return self._send(connection, 421, b"", standins.NOT_RUN_HEADERS)
         if received.target == standins.REPORT_TARGET:
             body = standins.report(
-                {_MODEL: self.version}, self._is_busy, self._n_orders, self._n_running
+                {_MODEL: self.version},
+                self._is_busy,
+                self._n_orders,
+                self._n_running,
+                self._started_at_ms,
             )
             return self._send(connection, 200, body, {})
         if received.target == standins.ORDER_TARGET:
--- a/tests/fakes/node_protocol.py
+++ b/tests/fakes/node_protocol.py
@@ -19,7 +19,7 @@
     version_field = "version"
 
     def relay_headers(self, headers, attempt):
-        sent = {**headers, ID: attempt.request_id, "X-Only": attempt.upstream_id}
+        sent = {**headers, ID: attempt.request_id, "X-Only": attempt.announced_id}
         if attempt.last_event_number is not None:
             sent["Last"] = str(attempt.last_event_number)
         return sent
@@ -39,7 +39,7 @@
         body = json.dumps(attrs.asdict(order)).encode()
         return upstream_protocol.OrderMessage("POST", "/order", {}, body)
 
-    def ask_report(self, upstream_id):
+    def ask_report(self, announced_id):
         return upstream_protocol.OrderMessage("GET", "/report", {})
 
     def read_report(self, body):
@@ -59,6 +59,7 @@
         # Other requests are not answered while this is set.
         self.is_silent = False
         self.version = 1
+        self.started_at_ms: int | None = None
         self.orders: list[dict[str, Any]] = []
         self.server = scripted.Scripted(self._answer, kind="engine")
 
@@ -75,6 +76,7 @@
                 "versions_by_model": {"m": self.version},
                 "is_busy": False,
                 "sequence": len(self.orders),
+                "started_at_ms": self.started_at_ms,
             }
             self._send(connection, received, json.dumps(report).encode())
         elif received.target == "/order":
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -166,15 +166,15 @@
         """
         world = World()
         world.apply(commands.PutUpstream(upstream()))
-        world.apply(commands.RemoveUpstreams(("i-1",)))
+        world.apply(commands.NoteDeparture("i-1"))
         world.apply(commands.PutUpstream(upstream(sequence=9)))
         self.assertEqual(world.section.upstreams_by_id, {})
 
     def test_departed_are_forgotten_in_the_end(self):
         world = World()
-        world.apply(commands.RemoveUpstreams(("i-1",)))
-        world.apply(commands.RemoveUpstreams(("i-2",)), commands.DEPARTED_SECONDS + 1.0)
-        self.assertEqual(list(world.section.departed_by_id), ["i-2"])
+        world.apply(commands.NoteDeparture("i-1"))
+        world.apply(commands.NoteDeparture("i-2"), commands.FORMER_SECONDS + 1.0)
+        self.assertEqual(list(world.section.formers_by_announced_id), ["i-2"])
 
     def test_silent_and_heard_again(self):
         world = World()
@@ -196,6 +196,7 @@
             commands.FoundStores(("1.1.1.2:70",)),
             commands.RetireStore("store-1"),
             commands.RemoveUpstreams(("i-1",)),
+            commands.NoteDeparture("i-2"),
         ):
             world.apply(command)
             self.assertGreater(world.section.registry_index, before, command)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -157,6 +157,11 @@
         self.ledger.received("u", "r", at)
         self.assertEqual(self.n_findings(), expected, name)
 
+    @tools.params((False, 0), (True, 1))
+    def test_announcement_of_nobody(self, is_acknowledged, expected):
+        self.ledger.announced_wrongly(b"{}", is_acknowledged)
+        self.assertEqual(self.n_findings(), expected)
+
     @tools.params(("in time", 2.0, 0), ("late", 4.0, 1))
     def test_after_the_end(self, name, at, expected):
         self.ledger.ended("b", 0.0)
