Leave asyncio out of processes that do not use it, and reports out of the control calls

Ruled out: fewer attrs classes (122 classes, 42 of 185 ms in all; what a gateway does not need of them is some 12 ms), ssl (urllib3 and eventlet need it).

Figures, imports of a gateway, least of 20 runs by turns: private memory 28.5 to 27.4 MB, processor time 0.150 to 0.144 s. Engines' reports are decoded in a module of their own, as gateways take no announcements.

--- a/bilberrydrum/runtime.py
+++ b/bilberrydrum/runtime.py
@@ -5,11 +5,15 @@
 when it is imported. It also lets the hub run on the clock that counts suspended time.
 """
 
+import contextlib
 import ctypes
 import gc
 import os
+import sys
 import time
+import types
 import warnings
+from collections.abc import Iterator
 from typing import Final
 
 # `mallopt`'s number for the size from which a block is mapped by itself (malloc.h).
@@ -25,7 +29,7 @@
     # eventlet's own DNS resolver reads the host's configuration at import; addresses
     # here are IP numbers, so the resolver is left out.
     os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
-    with warnings.catch_warnings():
+    with warnings.catch_warnings(), _without_asyncio():
         warnings.filterwarnings("ignore", message=r"(?s).*Eventlet is deprecated.*")
         import eventlet
     eventlet.monkey_patch()
@@ -34,6 +38,24 @@
     hubs.get_hub().clock = boot_time
 
 
+@contextlib.contextmanager
+def _without_asyncio() -> Iterator[None]:
+    """Have eventlet import an empty module in place of asyncio.
+
+    It needs asyncio for a hub of that name only. After its imports a gateway holds 27.4
+    MB of private memory in place of 28.5 MB, and they take 0.144 s of processor time in
+    place of 0.150 s (the least of 20 runs).
+    """
+    if "asyncio" in sys.modules:
+        yield
+        return
+    sys.modules["asyncio"] = types.ModuleType("asyncio")
+    try:
+        yield
+    finally:
+        del sys.modules["asyncio"]
+
+
 def bound_memory() -> None:
     """Have freed memory given back; called before `prepare`.
 
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -12,7 +12,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.append(str(ROOT / "platform"))
 
-from bilberrydrum_platform import announcements, strict  # noqa: E402
+from bilberrydrum_platform import announcements, reports, strict  # noqa: E402
 
 ENGINE = {
     "service": "s",
@@ -172,7 +172,7 @@
 
 class Reports(unittest.TestCase):
     def test_sound(self):
-        found = announcements.read_report(dumped({**REPORT, "born": BORN}))
+        found = reports.read_report(dumped({**REPORT, "born": BORN}))
         self.assertEqual(found.versions_by_model, {"m": 4})
         self.assertEqual((found.sequence, found.n_running), (2, 12))
         self.assertEqual(found.started_at_ms, BORN)
@@ -189,7 +189,7 @@
     )
     def test_another_type(self, field, value):
         with self.assertRaises(strict.DocumentError):
-            announcements.read_report(dumped({**REPORT, field: value}))
+            reports.read_report(dumped({**REPORT, field: value}))
 
 
 VALUES = strategies.recursive(
