Do not put a late step behind its own trainer's next one

Ruled out: a lower share of the estimate by which a group is held to be late. The rule for late groups protects other trainers' steps; only its own step's successor gains nothing by it.

Change: a late group is put behind the others unless its own trainer's next step is among them. The simulation has trainers that wait for their steps, and times in which nothing runs.

--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -43,6 +43,8 @@
     excluded_ids: frozenset[str] = frozenset()
     # Text of a broken run can go on only under this version; None: any.
     only_version: int | None = None
+    # When its batch is due; the same for all items of a batch.
+    done_by: float = 0.0
 
 
 @attrs.define
@@ -107,7 +109,11 @@
     """Return what is to be sent now; `places` are changed accordingly."""
     assignments = []
     tiers = urgency.tiers_by_group(
-        (urgency.Candidate(e.group_key, e.late_at, e.is_spare) for e in items), now
+        (
+            urgency.Candidate(e.group_key, e.late_at, e.is_spare, e.model, e.done_by)
+            for e in items
+        ),
+        now,
     )
     free = [each for each in places if each.n_running < each.n_slots]
     for item in sorted(items, key=lambda e: (tiers[e.group_key], e.start_by, e.key)):
--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -13,7 +13,11 @@
 - groups that the trainer doesn't wait for go last: those whose longest item is expected
   to be the longest;
 - groups that cannot be whole in time any more go after those that can. At a load that
-  cannot be served, each late group would otherwise make another one late.
+  cannot be served, each late group would otherwise make another one late;
+- but not after those of their own trainer's next step: the trainer comes to the step
+  after that only once it is done with this one. Put behind, a step that a loss of power
+  had made late ended after its successor, and with each day's last step one more was
+  never asked for.
 """
 
 import enum
@@ -47,7 +51,8 @@
 class Tier(enum.IntEnum):
     """Which items go before which others, whatever their times."""
 
-    # Its group is waited for and can be whole in time.
+    # Its group is waited for and can be whole in time, or holds up its trainer's next
+    # step.
     IN_TIME = 0
     # Its group is waited for and will be late.
     LATE = 1
@@ -127,14 +132,24 @@
     # When it cannot be done in time any more, in seconds of the clock.
     late_at: float
     is_spare: bool
+    model: str = ""
+    # When its batch is due.
+    done_by: float = 0.0
 
 
 def tiers_by_group(candidates: Iterable[Candidate], now: float) -> dict[GroupKey, Tier]:
     """Return the tier of each group that has waiting items."""
+    given = list(candidates)
+    last_due_by_model: dict[str, float] = {}
+    for each in given:
+        last_due = last_due_by_model.get(each.model, each.done_by)
+        last_due_by_model[each.model] = max(last_due, each.done_by)
     tiers: dict[GroupKey, Tier] = {}
-    for each in candidates:
-        tier = Tier.SPARE
-        if not each.is_spare:
-            tier = Tier.LATE if each.late_at < now else Tier.IN_TIME
+    for each in given:
+        tier = Tier.IN_TIME
+        if each.is_spare:
+            tier = Tier.SPARE
+        elif each.late_at < now and each.done_by >= last_due_by_model[each.model]:
+            tier = Tier.LATE
         tiers[each.group_key] = max(tier, tiers.get(each.group_key, Tier.IN_TIME))
     return tiers
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -259,4 +259,5 @@
         run.n_expected_tokens(),
         run.excluded_ids(now),
         only_version,
+        done_by,
     )
--- a/simulation/load.py
+++ b/simulation/load.py
@@ -29,6 +29,14 @@
     due_seconds: float = 7.5
     # Share of a step's groups that its trainer waits for.
     wanted_share: float = 0.9
+    # A trainer asks for a step once the last but one is over and it has trained on it
+    # for so long; None: steps come at their times, whatever has become of the others.
+    training_seconds: float | None = None
+    # A step is over after this long at the latest.
+    give_up_seconds: float = 12.0
+    # Nothing is generated for so long from a moment on: the processes are down.
+    outage_at: float = 0.0
+    outage_seconds: float = 0.0
     n_engines: int = 6
     n_places: int = 12
     # Time of one event at an engine that runs one item, and what each further adds.
@@ -56,6 +64,8 @@
     has_spare_groups: bool = True
     # Groups that cannot be in time go behind those that can.
     has_tiers: bool = True
+    # Late groups of a step go before the trainer's next step.
+    has_old_steps_first: bool = True
     # Long items start first; else in the order in which their batches came.
     has_start_by: bool = True
     # The group that lacks the fewest scores goes first; else the oldest text.
@@ -75,3 +85,7 @@
     # From a step's arrival to when enough of its groups were whole.
     step_seconds: list[float] = attrs.field(factory=list)
     n_late_groups: int = 0
+    # What trainers got of the groups that they wait for, each of which counts 1 in time
+    # and less when it is late.
+    earned: float = 0.0
+    n_steps_begun: int = 0
--- a/simulation/rollouts.py
+++ b/simulation/rollouts.py
@@ -2,6 +2,8 @@
 
 import functools
 import math
+from collections.abc import Callable
+from typing import Final
 
 import attrs
 import numpy as np
@@ -22,6 +24,10 @@
     is_finished: bool = False
 
 
+# What a late group is worth, as a share of one that is in time.
+LATE_SHARE: Final = 0.4
+
+
 @attrs.define(eq=False)
 class _Step:
     came_at: float
@@ -29,15 +35,16 @@
     items: list[_Item]
     n_wanted: int
     spare_groups: frozenset[tuple[str, str]]
-    is_whole: bool = False
+    batch_id: str
+    # Ends the step; set where trainers wait for their steps.
+    end: Callable[[], None] | None = None
+    # Moments at which groups were whole, in their order.
+    whole_at: list[float] = attrs.field(factory=list)
+    is_over: bool = False
 
     def group(self, key: tuple[str, str]) -> list[_Item]:
         return [each for each in self.items if each.group_key == key]
 
-    def n_whole_groups(self) -> int:
-        missing = {each.group_key for each in self.items if not each.is_finished}
-        return len({each.group_key for each in self.items} - missing)
-
 
 class Simulation:
     """One run of a load under a policy."""
@@ -59,15 +66,21 @@
         self._unscored: dict[tuple[str, str], tuple[_Step, _Item]] = {}
         self._steps_by_batch: dict[str, _Step] = {}
         self._n_scoring = 0
+        self._n_steps = 0
+        self._is_out = False
         self._pace = urgency.Pace()
         self.figures = load.Figures()
 
     def run(self, n_steps: int) -> load.Figures:
         """Run so many steps of each trainer, and return what was seen."""
-        for number, trainer in enumerate(self._load.trainers):
-            for step in range(n_steps):
-                begin = functools.partial(self._begin_step, number, step, trainer)
-                self._loop.after(step * self._load.step_seconds, begin)
+        self._n_steps = n_steps
+        for number in range(len(self._load.trainers)):
+            is_closed = self._load.training_seconds is not None
+            # The first two steps are asked for without waiting for one before.
+            for step in range(2 if is_closed else n_steps):
+                self._plan_step(number, step)
+        if self._load.outage_seconds:
+            self._loop.after(self._load.outage_at, self._stop_engines)
         self._loop.after(0.0, self._look_up)
         end = n_steps * self._load.step_seconds
         self._loop.run_until(end + 2 * self._load.due_seconds)
@@ -75,7 +88,17 @@
 
     # Steps
 
-    def _begin_step(self, number: int, step: int, trainer: load.Trainer) -> None:
+    def _plan_step(self, number: int, step: int) -> None:
+        """Have a step asked for at its time, or now if that is past."""
+        due = step * self._load.step_seconds
+        is_in_time = self._loop.now < self._n_steps * self._load.step_seconds
+        if step < self._n_steps and is_in_time:
+            begin = functools.partial(self._begin_step, number, step)
+            self._loop.after(max(due - self._loop.now, 0.0), begin)
+
+    def _begin_step(self, number: int, step: int) -> None:
+        trainer = self._load.trainers[number]
+        self.figures.n_steps_begun += 1
         batch_id = f"m{number}-{step}"
         items = [
             self._make_item(batch_id, group, n, trainer)
@@ -89,14 +112,36 @@
         n_wanted = math.ceil(self._load.wanted_share * trainer.n_groups)
         n_first = n_wanted if self._policy.has_spare_groups else 0
         spare = urgency.spare_groups(longest, frozenset(), n_first)
-        begun = _Step(self._loop.now, f"m{number}", items, n_wanted, spare)
+        begun = _Step(self._loop.now, f"m{number}", items, n_wanted, spare, batch_id)
         self._steps_by_batch[batch_id] = begun
         for each in items:
             self._waiting[each.key] = (begun, each)
         check = functools.partial(self._count_late, begun)
         self._loop.after(self._load.due_seconds, check)
+        if self._load.training_seconds is not None:
+            give_up = functools.partial(self._end_step, begun, number, step)
+            self._loop.after(self._load.give_up_seconds, give_up)
+            begun.end = give_up
         self._assign()
 
+    def _end_step(self, step: _Step, number: int, index: int) -> None:
+        """Let the trainer read what is there, train, and ask for the step after next."""
+        if step.is_over:
+            return
+        step.is_over = True
+        due = step.came_at + self._load.due_seconds
+        for at in step.whole_at[: step.n_wanted]:
+            self.figures.earned += 1.0 if at <= due else LATE_SHARE
+        for item in step.items:
+            self._waiting.pop(item.key, None)
+            self._unscored.pop(item.key, None)
+        for running in self._running:
+            running[:] = [each for each in running if each.key[0] != step.batch_id]
+        training = self._load.training_seconds
+        assert training is not None
+        plan = functools.partial(self._plan_step, number, index + 2)
+        self._loop.after(training, plan)
+
     def _make_item(
         self, batch_id: str, group: int, n: int, trainer: load.Trainer
     ) -> _Item:
@@ -113,11 +158,27 @@
         )
 
     def _count_late(self, step: _Step) -> None:
-        self.figures.n_late_groups += max(step.n_wanted - step.n_whole_groups(), 0)
+        self.figures.n_late_groups += max(step.n_wanted - len(step.whole_at), 0)
 
     # Engines: each belongs to one model, and makes an event of all its items at a time.
 
+    def _stop_engines(self) -> None:
+        """Everything that runs is broken off; what was made of it stands."""
+        self._is_out = True
+        for running in self._running:
+            for item in running:
+                step = self._steps_by_batch[item.key[0]]
+                self._waiting[item.key] = (step, item)
+            running.clear()
+        self._loop.after(self._load.outage_seconds, self._start_engines)
+
+    def _start_engines(self) -> None:
+        self._is_out = False
+        self._assign()
+
     def _assign(self) -> None:
+        if self._is_out:
+            return
         now = self._loop.now
         items = [self._waiting_item(*each) for each in self._waiting.values()]
         places = [self._place(n) for n in range(self._load.n_engines)]
@@ -130,9 +191,10 @@
 
     def _waiting_item(self, step: _Step, item: _Item) -> scheduling.WaitingItem:
         policy = self._policy
-        seconds = self._pace.remaining_seconds(item.n_expected, 0)
+        seconds = self._pace.remaining_seconds(item.n_expected, item.n_made)
         seconds += self._pace.scoring_seconds
         done_by = step.came_at + self._load.due_seconds - urgency.READ_SECONDS
+        order = done_by if policy.has_old_steps_first else 0.0
         late_at = done_by - seconds * urgency.SURE_SHARE
         return scheduling.WaitingItem(
             item.key,
@@ -143,6 +205,7 @@
             step.model,
             0,
             frozenset({"engines"}),
+            done_by=order,
         )
 
     def _place(self, engine: int) -> scheduling.Place:
@@ -216,11 +279,18 @@
         item.is_finished = True
         self._pace.note_scoring(seconds)
         self.figures.scoring_seconds.append(self._loop.now - item.ended_at)
-        if not step.is_whole and step.n_whole_groups() >= step.n_wanted:
-            step.is_whole = True
-            self.figures.step_seconds.append(self._loop.now - step.came_at)
+        self._note_whole(step, item)
         self._score()
 
+    def _note_whole(self, step: _Step, item: _Item) -> None:
+        if not all(each.is_finished for each in step.group(item.group_key)):
+            return
+        step.whole_at.append(self._loop.now)
+        if len(step.whole_at) == step.n_wanted:
+            self.figures.step_seconds.append(self._loop.now - step.came_at)
+            if step.end is not None:
+                step.end()
+
     # Look-ups
 
     def _look_up(self) -> None:
--- a/tests/test_batches_urgency.py
+++ b/tests/test_batches_urgency.py
@@ -97,6 +97,46 @@
         self.assertLess(tiers["new"], tiers["old"])
 
 
+class Successors(unittest.TestCase):
+    """A step is late after a loss of power, and the trainer's next one is there.
+
+    The trainer asks for the step after that only once it is done with the late one.
+    Put behind its successor, the late step held the trainer up for five seconds more,
+    and the day's last step was never asked for.
+    """
+
+    @tools.params(
+        (
+            "the late step is not put behind",
+            [("old", -0.5, 7.5), ("new", 0.5, 11.5)],
+            ["old", "new"],
+        ),
+        ("nothing comes after it", [("new", -0.5, 11.5)], []),
+        (
+            "the next one is late as well",
+            [("old", -0.5, 7.5), ("new", -0.1, 11.5)],
+            ["old"],
+        ),
+    )
+    def test_late_step(self, name, given, in_time):
+        candidates = [
+            urgency.Candidate(key, late_at, False, "m", done_by)
+            for key, late_at, done_by in given
+        ]
+        tiers = urgency.tiers_by_group(candidates, 0.0)
+        first = [key for key, tier in tiers.items() if tier is urgency.Tier.IN_TIME]
+        self.assertEqual(first, in_time, name)
+
+    def test_other_trainers_are_not_held_up(self):
+        """A late step goes before its own successor only by its own trainer's steps."""
+        candidates = [
+            urgency.Candidate("late", -0.5, False, "m", 7.5),
+            urgency.Candidate("other", 0.5, False, "n", 11.5),
+        ]
+        tiers = urgency.tiers_by_group(candidates, 0.0)
+        self.assertLess(tiers["other"], tiers["late"])
+
+
 class Spare(unittest.TestCase):
     """Groups that a trainer does not wait for."""
 
