--- a/simulation/rollouts.py
+++ b/simulation/rollouts.py
@@ -125,7 +125,7 @@
         self._assign()
 
     def _end_step(self, step: _Step, number: int, index: int) -> None:
-        """Let the trainer read what is there, train, and ask for the step after next."""
+        """Let the trainer read what is there, train and ask for a later step."""
         if step.is_over:
             return
         step.is_over = True
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from nose2 import tools
 
 from simulation import events, load, rollouts, service
@@ -94,3 +95,28 @@
         n_groups = 5 * sum(each.n_groups for each in given.trainers)
         self.assertLess(seen.n_late_groups, 0.05 * n_groups, name)
         self.assertEqual(len(seen.step_seconds), 5 * len(given.trainers), name)
+
+
+class Waiting(unittest.TestCase):
+    """Trainers that ask for a step once they are done with the last but one."""
+
+    LOAD = load.Load(TRAINERS[1:], n_engines=2, training_seconds=0.5)
+
+    def test_calm(self):
+        """Each step comes at its time, and all its groups are in time."""
+        seen = figures(self.LOAD, 1)
+        self.assertEqual(seen.n_steps_begun, 5)
+        self.assertEqual(seen.earned, 5 * 9)
+
+    def test_processes_are_down(self):
+        """Nothing is made for longer than a step may take: its groups are late.
+
+        The steps behind it come later, and those that the time does not reach are
+        never begun.
+        """
+        down = attrs.evolve(self.LOAD, outage_at=4.5, outage_seconds=9.0)
+        seen = figures(down, 1)
+        self.assertLess(seen.earned, 5 * 9)
+        self.assertGreater(seen.n_late_groups, 0)
+        down = attrs.evolve(self.LOAD, outage_at=4.5, outage_seconds=30.0)
+        self.assertLess(figures(down, 1).n_steps_begun, 5)
