--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -7,6 +7,7 @@
 
 from bilberrydrum import clock, event_stream, reasons, upstream_protocol
 from bilberrydrum.batches import item_run, model
+from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.requests import attempts, connections, watch
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import scripted
@@ -15,6 +16,11 @@
 ID = "X-Request-Id"
 
 
+def upstream_at(engine):
+    """Return the engine as the registry has it."""
+    return fleet_model.FleetUpstream("e", "s", engine.address, "z", 6)
+
+
 class Protocol:
     """The names that this stand-in speaks."""
 
@@ -74,7 +80,7 @@
         )
         means = attempts.Means(connections.Connections(), watch.Watch())
         with eventlet.Timeout(5.0):
-            upstream = engine.upstream("e")
+            upstream = upstream_at(engine)
             self.ended = item_run.carry_out(means, Protocol(), upstream, run, 5.0)
         return self.ended.outcome
 
@@ -193,7 +199,7 @@
             lambda: None,
         )
         means = attempts.Means(connections.Connections(), watch.Watch())
-        ended = item_run.carry_out(means, Protocol(), engine.upstream("e"), run, 5.0)
+        ended = item_run.carry_out(means, Protocol(), upstream_at(engine), run, 5.0)
         self.assertEqual(ended.outcome, Outcome.UNREACHABLE)
 
     def test_nothing_is_added_beyond_the_stream(self):
--- a/tests/test_batches_scoring.py
+++ b/tests/test_batches_scoring.py
@@ -296,7 +296,7 @@
     request_id_header = ID
 
     def relay_headers(self, headers, attempt):
-        return {**headers, ID: attempt.request_id, "X-Only": attempt.upstream_id}
+        return {**headers, ID: attempt.request_id, "X-Only": attempt.announced_id}
 
     def read_head(self, headers):
         signature = headers.get("Signature", "")
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -51,10 +51,14 @@
     CALL = re.compile(r"eliot\.log_message\(.*?\n? *\)\n", re.S)
     ALWAYS = {"timestamp", "message_type"}
 
+    def sources(self):
+        folders = (ROOT / "bilberrydrum", ROOT / "platform" / "bilberrydrum_platform")
+        return [p.read_text() for folder in folders for p in folder.rglob("*.py")]
+
     def fields_by_type(self):
         found = {}
-        for path in (ROOT / "bilberrydrum").rglob("*.py"):
-            for call in self.CALL.findall(path.read_text()):
+        for text in self.sources():
+            for call in self.CALL.findall(text):
                 named = re.search(r"message_type=\"([a-z:-]+)\"", call)
                 if named:
                     fields = set(re.findall(r"[(\s]([a-z_]+)=", call))
@@ -72,6 +76,6 @@
             self.assertEqual(missing, set(), name)
 
     def test_every_type_on_the_page_is_written(self):
-        text = "\n".join(p.read_text() for p in (ROOT / "bilberrydrum").rglob("*.py"))
+        text = "\n".join(self.sources())
         for name in re.findall(r"`([a-z]+:[a-z-]+)`", PAGE):
             self.assertIn(f'"{name}"', text)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -30,7 +30,7 @@
         milliseconds = str(int(attempt.remaining_seconds * 1000))
         if attempt.last_event_number is not None:
             headers = {**headers, "Last": str(attempt.last_event_number)}
-        sent = {**headers, ID: attempt.request_id, "X-Only": attempt.upstream_id}
+        sent = {**headers, ID: attempt.request_id, "X-Only": attempt.announced_id}
         return {**sent, "X-Left": milliseconds}
 
     def read_head(self, headers):
