Spread the replicas of the stores' group over the zones

The loss of a zone would have taken the majority and the batches with it. A leader that is cut off from the other zones keeps its majority beside it, and nobody else takes over.

Ruled out: to leave it as the settings of the deployments ask to bear the loss of hosts only. A deployment whose settings ask for zones would lose what it acknowledged.

Change: founders from as many zones as there are, by turns (fleet/founding, pure); a lost or leaving replica is replaced where the fewest are (state/steward). Stores tell their zone with their renewals.

Tests: founders by zones and replacement by zones fail without it.

--- a/bilberrydrum/fleet/commands.py
+++ b/bilberrydrum/fleet/commands.py
@@ -49,6 +49,14 @@
             self.founder_addresses,
         )
 
+    def holds_store(self, given: "PutStore") -> bool:
+        """Tell whether a store is noted as `given` has it."""
+        known = self.stores_by_name.get(given.name)
+        return known is not None and (
+            (known.address, known.availability_zone)
+            == (given.address, given.availability_zone)
+        )
+
     def judge(self, given: model.FleetUpstream) -> incarnations.Judgement:
         """Return what an announcement is worth."""
         former = self.formers_by_announced_id.get(given.announced_id)
@@ -186,6 +194,7 @@
 
     name: str
     address: str
+    availability_zone: str = ""
 
 
 @codec.register("fleet.found-stores")
@@ -303,10 +312,11 @@
 @machine.apply.register
 def _(command: PutStore, state: machine.State, context: machine.Context) -> Noted:
     section = section_of(state)
-    known = section.stores_by_name.get(command.name)
-    if known is not None and known.address == command.address:
+    if section.holds_store(command):
         return Noted(False)
-    section.stores_by_name[command.name] = model.Store(command.name, command.address)
+    section.stores_by_name[command.name] = model.Store(
+        command.name, command.address, availability_zone=command.availability_zone
+    )
     return _touch(section, context)
 
 
--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -119,6 +119,8 @@
     # Set by the stores' leader: its term and the voters' addresses.
     store_term: int = 0
     store_voter_addresses: tuple[str, ...] = ()
+    # The store's availability zone.
+    store_zone: str = ""
 
 
 @codec.register("fleet.feed")
--- a/bilberrydrum/fleet/model.py
+++ b/bilberrydrum/fleet/model.py
@@ -55,6 +55,7 @@
     address: str
     # Index of the log entry since which it is being emptied; 0: it is not.
     retiring_index: int = 0
+    availability_zone: str = ""
 
 
 @codec.register("fleet.registry")
--- a/bilberrydrum/fleet/store_calls.py
+++ b/bilberrydrum/fleet/store_calls.py
@@ -1,6 +1,6 @@
 """What the control group's leader does for the stores: founding and retirement.
 
-The decisions about a retirement are in `retirement`.
+The decisions are in `founding` and `retirement`.
 """
 
 from collections.abc import Callable
@@ -9,7 +9,7 @@
 import eliot
 
 from bilberrydrum import clock, transport
-from bilberrydrum.fleet import commands, messages, retirement, subscribers
+from bilberrydrum.fleet import commands, founding, messages, retirement, subscribers
 from bilberrydrum.state import replica
 
 # Stores that start with the deployment are waited for this long after the first one,
@@ -56,9 +56,11 @@
 
     def note(self, message: messages.Subscribe) -> None:
         """Note a store that renews."""
-        known = self._section().stores_by_name.get(message.store_name)
-        if known is None or known.address != message.store_address:
-            self._commit(commands.PutStore(message.store_name, message.store_address))
+        command = commands.PutStore(
+            message.store_name, message.store_address, message.store_zone
+        )
+        if not self._section().holds_store(command):
+            self._commit(command)
         if message.may_found:
             self._founders.setdefault(message.store_address, clock.now())
 
@@ -68,7 +70,9 @@
             return
         if clock.now() - min(self._founders.values()) < GATHER_SECONDS:
             return
-        addresses = tuple(sorted(self._founders)[: self._n_voters])
+        stores = self._section().stores_by_name.values()
+        zones = {each.address: each.availability_zone for each in stores}
+        addresses = founding.choose(self._founders, zones, self._n_voters)
         if self._commit(commands.FoundStores(addresses)):
             eliot.log_message(message_type="stores:founded", addresses=addresses)
 
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -109,6 +109,7 @@
             self._node.is_first_start,
             term,
             voters,
+            self._node.availability_zone,
         )
 
     def _on_news(self) -> None:
@@ -116,6 +117,9 @@
             return
         stores = self.view.registry.stores
         self.replica.learn(tuple(each.address for each in stores))
+        self.replica.spread_over(
+            {each.address: each.availability_zone for each in stores}
+        )
         self.replica.replace_processes(
             frozenset(each.address for each in stores if each.retiring_index)
         )
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import attrs
@@ -415,6 +415,10 @@
         """Have the replicas of these processes replaced while this replica leads."""
         self._steward.leaving_process_ids = process_ids
 
+    def spread_over(self, zones_by_process_id: Mapping[str, str]) -> None:
+        """Have lost replicas replaced in the zones that hold the fewest."""
+        self._steward.zones_by_process_id = zones_by_process_id
+
     def leader_hint(self) -> LeaderHint:
         """Return who is believed to lead, and all members' addresses."""
         if self._failure:
--- a/bilberrydrum/state/steward.py
+++ b/bilberrydrum/state/steward.py
@@ -40,6 +40,8 @@
     lost_ids: frozenset[str] = frozenset()
     # Processes that are being taken away.
     leaving_process_ids: frozenset[str] = frozenset()
+    # Availability zones of processes, as far as they are known.
+    zones_by_process_id: Mapping[str, str] = attrs.field(factory=dict)
 
 
 NO_BOUND: Final = Policy()
@@ -64,6 +66,22 @@
         """Return how many replicas, learners included, are there to stay."""
         return sum(1 for each in self.current.replicas if not self.is_to_go(each))
 
+    def n_staying_beside(self, replica: membership.ReplicaInfo) -> int:
+        """Return how many replicas are there to stay in the zone of `replica`.
+
+        Chosen by the order in which they asked, replicas would gather in few zones
+        over the weeks, and the loss of one could take the majority.
+        """
+        zones = self.policy.zones_by_process_id
+        own = zones.get(replica.process_id, "")
+        return sum(
+            1
+            for each in self.current.replicas
+            if not self.is_to_go(each)
+            and each.process_id != replica.process_id
+            and zones.get(each.process_id, "") == own
+        )
+
     def has_caught_up(self, learner: membership.ReplicaInfo) -> bool:
         """Tell whether `learner` may get a vote."""
         known = self.learned_by_id.get(learner.replica_id)
@@ -86,12 +104,15 @@
 
 
 def _due_addition(group: _Group) -> membership.Change | None:
-    for replica in group.joining:
-        if group.current.find(replica.replica_id) is not None:
-            continue
-        if _has_place(group, replica):
-            return membership.Change(membership.ADD_LEARNER, replica)
-    return None
+    able = [
+        each
+        for each in group.joining
+        if group.current.find(each.replica_id) is None and _has_place(group, each)
+    ]
+    if not able:
+        return None
+    chosen = min(able, key=group.n_staying_beside)
+    return membership.Change(membership.ADD_LEARNER, chosen)
 
 
 def _has_place(group: _Group, replica: membership.ReplicaInfo) -> bool:
--- a/bilberrydrum/state/stewardship.py
+++ b/bilberrydrum/state/stewardship.py
@@ -4,6 +4,7 @@
 made, and answers operators.
 """
 
+from collections.abc import Mapping
 from typing import Any, Protocol
 
 import eliot
@@ -63,6 +64,8 @@
         self.pending_change = ""
         # Processes whose replicas are to be replaced by others.
         self.leaving_process_ids: frozenset[str] = frozenset()
+        # Availability zones of processes that may hold a replica.
+        self.zones_by_process_id: Mapping[str, str] = {}
 
     def joins(self, probe: messages.Probe, address: str) -> None:
         """Note that an empty replica asks to join.
@@ -116,7 +119,9 @@
             for replica_id, progress in role.progress_by_id.items()
             if now - max(progress.heard_at, role.since) > opts.lost_seconds
         )
-        return steward.Policy(opts.n_voters, lost_ids, self.leaving_process_ids)
+        return steward.Policy(
+            opts.n_voters, lost_ids, self.leaving_process_ids, self.zones_by_process_id
+        )
 
     def _forget_old(self) -> None:
         since = clock.now() - JOIN_SECONDS
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 
 from bilberrydrum.fleet import (
     commands,
+    founding,
     liveness,
     model,
     policy,
@@ -293,3 +294,35 @@
         store = attrs.evolve(self.STORES[3], retiring_index=9)
         given = [retirement.Report(*each) for each in reports]
         self.assertEqual(retirement.is_done(store, given, 3), expected, name)
+
+
+class FoundersByZone(unittest.TestCase):
+    """The stores' group starts in as many zones as there are."""
+
+    ZONES = {f"a{n}": f"z{n // 6}" for n in range(30)}
+
+    @tools.params(
+        ("five zones, five replicas", ZONES, 5, {"z0", "z1", "z2", "z3", "z4"}),
+        ("fewer stores in all", {"a0": "z0", "a6": "z1"}, 5, {"z0", "z1"}),
+        ("three zones, five replicas", dict(list(ZONES.items())[:18]), 5, 3),
+        ("zones are not known", dict.fromkeys(ZONES, ""), 5, {""}),
+    )
+    def test_zones(self, name, zones, n_replicas, expected):
+        chosen = founding.choose(zones, zones, n_replicas)
+        found = [zones[each] for each in chosen]
+        if isinstance(expected, int):
+            # A zone that is lost takes less than half.
+            most = max(found.count(each) for each in found)
+            self.assertEqual((len(set(found)), most), (expected, 2), name)
+        else:
+            self.assertEqual(set(found), expected, name)
+        self.assertEqual(len(chosen), min(n_replicas, len(zones)), name)
+
+    def test_store_in_another_zone(self):
+        """A store's host comes back in another zone: everyone is told."""
+        world = World()
+        world.apply(commands.PutStore("s", "a:1", "z0"))
+        index = world.section.registry_index
+        world.apply(commands.PutStore("s", "a:1", "z1"))
+        self.assertGreater(world.section.registry_index, index)
+        self.assertEqual(world.section.stores_by_name["s"].availability_zone, "z1")
--- a/tests/test_state_membership.py
+++ b/tests/test_state_membership.py
@@ -172,6 +172,32 @@
     def test_due(self, name, replicas, lost, leaving, joining, expected):
         self.assertEqual(self.due(replicas, lost, leaving, joining), expected, name)
 
+    @tools.params(
+        ("the zone that lost one", {"p3": "x", "p4": "z"}, "r4"),
+        ("whoever asked first, if zones are not known", {}, "r3"),
+        ("a zone without any", {"p3": "y", "p4": "v"}, "r4"),
+    )
+    def test_zones_stay_spread(self, name, zones, expected):
+        """Replicas in x, y and z; the one in z is lost, and two stand by.
+
+        Taken in the order in which they asked, two of three would stand in one zone.
+        """
+        zones = {"p0": "x", "p1": "y", "p2": "z", **zones} if zones else {}
+        standing_by = [
+            membership.ReplicaInfo(f"r{i}", f"p{i}", f"a{i}", is_voter=False)
+            for i in (3, 4)
+        ]
+        learned = {f"r{i}": steward.Learned(100, i != 2) for i in range(3)}
+        policy = steward.Policy(3, frozenset({"r2"}), zones_by_process_id=zones)
+        change = steward.next_change(
+            membership.Membership(self.VOTERS[:3]),
+            {each.process_id: each for each in standing_by},
+            learned,
+            100,
+            policy,
+        )
+        self.assertEqual(change.replica.replica_id, expected, name)
+
     def test_leaving_one_stays_until_its_place_is_taken(self):
         """A store is emptied, and another loses its disk right after it is gone.
 
