--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,5 @@
 """The adapter: settings, configurations, and bad input on each of its interfaces."""
 
-import base64
 import json
 import pathlib
 import subprocess
@@ -8,13 +7,10 @@
 import tomllib
 import unittest
 
-import attrs
 import result
 from nose2 import tools
 
-from bilberrydrum import clock, options, reasons, upstream_protocol
-from bilberrydrum.batches import messages as batch_messages
-from bilberrydrum.batches import model as batch_model
+from bilberrydrum import options, reasons
 from bilberrydrum.fleet import messages, policy
 from bilberrydrum.http import edge
 from bilberrydrum.nodes import options as node_options
@@ -26,11 +22,9 @@
 sys.path.append(str(ROOT / "platform"))
 
 from bilberrydrum_platform import (  # noqa: E402
-    client_calls,
     control_calls,
     policies,
     settings,
-    upstreams,
 )
 
 SETTINGS = """
@@ -318,239 +312,3 @@
         control_calls.ControlCalls(Node(answer)).add_routes(app)
         given = call(app, "GET", "/api/retire/s-1/read", b"")
         self.assertEqual(json.loads(given.body), {"state": state})
-
-
-ITEM = {
-    "id": "i1",
-    "path": "/b/3/x",
-    "headers": {"X-Token-Count": "540,400", "X-Length-Hint": "120"},
-    "body": base64.b64encode(b"bytes").decode(),
-    "tokens": 940,
-    "group": "g",
-}
-SCORER = {
-    "id": "s1",
-    "host": "h.example:80",
-    "path": "/a/x?q=%41",
-    "body": base64.b64encode(b"mark").decode(),
-}
-SCORED_ITEM = {**ITEM, "scorer": SCORER}
-BATCH = {"step": 7, "model": "m", "min_version": 6, "desired": 1, "requests": [ITEM]}
-KEPT = result.Ok(batch_messages.Submitted())
-RESULT = batch_model.Result.of("i1", batch_model.ItemState.COMPLETED, b"a\nb", (6, 7))
-PAGE = result.Ok(batch_messages.Page(True, 3, (RESULT,)))
-UNKNOWN_PAGE = result.Ok(batch_messages.Page(False))
-BODY = result.Ok(batch_messages.Body(True, b"bytes"))
-NO_BODY = result.Ok(batch_messages.Body(False))
-ENDED = result.Ok(batch_messages.EndTaken(True))
-NOT_ENDED = result.Ok(batch_messages.EndTaken(False))
-
-
-class ClientInterface(unittest.TestCase):
-    """Each call's status for good input, bad input, and unreachable stores."""
-
-    def call(self, node, method, path, body, headers=()):
-        clients = client_calls.ClientCalls(node)
-        app = edge.Edge(options.LimitOptions(), {}, fallback=clients.serve)
-        clients.add_routes(app)
-        names = {"Host": "h.example:80", "X-Attempt-Id": "b1", **dict(headers)}
-        return call(app, method, path, dumped(body), names)
-
-    @tools.params(
-        ("kept", "POST", "/b/1", BATCH, KEPT, 202),
-        ("not kept", "POST", "/b/1", BATCH, lost(False), 503),
-        ("kept or not", "POST", "/b/1", BATCH, lost(), 502),
-        ("not JSON", "POST", "/b/1", b"{", None, 400),
-        ("no items", "POST", "/b/1", {**BATCH, "requests": []}, None, 400),
-        ("items are text", "POST", "/b/1", {**BATCH, "requests": "x"}, None, 400),
-        (
-            "twice the same id",
-            "POST",
-            "/b/1",
-            {**BATCH, "requests": [ITEM, ITEM]},
-            None,
-            400,
-        ),
-        (
-            "not base64",
-            "POST",
-            "/b/1",
-            {**BATCH, "requests": [{**ITEM, "body": "*"}]},
-            None,
-            400,
-        ),
-        (
-            "no path",
-            "POST",
-            "/b/1",
-            {**BATCH, "requests": [without(ITEM, "path")]},
-            None,
-            400,
-        ),
-        (
-            "headers are a list",
-            "POST",
-            "/b/1",
-            {**BATCH, "requests": [{**ITEM, "headers": []}]},
-            None,
-            400,
-        ),
-        ("read", "GET", "/api/lots/b1?after=2", b"", PAGE, 200),
-        ("no such batch", "GET", "/api/lots/b1", b"", UNKNOWN_PAGE, 404),
-        ("not sure", "GET", "/api/lots/b1", b"", lost(), 503),
-        ("not a position", "GET", "/api/lots/b1?after=x", b"", None, 400),
-        ("body", "GET", "/api/items/b1?id=i1", b"", BODY, 200),
-        ("no body", "GET", "/api/items/b1?id=i1", b"", NO_BODY, 404),
-        ("body, not sure", "GET", "/api/items/b1?id=i1", b"", lost(), 503),
-        ("ended", "DELETE", "/api/lots/b1", b"", ENDED, 200),
-        ("nothing to end", "DELETE", "/api/lots/b1", b"", NOT_ENDED, 404),
-        ("ended or not", "DELETE", "/api/lots/b1", b"", lost(), 503),
-        ("relayed", "POST", "/a/1", b"x", None, 200),
-        ("no route", "POST", "/c/1", b"x", None, 404),
-    )
-    def test_status(self, name, method, path, body, answer, status):
-        node = Node(answer)
-        given = self.call(node, method, path, body)
-        self.assertEqual(given.status, status, (name, given.body))
-        self.assertEqual(len(node.calls.asked), 0 if answer is None else 1, name)
-
-    def test_batch_is_translated(self):
-        node = Node(KEPT)
-        self.call(node, "POST", "/b/1", BATCH)
-        kept = batch_model.unpack_batch(node.calls.asked[0].data)
-        self.assertEqual((kept.batch_id, kept.host), ("b1", "h.example"))
-        self.assertEqual((kept.step, kept.min_version), (7, 6))
-        item = kept.items[0]
-        self.assertEqual((item.body, item.target), (b"bytes", "/b/3/x"))
-        self.assertEqual(item.n_expected_tokens, 660)
-
-    def test_scoring_request_is_translated(self):
-        node = Node(KEPT)
-        self.call(node, "POST", "/b/1", {**BATCH, "requests": [SCORED_ITEM]})
-        kept = batch_model.unpack_batch(node.calls.asked[0].data)
-        expected = batch_model.ScoringRequest("s1", "h.example", "/a/x?q=%41", b"mark")
-        self.assertEqual(kept.items[0].scoring, expected)
-
-    @tools.params(
-        ("not an object", "x", "requests[1].scorer: not an object"),
-        ("no id", without(SCORER, "id"), "requests[1].scorer.id: not a text"),
-        ("no host", without(SCORER, "host"), "requests[1].scorer.host: not a text"),
-        ("id is a number", {**SCORER, "id": 7}, "requests[1].scorer.id: not a text"),
-        (
-            "path without a slash",
-            {**SCORER, "path": "a/x"},
-            "requests[1].scorer.path: does not begin with a slash",
-        ),
-        (
-            "path with a line end",
-            {**SCORER, "path": "/a HTTP/1.1\r\nX: y"},
-            "requests[1].scorer.path: has blanks or control characters",
-        ),
-        ("body", {**SCORER, "body": "*"}, "requests[1].scorer.body: not base64"),
-        (
-            "body is null",
-            {**SCORER, "body": None},
-            "requests[1].scorer.body: not base64",
-        ),
-        ("twice the same id", SCORER, "scorer: the same id twice"),
-    )
-    def test_unreadable_scoring_request(self, name, scorer, expected):
-        """One of two items names a scoring request that cannot be made.
-
-        Kept, the batch could never be whole; the submitter is told where and why, and
-        nothing of the batch is kept.
-        """
-        node = Node()
-        items = [SCORED_ITEM, {**ITEM, "id": "i2", "scorer": scorer}]
-        given = self.call(node, "POST", "/b/1", {**BATCH, "requests": items})
-        self.assertEqual(given.status, 400, name)
-        self.assertIn(expected, given.body.decode())
-        self.assertEqual(node.calls.asked, [])
-
-    def test_headers_that_would_end_a_line(self):
-        node = Node()
-        item = {**ITEM, "headers": {"X-A": "b\r\nX-C: d"}}
-        given = self.call(node, "POST", "/b/1", {**BATCH, "requests": [item]})
-        self.assertEqual(given.status, 400)
-
-    def test_score_is_translated(self):
-        scored = attrs.evolve(RESULT, score="mark")
-        page = result.Ok(batch_messages.Page(True, 3, (scored, RESULT)))
-        given = self.call(Node(page), "GET", "/api/lots/b1", b"")
-        entries = json.loads(given.body)["results"]
-        self.assertEqual([e.get("score") for e in entries], ["mark", None])
-
-    def test_results_are_translated(self):
-        given = self.call(Node(PAGE), "GET", "/api/lots/b1?after=2", b"")
-        entry = {"id": "i1", "state": "completed", "text": "a\nb", "versions": [6, 7]}
-        expected = {"total": 3, "next_token": 3, "results": [entry]}
-        self.assertEqual(json.loads(given.body), expected)
-
-    def test_request_is_passed_on_as_it_came(self):
-        node = Node()
-        headers = {
-            "X-Deadline-Ms": "1500",
-            "X-Other": "1",
-            "Connection": "keep-alive, X-Hop",
-            "X-Hop": "1",
-        }
-        self.call(node, "POST", "/a/b%20c?q=%41", b"\x00x", headers)
-        inbound = node.inbound[0]
-        self.assertEqual(inbound.target, "/a/b%20c?q=%41")
-        self.assertEqual((inbound.body, inbound.request_id), (b"\x00x", "b1"))
-        self.assertAlmostEqual(inbound.deadline - clock.now(), 1.5, delta=0.5)
-        self.assertIn("X-Other", inbound.headers)
-        self.assertNotIn("X-Hop", inbound.headers)
-
-    @tools.params(
-        ("not run", (False, 0.2, False), 503, "0.200"),
-        ("time is up, not run", (False, 0.2, True), 503, "0.200"),
-        ("may have run", (True, 0.0, False), 502, None),
-        ("time is up", (True, 0.0, True), 504, None),
-    )
-    def test_refusals(self, name, refused, status, retry_after):
-        node = Node()
-        node.relayed = relay_model.Refused(reasons.Reason.NO_UPSTREAM, *refused)
-        given = self.call(node, "POST", "/a/1", b"x")
-        headers = given.headers
-        self.assertEqual(given.status, status, name)
-        self.assertEqual(headers.get("Retry-After"), retry_after)
-
-
-class UpstreamWords(unittest.TestCase):
-    """What is put on a request, and what an answer's headers say."""
-
-    PROTOCOL = upstreams.PlatformProtocol()
-
-    def test_attempt(self):
-        attempt = upstream_protocol.Attempt("r", "i-1", 1.2345, last_event_number=4)
-        sent = self.PROTOCOL.relay_headers(
-            {"X-Deadline-Ms": "9", "x-expect-instance": "other", "X-Model": "m"},
-            attempt,
-        )
-        expected = {
-            "X-Model": "m",
-            "X-Attempt-Id": "r",
-            "X-Expect-Instance": "i-1",
-            "X-Deadline-Ms": "1234",
-            "Last-Event-Id": "4",
-        }
-        self.assertEqual(sent, expected)
-
-    @tools.params(
-        ("load", {"X-Instance-Load": "3,1,8"}, ("n_running", 3)),
-        ("waiting", {"X-Instance-Load": "3,1,8"}, ("n_waiting", 1)),
-        ("damaged load", {"X-Instance-Load": "3,x"}, ("n_running", None)),
-        ("version", {"x-weight-versions": "7"}, ("version", 7)),
-        ("damaged version", {"X-Weight-Versions": "a"}, ("version", None)),
-        ("not run", {"X-Not-Executed": "1"}, ("was_not_run", True)),
-        ("stamp", {"X-Server-Stamp": "s"}, ("is_genuine", True)),
-        ("no stamp", {}, ("is_genuine", False)),
-    )
-    def test_head(self, name, headers, expected):
-        head = self.PROTOCOL.read_head(headers)
-        self.assertEqual(getattr(head, expected[0]), expected[1], name)
-
-    @tools.params(b"", b"{", b"[]", b'{"busy": false}', b'{"models": 3}')
-    def test_unreadable_report(self, body):
-        self.assertIsNone(self.PROTOCOL.read_report(body))
