--- a/tests/test_batches_engines.py
+++ b/tests/test_batches_engines.py
@@ -6,6 +6,7 @@
 import attrs
 from nose2 import tools
 
+from bilberrydrum import reasons
 from bilberrydrum.batches import (
     demand,
     engine_shares,
@@ -413,3 +414,20 @@
         (engine,) = known.by_id.values()
         self.assertEqual(engine.versions_by_model, {"m": 8})
         self.assertFalse(engine.is_passed_over(100.1))
+
+    def test_text_goes_on_at_the_next_one(self):
+        """Its streams broke with it; nothing is sent to it any more.
+
+        The next one has its name and address but is not passed over for its failures,
+        and what it serves is asked anew.
+        """
+        first = fleet_model.FleetUpstream("e", "s", "a", "z", 2, started_at_ms=5)
+        following = attrs.evolve(first, started_at_ms=6)
+        run = lifecycle.ItemRun(test_batches.batch().items[0], ("b", "g0"))
+        run.exclude(first.upstream_id, 100.0)
+        self.assertNotIn(following.upstream_id, run.excluded_ids(100.1))
+        registry = fleet_model.Registry(1, (following,))
+        self.assertIsNone(registry.find_refusal(following.upstream_id))
+        self.assertEqual(
+            registry.find_refusal(first.upstream_id), reasons.Reason.UPSTREAM_LEFT
+        )
