--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -16,8 +16,7 @@
   cannot be served, each late group would otherwise make another one late;
 - but not after those of their own trainer's next step: the trainer comes to the step
   after that only once it is done with this one. Put behind, a step that a loss of power
-  had made late ended after its successor, and with each day's last step one more was
-  never asked for.
+  had made late ended after its successor and held the trainer up for five seconds more.
 """
 
 import enum
