Client accounts: keys judged under a lease on the policy, batches owned by accounts

Cause: the product had no notion of who sends a request.

Change: a policy has accounts, kept as digests of keys; a gateway judges a key only while the control leader has confirmed its policy within four fifths of the bound, counted from the sending of the renewal, and again right before each sending. Unknown keys are asked about first. The account's name goes to upstreams, claims of callers and items do not. A batch is kept under its account's name and its id, so no other account finds it.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -144,6 +144,8 @@
     stall_seconds: Callable[[], float] = lambda: STALL_SECONDS
     # Told the pause before each event but the first.
     on_event: Callable[[float], None] = lambda seconds: None
+    # As in `model.Batch`.
+    account: str | None = None
 
 
 def carry_out(
@@ -159,6 +161,7 @@
         engine.announced_id,
         remaining_seconds,
         last_event_number=run.text.last_number,
+        account=run.account,
     )
     outgoing = outgoing_requests.Outgoing(
         run.item.item_id,
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -141,7 +141,12 @@
         if not run.fingerprint:
             identity = self._protocol.identity_of(item.headers)
             run.fingerprint = fingerprints.of_request(
-                "POST", opened.batch.host, item.target, identity, item.body
+                "POST",
+                opened.batch.host,
+                item.target,
+                identity,
+                item.body,
+                opened.batch.account or "",
             )
         return run.fingerprint
 
@@ -170,6 +175,7 @@
             lambda: self._find_refusal(opened, run, engine),
             engine.stall_seconds,
             functools.partial(_note_pause, run, engine),
+            account=opened.batch.account,
         )
         return item_run.carry_out(
             self._means,
--- a/bilberrydrum/batches/model.py
+++ b/bilberrydrum/batches/model.py
@@ -15,6 +15,18 @@
 # The fastest: random letters shrink to 0.65 at this level (64 texts of a played day),
 # and higher ones gain little for several times the processor time.
 _DEFLATE_LEVEL: Final = 1
+# Between the account's name and the id that the account gave its batch, which must not
+# contain it; names of accounts may.
+ID_SEPARATOR: Final = "/"
+
+
+def batch_id_of(account: str | None, given_id: str) -> str:
+    """Return the id by which a batch is kept.
+
+    It names the account, so that whatever id another account asks for leads to none of
+    its batches, and two accounts may use the same id. None: as in `Batch`.
+    """
+    return given_id if account is None else f"{account}{ID_SEPARATOR}{given_id}"
 
 
 class ItemState(enum.StrEnum):
@@ -69,6 +81,7 @@
 class Batch:
     """One submission."""
 
+    # Made by `batch_id_of`.
     batch_id: str
     # Host of the route it came in by; its items go by the same host.
     host: str
@@ -80,6 +93,9 @@
     min_version: int = 0
     # Whole groups that the trainer waits for; 0: all.
     n_wanted_groups: int = 0
+    # Account that submitted it: it owns the batch, whatever becomes of its keys. As in
+    # `upstream_protocol.Attempt`.
+    account: str | None = None
 
 
 def pack_batch(batch: Batch) -> bytes:
--- a/bilberrydrum/batches/score_sender.py
+++ b/bilberrydrum/batches/score_sender.py
@@ -155,6 +155,7 @@
             opened.give_up_at(opened.route(self._view.routes)),
             may_run_again=True,
             find_refusal=lambda: self._find_refusal(opened),
+            account=opened.batch.account,
         )
         n_left = max(route.max_attempts - run.n_scoring_failures, 1)
         return self._relay.handle(inbound, attrs.evolve(route, max_attempts=n_left))
--- /dev/null
+++ b/bilberrydrum/fleet/accounts.py
@@ -0,0 +1,79 @@
+"""Client accounts: who a request comes from, by the key that it carries.
+
+Only digests of keys are kept here and told to other processes: whoever reads a
+process's memory, a log or a stack trace finds none that can be sent.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+# Sixteen bytes of SHA-256: none can be found that leads to a given digest, and 10,000
+# accounts with two keys each take 0.3 MB in a policy.
+_DIGEST_BYTES: Final = 16
+
+
+def digest_of(key: str) -> bytes:
+    """Return the digest by which a key is looked up.
+
+    A look-up by digest also takes the same time for all wrong keys: how much of a key
+    was right does not show.
+    """
+    return hashlib.sha256(key.encode("utf-8", "replace")).digest()[:_DIGEST_BYTES]
+
+
+# A request without a key must match no account.
+NO_KEY: Final = digest_of("")
+
+
+@attrs.frozen
+class Account:
+    """A client account."""
+
+    name: str
+    # Digests of the keys that stand for it; several while a key is being exchanged.
+    key_digests: tuple[bytes, ...]
+    # 0 is the most urgent; goes before the priority of routes.
+    priority: int = 0
+
+
+class AccountTable:
+    """A policy's accounts, by name and by their keys."""
+
+    def __init__(self, accounts: Iterable[Account]) -> None:
+        self.accounts_by_name = {each.name: each for each in accounts}
+        self._accounts_by_digest = {
+            digest: account
+            for account in self.accounts_by_name.values()
+            for digest in account.key_digests
+        }
+
+    def find(self, key_digest: bytes) -> Account | None:
+        """Return the account that a key stands for; None: no account has it."""
+        return self._accounts_by_digest.get(key_digest)
+
+
+def faults(accounts: Iterable[Account]) -> list[str]:
+    """Return all that is wrong with accounts of one policy."""
+    found: list[str] = []
+    names: set[str] = set()
+    owners_by_digest: dict[bytes, str] = {}
+    for account in accounts:
+        if not account.name.strip():
+            found.append("an account has no name")
+        elif not (account.name.isascii() and account.name.isprintable()):
+            # It goes into a header of each request that is sent on.
+            found.append(f"account {account.name!r}: not printable ASCII")
+        if account.name in names:
+            found.append(f"two accounts are named {account.name!r}")
+        names.add(account.name)
+        for digest in account.key_digests:
+            if digest == NO_KEY:
+                found.append(f"account {account.name}: a key must not be empty")
+                continue
+            owner = owners_by_digest.setdefault(digest, account.name)
+            if owner != account.name:
+                found.append(f"accounts {owner} and {account.name} share a key")
+    return found
--- a/bilberrydrum/fleet/policy.py
+++ b/bilberrydrum/fleet/policy.py
@@ -12,6 +12,7 @@
 import attrs
 
 from bilberrydrum import codec
+from bilberrydrum.fleet import accounts as client_accounts
 
 
 class RouteKind(enum.StrEnum):
@@ -61,6 +62,8 @@
     result_deadline_seconds: float = 0.0
     # All events of a result must come from one weight version.
     is_single_version: bool = False
+    # Its requests need no key, and belong to no account.
+    is_public: bool = False
 
     def choose_service(self, rng: random.Random) -> str:
         """Return a service, drawn by weight."""
@@ -111,13 +114,19 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: ClientLimits = attrs.field(factory=ClientLimits)
+    # Who may send requests; None: requests need no key.
+    accounts: tuple[client_accounts.Account, ...] | None = None
 
 
 class RouteTable:
-    """A policy's routes, by host and with the longest prefix first."""
+    """A policy's routes, by host and with the longest prefix first; its accounts."""
 
     def __init__(self, policy: Policy) -> None:
         self.policy = policy
+        # None: requests need no key.
+        self.accounts: client_accounts.AccountTable | None = None
+        if policy.accounts is not None:
+            self.accounts = client_accounts.AccountTable(policy.accounts)
         self.services_by_name = {each.name: each for each in policy.services}
         self._routes_by_host: dict[str, list[Route]] = {}
         longest_first = sorted(policy.routes, key=lambda each: -len(each.path_prefix))
@@ -130,3 +139,10 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def has_public_batches(self, host: str) -> bool:
+        """Tell whether batches are taken without a key under `host`."""
+        return any(
+            each.is_public and each.kind is RouteKind.BATCH
+            for each in self._routes_by_host.get(host.lower(), ())
+        )
--- a/bilberrydrum/fleet/policy_check.py
+++ b/bilberrydrum/fleet/policy_check.py
@@ -1,7 +1,7 @@
 """What makes a traffic policy invalid, all findings together."""
 
 from bilberrydrum import findings
-from bilberrydrum.fleet import policy
+from bilberrydrum.fleet import accounts, policy
 
 
 def check(document: policy.Policy, name: str = "policy") -> list[findings.Finding]:
@@ -17,6 +17,7 @@
         if place in places:
             found.append(f"route {route.name}: another route has its host and prefix")
         places.add(place)
+    found += accounts.faults(document.accounts or ())
     return [findings.Finding(name, 0, 0, text) for text in found]
 
 
--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -3,7 +3,8 @@
 The leader pushes each change at once; the renewal, twice a second, fetches what was
 lost on the way and finds a new leader. A copy never goes back: what comes with a lower
 index is older and is dropped. A process that reaches no leader goes on with what it
-has, as its requests would gain nothing by being refused.
+has, as its requests would gain nothing by being refused; only keys are judged no longer
+than the policy's lease runs (see `policy_lease`).
 """
 
 from collections.abc import Callable
@@ -12,13 +13,17 @@
 import attrs
 import eliot
 import eventlet
+import eventlet.event
 import result
 
 from bilberrydrum import clock, codec, quarantine, transport
-from bilberrydrum.fleet import changes, messages, model, policy
+from bilberrydrum.fleet import changes, messages, model, policy, policy_lease
 from bilberrydrum.state import leader_calls
 
 RENEW_SECONDS: Final = 0.5
+# Shortest time between two renewals, whoever asks for one, in seconds: callers with
+# wrong keys must not make each gateway ask the leader as fast as it answers.
+_MIN_RENEW_SECONDS: Final = 0.1
 # Time for one renewal, over all control processes.
 _CALL_SECONDS: Final = 2.0
 
@@ -31,12 +36,23 @@
         carrier: transport.Transport,
         calls: leader_calls.LeaderCalls,
         make_request: Callable[[], messages.Subscribe] = messages.Subscribe,
+        revocation_seconds: float = 0.0,
     ) -> None:
+        """Make the task; nothing runs before `start`.
+
+        Parameters
+        ----------
+        make_request : callable
+            Returns a renewal with what this process tells of itself.
+        revocation_seconds : float
+            Time within which a key that was taken away must be dead; 0: no bound.
+        """
         self._carrier = carrier
         self._calls = calls
         self._make_request = make_request
         self.routes = policy.RouteTable(policy.Policy(0))
         self.registry = model.Registry()
+        self.policy_lease = policy_lease.PolicyLease(revocation_seconds)
         # What is held against requests that end upstreams.
         self.crashes = quarantine.Book()
         self.crashes_index = 0
@@ -44,12 +60,36 @@
         self._is_connected = False
         self._watchers: list[Callable[[], None]] = []
         self._task: Any = None
+        # Sent when somebody asks for a renewal before its time.
+        self._hurried = eventlet.event.Event()
+        # Sent after each renewal that was answered.
+        self._confirmed = eventlet.event.Event()
 
     @property
     def has_policy(self) -> bool:
         """Whether there is a policy to act on."""
         return self._policy_index > 0
 
+    def is_policy_confirmed(self) -> bool:
+        """Tell whether keys may be judged by the policy here."""
+        return self.policy_lease.is_valid(clock.now())
+
+    def confirm(self, timeout: float) -> bool:
+        """Wait until the leader has said that there is no newer policy as of now.
+
+        Returns
+        -------
+        bool
+            False if it has not said so within `timeout` seconds.
+        """
+        asked_at = clock.now()
+        with eventlet.Timeout(timeout, False):
+            while self.policy_lease.confirmed_at < asked_at:
+                if not self._hurried.ready():
+                    self._hurried.send(None)
+                self._confirmed.wait()
+        return self.policy_lease.confirmed_at >= asked_at
+
     def watch(self, callback: Callable[[], None]) -> None:
         """Call `callback()` after each change; it must not block."""
         self._watchers.append(callback)
@@ -71,17 +111,32 @@
 
     def _run(self) -> None:
         while True:
-            request = attrs.evolve(
-                self._make_request(),
-                policy_index=self._policy_index,
-                registry_index=self.registry.index,
-                crashes_index=self.crashes_index,
-            )
-            answer = self._calls.call(request, _CALL_SECONDS)
-            self._note_connection(answer.is_ok())
-            if isinstance(answer, result.Ok):
-                self._take(answer.ok_value)
-            clock.sleep(RENEW_SECONDS)
+            asked_at = clock.now()
+            self.renew()
+            self._wait_for_renewal(asked_at)
+
+    def renew(self) -> None:
+        """Ask the leader for what is new, and take it."""
+        asked_at = clock.now()
+        request = attrs.evolve(
+            self._make_request(),
+            policy_index=self._policy_index,
+            registry_index=self.registry.index,
+            crashes_index=self.crashes_index,
+        )
+        answer = self._calls.call(request, _CALL_SECONDS)
+        self._note_connection(answer.is_ok())
+        if isinstance(answer, result.Ok):
+            self._take(answer.ok_value)
+            self.policy_lease.confirm(asked_at)
+            self._confirmed.send(None)
+            self._confirmed = eventlet.event.Event()
+
+    def _wait_for_renewal(self, asked_at: float) -> None:
+        with eventlet.Timeout(RENEW_SECONDS, False):
+            self._hurried.wait()
+        self._hurried = eventlet.event.Event()
+        clock.sleep(max(asked_at + _MIN_RENEW_SECONDS - clock.now(), 0.0))
 
     def _note_connection(self, is_connected: bool) -> None:
         if is_connected == self._is_connected:
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -12,7 +12,7 @@
 from bilberrydrum import counters, reasons, upstream_protocol
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.nodes import links, options
-from bilberrydrum.relay import balancing, crash_watch, relay, streams
+from bilberrydrum.relay import balancing, callers, crash_watch, relay, streams
 from bilberrydrum.relay import model as relay_model
 from bilberrydrum.requests import attempts, connections, watch
 
@@ -31,13 +31,18 @@
     ) -> None:
         self._control = links.ControlLink(node)
         self._stores = links.StoreLink(node)
-        self.view = subscriber.Subscriber(self._control.carrier, self._control.calls)
+        self.view = subscriber.Subscriber(
+            self._control.carrier,
+            self._control.calls,
+            revocation_seconds=node.revocation_seconds,
+        )
         self.view.watch(self._on_news)
         self.store_calls = self._stores.calls
         self._clients = watch.Watch()
         self._pool = connections.Connections()
         means = attempts.Means(self._pool, self._clients)
         rng = random.Random()
+        self.callers = callers.Callers(self.view, rng)
         balancer = balancing.Balancer(node.availability_zone, rng)
         self._crashes = crash_watch.CrashWatch(self.view, self._control.calls)
         parts = (protocol, self.view, means, balancer, rng, self._crashes)
@@ -50,8 +55,13 @@
         self.store_calls.learn([each.address for each in stores])
 
     def is_ready(self) -> bool:
-        """Tell whether new clients should be sent here."""
-        return self.view.has_policy and not self.is_draining
+        """Tell whether new clients should be sent here.
+
+        Not while keys cannot be judged here: another gateway may serve them at once.
+        """
+        if not self.view.has_policy or self.is_draining:
+            return False
+        return self.view.routes.accounts is None or self.view.is_policy_confirmed()
 
     def find_route(
         self, request_id: str, host: str, path: str
--- a/bilberrydrum/nodes/options.py
+++ b/bilberrydrum/nodes/options.py
@@ -55,6 +55,9 @@
     retention_seconds: float = 120.0
     # Upstreams refuse an order with a lower fencing number than one they have seen.
     do_upstreams_check_fencing: bool = True
+    # Time within which a key that was taken away must be dead on every process, also on
+    # one that is cut off; 0: no bound.
+    revocation_seconds: float = 0.0
     # Time between the orders of two holders to upstreams that do not.
     order_lease_seconds: float = 3.0
     # Time that a stopping process has.
--- a/bilberrydrum/relay/courses.py
+++ b/bilberrydrum/relay/courses.py
@@ -15,6 +15,16 @@
 # When the caller of a doubtful request may come back, in seconds: upstreams that ended
 # start again within some seconds, and it is not sent to the last one that stands.
 DOUBTFUL_RETRY_RANGE: Final = (1.0, 2.0)
+# Reasons by which no upstream is to be asked any more: nobody waits, or the sender must
+# not be served.
+FINAL_REASONS: Final = frozenset(
+    {
+        reasons.Reason.CALLER_GONE,
+        reasons.Reason.ATTEMPT_SUPERSEDED,
+        reasons.Reason.UNAUTHORIZED,
+        reasons.Reason.BUNDLE_LEASE_EXPIRED,
+    }
+)
 
 
 @attrs.frozen
@@ -61,7 +71,12 @@
             inbound = self.inbound
             identity = self.protocol.identity_of(inbound.headers)
             self._fingerprint = fingerprints.of_request(
-                inbound.method, inbound.host, inbound.target, identity, inbound.body
+                inbound.method,
+                inbound.host,
+                inbound.target,
+                identity,
+                inbound.body,
+                inbound.account or "",
             )
         return self._fingerprint
 
@@ -130,7 +145,8 @@
         # Whoever is told that a quarantined request did not run, or when to come back,
         # sends it again.
         is_final = self.last_reason is reasons.Reason.REQUEST_QUARANTINED
-        may_come_back = not may_have_run and not is_final
+        is_denied = self.last_reason is reasons.Reason.UNAUTHORIZED
+        may_come_back = not may_have_run and not is_final and not is_denied
         counters.refused(self.last_reason)
         eliot.log_message(
             message_type="relay:refused",
--- a/bilberrydrum/relay/model.py
+++ b/bilberrydrum/relay/model.py
@@ -33,6 +33,8 @@
     may_run_again: bool = False
     # Asked right before each sending: why the sender does not want it any more, if so.
     find_refusal: Callable[[], reasons.Reason | None] = never_refused
+    # As in `upstream_protocol.Attempt`.
+    account: str | None = None
 
 
 @attrs.frozen
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -30,10 +30,6 @@
 # A request whose time is up is answered this long, in seconds, before the caller stops
 # to wait: a way of 1 ms and a hub turn.
 ANSWER_MARGIN_SECONDS: Final = 0.02
-# Reasons by which no upstream is to be asked any more.
-_NOBODY_WAITS: Final = frozenset(
-    {reasons.Reason.CALLER_GONE, reasons.Reason.ATTEMPT_SUPERSEDED}
-)
 # A caller that was refused comes back after a few service times.
 _RULES: Final = courses.Rules(
     "request", max_rejections=6, retry_after_range=(0.05, 0.25)
@@ -143,7 +139,10 @@
             floor = _TRY_TARGETS * course.route.target_latency_seconds
             seconds = min(remaining, max(floor, remaining * _TRY_SHARE))
         attempt = upstream_protocol.Attempt(
-            inbound.request_id, upstream.announced_id, remaining
+            inbound.request_id,
+            upstream.announced_id,
+            remaining,
+            account=inbound.account,
         )
         return outgoing_requests.Outgoing(
             inbound.request_id,
@@ -226,7 +225,7 @@
         course.count(error.may_have_run)
         if not error.is_refusal and not self._was_hurried(course, error):
             self._balancer.failed(upstream.upstream_id, clock.now())
-        if error.reason in _NOBODY_WAITS:
+        if error.reason in courses.FINAL_REASONS:
             course.stop()
         if error.may_have_run and error.reason in examination.BROKEN:
             seconds = clock.now() - course.tried_at
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -155,6 +155,7 @@
             upstream.announced_id,
             course.deadline - clock.now(),
             course.last_number,
+            account=inbound.account,
         )
         return outgoing_requests.Outgoing(
             inbound.request_id,
@@ -175,6 +176,9 @@
     def _find_refusal(
         self, course: _Course, upstream: fleet_model.FleetUpstream
     ) -> reasons.Reason | None:
+        refusal = course.inbound.find_refusal()
+        if refusal is not None:
+            return refusal
         standing = self._crashes.standing(course.fingerprint)
         if standing is quarantine.Standing.QUARANTINED:
             # Other gateways have seen it end upstreams since this one chose.
@@ -285,7 +289,7 @@
         may_have_run: bool,
     ) -> None:
         course.count(may_have_run)
-        if reason is reasons.Reason.CALLER_GONE:
+        if reason in courses.FINAL_REASONS:
             course.stop()
         elif reason not in _NO_FAULT:
             self._balancer.failed(upstream.upstream_id, clock.now())
--- a/bilberrydrum/requests/fingerprints.py
+++ b/bilberrydrum/requests/fingerprints.py
@@ -11,7 +11,14 @@
 _DIGEST_BYTES = 16
 
 
-def of_request(method: str, host: str, target: str, identity: str, body: bytes) -> str:
+def of_request(
+    method: str,
+    host: str,
+    target: str,
+    identity: str,
+    body: bytes,
+    account: str = "",
+) -> str:
     """Return the fingerprint of a request.
 
     Parameters
@@ -26,9 +33,11 @@
         Who asks, and whatever else its headers say of the work.
     body : bytes
         Its whole body.
+    account : str
+        The account that it belongs to; empty: none.
     """
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in (method, host.lower(), target, identity):
+    for part in (method, host.lower(), target, identity, account):
         data = part.encode()
         # With its length, so that no two lists of parts look alike.
         digest.update(b"%d:" % len(data))
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -24,6 +24,9 @@
     last_event_number: int | None = None
     # Rank at the engine, 0 first; None: the engine's own default.
     priority: int | None = None
+    # Account that the request belongs to, whatever its sender claims; empty: none.
+    # None: the deployment has no accounts, and a sender's headers are its own affair.
+    account: str | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_accounts.py
@@ -0,0 +1,275 @@
+"""Client accounts: what a policy says of them, and whom a key stands for."""
+
+import json
+import pathlib
+import random
+import sys
+import time
+import unittest
+
+import attrs
+from nose2 import tools
+
+from bilberrydrum import codec, options, reasons, upstream_protocol
+from bilberrydrum.batches import messages as batch_messages
+from bilberrydrum.batches import model as batch_model
+from bilberrydrum.fleet import accounts, policy, policy_check
+from bilberrydrum.http import edge
+from bilberrydrum.relay import callers
+from bilberrydrum.relay import model as relay_model
+from tests import test_fleet, test_platform_clients
+from tests import test_platform as shared
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "platform"))
+
+from bilberrydrum_platform import client_calls, policies, upstreams  # noqa: E402
+
+ACME = {"name": "acme", "api_keys": ["key-a1", "key-a2"], "priority": 1}
+BETA = {"name": "beta", "api_keys": ["key-b"]}
+PUBLIC = {**shared.ROUTE, "name": "p", "path_prefix": "/p/", "public": True}
+DOCUMENT = {
+    **shared.CONFIGURATION,
+    "routes": [*shared.CONFIGURATION["routes"], PUBLIC],
+    "tenants": [ACME, BETA],
+}
+
+
+def account(name, *keys, priority=0):
+    digests = tuple(accounts.digest_of(each) for each in keys)
+    return accounts.Account(name, digests, priority)
+
+
+class Decode(unittest.TestCase):
+    def test_decoded(self):
+        decoded = policies.decode(json.dumps(DOCUMENT).encode())
+        acme, beta = decoded.accounts
+        self.assertEqual((acme.name, acme.priority), ("acme", 1))
+        table = policy.RouteTable(decoded).accounts
+        found = {key: table.find(accounts.digest_of(key)) for key in ("key-a2", "x")}
+        self.assertEqual(found, {"key-a2": acme, "x": None})
+        self.assertEqual([e.is_public for e in decoded.routes], [False, False, True])
+
+    def test_no_accounts(self):
+        """Without the field requests need no key; with an empty list none is right."""
+        plain = policies.decode(json.dumps(shared.CONFIGURATION).encode())
+        self.assertIsNone(plain.accounts)
+        empty = json.dumps({**DOCUMENT, "tenants": []}).encode()
+        self.assertEqual(policies.decode(empty).accounts, ())
+
+    def test_keys_are_not_kept(self):
+        """What is committed and told to all processes holds no key that works."""
+        decoded = policies.decode(json.dumps(DOCUMENT).encode())
+        for shown in (repr(decoded).encode(), codec.encode(decoded)):
+            self.assertNotIn(b"key-a1", shown)
+
+    @tools.params(
+        ("no list", "acme"),
+        ("a number", 3),
+        ("no keys", [{"name": "acme"}]),
+        ("keys are text", [{**ACME, "api_keys": "key"}]),
+        ("a key is a number", [{**ACME, "api_keys": [7]}]),
+        ("priority is text", [{**ACME, "priority": "1"}]),
+        ("name is true", [{**ACME, "name": True}]),
+    )
+    def test_unreadable(self, name, given):
+        body = json.dumps({**DOCUMENT, "tenants": given}).encode()
+        with self.assertRaises(policies.PolicyError, msg=name):
+            policies.decode(body)
+
+
+class Check(unittest.TestCase):
+    """All faults are found together, and none in what is sound."""
+
+    @tools.params(
+        ("sound", [account("a", "k1", "k2"), account("b", "k3")], []),
+        ("no keys", [account("a")], []),
+        ("the same key twice", [account("a", "k1", "k1")], []),
+        ("shared", [account("a", "k1"), account("b", "k1")], ["share a key"]),
+        ("names", [account("a", "k1"), account("a", "k2")], ["two accounts"]),
+        ("no name", [account("", "k1")], ["no name"]),
+        ("line end", [account("a\nb", "k1")], ["printable"]),
+        ("empty key", [account("a", "")], ["empty"]),
+        (
+            "all at once",
+            [account("a", "k1", ""), account("b", "k1"), account("a"), account(" ")],
+            ["empty", "share", "two accounts", "no name"],
+        ),
+    )
+    def test_findings(self, name, given, expected):
+        document = attrs.evolve(test_fleet.document(), accounts=tuple(given))
+        found = [each.message for each in policy_check.check(document)]
+        self.assertEqual(len(found), len(expected), found)
+        for text, part in zip(found, expected, strict=True):
+            self.assertIn(part, text, name)
+
+    def test_many(self):
+        """Ten thousand accounts are checked, and a key found, well inside a call."""
+        many = tuple(account(f"a{n}", f"k{n}", f"l{n}") for n in range(10_000))
+        document = attrs.evolve(test_fleet.document(), accounts=many)
+        began = time.process_time()
+        self.assertEqual(policy_check.check(document), [])
+        table = policy.RouteTable(document).accounts
+        self.assertLess(time.process_time() - began, 1.0)
+        began = time.process_time()
+        for n in range(10_000):
+            table.find(accounts.digest_of(f"k{n}"))
+        self.assertLess((time.process_time() - began) / 10_000, 50e-6)
+
+
+class Identify(unittest.TestCase):
+    """Whom a request comes from, and what it is answered otherwise."""
+
+    def identify(self, path, key, is_confirmed=True, document=DOCUMENT):
+        view = shared.View(document)
+        view.is_confirmed = is_confirmed
+        route = view.routes.find("h.example", path)
+        found = callers.Callers(view, random.Random(1)).of_request("r1", route, key)
+        return found
+
+    @tools.params(
+        ("a key", "/a/1", "key-a1", "acme", 1),
+        ("another key of it", "/a/1", "key-a2", "acme", 1),
+        ("another account", "/a/1", "key-b", "beta", 0),
+        ("public, no key", "/p/1", "", "", None),
+        ("public, a wrong key", "/p/1", "nonsense", "", None),
+    )
+    def test_served(self, name, path, key, expected, priority):
+        found = self.identify(path, key)
+        self.assertEqual((found.account, found.priority), (expected, priority), name)
+        self.assertIsNone(found.find_refusal())
+
+    @tools.params(
+        ("no key", "/a/1", "", True, reasons.Reason.UNAUTHORIZED),
+        ("unknown", "/a/1", "key-c", True, reasons.Reason.UNAUTHORIZED),
+        ("two keys", "/a/1", "key-a1, key-b", True, reasons.Reason.UNAUTHORIZED),
+        ("not sure", "/a/1", "key-a1", False, reasons.Reason.BUNDLE_LEASE_EXPIRED),
+        (
+            "unknown, not sure",
+            "/a/1",
+            "key-c",
+            False,
+            reasons.Reason.BUNDLE_LEASE_EXPIRED,
+        ),
+    )
+    def test_refused(self, name, path, key, is_confirmed, reason):
+        refused = self.identify(path, key, is_confirmed)
+        self.assertIsInstance(refused, relay_model.Refused, name)
+        self.assertIs(refused.reason, reason)
+        may_come_back = refused.retry_after_seconds > 0
+        self.assertEqual(may_come_back, reason is not reasons.Reason.UNAUTHORIZED)
+
+    def test_public_needs_no_confirmation(self):
+        self.assertEqual(self.identify("/p/1", "", is_confirmed=False).account, "")
+
+    def test_no_accounts(self):
+        found = self.identify("/a/1", "any", False, shared.CONFIGURATION)
+        self.assertIsNone(found.account)
+
+    @tools.params(
+        ("taken away", [BETA]),
+        ("given to another account", [{**BETA, "api_keys": ["key-a1"]}]),
+        ("no accounts left", []),
+    )
+    def test_asked_again_before_each_sending(self, name, left):
+        """A request waits; its key is taken away meanwhile; it must not go out."""
+        view = shared.View(DOCUMENT)
+        route = view.routes.find("h.example", "/a/1")
+        caller = callers.Callers(view, random.Random(1)).of_request(
+            "r1", route, "key-a1"
+        )
+        self.assertIsNone(caller.find_refusal())
+        document = {**DOCUMENT, "tenants": left}
+        view.routes = shared.View(document).routes
+        self.assertIs(caller.find_refusal(), reasons.Reason.UNAUTHORIZED, name)
+        view.is_confirmed = False
+        expected = reasons.Reason.BUNDLE_LEASE_EXPIRED
+        self.assertIs(caller.find_refusal(), expected)
+
+
+class Interface(unittest.TestCase):
+    """Statuses, and what is passed on, through the adapter."""
+
+    def call(self, node, method, path, body=b"x", **headers):
+        node.view = shared.View(DOCUMENT)
+        node.callers = callers.Callers(node.view, random.Random(1))
+        clients = client_calls.ClientCalls(node)
+        app = edge.Edge(options.LimitOptions(), {}, fallback=clients.serve)
+        clients.add_routes(app)
+        names = {"Host": "h.example:80", "X-Attempt-Id": "b1"}
+        names |= {name.replace("_", "-"): value for name, value in headers.items()}
+        return shared.call(app, method, path, shared.dumped(body), names)
+
+    @tools.params(
+        ("served", "POST", "/a/1", {"Api_Key": "key-a1"}, 200),
+        ("no key", "POST", "/a/1", {}, 401),
+        ("unknown", "POST", "/a/1", {"Api_Key": "x"}, 401),
+        ("public", "POST", "/p/1", {}, 200),
+        ("no route", "POST", "/none/1", {}, 404),
+        ("read without a key", "GET", "/api/lots/b1", {}, 401),
+        ("end with a wrong key", "DELETE", "/api/lots/b1", {"Api_Key": "x"}, 401),
+        ("body with a wrong key", "GET", "/api/items/b1?id=i", {"Api_Key": "x"}, 401),
+    )
+    def test_status(self, name, method, path, headers, status):
+        given = self.call(shared.Node(), method, path, **headers)
+        self.assertEqual(given.status, status, (name, given.body))
+
+    @tools.params(
+        ("forged", "/a/1", {"Api_Key": "key-b", "X_Tenant": "acme"}, "beta"),
+        ("public", "/p/1", {"api_key": "key-b", "x_tenant": "acme"}, None),
+    )
+    def test_claims_are_not_passed_on(self, name, path, headers, expected):
+        """The key ends here, and whoever the caller claims to be is replaced."""
+        node = shared.Node()
+        self.call(node, "POST", path, **headers)
+        sent = self.sent(node.inbound[0].headers, node.inbound[0].account)
+        self.assertEqual(sent.get("x-tenant"), expected, name)
+        self.assertNotIn("api-key", sent)
+
+    def sent(self, headers, account_):
+        attempt = attempt_of(account_)
+        given = upstreams.PlatformProtocol().relay_headers(headers, attempt)
+        return {name.lower(): value for name, value in given.items()}
+
+    def test_items_headers_are_not_believed(self):
+        """An item's own headers name an account and a key; the batch's owner counts."""
+        headers = {"X-Tenant": "acme", "API-KEY": "key-a1", "X-Model": "m"}
+        sent = self.sent(headers, "beta")
+        self.assertEqual(sent["x-tenant"], "beta")
+        self.assertEqual(sent["x-model"], "m")
+        self.assertNotIn("api-key", sent)
+
+    @tools.params(
+        ("its owner", "key-a2", "acme/b1"),
+        ("another account", "key-b", "beta/b1"),
+    )
+    def test_batches_belong_to_accounts(self, name, key, expected):
+        """Any key of the owner leads to the batch; to no other account is it there."""
+        node = shared.Node(*[test_platform_clients.KEPT] * 2)
+        submitted = self.call(
+            node, "POST", "/b/1", test_platform_clients.BATCH, Api_Key="key-a1"
+        )
+        self.assertEqual(submitted.status, 202)
+        kept = batch_model.unpack_batch(node.calls.asked[0].data)
+        self.assertEqual((kept.batch_id, kept.account), ("acme/b1", "acme"))
+        node.calls.answers = [test_platform_clients.PAGE]
+        self.call(node, "GET", "/api/lots/b1", b"", Api_Key=key)
+        self.assertEqual(node.calls.asked[1], batch_messages.Read(expected, 0, 0.0))
+
+    def test_an_id_cannot_name_another_account(self):
+        """``b/c`` of account ``a`` would otherwise be ``c`` of account ``a/b``."""
+        node = shared.Node()
+        given = self.call(
+            node,
+            "POST",
+            "/b/1",
+            test_platform_clients.BATCH,
+            Api_Key="key-a1",
+            X_Attempt_Id="b/c",
+        )
+        self.assertEqual(given.status, 400)
+        self.assertEqual(node.calls.asked, [])
+
+
+def attempt_of(account_):
+    return upstream_protocol.Attempt("r1", "i-1", 1.0, account=account_)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import random
 import subprocess
 import sys
 import tomllib
@@ -11,9 +12,10 @@
 from nose2 import tools
 
 from bilberrydrum import options, reasons
-from bilberrydrum.fleet import messages, policy
+from bilberrydrum.fleet import messages, policy, policy_lease
 from bilberrydrum.http import edge
 from bilberrydrum.nodes import options as node_options
+from bilberrydrum.relay import callers
 from bilberrydrum.relay import model as relay_model
 from bilberrydrum.state import client
 from tests.fakes import wsgi
@@ -191,6 +193,7 @@
     def __init__(self, *answers):
         self.calls = self.store_calls = Calls(*answers)
         self.view = View()
+        self.callers = callers.Callers(self.view, random.Random(1))
         self.relay = self
         self.inbound = []
         self.relayed = relay_model.Answered(200, (), b"ok")
@@ -209,7 +212,17 @@
 
 class View:
     has_policy = True
-    routes = policy.RouteTable(policies.decode(json.dumps(CONFIGURATION).encode()))
+
+    def __init__(self, document=CONFIGURATION):
+        self.policy_lease = policy_lease.PolicyLease()
+        self.routes = policy.RouteTable(policies.decode(json.dumps(document).encode()))
+        self.is_confirmed = True
+
+    def is_policy_confirmed(self):
+        return self.is_confirmed
+
+    def confirm(self, timeout):
+        return self.is_confirmed
 
 
 ANNOUNCED = {
