Reports of use: counted by gateways, closed once by the control group, told by its leader

Ruled out: counts of each gateway sent by itself (two reports of one window would differ); windows by each host's own clock (clocks jump by 2 s); counts added up by the leader (a telling that is lost or doubled would count wrongly), so gateways tell the whole of what is not closed each time.

Change: bilberrydrum/usage. Gateways count attempts that upstreams began and tell them with their renewals; the leader waits for those that have work under way, at most six of ten seconds; one committed command closes a window with its counts, and what it says is sent until it is confirmed. Windows are those of the median clock. state/tenure is the one mechanism of lease and fencing number, for these calls and for orders to engines: the number is taken with the connection in hand, a refused number is not used again, and a replica that wins the leadership back waits until taking turns is over.

--- a/bilberrydrum/batches/orders.py
+++ b/bilberrydrum/batches/orders.py
@@ -6,19 +6,16 @@
 most one is carried out, and one that comes late finds another number and is refused.
 """
 
-import http.client
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 import attrs
 import eliot
-import eventlet
-import urllib3.exceptions
 
 from bilberrydrum import clock, upstream_protocol
 from bilberrydrum.batches import weight_plan
 from bilberrydrum.fleet import model
-from bilberrydrum.requests import attempts
+from bilberrydrum.requests import attempts, single_calls
 
 # A load takes about a second, and longer while others load; an engine that needs more
 # than ten times that is given back, to be planned anew.
@@ -30,6 +27,7 @@
 # First look after an order was taken, and the pause between later ones.
 _FIRST_LOOK_SECONDS: Final = 0.9
 _LOOK_SECONDS: Final = 0.25
+_OK: Final = 200
 _FENCED: Final = 412
 _MISDIRECTED: Final = 421
 
@@ -82,12 +80,38 @@
 
     def _send(self, engine: model.FleetUpstream, order: Order, sequence: int) -> bool:
         """Send the order once; False: there is no use in trying again."""
-        # Asked right before the sending: a process that was stopped since the report
-        # may not hold the right to give orders any more.
-        number = self._fencing_number()
-        if number is None or not order.is_wanted():
+        numbers: list[int] = []
+
+        def prepare() -> upstream_protocol.OrderMessage | None:
+            # A process that was stopped since the report may not hold the right to give
+            # orders any more.
+            number = self._fencing_number()
+            if number is None or not order.is_wanted():
+                return None
+            numbers.append(number)
+            return self._message(engine, order, number, sequence)
+
+        reply = self._call(engine, prepare, "order")
+        eliot.log_message(
+            message_type="weights:ordered",
+            upstream_id=engine.upstream_id,
+            model=order.load.model,
+            version=order.load.version,
+            fencing_number=numbers[0] if numbers else None,
+            expected_sequence=sequence,
+            status=reply.status,
+            is_withheld=reply.is_withheld,
+        )
+        if reply.is_withheld or reply.status in (_FENCED, _MISDIRECTED):
             return False
-        message = self._protocol.order(
+        is_taken = reply.status in (200, 202)
+        clock.sleep(_FIRST_LOOK_SECONDS if is_taken else _REPORT_LAG_SECONDS)
+        return True
+
+    def _message(
+        self, engine: model.FleetUpstream, order: Order, number: int, sequence: int
+    ) -> upstream_protocol.OrderMessage:
+        return self._protocol.order(
             upstream_protocol.WeightOrder(
                 order.load.model,
                 order.load.version,
@@ -98,70 +122,25 @@
                 engine.announced_id,
             )
         )
-        status, _ = self._exchange(engine, message)
-        eliot.log_message(
-            message_type="weights:ordered",
-            upstream_id=engine.upstream_id,
-            model=order.load.model,
-            version=order.load.version,
-            fencing_number=number,
-            expected_sequence=sequence,
-            status=status,
-        )
-        if status in (_FENCED, _MISDIRECTED):
-            return False
-        is_taken = status in (200, 202)
-        clock.sleep(_FIRST_LOOK_SECONDS if is_taken else _REPORT_LAG_SECONDS)
-        return True
 
     def _ask_report(
         self, engine: model.FleetUpstream
     ) -> upstream_protocol.EngineReport | None:
         message = self._protocol.ask_report(engine.announced_id)
-        status, body = self._exchange(engine, message)
-        return self._protocol.read_report(body) if status == 200 else None
-
-    def _exchange(
-        self, engine: model.FleetUpstream, message: upstream_protocol.OrderMessage
-    ) -> tuple[int, bytes]:
-        """Return the answer's status and body; 0: there is no answer."""
-        with eventlet.Timeout(_ANSWER_SECONDS, False):
-            try:
-                return self._ask(engine, message)
-            except (
-                OSError,
-                http.client.HTTPException,
-                urllib3.exceptions.HTTPError,
-            ) as error:
-                eliot.log_message(
-                    message_type="weights:no-answer",
-                    upstream_id=engine.upstream_id,
-                    detail=repr(error),
-                )
-        return 0, b""
-
-    def _ask(
-        self, engine: model.FleetUpstream, message: upstream_protocol.OrderMessage
-    ) -> tuple[int, bytes]:
-        taken = self._means.pool.take(engine.address, _ANSWER_SECONDS)
-        connection: Any = taken.connection
-        is_whole = False
-        try:
-            connection.request(
-                message.method,
-                message.target,
-                body=message.body or None,
-                headers=message.headers,
-                preload_content=False,
-            )
-            answer = connection.getresponse()
-            body = answer.read()
-            is_whole = True
-        finally:
-            if not is_whole:
-                connection.close()
-        attempts.settle(self._means.pool, engine.address, connection, answer, True)
-        return answer.status, body
+        reply = self._call(engine, lambda: message, "report")
+        if reply.status != _OK:
+            return None
+        return self._protocol.read_report(reply.body)
+
+    def _call(
+        self,
+        engine: model.FleetUpstream,
+        prepare: Callable[[], upstream_protocol.OrderMessage | None],
+        purpose: str,
+    ) -> single_calls.Reply:
+        return single_calls.call(
+            self._means.pool, engine.address, prepare, _ANSWER_SECONDS, purpose
+        )
 
 
 def _is_from(
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -14,7 +14,7 @@
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.relay import crash_watch, relay
 from bilberrydrum.requests import attempts
-from bilberrydrum.state import leader_service, replica
+from bilberrydrum.state import leader_service, replica, tenure
 
 # Time for a change to be committed before the caller is sent on to ask again.
 COMMIT_SECONDS: Final = 2.0
@@ -51,7 +51,7 @@
         passing_on: relay.Relay,
         crashes: crash_watch.CrashWatch,
         retention_seconds: float,
-        order_lease_seconds: float,
+        orders_tenure: tenure.Tenure,
     ) -> None:
         """Make the service; nothing runs before `start`.
 
@@ -63,9 +63,8 @@
             Told of the items' runs that break off.
         retention_seconds : float
             How long an ended batch can be read, from its submission on.
-        order_lease_seconds : float
-            How long a new leader gives no orders; 0 where upstreams refuse the orders
-            of an earlier one by themselves.
+        orders_tenure : tenure.Tenure
+            The right to give orders to engines.
         """
         self._replica = replica_
         self._carrier = carrier
@@ -75,13 +74,10 @@
         self._relay = passing_on
         self._crashes = crashes
         self._retention_seconds = retention_seconds
-        # An earlier leader may have given orders until just now; engines that obey two
-        # holders in turn can be told contradicting things.
-        self._order_lease_seconds = order_lease_seconds
+        self._orders_tenure = orders_tenure
         self._service = leader_service.LeaderService(replica_, carrier)
         self._runner: runner.BatchRunner | None = None
         self._term = 0
-        self._led_since = 0.0
         self._news = eventlet.event.Event()
         self._role_changed = eventlet.event.Event()
         self._advanced: Any = eventlet.queue.Queue()
@@ -143,7 +139,6 @@
 
     def _start_runner(self, term: int) -> None:
         self._term = term
-        self._led_since = clock.now()
 
         def hand_over(batch_id: str, **fields: Any) -> None:
             command = commands.FinishItems(batch_id, **fields)
@@ -156,7 +151,7 @@
                 batch_id, scores=(commands.Score(item_id, score),)
             ),
             save=self._save,
-            fencing_number=self._fencing_number,
+            fencing_number=self._orders_tenure.take_number,
             may_send=lambda: self._leads(term),
             holder=self._carrier.process_id,
         )
@@ -183,16 +178,6 @@
         held = self._replica.leadership()
         return held is not None and held.term == term
 
-    def _fencing_number(self) -> int | None:
-        """Return the number for an order sent now.
-
-        The term of the group's log: no two leaders have the same, and it only rises.
-        """
-        is_early = clock.now() - self._led_since < self._order_lease_seconds
-        if is_early or not self._leads(self._term):
-            return None
-        return self._term
-
     def _section(self) -> commands.Section:
         return commands.section_of(self._replica.state())
 
--- a/bilberrydrum/clock.py
+++ b/bilberrydrum/clock.py
@@ -4,6 +4,8 @@
 which replaces the hub's clock pauses and advances all of them.
 """
 
+import time
+
 import eventlet
 from eventlet import hubs
 
@@ -13,6 +15,11 @@
     return float(hubs.get_hub().clock())
 
 
+def unix_now() -> float:
+    """Return this host's time of day, in seconds; it may jump, and may be wrong."""
+    return time.time()
+
+
 def sleep(seconds: float) -> None:
     """Let other tasks run for at least `seconds`."""
     eventlet.sleep(seconds)
--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Mapping
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 import eliot
@@ -26,6 +26,10 @@
 )
 from bilberrydrum.state import leader_service, replica
 
+if TYPE_CHECKING:
+    # Imported by the processes that report use only: it brings an HTTP client.
+    from bilberrydrum.usage import reporter
+
 # How often silences are looked for.
 _SWEEP_SECONDS: Final = 0.3
 # An upstream that is not heard is removed after this many times the silence that marks
@@ -51,7 +55,13 @@
         options: ControlOptions,
         replica_: replica.Replica,
         carrier: transport.Transport,
+        usage: "reporter.UsageReporter | None" = None,
     ) -> None:
+        """Make the service; nothing is answered before `start`.
+
+        `usage` is None where use is not reported.
+        """
+        self._usage = usage
         self._options = options
         self._replica = replica_
         self._carrier = carrier
@@ -89,6 +99,8 @@
         }
         for message_class, handler in handlers.items():
             self._service.serve(message_class, handler)
+        if self._usage is not None:
+            self._usage.start()
         self._replica.watch(self._on_applied)
         self._tasks = [eventlet.spawn(self._push), eventlet.spawn(self._sweep)]
 
@@ -97,6 +109,8 @@
         for task in self._tasks:
             task.kill()
         self._tasks.clear()
+        if self._usage is not None:
+            self._usage.stop()
 
     def _section(self) -> commands.Section:
         return commands.section_of(self._replica.state())
@@ -233,7 +247,15 @@
         noted = self._subscribers.heard(sender.address, message)
         if message.store_name:
             self._stores.note(message)
-        return self._feed_for(noted)
+        feed = self._feed_for(noted)
+        if self._usage is None:
+            return feed
+        self._usage.heard(sender.address, message.unix_time, message.usage)
+        return attrs.evolve(
+            feed,
+            unix_time=self._usage.unix_time(),
+            usage_closed_before=self._usage.closed_before(),
+        )
 
     def _on_ask_trial(
         self, sender: transport.Sender, message: messages.AskTrial
--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -8,6 +8,7 @@
 from bilberrydrum import codec, quarantine
 from bilberrydrum.fleet import model
 from bilberrydrum.fleet import policy as fleet_policy
+from bilberrydrum.usage import model as usage_model
 
 
 @codec.register("fleet.announce")
@@ -181,6 +182,10 @@
     store_zone: str = ""
     # Index of what it has of the requests that end upstreams.
     crashes_index: int = 0
+    # The process's own time of day, in seconds; 0: not told.
+    unix_time: float = 0.0
+    # Set by gateways where use is reported.
+    usage: usage_model.Telling | None = None
 
 
 @codec.register("fleet.feed")
@@ -203,3 +208,7 @@
     # receiver has it.
     crashes_index: int = 0
     crashes: bytes = b""
+    # Only in answers, where use is reported: the leader's time of day, in seconds, and
+    # the oldest window that is not closed.
+    unix_time: float = 0.0
+    usage_closed_before: int = 0
--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -37,6 +37,7 @@
         calls: leader_calls.LeaderCalls,
         make_request: Callable[[], messages.Subscribe] = messages.Subscribe,
         revocation_seconds: float = 0.0,
+        on_answer: Callable[[messages.Feed, float], None] = lambda feed, asked_at: None,
     ) -> None:
         """Make the task; nothing runs before `start`.
 
@@ -46,10 +47,14 @@
             Returns a renewal with what this process tells of itself.
         revocation_seconds : float
             Time within which a key that was taken away must be dead; 0: no bound.
+        on_answer : callable
+            Told the answer to each renewal, and when the renewal was sent, in seconds
+            of `clock.now`; it must not block.
         """
         self._carrier = carrier
         self._calls = calls
         self._make_request = make_request
+        self._on_answer = on_answer
         self.routes = policy.RouteTable(policy.Policy(0))
         self.registry = model.Registry()
         self.policy_lease = policy_lease.PolicyLease(revocation_seconds)
@@ -115,7 +120,7 @@
             self.renew()
             self._wait_for_renewal(asked_at)
 
-    def renew(self) -> None:
+    def renew(self, timeout: float = _CALL_SECONDS) -> None:
         """Ask the leader for what is new, and take it."""
         asked_at = clock.now()
         request = attrs.evolve(
@@ -123,11 +128,13 @@
             policy_index=self._policy_index,
             registry_index=self.registry.index,
             crashes_index=self.crashes_index,
+            unix_time=clock.unix_now(),
         )
-        answer = self._calls.call(request, _CALL_SECONDS)
+        answer = self._calls.call(request, timeout)
         self._note_connection(answer.is_ok())
         if isinstance(answer, result.Ok):
             self._take(answer.ok_value)
+            self._on_answer(answer.ok_value, asked_at)
             self.policy_lease.confirm(asked_at)
             self._confirmed.send(None)
             self._confirmed = eventlet.event.Event()
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -9,16 +9,20 @@
 
 import eliot
 
-from bilberrydrum import counters, reasons, upstream_protocol
-from bilberrydrum.fleet import policy, subscriber
+from bilberrydrum import clock, counters, reasons, upstream_protocol
+from bilberrydrum.fleet import messages, policy, subscriber
 from bilberrydrum.nodes import links, options
 from bilberrydrum.relay import balancing, callers, crash_watch, relay, streams
 from bilberrydrum.relay import model as relay_model
 from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.usage import meter as usage_meter
 
 # When to come back to a gateway that has just started, in seconds: all processes
 # started together have a policy after some 1.5 s.
 NO_POLICY_RETRY_SECONDS: Final = 0.5
+# Time for a stopping gateway to tell what it has counted: the leader and one other
+# control process can be asked, and the process still ends in time.
+LAST_RENEWAL_SECONDS: Final = 0.8
 
 
 class Gateway:
@@ -31,10 +35,15 @@
     ) -> None:
         self._control = links.ControlLink(node)
         self._stores = links.StoreLink(node)
+        self._meter = (
+            usage_meter.Meter(node.usage.window_seconds) if node.usage else None
+        )
         self.view = subscriber.Subscriber(
             self._control.carrier,
             self._control.calls,
-            revocation_seconds=node.revocation_seconds,
+            self._make_request,
+            node.revocation_seconds,
+            self._on_answer,
         )
         self.view.watch(self._on_news)
         self.store_calls = self._stores.calls
@@ -45,11 +54,29 @@
         self.callers = callers.Callers(self.view, rng)
         balancer = balancing.Balancer(node.availability_zone, rng)
         self._crashes = crash_watch.CrashWatch(self.view, self._control.calls)
-        parts = (protocol, self.view, means, balancer, rng, self._crashes)
+        parts = (
+            protocol,
+            self.view,
+            means,
+            balancer,
+            rng,
+            self._crashes,
+            self._meter,
+        )
         self.relay = relay.Relay(*parts)
         self.streams = streams.StreamRelay(*parts)
         self.is_draining = False
 
+    def _make_request(self) -> messages.Subscribe:
+        telling = self._meter.telling() if self._meter is not None else None
+        return messages.Subscribe(usage=telling)
+
+    def _on_answer(self, feed: messages.Feed, asked_at: float) -> None:
+        if self._meter is not None:
+            self._meter.learn(
+                feed.unix_time, asked_at, clock.now(), feed.usage_closed_before
+            )
+
     def _on_news(self) -> None:
         stores = self.view.registry.stores
         self.store_calls.learn([each.address for each in stores])
@@ -110,7 +137,14 @@
         """End all tasks."""
         self._crashes.stop()
         self.view.stop()
+        self._tell_last_counts()
         self._clients.stop()
         self._pool.close()
         self._control.carrier.stop()
         self._stores.carrier.stop()
+
+    def _tell_last_counts(self) -> None:
+        """Tell what was counted since the last renewal; nobody else knows it."""
+        if self._meter is not None:
+            self._meter.is_stopping = True
+            self.view.renew(LAST_RENEWAL_SECONDS)
--- a/bilberrydrum/nodes/options.py
+++ b/bilberrydrum/nodes/options.py
@@ -9,6 +9,7 @@
 import attrs
 
 from bilberrydrum import options
+from bilberrydrum.usage import model as usage_model
 
 
 class Role(enum.StrEnum):
@@ -60,6 +61,8 @@
     revocation_seconds: float = 0.0
     # Time between the orders of two holders to upstreams that do not.
     order_lease_seconds: float = 3.0
+    # How use is reported; None: it is not.
+    usage: usage_model.UsageOptions | None = None
     # Time that a stopping process has.
     shutdown_seconds: float = 8.0
     # IP that the transports bind where it is not that of their addresses.
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -14,7 +14,7 @@
 from bilberrydrum.nodes import groups, links, options
 from bilberrydrum.relay import balancing, crash_watch, relay
 from bilberrydrum.requests import attempts, connections, watch
-from bilberrydrum.state import files, replica, storage
+from bilberrydrum.state import files, replica, storage, tenure
 from bilberrydrum.state import node as state_node
 
 _LOOK_SECONDS = 0.1
@@ -83,9 +83,11 @@
             self._make_relay(means),
             self._item_crashes,
             self._node.retention_seconds,
-            0.0
-            if self._node.do_upstreams_check_fencing
-            else self._node.order_lease_seconds,
+            tenure.Tenure(
+                self.replica,
+                self._node.order_lease_seconds,
+                self._node.do_upstreams_check_fencing,
+            ),
         )
         self.service.start()
         self._on_news()
--- a/bilberrydrum/registrations.py
+++ b/bilberrydrum/registrations.py
@@ -17,6 +17,7 @@
 from bilberrydrum.samples import queries as sample_queries
 from bilberrydrum.state import commands as state_commands
 from bilberrydrum.state import controller_commands, processes
+from bilberrydrum.usage import commands as usage_commands
 from bilberrydrum.weights import commands as weight_commands
 from bilberrydrum.weights import queries as weight_queries
 
@@ -34,6 +35,7 @@
     state_commands,
     controller_commands,
     processes,
+    usage_commands,
     weight_commands,
     weight_queries,
 )
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -18,6 +18,7 @@
 from bilberrydrum.relay import balancing, courses, crash_watch, model, trial
 from bilberrydrum.requests import attempts, examination, outgoing_requests
 from bilberrydrum.requests import model as request_model
+from bilberrydrum.usage import meter as usage_meter
 
 # Share of the time left that one attempt may take while others may follow: a silent
 # upstream then leaves time for two more.
@@ -56,7 +57,10 @@
         balancer: balancing.Balancer,
         rng: random.Random,
         crashes: crash_watch.CrashWatch,
+        meter: usage_meter.Meter | None = None,
     ) -> None:
+        """Make the relay; `meter` is None where use is not counted."""
+        self._meter = meter
         self._protocol = protocol
         self._view = view
         self._means = means
@@ -116,6 +120,19 @@
     ) -> model.Answered | None:
         """Make one attempt; None: it gave nothing to be passed on."""
         outgoing = self._outgoing(upstream, course)
+        with usage_meter.attempt(self._meter, course.inbound.account) as counted:
+            n_run = course.n_run
+            answer = self._attempt(upstream, course, outgoing)
+            if course.n_run > n_run:
+                counted.began_at = outgoing.sent_at
+        return answer
+
+    def _attempt(
+        self,
+        upstream: fleet_model.FleetUpstream,
+        course: _Course,
+        outgoing: outgoing_requests.Outgoing,
+    ) -> model.Answered | None:
         course.excluded_ids.add(upstream.upstream_id)
         course.tried_at = clock.now()
         self._balancer.begin(upstream.upstream_id)
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -25,6 +25,7 @@
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.relay import balancing, courses, crash_watch, model, trial
 from bilberrydrum.requests import attempts, examination, outgoing_requests
+from bilberrydrum.usage import meter as usage_meter
 
 _OK: Final = 200
 # A stream that pauses for this long, in seconds, has lost its upstream: callers abandon
@@ -78,7 +79,10 @@
         balancer: balancing.Balancer,
         rng: random.Random,
         crashes: crash_watch.CrashWatch,
+        meter: usage_meter.Meter | None = None,
     ) -> None:
+        """Make the relay; `meter` is None where use is not counted."""
+        self._meter = meter
         self._protocol = protocol
         self._view = view
         self._means = means
@@ -129,6 +133,19 @@
         course.tried_at = now
         course.first_event_at = None
         outgoing = self._outgoing(course, upstream)
+        with usage_meter.attempt(self._meter, course.inbound.account) as counted:
+            n_run = course.n_run
+            source = self._send(course, upstream, outgoing)
+            if course.n_run > n_run:
+                counted.began_at = outgoing.sent_at
+        return source
+
+    def _send(
+        self,
+        course: _Course,
+        upstream: fleet_model.FleetUpstream,
+        outgoing: outgoing_requests.Outgoing,
+    ) -> _Source | None:
         self._balancer.begin(upstream.upstream_id)
         try:
             with attempts.waiting(self._means, outgoing):
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -179,7 +179,7 @@
     refusal = outgoing.find_refusal()
     if refusal is not None:
         raise AttemptError(refusal, False, "not sent", is_refusal=True)
-    outgoing.has_begun = True
+    outgoing.sent_at = clock.now()
     try:
         connection.request(
             outgoing.method,
--- a/bilberrydrum/requests/outgoing_requests.py
+++ b/bilberrydrum/requests/outgoing_requests.py
@@ -49,8 +49,8 @@
     find_refusal: Callable[[], reasons.Reason | None]
     # Tells whether nobody waits for the answer any more.
     is_client_gone: Callable[[], bool] = model.never
-    # A byte may have gone out.
-    has_begun: bool = False
+    # When the first byte may have gone out, in seconds of `clock.now`; None: none has.
+    sent_at: float | None = None
     # Header by which the answer names this request.
     id_header: str = REQUEST_ID
     # An answer without a length ends whole where its connection is closed in order.
@@ -61,6 +61,11 @@
     # May go out on a kept connection; one that was dropped loses what may run once.
     uses_kept: bool = True
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a byte may have gone out."""
+        return self.sent_at is not None
+
 
 def passed_back(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
     """Return an answer's headers without those of its connection alone."""
--- /dev/null
+++ b/tests/test_usage_path.py
@@ -0,0 +1,140 @@
+"""Keys and reports of use over real sockets: a gateway, a control process, outside."""
+
+import json
+import tempfile
+import unittest
+
+import attrs
+import eventlet
+
+from bilberrydrum import clock, reasons
+from bilberrydrum.fleet import accounts, messages, model, policy
+from bilberrydrum.nodes import control, gateway, options
+from bilberrydrum.relay import model as relay_model
+from bilberrydrum.usage import model as usage_model
+from tests import helpers, test_nodes_path
+from tests.fakes import node_protocol, receiver, scripted
+
+WINDOW_SECONDS = 1.0
+ACCOUNTS = (
+    accounts.Account("acme", (accounts.digest_of("key-a"),)),
+    accounts.Account("beta", (accounts.digest_of("key-b"),)),
+)
+
+
+class Path(unittest.TestCase):
+    def setUp(self):
+        self.told = []
+        self.outside = scripted.Scripted(self.take, kind="receiver")
+        self.addCleanup(self.outside.stop)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.control_address = f"127.0.0.1:{helpers.free_port()}"
+        node = self.options(options.Role.CONTROL, folder.name)
+        self.control = control.Control(node, receiver.PlainReports())
+        node = self.options(options.Role.GATEWAY, "")
+        self.gateway = gateway.Gateway(node, node_protocol.PlainProtocol())
+        for each in (self.control, self.gateway):
+            each.start()
+        self.is_stopped = False
+        self.addCleanup(self.control.stop)
+        self.addCleanup(self.stop_gateway)
+        self.app = node_protocol.PlainEngine()
+        self.addCleanup(self.app.stop)
+        self.put(3, *ACCOUNTS)
+        upstream = model.FleetUpstream("app", "apps", self.app.address, "zone", 4)
+        self.ask_control(messages.Announce(upstream))
+        self.wait_for(lambda: self.gateway.view.registry.upstreams)
+
+    def options(self, role, folder):
+        return attrs.evolve(
+            test_nodes_path.node(role, folder, self.control_address),
+            revocation_seconds=2.0,
+            usage=usage_model.UsageOptions(WINDOW_SECONDS, 4.0, self.outside.address),
+        )
+
+    def stop_gateway(self):
+        if not self.is_stopped:
+            self.is_stopped = True
+            self.gateway.stop()
+
+    def take(self, connection, received):
+        self.told.append(json.loads(received.body))
+        connection.sendall(scripted.answer(received, b""))
+
+    def put(self, version, *given):
+        document = policy.Policy(
+            version,
+            test_nodes_path.ROUTES,
+            test_nodes_path.SERVICES,
+            accounts=given,
+        )
+        self.ask_control(messages.SubmitPolicy(document, b"as submitted"))
+
+    def ask_control(self, message):
+        return self.control.calls.call(message, 10.0).unwrap()
+
+    def wait_for(self, condition):
+        with eventlet.Timeout(15.0):
+            while not condition():
+                clock.sleep(0.02)
+
+    def send(self, key):
+        route = self.gateway.find_route("r1", "h", "/plain/x")
+        caller = self.gateway.callers.of_request("r1", route, key)
+        if isinstance(caller, relay_model.Refused):
+            return caller.reason
+        inbound = relay_model.Inbound(
+            "r1",
+            "h",
+            "POST",
+            "/plain/x",
+            "/plain/x",
+            {},
+            b"",
+            clock.now() + 2.0,
+            find_refusal=caller.find_refusal,
+            account=caller.account,
+        )
+        return self.gateway.relay.handle(inbound, route).status
+
+    def n_told(self):
+        total = {}
+        for report in self.told:
+            for account, n in report["counts"].items():
+                total[account] = total.get(account, 0) + n
+        return total
+
+    def test_keys_and_reports(self):
+        """Requests of two accounts are served and reported; one key is taken away."""
+        self.wait_for(lambda: self.send("key-a") == 200)
+        for _ in range(4):
+            self.assertEqual(self.send("key-a"), 200)
+            self.assertEqual(self.send("key-b"), 200)
+        self.assertIs(self.send("key-c"), reasons.Reason.UNAUTHORIZED)
+        self.put(4, ACCOUNTS[1])
+        self.wait_for(lambda: self.send("key-a") is reasons.Reason.UNAUTHORIZED)
+        n_before = self.app.request_ids.count("r1")
+        self.wait_for(lambda: sum(self.n_told().values()) >= n_before)
+        self.assertEqual(sum(self.n_told().values()), n_before)
+        self.assertEqual(self.n_told()["beta"], 4)
+        windows = [each["window"] for each in self.told]
+        self.assertEqual(windows, sorted(set(windows)))
+
+    def test_stopping_gateway_tells_what_it_counted(self):
+        """It ends within one renewal of its last request: nobody else knows of it."""
+        self.wait_for(lambda: self.send("key-a") == 200)
+        self.assertEqual(self.send("key-b"), 200)
+        self.stop_gateway()
+        self.wait_for(lambda: self.n_told().get("beta") == 1)
+        self.assertEqual(self.n_told(), {"acme": 1, "beta": 1})
+
+    def test_no_leader(self):
+        """The control process ends: keys work on for the lease, then nobody's does."""
+        self.wait_for(lambda: self.send("key-a") == 200)
+        self.control.replica.stop()
+        self.assertEqual(self.send("key-a"), 200)
+        expired = reasons.Reason.BUNDLE_LEASE_EXPIRED
+        self.wait_for(lambda: self.send("key-a") is expired)
+        self.assertIs(self.send("unknown"), expired)
+        self.assertFalse(self.gateway.is_ready())
