Precedence: an account's priority before its routes'

Cause: nothing looked at the priority of an account, and items at none at all. Ruled out: the account's priority before the tier (an item that cannot be in time would go before one that can). Change: fleet.policy.Precedence orders items within a tier and is the rank at engines (X-Request-Priority in the adapter) of requests and items that belong to an account; without accounts nothing changes.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -146,6 +146,8 @@
     on_event: Callable[[float], None] = lambda seconds: None
     # As in `model.Batch`.
     account: str | None = None
+    # Rank at the engine, 0 first; None: the engine's own default.
+    priority: int | None = None
 
 
 def carry_out(
@@ -161,6 +163,7 @@
         engine.announced_id,
         remaining_seconds,
         last_event_number=run.text.last_number,
+        priority=run.priority,
         account=run.account,
     )
     outgoing = outgoing_requests.Outgoing(
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -16,7 +16,7 @@
     urgency,
     work,
 )
-from bilberrydrum.fleet import subscriber
+from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.relay import crash_watch
 from bilberrydrum.requests import attempts, fingerprints
 
@@ -176,6 +176,7 @@
             engine.stall_seconds,
             functools.partial(_note_pause, run, engine),
             account=opened.batch.account,
+            priority=self._rank(opened, route),
         )
         return item_run.carry_out(
             self._means,
@@ -185,6 +186,12 @@
             deadline - clock.now(),
         )
 
+    def _rank(self, opened: work.OpenBatch, route: policy.Route | None) -> int | None:
+        account = opened.batch.account
+        if not account or route is None:
+            return None
+        return self._view.routes.precedence_of(route, account).engine_rank()
+
     def _find_refusal(
         self, opened: work.OpenBatch, run: lifecycle.ItemRun, engine: engines.Engine
     ) -> reasons.Reason | None:
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -275,8 +275,16 @@
         if route.is_single_version:
             served = self._engines.versions_of(opened.batch.model)
         is_doubtful = standing is quarantine.Standing.DOUBTFUL
+        account = opened.batch.account
         return work.waiting_item(
-            opened, run, route, self._pace, served, is_doubtful, clock.now()
+            opened,
+            run,
+            route,
+            self._pace,
+            served,
+            is_doubtful,
+            clock.now(),
+            self._view.routes.precedence_of(route, account),
         )
 
     def _needs_single(self, model_name: str) -> bool:
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -1,7 +1,8 @@
 """Which waiting items go to which engines now.
 
 Pure: items and engines in, assignments out. Answers the load in which several trainers'
-batches are open and places at engines are scarce. `urgency` says who goes first. Among
+batches are open and places at engines are scarce. `urgency` says who goes first; within
+a tier the more urgent account does, whose batches would else wait for others'. Among
 the engines that can take an item, the one with the smallest share of its places in use
 is chosen: engines generate more slowly the more they run, by half when they are full.
 One that runs items of the same group has their prompt in memory and may be a little
@@ -9,10 +10,12 @@
 """
 
 from collections.abc import Mapping, Sequence
+from typing import Any
 
 import attrs
 
 from bilberrydrum.batches import urgency
+from bilberrydrum.fleet import policy
 
 # Share of an engine's places by which one that has the group's prompt may be busier
 # than another. A full engine generates 1.5 times as slowly as an empty one, so a
@@ -47,6 +50,7 @@
     done_by: float = 0.0
     # It may have ended the engines that ran it (see `quarantine`).
     is_doubtful: bool = False
+    precedence: policy.Precedence = attrs.field(factory=policy.Precedence)
 
 
 @attrs.define
@@ -124,7 +128,11 @@
         now,
     )
     free = [each for each in places if each.n_running < each.n_slots]
-    for item in sorted(items, key=lambda e: (tiers[e.group_key], e.start_by, e.key)):
+
+    def order(item: WaitingItem) -> tuple[urgency.Tier, policy.Precedence, float, Any]:
+        return tiers[item.group_key], item.precedence, item.start_by, item.key
+
+    for item in sorted(items, key=order):
         able = [each for each in free if each.can_take(item)]
         if not able:
             continue
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -228,6 +228,7 @@
     served_versions: Collection[int],
     is_doubtful: bool,
     now: float,
+    precedence: policy.Precedence | None = None,
 ) -> scheduling.WaitingItem:
     """Return what the choice of an engine needs to know of an item.
 
@@ -262,4 +263,5 @@
         only_version,
         done_by,
         is_doubtful,
+        precedence or policy.Precedence(),
     )
--- a/bilberrydrum/fleet/policy.py
+++ b/bilberrydrum/fleet/policy.py
@@ -8,6 +8,7 @@
 import enum
 import random
 from collections.abc import Iterator
+from typing import Final
 
 import attrs
 
@@ -118,6 +119,29 @@
     accounts: tuple[client_accounts.Account, ...] | None = None
 
 
+# Ranks that an engine tells apart, and those of routes within one account's priority.
+_N_RANKS: Final = 10
+_N_ROUTE_RANKS: Final = 3
+
+
+@attrs.frozen(order=True)
+class Precedence:
+    """Whose work goes first where places are short; the lowest first.
+
+    An account's priority goes before its routes': what one account calls urgent must
+    not hold up a more urgent account.
+    """
+
+    account_priority: int = 0
+    route_priority: int = 0
+
+    def engine_rank(self) -> int:
+        """Return the rank at an engine, 0 first."""
+        route_rank = min(self.route_priority, _N_ROUTE_RANKS - 1)
+        rank = self.account_priority * _N_ROUTE_RANKS + route_rank
+        return max(0, min(rank, _N_RANKS - 1))
+
+
 class RouteTable:
     """A policy's routes, by host and with the longest prefix first; its accounts."""
 
@@ -140,6 +164,14 @@
                 return route
         return None
 
+    def precedence_of(self, route: Route, account: str | None) -> Precedence:
+        """Return the precedence of an account's requests of `route`."""
+        known = None
+        if self.accounts is not None and account:
+            known = self.accounts.accounts_by_name.get(account)
+        priority = known.priority if known is not None else 0
+        return Precedence(priority, route.priority)
+
     def has_public_batches(self, host: str) -> bool:
         """Tell whether batches are taken without a key under `host`."""
         return any(
--- a/bilberrydrum/relay/callers.py
+++ b/bilberrydrum/relay/callers.py
@@ -33,8 +33,6 @@
 
     # None: the policy has no accounts; empty: the request needs none.
     account: str | None = None
-    # Rank of the account, 0 first; None: it has none.
-    priority: int | None = None
     # Asked right before each sending: why the request must not go out, if so.
     find_refusal: Callable[[], reasons.Reason | None] = model.never_refused
 
@@ -81,7 +79,7 @@
         if account is None:
             return Caller()
         name = account.name
-        return Caller(name, account.priority, lambda: self._find_refusal(digest, name))
+        return Caller(name, lambda: self._find_refusal(digest, name))
 
     def _find_refusal(self, digest: bytes, name: str | None) -> reasons.Reason | None:
         """Return why a key is not served now; `name`: the account that it stood for."""
--- a/bilberrydrum/relay/courses.py
+++ b/bilberrydrum/relay/courses.py
@@ -175,3 +175,11 @@
         if self.last_reason is reasons.Reason.REQUEST_DOUBTFUL:
             return DOUBTFUL_RETRY_RANGE
         return self.rules.retry_after_range
+
+
+def engine_rank(course: Course, view: subscriber.Subscriber) -> int | None:
+    """Return the rank of a request at an engine; None: its account has none."""
+    account = course.inbound.account
+    if not account:
+        return None
+    return view.routes.precedence_of(course.route, account).engine_rank()
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -159,6 +159,7 @@
             inbound.request_id,
             upstream.announced_id,
             remaining,
+            priority=courses.engine_rank(course, self._view),
             account=inbound.account,
         )
         return outgoing_requests.Outgoing(
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -172,6 +172,7 @@
             upstream.announced_id,
             course.deadline - clock.now(),
             course.last_number,
+            priority=courses.engine_rank(course, self._view),
             account=inbound.account,
         )
         return outgoing_requests.Outgoing(
