Batches: texts are carried over, and places shared, by account

Two changes for accounts that share the stores.

Texts of unfinished groups were kept by the item's id alone. An account that hands in an item under another account's id was given that account's text (by reading; test red before: test_texts_belong_to_accounts). Now kept by account and id.

Cause: items go by the time that is left, so an account that asks for many times what can be done holds all places with its oldest items. Ruled out: equal shares always (a trainer with 16 groups would be held to the places of one with 9 while nobody is late); late accounts behind all others (a trainer that a fault made late would not catch up). Change: an account with items that cannot be in time keeps its turn for an equal share of the places and yields what is beyond. Where all can be served nothing changes.

--- a/bilberrydrum/batches/carried.py
+++ b/bilberrydrum/batches/carried.py
@@ -2,6 +2,7 @@
 
 A trainer hands in the groups that were not complete once more, under the same ids.
 What was generated of them is still good if its weight versions fit the later batch.
+Ids are an account's own: whoever else names one finds nothing here.
 """
 
 from collections.abc import Iterable
@@ -17,6 +18,14 @@
 _MAX_IDS: Final = 4_000
 
 
+# An account, empty for none, and an item's id.
+ItemKey = tuple[str, str]
+
+
+def _key(account: str | None, item_id: str) -> ItemKey:
+    return (account or "", item_id)
+
+
 @attrs.frozen
 class _WholeText:
     """A text that was whole, with a score or without."""
@@ -27,13 +36,13 @@
 
 
 class CarriedOver:
-    """Texts and ids by item."""
+    """Texts and ids by account and item."""
 
     def __init__(self) -> None:
-        self._whole_by_item_id: dict[str, _WholeText] = {}
-        self._texts_by_item_id: dict[str, item_run.Text] = {}
+        self._whole_by_key: dict[ItemKey, _WholeText] = {}
+        self._texts_by_key: dict[ItemKey, item_run.Text] = {}
         # Items of groups that were not complete, begun or not; the oldest first.
-        self._left_ids: dict[str, None] = {}
+        self._left_keys: dict[ItemKey, None] = {}
 
     def remember(self, batch: model.Batch, kept: model.KeptBatch) -> None:
         """Remember what there is of groups that were not complete.
@@ -49,44 +58,49 @@
             if all(each.item_id in finished for each in items):
                 continue
             for item in items:
-                self._left_ids[item.item_id] = None
+                self._left_keys[_key(batch.account, item.item_id)] = None
                 result = finished.get(item.item_id)
                 if result and result.state is model.ItemState.COMPLETED:
-                    self._add_whole(item, result)
-        _drop_oldest(self._left_ids, _MAX_IDS)
+                    self._add_whole(batch.account, item, result)
+        _drop_oldest(self._left_keys, _MAX_IDS)
 
-    def remember_runs(self, runs: Iterable[lifecycle.ItemRun]) -> None:
-        """Remember the texts of items that have no result."""
+    def remember_runs(
+        self, account: str | None, runs: Iterable[lifecycle.ItemRun]
+    ) -> None:
+        """Remember the texts of an account's items that have no result."""
         for run in runs:
             if run.unscored is not None:
-                self._add_whole(run.item, run.unscored)
+                self._add_whole(account, run.item, run.unscored)
             elif run.text.parts and not run.is_finished:
-                self._texts_by_item_id[run.item.item_id] = run.text
-        _drop_oldest(self._texts_by_item_id, _MAX_TEXTS)
+                self._texts_by_key[_key(account, run.item.item_id)] = run.text
+        _drop_oldest(self._texts_by_key, _MAX_TEXTS)
 
-    def _add_whole(self, item: model.Item, result: model.Result) -> None:
-        self._whole_by_item_id[item.item_id] = _WholeText(result, item.scoring)
-        _drop_oldest(self._whole_by_item_id, _MAX_TEXTS)
+    def _add_whole(
+        self, account: str | None, item: model.Item, result: model.Result
+    ) -> None:
+        key = _key(account, item.item_id)
+        self._whole_by_key[key] = _WholeText(result, item.scoring)
+        _drop_oldest(self._whole_by_key, _MAX_TEXTS)
 
-    def is_left(self, item_id: str) -> bool:
+    def is_left(self, account: str | None, item_id: str) -> bool:
         """Tell whether the item's group was not complete."""
-        return item_id in self._left_ids
+        return _key(account, item_id) in self._left_keys
 
-    def take_text(self, item_id: str) -> item_run.Text | None:
+    def take_text(self, account: str | None, item_id: str) -> item_run.Text | None:
         """Return the text that an item goes on from, and forget it."""
-        text = self._texts_by_item_id.pop(item_id, None)
+        text = self._texts_by_key.pop(_key(account, item_id), None)
         if text is not None:
             text.n_taken = 0
         return text
 
     def find_whole(
-        self, item: model.Item, bounds: item_run.Bounds
+        self, account: str | None, item: model.Item, bounds: item_run.Bounds
     ) -> model.Result | None:
         """Return the item's whole text if its versions fit the later batch.
 
         It has its score only if that answers the scoring request of the later batch.
         """
-        known = self._whole_by_item_id.get(item.item_id)
+        known = self._whole_by_key.get(_key(account, item.item_id))
         if known is None or not bounds.allow_all(known.result.versions):
             return None
         if known.scoring == item.scoring:
@@ -94,6 +108,6 @@
         return attrs.evolve(known.result, score="")
 
 
-def _drop_oldest(entries: dict[str, Any], n_most: int) -> None:
+def _drop_oldest(entries: dict[ItemKey, Any], n_most: int) -> None:
     while len(entries) > n_most:
         del entries[next(iter(entries))]
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -232,7 +232,9 @@
             return
         usable = self._engines.usable(now)
         places = [each.place(self._shares, slow_ids) for each in usable]
-        for assignment in scheduling.assign(sendable, places, now):
+        for assignment in scheduling.assign(
+            sendable, places, now, self._work.count_running
+        ):
             self._send(assignment)
         if slow_ids:
             self._move_from_slow(slow_ids, places, now)
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -9,7 +9,7 @@
 busier.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -51,6 +51,8 @@
     # It may have ended the engines that ran it (see `quarantine`).
     is_doubtful: bool = False
     precedence: policy.Precedence = attrs.field(factory=policy.Precedence)
+    # Whose batch it is of; empty: nobody's, all such items are one account's.
+    account: str = ""
 
 
 @attrs.define
@@ -116,9 +118,16 @@
 
 
 def assign(
-    items: Sequence[WaitingItem], places: Sequence[Place], now: float
+    items: Sequence[WaitingItem],
+    places: Sequence[Place],
+    now: float,
+    count_running: Callable[[], Mapping[str, int]] = dict,
 ) -> list[Assignment]:
-    """Return what is to be sent now; `places` are changed accordingly."""
+    """Return what is to be sent now; `places` are changed accordingly.
+
+    `count_running` returns how many items of each account run; asked only if an account
+    asks for more than can be done in time.
+    """
     assignments = []
     tiers = urgency.tiers_by_group(
         (
@@ -129,8 +138,11 @@
     )
     free = [each for each in places if each.n_running < each.n_slots]
 
-    def order(item: WaitingItem) -> tuple[urgency.Tier, policy.Precedence, float, Any]:
-        return tiers[item.group_key], item.precedence, item.start_by, item.key
+    behind = _behind(items, places, now, count_running)
+
+    def order(item: WaitingItem) -> tuple[Any, ...]:
+        tier = tiers[item.group_key]
+        return tier, item.precedence, item.key in behind, item.start_by, item.key
 
     for item in sorted(items, key=order):
         able = [each for each in free if each.can_take(item)]
@@ -144,6 +156,38 @@
     return assignments
 
 
+def _behind(
+    items: Sequence[WaitingItem],
+    places: Sequence[Place],
+    now: float,
+    count_running: Callable[[], Mapping[str, int]],
+) -> set[tuple[str, str]]:
+    """Return the items that go behind other accounts', as theirs has its share.
+
+    Answers the load in which one account asks for many times what can be done: its
+    oldest items are always the most urgent, and those of all others would wait behind
+    them until they are late as well. An account that has items which cannot be in time
+    keeps its turn for an equal share of the places, and yields what is beyond it.
+    """
+    accounts = {each.account for each in items}
+    crowding = {each.account for each in items if each.late_at < now}
+    if len(accounts) < 2 or not crowding:
+        return set()
+    running = count_running()
+    share = sum(each.n_slots for each in places) // len(accounts | running.keys())
+    left_by_account = {each: max(share - running.get(each, 0), 0) for each in crowding}
+    behind = set()
+    for item in sorted(items, key=lambda e: (e.start_by, e.key)):
+        left = left_by_account.get(item.account)
+        if left is None:
+            continue
+        if left == 0:
+            behind.add(item.key)
+        else:
+            left_by_account[item.account] = left - 1
+    return behind
+
+
 def move(
     items: Sequence[WaitingItem], places: Sequence[Place], now: float
 ) -> list[Assignment]:
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -1,5 +1,6 @@
 """The open batches and how far each item is, in the runner's memory."""
 
+import collections
 from collections.abc import Collection, Iterable, Iterator
 from typing import Final
 
@@ -132,8 +133,8 @@
             if item.item_id in finished:
                 run.finish()
             else:
-                self._resume(run, kept)
-            if self._carried.is_left(item.item_id):
+                self._resume(run, kept, batch.account)
+            if self._carried.is_left(batch.account, item.item_id):
                 left_groups.add(group_key)
             runs[item.item_id] = run
         spare = _spare_groups(batch, runs.values(), frozenset(left_groups))
@@ -141,14 +142,16 @@
         self._open_by_id[batch.batch_id] = opened
         return opened
 
-    def _resume(self, run: lifecycle.ItemRun, kept: model.KeptBatch) -> None:
+    def _resume(
+        self, run: lifecycle.ItemRun, kept: model.KeptBatch, account: str | None
+    ) -> None:
         """Go on from what there is of an item."""
         item_id = run.item.item_id
         unscored = kept.unscored_by_item_id.get(item_id)
         if unscored is not None:
             run.take_whole_text(unscored)
             return
-        run.text = self._carried.take_text(item_id) or item_run.Text()
+        run.text = self._carried.take_text(account, item_id) or item_run.Text()
         progress = kept.progress_by_item_id.get(item_id)
         if progress is not None:
             run.text = item_run.Text.of_progress(progress)
@@ -165,7 +168,7 @@
         for run in opened.runs_by_item_id.values():
             if run.is_finished or run.unscored is not None:
                 continue
-            whole = self._carried.find_whole(run.item, bounds)
+            whole = self._carried.find_whole(opened.batch.account, run.item, bounds)
             if whole is None:
                 continue
             if run.item.is_settled_by(whole):
@@ -175,6 +178,16 @@
             usable.append(whole)
         return usable
 
+    def count_running(self) -> collections.Counter[str]:
+        """Return how many items run, by the account that they belong to."""
+        counts: collections.Counter[str] = collections.Counter()
+        for opened in self._open_by_id.values():
+            counts[opened.batch.account or ""] += sum(
+                run.stage is lifecycle.Stage.GENERATING
+                for run in opened.runs_by_item_id.values()
+            )
+        return counts
+
     def find(self, key: tuple[str, str]) -> tuple[OpenBatch, lifecycle.ItemRun]:
         """Return a batch and an item of it."""
         opened = self._open_by_id[key[0]]
@@ -194,7 +207,9 @@
             return
         opened.is_ended = True
         self.remember(opened.batch, opened.kept)
-        self._carried.remember_runs(opened.runs_by_item_id.values())
+        self._carried.remember_runs(
+            opened.batch.account, opened.runs_by_item_id.values()
+        )
 
     def remember(self, batch: model.Batch, kept: model.KeptBatch) -> None:
         """Remember what an ended batch has left."""
@@ -264,4 +279,5 @@
         done_by,
         is_doubtful,
         precedence or policy.Precedence(),
+        batch.account or "",
     )
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from nose2 import tools
 
 from bilberrydrum import event_stream
@@ -251,6 +252,27 @@
         _, carried = self.reopen(kept, min_version)
         self.assertEqual([each.item_id for each in carried], expected, name)
 
+    @tools.params(("acme", True), ("beta", False), (None, False))
+    def test_texts_belong_to_accounts(self, account, is_found):
+        """Another account hands in an item under an id that it has guessed.
+
+        Given what was generated under that id before, it would read another account's
+        text, and wait for groups that are none of its own.
+        """
+        known = work.Work()
+        earlier = attrs.evolve(batch("b1", 3), account="acme")
+        kept = model.KeptBatch.of(earlier, 0.0)
+        kept.results = [result(versions=(2,))]
+        opened = known.open(kept, 0.0)
+        opened.runs_by_item_id["i1"].text.add(event_stream.Event(1, b"a"), 2)
+        known.end("b1")
+        later = attrs.evolve(batch("b2", 3, n_wanted_groups=1), account=account)
+        again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
+        found = [each.item_id for each in known.carried_results(again, None)]
+        self.assertEqual(found, ["i0"] if is_found else [])
+        went_on = again.runs_by_item_id["i1"].text.last_number == 1
+        self.assertEqual(went_on, is_found)
+
     def test_finished_text_is_kept_once(self):
         """Hundreds of items a minute finish in the memory of one process."""
         known = work.Work()
