Relay: ask a second upstream when the first one's answer is late

Ruled out: a shorter first attempt (0.38 s is late as well, and slow answers would be lost); telling the others by the control group (a gateway's next request is seconds away, and news cost each gateway); a second attempt for scoring requests (a test of bursts fails: the place that is left for look-ups is taken).

Change: relay/hedging. After half of the target latency, or three times the mean answer if that is longer, an idempotent request is also sent to another upstream, if its route allows one more and the budget does; the first good answer is passed on.

--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -12,7 +12,7 @@
 from bilberrydrum import clock, counters, reasons, upstream_protocol
 from bilberrydrum.fleet import messages, policy, subscriber
 from bilberrydrum.nodes import links, options
-from bilberrydrum.relay import balancing, callers, crash_watch, relay, streams
+from bilberrydrum.relay import balancing, callers, crash_watch, hedging, relay, streams
 from bilberrydrum.relay import model as relay_model
 from bilberrydrum.requests import attempts, connections, watch
 from bilberrydrum.usage import meter as usage_meter
@@ -63,7 +63,7 @@
             self._crashes,
             self._meter,
         )
-        self.relay = relay.Relay(*parts)
+        self.relay = relay.Relay(*parts, hedging.Hedging())
         self.streams = streams.StreamRelay(*parts)
         self.is_draining = False
 
--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -53,6 +53,7 @@
     UPSTREAM_TIMEOUT = "upstream-timeout"
     UPSTREAM_ERROR = "upstream-error"
     UPSTREAM_BUSY = "upstream-busy"
+    UPSTREAM_SLOW = "upstream-slow"
     ANSWER_TRUNCATED = "answer-truncated"
     ANSWER_MISMATCHED = "answer-mismatched"
 
