Items at slow engines go by the time that is left, among those that wait

While 9 of 24 engines were six times as slow, an item of 89 events ran 9.8 s at one of them and was never moved: moves got only the places that nobody waited for, and 112 items of its step waited.

Ruled out: that slow engines were not noticed (four and more items were moved from them in the steps beside it).

Change: what runs at a slow engine is ordered with what waits. Test red before (test_items_at_slow_engines_go_by_the_time_left).

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
+import attrs
 import eliot
 import eventlet
 import eventlet.event
@@ -220,50 +221,40 @@
         self._loader.step(now, versions_by_model, waiting_models, self._shares)
 
     def _send_items(self, now: float) -> None:
-        waiting = [
-            self._waiting_item(opened, run)
-            for opened in self._work.open_batches()
-            for run in opened.waiting_runs()
-            if run.not_before <= now
-        ]
-        sendable = [each for each in waiting if each is not None]
         slow_ids = self._engines.slow_ids(now)
-        if not sendable and not slow_ids:
+        items = self._sendable(now) + self._movable(slow_ids)
+        if not items:
             return
         usable = self._engines.usable(now)
         places = [each.place(self._shares, slow_ids) for each in usable]
         for assignment in scheduling.assign(
-            sendable, places, now, self._work.count_running
+            items, places, now, self._work.count_running
         ):
             self._send(assignment)
-        if slow_ids:
-            self._move_from_slow(slow_ids, places, now)
 
-    def _move_from_slow(
-        self, slow_ids: frozenset[str], places: list[scheduling.Place], now: float
-    ) -> None:
-        """Take items away from slow engines if others have a place for them."""
+    def _sendable(self, now: float) -> list[scheduling.WaitingItem]:
+        """Return the items that wait for a place."""
+        waiting = [
+            self._waiting_item(opened, run)
+            for opened in self._work.open_batches()
+            for run in opened.waiting_runs()
+            if run.not_before <= now
+        ]
+        return [each for each in waiting if each is not None]
+
+    def _movable(self, slow_ids: frozenset[str]) -> list[scheduling.WaitingItem]:
+        """Return the items that run at slow engines and may go on elsewhere."""
+        if not slow_ids:
+            return []
         movable = [
             self._waiting_item(opened, run)
             for opened in self._work.open_batches()
             for run in opened.runs_by_item_id.values()
             if run.engine_id in slow_ids and run.n_moves < _MAX_MOVES
         ]
-        items = [each for each in movable if each is not None]
-        for assignment in scheduling.move(items, places, now):
-            _, run = self._work.find(assignment.key)
-            eliot.log_message(
-                message_type="batches:moved",
-                batch_id=assignment.key[0],
-                item_id=assignment.key[1],
-                slow_upstream_id=run.engine_id,
-                upstream_id=assignment.engine_id,
-                n_events=len(run.text.parts),
-            )
-            run.n_moves += 1
-            run.exclude(run.engine_id, clock.now())
-            self._items.cancel(assignment.key)
-            self._send(assignment)
+        return [
+            attrs.evolve(each, is_at_slow=True) for each in movable if each is not None
+        ]
 
     def _waiting_item(
         self, opened: work.OpenBatch, run: lifecycle.ItemRun
@@ -289,6 +280,22 @@
             self._view.routes.precedence_of(route, account),
         )
 
+    def _take_away(
+        self, assignment: scheduling.Assignment, run: lifecycle.ItemRun
+    ) -> None:
+        """Break off an item's run at a slow engine."""
+        eliot.log_message(
+            message_type="batches:moved",
+            batch_id=assignment.key[0],
+            item_id=assignment.key[1],
+            slow_upstream_id=run.engine_id,
+            upstream_id=assignment.engine_id,
+            n_events=len(run.text.parts),
+        )
+        run.n_moves += 1
+        run.exclude(run.engine_id, clock.now())
+        self._items.cancel(assignment.key)
+
     def _needs_single(self, model_name: str) -> bool:
         routes = [self._route_of(each) for each in self._work.of_model(model_name)]
         return any(route is not None and route.is_single_version for route in routes)
@@ -298,4 +305,6 @@
 
     def _send(self, assignment: scheduling.Assignment) -> None:
         opened, run = self._work.find(assignment.key)
+        if run.engine_id:
+            self._take_away(assignment, run)
         self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -7,6 +7,12 @@
 is chosen: engines generate more slowly the more they run, by half when they are full.
 One that runs items of the same group has their prompt in memory and may be a little
 busier.
+
+Items that run at slow engines are among those that wait: a text goes on where it
+stopped, so a move costs one reading of the prompt, and left there, one slow engine
+holds up every group that has an item on it. They go by the time that is left like all
+others. Moved only to places that nobody waits for, they stayed while two fifths of the
+engines were slow: an item of 89 events took 9.8 s, and its trainer lost two steps.
 """
 
 from collections.abc import Callable, Mapping, Sequence
@@ -53,6 +59,8 @@
     precedence: policy.Precedence = attrs.field(factory=policy.Precedence)
     # Whose batch it is of; empty: nobody's, all such items are one account's.
     account: str = ""
+    # It runs at a slow engine, and would go on where it stopped at another one.
+    is_at_slow: bool = False
 
 
 @attrs.define
@@ -85,6 +93,8 @@
             return False
         if self.engine_id in item.excluded_ids or item.model in self.loading_models:
             return False
+        if item.is_at_slow and self.is_slow:
+            return False
         if not self._has_version(item):
             return False
         if item.is_doubtful and self.has_doubtful:
@@ -188,18 +198,6 @@
     return behind
 
 
-def move(
-    items: Sequence[WaitingItem], places: Sequence[Place], now: float
-) -> list[Assignment]:
-    """Return which items that run at slow engines should go on elsewhere.
-
-    A text goes on where it stopped, so a move costs one reading of the prompt; left
-    there, one slow engine holds up every group that has an item on it. `places` are
-    what is left after `assign`.
-    """
-    return assign(items, [each for each in places if not each.is_slow], now)
-
-
 def _rank(place: Place, item: WaitingItem) -> tuple[bool, bool, bool, float, str]:
     load = place.n_running / max(place.n_slots, 1)
     if item.group_key in place.group_keys:
--- a/tests/test_batches_engines.py
+++ b/tests/test_batches_engines.py
@@ -370,11 +370,29 @@
 
         Left there, they would take four times as long and hold up their trainer.
         """
-        items = [waiting(each) for each in ("x", "y", "z")]
+        items = [waiting(each, is_at_slow=True) for each in ("x", "y", "z")]
         places = [place("slow", 9, is_slow=True), place("e2", 4, n_running=2)]
-        moved = [each.engine_id for each in scheduling.move(items, places, 0.0)]
+        moved = [each.engine_id for each in scheduling.assign(items, places, 0.0)]
         self.assertEqual(moved, ["e2", "e2"])
 
+    @tools.params(
+        ("the one at the slow engine is more urgent", 1.0, 2.0, "slow"),
+        ("the one that waits is more urgent", 2.0, 1.0, "waits"),
+    )
+    def test_items_at_slow_engines_go_by_the_time_left(self, name, slow, waits, first):
+        """Two fifths of the engines are slow, and items wait for each place elsewhere.
+
+        Moved only to places that nobody waits for, a long item stays where it takes six
+        times as long; its trainer, which waits for it, misses its next steps.
+        """
+        items = [
+            waiting("slow", start_by=slow, is_at_slow=True),
+            waiting("waits", start_by=waits),
+        ]
+        places = [place("slow", 6, is_slow=True, n_running=6), place("e2", 1)]
+        given = scheduling.assign(items, places, 0.0)
+        self.assertEqual([each.key[1] for each in given], [first], name)
+
     def test_engine_that_failed_is_passed_over_for_a_while_only(self):
         """The one engine that serves a version fails once.
 
