--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -39,6 +39,20 @@
     "Runs that broke off at an upstream, by whether it had ended.",
     ["upstream"],
 )
+USAGE_LOST: Final = prometheus_client.Counter(
+    "bilberrydrum_usage_lost_requests_total",
+    "Begun requests that are in no report, by why.",
+    ["why"],
+)
+USAGE_REPORTS: Final = prometheus_client.Counter(
+    "bilberrydrum_usage_reports_total",
+    "Reports of use that were sent, by the answer's status.",
+    ["status"],
+)
+USAGE_PENDING: Final = prometheus_client.Gauge(
+    "bilberrydrum_usage_pending_windows",
+    "Closed windows whose report is not confirmed, at the control leader.",
+)
 RELAY_SECONDS: Final = prometheus_client.Histogram(
     "bilberrydrum_relay_seconds",
     "Time from a request's arrival to its answer.",
--- a/bilberrydrum/usage/meter.py
+++ b/bilberrydrum/usage/meter.py
@@ -9,7 +9,7 @@
 import attrs
 import eliot
 
-from bilberrydrum import clock
+from bilberrydrum import clock, counters
 from bilberrydrum.usage import agreed_time, model
 
 # Windows whose counts are kept while no leader closes them. At 5 s a window that is two
@@ -60,6 +60,7 @@
             return
         window = self._window_at(began_at)
         if window < self._closed_before:
+            counters.USAGE_LOST.labels("late").inc()
             eliot.log_message(
                 message_type="usage:counted-late",
                 account=account,
@@ -75,6 +76,7 @@
         while len(self._counts_by_window) > MAX_WINDOWS:
             window = min(self._counts_by_window)
             dropped = self._counts_by_window.pop(window)
+            counters.USAGE_LOST.labels("dropped").inc(dropped.total())
             eliot.log_message(
                 message_type="usage:dropped", window=window, n_requests=dropped.total()
             )
--- a/bilberrydrum/usage/reporter.py
+++ b/bilberrydrum/usage/reporter.py
@@ -9,7 +9,7 @@
 import eliot
 import eventlet
 
-from bilberrydrum import backoff, clock, upstream_protocol
+from bilberrydrum import backoff, clock, counters, upstream_protocol
 from bilberrydrum.requests import single_calls
 from bilberrydrum.state import replica, tenure
 from bilberrydrum.usage import agreed_time, commands, gathering, model
@@ -191,8 +191,10 @@
 
     def report(self) -> None:
         """Send all closed windows that are not confirmed, the oldest first."""
+        pending = self._section().pending_by_window
+        counters.USAGE_PENDING.set(len(pending))
         taken = []
-        for window, counts in sorted(self._section().pending_by_window.items()):
+        for window, counts in sorted(pending.items()):
             if not self._send(counts):
                 break
             taken.append(window)
@@ -216,6 +218,8 @@
             status=reply.status,
             is_withheld=reply.is_withheld,
         )
+        if not reply.is_withheld:
+            counters.USAGE_REPORTS.labels(str(reply.status)).inc()
         if reply.status == _CONFLICT and numbers:
             self._tenure.was_refused(numbers[0])
         if reply.status != _OK:
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -73,7 +73,14 @@
             faults.append(f"{heading}: failures {named}")
         for row in rows:
             faults += [f"{heading}, {row[0]}: {fault}" for fault in check(row, ids)]
-    return faults
+    return faults + check_lists(text, ids)
+
+
+def check_lists(text, ids):
+    """Return the tests that the page's lists name and that are not there."""
+    items = [line for line in text.splitlines() if line.startswith("- ")]
+    named = [each for item in items for each in TEST_ID.findall(item)]
+    return [f"no test {each}" for each in named if each not in ids]
 
 
 def check(row, ids):
@@ -95,12 +102,14 @@
         ("no reason", "`tests.test_a.A.test_b`", "not proved:"),
         ("a failure left out", f"| {FAILURES[0]} |", f"| {FAILURES[1]} |"),
         ("a promise left out", "## 9\n", "\n"),
+        ("a list", "- `tests.test_a.A.test_b`", "- `tests.test_a.A.x`"),
     )
     def test_fault_of_the_page_is_found(self, what, good, bad):
         cell = "`tests.test_a.A.test_b`"
         rows = "\n".join(f"| {failure} | {cell} |" for failure in FAILURES)
         table = f"| failure | tests |\n| --- | --- |\n{rows}\n"
         page = "\n".join(f"## {number}\n\n{table}" for number in range(1, 10))
+        page += "\n- `tests.test_a.A.test_b`\n"
         ids = {"tests.test_a.A.test_b"}
         self.assertEqual([], find_faults(page, ids))
         self.assertTrue(find_faults(page.replace(good, bad, 1), ids), what)
