Soak: keys that come and go, accounts, and a receiver of reports that fails

Clients send with keys in force and with dead ones; upstreams check that no dead key runs, that no key and no forged account reaches them; a receiver answers late, not at all, or with 429, and checks that no window is reported twice with different counts.

--- a/misc/soaks/soak_clients.py
+++ b/misc/soaks/soak_clients.py
@@ -16,7 +16,7 @@
 
 from bilberrydrum import clock
 from bilberrydrum.batches import model as batch_model
-from misc.soaks import soak_ledger, soak_upstreams
+from misc.soaks import soak_accounts, soak_ledger, soak_upstreams
 
 HOST: Final = "soak.example"
 MODEL: Final = "m"
@@ -99,6 +99,11 @@
             task.kill()
         self._tasks.clear()
 
+    def _headers(self, request_id: str, key: str) -> dict[str, str]:
+        """Return the headers of a request that is sent at once, under `key`."""
+        self._ledger.accounts.sent(request_id, key, clock.now())
+        return standins.request_headers(HOST, request_id, ASK_SECONDS, key)
+
     def _new_id(self, kind: str) -> str:
         return f"{self._prefix}-{kind}-{next(self._numbers)}"
 
@@ -127,10 +132,12 @@
             ),
             (standins.BatchRoute("batches", "/batches/", "engines"),),
             {"apps": (), "engines": (MODEL,)},
+            soak_accounts.accounts_of(version),
         )
         if not self.announce(standins.submit_policy(policy)):
             return False
         self._ledger.put_policy(version)
+        self._ledger.accounts.put(policy.accounts, clock.now())
         return True
 
     def _operate(self) -> None:
@@ -174,7 +181,8 @@
 
     def _send_single(self, connection: http.client.HTTPConnection, kind: str) -> bool:
         request_id = self._new_id(kind)
-        headers = standins.request_headers(HOST, request_id, ASK_SECONDS)
+        key = self._ledger.accounts.choose_key(self._rng)
+        headers = self._headers(request_id, key)
         call = standins.Call("POST", f"/{kind}/x", headers, b"body")
         answer = ask(connection, call, ASK_SECONDS + 0.5)
         self._ledger.answered(request_id, answer.status, answer.body, answer.stamp)
@@ -191,7 +199,7 @@
         """Send a request that ends upstreams to one gateway after the other."""
         for gateway in self._shuffled(self._gateways):
             request_id = self._new_id("crashing")
-            headers = standins.request_headers(HOST, request_id, ASK_SECONDS)
+            headers = self._headers(request_id, soak_accounts.DESK_KEY)
             body = soak_ledger.CRASHING_BODY
             call = standins.Call("POST", "/look-up/x", headers, body)
             status = ask_once(gateway, call).status
@@ -201,7 +209,7 @@
         """Tell whether a look-up is served at a gateway."""
         connection = http.client.HTTPConnection(gateway)
         request_id = self._new_id("look-up")
-        headers = standins.request_headers(HOST, request_id, ASK_SECONDS)
+        headers = self._headers(request_id, soak_accounts.DESK_KEY)
         call = standins.Call("POST", "/look-up/x", headers, b"body")
         try:
             return ask(connection, call, ASK_SECONDS).status == 200
@@ -242,7 +250,8 @@
 
     def submit(self, batch: batch_model.Batch) -> bool:
         """Submit a batch at one gateway after the other until it is accepted."""
-        call = standins.submit_batch(batch, "/batches/x", ASK_SECONDS)
+        key = soak_accounts.TRAINER_KEY
+        call = standins.submit_batch(batch, "/batches/x", ASK_SECONDS, key)
         deadline = clock.now() + STEP_SECONDS
         while clock.now() < deadline:
             if ask_once(self._rng.choice(self._gateways), call).status == 202:
@@ -273,7 +282,8 @@
     def read(self, batch_id: str, position: int) -> bool:
         """Read a page of a batch at some gateway; tell whether there was one."""
         asked_at = clock.now()
-        call = standins.read_results(HOST, batch_id, position)
+        key = soak_accounts.TRAINER_KEY
+        call = standins.read_results(HOST, batch_id, position, key)
         answer = ask_once(self._rng.choice(self._gateways), call)
         if answer.status == 200:
             self._ledger.read(batch_id, position, standins.page(answer.body))
@@ -282,7 +292,7 @@
         return answer.status == 200
 
     def _end(self, batch_id: str) -> None:
-        call = standins.end_batch(HOST, batch_id)
+        call = standins.end_batch(HOST, batch_id, soak_accounts.TRAINER_KEY)
         self._ledger.end_asked(batch_id)
         for _ in range(20):
             if ask_once(self._rng.choice(self._gateways), call).status == 200:
--- a/misc/soaks/soak_ledger.py
+++ b/misc/soaks/soak_ledger.py
@@ -11,6 +11,8 @@
 import attrs
 from bilberrydrum_platform import standins
 
+from misc.soaks import soak_accounts
+
 # Statuses by which a gateway promises that a request did not run and never will.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 # Time in which an acknowledged end or departure must be in force, in seconds, while
@@ -52,6 +54,7 @@
 
     def __init__(self) -> None:
         self.findings: list[str] = []
+        self.accounts = soak_accounts.Accounts(self._find)
         self.counts: collections.Counter[str] = collections.Counter()
         self.disturbed_at = float("-inf")
         self.policy_version = 0
@@ -112,6 +115,7 @@
     def answered(self, request_id: str, status: int, body: bytes, stamp: str) -> None:
         """Note the answer to any request."""
         self.counts[f"look-up {status}"] += 1
+        self.accounts.answered(request_id, status)
         if status != 200:
             return
         if body.decode("utf-8", "replace") != request_id:
--- a/misc/soaks/soak_run.py
+++ b/misc/soaks/soak_run.py
@@ -113,7 +113,13 @@
         return all(served) and self.clients.is_batch_served()
 
     def _check_at_the_end(self) -> None:
+        n_reports = self.ledger.accounts.n_reports
         self._wait("service after healing", self._is_served, RECOVERY_SECONDS)
+        self._wait(
+            "a report after healing",
+            lambda: self.ledger.accounts.n_reports > n_reports,
+            RECOVERY_SECONDS,
+        )
         self.clients.stop()
         self._wait("calm", self._is_calm, RECOVERY_SECONDS)
         for _ in range(_LAST_CRASHING):
--- a/misc/soaks/soak_site.py
+++ b/misc/soaks/soak_site.py
@@ -13,7 +13,13 @@
 from bilberrydrum import clock
 from bilberrydrum.nodes import options
 from misc import processes
-from misc.soaks import soak_faults, soak_ledger, soak_links, soak_upstreams
+from misc.soaks import (
+    soak_accounts,
+    soak_faults,
+    soak_ledger,
+    soak_links,
+    soak_upstreams,
+)
 
 # Internal ports by role: those of the two transports.
 _PORTS_BY_ROLE: Final = {
@@ -57,6 +63,7 @@
         self._tasks: list[Any] = []
         # Processes that a fault keeps down.
         self._down: set[str] = set()
+        self._receiver = soak_accounts.Receiver(ledger.accounts)
         self._make_hosts(slot, sizes)
         self._starting_by_name = {
             name: semaphore.Semaphore() for name in self.hosts_by_name
@@ -94,6 +101,7 @@
                     str(self._folder / f"{name}-data") if has_disk else "",
                     seeds,
                     is_first_start=True,
+                    receiver_address=self._receiver.address,
                 )
 
     def targets(self) -> soak_faults.Targets:
@@ -134,6 +142,7 @@
             task.kill()
         for upstream in self.upstreams_by_name.values():
             upstream.stop()
+        self._receiver.stop()
         self.processes.stop_all()
         for links in self.links_by_name.values():
             for link in links:
--- a/misc/soaks/soak_upstreams.py
+++ b/misc/soaks/soak_upstreams.py
@@ -9,7 +9,7 @@
 from typing import Any, Final
 
 import eventlet
-from bilberrydrum_platform import standins
+from bilberrydrum_platform import standin_accounts, standins
 
 from bilberrydrum import clock
 from misc.soaks import soak_ledger, soak_links
@@ -180,6 +180,8 @@
         if received.target == standins.ORDER_TARGET:
             return self._order(connection, received)
         self._ledger.received(self.upstream_id, work.request_id, clock.now())
+        claim = standin_accounts.claim(received.headers)
+        self._ledger.accounts.ran(work.request_id, claim)
         if self._n_running >= SLOTS:
             headers = standins.answer_headers(work.request_id)
             headers.update(standins.NOT_RUN_HEADERS)
