--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -155,10 +155,7 @@
         )
 
     def place(
-        self,
-        shares: engine_shares.Shares,
-        slow_ids: frozenset[str] = frozenset(),
-        pace_ratio: float = 1.0,
+        self, shares: engine_shares.Shares, slow_ids: frozenset[str] = frozenset()
     ) -> scheduling.Place:
         """Return what the choice for items needs."""
         loading = frozenset({self.loading.model} if self.loading else ())
@@ -176,7 +173,6 @@
             self.n_tokens,
             set(self.n_by_group),
             self.n_doubtful > 0,
-            pace_ratio,
         )
 
 
@@ -233,27 +229,16 @@
         """Return how many engines load weights."""
         return sum(1 for each in self.by_id.values() if each.loading is not None)
 
-    def _paces_by_id(self, now: float) -> dict[str, float]:
-        return {
-            engine_id: each.pace_seconds
-            for engine_id, each in self.by_id.items()
-            if each.pace_seconds and now - each.paced_at <= PACE_SECONDS
-        }
-
-    def pace_ratios_by_id(self, now: float) -> dict[str, float]:
-        """Return each engine's pace as a multiple of the mean, where it is known."""
-        paces_by_id = self._paces_by_id(now)
-        if not paces_by_id:
-            return {}
-        mean = statistics.fmean(paces_by_id.values())
-        return {engine_id: pace / mean for engine_id, pace in paces_by_id.items()}
-
     def slow_ids(self, now: float) -> frozenset[str]:
         """Return the engines that are much slower than the others now.
 
         Each engine remembers the verdict for when its pace is not known any more.
         """
-        paces_by_id = self._paces_by_id(now)
+        paces_by_id = {
+            engine_id: each.pace_seconds
+            for engine_id, each in self.by_id.items()
+            if each.pace_seconds and now - each.paced_at <= PACE_SECONDS
+        }
         slow = set()
         for engine_id, pace in paces_by_id.items():
             others = [p for other, p in paces_by_id.items() if other != engine_id]
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -226,11 +226,7 @@
         if not items:
             return
         usable = self._engines.usable(now)
-        ratios = self._engines.pace_ratios_by_id(now)
-        places = [
-            each.place(self._shares, slow_ids, ratios.get(each.upstream_id, 1.0))
-            for each in usable
-        ]
+        places = [each.place(self._shares, slow_ids) for each in usable]
         for assignment in scheduling.assign(
             items, places, now, self._work.count_running
         ):
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -15,7 +15,6 @@
 engines were slow: an item of 89 events took 9.8 s, and its trainer lost two steps.
 """
 
-import math
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
@@ -24,13 +23,6 @@
 from bilberrydrum.batches import urgency
 from bilberrydrum.fleet import policy
 
-# An item should be done this long before its batch needs it, in seconds: as long as a
-# change of the leader or a break takes. Only an item that cannot looks for the engines
-# that generate fastest; all others leave them to it.
-SPARE_SECONDS = 2.0
-# Steps in which lateness counts, in seconds: two engines that differ by less are chosen
-# by their load.
-_LATENESS_STEP = 0.5
 # Share of an engine's places by which one that has the group's prompt may be busier
 # than another. A full engine generates 1.5 times as slowly as an empty one, so a
 # quarter costs an eighth of the pace; the prompt costs its reading, some milliseconds,
@@ -94,8 +86,6 @@
     group_keys: set[tuple[str, str]] = attrs.field(factory=set)
     # A doubtful item runs there.
     has_doubtful: bool = False
-    # How many times as long as usual an event takes here; 1: as long, or not known.
-    pace_ratio: float = 1.0
 
     def can_take(self, item: WaitingItem) -> bool:
         """Tell whether `item` may be sent here."""
@@ -168,7 +158,7 @@
         able = [each for each in free if each.can_take(item)]
         if not able:
             continue
-        place = min(able, key=lambda each: _rank(each, item, now))
+        place = min(able, key=lambda each: _rank(each, item))
         place.take(item)
         if place.n_running >= place.n_slots:
             free.remove(place)
@@ -208,9 +198,7 @@
     return behind
 
 
-def _rank(
-    place: Place, item: WaitingItem, now: float
-) -> tuple[bool, bool, bool, float, float, str]:
+def _rank(place: Place, item: WaitingItem) -> tuple[bool, bool, bool, float, str]:
     load = place.n_running / max(place.n_slots, 1)
     if item.group_key in place.group_keys:
         load -= AFFINITY_SHARE
@@ -218,21 +206,6 @@
         place.is_silent,
         place.is_slow,
         item.model not in place.models,
-        _lateness(place, item, now),
         load,
         place.engine_id,
     )
-
-
-def _lateness(place: Place, item: WaitingItem, now: float) -> float:
-    """Return by how much, in seconds, an item would miss its spare time at an engine.
-
-    Answers the load in which a third of the engines is 1.3 times as slow as the others
-    and the longest items decide when a step is whole: 97 events take 4.7 s at most
-    engines and 6.1 s at these.
-    """
-    if not item.done_by:
-        return 0.0
-    seconds = (item.done_by - item.start_by) * place.pace_ratio
-    late = now + seconds + SPARE_SECONDS - item.done_by
-    return math.ceil(max(late, 0.0) / _LATENESS_STEP) * _LATENESS_STEP
--- a/tests/test_batches_engines.py
+++ b/tests/test_batches_engines.py
@@ -404,42 +404,6 @@
         self.assertEqual(run.excluded_ids(101.5), frozenset())
 
 
-class Pace(unittest.TestCase):
-    """A third of the engines generates 1.3 times as slowly as the others."""
-
-    @tools.params(
-        ("long: it would use up its spare time", 2.2, "fast"),
-        ("long, and at the fast engine late as well", -3.0, "fast"),
-        ("short: by load", 6.4, "idle"),
-        ("no time given: by load", None, "idle"),
-    )
-    def test_long_items_take_the_fast_engines(self, name, start_by, expected):
-        """The longest items decide when a step is whole; 4.7 s or 6.1 s is their time.
-
-        By load alone they go wherever a place came free first.
-        """
-        fields = {"done_by": 6.9} if start_by is not None else {}
-        item = waiting("i", start_by=start_by or 0.0, **fields)
-        places = [
-            place("fast", 6, n_running=4, pace_ratio=0.9),
-            place("idle", 6, n_running=0, pace_ratio=1.25),
-        ]
-        given = scheduling.assign([item], places, 0.0)
-        self.assertEqual([each.engine_id for each in given], [expected], name)
-
-    def test_ratios(self):
-        known = engines.Engines()
-        for engine_id, pace in (("a", 0.04), ("b", 0.04), ("c", 0.07), ("d", 0.0)):
-            upstream = fleet_model.FleetUpstream(engine_id, "s", "1:1", "z", 6)
-            known.by_id[engine_id] = engines.Engine(upstream)
-            if pace:
-                known.by_id[engine_id].note_pause(pace, 100.0)
-        ratios = known.pace_ratios_by_id(101.0)
-        self.assertEqual(sorted(ratios), ["a", "b", "c"])
-        self.assertAlmostEqual(ratios["c"], 1.4)
-        self.assertEqual(known.pace_ratios_by_id(200.0), {})
-
-
 class Incarnations(unittest.TestCase):
     """An engine crashes while it is told to load, and starts again under its name.
 
