--- a/bilberrydrum/relay/courses.py
+++ b/bilberrydrum/relay/courses.py
@@ -6,7 +6,7 @@
 import attrs
 import eliot
 
-from bilberrydrum import clock, counters, reasons, upstream_protocol
+from bilberrydrum import clock, counters, quarantine, reasons, upstream_protocol
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.relay import crash_watch, model
@@ -177,6 +177,22 @@
         return self.rules.retry_after_range
 
 
+def find_refusal(
+    course: Course,
+    crashes: crash_watch.CrashWatch,
+    view: subscriber.Subscriber,
+    upstream_id: str,
+) -> reasons.Reason | None:
+    """Return why nothing must be sent any more, looked up right before each sending."""
+    refusal = course.inbound.find_refusal()
+    if refusal is not None:
+        return refusal
+    if crashes.standing(course.fingerprint) is quarantine.Standing.QUARANTINED:
+        # Other gateways have seen it end upstreams since this one chose.
+        return reasons.Reason.REQUEST_QUARANTINED
+    return view.registry.find_refusal(upstream_id)
+
+
 def engine_rank(course: Course, view: subscriber.Subscriber) -> int | None:
     """Return the rank of a request at an engine; None: its account has none."""
     account = course.inbound.account
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from typing import Any, Final, cast
+from typing import Any, Final
 
 import attrs
 import eliot
@@ -165,14 +165,13 @@
         if patience is None:
             return self._try(upstream, course)
         answers: Any = eventlet.queue.LightQueue()
+        answer: model.Answered | None = None
         eventlet.spawn_n(self._try_apart, upstream, course, answers)
-        n_under_way = 1
         try:
             answer = answers.get(timeout=patience)
+            return answer
         except eventlet.queue.Empty:
-            answer = None
-        else:
-            return cast("model.Answered | None", answer)
+            n_under_way = 1
         second = self._choose_second(upstream, course)
         if second is not None:
             eventlet.spawn_n(self._try_apart, second, course, answers)
@@ -180,7 +179,7 @@
         while answer is None and n_under_way:
             answer = answers.get()
             n_under_way -= 1
-        return cast("model.Answered | None", answer)
+        return answer
 
     def _patience(self, course: _Course) -> float | None:
         """Return when a second upstream may be asked; None: it may not."""
@@ -279,25 +278,15 @@
             inbound.body,
             now + seconds,
             course.may_run_again,
-            lambda: self._find_refusal(course, upstream),
+            lambda: courses.find_refusal(
+                course, self._crashes, self._view, upstream.upstream_id
+            ),
             inbound.is_client_gone,
             id_header=self._protocol.request_id_header,
             accepts_unframed=True,
             may_repeat=course.may_run_again,
         )
 
-    def _find_refusal(
-        self, course: _Course, upstream: fleet_model.FleetUpstream
-    ) -> reasons.Reason | None:
-        refusal = course.inbound.find_refusal()
-        if refusal is not None:
-            return refusal
-        standing = self._crashes.standing(course.fingerprint)
-        if standing is quarantine.Standing.QUARANTINED:
-            # Other gateways have seen it end upstreams since this one chose.
-            return reasons.Reason.REQUEST_QUARANTINED
-        return self._view.registry.find_refusal(upstream.upstream_id)
-
     def _answered(
         self,
         attempt: _Attempt,
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -183,7 +183,9 @@
             inbound.body,
             course.deadline,
             True,
-            lambda: self._find_refusal(course, upstream),
+            lambda: courses.find_refusal(
+                course, self._crashes, self._view, upstream.upstream_id
+            ),
             inbound.is_client_gone,
             id_header=self._protocol.request_id_header,
             accepts_unframed=True,
@@ -191,18 +193,6 @@
             uses_kept=course.route.is_resumable,
         )
 
-    def _find_refusal(
-        self, course: _Course, upstream: fleet_model.FleetUpstream
-    ) -> reasons.Reason | None:
-        refusal = course.inbound.find_refusal()
-        if refusal is not None:
-            return refusal
-        standing = self._crashes.standing(course.fingerprint)
-        if standing is quarantine.Standing.QUARANTINED:
-            # Other gateways have seen it end upstreams since this one chose.
-            return reasons.Reason.REQUEST_QUARANTINED
-        return self._view.registry.find_refusal(upstream.upstream_id)
-
     def _taken(self, course: _Course, source: _Source) -> _Source | None:
         head = self._protocol.read_head(source.answer.headers)
         is_stream = source.answer.status == _OK
