Soak: start processes in tasks that healing does not end

A gateway of the same name ran on, unknown to the soak: the kill-all fault's task had started it, and was ended by the healing before the process was noted. Traced by the sockets' holder and its lines (two starts, the second at the moment of healing). Ruled out: a gateway that does not stop (its first life was killed and gone).

--- a/misc/soaks/soak_site.py
+++ b/misc/soaks/soak_site.py
@@ -149,6 +149,11 @@
                 link.stop()
 
     def _start_process(self, name: str) -> None:
+        # In a task that nobody ends: healing ends the faults' tasks, and one that had
+        # started a process, but not noted it, would leave it behind on its ports.
+        eventlet.spawn(self._start_if_down, name).wait()
+
+    def _start_if_down(self, name: str) -> None:
         # Starting a process lets other tasks run: two of them that find it down would
         # start it twice, and one of the two would never be ended.
         with self._starting_by_name[name]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,11 @@
 import pathlib
 import subprocess
 import sys
+import tempfile
 import unittest
+from unittest import mock
 
+import eventlet
 from nose2 import tools
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -17,6 +20,7 @@
     soak_faults,
     soak_ledger,
     soak_run,
+    soak_site,
 )
 
 TARGETS = soak_faults.Targets(
@@ -29,7 +33,9 @@
 # again on the ports of the first.
 # 3, which `test_one_seed` runs: the soak stopped its trainer between the commit of an
 # end and its answer, and then asked for the items that were left.
-REGRESSION_SEEDS = ((202, 15.0),)
+# 40123: healing ended a fault's task that had started a process and not noted it yet;
+# the next one ended again and again on its ports.
+REGRESSION_SEEDS = ((202, 15.0), (40123, 12.0))
 
 
 class Faults(unittest.TestCase):
@@ -66,6 +72,56 @@
     return standins.Listed(item_id, True, fields.get("text", text), versions, score)
 
 
+class Starting(unittest.TestCase):
+    """A process takes a while to start, and the task that starts it is ended."""
+
+    def test_no_process_is_left_behind(self):
+        """Healing ends the task of a fault between a start and its note.
+
+        The process runs on and nobody knows of it: whoever starts the next one finds
+        its ports taken, until the end of the run and after it.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            site = soak_site.Site(
+                pathlib.Path(folder),
+                19,
+                soak_site.Sizes(),
+                soak_ledger.Ledger(),
+                lambda call: True,
+            )
+            self.addCleanup(site.stop)
+            started = []
+
+            def start(name):
+                started.append(name)
+                eventlet.sleep(0.05)
+                site.processes.processes_by_name[name] = Running()
+
+            with mock.patch.object(site, "_start", start):
+                fault = eventlet.spawn(site._start_process, "gateway-0")
+                eventlet.sleep(0.01)
+                fault.kill()
+                site._start_process("gateway-0")
+        self.assertEqual(started, ["gateway-0"])
+
+
+class Running:
+    """Stands for a process that has not ended."""
+
+    def is_running(self):
+        return True
+
+    def send(self, number):
+        pass
+
+    def thaw(self):
+        pass
+
+    @property
+    def popen(self):
+        return mock.Mock()
+
+
 class Accounts(unittest.TestCase):
     """Keys that die, claims that are forged, and reports that differ are found."""
 
