--- a/bilberrydrum/usage/reporter.py
+++ b/bilberrydrum/usage/reporter.py
@@ -142,7 +142,7 @@
 
     # Windows
 
-    def _repeat(self, step: Any) -> None:
+    def _repeat(self, step: Callable[[], None]) -> None:
         while True:
             clock.sleep(_LOOK_SECONDS)
             try:
