Sight: say what each attempt at an item was asked for, and what it read

Callers saw a text with an event where another was due, and the lines could not tell which attempt brought which events: they name the engine, the outcome and the length of the text alone. Change: after which event an engine was asked to go on, the numbers that came, how the answer told its end; a line where a batch or a new leader goes on from a text that exists, with its source.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -42,6 +42,25 @@
     WRONG_VERSION = "wrong-version"
 
 
+@attrs.define
+class Reading:
+    """What an attempt asked for and what it has read, for its log line."""
+
+    # Event that the engine was asked to go on after; None: it was to begin.
+    asked_after: int | None
+    # Numbers of the events that came; None: none came.
+    first_number: int | None = None
+    last_number: int | None = None
+    # How the answer tells its end: "length", "chunks" or "close"; empty: no answer.
+    framing: str = ""
+
+    def note(self, event: event_stream.Event) -> None:
+        """Note an event that came."""
+        if self.first_number is None:
+            self.first_number = event.number
+        self.last_number = event.number
+
+
 @attrs.frozen
 class Ended:
     """The end of an attempt."""
@@ -52,6 +71,7 @@
     version: int | None = None
     # The connection ended in the middle, as it does when the engine crashes.
     is_cut_off: bool = False
+    reading: Reading = attrs.field(factory=lambda: Reading(None), eq=False)
 
 
 @attrs.define
@@ -158,11 +178,24 @@
     remaining_seconds: float,
 ) -> Ended:
     """Send the item to `engine` and add what comes back to the run's text."""
+    reading = Reading(run.text.last_number)
+    ended = _send(means, protocol, engine, run, remaining_seconds, reading)
+    return attrs.evolve(ended, reading=reading)
+
+
+def _send(
+    means: attempts.Means,
+    protocol: upstream_protocol.UpstreamProtocol,
+    engine: fleet_model.FleetUpstream,
+    run: Run,
+    remaining_seconds: float,
+    reading: Reading,
+) -> Ended:
     attempt = upstream_protocol.Attempt(
         run.item.item_id,
         engine.announced_id,
         remaining_seconds,
-        last_event_number=run.text.last_number,
+        last_event_number=reading.asked_after,
         priority=run.priority,
         account=run.account,
     )
@@ -187,7 +220,14 @@
             )
     except attempts.AttemptError as error:
         return _without_answer(error)
-    return _read(means, protocol, engine, run, outgoing, connection, answer)
+    reading.framing = _framing_of(answer)
+    return _read(means, protocol, engine, run, outgoing, connection, answer, reading)
+
+
+def _framing_of(answer: Any) -> str:
+    if "chunked" in answer.headers.get("Transfer-Encoding", "").lower():
+        return "chunks"
+    return "length" if "Content-Length" in answer.headers else "close"
 
 
 def _without_answer(error: attempts.AttemptError) -> Ended:
@@ -213,10 +253,11 @@
     outgoing: outgoing_requests.Outgoing,
     connection: Any,
     answer: Any,
+    reading: Reading,
 ) -> Ended:
     is_whole = False
     try:
-        ended = _consume(means, protocol, run, outgoing, answer)
+        ended = _consume(means, protocol, run, outgoing, answer, reading)
         is_whole = ended.outcome not in (Outcome.BROKEN, Outcome.WRONG_VERSION)
         return ended
     except attempts.AttemptError as error:
@@ -239,6 +280,7 @@
     run: Run,
     outgoing: outgoing_requests.Outgoing,
     answer: Any,
+    reading: Reading,
 ) -> Ended:
     head = protocol.read_head(answer.headers)
     if answer.status != _OK:
@@ -249,6 +291,7 @@
     last_version = None
     for part in _parts(means, outgoing, answer, run.stall_seconds):
         for event in reader.feed(part):
+            reading.note(event)
             now = clock.now()
             if last_at is not None:
                 run.on_event(now - last_at)
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import attrs
+import eliot
 
 from bilberrydrum.batches import (
     carried,
@@ -152,9 +153,21 @@
             run.take_whole_text(unscored)
             return
         run.text = self._carried.take_text(account, item_id) or item_run.Text()
+        source = "carried"
         progress = kept.progress_by_item_id.get(item_id)
         if progress is not None:
             run.text = item_run.Text.of_progress(progress)
+            source = "kept"
+        if run.text.last_number is not None:
+            eliot.log_message(
+                message_type="batches:text-taken-up",
+                batch_id=kept.batch_id,
+                item_id=item_id,
+                source=source,
+                n_events=len(run.text.parts),
+                last_number=run.text.last_number,
+                versions=sorted(run.text.versions),
+            )
 
     def carried_results(
         self, opened: OpenBatch, route: policy.Route | None
