Tests: what is kept of a text after a save is lost (red)

A save of an unfinished text is proposed and forgotten. With the first save of a text that began anew not committed, 8 events of the earlier text and 8 of the new one are kept as one text, under the new one's versions. With any later save not committed, 8 of 48 events are kept: nothing more is joined while the item runs.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -34,6 +34,18 @@
     return model.Result.of(item_id, model.ItemState.COMPLETED, text, versions)
 
 
+def generated(run, first, n_events):
+    """Return the data of events of the run of this name."""
+    return [f"{run} {n}".encode() for n in range(first, first + n_events)]
+
+
+def generate(text, run, n_events, version):
+    """Add the next events of a run to `text`."""
+    first = (text.last_number or 0) + 1
+    for n, data in enumerate(generated(run, first, n_events), first):
+        text.add(event_stream.Event(n, data), version)
+
+
 class Kept(unittest.TestCase):
     """A batch is accepted once; a result's position and content never change."""
 
@@ -213,6 +225,55 @@
         self.apply(commands.SaveProgress("b", (first, anew)))
         self.assertEqual(self.kept().progress_by_item_id["i0"], anew)
 
+    def keep(self, text):
+        """Have what is new of `text` committed, and tell it so."""
+        self.apply(commands.SaveProgress("b", (text.take_progress("i0"),)))
+
+    def lose(self, text):
+        """Have what is new of `text` proposed and not committed."""
+        text.take_progress("i0")
+
+    def taken_up(self):
+        """Return the text that a new leader goes on from."""
+        return work.Work().open(self.kept(), 0.0).runs_by_item_id["i0"].text
+
+    def test_parts_of_two_texts_are_not_joined(self):
+        """A result has the events of two runs, under the versions of the second alone.
+
+        Eight events are kept; the answer is damaged, and the text begins anew. The
+        first save of the new text finds the queue full; its second, of as many events
+        before as are kept, is committed. The next leader goes on from eight events of
+        each: joined by their number, parts need not be of one text.
+        """
+        text = item_run.Text()
+        generate(text, "first", 8, 1)
+        self.keep(text)
+        text.clear()
+        generate(text, "second", 8, 2)
+        self.lose(text)
+        generate(text, "second", 8, 2)
+        self.keep(text)
+        went_on = self.taken_up()
+        self.assertIn(went_on.parts, (text.parts, generated("first", 1, 8)))
+        self.assertEqual(went_on.versions, {2} if went_on.parts == text.parts else {1})
+
+    def test_lost_save_is_made_up_for(self):
+        """A new leader runs an item of 140 events again from its eighth.
+
+        The second save of a text finds the queue full. What was taken for it counts as
+        kept, so each later save lacks these events and is joined to nothing, for as
+        long as the item runs.
+        """
+        text = item_run.Text()
+        generate(text, "only", 8, 1)
+        self.keep(text)
+        generate(text, "only", 8, 1)
+        self.lose(text)
+        for _ in range(4):
+            generate(text, "only", 8, 1)
+            self.keep(text)
+        self.assertEqual(self.taken_up().parts, text.parts)
+
     def test_nothing_is_kept_of_what_has_ended(self):
         progress = model.Progress("i0", (b"a",), (1,), 1)
         self.apply(commands.SaveProgress("b", (progress,)))
