Batches: join what is kept of a text only to the save that it follows

Callers saw, or could see, a result whose events are of two runs of its item, under the weight versions of the second alone: one event stands where another is due.

Cause: a leader hands over the new part of an unfinished text twice a second, and the parts were joined by the number of events alone. A text that began anew, the first save of which was not committed, was joined from its second save on to as many events of the text before.

Ruled out: two saves that overtake each other. A save enters the core's inbox before its task waits for anything, the inbox is taken in order, and one leader's entries are applied in the order of its log; entries of an earlier term that are committed at all stand before the first of a new leader, who takes up texts only once that is applied. So the first save has to be refused (queue full, replica stopped, lease just lost) or be taken from the log by another leader, and the second be committed.

Change: what is kept notes the index of the log entry that added to it last, and a part names the entry that it follows. It is joined only to what that entry kept; the answer says which texts are kept. A text hands over its next part once it knows what became of the last one. A whole text follows nothing and replaces what was kept.

An entry's index is the same on all replicas, names one save only, and needs no number drawn by a leader; late, doubled or reordered, a part names an entry by which the text is not kept any more.

--- a/bilberrydrum/batches/carried.py
+++ b/bilberrydrum/batches/carried.py
@@ -90,7 +90,7 @@
         """Return the text that an item goes on from, and forget it."""
         text = self._texts_by_key.pop(_key(account, item_id), None)
         if text is not None:
-            text.n_taken = 0
+            text.forget_kept()
         return text
 
     def find_whole(
--- a/bilberrydrum/batches/commands.py
+++ b/bilberrydrum/batches/commands.py
@@ -114,6 +114,20 @@
     progress: tuple[model.Progress, ...]
 
 
+@codec.register("batches.progress-saved")
+@attrs.frozen
+class ProgressSaved:
+    """Which texts are kept now up to the events that were given."""
+
+    # That of the log entry.
+    index: int
+    item_ids: tuple[str, ...] = ()
+
+    def kept_by(self, item_id: str) -> int:
+        """Return the index of the entry by which an item's text is kept; 0: none."""
+        return self.index if item_id in self.item_ids else 0
+
+
 @codec.register("batches.end")
 @attrs.frozen
 class EndBatch:
@@ -183,29 +197,23 @@
 @machine.apply.register
 def _(
     command: SaveProgress, state: machine.State, context: machine.Context
-) -> Finished:
+) -> ProgressSaved:
     kept = section_of(state).batches_by_id.get(command.batch_id)
     if kept is None or kept.is_ended:
-        return Finished(0)
+        return ProgressSaved(context.index)
     finished = kept.finished_ids()
+    saved = []
     for given in command.progress:
         is_whole = given.item_id in kept.unscored_by_item_id
         # Kept late, it would be a part of what is whole already.
-        if given.item_id not in finished and not is_whole:
-            _add_progress(kept.progress_by_item_id, given)
-    return Finished(0)
-
-
-def _add_progress(
-    known_by_item_id: dict[str, model.Progress], given: model.Progress
-) -> None:
-    known = known_by_item_id.get(given.item_id)
-    if given.n_before == 0:
-        known_by_item_id[given.item_id] = given
-    elif known is not None and len(known.parts) == given.n_before:
-        joined = attrs.evolve(given, parts=known.parts + given.parts, n_before=0)
-        known_by_item_id[given.item_id] = joined
-    # Else something in between is missing; joined, the text would have a gap.
+        if given.item_id in finished or is_whole:
+            continue
+        known = kept.progress_by_item_id.get(given.item_id)
+        joined = model.KeptProgress.of(given, known, context.index)
+        if joined is not None:
+            kept.progress_by_item_id[given.item_id] = joined
+            saved.append(given.item_id)
+    return ProgressSaved(context.index, tuple(saved))
 
 
 @machine.apply.register
--- a/bilberrydrum/batches/hooks.py
+++ b/bilberrydrum/batches/hooks.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bilberrydrum.batches import model
+from bilberrydrum.batches import item_run, model
 
 
 @attrs.frozen
@@ -20,8 +20,9 @@
     keep_text: Callable[[str, model.Result], None]
     # Hand over the score of a text that was handed over: batch, item, score.
     score: Callable[[str, str, str], None]
-    # Hand over unfinished texts, to be kept; not in order with the others.
-    save: Callable[[str, tuple[model.Progress, ...]], None]
+    # Hand over unfinished texts, to be kept; not in order with the others. Each save is
+    # told its end.
+    save: Callable[[str, tuple[item_run.Save, ...]], None]
     # The number for an order sent now; None: this process gives no orders.
     fencing_number: Callable[[], int | None]
     # Whether this process may still send items.
--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -74,6 +74,18 @@
     reading: Reading = attrs.field(factory=lambda: Reading(None), eq=False)
 
 
+@attrs.frozen(eq=False)
+class Save:
+    """A part of a text that was taken to be kept."""
+
+    text: "Text"
+    progress: model.Progress
+
+    def end(self, kept_by: int) -> None:
+        """Note the index of the log entry by which it is kept; 0: none is known."""
+        self.text.end_save(self, kept_by)
+
+
 @attrs.define
 class Text:
     """What has been generated of an item so far."""
@@ -84,24 +96,47 @@
     last_number: int | None = None
     # Parts that were handed over to be kept.
     n_taken: int = 0
+    # Index of the log entry by which they are kept; 0: none is known.
+    kept_by: int = 0
+    # What was handed over last, until it is known whether it is kept.
+    _save: Save | None = attrs.field(default=None, eq=False, repr=False)
 
     def clear(self) -> None:
         """Begin anew."""
         self.parts.clear()
         self.versions.clear()
         self.last_number = None
-        self.n_taken = 0
+        self.forget_kept()
 
     @classmethod
-    def of_progress(cls, kept: model.Progress) -> "Text":
+    def of_progress(cls, kept: model.KeptProgress) -> "Text":
         """Return the text that was kept of an unfinished item."""
         return cls(
-            list(kept.parts), set(kept.versions), kept.last_number, len(kept.parts)
+            list(kept.parts),
+            set(kept.versions),
+            kept.last_number,
+            len(kept.parts) if kept.kept_by else 0,
+            kept.kept_by,
         )
 
-    def take_progress(self, item_id: str) -> model.Progress | None:
-        """Return what is to be kept besides what was taken before; None: nothing."""
-        if self.last_number is None or len(self.parts) <= self.n_taken:
+    def forget_kept(self) -> None:
+        """Have the next save hand over the whole text.
+
+        For a text that is not what was handed over and more, or that is kept elsewhere.
+        """
+        self.n_taken = 0
+        self.kept_by = 0
+        self._save = None
+
+    def take_progress(self, item_id: str) -> Save | None:
+        """Return what is to be kept besides what was taken before; None: nothing.
+
+        Nothing is taken before the last save has ended: the next one names the entry by
+        which that is kept.
+        """
+        if self._save is not None or self.last_number is None:
+            return None
+        if len(self.parts) <= self.n_taken:
             return None
         progress = model.Progress(
             item_id,
@@ -109,9 +144,20 @@
             tuple(sorted(self.versions)),
             self.last_number,
             self.n_taken,
+            self.kept_by,
         )
         self.n_taken = len(self.parts)
-        return progress
+        self._save = Save(self, progress)
+        return self._save
+
+    def end_save(self, save: Save, kept_by: int) -> None:
+        """Note what became of `save`; as in `Save.end`."""
+        if save is not self._save:
+            # Taken before the text began anew: what it says is not of this text.
+            return
+        self._save = None
+        if kept_by:
+            self.kept_by = kept_by
 
     def add(self, event: event_stream.Event, version: int) -> None:
         """Add one event, made under `version`."""
--- a/bilberrydrum/batches/model.py
+++ b/bilberrydrum/batches/model.py
@@ -154,6 +154,24 @@
 @codec.register("batches.progress")
 @attrs.frozen
 class Progress:
+    """What is to be kept of an unfinished item's text besides what is kept of it."""
+
+    item_id: str
+    # Data of the events that are not kept yet, in order.
+    parts: tuple[bytes, ...]
+    # Weight versions that made the whole text, rising.
+    versions: tuple[int, ...]
+    # Number of the last event.
+    last_number: int
+    # Events kept before; these parts follow them. 0: they replace what was kept.
+    n_before: int = 0
+    # Index of the log entry by which those are kept; 0: there are none.
+    follows: int = 0
+
+
+@codec.register("batches.kept-progress")
+@attrs.frozen
+class KeptProgress:
     """The text of an item that is not finished, as far as it is kept."""
 
     item_id: str
@@ -163,8 +181,34 @@
     versions: tuple[int, ...]
     # Number of the last event.
     last_number: int
-    # Events kept before; these parts follow them. 0: they replace what was kept.
-    n_before: int = 0
+    # Index of the log entry that added its last events; 0: kept by a release that did
+    # not note it, so nothing is joined to it.
+    kept_by: int = 0
+
+    @classmethod
+    def of(
+        cls, given: Progress, known: "KeptProgress | None", index: int
+    ) -> "KeptProgress | None":
+        """Return what is kept once entry `index` has added `given` to `known`.
+
+        None if `given` does not follow `known`.
+        """
+        before: tuple[bytes, ...] = ()
+        if given.n_before:
+            # An equal number of events is no sign that they are of the same text: it
+            # may have begun anew, and what was kept of that have been lost. An entry's
+            # index names one save of one text, whichever leader proposed it.
+            is_next = known is not None and 0 < known.kept_by == given.follows
+            if known is None or not is_next or len(known.parts) != given.n_before:
+                return None
+            before = known.parts
+        return cls(
+            given.item_id,
+            before + given.parts,
+            given.versions,
+            given.last_number,
+            index,
+        )
 
 
 @codec.register("batches.kept")
@@ -185,7 +229,7 @@
     results: list[Result] = attrs.field(factory=list)
     is_ended: bool = False
     # By item id; a new leader goes on from here.
-    progress_by_item_id: dict[str, Progress] = attrs.field(factory=dict)
+    progress_by_item_id: dict[str, KeptProgress] = attrs.field(factory=dict)
     # Whole texts without a score yet. A new leader has them scored; generated again, an
     # item would cost seconds and might come out under other weights.
     unscored_by_item_id: dict[str, Result] = attrs.field(factory=dict)
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -10,7 +10,14 @@
 import eventlet.queue
 
 from bilberrydrum import clock, transport, upstream_protocol
-from bilberrydrum.batches import commands, hooks, messages, model, runner
+from bilberrydrum.batches import (
+    commands,
+    hooks,
+    item_run,
+    messages,
+    model,
+    runner,
+)
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.relay import crash_watch, relay
 from bilberrydrum.requests import attempts
@@ -206,10 +213,21 @@
             term=term,
         )
 
-    def _save(self, batch_id: str, progress: tuple[model.Progress, ...]) -> None:
-        command = commands.SaveProgress(batch_id, progress)
+    def _save(self, batch_id: str, saves: tuple[item_run.Save, ...]) -> None:
         # Lost, it is run again; nobody waits for it.
-        eventlet.spawn_n(self._replica.propose, command, COMMIT_SECONDS)
+        eventlet.spawn_n(self._commit_saves, batch_id, saves)
+
+    def _commit_saves(self, batch_id: str, saves: tuple[item_run.Save, ...]) -> None:
+        command = commands.SaveProgress(batch_id, tuple(e.progress for e in saves))
+        saved = commands.ProgressSaved(0)
+        try:
+            proposed = self._replica.propose(command, COMMIT_SECONDS)
+            if proposed.is_ok():
+                saved = proposed.unwrap()
+        finally:
+            # Not told its end, a text would be kept no further.
+            for each in saves:
+                each.end(saved.kept_by(each.progress.item_id))
 
     def _on_applied(self, command: object, answer: Any) -> None:
         active = self._runner
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -65,7 +65,7 @@
             self.done_by(route),
         )
 
-    def take_progress(self, min_events: int) -> list[model.Progress]:
+    def take_progress(self, min_events: int) -> list[item_run.Save]:
         """Return what is to be kept of the items that run.
 
         `min_events` is the least number of new events that is worth keeping.
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -5,7 +5,7 @@
 import attrs
 from nose2 import tools
 
-from bilberrydrum import event_stream
+from bilberrydrum import codec, event_stream
 from bilberrydrum.batches import (
     commands,
     item_run,
@@ -191,10 +191,12 @@
 
     def setUp(self):
         self.state = machine.State()
+        self.index = 0
         self.apply(accept(batch()))
 
     def apply(self, command):
-        return machine.apply(command, self.state, machine.Context(1, 1.0))
+        self.index += 1
+        return machine.apply(command, self.state, machine.Context(self.index, 1.0))
 
     def kept(self):
         return commands.section_of(self.state).batches_by_id["b"]
@@ -204,8 +206,7 @@
         for n in range(4):
             text.add(event_stream.Event(n, b"%d" % n), 1 + n // 3)
             if n % 2:
-                progress = text.take_progress("i0")
-                self.apply(commands.SaveProgress("b", (progress,)))
+                self.keep(text)
         self.assertIsNone(text.take_progress("i0"))
         opened = work.Work().open(self.kept(), 0.0)
         again = opened.runs_by_item_id["i0"].text
@@ -215,23 +216,99 @@
 
     def test_gap_is_not_joined(self):
         first = model.Progress("i0", (b"a",), (1,), 1)
-        later = model.Progress("i0", (b"c",), (1,), 3, n_before=2)
-        self.apply(commands.SaveProgress("b", (first, later)))
-        self.assertEqual(self.kept().progress_by_item_id["i0"], first)
+        self.apply(commands.SaveProgress("b", (first,)))
+        kept = model.KeptProgress("i0", (b"a",), (1,), 1, self.index)
+        later = model.Progress("i0", (b"c",), (1,), 3, 2, self.index)
+        self.apply(commands.SaveProgress("b", (later,)))
+        self.assertEqual(self.kept().progress_by_item_id["i0"], kept)
+
+    @tools.params(
+        ("the kept one", 0, True),
+        ("an earlier one of as many events", -1, False),
+        ("a later one that is not kept", 1, False),
+        ("none: an earlier release does not say", None, False),
+    )
+    def test_part_follows_one_save(self, name, offset, is_joined):
+        """A part comes late, from a leader that was deposed, or twice.
+
+        Meanwhile the text may have been replaced by one of as many events.
+        """
+        first = model.Progress("i0", (b"a", b"b"), (1,), 2)
+        anew = model.Progress("i0", (b"x", b"y"), (2,), 2)
+        self.apply(commands.SaveProgress("b", (first,)))
+        self.apply(commands.SaveProgress("b", (anew,)))
+        follows = 0 if offset is None else self.index + offset
+        part = model.Progress("i0", (b"z",), (2,), 3, 2, follows)
+        answer = self.apply(commands.SaveProgress("b", (part,)))
+        parts = (b"x", b"y", b"z") if is_joined else (b"x", b"y")
+        self.assertEqual(self.kept().progress_by_item_id["i0"].parts, parts, name)
+        self.assertEqual(answer.kept_by("i0"), self.index if is_joined else 0, name)
+
+    def test_doubled_part_is_joined_once(self):
+        first = model.Progress("i0", (b"a",), (1,), 1)
+        self.apply(commands.SaveProgress("b", (first,)))
+        part = model.Progress("i0", (b"b",), (1,), 2, 1, self.index)
+        for _ in range(2):
+            self.apply(commands.SaveProgress("b", (part,)))
+        self.assertEqual(self.kept().progress_by_item_id["i0"].parts, (b"a", b"b"))
+
+    def test_kept_by_an_earlier_release(self):
+        """Its snapshot does not say by which entry a text is kept.
+
+        The next leader goes on from the text, and hands it over as a whole at first.
+        """
+        fields = {
+            "item_id": "i0",
+            "parts": [b"first 1"],
+            "versions": [1],
+            "last_number": 1,
+            "n_before": 0,
+        }
+        old = codec.from_plain(fields, model.KeptProgress)
+        self.kept().progress_by_item_id["i0"] = old
+        text = self.taken_up()
+        self.assertEqual(text.parts, [b"first 1"])
+        for _ in range(2):
+            generate(text, "first", 8, 1)
+            self.keep(text)
+        self.assertEqual(self.taken_up().parts, text.parts)
+
+    def test_next_save_waits_for_the_end_of_the_last(self):
+        text = item_run.Text()
+        generate(text, "only", 8, 1)
+        under_way = text.take_progress("i0")
+        generate(text, "only", 8, 1)
+        self.assertIsNone(text.take_progress("i0"))
+        under_way.end(7)
+        following = text.take_progress("i0").progress
+        self.assertEqual((following.n_before, following.follows), (8, 7))
+
+    def test_end_of_a_save_says_nothing_of_a_text_that_began_anew(self):
+        text = item_run.Text()
+        generate(text, "first", 8, 1)
+        under_way = text.take_progress("i0")
+        text.clear()
+        generate(text, "second", 8, 2)
+        under_way.end(7)
+        following = text.take_progress("i0").progress
+        self.assertEqual((following.n_before, following.follows), (0, 0))
 
     def test_text_that_began_anew_replaces(self):
         first = model.Progress("i0", (b"a", b"b"), (1,), 2)
         anew = model.Progress("i0", (b"x",), (2,), 1)
         self.apply(commands.SaveProgress("b", (first, anew)))
-        self.assertEqual(self.kept().progress_by_item_id["i0"], anew)
+        kept = model.KeptProgress("i0", (b"x",), (2,), 1, self.index)
+        self.assertEqual(self.kept().progress_by_item_id["i0"], kept)
 
     def keep(self, text):
         """Have what is new of `text` committed, and tell it so."""
-        self.apply(commands.SaveProgress("b", (text.take_progress("i0"),)))
+        save = text.take_progress("i0")
+        answer = self.apply(commands.SaveProgress("b", (save.progress,)))
+        save.end(answer.kept_by("i0"))
 
     def lose(self, text):
         """Have what is new of `text` proposed and not committed."""
-        text.take_progress("i0")
+        text.take_progress("i0").end(0)
 
     def taken_up(self):
         """Return the text that a new leader goes on from."""
