Batches: hand over the whole text after a save that was not kept

Callers saw an item of 140 events run again from its eighth after a change of leader, though its leader had read many more and had lost one save only, long before.

Cause: what was taken of a text counted as kept whatever became of it. Each later part followed what was lost and was joined to nothing, for as long as the item ran.

Change: a save whose end is not known to be good, or whose part was not joined, has the next one hand over the whole text, which follows nothing. If the lost save is committed later all the same, it stands before the whole text in the log and is replaced by it.

Figures: after one lost save of six, 8 of 48 events kept before, 48 after (tests.test_batches.KeptProgress.test_lost_save_is_made_up_for). It costs bytes only after a save that is refused or takes longer than its time limit of 2 s: at most one whole text of an item in that time.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -158,6 +158,10 @@
         self._save = None
         if kept_by:
             self.kept_by = kept_by
+        else:
+            # Later parts would follow what is not kept, and a new leader would begin
+            # where this one was lost. A whole text follows nothing.
+            self.forget_kept()
 
     def add(self, event: event_stream.Event, version: int) -> None:
         """Add one event, made under `version`."""
