Tests: results handed over under one lease and committed under another (red)

A result dropped in a short lapse of the lease leaves a runner that counts the item as finished; a text of an earlier term is proposed in a later one; a score without its text tells the runner that the item is finished.

--- a/tests/fakes/lone_leader.py
+++ b/tests/fakes/lone_leader.py
@@ -21,6 +21,7 @@
         self._state = machine.State()
         self._index = 0
         self._watchers = []
+        self._role_watchers = []
         self.held = Leadership()
 
     def leadership(self):
@@ -35,6 +36,18 @@
     def watch(self, callback):
         self._watchers.append(callback)
 
+    def watch_role(self, callback):
+        self._role_watchers.append(callback)
+
+    def is_elected(self):
+        return self.held is not None
+
+    def hold(self, term):
+        """Be elected in another term."""
+        self.held = Leadership(term)
+        for each in self._role_watchers:
+            each()
+
     def propose(self, command, timeout=5.0):
         self._index += 1
         context = machine.Context(self._index, self._clock.now)
--- /dev/null
+++ b/tests/test_batches_service.py
@@ -0,0 +1,182 @@
+"""What a leader hands over for commitment, and what its runner believes after it."""
+
+import unittest
+from unittest import mock
+
+import attrs
+import result
+
+from bilberrydrum import clock, reasons
+from bilberrydrum.batches import commands, model, service
+from bilberrydrum.state import client
+from tests import helpers
+from tests.fakes import lone_leader
+
+WAIT_SECONDS = 10.0
+REFUSED = result.Err(client.StateError(reasons.Reason.STATE_UNAVAILABLE))
+
+
+def accept(batch_id):
+    items = tuple(model.Item(f"i{n}", "/p/x", {}, b"", 10) for n in range(2))
+    data = model.pack_batch(model.Batch(batch_id, "h", items))
+    return commands.AcceptBatch(batch_id, len(items), data, 60.0)
+
+
+def text_of(item_id):
+    return model.Result.of(item_id, model.ItemState.COMPLETED, b"a\nb", (1,))
+
+
+class Replica(lone_leader.LoneLeader):
+    """Refuses what the test says, and lacks its lease when the test says."""
+
+    def __init__(self, manual_clock):
+        super().__init__(manual_clock)
+        self.proposed = []
+        # Called with each command; its answer, if any, is that of `propose`.
+        self.intervene = lambda command: None
+        # So many looks at the leadership find no lease.
+        self.n_lapsed = 0
+
+    def leadership(self):
+        if self.n_lapsed:
+            self.n_lapsed -= 1
+            return None
+        return super().leadership()
+
+    def propose(self, command, timeout=5.0):
+        self.proposed.append(command)
+        answer = self.intervene(command)
+        return super().propose(command, timeout) if answer is None else answer
+
+
+@attrs.define
+class Runner:
+    """Takes the place of the runner: notes what it is told."""
+
+    hooks: object
+    finished_by_batch: dict[str, list[str]] = attrs.field(factory=dict)
+    open_ids: set[tuple[str, str]] = attrs.field(factory=set)
+    is_stopped: bool = False
+
+    def start(self, kept):
+        for each in kept:
+            self.accept(each)
+
+    def accept(self, kept):
+        finished = kept.finished_ids()
+        for item in kept.decode().items:
+            if item.item_id not in finished:
+                self.open_ids.add((kept.batch_id, item.item_id))
+
+    def finished(self, batch_id, item_ids):
+        self.finished_by_batch.setdefault(batch_id, []).extend(item_ids)
+
+    def end(self, batch_id):
+        pass
+
+    def stop(self):
+        self.is_stopped = True
+
+
+class Leading(unittest.TestCase):
+    """A leader whose proposals are refused, and whose lease or term goes."""
+
+    def setUp(self):
+        self.runners = []
+        made = mock.patch.object(service.runner, "BatchRunner", self.make_runner)
+        made.start()
+        self.addCleanup(made.stop)
+        self.replica = Replica(helpers.ManualClock(1000.0))
+        given = dict.fromkeys(("view", "protocol", "means", "passing_on", "crashes"))
+        self.service = service.BatchService(
+            self.replica,
+            mock.Mock(process_id="me"),
+            retention_seconds=60.0,
+            orders_tenure=mock.Mock(),
+            **given,
+        )
+        for batch_id in ("b", "c"):
+            self.replica.propose(accept(batch_id))
+        self.service.start()
+        self.addCleanup(self.service.stop)
+        self.wait_for(lambda: len(self.runners) == 1)
+
+    def make_runner(self, protocol, view, means, hooks, passing_on, crashes):
+        self.runners.append(Runner(hooks))
+        return self.runners[-1]
+
+    def wait_for(self, is_done):
+        end = clock.now() + WAIT_SECONDS
+        while not is_done() and clock.now() < end:
+            clock.sleep(0.005)
+        self.assertTrue(is_done())
+
+    def n_proposed(self, n_commands):
+        return lambda: len(self.replica.proposed) >= n_commands
+
+    def kept(self, batch_id="b"):
+        section = commands.section_of(self.replica.state())
+        return section.batches_by_id[batch_id]
+
+    def test_dropped_result_is_made_again(self):
+        """A trainer waits for an item that is never listed, though its leader is well.
+
+        A result is not committed in time, and at that moment the lease has lapsed, for
+        less time than the service takes to look. The result is dropped, but the runner,
+        which counts the item as finished, goes on in the same term: no other leader
+        comes to run it again.
+        """
+
+        def refuse(command):
+            self.replica.n_lapsed = 1
+            return REFUSED
+
+        self.replica.intervene = refuse
+        self.runners[0].hooks.finish("b", text_of("i0"))
+        self.wait_for(lambda: len(self.runners) == 2)
+        self.assertTrue(self.runners[0].is_stopped)
+        self.assertIn(("b", "i0"), self.runners[1].open_ids)
+
+    def test_nothing_of_an_earlier_term_is_committed(self):
+        """A result has the text of one run and the score of another run's.
+
+        Results of two batches wait. While the first is proposed the leader is deposed
+        and elected again; the second, a text of the earlier term, is committed in the
+        later one, over a text that the leader in between has kept and that is being
+        scored.
+        """
+
+        def depose(command):
+            self.replica.intervene = lambda command: None
+            self.replica.hold(3)
+            self.wait_for(lambda: len(self.runners) == 2)
+            return REFUSED
+
+        n_before = len(self.replica.proposed)
+        self.replica.intervene = depose
+        self.runners[0].hooks.finish("b", text_of("i0"))
+        self.runners[0].hooks.keep_text("c", text_of("i0"))
+        self.wait_for(lambda: len(self.runners) == 2)
+        self.runners[1].hooks.finish("b", text_of("i1"))
+        self.wait_for(lambda: [each.item_id for each in self.kept().results] == ["i1"])
+        self.assertEqual(len(self.replica.proposed), n_before + 2)
+        self.assertEqual(self.kept("c").unscored_by_item_id, {})
+
+    def test_score_without_its_text_finishes_nothing(self):
+        """A trainer waits for an item that is never listed.
+
+        Its whole text was dropped while the lease had lapsed; its score, which came a
+        moment later, is committed. Nothing is listed, but the runner is told that the
+        item is finished, and generates it no more.
+        """
+        n_before = len(self.replica.proposed)
+        self.runners[0].hooks.score("b", "i0", "mark")
+        self.wait_for(self.n_proposed(n_before + 1))
+        self.runners[0].hooks.finish("b", text_of("i1"))
+        self.wait_for(self.n_proposed(n_before + 2))
+        self.assertEqual([each.item_id for each in self.kept().results], ["i1"])
+        self.assertEqual(self.runners[0].finished_by_batch["b"], ["i1"])
+
+
+if __name__ == "__main__":
+    unittest.main()
