Batches: begin the runner anew when a result that it counts on is dropped

Callers saw, or could see, an item that is never listed while one leader leads: the batch never ends.

Cause: a result whose commitment fails while the leader has no lease is dropped, for the next leader to make it again. A lease that has lapsed, as in a process that stood still together with the others, can come back in the same term within milliseconds; the service looks every 0.1 s, saw nothing, and let the runner go on, for which an item is finished once its result is handed over.

Ruled out: to wait for the lease and propose again. It may not come back, and the queue behind it would stand still for the time.

Change: dropping results marks the runner; the service begins a new one, which takes up what the group keeps.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -84,6 +84,8 @@
         self._orders_tenure = orders_tenure
         self._service = leader_service.LeaderService(replica_, carrier)
         self._runner: runner.BatchRunner | None = None
+        # The runner counts on results that were dropped.
+        self._lacks_results = False
         self._term = 0
         self._news = eventlet.event.Event()
         self._role_changed = eventlet.event.Event()
@@ -140,12 +142,13 @@
         held = self._replica.leadership()
         if held is None:
             self._stop_runner()
-        elif self._runner is None or held.term != self._term:
+        elif self._runner is None or held.term != self._term or self._lacks_results:
             self._stop_runner()
             self._start_runner(held.term)
 
     def _start_runner(self, term: int) -> None:
         self._term = term
+        self._lacks_results = False
 
         def hand_over(batch_id: str, **fields: Any) -> None:
             command = commands.FinishItems(batch_id, **fields)
@@ -204,7 +207,11 @@
         while self._leads(term):
             if self._replica.propose(command, COMMIT_SECONDS).is_ok():
                 return
-        # The next leader runs or scores these items again.
+        # Who leads next runs or scores these items again. If the lease comes back
+        # before anyone looks, this runner would go on, hold them for finished, and they
+        # would never be listed; a new one takes up what is kept.
+        self._lacks_results = True
+        self._on_role()
         eliot.log_message(
             message_type="batches:results-dropped",
             batch_id=command.batch_id,
