Batches: commit what was handed over in a term in that term only

Callers could see a result with the text of one run and the score of another run's.

Cause: what was handed over in an earlier term is passed over when the queue is read, but the term was read again for each command. With results of two batches in the queue, the leader deposed and elected again while the first is proposed (2 s), the second was proposed in the later term: a whole text so committed replaces one that the leader in between had kept, whose scoring is under way, and the score is then joined to it.

Ruled out: the same by entries in the log. An entry of an earlier term stands before the first of a later one or is not in the log, and a runner begins once that one is applied.

Change: the term is read once for all that is taken from the queue.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -198,20 +198,23 @@
             advanced = [self._advanced.get()]
             while not self._advanced.empty() and len(advanced) < _MAX_RESULTS:
                 advanced.append(self._advanced.get())
-            given = [each.command for each in advanced if each.term == self._term]
+            # The term may change while one of them is proposed. A text of the earlier
+            # one could replace a text that another leader has kept, and get its score.
+            term = self._term
+            given = [each.command for each in advanced if each.term == term]
             for command in commands.joined(given):
-                self._commit(command)
+                self._commit(command, term)
 
-    def _commit(self, command: commands.FinishItems) -> None:
-        term = self._term
+    def _commit(self, command: commands.FinishItems, term: int) -> None:
         while self._leads(term):
             if self._replica.propose(command, COMMIT_SECONDS).is_ok():
                 return
         # Who leads next runs or scores these items again. If the lease comes back
         # before anyone looks, this runner would go on, hold them for finished, and they
         # would never be listed; a new one takes up what is kept.
-        self._lacks_results = True
-        self._on_role()
+        if term == self._term:
+            self._lacks_results = True
+            self._on_role()
         eliot.log_message(
             message_type="batches:results-dropped",
             batch_id=command.batch_id,
