Batches: tell the runner of the items that are listed, not of those committed

Callers could see an item that is never listed while one leader leads.

Cause: a score is joined to the text that is kept. Where there is none (it was dropped while the lease had lapsed, and the score came after) nothing is listed; the runner was told all the same that the item is finished, one begun meanwhile included.

Change: the runner is told of those items of the command that have a result.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -246,8 +246,12 @@
             if active is not None and kept is not None and answer.is_new:
                 active.accept(kept)
         elif isinstance(command, commands.FinishItems):
-            if active is not None:
-                active.finished(command.batch_id, command.finished_ids())
+            kept = self._section().batches_by_id.get(command.batch_id)
+            if active is not None and kept is not None:
+                # A score whose text is not kept lists nothing; held for finished, the
+                # item would never be.
+                listed = kept.finished_ids() & set(command.finished_ids())
+                active.finished(command.batch_id, sorted(listed))
             self._tell_news()
         elif isinstance(command, commands.EndBatch):
             if active is not None:
