Tests: schedules of unfinished texts, over leaders, lost saves and batches that end

A simulated group by the applied commands, whose leaders have the product's open batches and texts: they look late at the loss of their leadership, saves are refused, doubled, late or of unknown end, texts begin anew, batches end and their items come again. What is kept, taken up or listed must be the beginning of one text under exactly the versions of its events, and what was lost must be kept in the end.

Replica ids are drawn by the stores, so a seed does not bring back a schedule to the last step, as with the schedules of promises.

--- /dev/null
+++ b/tests/test_text_schedules.py
@@ -0,0 +1,75 @@
+"""Randomised schedules over unfinished texts, and what each leader takes up of them.
+
+The troubles are those of `tests.test_promise_schedules`; what leaders do, and the
+checks, are in `tests.fakes.text_group`. BILBERRYDRUM_SCHEDULES sets how many schedules
+are run.
+"""
+
+import os
+import random
+import sys
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from tests import test_promise_schedules as promises
+from tests.fakes import text_group
+
+N_SCHEDULES = int(os.environ.get("BILBERRYDRUM_SCHEDULES", "120"))
+N_TROUBLES = 6
+
+
+def run_schedule(seed):
+    """Run one schedule; return the group, whose checks have passed."""
+    rng = random.Random(seed)
+    group = text_group.TextGroup(3, seed, n_voters=3)
+    group.add_host("h3")
+    group.run(1.5)
+    for _ in range(N_TROUBLES):
+        host = rng.choice(list(group.hosts_by_name.values()))
+        rng.choice(promises.TROUBLES)(group, host, rng)
+        loss = rng.choice((0.0, 0.0, 0.05, 0.3))
+        group.run(rng.choice((0.3, 0.8, 2.0)), loss=loss, doubling=0.02)
+    group.settle()
+    return group
+
+
+class Schedules(unittest.TestCase):
+    def test_texts(self):
+        """An item's text has events of two runs, neither begun where the other ended.
+
+        Leaders change and look late, saves are refused, late and doubled, texts begin
+        anew, batches end and their items come again. What is kept, taken up or listed
+        must be the beginning of one text under the versions of its events, and what
+        was lost must be kept in the end.
+        """
+        groups = []
+
+        @hypothesis.settings(
+            max_examples=N_SCHEDULES,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            phases=[hypothesis.Phase.generate],
+            suppress_health_check=list(hypothesis.HealthCheck),
+        )
+        @hypothesis.given(strategies.integers(0, 2**32))
+        def schedule(seed):
+            group = run_schedule(seed)
+            groups.append((group.n_saved, group.n_taken_up, group.n_caught_up))
+
+        schedule()
+        n_saved = sum(each[0] for each in groups)
+        n_taken_up = sum(each[1] for each in groups)
+        print(
+            f"{len(groups)} schedules, {n_saved} saves, {n_taken_up} texts taken up",
+            file=sys.stderr,
+        )
+        self.assertGreater(n_saved, len(groups))
+        self.assertGreater(n_taken_up, len(groups))
+        self.assertGreater(sum(each[2] for each in groups), len(groups))
+
+
+if __name__ == "__main__":
+    unittest.main()
