Tests: items that come again while their batch ends (red)

Callers saw a text with an event where another was due. Here: six items run, their batch ends, and the same items are handed in again at once. Only the wait in which the runner gathers news is taken out, so that its loop is due at every turn, as it may be by chance.

--- /dev/null
+++ b/tests/test_batches_ends.py
@@ -0,0 +1,156 @@
+"""Batches that end while their items run, and items that come again at once.
+
+A trainer reads a text in which events stand twice, by turns. It has ended a batch whose
+items still ran, and handed the unfinished ones in again under the same ids. Breaking
+off one attempt lets other tasks run: the runner's loop saw the items that had just been
+broken off wait in a batch that was still open, and sent them again. Nobody broke these
+attempts off any more, and the later batch went on from the very text that they wrote.
+"""
+
+import random
+import unittest
+from unittest import mock
+
+import eventlet
+from nose2 import tools
+
+from bilberrydrum import clock, quarantine
+from bilberrydrum.batches import hooks, model, runner
+from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.fleet import policy
+from bilberrydrum.relay import balancing, crash_watch, relay
+from bilberrydrum.requests import attempts, connections, watch
+from tests.fakes import node_protocol, scripted
+
+N_EVENTS = 12
+# Between two events: long enough for what breaks attempts off, short for the test.
+EVENT_SECONDS = 0.03
+WHOLE = b"\n".join(b"e%d" % n for n in range(1, N_EVENTS + 1))
+
+
+class SlowEngine:
+    """Makes the events of an item one by one, from where it is asked to go on."""
+
+    def __init__(self) -> None:
+        self.n_running = 0
+        self.received: list[scripted.Received] = []
+        self.server = scripted.Scripted(self.answer, kind="engine")
+
+    def answer(self, connection, received):
+        self.received.append(received)
+        self.n_running += 1
+        try:
+            self._stream(connection, received)
+        finally:
+            self.n_running -= 1
+
+    def _stream(self, connection, received):
+        head = f"HTTP/1.1 200 OK\r\n{node_protocol.ID}: {received.request_id}\r\n"
+        head += "Version: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.sendall(head.encode())
+        first = int(received.headers.get("last", 0)) + 1
+        for number in range(first, N_EVENTS + 1):
+            eventlet.sleep(EVENT_SECONDS)
+            event = b"id: %d\ndata: e%d\n\n" % (number, number)
+            connection.sendall(scripted.chunk(event))
+        connection.sendall(scripted.LAST_CHUNK)
+
+
+class View:
+    """Stands for a store's copy of the registry and the policy."""
+
+    def __init__(self, engine, n_slots):
+        share = policy.Share("s", 1.0)
+        route = policy.Route("r", "h", "/p/", policy.RouteKind.BATCH, (share,))
+        service = policy.Service("s", models=("m",))
+        self.registry = fleet_model.Registry(
+            1,
+            (
+                fleet_model.FleetUpstream(
+                    "e",
+                    "s",
+                    engine.server.address,
+                    "z",
+                    n_slots,
+                    versions_by_model={"m": 1},
+                ),
+            ),
+        )
+        self.routes = policy.RouteTable(policy.Policy(1, (route,), (service,)))
+        self.crashes = quarantine.Book()
+        self.crashes_index = 0
+
+    def watch(self, callback):
+        pass
+
+    def unwatch(self, callback):
+        pass
+
+
+def batch(batch_id, n_items):
+    items = tuple(
+        model.Item(f"i{n}", "/p/x", {}, b"body", 20, f"g{n}") for n in range(n_items)
+    )
+    return model.KeptBatch.of(model.Batch(batch_id, "h", items, model="m"), 0.0)
+
+
+class EndedBatches(unittest.TestCase):
+    """The runner on loopback; its loop is due at each turn."""
+
+    def begin(self, n_items):
+        self.engine = SlowEngine()
+        self.addCleanup(self.engine.server.stop)
+        view = View(self.engine, n_slots=2 * n_items)
+        means = attempts.Means(connections.Connections(), watch.Watch())
+        rng = random.Random(1)
+        protocol = node_protocol.PlainProtocol()
+        crashes = crash_watch.CrashWatch(view, None)
+        self.results = []
+        given = hooks.Hooks(
+            finish=lambda batch_id, each: self.results.append((batch_id, each)),
+            keep_text=lambda batch_id, each: None,
+            score=lambda *each: None,
+            save=lambda batch_id, progress: None,
+            fencing_number=lambda: None,
+            may_send=lambda: True,
+            holder="me",
+        )
+        passing_on = relay.Relay(
+            protocol, view, means, balancing.Balancer("z", rng), rng, crashes
+        )
+        # It waits for news to gather, and may be at the end of that wait at any moment.
+        gathering = mock.patch.object(runner, "_GATHER_SECONDS", 0.0)
+        gathering.start()
+        self.addCleanup(gathering.stop)
+        self.runner = runner.BatchRunner(
+            protocol, view, means, given, passing_on, crashes
+        )
+        self.runner.start([batch("b1", n_items)])
+        self.addCleanup(self.runner.stop)
+        self.wait_for(lambda: self.engine.n_running == n_items)
+        clock.sleep(3 * EVENT_SECONDS)
+
+    def wait_for(self, is_so):
+        with eventlet.Timeout(10.0):
+            while not is_so():
+                clock.sleep(0.005)
+
+    def results_of(self, batch_id):
+        return [result for given, result in self.results if given == batch_id]
+
+    @tools.params(1, 2, 6)
+    def test_no_item_is_sent_while_its_batch_ends(self, n_items):
+        self.begin(n_items)
+        self.runner.end("b1")
+        clock.sleep(2 * EVENT_SECONDS)
+        self.assertEqual(len(self.engine.received), n_items)
+        self.wait_for(lambda: self.engine.n_running == 0)
+
+    @tools.params(1, 2, 6)
+    def test_items_that_come_again_at_once(self, n_items):
+        self.begin(n_items)
+        self.runner.end("b1")
+        self.runner.accept(batch("b2", n_items))
+        self.wait_for(lambda: len(self.results_of("b2")) == n_items)
+        for result in self.results_of("b2"):
+            self.assertEqual(result.text, WHOLE, result.item_id)
