Close a batch that has ended before its runs are broken off

Callers saw a text with an event where another was due, here with its last event twice. Cause: breaking off a run lets other tasks run. The runner's loop found the items that had just been broken off waiting in a batch that was still open, and sent them again; the list of what is broken off was made before, so these attempts went on. The texts that the ended batch had left were theirs to write, while the later batch with the same items went on from them. Class: a state that is changed in several steps, with other tasks running between the steps. Ruled out for this case: a change of leader, a damaged answer, a lost save; none occurs in the test. Change: the batch is taken out of the open ones and marked as ended first; its runs are broken off and its texts remembered after that. Why it holds: the loop looks at open batches only, and an attempt that is on its way asks right before its first byte whether its batch has ended.

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -155,9 +155,14 @@
 
     def end(self, batch_id: str) -> None:
         """Break off the runs of a batch that has ended."""
+        # Closed first: breaking off a run lets other tasks run. In a batch that was
+        # still open, the loop would send again what was just broken off, and nobody
+        # would break that off.
+        closed = self._work.close(batch_id)
         self._items.cancel_batch(batch_id)
         self._scores.cancel_batch(batch_id)
-        self._work.end(batch_id)
+        if closed is not None:
+            self._work.remember_closed(closed)
         self.wake()
 
     # The loop
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -213,15 +213,18 @@
             if opened is not None and item_id in opened.runs_by_item_id:
                 opened.runs_by_item_id[item_id].finish()
 
-    def end(self, batch_id: str) -> None:
-        """Forget a batch that has ended, but for what a later one may use."""
+    def close(self, batch_id: str) -> OpenBatch | None:
+        """Take a batch that has ended out of the open ones; None: it is not open."""
         opened = self._open_by_id.pop(batch_id, None)
-        if opened is None:
-            return
-        opened.is_ended = True
-        self.remember(opened.batch, opened.kept)
+        if opened is not None:
+            opened.is_ended = True
+        return opened
+
+    def remember_closed(self, closed: OpenBatch) -> None:
+        """Remember what a later batch may use of one whose runs are broken off."""
+        self.remember(closed.batch, closed.kept)
         self._carried.remember_runs(
-            opened.batch.account, opened.runs_by_item_id.values()
+            closed.batch.account, closed.runs_by_item_id.values()
         )
 
     def remember(self, batch: model.Batch, kept: model.KeptBatch) -> None:
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -265,7 +265,7 @@
         kept.results = [result(versions=(2,))]
         opened = known.open(kept, 0.0)
         opened.runs_by_item_id["i1"].text.add(event_stream.Event(1, b"a"), 2)
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         later = attrs.evolve(batch("b2", 3, n_wanted_groups=1), account=account)
         again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
         found = [each.item_id for each in known.carried_results(again, None)]
@@ -282,7 +282,7 @@
             run.text.add(event_stream.Event(1, b"a"), 2)
             known.finished("b1", [item_id])
             self.assertEqual(run.text.parts, [])
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
         self.assertIsNone(again.runs_by_item_id["i0"].text.last_number)
 
@@ -291,7 +291,7 @@
         opened = known.open(model.KeptBatch.of(batch("b1", 2), 0.0), 0.0)
         run = opened.runs_by_item_id["i0"]
         run.text.add(event_stream.Event(1, b"a"), 2)
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
         self.assertEqual(again.runs_by_item_id["i0"].text.last_number, 1)
         self.assertEqual(again.spare_groups, frozenset())
@@ -314,7 +314,7 @@
         known.finished("b1", finished)
         if has_begun:
             opened.runs_by_item_id["i3"].text.add(event_stream.Event(1, b"a"), 2)
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         later = batch("b2", 4, n_wanted_groups=1)
         again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
         self.assertEqual(again.spare_groups, expected, name)
--- a/tests/test_batches_scoring.py
+++ b/tests/test_batches_scoring.py
@@ -195,7 +195,7 @@
             kept.results = [attrs.evolve(text_of(versions=(2,)), score="mark")]
         else:
             opened.runs_by_item_id["i0"].take_whole_text(text_of(versions=(2,)))
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
         carried = known.carried_results(again, None)
         run = again.runs_by_item_id["i0"]
