Tests: an attempt that ends by itself while its batch is broken off (red)

By reading, beside the text out of order: breaking off one attempt lets others run and end, whose entries are then looked up in vain: KeyError, in the task that applies the group's log.

--- a/tests/test_batches_ends.py
+++ b/tests/test_batches_ends.py
@@ -15,7 +15,7 @@
 from nose2 import tools
 
 from bilberrydrum import clock, quarantine
-from bilberrydrum.batches import hooks, model, runner
+from bilberrydrum.batches import hooks, item_tasks, model, runner
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
 from bilberrydrum.relay import balancing, crash_watch, relay
@@ -154,3 +154,39 @@
         self.wait_for(lambda: len(self.results_of("b2")) == n_items)
         for result in self.results_of("b2"):
             self.assertEqual(result.text, WHOLE, result.item_id)
+
+
+class Tasks(unittest.TestCase):
+    """Work that ends by itself while other work is broken off."""
+
+    @tools.params("a batch", "all")
+    def test_work_that_has_just_ended(self, name):
+        """A batch ends; while one attempt is broken off, another has its last bytes.
+
+        The second one's entry is gone when its turn comes. That was a `KeyError` in
+        the task that applies the group's log, where any error stops the replica; the
+        other attempts of the batch were not broken off at all.
+        """
+        tasks = item_tasks.ItemTasks()
+        broken_off, ended = [], []
+
+        def first():
+            try:
+                clock.sleep(10.0)
+            finally:
+                broken_off.append("i1")
+
+        def second():
+            while not broken_off:
+                clock.sleep(0)
+            tasks.ended(("b", "i2"))
+            ended.append("i2")
+
+        tasks.start(("b", "i1"), first, lambda: None)
+        tasks.start(("b", "i2"), second, lambda: None)
+        clock.sleep(0)
+        if name == "all":
+            tasks.cancel_all()
+        else:
+            tasks.cancel_batch("b")
+        self.assertEqual(ended, ["i2"])
