Leave work alone that has ended while other work was broken off

What operators would see: a store that ends by itself with KeyError in its line, at the end of a batch. Cause: the list of what is to be broken off is made once, and each step lets other tasks run, which may end by themselves meanwhile. Change: an entry that is gone is passed over. Why it holds: an entry is taken out by whoever comes first, the end of the work or its breaking off, and only then acted on.

--- a/bilberrydrum/batches/item_tasks.py
+++ b/bilberrydrum/batches/item_tasks.py
@@ -46,8 +46,12 @@
         self._entries_by_key.pop(key, None)
 
     def cancel(self, key: Key) -> None:
-        """Break off the work on an item."""
-        entry = self._entries_by_key.pop(key)
+        """Break off the work on an item; none if it has just ended."""
+        # Breaking off other work lets this one run, and end: its entry may be gone. An
+        # error here would stop the replica, which breaks off the runs of ended batches.
+        entry = self._entries_by_key.pop(key, None)
+        if entry is None:
+            return
         entry.task.kill()
         if not entry.has_begun:
             entry.on_end()
