--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -296,6 +296,26 @@
         self.assertEqual(again.runs_by_item_id["i0"].text.last_number, 1)
         self.assertEqual(again.spare_groups, frozenset())
 
+    @tools.params(
+        ("adds an event", lambda text: text.add(event_stream.Event(2, b"b"), 2)),
+        ("begins anew", item_run.Text.clear),
+    )
+    def test_text_is_not_shared(self, name, write):
+        """An item comes again while something of its ended batch still has its text.
+
+        With one text for both, the later batch's attempt, asked to go on after event
+        1, adds event 2 to a text that has it already, or to one that is empty.
+        """
+        known = work.Work()
+        opened = known.open(model.KeptBatch.of(batch("b1", 2), 0.0), 0.0)
+        run = opened.runs_by_item_id["i0"]
+        run.text.add(event_stream.Event(1, b"a"), 2)
+        known.remember_closed(known.close("b1"))
+        again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
+        write(run.text)
+        text = again.runs_by_item_id["i0"].text
+        self.assertEqual((text.parts, text.last_number), ([b"a"], 1), name)
+
     @tools.params(
         ("it had begun", ("i0", "i1"), True, {("b2", "g0")}),
         ("it had not begun", ("i0", "i1"), False, {("b2", "g0")}),
