Hand on a copy of what an ended batch has left of a text

Callers saw a text with an event where another was due. Cause: the later batch's item went on with the very object that the ended batch's item had, so two attempts could write one text. Class: mutable state with two owners. Change: what is remembered of an ended batch is a copy, taken once its runs are broken off; each item of an open batch has a text that nobody else has. Why it holds: with the batch closed first nobody writes any more, as far as is known; with the copy, whoever still did would write what nobody reads.

--- a/bilberrydrum/batches/carried.py
+++ b/bilberrydrum/batches/carried.py
@@ -72,7 +72,9 @@
             if run.unscored is not None:
                 self._add_whole(account, run.item, run.unscored)
             elif run.text.parts and not run.is_finished:
-                self._texts_by_key[_key(account, run.item.item_id)] = run.text
+                # A copy: an attempt of the ended batch that is still under way would
+                # write into the text of the later batch, events twice or none.
+                self._texts_by_key[_key(account, run.item.item_id)] = run.text.copy()
         _drop_oldest(self._texts_by_key, _MAX_TEXTS)
 
     def _add_whole(
@@ -88,10 +90,7 @@
 
     def take_text(self, account: str | None, item_id: str) -> item_run.Text | None:
         """Return the text that an item goes on from, and forget it."""
-        text = self._texts_by_key.pop(_key(account, item_id), None)
-        if text is not None:
-            text.n_taken = 0
-        return text
+        return self._texts_by_key.pop(_key(account, item_id), None)
 
     def find_whole(
         self, account: str | None, item: model.Item, bounds: item_run.Bounds
--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -99,6 +99,10 @@
             list(kept.parts), set(kept.versions), kept.last_number, len(kept.parts)
         )
 
+    def copy(self) -> "Text":
+        """Return a text of its own with the same events, nothing of it handed over."""
+        return Text(list(self.parts), set(self.versions), self.last_number)
+
     def take_progress(self, item_id: str) -> model.Progress | None:
         """Return what is to be kept besides what was taken before; None: nothing."""
         if self.last_number is None or len(self.parts) <= self.n_taken:
