Tests: an item that ends while another one is moved (red)

By reading, beside the text out of order: the runner decides for all items at once and carries that out one by one, with other tasks running where an item is taken away from a slow engine. An item that ended meanwhile is run again from its beginning, and a batch that ended meanwhile is an error that drops the other decisions.

--- a/tests/test_batches_ends.py
+++ b/tests/test_batches_ends.py
@@ -15,7 +15,7 @@
 from nose2 import tools
 
 from bilberrydrum import clock, quarantine
-from bilberrydrum.batches import hooks, item_tasks, model, runner
+from bilberrydrum.batches import engines, hooks, item_tasks, model, runner
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
 from bilberrydrum.relay import balancing, crash_watch, relay
@@ -34,8 +34,16 @@
     def __init__(self) -> None:
         self.n_running = 0
         self.received: list[scripted.Received] = []
+        self.connections_by_item_id = {}
         self.server = scripted.Scripted(self.answer, kind="engine")
 
+    def finish(self, item_id):
+        """Send all events that are left of an item, and the end, without a pause."""
+        connection, number = self.connections_by_item_id.pop(item_id)
+        for each in range(number + 1, N_EVENTS + 1):
+            connection.sendall(chunk_of(each))
+        connection.sendall(scripted.LAST_CHUNK)
+
     def answer(self, connection, received):
         self.received.append(received)
         self.n_running += 1
@@ -51,11 +59,21 @@
         first = int(received.headers.get("last", 0)) + 1
         for number in range(first, N_EVENTS + 1):
             eventlet.sleep(EVENT_SECONDS)
-            event = b"id: %d\ndata: e%d\n\n" % (number, number)
-            connection.sendall(scripted.chunk(event))
+            if (
+                number > first
+                and received.request_id not in self.connections_by_item_id
+            ):
+                # Finished by the test.
+                return
+            connection.sendall(chunk_of(number))
+            self.connections_by_item_id[received.request_id] = (connection, number)
         connection.sendall(scripted.LAST_CHUNK)
 
 
+def chunk_of(number):
+    return scripted.chunk(b"id: %d\ndata: e%d\n\n" % (number, number))
+
+
 class View:
     """Stands for a store's copy of the registry and the policy."""
 
@@ -63,23 +81,26 @@
         share = policy.Share("s", 1.0)
         route = policy.Route("r", "h", "/p/", policy.RouteKind.BATCH, (share,))
         service = policy.Service("s", models=("m",))
-        self.registry = fleet_model.Registry(
-            1,
-            (
-                fleet_model.FleetUpstream(
-                    "e",
-                    "s",
-                    engine.server.address,
-                    "z",
-                    n_slots,
-                    versions_by_model={"m": 1},
-                ),
-            ),
-        )
+        self._n_slots = n_slots
+        self.registry = fleet_model.Registry()
+        self.add("e1", engine)
         self.routes = policy.RouteTable(policy.Policy(1, (route,), (service,)))
         self.crashes = quarantine.Book()
         self.crashes_index = 0
 
+    def add(self, upstream_id, engine):
+        upstream = fleet_model.FleetUpstream(
+            upstream_id,
+            "s",
+            engine.server.address,
+            "z",
+            self._n_slots,
+            versions_by_model={"m": 1},
+        )
+        known = self.registry
+        upstreams = (*known.upstreams, upstream)
+        self.registry = fleet_model.Registry(known.index + 1, upstreams)
+
     def watch(self, callback):
         pass
 
@@ -94,13 +115,18 @@
     return model.KeptBatch.of(model.Batch(batch_id, "h", items, model="m"), 0.0)
 
 
-class EndedBatches(unittest.TestCase):
+class RunnerCase(unittest.TestCase):
     """The runner on loopback; its loop is due at each turn."""
 
+    def engine_server(self):
+        engine = SlowEngine()
+        self.addCleanup(engine.server.stop)
+        return engine
+
     def begin(self, n_items):
-        self.engine = SlowEngine()
-        self.addCleanup(self.engine.server.stop)
-        view = View(self.engine, n_slots=2 * n_items)
+        self.engine = self.engine_server()
+        self.before_look = lambda: None
+        self.view = view = View(self.engine, n_slots=2 * n_items)
         means = attempts.Means(connections.Connections(), watch.Watch())
         rng = random.Random(1)
         protocol = node_protocol.PlainProtocol()
@@ -112,7 +138,7 @@
             score=lambda *each: None,
             save=lambda batch_id, progress: None,
             fencing_number=lambda: None,
-            may_send=lambda: True,
+            may_send=self.may_send,
             holder="me",
         )
         passing_on = relay.Relay(
@@ -130,6 +156,10 @@
         self.wait_for(lambda: self.engine.n_running == n_items)
         clock.sleep(3 * EVENT_SECONDS)
 
+    def may_send(self):
+        self.before_look()
+        return True
+
     def wait_for(self, is_so):
         with eventlet.Timeout(10.0):
             while not is_so():
@@ -138,6 +168,10 @@
     def results_of(self, batch_id):
         return [result for given, result in self.results if given == batch_id]
 
+
+class EndedBatches(RunnerCase):
+    """Nothing goes on in a batch that ends, and what it leaves is nobody else's."""
+
     @tools.params(1, 2, 6)
     def test_no_item_is_sent_while_its_batch_ends(self, n_items):
         self.begin(n_items)
@@ -156,6 +190,34 @@
             self.assertEqual(result.text, WHOLE, result.item_id)
 
 
+class Moves(RunnerCase):
+    """Items are taken away from a slow engine while others there end by themselves."""
+
+    def test_item_that_has_just_ended(self):
+        """Two items are to go on elsewhere; the second one's last bytes are there.
+
+        Breaking off the first one's attempt lets the second one's end. Sent all the
+        same, the second item runs once more from its beginning, for nobody.
+        """
+        self.begin(2)
+        other = self.engine_server()
+        self.view.add("e2", other)
+
+        def arm():
+            self.before_look = lambda: None
+            self.engine.finish("i1")
+
+        self.before_look = arm
+        is_slow = mock.patch.object(
+            engines.Engines, "slow_ids", lambda known, now: frozenset({"e1"})
+        )
+        with is_slow:
+            self.runner.wake()
+            self.wait_for(lambda: len(self.results) == 2)
+        self.assertEqual([each.request_id for each in other.received], ["i0"])
+        self.assertEqual([each.text for each in self.results_of("b1")], [WHOLE] * 2)
+
+
 class Tasks(unittest.TestCase):
     """Work that ends by itself while other work is broken off."""
 
