Send an item only if it still waits when its turn comes

What callers see: nothing wrong, but work done twice, and items that wait for the next look when a batch ends in the middle of one. Cause: assignments are made together and carried out one by one; taking an item away from a slow engine lets other tasks run, so that a later assignment may be of an item or a batch that has ended. Change: the stage is looked at again right before the sending, and a batch that is not open any more is passed over instead of an error. Figures: the finished item of the test was sent to the other engine before, and is not after. Why it holds: between that look and the start of the attempt no other task runs.

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -309,7 +309,14 @@
         return opened.route(self._view.routes)
 
     def _send(self, assignment: scheduling.Assignment) -> None:
-        opened, run = self._work.find(assignment.key)
+        found = self._work.find(assignment.key)
+        if found is None:
+            return
+        opened, run = found
         if run.engine_id:
             self._take_away(assignment, run)
+        # Taking away, of this item or of one before it, lets other tasks run: the item
+        # or its batch may have ended since it was assigned, and would run once more.
+        if opened.is_ended or run.stage is not lifecycle.Stage.WAITING:
+            return
         self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -201,10 +201,10 @@
             )
         return counts
 
-    def find(self, key: tuple[str, str]) -> tuple[OpenBatch, lifecycle.ItemRun]:
-        """Return a batch and an item of it."""
-        opened = self._open_by_id[key[0]]
-        return opened, opened.runs_by_item_id[key[1]]
+    def find(self, key: tuple[str, str]) -> tuple[OpenBatch, lifecycle.ItemRun] | None:
+        """Return a batch and an item of it; None: the batch is not open."""
+        opened = self._open_by_id.get(key[0])
+        return (opened, opened.runs_by_item_id[key[1]]) if opened else None
 
     def finished(self, batch_id: str, item_ids: Iterable[str]) -> None:
         """Note items whose results are committed."""
