Tell a reset from an end on connections to upstreams

Callers saw look-ups cut short and framed as whole, and half a text as an item's whole one. Cause: eventlet's sockets read ECONNRESET as the end of what there is. An answer without a length or chunks ends with its connection; one whose upstream crashed was taken for whole by the relay, by streams and by items. Class: an error that a library turns into a normal value. Ruled out: urllib3 and http.client, which pass an error of the socket on; framing by length or chunks, where an early end is noticed. Change: connections to upstreams have a socket of their own, which raises; it is made here, so that nothing of urllib3's connecting is needed. Why it holds: a peer that closes in order sends an end, one that ends in any other way a reset; only a host that closes in order for an upstream in the middle of its work cannot be told, as before. Elsewhere: callers' bodies have a length or chunks; orders to engines need a status only; the groups' own messages are framed.

--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 import attrs
+import eventlet.greenio
 import urllib3.connection
 import urllib3.exceptions
 
@@ -28,6 +29,23 @@
 Connection = urllib3.connection.HTTPConnection
 
 
+class _Socket(eventlet.greenio.GreenSocket):  # type: ignore[misc]
+    """A socket on which a reset is an error.
+
+    eventlet's own reads a reset as an end. An answer that ends with its connection then
+    looks whole where its upstream crashed.
+    """
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Read into `buffer`; 0 only if the peer has closed in order."""
+        while True:
+            try:
+                n_read: int = self.fd.recv_into(buffer, nbytes, flags)
+                return n_read
+            except BlockingIOError:
+                self._read_trampoline()
+
+
 @attrs.frozen
 class Taken:
     """A connection that is ready for a request."""
@@ -78,13 +96,11 @@
             if kept is not None:
                 return Taken(kept, is_kept=True)
         host, _, port = address.rpartition(":")
-        connection = Connection(host.strip("[]"), int(port), timeout=timeout)
-        connection.connect()
-        # The deadline of the whole attempt bounds each read from here on. urllib3 sets
-        # the socket's timeout anew with each request and answer; left at the time for
-        # connecting, it would cut off an upstream whose first byte takes longer.
-        connection.timeout = None
-        connection.sock.settimeout(None)
+        # The deadline of the whole attempt bounds each read. urllib3 sets the socket's
+        # timeout anew with each request and answer; with the time for connecting, it
+        # would cut off an upstream whose first byte takes longer.
+        connection = Connection(host.strip("[]"), int(port), timeout=None)
+        connection.sock = _connect(connection.host, connection.port, timeout)
         return Taken(connection, is_kept=False)
 
     def keep(
@@ -121,6 +137,20 @@
         return None
 
 
+def _connect(host: str, port: int, timeout: float) -> Any:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    connected = _Socket(family, socket.SOCK_STREAM)
+    try:
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connected.settimeout(timeout)
+        connected.connect((host, port))
+        connected.settimeout(None)
+    except BaseException:
+        connected.close()
+        raise
+    return connected
+
+
 def _is_silent(connection: Connection) -> bool:
     """Tell whether there is nothing to read on an idle connection.
 
