Test: a damaged answer is taken for the end of an item's text

What callers saw: a result listed as completed, whose text was half of the item's output.

An item's run breaks off after event n. The next engine is asked to go on after n; its answer is a status line of 200 without any header, closed in order. No event and no error is what an engine sends that has nothing to add, so the text was taken for whole.

The test's protocol knows a mark now, and its engine's answers bear one.

--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -39,6 +39,7 @@
     def read_head(self, headers):
         version = headers.get("Version", "")
         return upstream_protocol.AnswerHead(
+            is_genuine="Mark" in headers,
             was_not_run="Not-Run" in headers,
             version=int(version) if version else None,
         )
@@ -50,7 +51,7 @@
 
 
 def answer(body, status=200, headers=("Version: 3",), request_id="i"):
-    lines = [f"HTTP/1.1 {status} X", f"{ID}: {request_id}", *headers]
+    lines = [f"HTTP/1.1 {status} X", f"{ID}: {request_id}", "Mark: m", *headers]
     lines.append("Transfer-Encoding: chunked")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
@@ -186,6 +187,29 @@
         self.assertEqual(self.run_item(data, text), Outcome.COMPLETED)
         self.assertEqual(text.result("i").text, b"a\nb")
 
+    @tools.params(
+        ("a bare head", b"HTTP/1.1 200 OK\r\n\r\n"),
+        ("and a length", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        (
+            "and chunks",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        ),
+        ("and an event", b"HTTP/1.1 200 OK\r\nVersion: 3\r\n\r\n" + event(3)),
+        ("not yet due", b"HTTP/1.1 200 OK\r\nVersion: 3\r\n\r\n" + event(1)),
+    )
+    def test_answer_without_the_engine_s_mark(self, name, data):
+        """A trainer reads half of an item's text, listed as completed.
+
+        The item's run breaks off after event 2. The next engine is asked to go on, and
+        its answer is damaged: a status line without headers, then the closing of the
+        connection. No event and no error looked like an engine that has nothing to add:
+        `completed`, `asked_after` 51 and 134, `framing` "close", no byte, in two plays.
+        One that has nothing to add bears its mark, in 125 answers of 125.
+        """
+        text = item_run.Text([b"a", b"b"], {2}, 2)
+        self.assertEqual(self.run_item(data, text), Outcome.BROKEN, name)
+        self.assertEqual((text.parts, text.versions), ([b"a", b"b"], {2}), name)
+
     def test_resumed_at_another_place(self):
         text = item_run.Text([b"a"], {2}, 1)
         outcome = self.run_item(answer(chunked(event(1, b"a"))), text)
