Read no answer to an item that lacks the engine's mark

What callers saw: a result listed as completed, whose text was half of the item's output.

Cause: a damaged answer, a status line of 200 without headers that is closed in order, was read like the engine's own. To an item that goes on after event n it looked like an engine that has nothing to add. Relayed streams ask for the engine's mark; items did not.

Ruled out: that an engine which ends before its first event is taken for one that has nothing to add.

Change: an answer of 200 without the mark is broken. Nothing of it is read, and the text stands as it was. A deployment whose engines have no mark says so in its adapter, as before.

It holds for any damaged head that has lost the mark, whatever follows it; one that keeps the mark is judged by how it tells its end.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -285,6 +285,10 @@
     head = protocol.read_head(answer.headers)
     if answer.status != _OK:
         return _refused(means, outgoing, answer, head)
+    if not head.is_genuine:
+        # A damaged head with nothing after it looks like an engine that has nothing to
+        # add: half a text would be listed as whole. An engine marks each such answer.
+        return Ended(Outcome.BROKEN, "an answer without the engine's mark")
     version = head.version
     reader = event_stream.EventReader(protocol.version_field, run.text.last_number)
     last_at = None
