Test: an answer without events that only closes is taken for the end of a text

What callers would see: a result listed as completed with half of its text. By reading, and shown by the test: an engine that ends between its answer's head and the first event closes the connection in order, and without a length or chunks its answer equals that of an engine that has nothing to add. A head that is cut before its framing looks the same.

Beside it: a length that is no number counts as a length in the attempt's line, though the answer then ends with its connection.

--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -56,6 +56,18 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def with_framing(framing, body):
+    """Return a whole answer whose end is told by `framing`."""
+    lines = ["HTTP/1.1 200 OK", f"{ID}: i", "Mark: m", "Version: 3"]
+    if framing == "chunks":
+        return answer(chunked(body) if body else chunked())
+    if framing == "length":
+        lines.append(f"Content-Length: {len(body)}")
+    elif framing == "no length":
+        lines.append("Content-Length: -2")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
 def event(number, data=b"x", version=b""):
     line = b"version: %s\n" % version if version else b""
     return b"id: %d\n%sdata: %s\n\n" % (number, line, data)
@@ -210,6 +222,33 @@
         self.assertEqual(self.run_item(data, text), Outcome.BROKEN, name)
         self.assertEqual((text.parts, text.versions), ([b"a", b"b"], {2}), name)
 
+    @tools.params(
+        ("chunks", Outcome.COMPLETED, [b"a", b"b"]),
+        ("length", Outcome.COMPLETED, [b"a", b"b"]),
+        ("close", Outcome.BROKEN, []),
+        ("no length", Outcome.BROKEN, []),
+    )
+    def test_nothing_is_added(self, framing, outcome, parts):
+        """A result listed as completed has half of its text.
+
+        An engine has sent its answer's head and ends before the first event; its host
+        closes the connection in order. Without a length or chunks this looks like an
+        engine that has nothing to add, and nothing else says how many events are due.
+        So the text begins anew; resumed once more, it could be asked for without end.
+        """
+        text = item_run.Text([b"a", b"b"], {2}, 2)
+        self.assertEqual(self.run_item(with_framing(framing, b""), text), outcome)
+        self.assertEqual(text.parts, parts)
+
+    @tools.params("chunks", "length", "close", "no length")
+    def test_whole_with_any_framing(self, framing):
+        """An answer may have neither a length nor chunks and end with its channel."""
+        body = event(1, b"a") + event(2, b"b")
+        outcome = self.run_item(with_framing(framing, body))
+        self.assertEqual((outcome, self.text.parts), (Outcome.COMPLETED, [b"a", b"b"]))
+        expected = framing if framing in ("chunks", "length") else "close"
+        self.assertEqual(self.ended.reading.framing, expected)
+
     def test_resumed_at_another_place(self):
         text = item_run.Text([b"a"], {2}, 1)
         outcome = self.run_item(answer(chunked(event(1, b"a"))), text)
