Begin a text anew when an answer without events only closes

What callers would see: a result listed as completed with half of its text.

Cause: asked to go on after event n, an engine that has nothing to add answers without an event, and so does one that ends before its first event. An answer that only closes says nothing, and there is nothing else that says how many events are due.

Ruled out: going back by one event and asking for it again. It keeps more of the text, but a text that comes from what the group kept does not know which event was made under which weight version, and the one that is dropped would leave its version behind.

Change: such an answer is broken, and its text begins anew. That ends: an item that begins does not meet it again, as an answer without events never ends a text that has none. What was handed over to be kept is replaced whole by the next save, as for any text that begins anew. A length that is no number counts as none.

What remains: a stream without length or chunks that has brought an event, and whose engine ends between two, is taken for whole as before; the interface allows answers that end by closing.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -42,6 +42,17 @@
     WRONG_VERSION = "wrong-version"
 
 
+class Framing(enum.StrEnum):
+    """How an answer tells its end."""
+
+    # There is no answer.
+    NONE = ""
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # Only by the closing of the connection, as it is closed when an engine ends.
+    CLOSE = "close"
+
+
 @attrs.define
 class Reading:
     """What an attempt asked for and what it has read, for its log line."""
@@ -51,8 +62,7 @@
     # Numbers of the events that came; None: none came.
     first_number: int | None = None
     last_number: int | None = None
-    # How the answer tells its end: "length", "chunks" or "close"; empty: no answer.
-    framing: str = ""
+    framing: Framing = Framing.NONE
 
     def note(self, event: event_stream.Event) -> None:
         """Note an event that came."""
@@ -224,10 +234,12 @@
     return _read(means, protocol, engine, run, outgoing, connection, answer, reading)
 
 
-def _framing_of(answer: Any) -> str:
-    if "chunked" in answer.headers.get("Transfer-Encoding", "").lower():
-        return "chunks"
-    return "length" if "Content-Length" in answer.headers else "close"
+def _framing_of(answer: Any) -> Framing:
+    """Return how an answer, of which nothing was read yet, tells its end."""
+    if answer.headers.get("Transfer-Encoding", "").lower() == "chunked":
+        return Framing.CHUNKS
+    # A length that is no number is none.
+    return Framing.CLOSE if answer.length_remaining is None else Framing.LENGTH
 
 
 def _without_answer(error: attempts.AttemptError) -> Ended:
@@ -311,10 +323,16 @@
                 detail = f"made under version {version}"
                 return Ended(Outcome.WRONG_VERSION, detail, version)
             run.text.add(event, version)
-    # A text whose last event was read before its end was is whole: resumed after that
-    # event, the engine has nothing to add.
     if not reader.is_between_events() or run.text.last_number is None:
         return Ended(Outcome.BROKEN, "ended in the middle of an event")
+    if reading.first_number is None and reading.framing is Framing.CLOSE:
+        # An engine that ends before its first event looks the same, and half a text
+        # would be listed as whole. Begun anew, the item can't meet this once more.
+        run.text.clear()
+        return Ended(Outcome.BROKEN, "closed without an event")
+    # A text whose last event was read before its end was is whole: resumed after that
+    # event, the engine has nothing to add, and says so by its answer's length or last
+    # chunk.
     return Ended(Outcome.COMPLETED, version=last_version)
 
 
