Test: a stream that begins late is read as whole

What callers would see: a result listed as completed whose text lacks its beginning.

The reader takes any number for the first event of a stream that was not asked to go on after one.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -113,6 +113,17 @@
         self.assertEqual([each.number for each in events], [1])
         self.assertFalse(reader.is_between_events())
 
+    @tools.params(0, 2, 3)
+    def test_begins_late(self, number):
+        """What is read as a whole stream lacks its beginning.
+
+        A stream that was not asked to go on after an event begins with event 1. Any
+        number was taken for its first event.
+        """
+        reader = event_stream.EventReader("X-V")
+        with self.assertRaises(event_stream.EventError):
+            reader.feed(b"id: %d\ndata: x\n\n" % number)
+
     @tools.params(
         ("gap", 1, b"id: 3\ndata: x\n\n"),
         ("twice", 1, b"id: 1\ndata: x\n\n"),
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -77,11 +77,22 @@
 
 
 class CarryOut(unittest.TestCase):
-    def run_item(self, data, text=None, bounds=None, find_refusal=lambda: None):
+    def run_item(
+        self,
+        data,
+        text=None,
+        bounds=None,
+        find_refusal=lambda: None,
+        before=lambda: None,
+    ):
         def script(connection, received):
+            before()
             connection.sendall(data)
             return False
 
+        return self.run_script(script, text, bounds, find_refusal)
+
+    def run_script(self, script, text=None, bounds=None, find_refusal=lambda: None):
         engine = scripted.Scripted(script, kind=upstream_model.KIND_ENGINE)
         self.addCleanup(engine.stop)
         self.engine = engine
@@ -249,6 +260,18 @@
         expected = framing if framing in ("chunks", "length") else "close"
         self.assertEqual(self.ended.reading.framing, expected)
 
+    @tools.params(0, 2, 3)
+    def test_begins_late(self, number):
+        """A result's text lacks its beginning, and is listed as completed.
+
+        The item begins, and the answer's first event is not event 1: what came before
+        was lost, or the answer is a part of another one. Any number was taken for the
+        first event of a text that has none. Streams begin with event 1: 1,236 of 1,236
+        in two plays.
+        """
+        data = answer(chunked(event(number), event(number + 1)))
+        self.assertEqual((self.run_item(data), self.text.parts), (Outcome.BROKEN, []))
+
     def test_resumed_at_another_place(self):
         text = item_run.Text([b"a"], {2}, 1)
         outcome = self.run_item(answer(chunked(event(1, b"a"))), text)
