Read a stream from its beginning only if it begins with event 1

What callers would see: a result listed as completed whose text lacks its beginning, or a relayed stream without its beginning.

Cause: the reader compared an event's number with the one before, and took any number for the first event when there was none before.

Change: the reader's last number is 0 for a stream from its beginning, never None, and the first event has to follow it like any other. Both users, item runs and relayed streams, pass 0 where no event was asked for. The tests that gave None give 0: they are about damaged events, and mean a stream from its beginning.

It holds for any first event: 1 after 0 is the only one that follows.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -302,7 +302,7 @@
         # add: half a text would be listed as whole. An engine marks each such answer.
         return Ended(Outcome.BROKEN, "an answer without the engine's mark")
     version = head.version
-    reader = event_stream.EventReader(protocol.version_field, run.text.last_number)
+    reader = event_stream.EventReader(protocol.version_field, run.text.last_number or 0)
     last_at = None
     last_version = None
     for part in _parts(means, outgoing, answer, run.stall_seconds):
--- a/bilberrydrum/event_stream.py
+++ b/bilberrydrum/event_stream.py
@@ -1,7 +1,8 @@
 """Read an engine's event stream as it comes, into whole events.
 
 Pure: bytes in, events out. An event is whole once the empty line after it was read; a
-stream may break off in the middle of one, and what was begun is dropped then.
+stream may break off in the middle of one, and what was begun is dropped then. Events
+are numbered from 1.
 """
 
 from typing import Final
@@ -20,7 +21,7 @@
 class Event:
     """One event of a stream."""
 
-    # Number in the stream; rises by one from event to event.
+    # Number in the stream, from 1; rises by one from event to event.
     number: int
     data: bytes
     # Weight version from this event on; None: as before.
@@ -35,8 +36,10 @@
 
     # Name of the field by which an event tells a change of the weight version.
     version_field: str
-    # Number of the last whole event; the next one must follow it.
-    last_number: int | None = None
+    # Number of the last whole event, at first the one that the stream goes on after; 0:
+    # it is read from its beginning. The next event must follow it: with any number for
+    # the first one, a stream that lacks its beginning would be read as whole.
+    last_number: int = 0
     _rest: bytes = b""
 
     def feed(self, data: bytes) -> list[Event]:
@@ -72,7 +75,7 @@
                 version = _whole_number(value)
         if number is None:
             raise EventError(f"event without a number: {block[:80]!r}")
-        if self.last_number is not None and number != self.last_number + 1:
+        if number != self.last_number + 1:
             raise EventError(f"event {number} after {self.last_number}")
         self.last_number = number
         return Event(number, b"\n".join(lines), version, block + b"\n\n")
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -238,7 +238,7 @@
 
     def _read(self, course: _Course, source: _Source) -> Iterator[bytes]:
         reader = event_stream.EventReader(
-            self._protocol.version_field, course.last_number
+            self._protocol.version_field, course.last_number or 0
         )
         parts = attempts.read_parts(source.answer)
         patience = max(STALL_SECONDS, course.route.target_latency_seconds * 4)
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -127,10 +127,10 @@
     @tools.params(
         ("gap", 1, b"id: 3\ndata: x\n\n"),
         ("twice", 1, b"id: 1\ndata: x\n\n"),
-        ("no number", None, b"data: x\n\n"),
-        ("not a number", None, b"id: x\ndata: x\n\n"),
-        ("not a version", None, b"id: 1\nx-v: y\ndata: x\n\n"),
-        ("endless", None, b"x" * (event_stream.MAX_EVENT_BYTES + 1)),
+        ("no number", 0, b"data: x\n\n"),
+        ("not a number", 0, b"id: x\ndata: x\n\n"),
+        ("not a version", 0, b"id: 1\nx-v: y\ndata: x\n\n"),
+        ("endless", 0, b"x" * (event_stream.MAX_EVENT_BYTES + 1)),
     )
     def test_damaged(self, name, last, data):
         reader = event_stream.EventReader("X-V", last)
