Test: a text takes any event, and goes on with a run that was not asked to

What callers would see: a listed text with an event where another is due, twice, or missing.

An answer's first event is compared with the text as it is when the answer begins, while the request was made from an earlier reading of it; cleared in between, or gone on, it takes a run that was not asked to go on after its last event.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -138,6 +138,32 @@
             reader.feed(data)
 
 
+class TextOrder(unittest.TestCase):
+    """A text takes the event that follows, and no other."""
+
+    @tools.params(
+        ("begins late", 0, 2),
+        ("begins at 0", 0, 0),
+        ("a gap", 2, 4),
+        ("twice", 2, 2),
+        ("begins again", 2, 1),
+    )
+    def test_other_event(self, name, n_events, number):
+        """A listed text has an event where another is due.
+
+        Whatever has gone wrong before, it shows in the number of the event that is
+        added, and only the text sees all that is added to it.
+        """
+        text = item_run.Text()
+        for n in range(n_events):
+            text.add(event_stream.Event(n + 1, b"a"), 1)
+        with self.assertRaises(event_stream.EventError, msg=name):
+            text.add(event_stream.Event(number, b"b"), 2)
+        self.assertEqual(
+            (text.parts, text.versions), ([b"a"] * n_events, {1} if n_events else set())
+        )
+
+
 class Bounds(unittest.TestCase):
     """Which versions an item's text may come from."""
 
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -272,6 +272,45 @@
         data = answer(chunked(event(number), event(number + 1)))
         self.assertEqual((self.run_item(data), self.text.parts), (Outcome.BROKEN, []))
 
+    @tools.params(
+        ("cleared", lambda text: text.clear(), 3),
+        ("cleared, and begun", lambda text: text.clear(), 1),
+        ("gone on", lambda text: text.add(event_stream.Event(3, b"y"), 2), 3),
+        ("and a gap", lambda text: text.add(event_stream.Event(3, b"y"), 2), 4),
+    )
+    def test_text_that_changes_after_the_request(self, name, change, first):
+        """A text goes on with a run that was not asked to go on after its last event.
+
+        The engine is asked to go on after event 2. Before it answers, the text changes:
+        it is cleared, or another run adds to it. The answer's first event was compared
+        with the text as it was then, not with what had been asked for.
+        """
+        text = item_run.Text([b"a", b"b"], {2}, 2)
+        data = answer(chunked(event(first, b"c"), event(first + 1, b"d")))
+        outcome = self.run_item(data, text, before=lambda: change(text))
+        self.assertEqual((outcome, text.parts), (Outcome.BROKEN, []), name)
+
+    def test_two_runs_that_go_on_by_turns(self):
+        """A text has an event of another run where one of its own is due, or twice.
+
+        While a run's events come, another run adds to the same text. Each run sees its
+        own events in order, so only the text can tell.
+        """
+        text = item_run.Text([b"a"], {2}, 1)
+
+        def serve(connection, received):
+            head = answer(chunked(event(2, b"b"), is_whole=False))
+            connection.sendall(head)
+            while text.last_number != 2:
+                eventlet.sleep(0.001)
+            text.add(event_stream.Event(3, b"y"), 2)
+            connection.sendall(chunked(event(3, b"c")))
+            return False
+
+        outcome = self.run_script(serve, text)
+        self.assertEqual((outcome, text.parts), (Outcome.BROKEN, []))
+        self.assertIn("event 3", self.ended.detail)
+
     def test_resumed_at_another_place(self):
         text = item_run.Text([b"a"], {2}, 1)
         outcome = self.run_item(answer(chunked(event(1, b"a"))), text)
