Add only the event that follows to a text

What callers would see: a listed text with an event where another is due, twice, or missing.

Cause: a text took any event, and trusted each run to have read its own events in order. Two runs that write one text do so too.

Change: an event that does not follow the text's last one is refused, and the run begins the text anew as after a damaged answer; the attempt's line says `broken` and which event came for a text that ended where. Whatever the cause, it becomes a run that is made again. The cause is not mended by this: two runs that write one text are still to be kept apart.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -124,7 +124,19 @@
         return progress
 
     def add(self, event: event_stream.Event, version: int) -> None:
-        """Add one event, made under `version`."""
+        """Add one event, made under `version`.
+
+        Raises
+        ------
+        EventError
+            If it does not follow the last one.
+        """
+        if event.number != (self.last_number or 0) + 1:
+            # Two runs that write one text, or one that goes on elsewhere than it was
+            # asked to, would leave an event out or in twice. All that is added comes by
+            # here, and the run that is refused begins the text anew.
+            detail = f"event {event.number} for a text that ends at {self.last_number}"
+            raise event_stream.EventError(detail)
         self.parts.append(event.data)
         self.versions.add(version)
         self.last_number = event.number
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -227,7 +227,7 @@
     def test_parts_are_joined(self):
         text = item_run.Text()
         for n in range(4):
-            text.add(event_stream.Event(n, b"%d" % n), 1 + n // 3)
+            text.add(event_stream.Event(n + 1, b"%d" % n), 1 + n // 3)
             if n % 2:
                 progress = text.take_progress("i0")
                 self.apply(commands.SaveProgress("b", (progress,)))
@@ -235,7 +235,7 @@
         opened = work.Work().open(self.kept(), 0.0)
         again = opened.runs_by_item_id["i0"].text
         self.assertEqual(again.parts, [b"0", b"1", b"2", b"3"])
-        self.assertEqual((again.versions, again.last_number), ({1, 2}, 3))
+        self.assertEqual((again.versions, again.last_number), ({1, 2}, 4))
         self.assertIsNone(again.take_progress("i0"))
 
     def test_gap_is_not_joined(self):
@@ -261,9 +261,9 @@
         opened = work.Work().open(model.KeptBatch.of(batch(), 0.0), 0.0)
         text = opened.runs_by_item_id["i0"].text
         for n in range(7):
-            text.add(event_stream.Event(n, b"x"), 1)
+            text.add(event_stream.Event(n + 1, b"x"), 1)
         self.assertEqual(opened.take_progress(8), [])
-        text.add(event_stream.Event(7, b"x"), 1)
+        text.add(event_stream.Event(8, b"x"), 1)
         self.assertEqual(len(opened.take_progress(8)), 1)
 
 
