Compare an answer's events with what was asked for

What callers would see: a text that goes on after its last event with a run that was not asked to go on there.

Cause: an engine was asked to go on after the text's last event as it was when the request was prepared, and the answer's first event was compared with the text's last one when the answer began. Between the two lie a connection, the wait for the head, and perhaps a second sending.

Change: the reader begins at the number that was asked for, which the attempt's reading has had all along.

Before: 2 of 4 cases failed (the text cleared and the engine begins; the text gone on, and the answer with a gap); now all pass, and test_batches and test_batches_scoring. It holds together with the text's own check: an event has to follow both what was asked for and what the text has.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -314,7 +314,9 @@
         # add: half a text would be listed as whole. An engine marks each such answer.
         return Ended(Outcome.BROKEN, "an answer without the engine's mark")
     version = head.version
-    reader = event_stream.EventReader(protocol.version_field, run.text.last_number or 0)
+    # Not the text's own last event: it may have changed since the request was made, and
+    # would take a run that was not asked to go on after it.
+    reader = event_stream.EventReader(protocol.version_field, reading.asked_after or 0)
     last_at = None
     last_version = None
     for part in _parts(means, outgoing, answer, run.stall_seconds):
