Test: a text that has changed by the end of an answer is listed

What callers would see: a result listed as completed whose text is not what its run gave.

Shown by the test, not on a play: an engine ends its answer whole, and the text has been cleared, begun anew or gone on by another run meanwhile.

--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -290,6 +290,35 @@
         outcome = self.run_item(data, text, before=lambda: change(text))
         self.assertEqual((outcome, text.parts), (Outcome.BROKEN, []), name)
 
+    @tools.params(
+        ("nothing is added", (), [3]),
+        ("begun anew elsewhere", (), [None, 1]),
+        ("one is added", (3,), [4]),
+    )
+    def test_text_that_changes_before_the_end(self, name, numbers, changes):
+        """A result listed as completed has another text than its run gave.
+
+        The engine is asked to go on after event 2 and ends its answer whole. The text
+        has changed meanwhile, so that the end of the answer is not the end of the text.
+        """
+        text = item_run.Text([b"a", b"b"], {2}, 2)
+
+        def serve(connection, received):
+            head = answer(chunked(*map(event, numbers), is_whole=False))
+            connection.sendall(head)
+            while text.last_number != 2 + len(numbers):
+                eventlet.sleep(0.001)
+            for each in changes:
+                if each is None:
+                    text.clear()
+                else:
+                    text.add(event_stream.Event(each, b"y"), 2)
+            connection.sendall(scripted.LAST_CHUNK)
+            return False
+
+        self.assertEqual(self.run_script(serve, text), Outcome.BROKEN, name)
+        self.assertEqual(text.parts, [], name)
+
     def test_two_runs_that_go_on_by_turns(self):
         """A text has an event of another run where one of its own is due, or twice.
 
