Take a text for whole only if it ends where the run's answer does

What callers would see: a result listed as completed whose text is not what its run gave.

Cause: at the end of an answer only that was asked whether it ended after a whole event. Cleared, begun anew or gone on by another run meanwhile, the text was listed as it was.

Change: the text's last event has to be the last one that the run read, or was asked to go on after if the engine had nothing to add; if not, the run is broken and its text begins anew. What is to be told at the end stands in a function of its own now.

The cause of two runs that write one text is not mended by this.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -337,17 +337,33 @@
                 detail = f"made under version {version}"
                 return Ended(Outcome.WRONG_VERSION, detail, version)
             run.text.add(event, version)
-    if not reader.is_between_events() or run.text.last_number is None:
+    return _at_the_end(run.text, reader, reading, last_version)
+
+
+def _at_the_end(
+    text: Text,
+    reader: event_stream.EventReader,
+    reading: Reading,
+    version: int | None,
+) -> Ended:
+    """Return how an attempt ended whose answer ended without an error."""
+    if not reader.is_between_events() or not reader.last_number:
         return Ended(Outcome.BROKEN, "ended in the middle of an event")
+    if text.last_number != reader.last_number:
+        # Another run has changed the text: this answer's end is not its end.
+        detail = (
+            f"event {reader.last_number} ended a text that is at {text.last_number}"
+        )
+        raise event_stream.EventError(detail)
     if reading.first_number is None and reading.framing is Framing.CLOSE:
         # An engine that ends before its first event looks the same, and half a text
         # would be listed as whole. Begun anew, the item can't meet this once more.
-        run.text.clear()
+        text.clear()
         return Ended(Outcome.BROKEN, "closed without an event")
     # A text whose last event was read before its end was is whole: resumed after that
     # event, the engine has nothing to add, and says so by its answer's length or last
     # chunk.
-    return Ended(Outcome.COMPLETED, version=last_version)
+    return Ended(Outcome.COMPLETED, version=version)
 
 
 def _refused(
