Test: every end of an item's answer, and any trouble on the way to a whole text

A table over how an answer tells its end, where it ends, and whether it was to begin or to go on (30 cases), and a drawn test: up to six engines that end at any byte, in order or by a reset, send a head alone, begin though asked to go on, and repeat, leave out, swap and spoil events; whatever they do, a text that is said to be whole is the whole output, what is kept in between is a beginning of it, and an engine without a fault completes it in one attempt.

One end is written down as one that can't be told: an answer without length or chunks, closed in order after an event that is not the last.

--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -1,8 +1,14 @@
 """One attempt to run an item: every way an engine may end it."""
 
+import itertools
+import socket
+import struct
 import unittest
 
+import attrs
 import eventlet
+import hypothesis
+from hypothesis import strategies
 from nose2 import tools
 
 from bilberrydrum import clock, event_stream, reasons, upstream_protocol
@@ -56,11 +62,12 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def with_framing(framing, body):
+def with_framing(framing, *events):
     """Return a whole answer whose end is told by `framing`."""
     lines = ["HTTP/1.1 200 OK", f"{ID}: i", "Mark: m", "Version: 3"]
+    body = b"".join(events)
     if framing == "chunks":
-        return answer(chunked(body) if body else chunked())
+        return answer(chunked(*events))
     if framing == "length":
         lines.append(f"Content-Length: {len(body)}")
     elif framing == "no length":
@@ -76,6 +83,29 @@
 TWO = chunked(event(1, b"a"), event(2, b"b"))
 
 
+FRAMINGS = ("chunks", "length", "close")
+# Where an answer ends, and what is read of its events then; None: as many as are due.
+ENDS = {
+    "whole": None,
+    "after an event": 1,
+    "in an event": 1,
+    "before an event": 0,
+    "in the head": 0,
+}
+
+
+def up_to(data, end, first):
+    """Return what is sent of an answer that ends at one of ENDS."""
+    index = {
+        "whole": len(data),
+        "after an event": data.index(b"id: %d" % (first + 1)),
+        "in an event": data.index(b"id: %d" % (first + 1)) + 8,
+        "before an event": data.index(b"\r\n\r\n") + 4,
+        "in the head": data.index(b"Mark: m\r\n") + 9,
+    }[end]
+    return data[:index]
+
+
 class CarryOut(unittest.TestCase):
     def run_item(
         self,
@@ -248,7 +278,7 @@
         So the text begins anew; resumed once more, it could be asked for without end.
         """
         text = item_run.Text([b"a", b"b"], {2}, 2)
-        self.assertEqual(self.run_item(with_framing(framing, b""), text), outcome)
+        self.assertEqual(self.run_item(with_framing(framing), text), outcome)
         self.assertEqual(text.parts, parts)
 
     @tools.params("chunks", "length", "close", "no length")
@@ -340,6 +370,30 @@
         self.assertEqual((outcome, text.parts), (Outcome.BROKEN, []))
         self.assertIn("event 3", self.ended.detail)
 
+    @tools.params(*itertools.product(FRAMINGS, ENDS, (False, True)))
+    def test_every_end(self, framing, end, is_resumed):
+        """Only a whole answer makes a whole text.
+
+        One case can't be told: an answer that ends by closing, closed in order between
+        two events by an engine that ends. Nothing says how many events are due.
+        """
+        text = item_run.Text([b"a"], {3}, 1) if is_resumed else item_run.Text()
+        first = 2 if is_resumed else 1
+        due = [event(n, b"abcd"[n - 1 : n]) for n in range(first, 5)]
+        parts = [b"a", b"b", b"c", b"d"]
+        data = up_to(with_framing(framing, *due), end, first)
+        outcome = self.run_item(data, text)
+        can_be_told = (framing, end) != ("close", "after an event")
+        is_whole = end == "whole" or not can_be_told
+        self.assertEqual(outcome, Outcome.COMPLETED if is_whole else Outcome.BROKEN)
+        n_read = ENDS[end]
+        if n_read is not None:
+            parts = parts[: first - 1 + n_read]
+        if end == "in the head" or (framing, end) == ("close", "before an event"):
+            # The answer only closes, without an event.
+            parts = []
+        self.assertEqual(text.parts, parts)
+
     def test_resumed_at_another_place(self):
         text = item_run.Text([b"a"], {2}, 1)
         outcome = self.run_item(answer(chunked(event(1, b"a"))), text)
@@ -374,3 +428,137 @@
     def test_nothing_is_added_beyond_the_stream(self):
         reader = event_stream.EventReader("version", 1)
         self.assertEqual(reader.feed(event(2))[0].number, 2)
+
+
+# An item's whole output at any engine.
+N_EVENTS = 5
+OUTPUT = [b"part %d" % n for n in range(1, N_EVENTS + 1)]
+
+
+@attrs.frozen
+class Trouble:
+    """What one attempt meets."""
+
+    framing: str
+    # What is done to the events that are due.
+    damage: str
+    # The event that is damaged, counted among those that are due.
+    index: int
+    # Bytes that are sent of the answer, in 1,000ths of them; 1,000: all.
+    sent: int
+    is_reset: bool
+
+
+def damaged(due, trouble):
+    """Return the events of `due` as a faulty engine sends them."""
+    events = list(due)
+    at = trouble.index % max(len(events), 1)
+    if trouble.damage == "repeats":
+        events[at:at] = events[at : at + 1]
+    elif trouble.damage == "leaves out" and at < len(events) - 1:
+        del events[at]
+    elif trouble.damage == "swaps":
+        events[at : at + 2] = reversed(events[at : at + 2])
+    elif trouble.damage == "no number" and events:
+        events[at] = events[at].replace(b"id: ", b"in: ")
+    return events
+
+
+def due_after(number):
+    """Return the events that an engine sends that is asked to go on after `number`."""
+    return [event(n, OUTPUT[n - 1]) for n in range(number + 1, N_EVENTS + 1)]
+
+
+def bytes_of(trouble, asked_after):
+    """Return what an engine sends."""
+    if trouble.damage == "a bare head":
+        return b"HTTP/1.1 200 OK\r\n\r\n"
+    due = due_after(0 if trouble.damage == "begins" else asked_after)
+    data = with_framing(trouble.framing, *damaged(due, trouble))
+    n_sent = len(data) * trouble.sent // 1000
+    if trouble.framing == "close" and not trouble.is_reset:
+        n_sent = not_between_events(data, n_sent)
+    return data[:n_sent]
+
+
+def not_between_events(data, n_sent):
+    """Return an end that can be told: none in order, after an event that is not last.
+
+    An answer without length or chunks that is closed there looks whole (see
+    `CarryOut.test_every_end`), also if nothing but line ends of the next one are there.
+    """
+    head, _, body = data[:n_sent].partition(b"\r\n\r\n")
+    is_between = body and not body.rpartition(b"\n\n")[2].strip()
+    return n_sent - 3 if is_between and n_sent < len(data) else n_sent
+
+
+def reset(connection):
+    """Have the connection's closing reset it."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+TROUBLES = strategies.builds(
+    Trouble,
+    strategies.sampled_from(FRAMINGS),
+    strategies.sampled_from(
+        ("", "", "", "repeats", "leaves out", "swaps", "no number", "a bare head")
+        + ("begins",)
+    ),
+    strategies.integers(0, N_EVENTS - 1),
+    strategies.integers(0, 1000) | strategies.just(1000),
+    strategies.booleans(),
+)
+
+
+class AnyTrouble(unittest.TestCase):
+    """Whatever engines do, a text that is said to be whole is the whole output."""
+
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    @hypothesis.given(
+        strategies.lists(TROUBLES, max_size=6), strategies.integers(0, N_EVENTS)
+    )
+    def test_text(self, troubles, n_read):
+        """An item meets several engines, and is resumed after any of its events.
+
+        Engines end at any byte, in order or by a reset, send a head alone, begin anew
+        though asked to go on, and repeat, leave out, swap and spoil events. After these
+        comes an engine without a fault, and then the text has to be whole.
+        """
+        text = (
+            item_run.Text(OUTPUT[:n_read], {3}, n_read) if n_read else item_run.Text()
+        )
+        for trouble in troubles:
+            if self.attempt(text, trouble) is Outcome.COMPLETED:
+                break
+            self.assertEqual(text.parts, OUTPUT[: len(text.parts)])
+        else:
+            well = Trouble("chunks", "", 0, 1000, False)
+            self.assertEqual(self.attempt(text, well), Outcome.COMPLETED)
+        self.assertEqual(text.parts, OUTPUT)
+
+    def attempt(self, text, trouble):
+        def script(connection, received):
+            asked_after = int(received.headers.get("last-event-id", 0))
+            connection.sendall(bytes_of(trouble, asked_after))
+            if trouble.is_reset and trouble.sent < 1000:
+                reset(connection)
+            return False
+
+        engine = scripted.Scripted(script, kind=upstream_model.KIND_ENGINE)
+        run = item_run.Run(
+            model.Item("i", "/x", {}, b"", 1),
+            "h",
+            text,
+            item_run.Bounds(),
+            clock.now() + 5.0,
+            lambda: None,
+        )
+        means = attempts.Means(connections.Connections(), watch.Watch())
+        try:
+            with eventlet.Timeout(5.0):
+                upstream = upstream_at(engine)
+                ended = item_run.carry_out(means, Protocol(), upstream, run, 5.0)
+        finally:
+            engine.stop()
+        return ended.outcome
