Test: an event with a number of thousands of digits

What callers would see: nothing said of an item's attempt, or a relayed stream that breaks instead of going on elsewhere. The reader turns the digits into a number, which refuses more than 4,300 of them with an error that no reader of streams expects.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -129,6 +129,8 @@
         ("twice", 1, b"id: 1\ndata: x\n\n"),
         ("no number", 0, b"data: x\n\n"),
         ("not a number", 0, b"id: x\ndata: x\n\n"),
+        ("a number beyond all sense", 0, b"id: " + b"9" * 5000 + b"\ndata: x\n\n"),
+        ("a version beyond all sense", 0, b"id: 1\nx-v: " + b"9" * 5000 + b"\n\n"),
         ("not a version", 0, b"id: 1\nx-v: y\ndata: x\n\n"),
         ("endless", 0, b"x" * (event_stream.MAX_EVENT_BYTES + 1)),
     )
