Take no event whose number is beyond all sense

What callers would see: nothing said of an item's attempt, or a relayed stream that breaks instead of going on elsewhere.

Cause: digits were turned into a number whatever their count; above 4,300 of them that fails with an error that is not the reader's.

Change: a number of more than 19 digits is a damaged event, as in answers' headers. Before, 2 cases of the reader's test ended with the other error; now all of test_batches, test_batches_item_run and test_relay pass.

--- a/bilberrydrum/event_stream.py
+++ b/bilberrydrum/event_stream.py
@@ -11,6 +11,8 @@
 
 # Longest event taken; a longer one is an engine's fault and would fill the memory.
 MAX_EVENT_BYTES: Final = 1024 * 1024
+# Longest number taken; `int` fails for thousands of digits, with an error of its own.
+_MAX_DIGITS: Final = 19
 
 
 class EventError(Exception):
@@ -83,6 +85,6 @@
 
 def _whole_number(value: bytes) -> int:
     text = value.strip()
-    if not text.isdigit():
+    if not text.isdigit() or len(text) > _MAX_DIGITS:
         raise EventError(f"not a number: {text[:40]!r}")
     return int(text)
