--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -113,13 +113,26 @@
         self.assertEqual([each.number for each in events], [1])
         self.assertFalse(reader.is_between_events())
 
+    @tools.params(0, 2, 3)
+    def test_begins_late(self, number):
+        """What is read as a whole stream lacks its beginning.
+
+        A stream that was not asked to go on after an event begins with event 1. Any
+        number was taken for its first event.
+        """
+        reader = event_stream.EventReader("X-V")
+        with self.assertRaises(event_stream.EventError):
+            reader.feed(b"id: %d\ndata: x\n\n" % number)
+
     @tools.params(
         ("gap", 1, b"id: 3\ndata: x\n\n"),
         ("twice", 1, b"id: 1\ndata: x\n\n"),
-        ("no number", None, b"data: x\n\n"),
-        ("not a number", None, b"id: x\ndata: x\n\n"),
-        ("not a version", None, b"id: 1\nx-v: y\ndata: x\n\n"),
-        ("endless", None, b"x" * (event_stream.MAX_EVENT_BYTES + 1)),
+        ("no number", 0, b"data: x\n\n"),
+        ("not a number", 0, b"id: x\ndata: x\n\n"),
+        ("a number beyond all sense", 0, b"id: " + b"9" * 5000 + b"\ndata: x\n\n"),
+        ("a version beyond all sense", 0, b"id: 1\nx-v: " + b"9" * 5000 + b"\n\n"),
+        ("not a version", 0, b"id: 1\nx-v: y\ndata: x\n\n"),
+        ("endless", 0, b"x" * (event_stream.MAX_EVENT_BYTES + 1)),
     )
     def test_damaged(self, name, last, data):
         reader = event_stream.EventReader("X-V", last)
@@ -127,6 +140,32 @@
             reader.feed(data)
 
 
+class TextOrder(unittest.TestCase):
+    """A text takes the event that follows, and no other."""
+
+    @tools.params(
+        ("begins late", 0, 2),
+        ("begins at 0", 0, 0),
+        ("a gap", 2, 4),
+        ("twice", 2, 2),
+        ("begins again", 2, 1),
+    )
+    def test_other_event(self, name, n_events, number):
+        """A listed text has an event where another is due.
+
+        Whatever has gone wrong before, it shows in the number of the event that is
+        added, and only the text sees all that is added to it.
+        """
+        text = item_run.Text()
+        for n in range(n_events):
+            text.add(event_stream.Event(n + 1, b"a"), 1)
+        with self.assertRaises(event_stream.EventError, msg=name):
+            text.add(event_stream.Event(number, b"b"), 2)
+        self.assertEqual(
+            (text.parts, text.versions), ([b"a"] * n_events, {1} if n_events else set())
+        )
+
+
 class Bounds(unittest.TestCase):
     """Which versions an item's text may come from."""
 
@@ -190,7 +229,7 @@
     def test_parts_are_joined(self):
         text = item_run.Text()
         for n in range(4):
-            text.add(event_stream.Event(n, b"%d" % n), 1 + n // 3)
+            text.add(event_stream.Event(n + 1, b"%d" % n), 1 + n // 3)
             if n % 2:
                 progress = text.take_progress("i0")
                 self.apply(commands.SaveProgress("b", (progress,)))
@@ -198,7 +237,7 @@
         opened = work.Work().open(self.kept(), 0.0)
         again = opened.runs_by_item_id["i0"].text
         self.assertEqual(again.parts, [b"0", b"1", b"2", b"3"])
-        self.assertEqual((again.versions, again.last_number), ({1, 2}, 3))
+        self.assertEqual((again.versions, again.last_number), ({1, 2}, 4))
         self.assertIsNone(again.take_progress("i0"))
 
     def test_gap_is_not_joined(self):
@@ -224,9 +263,9 @@
         opened = work.Work().open(model.KeptBatch.of(batch(), 0.0), 0.0)
         text = opened.runs_by_item_id["i0"].text
         for n in range(7):
-            text.add(event_stream.Event(n, b"x"), 1)
+            text.add(event_stream.Event(n + 1, b"x"), 1)
         self.assertEqual(opened.take_progress(8), [])
-        text.add(event_stream.Event(7, b"x"), 1)
+        text.add(event_stream.Event(8, b"x"), 1)
         self.assertEqual(len(opened.take_progress(8)), 1)
 
 
