--- a/tests/fakes/text_group.py
+++ b/tests/fakes/text_group.py
@@ -242,7 +242,9 @@
         elif isinstance(command, commands.FinishItems):
             runner.items.finished(batch_id, command.finished_ids())
         elif isinstance(command, commands.EndBatch):
-            runner.items.end(batch_id)
+            closed = runner.items.close(batch_id)
+            if closed is not None:
+                runner.items.remember_closed(closed)
         else:
             self.n_saved += 1
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -125,13 +125,26 @@
         self.assertEqual([each.number for each in events], [1])
         self.assertFalse(reader.is_between_events())
 
+    @tools.params(0, 2, 3)
+    def test_begins_late(self, number):
+        """What is read as a whole stream lacks its beginning.
+
+        A stream that was not asked to go on after an event begins with event 1. Any
+        number was taken for its first event.
+        """
+        reader = event_stream.EventReader("X-V")
+        with self.assertRaises(event_stream.EventError):
+            reader.feed(b"id: %d\ndata: x\n\n" % number)
+
     @tools.params(
         ("gap", 1, b"id: 3\ndata: x\n\n"),
         ("twice", 1, b"id: 1\ndata: x\n\n"),
-        ("no number", None, b"data: x\n\n"),
-        ("not a number", None, b"id: x\ndata: x\n\n"),
-        ("not a version", None, b"id: 1\nx-v: y\ndata: x\n\n"),
-        ("endless", None, b"x" * (event_stream.MAX_EVENT_BYTES + 1)),
+        ("no number", 0, b"data: x\n\n"),
+        ("not a number", 0, b"id: x\ndata: x\n\n"),
+        ("a number beyond all sense", 0, b"id: " + b"9" * 5000 + b"\ndata: x\n\n"),
+        ("a version beyond all sense", 0, b"id: 1\nx-v: " + b"9" * 5000 + b"\n\n"),
+        ("not a version", 0, b"id: 1\nx-v: y\ndata: x\n\n"),
+        ("endless", 0, b"x" * (event_stream.MAX_EVENT_BYTES + 1)),
     )
     def test_damaged(self, name, last, data):
         reader = event_stream.EventReader("X-V", last)
@@ -139,6 +152,32 @@
             reader.feed(data)
 
 
+class TextOrder(unittest.TestCase):
+    """A text takes the event that follows, and no other."""
+
+    @tools.params(
+        ("begins late", 0, 2),
+        ("begins at 0", 0, 0),
+        ("a gap", 2, 4),
+        ("twice", 2, 2),
+        ("begins again", 2, 1),
+    )
+    def test_other_event(self, name, n_events, number):
+        """A listed text has an event where another is due.
+
+        Whatever has gone wrong before, it shows in the number of the event that is
+        added, and only the text sees all that is added to it.
+        """
+        text = item_run.Text()
+        for n in range(n_events):
+            text.add(event_stream.Event(n + 1, b"a"), 1)
+        with self.assertRaises(event_stream.EventError, msg=name):
+            text.add(event_stream.Event(number, b"b"), 2)
+        self.assertEqual(
+            (text.parts, text.versions), ([b"a"] * n_events, {1} if n_events else set())
+        )
+
+
 class Bounds(unittest.TestCase):
     """Which versions an item's text may come from."""
 
@@ -204,14 +243,14 @@
     def test_parts_are_joined(self):
         text = item_run.Text()
         for n in range(4):
-            text.add(event_stream.Event(n, b"%d" % n), 1 + n // 3)
+            text.add(event_stream.Event(n + 1, b"%d" % n), 1 + n // 3)
             if n % 2:
                 self.keep(text)
         self.assertIsNone(text.take_progress("i0"))
         opened = work.Work().open(self.kept(), 0.0)
         again = opened.runs_by_item_id["i0"].text
         self.assertEqual(again.parts, [b"0", b"1", b"2", b"3"])
-        self.assertEqual((again.versions, again.last_number), ({1, 2}, 3))
+        self.assertEqual((again.versions, again.last_number), ({1, 2}, 4))
         self.assertIsNone(again.take_progress("i0"))
 
     def test_gap_is_not_joined(self):
@@ -362,9 +401,9 @@
         opened = work.Work().open(model.KeptBatch.of(batch(), 0.0), 0.0)
         text = opened.runs_by_item_id["i0"].text
         for n in range(7):
-            text.add(event_stream.Event(n, b"x"), 1)
+            text.add(event_stream.Event(n + 1, b"x"), 1)
         self.assertEqual(opened.take_progress(8), [])
-        text.add(event_stream.Event(7, b"x"), 1)
+        text.add(event_stream.Event(8, b"x"), 1)
         self.assertEqual(len(opened.take_progress(8)), 1)
 
 
@@ -403,7 +442,7 @@
         kept.results = [result(versions=(2,))]
         opened = known.open(kept, 0.0)
         opened.runs_by_item_id["i1"].text.add(event_stream.Event(1, b"a"), 2)
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         later = attrs.evolve(batch("b2", 3, n_wanted_groups=1), account=account)
         again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
         found = [each.item_id for each in known.carried_results(again, None)]
@@ -420,7 +459,7 @@
             run.text.add(event_stream.Event(1, b"a"), 2)
             known.finished("b1", [item_id])
             self.assertEqual(run.text.parts, [])
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
         self.assertIsNone(again.runs_by_item_id["i0"].text.last_number)
 
@@ -429,11 +468,31 @@
         opened = known.open(model.KeptBatch.of(batch("b1", 2), 0.0), 0.0)
         run = opened.runs_by_item_id["i0"]
         run.text.add(event_stream.Event(1, b"a"), 2)
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
         self.assertEqual(again.runs_by_item_id["i0"].text.last_number, 1)
         self.assertEqual(again.spare_groups, frozenset())
 
+    @tools.params(
+        ("adds an event", lambda text: text.add(event_stream.Event(2, b"b"), 2)),
+        ("begins anew", item_run.Text.clear),
+    )
+    def test_text_is_not_shared(self, name, write):
+        """An item comes again while something of its ended batch still has its text.
+
+        With one text for both, the later batch's attempt, asked to go on after event
+        1, adds event 2 to a text that has it already, or to one that is empty.
+        """
+        known = work.Work()
+        opened = known.open(model.KeptBatch.of(batch("b1", 2), 0.0), 0.0)
+        run = opened.runs_by_item_id["i0"]
+        run.text.add(event_stream.Event(1, b"a"), 2)
+        known.remember_closed(known.close("b1"))
+        again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
+        write(run.text)
+        text = again.runs_by_item_id["i0"].text
+        self.assertEqual((text.parts, text.last_number), ([b"a"], 1), name)
+
     @tools.params(
         ("it had begun", ("i0", "i1"), True, {("b2", "g0")}),
         ("it had not begun", ("i0", "i1"), False, {("b2", "g0")}),
@@ -452,7 +511,7 @@
         known.finished("b1", finished)
         if has_begun:
             opened.runs_by_item_id["i3"].text.add(event_stream.Event(1, b"a"), 2)
-        known.end("b1")
+        known.remember_closed(known.close("b1"))
         later = batch("b2", 4, n_wanted_groups=1)
         again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
         self.assertEqual(again.spare_groups, expected, name)
--- /dev/null
+++ b/tests/test_batches_ends.py
@@ -0,0 +1,254 @@
+"""Batches that end while their items run, and items that come again at once.
+
+A trainer reads a text in which events stand twice, by turns. It has ended a batch whose
+items still ran, and handed the unfinished ones in again under the same ids. Breaking
+off one attempt lets other tasks run: the runner's loop saw the items that had just been
+broken off wait in a batch that was still open, and sent them again. Nobody broke these
+attempts off any more, and the later batch went on from the very text that they wrote.
+"""
+
+import random
+import unittest
+from unittest import mock
+
+import eventlet
+from nose2 import tools
+
+from bilberrydrum import clock, quarantine
+from bilberrydrum.batches import engines, hooks, item_tasks, model, runner
+from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.fleet import policy
+from bilberrydrum.relay import balancing, crash_watch, relay
+from bilberrydrum.requests import attempts, connections, watch
+from tests.fakes import node_protocol, scripted
+
+N_EVENTS = 12
+# Between two events: long enough for what breaks attempts off, short for the test.
+EVENT_SECONDS = 0.03
+WHOLE = b"\n".join(b"e%d" % n for n in range(1, N_EVENTS + 1))
+
+
+class SlowEngine:
+    """Makes the events of an item one by one, from where it is asked to go on."""
+
+    def __init__(self) -> None:
+        self.n_running = 0
+        self.received: list[scripted.Received] = []
+        self.connections_by_item_id = {}
+        self.server = scripted.Scripted(self.answer, kind="engine")
+
+    def finish(self, item_id):
+        """Send all events that are left of an item, and the end, without a pause."""
+        connection, number = self.connections_by_item_id.pop(item_id)
+        for each in range(number + 1, N_EVENTS + 1):
+            connection.sendall(chunk_of(each))
+        connection.sendall(scripted.LAST_CHUNK)
+
+    def answer(self, connection, received):
+        self.received.append(received)
+        self.n_running += 1
+        try:
+            self._stream(connection, received)
+        finally:
+            self.n_running -= 1
+
+    def _stream(self, connection, received):
+        head = f"HTTP/1.1 200 OK\r\n{node_protocol.ID}: {received.request_id}\r\n"
+        head += "Version: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.sendall(head.encode())
+        first = int(received.headers.get("last", 0)) + 1
+        for number in range(first, N_EVENTS + 1):
+            eventlet.sleep(EVENT_SECONDS)
+            if (
+                number > first
+                and received.request_id not in self.connections_by_item_id
+            ):
+                # Finished by the test.
+                return
+            connection.sendall(chunk_of(number))
+            self.connections_by_item_id[received.request_id] = (connection, number)
+        connection.sendall(scripted.LAST_CHUNK)
+
+
+def chunk_of(number):
+    return scripted.chunk(b"id: %d\ndata: e%d\n\n" % (number, number))
+
+
+class View:
+    """Stands for a store's copy of the registry and the policy."""
+
+    def __init__(self, engine, n_slots):
+        share = policy.Share("s", 1.0)
+        route = policy.Route("r", "h", "/p/", policy.RouteKind.BATCH, (share,))
+        service = policy.Service("s", models=("m",))
+        self._n_slots = n_slots
+        self.registry = fleet_model.Registry()
+        self.add("e1", engine)
+        self.routes = policy.RouteTable(policy.Policy(1, (route,), (service,)))
+        self.crashes = quarantine.Book()
+        self.crashes_index = 0
+
+    def add(self, upstream_id, engine):
+        upstream = fleet_model.FleetUpstream(
+            upstream_id,
+            "s",
+            engine.server.address,
+            "z",
+            self._n_slots,
+            versions_by_model={"m": 1},
+        )
+        known = self.registry
+        upstreams = (*known.upstreams, upstream)
+        self.registry = fleet_model.Registry(known.index + 1, upstreams)
+
+    def watch(self, callback):
+        pass
+
+    def unwatch(self, callback):
+        pass
+
+
+def batch(batch_id, n_items):
+    items = tuple(
+        model.Item(f"i{n}", "/p/x", {}, b"body", 20, f"g{n}") for n in range(n_items)
+    )
+    return model.KeptBatch.of(model.Batch(batch_id, "h", items, model="m"), 0.0)
+
+
+class RunnerCase(unittest.TestCase):
+    """The runner on loopback; its loop is due at each turn."""
+
+    def engine_server(self):
+        engine = SlowEngine()
+        self.addCleanup(engine.server.stop)
+        return engine
+
+    def begin(self, n_items):
+        self.engine = self.engine_server()
+        self.before_look = lambda: None
+        self.view = view = View(self.engine, n_slots=2 * n_items)
+        means = attempts.Means(connections.Connections(), watch.Watch())
+        rng = random.Random(1)
+        protocol = node_protocol.PlainProtocol()
+        crashes = crash_watch.CrashWatch(view, None)
+        self.results = []
+        given = hooks.Hooks(
+            finish=lambda batch_id, each: self.results.append((batch_id, each)),
+            keep_text=lambda batch_id, each: None,
+            score=lambda *each: None,
+            save=lambda batch_id, progress: None,
+            fencing_number=lambda: None,
+            may_send=self.may_send,
+            holder="me",
+        )
+        passing_on = relay.Relay(
+            protocol, view, means, balancing.Balancer("z", rng), rng, crashes
+        )
+        # It waits for news to gather, and may be at the end of that wait at any moment.
+        gathering = mock.patch.object(runner, "_GATHER_SECONDS", 0.0)
+        gathering.start()
+        self.addCleanup(gathering.stop)
+        self.runner = runner.BatchRunner(
+            protocol, view, means, given, passing_on, crashes
+        )
+        self.runner.start([batch("b1", n_items)])
+        self.addCleanup(self.runner.stop)
+        self.wait_for(lambda: self.engine.n_running == n_items)
+        clock.sleep(3 * EVENT_SECONDS)
+
+    def may_send(self):
+        self.before_look()
+        return True
+
+    def wait_for(self, is_so):
+        with eventlet.Timeout(10.0):
+            while not is_so():
+                clock.sleep(0.005)
+
+    def results_of(self, batch_id):
+        return [result for given, result in self.results if given == batch_id]
+
+
+class EndedBatches(RunnerCase):
+    """Nothing goes on in a batch that ends, and what it leaves is nobody else's."""
+
+    @tools.params(1, 2, 6)
+    def test_no_item_is_sent_while_its_batch_ends(self, n_items):
+        self.begin(n_items)
+        self.runner.end("b1")
+        clock.sleep(2 * EVENT_SECONDS)
+        self.assertEqual(len(self.engine.received), n_items)
+        self.wait_for(lambda: self.engine.n_running == 0)
+
+    @tools.params(1, 2, 6)
+    def test_items_that_come_again_at_once(self, n_items):
+        self.begin(n_items)
+        self.runner.end("b1")
+        self.runner.accept(batch("b2", n_items))
+        self.wait_for(lambda: len(self.results_of("b2")) == n_items)
+        for result in self.results_of("b2"):
+            self.assertEqual(result.text, WHOLE, result.item_id)
+
+
+class Moves(RunnerCase):
+    """Items are taken away from a slow engine while others there end by themselves."""
+
+    def test_item_that_has_just_ended(self):
+        """Two items are to go on elsewhere; the second one's last bytes are there.
+
+        Breaking off the first one's attempt lets the second one's end. Sent all the
+        same, the second item runs once more from its beginning, for nobody.
+        """
+        self.begin(2)
+        other = self.engine_server()
+        self.view.add("e2", other)
+
+        def arm():
+            self.before_look = lambda: None
+            self.engine.finish("i1")
+
+        self.before_look = arm
+        is_slow = mock.patch.object(
+            engines.Engines, "slow_ids", lambda known, now: frozenset({"e1"})
+        )
+        with is_slow:
+            self.runner.wake()
+            self.wait_for(lambda: len(self.results) == 2)
+        self.assertEqual([each.request_id for each in other.received], ["i0"])
+        self.assertEqual([each.text for each in self.results_of("b1")], [WHOLE] * 2)
+
+
+class Tasks(unittest.TestCase):
+    """Work that ends by itself while other work is broken off."""
+
+    @tools.params("a batch", "all")
+    def test_work_that_has_just_ended(self, name):
+        """A batch ends; while one attempt is broken off, another has its last bytes.
+
+        The second one's entry is gone when its turn comes. That was a `KeyError` in
+        the task that applies the group's log, where any error stops the replica; the
+        other attempts of the batch were not broken off at all.
+        """
+        tasks = item_tasks.ItemTasks()
+        broken_off, ended = [], []
+
+        def first():
+            try:
+                clock.sleep(10.0)
+            finally:
+                broken_off.append("i1")
+
+        def second():
+            while not broken_off:
+                clock.sleep(0)
+            tasks.ended(("b", "i2"))
+            ended.append("i2")
+
+        tasks.start(("b", "i1"), first, lambda: None)
+        tasks.start(("b", "i2"), second, lambda: None)
+        clock.sleep(0)
+        if name == "all":
+            tasks.cancel_all()
+        else:
+            tasks.cancel_batch("b")
+        self.assertEqual(ended, ["i2"])
