Tests: a kept text that lacks its beginning is gone on with (red)

An earlier release kept texts whose first event is not event 1; the next leader adds the following ones, and a text without its beginning is listed.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -312,6 +312,26 @@
             self.keep(text)
         self.assertEqual(self.taken_up().parts, text.parts)
 
+    @tools.params(
+        ("lacks its beginning", [b"first 3", b"first 4"], 4),
+        ("lacks its end", [b"first 1"], 2),
+        ("has more than its number says", [b"first 1", b"first 2"], 1),
+    )
+    def test_text_that_is_none_is_not_taken_up(self, name, parts, last_number):
+        """A listed text lacks its first events after stores were brought up to date.
+
+        An earlier release kept texts that did not begin with event 1. Their parts are
+        fewer than the number of their last event says, and what is made after that
+        event follows well.
+        """
+        kept = model.KeptProgress("i0", tuple(parts), (1,), last_number, 1)
+        self.kept().progress_by_item_id["i0"] = kept
+        text = self.taken_up()
+        self.assertEqual((text.parts, text.last_number), ([], None), name)
+        generate(text, "second", 8, 2)
+        self.keep(text)
+        self.assertEqual(self.taken_up(), text)
+
     def test_next_save_waits_for_the_end_of_the_last(self):
         text = item_run.Text()
         generate(text, "only", 8, 1)
