Batches: don't go on from a kept text that lacks events

Callers could see a listed text without its first events, made by stores of this release from what an earlier one had kept.

Each event that is added now has to follow the last one, which the next event does.

Change: a kept text whose number of events is not that of its last one is begun anew. A text that an earlier release joined of two runs, of the right length, can't be told apart.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -121,6 +121,11 @@
     @classmethod
     def of_progress(cls, kept: model.KeptProgress) -> "Text":
         """Return the text that was kept of an unfinished item."""
+        if len(kept.parts) != kept.last_number:
+            # Kept by an earlier release, which took streams that begin late: what is
+            # made after the last event follows it, and the text lacks its beginning.
+            # Events are numbered from 1, so their number shows it.
+            return cls()
         return cls(
             list(kept.parts),
             set(kept.versions),
