Streams: an answer without an event is taken for the end (red)

Tests of what callers of a stream see when an upstream answers 200 and ends without any event: half a stream, or an empty one, ends as complete.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -326,6 +326,22 @@
     return script
 
 
+def framed(framing, *numbers):
+    """Return a script whose answer ends in order, and says so as `framing` does."""
+    if framing == "chunks":
+        return events(*numbers)
+
+    def script(connection, received):
+        body = b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers)
+        head = f"HTTP/1.1 200 X\r\n{ID}: {received.request_id}\r\n"
+        if framing == "length":
+            head += f"Content-Length: {len(body)}\r\n"
+        connection.sendall(head.encode() + b"\r\n" + body)
+        return False
+
+    return script
+
+
 def half_an_event(connection, received):
     events(1, is_whole=False)(connection, received)
     connection.sendall(b"7\r\nid: 2\nd\r\n")
@@ -335,7 +351,7 @@
 class Streams(RelayCase):
     """What the caller of a stream gets, and how often each upstream was asked."""
 
-    def stream(self, scripts, is_resumable):
+    def stream(self, scripts, is_resumable, headers=None, n_attempts=2, method="POST"):
         self.relay(*scripts)
         route = policy.Route(
             "r",
@@ -345,11 +361,11 @@
             (policy.Share("s", 1.0),),
             timeout_seconds=3.0,
             target_latency_seconds=0.05,
-            max_attempts=2,
+            max_attempts=n_attempts,
             is_resumable=is_resumable,
         )
         inbound = model.Inbound(
-            "r1", "h", "POST", "/x", "/x", {}, b"body", clock.now() + 3.0
+            "r1", "h", method, "/x", "/x", headers or {}, b"body", clock.now() + 3.0
         )
         with eventlet.Timeout(5.0):
             answer = self.streams.handle(inbound, route)
@@ -396,6 +412,56 @@
         self.stream((self.CUT, events(3)), True)
         self.assertEqual(self.servers[1].received[0].headers["last"], "2")
 
+    @tools.params("chunks", "length", "close")
+    def test_answer_without_an_event_does_not_end_a_stream(self, framing):
+        """The caller's stream ends as complete, and half of its events are missing.
+
+        The first run breaks off after event 2. The engine that is asked to go on after
+        it answers 200 and ends at once, as its own run fails. That was read as "nothing
+        to add": the batches' log of the same case says outcome completed, 0.016 s, with
+        the 10 events of the first run alone. Whether event 2 was the last can't be told
+        from it, so the caller must see a break.
+        """
+        given = self.stream((self.CUT, framed(framing)), True)
+        self.assertEqual(given, ([1, 2], "broken"))
+
+    @tools.params("chunks", "length", "close")
+    def test_another_engine_is_asked_after_an_answer_without_an_event(self, framing):
+        given = self.stream((self.CUT, framed(framing), events(3)), True, n_attempts=3)
+        self.assertEqual(given, ([1, 2, 3], "whole"))
+        asked = [each.received[0].headers["last"] for each in self.servers[1:]]
+        self.assertEqual(asked, ["2", "2"])
+
+    @tools.params(
+        # Framing, whether it may be resumed, the caller's own last number; the outcome.
+        ("chunks", True, None, [1], "whole"),
+        ("length", True, None, [1], "whole"),
+        ("close", True, None, [1], "whole"),
+        ("chunks", False, None, [], "broken"),
+        ("length", False, None, [], "broken"),
+        ("close", False, None, [], "broken"),
+        ("chunks", True, "4", [5], "whole"),
+        ("length", True, "4", [5], "whole"),
+        ("close", True, "4", [5], "whole"),
+    )
+    def test_first_answer_without_an_event(
+        self, framing, is_resumable, last, numbers, outcome
+    ):
+        """The caller gets a complete stream of no events at all.
+
+        The engine takes the request, answers 200, and its run fails before event 1, or
+        before the event after the one that the caller had read. Where the stream may be
+        resumed another engine is asked, and where not its caller sees a break.
+        """
+        headers = {} if last is None else {"Last": last}
+        scripts = (framed(framing), events(*(numbers or [1])))
+        given = self.stream(scripts, is_resumable, headers)
+        self.assertEqual(given, (numbers, outcome))
+
+    def test_answer_that_has_no_body_by_its_method_is_whole(self):
+        given = self.stream((framed("length"),), True, method="HEAD")
+        self.assertEqual((given, self.n_received()), (([], "whole"), [1]))
+
 
 class Hurry(RelayCase):
     def test_hurried_callers_do_not_drive_others_away(self):
