Streams: an answer without an event does not end a stream

Callers saw a stream that ended as complete though half of its events, or all of them, were missing.

Cause: an upstream whose run fails may answer 200 and end in order, without an event. Asked to go on after event n, that was read as "nothing to add"; asked from the start, as a stream of no events. It is the same end in chunks, with a length of 0, and by the closing of the connection.

Ruled out: framing as the cause (all three read alike, before and after); an answer that is cut off (a chunked one without its last chunk was read as broken before). Ruled out as a mend: to ask to go on after event n - 1 and to drop the repeated event. The events that follow would come from a run that was not asked to go on after event n, and where the caller itself resumes, event n was never read here, so nothing can be compared.

Change: an answer of which no event was read, and whose method has a body, counts as broken off. Where the stream may be resumed another upstream is asked after the same event; where it may not, or none is left, the caller's connection is cut. A stream that broke off between its last event and its end now ends cut as well: that looks the same from here, and a break is no false end.

The test that asks a third upstream took two equally near ones for an ordered pair; it asks the same of either now, and also that both were asked after event 2.

It holds because `first_event_at` is set for each attempt by itself, so that an earlier run's events do not count for a later one.

--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -28,6 +28,8 @@
 from bilberrydrum.usage import meter as usage_meter
 
 _OK: Final = 200
+# Method whose answers have no events.
+_BODILESS: Final = "HEAD"
 # A stream that pauses for this long, in seconds, has lost its upstream: callers abandon
 # one after two seconds at the least.
 STALL_SECONDS: Final = 1.5
@@ -254,6 +256,11 @@
                 yield event.raw
         if not reader.is_between_events():
             raise event_stream.EventError("ended in the middle of an event")
+        if course.first_event_at is None and course.inbound.method != _BODILESS:
+            # An upstream whose run fails may end its answer in order, without any
+            # event: half a stream would look whole. Asked after the very last event, a
+            # sound one looks the same; its caller sees a break, which is no false end.
+            raise event_stream.EventError("ended without an event")
         head = self._protocol.read_head(source.answer.headers)
         self._balancer.succeeded(source.upstream.upstream_id, head, clock.now())
         self._crashes.was_answered(course.fingerprint)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -427,10 +427,16 @@
 
     @tools.params("chunks", "length", "close")
     def test_another_engine_is_asked_after_an_answer_without_an_event(self, framing):
-        given = self.stream((self.CUT, framed(framing), events(3)), True, n_attempts=3)
+        asked_after = []
+
+        def go_on(connection, received):
+            asked_after.append(received.headers["last"])
+            script = framed(framing) if len(asked_after) == 1 else events(3)
+            return script(connection, received)
+
+        given = self.stream((self.CUT, go_on, go_on), True, n_attempts=3)
         self.assertEqual(given, ([1, 2, 3], "whole"))
-        asked = [each.received[0].headers["last"] for each in self.servers[1:]]
-        self.assertEqual(asked, ["2", "2"])
+        self.assertEqual(asked_after, ["2", "2"])
 
     @tools.params(
         # Framing, whether it may be resumed, the caller's own last number; the outcome.
