--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -468,6 +468,23 @@
         given = self.stream((framed("length"),), True, method="HEAD")
         self.assertEqual((given, self.n_received()), (([], "whole"), [1]))
 
+    @tools.params(
+        ("begins late", events(2, 3), events(1, 2, 3), True, [1, 2, 3], "whole"),
+        ("begins late, runs once", events(2, 3), events(1), False, [], "broken"),
+        ("begins with 0", events(0, 1), events(1, 2), True, [1, 2], "whole"),
+    )
+    def test_stream_that_does_not_begin_with_its_first_event(
+        self, name, first, second, is_resumable, numbers, outcome
+    ):
+        """The caller gets a complete stream that lacks its beginning.
+
+        No event was asked to be skipped, and the engine's answer begins with event 2,
+        as one does that was made for a resumed request. Any number was taken for the
+        first.
+        """
+        given = self.stream((first, second), is_resumable)
+        self.assertEqual(given, (numbers, outcome), name)
+
 
 class Hurry(RelayCase):
     def test_hurried_callers_do_not_drive_others_away(self):
