Streams: a stream that was not asked to go on begins with event 1

Callers got a stream that ended as complete and lacked its beginning.

Cause: with no event to go on after, the reader took any number for the first one. An answer that begins with event 2 or later, as one does that was made for a resumed request, was passed on as whole.

Ruled out: a stream that a caller resumes with its own last number; there, and where the gateway resumes, the first event was compared with that number before.

Change: a stream that was not asked to go on after an event is read as one that follows event 0. Where it may be resumed it is asked for anew elsewhere, as nothing was passed on yet; where not, its caller's connection is cut.

It holds as the reader compares each number with the one before, from the first on.

--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -239,8 +239,10 @@
         return None
 
     def _read(self, course: _Course, source: _Source) -> Iterator[bytes]:
+        # Not asked to go on after an event, a stream begins with event 1; one that
+        # begins later, read as whole, would lack its beginning.
         reader = event_stream.EventReader(
-            self._protocol.version_field, course.last_number
+            self._protocol.version_field, course.last_number or 0
         )
         parts = attempts.read_parts(source.answer)
         patience = max(STALL_SECONDS, course.route.target_latency_seconds * 4)
