--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -182,6 +182,31 @@
         counts = [each.n_by_account for each in closed]
         self.assertEqual(counts, [] if expected is None else [expected], name)
 
+    A1 = telling({FIRST: {"acme": 1}}, sequence=4)
+    A2 = telling({FIRST: {"acme": 2}}, sequence=5)
+    B1 = telling({FIRST: {"beta": 1}}, incarnation="b")
+    B2 = telling({FIRST: {"beta": 2}}, incarnation="b", sequence=2)
+
+    @tools.params(
+        ("an older one comes late", [A2, B1, A1, B2], {"acme": 2, "beta": 2}),
+        ("its last one comes late", [A1, B1, A2, B2], {"acme": 2, "beta": 2}),
+        ("by turns", [A1, B1, A2, A1, B2, B1, A2], {"acme": 2, "beta": 2}),
+        ("the later start is heard first", [B1, A1, B2], {"acme": 1, "beta": 2}),
+    )
+    def test_tellings_of_two_starts_that_come_mixed(self, name, told, expected):
+        """An account is reported more requests than upstreams began for it.
+
+        A gateway is killed and starts again. What it told before, held up on the way or
+        at a leader that stood still, comes between the tellings of its next start.
+        Joined by their arrival alone, the counts of one start were added two or three
+        times: 3 and 3 reported in the first case, where 2 and 2 had begun.
+        """
+        gathered = gathering.Gathering(OPTIONS, 900.0)
+        for each in told:
+            gathered.note("g1", each, 1004.0)
+        closed = list(gathered.closable(FIRST, UNIX + 5.1, 1005.1, 3.0))
+        self.assertEqual(closed, [model.WindowCounts(FIRST, expected)], name)
+
     def test_a_new_leader_waits_to_be_told(self):
         gathered = gathering.Gathering(OPTIONS, 1004.0)
         gathered.note("g1", self.DONE, 1004.5)
