Reports of use: each start of a gateway counts once, however its tellings come

An account was reported more requests than upstreams had begun for it.

Cause: each telling has all counts of one start of a gateway. One with another name than the telling before it was held to be a new start, and the telling before to be the last word of an ended one; both were added. A gateway that is killed and starts again may have told something that is held up on the way, or waits at a leader that stood still, and comes between the tellings of its next start. Then each change from one to the other added the same counts once more.

Ruled out: tellings of one start that come late or twice (their numbers were compared before); windows that are closed under one term and told under another (a window's first content stands, by the log, and is what each leader reports); counts joined by position (they are keyed by window and account).

Change: ended starts are kept by their name, and the latest telling of each counts, once. The start that was heard last is the one that is waited for, as before; a late word of an ended start holds that place until the next renewal, half a second later.

That such a mixture comes about on a running deployment was not brought about. It holds as no start is in both places: what replaces it at its address moves it, and its next telling takes it out.

--- a/bilberrydrum/usage/gathering.py
+++ b/bilberrydrum/usage/gathering.py
@@ -23,7 +23,7 @@
 
 @attrs.define
 class _Gateway:
-    """The latest start of the process at one address."""
+    """The start of the process at one address that was heard last."""
 
     telling: model.Telling
     heard_at: float
@@ -41,17 +41,25 @@
         self._options = options
         self._began_at = began_at
         self._gateways_by_address: dict[str, _Gateway] = {}
-        # Tellings of processes that have ended.
-        self._former: list[model.Telling] = []
+        # The last tellings of other starts, which have ended.
+        self._former_by_incarnation: dict[str, model.Telling] = {}
 
     def note(self, address: str, telling: model.Telling, now: float) -> None:
         """Take what the gateway at `address` tells."""
+        # Tellings of two starts may come mixed. Each has all counts of its start: added
+        # as they come, those of one start would count twice. Kept by the start, the
+        # latest of each counts, once.
         known = self._gateways_by_address.get(address)
-        if known is not None:
-            if known.telling.incarnation != telling.incarnation:
-                self._former.append(known.telling)
-            elif telling.sequence <= known.telling.sequence:
-                return
+        current = None if known is None else known.telling
+        if current is not None and current.incarnation == telling.incarnation:
+            before: model.Telling | None = current
+        else:
+            before = self._former_by_incarnation.get(telling.incarnation)
+        if before is not None and telling.sequence <= before.sequence:
+            return
+        if current is not None:
+            self._former_by_incarnation[current.incarnation] = current
+        self._former_by_incarnation.pop(telling.incarnation, None)
         self._gateways_by_address[address] = _Gateway(telling, now)
 
     def closable(
@@ -87,11 +95,11 @@
 
     def forget_before(self, window: int) -> None:
         """Drop tellings of ended processes that only concern closed windows."""
-        self._former = [
-            told
-            for told in self._former
+        self._former_by_incarnation = {
+            incarnation: told
+            for incarnation, told in self._former_by_incarnation.items()
             if any(each.window >= window for each in told.counts)
-        ]
+        }
 
     def _is_complete(self, window: int, now: float) -> bool:
         return all(
@@ -103,7 +111,7 @@
 
     def _tellings(self) -> list[model.Telling]:
         current = [each.telling for each in self._gateways_by_address.values()]
-        return self._former + current
+        return [*self._former_by_incarnation.values(), *current]
 
     def _counts(self, window: int) -> model.WindowCounts:
         total: collections.Counter[str] = collections.Counter()
