--- /dev/null
+++ b/tests/test_state_leader_calls.py
@@ -0,0 +1,102 @@
+"""Calls that a group's leader answers: what the caller is told when leaders change."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import eventlet
+import eventlet.event
+import result
+from nose2 import tools
+
+from bilberrydrum import interfaces, transport
+from bilberrydrum.batches import messages as batch_messages
+from bilberrydrum.state import leader_calls, leader_service
+
+MESSAGE = batch_messages.AskEnd("b")
+TAKEN = batch_messages.EndTaken(True)
+
+
+@attrs.define
+class Replica:
+    """Leads in `term`; 0: it does not lead."""
+
+    term: int = 0
+
+    def leadership(self) -> interfaces.Leadership | None:
+        return interfaces.Leadership(self.term, 0.0) if self.term else None
+
+    def leader_hint(self) -> leader_calls.NotLeading:
+        return leader_calls.NotLeading("at-a", ("at-a",))
+
+
+class Wire:
+    """Carries a call to the one replica and its answer back."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[type[Any], transport.Handler] = {}
+        self._answered = eventlet.event.Event()
+
+    def on(self, message_class: type[Any], handler: transport.Handler) -> None:
+        self._handlers[message_class] = handler
+
+    def answer(self, sender: transport.Sender, message: object) -> None:
+        self._answered.send(message)
+
+    def call(self, address: str, message: object, timeout: float) -> Any:
+        self._answered = eventlet.event.Event()
+        self._handlers[type(message)](transport.Sender("p", address, 0), message)
+        return result.Ok(self._answered.wait())
+
+
+class LeadersChange(unittest.TestCase):
+    def call(self, handler: Callable[[Replica], Any], term: int) -> Any:
+        with eventlet.Timeout(10.0):
+            wire: Any = Wire()
+            replica: Any = Replica(term)
+            service = leader_service.LeaderService(replica, wire)
+            service.serve(batch_messages.AskEnd, lambda *given: handler(replica))
+            calls = leader_calls.LeaderCalls(wire, ["at-a"])
+            return calls.call(MESSAGE, 0.5)
+
+    @staticmethod
+    def commits(replica: Replica) -> Any:
+        return TAKEN
+
+    @staticmethod
+    def commits_and_loses_its_lease(replica: Replica) -> Any:
+        replica.term = 0
+        return TAKEN
+
+    @staticmethod
+    def commits_and_leads_anew(replica: Replica) -> Any:
+        replica.term += 1
+        return TAKEN
+
+    @staticmethod
+    def cannot_tell(replica: Replica) -> Any:
+        return None
+
+    @tools.params(
+        # Name, what the replica does with the call, its term; whether the caller is
+        # told that the call may have had its effect.
+        ("lost its lease", "commits_and_loses_its_lease", 3, True),
+        ("leads in another term", "commits_and_leads_anew", 3, True),
+        ("does not lead", "commits", 0, False),
+        ("was refused by the log", "cannot_tell", 3, False),
+    )
+    def test_effect_of_a_call_without_an_answer(
+        self, name: str, handler: str, term: int, may_have_applied: bool
+    ) -> None:
+        """A batch is refused with the promise that it never runs, and runs.
+
+        The leader commits the batch and loses its lease before it has answered. The
+        answer was withheld and "does not lead, nothing was done" sent in its place; no
+        other leader was found in time, so the gateway answered 503.
+        """
+        answer = self.call(getattr(self, handler), term)
+        self.assertEqual(answer.unwrap_err().may_have_applied, may_have_applied, name)
+
+    def test_answer_of_a_leader(self) -> None:
+        self.assertEqual(self.call(self.commits, 3), result.Ok(TAKEN))
