Leaders' answers: a withheld answer may be that to a call which had its effect

A batch could be refused with 503, the promise that it never runs, and run all the same.

Cause: a leader looks at its lease again once an answer is made, and withholds the answer if it does not lead any more, or leads in another term. What it sent in its place said that it does not lead, which callers took for "nothing was done". If no other replica was found to lead until the caller's time was up, the gateway held the batch for not taken, though it was committed.

Ruled out: a replica that did not lead when the call came (nothing was done there); a leader that gives no answer in time (that counted as "may have had its effect" before); a commit that the log refused (no answer of the handler; stays "not done").

Change: the word that a replica does not lead says whether an answer was withheld; the caller then holds the call for one that may have had its effect. Older processes ignore the new field, and newer ones read its lack as before.

--- a/bilberrydrum/state/leader_calls.py
+++ b/bilberrydrum/state/leader_calls.py
@@ -28,10 +28,12 @@
 @codec.register("state.not-leading")
 @attrs.frozen
 class NotLeading:
-    """The asked replica does not lead; nothing was done."""
+    """The asked replica does not lead."""
 
     leader_address: str = ""
     addresses: tuple[str, ...] = ()
+    # It led when the call came, and the call may have had its effect.
+    may_have_applied: bool = False
 
 
 class LeaderCalls:
@@ -108,7 +110,9 @@
                 )
             if answer is None:
                 may_have_applied = True
-            elif not isinstance(answer, NotLeading):
+            elif isinstance(answer, NotLeading):
+                may_have_applied |= answer.may_have_applied
+            else:
                 return result.Ok(answer)
         return result.Err(
             client.StateError(reasons.Reason.STATE_UNAVAILABLE, may_have_applied)
--- a/bilberrydrum/state/leader_service.py
+++ b/bilberrydrum/state/leader_service.py
@@ -45,6 +45,10 @@
         after = self._replica.leadership()
         is_same = after is not None and before is not None and after.term == before.term
         if answer is None or not is_same:
+            # What is withheld may be the word of a commit. Called not done, a batch
+            # would be refused with the promise that it never runs, and run.
             hint = self._replica.leader_hint()
-            answer = leader_calls.NotLeading(hint.leader_address, hint.addresses)
+            answer = leader_calls.NotLeading(
+                hint.leader_address, hint.addresses, answer is not None
+            )
         self._carrier.answer(sender, answer)
