--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -42,6 +42,17 @@
     WRONG_VERSION = "wrong-version"
 
 
+class Framing(enum.StrEnum):
+    """How an answer tells its end."""
+
+    # There is no answer.
+    NONE = ""
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # Only by the closing of the connection, as it is closed when an engine ends.
+    CLOSE = "close"
+
+
 @attrs.define
 class Reading:
     """What an attempt asked for and what it has read, for its log line."""
@@ -51,8 +62,7 @@
     # Numbers of the events that came; None: none came.
     first_number: int | None = None
     last_number: int | None = None
-    # How the answer tells its end: "length", "chunks" or "close"; empty: no answer.
-    framing: str = ""
+    framing: Framing = Framing.NONE
 
     def note(self, event: event_stream.Event) -> None:
         """Note an event that came."""
@@ -99,6 +109,10 @@
             list(kept.parts), set(kept.versions), kept.last_number, len(kept.parts)
         )
 
+    def copy(self) -> "Text":
+        """Return a text of its own with the same events, nothing of it handed over."""
+        return Text(list(self.parts), set(self.versions), self.last_number)
+
     def take_progress(self, item_id: str) -> model.Progress | None:
         """Return what is to be kept besides what was taken before; None: nothing."""
         if self.last_number is None or len(self.parts) <= self.n_taken:
@@ -114,7 +128,19 @@
         return progress
 
     def add(self, event: event_stream.Event, version: int) -> None:
-        """Add one event, made under `version`."""
+        """Add one event, made under `version`.
+
+        Raises
+        ------
+        EventError
+            If it does not follow the last one.
+        """
+        if event.number != (self.last_number or 0) + 1:
+            # Two runs that write one text, or one that goes on elsewhere than it was
+            # asked to, would leave an event out or in twice. All that is added comes by
+            # here, and the run that is refused begins the text anew.
+            detail = f"event {event.number} for a text that ends at {self.last_number}"
+            raise event_stream.EventError(detail)
         self.parts.append(event.data)
         self.versions.add(version)
         self.last_number = event.number
@@ -224,10 +250,12 @@
     return _read(means, protocol, engine, run, outgoing, connection, answer, reading)
 
 
-def _framing_of(answer: Any) -> str:
-    if "chunked" in answer.headers.get("Transfer-Encoding", "").lower():
-        return "chunks"
-    return "length" if "Content-Length" in answer.headers else "close"
+def _framing_of(answer: Any) -> Framing:
+    """Return how an answer, of which nothing was read yet, tells its end."""
+    if answer.headers.get("Transfer-Encoding", "").lower() == "chunked":
+        return Framing.CHUNKS
+    # A length that is no number is none.
+    return Framing.CLOSE if answer.length_remaining is None else Framing.LENGTH
 
 
 def _without_answer(error: attempts.AttemptError) -> Ended:
@@ -285,8 +313,14 @@
     head = protocol.read_head(answer.headers)
     if answer.status != _OK:
         return _refused(means, outgoing, answer, head)
+    if not head.is_genuine:
+        # A damaged head with nothing after it looks like an engine that has nothing to
+        # add: half a text would be listed as whole. An engine marks each such answer.
+        return Ended(Outcome.BROKEN, "an answer without the engine's mark")
     version = head.version
-    reader = event_stream.EventReader(protocol.version_field, run.text.last_number)
+    # Not the text's own last event: it may have changed since the request was made, and
+    # would take a run that was not asked to go on after it.
+    reader = event_stream.EventReader(protocol.version_field, reading.asked_after or 0)
     last_at = None
     last_version = None
     for part in _parts(means, outgoing, answer, run.stall_seconds):
@@ -307,11 +341,33 @@
                 detail = f"made under version {version}"
                 return Ended(Outcome.WRONG_VERSION, detail, version)
             run.text.add(event, version)
-    # A text whose last event was read before its end was is whole: resumed after that
-    # event, the engine has nothing to add.
-    if not reader.is_between_events() or run.text.last_number is None:
+    return _at_the_end(run.text, reader, reading, last_version)
+
+
+def _at_the_end(
+    text: Text,
+    reader: event_stream.EventReader,
+    reading: Reading,
+    version: int | None,
+) -> Ended:
+    """Return how an attempt ended whose answer ended without an error."""
+    if not reader.is_between_events() or not reader.last_number:
         return Ended(Outcome.BROKEN, "ended in the middle of an event")
-    return Ended(Outcome.COMPLETED, version=last_version)
+    if text.last_number != reader.last_number:
+        # Another run has changed the text: this answer's end is not its end.
+        detail = (
+            f"event {reader.last_number} ended a text that is at {text.last_number}"
+        )
+        raise event_stream.EventError(detail)
+    if reading.first_number is None and reading.framing is Framing.CLOSE:
+        # An engine that ends before its first event looks the same, and half a text
+        # would be listed as whole. Begun anew, the item can't meet this once more.
+        text.clear()
+        return Ended(Outcome.BROKEN, "closed without an event")
+    # A text whose last event was read before its end was is whole: resumed after that
+    # event, the engine has nothing to add, and says so by its answer's length or last
+    # chunk.
+    return Ended(Outcome.COMPLETED, version=version)
 
 
 def _refused(
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -155,9 +155,14 @@
 
     def end(self, batch_id: str) -> None:
         """Break off the runs of a batch that has ended."""
+        # Closed first: breaking off a run lets other tasks run. In a batch that was
+        # still open, the loop would send again what was just broken off, and nobody
+        # would break that off.
+        closed = self._work.close(batch_id)
         self._items.cancel_batch(batch_id)
         self._scores.cancel_batch(batch_id)
-        self._work.end(batch_id)
+        if closed is not None:
+            self._work.remember_closed(closed)
         self.wake()
 
     # The loop
@@ -304,7 +309,14 @@
         return opened.route(self._view.routes)
 
     def _send(self, assignment: scheduling.Assignment) -> None:
-        opened, run = self._work.find(assignment.key)
+        found = self._work.find(assignment.key)
+        if found is None:
+            return
+        opened, run = found
         if run.engine_id:
             self._take_away(assignment, run)
+        # Taking away, of this item or of one before it, lets other tasks run: the item
+        # or its batch may have ended since it was assigned, and would run once more.
+        if opened.is_ended or run.stage is not lifecycle.Stage.WAITING:
+            return
         self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
