Streams: a length or a last chunk ends a stream that was asked to go on

A stream that broke off between its last event and its end was cut for good, whoever was asked to go on: an upstream that has nothing to add was held to be broken off.

Cause: the mend before took each answer without an event for one that broke off, as nothing seemed to tell the two.

Ruled out: the weight version in the answer's head, which a resumed answer may name or not; to hold an answer with events that only closes for broken off, too: upstreams may answer so, and a deployment of such ones would never end a stream.

Change: an answer without an event ends a stream that was asked to go on after an event if it has a length or chunks, of which nothing lacks. One that only closes is broken off as before, and so is any that was to begin with event 1.

What remains: a stream without length or chunks that has brought an event, and whose upstream's connection is then closed in order between two, is taken for whole.

--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -258,10 +258,9 @@
                 yield event.raw
         if not reader.is_between_events():
             raise event_stream.EventError("ended in the middle of an event")
-        if course.first_event_at is None and course.inbound.method != _BODILESS:
-            # An upstream whose run fails may end its answer in order, without any
-            # event: half a stream would look whole. Asked after the very last event, a
-            # sound one looks the same; its caller sees a break, which is no false end.
+        if course.first_event_at is None and not _may_lack_events(course, source):
+            # An upstream that ends before its first event may close in order: half a
+            # stream would look whole. Its caller sees a break, which is no false end.
             raise event_stream.EventError("ended without an event")
         head = self._protocol.read_head(source.answer.headers)
         self._balancer.succeeded(source.upstream.upstream_id, head, clock.now())
@@ -311,3 +310,14 @@
         elif reason not in _NO_FAULT:
             self._balancer.failed(upstream.upstream_id, clock.now())
         course.note_failure(upstream.upstream_id, reason, self._view)
+
+
+def _may_lack_events(course: _Course, source: _Source) -> bool:
+    """Tell whether an answer that has ended without an event ends the stream.
+
+    Asked to go on after the very last event, an upstream has nothing to add, and says
+    so by its answer's length or last chunk. A closed connection says nothing.
+    """
+    if course.inbound.method == _BODILESS:
+        return True
+    return bool(course.last_number) and attempts.is_framed(source.answer)
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -223,6 +223,15 @@
         ) from error
 
 
+def is_framed(answer: Any) -> bool:
+    """Tell whether the answer itself says where it ends, by a length or by chunks.
+
+    Any other one ends with its connection. A length that is no number is none.
+    """
+    encoding = answer.headers.get("Transfer-Encoding", "").lower()
+    return encoding == "chunked" or answer.length_remaining is not None
+
+
 def settle(
     pool: connections.Connections,
     address: str,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,6 +1,8 @@
 """Requests that are passed on: what each way of failing means for the caller."""
 
 import random
+import socket
+import struct
 import unittest
 from unittest import mock
 
@@ -473,6 +475,25 @@
         given = self.stream(scripts, is_resumable, headers)
         self.assertEqual(given, (numbers, outcome))
 
+    @tools.params((True, [1, 2], "whole"), (False, [1], "broken"))
+    def test_reset_does_not_end_a_stream(self, is_resumable, numbers, outcome):
+        """The upstream ends between two events of an answer without length or chunks.
+
+        Its connections are reset. Read as an end, the reset made the stream look whole.
+        """
+
+        def reset(connection, received):
+            framed("close", 1)(connection, received)
+            # Without this pause the reset may overtake the event.
+            eventlet.sleep(0.05)
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.fd.close()
+            return False
+
+        given = self.stream((reset, events(2)), is_resumable)
+        self.assertEqual(given, (numbers, outcome))
+
     def test_answer_that_has_no_body_by_its_method_is_whole(self):
         given = self.stream((framed("length"),), True, method="HEAD")
         self.assertEqual((given, self.n_received()), (([], "whole"), [1]))
