Batches: a runner's stop may be broken off and asked for once more

A store that was told to stop just as it had lost the leadership ended with a traceback: its items ran on, and its replica did not hand over.

Cause: the task that follows the leadership stops the runner, which breaks off one attempt after the other; each lets other tasks run. The process is told to stop then: that breaks off this task in the middle, and stops the runner once more, as it still counts as running. The first thing it did was to take back its watch of the registry, which was gone already: `ValueError`, and nothing after it was done.

Ruled out: the entries of attempts, which are gone or complete at each step; a load that is begun meanwhile (the loop is ended first); crash watches and owners of samples, whose stops are asked for once.

Change: the watch is taken back once. The rest of the stop goes on where it was broken off.

It holds as each of the other steps looks at what is left.

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -89,6 +89,7 @@
         )
         self._loader = loader.Loader(means, protocol, self._engines, duties)
         self._task: Any = None
+        self._is_watching = False
         self._progress_at = float("-inf")
 
     # Life
@@ -96,13 +97,18 @@
     def start(self, kept: Iterable[model.KeptBatch]) -> None:
         """Take over the open batches among `kept` and start to run them."""
         self._view.watch(self.wake)
+        self._is_watching = True
         for each in kept:
             self.accept(each)
         self._task = eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Break off all runs."""
-        self._view.unwatch(self.wake)
+        """Break off all runs; may be asked for once more, as it may be broken off."""
+        if self._is_watching:
+            # Before anything lets other tasks run, among them one that breaks off this
+            # stop and begins another: that would fail, and leave the runs going on.
+            self._is_watching = False
+            self._view.unwatch(self.wake)
         if self._task is not None:
             self._task.kill()
             self._task = None
