Tests: resumed streams whose upstream is not the one, or does not go on

What a caller of a stream gets when the answer of a resumed run has another program's head, a failure, a refusal or another request's id, and when the answer to a stream that the caller itself resumes begins too early or too late, has a gap or an event twice. No fault was found; the ten cases pass as the code stands (tests.test_relay: 99 passed).

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -401,6 +401,10 @@
             "broken",
             [1, 1],
         ),
+        ("resumed by a stranger", (CUT, FOREIGN), True, [1, 2], "broken", [1, 1]),
+        ("resumed and failed", (CUT, FAILED), True, [1, 2], "broken", [1, 1]),
+        ("resumed, both full", (CUT, FULL, FULL), True, [1, 2], "broken", [1, 1, 1]),
+        ("resumed as another's", (CUT, others_answer), True, [1, 2], "broken", [1, 1]),
         ("closed", (close, events(1)), False, [], "may have run", [1, 0]),
         ("closed, resumable", (close, events(1)), True, [1], "whole", [1, 1]),
         ("failed", (FAILED, events(1)), False, [], "500", [1, 0]),
@@ -415,6 +419,26 @@
         self.stream((self.CUT, events(3)), True)
         self.assertEqual(self.servers[1].received[0].headers["last"], "2")
 
+    @tools.params(
+        ("goes on", events(5, 6), ["4"]),
+        ("from its beginning", events(1, 2), ["4", "4"]),
+        ("with the event before", events(4, 5), ["4", "4"]),
+        ("begins late", events(6), ["4", "4"]),
+        ("a gap", events(5, 7), ["4", "5"]),
+        ("twice", events(5, 5), ["4", "5"]),
+    )
+    def test_stream_that_its_caller_resumes(self, name, first, asked_after):
+        """What does not follow the caller's own number is asked for elsewhere."""
+
+        def sound(connection, received):
+            numbers = range(int(received.headers["last"]) + 1, 7)
+            return events(*numbers)(connection, received)
+
+        given = self.stream((first, sound), True, {"Last": "4"})
+        self.assertEqual(given, ([5, 6], "whole"), name)
+        asked = [each.headers["last"] for one in self.servers for each in one.received]
+        self.assertEqual(asked, asked_after, name)
+
     @tools.params(
         ("chunks", "whole"),
         ("length", "whole"),
