--- a/tests/test_samples_scheduling.py
+++ b/tests/test_samples_scheduling.py
@@ -77,6 +77,27 @@
         self.assertEqual(pauses[:3], [0.05, 0.1, 0.2])
         self.assertEqual(pauses[-1], 2.0)
 
+    def test_attempt_numbers_are_not_used_twice_after_an_outage(self) -> None:
+        """A sample is made and recorded, and its payload is lost.
+
+        The state group is out for long, and the owner stops its attempts; the record of
+        one is still waiting to be committed. After the outage the owner has the same
+        groups under the same epoch, and begins with attempt 1 again: its payload takes
+        the place of the recorded one, which has the same name, is refused as
+        superseded, and dropped.
+        """
+        given = (work("g", 1),)
+        self.schedule.update(1, given)
+        self.assertEqual(self.starts(), ["a/g/0.1"])
+        for n_outages in (1, 2):
+            self.schedule.drop_all()
+            self.schedule.drop_all()
+            self.schedule.update(1 + n_outages, given)
+            self.assertEqual(self.starts(), [f"a/g/0.{1 + n_outages}"])
+        self.schedule.drop_all()
+        self.schedule.update(5, (work("g", 1, epoch=2),))
+        self.assertEqual(self.starts(), ["a/g/0.1"])
+
     def test_attempts_of_a_lost_group_are_stopped(self) -> None:
         """Another gateway took a group over; its slots leave the list or change epoch.
 
