Samples: an attempt's number stands for one attempt, also after an outage

By reading, and shown for the schedule by the test: a sample that was made and recorded loses its payload, and is made again; a trainer that asks for its batch once more gets another sample at the same position.

Cause: a payload is named by its slot, the owner's epoch and the attempt's number. When the state group is out for five leases, an owner gives up all its attempts, also one whose record waits to be committed. After the outage the group may still be its own, under the same epoch, and the list of work says that the slot had no attempt yet: number 1 was given a second time. Its payload took the place of the recorded one, here and at the copy's holder, its record was refused as superseded, and the payload was dropped.

Ruled out: a text delivered with another text's segments and score (a fetched payload's digest is compared with the record's); a record that was given up and comes to life again (the group remembers the highest number); owners that change (the epoch rises).

Change: what an owner gives up at once leaves its numbers until the next list of work, and attempts at the same slots go on after them.

The whole course, with an outage around a record, was not run. Left: a second attempt that is stopped because the first was recorded, while its own record waits, and a slot that is given up right after that.

--- a/bilberrydrum/samples/scheduling.py
+++ b/bilberrydrum/samples/scheduling.py
@@ -111,6 +111,10 @@
     _usual_pace: float = 0.0
     # Log index at which a slot got its sample; older work lists don't know of it.
     _recorded_at: dict[Key, int] = attrs.field(factory=dict)
+    # Attempts that slots had when everything was given up, until the next list. The
+    # record of one may still be committed: under its number, another attempt's payload
+    # would take the place of the recorded one.
+    _n_attempts_by_key: dict[Key, int] = attrs.field(factory=dict)
 
     def update(self, index: int, work: tuple[commands.Work, ...]) -> list[Cancel]:
         """Take the list of wanted slots that was true at log index `index`."""
@@ -124,6 +128,7 @@
             cancels += self._drop(key)
         for key, (each, slot) in listed.items():
             self._want(index, key, each, slot)
+        self._n_attempts_by_key.clear()
         self._recorded_at = {
             key: at for key, at in self._recorded_at.items() if at > index
         }
@@ -134,6 +139,7 @@
         if self._recorded_at.get(key, -1) >= index:
             return
         n_attempts = work.n_attempts_by_slot[slot]
+        n_attempts = max(n_attempts, self._n_attempts_by_key.get(key, 0))
         wanted = self.wanted_by_key.get(key)
         if wanted is None:
             wanted = Wanted(work.sequence, n_attempts, False)
@@ -147,6 +153,8 @@
 
     def drop_all(self) -> list[Cancel]:
         """Give up everything: the owner's lease has ended."""
+        for key, wanted in self.wanted_by_key.items():
+            self._n_attempts_by_key[key] = wanted.n_attempts
         return [
             cancel for key in list(self.wanted_by_key) for cancel in self._drop(key)
         ]
