--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -28,6 +28,8 @@
 from bilberrydrum.usage import meter as usage_meter
 
 _OK: Final = 200
+# Method whose answers have no events.
+_BODILESS: Final = "HEAD"
 # A stream that pauses for this long, in seconds, has lost its upstream: callers abandon
 # one after two seconds at the least.
 STALL_SECONDS: Final = 1.5
@@ -237,6 +239,8 @@
         return None
 
     def _read(self, course: _Course, source: _Source) -> Iterator[bytes]:
+        # Not asked to go on after an event, a stream begins with event 1; one that
+        # begins later, read as whole, would lack its beginning.
         reader = event_stream.EventReader(
             self._protocol.version_field, course.last_number or 0
         )
@@ -254,6 +258,10 @@
                 yield event.raw
         if not reader.is_between_events():
             raise event_stream.EventError("ended in the middle of an event")
+        if course.first_event_at is None and not _may_lack_events(course, source):
+            # An upstream that ends before its first event may close in order: half a
+            # stream would look whole. Its caller sees a break, which is no false end.
+            raise event_stream.EventError("ended without an event")
         head = self._protocol.read_head(source.answer.headers)
         self._balancer.succeeded(source.upstream.upstream_id, head, clock.now())
         self._crashes.was_answered(course.fingerprint)
@@ -302,3 +310,14 @@
         elif reason not in _NO_FAULT:
             self._balancer.failed(upstream.upstream_id, clock.now())
         course.note_failure(upstream.upstream_id, reason, self._view)
+
+
+def _may_lack_events(course: _Course, source: _Source) -> bool:
+    """Tell whether an answer that has ended without an event ends the stream.
+
+    Asked to go on after the very last event, an upstream has nothing to add, and says
+    so by its answer's length or last chunk. A closed connection says nothing.
+    """
+    if course.inbound.method == _BODILESS:
+        return True
+    return bool(course.last_number) and attempts.is_framed(source.answer)
