Judge a known upstream beside itself alone

Cause: each announcement with news was judged by a look at the whole registry, at the leader and again at each replica: the square of the fleet at each version. Ruled out: another upstream under its name or at its address; whoever held either was taken out when it came. Change: no look beyond a known upstream that is where it was. Why it holds: 3,000 drawn announcements are judged as beside the whole registry.

--- a/bilberrydrum/fleet/commands.py
+++ b/bilberrydrum/fleet/commands.py
@@ -5,6 +5,7 @@
 the leader keeps them in memory (see `liveness`).
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
@@ -60,7 +61,13 @@
     def judge(self, given: model.FleetUpstream) -> incarnations.Judgement:
         """Return what an announcement is worth."""
         former = self.formers_by_announced_id.get(given.announced_id)
-        return incarnations.judge(given, self.upstreams_by_id.values(), former)
+        known = self.upstreams_by_id.get(given.upstream_id)
+        others: Iterable[model.FleetUpstream] = self.upstreams_by_id.values()
+        if known is not None and known.address == given.address:
+            # Whoever else had its name or address was taken out when it came: at each
+            # load of weights, nobody has to be looked for in the whole fleet.
+            others = (known,)
+        return incarnations.judge(given, others, former)
 
     def lacks_service(self, given: model.FleetUpstream) -> bool:
         """Tell whether `given` names a service that the policy does not know.
--- a/tests/test_fleet_incarnations.py
+++ b/tests/test_fleet_incarnations.py
@@ -6,8 +6,16 @@
 import eventlet
 from nose2 import tools
 
-from bilberrydrum.fleet import commands, control, messages, model, policy
+from bilberrydrum.fleet import (
+    commands,
+    control,
+    incarnations,
+    messages,
+    model,
+    policy,
+)
 from bilberrydrum.fleet import liveness as fleet_liveness
+from bilberrydrum.state import machine
 from tests import helpers
 from tests.fakes import lone_leader
 
@@ -348,3 +356,30 @@
         self.leader.put_policy("other")
         self.assertTrue(self.leader.announce(leaving(sequence=2)))
         self.assertEqual(self.leader.known(), [("i-1", True)])
+
+
+class WholeFleet(unittest.TestCase):
+    """Judged beside itself alone, a known upstream is judged as beside the fleet."""
+
+    def test_same_judgement(self):
+        rng = random.Random(7)
+        section = commands.Section()
+        state = machine.State()
+        state.sections[commands.SECTION] = section
+        n_known = 0
+        for index in range(3_000):
+            given = upstream(
+                f"i-{rng.randrange(6)}",
+                start=rng.choice([None, 1, 2, 3]),
+                sequence=rng.randrange(8),
+                address=f"1.1.1.{rng.randrange(5)}:80",
+            )
+            n_known += given.upstream_id in section.upstreams_by_id
+            former = section.formers_by_announced_id.get(given.announced_id)
+            expected = incarnations.judge(
+                given, section.upstreams_by_id.values(), former
+            )
+            self.assertEqual(section.judge(given), expected, index)
+            command = commands.PutUpstream(given, rng.random() < 0.3)
+            machine.apply(command, state, machine.Context(index, float(index)))
+        self.assertGreater(n_known, 100)
