--- a/bilberrydrum/fleet/commands.py
+++ b/bilberrydrum/fleet/commands.py
@@ -5,6 +5,7 @@
 the leader keeps them in memory (see `liveness`).
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
@@ -60,7 +61,13 @@
     def judge(self, given: model.FleetUpstream) -> incarnations.Judgement:
         """Return what an announcement is worth."""
         former = self.formers_by_announced_id.get(given.announced_id)
-        return incarnations.judge(given, self.upstreams_by_id.values(), former)
+        known = self.upstreams_by_id.get(given.upstream_id)
+        others: Iterable[model.FleetUpstream] = self.upstreams_by_id.values()
+        if known is not None and known.address == given.address:
+            # Whoever else had its name or address was taken out when it came: at each
+            # load of weights, nobody has to be looked for in the whole fleet.
+            others = (known,)
+        return incarnations.judge(given, others, former)
 
     def lacks_service(self, given: model.FleetUpstream) -> bool:
         """Tell whether `given` names a service that the policy does not know.
@@ -152,6 +159,14 @@
     is_established: bool = False
 
 
+@codec.register("fleet.put-upstreams")
+@attrs.frozen
+class PutUpstreams:
+    """Note what has changed of several known upstreams."""
+
+    upstreams: tuple[model.FleetUpstream, ...]
+
+
 @codec.register("fleet.remove-upstreams")
 @attrs.frozen
 class RemoveUpstreams:
@@ -243,12 +258,30 @@
 @machine.apply.register
 def _(command: PutUpstream, state: machine.State, context: machine.Context) -> Noted:
     section = section_of(state)
-    given = command.upstream
+    if not _put(section, command.upstream, command.is_established, context):
+        return Noted(False)
+    return _touch(section, context)
+
+
+@machine.apply.register
+def _(command: PutUpstreams, state: machine.State, context: machine.Context) -> Noted:
+    section = section_of(state)
+    n_put = sum(_put(section, each, False, context) for each in command.upstreams)
+    return _touch(section, context) if n_put else Noted(False)
+
+
+def _put(
+    section: Section,
+    given: model.FleetUpstream,
+    is_established: bool,
+    context: machine.Context,
+) -> bool:
+    """Note an upstream if its announcement is worth it."""
     judgement = section.judge(given)
     is_doubtful = judgement.verdict is incarnations.Verdict.DOUBTFUL
-    is_believed = is_doubtful and command.is_established
+    is_believed = is_doubtful and is_established
     if judgement.verdict is not incarnations.Verdict.TAKEN and not is_believed:
-        return Noted(False)
+        return False
     known = section.upstreams_by_id.get(given.upstream_id)
     for upstream_id in judgement.holder_ids:
         section.take_out(upstream_id, context.time)
@@ -257,7 +290,7 @@
         # Who has said that it leaves stays gone, whatever comes late.
         given = attrs.evolve(given, is_leaving=True)
     section.upstreams_by_id[given.upstream_id] = given
-    return _touch(section, context)
+    return True
 
 
 @machine.apply.register
