--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -10,7 +10,14 @@
 import eventlet.queue
 
 from bilberrydrum import clock, transport, upstream_protocol
-from bilberrydrum.batches import commands, hooks, messages, model, runner
+from bilberrydrum.batches import (
+    commands,
+    hooks,
+    item_run,
+    messages,
+    model,
+    runner,
+)
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.relay import crash_watch, relay
 from bilberrydrum.requests import attempts
@@ -77,6 +84,8 @@
         self._orders_tenure = orders_tenure
         self._service = leader_service.LeaderService(replica_, carrier)
         self._runner: runner.BatchRunner | None = None
+        # The runner counts on results that were dropped.
+        self._lacks_results = False
         self._term = 0
         self._news = eventlet.event.Event()
         self._role_changed = eventlet.event.Event()
@@ -133,12 +142,13 @@
         held = self._replica.leadership()
         if held is None:
             self._stop_runner()
-        elif self._runner is None or held.term != self._term:
+        elif self._runner is None or held.term != self._term or self._lacks_results:
             self._stop_runner()
             self._start_runner(held.term)
 
     def _start_runner(self, term: int) -> None:
         self._term = term
+        self._lacks_results = False
 
         def hand_over(batch_id: str, **fields: Any) -> None:
             command = commands.FinishItems(batch_id, **fields)
@@ -188,16 +198,23 @@
             advanced = [self._advanced.get()]
             while not self._advanced.empty() and len(advanced) < _MAX_RESULTS:
                 advanced.append(self._advanced.get())
-            given = [each.command for each in advanced if each.term == self._term]
+            # The term may change while one of them is proposed. A text of the earlier
+            # one could replace a text that another leader has kept, and get its score.
+            term = self._term
+            given = [each.command for each in advanced if each.term == term]
             for command in commands.joined(given):
-                self._commit(command)
+                self._commit(command, term)
 
-    def _commit(self, command: commands.FinishItems) -> None:
-        term = self._term
+    def _commit(self, command: commands.FinishItems, term: int) -> None:
         while self._leads(term):
             if self._replica.propose(command, COMMIT_SECONDS).is_ok():
                 return
-        # The next leader runs or scores these items again.
+        # Who leads next runs or scores these items again. If the lease comes back
+        # before anyone looks, this runner would go on, hold them for finished, and they
+        # would never be listed; a new one takes up what is kept.
+        if term == self._term:
+            self._lacks_results = True
+            self._on_role()
         eliot.log_message(
             message_type="batches:results-dropped",
             batch_id=command.batch_id,
@@ -206,10 +223,21 @@
             term=term,
         )
 
-    def _save(self, batch_id: str, progress: tuple[model.Progress, ...]) -> None:
-        command = commands.SaveProgress(batch_id, progress)
+    def _save(self, batch_id: str, saves: tuple[item_run.Save, ...]) -> None:
         # Lost, it is run again; nobody waits for it.
-        eventlet.spawn_n(self._replica.propose, command, COMMIT_SECONDS)
+        eventlet.spawn_n(self._commit_saves, batch_id, saves)
+
+    def _commit_saves(self, batch_id: str, saves: tuple[item_run.Save, ...]) -> None:
+        command = commands.SaveProgress(batch_id, tuple(e.progress for e in saves))
+        saved = commands.ProgressSaved(0)
+        try:
+            proposed = self._replica.propose(command, COMMIT_SECONDS)
+            if proposed.is_ok():
+                saved = proposed.unwrap()
+        finally:
+            # Not told its end, a text would be kept no further.
+            for each in saves:
+                each.end(saved.kept_by(each.progress.item_id))
 
     def _on_applied(self, command: object, answer: Any) -> None:
         active = self._runner
@@ -218,8 +246,12 @@
             if active is not None and kept is not None and answer.is_new:
                 active.accept(kept)
         elif isinstance(command, commands.FinishItems):
-            if active is not None:
-                active.finished(command.batch_id, command.finished_ids())
+            kept = self._section().batches_by_id.get(command.batch_id)
+            if active is not None and kept is not None:
+                # A score whose text is not kept lists nothing; held for finished, the
+                # item would never be.
+                listed = kept.finished_ids() & set(command.finished_ids())
+                active.finished(command.batch_id, sorted(listed))
             self._tell_news()
         elif isinstance(command, commands.EndBatch):
             if active is not None:
