Tests: free ports that no outgoing connection can get

Seen once: a gateway of tests.test_first_steps could not listen, address in use on port 60592, in a run of all modules beside others. Cause: the port was drawn from those that the system gives to outgoing connections; between the draw and the start of the process any connection may get it. Change: the draw that the demo and the soak use already, below that range.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,17 +1,20 @@
 """Small tools shared by the tests: free ports and a clock that stands still."""
 
 import contextlib
-import socket
 from collections.abc import Iterator
 
 from eventlet import hubs
 
+from misc import processes
+
 
 def free_port() -> int:
-    """Return a TCP port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a TCP port of the loopback address that is free now.
+
+    Not one that outgoing connections get: between this and the start of a test's
+    process, any connection on the machine could take it.
+    """
+    return processes.free_ports(1)[0]
 
 
 class ManualClock:
