--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -57,6 +57,8 @@
     finished_by_batch: dict[str, list[str]] = attrs.field(factory=dict)
     open_ids: set[tuple[str, str]] = attrs.field(factory=set)
     is_stopped: bool = False
+    # Raised at each stop.
+    fault: Exception | None = None
 
     def start(self, kept):
         for each in kept:
@@ -76,6 +78,8 @@
 
     def stop(self):
         self.is_stopped = True
+        if self.fault is not None:
+            raise self.fault
 
 
 class Leading(unittest.TestCase):
@@ -137,6 +141,18 @@
         self.assertTrue(self.runners[0].is_stopped)
         self.assertIn(("b", "i0"), self.runners[1].open_ids)
 
+    def test_stop_that_fails(self):
+        """No item runs for the rest of the day, though the stores have a leader.
+
+        The lease lapses for a moment. Breaking off the runner's attempts fails, here as
+        it did with `KeyError`; the runner, whose loop has ended, stays in its place,
+        and is asked to stop once more at each look: ten tracebacks a second.
+        """
+        self.runners[0].fault = KeyError("an attempt that has just ended")
+        self.replica.n_lapsed = 1
+        self.wait_for(lambda: len(self.runners) == 2)
+        self.assertEqual(len(self.runners[1].open_ids), 4)
+
     def test_nothing_of_an_earlier_term_is_committed(self):
         """A result has the text of one run and the score of another run's.
 
