Let a new runner take the place of one whose stop has failed

Change: a runner whose stop fails is forgotten; the error is logged as before. Ruled out: forgetting it before it is stopped, since a stop that is itself broken off has to be asked for once more. Why it holds: what the failed stop has left asks for the leadership and its term before it sends or commits anything.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -181,7 +181,13 @@
     def _stop_runner(self) -> None:
         if self._runner is not None:
             eliot.log_message(message_type="batches:stops-leading", term=self._term)
-            self._runner.stop()
+            try:
+                self._runner.stop()
+            except Exception:
+                # Kept, it would fail at each look, and no runner would take its place.
+                # One whose stop was only broken off stays, to be stopped once more.
+                self._runner = None
+                raise
             self._runner = None
 
     def _leads(self, term: int) -> bool:
