Soak: engines drop a run at once, and trainers are hasty

Real engines drop a run when its connection closes; the soak's noticed with their next event only, and turned away for up to 0.1 s what was sent in place of a run just broken off. Half of the trainer's steps now end while nearly all items run, and two groups come again instead of one. How a trainer's steps go is drawn apart from the rest.

--- a/misc/soaks/soak_clients.py
+++ b/misc/soaks/soak_clients.py
@@ -30,8 +30,13 @@
 # Share of the batches that are ended only once the next one is open, with items of
 # theirs in it.
 OVERLAP_SHARE: Final = 0.3
-# A trainer waits for so long before it ends a batch that is not complete.
-PATIENCE_SECONDS: Final = (1.0, 5.0)
+# How long a trainer waits before it ends a batch that is not complete; for a share of
+# the steps it is hasty, and ends it while nearly all of its items run.
+PATIENCE_SECONDS: Final = (2.0, 5.0)
+HASTY_SECONDS: Final = (0.2, 1.0)
+HASTY_SHARE: Final = 0.5
+# Groups that come again in the next batch.
+LEFT_GROUPS: Final = 2
 
 
 Items = tuple[batch_model.Item, ...]
@@ -88,6 +93,8 @@
     ) -> None:
         self._ledger = ledger
         self._rng = random.Random(seed)
+        # Of its own: how its steps go doesn't depend on what others drew meanwhile.
+        self._trainer_rng = random.Random(f"{seed} trainer")
         self._gateways = gateways
         self._controls = controls
         # Counted apart by kind: what becomes of a batch's items is drawn from its id,
@@ -239,13 +246,13 @@
             if self.submit(batch):
                 while open_ids:
                     self._end(open_ids.pop())
-                self._await_groups(batch, self._rng.uniform(*PATIENCE_SECONDS))
-                left = self._left_group(batch)
+                self._await_groups(batch, patience_seconds(self._trainer_rng))
+                left = self._left_items(batch)
                 open_ids.append(batch.batch_id)
             if self.announce(standins.name_version(MODEL, version + 1)):
                 self._ledger.named(MODEL, version + 1)
             # What is left comes again at once, while its runs are being broken off.
-            if open_ids and self._rng.random() >= OVERLAP_SHARE:
+            if open_ids and self._trainer_rng.random() >= OVERLAP_SHARE:
                 self._end(open_ids.pop())
 
     def _batch(
@@ -259,11 +266,12 @@
             batch_id, HOST, (*left, *new), step, MODEL, min_version, WANTED_GROUPS
         )
 
-    def _left_group(self, batch: batch_model.Batch) -> Items:
-        """Return the items of a group that is not complete; none: all are."""
+    def _left_items(self, batch: batch_model.Batch) -> Items:
+        """Return the items of the first groups that are not complete."""
         missing = self._ledger.missing(batch.batch_id)
-        groups = [each.group for each in batch.items if each.item_id in missing]
-        return tuple(each for each in batch.items if each.group in groups[:1])
+        groups = dict.fromkeys(e.group for e in batch.items if e.item_id in missing)
+        again = list(groups)[:LEFT_GROUPS]
+        return tuple(each for each in batch.items if each.group in again)
 
     def submit(self, batch: batch_model.Batch) -> bool:
         """Submit a batch at one gateway after the other until it is accepted."""
@@ -350,6 +358,12 @@
         return not self._ledger.missing(batch.batch_id)
 
 
+def patience_seconds(rng: random.Random) -> float:
+    """Return how long a trainer waits for the groups of a step."""
+    is_hasty = rng.random() < HASTY_SHARE
+    return rng.uniform(*(HASTY_SECONDS if is_hasty else PATIENCE_SECONDS))
+
+
 def _item(batch_id: str, n: int, may_be_long: bool) -> batch_model.Item:
     item_id = f"{batch_id}-{n}"
     return batch_model.Item(
--- a/misc/soaks/soak_streams.py
+++ b/misc/soaks/soak_streams.py
@@ -100,7 +100,7 @@
             trouble = self._plan.trouble if number == self._plan.at else None
             if trouble in _EMPTY:
                 return self._break_off(trouble, b"")
-            eventlet.sleep(pause())
+            self._pause(pause())
             if trouble is Trouble.LEFT_OUT:
                 continue
             changed = read_version() if read_version() != version else None
@@ -120,6 +120,13 @@
         self._run.end = self._plan.trouble.value if self._plan.trouble else "whole"
         return True
 
+    def _pause(self, seconds: float) -> None:
+        """Make an event; a run whose connection ends meanwhile is dropped."""
+        with eventlet.Timeout(seconds, False):
+            # A reader sends nothing after its request.
+            self._connection.recv(1)
+            raise ConnectionAbortedError
+
     def _send_head(self, headers: dict[str, str]) -> None:
         is_framed = self._plan.trouble is not Trouble.EMPTY_UNFRAMED
         framing = "Transfer-Encoding: chunked" if is_framed else "Connection: close"
