Soak: an error that a process met is a finding

Change: after a run the processes' lines are searched for exceptions that nothing handles; each is a finding with its process.

--- a/misc/soaks/soak_ledger.py
+++ b/misc/soaks/soak_ledger.py
@@ -95,6 +95,10 @@
         if self._own_ends_by_process[process] > MAX_OWN_ENDS:
             self._find(f"{process} ended by itself again and again")
 
+    def failed(self, process: str, error: str) -> None:
+        """Note that a process has met an error of its own code."""
+        self._find(f"{process} met an error: {error}")
+
     # Single requests
 
     def ran_once_only(self, request_id: str, upstream_id: str) -> None:
--- a/misc/soaks/soak_run.py
+++ b/misc/soaks/soak_run.py
@@ -82,6 +82,8 @@
             watcher.kill()
             self.clients.stop()
             self._site.stop()
+        for process, error in soak_site.errors(self._folder):
+            self.ledger.failed(process, error)
         has_findings = bool(self.ledger.findings)
         if not has_findings and not keeps_folder:
             shutil.rmtree(self._folder)
--- a/misc/soaks/soak_site.py
+++ b/misc/soaks/soak_site.py
@@ -1,8 +1,10 @@
 """The processes of a soak, their links, and the faults that are done to them."""
 
+import json
 import pathlib
 import shutil
 import sys
+from collections.abc import Iterator
 from typing import Any, Final
 
 import attrs
@@ -31,6 +33,8 @@
 CLOCK_STEP_SECONDS: Final = 3.0
 _TORN_BYTES: Final = b"\x5a" * 37
 _TERMINATE_SECONDS: Final = 8.0
+# What a line says whose writer met an exception that it doesn't know how to handle.
+_ERROR_MARK: Final = '"eliot:traceback"'
 
 
 @attrs.frozen
@@ -44,6 +48,18 @@
     n_apps: int = 2
 
 
+def errors(folder: pathlib.Path) -> Iterator[tuple[str, str]]:
+    """Yield the errors that processes wrote into their lines, with their names.
+
+    Whoever restarts what has failed hides it: nothing else may be seen of it.
+    """
+    for path in sorted(folder.glob("*.out")):
+        for line in path.read_text(errors="replace").splitlines():
+            if _ERROR_MARK in line and line.endswith("}"):
+                document = json.loads(line)
+                yield path.stem, f"{document['exception']}: {document['reason']}"
+
+
 class Site:
     """One deployment on loopback addresses of its own."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak: what it draws, what its ledger finds, and a short run of it."""
 
+import json
 import pathlib
 import subprocess
 import sys
@@ -112,6 +113,19 @@
         self.assertEqual(started, ["gateway-0"])
 
 
+class Errors(unittest.TestCase):
+    """An error that a process met is found, also if it was replaced at once."""
+
+    def test_errors(self):
+        line = {"message_type": "eliot:traceback", "exception": "E", "reason": "why"}
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "store-1.out")
+            whole = json.dumps(line)
+            path.write_text(f"not json\n{whole}\n{whole[:-9]}")
+            found = list(soak_site.errors(path.parent))
+        self.assertEqual(found, [("store-1", "E: why")])
+
+
 class Leader(unittest.TestCase):
     """Faults of the leader go to the store that sent the last order."""
 
