Soak: each regression seed is a test of its own

The seeds ran one after the other in one test, and one that failed hid the next; as parts of a test they had ids that KNOWN-RED.txt doesn't match (seen: "failed: test_regressions (seed=202)", with that id's line in place).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -473,10 +473,9 @@
     def test_one_seed(self):
         self.run_seed(3, 6.0)
 
-    def test_regressions(self):
-        for seed, seconds in REGRESSION_SEEDS:
-            with self.subTest(seed=seed):
-                self.run_seed(seed, seconds)
+    @tools.params(*REGRESSION_SEEDS)
+    def test_regressions(self, seed, seconds):
+        self.run_seed(seed, seconds)
 
 
 class Networks(unittest.TestCase):
