Tests: an answer without an event is no end of a text by itself (red)

Callers would see half of an item's text listed as completed: an engine that is asked to go on fails before it has made an event, and ends its answer by a last chunk.

--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -240,6 +240,29 @@
         self.assertEqual(self.run_item(data, text), Outcome.COMPLETED)
         self.assertEqual(text.result("i").text, b"a\nb")
 
+    def test_one_empty_answer_is_no_end(self):
+        """A trainer reads half of an item's text, listed as completed.
+
+        An engine that is asked to go on after event 1 fails before it has made another,
+        and ends its answer in order: `outcome` completed, `asked_after` 1, no event. The
+        next engine has the rest.
+        """
+        text = item_run.Text([b"a"], {3}, 1)
+        empty = answer(chunked())
+        self.assertNotEqual(self.run_item(empty, text), Outcome.COMPLETED)
+        rest = answer(chunked(event(2, b"b")))
+        self.assertEqual(self.run_item(rest, text), Outcome.COMPLETED)
+        self.assertEqual(text.result("i").text, b"a\nb")
+
+    def test_empty_answers_between_events(self):
+        """Each event that comes shows that the answer before was no end."""
+        text = item_run.Text([b"a"], {3}, 1)
+        empty = answer(chunked())
+        self.assertNotEqual(self.run_item(empty, text), Outcome.COMPLETED)
+        more = answer(chunked(event(2, b"b"), is_whole=False))
+        self.assertEqual(self.run_item(more, text), Outcome.BROKEN)
+        self.assertNotEqual(self.run_item(empty, text), Outcome.COMPLETED)
+
     @tools.params(
         ("a bare head", b"HTTP/1.1 200 OK\r\n\r\n"),
         ("and a length", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
