--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -22,8 +22,8 @@
     return commands.AcceptBatch(batch_id, len(items), data, 60.0)
 
 
-def text_of(item_id):
-    return model.Result.of(item_id, model.ItemState.COMPLETED, b"a\nb", (1,))
+def text_of(item_id, text=b"a\nb"):
+    return model.Result.of(item_id, model.ItemState.COMPLETED, text, (1,))
 
 
 class Replica(lone_leader.LoneLeader):
@@ -162,6 +162,32 @@
         self.assertEqual(len(self.replica.proposed), n_before + 2)
         self.assertEqual(self.kept("c").unscored_by_item_id, {})
 
+    def test_nothing_of_an_earlier_runner_is_committed(self):
+        """A result has the text of one run and the score of another run's.
+
+        A whole text and its score wait to be committed while the log is slow. The lease
+        lapses and comes back in the same term, and the runner that begins then makes
+        the text again. All three are taken from the queue together; one command has
+        texts before scores, so the second text got the score of the first.
+        """
+
+        def begin_another(command):
+            self.replica.intervene = lambda command: None
+            self.runners[0].hooks.keep_text("c", text_of("i0", b"first"))
+            self.runners[0].hooks.score("c", "i0", "of the first")
+            self.replica.n_lapsed = 1
+            self.wait_for(lambda: len(self.runners) == 2)
+            self.runners[1].hooks.keep_text("c", text_of("i0", b"second"))
+
+        self.replica.intervene = begin_another
+        self.runners[0].hooks.finish("b", text_of("i0"))
+        self.wait_for(lambda: len(self.runners) == 2)
+        self.runners[1].hooks.score("c", "i0", "of the second")
+        self.runners[1].hooks.finish("b", text_of("i1"))
+        self.wait_for(lambda: len(self.kept().results) == 2)
+        listed = [(each.text, each.score) for each in self.kept("c").results]
+        self.assertEqual(listed, [(b"second", "of the second")])
+
     def test_score_without_its_text_finishes_nothing(self):
         """A trainer waits for an item that is never listed.
 
