Batches: commit what was handed over by a runner while it runs only

Callers could see a result with the text of one run and the score of another run's.

Cause: what is handed over is kept apart by the leader's term, but one term may have several runners: the lease lapses for a moment and the service sees it, or a dropped result has the runner begun anew. The later runner makes again what still waits in the queue, and both hand over under one term. All that is in the queue for a batch becomes one command, in which texts come before scores; with the first text, its score and the second text in it, the second text is listed with the first one's score.

Ruled out: commands that are proposed apart (in the order of the queue a score comes before the later text); a later term (kept apart already).

Change: what waits in the queue is told apart by the runner that handed it over, which has one term. What an earlier runner left there is passed over; the new one began from what is kept and makes it again.

Why it holds: the number is read together with the term, with no other task in between, and a runner that has been stopped never gets its number back.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -39,9 +39,10 @@
 
 @attrs.frozen
 class _Advance:
-    """How far an item is, to be committed by the leader of `term` only."""
+    """How far an item is, to be committed while one runner runs only."""
 
-    term: int
+    # Number of the runner that handed it over, in this process.
+    runner_number: int
     command: commands.FinishItems
 
 
@@ -84,6 +85,8 @@
         self._orders_tenure = orders_tenure
         self._service = leader_service.LeaderService(replica_, carrier)
         self._runner: runner.BatchRunner | None = None
+        # How many runners there have been.
+        self._n_runners = 0
         # The runner counts on results that were dropped.
         self._lacks_results = False
         self._term = 0
@@ -149,10 +152,12 @@
     def _start_runner(self, term: int) -> None:
         self._term = term
         self._lacks_results = False
+        self._n_runners += 1
+        number = self._n_runners
 
         def hand_over(batch_id: str, **fields: Any) -> None:
             command = commands.FinishItems(batch_id, **fields)
-            self._advanced.put(_Advance(term, command))
+            self._advanced.put(_Advance(number, command))
 
         given = hooks.Hooks(
             finish=lambda batch_id, each: hand_over(batch_id, results=(each,)),
@@ -200,8 +205,10 @@
                 advanced.append(self._advanced.get())
             # The term may change while one of them is proposed. A text of the earlier
             # one could replace a text that another leader has kept, and get its score.
-            term = self._term
-            given = [each.command for each in advanced if each.term == term]
+            # The runner may change in one term, too, and makes again what waits here:
+            # committed as one command, its text would get the earlier text's score.
+            term, number = self._term, self._n_runners
+            given = [each.command for each in advanced if each.runner_number == number]
             for command in commands.joined(given):
                 self._commit(command, term)
 
