Tests: two safeguards of kept texts that nothing failed without

A reader would not have noticed that one of these was lost:

- each save is told its end, also if proposing it raises.
Untold, a text hands over no more, and the next leader goes on from where it was then;
- a part that names no entry is not joined to a text that names none.
Both come from an earlier release, while stores are brought up to date one by one; joined by length, they may be of two runs.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -283,6 +283,21 @@
         self.assertEqual(self.kept().progress_by_item_id["i0"].parts, parts, name)
         self.assertEqual(answer.kept_by("i0"), self.index if is_joined else 0, name)
 
+    def test_two_releases_that_say_nothing(self):
+        """A new leader goes on from a text that has events of two runs.
+
+        Stores are brought up to date one by one. What is kept comes from an earlier
+        release's snapshot and the part from its leader; neither names an entry, and
+        equal silence is no sign that one follows the other.
+        """
+        self.kept().progress_by_item_id["i0"] = model.KeptProgress(
+            "i0", (b"a", b"b"), (1,), 2
+        )
+        part = model.Progress("i0", (b"z",), (2,), 3, 2)
+        answer = self.apply(commands.SaveProgress("b", (part,)))
+        self.assertEqual(answer.kept_by("i0"), 0)
+        self.assertEqual(self.kept().progress_by_item_id["i0"].parts, (b"a", b"b"))
+
     def test_doubled_part_is_joined_once(self):
         first = model.Progress("i0", (b"a",), (1,), 1)
         self.apply(commands.SaveProgress("b", (first,)))
--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -5,9 +5,10 @@
 
 import attrs
 import result
+from nose2 import tools
 
-from bilberrydrum import clock, reasons
-from bilberrydrum.batches import commands, model, service
+from bilberrydrum import clock, event_stream, reasons
+from bilberrydrum.batches import commands, item_run, model, service
 from bilberrydrum.state import client
 from tests import helpers
 from tests.fakes import lone_leader
@@ -188,6 +189,32 @@
         listed = [(each.text, each.score) for each in self.kept("c").results]
         self.assertEqual(listed, [(b"second", "of the second")])
 
+    @tools.params(("kept", 2), ("refused", 0), ("raises", 0))
+    def test_each_save_is_told_its_end(self, name, n_before):
+        """A long item is made from its beginning again when the stores' leader goes.
+
+        The text waits for the end of its last save before it hands over more. A save
+        that ends in any way untold, an error of the log included, was its last.
+        """
+
+        def intervene(command):
+            if name == "raises":
+                raise OSError(name)
+            return REFUSED if name == "refused" else None
+
+        text = item_run.Text()
+        for number in (1, 2):
+            text.add(event_stream.Event(number, b"e"), 1)
+        self.replica.intervene = intervene
+        self.runners[0].hooks.save("b", (text.take_progress("i0"),))
+        n_proposed = len(self.replica.proposed)
+        self.wait_for(self.n_proposed(n_proposed + 1))
+        text.add(event_stream.Event(3, b"e"), 1)
+        following = text.take_progress("i0")
+        self.assertIsNotNone(following, name)
+        self.assertEqual(following.progress.n_before, n_before, name)
+        self.assertEqual(bool(following.progress.follows), bool(n_before), name)
+
     def test_score_without_its_text_finishes_nothing(self):
         """A trainer waits for an item that is never listed.
 
