--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -5,9 +5,10 @@
 
 import attrs
 import result
+from nose2 import tools
 
-from bilberrydrum import clock, reasons
-from bilberrydrum.batches import commands, model, service
+from bilberrydrum import clock, event_stream, reasons
+from bilberrydrum.batches import commands, item_run, model, service
 from bilberrydrum.state import client
 from tests import helpers
 from tests.fakes import lone_leader
@@ -22,8 +23,8 @@
     return commands.AcceptBatch(batch_id, len(items), data, 60.0)
 
 
-def text_of(item_id):
-    return model.Result.of(item_id, model.ItemState.COMPLETED, b"a\nb", (1,))
+def text_of(item_id, text=b"a\nb"):
+    return model.Result.of(item_id, model.ItemState.COMPLETED, text, (1,))
 
 
 class Replica(lone_leader.LoneLeader):
@@ -178,6 +179,58 @@
         self.assertEqual(len(self.replica.proposed), n_before + 2)
         self.assertEqual(self.kept("c").unscored_by_item_id, {})
 
+    def test_nothing_of_an_earlier_runner_is_committed(self):
+        """A result has the text of one run and the score of another run's.
+
+        A whole text and its score wait to be committed while the log is slow. The lease
+        lapses and comes back in the same term, and the runner that begins then makes
+        the text again. All three are taken from the queue together; one command has
+        texts before scores, so the second text got the score of the first.
+        """
+
+        def begin_another(command):
+            self.replica.intervene = lambda command: None
+            self.runners[0].hooks.keep_text("c", text_of("i0", b"first"))
+            self.runners[0].hooks.score("c", "i0", "of the first")
+            self.replica.n_lapsed = 1
+            self.wait_for(lambda: len(self.runners) == 2)
+            self.runners[1].hooks.keep_text("c", text_of("i0", b"second"))
+
+        self.replica.intervene = begin_another
+        self.runners[0].hooks.finish("b", text_of("i0"))
+        self.wait_for(lambda: len(self.runners) == 2)
+        self.runners[1].hooks.score("c", "i0", "of the second")
+        self.runners[1].hooks.finish("b", text_of("i1"))
+        self.wait_for(lambda: len(self.kept().results) == 2)
+        listed = [(each.text, each.score) for each in self.kept("c").results]
+        self.assertEqual(listed, [(b"second", "of the second")])
+
+    @tools.params(("kept", 2), ("refused", 0), ("raises", 0))
+    def test_each_save_is_told_its_end(self, name, n_before):
+        """A long item is made from its beginning again when the stores' leader goes.
+
+        The text waits for the end of its last save before it hands over more. A save
+        that ends in any way untold, an error of the log included, was its last.
+        """
+
+        def intervene(command):
+            if name == "raises":
+                raise OSError(name)
+            return REFUSED if name == "refused" else None
+
+        text = item_run.Text()
+        for number in (1, 2):
+            text.add(event_stream.Event(number, b"e"), 1)
+        self.replica.intervene = intervene
+        self.runners[0].hooks.save("b", (text.take_progress("i0"),))
+        n_proposed = len(self.replica.proposed)
+        self.wait_for(self.n_proposed(n_proposed + 1))
+        text.add(event_stream.Event(3, b"e"), 1)
+        following = text.take_progress("i0")
+        self.assertIsNotNone(following, name)
+        self.assertEqual(following.progress.n_before, n_before, name)
+        self.assertEqual(bool(following.progress.follows), bool(n_before), name)
+
     def test_score_without_its_text_finishes_nothing(self):
         """A trainer waits for an item that is never listed.
 
