Tests: what processes have of the registry, whatever the course

A process that sends to an upstream that is gone, or never hears of one, would not have been noticed: of the log of changes, these could be taken out with all of tests.test_fleet_feeds passing (26): the forgetting of lines that are gone, for stores and for gateways; the order of the latest change; the stores as news that cannot wait.

The test draws courses of upstreams that come, go and come again under two leaders in turn, and compares what processes have with what there is. Left: without the forgetting of a departure when an upstream comes again nothing fails, as a change takes out first and puts in then.

--- a/tests/test_fleet_feeds.py
+++ b/tests/test_fleet_feeds.py
@@ -1,6 +1,8 @@
 """What processes are told of the registry, and when."""
 
+import random
 import unittest
+from unittest import mock
 
 import attrs
 from nose2 import tools
@@ -215,3 +217,103 @@
     def test_up_to_date(self):
         feed = self.make(1)
         self.assertEqual((feed.registry, feed.registry_change), (b"", b""))
+
+
+N_COURSES = 20
+N_STEPS = 200
+
+
+class AnyCourse(unittest.TestCase):
+    """Whoever leads, and however far a process is behind, it gets what there is."""
+
+    def setUp(self):
+        few = mock.patch.object(registry_log, "MAX_GONE", 5)
+        few.start()
+        self.addCleanup(few.stop)
+
+    def change(self, section, rng):
+        """Let something happen to the fleet."""
+        section.registry_index += rng.randrange(1, 3)
+        index = section.registry_index
+        chance = rng.random()
+        upstreams = section.upstreams_by_id
+        if chance < 0.35 or not upstreams:
+            upstream_id = f"u{rng.randrange(12)}"
+            upstreams[upstream_id] = test_fleet.upstream(
+                upstream_id,
+                address=f"1.1.1.{rng.randrange(3)}:80",
+                sequence=index,
+                is_leaving=rng.random() < 0.2,
+            )
+        elif chance < 0.6:
+            del upstreams[rng.choice(list(upstreams))]
+        elif chance < 0.85:
+            upstream_id = rng.choice(list(upstreams))
+            upstreams[upstream_id] = attrs.evolve(
+                upstreams[upstream_id], versions_by_model={"m": index}, sequence=index
+            )
+        elif chance < 0.93:
+            section.versions_by_model[f"m{rng.randrange(2)}"] = index
+        else:
+            name = f"s{rng.randrange(3)}"
+            section.stores_by_name[name] = model.Store(name, f"x:{index}")
+
+    def feed(self, leader, section, known, is_gateway):
+        """Return what a process has after its renewal."""
+        can_wait = is_gateway and leader.can_wait(section, known.index)
+        address = "" if is_gateway else "x:1"
+        has = messages.Subscribe(registry_index=known.index, store_address=address)
+        feed = leader.make(section, crash_commands.Section(), has, ())
+        if feed.registry:
+            reached = codec.decode(feed.registry)
+        elif feed.registry_change:
+            reached = changes.changed(known, codec.decode(feed.registry_change))
+        else:
+            reached = known
+        if can_wait:
+            self.assertEqual(used_by_gateways(reached), used_by_gateways(known))
+        return reached
+
+    def check(self, reached, section, is_gateway):
+        current = section.registry()
+        told = registry_log.for_gateways if is_gateway else lambda each: each
+        self.assertEqual(
+            {each.upstream_id: each for each in reached.upstreams},
+            {each.upstream_id: told(each) for each in current.upstreams},
+        )
+        self.assertEqual(
+            attrs.evolve(reached, upstreams=()), attrs.evolve(current, upstreams=())
+        )
+
+    def test_what_processes_have(self):
+        """A process sends to an upstream that is gone, or never hears of one.
+
+        Upstreams come, go and come again, also between two looks of the leader and
+        while another one leads, which has told processes what this one has not seen.
+        """
+        for seed in range(N_COURSES):
+            rng = random.Random(seed)
+            section = commands.Section()
+            leaders = [feeds.Feeds(), feeds.Feeds()]
+            known = dict.fromkeys(range(6), model.Registry())
+            for _ in range(N_STEPS):
+                self.change(section, rng)
+                if rng.random() < 0.05:
+                    leaders.reverse()
+                    leaders[0].clear()
+                for number in known:
+                    if rng.random() < 0.2:
+                        is_gateway = number % 2 == 0
+                        known[number] = self.feed(
+                            leaders[0], section, known[number], is_gateway
+                        )
+                        self.check(known[number], section, is_gateway)
+
+
+def used_by_gateways(registry):
+    """Return what a gateway must know at once."""
+    upstreams = {
+        each.upstream_id: (each.service, each.address, each.is_leaving, each.is_silent)
+        for each in registry.upstreams
+    }
+    return upstreams, registry.stores
