--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -184,19 +184,26 @@
     def _commit_loads(self) -> None:
         while True:
             clock.sleep(_GATHER_LOADS_SECONDS)
-            loaded_by_id, self._loaded_by_id = self._loaded_by_id, {}
-            if not loaded_by_id or self._replica.leadership() is None:
-                continue
-            command = commands.PutUpstreams(tuple(loaded_by_id.values()))
-            is_committed = self._commit(command)
-            eliot.log_message(
-                message_type="upstreams:loaded",
-                versions_by_upstream_id={
-                    each.upstream_id: each.versions_by_model
-                    for each in loaded_by_id.values()
-                },
-                is_committed=is_committed,
-            )
+            try:
+                self._commit_gathered()
+            except Exception:
+                # Were this task to end, loads would be acknowledged and never told.
+                eliot.write_traceback()
+
+    def _commit_gathered(self) -> None:
+        loaded_by_id, self._loaded_by_id = self._loaded_by_id, {}
+        if not loaded_by_id or self._replica.leadership() is None:
+            return
+        command = commands.PutUpstreams(tuple(loaded_by_id.values()))
+        is_committed = self._commit(command)
+        eliot.log_message(
+            message_type="upstreams:loaded",
+            versions_by_upstream_id={
+                each.upstream_id: each.versions_by_model
+                for each in loaded_by_id.values()
+            },
+            is_committed=is_committed,
+        )
 
     def _not_taken(self, given: model.FleetUpstream, why: str) -> messages.NotTaken:
         n_before = self._not_taken_lines.admit(clock.now())
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -33,7 +33,8 @@
     """A socket on which a reset is an error.
 
     eventlet's own reads a reset as an end. An answer that ends with its connection then
-    looks whole where its upstream crashed.
+    looks whole where it was broken off by a reset. A process that is killed may still
+    have its connections closed in order; nothing here can tell that.
     """
 
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
--- a/tests/test_requests_resets.py
+++ b/tests/test_requests_resets.py
@@ -2,8 +2,8 @@
 
 Callers got look-ups that were cut short and framed as whole, and half a text was listed
 as an item's whole one: `outcome` completed with `framing` close, while the upstream's
-run had broken off. An upstream that ends resets its connections. eventlet's sockets
-read a reset as the end of what there is, so nothing in this program saw a difference.
+run had broken off and its connection been reset. eventlet's sockets read a reset as the
+end of what there is, so nothing in this program saw a difference.
 """
 
 import socket
