--- a/bilberrydrum/batches/carried.py
+++ b/bilberrydrum/batches/carried.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from bilberrydrum.batches import item_run, lifecycle, model
+from bilberrydrum.batches import lifecycle, model, texts
 
 # Unfinished texts, and whole ones, that are remembered: those of the last few steps.
 _MAX_TEXTS: Final = 400
@@ -40,7 +40,7 @@
 
     def __init__(self) -> None:
         self._whole_by_key: dict[ItemKey, _WholeText] = {}
-        self._texts_by_key: dict[ItemKey, item_run.Text] = {}
+        self._texts_by_key: dict[ItemKey, texts.Text] = {}
         # Items of groups that were not complete, begun or not; the oldest first.
         self._left_keys: dict[ItemKey, None] = {}
 
@@ -88,12 +88,12 @@
         """Tell whether the item's group was not complete."""
         return _key(account, item_id) in self._left_keys
 
-    def take_text(self, account: str | None, item_id: str) -> item_run.Text | None:
+    def take_text(self, account: str | None, item_id: str) -> texts.Text | None:
         """Return the text that an item goes on from, and forget it."""
         return self._texts_by_key.pop(_key(account, item_id), None)
 
     def find_whole(
-        self, account: str | None, item: model.Item, bounds: item_run.Bounds
+        self, account: str | None, item: model.Item, bounds: texts.Bounds
     ) -> model.Result | None:
         """Return the item's whole text if its versions fit the later batch.
 
--- a/bilberrydrum/batches/hooks.py
+++ b/bilberrydrum/batches/hooks.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bilberrydrum.batches import item_run, model
+from bilberrydrum.batches import model, texts
 
 
 @attrs.frozen
@@ -22,7 +22,7 @@
     score: Callable[[str, str, str], None]
     # Hand over unfinished texts, to be kept; not in order with the others. Each save is
     # told its end.
-    save: Callable[[str, tuple[item_run.Save, ...]], None]
+    save: Callable[[str, tuple[texts.Save, ...]], None]
     # The number for an order sent now; None: this process gives no orders.
     fencing_number: Callable[[], int | None]
     # Whether this process may still send items.
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -13,6 +13,7 @@
     item_tasks,
     lifecycle,
     model,
+    texts,
     urgency,
     work,
 )
@@ -168,7 +169,7 @@
         route = opened.route(self._view.routes)
         deadline = opened.give_up_at(route)
         bounds = opened.bounds(route)
-        if not all(bounds.allow(each, item_run.Text()) for each in run.text.versions):
+        if not all(bounds.allow(each, texts.Text()) for each in run.text.versions):
             run.text.clear()
         prepared = item_run.Run(
             run.item,
--- a/bilberrydrum/batches/lifecycle.py
+++ b/bilberrydrum/batches/lifecycle.py
@@ -15,7 +15,7 @@
 import attrs
 
 from bilberrydrum import quarantine
-from bilberrydrum.batches import item_run, model
+from bilberrydrum.batches import model, texts
 
 # An item does not go back to an engine that it failed at for this long, in seconds, if
 # that engine is the only one; others take it at once.
@@ -41,7 +41,7 @@
 
     item: model.Item
     group_key: tuple[str, str]
-    text: item_run.Text = attrs.field(factory=item_run.Text)
+    text: texts.Text = attrs.field(factory=texts.Text)
     stage: Stage = Stage.WAITING
     # Runs that the engine ended with a failure of its own.
     n_failures: int = 0
@@ -97,7 +97,7 @@
         self.stage = Stage.UNSCORED
         self.unscored = unscored
         # The result has it; kept twice, texts were a third of the memory.
-        self.text = item_run.Text()
+        self.text = texts.Text()
 
     def begin_scoring(self) -> None:
         """Note that the scoring request goes out."""
@@ -111,7 +111,7 @@
     def finish(self) -> None:
         """Note that there is a result."""
         self.stage = Stage.FINISHED
-        self.text = item_run.Text()
+        self.text = texts.Text()
         self.unscored = None
 
     def exclude(self, engine_id: str, now: float) -> None:
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -10,14 +10,7 @@
 import eventlet.queue
 
 from bilberrydrum import clock, transport, upstream_protocol
-from bilberrydrum.batches import (
-    commands,
-    hooks,
-    item_run,
-    messages,
-    model,
-    runner,
-)
+from bilberrydrum.batches import commands, hooks, messages, model, runner, texts
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.relay import crash_watch, relay
 from bilberrydrum.requests import attempts
@@ -236,11 +229,11 @@
             term=term,
         )
 
-    def _save(self, batch_id: str, saves: tuple[item_run.Save, ...]) -> None:
+    def _save(self, batch_id: str, saves: tuple[texts.Save, ...]) -> None:
         # Lost, it is run again; nobody waits for it.
         eventlet.spawn_n(self._commit_saves, batch_id, saves)
 
-    def _commit_saves(self, batch_id: str, saves: tuple[item_run.Save, ...]) -> None:
+    def _commit_saves(self, batch_id: str, saves: tuple[texts.Save, ...]) -> None:
         command = commands.SaveProgress(batch_id, tuple(e.progress for e in saves))
         saved = commands.ProgressSaved(0)
         try:
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -9,11 +9,11 @@
 
 from bilberrydrum.batches import (
     carried,
-    item_run,
     lifecycle,
     model,
     scheduling,
     scoring,
+    texts,
     urgency,
 )
 from bilberrydrum.fleet import policy
@@ -65,7 +65,7 @@
             self.done_by(route),
         )
 
-    def take_progress(self, min_events: int) -> list[item_run.Save]:
+    def take_progress(self, min_events: int) -> list[texts.Save]:
         """Return what is to be kept of the items that run.
 
         `min_events` is the least number of new events that is worth keeping.
@@ -96,10 +96,10 @@
             return float("inf")
         return self.submitted_at + route.max_queue_seconds
 
-    def bounds(self, route: policy.Route | None) -> item_run.Bounds:
+    def bounds(self, route: policy.Route | None) -> texts.Bounds:
         """Return the weight versions that its texts may come from."""
         is_single = route is not None and route.is_single_version
-        return item_run.Bounds(self.batch.min_version, is_single)
+        return texts.Bounds(self.batch.min_version, is_single)
 
     def due_at(self, route: policy.Route | None) -> float:
         """Return when its results have to be there, in seconds of `clock.now`."""
@@ -152,11 +152,11 @@
         if unscored is not None:
             run.take_whole_text(unscored)
             return
-        run.text = self._carried.take_text(account, item_id) or item_run.Text()
+        run.text = self._carried.take_text(account, item_id) or texts.Text()
         source = "carried"
         progress = kept.progress_by_item_id.get(item_id)
         if progress is not None:
-            run.text = item_run.Text.of_progress(progress)
+            run.text = texts.Text.of_progress(progress)
             source = "kept"
         if run.text.last_number is not None:
             eliot.log_message(
--- a/tests/fakes/text_group.py
+++ b/tests/fakes/text_group.py
@@ -13,7 +13,7 @@
 import attrs
 
 from bilberrydrum import codec, event_stream
-from bilberrydrum.batches import commands, item_run, lifecycle, model, work
+from bilberrydrum.batches import commands, lifecycle, model, texts, work
 from bilberrydrum.state import events, log
 from tests.fakes import group_hosts, promise_group
 
@@ -45,7 +45,7 @@
     """Saves that were proposed and wait for the end of their entry."""
 
     term: int
-    saves: list[item_run.Save]
+    saves: list[texts.Save]
 
 
 class TextGroup(promise_group.PromiseGroup):
@@ -61,7 +61,7 @@
         self.n_caught_up = 0
         self._n_batches = 0
         self._late: list[commands.SaveProgress] = []
-        self._saves_by_ticket: dict[int, list[item_run.Save]] = {}
+        self._saves_by_ticket: dict[int, list[texts.Save]] = {}
         self._under_way: dict[tuple[str, int], UnderWay] = {}
         self._answers_by_host: dict[str, object] = {}
         super().__init__(n_hosts, seed, n_voters)
@@ -134,7 +134,7 @@
         if self.random.random() < 0.02:
             self._propose(host, commands.EndBatch(opened.batch.batch_id), [])
 
-    def _generate(self, text: item_run.Text) -> None:
+    def _generate(self, text: texts.Text) -> None:
         after = text.parts[-1] if text.parts else None
         version = self.made_by_data[after].version if after else 1
         if self.random.random() < 0.2:
@@ -179,7 +179,7 @@
     # What becomes of it
 
     def _propose(
-        self, host: group_hosts.Host, command: object, saves: list[item_run.Save]
+        self, host: group_hosts.Host, command: object, saves: list[texts.Save]
     ) -> None:
         self._last_proposal += 1
         self._proposals[self._last_proposal] = command
@@ -309,7 +309,7 @@
     return commands.section_of(host.applied.state)
 
 
-def _end(saves: list[item_run.Save]) -> None:
+def _end(saves: list[texts.Save]) -> None:
     for each in saves:
         each.end(0)
 
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -6,13 +6,7 @@
 from nose2 import tools
 
 from bilberrydrum import codec, event_stream
-from bilberrydrum.batches import (
-    commands,
-    item_run,
-    model,
-    urgency,
-    work,
-)
+from bilberrydrum.batches import commands, model, texts, urgency, work
 from bilberrydrum.fleet import policy
 from bilberrydrum.state import machine
 
@@ -168,7 +162,7 @@
         Whatever has gone wrong before, it shows in the number of the event that is
         added, and only the text sees all that is added to it.
         """
-        text = item_run.Text()
+        text = texts.Text()
         for n in range(n_events):
             text.add(event_stream.Event(n + 1, b"a"), 1)
         with self.assertRaises(event_stream.EventError, msg=name):
@@ -190,8 +184,8 @@
         ("single, another", (2, True), (2,), 3, False),
     )
     def test_allow(self, name, bounds, versions, version, expected):
-        text = item_run.Text(versions=set(versions))
-        allowed = item_run.Bounds(*bounds).allow(version, text)
+        text = texts.Text(versions=set(versions))
+        allowed = texts.Bounds(*bounds).allow(version, text)
         self.assertEqual(allowed, expected, name)
 
 
@@ -241,7 +235,7 @@
         return commands.section_of(self.state).batches_by_id["b"]
 
     def test_parts_are_joined(self):
-        text = item_run.Text()
+        text = texts.Text()
         for n in range(4):
             text.add(event_stream.Event(n + 1, b"%d" % n), 1 + n // 3)
             if n % 2:
@@ -348,7 +342,7 @@
         self.assertEqual(self.taken_up(), text)
 
     def test_next_save_waits_for_the_end_of_the_last(self):
-        text = item_run.Text()
+        text = texts.Text()
         generate(text, "only", 8, 1)
         under_way = text.take_progress("i0")
         generate(text, "only", 8, 1)
@@ -358,7 +352,7 @@
         self.assertEqual((following.n_before, following.follows), (8, 7))
 
     def test_end_of_a_save_says_nothing_of_a_text_that_began_anew(self):
-        text = item_run.Text()
+        text = texts.Text()
         generate(text, "first", 8, 1)
         under_way = text.take_progress("i0")
         text.clear()
@@ -396,7 +390,7 @@
         before as are kept, is committed. The next leader goes on from eight events of
         each: joined by their number, parts need not be of one text.
         """
-        text = item_run.Text()
+        text = texts.Text()
         generate(text, "first", 8, 1)
         self.keep(text)
         text.clear()
@@ -415,7 +409,7 @@
         kept, so each later save lacks these events and is joined to nothing, for as
         long as the item runs.
         """
-        text = item_run.Text()
+        text = texts.Text()
         generate(text, "only", 8, 1)
         self.keep(text)
         generate(text, "only", 8, 1)
@@ -510,7 +504,7 @@
 
     @tools.params(
         ("adds an event", lambda text: text.add(event_stream.Event(2, b"b"), 2)),
-        ("begins anew", item_run.Text.clear),
+        ("begins anew", texts.Text.clear),
     )
     def test_text_is_not_shared(self, name, write):
         """An item comes again while something of its ended batch still has its text.
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -12,7 +12,7 @@
 from nose2 import tools
 
 from bilberrydrum import clock, event_stream, reasons, upstream_protocol
-from bilberrydrum.batches import item_run, model
+from bilberrydrum.batches import item_run, model, texts
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.requests import attempts, connections, watch
 from bilberrydrum.upstreams import model as upstream_model
@@ -126,12 +126,12 @@
         engine = scripted.Scripted(script, kind=upstream_model.KIND_ENGINE)
         self.addCleanup(engine.stop)
         self.engine = engine
-        self.text = text or item_run.Text()
+        self.text = text or texts.Text()
         run = item_run.Run(
             model.Item("i", "/x", {}, b"body", 1),
             "h",
             self.text,
-            bounds or item_run.Bounds(),
+            bounds or texts.Bounds(),
             clock.now() + 5.0,
             find_refusal,
         )
@@ -194,9 +194,9 @@
         self.assertEqual((result.text, result.versions), (b"a\nb\nc", (3, 4)))
 
     @tools.params(
-        ("too old", item_run.Bounds(4), Outcome.WRONG_VERSION),
-        ("single", item_run.Bounds(0, True), Outcome.WRONG_VERSION),
-        ("both fit", item_run.Bounds(3), Outcome.COMPLETED),
+        ("too old", texts.Bounds(4), Outcome.WRONG_VERSION),
+        ("single", texts.Bounds(0, True), Outcome.WRONG_VERSION),
+        ("both fit", texts.Bounds(3), Outcome.COMPLETED),
     )
     def test_versions_that_the_batch_does_not_allow(self, name, bounds, outcome):
         data = answer(chunked(event(1), event(2, b"b", b"4")))
@@ -204,9 +204,9 @@
 
     def test_too_old_version_leaves_the_text(self):
         """The item has gone on elsewhere; what it had is as good as before."""
-        text = item_run.Text([b"a"], {5}, 1)
+        text = texts.Text([b"a"], {5}, 1)
         data = answer(chunked(event(2, b"b")))
-        outcome = self.run_item(data, text, bounds=item_run.Bounds(4))
+        outcome = self.run_item(data, text, bounds=texts.Bounds(4))
         self.assertEqual(outcome, Outcome.WRONG_VERSION)
         self.assertEqual((text.parts, self.ended.version), ([b"a"], 3))
 
@@ -216,14 +216,14 @@
         Were the engine taken to serve the latest of the text's versions, it would be
         sent what it cannot serve.
         """
-        text = item_run.Text([b"a"], {7}, 1)
+        text = texts.Text([b"a"], {7}, 1)
         self.assertEqual(
             self.run_item(answer(chunked(event(2, b"b"))), text), Outcome.COMPLETED
         )
         self.assertEqual(self.ended.version, 3)
 
     def test_resumed_after_the_last_whole_event(self):
-        text = item_run.Text([b"a"], {2}, 1)
+        text = texts.Text([b"a"], {2}, 1)
         data = answer(chunked(event(2, b"b")))
         self.assertEqual(self.run_item(data, text), Outcome.COMPLETED)
         self.assertEqual(self.engine.received[0].headers["last-event-id"], "1")
@@ -235,7 +235,7 @@
         The engine has nothing to add and so names no version; taken for a broken
         answer, the item would be sent again and again until its time is up.
         """
-        text = item_run.Text([b"a", b"b"], {2}, 2)
+        text = texts.Text([b"a", b"b"], {2}, 2)
         data = answer(chunked(), headers=())
         self.assertEqual(self.run_item(data, text), Outcome.UNCONFIRMED)
         self.assertEqual(self.run_item(data, text), Outcome.COMPLETED)
@@ -248,7 +248,7 @@
         and ends its answer in order: `outcome` completed, `asked_after` 1, no event.
         The next engine has the rest.
         """
-        text = item_run.Text([b"a"], {3}, 1)
+        text = texts.Text([b"a"], {3}, 1)
         empty = answer(chunked())
         self.assertEqual(self.run_item(empty, text), Outcome.UNCONFIRMED)
         rest = answer(chunked(event(2, b"b")))
@@ -257,7 +257,7 @@
 
     def test_empty_answers_between_events(self):
         """Each event that comes shows that the answer before was no end."""
-        text = item_run.Text([b"a"], {3}, 1)
+        text = texts.Text([b"a"], {3}, 1)
         empty = answer(chunked())
         self.assertEqual(self.run_item(empty, text), Outcome.UNCONFIRMED)
         more = answer(chunked(event(2, b"b"), is_whole=False))
@@ -283,7 +283,7 @@
         `completed`, `asked_after` 51 and 134, `framing` "close", no byte, in two plays.
         One that has nothing to add bears its mark, in 125 answers of 125.
         """
-        text = item_run.Text([b"a", b"b"], {2}, 2)
+        text = texts.Text([b"a", b"b"], {2}, 2)
         self.assertEqual(self.run_item(data, text), Outcome.BROKEN, name)
         self.assertEqual((text.parts, text.versions), ([b"a", b"b"], {2}), name)
 
@@ -301,7 +301,7 @@
         engine that has nothing to add, and nothing else says how many events are due.
         So the text begins anew; resumed once more, it could be asked for without end.
         """
-        text = item_run.Text([b"a", b"b"], {2}, 2)
+        text = texts.Text([b"a", b"b"], {2}, 2)
         data = with_framing(framing)
         self.assertEqual([self.run_item(data, text) for _ in range(2)], outcomes)
         self.assertEqual(text.parts, parts)
@@ -340,7 +340,7 @@
         it is cleared, or another run adds to it. The answer's first event was compared
         with the text as it was then, not with what had been asked for.
         """
-        text = item_run.Text([b"a", b"b"], {2}, 2)
+        text = texts.Text([b"a", b"b"], {2}, 2)
         data = answer(chunked(event(first, b"c"), event(first + 1, b"d")))
         outcome = self.run_item(data, text, before=lambda: change(text))
         self.assertEqual((outcome, text.parts), (Outcome.BROKEN, []), name)
@@ -356,7 +356,7 @@
         The engine is asked to go on after event 2 and ends its answer whole. The text
         has changed meanwhile, so that the end of the answer is not the end of the text.
         """
-        text = item_run.Text([b"a", b"b"], {2}, 2)
+        text = texts.Text([b"a", b"b"], {2}, 2)
 
         def serve(connection, received):
             head = answer(chunked(*map(event, numbers), is_whole=False))
@@ -380,7 +380,7 @@
         While a run's events come, another run adds to the same text. Each run sees its
         own events in order, so only the text can tell.
         """
-        text = item_run.Text([b"a"], {2}, 1)
+        text = texts.Text([b"a"], {2}, 1)
 
         def serve(connection, received):
             head = answer(chunked(event(2, b"b"), is_whole=False))
@@ -402,7 +402,7 @@
         One case can't be told: an answer that ends by closing, closed in order between
         two events by an engine that ends. Nothing says how many events are due.
         """
-        text = item_run.Text([b"a"], {3}, 1) if is_resumed else item_run.Text()
+        text = texts.Text([b"a"], {3}, 1) if is_resumed else texts.Text()
         first = 2 if is_resumed else 1
         due = [event(n, b"abcd"[n - 1 : n]) for n in range(first, 5)]
         parts = [b"a", b"b", b"c", b"d"]
@@ -420,7 +420,7 @@
         self.assertEqual(text.parts, parts)
 
     def test_resumed_at_another_place(self):
-        text = item_run.Text([b"a"], {2}, 1)
+        text = texts.Text([b"a"], {2}, 1)
         outcome = self.run_item(answer(chunked(event(1, b"a"))), text)
         self.assertEqual((outcome, text.parts), (Outcome.BROKEN, []))
 
@@ -441,8 +441,8 @@
         run = item_run.Run(
             model.Item("i", "/x", {}, b"", 1),
             "h",
-            item_run.Text(),
-            item_run.Bounds(),
+            texts.Text(),
+            texts.Bounds(),
             clock.now() + 5.0,
             lambda: None,
         )
@@ -550,9 +550,7 @@
         though asked to go on, and repeat, leave out, swap and spoil events. After these
         comes an engine without a fault, and then the text has to be whole.
         """
-        text = (
-            item_run.Text(OUTPUT[:n_read], {3}, n_read) if n_read else item_run.Text()
-        )
+        text = texts.Text(OUTPUT[:n_read], {3}, n_read) if n_read else texts.Text()
         for trouble in troubles:
             if self.attempt(text, trouble) is Outcome.COMPLETED:
                 break
@@ -578,7 +576,7 @@
             model.Item("i", "/x", {}, b"", 1),
             "h",
             text,
-            item_run.Bounds(),
+            texts.Bounds(),
             clock.now() + 5.0,
             lambda: None,
         )
--- a/tests/test_batches_score_sender.py
+++ b/tests/test_batches_score_sender.py
@@ -10,12 +10,12 @@
 from bilberrydrum import clock, quarantine, upstream_protocol
 from bilberrydrum.batches import (
     hooks,
-    item_run,
     item_tasks,
     lifecycle,
     model,
     score_sender,
     scoring,
+    texts,
     urgency,
     work,
 )
@@ -334,5 +334,5 @@
         ("several", (0, True), (2, 3), False),
     )
     def test_allow_all(self, name, bounds, versions, expected):
-        given = item_run.Bounds(*bounds).allow_all(versions)
+        given = texts.Bounds(*bounds).allow_all(versions)
         self.assertEqual(given, expected, name)
--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -8,7 +8,7 @@
 from nose2 import tools
 
 from bilberrydrum import clock, event_stream, reasons
-from bilberrydrum.batches import commands, item_run, model, service
+from bilberrydrum.batches import commands, model, service, texts
 from bilberrydrum.state import client
 from tests import helpers
 from tests.fakes import lone_leader
@@ -218,7 +218,7 @@
                 raise OSError(name)
             return REFUSED if name == "refused" else None
 
-        text = item_run.Text()
+        text = texts.Text()
         for number in (1, 2):
             text.add(event_stream.Event(number, b"e"), 1)
         self.replica.intervene = intervene
--- a/tests/test_requests_resets.py
+++ b/tests/test_requests_resets.py
@@ -14,7 +14,7 @@
 from nose2 import tools
 
 from bilberrydrum import clock
-from bilberrydrum.batches import item_run, model
+from bilberrydrum.batches import item_run, model, texts
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.requests import attempts, connections, outgoing_requests, watch
 from tests.fakes import node_protocol, scripted
@@ -88,8 +88,8 @@
         run = item_run.Run(
             model.Item("r", "/x", {}, b"", 1),
             "h",
-            item_run.Text(),
-            item_run.Bounds(),
+            texts.Text(),
+            texts.Bounds(),
             clock.now() + 5.0,
             lambda: None,
         )
