Tests: an item's id that comes again for other work (red)

A trainer that uses an id once more for another prompt would be listed the text of the first, or a text of both.

--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -479,6 +479,35 @@
         went_on = again.runs_by_item_id["i1"].text.last_number == 1
         self.assertEqual(went_on, is_found)
 
+    @tools.params(
+        ("the same", {}, True),
+        ("another body", {"body": b"other"}, False),
+        ("another target", {"target": "/p/y"}, False),
+        ("another model", {}, False),
+        ("another hint", {"headers": {"Hint": "9"}}, True),
+    )
+    def test_texts_belong_to_the_same_work(self, name, fields, is_found):
+        """A trainer uses an item's id for another prompt.
+
+        Given what the id stood for before, the item's text would be another prompt's,
+        or begin with another's and go on with its own.
+        """
+        known = work.Work()
+        earlier = batch("b1", 3)
+        kept = model.KeptBatch.of(earlier, 0.0)
+        kept.results = [result(versions=(2,))]
+        opened = known.open(kept, 0.0)
+        opened.runs_by_item_id["i1"].text.add(event_stream.Event(1, b"a"), 2)
+        known.remember_closed(known.close("b1"))
+        items = tuple(attrs.evolve(each, **fields) for each in earlier.items)
+        model_name = "m" if name == "another model" else ""
+        later = attrs.evolve(earlier, batch_id="b2", items=items, model=model_name)
+        again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
+        found = [each.item_id for each in known.carried_results(again, None)]
+        self.assertEqual(found, ["i0"] if is_found else [], name)
+        went_on = again.runs_by_item_id["i1"].text.last_number == 1
+        self.assertEqual(went_on, is_found, name)
+
     def test_finished_text_is_kept_once(self):
         """Hundreds of items a minute finish in the memory of one process."""
         known = work.Work()
