Go on from a text only for the same work

Callers would see, under an id that is used again for another prompt, the text of the first prompt, or one that begins with it. Cause: what an ended batch has left was found by account and id. Class: parts joined without the identity of what they belong to. Ruled out: headers as a part of it; they are hints, which may differ when an item comes again. Change: texts, unfinished and whole, are found by the fingerprint of host, model, target and body as well. Groups that are waited for are still known by their ids.

--- a/bilberrydrum/batches/carried.py
+++ b/bilberrydrum/batches/carried.py
@@ -11,6 +11,7 @@
 import attrs
 
 from bilberrydrum.batches import lifecycle, model, texts
+from bilberrydrum.requests import fingerprints
 
 # Unfinished texts, and whole ones, that are remembered: those of the last few steps.
 _MAX_TEXTS: Final = 400
@@ -20,12 +21,23 @@
 
 # An account, empty for none, and an item's id.
 ItemKey = tuple[str, str]
+# The same, and the fingerprint of what the item asks for.
+WorkKey = tuple[str, str, str]
 
 
 def _key(account: str | None, item_id: str) -> ItemKey:
     return (account or "", item_id)
 
 
+def _work_key(batch: model.Batch, item: model.Item) -> WorkKey:
+    # An id may be used again for another prompt, whose text must not begin with what
+    # was made of the first. Headers are hints that may change.
+    asked = fingerprints.of_request(
+        "POST", batch.host, item.target, batch.model, item.body
+    )
+    return (*_key(batch.account, item.item_id), asked)
+
+
 @attrs.frozen
 class _WholeText:
     """A text that was whole, with a score or without."""
@@ -39,8 +51,8 @@
     """Texts and ids by account and item."""
 
     def __init__(self) -> None:
-        self._whole_by_key: dict[ItemKey, _WholeText] = {}
-        self._texts_by_key: dict[ItemKey, texts.Text] = {}
+        self._whole_by_key: dict[WorkKey, _WholeText] = {}
+        self._texts_by_key: dict[WorkKey, texts.Text] = {}
         # Items of groups that were not complete, begun or not; the oldest first.
         self._left_keys: dict[ItemKey, None] = {}
 
@@ -61,26 +73,26 @@
                 self._left_keys[_key(batch.account, item.item_id)] = None
                 result = finished.get(item.item_id)
                 if result and result.state is model.ItemState.COMPLETED:
-                    self._add_whole(batch.account, item, result)
+                    self._add_whole(batch, item, result)
         _drop_oldest(self._left_keys, _MAX_IDS)
 
     def remember_runs(
-        self, account: str | None, runs: Iterable[lifecycle.ItemRun]
+        self, batch: model.Batch, runs: Iterable[lifecycle.ItemRun]
     ) -> None:
-        """Remember the texts of an account's items that have no result."""
+        """Remember the texts of a batch's items that have no result."""
         for run in runs:
             if run.unscored is not None:
-                self._add_whole(account, run.item, run.unscored)
+                self._add_whole(batch, run.item, run.unscored)
             elif run.text.parts and not run.is_finished:
                 # A copy: an attempt of the ended batch that is still under way would
                 # write into the text of the later batch, events twice or none.
-                self._texts_by_key[_key(account, run.item.item_id)] = run.text.copy()
+                self._texts_by_key[_work_key(batch, run.item)] = run.text.copy()
         _drop_oldest(self._texts_by_key, _MAX_TEXTS)
 
     def _add_whole(
-        self, account: str | None, item: model.Item, result: model.Result
+        self, batch: model.Batch, item: model.Item, result: model.Result
     ) -> None:
-        key = _key(account, item.item_id)
+        key = _work_key(batch, item)
         self._whole_by_key[key] = _WholeText(result, item.scoring)
         _drop_oldest(self._whole_by_key, _MAX_TEXTS)
 
@@ -88,18 +100,18 @@
         """Tell whether the item's group was not complete."""
         return _key(account, item_id) in self._left_keys
 
-    def take_text(self, account: str | None, item_id: str) -> texts.Text | None:
-        """Return the text that an item goes on from, and forget it."""
-        return self._texts_by_key.pop(_key(account, item_id), None)
+    def take_text(self, batch: model.Batch, item: model.Item) -> texts.Text | None:
+        """Return the text that an item of `batch` goes on from, and forget it."""
+        return self._texts_by_key.pop(_work_key(batch, item), None)
 
     def find_whole(
-        self, account: str | None, item: model.Item, bounds: texts.Bounds
+        self, batch: model.Batch, item: model.Item, bounds: texts.Bounds
     ) -> model.Result | None:
         """Return the item's whole text if its versions fit the later batch.
 
         It has its score only if that answers the scoring request of the later batch.
         """
-        known = self._whole_by_key.get(_key(account, item.item_id))
+        known = self._whole_by_key.get(_work_key(batch, item))
         if known is None or not bounds.allow_all(known.result.versions):
             return None
         if known.scoring == item.scoring:
@@ -107,6 +119,6 @@
         return attrs.evolve(known.result, score="")
 
 
-def _drop_oldest(entries: dict[ItemKey, Any], n_most: int) -> None:
+def _drop_oldest(entries: dict[Any, Any], n_most: int) -> None:
     while len(entries) > n_most:
         del entries[next(iter(entries))]
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -134,7 +134,7 @@
             if item.item_id in finished:
                 run.finish()
             else:
-                self._resume(run, kept, batch.account)
+                self._resume(run, kept, batch)
             if self._carried.is_left(batch.account, item.item_id):
                 left_groups.add(group_key)
             runs[item.item_id] = run
@@ -144,7 +144,7 @@
         return opened
 
     def _resume(
-        self, run: lifecycle.ItemRun, kept: model.KeptBatch, account: str | None
+        self, run: lifecycle.ItemRun, kept: model.KeptBatch, batch: model.Batch
     ) -> None:
         """Go on from what there is of an item."""
         item_id = run.item.item_id
@@ -152,7 +152,7 @@
         if unscored is not None:
             run.take_whole_text(unscored)
             return
-        run.text = self._carried.take_text(account, item_id) or texts.Text()
+        run.text = self._carried.take_text(batch, run.item) or texts.Text()
         source = "carried"
         progress = kept.progress_by_item_id.get(item_id)
         if progress is not None:
@@ -181,7 +181,7 @@
         for run in opened.runs_by_item_id.values():
             if run.is_finished or run.unscored is not None:
                 continue
-            whole = self._carried.find_whole(opened.batch.account, run.item, bounds)
+            whole = self._carried.find_whole(opened.batch, run.item, bounds)
             if whole is None:
                 continue
             if run.item.is_settled_by(whole):
@@ -223,9 +223,7 @@
     def remember_closed(self, closed: OpenBatch) -> None:
         """Remember what a later batch may use of one whose runs are broken off."""
         self.remember(closed.batch, closed.kept)
-        self._carried.remember_runs(
-            closed.batch.account, closed.runs_by_item_id.values()
-        )
+        self._carried.remember_runs(closed.batch, closed.runs_by_item_id.values())
 
     def remember(self, batch: model.Batch, kept: model.KeptBatch) -> None:
         """Remember what an ended batch has left."""
