Find slow engines without a list of the others for each

What operators would see: before thousands of engines, a stores' leader that does hardly anything but look for slow ones. Cause: at each look, up to a hundred a second, the median of all other engines' paces was worked out for each engine anew: the square of the fleet. Change: one sorted list, in which the median without one of them is looked up. Why it holds: drawn paces give the same verdicts as the list of the others.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -1,8 +1,8 @@
 """What the runner knows of each engine."""
 
+import bisect
 import collections
-import statistics
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 import attrs
@@ -240,11 +240,11 @@
             if each.pace_seconds and now - each.paced_at <= PACE_SECONDS
         }
         slow = set()
+        paces = sorted(paces_by_id.values())
         for engine_id, pace in paces_by_id.items():
-            others = [p for other, p in paces_by_id.items() if other != engine_id]
             engine = self.by_id[engine_id]
-            engine.was_slow = bool(others) and (
-                pace > SLOW_FACTOR * statistics.median(others)
+            engine.was_slow = len(paces) > 1 and (
+                pace > SLOW_FACTOR * _median_of_others(paces, pace)
             )
             if engine.was_slow:
                 slow.add(engine_id)
@@ -264,3 +264,21 @@
             name for each in self.by_id.values() for name in each.versions_by_model
         }
         return sorted(found)
+
+
+def _median_of_others(paces: Sequence[float], own: float) -> float:
+    """Return the median of sorted `paces` without one that is `own`.
+
+    Asked for each engine at each look; with a list of the others made for each, a look
+    at 3,000 engines took 0.7 s.
+    """
+    position = bisect.bisect_left(paces, own)
+
+    def other(index: int) -> float:
+        return paces[index if index < position else index + 1]
+
+    n_others = len(paces) - 1
+    middle = n_others // 2
+    if n_others % 2:
+        return other(middle)
+    return (other(middle - 1) + other(middle)) / 2
--- a/tests/test_batches_engines.py
+++ b/tests/test_batches_engines.py
@@ -1,6 +1,8 @@
 """Engines: who has which, which load what, and which item goes where."""
 
 import collections
+import random
+import statistics
 import unittest
 
 import attrs
@@ -329,6 +331,26 @@
     def test_slow(self, name, paces, age, expected):
         self.assertEqual(self.engines(paces, age).slow_ids(100.1), expected, name)
 
+    def test_slow_among_many(self):
+        """Drawn paces: slow is who is slower than the others' median by the factor."""
+        rng = random.Random(11)
+        for n_engines in [2, 3, 4, 5] * 20 + [300, 301]:
+            drawn = rng.choices([0.02, 0.03, 0.05, 0.1, 0.3], k=n_engines)
+            known = engines.Engines()
+            for number, pace in enumerate(drawn):
+                upstream = fleet_model.FleetUpstream(str(number), "s", "a", "z", 2)
+                known.by_id[str(number)] = engines.Engine(
+                    upstream, pace_seconds=pace, paced_at=100.0
+                )
+            expected = {
+                str(number)
+                for number, pace in enumerate(drawn)
+                if pace
+                > engines.SLOW_FACTOR
+                * statistics.median(drawn[:number] + drawn[number + 1 :])
+            }
+            self.assertEqual(known.slow_ids(100.1), expected, drawn)
+
     def test_slow_engine_is_tried_with_one_item(self):
         """All items were moved away from a slow engine, so its pace is not known.
 
