--- a/tests/test_fleet_feeds.py
+++ b/tests/test_fleet_feeds.py
@@ -129,6 +129,41 @@
         log = self.log(self.BEFORE, self.after(6, upstreams=ids))
         self.assertEqual(log.can_wait(5), not is_urgent, name)
 
+    @tools.params(
+        ("the one that it was made for", 0, True),
+        ("between", 1, True),
+        ("between, with a line that changes back", 2, True),
+        ("the newest", 4, False),
+    )
+    def test_taken_at_a_state_between(self, name, position, is_taken):
+        """A process hears of a change half a second late, though it was pushed at once.
+
+        Its renewal's answer and the next push cross: the push is made for what the
+        renewal said that the process has, and the process is further by then. Dropped,
+        each push would be, until a renewal finds nothing new.
+        """
+        states = [
+            self.BEFORE,
+            self.after(6, upstreams=("a", "b!", "c")),
+            self.after(7, upstreams=("a!", "b!")),
+            self.after(8, upstreams=("a", "b!", "d")),
+            self.after(9, upstreams=("a", "b!", "d!")),
+        ]
+        change = self.log(*states).change_since(5, is_gateway=False)
+        reached = changes.changed(states[position], change)
+        self.assertEqual(reached is not None, is_taken, name)
+        if reached is not None:
+            self.assertEqual(reached, states[-1], name)
+
+    def test_difference_of_two_states(self):
+        """A leader of the release before compares two states and knows none between."""
+        change = attrs.evolve(
+            self.log(self.BEFORE, self.after(9)).change_since(5, is_gateway=False),
+            is_cumulative=False,
+        )
+        self.assertIsNone(changes.changed(self.after(7), change))
+        self.assertIsNotNone(changes.changed(self.BEFORE, change))
+
     def test_other_state(self):
         """The change before was lost; taken all the same, its part would be missing."""
         later = attrs.evolve(self.BEFORE, index=7)
