Take a pushed change at any state that it leads on from

What operators see: in a large fleet, changes that are in force half a second late, and later, though they are pushed at once. Cause: a push is made for the state that the process named in its last renewal. The renewal's answer has brought the process further by the time it comes; the push was for another state and was dropped, and so was the next one. While all of the registry was sent to whoever was far behind, this was hidden. Change: what the log of changes gives leads on from every state since, and says so; a process takes it at any of them. Figures: of the test's states, a process took the change at the first alone before, and at all but the newest after. Why it holds: a line that changed after the earlier state is in it as it is in the later one, also one that changed back; differences of two states, as a leader of the release before makes them, are taken at that state only.

--- a/bilberrydrum/fleet/changes.py
+++ b/bilberrydrum/fleet/changes.py
@@ -29,11 +29,19 @@
     # None: as before.
     stores: tuple[model.Store, ...] | None = None
     founder_addresses: tuple[str, ...] | None = None
+    # It has each line that changed after the earlier state, as it is in the later one,
+    # so it leads there from any state between. False: made of these two states alone.
+    is_cumulative: bool = False
 
 
 def changed(registry: model.Registry, change: RegistryChange) -> model.Registry | None:
-    """Return the registry after `change`; None if it was made for another state."""
-    if registry.index != change.base_index:
+    """Return the registry after `change`; None if it does not lead on from here."""
+    # A push is made for what the last renewal named, which its answer has overtaken.
+    # Were it dropped, so would each push be until a renewal finds nothing new.
+    is_between = change.base_index <= registry.index < change.index
+    if not (
+        is_between if change.is_cumulative else registry.index == change.base_index
+    ):
         return None
     upstreams_by_id = {each.upstream_id: each for each in registry.upstreams}
     for upstream_id in change.gone_ids:
--- a/bilberrydrum/fleet/registry_log.py
+++ b/bilberrydrum/fleet/registry_log.py
@@ -140,6 +140,7 @@
             },
             noted.stores if self._stores_index > index else None,
             noted.founder_addresses if self._founders_index > index else None,
+            is_cumulative=True,
         )
 
     def can_wait(self, index: int) -> bool:
