Tests: a key's lease that runs out between the look and the sending

Seen once, in one of two runs of all tests side by side: AttributeError, 'Refused' object has no attribute 'status', in tests.test_usage_path.Path.test_no_leader. Cause: the test asked again and again until the lease was out. It may run out between the look at the caller and the last look before the sending, where the relay refuses, as it should; the test took whatever the relay gave for an answer. Ruled out: the product, which refused with the lease's own reason. Change: the test brings that very moment about, each time, and asks for the reason; any other refusal fails it, as before. All tests together were not run on this commit.

--- a/tests/test_usage_path.py
+++ b/tests/test_usage_path.py
@@ -79,7 +79,7 @@
             while not condition():
                 clock.sleep(0.02)
 
-    def send(self, key):
+    def send(self, key, before_sending=lambda: None):
         route = self.gateway.find_route("r1", "h", "/plain/x")
         caller = self.gateway.callers.of_request("r1", route, key)
         if isinstance(caller, relay_model.Refused):
@@ -96,7 +96,13 @@
             find_refusal=caller.find_refusal,
             account=caller.account,
         )
-        return self.gateway.relay.handle(inbound, route).status
+        before_sending()
+        given = self.gateway.relay.handle(inbound, route)
+        if isinstance(given, relay_model.Refused):
+            # Only the lease may have run out since the caller was looked at.
+            self.assertIs(given.reason, reasons.Reason.BUNDLE_LEASE_EXPIRED)
+            return given.reason
+        return given.status
 
     def n_told(self):
         total = {}
@@ -135,6 +141,10 @@
         self.control.replica.stop()
         self.assertEqual(self.send("key-a"), 200)
         expired = reasons.Reason.BUNDLE_LEASE_EXPIRED
-        self.wait_for(lambda: self.send("key-a") is expired)
+        is_confirmed = self.gateway.view.is_policy_confirmed
+        # The lease runs out between the look at the caller and the sending.
+        given = self.send("key-a", lambda: self.wait_for(lambda: not is_confirmed()))
+        self.assertIs(given, expired)
+        self.assertIs(self.send("key-a"), expired)
         self.assertIs(self.send("unknown"), expired)
         self.assertFalse(self.gateway.is_ready())
