Tests: a module that hangs says which tests failed, and where it stands

A module that ran for too long printed "EEE" and nothing more: nose2 prints failures at its end, which it did not reach. Failures are now printed when they happen, the stacks shortly before the time is up, and a path test that waits in vain says how each of its processes stands.

--- a/misc/processes.py
+++ b/misc/processes.py
@@ -221,6 +221,15 @@
         """Start an ended process again with the arguments that it had."""
         return self.start(name, self.processes_by_name[name].arguments)
 
+    def describe(self, n_lines: int = 5) -> str:
+        """Return each process's state and the last lines that it printed."""
+        parts = []
+        for process in self.processes_by_name.values():
+            code = process.popen.poll()
+            state = "runs" if code is None else f"ended with {code}"
+            parts.append(f"{process.name} {state}\n{process.log_tail(n_lines)}")
+        return "\n".join(parts)
+
     def wait_until_ready(
         self, name: str, address: str, path: str = "/readyz", timeout: float = 60.0
     ) -> float:
--- a/misc/run_tests.py
+++ b/misc/run_tests.py
@@ -10,12 +10,14 @@
 
 import argparse
 import concurrent.futures
+import faulthandler
 import json
 import os
 import pathlib
 import subprocess
 import sys
 import time
+import traceback
 from typing import Any, Final
 
 import attrs
@@ -27,6 +29,8 @@
 N_WORKERS: Final = max(1, min(4, (os.cpu_count() or 1) // 2))
 # A module that hangs fails the run instead of stopping it.
 MODULE_TIMEOUT_SECONDS: Final = 240.0
+# So long before, a module that hangs says where: nose2 prints nothing until its end.
+STACKS_SECONDS: Final = MODULE_TIMEOUT_SECONDS - 5.0
 N_SLOWEST: Final = 5
 
 
@@ -46,10 +50,18 @@
             self.n_skipped += 1
         elif event.exc_info is not None:
             self.failed_ids.append(base_id(event.test))
+            _print_at_once(event)
         elif event.outcome == "passed":
             self.n_passed += 1
 
 
+def _print_at_once(event: Any) -> None:
+    """Print why a test failed; a module that hangs later would not come to say it."""
+    print(f"\n{event.test.id()}", file=sys.stderr)
+    traceback.print_exception(*event.exc_info)
+    sys.stderr.flush()
+
+
 def base_id(test: Any) -> str:
     """Return the id of a test without nose2's suffix for a parameter."""
     return str(test.id()).split("\n")[0].split(":")[0]
@@ -72,6 +84,7 @@
 def run_here(name: str, report: str) -> int:
     """Run one module, or one test of it, in this process; write its tally."""
     sys.path.insert(0, str(ROOT))
+    faulthandler.dump_traceback_later(STACKS_SECONDS)
     tally = Tally(name)
     start = time.monotonic()
     nose2.main(
--- a/tests/path_support.py
+++ b/tests/path_support.py
@@ -56,7 +56,12 @@
         return all(cls.look_up(gateway) == 200 for gateway in cls.gateways)
 
     def wait_for(self, condition, what):
-        processes.wait_for(condition, DEADLINE, what)
+        try:
+            processes.wait_for(condition, DEADLINE, what)
+        except processes.ConditionTimeoutError as error:
+            raise processes.ConditionTimeoutError(
+                f"{error}\n{self.processes.describe()}"
+            ) from None
 
     def until_answered(self, ask):
         """Ask until there is an answer other than to come back; return it."""
