Tests: a run holds its ports while its processes are down

Seen once, in one run of all tests: tests.test_path ended for its time after three errors, with no word of them. What it is has not been read from that run, which printed "EEE" alone. With 90 ports in place of 12,000 and three runs of the module side by side, 8 of 12 runs failed, each with "Address already in use"; and a gateway whose port another socket took while it was down gave the picture that was seen: "gw-surquillo is back" not within 90 s, an error in the next test, waiting in the third until the time was up.

Cause: a port was drawn if nothing listened there. A run listens only once its processes run, and not while one of them is killed; tests beside it drew the same port meanwhile. Ruled out, as far as runs show: 16 runs of the module alone, two at a time, beside four busy plays, passed. Change: who draws a port holds it, by a name in the kernel that one process at a time can have and that goes with it; the drawing has a module of its own. Why it holds: the name is taken in one step, and every drawing asks for it.

--- a/misc/demos/andes.py
+++ b/misc/demos/andes.py
@@ -14,7 +14,7 @@
 import yaml
 
 from bilberrydrum import keys
-from misc import processes
+from misc import loopback, processes
 
 ZONES: Final = ("Surquillo", "Callao", "Ate")
 OPERATOR: Final = "ana"
@@ -87,7 +87,7 @@
         self.folder: pathlib.Path = started.folder
         self.engines, schedules, scorers = _upstream_names(sizes or Sizes())
         names = [*self.engines, *schedules, *scorers]
-        ports = processes.free_ports(2 * len(ZONES) + len(names) + 1)
+        ports = loopback.free_ports(2 * len(ZONES) + len(names) + 1)
         addresses = [f"127.0.0.1:{port}" for port in ports]
         self.daemons_by_id = {
             f"gw-{zone.lower()}": Daemon(
--- a/misc/measures/capacity_daemons.py
+++ b/misc/measures/capacity_daemons.py
@@ -21,7 +21,7 @@
 import attrs
 import urllib3
 
-from misc import processes
+from misc import loopback, processes
 
 ZONES: Final = ("surquillo", "callao", "ate")
 HEADER_BYTES: Final = 54
@@ -95,7 +95,7 @@
         self.n_engines = round(n_gateways * ENGINES_PER_GATEWAY)
         names = [(f"replica-{i}", "state") for i in range(len(ZONES))]
         names += [(f"gateway-{i}", "gateway") for i in range(n_gateways)]
-        ports = iter(processes.free_ports(2 * len(names) + 1))
+        ports = iter(loopback.free_ports(2 * len(names) + 1))
         self.daemons = [
             Daemon(name, role, next(ports), next(ports)) for name, role in names
         ]
--- a/misc/measures/capacity_relay.py
+++ b/misc/measures/capacity_relay.py
@@ -15,7 +15,7 @@
 import eventlet
 import urllib3
 
-from misc import processes
+from misc import loopback, processes
 from misc.measures import capacity_daemons, capacity_records
 
 RATE: Final = 12.0
@@ -44,7 +44,7 @@
 
     def __init__(self, running: processes.Processes) -> None:
         self._running = running
-        self._ports = processes.free_ports(3)
+        self._ports = loopback.free_ports(3)
         self._pool = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=256)
         self.n_requests = 0
         self.n_events = 0
--- a/misc/measures/request_site.py
+++ b/misc/measures/request_site.py
@@ -11,7 +11,7 @@
 import urllib3
 import yaml
 
-from misc import processes
+from misc import loopback, processes
 
 BUNDLE: Final = {
     "version": 1,
@@ -46,7 +46,7 @@
         self._processes = started
         # Time between two events of a stream.
         self._event_seconds = str(event_seconds)
-        ports = processes.free_ports(2 * n_daemons + 5)
+        ports = loopback.free_ports(2 * n_daemons + 5)
         addresses = [f"127.0.0.1:{port}" for port in ports]
         self.daemons = [addresses.pop() for _ in range(n_daemons)]
         self._peers = [addresses.pop() for _ in range(n_daemons)]
--- a/misc/measures/sample_site.py
+++ b/misc/measures/sample_site.py
@@ -9,7 +9,7 @@
 import urllib3
 import yaml
 
-from misc import processes
+from misc import loopback, processes
 from tests.fakes import journal
 
 N_ENGINES: Final = 5
@@ -81,7 +81,7 @@
         self._processes = started
         self._folder: pathlib.Path = started.folder
         n_daemons = len(load.zones)
-        ports = processes.free_ports(2 * n_daemons + N_ENGINES + N_SCORERS + 1)
+        ports = loopback.free_ports(2 * n_daemons + N_ENGINES + N_SCORERS + 1)
         addresses = [f"127.0.0.1:{port}" for port in ports]
         self._http = [addresses.pop() for _ in range(n_daemons)]
         self._peers = [addresses.pop() for _ in range(n_daemons)]
--- a/misc/measures/state_group.py
+++ b/misc/measures/state_group.py
@@ -9,7 +9,7 @@
 
 from bilberrydrum import options, transport
 from bilberrydrum.state import queries, remote
-from misc import processes
+from misc import loopback, processes
 from misc.measures import state_process
 
 
@@ -19,7 +19,7 @@
     def __init__(self, n_members: int, snapshot_entries: int = 20_000) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="state-group-"))
         self.processes = processes.Processes(self.folder)
-        *ports, client_port, spare_port = processes.free_ports(n_members + 2)
+        *ports, client_port, spare_port = loopback.free_ports(n_members + 2)
         # For a process that joins later.
         self.spare_address = f"127.0.0.1:{spare_port}"
         self.members = [
--- a/misc/processes.py
+++ b/misc/processes.py
@@ -8,9 +8,7 @@
 import contextlib
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -23,11 +21,6 @@
 
 REPOSITORY: Final = pathlib.Path(__file__).resolve().parent.parent
 
-# Listening ports are taken from below the range that the kernel gives to outgoing
-# connections: a port probed there could be taken by such a connection at any moment.
-FIRST_PORT: Final = 20_000
-LAST_PORT: Final = 32_000
-
 POLL_SECONDS: Final = 0.05
 
 
@@ -66,27 +59,6 @@
     """A condition did not come true in time, or a process ended before it did."""
 
 
-def free_ports(n_ports: int) -> list[int]:
-    """Return `n_ports` different loopback ports on which nothing listens now."""
-    ports: list[int] = []
-    source = random.SystemRandom()
-    while len(ports) < n_ports:
-        port = source.randint(FIRST_PORT, LAST_PORT)
-        if port not in ports and _can_bind(port):
-            ports.append(port)
-    return ports
-
-
-def _can_bind(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 def wait_for(condition: Callable[[], bool], timeout: float, what: str) -> float:
     """Wait until `condition` holds; return the seconds that it took.
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 
 from eventlet import hubs
 
-from misc import processes
+from misc import loopback
 
 
 def free_port() -> int:
@@ -14,7 +14,7 @@
     Not one that outgoing connections get: between this and the start of a test's
     process, any connection on the machine could take it.
     """
-    return processes.free_ports(1)[0]
+    return loopback.free_ports(1)[0]
 
 
 class ManualClock:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -10,7 +10,7 @@
 import urllib3
 import yaml
 
-from misc import processes
+from misc import loopback, processes
 
 # Longer than any machine needs; no test waits for it unless it fails.
 DEADLINE_SECONDS = 60.0
@@ -23,7 +23,7 @@
         self.folder = pathlib.Path(folder.name)
         self.processes = processes.Processes(self.folder)
         self.addCleanup(self.processes.stop_all)
-        ports = processes.free_ports(4)
+        ports = loopback.free_ports(4)
         self.http, self.peer, *absent = [f"127.0.0.1:{port}" for port in ports]
         self.absent = absent
         self.settings = {
--- a/tests/test_state_group.py
+++ b/tests/test_state_group.py
@@ -8,7 +8,7 @@
 
 from bilberrydrum import options, transport
 from bilberrydrum.state import commands, machine, queries, remote, snapshot
-from misc import processes
+from misc import loopback
 from misc.measures import state_group, state_process
 
 
@@ -160,7 +160,7 @@
         self.add()
         leader = group.status().leader_process_id
         other = next(m for m in group.members if m.process_id != leader)
-        address = f"127.0.0.1:{processes.free_ports(1)[0]}"
+        address = f"127.0.0.1:{loopback.free_ports(1)[0]}"
         settings = state_process.options_for("gateway", [other], "", address=address)
         carrier = transport.Transport("gateway", "main", address)
         carrier.start()
--- a/tests/test_state_replica.py
+++ b/tests/test_state_replica.py
@@ -21,7 +21,7 @@
     snapshot,
     storage,
 )
-from misc import processes
+from misc import loopback
 from misc.measures import state_process
 from tests import test_state_core
 
@@ -30,7 +30,7 @@
     def setUp(self) -> None:
         self.folder = tempfile.mkdtemp(prefix="replica-")
         self.addCleanup(shutil.rmtree, self.folder, ignore_errors=True)
-        self.address = f"127.0.0.1:{processes.free_ports(1)[0]}"
+        self.address = f"127.0.0.1:{loopback.free_ports(1)[0]}"
         self.carrier = transport.Transport("p0", "main", self.address)
         self.carrier.start()
         self.addCleanup(self.carrier.stop)
--- a/tests/test_upstreams_processes.py
+++ b/tests/test_upstreams_processes.py
@@ -10,7 +10,7 @@
 import urllib3
 import yaml
 
-from misc import processes
+from misc import loopback, processes
 
 NAMES = ("gw-0", "gw-1", "gw-2")
 BOUND_SECONDS = 3.0
@@ -23,7 +23,7 @@
 
     def __init__(self, running, folder):
         self.running = running
-        ports = processes.free_ports(6)
+        ports = loopback.free_ports(6)
         self.addresses_by_name = {
             name: f"127.0.0.1:{port}" for name, port in zip(NAMES, ports, strict=False)
         }
--- a/tests/test_weights_processes.py
+++ b/tests/test_weights_processes.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-from misc import processes
+from misc import loopback, processes
 
 ZONES = ("surquillo", "callao", "ate")
 ALL_GATEWAYS = (0, 1, 2)
@@ -45,7 +45,7 @@
         cls.addClassCleanup(cls.running.stop_all)
         cls.pool = urllib3.PoolManager(retries=False, timeout=15.0)
         cls.version = 0
-        ports = iter(processes.free_ports(12))
+        ports = iter(loopback.free_ports(12))
         cls.http_ports = [next(ports) for _ in ZONES]
         cls._start_daemons([next(ports) for _ in ZONES])
         cls.store = f"127.0.0.1:{next(ports)}"
