Go on committing results after an unexpected error

What callers would see: no result of any batch is listed any more, and trainers wait, while the stores' leader is well and goes on running items. Cause: one task commits what runs hand over. An error in it that nobody expected ended it, and nothing starts another; the runner held what was handed over for finished. Ruled out: the leader's own task already looks on after an error, and a proposal that is refused already leads to a new runner. Change: the task writes the error down and goes on, and has a new runner take up what is kept, as what it held in its hands is dropped. Why it holds: whatever ends one round, the next one begins, and the runner that counts on what was dropped is replaced, as after a dropped result.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -199,17 +199,29 @@
 
     def _commit_advances(self) -> None:
         while True:
-            advanced = [self._advanced.get()]
-            while not self._advanced.empty() and len(advanced) < _MAX_RESULTS:
-                advanced.append(self._advanced.get())
-            # The term may change while one of them is proposed. A text of the earlier
-            # one could replace a text that another leader has kept, and get its score.
-            # The runner may change in one term, too, and makes again what waits here:
-            # committed as one command, its text would get the earlier text's score.
-            term, number = self._term, self._n_runners
-            given = [each.command for each in advanced if each.runner_number == number]
-            for command in commands.joined(given):
-                self._commit(command, term)
+            try:
+                self._commit_next()
+            except Exception:
+                # Were this task to end, no result would be listed until another process
+                # leads. The runner holds what is dropped here for finished; a new one
+                # takes up what is kept.
+                eliot.write_traceback()
+                self._lacks_results = True
+                self._on_role()
+
+    def _commit_next(self) -> None:
+        """Wait for results, and commit those that are there by then."""
+        advanced = [self._advanced.get()]
+        while not self._advanced.empty() and len(advanced) < _MAX_RESULTS:
+            advanced.append(self._advanced.get())
+        # The term may change while one of them is proposed. A text of the earlier
+        # one could replace a text that another leader has kept, and get its score.
+        # The runner may change in one term, too, and makes again what waits here:
+        # committed as one command, its text would get the earlier text's score.
+        term, number = self._term, self._n_runners
+        given = [each.command for each in advanced if each.runner_number == number]
+        for command in commands.joined(given):
+            self._commit(command, term)
 
     def _commit(self, command: commands.FinishItems, term: int) -> None:
         while self._leads(term):
--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -205,6 +205,26 @@
         listed = [(each.text, each.score) for each in self.kept("c").results]
         self.assertEqual(listed, [(b"second", "of the second")])
 
+    def test_commit_that_fails(self):
+        """No result of any batch is listed any more, though the leader is well.
+
+        An unexpected error comes up while one result is committed. It ended the task
+        that commits all of them. The runner went on, held its items for finished, and
+        what it handed over was committed by nobody until another process led.
+        """
+
+        def fail(command):
+            self.replica.intervene = lambda command: None
+            raise KeyError("a fault of this program")
+
+        self.replica.intervene = fail
+        self.runners[0].hooks.finish("b", text_of("i0"))
+        self.wait_for(lambda: len(self.runners) == 2)
+        self.assertIn(("b", "i0"), self.runners[1].open_ids)
+        self.runners[1].hooks.finish("b", text_of("i0"))
+        self.wait_for(lambda: self.kept().results)
+        self.assertEqual([each.item_id for each in self.kept().results], ["i0"])
+
     @tools.params(("kept", 2), ("refused", 0), ("raises", 0))
     def test_each_save_is_told_its_end(self, name, n_before):
         """A long item is made from its beginning again when the stores' leader goes.
