Count no refusal of an item that names no request

What callers would see: an item that is listed as given up though no engine said so, or one that used up its attempts by failures that were not its own. Cause: an answer's status was believed however little of its head had come. A head may be cut before the id, and an extra answer to an earlier request may come where the next one is due; only the id tells it apart. Ruled out: an answer that names another request was refused before. One of status 200 needs the engine's mark already; for a refusal the id is asked for, which engines echo in all their answers. A promise that the item was not run needs no more than its header. Change: "can't be done" and a failure count only if they name the request; otherwise the answer is broken, and the item goes on elsewhere. Why it holds: a status without the id leads to the outcome of an answer that broke off.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -298,10 +298,15 @@
     for _ in _parts(means, outgoing, answer, lambda: STALL_SECONDS):
         pass
     detail = f"status {answer.status}"
-    if answer.status == _IMPOSSIBLE:
+    is_named = outgoing.id_header in answer.headers
+    if answer.status == _IMPOSSIBLE and is_named:
         return Ended(Outcome.IMPOSSIBLE, detail)
     if head.was_not_run:
         return Ended(Outcome.NOT_RUN, detail)
+    if not is_named:
+        # A head that is cut off, perhaps that of an extra answer to another request:
+        # its status would end the item, or count against it.
+        return Ended(Outcome.BROKEN, f"{detail} that names no request")
     return Ended(Outcome.FAILED, detail)
 
 
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -182,6 +182,24 @@
         self.assertEqual(self.run_item(data), outcome, name)
         self.assertEqual(self.text.parts, parts, name)
 
+    @tools.params(
+        ("can't be done", b"HTTP/1.1 422 X\r\n\r\n"),
+        ("can't be done, and a length", b"HTTP/1.1 422 X\r\nContent-Length: 0\r\n\r\n"),
+        ("failed", b"HTTP/1.1 500 X\r\n\r\n"),
+        ("failed, cut in its head", b"HTTP/1.1 500 X\r\nX-Requ"),
+    )
+    def test_refusal_that_names_no_request(self, name, data):
+        """A trainer is told that an item is given up, which no engine has refused.
+
+        An answer comes where the item's answer is due, and its head is cut before the
+        id. It may be an extra one to an earlier request: only the id would tell. Its
+        status was taken for what the engine says of this item: "can't be done" ended
+        the item, and a failure counted against it. Engines name the request in all
+        answers.
+        """
+        self.assertEqual(self.run_item(data), Outcome.BROKEN, name)
+        self.assertFalse(self.ended.is_cut_off, name)
+
     def test_versions_of_each_event(self):
         data = answer(chunked(event(1, b"a"), event(2, b"b", b"4"), event(3, b"c")))
         self.assertEqual(self.run_item(data), Outcome.COMPLETED)
