--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -8,6 +8,7 @@
 import eventlet
 import eventlet.event
 import eventlet.queue
+import result
 
 from bilberrydrum import clock, transport, upstream_protocol
 from bilberrydrum.batches import commands, hooks, messages, model, runner, texts
@@ -289,9 +290,12 @@
         command = commands.AcceptBatch(
             message.batch_id, message.n_items, message.data, self._retention_seconds
         )
-        if not self._replica.propose(command, COMMIT_SECONDS).is_ok():
-            return None
-        return messages.Submitted()
+        proposed = self._replica.propose(command, COMMIT_SECONDS)
+        if isinstance(proposed, result.Ok):
+            return messages.Submitted()
+        # Called not done, it would be refused with the promise that it never runs.
+        is_unclear = proposed.err_value.may_have_applied
+        return leader_service.UNCLEAR if is_unclear else None
 
     def _on_read(self, sender: transport.Sender, message: messages.Read) -> Any:
         deadline = clock.now() + message.wait_seconds
--- a/bilberrydrum/state/leader_service.py
+++ b/bilberrydrum/state/leader_service.py
@@ -1,7 +1,7 @@
 """Answer calls while this replica leads; the calling side is in `leader_calls`."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import eliot
 import eventlet
@@ -9,7 +9,9 @@
 from bilberrydrum import transport
 from bilberrydrum.state import leader_calls, messages, replica
 
-# Answers a message; None: this replica cannot tell, another may.
+# A handler's answer: the call may have its effect, but this replica cannot tell.
+UNCLEAR: Final = object()
+# Answers a message; None: this replica cannot tell, another may; it has done nothing.
 Handler = Callable[[transport.Sender, Any], Any]
 
 
@@ -44,7 +46,7 @@
         # stopped in between would answer from the past.
         after = self._replica.leadership()
         is_same = after is not None and before is not None and after.term == before.term
-        if answer is None or not is_same:
+        if answer is None or answer is UNCLEAR or not is_same:
             # What is withheld may be the word of a commit. Called not done, a batch
             # would be refused with the promise that it never runs, and run.
             hint = self._replica.leader_hint()
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -222,6 +222,8 @@
                 return result.Err(
                     client.StateError(reasons.Reason.STATE_UNAVAILABLE, False)
                 )
+            if isinstance(applied, serving.Skipped):
+                return result.Err(client.StateError(reasons.Reason.STATE_UNAVAILABLE))
             if isinstance(applied.value, messages.Failed):
                 return result.Err(
                     client.StateError(
@@ -429,12 +431,11 @@
         return LeaderHint(address, members)
 
 
-def _change_end(
-    asked: eventlet.event.Event,
-) -> Callable[[applier.Applied | None], None]:
+def _change_end(asked: eventlet.event.Event) -> Callable[[serving.End], None]:
     """Return what tells who asked for a change of its entry's end."""
 
-    def end(applied: applier.Applied | None) -> None:
-        asked.send("another leader took over" if applied is None else None)
+    def end(given: serving.End) -> None:
+        is_applied = isinstance(given, applier.Applied)
+        asked.send(None if is_applied else "another leader took over")
 
     return end
--- a/bilberrydrum/state/serving.py
+++ b/bilberrydrum/state/serving.py
@@ -22,6 +22,15 @@
 READ_WAIT_SECONDS = 1.0
 
 
+@attrs.frozen
+class Skipped:
+    """A received snapshot has taken an entry's place, and may hold what it did."""
+
+
+# What becomes of an entry that this replica took; None: it is not in the log.
+End = applier.Applied | Skipped | None
+
+
 @attrs.define
 class Waiter:
     """Who waits for an entry."""
@@ -34,8 +43,8 @@
     client_id: str = ""
     number: int = 0
     session_id: int = 0
-    # Called with the end of a command of this process; None: it is not in the log.
-    done: Callable[[applier.Applied | None], None] | None = None
+    # Called with the end of a command of this process.
+    done: Callable[[End], None] | None = None
 
 
 @attrs.define
@@ -99,7 +108,7 @@
         """Let `waiter` wait for the entry at `index`."""
         replaced = self._by_index.get(index)
         if replaced is not None:
-            self._lost(replaced)
+            self._end(replaced, None)
         self._by_index[index] = waiter
 
     def command(self, index: int, term: int) -> object | None:
@@ -114,7 +123,7 @@
             return
         if waiter.term != applied.term:
             # Another leader's entry took the place: ours is not in the log.
-            self._lost(waiter)
+            self._end(waiter, None)
         elif waiter.done is not None:
             waiter.done(applied)
         elif waiter.number == 0:
@@ -132,12 +141,14 @@
     def clear(self, up_to_index: int) -> None:
         """Forget who waits for entries that a snapshot has skipped."""
         for index in [each for each in self._by_index if each <= up_to_index]:
-            self._lost(self._by_index.pop(index))
+            # Another leader may have committed the very entry that was taken here:
+            # called not in the log, a batch would be refused for good, and run.
+            self._end(self._by_index.pop(index), Skipped())
 
-    def _lost(self, waiter: Waiter) -> None:
+    def _end(self, waiter: Waiter, end: End) -> None:
         # A client sends again by itself; a task of this process must be told.
         if waiter.done is not None:
-            waiter.done(None)
+            waiter.done(end)
 
 
 class Reads:
--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -8,8 +8,8 @@
 from nose2 import tools
 
 from bilberrydrum import clock, event_stream, reasons
-from bilberrydrum.batches import commands, model, service, texts
-from bilberrydrum.state import client
+from bilberrydrum.batches import commands, messages, model, service, texts
+from bilberrydrum.state import client, leader_calls
 from tests import helpers
 from tests.fakes import lone_leader
 
@@ -92,10 +92,11 @@
         made.start()
         self.addCleanup(made.stop)
         self.replica = Replica(helpers.ManualClock(1000.0))
+        self.carrier = mock.Mock(process_id="me")
         given = dict.fromkeys(("view", "protocol", "means", "passing_on", "crashes"))
         self.service = service.BatchService(
             self.replica,
-            mock.Mock(process_id="me"),
+            self.carrier,
             retention_seconds=60.0,
             orders_tenure=mock.Mock(),
             **given,
@@ -251,6 +252,24 @@
         self.assertEqual(following.progress.n_before, n_before, name)
         self.assertEqual(bool(following.progress.follows), bool(n_before), name)
 
+    @tools.params(("not in the log", False), ("skipped by a snapshot", True))
+    def test_submission_that_is_not_committed_here(self, name, may_have_applied):
+        """A batch is refused with the promise that it never runs, and runs.
+
+        It is in the log, but this replica doesn't see its commit. The gateway was told
+        that this replica can't take it, as if it were not in the log.
+        """
+        self.replica.intervene = lambda command: result.Err(
+            client.StateError(reasons.Reason.STATE_UNAVAILABLE, may_have_applied)
+        )
+        handlers = {call.args[0]: call.args[1] for call in self.carrier.on.mock_calls}
+        submit = messages.Submit("d", 2, accept("d").data)
+        handlers[messages.Submit](mock.Mock(), submit)
+        self.wait_for(lambda: self.carrier.answer.called)
+        answer = self.carrier.answer.call_args.args[1]
+        self.assertIsInstance(answer, leader_calls.NotLeading, name)
+        self.assertEqual(answer.may_have_applied, may_have_applied, name)
+
     def test_score_without_its_text_finishes_nothing(self):
         """A trainer waits for an item that is never listed.
 
--- a/tests/test_state_leader_calls.py
+++ b/tests/test_state_leader_calls.py
@@ -78,6 +78,10 @@
     def cannot_tell(replica: Replica) -> Any:
         return None
 
+    @staticmethod
+    def cannot_tell_whether_it_commits(replica: Replica) -> Any:
+        return leader_service.UNCLEAR
+
     @tools.params(
         # Name, what the replica does with the call, its term; whether the caller is
         # told that the call may have had its effect.
@@ -85,6 +89,7 @@
         ("leads in another term", "commits_and_leads_anew", 3, True),
         ("does not lead", "commits", 0, False),
         ("was refused by the log", "cannot_tell", 3, False),
+        ("not committed in time", "cannot_tell_whether_it_commits", 3, True),
     )
     def test_effect_of_a_call_without_an_answer(
         self, name: str, handler: str, term: int, may_have_applied: bool
--- a/tests/test_state_replica.py
+++ b/tests/test_state_replica.py
@@ -15,6 +15,7 @@
     applier,
     applying,
     commands,
+    events,
     files,
     node,
     replica,
@@ -106,6 +107,35 @@
         assert isinstance(answer, result.Err)
         self.assertFalse(answer.err_value.may_have_applied)
 
+    def test_entry_that_a_received_snapshot_holds(self) -> None:
+        """A batch is refused with the promise that it never runs, and runs.
+
+        A leader takes it, and is cut off from the others once they have it. The next
+        leader commits it and drops that part of its log; the first one, back, is sent a
+        snapshot, and sees what is in it, but not the entry. Its caller was told that
+        the entry is not in the log.
+        """
+        made = self.start()
+        self.add(made)
+        put = made._apply.put
+
+        def lose_commits(effect: object) -> None:
+            if not isinstance(effect, events.Commit):
+                put(effect)
+
+        with mock.patch.object(made._apply, "put", lose_commits):
+            asked = eventlet.spawn(made.propose, state_process.Add("k"))
+            with eventlet.Timeout(10.0):
+                while not len(made._intake.waiters):
+                    clock.sleep(0.01)
+        index = made.node.log.last_index
+        header = snapshot.Header(index, made.node.term, 1.0, made.node.members)
+        put(events.Restore(index, snapshot.encode(header, made.state())))
+        with eventlet.Timeout(10.0):
+            answer = asked.wait()
+        assert isinstance(answer, result.Err)
+        self.assertTrue(answer.err_value.may_have_applied)
+
     def test_backup_is_restored_into_a_new_group(self) -> None:
         """All disks are lost; the operator restores the back-up into a new group."""
         made = self.start()
