Keep a crash that came while another was reported

What callers would see: one upstream more that ends by a request than its gateway's own evidence allows. Cause: a crash counts in its sender's own book until the group is known to have it. While a report was on its way, a second crash of the same request was noted; the group's word, which spoke of the first alone, took both from the book. Until the next report was taken and told to all, the second counted nowhere. Ruled out: the second crash itself was never lost, as it was reported next; a crash that is noted before the report is made, or after it is taken, was kept. Change: the group's word is taken for a request only if nothing of it waits to be told. Why it holds: what waits is reported next, and that report's own index ends the wait.

--- a/bilberrydrum/relay/crash_reports.py
+++ b/bilberrydrum/relay/crash_reports.py
@@ -105,6 +105,10 @@
                 self._seen_by_fingerprint.pop(fingerprint, None)
         self._cleared.difference_update(report.cleared)
 
+    def waits(self, fingerprint: str) -> bool:
+        """Tell whether the control group is yet to be told of a crash of a request."""
+        return fingerprint in self._seen_by_fingerprint
+
     def _due_at(
         self, fingerprint: str, seen: list[_Seen], suspects: quarantine.Book
     ) -> float:
--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -263,7 +263,10 @@
         self._reports.reported(report)
         index = answer.ok_value.crashes_index
         for each in report.reports:
-            self._index_by_fingerprint[each.crash.fingerprint] = index
+            # One that came meanwhile is not in this report: taken for known, it would
+            # count nowhere until the next.
+            if not self._reports.waits(each.crash.fingerprint):
+                self._index_by_fingerprint[each.crash.fingerprint] = index
         self._on_news()
         return True
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,12 +2,16 @@
 
 import unittest
 
+import eventlet
+import result
 from nose2 import tools
 
-from bilberrydrum import codec, quarantine
+from bilberrydrum import clock, codec, quarantine
 from bilberrydrum.fleet import crash_commands, messages, trials
-from bilberrydrum.relay import crash_reports
+from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.relay import crash_reports, crash_watch
 from bilberrydrum.state import machine
+from misc import processes
 from tests.fakes import crash_schedule
 
 CLEAR = quarantine.Standing.CLEAR
@@ -247,6 +251,82 @@
         self.assertEqual(noted.standings_by_fingerprint, {"f": "clear"})
 
 
+class View:
+    """Stands for a process's copy of what the group holds against requests."""
+
+    def __init__(self):
+        self.crashes = quarantine.Book()
+        self.crashes_index = 0
+        self.callbacks = []
+
+    def watch(self, callback):
+        self.callbacks.append(callback)
+
+    def unwatch(self, callback):
+        self.callbacks.remove(callback)
+
+
+class Calls:
+    """Stands for the way to the group's leader, which takes all that it is told."""
+
+    def __init__(self, view):
+        self.view = view
+        self.reports = []
+        # Called while a report is on its way.
+        self.meanwhile = lambda: None
+
+    def call(self, message, timeout):
+        self.meanwhile()
+        self.reports.append(message)
+        for each in message.reports:
+            self.view.crashes.note(each.crash, 0.0)
+        self.view.crashes_index += 1
+        return result.Ok(messages.CrashesTaken(self.view.crashes_index))
+
+
+class OwnBook(unittest.TestCase):
+    """What a sender has seen counts until the group is known to have it."""
+
+    def test_crash_that_is_noted_while_another_is_reported(self):
+        """A request is sent to one more upstream than its sender's evidence allows.
+
+        Its first crash is on the way to the group when the second one comes. The
+        group's word that it has the first took both from the sender's own book; of the
+        second, nobody knew until the next report.
+        """
+        view = View()
+        calls = Calls(view)
+        watch = crash_watch.CrashWatch(view, calls)
+
+        def crash_again():
+            calls.meanwhile = lambda: None
+            watch.run_broke(broken_run("b"))
+            with eventlet.Timeout(5.0):
+                while "b" not in watch.ended_ids():
+                    clock.sleep(0.001)
+            calls.meanwhile = note_ended_ids
+
+        def note_ended_ids():
+            known.append(watch.ended_ids())
+
+        known = []
+        calls.meanwhile = crash_again
+        watch.start()
+        self.addCleanup(watch.stop)
+        watch.run_broke(broken_run("a"))
+        with eventlet.Timeout(5.0):
+            while len(calls.reports) < 2:
+                clock.sleep(0.005)
+        self.assertEqual(known, [{"a", "b"}])
+
+
+def broken_run(upstream_id):
+    """Return a run that was cut off, at an upstream where nobody listens."""
+    address = f"127.0.0.1:{processes.free_ports(1)[0]}"
+    target = fleet_model.FleetUpstream(upstream_id, "s", address, "z", 1)
+    return crash_watch.BrokenRun("r", "f", "POST h/x", target, 0.1)
+
+
 class OneTrial(unittest.TestCase):
     """Copies that come through several gateways at once: one of them is sent."""
 
