Hold no crash against a request that was cleared of it

What callers would see: a request that was just answered is held to be doubtful, and is sent to one upstream only. Cause: a report of crashes is sent again when its answer is lost. If the leader that had committed it goes, and the request is answered through another gateway before the next leader is asked, the clearing lies between the two: the second counted as news, as nothing of the first was left. Ruled out: without the clearing the second is no news, as an upstream counts once. An upstream's end that is first told after the clearing still counts, as it may be later. A start of an upstream ends once, so none of them is news again. Why it holds: what is remembered is in the log's state, the same for each leader.

--- a/bilberrydrum/fleet/crash_commands.py
+++ b/bilberrydrum/fleet/crash_commands.py
@@ -4,6 +4,8 @@
 crash each, counts together, and outlives each of them and each leader.
 """
 
+from typing import Final
+
 import attrs
 
 from bilberrydrum import codec, quarantine
@@ -11,6 +13,9 @@
 from bilberrydrum.state import machine
 
 SECTION = "crashes"
+# Cleared requests whose upstreams' ends are remembered. A report that is sent again
+# comes within seconds, in which few requests are cleared of anything.
+MAX_CLEARED: Final = 64
 
 
 @codec.register("fleet.crash-section")
@@ -21,6 +26,34 @@
     # Index of the last log entry that changed it.
     index: int = 0
     book: quarantine.Book = attrs.field(factory=quarantine.Book)
+    # Starts of upstreams that ended with a request before it was cleared, by its
+    # fingerprint; the latest last.
+    cleared_of_by_fingerprint: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+
+    def note(self, report: messages.CrashReport, time: float) -> bool:
+        """Note what a report says; return whether that was news."""
+        crash = report.crash
+        if crash.upstream_id in self.cleared_of_by_fingerprint.get(
+            crash.fingerprint, ()
+        ):
+            # A start ends once. Sent again to another leader after a lost answer, the
+            # report would be held against the request that was answered meanwhile.
+            return False
+        return self.book.note(crash, time - report.age_seconds)
+
+    def clear(self, fingerprint: str) -> bool:
+        """Forget a request that was answered; return whether anything was known."""
+        evidence = self.book.evidence_by_fingerprint.get(fingerprint)
+        if evidence is None:
+            return False
+        known = self.cleared_of_by_fingerprint.pop(fingerprint, ())
+        ended_ids = (*known, *evidence.ended_at_by_id)[-quarantine.MAX_UPSTREAMS :]
+        self.cleared_of_by_fingerprint[fingerprint] = ended_ids
+        if len(self.cleared_of_by_fingerprint) > MAX_CLEARED:
+            del self.cleared_of_by_fingerprint[
+                next(iter(self.cleared_of_by_fingerprint))
+            ]
+        return self.book.clear(fingerprint)
 
 
 def section_of(state: machine.State) -> Section:
@@ -90,10 +123,9 @@
     before = _standings(section)
     is_change = False
     for fingerprint in command.cleared:
-        is_change |= section.book.clear(fingerprint)
+        is_change |= section.clear(fingerprint)
     for report in command.reports:
-        ended_at = context.time - report.age_seconds
-        is_change |= section.book.note(report.crash, ended_at)
+        is_change |= section.note(report, context.time)
     return _noted(section, before, is_change, context)
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -250,6 +250,48 @@
         noted = self.apply(cleared, 700.0)
         self.assertEqual(noted.standings_by_fingerprint, {"f": "clear"})
 
+    def clear(self, fingerprint, time):
+        self.apply(crash_commands.NoteCrashes(cleared=(fingerprint,)), time)
+
+    def held_ids(self):
+        book = crash_commands.section_of(self.state).book
+        known = book.evidence_by_fingerprint
+        return {name: set(each.ended_at_by_id) for name, each in known.items()}
+
+    @tools.params("at once", "after a snapshot", "cleared twice")
+    def test_report_that_is_sent_again(self, name):
+        """A request that was answered is held to be doubtful.
+
+        A report is committed; its answer is lost with the leader. The request is
+        answered through another gateway, and cleared. The report, sent again to the
+        leader of a later term, counted once more, after the answer.
+        """
+        self.report("a", 10.0)
+        self.report("b", 10.1)
+        self.clear("f", 10.2)
+        if name == "after a snapshot":
+            section = codec.encode(crash_commands.section_of(self.state))
+            sections = {crash_commands.SECTION: codec.decode(section)}
+            self.state = machine.State(sections)
+        if name == "cleared twice":
+            self.report("c", 10.3)
+            self.clear("f", 10.4)
+        self.report("a", 11.0)
+        self.report("b", 11.1)
+        self.assertEqual(self.held_ids(), {}, name)
+        self.report("d", 11.2)
+        self.assertEqual(self.held_ids(), {"f": {"d"}}, name)
+
+    def test_bounded(self):
+        for number in range(2 * crash_commands.MAX_CLEARED):
+            report = messages.CrashReport(crash("a", f"f{number}"), 0.0)
+            self.apply(crash_commands.NoteCrashes((report,)), 1.0)
+            self.clear(f"f{number}", 1.0)
+        section = crash_commands.section_of(self.state)
+        known = list(section.cleared_of_by_fingerprint)
+        self.assertEqual(len(known), crash_commands.MAX_CLEARED)
+        self.assertEqual(known[-1], f"f{number}")
+
 
 class View:
     """Stands for a process's copy of what the group holds against requests."""
