Stop all attempts of a samples' owner that run

What operators would see: engines that generate for a gateway that has stopped, until its process ends. Cause: the owner's schedule was emptied first, and what it had was stopped one by one. Each of these steps lets other tasks run. A stop that is broken off there and asked for once more, or a stop that ends the renewal's task there, found an empty schedule. Ruled out: an attempt that is taken from the list is broken off before anything else runs, so none is left between the two. Change: a stop takes what runs from the list of tasks instead. Why it holds: an attempt leaves that list only when it ends or is broken off.

--- a/bilberrydrum/samples/owner.py
+++ b/bilberrydrum/samples/owner.py
@@ -91,11 +91,16 @@
         self._tasks.append(eventlet.spawn(self._drive_forever))
 
     def stop(self) -> None:
-        """Hand the groups to other gateways."""
+        """Hand the groups to other gateways; may be asked for once more."""
         for task in self._tasks:
             task.kill()
         self._tasks.clear()
-        self._stop_attempts(self._schedule.drop_all())
+        self._schedule.drop_all()
+        # Not what the schedule had: whoever emptied it before, this stop or the task of
+        # a renewal, may have been broken off, and the rest would run on.
+        self._stop_attempts(
+            [scheduling.Cancel(*start) for start in self._attempts_by_start]
+        )
         self._recorder.stop()
         if self._leased_until:
             leave = commands.LeaveOwner(self._bus.process_id, self._bus.incarnation)
--- a/tests/test_samples_delivery.py
+++ b/tests/test_samples_delivery.py
@@ -339,3 +339,29 @@
             cursor = delivered.batch.n_assigned
         self.assertEqual(len(received), 16)
         self.assertEqual(len(set(received)), 16)
+
+
+class Stop(unittest.TestCase):
+    """A gateway that is told to stop while its attempts run."""
+
+    def test_stop_that_was_itself_broken_off(self) -> None:
+        """Engines generate for a gateway that has stopped, until its process ends.
+
+        Its schedule is emptied first, then the attempts are stopped one by one, and
+        each of these steps lets other tasks run. A stop that is broken off there, and
+        asked for once more, found an empty schedule and nothing to stop.
+        """
+        site = Site([support.tokens(1), PATIENCE, support.finished()], n_gateways=1)
+        self.addCleanup(site.stop)
+        gateway = site.gateways[0]
+        gateway.service.open_reader(support.TRAINER)
+        groups = (model.GroupRequest("g0", "plan", 4, 8),)
+        gateway.service.add_groups(support.TRAINER, groups).unwrap()
+        site.wait_for(lambda: len(gateway.dispatcher.calls) == 4)
+        first = eventlet.spawn(gateway.service.stop)
+        with eventlet.Timeout(PATIENCE):
+            while not gateway.dispatcher.n_closed:
+                eventlet.sleep(0)
+        first.kill()
+        gateway.service.stop()
+        self.assertEqual(gateway.dispatcher.n_closed, 4)
