--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -119,6 +119,19 @@
         self.assertEqual(given.status, status, (name, given.body))
         self.assertEqual(len(node.calls.asked), 0 if answer is None else 1, name)
 
+    @tools.params("-1", "-3", "-0.5", "1.5", "1e30", "99999999999999999999")
+    def test_position_that_is_none(self, position):
+        """A reader gets results twice.
+
+        It asks from a negative position on. It is given the results from the first one
+        on, and told that the next position is its own plus their number: -1 and three
+        results make 2, so the third comes again.
+        """
+        node = shared.Node(PAGE)
+        given = self.call(node, "GET", f"/api/lots/b1?after={position}", b"")
+        self.assertEqual(given.status, 400, (position, given.body))
+        self.assertEqual(node.calls.asked, [], position)
+
     def test_batch_is_translated(self):
         node = shared.Node(KEPT)
         self.call(node, "POST", "/b/1", BATCH)
