Give attempts that are broken off a line of their own

What operators miss: whoever follows a text that is out of order over its item's lines sees nothing of the attempts that were broken off: neither the engine, nor what it was asked for, nor what came. Cause: the line was written after an attempt that ended by itself. Change: an attempt that is broken off has one `batches:attempt` line, with the outcome `broken-off` and why: its batch has ended, it goes on elsewhere, its runner stops, or it had not begun. What it has read is the attempt's from its beginning on, so that it is told also then. It is not in the histogram of attempts, as before. Why it holds: work is broken off in one place, by an exception that says why, and an attempt that never began is told of where its place is given back; one line a sending.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -42,6 +42,8 @@
     BROKEN = "broken"
     # The engine says that the text was whole before; it is asked for once more.
     UNCONFIRMED = "unconfirmed"
+    # It was broken off on purpose; what was read stands.
+    BROKEN_OFF = "broken-off"
     # The engine's weights are not those that the batch asks for.
     WRONG_VERSION = "wrong-version"
 
@@ -107,6 +109,12 @@
     account: str | None = None
     # Rank at the engine, 0 first; None: the engine's own default.
     priority: int | None = None
+    # Also there if the attempt is broken off, and so has no `Ended`.
+    reading: Reading = attrs.field(init=False, eq=False)
+
+    @reading.default
+    def _begin_reading(self) -> Reading:
+        return Reading(self.text.last_number)
 
 
 def carry_out(
@@ -117,9 +125,8 @@
     remaining_seconds: float,
 ) -> Ended:
     """Send the item to `engine` and add what comes back to the run's text."""
-    reading = Reading(run.text.last_number)
-    ended = _send(means, protocol, engine, run, remaining_seconds, reading)
-    return attrs.evolve(ended, reading=reading)
+    ended = _send(means, protocol, engine, run, remaining_seconds, run.reading)
+    return attrs.evolve(ended, reading=run.reading)
 
 
 def _send(
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -2,6 +2,7 @@
 
 import functools
 from collections.abc import Callable
+from typing import Final
 
 import eliot
 
@@ -21,6 +22,9 @@
 from bilberrydrum.relay import crash_watch
 from bilberrydrum.requests import attempts, fingerprints
 
+# Detail of an attempt that was broken off before its first turn.
+_NOT_BEGUN: Final = "not-begun"
+
 
 class ItemSender:
     """The tasks of the items that run."""
@@ -60,12 +64,12 @@
         engine.begin(run)
         key = (opened.batch.batch_id, run.item.item_id)
         run_item = functools.partial(self._run_item, opened, run, engine, key)
-        ended = functools.partial(self._ended, run, engine, key)
-        self._tasks.start(key, run_item, ended)
+        not_begun = functools.partial(self._not_begun, opened, run, engine, key)
+        self._tasks.start(key, run_item, not_begun)
 
-    def cancel(self, key: item_tasks.Key) -> None:
+    def take_away(self, key: item_tasks.Key) -> None:
         """Break off an item's attempt; what it has read stays with the item."""
-        self._tasks.cancel(key)
+        self._tasks.cancel(key, item_tasks.BreakOff.MOVED)
 
     def cancel_batch(self, batch_id: str) -> None:
         """Break off all attempts of a batch."""
@@ -96,21 +100,7 @@
         seconds = clock.now() - began
         histogram = counters.ITEM_ATTEMPT_SECONDS.labels(ended.outcome.value)
         histogram.observe(seconds)
-        eliot.log_message(
-            message_type="batches:attempt",
-            batch_id=key[0],
-            item_id=key[1],
-            upstream_id=engine.upstream_id,
-            outcome=ended.outcome.value,
-            detail=ended.detail,
-            asked_after=ended.reading.asked_after,
-            first_number=ended.reading.first_number,
-            last_number=ended.reading.last_number,
-            framing=ended.reading.framing,
-            n_events=len(run.text.parts),
-            versions=sorted(run.text.versions),
-            seconds=round(seconds, 3),
-        )
+        _log_attempt(opened, run, engine, ended, seconds)
         if ended.outcome is item_run.Outcome.COMPLETED and not n_before:
             n_expected = run.n_expected_output_tokens()
             self._pace.note(n_expected, len(run.text.parts), seconds)
@@ -155,6 +145,17 @@
             )
         return run.fingerprint
 
+    def _not_begun(
+        self,
+        opened: work.OpenBatch,
+        run: lifecycle.ItemRun,
+        engine: engines.Engine,
+        key: item_tasks.Key,
+    ) -> None:
+        ended = item_run.Ended(item_run.Outcome.BROKEN_OFF, _NOT_BEGUN)
+        _log_attempt(opened, run, engine, ended, 0.0)
+        self._ended(run, engine, key)
+
     def _ended(
         self, run: lifecycle.ItemRun, engine: engines.Engine, key: item_tasks.Key
     ) -> None:
@@ -183,13 +184,18 @@
             account=opened.batch.account,
             priority=self._rank(opened, route),
         )
-        return item_run.carry_out(
-            self._means,
-            self._protocol,
-            engine.upstream,
-            prepared,
-            deadline - clock.now(),
-        )
+        began = clock.now()
+        try:
+            return item_run.carry_out(
+                self._means, self._protocol, engine.upstream, prepared, deadline - began
+            )
+        except item_tasks.BrokenOff as broken_off:
+            why = broken_off.why.value
+            ended = item_run.Ended(
+                item_run.Outcome.BROKEN_OFF, why, reading=prepared.reading
+            )
+            _log_attempt(opened, run, engine, ended, clock.now() - began)
+            raise
 
     def _rank(self, opened: work.OpenBatch, route: policy.Route | None) -> int | None:
         account = opened.batch.account
@@ -280,6 +286,30 @@
         self._hooks.finish(opened.batch.batch_id, result)
 
 
+def _log_attempt(
+    opened: work.OpenBatch,
+    run: lifecycle.ItemRun,
+    engine: engines.Engine,
+    ended: item_run.Ended,
+    seconds: float,
+) -> None:
+    eliot.log_message(
+        message_type="batches:attempt",
+        batch_id=opened.batch.batch_id,
+        item_id=run.item.item_id,
+        upstream_id=engine.upstream_id,
+        outcome=ended.outcome.value,
+        detail=ended.detail,
+        asked_after=ended.reading.asked_after,
+        first_number=ended.reading.first_number,
+        last_number=ended.reading.last_number,
+        framing=ended.reading.framing,
+        n_events=len(run.text.parts),
+        versions=sorted(run.text.versions),
+        seconds=round(seconds, 3),
+    )
+
+
 def _note_pause(run: lifecycle.ItemRun, engine: engines.Engine, seconds: float) -> None:
     run.note_pause(seconds)
     engine.note_pause(seconds, clock.now())
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -305,7 +305,7 @@
         )
         run.n_moves += 1
         run.exclude(run.engine_id, clock.now())
-        self._items.cancel(assignment.key)
+        self._items.take_away(assignment.key)
 
     def _needs_single(self, model_name: str) -> bool:
         routes = [self._route_of(each) for each in self._work.of_model(model_name)]
--- a/tests/test_batches_ends.py
+++ b/tests/test_batches_ends.py
@@ -11,6 +11,7 @@
 import unittest
 from unittest import mock
 
+import eliot
 import eventlet
 from nose2 import tools
 
@@ -218,6 +219,78 @@
         self.assertEqual([each.text for each in self.results_of("b1")], [WHOLE] * 2)
 
 
+class Lines(RunnerCase):
+    """Each sending of an item has one line, however it ends.
+
+    An operator who follows a text that is out of order over an item's lines missed the
+    attempts that were broken off: which engine made what for it was told by nothing.
+    """
+
+    def begin(self, n_items):
+        self.lines = []
+        eliot.add_destinations(self.lines.append)
+        self.addCleanup(eliot.remove_destination, self.lines.append)
+        # The first destination is given what was written before.
+        self.lines.clear()
+        super().begin(n_items)
+
+    def attempts(self, outcome):
+        return [
+            each
+            for each in self.lines
+            if each["message_type"] == "batches:attempt" and each["outcome"] == outcome
+        ]
+
+    @tools.params(
+        ("batch-ended", lambda case: case.runner.end("b1")),
+        ("stops-leading", lambda case: case.runner.stop()),
+    )
+    def test_broken_off(self, why, break_off):
+        self.begin(3)
+        break_off(self)
+        self.wait_for(lambda: self.engine.n_running == 0)
+        lines = self.attempts("broken-off")
+        self.assertEqual(sorted(each["item_id"] for each in lines), ["i0", "i1", "i2"])
+        for each in lines:
+            told = each["detail"], each["upstream_id"], each["asked_after"]
+            self.assertEqual(told, (why, "e1", None))
+            self.assertEqual(each["first_number"], 1)
+            self.assertGreater(each["last_number"], 1)
+            self.assertEqual(each["last_number"], each["n_events"])
+
+    def test_moved(self):
+        self.begin(2)
+        self.view.add("e2", self.engine_server())
+        is_slow = mock.patch.object(
+            engines.Engines, "slow_ids", lambda known, now: frozenset({"e1"})
+        )
+        with is_slow:
+            self.runner.wake()
+            self.wait_for(lambda: len(self.results) == 2)
+        lines = self.attempts("broken-off")
+        told = sorted((each["item_id"], each["detail"]) for each in lines)
+        self.assertEqual(told, [("i0", "moved"), ("i1", "moved")])
+        last_by_item_id = {each["item_id"]: each["last_number"] for each in lines}
+        for each in self.attempts("completed"):
+            self.assertEqual(each["upstream_id"], "e2")
+            self.assertEqual(each["asked_after"], last_by_item_id[each["item_id"]])
+
+    def test_not_begun(self):
+        self.begin(1)
+        start = item_tasks.ItemTasks.start
+
+        def start_and_end(tasks, key, work, on_end):
+            start(tasks, key, work, on_end)
+            self.runner.end(key[0])
+
+        with mock.patch.object(item_tasks.ItemTasks, "start", start_and_end):
+            self.runner.accept(batch("b2", 1))
+            self.wait_for(lambda: self.attempts("broken-off"))
+        (line,) = self.attempts("broken-off")
+        self.assertEqual((line["batch_id"], line["detail"]), ("b2", "not-begun"))
+        self.assertEqual(len(self.engine.received), 1)
+
+
 class Tasks(unittest.TestCase):
     """Work that ends by itself while other work is broken off."""
 
