--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -8,6 +8,7 @@
 import eventlet
 import eventlet.event
 import eventlet.queue
+import result
 
 from bilberrydrum import clock, transport, upstream_protocol
 from bilberrydrum.batches import commands, hooks, messages, model, runner, texts
@@ -199,17 +200,29 @@
 
     def _commit_advances(self) -> None:
         while True:
-            advanced = [self._advanced.get()]
-            while not self._advanced.empty() and len(advanced) < _MAX_RESULTS:
-                advanced.append(self._advanced.get())
-            # The term may change while one of them is proposed. A text of the earlier
-            # one could replace a text that another leader has kept, and get its score.
-            # The runner may change in one term, too, and makes again what waits here:
-            # committed as one command, its text would get the earlier text's score.
-            term, number = self._term, self._n_runners
-            given = [each.command for each in advanced if each.runner_number == number]
-            for command in commands.joined(given):
-                self._commit(command, term)
+            try:
+                self._commit_next()
+            except Exception:
+                # Were this task to end, no result would be listed until another process
+                # leads. The runner holds what is dropped here for finished; a new one
+                # takes up what is kept.
+                eliot.write_traceback()
+                self._lacks_results = True
+                self._on_role()
+
+    def _commit_next(self) -> None:
+        """Wait for results, and commit those that are there by then."""
+        advanced = [self._advanced.get()]
+        while not self._advanced.empty() and len(advanced) < _MAX_RESULTS:
+            advanced.append(self._advanced.get())
+        # The term may change while one of them is proposed. A text of the earlier
+        # one could replace a text that another leader has kept, and get its score.
+        # The runner may change in one term, too, and makes again what waits here:
+        # committed as one command, its text would get the earlier text's score.
+        term, number = self._term, self._n_runners
+        given = [each.command for each in advanced if each.runner_number == number]
+        for command in commands.joined(given):
+            self._commit(command, term)
 
     def _commit(self, command: commands.FinishItems, term: int) -> None:
         while self._leads(term):
@@ -277,9 +290,12 @@
         command = commands.AcceptBatch(
             message.batch_id, message.n_items, message.data, self._retention_seconds
         )
-        if not self._replica.propose(command, COMMIT_SECONDS).is_ok():
-            return None
-        return messages.Submitted()
+        proposed = self._replica.propose(command, COMMIT_SECONDS)
+        if isinstance(proposed, result.Ok):
+            return messages.Submitted()
+        # Called not done, it would be refused with the promise that it never runs.
+        is_unclear = proposed.err_value.may_have_applied
+        return leader_service.UNCLEAR if is_unclear else None
 
     def _on_read(self, sender: transport.Sender, message: messages.Read) -> Any:
         deadline = clock.now() + message.wait_seconds
--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -8,8 +8,8 @@
 from nose2 import tools
 
 from bilberrydrum import clock, event_stream, reasons
-from bilberrydrum.batches import commands, model, service, texts
-from bilberrydrum.state import client
+from bilberrydrum.batches import commands, messages, model, service, texts
+from bilberrydrum.state import client, leader_calls
 from tests import helpers
 from tests.fakes import lone_leader
 
@@ -92,10 +92,11 @@
         made.start()
         self.addCleanup(made.stop)
         self.replica = Replica(helpers.ManualClock(1000.0))
+        self.carrier = mock.Mock(process_id="me")
         given = dict.fromkeys(("view", "protocol", "means", "passing_on", "crashes"))
         self.service = service.BatchService(
             self.replica,
-            mock.Mock(process_id="me"),
+            self.carrier,
             retention_seconds=60.0,
             orders_tenure=mock.Mock(),
             **given,
@@ -205,6 +206,26 @@
         listed = [(each.text, each.score) for each in self.kept("c").results]
         self.assertEqual(listed, [(b"second", "of the second")])
 
+    def test_commit_that_fails(self):
+        """No result of any batch is listed any more, though the leader is well.
+
+        An unexpected error comes up while one result is committed. It ended the task
+        that commits all of them. The runner went on, held its items for finished, and
+        what it handed over was committed by nobody until another process led.
+        """
+
+        def fail(command):
+            self.replica.intervene = lambda command: None
+            raise KeyError("a fault of this program")
+
+        self.replica.intervene = fail
+        self.runners[0].hooks.finish("b", text_of("i0"))
+        self.wait_for(lambda: len(self.runners) == 2)
+        self.assertIn(("b", "i0"), self.runners[1].open_ids)
+        self.runners[1].hooks.finish("b", text_of("i0"))
+        self.wait_for(lambda: self.kept().results)
+        self.assertEqual([each.item_id for each in self.kept().results], ["i0"])
+
     @tools.params(("kept", 2), ("refused", 0), ("raises", 0))
     def test_each_save_is_told_its_end(self, name, n_before):
         """A long item is made from its beginning again when the stores' leader goes.
@@ -231,6 +252,24 @@
         self.assertEqual(following.progress.n_before, n_before, name)
         self.assertEqual(bool(following.progress.follows), bool(n_before), name)
 
+    @tools.params(("not in the log", False), ("skipped by a snapshot", True))
+    def test_submission_that_is_not_committed_here(self, name, may_have_applied):
+        """A batch is refused with the promise that it never runs, and runs.
+
+        It is in the log, but this replica doesn't see its commit. The gateway was told
+        that this replica can't take it, as if it were not in the log.
+        """
+        self.replica.intervene = lambda command: result.Err(
+            client.StateError(reasons.Reason.STATE_UNAVAILABLE, may_have_applied)
+        )
+        handlers = {call.args[0]: call.args[1] for call in self.carrier.on.mock_calls}
+        submit = messages.Submit("d", 2, accept("d").data)
+        handlers[messages.Submit](mock.Mock(), submit)
+        self.wait_for(lambda: self.carrier.answer.called)
+        answer = self.carrier.answer.call_args.args[1]
+        self.assertIsInstance(answer, leader_calls.NotLeading, name)
+        self.assertEqual(answer.may_have_applied, may_have_applied, name)
+
     def test_score_without_its_text_finishes_nothing(self):
         """A trainer waits for an item that is never listed.
 
