--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,7 +11,7 @@
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.relay import crash_reports, crash_watch
 from bilberrydrum.state import machine
-from misc import processes
+from misc import loopback
 from tests.fakes import crash_schedule
 
 CLEAR = quarantine.Standing.CLEAR
@@ -364,7 +364,7 @@
 
 def broken_run(upstream_id):
     """Return a run that was cut off, at an upstream where nobody listens."""
-    address = f"127.0.0.1:{processes.free_ports(1)[0]}"
+    address = f"127.0.0.1:{loopback.free_ports(1)[0]}"
     target = fleet_model.FleetUpstream(upstream_id, "s", address, "z", 1)
     return crash_watch.BrokenRun("r", "f", "POST h/x", target, 0.1)
 
