Tests: safeguards that nothing failed without

Change: tests only. The batch ends in the very moment in which its item is taken away from a slow engine. A schedule with nothing wanted equals a new one.

--- a/tests/test_batches_ends.py
+++ b/tests/test_batches_ends.py
@@ -15,7 +15,14 @@
 from nose2 import tools
 
 from bilberrydrum import clock, quarantine
-from bilberrydrum.batches import engines, hooks, item_tasks, model, runner
+from bilberrydrum.batches import (
+    engines,
+    hooks,
+    item_sender,
+    item_tasks,
+    model,
+    runner,
+)
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
 from bilberrydrum.relay import balancing, crash_watch, relay
@@ -193,6 +200,12 @@
 class Moves(RunnerCase):
     """Items are taken away from a slow engine while others there end by themselves."""
 
+    def slow(self, upstream_id):
+        """Have an engine held for slow while the block runs."""
+        return mock.patch.object(
+            engines.Engines, "slow_ids", lambda known, now: frozenset({upstream_id})
+        )
+
     def test_item_that_has_just_ended(self):
         """Two items are to go on elsewhere; the second one's last bytes are there.
 
@@ -208,15 +221,52 @@
             self.engine.finish("i1")
 
         self.before_look = arm
-        is_slow = mock.patch.object(
-            engines.Engines, "slow_ids", lambda known, now: frozenset({"e1"})
-        )
-        with is_slow:
+        with self.slow("e1"):
             self.runner.wake()
             self.wait_for(lambda: len(self.results) == 2)
         self.assertEqual([each.request_id for each in other.received], ["i0"])
         self.assertEqual([each.text for each in self.results_of("b1")], [WHOLE] * 2)
 
+    @tools.params(1, 2, 6)
+    def test_item_whose_batch_has_just_ended(self, n_items):
+        """A batch ends while the first of its items is taken away from a slow engine.
+
+        The item waits again, in a batch that nobody reads. Sent all the same, it takes
+        a place that others wait for; its request is kept back only once the connection
+        stands, and that counts as the healthy engine turning it away.
+        """
+        self.begin(n_items)
+        other = self.engine_server()
+        self.view.add("e2", other)
+        cancel, send = item_sender.ItemSender.cancel, item_sender.ItemSender.send
+        ended, sent, looks = [], [], []
+
+        def end():
+            self.runner.end("b1")
+            ended.append("b1")
+
+        def end_and_cancel(sender, key):
+            # Due as soon as breaking off lets other tasks run.
+            eventlet.spawn(end)
+            cancel(sender, key)
+
+        def note_and_send(sender, opened, run, engine):
+            sent.append((opened.batch.batch_id, run.item.item_id))
+            send(sender, opened, run, engine)
+
+        self.before_look = lambda: looks.append(list(ended))
+        with (
+            self.slow("e1"),
+            mock.patch.object(item_sender.ItemSender, "cancel", end_and_cancel),
+            mock.patch.object(item_sender.ItemSender, "send", note_and_send),
+        ):
+            self.runner.wake()
+            self.wait_for(lambda: ended and looks[-1] == ["b1"])
+        self.assertEqual(ended, ["b1"])
+        self.assertEqual(sent, [])
+        self.wait_for(lambda: self.engine.n_running == 0)
+        self.assertEqual(other.server.n_connections, 0)
+
 
 class Tasks(unittest.TestCase):
     """Work that ends by itself while other work is broken off."""
--- a/tests/test_samples_scheduling.py
+++ b/tests/test_samples_scheduling.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import attrs
+from nose2 import tools
+
 from bilberrydrum.samples import capacity, commands, scheduling
 from tests import samples_support as support
 
@@ -98,6 +101,29 @@
         self.schedule.update(5, (work("g", 1, epoch=2),))
         self.assertEqual(self.starts(), ["a/g/0.1"])
 
+    @tools.params("outage", "recorded")
+    def test_nothing_is_kept_of_slots_that_are_not_wanted(self, name: str) -> None:
+        """An owner runs for weeks; its memory, and each list's time, grow.
+
+        Of each slot that was given up in an outage, or that got its sample, something
+        is kept until a later list: the highest number of an attempt, or the index of
+        the record. Once that list is there nothing asks for it any more, and the slot
+        never comes back.
+        """
+        for index in range(1, 4):
+            group_id = f"g{index}"
+            self.schedule.update(10 * index, (work(group_id, 3),))
+            self.assertEqual(len(self.starts()), 3)
+            if name == "outage":
+                self.schedule.drop_all()
+            else:
+                for slot in range(3):
+                    key = scheduling.Key("a", group_id, slot, 1)
+                    self.schedule.recorded(10 * index + 1, key, 1)
+            self.schedule.update(10 * index + 2, ())
+            left = attrs.evolve(self.schedule, n_started=0)
+            self.assertEqual(left, scheduling.Schedule())
+
     def test_attempts_of_a_lost_group_are_stopped(self) -> None:
         """Another gateway took a group over; its slots leave the list or change epoch.
 
