Soak: an attempt that outlives its batch is found by its own mark

The soak said nothing when an attempt went on for a batch that had ended while a later batch with the same item was open. Cause: it told batches by the items' ids, which are the same in both; and it looked only at requests that come, not at runs under way.

Change: the trainer puts the batch's id into a header of each of its items, anew when an item comes again; the product passes items' headers on and compares no work by them. An engine tells the ledger the mark with each request and before each event of a run. The ledger calls it a finding when that batch's end was acknowledged more than 3 s ago and all is calm; a run that has met a disturbance is let off, since a muted connection tells its engine of no end. The check by ids stays as it was. Once all is calm, each soak now ends a batch whose items run for 5 s and have come again in a batch that is open, beside the crashing requests that it waits for anyway.

Ruled out: the sender's line, which names the batch, but is the product's own word; and another item id for each batch, with which no text would be carried over.

Each part was taken out by itself and the tests seen to fail: the finding, the look at requests, the look at runs, the mark's way through the engine, the call for each event, the marking of items that come again, the letting off after a disturbance, and calm.

--- a/misc/soaks/soak_clients.py
+++ b/misc/soaks/soak_clients.py
@@ -37,6 +37,9 @@
 HASTY_SHARE: Final = 0.5
 # Groups that come again in the next batch.
 LEFT_GROUPS: Final = 2
+# Items that a batch still runs when it ends. They last two seconds longer than it may
+# take until its end is in force.
+LASTING: Final = soak_runs.Shape(50, 0.1)
 
 
 Items = tuple[batch_model.Item, ...]
@@ -262,8 +265,9 @@
         batch_id = self._new_id("batch")
         n_new = GROUPS * GROUP_ITEMS - len(left)
         new = [_item(batch_id, n, may_be_long) for n in range(n_new)]
+        items = marked((*left, *new), batch_id)
         return batch_model.Batch(
-            batch_id, HOST, (*left, *new), step, MODEL, min_version, WANTED_GROUPS
+            batch_id, HOST, items, step, MODEL, min_version, WANTED_GROUPS
         )
 
     def _left_items(self, batch: batch_model.Batch) -> Items:
@@ -318,14 +322,16 @@
             self._ledger.not_found(batch_id, asked_at)
         return answer.status == 200
 
-    def _end(self, batch_id: str) -> None:
+    def _end(self, batch_id: str) -> bool:
+        """Ask for a batch's end until it is acknowledged; tell whether it is."""
         call = standins.end_batch(HOST, batch_id, soak_accounts.TRAINER_KEY)
         self._ledger.end_asked(batch_id)
         for _ in range(20):
             if ask_once(self._rng.choice(self._gateways), call).status == 200:
                 self._ledger.ended(batch_id, clock.now())
-                return
+                return True
             eventlet.sleep(0.1)
+        return False
 
     def _reread(self) -> None:
         """Read batches again from some earlier position."""
@@ -346,6 +352,38 @@
             position += max(self._ledger.n_listed(batch_id) - position, 1)
         return True
 
+    def end_while_it_runs(self) -> bool:
+        """End a batch whose items run, and come again in one that is open by then.
+
+        Takes until all items have been made in one go. Tell whether it came about.
+        """
+        first_id, again_id = self._new_id("batch"), self._new_id("batch")
+        new = [_item(first_id, n, may_be_long=False) for n in range(GROUP_ITEMS)]
+        items = tuple(
+            attrs.evolve(each, body=LASTING.body(each.item_id), scoring=None)
+            for each in new
+        )
+        first, again = (
+            batch_model.Batch(each, HOST, marked(items, each), 0, MODEL, 1, 1)
+            for each in (first_id, again_id)
+        )
+        if not self.submit(first) or not self._await_runs(items):
+            return False
+        if not self.submit(again) or not self._end(first_id):
+            return False
+        self._ledger.counts["batches ended while they ran"] += 1
+        eventlet.sleep(LASTING.n_events * LASTING.pause_seconds)
+        return True
+
+    def _await_runs(self, items: Items) -> bool:
+        """Wait until some of the items run; tell whether they do."""
+        deadline = clock.now() + STEP_SECONDS
+        while clock.now() < deadline:
+            if any(self._ledger.runs.of(each.item_id) for each in items):
+                return True
+            eventlet.sleep(0.05)
+        return False
+
     def is_batch_served(self) -> bool:
         """Tell whether a new batch is accepted and all of it is made."""
         batch = self._batch(0, 1, may_be_long=False)
@@ -364,6 +402,12 @@
     return rng.uniform(*(HASTY_SECONDS if is_hasty else PATIENCE_SECONDS))
 
 
+def marked(items: Items, batch_id: str) -> Items:
+    """Return items whose requests name the batch that they are sent for."""
+    mark = {soak_ledger.BATCH_HEADER: batch_id}
+    return tuple(attrs.evolve(e, headers={**e.headers, **mark}) for e in items)
+
+
 def _item(batch_id: str, n: int, may_be_long: bool) -> batch_model.Item:
     item_id = f"{batch_id}-{n}"
     return batch_model.Item(
--- a/misc/soaks/soak_ledger.py
+++ b/misc/soaks/soak_ledger.py
@@ -25,6 +25,9 @@
 MAX_OWN_ENDS: Final = 3
 # An accepted batch may be unknown for this long after its acknowledgement.
 KNOWN_SECONDS: Final = 1.0
+# Header of each item's request that names the batch it is sent for: an item that comes
+# again has the same id in both batches.
+BATCH_HEADER: Final = "X-Soak-Batch"
 # Requests with this body end the plain service that runs them.
 CRASHING_BODY: Final = b"ends whatever runs it"
 # Upstreams that such a request may end before all have to know, the time that they have
@@ -187,11 +190,14 @@
         if is_acknowledged:
             self._find(f"acknowledged an announcement of nobody: {body[:300]!r}")
 
-    def received(self, upstream_id: str, request_id: str, now: float) -> None:
-        """Note that an upstream got a request."""
+    def received(
+        self, upstream_id: str, request_id: str, now: float, batch_id: str = ""
+    ) -> None:
+        """Note that an upstream got a request, with the mark of a batch or none."""
         left_at = self._left_at_by_upstream.get(upstream_id, now)
         if now - left_at > IN_FORCE_SECONDS and self.is_calm(now):
             self._find(f"{upstream_id} got {request_id} {now - left_at:.1f} s late")
+        self._check_end(batch_id, request_id, upstream_id, now)
         ends = [
             self._batches[each].ended_at if each in self._batches else None
             for each in self._batch_ids_by_item.get(request_id, ())
@@ -202,6 +208,25 @@
         if now - max(known_ends) > IN_FORCE_SECONDS:
             self._find(f"item {request_id} ran after the end of its batch")
 
+    def goes_on(self, run: soak_runs.EngineRun, now: float) -> None:
+        """Note that an engine's run of an item is under way.
+
+        One that has met a disturbance is let off: a connection that was muted tells its
+        engine of no end.
+        """
+        if run.began_at > self.disturbed_at:
+            self._check_end(run.batch_id, run.item_id, run.upstream_id, now)
+
+    def _check_end(
+        self, batch_id: str, item_id: str, upstream_id: str, now: float
+    ) -> None:
+        """Check that an attempt's own batch has not ended, whatever others are open."""
+        batch = self._batches.get(batch_id)
+        if batch is None or batch.ended_at is None or not self.is_calm(now):
+            return
+        if now - batch.ended_at > IN_FORCE_SECONDS:
+            self._find(f"{item_id} of {batch_id} outlived it at {upstream_id}")
+
     # Scores
 
     def scored(self, request_id: str) -> None:
--- a/misc/soaks/soak_run.py
+++ b/misc/soaks/soak_run.py
@@ -124,9 +124,12 @@
         )
         self.clients.stop()
         self._wait("calm", self._is_calm, RECOVERY_SECONDS)
+        ends = eventlet.spawn(self.clients.end_while_it_runs)
         for _ in range(_LAST_CRASHING):
             self.clients.send_crashing()
             eventlet.sleep(2 * soak_upstreams.DOWN_SECONDS)
+        if not ends.wait():
+            self.ledger.findings.append("no batch could be ended while its items ran")
         self._wait("the policy read back", self.clients.read_policy, RECOVERY_SECONDS)
         for batch_id in self.ledger.batch_ids():
             what = f"{batch_id} read from the start"
--- a/misc/soaks/soak_runs.py
+++ b/misc/soaks/soak_runs.py
@@ -57,6 +57,9 @@
     # The event that it was asked to go on after; 0: to begin.
     asked_after: int
     n_due: int
+    # The batch that its request was sent for, as its own mark says; empty: none.
+    batch_id: str = ""
+    began_at: float = 0.0
     versions_by_number: dict[int, int] = attrs.field(factory=dict)
     end: str = "left by its reader"
 
@@ -108,11 +111,17 @@
         self._runs_by_item_id: dict[str, list[EngineRun]] = {}
 
     def begin(
-        self, item_id: str, upstream_id: str, asked_after: int, n_due: int
+        self,
+        item_id: str,
+        upstream_id: str,
+        asked_after: int,
+        n_due: int,
+        batch_id: str = "",
+        now: float = 0.0,
     ) -> EngineRun:
         """Note a run that begins."""
         number = len(self._runs)
-        run = EngineRun(number, item_id, upstream_id, asked_after, n_due)
+        run = EngineRun(number, item_id, upstream_id, asked_after, n_due, batch_id, now)
         self._runs.append(run)
         self._runs_by_item_id.setdefault(item_id, []).append(run)
         return run
--- a/misc/soaks/soak_streams.py
+++ b/misc/soaks/soak_streams.py
@@ -92,8 +92,12 @@
         request_id: str,
         read_version: Callable[[], int],
         pause: Callable[[], float],
+        note: Callable[[], None],
     ) -> bool:
-        """Send the whole answer; tell whether the connection can be used again."""
+        """Send the whole answer; tell whether the connection can be used again.
+
+        `note` is called before each event, once the connection is seen to stand.
+        """
         version = read_version()
         self._send_head(standins.answer_headers(request_id, version))
         for number in range(self._run.asked_after + 1, self._run.n_due + 1):
@@ -101,6 +105,7 @@
             if trouble in _EMPTY:
                 return self._break_off(trouble, b"")
             self._pause(pause())
+            note()
             if trouble is Trouble.LEFT_OUT:
                 continue
             changed = read_version() if read_version() != version else None
--- a/misc/soaks/soak_upstreams.py
+++ b/misc/soaks/soak_upstreams.py
@@ -171,7 +171,8 @@
             return self._send(connection, 200, body, {})
         if received.target == standins.ORDER_TARGET:
             return self._order(connection, received)
-        self._ledger.received(self.upstream_id, work.request_id, clock.now())
+        batch_id = received.headers.get(soak_ledger.BATCH_HEADER.lower(), "")
+        self._ledger.received(self.upstream_id, work.request_id, clock.now(), batch_id)
         claim = standin_accounts.claim(received.headers)
         self._ledger.accounts.ran(work.request_id, claim)
         if self._n_running >= SLOTS:
@@ -181,7 +182,7 @@
         self._n_running += 1
         try:
             if self._generates:
-                return self._stream(connection, received, work)
+                return self._stream(connection, received, work, batch_id)
             return self._answer(connection, received, work)
         finally:
             self._n_running -= 1
@@ -213,12 +214,21 @@
         self._send(connection, status, work.request_id.encode(), headers)
 
     def _stream(
-        self, connection: Any, received: scripted.Received, work: standins.Work
+        self,
+        connection: Any,
+        received: scripted.Received,
+        work: standins.Work,
+        batch_id: str,
     ) -> bool:
         shape = soak_runs.Shape.read(received.body)
         runs = self._ledger.runs
         run = runs.begin(
-            work.request_id, self.upstream_id, work.last_event or 0, shape.n_events
+            work.request_id,
+            self.upstream_id,
+            work.last_event or 0,
+            shape.n_events,
+            batch_id,
+            clock.now(),
         )
         plan = soak_streams.draw(run, len(runs.of(work.request_id)))
         if plan.trouble is not None:
@@ -228,6 +238,7 @@
             work.request_id,
             lambda: self.version,
             lambda: shape.pause_seconds * self.slow_factor,
+            lambda: self._ledger.goes_on(run, clock.now()),
         )
 
     # Orders
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,16 +14,24 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.append(str(ROOT / "platform"))
 
-from bilberrydrum_platform import standin_accounts, standins  # noqa: E402
+from bilberrydrum_platform import (  # noqa: E402
+    standin_accounts,
+    standins,
+    upstreams,
+)
 
+from bilberrydrum import clock, upstream_protocol  # noqa: E402
+from bilberrydrum.batches import model as batch_model  # noqa: E402
 from misc.soaks import (  # noqa: E402
     soak_accounts,
+    soak_clients,
     soak_faults,
     soak_ledger,
     soak_run,
     soak_runs,
     soak_site,
     soak_streams,
+    soak_upstreams,
 )
 
 TARGETS = soak_faults.Targets(
@@ -351,6 +359,50 @@
         self.ledger.received("u", "i", at)
         self.assertEqual(self.n_findings(), expected, name)
 
+    @tools.params(
+        ("of the open batch", "c", 0.0, 9.0, -100.0, 0),
+        ("in time", "b", 0.0, 2.0, -100.0, 0),
+        ("late", "b", 0.0, 4.0, -100.0, 1),
+        ("late, sent after the end", "b", 3.5, 4.0, -100.0, 1),
+        ("late after a fault", "b", 3.5, 4.0, 1.0, 0),
+        ("late, met a fault", "b", -2.0, 9.0, -1.0, 0),
+        ("late, sent after a fault", "b", -0.5, 9.0, -1.0, 1),
+        ("of a batch that nobody acknowledged", "d", 0.0, 9.0, -100.0, 0),
+        ("of no batch", "", 0.0, 9.0, -100.0, 0),
+    )
+    def test_attempt_that_outlives_its_batch(
+        self, name, batch_id, began_at, at, disturbed_at, expected
+    ):
+        """An item's first batch ends while its second one is open, and stays so.
+
+        The item's id is the same in both: only the mark of each attempt tells that it
+        goes on for a batch that nobody reads, with places that others wait for.
+        """
+        self.ledger.accepted("c", {"i": 2}, 2, 0.0)
+        run = self.ledger.runs.begin("i", "e", 0, 9, batch_id, began_at)
+        self.ledger.disturbed(disturbed_at)
+        self.ledger.ended("b", 0.0)
+        for seconds in (0.0, 0.1):
+            self.ledger.goes_on(run, at + seconds)
+        self.assertEqual(self.n_findings(), expected, (name, self.ledger.findings))
+
+    @tools.params(
+        ("of the open batch", "c", 9.0, -100.0, 0),
+        ("in time", "b", 2.0, -100.0, 0),
+        ("late", "b", 4.0, -100.0, 1),
+        ("late after a fault", "b", 4.0, 1.0, 0),
+        ("of no batch", "", 9.0, -100.0, 0),
+    )
+    def test_request_that_outlives_its_batch(
+        self, name, batch_id, at, disturbed_at, expected
+    ):
+        """As above, of a request that an engine gets, whether or not it runs it."""
+        self.ledger.accepted("c", {"i": 2}, 2, 0.0)
+        self.ledger.disturbed(disturbed_at)
+        self.ledger.ended("b", 0.0)
+        self.ledger.received("e", "i", at, batch_id)
+        self.assertEqual(self.n_findings(), expected, (name, self.ledger.findings))
+
     def test_end_whose_answer_was_not_seen(self):
         """The trainer asks for the end and is stopped before the answer comes.
 
@@ -435,6 +487,57 @@
         self.assertTrue(any(2.0 <= e.n_events * e.pause_seconds <= 4.0 for e in shapes))
 
 
+class Marks(unittest.TestCase):
+    """Each attempt tells the batch that it is made for."""
+
+    def setUp(self):
+        self.ledger = soak_ledger.Ledger()
+        self.upstream = soak_upstreams.Upstream(
+            "engines-0", "engines", "127.0.0.1", self.ledger, lambda call: False
+        )
+        self.upstream.start()
+        self.addCleanup(self.upstream.stop)
+
+    def ask(self, batch_id):
+        """Send an item's request, as the product does, and read all of its answer."""
+        body = soak_runs.Shape(9, 0.02).body("i")
+        item = batch_model.Item("i", "/x", {}, body, 9)
+        (item,) = soak_clients.marked(soak_clients.marked((item,), "b"), batch_id)
+        attempt = upstream_protocol.Attempt(
+            "i", self.upstream.announced_id, 5.0, account="trainer"
+        )
+        headers = upstreams.PlatformProtocol().relay_headers(item.headers, attempt)
+        call = standins.Call("POST", item.target, headers, item.body)
+        return soak_clients.ask_once(self.upstream.link.address, call, 10.0)
+
+    @tools.params(("b", "before", 1), ("b", "while it runs", 1), ("c", "before", 0))
+    def test_engine_tells_the_batch(self, batch_id, ended, n_found):
+        for each in ("b", "c"):
+            self.ledger.sent(each, ["i"])
+            self.ledger.accepted(each, {"i": 9}, 1, 0.0)
+        if ended == "before":
+            self.ledger.ended("b", clock.now() - 10.0)
+        asking = eventlet.spawn(self.ask, batch_id)
+        with eventlet.Timeout(10.0):
+            while not self.ledger.runs.of("i"):
+                clock.sleep(0.005)
+        self.assertEqual(len(self.ledger.findings), n_found * (ended == "before"))
+        if ended != "before":
+            self.ledger.ended("b", clock.now() - 10.0)
+        self.assertEqual(asking.wait().status, 200)
+        expected = ["i of b outlived it at engines-0-1"] * n_found
+        self.assertEqual(self.ledger.findings, expected)
+
+    def test_items_that_come_again_are_marked_anew(self):
+        clients = soak_clients.Clients(self.ledger, 1, ["g"], ["c"])
+        first = clients._batch(1, 1)
+        again = clients._batch(2, 1, first.items[:4])
+        for batch in (first, again):
+            marks = {e.headers[soak_ledger.BATCH_HEADER] for e in batch.items}
+            self.assertEqual(marks, {batch.batch_id})
+        self.assertEqual(first.items[0].item_id, again.items[0].item_id)
+
+
 class Troubles(unittest.TestCase):
     """What goes wrong in engines' runs."""
 
