--- a/tests/test_batches_ends.py
+++ b/tests/test_batches_ends.py
@@ -173,6 +173,12 @@
             while not is_so():
                 clock.sleep(0.005)
 
+    def slow(self, upstream_id):
+        """Have an engine held for slow while the block runs."""
+        return mock.patch.object(
+            engines.Engines, "slow_ids", lambda known, now: frozenset({upstream_id})
+        )
+
     def results_of(self, batch_id):
         return [result for given, result in self.results if given == batch_id]
 
@@ -201,12 +207,6 @@
 class Moves(RunnerCase):
     """Items are taken away from a slow engine while others there end by themselves."""
 
-    def slow(self, upstream_id):
-        """Have an engine held for slow while the block runs."""
-        return mock.patch.object(
-            engines.Engines, "slow_ids", lambda known, now: frozenset({upstream_id})
-        )
-
     def test_item_that_has_just_ended(self):
         """Two items are to go on elsewhere; the second one's last bytes are there.
 
@@ -239,17 +239,17 @@
         self.begin(n_items)
         other = self.engine_server()
         self.view.add("e2", other)
-        cancel, send = item_sender.ItemSender.cancel, item_sender.ItemSender.send
+        take, send = item_sender.ItemSender.take_away, item_sender.ItemSender.send
         ended, sent, looks = [], [], []
 
         def end():
             self.runner.end("b1")
             ended.append("b1")
 
-        def end_and_cancel(sender, key):
+        def end_and_take_away(sender, key):
             # Due as soon as breaking off lets other tasks run.
             eventlet.spawn(end)
-            cancel(sender, key)
+            take(sender, key)
 
         def note_and_send(sender, opened, run, engine):
             sent.append((opened.batch.batch_id, run.item.item_id))
@@ -258,7 +258,7 @@
         self.before_look = lambda: looks.append(list(ended))
         with (
             self.slow("e1"),
-            mock.patch.object(item_sender.ItemSender, "cancel", end_and_cancel),
+            mock.patch.object(item_sender.ItemSender, "take_away", end_and_take_away),
             mock.patch.object(item_sender.ItemSender, "send", note_and_send),
         ):
             self.runner.wake()
@@ -311,10 +311,7 @@
     def test_moved(self):
         self.begin(2)
         self.view.add("e2", self.engine_server())
-        is_slow = mock.patch.object(
-            engines.Engines, "slow_ids", lambda known, now: frozenset({"e1"})
-        )
-        with is_slow:
+        with self.slow("e1"):
             self.runner.wake()
             self.wait_for(lambda: len(self.results) == 2)
         lines = self.attempts("broken-off")
