Leave the stores' leader twice the time of a look between two looks

What callers saw: before 3,000 engines nearly nothing is served, by a process that is busy all the time. Cause: a look was due 10 ms after the last, however long that had taken, and items and loads end all the time. With looks of 60 ms (what 60 items before 3,000 engines take now) a seventh of the time was left to read the items' events and to commit results. Change: the pause before a look is twice what the last one took, 10 ms at the least, as before, and a quarter of a second, the tick, at the most. So looks take a third of the time up to 125 ms each. With looks below 5 ms, as before 100 engines, nothing changes. What it costs: a place that has come free waits up to 0.12 s longer with looks of 60 ms. Why it holds: the new test has items end all the time and compares the time of looks with that of all else. The tests of batches that end have the loop due at each turn, and set this pause to nothing as well, as else they would look for its races less often.

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -40,6 +40,10 @@
 _TICK_SECONDS: Final = 0.25
 # News that come together are looked at together.
 _GATHER_SECONDS: Final = 0.01
+# Time between two looks, as a multiple of what the last one took. Looks are due all the
+# time where items are many; one right after the other, they leave the process no time
+# to read the items' events, and what is sent is not served.
+_REST_FACTOR: Final = 2.0
 # Times that one item may be taken away from a slow engine.
 _MAX_MOVES: Final = 3
 # A new leader looks for groups that may come again in the batches of this many seconds:
@@ -92,6 +96,8 @@
         self._task: Any = None
         self._is_watching = False
         self._progress_at = float("-inf")
+        # Time that the last look took.
+        self._look_seconds = 0.0
 
     # Life
 
@@ -178,15 +184,18 @@
         while True:
             with eventlet.Timeout(_TICK_SECONDS, False):
                 self._wake.wait()
-            clock.sleep(_GATHER_SECONDS)
+            clock.sleep(_pause_seconds(self._look_seconds))
             self._wake = eventlet.event.Event()
+            self._look_seconds = 0.0
             if not self._hooks.may_send():
                 continue
+            began = clock.now()
             try:
                 self._look()
             except Exception:
                 # Were this task to end, no item would run until another leader.
                 eliot.write_traceback()
+            self._look_seconds = clock.now() - began
 
     def _look(self) -> None:
         now = clock.now()
@@ -335,3 +344,8 @@
         if opened.is_ended or run.stage is not lifecycle.Stage.WAITING:
             return
         self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
+
+
+def _pause_seconds(look_seconds: float) -> float:
+    """Return the pause before the look after one that took `look_seconds`."""
+    return min(max(_GATHER_SECONDS, _REST_FACTOR * look_seconds), _TICK_SECONDS)
--- a/tests/test_batches_ends.py
+++ b/tests/test_batches_ends.py
@@ -145,9 +145,10 @@
             protocol, view, means, balancing.Balancer("z", rng), rng, crashes
         )
         # It waits for news to gather, and may be at the end of that wait at any moment.
-        gathering = mock.patch.object(runner, "_GATHER_SECONDS", 0.0)
-        gathering.start()
-        self.addCleanup(gathering.stop)
+        for name in ("_GATHER_SECONDS", "_REST_FACTOR"):
+            gathering = mock.patch.object(runner, name, 0.0)
+            gathering.start()
+            self.addCleanup(gathering.stop)
         self.runner = runner.BatchRunner(
             protocol, view, means, given, passing_on, crashes
         )
--- a/tests/test_batches_look.py
+++ b/tests/test_batches_look.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import attrs
+import eventlet
 from nose2 import tools
 
 from bilberrydrum import quarantine
@@ -12,6 +13,7 @@
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
 from bilberrydrum.requests import attempts, connections, watch
+from tests import helpers
 
 N_ENGINES = 20
 N_ITEMS = 60
@@ -60,6 +62,8 @@
             registry=fleet_model.Registry(
                 1, CountedTuple(upstream(n) for n in range(N_ENGINES))
             ),
+            watch=lambda callback: None,
+            unwatch=lambda callback: None,
         )
         standing = quarantine.Standing.CLEAR
         self.runner = runner.BatchRunner(
@@ -163,3 +167,46 @@
         self.look()
         known = self.runner._engines.by_id.values()
         self.assertEqual({each.n_cache_tokens for each in known}, {99})
+
+
+class LongLooks(LookCase):
+    """Items and loads end all the time, and each end makes a look due."""
+
+    STEP_SECONDS = 0.005
+    N_STEPS = 200
+
+    @tools.params(
+        ("few engines", 0.002, 66, 100, 0.2),
+        ("3,000 engines", 0.06, 7, 9, 0.36),
+        ("stalled while it looked", 1.0, 3, 5, 1.0),
+    )
+    def test_time_for_others(self, name, look_seconds, least, most, share):
+        """Nearly nothing is served before 3,000 engines, by a process at full load.
+
+        A look was due 10 ms after the last, however long that had taken. With looks of
+        60 ms the process had a seventh of its time left to read the events of all
+        items, and to commit their results.
+        """
+        looks = []
+
+        def look():
+            looks.append(look_seconds)
+            manual.advance(look_seconds)
+
+        with helpers.manual_clock() as manual:
+            began = manual()
+            with mock.patch.object(self.runner, "_look", look):
+                self.runner.start([])
+                for _ in range(self.N_STEPS):
+                    self.work()
+                    manual.advance(self.STEP_SECONDS)
+            self.runner.stop()
+            seconds = manual() - began
+        self.assertTrue(least <= len(looks) <= most, (name, len(looks)))
+        self.assertLessEqual(sum(looks) / seconds, share, name)
+
+    def work(self):
+        """Stand for the other tasks, one of which ends an item."""
+        self.runner.wake()
+        for _ in range(4):
+            eventlet.sleep(0)
