--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -6,8 +6,9 @@
 in `scheduling` and `engine_shares`; `loader` has engines load new weights.
 """
 
+import functools
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 import attrs
@@ -39,6 +40,10 @@
 _TICK_SECONDS: Final = 0.25
 # News that come together are looked at together.
 _GATHER_SECONDS: Final = 0.01
+# Time between two looks, as a multiple of what the last one took. Looks are due all the
+# time where items are many; one right after the other, they leave the process no time
+# to read the items' events, and what is sent is not served.
+_REST_FACTOR: Final = 2.0
 # Times that one item may be taken away from a slow engine.
 _MAX_MOVES: Final = 3
 # A new leader looks for groups that may come again in the batches of this many seconds:
@@ -91,6 +96,8 @@
         self._task: Any = None
         self._is_watching = False
         self._progress_at = float("-inf")
+        # Time that the last look took.
+        self._look_seconds = 0.0
 
     # Life
 
@@ -177,15 +184,18 @@
         while True:
             with eventlet.Timeout(_TICK_SECONDS, False):
                 self._wake.wait()
-            clock.sleep(_GATHER_SECONDS)
+            clock.sleep(_pause_seconds(self._look_seconds))
             self._wake = eventlet.event.Event()
+            self._look_seconds = 0.0
             if not self._hooks.may_send():
                 continue
+            began = clock.now()
             try:
                 self._look()
             except Exception:
                 # Were this task to end, no item would run until another leader.
                 eliot.write_traceback()
+            self._look_seconds = clock.now() - began
 
     def _look(self) -> None:
         now = clock.now()
@@ -245,30 +255,38 @@
 
     def _sendable(self, now: float) -> list[scheduling.WaitingItem]:
         """Return the items that wait for a place."""
-        waiting = [
-            self._waiting_item(opened, run)
+        return self._waiting_items(
+            (opened, run)
             for opened in self._work.open_batches()
             for run in opened.waiting_runs()
             if run.not_before <= now
-        ]
-        return [each for each in waiting if each is not None]
+        )
 
     def _movable(self, slow_ids: frozenset[str]) -> list[scheduling.WaitingItem]:
         """Return the items that run at slow engines and may go on elsewhere."""
         if not slow_ids:
             return []
-        movable = [
-            self._waiting_item(opened, run)
+        movable = self._waiting_items(
+            (opened, run)
             for opened in self._work.open_batches()
             for run in opened.runs_by_item_id.values()
             if run.engine_id in slow_ids and run.n_moves < _MAX_MOVES
-        ]
-        return [
-            attrs.evolve(each, is_at_slow=True) for each in movable if each is not None
-        ]
+        )
+        return [attrs.evolve(each, is_at_slow=True) for each in movable]
+
+    def _waiting_items(
+        self, pairs: Iterable[tuple[work.OpenBatch, lifecycle.ItemRun]]
+    ) -> list[scheduling.WaitingItem]:
+        # Asked for each item, before thousands of engines.
+        served_by = functools.cache(self._engines.versions_of)
+        found = [self._waiting_item(*each, served_by) for each in pairs]
+        return [each for each in found if each is not None]
 
     def _waiting_item(
-        self, opened: work.OpenBatch, run: lifecycle.ItemRun
+        self,
+        opened: work.OpenBatch,
+        run: lifecycle.ItemRun,
+        served_by: Callable[[str], set[int]],
     ) -> scheduling.WaitingItem | None:
         route = self._route_of(opened)
         standing = self._items.standing(opened, run)
@@ -277,7 +295,7 @@
             return None
         served: set[int] = set()
         if route.is_single_version:
-            served = self._engines.versions_of(opened.batch.model)
+            served = served_by(opened.batch.model)
         is_doubtful = standing is quarantine.Standing.DOUBTFUL
         account = opened.batch.account
         return work.waiting_item(
@@ -326,3 +344,8 @@
         if opened.is_ended or run.stage is not lifecycle.Stage.WAITING:
             return
         self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
+
+
+def _pause_seconds(look_seconds: float) -> float:
+    """Return the pause before the look after one that took `look_seconds`."""
+    return min(max(_GATHER_SECONDS, _REST_FACTOR * look_seconds), _TICK_SECONDS)
