Tell the next leader of the stores which items end their engines

Cause: the verdict was kept by the leader's process alone. Ruled out: reporting each end of an engine under an item, as for other requests: the control group can't compare it with ends elsewhere, and innocent items would be held back while engines end for reasons of their own. Change: the verdict alone is reported, with the ends that it rests on, and from then on each further end and each answer. The control group holds such items like any other request, so all stores know of them, whoever leads; operators see and lift them. Its record of a request that was quarantined once is kept when a verdict on another takes its ends, as they would be counted from nothing each time. Why it holds: whoever leads next asks the control group's copy before each sending, as the item's fingerprint doesn't depend on its batch or its leader. What a leader saw before its verdict is still lost with it: each leader may bear six ends of one item.

--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -57,6 +57,7 @@
         self._clients.start()
         self.view.start()
         self._crashes.start()
+        self._item_crashes.start()
         self._starter = eventlet.spawn(self._start_replica)
 
     def _start_replica(self) -> None:
@@ -148,6 +149,7 @@
         if self.replica is not None:
             self.replica.stop()
         self._crashes.stop()
+        self._item_crashes.stop()
         self.view.stop()
         self._clients.stop()
         self._pool.close()
--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -274,7 +274,9 @@
             if fingerprint == guilty.fingerprint:
                 continue
             left = each.explained_by(guilty.ended_at_by_id.keys())
-            if self.is_crowded or left.unexplained():
+            # One with a verdict of its own, taken back or not, is no mere bystander:
+            # dropped, its ends would be counted from nothing each time.
+            if self.is_crowded or left.unexplained() or left.n_quarantines:
                 self.evidence_by_fingerprint[fingerprint] = left
             else:
                 del self.evidence_by_fingerprint[fingerprint]
--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -92,7 +92,8 @@
         See `crash_reports.CrashReports`.
     is_crowded : bool
         Many requests run at an upstream (see `quarantine`), and only this process sends
-        them: nothing is reported. The group could not tell who was elsewhere.
+        them. The group could not tell who was elsewhere, so verdicts alone are
+        reported: whoever sends them next would else learn each anew, by six ends more.
     """
 
     def __init__(
@@ -176,8 +177,6 @@
             return
         name = fingerprint()
         self._own.clear(name)
-        if self._own.is_crowded:
-            return
         if name in self._view.crashes.evidence_by_fingerprint:
             self._reports.clear(name)
             self._look()
@@ -214,17 +213,38 @@
         crash = quarantine.Crash(run.fingerprint, run.subject, run.upstream.upstream_id)
         if not self._own.note(crash, ended_at):
             return
-        if self._own.is_crowded:
+        to_report = self._to_report(crash, ended_at)
+        if not to_report:
             return
         self._index_by_fingerprint.pop(run.fingerprint, None)
-        if not self._reports.note(crash, ended_at):
-            n_before = self._dropped_lines.admit(ended_at)
-            if n_before is not None:
-                eliot.log_message(
-                    message_type="crashes:report-dropped", n_not_logged=n_before
-                )
+        for each, each_ended_at in to_report:
+            self._note_for_report(each, each_ended_at)
         self._look()
 
+    def _to_report(
+        self, crash: quarantine.Crash, ended_at: float
+    ) -> list[tuple[quarantine.Crash, float]]:
+        """Return the crashes that the group is to hear of now that `crash` is known."""
+        is_known = crash.fingerprint in self._view.crashes.evidence_by_fingerprint
+        if is_known or not self._own.is_crowded:
+            return [(crash, ended_at)]
+        evidence = self._own.evidence_by_fingerprint[crash.fingerprint]
+        if not evidence.until:
+            return []
+        return [
+            (attrs.evolve(crash, upstream_id=upstream_id), at)
+            for upstream_id, at in evidence.ended_at_by_id.items()
+        ]
+
+    def _note_for_report(self, crash: quarantine.Crash, ended_at: float) -> None:
+        if self._reports.note(crash, ended_at):
+            return
+        n_before = self._dropped_lines.admit(ended_at)
+        if n_before is not None:
+            eliot.log_message(
+                message_type="crashes:report-dropped", n_not_logged=n_before
+            )
+
     # Reports
 
     def _on_news(self) -> None:
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -18,6 +18,7 @@
 import tempfile
 import unittest
 
+import attrs
 import eventlet
 from nose2 import tools
 
@@ -35,6 +36,8 @@
 # are in touch have to know; three more attempts are borne.
 CONTACT_SECONDS = 3.0
 MAX_LATE_ATTEMPTS = 3
+# Engines that an item may end, whoever leads the stores and whatever batch it is in.
+MOST_ENDED = 3 + MAX_LATE_ATTEMPTS
 N_UPSTREAMS = 3
 N_GATEWAYS = 3
 # Rounds of a caller that comes back after the time of contact.
@@ -82,8 +85,9 @@
 
     def setUp(self):
         self.control_address = f"127.0.0.1:{helpers.free_port()}"
-        # Folder of each process's disk.
+        # Folder of each process's disk, and its options.
         self.folders = {}
+        self.nodes = {}
         self.protocol = node_protocol.PlainProtocol()
         self.control = self.start(control.Control, options.Role.CONTROL)
         self.gateways = [self.start_gateway() for _ in range(N_GATEWAYS)]
@@ -98,6 +102,7 @@
         node = test_nodes_path.node(role, folder.name, self.control_address)
         started = make(node, *more)
         self.folders[started] = folder.name
+        self.nodes[started] = node
         started.start()
         self.addCleanup(started.stop)
         return started
@@ -333,14 +338,15 @@
         stores = self.gateways[0].view
         self.wait_for(lambda: stores.registry.founder_addresses)
 
-    def submit(self, *items):
-        batch = batch_model.Batch("b", "h", items, 0, "m", 0)
-        asked = batch_messages.Submit.of(batch)
-        self.gateways[0].store_calls.call(asked, 10.0).unwrap()
+    def ask_stores(self, message):
+        return self.gateways[0].store_calls.call(message, 10.0).unwrap()
+
+    def submit(self, *items, batch_id="b"):
+        batch = batch_model.Batch(batch_id, "h", items, 0, "m", 0)
+        self.ask_stores(batch_messages.Submit.of(batch))
 
     def results(self):
-        read = batch_messages.Read("b", 0, 0.2)
-        return self.gateways[0].store_calls.call(read, 10.0).unwrap().results
+        return self.ask_stores(batch_messages.Read("b", 0, 0.2)).results
 
     def item(self, number, body, score=None):
         scoring = None
@@ -379,3 +385,66 @@
         others = [self.item(number, b"body", b"score") for number in range(3)]
         self.submit(self.item(9, b"body", crashing.MARK), *others)
         self.check(self.apps, len(others))
+
+    def submit_crashing(self):
+        """Have an item that ends engines held back, beside one that is served."""
+        self.submit(self.item(9, crashing.MARK), self.item(1, b"body"))
+        self.wait_for(lambda: self.engines.ended_at)
+        self.wait_until_spared()
+
+    def wait_until_spared(self):
+        """Wait until all engines have been up for longer than between two ends."""
+        n_before = -1
+        while len(self.engines.ended_at) != n_before or (
+            self.engines.n_up() < N_UPSTREAMS
+        ):
+            n_before = len(self.engines.ended_at)
+            clock.sleep(2.0)
+
+    def check_bound(self):
+        """Check that the item has ended as many engines as it may, and no more."""
+        self.assertLessEqual(len(self.engines.ended_at), MOST_ENDED)
+
+    def test_item_in_a_later_batch(self):
+        """Its trainer hands it in again, with every step that waits for its group."""
+        self.submit_crashing()
+        for step in range(3):
+            self.ask_stores(batch_messages.AskEnd(f"b{step or ''}"))
+            item = self.item(9, crashing.MARK)
+            self.submit(item, self.item(1, b"body"), batch_id=f"b{step + 1}")
+            self.wait_until_spared()
+        self.check_bound()
+
+    def test_operator_lifts_it(self):
+        """The control group has the verdict, and nothing against the item beside it."""
+        self.submit_crashing()
+        n_before = len(self.engines.ended_at)
+        book = self.ask_control(messages.ListCrashes())
+        (evidence,) = book.evidence_by_fingerprint.values()
+        self.assertIs(evidence.standing(), quarantine.Standing.QUARANTINED)
+        self.assertEqual(evidence.subject, "POST h/batches/x")
+        self.ask_control(messages.LiftQuarantine(evidence.fingerprint))
+        self.wait_for(lambda: len(self.engines.ended_at) > n_before)
+
+    def test_leaders_that_start_again(self):
+        """Each of the stores' leaders sends whatever has no result yet.
+
+        None remembers anything of its own from before. Without the control group's
+        verdict each would have the item end six engines more.
+        """
+        self.submit_crashing()
+        for _ in range(3):
+            self.start_store_again()
+            self.wait_until_spared()
+        self.check_bound()
+
+    def start_store_again(self):
+        node = self.nodes[self.store]
+        self.store.stop()
+        for address in (node.control_address, node.store_address):
+            self.wait_for(lambda address=address: test_nodes_path.is_free(address))
+        node = attrs.evolve(node, is_first_start=False)
+        self.store = store.Store(node, self.protocol)
+        self.nodes[self.store] = node
+        self.store.start()
+        self.addCleanup(self.store.stop)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -102,6 +102,29 @@
         self.assertTrue(book.is_empty())
 
 
+class SeveralGuilty(unittest.TestCase):
+    def test_ends_taken_by_verdicts_on_others(self):
+        """A request is quarantined, and others that were there at the same ends are.
+
+        Each verdict takes the ends that it explains from it. With its record dropped
+        once it has no end of its own left, it would end upstreams beside one guilty
+        request after the other, and never be quarantined again.
+        """
+        book = book_of(("a", 1.0), ("b", 2.0), ("c", 3.0))
+        ends = ("abc", "de")
+        for number, (names, own) in enumerate(zip(ends, "xy", strict=True)):
+            at = 10.0 * number
+            other = f"g{number}"
+            for step, name in enumerate(names):
+                book.note(crash(name), at + step)
+                book.note(crash(name, other), at + step)
+            book.note(crash(own, other), at + 5.0)
+            self.assertIs(book.standing(other), QUARANTINED)
+            self.assertIs(book.standing("f"), CLEAR)
+        book.note(crash("z"), 30.0)
+        self.assertIs(book.standing("f"), QUARANTINED)
+
+
 class Bounds(unittest.TestCase):
     def test_flood_of_requests(self):
         """Someone ends upstreams with ever new requests, two each.
