Tests: the longest modules split by what they test

Change: one module a subject, tests moved word for word. What several of them use is in `relay_support`, `batches_support` and `soak_support`.

--- /dev/null
+++ b/tests/test_batches_assign.py
@@ -0,0 +1,103 @@
+"""Which item goes to which place."""
+
+import collections
+import unittest
+
+from nose2 import tools
+
+from bilberrydrum.batches import scheduling
+from tests import batches_support
+
+waiting = batches_support.waiting
+place = batches_support.place
+
+
+class Assign(unittest.TestCase):
+    """What goes first, and where."""
+
+    def keys(self, items, places):
+        assigned = scheduling.assign(items, places, 0.0)
+        return [(each.key[1], each.engine_id) for each in assigned]
+
+    @tools.params(
+        ("no place", place(n_running=2), ()),
+        ("version too old", place(version=0), ()),
+        ("loads its model", place(loading_models=frozenset({"m"})), ()),
+        ("loads another model", place(loading_models=frozenset({"o"})), ("i",)),
+        ("other service", place(service="t"), ()),
+        ("memory full", place(n_running=1, n_cache_tokens=9, n_tokens=5), ()),
+        ("memory empty", place(n_cache_tokens=4), ("i",)),
+        ("failed there", place("bad"), ()),
+    )
+    def test_can_take(self, name, given, expected):
+        item = waiting(n_tokens=5, excluded_ids=frozenset({"bad"}))
+        taken = tuple(item_id for item_id, _ in self.keys([item], [given]))
+        self.assertEqual(taken, expected, name)
+
+    @tools.params(
+        ("two engines", ("e1", "e2"), ["a", "b"], ["e1", "e2"]),
+        ("one engine", ("e1",), ["a"], ["e1"]),
+    )
+    def test_doubtful_items_are_kept_apart(self, name, engine_ids, taken, where):
+        """Two items were cut off together twice; one of them ends engines.
+
+        On one engine again they would look alike for good, and the innocent one would
+        be held back with the other.
+        """
+        items = [waiting(each, group="g", is_doubtful=True) for each in "ab"]
+        given = self.keys(items, [place(each, 6) for each in engine_ids])
+        self.assertEqual([item_id for item_id, _ in given], taken, name)
+        self.assertEqual(sorted(engine_id for _, engine_id in given), where, name)
+
+    def test_doubtful_item_leaves_the_engine_to_others(self):
+        items = [waiting("doubtful", is_doubtful=True), waiting("other")]
+        given = self.keys(items, [place("e", 6, has_doubtful=True)])
+        self.assertEqual(given, [("other", "e")])
+
+    def test_least_time_left_first(self):
+        """Places are scarce while two trainers wait.
+
+        An item that has to start soon waits behind none that could start later; what
+        is late already, and what no trainer waits for, goes behind all others.
+        """
+        items = [
+            waiting("spare", start_by=0.5, is_spare=True),
+            waiting("late", start_by=-1.0),
+            waiting("perhaps-late", start_by=-1.0, late_at=1.0),
+            waiting("short", start_by=4.0),
+            waiting("long", start_by=1.0),
+        ]
+        taken = self.keys(items, [place(n_slots=5)])
+        names = [item_id for item_id, _ in taken]
+        self.assertEqual(names, ["perhaps-late", "long", "short", "late", "spare"])
+
+    def test_group_stays_together_within_reason(self):
+        """Items of two groups meet two empty engines.
+
+        All of a group on one engine would fill that one while the other idles; each
+        on an engine of its own would have every prompt read everywhere.
+        """
+        items = [waiting(f"{g}{n}", group=g) for g in "xy" for n in range(4)]
+        taken = self.keys(items, [place("e1", 8), place("e2", 8)])
+        n_by_engine = collections.Counter(engine for _, engine in taken)
+        self.assertLessEqual(max(n_by_engine.values()), 4 + 8 * 0.25 / 2)
+        pairs = {(item_id[0], engine) for item_id, engine in taken}
+        self.assertLess(len(pairs), 4)
+
+    def test_group_leaves_a_busy_engine(self):
+        busy = place("e1", 8, n_running=4, group_keys={("b", "x")})
+        taken = self.keys([waiting("x0", group="x")], [busy, place("e2", 8)])
+        self.assertEqual(taken, [("x0", "e2")])
+
+    @tools.params(
+        ("silent", {"is_silent": True}),
+        ("meant for another model", {"models": frozenset({"o"})}),
+    )
+    def test_second_choice(self, name, fields):
+        places = [place("e1", **fields), place("e2", n_running=1)]
+        self.assertEqual(self.keys([waiting()], places), [("i", "e2")], name)
+
+    def test_resumed_text_of_one_version(self):
+        item = waiting(only_version=1)
+        places = [place("e1", version=2), place("e2", version=1, n_running=1)]
+        self.assertEqual(self.keys([item], places), [("i", "e2")])
--- /dev/null
+++ b/tests/test_batches_carried.py
@@ -0,0 +1,152 @@
+"""What a batch takes over from earlier ones with the same items."""
+
+import unittest
+
+import attrs
+from nose2 import tools
+
+from bilberrydrum import event_stream
+from bilberrydrum.batches import model, texts, work
+from tests import batches_support
+
+batch = batches_support.batch
+result = batches_support.result
+
+
+class Carried(unittest.TestCase):
+    """Groups that were not complete come again in a later batch."""
+
+    def reopen(self, kept_results, min_version, is_complete=False):
+        known = work.Work()
+        earlier = batch("b1", 2 if not is_complete else 1)
+        kept = model.KeptBatch.of(earlier, 0.0)
+        kept.results = list(kept_results)
+        known.remember(earlier, kept)
+        later = model.KeptBatch.of(batch("b2", 2, min_version=min_version), 8.0)
+        opened = known.open(later, 8.0)
+        return opened, known.carried_results(opened, None)
+
+    @tools.params(
+        ("fits", [result(versions=(2, 3))], 2, ["i0"]),
+        ("too old", [result(versions=(1, 3))], 2, []),
+        ("given up", [model.Result("i0", model.ItemState.TERMINATED)], 0, []),
+    )
+    def test_results(self, name, kept, min_version, expected):
+        _, carried = self.reopen(kept, min_version)
+        self.assertEqual([each.item_id for each in carried], expected, name)
+
+    @tools.params(("acme", True), ("beta", False), (None, False))
+    def test_texts_belong_to_accounts(self, account, is_found):
+        """Another account hands in an item under an id that it has guessed.
+
+        Given what was generated under that id before, it would read another account's
+        text, and wait for groups that are none of its own.
+        """
+        known = work.Work()
+        earlier = attrs.evolve(batch("b1", 3), account="acme")
+        kept = model.KeptBatch.of(earlier, 0.0)
+        kept.results = [result(versions=(2,))]
+        opened = known.open(kept, 0.0)
+        opened.runs_by_item_id["i1"].text.add(event_stream.Event(1, b"a"), 2)
+        known.remember_closed(known.close("b1"))
+        later = attrs.evolve(batch("b2", 3, n_wanted_groups=1), account=account)
+        again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
+        found = [each.item_id for each in known.carried_results(again, None)]
+        self.assertEqual(found, ["i0"] if is_found else [])
+        went_on = again.runs_by_item_id["i1"].text.last_number == 1
+        self.assertEqual(went_on, is_found)
+
+    @tools.params(
+        ("the same", {}, True),
+        ("another body", {"body": b"other"}, False),
+        ("another target", {"target": "/p/y"}, False),
+        ("another model", {}, False),
+        ("another hint", {"headers": {"Hint": "9"}}, True),
+    )
+    def test_texts_belong_to_the_same_work(self, name, fields, is_found):
+        """A trainer uses an item's id for another prompt.
+
+        Given what the id stood for before, the item's text would be another prompt's,
+        or begin with another's and go on with its own.
+        """
+        known = work.Work()
+        earlier = batch("b1", 3)
+        kept = model.KeptBatch.of(earlier, 0.0)
+        kept.results = [result(versions=(2,))]
+        opened = known.open(kept, 0.0)
+        opened.runs_by_item_id["i1"].text.add(event_stream.Event(1, b"a"), 2)
+        known.remember_closed(known.close("b1"))
+        items = tuple(attrs.evolve(each, **fields) for each in earlier.items)
+        model_name = "m" if name == "another model" else ""
+        later = attrs.evolve(earlier, batch_id="b2", items=items, model=model_name)
+        again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
+        found = [each.item_id for each in known.carried_results(again, None)]
+        self.assertEqual(found, ["i0"] if is_found else [], name)
+        went_on = again.runs_by_item_id["i1"].text.last_number == 1
+        self.assertEqual(went_on, is_found, name)
+
+    def test_finished_text_is_kept_once(self):
+        """Hundreds of items a minute finish in the memory of one process."""
+        known = work.Work()
+        opened = known.open(model.KeptBatch.of(batch("b1", 2), 0.0), 0.0)
+        for item_id in ("i0", "i1"):
+            run = opened.runs_by_item_id[item_id]
+            run.text.add(event_stream.Event(1, b"a"), 2)
+            known.finished("b1", [item_id])
+            self.assertEqual(run.text.parts, [])
+        known.remember_closed(known.close("b1"))
+        again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
+        self.assertIsNone(again.runs_by_item_id["i0"].text.last_number)
+
+    def test_unfinished_text_goes_on(self):
+        known = work.Work()
+        opened = known.open(model.KeptBatch.of(batch("b1", 2), 0.0), 0.0)
+        run = opened.runs_by_item_id["i0"]
+        run.text.add(event_stream.Event(1, b"a"), 2)
+        known.remember_closed(known.close("b1"))
+        again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
+        self.assertEqual(again.runs_by_item_id["i0"].text.last_number, 1)
+        self.assertEqual(again.spare_groups, frozenset())
+
+    @tools.params(
+        ("adds an event", lambda text: text.add(event_stream.Event(2, b"b"), 2)),
+        ("begins anew", texts.Text.clear),
+    )
+    def test_text_is_not_shared(self, name, write):
+        """An item comes again while something of its ended batch still has its text.
+
+        With one text for both, the later batch's attempt, asked to go on after event
+        1, adds event 2 to a text that has it already, or to one that is empty.
+        """
+        known = work.Work()
+        opened = known.open(model.KeptBatch.of(batch("b1", 2), 0.0), 0.0)
+        run = opened.runs_by_item_id["i0"]
+        run.text.add(event_stream.Event(1, b"a"), 2)
+        known.remember_closed(known.close("b1"))
+        again = known.open(model.KeptBatch.of(batch("b2", 2), 8.0), 8.0)
+        write(run.text)
+        text = again.runs_by_item_id["i0"].text
+        self.assertEqual((text.parts, text.last_number), ([b"a"], 1), name)
+
+    @tools.params(
+        ("it had begun", ("i0", "i1"), True, {("b2", "g0")}),
+        ("it had not begun", ("i0", "i1"), False, {("b2", "g0")}),
+        ("all were complete", ("i0", "i1", "i2", "i3"), False, {("b2", "g1")}),
+    )
+    def test_carried_group_is_waited_for(self, name, finished, has_begun, expected):
+        """A trainer waits for one of two groups, and for each that comes again.
+
+        The second group comes again. Not known as such it goes behind all others, and
+        its trainer waits for it until its time is up.
+        """
+        known = work.Work()
+        kept = model.KeptBatch.of(batch("b1", 4), 0.0)
+        opened = known.open(kept, 0.0)
+        kept.results = [result(each) for each in finished]
+        known.finished("b1", finished)
+        if has_begun:
+            opened.runs_by_item_id["i3"].text.add(event_stream.Event(1, b"a"), 2)
+        known.remember_closed(known.close("b1"))
+        later = batch("b2", 4, n_wanted_groups=1)
+        again = known.open(model.KeptBatch.of(later, 8.0), 8.0)
+        self.assertEqual(again.spare_groups, expected, name)
--- /dev/null
+++ b/tests/test_batches_weight_plan.py
@@ -0,0 +1,131 @@
+"""Which engines load weights, and when."""
+
+import unittest
+
+import attrs
+from nose2 import tools
+
+from bilberrydrum.batches import demand, weight_plan
+
+
+def weights(engine_id, version, is_loading=False, n_running=0, model="m"):
+    return weight_plan.EngineWeights(engine_id, {model: version}, is_loading, n_running)
+
+
+WANTED = weight_plan.Wanted(2)
+LAGGING = weight_plan.Wanted(5, lag=1, age_seconds=0.1, has_waiting=True)
+
+
+class Plan(unittest.TestCase):
+    """A few engines load at a time, and half of a model's go on serving."""
+
+    @tools.params(
+        ("all behind", [("a", 1, 0), ("b", 1, 0), ("c", 1, 0), ("d", 1, 0)], 2),
+        ("one loads", [("a", 1, 1), ("b", 1, 0), ("c", 1, 0), ("d", 1, 0)], 1),
+        ("two load", [("a", 1, 1), ("b", 1, 1), ("c", 1, 0), ("d", 1, 0)], 0),
+        ("two engines", [("a", 1, 0), ("b", 1, 0)], 1),
+        ("the only engine", [("a", 1, 0)], 1),
+        ("none behind", [("a", 2, 0), ("b", 2, 0)], 0),
+    )
+    def test_number(self, name, engines, expected):
+        given = [weights(each, version, bool(busy)) for each, version, busy in engines]
+        shares = {"m": frozenset(each for each, _, _ in engines)}
+        loads = weight_plan.plan(given, shares, {"m": WANTED}, 2)
+        self.assertEqual(len(loads), expected, name)
+        self.assertTrue(all(each.version == 2 for each in loads))
+
+    def test_idle_engine_first(self):
+        given = [weights("a", 1, n_running=3), weights("b", 1), weights("c", 1)]
+        shares = {"m": frozenset("abc")}
+        loads = weight_plan.plan(given, shares, {"m": WANTED}, max_loading=1)
+        self.assertEqual([each.engine_id for each in loads], ["b"])
+
+    def test_engines_of_other_models_do_not_load(self):
+        given = [weights("a", 1), weights("b", 1)]
+        loads = weight_plan.plan(given, {"m": frozenset("a")}, {"m": WANTED}, 2)
+        self.assertEqual([each.engine_id for each in loads], ["a"])
+
+    def loaded(self, versions, wanted, n_running=3):
+        engines = [weights(k, v, n_running=n_running) for k, v in versions.items()]
+        shares = {"m": frozenset(versions)}
+        loads = weight_plan.plan(engines, shares, {"m": wanted}, 9)
+        return {each.engine_id for each in loads}
+
+    @tools.params(
+        ("the step just came", {"a": 3, "b": 3, "c": 4, "d": 4}, {}, {"a", "b"}),
+        ("all serve it", {"a": 4, "b": 4, "c": 4, "d": 4}, {}, set()),
+        ("later", {"a": 4, "b": 4, "c": 4, "d": 4}, {"age_seconds": 1.6}, {"a", "b"}),
+        (
+            "nothing waits",
+            {"a": 4, "b": 4, "c": 4, "d": 4},
+            {"age_seconds": 0.5, "has_waiting": False},
+            {"a", "b"},
+        ),
+        ("half is new", {"a": 5, "b": 4}, {"age_seconds": 9.0}, set()),
+        ("one engine", {"a": 4}, {"age_seconds": 9.0}, set()),
+        ("one engine, too old", {"a": 3}, {}, {"a"}),
+    )
+    def test_put_off(self, name, versions, changes, expected):
+        """A trainer names version 5 and hands in a step that allows 4.
+
+        What cannot serve the step loads at once; engines that can are left to it, but
+        half of them load before the next version is named.
+        """
+        wanted = attrs.evolve(LAGGING, **changes)
+        self.assertEqual(self.loaded(versions, wanted), expected, name)
+
+    @tools.params((True, set()), (False, {"b"}))
+    def test_idle_engine_is_renewed(self, has_waiting, expected):
+        wanted = attrs.evolve(LAGGING, age_seconds=2.0, has_waiting=has_waiting)
+        loaded = self.loaded({"a": 5, "b": 4}, wanted, n_running=0)
+        self.assertEqual(loaded, expected)
+
+    def test_halves_load_by_turns(self):
+        """Eight engines, a version every 4 s, each step allows the version before.
+
+        Without taking turns each engine loads each version: 48 loads for six versions,
+        and half of the engines are away whenever a step comes.
+        """
+        versions = dict.fromkeys("abcdefgh", 1)
+        n_loads = 0
+        for version in range(2, 8):
+            wanted = weight_plan.Wanted(version, 1, 0.1, True)
+            n_loads += self.load_all(versions, wanted)
+            able = [each for each in versions.values() if each >= version - 1]
+            self.assertGreaterEqual(len(able), 4)
+            wanted = attrs.evolve(wanted, age_seconds=1.6)
+            n_loads += self.load_all(versions, wanted)
+        self.assertLessEqual(n_loads, 26)
+
+    def load_all(self, versions, wanted):
+        loaded = self.loaded(versions, wanted)
+        versions.update(dict.fromkeys(loaded, wanted.version))
+        return len(loaded)
+
+
+class Named(unittest.TestCase):
+    """How old a version a trainer's steps allow."""
+
+    @tools.params(
+        ("version first", [("v", 4, 0.0), ("s", 3, 0.1)], 1),
+        ("step first", [("v", 3, 0.0), ("s", 3, 4.0), ("v", 4, 4.1)], 1),
+        ("every step its own version", [("v", 4, 0.0), ("s", 4, 0.1)], 0),
+        ("no step yet", [("v", 4, 0.0)], 0),
+    )
+    def test_lag(self, name, news, expected):
+        named = demand.NamedVersions()
+        for kind, version, at in news:
+            if kind == "v":
+                named.note({"m": version}, at)
+            else:
+                named.note_step("m", version, at)
+        named.note({}, 9.0)
+        self.assertEqual(named.lag("m"), expected, name)
+
+    def test_next_version_changes_nothing_until_its_step_comes(self):
+        named = demand.NamedVersions()
+        named.note({"m": 4}, 0.0)
+        named.note_step("m", 3, 0.1)
+        named.note({"m": 4}, 1.0)
+        named.note({"m": 5}, 4.0)
+        self.assertEqual((named.lag("m"), named.named_at("m")), (1, 4.0))
--- a/tests/test_policy_lease.py
+++ b/tests/test_policy_lease.py
@@ -16,7 +16,7 @@
 from bilberrydrum.fleet import accounts, messages, policy, policy_lease, subscriber
 from bilberrydrum.relay import callers, model
 from bilberrydrum.state import client
-from tests import helpers, test_relay
+from tests import helpers, relay_support
 
 REVOCATION_SECONDS = 5.0
 N_SCHEDULES = int(os.environ.get("BILBERRYDRUM_SCHEDULES", "60"))
@@ -191,7 +191,7 @@
         self.assertIs(self.outcome("newest"), EXPIRED)
 
 
-class Sending(test_relay.RelayCase):
+class Sending(relay_support.RelayCase):
     """A key dies between two attempts: nothing goes out after that."""
 
     @tools.params(
@@ -208,9 +208,9 @@
 
         def full(connection, received):
             found.append(reason)
-            test_relay.FULL(connection, received)
+            relay_support.FULL(connection, received)
 
-        relay_ = self.relay(full, test_relay.OK)
+        relay_ = self.relay(full, relay_support.OK)
         inbound = model.Inbound(
             "r1",
             "h",
--- /dev/null
+++ b/tests/test_relay_balancing.py
@@ -0,0 +1,52 @@
+"""Which upstream a request that is passed on goes to."""
+
+import random
+import unittest
+
+from bilberrydrum import upstream_protocol
+from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.relay import balancing
+
+
+class Balance(unittest.TestCase):
+    """The choice, from what one gateway knows."""
+
+    def upstreams(self, *zones):
+        return [
+            fleet_model.FleetUpstream(f"u{n}", "s", f"a{n}", zone, 2)
+            for n, zone in enumerate(zones)
+        ]
+
+    def test_near_until_busy(self):
+        balancer = balancing.Balancer("near", random.Random(1))
+        known = self.upstreams("near", "far")
+        chosen = []
+        for _ in range(3):
+            upstream = balancer.choose(known, (), 100.0)
+            balancer.begin(upstream.upstream_id)
+            chosen.append(upstream.upstream_id)
+        self.assertEqual(chosen, ["u0", "u1", "u0"])
+
+    def test_failed_is_passed_over_for_a_while(self):
+        balancer = balancing.Balancer("near", random.Random(1))
+        known = self.upstreams("near", "far")
+        balancer.failed("u0", 100.0)
+        self.assertEqual(balancer.choose(known, (), 100.1).upstream_id, "u1")
+        self.assertEqual(balancer.choose(known, (), 100.6).upstream_id, "u0")
+
+    def test_all_failed(self):
+        """The one whose time ends first is tried; refusing would help nobody."""
+        balancer = balancing.Balancer("near", random.Random(1))
+        balancer.failed("u0", 100.2)
+        balancer.failed("u1", 100.0)
+        known = self.upstreams("near", "far")
+        self.assertEqual(balancer.choose(known, (), 100.3).upstream_id, "u1")
+
+    def test_reported_load_counts_while_it_is_fresh(self):
+        balancer = balancing.Balancer("near", random.Random(1))
+        known = self.upstreams("near", "near")
+        head = upstream_protocol.AnswerHead(n_running=2, n_waiting=3)
+        balancer.succeeded("u0", head, 100.0)
+        for _ in range(20):
+            chosen = balancer.choose(known, (), 100.1)
+            self.assertEqual(chosen.upstream_id, "u1")
--- /dev/null
+++ b/tests/test_relay_quarantine.py
@@ -0,0 +1,94 @@
+"""Requests that are held to end upstreams, and what their callers are told."""
+
+import result
+from nose2 import tools
+
+from bilberrydrum import quarantine, reasons
+from bilberrydrum.fleet import messages
+from bilberrydrum.relay import courses, model
+from bilberrydrum.requests import fingerprints
+from bilberrydrum.state import client
+from tests import relay_support
+
+close = relay_support.close
+OK = relay_support.OK
+FULL = relay_support.FULL
+FAILED = relay_support.FAILED
+
+
+class Group:
+    """Stands for the control group: grants trials or not, and takes reports."""
+
+    def __init__(self, grants):
+        self.grants = grants
+        self.n_asked = 0
+
+    def call(self, message, timeout):
+        self.n_asked += 1
+        if self.grants is None:
+            error = client.StateError(reasons.Reason.STATE_UNAVAILABLE)
+            return result.Err(error)
+        return result.Ok(messages.Trial(self.grants))
+
+
+class HeldAgainst(relay_support.RelayCase):
+    """What becomes of a request that upstreams ended under, before and after a run."""
+
+    def hold(self, relay_, ended_ids, n_seconds=1.0):
+        """Have the control group hold ended upstreams against the request."""
+        fingerprint = fingerprints.of_request("POST", "h", "/x?q=1", "", b"body")
+        book = quarantine.Book()
+        for number, upstream_id in enumerate(ended_ids):
+            crash = quarantine.Crash(fingerprint, "", upstream_id)
+            book.note(crash, 100.0 + number * n_seconds)
+        self.view.crashes = book
+        relay_._crashes._calls = self.group
+
+    @tools.params(
+        # Name, upstreams' scripts, those that ended, whether a trial is granted;
+        # the outcome, the upstreams asked, and whether the group was asked.
+        ("one end", (OK, OK), ("a",), False, "200", [1, 0], 0),
+        ("two, tried", (OK, OK), ("a", "b"), True, "200", [1, 0], 1),
+        ("two, another copy is", (OK, OK), ("a", "b"), False, "come back", [0, 0], 1),
+        ("two, no leader", (OK, OK), ("a", "b"), None, "come back", [0, 0], 1),
+        ("two, the last but one", (OK, OK), ("a", "u1"), True, "come back", [0, 0], 0),
+        ("two, the only one", (OK,), ("a", "b"), True, "200", [1], 1),
+        ("two, tried at one only", (close, OK), ("a", "b"), True, "ran", [1, 0], 1),
+        ("two, a full one first", (FULL, OK), ("a", "b"), True, "200", [1, 1], 1),
+        ("three", (OK, OK), ("a", "b", "c"), True, "final", [0, 0], 0),
+    )
+    def test_outcome(self, name, scripts, ended, grants, expected, received, n_asked):
+        self.group = Group(grants)
+        relay_ = self.relay(*scripts)
+        self.hold(relay_, ended)
+        given = self.handle(relay_)
+        self.assertEqual(self.outcome(given), expected, name)
+        self.assertEqual(self.n_received(), received, name)
+        self.assertEqual(self.group.n_asked, n_asked, name)
+
+    def outcome(self, given):
+        if isinstance(given, model.Answered):
+            return str(given.status)
+        if given.is_final:
+            return "final"
+        if given.may_have_run:
+            return "ran"
+        least, most = courses.DOUBTFUL_RETRY_RANGE
+        self.assertTrue(least <= given.retry_after_seconds <= most)
+        return "come back"
+
+    def test_verdict_between_two_attempts(self):
+        """Others see the third end while the first attempt is under way.
+
+        The copy that is on its way to the next upstream has to be stopped as well.
+        """
+        self.group = Group(True)
+
+        def fail(connection, received):
+            self.hold(relay_, ("a", "b", "c"))
+            return FAILED(connection, received)
+
+        relay_ = self.relay(fail, OK)
+        given = self.handle(relay_)
+        self.assertEqual(given.status, 500)
+        self.assertEqual(self.n_received(), [1, 0])
--- /dev/null
+++ b/tests/test_relay_streams.py
@@ -0,0 +1,246 @@
+"""Streams that are passed on: how they go on, and when they are whole."""
+
+import socket
+import struct
+
+import eventlet
+from nose2 import tools
+
+from bilberrydrum import clock
+from bilberrydrum.fleet import policy
+from bilberrydrum.relay import model, streams
+from tests import relay_support
+
+ID = relay_support.ID
+answer = relay_support.answer
+close = relay_support.close
+others_answer = relay_support.others_answer
+FULL = relay_support.FULL
+FAILED = relay_support.FAILED
+FOREIGN = relay_support.FOREIGN
+
+
+def events(*numbers, is_whole=True):
+    def script(connection, received):
+        head = f"HTTP/1.1 200 X\r\n{ID}: {received.request_id}\r\n"
+        connection.sendall(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in numbers:
+            data = b"id: %d\ndata: x\n\n" % number
+            connection.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+        if is_whole:
+            connection.sendall(b"0\r\n\r\n")
+        return False
+
+    return script
+
+
+def framed(framing, *numbers):
+    """Return a script whose answer tells its end as `framing` says, or lacks it."""
+    if framing.endswith("chunks"):
+        return events(*numbers, is_whole=framing == "chunks")
+
+    def script(connection, received):
+        body = b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers)
+        head = f"HTTP/1.1 200 X\r\n{ID}: {received.request_id}\r\n"
+        if framing.endswith("length"):
+            n_missing = 0 if framing == "length" else 9
+            head += f"Content-Length: {len(body) + n_missing}\r\n"
+        connection.sendall(head.encode() + b"\r\n" + body)
+        return False
+
+    return script
+
+
+def half_an_event(connection, received):
+    events(1, is_whole=False)(connection, received)
+    connection.sendall(b"7\r\nid: 2\nd\r\n")
+    return False
+
+
+class Streams(relay_support.RelayCase):
+    """What the caller of a stream gets, and how often each upstream was asked."""
+
+    def stream(self, scripts, is_resumable, headers=None, n_attempts=2, method="POST"):
+        self.relay(*scripts)
+        route = policy.Route(
+            "r",
+            "h",
+            "/",
+            policy.RouteKind.STREAMING,
+            (policy.Share("s", 1.0),),
+            timeout_seconds=3.0,
+            target_latency_seconds=0.05,
+            max_attempts=n_attempts,
+            is_resumable=is_resumable,
+        )
+        inbound = model.Inbound(
+            "r1", "h", method, "/x", "/x", headers or {}, b"body", clock.now() + 3.0
+        )
+        with eventlet.Timeout(5.0):
+            answer = self.streams.handle(inbound, route)
+            if isinstance(answer, model.Answered):
+                return [], str(answer.status)
+            if isinstance(answer, model.Refused):
+                return [], "may have run" if answer.may_have_run else "not run"
+            numbers = []
+            try:
+                for part in answer.parts:
+                    numbers.append(int(part.split(b"\n")[0][4:]))
+            except streams.BrokenError:
+                return numbers, "broken"
+            return numbers, "whole"
+
+    CUT = staticmethod(events(1, 2, is_whole=False))
+
+    @tools.params(
+        ("whole", (events(1, 2),), False, [1, 2], "whole", [1]),
+        ("full, then whole", (FULL, events(1)), False, [1], "whole", [1, 1]),
+        ("cut", (CUT, events(3)), False, [1, 2], "broken", [1, 0]),
+        ("cut, resumed", (CUT, events(3)), True, [1, 2, 3], "whole", [1, 1]),
+        ("cut in an event", (half_an_event, events(2)), True, [1, 2], "whole", [1, 1]),
+        ("resumed elsewhere wrongly", (CUT, events(1)), True, [1, 2], "broken", [1, 1]),
+        (
+            "cut twice",
+            (CUT, events(3, is_whole=False)),
+            True,
+            [1, 2, 3],
+            "broken",
+            [1, 1],
+        ),
+        ("resumed by a stranger", (CUT, FOREIGN), True, [1, 2], "broken", [1, 1]),
+        ("resumed and failed", (CUT, FAILED), True, [1, 2], "broken", [1, 1]),
+        ("resumed, both full", (CUT, FULL, FULL), True, [1, 2], "broken", [1, 1, 1]),
+        ("resumed as another's", (CUT, others_answer), True, [1, 2], "broken", [1, 1]),
+        ("closed", (close, events(1)), False, [], "may have run", [1, 0]),
+        ("closed, resumable", (close, events(1)), True, [1], "whole", [1, 1]),
+        ("failed", (FAILED, events(1)), False, [], "500", [1, 0]),
+        ("failed, resumable", (FAILED, events(1)), True, [1], "whole", [1, 1]),
+        ("both full", (FULL, FULL), True, [], "not run", [1, 1]),
+    )
+    def test_stream(self, name, scripts, is_resumable, numbers, outcome, n_received):
+        self.assertEqual(self.stream(scripts, is_resumable), (numbers, outcome), name)
+        self.assertEqual(self.n_received(), n_received, name)
+
+    def test_resumed_after_the_last_whole_event(self):
+        self.stream((self.CUT, events(3)), True)
+        self.assertEqual(self.servers[1].received[0].headers["last"], "2")
+
+    @tools.params(
+        ("goes on", events(5, 6), ["4"]),
+        ("from its beginning", events(1, 2), ["4", "4"]),
+        ("with the event before", events(4, 5), ["4", "4"]),
+        ("begins late", events(6), ["4", "4"]),
+        ("a gap", events(5, 7), ["4", "5"]),
+        ("twice", events(5, 5), ["4", "5"]),
+    )
+    def test_stream_that_its_caller_resumes(self, name, first, asked_after):
+        """What does not follow the caller's own number is asked for elsewhere."""
+
+        def sound(connection, received):
+            numbers = range(int(received.headers["last"]) + 1, 7)
+            return events(*numbers)(connection, received)
+
+        given = self.stream((first, sound), True, {"Last": "4"})
+        self.assertEqual(given, ([5, 6], "whole"), name)
+        asked = [each.headers["last"] for one in self.servers for each in one.received]
+        self.assertEqual(asked, asked_after, name)
+
+    @tools.params(
+        ("chunks", "whole"),
+        ("length", "whole"),
+        ("close", "broken"),
+        ("cut in its chunks", "broken"),
+        ("cut in its length", "broken"),
+    )
+    def test_answer_without_an_event_to_a_stream_that_goes_on(self, framing, outcome):
+        """The caller's stream ends as complete, and half of its events are missing.
+
+        The first run breaks off after event 2. The engine that is asked to go on after
+        it answers 200 and ends at once, as its own run fails. One that has nothing to
+        add says so by its length or last chunk, in 125 of 125 answers of a play; one
+        that ended before its first event left it out (9 of 9). An answer that only
+        closes says nothing, so the caller must see a break.
+        """
+        given = self.stream((self.CUT, framed(framing)), True)
+        self.assertEqual(given, ([1, 2], outcome))
+
+    def test_another_engine_is_asked_after_an_answer_that_only_closes(self):
+        asked_after = []
+
+        def go_on(connection, received):
+            asked_after.append(received.headers["last"])
+            script = framed("close") if len(asked_after) == 1 else events(3)
+            return script(connection, received)
+
+        given = self.stream((self.CUT, go_on, go_on), True, n_attempts=3)
+        self.assertEqual(given, ([1, 2, 3], "whole"))
+        self.assertEqual(asked_after, ["2", "2"])
+
+    @tools.params(
+        # Framing, whether it may be resumed, the caller's own last number; the outcome.
+        ("chunks", True, None, [1], "whole"),
+        ("length", True, None, [1], "whole"),
+        ("close", True, None, [1], "whole"),
+        ("chunks", True, "0", [1], "whole"),
+        ("chunks", False, None, [], "broken"),
+        ("length", False, None, [], "broken"),
+        ("close", False, None, [], "broken"),
+        ("chunks", True, "4", [], "whole"),
+        ("length", True, "4", [], "whole"),
+        ("close", True, "4", [5], "whole"),
+        ("cut in its chunks", True, "4", [5], "whole"),
+    )
+    def test_first_answer_without_an_event(
+        self, framing, is_resumable, last, numbers, outcome
+    ):
+        """The caller gets a complete stream of no events at all.
+
+        The engine takes the request, answers 200, and its run fails before event 1, or
+        before the event after the one that the caller had read. Where the stream may be
+        resumed another engine is asked, and where not its caller sees a break. A caller
+        that had read the very last event is told that there are no more.
+        """
+        headers = {} if last is None else {"Last": last}
+        scripts = (framed(framing), events(*(numbers or [1])))
+        given = self.stream(scripts, is_resumable, headers)
+        self.assertEqual(given, (numbers, outcome))
+
+    @tools.params((True, [1, 2], "whole"), (False, [1], "broken"))
+    def test_reset_does_not_end_a_stream(self, is_resumable, numbers, outcome):
+        """The upstream ends between two events of an answer without length or chunks.
+
+        Its connections are reset. Read as an end, the reset made the stream look whole.
+        """
+
+        def reset(connection, received):
+            framed("close", 1)(connection, received)
+            # Without this pause the reset may overtake the event.
+            eventlet.sleep(0.05)
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.fd.close()
+            return False
+
+        given = self.stream((reset, events(2)), is_resumable)
+        self.assertEqual(given, (numbers, outcome))
+
+    def test_answer_that_has_no_body_by_its_method_is_whole(self):
+        given = self.stream((framed("length"),), True, method="HEAD")
+        self.assertEqual((given, self.n_received()), (([], "whole"), [1]))
+
+    @tools.params(
+        ("begins late", events(2, 3), events(1, 2, 3), True, [1, 2, 3], "whole"),
+        ("begins late, runs once", events(2, 3), events(1), False, [], "broken"),
+        ("begins with 0", events(0, 1), events(1, 2), True, [1, 2], "whole"),
+    )
+    def test_stream_that_does_not_begin_with_its_first_event(
+        self, name, first, second, is_resumable, numbers, outcome
+    ):
+        """The caller gets a complete stream that lacks its beginning.
+
+        No event was asked to be skipped, and the engine's answer begins with event 2,
+        as one does that was made for a resumed request. Any number was taken for the
+        first.
+        """
+        given = self.stream((first, second), is_resumable)
+        self.assertEqual(given, (numbers, outcome), name)
