--- /dev/null
+++ b/tests/fakes/group_troubles.py
@@ -0,0 +1,111 @@
+"""Troubles of a simulated group, and random schedules of them.
+
+Hosts crash with half-written disks, stand still, are cut off, come back empty, are
+taken away and replaced; messages are lost, doubled and late.
+"""
+
+import random
+
+from tests.fakes import group_hosts, promise_group
+
+SECONDS = (0.3, 0.8, 2.0, 4.0)
+
+
+def crash(group, host, rng):
+    if host.is_up:
+        group.crash(host)
+        group.start(host)
+
+
+def kill(group, host, rng):
+    if host.is_up:
+        group.kill(host)
+
+
+def kill_all(group, host, rng):
+    for each in group.hosts_by_name.values():
+        if each.is_up:
+            group.kill(each)
+
+
+def power_off_all(group, host, rng):
+    for each in group.hosts_by_name.values():
+        if each.is_up:
+            group.crash(each)
+    for each in group.hosts_by_name.values():
+        group.start(each)
+
+
+def freeze(group, host, rng):
+    host.is_frozen = True
+    group.run(rng.choice(SECONDS))
+    host.is_frozen = False
+
+
+def freeze_leader(group, host, rng):
+    freeze(group, group.leader() or host, rng)
+
+
+def cut(group, host, rng):
+    for other in group.hosts_by_name:
+        group.cuts.add((host.name, other))
+        if rng.random() < 0.7:
+            group.cuts.add((other, host.name))
+    group.run(rng.choice(SECONDS))
+    group.cuts.clear()
+
+
+def lose_disk(group, host, rng):
+    others = group.hosts_by_name.values()
+    # A learner may hold what a voter that was removed acknowledged; the group has
+    # promised to outlast one loss only while all its places are taken.
+    is_whole = all(len(_voters(each)) >= 3 for each in others if _voters(each))
+    if is_whole and group_hosts.may_lose_disk(others, host):
+        group.lose_disk(host)
+
+
+def _voters(host):
+    return host.decisions.node.members.voter_ids()
+
+
+def snapshot(group, host, rng):
+    if host.runs():
+        group.make_snapshot(host)
+
+
+def take_away(group, host, rng):
+    if not group.leaving:
+        group.leaving.add(host.name)
+
+
+def give_up(group, host, rng):
+    group.give_up(host)
+
+
+TROUBLES = (
+    crash,
+    kill,
+    kill_all,
+    power_off_all,
+    freeze,
+    freeze_leader,
+    cut,
+    lose_disk,
+    snapshot,
+    take_away,
+    give_up,
+)
+
+
+def trouble(
+    group: promise_group.PromiseGroup,
+    rng: random.Random,
+    n_troubles: int,
+    seconds: tuple[float, ...] = SECONDS,
+) -> None:
+    """Meet a host with a trouble and let the group go on, so many times."""
+    for _ in range(n_troubles):
+        host = rng.choice(list(group.hosts_by_name.values()))
+        rng.choice(TROUBLES)(group, host, rng)
+        loss = rng.choice((0.0, 0.0, 0.05, 0.3))
+        group.run(rng.choice(seconds), loss=loss, doubling=0.02)
--- a/tests/fakes/promise_group.py
+++ b/tests/fakes/promise_group.py
@@ -16,7 +16,7 @@
 from bilberrydrum.fleet import commands as fleet_commands
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
-from bilberrydrum.state import disk, events, log, node, steward, stewardship
+from bilberrydrum.state import disk, events, log, node, steward
 from tests.fakes import files, group_hosts, replica_group
 
 RETENTION_SECONDS = 1e9
@@ -186,20 +186,12 @@
 
     def tend(self) -> None:
         """Make the membership change that a leader finds due, within the bound."""
-        for host in self.hosts_by_name.values():
-            state = host.decisions.node
-            if not self._runs(host) or not isinstance(state.role, node.Leader):
-                continue
-            due = steward.next_change(
-                state.members,
-                group_hosts.joining(self.hosts_by_name.values()),
-                stewardship.learned_by_id(state, state.role),
-                state.commit_index,
-                self._policy(host),
-            )
+        for host in self.leaders():
+            due = self.due_change(host, self._policy(host))
             if due is None:
                 continue
-            if due.kind == "remove" and due.replica.replica_id == state.replica_id:
+            replica_id = host.decisions.node.replica_id
+            if due.kind == "remove" and due.replica.replica_id == replica_id:
                 self.give_up(host)
             else:
                 self.change(host, due)
--- a/tests/fakes/replica_group.py
+++ b/tests/fakes/replica_group.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import random
+from collections.abc import Iterator
 
 import attrs
 
@@ -257,19 +258,31 @@
 
     def tend(self) -> None:
         """Make the membership change that a leader finds due."""
-        for host in self.hosts_by_name.values():
-            state = host.decisions.node
-            if not self._runs(host) or not isinstance(state.role, node.Leader):
-                continue
-            due = steward.next_change(
-                state.members,
-                group_hosts.joining(self.hosts_by_name.values()),
-                stewardship.learned_by_id(state, state.role),
-                state.commit_index,
-            )
+        for host in self.leaders():
+            due = self.due_change(host)
             if due is not None:
                 self.change(host, due)
 
+    def leaders(self) -> Iterator[group_hosts.Host]:
+        """Yield the hosts that run and take themselves for leaders."""
+        for host in self.hosts_by_name.values():
+            if self._runs(host) and isinstance(host.decisions.node.role, node.Leader):
+                yield host
+
+    def due_change(
+        self, leader: group_hosts.Host, policy: steward.Policy = steward.NO_BOUND
+    ) -> membership.Change | None:
+        """Return the membership change that a leader finds due."""
+        state = leader.decisions.node
+        assert isinstance(state.role, node.Leader)
+        return steward.next_change(
+            state.members,
+            group_hosts.joining(self.hosts_by_name.values()),
+            stewardship.learned_by_id(state, state.role),
+            state.commit_index,
+            policy,
+        )
+
     def change(self, host: group_hosts.Host, change: membership.Change) -> None:
         self.take(host, events.ProposeChange(change, self.now, 0))
 
--- a/tests/fakes/wsgi.py
+++ b/tests/fakes/wsgi.py
@@ -100,6 +100,32 @@
         return Answer(status, headers, b"".join(parts), is_whole)
 
 
+def environ_of(
+    method: str, target: str, body: bytes = b"", token: str = ""
+) -> dict[str, Any]:
+    """Return what a WSGI server says of a request, an operator's if it has a token."""
+    path, _, query = target.partition("?")
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "QUERY_STRING": query,
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+    }
+    if token:
+        environ["HTTP_AUTHORIZATION"] = f"Bearer {token}"
+    return environ
+
+
+def call(app: edge.Edge, environ: dict[str, Any]) -> Answer:
+    """Make a request in this task, and return its whole answer."""
+    started: list[Any] = []
+    parts = app(environ, lambda *head: started.append(head))
+    body = b"".join(parts)
+    status, headers = started[0]
+    return Answer(int(status.split()[0]), dict(headers), body)
+
+
 def send(
     app: edge.Edge,
     method: str,
@@ -109,20 +135,13 @@
 ) -> Pending:
     """Start a request; a body that is not bytes is sent as JSON."""
     data = body if isinstance(body, bytes) else json.dumps(body).encode()
-    path, _, query = target.partition("?")
     given = headers or {}
     near, far = socket.socketpair()
     stream = _Input(data, near)
-    environ = {
-        "REQUEST_METHOD": method,
-        "PATH_INFO": path,
-        "RAW_PATH_INFO": path,
-        "QUERY_STRING": query,
-        "CONTENT_LENGTH": str(len(data)),
-        "wsgi.input": stream,
-        "eventlet.input": stream,
-        "headers_raw": tuple(given.items()),
-    }
+    environ = environ_of(method, target, data)
+    environ["RAW_PATH_INFO"] = environ["PATH_INFO"]
+    environ["wsgi.input"] = environ["eventlet.input"] = stream
+    environ["headers_raw"] = tuple(given.items())
     for name, value in given.items():
         environ["HTTP_" + name.upper().replace("-", "_")] = value
     return Pending(app, environ, far)
--- a/tests/test_bundles_http.py
+++ b/tests/test_bundles_http.py
@@ -23,7 +23,7 @@
 from bilberrydrum.http import bundles, edge
 from bilberrydrum.state import processes
 from tests import helpers
-from tests.fakes import direct_state
+from tests.fakes import direct_state, wsgi
 
 OPERATOR = {"HTTP_X_OPERATOR": "ana", "HTTP_AUTHORIZATION": "Bearer secret"}
 
@@ -105,16 +105,9 @@
         self, method: str, path: str, body: Any = None, headers: Any = OPERATOR
     ) -> tuple[int, Any]:
         data = json.dumps(body).encode() if body is not None else b""
-        environ = {
-            "REQUEST_METHOD": method,
-            "PATH_INFO": path,
-            "CONTENT_LENGTH": str(len(data)),
-            "wsgi.input": io.BytesIO(data),
-            **headers,
-        }
-        status: list[str] = []
-        chunks = self.edge(environ, lambda line, headers: status.append(line))
-        return int(status[0].split()[0]), json.loads(b"".join(chunks))
+        environ = {**wsgi.environ_of(method, path, data), **headers}
+        answer = wsgi.call(self.edge, environ)
+        return answer.status, answer.document
 
 
 class TestOperators(Site):
--- a/tests/test_bundles_schedules.py
+++ b/tests/test_bundles_schedules.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-import hypothesis
 from hypothesis import stateful, strategies
 
 from bilberrydrum.bundles import model
+from tests import schedules_support
 from tests.fakes import lease_world
 
 
@@ -77,10 +77,4 @@
 
 
 class TestAnySchedule(LeaseMachine.TestCase):
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=60,
-        stateful_step_count=40,
-        deadline=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
+    settings = schedules_support.of_machine(n_schedules=60, n_steps=40)
--- a/tests/test_http_callers.py
+++ b/tests/test_http_callers.py
@@ -150,8 +150,8 @@
         self.assertEqual(answer.status, 201)
         self.assertEqual(self.n_bookings, 2)
 
-    def test_retry_while_in_progress_is_answered_at_once(self):
-        """The service takes its time; the caller's retry must not be held as well."""
+    def begin_slow_booking(self):
+        """Book at a service that has the booking and answers once told to."""
         done = eventlet.event.Event()
 
         def slow(connection, received):
@@ -161,6 +161,11 @@
         self.application.script = slow
         pending = self.first.book()
         wsgi.run_until(lambda: self.n_bookings == 1)
+        return done, pending
+
+    def test_retry_while_in_progress_is_answered_at_once(self):
+        """The service takes its time; the caller's retry must not be held as well."""
+        done, pending = self.begin_slow_booking()
         for gateway in (self.first, self.second):
             answer = gateway.book().wait()
             self.assertEqual((answer.status, answer.reason), (409, "key-in-progress"))
@@ -202,15 +207,7 @@
 
     def test_result_that_comes_after_all_replaces_unknown(self):
         """Another gateway gave up on the claim; then its holder has the answer."""
-        done = eventlet.event.Event()
-
-        def slow(connection, received):
-            done.wait()
-            connection.sendall(self.book(received))
-
-        self.application.script = slow
-        pending = self.first.book()
-        wsgi.run_until(lambda: self.n_bookings == 1)
+        done, pending = self.begin_slow_booking()
         command = self.group.submitted[0]
         self.group.submit(
             claims_state.FinishClaim(command.caller, command.key, command.claim_id)
--- a/tests/test_http_trainers.py
+++ b/tests/test_http_trainers.py
@@ -1,6 +1,5 @@
 """The trainers' interface over the real service, with fakes on its far side."""
 
-import io
 import json
 import unittest
 from typing import Any
@@ -12,6 +11,7 @@
 from bilberrydrum.samples import service
 from tests import helpers
 from tests import samples_support as support
+from tests.fakes import wsgi
 
 SCRIPT: support.Script = [
     support.tokens(1, 2, version=0),
@@ -54,19 +54,8 @@
         self, method: str, path: str, body: Any = None, token: str = ""
     ) -> tuple[int, Any]:
         data = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
-        path, _, query = path.partition("?")
-        environ = {
-            "REQUEST_METHOD": method,
-            "PATH_INFO": path,
-            "QUERY_STRING": query,
-            "CONTENT_LENGTH": str(len(data)),
-            "wsgi.input": io.BytesIO(data),
-        }
-        if token:
-            environ["HTTP_AUTHORIZATION"] = f"Bearer {token}"
-        statuses: list[str] = []
-        chunks = self.edge(environ, lambda status, headers: statuses.append(status))
-        return int(statuses[0].split()[0]), json.loads(b"".join(chunks))
+        answer = wsgi.call(self.edge, wsgi.environ_of(method, path, data, token))
+        return answer.status, answer.document
 
 
 def group(**changes: Any) -> dict[str, Any]:
--- a/tests/test_promise_schedules.py
+++ b/tests/test_promise_schedules.py
@@ -1,9 +1,8 @@
 """Randomised schedules over batches and registrations, with their promises.
 
-Messages are lost, doubled and late; hosts crash with half-written disks, stand still,
-are cut off, come back empty, are taken away and replaced. The checks are in
-`tests.fakes.promise_group`. BILBERRYDRUM_SCHEDULES sets how many schedules are run; the
-number of schedules and steps is printed at the end.
+The troubles are in `tests.fakes.group_troubles`, the checks in
+`tests.fakes.promise_group`. BILBERRYDRUM_SCHEDULES sets how many schedules are run;
+the number of schedules and steps is printed at the end.
 """
 
 import os
@@ -14,97 +13,11 @@
 import hypothesis
 from hypothesis import strategies
 
-from tests.fakes import group_hosts, promise_group
+from tests import schedules_support
+from tests.fakes import group_troubles, promise_group
 
 N_SCHEDULES = int(os.environ.get("BILBERRYDRUM_SCHEDULES", "12"))
 N_TROUBLES = 12
-SECONDS = (0.3, 0.8, 2.0, 4.0)
-
-
-def crash(group, host, rng):
-    if host.is_up:
-        group.crash(host)
-        group.start(host)
-
-
-def kill(group, host, rng):
-    if host.is_up:
-        group.kill(host)
-
-
-def kill_all(group, host, rng):
-    for each in group.hosts_by_name.values():
-        if each.is_up:
-            group.kill(each)
-
-
-def power_off_all(group, host, rng):
-    for each in group.hosts_by_name.values():
-        if each.is_up:
-            group.crash(each)
-    for each in group.hosts_by_name.values():
-        group.start(each)
-
-
-def freeze(group, host, rng):
-    host.is_frozen = True
-    group.run(rng.choice(SECONDS))
-    host.is_frozen = False
-
-
-def freeze_leader(group, host, rng):
-    freeze(group, group.leader() or host, rng)
-
-
-def cut(group, host, rng):
-    for other in group.hosts_by_name:
-        group.cuts.add((host.name, other))
-        if rng.random() < 0.7:
-            group.cuts.add((other, host.name))
-    group.run(rng.choice(SECONDS))
-    group.cuts.clear()
-
-
-def lose_disk(group, host, rng):
-    others = group.hosts_by_name.values()
-    # A learner may hold what a voter that was removed acknowledged; the group has
-    # promised to outlast one loss only while all its places are taken.
-    is_whole = all(len(_voters(each)) >= 3 for each in others if _voters(each))
-    if is_whole and group_hosts.may_lose_disk(others, host):
-        group.lose_disk(host)
-
-
-def _voters(host):
-    return host.decisions.node.members.voter_ids()
-
-
-def snapshot(group, host, rng):
-    if host.runs():
-        group.make_snapshot(host)
-
-
-def take_away(group, host, rng):
-    if not group.leaving:
-        group.leaving.add(host.name)
-
-
-def give_up(group, host, rng):
-    group.give_up(host)
-
-
-TROUBLES = (
-    crash,
-    kill,
-    kill_all,
-    power_off_all,
-    freeze,
-    freeze_leader,
-    cut,
-    lose_disk,
-    snapshot,
-    take_away,
-    give_up,
-)
 
 
 class Schedules(unittest.TestCase):
@@ -116,25 +29,14 @@
         """
         n_steps = []
 
-        @hypothesis.settings(
-            max_examples=N_SCHEDULES,
-            deadline=None,
-            derandomize=True,
-            database=None,
-            phases=[hypothesis.Phase.generate],
-            suppress_health_check=list(hypothesis.HealthCheck),
-        )
+        @schedules_support.by_seeds(N_SCHEDULES)
         @hypothesis.given(strategies.integers(0, 2**32))
         def schedule(seed):
             rng = random.Random(seed)
             group = promise_group.PromiseGroup(3, seed, n_voters=3)
             group.add_host("h3")
             group.run(2.0)
-            for _ in range(N_TROUBLES):
-                host = rng.choice(list(group.hosts_by_name.values()))
-                rng.choice(TROUBLES)(group, host, rng)
-                loss = rng.choice((0.0, 0.0, 0.05, 0.3))
-                group.run(rng.choice(SECONDS), loss=loss, doubling=0.02)
+            group_troubles.trouble(group, rng, N_TROUBLES)
             group.run(6.0)
             n_steps.append(group.n_steps)
 
--- a/tests/test_samples_invariants.py
+++ b/tests/test_samples_invariants.py
@@ -3,13 +3,13 @@
 import unittest
 from typing import Any
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from bilberrydrum.samples import commands, model, ownership, section, staleness
 from bilberrydrum.weights import commands as weight_commands
 from tests import samples_support as support
+from tests import schedules_support
 
 GATEWAYS = ("gw-1", "gw-2", "gw-3")
 N_GROUPS = 6
@@ -237,13 +237,7 @@
         assert ownership.pick(samples) in {"", *samples.owners_by_id}
 
 
-Samples.TestCase.settings = hypothesis.settings(
-    derandomize=True,
-    max_examples=150,
-    stateful_step_count=60,
-    deadline=None,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+Samples.TestCase.settings = schedules_support.of_machine(n_schedules=150, n_steps=60)
 
 
 class Schedules(Samples.TestCase, unittest.TestCase):  # type: ignore[misc,name-defined]
--- a/tests/test_state_controller.py
+++ b/tests/test_state_controller.py
@@ -5,7 +5,6 @@
 
 import attrs
 import eventlet
-import hypothesis
 from hypothesis import stateful, strategies
 from nose2 import tools
 
@@ -16,7 +15,7 @@
     controller_lease,
     machine,
 )
-from tests import helpers
+from tests import helpers, schedules_support
 from tests.fakes import controller_world, direct_state
 
 LEASE = controller_world.LEASE
@@ -332,13 +331,7 @@
 
 
 class TestAnySchedule(ControllerMachine.TestCase):
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=60,
-        stateful_step_count=40,
-        deadline=None,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
+    settings = schedules_support.of_machine(n_schedules=60, n_steps=40)
 
 
 class TestController(unittest.TestCase):
--- a/tests/test_state_operators.py
+++ b/tests/test_state_operators.py
@@ -1,6 +1,5 @@
 """The operators' interface to the state group."""
 
-import io
 import json
 import unittest
 from typing import Any
@@ -18,6 +17,7 @@
     queries,
     snapshot,
 )
+from tests.fakes import wsgi
 
 STATUS = queries.Status("r1", "leader", 3, "p1", 9, 9, 9, 9, 0, [])
 UNAVAILABLE = result.Err(client.StateError(reasons.Reason.STATE_UNAVAILABLE))
@@ -61,17 +61,8 @@
         routes = edge.Edge(options.LimitOptions(), {edge.GUARD_OPERATOR: b"t"})
         settings = options.Options("gw")
         state_operators.add_routes(routes, settings, self.state, replica)
-        environ = {
-            "REQUEST_METHOD": method,
-            "PATH_INFO": path,
-            "CONTENT_LENGTH": str(len(body)),
-            "wsgi.input": io.BytesIO(body),
-            "HTTP_AUTHORIZATION": f"Bearer {token}",
-        }
-        heads: list[Any] = []
-        answer = b"".join(routes(environ, lambda *head: heads.append(head)))
-        status, headers = heads[0]
-        return int(status[:3]), dict(headers), answer
+        answer = wsgi.call(routes, wsgi.environ_of(method, path, body, token))
+        return answer.status, answer.headers, answer.body
 
     def test_status_is_the_leaders(self) -> None:
         answers = {queries.GetStatus: result.Ok(STATUS)}
--- a/tests/test_text_schedules.py
+++ b/tests/test_text_schedules.py
@@ -1,8 +1,7 @@
 """Randomised schedules over unfinished texts, and what each leader takes up of them.
 
-The troubles are those of `tests.test_promise_schedules`; what leaders do, and the
-checks, are in `tests.fakes.text_group`. BILBERRYDRUM_SCHEDULES sets how many schedules
-are run.
+The troubles are in `tests.fakes.group_troubles`; what leaders do, and the checks, are
+in `tests.fakes.text_group`. BILBERRYDRUM_SCHEDULES sets how many schedules are run.
 """
 
 import os
@@ -13,11 +12,12 @@
 import hypothesis
 from hypothesis import strategies
 
-from tests import test_promise_schedules as promises
-from tests.fakes import text_group
+from tests import schedules_support
+from tests.fakes import group_troubles, text_group
 
 N_SCHEDULES = int(os.environ.get("BILBERRYDRUM_SCHEDULES", "120"))
 N_TROUBLES = 6
+SECONDS = (0.3, 0.8, 2.0)
 
 
 def run_schedule(seed):
@@ -26,11 +26,7 @@
     group = text_group.TextGroup(3, seed, n_voters=3)
     group.add_host("h3")
     group.run(1.5)
-    for _ in range(N_TROUBLES):
-        host = rng.choice(list(group.hosts_by_name.values()))
-        rng.choice(promises.TROUBLES)(group, host, rng)
-        loss = rng.choice((0.0, 0.0, 0.05, 0.3))
-        group.run(rng.choice((0.3, 0.8, 2.0)), loss=loss, doubling=0.02)
+    group_troubles.trouble(group, rng, N_TROUBLES, SECONDS)
     group.settle()
     return group
 
@@ -46,14 +42,7 @@
         """
         groups = []
 
-        @hypothesis.settings(
-            max_examples=N_SCHEDULES,
-            deadline=None,
-            derandomize=True,
-            database=None,
-            phases=[hypothesis.Phase.generate],
-            suppress_health_check=list(hypothesis.HealthCheck),
-        )
+        @schedules_support.by_seeds(N_SCHEDULES)
         @hypothesis.given(strategies.integers(0, 2**32))
         def schedule(seed):
             group = run_schedule(seed)
--- a/tests/test_upstreams_http.py
+++ b/tests/test_upstreams_http.py
@@ -1,6 +1,5 @@
 """The upstreams' interface over a real registry, in a group of one or two gateways."""
 
-import io
 import json
 import unittest
 
@@ -11,6 +10,7 @@
 from bilberrydrum.http import edge, upstreams
 from bilberrydrum.upstreams import messages, registry
 from tests import helpers
+from tests.fakes import wsgi
 
 ENGINE = {
     "kind": "engine",
@@ -58,17 +58,9 @@
 
     def call(self, method, path, body=None, token="secret"):
         data = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
-        environ = {
-            "REQUEST_METHOD": method,
-            "PATH_INFO": f"/v1/upstreams{path}",
-            "CONTENT_LENGTH": str(len(data)),
-            "wsgi.input": io.BytesIO(data),
-            "eventlet.input": self,
-            "HTTP_AUTHORIZATION": f"Bearer {token}",
-        }
-        answers = []
-        chunks = self.edge(environ, lambda status, headers: answers.append(status))
-        return int(answers[0].split()[0]), json.loads(b"".join(chunks))
+        environ = wsgi.environ_of(method, f"/v1/upstreams{path}", data, token)
+        answer = wsgi.call(self.edge, {**environ, "eventlet.input": self})
+        return answer.status, answer.document
 
     # The connection of the request, as the edge looks at it.
 
--- a/tests/test_weights_http.py
+++ b/tests/test_weights_http.py
@@ -1,6 +1,5 @@
 """The HTTP interface for published weights and their roll-out."""
 
-import io
 import json
 import unittest
 
@@ -17,6 +16,7 @@
 from bilberrydrum.upstreams import model as upstream_model
 from bilberrydrum.weights import commands, orders, planner
 from tests import weights_support as support
+from tests.fakes import wsgi
 
 
 class FakeRegistry:
@@ -57,16 +57,8 @@
         )
 
     def call(self, method, path, body=b"", token="secret"):
-        environ = {
-            "REQUEST_METHOD": method,
-            "PATH_INFO": path,
-            "CONTENT_LENGTH": str(len(body)),
-            "wsgi.input": io.BytesIO(body),
-            "HTTP_AUTHORIZATION": f"Bearer {token}",
-        }
-        started = []
-        parts = self.edge(environ, lambda status, headers: started.append(status))
-        return int(started[0].split()[0]), json.loads(b"".join(parts))
+        answer = wsgi.call(self.edge, wsgi.environ_of(method, path, body, token))
+        return answer.status, answer.document
 
     def post(self, path, value):
         return self.call("POST", path, json.dumps(value).encode())
