Tell the group of an answer that a report of its crash meets

What callers would see: a request that was answered whole is held to be doubtful by one more crash beside it, within ten minutes. Cause: whether the group is told of an answer was decided by the sender's copy of the record. While a report of the request's crash was on its way, or taken and not yet told to all, or when its answer was lost, the copy did not show the crash: it was forgotten here only, and stayed in the group's record as if the request had not been answered since. Likewise, an answer that came while an earlier one was told left with that one, though another sender's crash may lie between the two. Ruled out: an answer before the report is made; the report is not sent then. One that comes after the copy shows the crash; it is told. Change: the group is told of an answer also if a report named the request's crash that is not known to be taken, or that is taken at an index which the copy has not reached. What was cleared after a report was made stays for the next. Why it holds: a crash is in the group only by a report; from its making until the copy shows it, one of the three marks says so. Reports of one sender go one after the other, so the answer is told after the crash, or in vain.

--- a/bilberrydrum/relay/crash_reports.py
+++ b/bilberrydrum/relay/crash_reports.py
@@ -41,7 +41,11 @@
         self._seen_by_fingerprint: collections.OrderedDict[str, list[_Seen]] = (
             collections.OrderedDict()
         )
+        # Requests whose crashes a report named that is not known to be taken.
+        self._told: set[str] = set()
         self._cleared: set[str] = set()
+        # Of these, those that were cleared after the last report was made.
+        self._cleared_since: set[str] = set()
 
     def note(self, crash: quarantine.Crash, ended_at: float) -> bool:
         """Note a crash; return False if another one had to be forgotten for it."""
@@ -49,17 +53,20 @@
         seen.append(_Seen(crash, ended_at))
         if len(self._seen_by_fingerprint) <= MAX_WAITING:
             return True
-        self._seen_by_fingerprint.popitem(last=False)
+        dropped, _ = self._seen_by_fingerprint.popitem(last=False)
+        self._told.discard(dropped)
         return False
 
     def forget(self, fingerprint: str) -> None:
         """Forget a request that was answered."""
         self._seen_by_fingerprint.pop(fingerprint, None)
+        self._told.discard(fingerprint)
 
     def clear(self, fingerprint: str) -> None:
         """Have a request cleared that others hold something against."""
         self.forget(fingerprint)
         self._cleared.add(fingerprint)
+        self._cleared_since.add(fingerprint)
 
     def due(self, now: float, suspects: quarantine.Book) -> messages.ReportCrashes:
         """Return what is to be reported now.
@@ -79,6 +86,8 @@
                     messages.CrashReport(each.crash, max(now - each.ended_at, 0.0))
                     for each in seen
                 ]
+                self._told.add(fingerprint)
+        self._cleared_since.clear()
         return messages.ReportCrashes(tuple(reports), tuple(sorted(self._cleared)))
 
     def next_due_at(self, suspects: quarantine.Book) -> float:
@@ -102,8 +111,16 @@
             if left:
                 self._seen_by_fingerprint[fingerprint] = left
             else:
-                self._seen_by_fingerprint.pop(fingerprint, None)
-        self._cleared.difference_update(report.cleared)
+                self.forget(fingerprint)
+        # Another sender's crash may lie between two answers: the second is told, too.
+        self._cleared.difference_update({*report.cleared} - self._cleared_since)
+
+    def may_be_known(self, fingerprint: str) -> bool:
+        """Tell whether the group may have a crash of a request by a report from here.
+
+        It is on its way, or its answer was lost.
+        """
+        return fingerprint in self._told
 
     def waits(self, fingerprint: str) -> bool:
         """Tell whether the control group is yet to be told of a crash of a request."""
--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -178,12 +178,25 @@
         self._own.clear(name)
         if self._own.is_crowded:
             return
-        if name in self._view.crashes.evidence_by_fingerprint:
+        if self._may_be_known(name):
+            self._index_by_fingerprint.pop(name, None)
             self._reports.clear(name)
             self._look()
         else:
             self._reports.forget(name)
 
+    def _may_be_known(self, fingerprint: str) -> bool:
+        """Tell whether the group may hold something against a request.
+
+        It may have what the copy here doesn't show yet: an answer that nobody tells it
+        of would leave the crashes before it to count with later ones.
+        """
+        return (
+            fingerprint in self._view.crashes.evidence_by_fingerprint
+            or fingerprint in self._index_by_fingerprint
+            or self._reports.may_be_known(fingerprint)
+        )
+
     def _is_suspect(self, fingerprint: str) -> bool:
         known = self._view.crashes.evidence_by_fingerprint
         return fingerprint in known or fingerprint in self._own.evidence_by_fingerprint
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -358,17 +358,27 @@
 class Calls:
     """Stands for the way to the group's leader, which takes all that it is told."""
 
-    def __init__(self, view):
+    def __init__(self, view, group=None):
         self.view = view
+        # Another than the view's: the view is never told.
+        self.group = view.crashes if group is None else group
         self.reports = []
         # Called while a report is on its way.
         self.meanwhile = lambda: None
+        self.n_lost_answers = 0
 
     def call(self, message, timeout):
         self.meanwhile()
         self.reports.append(message)
+        for fingerprint in message.cleared:
+            self.group.clear(fingerprint)
         for each in message.reports:
-            self.view.crashes.note(each.crash, 0.0)
+            self.group.note(each.crash, 0.0)
+        if self.n_lost_answers:
+            self.n_lost_answers -= 1
+            return result.Err("lost")
+        if self.group is not self.view.crashes:
+            return result.Ok(messages.CrashesTaken(self.view.crashes_index + 1))
         self.view.crashes_index += 1
         return result.Ok(messages.CrashesTaken(self.view.crashes_index))
 
@@ -408,6 +418,66 @@
                 clock.sleep(0.005)
         self.assertEqual(known, [{"a", "b"}])
 
+    @tools.params(
+        # Name, answers of the group that are lost; whether the request is answered
+        # while its crash is reported, and cut off once more before.
+        ("while it is told", 0, True, False),
+        ("while it is told, and the group's answer is lost", 1, True, False),
+        ("after one more crash", 0, True, True),
+        ("before the group's word is back", 0, False, False),
+    )
+    def test_answer_about_a_crash_that_is_reported(
+        self, name, n_lost_answers, is_meanwhile, is_cut_off_again
+    ):
+        """A request is held to be doubtful that was answered since its crash.
+
+        The crash is on its way to the group, or taken there, when the request is
+        answered. Its sender's copy of the record does not show it yet, so the group was
+        told nothing of the answer: the crash before it counted for ten minutes more.
+        """
+        view = View()
+        calls = Calls(view, None if is_meanwhile else quarantine.Book())
+        calls.n_lost_answers = n_lost_answers
+        watch = crash_watch.CrashWatch(view, calls)
+
+        def answer():
+            calls.meanwhile = lambda: None
+            if is_cut_off_again:
+                self.cut_off(watch, "b")
+            watch.was_answered(lambda: "f")
+
+        if is_meanwhile:
+            calls.meanwhile = answer
+        watch.start()
+        self.addCleanup(watch.stop)
+        self.cut_off(watch, "a")
+        self.wait_for(lambda: calls.reports)
+        if not is_meanwhile:
+            answer()
+        self.wait_for(lambda: any(each.cleared for each in calls.reports))
+        self.assertEqual(calls.group.evidence_by_fingerprint, {}, name)
+
+    def cut_off(self, watch, upstream_id):
+        watch.run_broke(broken_run(upstream_id))
+        self.wait_for(lambda: upstream_id in watch.ended_ids())
+
+    def wait_for(self, is_so):
+        with eventlet.Timeout(5.0):
+            while not is_so():
+                clock.sleep(0.001)
+
+    def test_answers_while_one_is_told(self):
+        """The second of two answers is told, too: a crash may lie between them."""
+        reports = crash_reports.CrashReports(1)
+        reports.clear("f")
+        first = reports.due(0.0, quarantine.Book())
+        reports.clear("f")
+        reports.reported(first)
+        second = reports.due(0.0, quarantine.Book())
+        self.assertEqual(second.cleared, ("f",))
+        reports.reported(second)
+        self.assertEqual(reports.due(0.0, quarantine.Book()).cleared, ())
+
 
 def broken_run(upstream_id):
     """Return a run that was cut off, at an upstream where nobody listens."""
