Go on sweeping and telling of changes after an unexpected error

What callers would see: requests that are sent to upstreams that are gone, and quarantines that end late, until another process leads the control group; and each change of policy or registry up to a renewal later. Cause: one task of the leader looks for what is silent, gone or over, and one tells processes of changes. An error in one of them that nobody expected ended it, and nothing starts it again; the leader went on answering, so none took its place. Ruled out: the tasks beside them, of loads and of reports of use, already go on. Change: both write the error down and go on. Why it holds: the next look finds the same again, and the next change or renewal tells what a failed one did not.

--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -316,20 +316,27 @@
             self._changed = eventlet.event.Event()
             if self._replica.leadership() is None:
                 continue
-            section = self._section()
-            for address, each in self._subscribers.live().items():
-                if self._can_wait(each, section):
-                    continue
-                feed = self._feed_for(each)
-                if not _is_news(feed):
-                    continue
-                each.request = attrs.evolve(
-                    each.request,
-                    policy_index=feed.policy_index,
-                    registry_index=feed.registry_index,
-                    crashes_index=feed.crashes_index,
-                )
-                self._carrier.send(address, feed)
+            try:
+                self._push_news()
+            except Exception:
+                # Were this task to end, all changes would wait for renewals.
+                eliot.write_traceback()
+
+    def _push_news(self) -> None:
+        section = self._section()
+        for address, each in self._subscribers.live().items():
+            if self._can_wait(each, section):
+                continue
+            feed = self._feed_for(each)
+            if not _is_news(feed):
+                continue
+            each.request = attrs.evolve(
+                each.request,
+                policy_index=feed.policy_index,
+                registry_index=feed.registry_index,
+                crashes_index=feed.crashes_index,
+            )
+            self._carrier.send(address, feed)
 
     def _can_wait(
         self, subscriber: subscribers.Subscriber, section: commands.Section
@@ -365,18 +372,24 @@
             clock.sleep(_SWEEP_SECONDS)
             if self._replica.leadership() is None:
                 continue
-            self._notice_leadership()
-            self._stores.choose_founders()
-            self._crashes.lapse()
-            due = self._liveness.due(
-                clock.now(), self._section().upstreams_by_id.values()
-            )
-            if due.silent_ids:
-                eliot.log_message(message_type="upstreams:silent", ids=due.silent_ids)
-                self._commit(commands.MarkSilent(due.silent_ids))
-            if due.gone_ids:
-                eliot.log_message(message_type="upstreams:gone", ids=due.gone_ids)
-                self._commit(commands.RemoveUpstreams(due.gone_ids))
+            try:
+                self._sweep_once()
+            except Exception:
+                # Were this task to end, upstreams that are gone would be sent requests
+                # until another process leads.
+                eliot.write_traceback()
+
+    def _sweep_once(self) -> None:
+        self._notice_leadership()
+        self._stores.choose_founders()
+        self._crashes.lapse()
+        due = self._liveness.due(clock.now(), self._section().upstreams_by_id.values())
+        if due.silent_ids:
+            eliot.log_message(message_type="upstreams:silent", ids=due.silent_ids)
+            self._commit(commands.MarkSilent(due.silent_ids))
+        if due.gone_ids:
+            eliot.log_message(message_type="upstreams:gone", ids=due.gone_ids)
+            self._commit(commands.RemoveUpstreams(due.gone_ids))
 
 
 def _is_news(feed: messages.Feed) -> bool:
