Hold no word of the control group for known that cannot be read

What callers would see: a gateway that refuses all work until its process is started again; or one at which a key that was taken away is good for as long as it runs. Cause: an answer to a renewal that cannot be read, as from a later release, ended the task of the renewals, and the right to act on the policy ran out. A word that the leader sends of itself was held for known by its index before it was read: it was not sent again, and each renewal confirmed the policy of before. Ruled out: what is damaged on its way; the message as a whole is dropped then. Change: the task of the renewals goes on after an error, which confirms nothing; and an index is taken once what it belongs to is read. What could be read is in force and told at once. Why it holds: a renewal confirms the policy only after all that its answer says was taken, and asks by the indexes of what is in force.

--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -117,7 +117,12 @@
     def _run(self) -> None:
         while True:
             asked_at = clock.now()
-            self.renew()
+            try:
+                self.renew()
+            except Exception:
+                # Were this task to end, this process would refuse all work as soon as
+                # its policy's time is up.
+                eliot.write_traceback()
             self._wait_for_renewal(asked_at)
 
     def renew(self, timeout: float = _CALL_SECONDS) -> None:
@@ -170,27 +175,44 @@
     def _take(self, feed: messages.Feed) -> None:
         self._calls.learn(feed.control_addresses)
         is_changed = False
-        if feed.policy and feed.policy_index > self._policy_index:
-            self._policy_index = feed.policy_index
-            self.routes = policy.RouteTable(codec.decode(feed.policy))
-            is_changed = True
-            eliot.log_message(
-                message_type="policy:in-force", version=self.routes.policy.version
-            )
+        try:
+            for take in (self._take_policy, self._take_registry, self._take_crashes):
+                is_changed |= take(feed)
+        finally:
+            if is_changed:
+                for callback in self._watchers:
+                    callback()
+
+    def _take_policy(self, feed: messages.Feed) -> bool:
+        """Take a newer policy; return whether there is one."""
+        if not feed.policy or feed.policy_index <= self._policy_index:
+            return False
+        # Read before it is held for known: what cannot be read would not be sent again,
+        # and the next renewal would confirm the policy of before.
+        self.routes = policy.RouteTable(codec.decode(feed.policy))
+        self._policy_index = feed.policy_index
+        eliot.log_message(
+            message_type="policy:in-force", version=self.routes.policy.version
+        )
+        return True
+
+    def _take_registry(self, feed: messages.Feed) -> bool:
+        """Take a newer registry; return whether there is one."""
         registry = self._fed_registry(feed)
-        if registry is not None:
-            before = self.registry
-            self.registry = registry
-            is_changed = True
-            _log_registry(before, self.registry)
-        if feed.crashes and feed.crashes_index > self.crashes_index:
-            self.crashes_index = feed.crashes_index
-            self.crashes = codec.decode(feed.crashes)
-            is_changed = True
-            _log_crashes(self.crashes_index, self.crashes)
-        if is_changed:
-            for callback in self._watchers:
-                callback()
+        if registry is None:
+            return False
+        before, self.registry = self.registry, registry
+        _log_registry(before, registry)
+        return True
+
+    def _take_crashes(self, feed: messages.Feed) -> bool:
+        """Take what is newly held against requests; return whether there is any."""
+        if not feed.crashes or feed.crashes_index <= self.crashes_index:
+            return False
+        self.crashes = codec.decode(feed.crashes)
+        self.crashes_index = feed.crashes_index
+        _log_crashes(self.crashes_index, self.crashes)
+        return True
 
     def _fed_registry(self, feed: messages.Feed) -> model.Registry | None:
         """Return the newer registry in `feed`; None: there is none.
--- a/tests/test_fleet_tasks.py
+++ b/tests/test_fleet_tasks.py
@@ -4,8 +4,11 @@
 from unittest import mock
 
 import eventlet
+import result
+from nose2 import tools
 
-from bilberrydrum.fleet import commands, feeds, messages, policy
+from bilberrydrum import codec, quarantine
+from bilberrydrum.fleet import commands, feeds, messages, policy, subscriber
 from tests import helpers, test_fleet_incarnations
 
 GATEWAY = mock.Mock(address="10.0.0.1:1")
@@ -74,3 +77,82 @@
     def put_policy(self, version):
         self.leader.tell(messages.SubmitPolicy(policy.Policy(version), b""))
         let_others_run()
+
+
+class Calls:
+    """The way to a leader that has one word of each kind for who lacks it."""
+
+    def __init__(self):
+        book = quarantine.Book()
+        for upstream_id, at in (("a", 0.0), ("b", 1.0)):
+            book.note(quarantine.Crash("f", "POST h/x", upstream_id), at)
+        self.policy = codec.encode(policy.Policy(1))
+        self.crashes = codec.encode(book)
+        self.n_calls = 0
+
+    def learn(self, addresses):
+        pass
+
+    def call(self, request, timeout):
+        self.n_calls += 1
+        return result.Ok(self.feed(request))
+
+    def feed(self, request):
+        policy_ = self.policy if request.policy_index < 1 else b""
+        crashes = self.crashes if request.crashes_index < 1 else b""
+        return messages.Feed(1, policy_, 0, b"", crashes_index=1, crashes=crashes)
+
+
+class Follower(unittest.TestCase):
+    def setUp(self):
+        self.clock = self.enterContext(helpers.manual_clock())
+        self.calls = Calls()
+        self.carrier = mock.Mock()
+        self.view = subscriber.Subscriber(
+            self.carrier, self.calls, messages.Subscribe, 5.0
+        )
+        self.addCleanup(self.view.stop)
+
+    def renew(self, n_times):
+        for _ in range(n_times):
+            self.clock.advance(subscriber.RENEW_SECONDS)
+            let_others_run()
+
+    @tools.params("policy", "crashes")
+    def test_answer_that_cannot_be_read(self, kind):
+        """A gateway refuses all work until its process is started again.
+
+        It cannot read an answer to a renewal. That ended the task of its renewals, and
+        the right to act on its policy ran out.
+        """
+        with mock.patch.object(self.calls, kind, b"damaged"):
+            self.view.start()
+            let_others_run()
+        self.assertEqual(self.calls.n_calls, 1)
+        self.assertFalse(self.view.is_policy_confirmed())
+        self.renew(3)
+        self.check_all_is_known()
+
+    @tools.params("policy", "crashes")
+    def test_word_that_cannot_be_read(self, kind):
+        """Keys that were taken away are good at a gateway for as long as it runs.
+
+        It cannot read what the control group's leader tells it of itself. Its index
+        was held for known all the same: nobody sent it again, and renewals confirmed
+        the policy of before.
+        """
+        with mock.patch.object(self.calls, kind, b"damaged"):
+            damaged = self.calls.feed(messages.Subscribe())
+        self.view.start()
+        on_feed = self.carrier.on.call_args.args[1]
+        with self.assertRaises(codec.DecodeError):
+            on_feed(None, damaged)
+        # What could be read is in force.
+        self.assertEqual(self.view.has_policy, kind != "policy")
+        self.renew(3)
+        self.check_all_is_known()
+
+    def check_all_is_known(self):
+        self.assertTrue(self.view.is_policy_confirmed())
+        self.assertEqual(self.view.routes.policy.version, 1)
+        self.assertIs(self.view.crashes.standing("f"), quarantine.Standing.DOUBTFUL)
