--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -16,8 +16,7 @@
 Where many requests run at an upstream, as items of batches do at an engine, its end
 says little of each. There upstreams must also end where the request is rather than
 where it isn't: of those that ended since it was first cut off, twice as many with it as
-without. After `N_REGARDLESS` it is quarantined whatever else goes on, if there are
-three among them that no other request is held to have ended.
+without. After `N_REGARDLESS` it is quarantined whatever else goes on.
 
 A whole answer clears a request, whatever it was. A quarantine lapses after a while, as
 a new release may have mended the service; the request is doubtful then and gets one
@@ -161,16 +160,17 @@
 
     def is_enough(self) -> bool:
         """Tell whether the request is to be quarantined."""
-        # Three that nobody else explains, also beyond the bound: what runs beside many
-        # guilty ones is cut off with each, and would be held back with them.
+        if self.is_beyond_bound():
+            return True
         ended = self.unexplained()
         if len(ended) < N_FOR_QUARANTINE or _spread(ended) < SPREAD_SECONDS:
             return False
-        return self.is_beyond_bound() or 2 * len(self.beside_ids or ()) <= len(ended)
+        return 2 * len(self.beside_ids or ()) <= len(ended)
 
     def is_beyond_bound(self) -> bool:
-        """Tell whether nothing else that goes on speaks for it any more."""
-        return len(self.ended_at_by_id) >= N_REGARDLESS
+        """Tell whether it is to be quarantined whatever else goes on."""
+        ended = self.ended_at_by_id
+        return len(ended) >= N_REGARDLESS and _spread(ended) >= SPREAD_SECONDS
 
     def noted_beside(self, upstream_id: str) -> "Evidence":
         """Return the evidence after an upstream has ended without the request."""
