Count the engines that load once a plan, not once a load

What callers saw: as before, nearly nothing is served before 3,000 engines, and each version that a trainer names has hundreds of them load. Cause: whether one more engine may begin was found by asking all engines of its model whether they load, for each load that was due, also where none could begin. Change: the engines of each model that are there, and those of them that load, are counted once a plan and kept up; no plan is made where no more may load at all. Why it holds: the new property test compares the loads with a plain count for each load, with engines of two models and engines that are gone; it passes on the code before as well.

--- a/bilberrydrum/batches/weight_plan.py
+++ b/bilberrydrum/batches/weight_plan.py
@@ -79,6 +79,38 @@
     version: int
 
 
+@attrs.define
+class _Mates:
+    """The engines of one model that are there; counted once a plan.
+
+    Counted for each load, 500 loads that came due together before 3,000 engines held
+    all other tasks up for a quarter of a second.
+    """
+
+    engine_ids: frozenset[str]
+    # Those that load, or are to begin.
+    loading_ids: set[str]
+
+    @classmethod
+    def of(
+        cls, engine_ids: frozenset[str], by_id: Mapping[str, EngineWeights]
+    ) -> "_Mates":
+        present = engine_ids & by_id.keys()
+        return cls(present, {each for each in present if by_id[each].is_loading})
+
+    def may_begin(self, engine_id: str) -> bool:
+        """Tell whether one may begin: half of them go on serving."""
+        if engine_id in self.loading_ids:
+            return False
+        n_loading = len(self.loading_ids)
+        return n_loading == 0 or n_loading + 1 <= len(self.engine_ids) // 2
+
+    def begin(self, engine_id: str) -> None:
+        """Note that an engine is to begin, if it is one of them."""
+        if engine_id in self.engine_ids:
+            self.loading_ids.add(engine_id)
+
+
 def plan(
     engines: Collection[EngineWeights],
     engine_ids_by_model: Mapping[str, frozenset[str]],
@@ -86,20 +118,26 @@
     max_loading: int,
 ) -> list[Load]:
     """Return the loads that are to begin now."""
-    by_id = {each.engine_id: each for each in engines}
     n_free = max_loading - sum(1 for each in engines if each.is_loading)
-    begun: set[str] = set()
+    if n_free <= 0:
+        return []
+    by_id = {each.engine_id: each for each in engines}
+    needs = _needs(by_id, engine_ids_by_model, wanted_by_model)
+    if not needs:
+        return []
+    mates_by_model = {
+        model: _Mates.of(engine_ids, by_id)
+        for model, engine_ids in engine_ids_by_model.items()
+    }
     loads: list[Load] = []
-    for need in _needs(by_id, engine_ids_by_model, wanted_by_model):
+    for need in needs:
         if len(loads) >= n_free:
             break
-        if need.engine_id in begun:
+        if not mates_by_model[need.model].may_begin(need.engine_id):
             continue
-        mates = engine_ids_by_model[need.model]
-        if not _may_begin(need.engine_id, mates, by_id, begun):
-            continue
-        begun.add(need.engine_id)
         loads.append(need)
+        for mates in mates_by_model.values():
+            mates.begin(need.engine_id)
     return loads
 
 
@@ -172,16 +210,3 @@
         for each in engines
         if each.versions_by_model[model] < wanted.version and not each.n_running
     ]
-
-
-def _may_begin(
-    engine_id: str,
-    mates: frozenset[str],
-    by_id: Mapping[str, EngineWeights],
-    begun: set[str],
-) -> bool:
-    if by_id[engine_id].is_loading:
-        return False
-    present = [by_id[each] for each in mates if each in by_id]
-    n_loading = sum(1 for each in present if each.is_loading or each.engine_id in begun)
-    return n_loading == 0 or n_loading + 1 <= len(present) // 2
--- /dev/null
+++ b/tests/test_batches_weight_plan.py
@@ -0,0 +1,112 @@
+"""The plan of loads before many engines: the same loads, at a fraction of the cost."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+from nose2 import tools
+
+from bilberrydrum.batches import engines, weight_plan
+from bilberrydrum.fleet import model as fleet_model
+
+MODELS = ("m", "o")
+NEWEST = 3
+# The step waits, so that engines that are too old for it load, and no others.
+WANTED = weight_plan.Wanted(NEWEST, lag=0, age_seconds=0.1, has_waiting=True)
+ENGINES = strategies.builds(
+    dict,
+    versions=strategies.fixed_dictionaries(
+        {}, optional={each: strategies.integers(1, NEWEST) for each in MODELS}
+    ),
+    # Where there are few engines, some belong to several models.
+    models=strategies.sets(strategies.sampled_from(MODELS)),
+    is_loading=strategies.sampled_from((False, False, False, True)),
+    n_running=strategies.integers(0, 2),
+    is_there=strategies.sampled_from((True, True, True, False)),
+)
+
+
+def loads_one_by_one(given, shares, max_loading):
+    """Return the loads if the mates of each engine are counted anew for each load."""
+    by_id = {each.engine_id: each for each in given}
+    needs = [
+        (each.versions_by_model[model], each.n_running, each.engine_id, number, model)
+        for number, model in enumerate(shares)
+        for each in given
+        if each.engine_id in shares[model]
+        and each.versions_by_model.get(model, NEWEST) < NEWEST
+    ]
+    loads = []
+    for _, _, engine_id, _, model in sorted(needs):
+        begun = {each[0] for each in loads}
+        is_busy = by_id[engine_id].is_loading or engine_id in begun
+        n_all = sum(each.is_loading for each in given) + len(loads)
+        mates = [by_id[each] for each in shares[model] if each in by_id]
+        n_mates = sum(e.is_loading or e.engine_id in begun for e in mates)
+        is_half = n_mates > 0 and n_mates + 1 > len(mates) // 2
+        if n_all < max_loading and not is_busy and not is_half:
+            loads.append((engine_id, model))
+    return loads
+
+
+class SameAsOneByOne(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=500, deadline=None)
+    @hypothesis.given(strategies.lists(ENGINES, max_size=12), strategies.integers(0, 8))
+    def test_loads(self, fields, max_loading):
+        """Engines of one or two models, some of them gone, are behind.
+
+        Were too many to load at once, nobody would serve the step; were too few, the
+        next version would come before the last engine has this one.
+        """
+        known = [engine(n, **each) for n, each in enumerate(fields)]
+        pairs = list(zip(known, fields, strict=True))
+        shares = {
+            model: frozenset(e.engine_id for e, f in pairs if model in f["models"])
+            for model in MODELS
+        }
+        given = [e for e, f in pairs if f["is_there"]]
+        wanted = dict.fromkeys(MODELS, WANTED)
+        loads = weight_plan.plan(given, shares, wanted, max_loading)
+        planned = [(each.engine_id, each.model) for each in loads]
+        self.assertEqual(planned, loads_one_by_one(given, shares, max_loading))
+
+
+def engine(number, versions, is_loading=False, n_running=0, **_):
+    engine_id = f"e{number:03}"
+    return CountedEngine(
+        fleet_model.FleetUpstream(engine_id, "s", "a", "z", 6),
+        n_running=n_running,
+        versions_by_model=versions,
+        loading=weight_plan.Load(engine_id, "m", NEWEST) if is_loading else None,
+    )
+
+
+class CountedEngine(engines.Engine):
+    """An engine that counts how often any is asked whether it loads."""
+
+    n_asked = 0
+
+    @property
+    def is_loading(self):
+        CountedEngine.n_asked += 1
+        return super().is_loading
+
+
+class Cost(unittest.TestCase):
+    @tools.params(
+        ("all begin at once", 0, 300),
+        ("half of them load", 150, 300),
+        ("no more may load", 150, 150),
+    )
+    def test_many_loads(self, name, n_loading, max_loading):
+        """500 loads come due together before 3,000 engines; all else stands still.
+
+        For each load all engines of its model were asked whether they load: 0.27 s a
+        look, and more where half of them loaded already and none could begin.
+        """
+        given = [engine(n, {"m": 1}, is_loading=n < n_loading) for n in range(300)]
+        shares = {"m": frozenset(each.engine_id for each in given)}
+        CountedEngine.n_asked = 0
+        loads = weight_plan.plan(given, shares, {"m": WANTED}, max_loading)
+        self.assertEqual(len(loads), 150 - n_loading, name)
+        self.assertLessEqual(CountedEngine.n_asked, 3 * len(given), name)
