Close kept connections when their time is up

Cause: a connection that is kept for reuse has a time, 4 s, but was looked at only when one to the same upstream was taken, and the last one kept is taken first. Those below it, and all to an engine that has no work any more, stayed open for good. Ruled out: the bound of 64 for an upstream, which is above the places that engines have. Change: whenever a connection is kept, those to four upstreams are looked through in turn, and the ones whose time is up are closed. Why it holds: each keeping looks at more upstreams than it can add. By reading, not shown: with six places, 3,000 engines came to up to 18,000 connections, more than the descriptors a store may have, which could be a part of what fails there.

--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -23,6 +23,9 @@
 # some seconds, and a request sent into that closing is lost with unknown outcome.
 MAX_IDLE_SECONDS: Final = 4.0
 
+# Upstreams whose idle connections are looked through when one is kept.
+_LOOKED_THROUGH: Final = 4
+
 # It logs a warning with a traceback for each damaged answer; those are counted here.
 logging.getLogger("urllib3.connection").setLevel(logging.ERROR)
 
@@ -67,7 +70,10 @@
     """The connections of one gateway to all upstreams."""
 
     def __init__(self) -> None:
-        self._idle_by_address: dict[str, collections.deque[_Idle]] = {}
+        # Those that were not looked through for the longest time first.
+        self._idle_by_address: collections.OrderedDict[
+            str, collections.deque[_Idle]
+        ] = collections.OrderedDict()
 
     @property
     def n_idle(self) -> int:
@@ -111,6 +117,7 @@
         idle_seconds: float = MAX_IDLE_SECONDS,
     ) -> None:
         """Keep `connection`, on which a whole answer was read, for reuse."""
+        self._close_ended()
         idle = self._idle_by_address.setdefault(address, collections.deque())
         if connection.sock is None or len(idle) >= MAX_IDLE:
             connection.close()
@@ -127,6 +134,24 @@
         for address in list(self._idle_by_address):
             self.forget(address)
 
+    def _close_ended(self) -> None:
+        """Close connections of some upstreams whose time is up.
+
+        The last one kept is the first one taken, so those below it, and those to an
+        upstream that nothing is sent to any more, would stay open for good: up to one
+        for each place at each engine. Looked through at each keeping, what is open
+        beyond its time is a part of the upstreams', however many connections each had.
+        """
+        now = clock.now()
+        for _ in range(min(_LOOKED_THROUGH, len(self._idle_by_address))):
+            address, idle = self._idle_by_address.popitem(last=False)
+            left = collections.deque(each for each in idle if each.until >= now)
+            if left:
+                self._idle_by_address[address] = left
+            for each in idle:
+                if each.until < now:
+                    each.connection.close()
+
     def _take_idle(self, address: str) -> Connection | None:
         idle = self._idle_by_address.get(address)
         now = clock.now()
