Go on receiving after a message that could not be taken

What callers would see: a gateway that refuses all work, an upstream's host or a replica that is there and takes no part, until its process is started again. Cause: the task that receives all messages of a process calls what takes them. An error in it that nobody expected, or a part of a message that cannot be read, ended the task: the process heard nothing more, no answers to its own calls either. Ruled out: messages that cannot be read as a whole, of another release, group or life; they were counted and dropped before. Calls to a leader are answered by tasks of their own, which write their errors down. Change: the error is written down, and the next message is received. Figures: the call after the failed message was not answered in 5 s before; it is after. Why it holds: nothing that takes one message can end the task; what is lost with it is lost like a message on its way, which every sender has to bear.

--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -13,6 +13,7 @@
 from typing import Any, Final
 
 import attrs
+import eliot
 import eventlet
 import eventlet.event
 import eventlet.green.zmq as zmq
@@ -344,7 +345,12 @@
         sender = Sender(
             envelope.sender, envelope.address, envelope.incarnation, envelope.call_id
         )
-        handler(sender, message)
+        try:
+            handler(sender, message)
+        except Exception:
+            # Were the receiving task to end, this process would hear nothing more, no
+            # answers to its own calls either, and go on as if all others were gone.
+            eliot.write_traceback()
 
     def _authenticate(self) -> None:
         """Answer ZeroMQ's authentication requests (ZAP) for the bound socket."""
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -97,6 +97,25 @@
         self.assertEqual(self.heard, [1, 9])
         self.assertEqual(drops(reason), before + 1)
 
+    def test_handler_that_fails(self):
+        """A process hears nothing more, no answers to its own calls either.
+
+        An unexpected error comes up while it takes one message. It ended the task that
+        receives all of them; the process stayed, deaf, until it was started again.
+        """
+
+        def fail(sender, message):
+            self.receiver.on(Ping, self.hear)
+            raise KeyError("a fault of this program")
+
+        self.receiver.on(Ping, fail)
+        sender = make_transport("a")
+        self.addCleanup(sender.stop)
+        sender.send(self.receiver.address, Ping(1))
+        answer = sender.call(self.receiver.address, Ping(2), 5.0)
+        self.assertTrue(answer.is_ok())
+        self.assertEqual(self.heard, [2])
+
     def test_call_gets_its_own_answer(self):
         sender = make_transport("a")
         self.addCleanup(sender.stop)
