Forget those first whose ends others explain

What callers would see: an item that ends one engine after the other and is never held back, as nothing is known of it. Cause: a full record forgets the request with the fewest ends. Ends that others explain stay in it since they count for the bound of six, so bystanders that are never answered, as their batch is over, fill it with two ends each. Whoever is new has one, and was forgotten with each of its ends, until the others' ten minutes were over. Change: ends that nobody else explains are compared first. Why it holds: a first end that nobody explains is more than any bystander has; what is quarantined is forgotten last, as before.

--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -312,7 +312,14 @@
             return
         least = min(
             self.evidence_by_fingerprint.values(),
-            key=lambda each: (bool(each.until), len(each.ended_at_by_id), each.last_at),
+            # Counted with what others explain, bystanders would fill the book for good:
+            # who is new has the least, and would be forgotten with each end.
+            key=lambda each: (
+                bool(each.until),
+                len(each.unexplained()),
+                len(each.ended_at_by_id),
+                each.last_at,
+            ),
         )
         del self.evidence_by_fingerprint[least.fingerprint]
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -168,6 +168,25 @@
         self.assertEqual(len(book.evidence_by_fingerprint), quarantine.MAX_REQUESTS)
         self.assertIs(book.standing("f"), QUARANTINED)
 
+    def test_full_of_bystanders(self):
+        """An item ends one engine after the other, and nothing is held against it.
+
+        Items that were cut off twice with guilty ones, and never answered, fill the
+        book; the verdicts explain all of their ends. With its first end, the item has
+        fewer than any of them, and was forgotten each time.
+        """
+        book = quarantine.Book(is_crowded=True)
+        for step in range(quarantine.MAX_REQUESTS // 16):
+            at = 20.0 * step
+            names = [f"beside-{step}-{number}" for number in range(16)]
+            for number, ran in enumerate(([], names, names)):
+                for name in [f"guilty-{step}", *ran]:
+                    book.note(crash(f"u{step}-{number}", name), at + number)
+        for number in range(quarantine.N_FOR_QUARANTINE):
+            book.note(crash(f"last-{number}"), at + 20.0 + number)
+        self.assertIs(book.standing("f"), QUARANTINED)
+        self.assertLessEqual(len(book.evidence_by_fingerprint), quarantine.MAX_REQUESTS)
+
     def test_bytes_told_to_each_process(self):
         """A whole book goes to each process with a change: 0.4 KB a request at most."""
         book = quarantine.Book()
