Pause before committing again after an unexpected error

What callers would see, were an error to come up each time: no item of any batch gets on, as engines are broken off all the time, and a log that fills. Cause: after such an error a new runner begins at once. What it carries over from an earlier batch it hands over at its start, and committing that fails at once again. Ruled out: numbers that are too large to be encoded; what engines say of versions is bounded where it is read. Change: a second passes before the task commits again. Why it holds: a new runner is asked for only by what was committed or dropped, which waits until then; what comes meanwhile is committed together.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -27,6 +27,9 @@
 # The same by a replica that was elected and waits for its lease: one round trip and one
 # sync, in which no item runs.
 _ELECTED_LOOK_SECONDS: Final = 0.01
+# Pause after an unexpected error. The next runner breaks off what runs, and may hand
+# over at once what fails once more.
+_FAULT_PAUSE_SECONDS: Final = 1.0
 # Results committed in one entry.
 _MAX_RESULTS: Final = 64
 
@@ -209,6 +212,7 @@
                 eliot.write_traceback()
                 self._lacks_results = True
                 self._on_role()
+                clock.sleep(_FAULT_PAUSE_SECONDS)
 
     def _commit_next(self) -> None:
         """Wait for results, and commit those that are there by then."""
--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -226,6 +226,25 @@
         self.wait_for(lambda: self.kept().results)
         self.assertEqual([each.item_id for each in self.kept().results], ["i0"])
 
+    def test_commit_that_fails_each_time(self):
+        """Engines are broken off all the time, and the log fills.
+
+        A new runner hands over at its start what was carried over from an earlier
+        batch, and committing that fails again, so the next one begins at once.
+        """
+
+        def fail(command):
+            raise KeyError("a fault of this program")
+
+        def start(started, kept):
+            started.hooks.finish("b", text_of("i0"))
+
+        self.replica.intervene = fail
+        with mock.patch.object(Runner, "start", start):
+            self.runners[0].hooks.finish("b", text_of("i0"))
+            clock.sleep(0.5)
+            self.assertEqual(len(self.runners), 2)
+
     @tools.params(("kept", 2), ("refused", 0), ("raises", 0))
     def test_each_save_is_told_its_end(self, name, n_before):
         """A long item is made from its beginning again when the stores' leader goes.
