Lay an end to the guilty one also for those noted late

What callers would see: a request that has ended nothing is held to be doubtful, and from the third such end on held back, as it was there when others ended their last upstream. Cause: all that runs at an upstream is cut off at once, and noted in any order. A verdict takes its ends from those that were noted by then. Of those that were noted after the guilty one, the very end that had brought the verdict stayed with each, as if nobody had explained it. Ruled out: where a request is noted before the guilty one, nothing is left to it. Change: an end that is noted of a request is explained from the beginning if another one is held back for it. What is held back already is judged as before. Test, red before: noted late, of a request and of an item (doubtful at the second). tests.test_quarantine.SeveralGuilty.test_ends_taken_by_verdicts_on_others had the others held back by ends that are the first one's own now; they have three of their own instead, and its last step, the sixth end, is checked as before. Why it holds: who is noted first does not matter any more; explained ends still count for the bound of six.

--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -227,6 +227,8 @@
         if crash.upstream_id in evidence.ended_at_by_id:
             return False
         noted = evidence.noted(crash.upstream_id, ended_at)
+        if not noted.until and self._is_explained(crash):
+            noted = noted.explained_by((crash.upstream_id,))
         is_enough = not noted.until and noted.is_enough()
         if is_enough and not self._is_like_another(noted, crash.upstream_id):
             noted = noted.quarantined()
@@ -249,6 +251,18 @@
             for fingerprint, each in self.evidence_by_fingerprint.items()
         }
 
+    def _is_explained(self, crash: Crash) -> bool:
+        """Tell whether another request is held to have ended the upstream.
+
+        All that ran there is cut off at once, and told of in any order: whoever comes
+        after the verdict would keep an end that was taken from those before.
+        """
+        return any(
+            each.until and crash.upstream_id in each.unexplained()
+            for each in self.evidence_by_fingerprint.values()
+            if each.fingerprint != crash.fingerprint
+        )
+
     def _is_like_another(self, evidence: Evidence, newest_id: str) -> bool:
         """Tell whether another request was there at all ends but the newest.
 
