Pause before refused results are committed again

What callers would see: nothing is answered by the stores' leader, and no other takes its place while its connections stand. Cause: a group that has as many proposals as it takes refuses more without a wait. The task that commits results tried again at once, as long as its process led, and let no other task run: not the one that would make room, nor the one that learns that the lease is out. Ruled out: what is not committed in time; that waits two seconds. Handing in a batch and saving texts, which are refused once. Change: 50 ms pass between two tries. Test, red before: with a group that refuses until another task is done, no result was listed in 10 s; after, fewer than ten tries were refused. Why it holds: every way round the loop waits now, and a lease that lapsed ends it.

--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -30,6 +30,10 @@
 # Pause after an unexpected error. The next runner breaks off what runs, and may hand
 # over at once what fails once more.
 _FAULT_PAUSE_SECONDS: Final = 1.0
+# Pause before results that were refused are committed again. A full group refuses at
+# once: without a pause no other task of this process would run any more, not even the
+# one that learns that it leads no longer.
+_COMMIT_AGAIN_SECONDS: Final = 0.05
 # Results committed in one entry.
 _MAX_RESULTS: Final = 64
 
@@ -232,6 +236,7 @@
         while self._leads(term):
             if self._replica.propose(command, COMMIT_SECONDS).is_ok():
                 return
+            clock.sleep(_COMMIT_AGAIN_SECONDS)
         # Who leads next runs or scores these items again. If the lease comes back
         # before anyone looks, this runner would go on, hold them for finished, and they
         # would never be listed; a new one takes up what is kept.
--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -245,6 +245,29 @@
             clock.sleep(0.5)
             self.assertEqual(len(self.runners), 2)
 
+    def test_commit_that_is_refused_at_once(self):
+        """Nothing is answered by the stores' leader, and no other takes its place.
+
+        The group has as many proposals as it takes, and refuses more without a wait. A
+        task that commits results tried again at once, as long as its process led, and
+        let no other task run: none that answers, nor the one that learns that the
+        lease is out.
+        """
+        refusal = result.Err(client.StateError(reasons.Reason.STATE_UNAVAILABLE, False))
+        n_refused = []
+
+        def refuse(command):
+            n_refused.append(command)
+            self.assertLess(len(n_refused), 1000, "no other task ran")
+            return refusal
+
+        self.replica.intervene = refuse
+        self.runners[0].hooks.finish("b", text_of("i0"))
+        self.wait_for(lambda: n_refused)
+        self.replica.intervene = lambda command: None
+        self.wait_for(lambda: self.kept().results)
+        self.assertLess(len(n_refused), 10)
+
     @tools.params(("kept", 2), ("refused", 0), ("raises", 0))
     def test_each_save_is_told_its_end(self, name, n_before):
         """A long item is made from its beginning again when the stores' leader goes.
