--- a/tests/test_batches_load_limit.py
+++ b/tests/test_batches_load_limit.py
@@ -5,7 +5,7 @@
 from nose2 import tools
 
 from bilberrydrum.batches import load_limit, weight_plan
-from tests import test_batches_engines
+from tests import test_batches_weight_plan
 
 
 def seconds_to_load_all(n_engines, n_at_once, load_seconds, limit):
@@ -18,7 +18,7 @@
     seconds = 0.0
     while any(each == 1 for each in versions.values()):
         engines = [
-            test_batches_engines.weights(str(n), version)
+            test_batches_weight_plan.weights(str(n), version)
             for n, version in versions.items()
         ]
         ids = frozenset(each.engine_id for each in engines)
