--- a/tests/test_batches_look.py
+++ b/tests/test_batches_look.py
@@ -16,21 +16,12 @@
 from bilberrydrum.fleet import policy
 from bilberrydrum.requests import attempts, connections, watch
 from tests import helpers
+from tests.fakes import counted
 
 N_ENGINES = 20
 N_ITEMS = 60
 
 
-class CountedTuple(tuple):
-    """Upstreams that count how often they are gone through."""
-
-    n_passes = 0
-
-    def __iter__(self):
-        CountedTuple.n_passes += 1
-        return super().__iter__()
-
-
 def upstream(number, version=1):
     versions = {"m": version}
     return fleet_model.FleetUpstream(
@@ -62,7 +53,7 @@
         self.view = types.SimpleNamespace(
             routes=policy.RouteTable(policy.Policy(1, (route,), (service,))),
             registry=fleet_model.Registry(
-                1, CountedTuple(upstream(n) for n in range(N_ENGINES))
+                1, counted.CountedTuple(upstream(n) for n in range(N_ENGINES))
             ),
             watch=lambda callback: None,
             unwatch=lambda callback: None,
@@ -86,7 +77,7 @@
     def change(self, *upstreams):
         """Have the registry change to that of these upstreams."""
         self.view.registry = fleet_model.Registry(
-            self.view.registry.index + 1, CountedTuple(upstreams)
+            self.view.registry.index + 1, counted.CountedTuple(upstreams)
         )
 
     def look(self):
@@ -124,13 +115,13 @@
         registry, which changes less often, was gone through at each.
         """
         self.look()
-        CountedTuple.n_passes = 0
+        counted.CountedTuple.n_passes = 0
         for _ in range(5):
             self.look()
-        self.assertEqual(CountedTuple.n_passes, 0)
+        self.assertEqual(counted.CountedTuple.n_passes, 0)
         self.change(upstream(0), upstream(1))
         self.look()
-        self.assertEqual(CountedTuple.n_passes, 1)
+        self.assertEqual(counted.CountedTuple.n_passes, 1)
 
     def test_change_of_the_registry(self):
         self.look()
--- a/tests/test_fleet_registry.py
+++ b/tests/test_fleet_registry.py
@@ -8,20 +8,11 @@
 from bilberrydrum import reasons
 from bilberrydrum.fleet import model
 from tests import test_fleet
+from tests.fakes import counted
 
 N_UPSTREAMS = 3000
 
 
-class CountedTuple(tuple):
-    """Upstreams that count how often they are gone through."""
-
-    n_passes = 0
-
-    def __iter__(self):
-        CountedTuple.n_passes += 1
-        return super().__iter__()
-
-
 class FindRefusal(unittest.TestCase):
     """Whether an upstream may still be sent to, asked right before each sending."""
 
@@ -49,12 +40,12 @@
         all upstreams each time. They are gone through once for each registry.
         """
         names = [f"e{n}" for n in range(N_UPSTREAMS)]
-        upstreams = CountedTuple(test_fleet.upstream(each) for each in names)
+        upstreams = counted.CountedTuple(test_fleet.upstream(each) for each in names)
         registry = model.Registry(1, upstreams)
-        CountedTuple.n_passes = 0
+        counted.CountedTuple.n_passes = 0
         for each in names[:100]:
             self.assertIsNone(registry.find_refusal(each))
-        self.assertLessEqual(CountedTuple.n_passes, 1)
+        self.assertLessEqual(counted.CountedTuple.n_passes, 1)
 
     def test_registry_after(self):
         """What was looked up in one state says nothing of the next."""
