Tests: a schedule repeats by its seed

Whoever saw a random schedule fail could not play it again: the same seed made other steps in each process, and passed or failed as it came.

The simulated groups' replicas got ids, and their logs salts, from the operating system; ids decide whose turn it is to stand. A leader keeps its peers in the order of a set of ids, so who is sent to first differed by process, and with it which message drew which fate. The directories' net itself sent to all in the order of a set, and a gateway asks the homes that it is behind on in the order of one.

Ids and salts come from the schedule's own random numbers. What one step sends goes out by receiver, in order for each of them; a group's receivers are ordered by their drawn ids, so no host is favoured. The lists of a relayed message that are made from sets are put in one order by the net. No environment is pinned for this. The number of schedules and all their checks stay.

The replays are no easier on the product: messages are still drawn, lost, doubled and late at random, and what was left to the process is now the seed's.

--- a/tests/fakes/lease_world.py
+++ b/tests/fakes/lease_world.py
@@ -19,7 +19,7 @@
     records,
 )
 from bilberrydrum.state import processes
-from tests.fakes import direct_state
+from tests.fakes import direct_state, trace
 
 LEASE = 3.0
 HOLD_LEASE = 60.0
@@ -178,6 +178,7 @@
     # How it is carried out.
 
     def step_gateway(self, gateway: Gateway, event: object) -> None:
+        trace.note(self.now, gateway.process_id, gateway.incarnation, event)
         for effect in gateway.holder.step(self.now * gateway.rate, event):
             if isinstance(effect, holder.SendRenewal):
                 message = Message(gateway, self.leader, effect.renewal)
@@ -193,6 +194,7 @@
         for each in (changed, event):
             if each is None:
                 continue
+            trace.note(self.now, each)
             for effect in leader.book.step(now, each):
                 self.carry_out(effect)
 
--- a/tests/fakes/promise_group.py
+++ b/tests/fakes/promise_group.py
@@ -6,8 +6,6 @@
 leaves, the highest policy.
 """
 
-import contextlib
-
 import attrs
 
 from bilberrydrum import codec
@@ -16,8 +14,8 @@
 from bilberrydrum.fleet import commands as fleet_commands
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
-from bilberrydrum.state import disk, events, log, node, steward
-from tests.fakes import files, group_hosts, replica_group
+from bilberrydrum.state import events, log, node, steward
+from tests.fakes import group_hosts, replica_group
 
 RETENTION_SECONDS = 1e9
 LOST_SECONDS = 3.0
@@ -129,9 +127,7 @@
     def kill(self, host: group_hosts.Host) -> None:
         """End a host's process, perhaps in the middle of a write; the power stays."""
         if host.jobs:
-            host.disk.fails_at = host.disk.n_operations + self.random.randrange(6)
-            with contextlib.suppress(files.PowerLostError):
-                disk.carry_out(host.store, host.jobs)
+            self.stop_writing(host, self.random.randrange(6))
             host.disk.fails_at = None
         self._placed = {
             key: placed for key, placed in self._placed.items() if key[0] != host.name
--- a/tests/fakes/replica_group.py
+++ b/tests/fakes/replica_group.py
@@ -8,7 +8,9 @@
 import collections
 import contextlib
 import random
-from collections.abc import Iterator
+import uuid
+from collections.abc import Iterator, Sequence
+from unittest import mock
 
 import attrs
 
@@ -28,7 +30,7 @@
     stewardship,
     storage,
 )
-from tests.fakes import files, group_hosts, group_invariants
+from tests.fakes import files, group_hosts, group_invariants, trace
 
 FOLDER = "data"
 MAX_PACKETS = 300
@@ -106,7 +108,8 @@
 
     def start(self, host: group_hosts.Host) -> None:
         host.store = storage.Storage(host.disk, FOLDER, 2_000)
-        recovered, data = host.store.open()
+        with self._drawing():
+            recovered, data = host.store.open()
         host.applied = applier.Applier()
         if data:
             host.applied.restore(data)
@@ -121,9 +124,7 @@
     def crash(self, host: group_hosts.Host) -> None:
         """Take the power from a host, perhaps in the middle of a write."""
         if host.jobs and self.random.random() < 0.5:
-            host.disk.fails_at = host.disk.n_operations + self.random.randrange(4)
-            with contextlib.suppress(files.PowerLostError):
-                disk.carry_out(host.store, host.jobs)
+            self.stop_writing(host, self.random.randrange(4))
         share = self.random.choice((0.0, 0.5, 1.0))
         garbled, names = self.random.random() < 0.3, self.random.random() < 0.5
         host.disk.lose_power(files.Leftover(share, garbled, names))
@@ -131,6 +132,31 @@
         for key in [each for each in self._waiting if each[0] == host.name]:
             del self._waiting[key]
 
+    def stop_writing(self, host: group_hosts.Host, n_operations: int) -> None:
+        """Let a host write what it is writing, but for what follows so many steps."""
+        host.disk.fails_at = host.disk.n_operations + n_operations
+        with contextlib.suppress(files.PowerLostError):
+            self._write(host, host.jobs)
+
+    def _write(self, host: group_hosts.Host, jobs: Sequence[object]) -> None:
+        with self._drawing():
+            disk.carry_out(host.store, jobs)
+
+    @contextlib.contextmanager
+    def _drawing(self) -> Iterator[None]:
+        """Draw the ids and salts that a storage makes from the schedule's numbers.
+
+        Ids decide whose turn it is to stand; others in each run, no seed would repeat.
+        """
+        with (
+            mock.patch.object(storage.uuid, "uuid4", self._draw_id),
+            mock.patch.object(storage.os, "urandom", self.random.randbytes),
+        ):
+            yield
+
+    def _draw_id(self) -> uuid.UUID:
+        return uuid.UUID(int=self.random.getrandbits(128), version=4)
+
     def lose_disk(self, host: group_hosts.Host) -> None:
         """The host comes back empty under its old name and address."""
         self.crash(host)
@@ -141,9 +167,16 @@
 
     def take(self, host: group_hosts.Host, event: object) -> None:
         """Let a host's core take in an event, and check."""
+        trace.note(self.now, host.name, event)
         effects = host.decisions.step(self.time_at(host), event)
+        n_before = len(self.packets)
         for effect in effects:
             self._carry_out(host, effect)
+        # A leader keeps its peers in the order of a set, which differs by process. What
+        # one receiver is sent stays in order; ids are drawn, so no host is favoured.
+        sent = self.packets[n_before:]
+        sent.sort(key=lambda packet: packet.message.receiver_id)
+        self.packets[n_before:] = sent
         self.n_steps += 1
         self.check()
 
@@ -168,6 +201,7 @@
                 self._waiting[key] = (effect.term, *placed)
 
     def _commit(self, host: group_hosts.Host, entry: log.Entry) -> None:
+        trace.note(host.name, entry)
         self.invariants.check_committed(entry)
         applied = host.applied.apply(entry)
         self.invariants.check_effects(host.applied.state)
@@ -214,7 +248,7 @@
         jobs, host.jobs = host.jobs, []
         if not jobs:
             return
-        disk.carry_out(host.store, jobs)
+        self._write(host, jobs)
         numbers = [each.number for each in jobs if hasattr(each, "number")]
         if numbers:
             self.take(host, events.Synced(max(numbers)))
--- a/tests/fakes/text_group.py
+++ b/tests/fakes/text_group.py
@@ -15,7 +15,7 @@
 from bilberrydrum import codec, event_stream
 from bilberrydrum.batches import commands, lifecycle, model, texts, work
 from bilberrydrum.state import events, log
-from tests.fakes import group_hosts, promise_group
+from tests.fakes import group_hosts, promise_group, trace
 
 N_ITEMS = 3
 MAX_OPEN = 2
@@ -247,6 +247,7 @@
                 runner.items.remember_closed(closed)
         else:
             self.n_saved += 1
+            trace.note(host.name, command, answer)
 
     # Checks
 
--- a/tests/test_bundles_schedules.py
+++ b/tests/test_bundles_schedules.py
@@ -78,3 +78,8 @@
 
 class TestAnySchedule(LeaseMachine.TestCase):
     settings = schedules_support.of_machine(n_schedules=60, n_steps=40)
+
+    def runTest(self) -> None:  # noqa: N802
+        """Run the schedules; the name is unittest's."""
+        with schedules_support.played_by(__name__):
+            super().runTest()
--- a/tests/test_promise_schedules.py
+++ b/tests/test_promise_schedules.py
@@ -20,6 +20,17 @@
 N_TROUBLES = 12
 
 
+def run_schedule(seed):
+    """Run one schedule; return the group, whose checks have passed."""
+    rng = random.Random(seed)
+    group = promise_group.PromiseGroup(3, seed, n_voters=3)
+    group.add_host("h3")
+    group.run(2.0)
+    group_troubles.trouble(group, rng, N_TROUBLES)
+    group.run(6.0)
+    return group
+
+
 class Schedules(unittest.TestCase):
     def test_promises(self):
         """Callers were told of batches, results, ends and departures.
@@ -32,13 +43,8 @@
         @schedules_support.by_seeds(N_SCHEDULES)
         @hypothesis.given(strategies.integers(0, 2**32))
         def schedule(seed):
-            rng = random.Random(seed)
-            group = promise_group.PromiseGroup(3, seed, n_voters=3)
-            group.add_host("h3")
-            group.run(2.0)
-            group_troubles.trouble(group, rng, N_TROUBLES)
-            group.run(6.0)
-            n_steps.append(group.n_steps)
+            with schedules_support.played_by(__name__, seed):
+                n_steps.append(run_schedule(seed).n_steps)
 
         schedule()
         total = sum(n_steps)
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -6,6 +6,7 @@
 from nose2 import tools
 
 from simulation import events, load, rollouts, service
+from tests.fakes import trace
 
 TRAINERS = (load.Trainer(8, 8, 23.0), load.Trainer(10, 4, 10.0))
 
@@ -23,7 +24,9 @@
 
 
 def figures(given, n_free, seed=1, n_steps=5):
-    return rollouts.Simulation(given, load.Policy(n_free), seed).run(n_steps)
+    seen = rollouts.Simulation(given, load.Policy(n_free), seed).run(n_steps)
+    trace.note(seen)
+    return seen
 
 
 class Engine(unittest.TestCase):
--- a/tests/test_state_schedules.py
+++ b/tests/test_state_schedules.py
@@ -14,6 +14,7 @@
 from hypothesis import stateful, strategies
 
 from bilberrydrum.state import membership
+from tests import schedules_support
 from tests.fakes import group_hosts, replica_group
 
 N_SCHEDULES = int(os.environ.get("BILBERRYDRUM_SCHEDULES", "12"))
@@ -236,17 +237,16 @@
         )
 
     def test_invariants_hold_in_random_schedules(self) -> None:
-        stateful.run_state_machine_as_test(
-            Schedule,
-            settings=hypothesis.settings(
-                max_examples=N_SCHEDULES,
-                stateful_step_count=N_RULES,
-                deadline=None,
-                derandomize=True,
-                database=None,
-                phases=PHASES,
-                suppress_health_check=list(hypothesis.HealthCheck),
-            ),
+        settings = hypothesis.settings(
+            max_examples=N_SCHEDULES,
+            stateful_step_count=N_RULES,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            phases=PHASES,
+            suppress_health_check=list(hypothesis.HealthCheck),
         )
+        with schedules_support.played_by(__name__):
+            stateful.run_state_machine_as_test(Schedule, settings=settings)
         self.assertGreater(Totals.n_commits, 20 * Totals.n_schedules)
         self.assertGreater(Totals.n_elections, Totals.n_schedules)
--- a/tests/test_text_schedules.py
+++ b/tests/test_text_schedules.py
@@ -45,7 +45,8 @@
         @schedules_support.by_seeds(N_SCHEDULES)
         @hypothesis.given(strategies.integers(0, 2**32))
         def schedule(seed):
-            group = run_schedule(seed)
+            with schedules_support.played_by(__name__, seed):
+                group = run_schedule(seed)
             groups.append((group.n_saved, group.n_taken_up, group.n_caught_up))
 
         schedule()
--- a/tests/test_upstreams_schedules.py
+++ b/tests/test_upstreams_schedules.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from bilberrydrum.upstreams import events
-from tests import upstreams_net
+from tests import schedules_support, upstreams_net
 
 N_MESH = 4
 # Three groups of three, of which two hold seats.
@@ -102,6 +102,7 @@
         derandomize=True, deadline=None, max_examples=60, database=None
     )
     @hypothesis.given(st.lists(actions, max_size=40))
+    @schedules_support.played_by(__name__)
     def test_nothing_gone_is_listed_and_all_agree_after_the_heal(self, schedule):
         """Gateways die, stop and are cut off while upstreams come, leave and crash, in
         any order, over a network that loses, repeats and delays. At no step may a
@@ -114,6 +115,7 @@
         derandomize=True, deadline=None, max_examples=40, database=None
     )
     @hypothesis.given(st.lists(actions, max_size=40))
+    @schedules_support.played_by(__name__)
     def test_the_same_holds_when_seats_relay(self, schedule):
         """As above, with nine gateways in groups of three whose seats relay."""
         self._run(schedule, N_RELAYED, max_mesh=N_MESH)
--- a/tests/test_weights_schedules.py
+++ b/tests/test_weights_schedules.py
@@ -7,7 +7,7 @@
 
 from bilberrydrum.upstreams import model as upstream_model
 from bilberrydrum.weights import orders, views
-from tests import weights_bench
+from tests import schedules_support, weights_bench
 
 OUTCOMES = st.sampled_from(["done", "done", "failed", "lost", "lost-done", "rate"])
 
@@ -47,6 +47,7 @@
             max_size=60,
         ),
     )
+    @schedules_support.played_by(__name__)
     def test_random_schedules(self, n_engines, schedule):
         """Orders fail, are lost before or after they were carried out, engines crash
         and come back empty, versions are published in between, reports come late.
--- a/tests/upstreams_net.py
+++ b/tests/upstreams_net.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from bilberrydrum.upstreams import directory, events, model, records
+from bilberrydrum.upstreams import directory, events, messages, model, records
+from tests.fakes import trace
 
 LEASE = 2.0
 RENEW = 0.5
@@ -251,16 +252,22 @@
                 self.announce(upstream_id)
 
     def _step(self, node, event):
+        trace.note(self.now, node.process_id, event)
+        sent = []
         for effect in node.core.step(self.clock(node), event):
             if isinstance(effect, events.Send):
-                self._send(node, effect.process_id, effect.message)
+                sent.append((effect.process_id, effect.message))
             elif isinstance(effect, events.SendAll):
-                for peer in self.nodes_by_id.keys() - {node.process_id}:
-                    self._send(node, peer, effect.message)
+                peers = self.nodes_by_id.keys() - {node.process_id}
+                sent += [(peer, effect.message) for peer in peers]
             elif isinstance(effect, events.Reply):
                 node.replies.append(effect)
             elif isinstance(effect, events.LeaveKnown):
                 node.known_leaves.add(effect.upstream_id)
+        # A gateway asks homes in the order of a set, which differs by process; each
+        # message draws its fate. What one receiver is sent stays in order.
+        for peer, message in sorted(sent, key=lambda each: each[0]):
+            self._send(node, peer, in_order(message))
 
     def _send(self, node, receiver, message):
         self.n_sent += 1
@@ -297,5 +304,14 @@
                     self._step(node, event)
 
 
+def in_order(message):
+    """Return a message whose lists, made from sets, are in one order."""
+    if not isinstance(message, messages.Relayed):
+        return message
+    late_homes = tuple(sorted(message.late_homes, key=lambda late: late.home))
+    late = tuple(sorted(message.late, key=lambda late: (late.home, late.upstream_id)))
+    return attrs.evolve(message, late_homes=late_homes, late=late)
+
+
 def left(record):
     return record is not None and record.state == records.STATE_LEFT
--- a/tests/weights_bench.py
+++ b/tests/weights_bench.py
@@ -4,6 +4,7 @@
 
 from bilberrydrum.upstreams import model as upstream_model
 from bilberrydrum.weights import orders, planner, views
+from tests.fakes import trace
 
 STORE = "http://127.0.0.1:1"
 LAG = views.REPORT_LAG_SECONDS
@@ -47,10 +48,13 @@
         event = planner.Observed(
             self.number, self.unfenced, self.engines, self.targets, self.roles
         )
-        return self.planner.step(self.now, event)
+        ordered = self.planner.step(self.now, event)
+        trace.note(self.now, event, ordered)
+        return ordered
 
     def answer(self, order, outcome, jitter=1.0):
         event = planner.Answered(order.order_id, outcome, jitter)
+        trace.note(self.now, event)
         self.planner.step(self.now, event)
 
     def carry_out(self, order):
