--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -16,7 +16,12 @@
 Where many requests run at an upstream, as items of batches do at an engine, its end
 says little of each. There upstreams must also end where the request is rather than
 where it isn't: of those that ended since it was first cut off, twice as many with it as
-without. After `N_REGARDLESS` it is quarantined whatever else goes on.
+without.
+
+What ran beside a guilty request is not held to have ended those upstreams: they are
+explained, and count for nothing but the bound. Several that are guilty explain one
+another's ends, so after `N_REGARDLESS`, explained or not, a request is quarantined
+whatever else goes on.
 
 A whole answer clears a request, whatever it was. A quarantine lapses after a while, as
 a new release may have mended the service; the request is doubtful then and gets one
@@ -35,8 +40,8 @@
 # chance for a request that is tried again beside the guilty one; three are not.
 N_FOR_DOUBT: Final = 2
 N_FOR_QUARANTINE: Final = 3
-# The same where many run at an upstream, whatever else ends: the three, and three more
-# that are borne until all have to know. Simulated, five engines of which two end about
+# The same whatever else ends, and whoever is held to have ended them: the three, and
+# three more that are borne until all have to know. Simulated, five engines of which two end about
 # each second, 40 items at a time: nobody is held back in 100 plays of 16 s, one of them
 # in 100 plays of 8 s with a guilty item among them.
 N_REGARDLESS: Final = 6
