--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -41,9 +41,8 @@
 N_FOR_DOUBT: Final = 2
 N_FOR_QUARANTINE: Final = 3
 # The same whatever else ends, and whoever is held to have ended them: the three, and
-# three more that are borne until all have to know. Simulated, five engines of which two end about
-# each second, 40 items at a time: nobody is held back in 100 plays of 16 s, one of them
-# in 100 plays of 8 s with a guilty item among them.
+# three more that are borne until all have to know. Fewer would hold innocent items back
+# where engines end every second for reasons of their own.
 N_REGARDLESS: Final = 6
 # Ends that say something of a request that is cut off for the first time, in seconds
 # before: a storm that goes on.
