Names and comments: one name for an engine's incarnation, reasons for figures

Nothing that callers see changes.

An engine had two names for one thing: `upstream_id`, and `engine_id` for the plan of loads alone. The plan now asks for `upstream_id`; `Load.engine_id` and the shares keep theirs, as they speak of engines by id only. No message, record or log line has the name that is gone.

Three comments told measurements where the reason is enough: a look must not hold other tasks up. `Engines.refresh` says what identity is compared for; the record of crashes says incarnation, as the registry does; a count is called `_N_...`.

Tests that asked engines for `engine_id` ask for `upstream_id`; what they check is the same.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -73,11 +73,6 @@
         """The incarnation's id."""
         return self.upstream.upstream_id
 
-    @property
-    def engine_id(self) -> str:
-        """The same, as the plan of loads calls it."""
-        return self.upstream.upstream_id
-
     @property
     def is_loading(self) -> bool:
         """Whether an order to load is under way."""
@@ -193,9 +188,10 @@
         upstreams: tuple[model.FleetUpstream, ...],
         services_by_name: Mapping[str, policy.Service],
     ) -> None:
-        """Take over the registry and the policy, of which each state is an own object.
+        """Take over the registry and the policy if one of them has changed.
 
-        Asked at each look; they change far less often.
+        Called at each look; they change far less often. Each state of them is another
+        object, so identity tells.
         """
         is_known = self._upstreams is upstreams
         if is_known and self._services_by_name is services_by_name:
@@ -300,8 +296,8 @@
 def _median_of_others(paces: Sequence[float], own: float) -> float:
     """Return the median of sorted `paces` without one that is `own`.
 
-    Asked for each engine that may be slow; with a list of the others made for each
-    engine, a look at 3,000 took 0.7 s.
+    Asked for each engine that may be slow, so no list of the others is made: among
+    thousands, that would hold all other tasks up.
     """
     position = bisect.bisect_left(paces, own)
 
--- a/bilberrydrum/batches/place_heap.py
+++ b/bilberrydrum/batches/place_heap.py
@@ -1,10 +1,9 @@
 """Find the best place for each of many items, before thousands of places.
 
-With each item compared with each place, 60 items before 3,000 engines held all other
-tasks up for a fifth of a second at each look. So the places are ranked once for each
-kind of item. While items are given out places only fill: a rank only rises and a place
-that was closed stays closed, so a heap whose entries are corrected when they come to
-the top always has the best place there.
+Comparing each item with each place would hold all other tasks up at each look. So the
+places are ranked once for each kind of item. While items are given out places only
+fill: a rank only rises and a place that was closed stays closed, so a heap whose
+entries are corrected when they come to the top always has the best place there.
 
 Items of sizes that alternate, before memories that are nearly full, are still compared
 with most of the places.
--- a/bilberrydrum/batches/weight_plan.py
+++ b/bilberrydrum/batches/weight_plan.py
@@ -35,7 +35,7 @@
     """
 
     @property
-    def engine_id(self) -> str:
+    def upstream_id(self) -> str:
         """The incarnation's id."""
 
     @property
@@ -81,10 +81,10 @@
 
 @attrs.define
 class _Mates:
-    """The engines of one model that are there; counted once a plan.
+    """The engines of one model that are there.
 
-    Counted for each load, 500 loads that came due together before 3,000 engines held
-    all other tasks up for a quarter of a second.
+    Counted once for a plan: with thousands of engines and hundreds of loads due
+    together, counting for each load would hold all other tasks up.
     """
 
     engine_ids: frozenset[str]
@@ -121,7 +121,7 @@
     n_free = max_loading - sum(1 for each in engines if each.is_loading)
     if n_free <= 0:
         return []
-    by_id = {each.engine_id: each for each in engines}
+    by_id = {each.upstream_id: each for each in engines}
     needs = _needs(by_id, engine_ids_by_model, wanted_by_model)
     if not needs:
         return []
@@ -173,9 +173,9 @@
             (
                 each.versions_by_model[model] - wanted.version,
                 each.n_running,
-                each.engine_id,
+                each.upstream_id,
             ),
-            Load(each.engine_id, model, wanted.version),
+            Load(each.upstream_id, model, wanted.version),
         )
         for each in engines
     ]
@@ -191,7 +191,7 @@
         return too_old
     behind = [e for e in engines if oldest <= e.versions_by_model[model]]
     behind = [e for e in behind if e.versions_by_model[model] < wanted.version]
-    behind.sort(key=lambda e: (e.versions_by_model[model], e.n_running, e.engine_id))
+    behind.sort(key=lambda e: (e.versions_by_model[model], e.n_running, e.upstream_id))
     # Those that are too old will have the newest version as well.
     n_newest = len(engines) - len(behind) + sum(1 for e in behind if e.is_loading)
     n_missing = max(len(engines) // 2 - n_newest, 0)
--- a/bilberrydrum/fleet/crash_commands.py
+++ b/bilberrydrum/fleet/crash_commands.py
@@ -26,7 +26,7 @@
     # Index of the last log entry that changed it.
     index: int = 0
     book: quarantine.Book = attrs.field(factory=quarantine.Book)
-    # Starts of upstreams that ended with a request before it was cleared, by its
+    # Incarnations of upstreams that ended with a request before it was cleared, by its
     # fingerprint; the latest last.
     cleared_of_by_fingerprint: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
@@ -36,8 +36,9 @@
         if crash.upstream_id in self.cleared_of_by_fingerprint.get(
             crash.fingerprint, ()
         ):
-            # A start ends once. Sent again to another leader after a lost answer, the
-            # report would be held against the request that was answered meanwhile.
+            # An incarnation ends once. Sent again to another leader after a lost
+            # answer, the report would be held against the request that was answered
+            # meanwhile.
             return False
         return self.book.note(crash, time - report.age_seconds)
 
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -24,7 +24,7 @@
 MAX_IDLE_SECONDS: Final = 4.0
 
 # Upstreams whose idle connections are looked through when one is kept.
-_LOOKED_THROUGH: Final = 4
+_N_LOOKED_THROUGH: Final = 4
 
 # It logs a warning with a traceback for each damaged answer; those are counted here.
 logging.getLogger("urllib3.connection").setLevel(logging.ERROR)
@@ -143,7 +143,7 @@
         beyond its time is a part of the upstreams', however many connections each had.
         """
         now = clock.now()
-        for _ in range(min(_LOOKED_THROUGH, len(self._idle_by_address))):
+        for _ in range(min(_N_LOOKED_THROUGH, len(self._idle_by_address))):
             address, idle = self._idle_by_address.popitem(last=False)
             left = collections.deque(each for each in idle if each.until >= now)
             if left:
--- a/tests/test_batches_load_limit.py
+++ b/tests/test_batches_load_limit.py
@@ -21,7 +21,7 @@
             test_batches_weight_plan.weights(str(n), version)
             for n, version in versions.items()
         ]
-        ids = frozenset(each.engine_id for each in engines)
+        ids = frozenset(each.upstream_id for each in engines)
         bound = limit.number(n_engines)
         wanted = {"m": weight_plan.Wanted(2)}
         loads = weight_plan.plan(engines, {"m": ids}, wanted, bound)
--- a/tests/test_batches_weight_cost.py
+++ b/tests/test_batches_weight_cost.py
@@ -28,12 +28,12 @@
 
 def loads_one_by_one(given, shares, max_loading):
     """Return the loads if the mates of each engine are counted anew for each load."""
-    by_id = {each.engine_id: each for each in given}
+    by_id = {each.upstream_id: each for each in given}
     needs = [
-        (each.versions_by_model[model], each.n_running, each.engine_id, number, model)
+        (each.versions_by_model[model], each.n_running, each.upstream_id, number, model)
         for number, model in enumerate(shares)
         for each in given
-        if each.engine_id in shares[model]
+        if each.upstream_id in shares[model]
         and each.versions_by_model.get(model, NEWEST) < NEWEST
     ]
     loads = []
@@ -42,7 +42,7 @@
         is_busy = by_id[engine_id].is_loading or engine_id in begun
         n_all = sum(each.is_loading for each in given) + len(loads)
         mates = [by_id[each] for each in shares[model] if each in by_id]
-        n_mates = sum(e.is_loading or e.engine_id in begun for e in mates)
+        n_mates = sum(e.is_loading or e.upstream_id in begun for e in mates)
         is_half = n_mates > 0 and n_mates + 1 > len(mates) // 2
         if n_all < max_loading and not is_busy and not is_half:
             loads.append((engine_id, model))
@@ -61,7 +61,7 @@
         known = [engine(n, **each) for n, each in enumerate(fields)]
         pairs = list(zip(known, fields, strict=True))
         shares = {
-            model: frozenset(e.engine_id for e, f in pairs if model in f["models"])
+            model: frozenset(e.upstream_id for e, f in pairs if model in f["models"])
             for model in MODELS
         }
         given = [e for e, f in pairs if f["is_there"]]
@@ -105,7 +105,7 @@
         look, and more where half of them loaded already and none could begin.
         """
         given = [engine(n, {"m": 1}, is_loading=n < n_loading) for n in range(300)]
-        shares = {"m": frozenset(each.engine_id for each in given)}
+        shares = {"m": frozenset(each.upstream_id for each in given)}
         CountedEngine.n_asked = 0
         loads = weight_plan.plan(given, shares, {"m": WANTED}, max_loading)
         self.assertEqual(len(loads), 150 - n_loading, name)
