--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -245,3 +245,50 @@
                 book.note(crash(f"{guilty}2", each), at + 2.0)
             self.assertIs(book.standing(guilty), QUARANTINED, name)
             self.assertIs(book.standing("f"), CLEAR, (name, step))
+
+
+class BesideManyGuilty(unittest.TestCase):
+    """A request that was cut off six times, beside three that end upstreams."""
+
+    # Upstreams, when they ended, and what they ran: "f" is the bystander.
+    AT_ENGINES = (
+        ("a", 0.0, "g"),
+        ("b", 1.0, "fg"),
+        ("c", 2.0, "fg"),
+        ("d", 20.0, "h"),
+        ("e", 21.0, "fh"),
+        ("i", 22.0, "fh"),
+        ("j", 40.0, "k"),
+        ("l", 41.0, "fk"),
+        ("m", 42.0, "fk"),
+    )
+    # Each verdict leaves it an end that is yet to be explained.
+    ELSEWHERE = (
+        ("a", 0.0, "fg"),
+        ("b", 0.2, "fg"),
+        ("c", 0.3, "fh"),
+        ("d", 0.6, "g"),
+        ("e", 0.7, "fh"),
+        ("i", 0.75, "fk"),
+        ("j", 0.9, "h"),
+        ("l", 1.0, "fk"),
+        ("m", 1.3, "k"),
+    )
+
+    @tools.params((True, AT_ENGINES), (False, ELSEWHERE))
+    def test_is_not_quarantined(self, is_crowded, ends):
+        """A request is refused for two minutes that has ended nothing.
+
+        Others that end upstreams ran beside it each time, and each of its ends is laid
+        to one of them. The six of them together have it quarantined all the same, as
+        several that are guilty explain one another's ends in the same way: without the
+        bound one of eight guilty look-ups was there at 20 ends.
+        """
+        book = quarantine.Book(is_crowded=is_crowded)
+        for upstream_id, at, fingerprints in ends:
+            for fingerprint in fingerprints:
+                book.note(crash(upstream_id, fingerprint), at)
+            self.assertIsNot(book.standing("f"), QUARANTINED, upstream_id)
+        self.assertIs(book.standing("f"), CLEAR)
+        for guilty in {name for _, _, names in ends for name in names} - {"f"}:
+            self.assertIs(book.standing(guilty), QUARANTINED, guilty)
