Do not resume a text after its finish reason

What callers saw: a trainer's sample continued after the end of its text with tokens that no weight version generates. A caller of /v1/completions got the end of its text several times, then an error or a 502 in place of a complete answer; with an idempotency key, the outcome stayed unknown and the text was lost.

Cause: the stream reader told of the finish reason only at the [DONE] marker. If the engine crashed, closed or hung between the event with the finish reason and the end of its answer, the stream counted as broken and was resumed from the tokens of the complete text. An engine asked to continue a text does so. After the marker the same: a break before the last chunk made a failure follow `Finished`, and resume.stream went on from there.

Ruled out: reporting `Finished` with the finish reason. A second event after it has to void the answer still (tests of the reader, unchanged), which a consumer that has stopped reading would not see.

Change: the tokens carry the finish reason; callers' streams, attempts at samples and second attempts that begin with what the first has generated do not resume after it. The attempt at the engine, which alone knows why its stream ended, takes a connection that breaks, closes or is silent for a second after the finish reason for the end of a complete text, and a damaged or further event for a mixed-up answer, which fails and is not resumed. `Finished` is the last event of an attempt now, after the end of its answer.

Why it holds: whether a text may be resumed hangs on the one event that ends it, which each reader gets before any failure of its stream.

Looked for elsewhere: items and relayed streams end with their answer and ask after the last event; scores, look-ups and bookings are read by length.

--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -13,6 +13,7 @@
 from typing import Any, Final, Protocol
 
 import attrs
+import eliot
 import eventlet
 import urllib3.exceptions
 
@@ -32,6 +33,9 @@
 # for longer hangs, and its callers would wait until their deadlines; so the stream is
 # broken off, and another engine can resume it.
 STALL_SECONDS: Final = 20.0
+# Longest wait for the end of a stream after the finish reason, in seconds. An engine
+# has nothing left to generate then, and the caller has the complete text already.
+END_SECONDS: Final = 1.0
 # A reused connection that the upstream had dropped is reset within one round trip after
 # the request was sent. If it breaks later than this, in seconds, the upstream may have
 # run a part of the request, so the request is not sent again.
@@ -347,39 +351,23 @@
 ) -> Generator[model.StreamEvent, None, None]:
     """Yield the events of one engine's answer; the last is `Finished`.
 
-    Closing the iterator closes the connection, which cancels the work at the engine.
+    `Finished` comes after the end of the answer, so no failure can follow it. Closing
+    the iterator closes the connection, which cancels the work at the engine.
 
     Raises
     ------
     AttemptError
-        If the stream ends incomplete.
+        If the text is incomplete, or if the engine mixed up its answers.
     """
     with bounded_wait(resources, outgoing):
         connection, answer = open_answer(resources.pool, upstream.address, outgoing)
-    is_complete = False
+    reader = events.StreamReader(outgoing.request_id, upstream.upstream_id)
+    is_read_to_end = False
     try:
         _check_status(answer)
-        reader = events.StreamReader(outgoing.request_id, upstream.upstream_id)
-        parts = read_parts(answer)
-        # Until the first bytes arrive, the call may wait in the engine's queue; only
-        # the deadline bounds this wait.
-        max_wait = math.inf
-        while True:
-            with bounded_wait(resources, outgoing, max_wait):
-                part = next(parts, None)
-            if part is None:
-                break
-            max_wait = STALL_SECONDS
-            yield from _feed(reader, part)
-        if not reader.is_done:
-            raise AttemptError(
-                reasons.Reason.ANSWER_TRUNCATED,
-                True,
-                "stream ended without its [DONE] marker",
-            )
-        is_complete = True
+        is_read_to_end = yield from _read_text(resources, outgoing, answer, reader)
     finally:
-        if is_complete:
+        if is_read_to_end:
             # Each event carried the request's id, so no other answer can have been
             # read.
             keep_or_close(
@@ -387,6 +375,83 @@
             )
         else:
             connection.close()
+    yield model.Finished(reader.finish_reason, upstream.upstream_id)
+
+
+def _read_text(
+    resources: Resources,
+    outgoing: outgoing_requests.Outgoing,
+    answer: Any,
+    reader: events.StreamReader,
+) -> Generator[model.Tokens, None, bool]:
+    """Yield the tokens of a text; return whether its answer was read to its end.
+
+    Once the finish reason was read, the text is complete. The connection may break
+    after it, as it does when the engine crashes then, but that takes nothing from the
+    text.
+    """
+    parts = read_parts(answer)
+    # Until the first bytes arrive, the call may wait in the engine's queue; only the
+    # deadline bounds this wait.
+    max_wait = math.inf
+    while True:
+        try:
+            with bounded_wait(resources, outgoing, max_wait):
+                part = next(parts, None)
+        except AttemptError as error:
+            if error.is_refusal or not reader.is_text_complete():
+                raise
+            _log_lost_end(outgoing, reader, error.reason)
+            return False
+        if part is None:
+            break
+        yield from _feed(reader, part)
+        max_wait = END_SECONDS if reader.finish_reason else STALL_SECONDS
+    if reader.is_done:
+        return True
+    if not reader.is_text_complete():
+        raise AttemptError(
+            reasons.Reason.ANSWER_TRUNCATED,
+            True,
+            "stream ended without its finish reason and its [DONE] marker",
+        )
+    _log_lost_end(outgoing, reader, reasons.Reason.ANSWER_TRUNCATED)
+    return False
+
+
+def _feed(
+    reader: events.StreamReader, part: bytes
+) -> Generator[model.Tokens, None, None]:
+    """Yield the tokens in `part`, and the finish reason, with or without tokens."""
+    has_ended = bool(reader.finish_reason)
+    failure = None
+    read: list[model.StreamEvent] = []
+    try:
+        read = reader.feed(part)
+    except events.StreamError as error:
+        failure = error
+    for event in read:
+        if isinstance(event, model.Tokens):
+            yield event
+            has_ended = bool(event.finish_reason)
+    if reader.finish_reason and not has_ended:
+        yield model.Tokens("", (), None, reader.upstream_id, reader.finish_reason)
+    if failure is not None:
+        raise AttemptError(failure.reason, True, failure.detail) from failure
+
+
+def _log_lost_end(
+    outgoing: outgoing_requests.Outgoing,
+    reader: events.StreamReader,
+    reason: reasons.Reason,
+) -> None:
+    eliot.log_message(
+        message_type="requests:stream-end-lost",
+        request_id=outgoing.request_id,
+        upstream_id=reader.upstream_id,
+        finish_reason=reader.finish_reason,
+        reason=reason.value,
+    )
 
 
 def _idle_seconds(keep_alive: str) -> float:
@@ -403,13 +468,6 @@
     return connections.MAX_IDLE_SECONDS
 
 
-def _feed(reader: events.StreamReader, part: bytes) -> list[model.StreamEvent]:
-    try:
-        return reader.feed(part)
-    except events.StreamError as error:
-        raise AttemptError(error.reason, True, error.detail) from error
-
-
 def _check_status(answer: Any) -> None:
     if answer.status == 200:
         return
--- a/bilberrydrum/requests/events.py
+++ b/bilberrydrum/requests/events.py
@@ -1,8 +1,9 @@
 """Parse an engine's stream of server-sent events.
 
-`StreamReader` does no I/O: it turns bytes into typed events. A stream counts as
-complete only if a choice gave its finish reason and the `[DONE]` marker followed. A
-stream that ends in any other way has failed.
+`StreamReader` does no I/O: it turns bytes into typed events. A text is complete once a
+choice gave its finish reason; the `[DONE]` marker follows it. If the stream breaks off
+between the two, nothing of the text is missing. If another event follows the finish
+reason instead, the engine has mixed up its answers, and the stream has failed.
 """
 
 import json
@@ -18,6 +19,7 @@
 # bound it would fill the memory.
 MAX_EVENT_BYTES: Final = 1024 * 1024
 _PREFIX: Final = b"data:"
+_MARKER: Final = b"[DONE]"
 
 
 class StreamError(Exception):
@@ -37,8 +39,9 @@
     upstream_id: str
     # True once the stream is complete.
     is_done: bool = False
+    # Why the text ended; empty until the event that says so.
+    finish_reason: str = ""
     _incomplete_line: bytes = b""
-    _finish_reason: str = ""
 
     def feed(self, data: bytes) -> list[model.StreamEvent]:
         """Return the events that `data` completes.
@@ -62,13 +65,25 @@
                 self._read_data(line[len(_PREFIX) :].strip(), events)
         return events
 
+    def is_text_complete(self) -> bool:
+        """Return whether the text is complete if the stream breaks off here.
+
+        A partial line that can't become the `[DONE]` marker is another event, which
+        must not follow the finish reason.
+        """
+        if not self.finish_reason:
+            return False
+        if not self._incomplete_line.startswith(_PREFIX):
+            return True
+        return _MARKER.startswith(self._incomplete_line[len(_PREFIX) :].strip())
+
     def _read_data(self, data: bytes, events: list[model.StreamEvent]) -> None:
         if self.is_done:
             raise StreamError(
                 reasons.Reason.ANSWER_MISMATCHED,
                 "expected nothing after the [DONE] marker, got another event",
             )
-        if data == b"[DONE]":
+        if data == _MARKER:
             self._finish(events)
             return
         document = _parse(data)
@@ -79,7 +94,7 @@
                 reasons.Reason.ANSWER_MISMATCHED,
                 f"expected an event of this request, got one of {document.get('id')!r}",
             )
-        if self._finish_reason:
+        if self.finish_reason:
             raise StreamError(
                 reasons.Reason.ANSWER_MISMATCHED,
                 "expected the [DONE] marker after the finish reason, got another event",
@@ -106,26 +121,28 @@
                 "expected a string as text, integers as token ids, and an integer or"
                 " null as weight version, got another type",
             )
-        if text or token_ids:
-            events.append(model.Tokens(text, token_ids, version, self.upstream_id))
-        if finish_reason is None:
-            return
-        if finish_reason not in (model.FINISH_STOP, model.FINISH_LENGTH):
+        if finish_reason not in (None, model.FINISH_STOP, model.FINISH_LENGTH):
             raise StreamError(
                 reasons.Reason.UPSTREAM_ERROR,
                 f"expected {model.FINISH_STOP!r} or {model.FINISH_LENGTH!r} as finish"
                 f" reason, got {finish_reason!r}",
             )
-        self._finish_reason = finish_reason
+        self.finish_reason = finish_reason or ""
+        if text or token_ids:
+            events.append(
+                model.Tokens(
+                    text, token_ids, version, self.upstream_id, self.finish_reason
+                )
+            )
 
     def _finish(self, events: list[model.StreamEvent]) -> None:
-        if not self._finish_reason:
+        if not self.finish_reason:
             raise StreamError(
                 reasons.Reason.ANSWER_TRUNCATED,
                 "expected a finish reason before the [DONE] marker, got none",
             )
         self.is_done = True
-        events.append(model.Finished(self._finish_reason, self.upstream_id))
+        events.append(model.Finished(self.finish_reason, self.upstream_id))
 
 
 def _is_valid(text: object, token_ids: tuple[object, ...], version: object) -> bool:
--- a/bilberrydrum/requests/model.py
+++ b/bilberrydrum/requests/model.py
@@ -64,13 +64,20 @@
 
 @attrs.frozen
 class Tokens:
-    """Tokens of a stream, as the engine reported them in one event."""
+    """Tokens of a stream, as the engine reported them in one event.
+
+    The last event of a text may have no tokens, only the finish reason.
+    """
 
     text: str
     token_ids: tuple[int, ...]
     # Weight version that generated them; None: the engine did not report it.
     weight_version: int | None
     upstream_id: str
+    # Why the text ends with these tokens; empty if more may follow. A text that has
+    # ended must not be resumed, whatever happens to its stream: an engine would
+    # continue it after its end.
+    finish_reason: str = ""
 
 
 @attrs.frozen
--- a/bilberrydrum/requests/resume.py
+++ b/bilberrydrum/requests/resume.py
@@ -28,18 +28,27 @@
         generated: list[int] = []
         can_resume = call.is_idempotent and n_resumes < MAX_RESUMES
         failed = None
+        has_ended = False
         with contextlib.closing(_Closable(dispatcher.stream(current))) as events:
             for event in events:
                 if isinstance(event, model.Failed):
                     failed = event
                     break
                 if isinstance(event, model.Tokens):
+                    has_ended = bool(event.finish_reason)
+                    if not (event.text or event.token_ids):
+                        continue
                     generated.extend(event.token_ids)
                     # Text without token ids can't be sent to the next engine.
                     can_resume = can_resume and bool(event.token_ids)
                 yield event
         if failed is None:
             return
+        if has_ended:
+            # The engine failed after the end of the text. Another one would continue
+            # the text after its end.
+            yield failed
+            return
         if not generated and last is not None:
             # No engine could resume the stream. Why it broke off before is a more
             # useful reason than that.
--- a/bilberrydrum/samples/attempts.py
+++ b/bilberrydrum/samples/attempts.py
@@ -82,6 +82,15 @@
     output: provenance.PartialOutput = attrs.field(factory=provenance.PartialOutput)
     upstream_id: str = ""
 
+    def resume_from(self, earlier: provenance.PartialOutput) -> None:
+        """Begin with what another attempt has generated, unless its text has ended.
+
+        The other attempt then only waits for the end of its stream. If it fails there,
+        the text is generated anew.
+        """
+        if not earlier.finish_reason:
+            self.output = earlier.copy()
+
     def run(self) -> result.Result[ScoredAttempt, reasons.Reason]:
         """Return the scored attempt, or the reason why it failed."""
         segments = self._generate()
@@ -194,6 +203,10 @@
     def _can_resume(self, failed: request_model.Failed) -> bool:
         if not self.output.token_ids or not failed.upstream_id:
             return False
+        if self.output.finish_reason:
+            # Another engine would continue the text after its end, with tokens that no
+            # weight version generates.
+            return False
         if len(self.output.token_ids) >= self.task.request.max_tokens:
             return False
         model_name = self.task.rule.model
--- a/bilberrydrum/samples/owner.py
+++ b/bilberrydrum/samples/owner.py
@@ -288,7 +288,7 @@
         )
         earlier = self._outputs_by_start.get((key, task.start.resumes_attempt))
         if earlier is not None:
-            attempt.output = earlier.copy()
+            attempt.resume_from(earlier)
         self._outputs_by_start[(key, number)] = attempt.output
         scored = attempt.run()
         if scored.is_err():
--- a/bilberrydrum/samples/provenance.py
+++ b/bilberrydrum/samples/provenance.py
@@ -22,9 +22,12 @@
     texts: list[str] = attrs.field(factory=list)
     # Why the attempt can't be traced; empty if it can.
     fault: str = ""
+    # Why the text has ended; empty if more tokens may follow.
+    finish_reason: str = ""
 
     def add(self, tokens: request_model.Tokens) -> None:
         """Append one event of the stream."""
+        self.finish_reason = tokens.finish_reason
         n_tokens = len(tokens.token_ids)
         if n_tokens == 0:
             # If the engine has left out tokens, the segments after them would refer to
@@ -49,7 +52,11 @@
     def copy(self) -> "PartialOutput":
         """Return an independent copy."""
         return PartialOutput(
-            list(self.segments), list(self.token_ids), list(self.texts), self.fault
+            list(self.segments),
+            list(self.token_ids),
+            list(self.texts),
+            self.fault,
+            self.finish_reason,
         )
 
     def payload(self) -> model.Payload:
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -218,6 +218,11 @@
                 return
             if is_reset:
                 raise ConnectionDropError
+        if self.faults.take("crash_at_ends"):
+            self.journal.write("crash", running=[stream.request_id])
+            os._exit(CRASH_CODE)
+        if self.faults.take("lose_ends"):
+            raise ConnectionDropError
         yield b"data: [DONE]\n\n"
 
     def _complete_answer(self, stream: batching.Stream) -> server.Answer:
--- a/tests/fakes/faults.py
+++ b/tests/fakes/faults.py
@@ -28,6 +28,12 @@
     reset_streams: int = 0
     # Number of streams that end after their first event, without a finish reason.
     cut_streams: int = 0
+    # Number of streams whose connection is closed after the event with the finish
+    # reason, before the end marker.
+    lose_ends: int = 0
+    # Number of streams after whose finish reason the process crashes, before the end
+    # marker.
+    crash_at_ends: int = 0
     # Number of streams with the id and the answer of another request.
     wrong_ids: int = 0
     # Number of streams that are generated with the next weight version and omit it.
--- a/tests/path_support.py
+++ b/tests/path_support.py
@@ -13,6 +13,8 @@
 
 runtime.prepare()
 
+import urllib3
+
 from misc import processes
 from misc.demos import andes
 from tests.fakes import journal, samples
@@ -125,6 +127,19 @@
                 return False
         return True
 
+    def restart_engine(self, engine):
+        """Restart an engine that crashed; wait until it answers and is listed."""
+        self.processes.restart(engine)
+
+        def answers():
+            try:
+                self.andes.control(engine)
+            except urllib3.exceptions.HTTPError:
+                return False
+            return self.is_listed(engine)
+
+        self.wait_for(answers, f"{engine} is back")
+
     def slow_down_bookings(self, seconds):
         """Make the application delay its answers to bookings by `seconds`."""
         self.andes.control("schedule-1", slow_changes_seconds=seconds)
--- a/tests/test_http_callers.py
+++ b/tests/test_http_callers.py
@@ -269,6 +269,29 @@
             self.assertIn(b"t2", first.body)
         self.assertEqual(len(engine.received), 2)
 
+    def test_complete_text_is_recorded_when_its_engine_crashes(self):
+        """An engine crashes between the finish reason and the end of its stream.
+
+        If the complete text counted as a failure, its outcome would be unknown: the
+        caller could neither get the text nor send the request again.
+        """
+
+        def crash(received):
+            part = scripted.event(received.request_id, "t2", [2], "stop")
+            return scripted.stream_head(received) + scripted.chunk(part)
+
+        engine = self.engine("e1", scripted.serve_and_close(crash))
+        body = {"model": "planner", "prompt": "p", "max_tokens": 3}
+        for stream in (False, True):
+            body["stream"] = stream
+            for _ in range(2):
+                answer = self.first.send(
+                    "POST", "/v1/completions", body, Idempotency_Key=f"k{stream}"
+                ).wait()
+                self.assertEqual(answer.status, 200)
+                self.assertIn(b"t2", answer.body)
+        self.assertEqual(len(engine.received), 2)
+
 
 class NoMajority(deployment.Deployment):
     def test_only_requests_with_a_key_are_refused_as_unknown(self):
--- a/tests/test_http_streams.py
+++ b/tests/test_http_streams.py
@@ -44,6 +44,25 @@
         self.assertTrue(answer.is_complete)
         self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
 
+    def test_complete_text_without_the_end_of_its_stream(self):
+        """The engine crashes after the finish reason; the caller has a complete text.
+
+        An error in place of its end would have the caller discard the text.
+        """
+
+        def crash(received):
+            part = scripted.event(received.request_id, "t0", [0], "stop")
+            return scripted.stream_head(received) + scripted.chunk(part)
+
+        self.engine("e1", scripted.serve_and_close(crash), can_resume=True)
+        streamed = self.complete()
+        self.assertTrue(streamed.is_complete)
+        self.assertTrue(streamed.body.endswith(scripted.DONE))
+        self.assertEqual(streamed.body.count(b"t0"), 1)
+        whole = self.complete(stream=False)
+        self.assertEqual(whole.document["choices"][0]["text"], "t0")
+        self.assertEqual(whole.document["choices"][0]["finish_reason"], "stop")
+
     def test_failure_before_the_first_token_sets_the_status(self):
         self.engine("e1", scripted.serve_and_close(lambda received: b""))
         answer = self.complete()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -25,6 +25,7 @@
     @tools.params(
         ("the connection closes in mid-stream", "reset_streams"),
         ("the stream ends without its finish", "cut_streams"),
+        ("the connection closes after the finish reason", "lose_ends"),
         ("the answer is that of another request", "wrong_ids"),
         ("the engine does not say which weights it used", "hide_versions"),
     )
@@ -55,8 +56,39 @@
         account = self.read_group(f"crash-{uuid.uuid4().hex[:6]}", "Outage", n_slots=12)
         self.assert_complete(account)
         self.wait_for(lambda: not self.processes[engine].is_running(), "the crash")
-        self.processes.restart(engine)
-        self.wait_for(lambda: self.is_listed(engine), f"{engine} is back")
+        self.restart_engine(engine)
+
+    def test_samples_survive_the_crash_of_an_engine_after_their_texts(self):
+        """An engine crashes between the finish reason and the end of a stream.
+
+        If the complete text is resumed at another engine, the trainer gets tokens that
+        no weight version generates.
+        """
+        engine = self.andes.engines[0]
+        self.andes.control(engine, crash_at_ends=1)
+        account = self.read_group(f"end-{uuid.uuid4().hex[:6]}", "Outage", n_slots=12)
+        self.wait_for(lambda: not self.processes[engine].is_running(), "the crash")
+        self.restart_engine(engine)
+        self.assert_complete(account)
+
+    def test_caller_gets_a_complete_text_whose_stream_lost_its_end(self):
+        """Both engines close each connection after the finish reason.
+
+        The caller must get the text once, and neither an error nor tokens after it.
+        """
+        for engine in self.andes.engines:
+            self.andes.control(engine, lose_ends=4)
+            self.addCleanup(self.andes.control, engine, lose_ends=0)
+        headers = {"X-Caller": andes.CALLER, "X-Timeout-Seconds": "30"}
+        address = self.andes.daemons_by_id[self.gateways[0]].http_address
+        body = {"model": "planner", "prompt": "Which crew?", "max_tokens": 24}
+        for _ in range(4):
+            events, is_broken = _read_stream(address, headers, body | {"stream": True})
+            self.assertEqual((events[-1], is_broken), ("[DONE]", False))
+            choices = [json.loads(event)["choices"][0] for event in events[:-1]]
+            ids = [each for one in choices for each in one.get("token_ids", [])]
+            fault = tokens.find_fault("Which crew?", ids, [0] * len(ids), 24)
+            self.assertIsNone(fault)
 
     def test_caller_never_takes_a_broken_stream_for_a_complete_answer(self):
         """A truncated stream must not look like a complete answer to the caller.
--- a/tests/test_path_losses.py
+++ b/tests/test_path_losses.py
@@ -172,4 +172,5 @@
             figures.count_bookings(self.folder),
             [],
         )
-        self.assertEqual([], breaches)
+        examples = figures.read_report(self.folder, "trainer")["examples"]
+        self.assertEqual([], breaches, examples)
--- a/tests/test_requests_streams.py
+++ b/tests/test_requests_streams.py
@@ -75,6 +75,61 @@
     return scripted.serve(make)
 
 
+def texts_of(received, parts):
+    """Return the start of a stream: two tokens, and `parts` of it after them."""
+    tokens = scripted.event(received.request_id, "t0t1", [0, 1])
+    body = b"".join(scripted.chunk(part) for part in (tokens, *parts))
+    return scripted.stream_head(received) + body
+
+
+def ends_after(*parts, last=b""):
+    """Return a script that closes the connection after `parts` of a stream."""
+    return scripted.serve_and_close(
+        lambda received: (
+            texts_of(received, [part(received.request_id) for part in parts]) + last
+        )
+    )
+
+
+def hangs_after(*parts):
+    """Return a script that sends `parts` of a stream and then nothing more."""
+
+    def script(connection, received):
+        given = [part(received.request_id) for part in parts]
+        connection.sendall(texts_of(received, given))
+        eventlet.sleep(30)
+
+    return script
+
+
+def last_tokens(request_id):
+    return scripted.event(request_id, "t2", [2], "stop")
+
+
+def finish_reason(request_id):
+    return scripted.event(request_id, "", [], "stop")
+
+
+def marker(request_id):
+    return scripted.DONE
+
+
+def half_marker(request_id):
+    return scripted.DONE[:8]
+
+
+def more_tokens(request_id):
+    return scripted.event(request_id, "t3", [3])
+
+
+def half_event(request_id):
+    return more_tokens(request_id)[:20]
+
+
+def foreign_tokens(request_id):
+    return scripted.event("another", "no", [9])
+
+
 def busy(connection, received):
     connection.sendall(scripted.answer(received, status="503 Busy\r\nRetry-After: 1"))
 
@@ -140,6 +195,61 @@
         self.assertEqual(seen[-2].weight_version, 4)
         self.assertEqual(len(second.received), 1)
 
+    @tools.params(
+        ("closed after the last tokens", ends_after(last_tokens), "t0t1t2"),
+        ("closed after the finish reason", ends_after(finish_reason), "t0t1"),
+        (
+            "ended in order without the marker",
+            ends_after(last_tokens, last=scripted.LAST_CHUNK),
+            "t0t1t2",
+        ),
+        (
+            "closed within the marker",
+            ends_after(last_tokens, half_marker),
+            "t0t1t2",
+        ),
+        (
+            "closed after the marker, before the last chunk",
+            ends_after(last_tokens, marker),
+            "t0t1t2",
+        ),
+        ("hangs after the last tokens", hangs_after(last_tokens), "t0t1t2"),
+        ("hangs after the marker", hangs_after(last_tokens, marker), "t0t1t2"),
+    )
+    def test_complete_text_is_not_resumed(self, name, script, text):
+        """An engine fails after the finish reason, and the text continues elsewhere.
+
+        The caller gets tokens after the end of its text, or an error in place of it.
+        """
+        self.engine("e1", script, availability_zone="a")
+        second = self.engine("e2", finish(9), availability_zone="far")
+        with unittest.mock.patch.object(attempts, "END_SECONDS", 0.1):
+            seen = list(resume.stream(self.dispatcher, call()))
+        self.assertEqual(text_of(seen), text, name)
+        self.assertEqual(seen[-1], model.Finished("stop", "e1"), name)
+        self.assertEqual(len(second.received), 0, name)
+        self.assertEqual(self.dispatcher.n_in_flight, 0, name)
+
+    @tools.params(
+        ("tokens", ends_after(last_tokens, more_tokens)),
+        ("tokens after the reason", ends_after(finish_reason, more_tokens)),
+        ("part of an event", ends_after(last_tokens, half_event)),
+        ("another request's", ends_after(finish_reason, foreign_tokens)),
+        ("tokens after the marker", ends_after(last_tokens, marker, more_tokens)),
+    )
+    def test_mixed_up_answer_is_neither_complete_nor_resumed(self, name, script):
+        """An engine sends another event after the finish reason.
+
+        Which of the two answers the text belongs to is unknown, and another engine
+        would continue it after its end.
+        """
+        self.engine("e1", script, availability_zone="a")
+        second = self.engine("e2", finish(9), availability_zone="far")
+        seen = list(resume.stream(self.dispatcher, call()))
+        self.assertIsInstance(seen[-1], model.Failed, name)
+        self.assertNotIn(model.Finished, [type(event) for event in seen], name)
+        self.assertEqual(len(second.received), 0, name)
+
     def test_resumed_stream_goes_before_new_calls_when_the_queue_is_full(self):
         """An engine crashes during a stream, and its client's queue is full.
 
--- a/tests/test_samples_attempts.py
+++ b/tests/test_samples_attempts.py
@@ -3,13 +3,14 @@
 import json
 import unittest
 
+import attrs
 import eventlet
 from nose2 import tools
 
 from bilberrydrum import clock, reasons
 from bilberrydrum.requests import events
 from bilberrydrum.requests import model as request_model
-from bilberrydrum.samples import attempts, model, scheduling
+from bilberrydrum.samples import attempts, model, provenance, scheduling
 from tests import samples_support as support
 
 R = reasons.Reason
@@ -114,6 +115,22 @@
         resumed_from = [call.resume_token_ids for call in self.dispatcher.calls]
         self.assertNotIn((1, 2), resumed_from)
 
+    def test_second_attempt_does_not_resume_a_complete_text(self) -> None:
+        """A second attempt starts while the first one's stream hangs after its text.
+
+        If it began with the text so far, it would continue the text after its end.
+        """
+        earlier = provenance.PartialOutput()
+        for finish_reason, expected in (("", (1, 2)), ("stop", ())):
+            received = attrs.evolve(support.tokens(1, 2), finish_reason=finish_reason)
+            earlier.add(received)
+            attempt = self.attempt([OK])
+            attempt.resume_from(earlier)
+            attempt.run()
+            (call,) = self.dispatcher.calls
+            self.assertEqual(call.resume_token_ids, expected, finish_reason)
+            earlier = provenance.PartialOutput()
+
     def test_attempt_is_not_resumed_without_another_engine(self) -> None:
         """An engine crashes in mid-stream and no other engine can resume the sample.
 
