Clear a call of suspicion once it was answered, whoever stops reading

What callers saw: a trainer's sample whose engines crashed for other reasons was refused as suspected, and then quarantined for two minutes, though it had been answered after each crash. The slots of a group share one prompt and so one fingerprint: they were all held back.

Cause: the dispatcher yielded `Finished` before it had recorded the answer, the engine's success and the time of the run. Attempts at samples stop reading there and close the iterator, so none of the three was recorded. Callers' streams read on and were not affected.

Evidence: the new test on the code before fails in the third round with REQUEST_DOUBTFUL (a call that has run may not run again).

Change: `Finished` comes after the capacity was returned and the answer recorded. An attempt that ends without it is an error in the code.

Why it holds: nothing is left to do after the last event.

--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -348,7 +348,7 @@
     resources: Resources,
     upstream: Endpoint,
     outgoing: outgoing_requests.Outgoing,
-) -> Generator[model.StreamEvent, None, None]:
+) -> Generator[model.Tokens | model.Finished, None, None]:
     """Yield the events of one engine's answer; the last is `Finished`.
 
     `Finished` comes after the end of the answer, so no failure can follow it. Closing
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 import uuid
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Generator, Iterator, Mapping
 from typing import Any, Final
 
 import eventlet
@@ -142,11 +142,12 @@
                         call, self._attempt_id(call), self._refusal_of(call)
                     )
                     events = attempts.stream(self._resources, upstream, outgoing)
-                    with contextlib.closing(events):
-                        for event in events:
-                            progress.record_event(event)
-                            yield event
+                    finished = yield from _relay_tokens(events, progress)
                 self._recovery.record_answer(call)
+                # The consumer may close the iterator here, so what an answer changes is
+                # recorded before. Otherwise the call would be suspected of crashes that
+                # its answer clears it of.
+                yield finished
                 return
             except RefusedError as error:
                 yield _refused(error, progress)
@@ -361,6 +362,20 @@
             self._n_gateways = max(1, len(self._bundles.gateways_by_id()))
 
 
+def _relay_tokens(
+    events: Generator[model.Tokens | model.Finished, None, None],
+    progress: recovery.Progress,
+) -> Generator[model.Tokens, None, model.Finished]:
+    """Yield the tokens of an attempt, and return how it finished."""
+    with contextlib.closing(events):
+        for event in events:
+            if isinstance(event, model.Finished):
+                return event
+            progress.record_event(event)
+            yield event
+    raise AssertionError("expected `Finished` as the attempt's last event, got none")
+
+
 def _give_up(
     progress: recovery.Progress, failed: model.Failed
 ) -> result.Result[model.ApplicationAnswer, model.Failed]:
--- a/bilberrydrum/requests/recovery.py
+++ b/bilberrydrum/requests/recovery.py
@@ -51,12 +51,11 @@
     # When the first tokens arrived, in seconds of `clock.now`.
     first_tokens_at: float | None = None
 
-    def record_event(self, event: model.StreamEvent) -> None:
+    def record_event(self, event: model.Tokens) -> None:
         """Count the tokens of `event`."""
-        if isinstance(event, model.Tokens):
-            self.n_tokens += max(1, len(event.token_ids))
-            if self.first_tokens_at is None:
-                self.first_tokens_at = clock.now()
+        self.n_tokens += max(1, len(event.token_ids))
+        if self.first_tokens_at is None:
+            self.first_tokens_at = clock.now()
 
     def was_healthy(self) -> bool:
         """Return whether the stream ran long enough to clear the call of suspicion."""
--- a/tests/test_requests_crashes.py
+++ b/tests/test_requests_crashes.py
@@ -25,14 +25,17 @@
     def setUp(self):
         super().setUp()
         self.n_crashed = 0
+        # Number of runs that still crash their upstreams, whatever they are.
+        self.n_unrelated = 0
 
     def put(self, kind, number):
         """Start or restart an upstream."""
         name = f"{kind}-{number}"
 
         def run(connection, received):
-            is_marked = MARK.encode() in received.body
+            is_marked = MARK.encode() in received.body or self.n_unrelated > 0
             if is_marked:
+                self.n_unrelated -= 1
                 eventlet.sleep(RUN_SECONDS)
                 self.n_crashed += 1
                 server.stop()
@@ -103,3 +106,23 @@
             refused = self.call(kind, MARK, 99, each)
             self.assertEqual(refused, reasons.Reason.REQUEST_QUARANTINED)
             self.assertIsNone(self.call(kind, "innocent", 100, each))
+
+    def test_answered_sample_is_cleared(self):
+        """A sample is cut off by an unrelated crash once in each of several rounds.
+
+        It is answered by another engine each time, and its reader stops at `Finished`.
+        If the answer did not clear it, it would be quarantined in the third round.
+        """
+        for number in range(N_ROUNDS):
+            self.put_all("engine")
+            self.n_unrelated = 1
+            asked = model.ModelCall(
+                f"r{number}", "planner", "sample", 5, "trainer", clock.now() + 5.0
+            )
+            events = self.dispatcher.stream(asked)
+            ends = (model.Finished, model.Failed)
+            last = next(event for event in events if isinstance(event, ends))
+            events.close()
+            self.assertIsInstance(last, model.Finished, number)
+            clock.sleep(PAUSE_SECONDS)
+        self.assertEqual(self.n_crashed, N_ROUNDS)
