Do not resume a caller's text that has all the tokens allowed

What callers saw: more tokens than `max_tokens`, if the engine crashed after the last token and before the finish reason.

Cause: resume.stream compared the tokens generated with nothing. Attempts at samples do (they fail and generate anew), callers' streams did not.

Evidence: the new test before the change: 't0t1t2t3t4t5t6t7t8' != 't0t1t2' with max_tokens 3. Found by looking for other texts that are resumed after their end.

Change: a text with as many tokens as allowed ends with the finish reason "length". After an event that follows the finish reason the call fails, as before.

--- a/bilberrydrum/requests/resume.py
+++ b/bilberrydrum/requests/resume.py
@@ -49,6 +49,11 @@
             # the text after its end.
             yield failed
             return
+        if len(current.resume_token_ids) + len(generated) >= call.max_tokens:
+            # Nothing is missing but the finish reason. Another engine would generate
+            # more tokens than the caller allows.
+            yield model.Finished(model.FINISH_LENGTH, failed.upstream_id)
+            return
         if not generated and last is not None:
             # No engine could resume the stream. Why it broke off before is a more
             # useful reason than that.
--- a/tests/test_requests_streams.py
+++ b/tests/test_requests_streams.py
@@ -230,6 +230,19 @@
         self.assertEqual(len(second.received), 0, name)
         self.assertEqual(self.dispatcher.n_in_flight, 0, name)
 
+    def test_text_of_full_length_is_not_resumed(self):
+        """An engine crashes after the last token that the caller allows.
+
+        The finish reason is missing, and the engine that resumes the text generates
+        more tokens than allowed.
+        """
+        self.engine("e1", crash_after(3), availability_zone="a")
+        second = self.engine("e2", finish(9), availability_zone="far")
+        seen = list(resume.stream(self.dispatcher, call(max_tokens=3)))
+        self.assertEqual(text_of(seen), "t0t1t2")
+        self.assertEqual(seen[-1], model.Finished("length", "e1"))
+        self.assertEqual(len(second.received), 0)
+
     @tools.params(
         ("tokens", ends_after(last_tokens, more_tokens)),
         ("tokens after the reason", ends_after(finish_reason, more_tokens)),
