Keep requests apart that were cut off repeatedly

What callers saw: a request or item that had crashed no upstream was refused, or waited, for two minutes, after six crashes of upstreams that ran it beside culprits.

Cause: the crashes of a quarantined request are attributed to it. A request with no others was clear, and was sent where the next culprit ran; the sixth crash counts regardless of attribution (UNCONDITIONAL_THRESHOLD).

Evidence: ManyCulprits (known red), both rows: "f" QUARANTINED at "m" and at "l".

Ruled out, simulated: no quarantine at the sixth crash while another request ran at all its remaining crashes but the newest, alone: ManyCulprits passes, but culprits of look-ups crash 7 to 10 upstreams (SeveralCrashingRequests, 3 rows of 5). Conditions on the number of attributed crashes: 7 and 8 (tried before). So a history alone doesn't tell them apart, and a run alone does. Apart from the first crash on: 5 of 1,200 plays with bursts wrong in place of 9, but each crash of an engine would hold up a dozen items. A growing pause before each trial: 6 and 14 of 800 in place of 4.

Change: a request that was cut off repeatedly, whatever its crashes are attributed to, runs at no upstream where another such request runs (must_run_apart). Items: the stores' leader places them so. Look-ups and scores: the control leader grants a trial for one upstream; gateways propose theirs. Calls of the daemon: each gateway for itself. At the sixth crash a request is spared while another one ran at all its own that remain. The two messages of a trial leave out added fields that have their default, so they are written as before where those aren't used (test_stored_data).

The items' rows keep the placement that they had, which is harder; new rows place as the product does. Stubs of test_relay_hedging and test_batches_scheduling_pass follow the interface.

Why it holds: the crash of an upstream with one such request is that request's, a fresh culprit's or unrelated; the first needs three, the others have to hit the same request again before it has run for 0.3 s.

--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -55,11 +55,15 @@
         """Return whether an item is suspected of crashing engines or quarantined."""
         return self._crashes.standing(lambda: self._fingerprint(opened, run))
 
+    def must_run_apart(self, opened: work.OpenBatch, run: lifecycle.ItemRun) -> bool:
+        """Return whether an item must not run where another such item does."""
+        return self._crashes.must_run_apart(lambda: self._fingerprint(opened, run))
+
     def send(
         self, opened: work.OpenBatch, run: lifecycle.ItemRun, engine: engines.Engine
     ) -> None:
         """Start an attempt of an item at `engine`."""
-        run.is_suspected = bool(self.standing(opened, run))
+        run.is_suspected = self.must_run_apart(opened, run)
         run.begin_generating(engine.upstream_id)
         engine.add_run(run)
         key = (opened.batch.batch_id, run.item.item_id)
--- a/bilberrydrum/batches/lifecycle.py
+++ b/bilberrydrum/batches/lifecycle.py
@@ -60,8 +60,8 @@
     n_moves: int = 0
     # Time from the first to the last event of the current attempt, in seconds.
     generating_seconds: float = 0.0
-    # Whether the item was suspected of crashing engines (see `quarantine`) when the
-    # current attempt was sent.
+    # Whether the current attempt must run apart from those of other suspected items
+    # (see `quarantine`).
     is_suspected: bool = False
     # Identifies the item's work across submissions; empty: not computed yet.
     fingerprint: str = ""
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -303,7 +303,7 @@
         served: set[int] = set()
         if route.is_single_version:
             served = served_by(opened.batch.model)
-        is_suspected = standing is quarantine.Standing.DOUBTFUL
+        is_suspected = self._items.must_run_apart(opened, run)
         account = opened.batch.account
         return work.waiting_item(
             opened,
--- a/bilberrydrum/codec.py
+++ b/bilberrydrum/codec.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any, Final, TypeVar
 
+import cattrs.gen
 import cattrs.preconf.msgpack
 import msgpack
 
@@ -27,10 +28,18 @@
     """The class named in the bytes is not registered in this release."""
 
 
-def register(name: str) -> Callable[[type[T]], type[T]]:
+def register(name: str, omits_defaults: bool = False) -> Callable[[type[T]], type[T]]:
     """Register the decorated attrs class under `name`.
 
     The name must never change: stored data and other releases refer to it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the class in encoded values.
+    omits_defaults : bool
+        Whether fields that have their default are left out. A value that doesn't use
+        the fields that were added to its class is then encoded as before.
     """
 
     def add(cls: type[T]) -> type[T]:
@@ -38,6 +47,11 @@
             raise ValueError(f"codec name {name!r} is registered twice")
         _classes_by_name[name] = cls
         _names_by_class[cls] = name
+        if omits_defaults:
+            to_fields = cattrs.gen.make_dict_unstructure_fn(
+                cls, _converter, _cattrs_omit_if_default=True
+            )
+            _converter.register_unstructure_hook(cls, to_fields)
         return cls
 
     return add
--- a/bilberrydrum/fleet/crash_calls.py
+++ b/bilberrydrum/fleet/crash_calls.py
@@ -42,15 +42,24 @@
         return messages.CrashesRecorded(self.section().index)
 
     def on_ask_trial(self, sender: transport.Sender, message: messages.AskTrial) -> Any:
-        """Grant the trial of a suspected request unless another copy is being tried."""
-        is_granted = self._trials.grant(message.fingerprint, clock.now())
+        """Grant the trial of a suspected request unless another copy is being tried.
+
+        It is refused as well if another request is being tried at each upstream.
+        """
+        is_granted = self._trials.grant(
+            message.fingerprint, clock.now(), message.upstream_ids
+        )
+        upstream_id = ""
+        if is_granted:
+            upstream_id = self._trials.upstream_of(message.fingerprint)
         eliot.log_message(
             message_type="crashes:trial",
             fingerprint=message.fingerprint,
             address=sender.address,
             is_granted=is_granted,
+            upstream_id=upstream_id,
         )
-        return messages.Trial(is_granted)
+        return messages.Trial(is_granted, upstream_id)
 
     def on_list(self, sender: transport.Sender, message: messages.ListCrashes) -> Any:
         """Return the crash history for operators."""
--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -135,20 +135,24 @@
     crashes_index: int
 
 
-@codec.register("fleet.ask-trial")
+@codec.register("fleet.ask-trial", omits_defaults=True)
 @attrs.frozen
 class AskTrial:
     """Request permission to send a suspected request to one upstream."""
 
     fingerprint: str
+    # Where it can be sent, the best upstream first. Empty from earlier releases.
+    upstream_ids: tuple[str, ...] = ()
 
 
-@codec.register("fleet.trial")
+@codec.register("fleet.trial", omits_defaults=True)
 @attrs.frozen
 class Trial:
     """Whether the suspected request may be sent; another trial may be under way."""
 
     is_granted: bool
+    # Where it is to be sent; empty: the sender chooses.
+    upstream_id: str = ""
 
 
 @codec.register("fleet.list-crashes")
--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -24,7 +24,14 @@
 requests that ran concurrently. For these, such crashes count only towards
 `UNCONDITIONAL_THRESHOLD`: several crash-causing requests that run together would
 otherwise have their crashes attributed to one another without end, so a request that
-reaches that threshold is quarantined regardless of attribution and unrelated crashes.
+reaches that threshold is quarantined regardless of unrelated crashes, and of
+attribution unless another request ran at all of its remaining crashes.
+
+A request that was cut off repeatedly, by whatever caused the crashes, runs at no
+upstream where another such request runs (`CrashHistory.must_run_apart`). Its next crash
+or answer then shows whether it is the culprit. Together, culprits would have their
+crashes attributed to one another, and unrelated requests would share crashes with one
+culprit after the other until they reach `UNCONDITIONAL_THRESHOLD`.
 
 A complete answer clears a request, whatever its standing. A quarantine expires, as a
 new release may have fixed the service. The request is then suspected and gets one
@@ -43,10 +50,11 @@
 # happen by chance to a request that is retried where the culprit runs; three do not.
 SUSPECT_THRESHOLD: Final = 2
 QUARANTINE_THRESHOLD: Final = 3
-# Crashes after which a request is quarantined regardless of unrelated crashes and of
-# attribution to other requests: the three of `QUARANTINE_THRESHOLD`, and three more
-# that are tolerated until all processes have to know of the quarantine. A lower value
-# would hold back unrelated items where engines crash every second for other reasons.
+# Crashes after which a request is quarantined regardless of unrelated crashes, and
+# mostly of attribution to other requests: the three of `QUARANTINE_THRESHOLD`, and
+# three more that are tolerated until all processes have to know of the quarantine. A
+# lower value would hold back unrelated items where engines crash every second for other
+# reasons.
 UNCONDITIONAL_THRESHOLD: Final = 6
 # When a request is cut off for the first time, crashes of other upstreams within this
 # time before, in seconds, count as unrelated crashes: a series of crashes that was
@@ -151,15 +159,14 @@
         """Return the classification of the request."""
         if self.until:
             return Standing.QUARANTINED
-        crashes = self.unattributed()
-        n_crashed = len(crashes)
-        is_repeated = _spread(crashes) >= CONCURRENT_SECONDS
-        if n_crashed >= QUARANTINE_THRESHOLD or (
-            n_crashed >= SUSPECT_THRESHOLD and is_repeated
-        ):
+        if _is_repeated(self.unattributed()):
             return Standing.DOUBTFUL
         return Standing.CLEAR
 
+    def must_run_apart(self) -> bool:
+        """Return whether it was cut off repeatedly, by whatever caused the crashes."""
+        return _is_repeated(self.ended_at_by_id)
+
     def with_crash(self, upstream_id: str, ended_at: float) -> "RequestHistory":
         """Return the history with one more crashed upstream."""
         crashes = _bounded({**self.ended_at_by_id, upstream_id: ended_at})
@@ -250,6 +257,17 @@
         history = self.evidence_by_fingerprint.get(fingerprint)
         return history.standing() if history is not None else Standing.CLEAR
 
+    def must_run_apart(self, fingerprint: str) -> bool:
+        """Return whether a request must not run where another such request does.
+
+        This holds once it was cut off repeatedly, also if its crashes are attributed to
+        others. If two such requests shared an upstream, its crash would not show which
+        of them caused it: one that is unrelated would be cut off by one culprit after
+        the other, and the crashes of a culprit would be attributed to others.
+        """
+        history = self.evidence_by_fingerprint.get(fingerprint)
+        return history is not None and history.must_run_apart()
+
     def record(self, crash: Crash, ended_at: float) -> bool:
         """Record the crash of an upstream; return False if it was known already."""
         history = self.evidence_by_fingerprint.get(crash.fingerprint)
@@ -309,13 +327,21 @@
     def _is_indistinguishable(self, history: RequestHistory, newest_id: str) -> bool:
         """Return whether another request ran at all its crashes but the newest.
 
-        Where many requests run at an upstream, either of the two may be the culprit, as
-        the newest crash may be unrelated to both. The quarantine is deferred: sent to
-        different engines, the one that is not the culprit is cleared.
+        Either of the two may be the culprit: the newest crash may be unrelated to both,
+        or is not recorded for the other one yet. The quarantine is deferred: sent to
+        different upstreams (`must_run_apart`), the one that is not the culprit is
+        cleared.
+
+        Where few requests run at an upstream, three crashes that are not attributed to
+        others are enough all the same.
         """
-        if not self.is_crowded or history.reaches_unconditional_threshold():
+        crashes = history.unattributed()
+        before = crashes.keys() - {newest_id}
+        if history.reaches_unconditional_threshold():
+            if len(crashes) >= QUARANTINE_THRESHOLD or not before:
+                return False
+        elif not self.is_crowded:
             return False
-        before = history.unattributed().keys() - {newest_id}
         return any(
             before <= each.unattributed().keys()
             for each in self.evidence_by_fingerprint.values()
@@ -402,6 +428,16 @@
     return max(times) - min(times) if times else 0.0
 
 
+def _is_repeated(ended_at_by_id: dict[str, float]) -> bool:
+    """Return whether these crashes, by their number and times, are suspicious."""
+    n_crashed = len(ended_at_by_id)
+    if n_crashed >= QUARANTINE_THRESHOLD:
+        return True
+    return (
+        n_crashed >= SUSPECT_THRESHOLD and _spread(ended_at_by_id) >= CONCURRENT_SECONDS
+    )
+
+
 def _expires_at(history: RequestHistory) -> float:
     """Return when the quarantine expires or, without one, the history is dropped."""
     if history.until:
--- a/bilberrydrum/relay/balancing.py
+++ b/bilberrydrum/relay/balancing.py
@@ -59,14 +59,18 @@
         now: float,
     ) -> model.FleetUpstream | None:
         """Return the upstream to send to, or None if no candidate is left."""
-        candidates = [
-            each
-            for each in upstreams
-            if not each.is_leaving and each.upstream_id not in excluded_ids
-        ]
-        if not candidates:
-            return None
-        return min(candidates, key=lambda each: self._rank(each, now))
+        candidates = _candidates(upstreams, excluded_ids)
+        return min(candidates, key=lambda each: self._rank(each, now), default=None)
+
+    def ranked(
+        self,
+        upstreams: Iterable[model.FleetUpstream],
+        excluded_ids: Collection[str],
+        now: float,
+    ) -> list[model.FleetUpstream]:
+        """Return the upstreams that a request can be sent to, the best one first."""
+        candidates = _candidates(upstreams, excluded_ids)
+        return sorted(candidates, key=lambda each: self._rank(each, now))
 
     def _rank(
         self, upstream: model.FleetUpstream, now: float
@@ -142,3 +146,13 @@
 
     def _state_of(self, upstream_id: str) -> _UpstreamState:
         return self._states_by_id.setdefault(upstream_id, _UpstreamState())
+
+
+def _candidates(
+    upstreams: Iterable[model.FleetUpstream], excluded_ids: Collection[str]
+) -> list[model.FleetUpstream]:
+    return [
+        each
+        for each in upstreams
+        if not each.is_leaving and each.upstream_id not in excluded_ids
+    ]
--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -6,7 +6,7 @@
 or the daemon's state group.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Final, Protocol
 
 import attrs
@@ -147,15 +147,31 @@
         """Return the upstream incarnations that are known to have crashed."""
         return self._own.crashed_ids() | self._view.crashes.crashed_ids()
 
-    def may_try(self, fingerprint: str) -> bool:
-        """Return whether a suspected request may be sent now.
+    def must_run_apart(self, fingerprint: Callable[[], str]) -> bool:
+        """Return whether a request must not run where another such request does.
 
-        The leader knows whether another copy of the request is being tried elsewhere.
-        If the leader does not answer, one may be, and the request is not sent.
+        This holds for all suspected requests; see
+        `quarantine.CrashHistory.must_run_apart`.
         """
-        request = messages.AskTrial(fingerprint)
+        if self._is_history_empty():
+            return False
+        name = fingerprint()
+        histories = (self._own, self._view.crashes)
+        return any(each.must_run_apart(name) for each in histories)
+
+    def may_try(self, fingerprint: str, upstream_ids: Sequence[str]) -> messages.Trial:
+        """Return whether a suspected request may be sent now, and where.
+
+        The leader knows whether another copy of the request is being tried elsewhere,
+        and at which of `upstream_ids` other requests are. If the leader does not
+        answer, one may be, and the request is not sent.
+        """
+        request = messages.AskTrial(fingerprint, tuple(upstream_ids))
         answer = self._calls.call(request, _TRIAL_SECONDS)
-        return isinstance(answer, result.Ok) and bool(answer.ok_value.is_granted)
+        if not isinstance(answer, result.Ok):
+            return messages.Trial(False)
+        granted: messages.Trial = answer.ok_value
+        return granted
 
     def _is_history_empty(self) -> bool:
         now = clock.now()
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -15,7 +15,7 @@
 import eventlet
 import eventlet.queue
 
-from bilberrydrum import clock, counters, quarantine, reasons, upstream_protocol
+from bilberrydrum import clock, counters, reasons, upstream_protocol
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.relay import (
@@ -161,11 +161,7 @@
 
     def _choose(self, request: _PlainRequest) -> fleet_model.FleetUpstream | None:
         upstreams = self._view.registry.of_service(request.service)
-        refusal = trial.find_refusal(request, self._crashes, self._balancer, upstreams)
-        if refusal is not None:
-            request.refuse(refusal)
-            return None
-        return self._balancer.choose(upstreams, request.excluded_ids, clock.now())
+        return trial.choose(request, self._crashes, self._balancer, upstreams)
 
     def _try_hedged(
         self, upstream: fleet_model.FleetUpstream, request: _PlainRequest
@@ -200,7 +196,7 @@
             return None
         if request.n_run + 2 > request.route.max_attempts:
             return None
-        if self._crashes.standing(request.fingerprint) is not quarantine.Standing.CLEAR:
+        if trial.is_suspect(request, self._crashes):
             # A request that may crash upstreams is sent to one upstream at a time.
             return None
         delay = self._hedging.hedge_delay(request.route, request.service)
--- a/bilberrydrum/relay/relayed_requests.py
+++ b/bilberrydrum/relay/relayed_requests.py
@@ -69,6 +69,8 @@
     last_number: int | None = None
     # It is suspected of crashing upstreams, and was allowed one trial.
     is_trial: bool = False
+    # Where it is to be tried; empty: any upstream.
+    trial_upstream_id: str = ""
     _fingerprint: str = ""
 
     def fingerprint(self) -> str:
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -130,17 +130,12 @@
     def _open(self, request: _RelayedStream) -> _Source | None:
         """Begin an attempt; return None if it gave no answer to forward."""
         upstreams = self._view.registry.of_service(request.service)
-        refusal = trial.find_refusal(request, self._crashes, self._balancer, upstreams)
-        if refusal is not None:
-            request.refuse(refusal)
-            return None
-        now = clock.now()
-        upstream = self._balancer.choose(upstreams, request.excluded_ids, now)
+        upstream = trial.choose(request, self._crashes, self._balancer, upstreams)
         if upstream is None:
             request.stop()
             return None
         request.excluded_ids.add(upstream.upstream_id)
-        request.attempt_began_at = now
+        request.attempt_began_at = clock.now()
         request.first_event_at = None
         outgoing = self._outgoing(request, upstream)
         with usage_meter.attempt(self._meter, request.inbound.account) as counted:
--- a/bilberrydrum/requests/crash_memory.py
+++ b/bilberrydrum/requests/crash_memory.py
@@ -1,10 +1,13 @@
 """Quarantine of crash-causing calls at a gateway of the daemon.
 
 The decisions are made in `quarantine`, and `relay.crash_watch` detects and reports
-crashes, as for relayed requests. A suspected call is tried at one upstream here, but
-the gateway does not check whether another copy is being tried elsewhere.
+crashes, as for relayed requests. A suspected call is tried at one upstream, where this
+gateway tries no other one, but the gateway does not check what others try elsewhere.
 """
 
+import collections
+import contextlib
+from collections.abc import Iterator
 from typing import Final
 
 import attrs
@@ -42,6 +45,8 @@
     def __init__(self, record: crash_record.CrashRecord) -> None:
         self._record = record
         self._watch = crash_watch.CrashWatch(record, record)
+        # Where calls run that must run apart from one another.
+        self._occupied_ids: collections.Counter[str] = collections.Counter()
 
     def start(self) -> None:
         """Start to follow the record and to report crashes."""
@@ -61,11 +66,33 @@
         standing = self._watch.standing(lambda: calls.fingerprint_of(call))
         if standing is quarantine.Standing.QUARANTINED:
             return reasons.Reason.REQUEST_QUARANTINED
-        if standing is quarantine.Standing.DOUBTFUL and has_run:
+        if has_run and self._must_run_apart(call):
             # A suspected call may run at one upstream only.
             return reasons.Reason.REQUEST_DOUBTFUL
         return None
 
+    def occupied_ids(self, call: calls.Call) -> frozenset[str]:
+        """Return the upstreams where a call must not run now."""
+        if not self._must_run_apart(call):
+            return frozenset()
+        return frozenset(self._occupied_ids)
+
+    @contextlib.contextmanager
+    def occupying(self, call: calls.Call, upstream_id: str) -> Iterator[None]:
+        """Keep other suspected calls from an upstream while the block runs."""
+        if not self._must_run_apart(call):
+            yield
+            return
+        self._occupied_ids[upstream_id] += 1
+        try:
+            yield
+        finally:
+            self._occupied_ids[upstream_id] -= 1
+            self._occupied_ids += collections.Counter()
+
+    def _must_run_apart(self, call: calls.Call) -> bool:
+        return self._watch.must_run_apart(lambda: calls.fingerprint_of(call))
+
     def record_broken_run(
         self,
         call: calls.Call,
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -246,6 +246,7 @@
     ) -> Iterator[upstream_model.Upstream]:
         """Hold capacity at an upstream while the block runs."""
         ticket = self._ticket(call, progress)
+        ticket.need = ticket.need.without(self.crashes.occupied_ids(call))
         upstream = self._wait_for_capacity(call, ticket)
         # If the upstream turns out to be busy, the call is queued again at its old
         # position.
@@ -253,7 +254,8 @@
         progress.began_at = ticket.granted_at
         is_complete = False
         try:
-            yield upstream
+            with self.crashes.occupying(call, upstream.upstream_id):
+                yield upstream
             is_complete = True
             self._router.health.record_success(upstream.upstream_id)
         finally:
--- a/bilberrydrum/requests/recovery.py
+++ b/bilberrydrum/requests/recovery.py
@@ -185,11 +185,7 @@
         now: float,
     ) -> None:
         progress.n_attempts += 1
-        progress.need = attrs.evolve(
-            progress.need,
-            excluded_upstream_ids=progress.need.excluded_upstream_ids
-            | {upstream.upstream_id},
-        )
+        progress.need = progress.need.without(frozenset({upstream.upstream_id}))
         is_timeout = error.reason is reasons.Reason.UPSTREAM_TIMEOUT
         if is_timeout and now - progress.began_at < MIN_ATTEMPT_TIMEOUT_SECONDS:
             return
--- a/bilberrydrum/requests/routing.py
+++ b/bilberrydrum/requests/routing.py
@@ -75,6 +75,13 @@
     # Calls that may be queued at the upstream, per unit of its capacity.
     queue_depth: float = 0.0
 
+    def without(self, upstream_ids: frozenset[str]) -> "Need":
+        """Return the need with these upstreams excluded as well."""
+        if not upstream_ids:
+            return self
+        excluded_ids = self.excluded_upstream_ids | upstream_ids
+        return attrs.evolve(self, excluded_upstream_ids=excluded_ids)
+
     @property
     def domain(self) -> str:
         """Name of the group of calls that compete for the same upstreams.
--- a/tests/fakes/crash_schedule.py
+++ b/tests/fakes/crash_schedule.py
@@ -3,7 +3,8 @@
 Time is virtual. Popular requests arrive continuously, each run takes about 40 ms, and a
 request that is cut off is retried once elsewhere. A crash-causing request crashes each
 upstream 0.06 s after it has begun to run there; its caller tries two upstreams and
-retries two seconds later.
+retries two seconds later. A request that must run apart is not sent to an upstream
+where another such request runs, as its senders do it.
 """
 
 import collections
@@ -92,18 +93,24 @@
     def _after(self, seconds: float, event: Callable[[], None]) -> None:
         heapq.heappush(self._events, (self._now + seconds, next(self._numbers), event))
 
-    def _choose(self) -> int | None:
+    def _choose(self, name: str) -> int | None:
         up = [p for p, each in enumerate(self._upstreams) if each.up_from <= self._now]
+        if self.history.must_run_apart(name):
+            up = [p for p in up if not self._runs_apart(self._upstreams[p])]
         if not up:
             return None
         return min(up, key=lambda p: (len(self._upstreams[p].runs), self._rng.random()))
 
+    def _runs_apart(self, upstream: _Upstream) -> bool:
+        names = [name for name, _ in upstream.runs.values()]
+        return any(self.history.must_run_apart(name) for name in names)
+
     def _arrive(self, name: str) -> None:
         self._send(name, _N_TRIES)
         self._after(self._rng.expovariate(self._rate), lambda: self._arrive(name))
 
     def _send(self, name: str, n_tries: int) -> None:
-        index = self._choose()
+        index = self._choose(name)
         if (
             index is None
             or self.history.standing(name) is quarantine.Standing.QUARANTINED
@@ -151,7 +158,7 @@
 
     def _send_crashing(self, name: str, n_tries: int) -> None:
         is_quarantined = self.history.standing(name) is quarantine.Standing.QUARANTINED
-        index = self._choose()
+        index = self._choose(name)
         if index is None or is_quarantined or not n_tries:
             self._after(_RETRY_SECONDS, lambda: self._send_crashing(name, _N_TRIES))
             return
--- a/tests/fakes/engine_crashes.py
+++ b/tests/fakes/engine_crashes.py
@@ -47,11 +47,16 @@
         Duration of the burst of crashes, in seconds; 0 for none.
     n_culprits : int
         Number of items that crash each engine that runs them.
+    n_engines : int
+        Number of engines; eight items run at each of them.
+    keeps_apart : bool
+        Whether items that must run apart are kept apart, and cleared as soon as their
+        run is healthy, as the sender of items does it. Otherwise only suspected items
+        are kept apart, which the decisions have to stand as well.
     """
 
-    N_ENGINES = 5
     N_SLOTS = 12
-    N_ITEMS = 40
+    N_ITEMS_PER_ENGINE = 8
 
     def __init__(
         self,
@@ -59,16 +64,20 @@
         seed: int,
         burst_seconds: float,
         n_culprits: int,
+        n_engines: int = 5,
+        keeps_apart: bool = False,
     ) -> None:
         self.history = history
         self._rng = random.Random(seed)
         self._burst_seconds = burst_seconds
-        self._engines = [_Engine() for _ in range(self.N_ENGINES)]
-        self._waiting = [f"item-{n}" for n in range(self.N_ITEMS)]
+        self._keeps_apart = keeps_apart
+        self._engines = [_Engine() for _ in range(n_engines)]
+        n_items = n_engines * self.N_ITEMS_PER_ENGINE
+        self._waiting = [f"item-{n}" for n in range(n_items)]
         self.culprits = {f"{CULPRIT}-{n}" for n in range(n_culprits)}
         for name in sorted(self.culprits):
-            self._waiting.insert(self._rng.randrange(self.N_ITEMS), name)
-        self._n_new = self.N_ITEMS
+            self._waiting.insert(self._rng.randrange(n_items), name)
+        self._n_new = n_items
         self._now = 0.0
         self.quarantined: set[str] = set()
         # Number of crashes of engines that ran a culprit, by the culprit's name.
@@ -93,6 +102,8 @@
                 self.n_crashed_by_name.update(each.name for each in culprits)
                 self._crash(engine)
                 continue
+            if self._keeps_apart:
+                self._clear_healthy(engine)
             for run in [each for each in engine.runs if each.ends_at <= self._now]:
                 engine.runs.remove(run)
                 self.history.clear(run.name)
@@ -100,6 +111,11 @@
                 self._n_new += 1
                 self._waiting.append(f"item-{self._n_new}")
 
+    def _clear_healthy(self, engine: _Engine) -> None:
+        for run in engine.runs:
+            if self._now - run.began_at >= quarantine.HEALTHY_RUN_SECONDS:
+                self.history.clear(run.name)
+
     def _crash(self, engine: _Engine) -> None:
         if engine.up_from > self._now:
             return
@@ -125,7 +141,7 @@
                 if each.up_from <= self._now and len(each.runs) < self.N_SLOTS
             ]
             standing = self.history.standing(name)
-            if standing is quarantine.Standing.DOUBTFUL:
+            if self._must_run_apart(name):
                 up = [each for each in up if not self._has_suspected(each)]
             if not up or standing is quarantine.Standing.QUARANTINED:
                 kept.append(name)
@@ -136,4 +152,9 @@
         self._waiting = kept
 
     def _has_suspected(self, engine: _Engine) -> bool:
-        return any(self.history.standing(each.name) for each in engine.runs)
+        return any(self._must_run_apart(each.name) for each in engine.runs)
+
+    def _must_run_apart(self, name: str) -> bool:
+        if self._keeps_apart and self.history.must_run_apart(name):
+            return True
+        return bool(self.history.standing(name))
--- a/tests/test_batches_item_crashes.py
+++ b/tests/test_batches_item_crashes.py
@@ -27,10 +27,10 @@
 
 
 class ItemCrashes(unittest.TestCase):
-    def simulate(self, seed, burst_seconds, n_crashing):
+    def simulate(self, seed, burst_seconds, n_crashing, **options):
         history = quarantine.CrashHistory(is_crowded=True)
         simulation = engine_crashes.EngineCrashes(
-            history, seed, burst_seconds, n_crashing
+            history, seed, burst_seconds, n_crashing, **options
         )
         simulation.run()
         return simulation
@@ -66,3 +66,33 @@
             self.assertLessEqual(simulation.quarantined, simulation.culprits, seed)
             for name, n_crashed in simulation.n_crashed_by_name.items():
                 self.assertLessEqual(n_crashed, MAX_CRASHED, (seed, name))
+
+    @tools.params(
+        # Crash-causing items, engines, duration of the burst of crashes in seconds.
+        (8, 5, 0.0),
+        (12, 8, 0.0),
+        (12, 12, 0.0),
+        (20, 12, 0.0),
+        (20, 12, 8.0),
+    )
+    def test_many_crashing_items(self, n_crashing, n_engines, burst_seconds):
+        """Unrelated items wait for minutes beside many that crash engines.
+
+        Each culprit cuts them off once or twice before it is quarantined. The sixth
+        crash has them quarantined as well, and culprits wait for a trial meanwhile.
+        """
+        for seed in range(400, 406):
+            simulation = self.simulate(
+                seed, burst_seconds, n_crashing, n_engines=n_engines, keeps_apart=True
+            )
+            self.assertEqual(simulation.quarantined, simulation.culprits, seed)
+            for name, n_crashed in simulation.n_crashed_by_name.items():
+                self.assertLessEqual(n_crashed, MAX_CRASHED, (seed, name))
+
+    def test_burst_of_crashes_beside_crashing_items(self):
+        """An unrelated item is cut off twice by culprits and four times by a burst.
+
+        None of its runs lasts for 0.3 s, so it looks like a culprit.
+        """
+        simulation = self.simulate(7, 8.0, 3, keeps_apart=True)
+        self.assertEqual(simulation.quarantined, simulation.culprits)
--- a/tests/test_batches_scheduling_pass.py
+++ b/tests/test_batches_scheduling_pass.py
@@ -65,7 +65,10 @@
             attempts.Resources(connections.ConnectionPool(), watch.ClientWatch()),
             given_hooks(),
             None,
-            types.SimpleNamespace(standing=lambda fingerprint: standing),
+            types.SimpleNamespace(
+                standing=lambda fingerprint: standing,
+                must_run_apart=lambda fingerprint: False,
+            ),
         )
         items = tuple(
             model.Item(f"i{n}", "/p/x", {}, b"body", 20, f"g{n // 8}")
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -49,6 +49,38 @@
         self.assertFalse(history.clear("f"))
 
 
+class RunsApart(unittest.TestCase):
+    """A request that was cut off repeatedly runs where no other such request does."""
+
+    @tools.params(
+        ("nothing", (), False),
+        ("one", (("a", 1.0),), False),
+        ("two together: a rack", (("a", 1.0), ("b", 1.01)), False),
+        ("two, one after the other", (("a", 1.0), ("b", 1.03)), True),
+        ("three together", (("a", 1.0), ("b", 1.01), ("c", 1.02)), True),
+    )
+    def test_must_run_apart(self, name, crashes, expected):
+        history = history_of(*crashes)
+        self.assertIs(history.must_run_apart("f"), expected, name)
+        history.clear("f")
+        self.assertFalse(history.must_run_apart("f"), name)
+
+    def test_attributed_crashes_count(self):
+        """A request whose crashes are all attributed to others is clear.
+
+        If it could run with another culprit then, its next crash would be attributed
+        too, and it could crash one upstream after the other, or be quarantined at the
+        sixth though it is unrelated to all of them.
+        """
+        history = quarantine.CrashHistory()
+        for number, name in enumerate("abc"):
+            for each in "fg" if number else "g":
+                history.record(crash(name, each), float(number))
+        self.assertIs(history.standing("g"), QUARANTINED)
+        self.assertIs(history.standing("f"), CLEAR)
+        self.assertTrue(history.must_run_apart("f"))
+
+
 class ManyAtOnce(unittest.TestCase):
     def test_copies_through_all_gateways(self):
         """Copies of one request crash a dozen upstreams within 0.1 s.
@@ -127,6 +159,18 @@
             n_crashed = max(simulation.n_crashes_by_name.values())
             self.assertLessEqual(n_crashed, quarantine.UNCONDITIONAL_THRESHOLD, seed)
 
+    @tools.params((3, 20.0, 12), (5, 5.0, 12), (8, 10.0, 20), (20, 1.0, 20))
+    def test_more_of_them_than_upstreams(self, n_upstreams, mean_seconds, n_crashing):
+        """Unrelated requests are quarantined beside a dozen culprits or more."""
+        for seed in range(400, 405):
+            simulation = crash_schedule.CrashSchedule(
+                seed, n_upstreams, mean_seconds, 20.0, n_crashing
+            )
+            simulation.run()
+            self.assertEqual(simulation.quarantined, simulation.crashing, seed)
+            n_crashed = max(simulation.n_crashes_by_name.values())
+            self.assertLessEqual(n_crashed, quarantine.UNCONDITIONAL_THRESHOLD, seed)
+
     def test_crashes_attributed_to_others(self):
         """A crash-causing request runs concurrently with others that are quarantined.
 
--- a/tests/test_quarantine_reports.py
+++ b/tests/test_quarantine_reports.py
@@ -313,6 +313,20 @@
         self.trials.end("f")
         self.assertTrue(self.trials.grant("f", 0.2))
 
+    def test_one_at_an_upstream(self):
+        """Two suspected requests are tried at one upstream, which crashes.
+
+        The crash shows nothing of which of them caused it.
+        """
+        self.assertTrue(self.trials.grant("f", 0.0, ["a", "b"]))
+        self.assertEqual(self.trials.upstream_of("f"), "a")
+        self.assertTrue(self.trials.grant("g", 0.1, ["a", "b"]))
+        self.assertEqual(self.trials.upstream_of("g"), "b")
+        self.assertFalse(self.trials.grant("h", 0.2, ["a", "b"]))
+        self.trials.end("f")
+        self.assertTrue(self.trials.grant("h", 0.3, ["a", "b"]))
+        self.assertEqual(self.trials.upstream_of("h"), "a")
+
     def test_trial_without_outcome(self):
         self.trials.grant("f", 0.0)
         self.assertFalse(self.trials.grant("f", trials.TRIAL_SECONDS - 0.1))
--- a/tests/test_relay_hedging.py
+++ b/tests/test_relay_hedging.py
@@ -6,7 +6,7 @@
 from nose2 import tools
 
 from bilberrydrum import clock, quarantine
-from bilberrydrum.fleet import policy
+from bilberrydrum.fleet import messages, policy
 from bilberrydrum.relay import hedging, model
 from tests import relay_support
 
@@ -83,7 +83,7 @@
         relay_ = self.relay(hang, OK, OK)
         crashes = {
             "standing": lambda _: quarantine.Standing.DOUBTFUL,
-            "may_try": lambda _: True,
+            "may_try": lambda *_: messages.Trial(True),
         }
         with mock.patch.multiple(relay_._crashes, **crashes):
             self.ask(relay_)
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -19,8 +19,9 @@
 class Group:
     """Fake of the control group, which grants trials or refuses them."""
 
-    def __init__(self, grants):
+    def __init__(self, grants, upstream_id=""):
         self.grants = grants
+        self.upstream_id = upstream_id
         self.n_asked = 0
 
     def call(self, message, timeout):
@@ -28,7 +29,7 @@
         if self.grants is None:
             error = client.StateError(reasons.Reason.STATE_UNAVAILABLE)
             return result.Err(error)
-        return result.Ok(messages.Trial(self.grants))
+        return result.Ok(messages.Trial(self.grants, self.upstream_id))
 
 
 class CrashesOfRequest(relay_support.RelayCase):
@@ -74,6 +75,32 @@
         self.assertEqual(self.n_received(), received, name)
         self.assertEqual(self.group.n_asked, n_asked, name)
 
+    @tools.params(("u0", [1, 0]), ("u1", [0, 1]))
+    def test_trial_goes_to_the_upstream_that_was_granted(self, upstream_id, received):
+        """Another request is being tried at the upstream that the gateway prefers."""
+        self.group = Group(True, upstream_id)
+        relay_ = self.relay(OK, OK)
+        self.record_crashes(relay_, ("a", "b"))
+        self.assertEqual(self.outcome(self.handle(relay_)), "200")
+        self.assertEqual(self.n_received(), received)
+
+    def test_request_with_attributed_crashes_is_tried(self):
+        """All crashes of a request are attributed to one that is quarantined.
+
+        It is clear, but is not sent where others that were cut off repeatedly run.
+        """
+        self.group = Group(False)
+        relay_ = self.relay(OK, OK)
+        self.record_crashes(relay_, ("a", "b"))
+        history = self.view.crashes
+        for number, upstream_id in enumerate("abc"):
+            crash = quarantine.Crash("culprit", "", upstream_id)
+            history.record(crash, 100.0 + number)
+        (own,) = history.evidence_by_fingerprint.keys() - {"culprit"}
+        self.assertIs(history.standing(own), quarantine.Standing.CLEAR)
+        self.assertEqual(self.outcome(self.handle(relay_)), "retry later")
+        self.assertEqual((self.n_received(), self.group.n_asked), ([0, 0], 1))
+
     def outcome(self, given):
         if isinstance(given, model.Answered):
             return str(given.status)
--- a/tests/test_requests_crashes.py
+++ b/tests/test_requests_crashes.py
@@ -5,6 +5,8 @@
 restarted.
 """
 
+from unittest import mock
+
 import eventlet
 import result
 from nose2 import tools
@@ -126,3 +128,30 @@
             self.assertIsInstance(last, model.Finished, number)
             clock.sleep(PAUSE_SECONDS)
         self.assertEqual(self.n_crashed, N_ROUNDS)
+
+    def test_suspected_calls_run_apart(self):
+        """Calls that were cut off repeatedly share an upstream, and it crashes.
+
+        The crash shows nothing of which of them caused it. So one that finds another at
+        each upstream is refused, as not run.
+        """
+
+        def run(connection, received):
+            eventlet.sleep(0.2)
+            connection.sendall(scripted.answer(received))
+
+        for number in range(N_UPSTREAMS):
+            self.application(f"application-{number}", run)
+        apart = mock.patch.object(
+            self.dispatcher.crashes, "_must_run_apart", lambda call: True
+        )
+        with apart:
+            tasks = [
+                eventlet.spawn(self.call, "application", f"suspected {n}", n)
+                for n in range(N_UPSTREAMS + 1)
+            ]
+            failures = [task.wait() for task in tasks]
+        self.assertEqual([len(each.received) for each in self.fakes.values()], [1] * 3)
+        self.assertEqual(
+            [each for each in failures if each], [reasons.Reason.NO_UPSTREAM]
+        )
