Clear an item as soon as its run is healthy

What callers saw: beside many items that crash engines, items that had been cut off twice waited up to 21 s for their trial, so their groups were late, and culprits were not quarantined within 30 s.

Cause: one suspected item runs at an engine at a time, and it counted as suspected until its end, seconds after the 0.3 s that clear it.

The new test without the change: the second suspected item is sent after the first one's end ("0 != 1" running).

Change: at the event with which a run becomes healthy, the item is reported as answered, and its engine takes the next suspected item.

Why it holds: a crash after that is not attributed to the item anyway (HEALTHY_RUN_SECONDS), so nothing is left to learn from keeping it apart.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -126,6 +126,11 @@
         if not self.n_by_group[run.group_key]:
             del self.n_by_group[run.group_key]
 
+    def clear_suspicion(self, run: lifecycle.ItemRun) -> None:
+        """Record that a suspected item runs here without crashing the engine."""
+        self.n_suspected -= run.is_suspected
+        run.is_suspected = False
+
     def record_pause(self, seconds: float, now: float) -> None:
         """Record the interval before an event of a stream, in seconds."""
         if self.loading is not None:
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -188,7 +188,7 @@
             deadline,
             lambda: self._find_refusal(opened, run, engine),
             engine.stall_seconds,
-            functools.partial(_record_pause, run, engine),
+            functools.partial(self._record_pause, opened, run, engine),
             account=opened.batch.account,
             priority=self._rank(opened, route),
         )
@@ -209,6 +209,22 @@
             _log_attempt(opened, run, engine, attempt_result, clock.now() - began)
             raise
 
+    def _record_pause(
+        self,
+        opened: work.OpenBatch,
+        run: lifecycle.ItemRun,
+        engine: engines.Engine,
+        seconds: float,
+    ) -> None:
+        run.record_pause(seconds)
+        engine.record_pause(seconds, clock.now())
+        if run.is_suspected and run.was_healthy():
+            # If the item stayed suspected until its end, the others that must run apart
+            # would wait for it, for seconds each.
+            engine.clear_suspicion(run)
+            self._crashes.record_answer(lambda: self._fingerprint(opened, run))
+            self._wake()
+
     def _rank(self, opened: work.OpenBatch, route: policy.Route | None) -> int | None:
         account = opened.batch.account
         if not account or route is None:
@@ -324,10 +340,3 @@
         versions=sorted(run.text.versions),
         seconds=round(seconds, 3),
     )
-
-
-def _record_pause(
-    run: lifecycle.ItemRun, engine: engines.Engine, seconds: float
-) -> None:
-    run.record_pause(seconds)
-    engine.record_pause(seconds, clock.now())
--- a/tests/test_batches_ended.py
+++ b/tests/test_batches_ended.py
@@ -27,7 +27,7 @@
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
 from bilberrydrum.relay import balancing, crash_watch, relay
-from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.requests import attempts, connections, fingerprints, watch
 from tests.fakes import node_protocol, scripted
 
 N_EVENTS = 12
@@ -382,3 +382,31 @@
         else:
             tasks.cancel_batch("b")
         self.assertEqual(ended, ["i2"])
+
+
+class SuspectedItems(RunnerCase):
+    """Items that were cut off repeatedly run at different engines, or in turn."""
+
+    def test_next_one_is_sent_once_a_run_is_healthy(self):
+        """Many items that were cut off wait for the trial of one another.
+
+        If a trial lasted until the item's end, the last of them would wait for minutes.
+        """
+        self.begin(1)
+        self.wait_for(lambda: not self.engine.n_running)
+        item = batch("b2", 1).decode().items[0]
+        identity = node_protocol.PlainProtocol().identity_of(item.headers)
+        fingerprint = fingerprints.of_request(
+            "POST", "h", item.target, identity, item.body, ""
+        )
+        for at, upstream_id in enumerate(("a", "b")):
+            crash = quarantine.Crash(fingerprint, "", upstream_id)
+            self.view.crashes.record(crash, float(at))
+        n_running = []
+        self.before_pass = lambda: n_running.append(self.engine.n_running)
+        with mock.patch.object(quarantine, "HEALTHY_RUN_SECONDS", 2 * EVENT_SECONDS):
+            self.runner.accept(batch("b2", 2))
+            self.wait_for(lambda: self.engine.n_running == 1)
+            self.assertEqual(len(self.engine.received), 2)
+            self.wait_for(lambda: len(self.engine.received) == 3)
+        self.assertEqual(n_running[-1], 1)
