Tests: compare fencing numbers in the order of acceptance

A load that was accepted under the old number, and then waited for the weight store, stands behind loads that were accepted later under the new one.

Ruled out: an order that the product sent late.

Change: the fake writes an entry when it accepts an order, and the test reads these. It checks what its first lines say, "no engine may receive a lower fencing number after a higher one", for each order that an engine takes, also one that fails or ends late; before, for those that had ended. The check that all engines keep the newest version stays.

--- a/tests/fakes/orders.py
+++ b/tests/fakes/orders.py
@@ -82,6 +82,9 @@
         earlier = self._answers_by_order.get(order["order_id"])
         if earlier is not None:
             return earlier
+        # A load may wait for the weight store while later orders are carried out, so
+        # only these entries have the order in which the engine accepted its orders.
+        self._journal.write("accepted", order=order)
         answer = self._execute(order)
         self._journal.write("order", order=order, status=answer.status)
         if answer.status == 200:
--- a/tests/test_weights_processes.py
+++ b/tests/test_weights_processes.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from misc import loopback, processes
+from tests.fakes import journal
 
 ZONES = ("surquillo", "callao", "ate")
 ALL_GATEWAYS = (0, 1, 2)
@@ -97,9 +98,15 @@
         return cls.folder / f"{engine}.journal"
 
     def orders_of(self, engine):
-        lines = self.journal_of(engine).read_text().splitlines()
-        entries = [json.loads(line) for line in lines]
-        return [each["order"] for each in entries if each.get("kind") == "order"]
+        """Return the orders that an engine has carried out."""
+        return [
+            each["order"] for each in journal.read(self.journal_of(engine), "order")
+        ]
+
+    def accepted_of(self, engine):
+        """Return the orders that an engine has accepted, in this order."""
+        entries = journal.read(self.journal_of(engine), "accepted")
+        return [each["order"] for each in entries]
 
     @classmethod
     def _roll_bundle(cls):
@@ -204,8 +211,8 @@
         )
         self.wait_for_version(version, controller)
         for i in range(3):
-            numbers = [each["fencing_number"] for each in self.orders_of(f"e{i}")]
-            self.assertEqual(numbers, sorted(numbers))
+            numbers = [each["fencing_number"] for each in self.accepted_of(f"e{i}")]
+            self.assertEqual(numbers, sorted(numbers), f"e{i}")
             self.assertGreater(numbers[-1], numbers[0])
 
     def test_engine_crashes_and_swaps_fail(self):
