--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -329,6 +329,8 @@
         message_type="batches:attempt",
         batch_id=opened.batch.batch_id,
         item_id=run.item.item_id,
+        group=run.group_key[1],
+        is_spare=run.group_key in opened.spare_groups,
         upstream_id=engine.upstream_id,
         outcome=attempt_result.outcome.value,
         detail=attempt_result.detail,
