Move the reading of engines' streams to a module of its own

requests/attempts had grown to 484 lines with two jobs: one attempt at any upstream, and the text that an engine streams.

--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -31,6 +31,7 @@
     recovery,
     retries,
     routing,
+    text_streams,
     watch,
 )
 from bilberrydrum.upstreams import model as upstream_model
@@ -141,7 +142,7 @@
                     outgoing = outgoing_requests.for_engine(
                         call, self._attempt_id(call), self._refusal_of(call)
                     )
-                    events = attempts.stream(self._resources, upstream, outgoing)
+                    events = text_streams.stream(self._resources, upstream, outgoing)
                     finished = yield from _relay_tokens(events, progress)
                 self._recovery.record_answer(call)
                 # The consumer may close the iterator here, so what an answer changes is
--- a/tests/test_requests_streams.py
+++ b/tests/test_requests_streams.py
@@ -8,7 +8,7 @@
 from nose2 import tools
 
 from bilberrydrum import clock, reasons
-from bilberrydrum.requests import attempts, model, resume
+from bilberrydrum.requests import model, resume, text_streams
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import dispatching, scripted
 
@@ -187,7 +187,7 @@
         """
         self.engine("e1", script, availability_zone="a")
         second = self.engine("e2", finish(5, 4), availability_zone="far")
-        with unittest.mock.patch.object(attempts, "STALL_SECONDS", 0.1):
+        with unittest.mock.patch.object(text_streams, "STALL_SECONDS", 0.1):
             seen = list(resume.stream(self.dispatcher, call()))
         self.assertEqual(seen[0].upstream_id, "e1", name)
         self.assertEqual(text_of(seen), "t0t1t2t3t4", name)
@@ -223,7 +223,7 @@
         """
         self.engine("e1", script, availability_zone="a")
         second = self.engine("e2", finish(9), availability_zone="far")
-        with unittest.mock.patch.object(attempts, "END_SECONDS", 0.1):
+        with unittest.mock.patch.object(text_streams, "END_SECONDS", 0.1):
             seen = list(resume.stream(self.dispatcher, call()))
         self.assertEqual(text_of(seen), text, name)
         self.assertEqual(seen[-1], model.Finished("stop", "e1"), name)
