Send a trial elsewhere if its upstream has left

What callers saw: a suspected request whose trial was granted for an upstream that left, or is leaving, before it was sent got no-upstream though others were there. Found by reading the diff of the trials; the new row of test_relay_quarantine got no answer before the change.

Change: like a trial whose upstream was full, it goes to another upstream.

--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -141,7 +141,7 @@
     """Request permission to send a suspected request to one upstream."""
 
     fingerprint: str
-    # Where it can be sent, the best upstream first. Empty from earlier releases.
+    # Where it can be sent, the best upstream first; empty: not known.
     upstream_ids: tuple[str, ...] = ()
 
 
--- a/bilberrydrum/relay/trial.py
+++ b/bilberrydrum/relay/trial.py
@@ -36,13 +36,14 @@
         request.refuse(refusal)
         return None
     now = clock.now()
-    granted_id = request.trial_upstream_id
-    if granted_id and granted_id not in request.excluded_ids:
-        granted = [each for each in upstreams if each.upstream_id == granted_id]
-        return balancer.choose(granted, request.excluded_ids, now)
-    # A trial whose upstream was full goes to another one, where by chance another
-    # request may be tried.
-    return balancer.choose(upstreams, request.excluded_ids, now)
+    granted = [
+        each for each in upstreams if each.upstream_id == request.trial_upstream_id
+    ]
+    # A trial whose upstream was full, or has left, goes to another one, where by chance
+    # another request may be tried.
+    return balancer.choose(granted, request.excluded_ids, now) or balancer.choose(
+        upstreams, request.excluded_ids, now
+    )
 
 
 def is_suspect(
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -75,7 +75,7 @@
         self.assertEqual(self.n_received(), received, name)
         self.assertEqual(self.group.n_asked, n_asked, name)
 
-    @tools.params(("u0", [1, 0]), ("u1", [0, 1]))
+    @tools.params(("u0", [1, 0]), ("u1", [0, 1]), ("has left", [1, 0]))
     def test_trial_goes_to_the_upstream_that_was_granted(self, upstream_id, received):
         """Another request is being tried at the upstream that the gateway prefers."""
         self.group = Group(True, upstream_id)
