Spare no request at its sixth crash where senders don't keep them apart

What callers would have seen: calls that crash their upstreams, through several gateways of the daemon, crash up to ten upstreams each, in place of six.

Cause: a request is spared at its sixth crash while another one ran at all the crashes that are left to it. That holds the bound only if its next run is apart from the others. A gateway of the daemon keeps apart what it sends itself, and does not know of the others' runs.

Change: who records a crash says whether all senders keep requests apart. The control group's senders and the stores' leader do; the daemon's record says no, and quarantines at the sixth crash in any case, as before. The field is left out where it has its default, so the command is written as before.

--- a/bilberrydrum/codec.py
+++ b/bilberrydrum/codec.py
@@ -6,7 +6,7 @@
 have their default, so that two consecutive releases understand each other.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Final, TypeVar
 
 import cattrs.gen
@@ -28,7 +28,9 @@
     """The class named in the bytes is not registered in this release."""
 
 
-def register(name: str, omits_defaults: bool = False) -> Callable[[type[T]], type[T]]:
+def register(
+    name: str, added_fields: Sequence[str] = ()
+) -> Callable[[type[T]], type[T]]:
     """Register the decorated attrs class under `name`.
 
     The name must never change: stored data and other releases refer to it.
@@ -37,9 +39,9 @@
     ----------
     name : str
         Name of the class in encoded values.
-    omits_defaults : bool
-        Whether fields that have their default are left out. A value that doesn't use
-        the fields that were added to its class is then encoded as before.
+    added_fields : sequence of str
+        Fields that the first release of the class did not have. They are left out where
+        they have their default, so a value that doesn't use them is encoded as before.
     """
 
     def add(cls: type[T]) -> type[T]:
@@ -47,9 +49,11 @@
             raise ValueError(f"codec name {name!r} is registered twice")
         _classes_by_name[name] = cls
         _names_by_class[cls] = name
-        if omits_defaults:
+        if added_fields:
+            left_out = cattrs.gen.override(omit_if_default=True)
+            overrides: dict[str, Any] = dict.fromkeys(added_fields, left_out)
             to_fields = cattrs.gen.make_dict_unstructure_fn(
-                cls, _converter, _cattrs_omit_if_default=True
+                cls, _converter, **overrides
             )
             _converter.register_unstructure_hook(cls, to_fields)
         return cls
--- a/bilberrydrum/fleet/crash_commands.py
+++ b/bilberrydrum/fleet/crash_commands.py
@@ -31,7 +31,9 @@
     # was cleared, by its fingerprint; the latest last.
     cleared_of_by_fingerprint: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
-    def record(self, report: messages.CrashReport, time: float) -> bool:
+    def record(
+        self, report: messages.CrashReport, time: float, are_kept_apart: bool
+    ) -> bool:
         """Record a reported crash; return False if that changes nothing."""
         crash = report.crash
         if crash.upstream_id in self.cleared_of_by_fingerprint.get(
@@ -42,7 +44,8 @@
             # it counted again, the crash would be attributed to a request that was
             # answered in the meantime.
             return False
-        return self.book.record(crash, time - report.age_seconds)
+        ended_at = time - report.age_seconds
+        return self.book.record(crash, ended_at, are_kept_apart)
 
     def clear(self, fingerprint: str) -> bool:
         """Drop the history of an answered request; return whether it had one."""
@@ -65,7 +68,7 @@
     return found
 
 
-@codec.register("fleet.note-crashes")
+@codec.register("fleet.note-crashes", added_fields=("are_kept_apart",))
 @attrs.frozen
 class RecordCrashes:
     """Record upstreams that crashed while they ran requests, and answered requests."""
@@ -73,6 +76,8 @@
     reports: tuple[messages.CrashReport, ...] = ()
     # Fingerprints of the requests that were answered.
     cleared: tuple[str, ...] = ()
+    # See `quarantine.CrashHistory.record`.
+    are_kept_apart: bool = True
 
 
 @codec.register("fleet.lapse-crashes")
@@ -130,7 +135,7 @@
     for fingerprint in command.cleared:
         is_change |= section.clear(fingerprint)
     for report in command.reports:
-        is_change |= section.record(report, context.time)
+        is_change |= section.record(report, context.time, command.are_kept_apart)
     return _to_result(section, before, is_change, context)
 
 
--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -135,7 +135,7 @@
     crashes_index: int
 
 
-@codec.register("fleet.ask-trial", omits_defaults=True)
+@codec.register("fleet.ask-trial", added_fields=("upstream_ids",))
 @attrs.frozen
 class AskTrial:
     """Request permission to send a suspected request to one upstream."""
@@ -145,7 +145,7 @@
     upstream_ids: tuple[str, ...] = ()
 
 
-@codec.register("fleet.trial", omits_defaults=True)
+@codec.register("fleet.trial", added_fields=("upstream_id",))
 @attrs.frozen
 class Trial:
     """Whether the suspected request may be sent; another trial may be under way."""
--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -268,8 +268,22 @@
         history = self.evidence_by_fingerprint.get(fingerprint)
         return history is not None and history.must_run_apart()
 
-    def record(self, crash: Crash, ended_at: float) -> bool:
-        """Record the crash of an upstream; return False if it was known already."""
+    def record(
+        self, crash: Crash, ended_at: float, are_kept_apart: bool = True
+    ) -> bool:
+        """Record the crash of an upstream; return False if it was known already.
+
+        Parameters
+        ----------
+        crash : Crash
+            The upstream and the request.
+        ended_at : float
+            When it crashed, in seconds of the history's clock.
+        are_kept_apart : bool
+            Whether all senders keep requests apart that must run apart. If not, no
+            request is spared at `UNCONDITIONAL_THRESHOLD`: several culprits that run
+            together would crash twice as many upstreams.
+        """
         history = self.evidence_by_fingerprint.get(crash.fingerprint)
         self.record_upstream_crash(crash.upstream_id, ended_at)
         if history is None:
@@ -284,7 +298,7 @@
             updated = updated.with_attributed_elsewhere((crash.upstream_id,))
         reaches_threshold = not updated.until and updated.reaches_threshold()
         if reaches_threshold and not self._is_indistinguishable(
-            updated, crash.upstream_id
+            updated, crash.upstream_id, are_kept_apart
         ):
             updated = updated.quarantined()
             self._attribute_crashes_to(updated)
@@ -324,7 +338,9 @@
             if each.fingerprint != crash.fingerprint
         )
 
-    def _is_indistinguishable(self, history: RequestHistory, newest_id: str) -> bool:
+    def _is_indistinguishable(
+        self, history: RequestHistory, newest_id: str, are_kept_apart: bool
+    ) -> bool:
         """Return whether another request ran at all its crashes but the newest.
 
         Either of the two may be the culprit: the newest crash may be unrelated to both,
@@ -338,7 +354,8 @@
         crashes = history.unattributed()
         before = crashes.keys() - {newest_id}
         if history.reaches_unconditional_threshold():
-            if len(crashes) >= QUARANTINE_THRESHOLD or not before:
+            is_own = len(crashes) >= QUARANTINE_THRESHOLD or not before
+            if is_own or not are_kept_apart:
                 return False
         elif not self.is_crowded:
             return False
--- a/bilberrydrum/requests/crash_record.py
+++ b/bilberrydrum/requests/crash_record.py
@@ -78,7 +78,10 @@
 
     @_call.register
     def _report(self, message: messages.ReportCrashes) -> result.Result[Any, Any]:
-        command = crash_commands.RecordCrashes(message.reports, message.cleared)
+        # Each gateway of the daemon keeps only its own calls apart.
+        command = crash_commands.RecordCrashes(
+            message.reports, message.cleared, are_kept_apart=False
+        )
         return self._commit(command).map(
             lambda applied: messages.CrashesRecorded(self.crashes_index)
         )
--- a/tests/fakes/crash_schedule.py
+++ b/tests/fakes/crash_schedule.py
@@ -51,6 +51,8 @@
         Requests a second of each popular kind.
     n_crashing : int
         Number of crash-causing requests, each with a caller of its own.
+    are_kept_apart : bool
+        Whether requests are kept apart that must run apart.
     """
 
     POPULAR = ("first", "second", "third")
@@ -62,11 +64,13 @@
         mean_seconds: float,
         rate: float,
         n_crashing: int = 1,
+        are_kept_apart: bool = True,
     ) -> None:
         self._rng = random.Random(seed)
         self._upstreams = [_Upstream() for _ in range(n_upstreams)]
         self._mean_seconds = mean_seconds
         self._rate = rate
+        self._are_kept_apart = are_kept_apart
         self._numbers = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._now = 0.0
@@ -95,7 +99,7 @@
 
     def _choose(self, name: str) -> int | None:
         up = [p for p, each in enumerate(self._upstreams) if each.up_from <= self._now]
-        if self.history.must_run_apart(name):
+        if self._are_kept_apart and self.history.must_run_apart(name):
             up = [p for p in up if not self._runs_apart(self._upstreams[p])]
         if not up:
             return None
@@ -148,7 +152,8 @@
         upstream.up_from = self._now + _DOWN_SECONDS
         for name, n_tries in cut_off:
             crash = quarantine.Crash(name, "", name_of_start)
-            self.history.record(crash, self._now + self._rng.uniform(0.0, 0.003))
+            ended_at = self._now + self._rng.uniform(0.0, 0.003)
+            self.history.record(crash, ended_at, self._are_kept_apart)
             if self.history.standing(name) is quarantine.Standing.QUARANTINED:
                 self.quarantined.add(name)
             if name in self.crashing:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -171,6 +171,22 @@
             n_crashed = max(simulation.n_crashes_by_name.values())
             self.assertLessEqual(n_crashed, quarantine.UNCONDITIONAL_THRESHOLD, seed)
 
+    @tools.params((3, 20.0, 4), (3, 20.0, 8), (5, 5.0, 8), (20, 1.0, 8), (5, 5.0, 12))
+    def test_not_kept_apart(self, n_upstreams, mean_seconds, n_crashing):
+        """Gateways that don't know of one another's runs send culprits together.
+
+        If a culprit were spared at its sixth crash there because another one ran at the
+        crashes that are left to it, it would crash ten upstreams.
+        """
+        for seed in range(8):
+            simulation = crash_schedule.CrashSchedule(
+                seed, n_upstreams, mean_seconds, 20.0, n_crashing, are_kept_apart=False
+            )
+            simulation.run()
+            self.assertEqual(simulation.quarantined, simulation.crashing, seed)
+            n_crashed = max(simulation.n_crashes_by_name.values())
+            self.assertLessEqual(n_crashed, quarantine.UNCONDITIONAL_THRESHOLD, seed)
+
     def test_crashes_attributed_to_others(self):
         """A crash-causing request runs concurrently with others that are quarantined.
 
