Tests: the trial of the next item doesn't depend on the speed of the machine

The test asked for the number of requests right after the first had begun; on a machine that stalls there the second may have begun. What it guards against is checked by what runs when the second is sent. Without the change that it tests it fails still (0 != 1), with it test_batches_ended passed three times.

--- a/tests/test_batches_ended.py
+++ b/tests/test_batches_ended.py
@@ -406,7 +406,5 @@
         self.before_pass = lambda: n_running.append(self.engine.n_running)
         with mock.patch.object(quarantine, "HEALTHY_RUN_SECONDS", 2 * EVENT_SECONDS):
             self.runner.accept(batch("b2", 2))
-            self.wait_for(lambda: self.engine.n_running == 1)
-            self.assertEqual(len(self.engine.received), 2)
             self.wait_for(lambda: len(self.engine.received) == 3)
         self.assertEqual(n_running[-1], 1)
