Batches: load weights ahead of steps where loads don't interrupt items

Callers saw: items of a step waited for one to two seconds while run slots were free. A trainer announces a version and submits its step together; engines that skipped a version are too old for the step and refuse its items for the 0.9 s of a load.

Change: the stores' leader observes whether streams go on during loads. If they do, all engines of a model load each version as soon as none of its items waits; if not, or as long as it is unknown, the halves alternate as before. Each order's log line and a counter give the reason.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -12,6 +12,7 @@
     engine_shares,
     item_run,
     lifecycle,
+    load_pauses,
     scheduling,
     weight_plan,
 )
@@ -63,6 +64,8 @@
     # answers.
     versions_by_model: dict[str, int] = attrs.field(factory=dict)
     loading: weight_plan.Load | None = None
+    # The events of its streams during the load in progress.
+    loading_streams: load_pauses.StreamCount | None = None
     retry_backoff: backoff.Backoff = attrs.field(
         factory=lambda: backoff.Backoff(FIRST_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
     )
@@ -135,12 +138,25 @@
         """Record the interval before an event of a stream, in seconds."""
         if self.loading is not None:
             # The interval includes the time of the load and says nothing of the pace.
+            if self.loading_streams is not None:
+                self.loading_streams.n_events += 1
             return
         if now - self.pace_updated_at > PACE_SECONDS:
             self.pace_seconds = seconds
         self.pace_updated_at = now
         self.pace_seconds += PACE_WEIGHT * (seconds - self.pace_seconds)
 
+    def begin_load(self, load: weight_plan.Load) -> None:
+        """Record that an order to load weights is being sent."""
+        self.loading = load
+        if self.n_running:
+            self.loading_streams = load_pauses.StreamCount(self.pace_seconds)
+
+    def end_load(self) -> None:
+        """Record that the load has ended, with any outcome."""
+        self.loading = None
+        self.loading_streams = None
+
     def stall_seconds(self) -> float:
         """Return after how many seconds of silence a stream counts as stalled."""
         if self.loading is not None:
--- a/bilberrydrum/batches/loader.py
+++ b/bilberrydrum/batches/loader.py
@@ -11,12 +11,13 @@
 import attrs
 import eventlet
 
-from bilberrydrum import clock, upstream_protocol
+from bilberrydrum import clock, counters, upstream_protocol
 from bilberrydrum.batches import (
     demand,
     engine_shares,
     engines,
     load_limit,
+    load_pauses,
     orders,
     weight_plan,
 )
@@ -53,6 +54,7 @@
         self._engines = known
         self._hooks = loader_hooks
         self._limit = load_limit.LoadLimit()
+        self._pauses = load_pauses.LoadPauses()
         self._announced = demand.AnnouncedVersions()
         self._tasks: list[Any] = []
 
@@ -96,6 +98,7 @@
                 self._announced.lag(name),
                 now - self._announced.announced_at(name),
                 name in waiting_models,
+                self._pauses.are_absent(),
             )
             for name, version in versions_by_model.items()
         }
@@ -108,7 +111,8 @@
         self._tasks = [each for each in self._tasks if not each.dead]
         for load in loads:
             engine = self._engines.by_id[load.engine_id]
-            engine.loading = load
+            engine.begin_load(load)
+            counters.WEIGHT_LOADS.labels(load.reason.value).inc()
             self._tasks.append(eventlet.spawn(self._load, engine, load))
 
     def _load(self, engine: engines.Engine, load: weight_plan.Load) -> None:
@@ -132,7 +136,10 @@
             engine.learn(report.versions_by_model)
             n_concurrent = max(n_concurrent, self._engines.n_loading())
             seconds = clock.now() - began
+            if engine.loading_streams is not None and engine.n_running:
+                streams = engine.loading_streams
+                self._pauses.record(streams.was_interrupted(seconds))
             self._limit.record_load(seconds, n_concurrent, len(self._engines.by_id))
         finally:
-            engine.loading = None
+            engine.end_load()
             self._hooks.wake()
--- a/bilberrydrum/batches/orders.py
+++ b/bilberrydrum/batches/orders.py
@@ -103,6 +103,7 @@
             upstream_id=engine.upstream_id,
             model=order.load.model,
             version=order.load.version,
+            reason=order.load.reason.value,
             fencing_number=numbers[0] if numbers else None,
             expected_sequence=sequence,
             status=reply.status,
--- a/bilberrydrum/batches/weight_plan.py
+++ b/bilberrydrum/batches/weight_plan.py
@@ -16,8 +16,15 @@
   two halves alternate, each loading every second version. These loads are deferred
   until no item waits for a run slot, at most for `MAX_DEFER_SECONDS`;
 - an engine without work loads the newest version, so its next samples are less stale.
+
+If loads are known not to interrupt running items (see `load_pauses`), a load costs an
+engine only the items of its model that could have started there in the meantime. Then
+all engines of a model load each version as soon as no item of the model waits, so that
+all of them can serve the next step at once. With the alternating halves, half of the
+engines load for a second when a step arrives, and its items wait for run slots.
 """
 
+import enum
 from collections.abc import Collection, Mapping
 from typing import Final, Protocol
 
@@ -66,6 +73,16 @@
     age_seconds: float = float("inf")
     # Items of the model wait for a run slot.
     has_waiting: bool = False
+    # Loads are known not to interrupt running items.
+    is_seamless: bool = False
+
+    def oldest(self) -> int:
+        """Return the oldest version that the newest step allows."""
+        return self.version - self.lag
+
+    def may_load_ahead(self) -> bool:
+        """Return whether loads cost no running or waiting item anything."""
+        return self.is_seamless and not self.has_waiting
 
     def is_deferral_over(self) -> bool:
         """Return whether deferred loads should start."""
@@ -73,6 +90,19 @@
         return is_quiet or self.age_seconds >= MAX_DEFER_SECONDS
 
 
+class Reason(enum.StrEnum):
+    """Why an engine loads a version, for the log and metrics."""
+
+    # It is too old for the newest step.
+    STEP = "step"
+    # Half of the model's engines should serve the newest version.
+    HALF = "half"
+    # All of them should, because loads do not interrupt items.
+    AHEAD = "ahead"
+    # It runs nothing.
+    IDLE = "idle"
+
+
 @attrs.frozen
 class Load:
     """A load of a weight version at an engine."""
@@ -80,6 +110,7 @@
     engine_id: str
     model: str
     version: int
+    reason: Reason = Reason.STEP
 
 
 @attrs.define
@@ -166,14 +197,18 @@
             continue
         present = [by_id[each] for each in engine_ids if each in by_id]
         able = [each for each in present if model in each.versions_by_model]
-        due += _ranked(model, wanted, _due(model, wanted, able))
-        idle += _ranked(model, wanted, _idle(model, wanted, able))
+        too_old = _too_old(model, wanted, able)
+        due += _ranked(model, wanted, too_old, Reason.STEP)
+        behind = _behind(model, wanted, able)
+        reason = Reason.AHEAD if wanted.may_load_ahead() else Reason.HALF
+        due += _ranked(model, wanted, behind, reason)
+        idle += _ranked(model, wanted, _idle(model, wanted, able), Reason.IDLE)
     ranked = sorted(due or idle, key=lambda each: each[0])
     return [load for _, load in ranked]
 
 
 def _ranked(
-    model: str, wanted: Wanted, engines: Collection[EngineWeights]
+    model: str, wanted: Wanted, engines: Collection[EngineWeights], reason: Reason
 ) -> list[tuple[tuple[int, int, str], Load]]:
     return [
         (
@@ -182,28 +217,34 @@
                 each.n_running,
                 each.upstream_id,
             ),
-            Load(each.upstream_id, model, wanted.version),
+            Load(each.upstream_id, model, wanted.version, reason),
         )
         for each in engines
     ]
 
 
-def _due(
+def _too_old(
+    model: str, wanted: Wanted, engines: Collection[EngineWeights]
+) -> list[EngineWeights]:
+    """Return the engines of a model that cannot serve its newest step."""
+    return [e for e in engines if e.versions_by_model[model] < wanted.oldest()]
+
+
+def _behind(
     model: str, wanted: Wanted, engines: Collection[EngineWeights]
 ) -> list[EngineWeights]:
-    """Return the engines of a model that should load now."""
-    oldest = wanted.version - wanted.lag
-    too_old = [e for e in engines if e.versions_by_model[model] < oldest]
+    """Return the engines that serve the newest step but should load for the next."""
     if not wanted.is_deferral_over():
-        return too_old
-    behind = [e for e in engines if oldest <= e.versions_by_model[model]]
+        return []
+    behind = [e for e in engines if wanted.oldest() <= e.versions_by_model[model]]
     behind = [e for e in behind if e.versions_by_model[model] < wanted.version]
     behind.sort(key=lambda e: (e.versions_by_model[model], e.n_running, e.upstream_id))
     # Engines that are too old count as newest, because they load it too.
     n_newest = len(engines) - len(behind) + sum(1 for e in behind if e.is_loading)
-    n_missing = max(len(engines) // 2 - n_newest, 0)
+    n_wanted = len(engines) if wanted.may_load_ahead() else len(engines) // 2
+    n_missing = max(n_wanted - n_newest, 0)
     waiting = [each for each in behind if not each.is_loading]
-    return too_old + waiting[:n_missing]
+    return waiting[:n_missing]
 
 
 def _idle(
--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -84,6 +84,11 @@
     ["message", "outcome"],
     buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2),
 )
+WEIGHT_LOADS: Final = prometheus_client.Counter(
+    "bilberrydrum_weight_loads_total",
+    "Loads of weights that were ordered, by why the engine was chosen.",
+    ["reason"],
+)
 LOG_LINES_DROPPED: Final = prometheus_client.Counter(
     "bilberrydrum_log_lines_dropped_total", "Log lines dropped as the queue was full."
 )
--- a/tests/test_batches_weight_plan.py
+++ b/tests/test_batches_weight_plan.py
@@ -104,6 +104,38 @@
             n_loads += self.load_all(versions, wanted)
         self.assertLessEqual(n_loads, 26)
 
+    @tools.params(
+        ("items wait", {"has_waiting": True}, set()),
+        ("nothing waits", {}, {"a", "b"}),
+        ("loads interrupt", {"is_seamless": False}, {"a"}),
+    )
+    def test_all_engines_load_ahead_of_the_next_step(self, name, changes, expected):
+        """Engines that skipped a version load when a step arrives, and its items wait.
+
+        Where loads don't interrupt items, all engines load each version in between, at
+        most half of them at a time.
+        """
+        quiet = attrs.evolve(
+            LAGGING, age_seconds=0.5, has_waiting=False, is_seamless=True
+        )
+        wanted = attrs.evolve(quiet, **changes)
+        versions = {"a": 4, "b": 4, "c": 5, "d": 5}
+        if name == "loads interrupt":
+            versions["c"] = 4
+        self.assertEqual(self.loaded(versions, wanted), expected, name)
+
+    def test_all_engines_serve_each_step_after_loads_ahead(self):
+        """Eight engines, a version every 4 s, each step allows the previous version."""
+        versions = dict.fromkeys("abcdefgh", 1)
+        for version in range(2, 8):
+            wanted = weight_plan.Wanted(version, 1, 0.1, True, is_seamless=True)
+            able = [each for each in versions.values() if each >= version - 1]
+            self.assertEqual(len(able), 8, version)
+            self.assertEqual(self.load_all(versions, wanted), 0)
+            wanted = attrs.evolve(wanted, age_seconds=1.0, has_waiting=False)
+            n_loads = self.load_all(versions, wanted) + self.load_all(versions, wanted)
+            self.assertEqual(n_loads, 8)
+
     def load_all(self, versions, wanted):
         loaded = self.loaded(versions, wanted)
         versions.update(dict.fromkeys(loaded, wanted.version))
