Batches: forecast of the memory use in place of the sum of final sizes

Cause: an engine took an item only if the final sizes of all its items fitted into its memory together. Items that have generated only a part of their tokens, or end long before the others, kept run slots empty.

Change: `memory_forecast` computes the use until the last item has ended. All items of an engine grow at the same rate, so only the ends of items are examined. An item without an estimate keeps its full size, as before. Engines without room are kept by length class, so that items of falling lengths do not compare all engines again.

Conclusion: the limit stays hard, and long items start while others run.

--- a/bilberrydrum/batches/engine_heap.py
+++ b/bilberrydrum/batches/engine_heap.py
@@ -6,8 +6,10 @@
 that cannot take more items of a kind stays closed to them. So it is enough to update an
 entry of the heap when it reaches the top: the best engine is then on top.
 
-The worst case remains items of alternating sizes while the caches of the engines are
-almost full: each item is then still compared with most of the engines.
+The worst case remains items of alternating sizes while the memories of the engines are
+almost full: each item is then still compared with most of the engines. Items of falling
+lengths, which is the usual order, are no such case: an engine without room is compared
+again once for each class of lengths.
 
 An engine ranks better for an item if it runs items of the same group. These few engines
 are kept in separate heaps, one for each group and kind, and the better of both tops is
@@ -19,6 +21,8 @@
 from collections.abc import Hashable, Iterable, Sequence
 from typing import TYPE_CHECKING, TypeAlias
 
+from bilberrydrum.batches import memory_forecast
+
 if TYPE_CHECKING:
     from bilberrydrum.batches import scheduling
 
@@ -45,9 +49,10 @@
         suitable = [each for each in numbers if engines[each].suits(item)]
         self._entries = [self._entry(each) for each in suitable]
         heapq.heapify(self._entries)
-        # Engines whose cache was too full for an item, as a heap by free tokens with
-        # the most on top.
-        self._low_memory: list[tuple[int, _Entry]] = []
+        # Engines whose memory had no room for an item, by the item's length class. Each
+        # is a heap by the room for the shortest items of the class, with the most on
+        # top.
+        self._low_memory: dict[int, list[tuple[int, _Entry]]] = {}
 
     def add(self, number: int) -> None:
         """Add an engine if it suits items of the kind."""
@@ -56,7 +61,8 @@
 
     def best(self, item: "scheduling.WaitingItem") -> _Entry | None:
         """Return the entry of the best engine for `item`; None if there is none."""
-        self._restore(item.n_tokens)
+        length_class = item.need.length_class()
+        self._restore(item.need.n_held, length_class)
         excluded = []
         found = None
         while self._entries and found is None:
@@ -71,18 +77,31 @@
                 excluded.append(heapq.heappop(self._entries))
             elif not engine.has_memory(item):
                 heapq.heappop(self._entries)
-                left = engine.n_cache_tokens - engine.n_tokens
-                heapq.heappush(self._low_memory, (-left, entry))
+                room = engine.room(memory_forecast.shortest_of_class(length_class))
+                low = self._low_memory.setdefault(length_class, [])
+                heapq.heappush(low, (-room, entry))
             else:
                 found = entry
         for each in excluded:
             heapq.heappush(self._entries, each)
         return found
 
-    def _restore(self, n_tokens: int) -> None:
-        """Put the engines that may have room for `n_tokens` back into the main heap."""
-        while self._low_memory and -self._low_memory[0][0] >= n_tokens:
-            heapq.heappush(self._entries, heapq.heappop(self._low_memory)[1])
+    def _restore(self, n_held: int, length_class: int) -> None:
+        """Put the engines that may have room for an item back into the main heap.
+
+        An engine without room for items of one class has none for longer items that
+        hold as much. So an engine is restored at most once per class, not per item.
+        Items of unknown length hold the same all the time, so the room for them cannot
+        be compared with that for others.
+        """
+        is_unknown = length_class == memory_forecast.UNKNOWN_LENGTH
+        for each, low in self._low_memory.items():
+            if each > length_class or (is_unknown and each != length_class):
+                for _, entry in low:
+                    heapq.heappush(self._entries, entry)
+                low.clear()
+            while low and -low[0][0] >= n_held:
+                heapq.heappush(self._entries, heapq.heappop(low)[1])
 
     def _entry(self, number: int) -> _Entry:
         return self._engines[number].rank(self._item, self._has_group), number
--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -12,6 +12,7 @@
     engine_shares,
     item_run,
     lifecycle,
+    memory_forecast,
     scheduling,
     weight_plan,
 )
@@ -54,7 +55,7 @@
     n_running: int = 0
     # How many of these are suspected of crashing engines.
     n_suspected: int = 0
-    n_tokens: int = 0
+    running: set[lifecycle.ItemRun] = attrs.field(factory=set)
     # Number of running items by group.
     n_by_group: collections.Counter[tuple[str, str]] = attrs.field(
         factory=collections.Counter
@@ -114,14 +115,14 @@
         """Record that an attempt of an item is being sent to the engine."""
         self.n_running += 1
         self.n_suspected += run.is_suspected
-        self.n_tokens += run.n_expected_tokens()
+        self.running.add(run)
         self.n_by_group[run.group_key] += 1
 
     def remove_run(self, run: lifecycle.ItemRun) -> None:
         """Record that an attempt of an item at the engine has ended."""
         self.n_running -= 1
         self.n_suspected -= run.is_suspected
-        self.n_tokens -= run.n_expected_tokens()
+        self.running.discard(run)
         self.n_by_group[run.group_key] -= 1
         if not self.n_by_group[run.group_key]:
             del self.n_by_group[run.group_key]
@@ -166,7 +167,10 @@
         return now < self.retry_backoff.until or now < self.full_until
 
     def capacity(
-        self, shares: engine_shares.Shares, slow_ids: frozenset[str] = frozenset()
+        self,
+        shares: engine_shares.Shares,
+        slow_ids: frozenset[str] = frozenset(),
+        tokens_per_event: float = 1.0,
     ) -> scheduling.EngineCapacity:
         """Return what item scheduling needs to know of the engine."""
         loading = frozenset({self.loading.model} if self.loading else ())
@@ -181,7 +185,9 @@
             self.upstream.is_silent,
             self.upstream_id in slow_ids,
             self.n_cache_tokens,
-            self.n_tokens,
+            memory_forecast.Forecast(
+                each.need(tokens_per_event) for each in self.running
+            ),
             set(self.n_by_group),
             self.n_suspected > 0,
         )
--- a/bilberrydrum/batches/lifecycle.py
+++ b/bilberrydrum/batches/lifecycle.py
@@ -16,7 +16,7 @@
 import attrs
 
 from bilberrydrum import quarantine
-from bilberrydrum.batches import model, texts
+from bilberrydrum.batches import memory_forecast, model, texts
 
 # After a failure at an engine, an item is not sent to that engine for this long, in
 # seconds. Other engines may run it at once, so it waits only if there is no other.
@@ -131,9 +131,19 @@
             return frozenset({self.excluded_id})
         return frozenset()
 
-    def n_expected_tokens(self) -> int:
-        """Return the expected number of prompt and output tokens."""
-        return self.item.n_expected_tokens or self.item.n_tokens
+    def need(self, tokens_per_event: float) -> memory_forecast.Need:
+        """Return what the item needs in an engine's memory from now on."""
+        item = self.item
+        n_prompt = item.n_expected_tokens - item.n_expected_output_tokens
+        if not item.n_expected_output_tokens or n_prompt < 0:
+            # Without an estimate, the lengths of the prompt and the output are unknown.
+            return memory_forecast.Need(item.n_expected_tokens or item.n_tokens)
+        return memory_forecast.Need.of(
+            n_prompt,
+            item.n_expected_output_tokens,
+            item.n_tokens - n_prompt,
+            len(self.text.parts) * tokens_per_event,
+        )
 
     def n_expected_output_tokens(self) -> int:
         """Return the expected number of output tokens."""
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -252,7 +252,10 @@
         items = self._sendable(now) + self._movable(slow_ids)
         if not items:
             return
-        capacities = [each.capacity(self._shares, slow_ids) for each in usable]
+        per_event = self._pace.tokens_per_event
+        capacities = [
+            each.capacity(self._shares, slow_ids, per_event) for each in usable
+        ]
         for assignment in scheduling.assign(
             items, capacities, now, self._work.count_running
         ):
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -22,7 +22,7 @@
 
 import attrs
 
-from bilberrydrum.batches import engine_heap, urgency
+from bilberrydrum.batches import engine_heap, memory_forecast, urgency
 from bilberrydrum.fleet import policy
 
 # An engine that has the group's prompt in memory is preferred as if it had this share
@@ -49,8 +49,8 @@
     model: str
     min_version: int
     services: frozenset[str]
-    # Tokens that the item needs in an engine's memory.
-    n_tokens: int = 0
+    # What the item needs in an engine's memory.
+    need: memory_forecast.Need = memory_forecast.Need()
     # Engines that must not run the item now, because it has just failed there.
     excluded_ids: frozenset[str] = frozenset()
     # The only version under which the item's text can be resumed; None: any.
@@ -98,8 +98,10 @@
     is_slow: bool = False
     # Number of tokens that the engine's memory holds; 0: not known, and no bound.
     n_cache_tokens: int = 0
-    # Number of tokens of the running items.
-    n_tokens: int = 0
+    # Use of the memory by the running items.
+    forecast: memory_forecast.Forecast = attrs.field(
+        factory=memory_forecast.Forecast, eq=False
+    )
     # Group keys of the running items.
     group_keys: set[tuple[str, str]] = attrs.field(factory=set)
     # Whether an item that is suspected of crashing engines runs here.
@@ -122,12 +124,17 @@
         )
 
     def has_memory(self, item: WaitingItem) -> bool:
-        """Return whether the memory holds `item` in addition to the running items.
+        """Return whether the memory holds `item` until all running items have ended.
 
         An engine that runs nothing takes an item of any size.
         """
-        fits = self.n_tokens + item.n_tokens <= self.n_cache_tokens
-        return not self.n_cache_tokens or not self.n_running or fits
+        if not self.n_cache_tokens or not self.n_running:
+            return True
+        return self.room(item.need.n_left) >= item.need.n_held
+
+    def room(self, n_left: int) -> int:
+        """Return how many tokens an item may hold that will generate `n_left`."""
+        return self.forecast.room(n_left, self.n_cache_tokens)
 
     def rank(self, item: WaitingItem, has_group: bool) -> engine_heap.Rank:
         """Return the engine's rank for `item`; the lowest rank is the best.
@@ -156,7 +163,7 @@
     def reserve(self, item: WaitingItem) -> None:
         """Reserve capacity for `item`."""
         self.n_running += 1
-        self.n_tokens += item.n_tokens
+        self.forecast.add(item.need)
         self.group_keys.add(item.group_key)
         self.has_suspected |= item.is_suspected
 
--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -67,7 +67,8 @@
 
     def __init__(self) -> None:
         self._event_seconds = FIRST_EVENT_SECONDS
-        self._tokens_per_event = 1.0
+        # Expected output tokens per event of finished items.
+        self.tokens_per_event = 1.0
         self._has_samples = False
         # Duration of a scoring request in seconds, without the wait before it is sent.
         self.scoring_seconds = FIRST_SCORING_SECONDS
@@ -94,11 +95,11 @@
         self._has_samples = True
         self._event_seconds += weight * (seconds / n_events - self._event_seconds)
         ratio = n_expected_tokens / n_events
-        self._tokens_per_event += weight * (ratio - self._tokens_per_event)
+        self.tokens_per_event += weight * (ratio - self.tokens_per_event)
 
     def remaining_seconds(self, n_expected_tokens: int, n_events: int) -> float:
         """Return the expected remaining time of an item with `n_events`, in seconds."""
-        n_expected = n_expected_tokens / self._tokens_per_event
+        n_expected = n_expected_tokens / self.tokens_per_event
         return max(n_expected - n_events, 1.0) * self._event_seconds
 
 
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -289,7 +289,7 @@
         batch.model,
         batch.min_version,
         frozenset(route.services()),
-        run.n_expected_tokens(),
+        run.need(pace.tokens_per_event),
         run.excluded_ids(now),
         only_version,
         done_by,
