Batches: normal speed of each engine, and its reported work factor

Cause: the fast average of an engine's pace says nothing of the speed that it usually has, and it is outdated after three seconds. So constant differences between engines cannot be told from faults.

Change: `engine_speed` keeps a slow average of the interval between two events and the last work factor, while it is younger than 0.5 s. Implausible factors are ignored. While an engine is slowed down, intervals count a fifth, so the slow average does not follow a slowdown of seconds. An engine of unknown speed gets half of its run slots, once the speeds of half of the engines are known; a new leader knows none and restricts none.

Conclusion: placement, the detection of slow engines and moves can be based on the normal speed.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -10,6 +10,7 @@
 from bilberrydrum import backoff
 from bilberrydrum.batches import (
     engine_shares,
+    engine_speed,
     item_run,
     lifecycle,
     memory_forecast,
@@ -46,6 +47,20 @@
 REJECTED_SECONDS: Final = 0.05
 
 
+@attrs.frozen
+class Conditions:
+    """What scheduling needs to know of an engine besides its own record."""
+
+    # Time of the scheduling pass, in seconds of `clock.now`.
+    now: float = 0.0
+    # Ids of the engines that are much slower now than they should be.
+    slow_ids: frozenset[str] = frozenset()
+    # Expected output tokens per event.
+    tokens_per_event: float = 1.0
+    # Seconds per event that are assumed of an engine of unknown speed; 0: unknown.
+    assumed_seconds: float = 0.0
+
+
 @attrs.define(eq=False)
 class Engine:
     """One incarnation of an engine."""
@@ -73,6 +88,7 @@
     # is not known.
     pace_seconds: float = 0.0
     pace_updated_at: float = float("-inf")
+    speed: engine_speed.Speed = attrs.field(factory=engine_speed.Speed)
     # The engine was slow when its pace was last known.
     was_slow: bool = False
 
@@ -141,6 +157,11 @@
             self.pace_seconds = seconds
         self.pace_updated_at = now
         self.pace_seconds += PACE_WEIGHT * (seconds - self.pace_seconds)
+        self.speed.record(seconds, self.pace_seconds)
+
+    def record_work_factor(self, factor: float, now: float) -> None:
+        """Record the work factor of an answer; 1.0 is the usual time."""
+        self.speed.record_work_factor(factor, now)
 
     def stall_seconds(self) -> float:
         """Return after how many seconds of silence a stream counts as stalled."""
@@ -169,29 +190,34 @@
     def capacity(
         self,
         shares: engine_shares.Shares,
-        slow_ids: frozenset[str] = frozenset(),
-        tokens_per_event: float = 1.0,
+        conditions: Conditions = Conditions(),
     ) -> scheduling.EngineCapacity:
         """Return what item scheduling needs to know of the engine."""
         loading = frozenset({self.loading.model} if self.loading else ())
         return scheduling.EngineCapacity(
             self.upstream_id,
             self.upstream.service,
-            PROBE_SLOTS if self.was_slow else self.upstream.n_slots,
+            self._n_slots(conditions.assumed_seconds),
             self.n_running,
             self.versions_by_model,
             frozenset(shares.models_of(self.upstream_id)),
             loading,
             self.upstream.is_silent,
-            self.upstream_id in slow_ids,
+            self.upstream_id in conditions.slow_ids,
             self.n_cache_tokens,
             memory_forecast.Forecast(
-                each.need(tokens_per_event) for each in self.running
+                each.need(conditions.tokens_per_event) for each in self.running
             ),
             set(self.n_by_group),
             self.n_suspected > 0,
         )
 
+    def _n_slots(self, assumed_seconds: float) -> int:
+        n_slots = self.upstream.n_slots
+        if self.was_slow:
+            return PROBE_SLOTS
+        return engine_speed.n_slots_to_use(self.speed, n_slots, assumed_seconds)
+
 
 class Engines:
     """All engines: the upstreams of services that have models."""
@@ -291,6 +317,13 @@
                 slow.add(engine_id)
         return frozenset(slow)
 
+    def conditions(
+        self, now: float, slow_ids: frozenset[str], tokens_per_event: float
+    ) -> Conditions:
+        """Return the conditions of a scheduling pass."""
+        assumed = engine_speed.assumed_seconds([e.speed for e in self.by_id.values()])
+        return Conditions(now, slow_ids, tokens_per_event, assumed)
+
     def versions_of(self, model_name: str) -> set[int]:
         """Return all versions of a model that engines serve."""
         return {
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -252,10 +252,10 @@
         items = self._sendable(now) + self._movable(slow_ids)
         if not items:
             return
-        per_event = self._pace.tokens_per_event
-        capacities = [
-            each.capacity(self._shares, slow_ids, per_event) for each in usable
-        ]
+        conditions = self._engines.conditions(
+            now, slow_ids, self._pace.tokens_per_event
+        )
+        capacities = [each.capacity(self._shares, conditions) for each in usable]
         for assignment in scheduling.assign(
             items, capacities, now, self._work.count_running
         ):
--- a/tests/test_batches_memory_forecast.py
+++ b/tests/test_batches_memory_forecast.py
@@ -113,7 +113,8 @@
             run = lifecycle.ItemRun(item, ("b", "g"))
             batches_support.generate(run.text, "r", n_generated, 1)
             engine.add_run(run)
-        return engine.capacity(engine_shares.Shares(), frozenset(), 100.0)
+        conditions = engines.Conditions(tokens_per_event=100.0)
+        return engine.capacity(engine_shares.Shares(), conditions)
 
     @tools.params(
         ("all have just started, long", 0, Need(1_000, 12_000), False),
