Batches: items are placed by their expected end where engines differ

Cause: engines were ranked by load alone, so on engines of which a quarter has half the speed, a quarter of the longest items ran there and determined the duration of the step.

Change: an engine's rank for an item has the class of the expected end before the load. The end is compared in quarters of the time that the longest waiting item of the model takes at the fastest engine. Short items end within one quarter anywhere, so they go by load and use slow engines as well. Engines within a quarter of each other are in one class, whatever their speed is, so the placement on about equal engines is unchanged (compared on random inputs). A reported work factor counts as a delay of at most half a second.

Ruled out: ranking by pace alone, which sends all items to the fastest engines.

--- a/bilberrydrum/batches/engine_heap.py
+++ b/bilberrydrum/batches/engine_heap.py
@@ -18,15 +18,15 @@
 
 import collections
 import heapq
-from collections.abc import Hashable, Iterable, Sequence
+from collections.abc import Collection, Hashable, Iterable, Sequence
 from typing import TYPE_CHECKING, TypeAlias
 
-from bilberrydrum.batches import memory_forecast
+from bilberrydrum.batches import memory_forecast, placement
 
 if TYPE_CHECKING:
     from bilberrydrum.batches import scheduling
 
-Rank: TypeAlias = tuple[bool, bool, bool, float, str]
+Rank: TypeAlias = tuple[bool, bool, bool, int, float, str]
 # An engine's rank, and its index in the list of engines.
 _Entry: TypeAlias = tuple[Rank, int]
 _GroupKey: TypeAlias = tuple[str, str]
@@ -41,8 +41,10 @@
         numbers: Iterable[int],
         item: "scheduling.WaitingItem",
         has_group: bool,
+        end_classes: placement.EndClasses,
     ) -> None:
         self._engines = engines
+        self._end_classes = end_classes
         # Some item of the kind.
         self._item = item
         self._has_group = has_group
@@ -104,7 +106,9 @@
                 heapq.heappush(self._entries, heapq.heappop(low)[1])
 
     def _entry(self, number: int) -> _Entry:
-        return self._engines[number].rank(self._item, self._has_group), number
+        engine = self._engines[number]
+        end_class = self._end_classes.of(self._item, engine)
+        return engine.rank(self._item, self._has_group, end_class), number
 
 
 class EngineChooser:
@@ -112,18 +116,19 @@
 
     def __init__(
         self,
-        items: Iterable["scheduling.WaitingItem"],
-        engines: Iterable["scheduling.EngineCapacity"],
+        items: Collection["scheduling.WaitingItem"],
+        engines: Sequence["scheduling.EngineCapacity"],
     ) -> None:
         """Initialise the chooser.
 
         Parameters
         ----------
-        items : iterable of scheduling.WaitingItem
+        items : collection of scheduling.WaitingItem
             All items that `choose` will be called with.
-        engines : iterable of scheduling.EngineCapacity
+        engines : sequence of scheduling.EngineCapacity
             Must not be changed by anyone else while the chooser is in use.
         """
+        self._end_classes = placement.EndClasses(items, engines)
         self._engines = [each for each in engines if each.n_running < each.n_slots]
         self._numbers_by_group: dict[_GroupKey, list[int]] = {
             each.group_key: [] for each in items
@@ -155,20 +160,31 @@
         return engine
 
     def _heap(self, item: "scheduling.WaitingItem") -> _Heap:
-        kind = item.kind()
+        kind = self._kind(item)
         if kind not in self._heaps_by_kind:
             numbers = range(len(self._engines))
-            self._heaps_by_kind[kind] = _Heap(self._engines, numbers, item, False)
+            self._heaps_by_kind[kind] = self._new_heap(numbers, item, False)
         return self._heaps_by_kind[kind]
 
     def _group_heap(self, item: "scheduling.WaitingItem") -> _Heap:
-        kind = item.kind()
+        kind = self._kind(item)
         heaps = self._group_heaps[item.group_key]
         if kind not in heaps:
             numbers = self._numbers_by_group[item.group_key]
-            heaps[kind] = _Heap(self._engines, numbers, item, True)
+            heaps[kind] = self._new_heap(numbers, item, True)
         return heaps[kind]
 
+    def _kind(self, item: "scheduling.WaitingItem") -> Hashable:
+        return item.kind(), self._end_classes.kind(item)
+
+    def _new_heap(
+        self,
+        numbers: Iterable[int],
+        item: "scheduling.WaitingItem",
+        has_group: bool,
+    ) -> _Heap:
+        return _Heap(self._engines, numbers, item, has_group, self._end_classes)
+
     def _add_to_group(self, number: int, group_key: _GroupKey) -> None:
         """Record that an engine has got its first item of a group."""
         self._numbers_by_group[group_key].append(number)
--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -210,6 +210,8 @@
             ),
             set(self.n_by_group),
             self.n_suspected > 0,
+            self.speed.event_seconds(conditions.assumed_seconds),
+            self.speed.work_factor(conditions.now),
         )
 
     def _n_slots(self, assumed_seconds: float) -> int:
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -4,10 +4,11 @@
 batches are open and engine capacity is scarce. `urgency` determines the tier of each
 item. Within a tier, the account with the higher precedence goes first, since its
 batches would otherwise wait for those of others. Among the engines that can run an
-item, the one with the smallest share of its run slots in use is chosen: engines get
-slower the more they run, and a full engine takes 1.5 times as long per token as an
-empty one. An engine that runs items of the same group has their prompt in memory and
-may be a little busier than the others.
+item, those at which it ends clearly earlier come first (see `placement`). Among these,
+the one with the smallest share of its run slots in use is chosen: engines get slower
+the more they run, and a full engine takes 1.5 times as long per token as an empty one.
+An engine that runs items of the same group has their prompt in memory and may be a
+little busier than the others.
 
 Items that run at slow engines are scheduled together with the waiting ones. A text is
 resumed where it stopped, so a move costs one reading of the prompt, while one slow
@@ -64,11 +65,14 @@
     account: str = ""
     # Whether the item runs at a slow engine now and could be resumed at another one.
     is_on_slow_engine: bool = False
+    # Expected number of events that are still to be generated; 0: not known.
+    n_events: float = 0.0
 
     def kind(self) -> Hashable:
         """Return the properties that determine which engines suit the item.
 
         These are all that `EngineCapacity.suits`, `is_full_for` and `rank` use.
+        Classes of expected ends are passed to `rank` (see `placement`).
         """
         return (
             self.services,
@@ -106,6 +110,10 @@
     group_keys: set[tuple[str, str]] = attrs.field(factory=set)
     # Whether an item that is suspected of crashing engines runs here.
     has_suspected: bool = False
+    # Seconds per event at the engine's normal speed; 0: not known.
+    event_seconds: float = 0.0
+    # How long work takes at the engine's host now; 1.0 is the usual time.
+    work_factor: float = 1.0
 
     def suits(self, item: WaitingItem) -> bool:
         """Return whether items of this kind can run here if there is room."""
@@ -136,10 +144,13 @@
         """Return how many tokens an item may hold that will generate `n_left`."""
         return self.forecast.room(n_left, self.n_cache_tokens)
 
-    def rank(self, item: WaitingItem, has_group: bool) -> engine_heap.Rank:
+    def rank(
+        self, item: WaitingItem, has_group: bool, end_class: int = 0
+    ) -> engine_heap.Rank:
         """Return the engine's rank for `item`; the lowest rank is the best.
 
-        `has_group` says whether items of the same group run here.
+        `has_group` says whether items of the same group run here, and `end_class` is
+        the class of the item's expected end here.
         """
         load = self.n_running / max(self.n_slots, 1)
         if has_group:
@@ -148,6 +159,7 @@
             self.is_silent,
             self.is_slow,
             item.model not in self.models,
+            end_class,
             load,
             self.engine_id,
         )
--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -27,6 +27,8 @@
 
 import attrs
 
+from bilberrydrum.batches import memory_forecast
+
 GroupKey = tuple[str, str]
 
 # Time per event that is assumed before any was measured, in seconds: that of a full
@@ -97,6 +99,14 @@
         ratio = n_expected_tokens / n_events
         self.tokens_per_event += weight * (ratio - self.tokens_per_event)
 
+    def remaining_events(self, n_expected_tokens: int, n_events: int) -> float:
+        """Return the expected number of events after the first `n_events` of an item.
+
+        An item that has reached its estimate is expected to continue.
+        """
+        n_expected = n_expected_tokens / self.tokens_per_event
+        return max(memory_forecast.n_expected_left(n_expected, n_events), 1.0)
+
     def remaining_seconds(self, n_expected_tokens: int, n_events: int) -> float:
         """Return the expected remaining time of an item with `n_events`, in seconds."""
         n_expected = n_expected_tokens / self.tokens_per_event
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -296,4 +296,7 @@
         is_suspected,
         precedence or policy.Precedence(),
         batch.account or "",
+        n_events=pace.remaining_events(
+            run.n_expected_output_tokens(), len(run.text.parts)
+        ),
     )
--- a/tests/test_batches_engine_heap.py
+++ b/tests/test_batches_engine_heap.py
@@ -26,6 +26,7 @@
     ),
     is_suspected=strategies.sampled_from((False, False, True)),
     is_on_slow_engine=strategies.sampled_from((False, False, True)),
+    n_events=strategies.sampled_from((0.0, 1.0, 3.0, 5.0, 16.0)),
 )
 ENGINES = strategies.builds(
     dict,
@@ -43,6 +44,8 @@
     needs=strategies.lists(NEEDS, max_size=3),
     groups=strategies.sets(strategies.integers(0, 4)),
     has_suspected=strategies.sampled_from((False, False, True)),
+    event_seconds=strategies.sampled_from((0.0, 0.04, 0.045, 0.06, 0.09)),
+    work_factor=strategies.sampled_from((0.5, 1.0, 1.0, 2.5)),
 )
 # Items that suit all engines and differ only in group, tokens and excluded engines.
 ALIKE_ITEMS = strategies.builds(
@@ -120,7 +123,25 @@
     )
 
 
-def rank(engine, item):
+def end_class(engine, item, items, engines):
+    """Return the quarters of the horizon by which the item would end later here."""
+    longest = max(each.n_events for each in items if each.model == item.model)
+    speeds = sorted(each.event_seconds for each in engines if each.event_seconds)
+    share = next((e for e in (0.25, 0.5, 1.0) if item.n_events <= e * longest), 1.0)
+    if item.n_events <= longest / 8:
+        return 0
+    first = fastest = speeds[0] if speeds else 0.0
+    for each in speeds:
+        if each <= engine.event_seconds and each >= 1.25 * first:
+            first = each
+    later = share * (first / fastest - 1.0) if engine.event_seconds else 0.0
+    if engine.work_factor > 1.0 and fastest:
+        lost = 0.5 * (1.0 - 1.0 / engine.work_factor) / (longest * fastest)
+        later += min(lost, share * (engine.work_factor - 1.0))
+    return int(4 * later)
+
+
+def rank(engine, item, items, engines):
     load = engine.n_running / max(engine.n_slots, 1)
     if item.group_key in engine.group_keys:
         load -= scheduling.AFFINITY_SHARE
@@ -128,18 +149,23 @@
         engine.is_silent,
         engine.is_slow,
         item.model not in engine.models,
+        end_class(engine, item, items, engines),
         load,
         engine.engine_id,
     )
 
 
+def best_of(able, item, items, engines):
+    return min(able, key=lambda each: rank(each, item, items, engines))
+
+
 def assigned_one_by_one(items, engines, needs_by_id):
     """Return the assignments if each item is compared with each engine."""
     given = []
     for item in items:
         able = [e for e in engines if can_take(e, item, needs_by_id[e.engine_id])]
         if able:
-            engine = min(able, key=lambda each: rank(each, item))
+            engine = best_of(able, item, items, engines)
             engine.n_running += 1
             needs_by_id[engine.engine_id].append(item.need)
             engine.group_keys.add(item.group_key)
