Batches: a constantly lower speed is no fault of an engine

Cause: an engine counted as slow above 2.2 times the median pace. Engines of half the usual speed are close to that, so their items were moved away and back, and they were reduced to one item.

Change: `slow_engines` compares an engine with its own normal speed (2.2 times, as before), relative to how much the others are slowed down, and its normal speed with the median of the others (3 times). An engine of unknown speed is compared with the others as before, so a new leader behaves as before.

The median of the ratios is needed because the process that reads all streams may be delayed: all engines then seem slower than usual.

The existing tests of slow engines are unchanged.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -1,8 +1,7 @@
 """The runner's view of each engine: running items, weight versions, pace, failures."""
 
-import bisect
 import collections
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
@@ -15,6 +14,7 @@
     lifecycle,
     memory_forecast,
     scheduling,
+    slow_engines,
     weight_plan,
 )
 from bilberrydrum.fleet import model, policy
@@ -31,10 +31,7 @@
 # A pace that was not updated for this long, in seconds, is ignored: the engine may have
 # recovered and is tried again.
 PACE_SECONDS: Final = 3.0
-# An engine is slow if its pace is more than this many times the median of the others.
-# Load alone explains a factor of 1.5: a decoding step takes 0.84 ms at a full engine
-# and 0.57 ms at an empty one.
-SLOW_FACTOR: Final = 2.2
+SLOW_FACTOR: Final = slow_engines.SLOW_FACTOR
 # An engine that was slow gets at most this many items until its pace is normal again.
 # If all its run slots were filled at each try, a dozen streams would be cancelled every
 # few seconds (548 on a day with a slow engine), and each prompt would be processed
@@ -53,7 +50,7 @@
 
     # Time of the scheduling pass, in seconds of `clock.now`.
     now: float = 0.0
-    # Ids of the engines that are much slower now than they should be.
+    # Ids of the slow engines (see `slow_engines`).
     slow_ids: frozenset[str] = frozenset()
     # Expected output tokens per event.
     tokens_per_event: float = 1.0
@@ -297,26 +294,24 @@
         return sum(1 for each in self.by_id.values() if each.loading is not None)
 
     def slow_ids(self, now: float) -> frozenset[str]:
-        """Return the ids of the engines that are much slower than the others now.
+        """Return the ids of the slow engines (see `slow_engines`).
 
         Also sets `Engine.was_slow` of each engine with a known pace. It keeps its value
         once the pace is outdated, so the engine is then tried with `PROBE_SLOTS` items.
         """
         paces_by_id = {
-            engine_id: each.pace_seconds
+            engine_id: slow_engines.Pace(
+                each.pace_seconds,
+                each.speed.normal_seconds
+                if each.speed.n_samples >= engine_speed.MIN_SAMPLES
+                else 0.0,
+            )
             for engine_id, each in self.by_id.items()
             if each.pace_seconds and now - each.pace_updated_at <= PACE_SECONDS
         }
-        slow = set()
-        paces = sorted(paces_by_id.values())
-        min_slow_pace = SLOW_FACTOR * _smallest_median_of_others(paces)
-        for engine_id, pace in paces_by_id.items():
-            engine = self.by_id[engine_id]
-            engine.was_slow = pace > min_slow_pace and (
-                pace > SLOW_FACTOR * _median_of_others(paces, pace)
-            )
-            if engine.was_slow:
-                slow.add(engine_id)
+        slow = slow_engines.find_slow(paces_by_id)
+        for engine_id in paces_by_id:
+            self.by_id[engine_id].was_slow = engine_id in slow
         return frozenset(slow)
 
     def conditions(
@@ -340,28 +335,3 @@
             name for each in self.by_id.values() for name in each.versions_by_model
         }
         return sorted(found)
-
-
-def _smallest_median_of_others(paces: Sequence[float]) -> float:
-    """Return the smallest `_median_of_others` of any member of sorted `paces`."""
-    if len(paces) < 2:
-        return float("inf")
-    return _median_of_others(paces, paces[-1])
-
-
-def _median_of_others(paces: Sequence[float], own: float) -> float:
-    """Return the median of sorted `paces` without one member equal to `own`.
-
-    This runs for each engine that may be slow, so it doesn't build a list of the
-    others: with thousands of engines that would block all other tasks of the process.
-    """
-    position = bisect.bisect_left(paces, own)
-
-    def other(index: int) -> float:
-        return paces[index if index < position else index + 1]
-
-    n_others = len(paces) - 1
-    middle = n_others // 2
-    if n_others % 2:
-        return other(middle)
-    return (other(middle - 1) + other(middle)) / 2
