Batches: running items move from slower engines to free faster ones

Cause: long items that start while the fast engines are full stay at an engine of half the speed to their end, although fast run slots become free soon.

Change: `moves` decides from which engines items may move, and the most seconds per event at the target. They are ordered together with the waiting items. Items at slow engines move as before, except to engines where they would gain nothing and if they are about to end.

The metric bilberrydrum_item_moves_total counts moves, and the line batches:moved has the expected gain.

--- a/bilberrydrum/batches/engine_speed.py
+++ b/bilberrydrum/batches/engine_speed.py
@@ -51,9 +51,10 @@
         """Whether there are enough samples."""
         return self.n_samples >= MIN_SAMPLES
 
-    def event_seconds(self, assumed: float) -> float:
-        """Return the seconds per event; `assumed` is the value if it is not known."""
-        return self.normal_seconds if self.is_known else assumed
+    @property
+    def known_seconds(self) -> float:
+        """The normal seconds per event; 0 if there are not enough samples."""
+        return self.normal_seconds if self.n_samples >= MIN_SAMPLES else 0.0
 
     def record(self, seconds: float, pace_seconds: float) -> None:
         """Record an interval; `pace_seconds` is the fast average that includes it."""
--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -1,7 +1,7 @@
 """The runner's view of each engine: running items, weight versions, pace, failures."""
 
 import collections
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -13,6 +13,7 @@
     item_run,
     lifecycle,
     memory_forecast,
+    moves,
     scheduling,
     slow_engines,
     weight_plan,
@@ -207,7 +208,7 @@
             ),
             set(self.n_by_group),
             self.n_suspected > 0,
-            self.speed.event_seconds(conditions.assumed_seconds),
+            self.speed.known_seconds,
             self.speed.work_factor(conditions.now),
         )
 
@@ -314,6 +315,35 @@
             self.by_id[engine_id].was_slow = engine_id in slow
         return frozenset(slow)
 
+    def move_sources(
+        self, usable: Iterable[Engine], slow_ids: frozenset[str]
+    ) -> dict[str, moves.Source]:
+        """Return the engines from which items may move, by id.
+
+        `usable` are the engines to which they may move.
+        """
+        fastest_free = min(
+            (
+                each.speed.normal_seconds
+                for each in usable
+                if each.speed.n_samples >= engine_speed.MIN_SAMPLES
+                and each.n_running < each.upstream.n_slots
+                and each.upstream_id not in slow_ids
+            ),
+            default=0.0,
+        )
+        sources_by_id = {
+            engine_id: moves.Source(each.speed.known_seconds, False)
+            for engine_id, each in self.by_id.items()
+            if each.n_running
+            and moves.is_slower(each.speed.known_seconds, fastest_free)
+        }
+        for engine_id in slow_ids & self.by_id.keys():
+            sources_by_id[engine_id] = moves.Source(
+                self.by_id[engine_id].pace_seconds, True
+            )
+        return sources_by_id
+
     def conditions(
         self, now: float, slow_ids: frozenset[str], tokens_per_event: float
     ) -> Conditions:
--- a/bilberrydrum/batches/placement.py
+++ b/bilberrydrum/batches/placement.py
@@ -12,6 +12,7 @@
 """
 
 import math
+import statistics
 from collections.abc import Hashable, Iterable, Sequence
 from typing import Final, Protocol
 
@@ -62,7 +63,10 @@
     """The classes of expected end of given items at given engines."""
 
     def __init__(self, items: Iterable[Item], engines: Sequence[Engine]) -> None:
-        self._speed_by_seconds = _rounded_down(e.event_seconds for e in engines)
+        known = [each.event_seconds for each in engines if each.event_seconds]
+        # An engine of unknown speed is assumed to have the median.
+        self._assumed = statistics.median_low(known) if known else 0.0
+        self._speed_by_seconds = _rounded_down(known)
         self._fastest = min(self._speed_by_seconds.values(), default=0.0)
         n_events_by_model: dict[str, float] = {}
         for each in items:
@@ -90,8 +94,9 @@
         if not share:
             return 0
         excess = 0.0
-        if engine.event_seconds and self._fastest:
-            speed = self._speed_by_seconds[engine.event_seconds]
+        event_seconds = engine.event_seconds or self._assumed
+        if event_seconds:
+            speed = self._speed_by_seconds[event_seconds]
             excess = share * (speed / self._fastest - 1.0)
         return int((excess + self._delay(item, engine, share)) / _STEP)
 
@@ -113,7 +118,7 @@
 
 
 def _rounded_down(values: Iterable[float]) -> dict[float, float]:
-    """Return each positive value's class: the smallest value at most a quarter below.
+    """Return each value's class: the smallest value at most a quarter below.
 
     A class begins with a value that is a quarter above the beginning of the one before
     it, so engines that are about equal are in one class, whatever their speed is.
@@ -121,8 +126,6 @@
     classes = {}
     first = 0.0
     for each in sorted(set(values)):
-        if each <= 0.0:
-            continue
         if each >= (1.0 + _STEP) * first:
             first = each
         classes[each] = first
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -17,7 +17,7 @@
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, quarantine, upstream_protocol
+from bilberrydrum import clock, counters, quarantine, upstream_protocol
 from bilberrydrum.batches import (
     demand,
     engine_shares,
@@ -27,6 +27,7 @@
     lifecycle,
     loader,
     model,
+    moves,
     scheduling,
     score_sender,
     urgency,
@@ -45,8 +46,9 @@
 # pass is always due. Without a pause, consecutive passes would leave the process no
 # time to read the events of the items that it has sent.
 _PAUSE_FACTOR: Final = 2.0
-# Maximum number of times that one item is moved away from a slow engine.
-_MAX_MOVES: Final = 3
+# Minimum interval at which moves from constantly slower engines are considered, in
+# seconds. A move saves more than this, and each consideration visits all items.
+_MOVES_SECONDS: Final = 0.25
 # A new leader remembers the incomplete groups of batches that were submitted at most
 # this many seconds ago, because a trainer submits such groups again with its next step.
 # The time is limited because each batch takes milliseconds to decode.
@@ -100,6 +102,7 @@
         self._task: Any = None
         self._is_watching = False
         self._progress_at = float("-inf")
+        self._moves_at = float("-inf")
         # Duration of the last scheduling pass, in seconds.
         self._pass_seconds = 0.0
 
@@ -249,7 +252,7 @@
 
     def _send_items(self, usable: Sequence[engines.Engine], now: float) -> None:
         slow_ids = self._engines.slow_ids(now)
-        items = self._sendable(now) + self._movable(slow_ids)
+        items = self._sendable(now) + self._movable(usable, slow_ids, now)
         if not items:
             return
         conditions = self._engines.conditions(
@@ -270,17 +273,31 @@
             if run.not_before <= now
         )
 
-    def _movable(self, slow_ids: frozenset[str]) -> list[scheduling.WaitingItem]:
-        """Return the items that run at slow engines and may move to other engines."""
-        if not slow_ids:
+    def _movable(
+        self,
+        usable: Sequence[engines.Engine],
+        slow_ids: frozenset[str],
+        now: float,
+    ) -> list[scheduling.WaitingItem]:
+        """Return the running items that may move to faster engines."""
+        sources_by_id = {}
+        if slow_ids or now - self._moves_at >= _MOVES_SECONDS:
+            self._moves_at = now
+            sources_by_id = self._engines.move_sources(usable, slow_ids)
+        if not sources_by_id:
             return []
-        movable = self._waiting_items(
-            (opened, run)
-            for opened in self._work.open_batches()
-            for run in opened.runs_by_item_id.values()
-            if run.engine_id in slow_ids and run.n_moves < _MAX_MOVES
-        )
-        return [attrs.evolve(each, is_on_slow_engine=True) for each in movable]
+        found = work.movable_runs(self._work, sources_by_id, self._pace)
+        limits_by_key = {each.key: each for each in found}
+        movable = self._waiting_items((each.opened, each.run) for each in found)
+        return [
+            attrs.evolve(
+                each,
+                is_on_slow_engine=True,
+                max_event_seconds=limits_by_key[each.key].max_event_seconds,
+                may_try_unknown=limits_by_key[each.key].source.is_slow,
+            )
+            for each in movable
+        ]
 
     def _waiting_items(
         self, pairs: Iterable[tuple[work.OpenBatch, lifecycle.ItemRun]]
@@ -322,7 +339,9 @@
     def _cancel_slow_run(
         self, assignment: scheduling.Assignment, run: lifecycle.ItemRun
     ) -> None:
-        """Cancel an item's run at a slow engine, from which it is moved away."""
+        """Cancel an item's run at a slower engine, from which it is moved away."""
+        gain = self._expected_gain(assignment, run)
+        counters.ITEM_MOVES.inc()
         eliot.log_message(
             message_type="batches:moved",
             batch_id=assignment.key[0],
@@ -330,11 +349,23 @@
             slow_upstream_id=run.engine_id,
             upstream_id=assignment.engine_id,
             n_events=len(run.text.parts),
+            gain_seconds=None if gain is None else round(gain, 3),
         )
         run.n_moves += 1
         run.exclude(run.engine_id, clock.now())
         self._items.cancel_for_move(assignment.key)
 
+    def _expected_gain(
+        self, assignment: scheduling.Assignment, run: lifecycle.ItemRun
+    ) -> float | None:
+        """Return the expected gain of a move in seconds; None if it is not known."""
+        here = self._engines.by_id.get(run.engine_id)
+        there = self._engines.by_id[assignment.engine_id].speed.known_seconds
+        if here is None or not here.pace_seconds or not there:
+            return None
+        seconds = max(here.pace_seconds, here.speed.known_seconds)
+        return moves.gain_seconds(work.n_events_left(run, self._pace), seconds, there)
+
     def _needs_single_version(self, model_name: str) -> bool:
         routes = [self._route_of(each) for each in self._work.of_model(model_name)]
         return any(route is not None and route.is_single_version for route in routes)
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -10,14 +10,16 @@
 An engine that runs items of the same group has their prompt in memory and may be a
 little busier than the others.
 
-Items that run at slow engines are scheduled together with the waiting ones. A text is
-resumed where it stopped, so a move costs one reading of the prompt, while one slow
-engine delays every group that has an item on it. These items are ordered by their
+Items that run at slow engines, or at slower ones than those that are free, are
+scheduled together with the waiting ones (see `moves`). A text is resumed where it
+stopped, so a move costs one reading of the prompt, while one slow engine delays every
+group that has an item on it. These items are ordered by their
 remaining time like all others. If they were moved only to capacity for which no item
 waits, they would stay where they are while two fifths of the engines are slow: an item
 of 89 events then took 9.8 s, and its trainer lost two steps.
 """
 
+import math
 from collections.abc import Callable, Hashable, Mapping, Sequence
 from typing import Any
 
@@ -63,10 +65,15 @@
     precedence: policy.Precedence = attrs.field(factory=policy.Precedence)
     # Account of the batch. Items without one (empty) are treated as one account's.
     account: str = ""
-    # Whether the item runs at a slow engine now and could be resumed at another one.
+    # Whether the item runs at a slow engine now, or at one that is slower than a free
+    # one, and could be resumed at another one.
     is_on_slow_engine: bool = False
     # Expected number of events that are still to be generated; 0: not known.
     n_events: float = 0.0
+    # Most seconds per event of an engine to which the item may move from a slower one.
+    max_event_seconds: float = math.inf
+    # Whether it may also move to an engine of unknown speed.
+    may_try_unknown: bool = True
 
     def kind(self) -> Hashable:
         """Return the properties that determine which engines suit the item.
@@ -81,6 +88,8 @@
             self.only_version,
             self.is_suspected,
             self.is_on_slow_engine,
+            self.max_event_seconds,
+            self.may_try_unknown,
         )
 
 
@@ -119,10 +128,15 @@
         """Return whether items of this kind can run here if there is room."""
         if self.service not in item.services or item.model in self.loading_models:
             return False
-        if item.is_on_slow_engine and self.is_slow:
+        if item.is_on_slow_engine and (self.is_slow or not self._is_gain(item)):
             return False
         return self._has_version(item)
 
+    def _is_gain(self, item: WaitingItem) -> bool:
+        if not self.event_seconds:
+            return item.may_try_unknown
+        return self.event_seconds <= item.max_event_seconds
+
     def is_full_for(self, item: WaitingItem) -> bool:
         """Return whether items of this kind must wait until an item here has ended."""
         # Only one suspected item runs at an engine at a time. If several ran together,
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -1,7 +1,7 @@
 """The open batches and the state of each of their items, in the runner's memory."""
 
 import collections
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import Final
 
 import attrs
@@ -10,6 +10,7 @@
 from bilberrydrum.batches import (
     lifecycle,
     model,
+    moves,
     reusable,
     scheduling,
     scoring,
@@ -296,7 +297,51 @@
         is_suspected,
         precedence or policy.Precedence(),
         batch.account or "",
-        n_events=pace.remaining_events(
-            run.n_expected_output_tokens(), len(run.text.parts)
-        ),
+        n_events=n_events_left(run, pace),
     )
+
+
+def n_events_left(run: lifecycle.ItemRun, pace: urgency.Pace) -> float:
+    """Return the expected number of events that an item will still generate."""
+    n_expected = run.n_expected_output_tokens()
+    return pace.remaining_events(n_expected, len(run.text.parts))
+
+
+@attrs.frozen
+class MovableRun:
+    """A running item that ends earlier at a faster engine."""
+
+    opened: OpenBatch
+    run: lifecycle.ItemRun
+    source: moves.Source
+    # See `scheduling.WaitingItem`.
+    max_event_seconds: float
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Ids of the batch and the item."""
+        return self.opened.batch.batch_id, self.run.item.item_id
+
+
+def movable_runs(
+    open_work: OpenBatches,
+    sources_by_id: Mapping[str, moves.Source],
+    pace: urgency.Pace,
+) -> list[MovableRun]:
+    """Return the items to consider for a move from the given engines."""
+    at_slow, at_slower = [], []
+    for opened in open_work.open_batches():
+        for run in opened.runs_by_item_id.values():
+            source = sources_by_id.get(run.engine_id)
+            if source is None or run.n_moves >= moves.MAX_MOVES:
+                continue
+            n_events = n_events_left(run, pace)
+            limit = moves.max_target_seconds(n_events, source)
+            if not limit:
+                continue
+            movable = MovableRun(opened, run, source, limit)
+            if source.is_slow:
+                at_slow.append(movable)
+            else:
+                at_slower.append((n_events * source.event_seconds, movable))
+    return [*at_slow, *moves.longest_first(at_slower)]
--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -67,6 +67,10 @@
     ["outcome"],
     buckets=(0.1, 0.25, 0.5, 1, 2, 4, 8, 16),
 )
+ITEM_MOVES: Final = prometheus_client.Counter(
+    "bilberrydrum_item_moves_total",
+    "Running items of batches that were moved to a faster engine.",
+)
 SCORING_SECONDS: Final = prometheus_client.Histogram(
     "bilberrydrum_scoring_seconds",
     "Time of one scoring request, including all its attempts.",
