--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -1,8 +1,7 @@
 """The runner's view of each engine: running items, weight versions, pace, failures."""
 
-import bisect
 import collections
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -10,10 +9,14 @@
 from bilberrydrum import backoff
 from bilberrydrum.batches import (
     engine_shares,
+    engine_speed,
     item_run,
     lifecycle,
     load_pauses,
+    memory_forecast,
+    moves,
     scheduling,
+    slow_engines,
     weight_plan,
 )
 from bilberrydrum.fleet import model, policy
@@ -30,10 +33,7 @@
 # A pace that was not updated for this long, in seconds, is ignored: the engine may have
 # recovered and is tried again.
 PACE_SECONDS: Final = 3.0
-# An engine is slow if its pace is more than this many times the median of the others.
-# Load alone explains a factor of 1.5: a decoding step takes 0.84 ms at a full engine
-# and 0.57 ms at an empty one.
-SLOW_FACTOR: Final = 2.2
+SLOW_FACTOR: Final = slow_engines.SLOW_FACTOR
 # An engine that was slow gets at most this many items until its pace is normal again.
 # If all its run slots were filled at each try, a dozen streams would be cancelled every
 # few seconds (548 on a day with a slow engine), and each prompt would be processed
@@ -46,6 +46,20 @@
 REJECTED_SECONDS: Final = 0.05
 
 
+@attrs.frozen
+class Conditions:
+    """What scheduling needs to know of an engine besides its own record."""
+
+    # Time of the scheduling pass, in seconds of `clock.now`.
+    now: float = 0.0
+    # Ids of the slow engines (see `slow_engines`).
+    slow_ids: frozenset[str] = frozenset()
+    # Expected output tokens per event.
+    tokens_per_event: float = 1.0
+    # Seconds per event that are assumed of an engine of unknown speed; 0: unknown.
+    assumed_seconds: float = 0.0
+
+
 @attrs.define(eq=False)
 class Engine:
     """One incarnation of an engine."""
@@ -55,7 +69,7 @@
     n_running: int = 0
     # How many of these are suspected of crashing engines.
     n_suspected: int = 0
-    n_tokens: int = 0
+    running: set[lifecycle.ItemRun] = attrs.field(factory=set)
     # Number of running items by group.
     n_by_group: collections.Counter[tuple[str, str]] = attrs.field(
         factory=collections.Counter
@@ -75,6 +89,7 @@
     # is not known.
     pace_seconds: float = 0.0
     pace_updated_at: float = float("-inf")
+    speed: engine_speed.Speed = attrs.field(factory=engine_speed.Speed)
     # The engine was slow when its pace was last known.
     was_slow: bool = False
 
@@ -117,14 +132,14 @@
         """Record that an attempt of an item is being sent to the engine."""
         self.n_running += 1
         self.n_suspected += run.is_suspected
-        self.n_tokens += run.n_expected_tokens()
+        self.running.add(run)
         self.n_by_group[run.group_key] += 1
 
     def remove_run(self, run: lifecycle.ItemRun) -> None:
         """Record that an attempt of an item at the engine has ended."""
         self.n_running -= 1
         self.n_suspected -= run.is_suspected
-        self.n_tokens -= run.n_expected_tokens()
+        self.running.discard(run)
         self.n_by_group[run.group_key] -= 1
         if not self.n_by_group[run.group_key]:
             del self.n_by_group[run.group_key]
@@ -145,6 +160,11 @@
             self.pace_seconds = seconds
         self.pace_updated_at = now
         self.pace_seconds += PACE_WEIGHT * (seconds - self.pace_seconds)
+        self.speed.record(seconds, self.pace_seconds)
+
+    def record_work_factor(self, factor: float, now: float) -> None:
+        """Record the work factor of an answer; 1.0 is the usual time."""
+        self.speed.record_work_factor(factor, now)
 
     def begin_load(self, load: weight_plan.Load) -> None:
         """Record that an order to load weights is being sent."""
@@ -182,26 +202,38 @@
         return now < self.retry_backoff.until or now < self.full_until
 
     def capacity(
-        self, shares: engine_shares.Shares, slow_ids: frozenset[str] = frozenset()
+        self,
+        shares: engine_shares.Shares,
+        conditions: Conditions = Conditions(),
     ) -> scheduling.EngineCapacity:
         """Return what item scheduling needs to know of the engine."""
         loading = frozenset({self.loading.model} if self.loading else ())
         return scheduling.EngineCapacity(
             self.upstream_id,
             self.upstream.service,
-            PROBE_SLOTS if self.was_slow else self.upstream.n_slots,
+            self._n_slots(conditions.assumed_seconds),
             self.n_running,
             self.versions_by_model,
             frozenset(shares.models_of(self.upstream_id)),
             loading,
             self.upstream.is_silent,
-            self.upstream_id in slow_ids,
+            self.upstream_id in conditions.slow_ids,
             self.n_cache_tokens,
-            self.n_tokens,
+            memory_forecast.Forecast(
+                each.need(conditions.tokens_per_event) for each in self.running
+            ),
             set(self.n_by_group),
             self.n_suspected > 0,
+            self.speed.known_seconds,
+            self.speed.work_factor(conditions.now),
         )
 
+    def _n_slots(self, assumed_seconds: float) -> int:
+        n_slots = self.upstream.n_slots
+        if self.was_slow:
+            return PROBE_SLOTS
+        return engine_speed.n_slots_to_use(self.speed, n_slots, assumed_seconds)
+
 
 class Engines:
     """All engines: the upstreams of services that have models."""
@@ -279,7 +311,7 @@
         return sum(1 for each in self.by_id.values() if each.loading is not None)
 
     def slow_ids(self, now: float) -> frozenset[str]:
-        """Return the ids of the engines that are much slower than the others now.
+        """Return the ids of the slow engines (see `slow_engines`).
 
         Also sets `Engine.was_slow` of each engine with a known pace. It keeps its value
         once the pace is outdated, so the engine is then tried with `PROBE_SLOTS` items.
@@ -289,18 +321,52 @@
             for engine_id, each in self.by_id.items()
             if each.pace_seconds and now - each.pace_updated_at <= PACE_SECONDS
         }
-        slow = set()
-        paces = sorted(paces_by_id.values())
-        min_slow_pace = SLOW_FACTOR * _smallest_median_of_others(paces)
-        for engine_id, pace in paces_by_id.items():
-            engine = self.by_id[engine_id]
-            engine.was_slow = pace > min_slow_pace and (
-                pace > SLOW_FACTOR * _median_of_others(paces, pace)
-            )
-            if engine.was_slow:
-                slow.add(engine_id)
+        normal_by_id = {
+            engine_id: self.by_id[engine_id].speed.known_seconds
+            for engine_id in paces_by_id
+            if self.by_id[engine_id].speed.known_seconds
+        }
+        slow = slow_engines.find_slow(paces_by_id, normal_by_id)
+        for engine_id in paces_by_id:
+            self.by_id[engine_id].was_slow = engine_id in slow
         return frozenset(slow)
 
+    def move_sources(
+        self, usable: Iterable[Engine], slow_ids: frozenset[str]
+    ) -> dict[str, moves.Source]:
+        """Return the engines from which items may move, by id.
+
+        `usable` are the engines to which they may move.
+        """
+        fastest_free = min(
+            (
+                each.speed.known_seconds
+                for each in usable
+                if each.speed.known_seconds
+                and each.n_running < each.upstream.n_slots
+                and each.upstream_id not in slow_ids
+            ),
+            default=0.0,
+        )
+        sources_by_id = {
+            engine_id: moves.Source(each.speed.known_seconds, False)
+            for engine_id, each in self.by_id.items()
+            if each.n_running
+            and moves.is_slower(each.speed.known_seconds, fastest_free)
+        }
+        for engine_id in slow_ids & self.by_id.keys():
+            sources_by_id[engine_id] = moves.Source(
+                self.by_id[engine_id].pace_seconds, True
+            )
+        return sources_by_id
+
+    def conditions(
+        self, now: float, slow_ids: frozenset[str], tokens_per_event: float
+    ) -> Conditions:
+        """Return the conditions of a scheduling pass."""
+        assumed = engine_speed.assumed_seconds([e.speed for e in self.by_id.values()])
+        return Conditions(now, slow_ids, tokens_per_event, assumed)
+
     def versions_of(self, model_name: str) -> set[int]:
         """Return all versions of a model that engines serve."""
         return {
@@ -315,28 +381,3 @@
             name for each in self.by_id.values() for name in each.versions_by_model
         }
         return sorted(found)
-
-
-def _smallest_median_of_others(paces: Sequence[float]) -> float:
-    """Return the smallest `_median_of_others` of any member of sorted `paces`."""
-    if len(paces) < 2:
-        return float("inf")
-    return _median_of_others(paces, paces[-1])
-
-
-def _median_of_others(paces: Sequence[float], own: float) -> float:
-    """Return the median of sorted `paces` without one member equal to `own`.
-
-    This runs for each engine that may be slow, so it doesn't build a list of the
-    others: with thousands of engines that would block all other tasks of the process.
-    """
-    position = bisect.bisect_left(paces, own)
-
-    def other(index: int) -> float:
-        return paces[index if index < position else index + 1]
-
-    n_others = len(paces) - 1
-    middle = n_others // 2
-    if n_others % 2:
-        return other(middle)
-    return (other(middle - 1) + other(middle)) / 2
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -4,25 +4,28 @@
 batches are open and engine capacity is scarce. `urgency` determines the tier of each
 item. Within a tier, the account with the higher precedence goes first, since its
 batches would otherwise wait for those of others. Among the engines that can run an
-item, the one with the smallest share of its run slots in use is chosen: engines get
-slower the more they run, and a full engine takes 1.5 times as long per token as an
-empty one. An engine that runs items of the same group has their prompt in memory and
-may be a little busier than the others.
-
-Items that run at slow engines are scheduled together with the waiting ones. A text is
-resumed where it stopped, so a move costs one reading of the prompt, while one slow
-engine delays every group that has an item on it. These items are ordered by their
+item, those at which it ends clearly earlier come first (see `placement`). Among these,
+the one with the smallest share of its run slots in use is chosen: engines get slower
+the more they run, and a full engine takes 1.5 times as long per token as an empty one.
+An engine that runs items of the same group has their prompt in memory and may be a
+little busier than the others.
+
+Items that run at slow engines, or at slower ones than those that are free, are
+scheduled together with the waiting ones (see `moves`). A text is resumed where it
+stopped, so a move costs one reading of the prompt, while one slow engine delays every
+group that has an item on it. These items are ordered by their
 remaining time like all others. If they were moved only to capacity for which no item
 waits, they would stay where they are while two fifths of the engines are slow: an item
 of 89 events then took 9.8 s, and its trainer lost two steps.
 """
 
+import math
 from collections.abc import Callable, Hashable, Mapping, Sequence
 from typing import Any
 
 import attrs
 
-from bilberrydrum.batches import engine_heap, urgency
+from bilberrydrum.batches import engine_heap, memory_forecast, urgency
 from bilberrydrum.fleet import policy
 
 # An engine that has the group's prompt in memory is preferred as if it had this share
@@ -49,8 +52,8 @@
     model: str
     min_version: int
     services: frozenset[str]
-    # Tokens that the item needs in an engine's memory.
-    n_tokens: int = 0
+    # What the item needs in an engine's memory.
+    need: memory_forecast.Need = memory_forecast.Need()
     # Engines that must not run the item now, because it has just failed there.
     excluded_ids: frozenset[str] = frozenset()
     # The only version under which the item's text can be resumed; None: any.
@@ -62,13 +65,21 @@
     precedence: policy.Precedence = attrs.field(factory=policy.Precedence)
     # Account of the batch. Items without one (empty) are treated as one account's.
     account: str = ""
-    # Whether the item runs at a slow engine now and could be resumed at another one.
+    # Whether the item runs at a slow engine now, or at one that is slower than a free
+    # one, and could be resumed at another one.
     is_on_slow_engine: bool = False
+    # Expected number of events that are still to be generated; 0: not known.
+    n_events: float = 0.0
+    # Most seconds per event of an engine to which the item may move from a slower one.
+    max_event_seconds: float = math.inf
+    # Whether it may also move to an engine of unknown speed.
+    may_try_unknown: bool = True
 
     def kind(self) -> Hashable:
         """Return the properties that determine which engines suit the item.
 
         These are all that `EngineCapacity.suits`, `is_full_for` and `rank` use.
+        Classes of expected ends are passed to `rank` (see `placement`).
         """
         return (
             self.services,
@@ -77,6 +88,8 @@
             self.only_version,
             self.is_suspected,
             self.is_on_slow_engine,
+            self.max_event_seconds,
+            self.may_try_unknown,
         )
 
 
@@ -98,21 +111,32 @@
     is_slow: bool = False
     # Number of tokens that the engine's memory holds; 0: not known, and no bound.
     n_cache_tokens: int = 0
-    # Number of tokens of the running items.
-    n_tokens: int = 0
+    # Use of the memory by the running items.
+    forecast: memory_forecast.Forecast = attrs.field(
+        factory=memory_forecast.Forecast, eq=False
+    )
     # Group keys of the running items.
     group_keys: set[tuple[str, str]] = attrs.field(factory=set)
     # Whether an item that is suspected of crashing engines runs here.
     has_suspected: bool = False
+    # Seconds per event at the engine's normal speed; 0: not known.
+    event_seconds: float = 0.0
+    # How long work takes at the engine's host now; 1.0 is the usual time.
+    work_factor: float = 1.0
 
     def suits(self, item: WaitingItem) -> bool:
         """Return whether items of this kind can run here if there is room."""
         if self.service not in item.services or item.model in self.loading_models:
             return False
-        if item.is_on_slow_engine and self.is_slow:
+        if item.is_on_slow_engine and (self.is_slow or not self._is_gain(item)):
             return False
         return self._has_version(item)
 
+    def _is_gain(self, item: WaitingItem) -> bool:
+        if not self.event_seconds:
+            return item.may_try_unknown
+        return self.event_seconds <= item.max_event_seconds
+
     def is_full_for(self, item: WaitingItem) -> bool:
         """Return whether items of this kind must wait until an item here has ended."""
         # Only one suspected item runs at an engine at a time. If several ran together,
@@ -122,17 +146,25 @@
         )
 
     def has_memory(self, item: WaitingItem) -> bool:
-        """Return whether the memory holds `item` in addition to the running items.
+        """Return whether the memory holds `item` until all running items have ended.
 
         An engine that runs nothing takes an item of any size.
         """
-        fits = self.n_tokens + item.n_tokens <= self.n_cache_tokens
-        return not self.n_cache_tokens or not self.n_running or fits
+        if not self.n_cache_tokens or not self.n_running:
+            return True
+        return self.room(item.need.n_left) >= item.need.n_held
+
+    def room(self, n_left: int) -> int:
+        """Return how many tokens an item may hold that will generate `n_left`."""
+        return self.forecast.room(n_left, self.n_cache_tokens)
 
-    def rank(self, item: WaitingItem, has_group: bool) -> engine_heap.Rank:
+    def rank(
+        self, item: WaitingItem, has_group: bool, end_class: int = 0
+    ) -> engine_heap.Rank:
         """Return the engine's rank for `item`; the lowest rank is the best.
 
-        `has_group` says whether items of the same group run here.
+        `has_group` says whether items of the same group run here, and `end_class` is
+        the class of the item's expected end here.
         """
         load = self.n_running / max(self.n_slots, 1)
         if has_group:
@@ -141,6 +173,7 @@
             self.is_silent,
             self.is_slow,
             item.model not in self.models,
+            end_class,
             load,
             self.engine_id,
         )
@@ -156,7 +189,7 @@
     def reserve(self, item: WaitingItem) -> None:
         """Reserve capacity for `item`."""
         self.n_running += 1
-        self.n_tokens += item.n_tokens
+        self.forecast.add(item.need)
         self.group_keys.add(item.group_key)
         self.has_suspected |= item.is_suspected
 
