Relay: load reports with the speed of the upstream's host

Cause: an upstream's load header may have a fourth number, how long work takes on its host in percent of the usual time. Such a header counted as invalid, so that gateways chose upstreams without any report.

Ruled out: load times factor alone. An idle host that is 2.5 times slower then has the same expected time as any other idle host, so the factor would have no effect exactly where a host is free to take a request.

The factor is in AnswerHead.work_factor. The balancer's expected time is the load including the request to be sent, times the factor; with a factor of 1 or none, it equals the load as before. It expires with its report after 0.5 s. The runner of batches records the factor at the engine, where it is not used yet. Announcements and departures in invalid forms are tested through the control process's HTTP interface and the control leader: each is refused, and the registered upstreams stay as they are. No fault was found there.

The header costs no additional message.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -72,6 +72,10 @@
     # is not known.
     pace_seconds: float = 0.0
     pace_updated_at: float = float("-inf")
+    # How long work takes at the engine, as a multiple of the usual time, as last
+    # reported, and the time of that report.
+    work_factor: float = 1.0
+    work_factor_at: float = float("-inf")
     # The engine was slow when its pace was last known.
     was_slow: bool = False
 
@@ -141,6 +145,11 @@
         self.pace_updated_at = now
         self.pace_seconds += PACE_WEIGHT * (seconds - self.pace_seconds)
 
+    def record_work_factor(self, factor: float, now: float) -> None:
+        """Record how long work takes here, as a multiple of the usual time."""
+        self.work_factor = factor
+        self.work_factor_at = now
+
     def stall_seconds(self) -> float:
         """Return after how many seconds of silence a stream counts as stalled."""
         if self.loading is not None:
--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -112,6 +112,8 @@
     stall_seconds: Callable[[], float] = lambda: STALL_SECONDS
     # Called with the interval before each event except the first, in seconds.
     on_event: Callable[[float], None] = lambda seconds: None
+    # Called with the work factor that the head of the answer reports, if it does.
+    on_work_factor: Callable[[float], None] = lambda factor: None
     # The client account, as in `model.Batch`.
     account: str | None = None
     # Priority at the engine, where 0 goes first; None for the engine's own default.
@@ -244,6 +246,8 @@
     reading: Reading,
 ) -> AttemptResult:
     head = protocol.read_head(answer.headers)
+    if head.is_genuine and head.work_factor is not None:
+        run.on_work_factor(head.work_factor)
     if answer.status != _OK:
         return _result_of_error(resources, outgoing, answer, head)
     if not head.is_genuine:
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -189,6 +189,7 @@
             lambda: self._find_refusal(opened, run, engine),
             engine.stall_seconds,
             functools.partial(self._record_pause, opened, run, engine),
+            lambda factor: engine.record_work_factor(factor, clock.now()),
             account=opened.batch.account,
             priority=self._rank(opened, route),
         )
--- a/bilberrydrum/relay/balancing.py
+++ b/bilberrydrum/relay/balancing.py
@@ -1,10 +1,10 @@
 """Choose the upstream for a plain request.
 
 Each gateway sees a small part of the traffic, and chooses by its own observations: the
-requests that it has in flight, the load that answers reported, and its own failed
-attempts. After a failure an upstream is avoided for a backoff time that doubles with
-each failure in a row. If all upstreams are in backoff, the one whose backoff ends first
-is tried, so that no upstream is avoided permanently.
+requests that it has in flight, the load and the speed that answers reported, and its
+own failed attempts. After a failure an upstream is avoided for a backoff time that
+doubles with each failure in a row. If all upstreams are in backoff, the one whose
+backoff ends first is tried, so that no upstream is avoided permanently.
 """
 
 import random
@@ -36,12 +36,22 @@
     # Requests at the upstream as last reported, and the time of that report.
     n_reported: int = 0
     reported_at: float = float("-inf")
+    # How long work takes, as a multiple of the usual time, in that report.
+    work_factor: float = 1.0
 
-    def load(self, now: float) -> int:
-        """Return the estimated number of requests at the upstream."""
-        if now - self.reported_at > MAX_REPORT_AGE_SECONDS:
-            return self.n_in_flight
-        return max(self.n_in_flight, self.n_reported)
+    def expected_time(self, n_slots: int, now: float) -> float:
+        """Return how long requests take at the upstream: its load times its factor.
+
+        The load is the number of requests per slot. The request to be sent is one of
+        them, so a host on which work takes longer also ranks lower while it is idle.
+        Its usual share is subtracted, so that the result is the load without it if the
+        factor is 1 or not known.
+        """
+        n_requests, factor = self.n_in_flight, 1.0
+        if now - self.reported_at <= MAX_REPORT_AGE_SECONDS:
+            n_requests = max(n_requests, self.n_reported)
+            factor = self.work_factor
+        return (n_requests + (n_requests + 1) * (factor - 1)) / max(n_slots, 1)
 
 
 class Balancer:
@@ -77,7 +87,7 @@
     ) -> tuple[float, bool, float, bool, float]:
         state = self._states_by_id.get(upstream.upstream_id, _UpstreamState())
         wait = state.backoff_state.remaining(now)
-        load = state.load(now) / max(upstream.n_slots, 1)
+        load = state.expected_time(upstream.n_slots, now)
         # While less than half of an upstream's slots are in use the zone decides: an
         # answer from another zone takes longer and its traffic costs money, whereas one
         # more request at an engine hardly slows it down.
@@ -132,6 +142,7 @@
         state.backoff_state.record_success()
         if head.n_running is not None:
             state.n_reported = head.n_running + (head.n_waiting or 0)
+            state.work_factor = head.work_factor or 1.0
             state.reported_at = now
 
     def record_failure(self, upstream_id: str, now: float) -> None:
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -49,6 +49,9 @@
     n_waiting: int | None = None
     # Time in seconds for which it keeps an idle connection open; 0 if unknown.
     idle_seconds: float = 0.0
+    # How long work takes at the upstream at this moment, as a multiple of the usual
+    # time; None if unknown.
+    work_factor: float | None = None
 
 
 @attrs.frozen
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -43,6 +43,7 @@
             is_genuine="Mark" in headers,
             was_not_run="Not-Run" in headers,
             version=int(version) if version else None,
+            work_factor=float(headers["Work"]) if "Work" in headers else None,
         )
 
 
@@ -122,6 +123,7 @@
         self.addCleanup(engine.stop)
         self.engine = engine
         self.text = text or texts.Text()
+        self.work_factors = []
         run = item_run.Run(
             model.Item("i", "/x", {}, b"body", 1),
             "h",
@@ -129,6 +131,7 @@
             bounds or texts.Bounds(),
             clock.now() + 5.0,
             find_refusal,
+            on_work_factor=self.work_factors.append,
         )
         resources = attempts.Resources(
             connections.ConnectionPool(), watch.ClientWatch()
@@ -150,6 +153,17 @@
         self.run_item(data)
         self.assertEqual(self.ended.is_cut_off, expected, name)
 
+    @tools.params(
+        ("reported", answer(TWO, headers=("Version: 3", "Work: 2.5")), [2.5]),
+        ("full", answer(chunked(), 503, ("Not-Run: 1", "Work: 2")), [2.0]),
+        ("not reported", answer(TWO), []),
+        ("not genuine", answer(TWO, headers=("Work: 2",)).replace(b"Mark", b"M"), []),
+    )
+    def test_work_factor(self, name, data, expected):
+        """The engine's speed is not known although its answers report it."""
+        self.run_item(data)
+        self.assertEqual(self.work_factors, expected, name)
+
     @tools.params(
         ("whole", answer(TWO), Outcome.COMPLETED, [b"a", b"b"]),
         (
--- a/tests/test_platform_announcements.py
+++ b/tests/test_platform_announcements.py
@@ -6,13 +6,24 @@
 import unittest
 
 import hypothesis
+import result
 from hypothesis import strategies
 from nose2 import tools
 
+from bilberrydrum import options
+from bilberrydrum.http import edge
+from tests import helpers, test_fleet_incarnations
+from tests.fakes import wsgi
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.append(str(ROOT / "platform"))
 
-from bilberrydrum_platform import announcements, reports, strict  # noqa: E402
+from bilberrydrum_platform import (  # noqa: E402
+    announcements,
+    control_calls,
+    reports,
+    strict,
+)
 
 ENGINE = {
     "service": "s",
@@ -238,3 +249,123 @@
     def test_inserted_bytes(self, inserted, at):
         body = dumped(ENGINE)
         self.check(body[:at] + inserted + body[at + len(inserted) :])
+
+
+class Calls:
+    """Passes messages to the control leader, as `leader_calls.LeaderCalls` does."""
+
+    def __init__(self, leader):
+        self.leader = leader
+
+    def call(self, message, timeout):
+        return result.Ok(self.leader.send(message))
+
+
+class ControlNode:
+    """A control process of which only the calls to the leader are used."""
+
+    def __init__(self, leader):
+        self.calls = Calls(leader)
+
+
+class InvalidForms(unittest.TestCase):
+    """Documents of another implementation, sent over HTTP to a control leader.
+
+    Two upstreams are registered. An invalid document for a new id, or for the id of one
+    of them, must be refused, register no upstream and change none: otherwise requests
+    are sent to an upstream that does not exist, or not to one that does.
+    """
+
+    def setUp(self):
+        self.clock = self.enterContext(helpers.manual_clock())
+        self.leader = test_fleet_incarnations.Leader(self.clock)
+        self.addCleanup(self.leader.service.stop)
+        self.leader.put_policy("s")
+        self.app = edge.Edge(options.LimitOptions(), {})
+        control_calls.ControlCalls(ControlNode(self.leader)).add_routes(self.app)
+        for announced_id, address in (("i-1", "10.0.0.1:80"), ("i-2", "10.0.0.2:80")):
+            document = {**ENGINE, "address": address, "born": BORN}
+            self.assertEqual(self.send(announced_id, "heartbeat", document), 200)
+        self.known = dict(self.leader.section.upstreams_by_id)
+        self.assertEqual(len(self.known), 2)
+
+    def send(self, announced_id, call, document):
+        path = f"/api/instances/{announced_id}/{call}"
+        return wsgi.send(self.app, "POST", path, dumped(document)).wait().status
+
+    def check(self, call, document, statuses=(400,)):
+        for announced_id in ("i-1", "i-9"):
+            status = self.send(announced_id, call, document)
+            self.assertIn(status, statuses, (announced_id, document))
+            self.assertEqual(dict(self.leader.section.upstreams_by_id), self.known)
+
+    @tools.params(
+        *(without(ENGINE, name) for name in REQUIRED),
+        *({**ENGINE, name: None} for name in REQUIRED),
+        *({**ENGINE, name: [ENGINE[name]]} for name in REQUIRED),
+        *({**ENGINE, name: {"is": ENGINE[name]}} for name in REQUIRED),
+        {**ENGINE, "service": 3},
+        {**ENGINE, "address": 80},
+        {**ENGINE, "slots": "12"},
+        {**ENGINE, "slots": 1.5},
+        {**ENGINE, "seq": "4"},
+        {**ENGINE, "seq": 4.5},
+        {**ENGINE, "cold_remaining_ms": "0"},
+        {**ENGINE, "models": "m"},
+        {**ENGINE, "state": "gone"},
+        {**ENGINE, "state": "READY"},
+        {**ENGINE, "state": ""},
+        {**ENGINE, "born": "x"},
+        {**ENGINE, "born": str(BORN)},
+        {**ENGINE, "born": BORN + 0.5},
+        {**ENGINE, "born": float(BORN)},
+        {**ENGINE, "born": True},
+        {**ENGINE, "born": -BORN},
+        {**ENGINE, "born": None},
+        [ENGINE],
+        "ready",
+        b"",
+        b"{",
+        b"\xff\xfe",
+        b"\x1f\x8b\x08\x00",
+        dumped(ENGINE).replace(b'"z"', b'"\xc3\x28"'),
+        dumped(ENGINE).replace(b"12", b"NaN"),
+        dumped(ENGINE)[:-1],
+        dumped(ENGINE) + b"}",
+    )
+    def test_announcement(self, document):
+        self.check("heartbeat", document)
+
+    def test_announcement_for_an_unknown_service(self):
+        self.check("heartbeat", {**ENGINE, "service": "other"}, (409,))
+
+    @tools.params(
+        {"born": "x"},
+        {"born": str(BORN)},
+        {"born": BORN + 0.5},
+        {"born": float(BORN)},
+        {"born": True},
+        {"born": -BORN},
+        {"born": None},
+        {"born": [BORN]},
+        {"born": {}},
+        [],
+        "gone",
+        7,
+        b"null",
+        b"{",
+        b"born",
+        b"\xff\xfe",
+        b'{"born": 1e999}',
+        b'{"born": NaN}',
+        b'{"born": ' + b"9" * 40 + b"}",
+    )
+    def test_departure(self, document):
+        self.check("deregister", document)
+
+    def test_valid_forms_take_effect(self):
+        """The tests above would pass if the calls did nothing at all."""
+        self.assertEqual(self.send("i-9", "heartbeat", {**ENGINE, "born": BORN}), 200)
+        self.assertEqual(self.send("i-1", "deregister", {"born": BORN}), 200)
+        known = {each.split("/")[0]: leaving for each, leaving in self.leader.known()}
+        self.assertEqual(known, {"i-2": False, "i-9": False})
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -292,6 +292,10 @@
         ("load", {"X-Instance-Load": "3,1,8"}, ("n_running", 3)),
         ("waiting", {"X-Instance-Load": "3,1,8"}, ("n_waiting", 1)),
         ("damaged load", {"X-Instance-Load": "3,x"}, ("n_running", None)),
+        ("no work", {"X-Instance-Load": "3,1,8"}, ("work_factor", None)),
+        ("work", {"X-Instance-Load": "3,1,8,250"}, ("work_factor", 2.5)),
+        ("load with work", {"X-Instance-Load": "3,1,8,250"}, ("n_waiting", 1)),
+        ("blanks around", {"X-Instance-Load": " 3,1,8,50\t"}, ("work_factor", 0.5)),
         ("version", {"x-weight-versions": "7"}, ("version", 7)),
         ("damaged version", {"X-Weight-Versions": "a"}, ("version", None)),
         ("not run", {"X-Not-Executed": "1"}, ("was_not_run", True)),
@@ -302,6 +306,44 @@
         head = self.PROTOCOL.read_head(headers)
         self.assertEqual(getattr(head, expected[0]), expected[1], name)
 
+    @tools.params(
+        "",
+        ",",
+        "3",
+        "3,1",
+        "3,1,8,",
+        "3,1,8,100,1",
+        "3,1,8, 3,1,8",
+        "3,1,,100",
+        "-3,1,8",
+        "+3,1,8,100",
+        "3,1,8,-100",
+        "3, 1,8",
+        "3,1,8, 100",
+        "3,1 1,8",
+        "3,1,8\n",
+        "3,1,8,1.5",
+        "3.0,1,8",
+        "3,1,8,1e2",
+        "3,1,8,100%",
+        "3,1,8,NaN",
+        "0x3,1,8",
+        "\u0663,1,8",
+        "3;1;8",
+        "9" * 20 + ",1,8",
+        "3,1,8," + "9" * 20,
+        "3,1,8,0",
+        "3,1,8,000",
+    )
+    def test_invalid_load(self, value):
+        """An invalid report changes which upstreams get requests, or loses its answer.
+
+        Nothing of the report is used, and the rest of the head is read as without it.
+        """
+        rest = {"X-Weight-Versions": "7", "X-Server-Stamp": "s", "X-Attempt-Id": "r"}
+        head = self.PROTOCOL.read_head({**rest, "X-Instance-Load": value})
+        self.assertEqual(head, self.PROTOCOL.read_head(rest))
+
     @tools.params(b"", b"{", b"[]", b'{"busy": false}', b'{"models": 3}')
     def test_unreadable_report(self, body):
         self.assertIsNone(self.PROTOCOL.read_report(body))
--- a/tests/test_relay_balancing.py
+++ b/tests/test_relay_balancing.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+from nose2 import tools
+
 from bilberrydrum import upstream_protocol
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.relay import balancing
@@ -54,3 +56,32 @@
         for _ in range(20):
             chosen = balancer.choose(known, (), 100.1)
             self.assertEqual(chosen.upstream_id, "u1")
+
+    @tools.params(
+        ("equal loads", (1, 1.0), (1, 2.5), 100.1, "u0"),
+        ("half the load, three times as slow", (2, 1.0), (1, 3.0), 100.1, "u0"),
+        ("half the load, a bit slower", (2, 1.0), (1, 1.2), 100.1, "u1"),
+        ("both idle", (0, 1.0), (0, 2.5), 100.1, "u0"),
+        ("faster than usual", (2, 0.4), (1, 1.0), 100.1, "u0"),
+        ("without a factor", (2, None), (1, None), 100.1, "u1"),
+        ("one without a factor", (1, None), (1, 2.5), 100.1, "u0"),
+    )
+    def test_expected_time(self, name, first, second, now, expected):
+        """Requests wait at a slow host because it reports fewer of them."""
+        self.assertEqual(self.chosen(first, second, now), {expected}, name)
+
+    def test_factor_is_ignored_when_the_report_is_too_old(self):
+        """A host is avoided although it has become as fast as the others since."""
+        self.assertEqual(self.chosen((0, 1.0), (0, 9.0), 100.4), {"u0"})
+        self.assertEqual(self.chosen((0, 1.0), (0, 9.0), 100.6), {"u0", "u1"})
+
+    def chosen(self, first, second, now):
+        """Return the choices between two upstreams with reports of time 100."""
+        balancer = balancing.Balancer("near", random.Random(1))
+        for upstream_id, (n_running, factor) in (("u0", first), ("u1", second)):
+            head = upstream_protocol.AnswerHead(
+                n_running=n_running, n_waiting=0, work_factor=factor
+            )
+            balancer.record_success(upstream_id, head, 100.0)
+        known = self.upstreams("near", "near")
+        return {balancer.choose(known, (), now).upstream_id for _ in range(20)}
