Relay: gateways share what they observe of failed upstreams

Cause: a gateway sends one request in several seconds, so what it knows of an upstream is outdated when it needs it. Each gateway found out by a failed attempt of its own that an upstream was down.

Ruled out: sharing the current load, which is older than 0.5 s when it arrives; committing observations, which expire sooner than another leader would need them; messages between gateways, for which there are no links; failures of a single gateway that count for all, and answers to others that end own failures (docs/design/shared-upstream-health.md).

Change: a renewal has what a gateway has observed since the last one (16 entries at most), and the control leader's answer what counts for others. The leader merges in memory (fleet/upstream_health): two gateways must have seen a failure within 2 s, each of the last four gateways counts as one failure in a row, an answer ends it, and all of it expires after 4 s. Gateways keep it apart from their own failures (relay/shared_health). The new fields of Subscribe and Feed are left out while they are empty. Log lines and a counter show why an upstream is avoided.

--- a/bilberrydrum/backoff.py
+++ b/bilberrydrum/backoff.py
@@ -6,6 +6,12 @@
 _MAX_DOUBLINGS = 16
 
 
+def pause_seconds(n_failures: int, first_seconds: float, max_seconds: float) -> float:
+    """Return the pause after the last of `n_failures` consecutive failures."""
+    n_doublings = min(n_failures - 1, _MAX_DOUBLINGS)
+    return min(first_seconds * 2.0**n_doublings, max_seconds)
+
+
 @attrs.define
 class Backoff:
     """The backoff of one peer; times are in seconds of `clock.now`."""
@@ -17,9 +23,10 @@
 
     def record_failure(self, now: float) -> None:
         """Start the next pause, twice as long as the one before up to the maximum."""
-        seconds = self.first_seconds * 2 ** min(self.n_failures, _MAX_DOUBLINGS)
         self.n_failures += 1
-        self.until = now + min(seconds, self.max_seconds)
+        self.until = now + pause_seconds(
+            self.n_failures, self.first_seconds, self.max_seconds
+        )
 
     def record_success(self) -> None:
         """End the pause; the next failure starts the shortest one again."""
--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -55,6 +55,11 @@
     "bilberrydrum_usage_pending_windows",
     "Closed windows whose usage report is not confirmed, at the control leader.",
 )
+UPSTREAM_OBSERVATIONS: Final = prometheus_client.Counter(
+    "bilberrydrum_upstream_observations_total",
+    "Failures and answers of upstreams exchanged with other gateways.",
+    ["outcome"],
+)
 RELAY_SECONDS: Final = prometheus_client.Histogram(
     "bilberrydrum_relay_seconds",
     "Time from a request's arrival to its answer.",
--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -23,6 +23,7 @@
     model,
     store_calls,
     subscribers,
+    upstream_health,
 )
 from bilberrydrum.state import leader_service, replica
 
@@ -79,6 +80,7 @@
             replica_, self._subscribers, options.n_store_voters, self._seconds_as_leader
         )
         self._crashes = crash_calls.CrashCalls(replica_)
+        self._health = upstream_health.UpstreamHealth()
         self._term = 0
         self._leader_since = 0.0
         # Announcements of newly loaded weight versions that are not committed yet.
@@ -292,6 +294,8 @@
         if message.store_name:
             self._stores.record_store(message)
         feed = self._feed_for(subscriber)
+        if not message.store_address:
+            feed = self._with_observations(feed, sender, message)
         if self._usage is None:
             return feed
         self._usage.handle_renewal(sender.address, message.unix_time, message.usage)
@@ -301,6 +305,30 @@
             usage_closed_before=self._usage.closed_before(),
         )
 
+    def _with_observations(
+        self,
+        feed: messages.Feed,
+        gateway: transport.Sender,
+        message: messages.Subscribe,
+    ) -> messages.Feed:
+        """Record a gateway's observations of upstreams, and add those of others."""
+        now = clock.now()
+        if message.observations:
+            known_ids = self._section().upstreams_by_id
+            changes = self._health.record(
+                gateway.address, message.observations, known_ids, now
+            )
+            for each in changes:
+                _log_health(each)
+        news = self._health.newer_than(message.observations_index, now)
+        if not news.observations:
+            return feed
+        return attrs.evolve(
+            feed,
+            observations=news.observations,
+            observations_index=news.index,
+        )
+
     def _on_ask_trial(
         self, sender: transport.Sender, message: messages.AskTrial
     ) -> Any:
@@ -374,6 +402,7 @@
             self._feeds.clear()
             self._stores.clear()
             self._crashes.begin(self._leader_since)
+            self._health = upstream_health.UpstreamHealth(held.term)
             self._pending_loads_by_id.clear()
             eliot.log_message(message_type="control:leads", term=held.term)
 
@@ -393,6 +422,7 @@
         self._reset_for_new_term()
         self._stores.choose_initial_members()
         self._crashes.expire()
+        self._health.expire(clock.now())
         due = self._liveness.due(clock.now(), self._section().upstreams_by_id.values())
         if due.silent_ids:
             eliot.log_message(message_type="upstreams:silent", ids=due.silent_ids)
@@ -402,6 +432,21 @@
             self._commit(commands.RemoveUpstreams(due.gone_ids))
 
 
+def _log_health(change: upstream_health.Change) -> None:
+    if change.is_answer:
+        eliot.log_message(
+            message_type="upstreams:failure-ended",
+            upstream_id=change.upstream_id,
+            gateways=change.gateways,
+        )
+        return
+    eliot.log_message(
+        message_type="upstreams:failure-shared",
+        upstream_id=change.upstream_id,
+        gateways=change.gateways,
+    )
+
+
 def _has_changes(feed: messages.Feed) -> bool:
     return bool(feed.policy or feed.registry or feed.registry_change or feed.crashes)
 
--- a/bilberrydrum/fleet/messages.py
+++ b/bilberrydrum/fleet/messages.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bilberrydrum import codec, quarantine
-from bilberrydrum.fleet import model
+from bilberrydrum.fleet import model, upstream_health
 from bilberrydrum.fleet import policy as fleet_policy
 from bilberrydrum.usage import model as usage_model
 
@@ -169,7 +169,7 @@
     fingerprint: str
 
 
-@codec.register("fleet.subscribe")
+@codec.register("fleet.subscribe", added_fields=("observations", "observations_index"))
 @attrs.frozen
 class Subscribe:
     """A process subscribes to changes, or renews its subscription.
@@ -197,9 +197,14 @@
     unix_time: float = 0.0
     # Set by gateways where usage is reported.
     usage: usage_model.CountsSnapshot | None = None
+    # Set by gateways: what they have observed of upstreams since their last renewal,
+    # the newest first.
+    observations: tuple[upstream_health.Observation, ...] = ()
+    # Index of the last observation of others that the gateway has; 0: none.
+    observations_index: int = 0
 
 
-@codec.register("fleet.feed")
+@codec.register("fleet.feed", added_fields=("observations", "observations_index"))
 @attrs.frozen
 class Feed:
     """Changes, sent as the answer to `Subscribe` or pushed."""
@@ -224,3 +229,8 @@
     # seconds, and the oldest window that is not closed.
     unix_time: float = 0.0
     usage_closed_before: int = 0
+    # Only in answers to gateways: failures of upstreams that count for all, and answers
+    # that end them, the oldest first.
+    observations: tuple[upstream_health.Observation, ...] = ()
+    # Index of the last one; 0 if there is none.
+    observations_index: int = 0
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -12,7 +12,15 @@
 from bilberrydrum import clock, counters, reasons, upstream_protocol
 from bilberrydrum.fleet import messages, policy, subscriber
 from bilberrydrum.nodes import links, options
-from bilberrydrum.relay import balancing, callers, crash_watch, hedging, relay, streams
+from bilberrydrum.relay import (
+    balancing,
+    callers,
+    crash_watch,
+    hedging,
+    relay,
+    shared_health,
+    streams,
+)
 from bilberrydrum.relay import model as relay_model
 from bilberrydrum.requests import attempts, connections, watch
 from bilberrydrum.usage import meter as usage_meter
@@ -39,6 +47,9 @@
         self._meter = (
             usage_meter.Meter(node.usage.window_seconds) if node.usage else None
         )
+        self._shared = shared_health.SharedHealth(
+            balancing.FIRST_BACKOFF_SECONDS, balancing.MAX_BACKOFF_SECONDS
+        )
         self.view = subscriber.Subscriber(
             self._control.carrier,
             self._control.calls,
@@ -53,7 +64,7 @@
         resources = attempts.Resources(self._pool, self._clients)
         rng = random.Random()
         self.callers = callers.Callers(self.view, rng)
-        balancer = balancing.Balancer(node.availability_zone, rng)
+        balancer = balancing.Balancer(node.availability_zone, rng, self._shared)
         self._crashes = crash_watch.CrashWatch(self.view, self._control.calls)
         parts = (
             protocol,
@@ -70,13 +81,30 @@
 
     def _make_request(self) -> messages.Subscribe:
         snapshot = self._meter.snapshot() if self._meter is not None else None
-        return messages.Subscribe(usage=snapshot)
+        now = clock.now()
+        return messages.Subscribe(
+            usage=snapshot,
+            observations=self._shared.due(now),
+            observations_index=self._shared.known_index(now),
+        )
 
     def _on_answer(self, feed: messages.Feed, sent_at: float) -> None:
         if self._meter is not None:
             self._meter.update(
                 feed.unix_time, sent_at, clock.now(), feed.usage_closed_before
             )
+        counters.UPSTREAM_OBSERVATIONS.labels("sent").inc(self._shared.confirm_sent())
+        if feed.observations:
+            self._apply_observations(feed, sent_at)
+
+    def _apply_observations(self, feed: messages.Feed, sent_at: float) -> None:
+        applied = self._shared.apply(
+            feed.observations, feed.observations_index, sent_at, clock.now()
+        )
+        counters.UPSTREAM_OBSERVATIONS.labels("applied").inc(applied.n_applied)
+        counters.UPSTREAM_OBSERVATIONS.labels("outdated").inc(applied.n_outdated)
+        for each in applied.changes:
+            _log_avoidance(each)
 
     def _on_registry_change(self) -> None:
         stores = self.view.registry.stores
@@ -150,3 +178,17 @@
         if self._meter is not None:
             self._meter.is_stopping = True
             self.view.renew(LAST_RENEWAL_SECONDS)
+
+
+def _log_avoidance(change: shared_health.Avoidance) -> None:
+    if change.failure is None:
+        eliot.log_message(
+            message_type="relay:upstream-answers", upstream_id=change.upstream_id
+        )
+        return
+    eliot.log_message(
+        message_type="relay:upstream-avoided",
+        upstream_id=change.upstream_id,
+        n_gateways=change.failure.n_gateways,
+        seconds=round(change.failure.until - clock.now(), 3),
+    )
--- a/bilberrydrum/relay/balancing.py
+++ b/bilberrydrum/relay/balancing.py
@@ -5,6 +5,8 @@
 own failed attempts. After a failure an upstream is avoided for a backoff time that
 doubles with each failure in a row. If all upstreams are in backoff, the one whose
 backoff ends first is tried, so that no upstream is avoided permanently.
+
+Gateways also avoid upstreams that have failed at several others (see `shared_health`).
 """
 
 import random
@@ -15,6 +17,7 @@
 
 from bilberrydrum import backoff, upstream_protocol
 from bilberrydrum.fleet import model
+from bilberrydrum.relay import shared_health
 
 # First and longest backoff after a failure, in seconds. The first is about ten service
 # times. The longest is below the time that a crashed upstream takes to restart (4 s and
@@ -57,9 +60,16 @@
 class Balancer:
     """Chooses upstreams, and keeps the observations that it chooses by."""
 
-    def __init__(self, availability_zone: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        availability_zone: str,
+        rng: random.Random,
+        shared: shared_health.SharedHealth | None = None,
+    ) -> None:
+        """Make the balancer; `shared` is None where observations are not exchanged."""
         self._zone = availability_zone
         self._rng = rng
+        self._shared = shared
         self._states_by_id: dict[str, _UpstreamState] = {}
 
     def choose(
@@ -86,7 +96,7 @@
         self, upstream: model.FleetUpstream, now: float
     ) -> tuple[float, bool, float, bool, float]:
         state = self._states_by_id.get(upstream.upstream_id, _UpstreamState())
-        wait = state.backoff_state.remaining(now)
+        wait = self._backoff_of(upstream.upstream_id, now)
         load = state.expected_time(upstream.n_slots, now)
         # While less than half of an upstream's slots are in use the zone decides: an
         # answer from another zone takes longer and its traffic costs money, whereas one
@@ -124,7 +134,10 @@
 
     def _backoff_of(self, upstream_id: str, now: float) -> float:
         state = self._states_by_id.get(upstream_id)
-        return state.backoff_state.remaining(now) if state is not None else 0.0
+        own = state.backoff_state.remaining(now) if state is not None else 0.0
+        if self._shared is None:
+            return own
+        return max(own, self._shared.remaining(upstream_id, now))
 
     def record_start(self, upstream_id: str) -> None:
         """Count a request that is sent to the upstream."""
@@ -139,6 +152,9 @@
     ) -> None:
         """Record an answer: end the backoff, and store the load that it reports."""
         state = self._state_of(upstream_id)
+        if self._shared is not None:
+            n_failures = state.backoff_state.n_failures
+            self._shared.record_answer(upstream_id, n_failures, now)
         state.backoff_state.record_success()
         if head.n_running is not None:
             state.n_reported = head.n_running + (head.n_waiting or 0)
@@ -147,7 +163,10 @@
 
     def record_failure(self, upstream_id: str, now: float) -> None:
         """Record that an upstream gave no valid answer, and start its backoff."""
-        self._state_of(upstream_id).backoff_state.record_failure(now)
+        own = self._state_of(upstream_id).backoff_state
+        own.record_failure(now)
+        if self._shared is not None:
+            self._shared.record_failure(upstream_id, own.n_failures, now)
 
     def keep_only(self, upstream_ids: Collection[str]) -> None:
         """Remove upstreams that have left, unless a request is in flight there."""
