Requests: one timer for all reads of an answer's body

Cause: the stores' leader reads 192 streams of 20 events a second. Each read created and cancelled an eventlet.Timeout, entered two generator context managers, and registered a client check even for requests that have no client, which is the case for all items.

Change: `requests/body_reader` has one timer per body. A read sets only the time at which it has taken too long; a timer that fires earlier is scheduled again for the rest. A read whose limit is earlier than the timer replaces it. Requests without a client are not checked. The streams of items, relayed streams and the daemon's text streams use it; deadlines, limits, reasons and client checks are as before.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -9,7 +9,12 @@
 from bilberrydrum import clock, event_stream, reasons, upstream_protocol
 from bilberrydrum.batches import model, texts
 from bilberrydrum.fleet import model as fleet_model
-from bilberrydrum.requests import attempts, crash_probe, outgoing_requests
+from bilberrydrum.requests import (
+    attempts,
+    body_reader,
+    crash_probe,
+    outgoing_requests,
+)
 
 # An engine that doesn't send the head of its answer within this time, in seconds, is
 # treated as hanging. Items are sent only to engines with a free run slot, where the
@@ -344,10 +349,6 @@
     answer: Any,
     stall_seconds: Callable[[], float],
 ) -> Iterator[bytes]:
-    parts = attempts.read_parts(answer)
-    while True:
-        with attempts.bounded_wait(resources, outgoing, stall_seconds()):
-            part = next(parts, None)
-        if part is None:
-            return
-        yield part
+    with body_reader.BodyReader(resources, outgoing, answer) as body:
+        while (part := body.read(stall_seconds())) is not None:
+            yield part
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -25,7 +25,12 @@
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.relay import balancing, crash_watch, model, relayed_requests, trial
-from bilberrydrum.requests import attempts, crash_probe, outgoing_requests
+from bilberrydrum.requests import (
+    attempts,
+    body_reader,
+    crash_probe,
+    outgoing_requests,
+)
 from bilberrydrum.usage import meter as usage_meter
 
 _OK: Final = 200
@@ -252,13 +257,8 @@
         reader = event_stream.EventReader(
             self._protocol.version_field, request.last_number or 0
         )
-        parts = attempts.read_parts(source.answer)
         max_wait = max(STALL_SECONDS, request.route.target_latency_seconds * 4)
-        while True:
-            with attempts.bounded_wait(self._resources, source.outgoing, max_wait):
-                part = next(parts, None)
-            if part is None:
-                break
+        for part in self._parts(source, max_wait):
             for event in reader.feed(part):
                 if request.first_event_at is None:
                     request.first_event_at = clock.now()
@@ -275,6 +275,12 @@
         self._balancer.record_success(source.upstream.upstream_id, head, clock.now())
         self._crashes.record_answer(request.fingerprint)
 
+    def _parts(self, source: _Source, max_wait: float) -> Iterator[bytes]:
+        answer = source.answer
+        with body_reader.BodyReader(self._resources, source.outgoing, answer) as body:
+            while (part := body.read(max_wait)) is not None:
+                yield part
+
     def _release(self, source: _Source) -> None:
         """Close the connection, which cancels the work at the upstream."""
         if source.connection is not None:
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -9,7 +9,7 @@
 import contextlib
 import http.client
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Final, Protocol
 
 import attrs
@@ -84,13 +84,8 @@
     """
     remaining = max(0.0, outgoing.deadline - clock.now())
     timeout = eventlet.Timeout(min(remaining, max_wait))
-    is_client_gone = outgoing.is_client_gone
-    if not outgoing.is_idempotent:
-        # A request that must not run twice is not cancelled: its result is kept for the
-        # client's retry.
-        is_client_gone = model.never_gone
     try:
-        with resources.clients.ending_with_client(is_client_gone):
+        with resources.clients.ending_with_client(client_check(outgoing)):
             yield
     except watch.ClientGoneError as error:
         raise AttemptError(
@@ -106,6 +101,15 @@
         timeout.cancel()
 
 
+def client_check(outgoing: outgoing_requests.Outgoing) -> Callable[[], bool]:
+    """Return the check that says whether `outgoing` is to be cancelled."""
+    if not outgoing.is_idempotent:
+        # A request that must not run twice is not cancelled: its result is kept for the
+        # client's retry.
+        return model.never_gone
+    return outgoing.is_client_gone
+
+
 def open_answer(
     pool: connections.ConnectionPool, address: str, outgoing: outgoing_requests.Outgoing
 ) -> tuple[connections.Connection, Any]:
--- a/bilberrydrum/requests/text_streams.py
+++ b/bilberrydrum/requests/text_streams.py
@@ -11,7 +11,13 @@
 import eliot
 
 from bilberrydrum import reasons
-from bilberrydrum.requests import attempts, events, model, outgoing_requests
+from bilberrydrum.requests import (
+    attempts,
+    body_reader,
+    events,
+    model,
+    outgoing_requests,
+)
 
 # Longest pause within a stream after its first bytes, in seconds. An engine that swaps
 # its weights pauses its streams, but for less than this. An engine that sends nothing
@@ -46,7 +52,8 @@
     is_read_to_end = False
     try:
         _check_status(answer)
-        is_read_to_end = yield from _read_text(resources, outgoing, answer, reader)
+        with body_reader.BodyReader(resources, outgoing, answer) as body:
+            is_read_to_end = yield from _read_text(outgoing, body, reader)
     finally:
         if is_read_to_end:
             # Each event carried the request's id, so no other answer can have been
@@ -60,9 +67,8 @@
 
 
 def _read_text(
-    resources: attempts.Resources,
     outgoing: outgoing_requests.Outgoing,
-    answer: Any,
+    body: body_reader.BodyReader,
     reader: events.StreamReader,
 ) -> Generator[model.Tokens, None, bool]:
     """Yield the tokens of a text; return whether its answer was read to its end.
@@ -71,14 +77,12 @@
     after it, as it does when the engine crashes then, but that takes nothing from the
     text.
     """
-    parts = attempts.read_parts(answer)
     # Until the first bytes arrive, the call may wait in the engine's queue; only the
     # deadline bounds this wait.
     max_wait = math.inf
     while True:
         try:
-            with attempts.bounded_wait(resources, outgoing, max_wait):
-                part = next(parts, None)
+            part = body.read(max_wait)
         except attempts.AttemptError as error:
             if error.is_refusal or not reader.is_text_complete():
                 raise
