Requests: keep the socket of a stream registered at the hub

Cause: eventlet adds a listener to the hub, registers the socket with epoll, and undoes both for each wait.

Change: while the body of a stream is read (`body_reader.reading`), its socket stays registered. If bytes arrive while the task waits for something else, the registration ends until the next read: the hub would otherwise report the socket again in each round. An answer that takes the socket from its connection (`Connection: close`) is registered for each wait, as before.

Each new test fails if its safeguard is removed: one registration for many reads, the end of the registration while nothing reads, and its end before the descriptor may be used again.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -1,7 +1,7 @@
 """Run one attempt of an item at one engine and append its events to the item's text."""
 
 import enum
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -220,7 +220,8 @@
 ) -> AttemptResult:
     is_complete = False
     try:
-        result = _consume(resources, protocol, run, outgoing, answer, reading)
+        with body_reader.reading(resources, outgoing, connection, answer) as body:
+            result = _consume(protocol, run, answer, body, reading)
         is_complete = result.outcome not in (Outcome.BROKEN, Outcome.WRONG_VERSION)
         return result
     except attempts.AttemptError as error:
@@ -241,16 +242,15 @@
 
 
 def _consume(
-    resources: attempts.Resources,
     protocol: upstream_protocol.UpstreamProtocol,
     run: Run,
-    outgoing: outgoing_requests.Outgoing,
     answer: Any,
+    body: body_reader.BodyReader,
     reading: Reading,
 ) -> AttemptResult:
     head = protocol.read_head(answer.headers)
     if answer.status != _OK:
-        return _result_of_error(resources, outgoing, answer, head)
+        return _result_of_error(protocol, answer, body, head)
     if not head.is_genuine:
         # A damaged head with nothing after it looks like the answer of an engine that
         # has nothing left to generate, so an incomplete text would be listed as
@@ -263,7 +263,7 @@
     reader = event_stream.EventReader(protocol.version_field, reading.asked_after or 0)
     last_at = None
     last_version = None
-    for part in _parts(resources, outgoing, answer, run.stall_seconds):
+    for part in body.parts(run.stall_seconds):
         for event in reader.feed(part):
             reading.record(event)
             now = clock.now()
@@ -322,16 +322,16 @@
 
 
 def _result_of_error(
-    resources: attempts.Resources,
-    outgoing: outgoing_requests.Outgoing,
+    protocol: upstream_protocol.UpstreamProtocol,
     answer: Any,
+    body: body_reader.BodyReader,
     head: upstream_protocol.AnswerHead,
 ) -> AttemptResult:
     # Read the body to its end, so that the connection can be reused.
-    for _ in _parts(resources, outgoing, answer, lambda: STALL_SECONDS):
+    for _ in body.parts(lambda: STALL_SECONDS):
         pass
     detail = f"status {answer.status}"
-    is_named = outgoing.id_header in answer.headers
+    is_named = protocol.request_id_header in answer.headers
     if answer.status == _IMPOSSIBLE and is_named:
         return AttemptResult(Outcome.IMPOSSIBLE, detail)
     if head.was_not_run:
@@ -341,14 +341,3 @@
         # request. Its status must neither end this item nor count as its failure.
         return AttemptResult(Outcome.BROKEN, f"{detail} without a request id")
     return AttemptResult(Outcome.FAILED, detail)
-
-
-def _parts(
-    resources: attempts.Resources,
-    outgoing: outgoing_requests.Outgoing,
-    answer: Any,
-    stall_seconds: Callable[[], float],
-) -> Iterator[bytes]:
-    with body_reader.BodyReader(resources, outgoing, answer) as body:
-        while (part := body.read(stall_seconds())) is not None:
-            yield part
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -276,10 +276,10 @@
         self._crashes.record_answer(request.fingerprint)
 
     def _parts(self, source: _Source, max_wait: float) -> Iterator[bytes]:
-        answer = source.answer
-        with body_reader.BodyReader(self._resources, source.outgoing, answer) as body:
-            while (part := body.read(max_wait)) is not None:
-                yield part
+        with body_reader.reading(
+            self._resources, source.outgoing, source.connection, source.answer
+        ) as body:
+            yield from body.parts(lambda: max_wait)
 
     def _release(self, source: _Source) -> None:
         """Close the connection, which cancels the work at the upstream."""
--- a/bilberrydrum/requests/body_reader.py
+++ b/bilberrydrum/requests/body_reader.py
@@ -4,17 +4,26 @@
 all of them arrive long before the limit. A timer that is created and cancelled for each
 read takes more processor time than the read. So each reader has one timer: a read only
 records the time at which it has taken too long, and a timer that fires before that time
-is scheduled again for the rest.
+is scheduled again for the rest. For the same reason, the socket stays registered at the
+hub between the reads.
 """
 
+import contextlib
 import math
+from collections.abc import Callable, Iterator
 from typing import Any, Final, Self
 
 import eventlet
 from eventlet import hubs
 
 from bilberrydrum import clock, reasons
-from bilberrydrum.requests import attempts, model, outgoing_requests, watch
+from bilberrydrum.requests import (
+    attempts,
+    connections,
+    model,
+    outgoing_requests,
+    watch,
+)
 
 # A timer that fires this much too early, in seconds, counts as on time. The difference
 # between two times is rounded.
@@ -121,8 +130,34 @@
         finally:
             self._timer.end()
 
+    def parts(self, max_wait: Callable[[], float]) -> Iterator[bytes]:
+        """Yield the parts of the body, each read as by `read`.
+
+        `max_wait` returns the limit of the next read in seconds.
+        """
+        while (part := self.read(max_wait())) is not None:
+            yield part
+
     def _next_part(self) -> bytes | None:
         if self._is_client_gone is model.never_gone:
             return next(self._parts, None)
         with self._clients.ending_with_client(self._is_client_gone):
             return next(self._parts, None)
+
+
+@contextlib.contextmanager
+def reading(
+    resources: attempts.Resources,
+    outgoing: outgoing_requests.Outgoing,
+    connection: connections.Connection,
+    answer: Any,
+) -> Iterator[BodyReader]:
+    """Return a reader of the body of `answer`, which is received on `connection`.
+
+    The block must neither close the connection nor return it to the pool.
+    """
+    with (
+        connections.staying_registered(connection),
+        BodyReader(resources, outgoing, answer) as body,
+    ):
+        yield body
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -6,14 +6,18 @@
 """
 
 import collections
+import contextlib
 import logging
 import socket
+from collections.abc import Iterator
 from typing import Any, Final
 
 import attrs
+import eventlet
 import eventlet.greenio
 import urllib3.connection
 import urllib3.exceptions
+from eventlet import hubs
 
 from bilberrydrum import clock
 
@@ -42,8 +46,16 @@
     when its connection closes would then look complete although a reset truncated it.
     The connections of a process that is killed may still be closed in order, which
     can't be detected here.
+
+    It may also stay registered for reading at the hub (see `staying_registered`).
     """
 
+    _stays_registered = False
+    # The registration at the hub; None: not registered, or only for one read.
+    _listener: Any = None
+    # The task that waits until the registered socket can be read; None: no task does.
+    _reader: Any = None
+
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Read into `buffer`; return 0 only if the peer closed in order."""
         while True:
@@ -51,7 +63,76 @@
                 n_read: int = self.fd.recv_into(buffer, nbytes, flags)
                 return n_read
             except BlockingIOError:
-                self._read_trampoline()
+                if self._stays_registered and self.gettimeout() is None:
+                    self._wait_registered()
+                else:
+                    self._read_trampoline()
+
+    def stay_registered(self) -> None:
+        """Keep the registration of the next read until `unregister`."""
+        self._stays_registered = True
+
+    def unregister(self) -> None:
+        """End the registration; must be called before the descriptor is closed."""
+        self._stays_registered = False
+        self._remove_listener()
+
+    def _wait_registered(self) -> None:
+        hub = hubs.get_hub()
+        if self._closed:
+            raise hubs.IOClosed()
+        if self._listener is None:
+            self._listener = hub.add(
+                hub.READ,
+                self.fd.fileno(),
+                self._on_readable,
+                self._on_closed,
+                self._mark_as_closed,
+            )
+        self._reader = eventlet.getcurrent()
+        try:
+            hub.switch()
+        finally:
+            self._reader = None
+
+    def _on_readable(self, fileno: int) -> None:
+        if self._reader is not None:
+            self._reader.switch()
+        else:
+            # The task waits for something else. The hub reports a readable socket again
+            # in each round until it is read, so it would use all processor time.
+            self._remove_listener()
+
+    def _on_closed(self, error: BaseException) -> None:
+        if self._reader is not None:
+            self._reader.throw(error)
+
+    def _remove_listener(self) -> None:
+        if self._listener is not None:
+            hubs.get_hub().remove(self._listener)
+            self._listener = None
+
+
+@contextlib.contextmanager
+def staying_registered(connection: Connection) -> Iterator[None]:
+    """Keep the socket of `connection` registered at the hub while the block reads it.
+
+    eventlet registers a socket for each wait and unregisters it afterwards, which costs
+    more processor time than reading an event of a stream. Must be used only where one
+    task reads the socket, and while the connection is neither closed nor returned to
+    the pool.
+    """
+    # An answer that ends with its connection takes the socket from the connection. It
+    # is then registered for each wait.
+    kept = connection.sock
+    if not isinstance(kept, _Socket):
+        yield
+        return
+    kept.stay_registered()
+    try:
+        yield
+    finally:
+        kept.unregister()
 
 
 @attrs.frozen
--- a/bilberrydrum/requests/text_streams.py
+++ b/bilberrydrum/requests/text_streams.py
@@ -52,7 +52,7 @@
     is_read_to_end = False
     try:
         _check_status(answer)
-        with body_reader.BodyReader(resources, outgoing, answer) as body:
+        with body_reader.reading(resources, outgoing, connection, answer) as body:
             is_read_to_end = yield from _read_text(outgoing, body, reader)
     finally:
         if is_read_to_end:
--- a/tests/test_requests_connections.py
+++ b/tests/test_requests_connections.py
@@ -13,6 +13,7 @@
 from unittest import mock
 
 import eventlet
+from eventlet import hubs
 from nose2 import tools
 
 from bilberrydrum import clock
@@ -184,3 +185,113 @@
         self.assertEqual(connected.getpeername()[0], host)
         no_delay = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         self.assertTrue(no_delay, name)
+
+
+class Registration(unittest.TestCase):
+    """A connection whose socket stays registered at the hub between the reads."""
+
+    N_READS = 20
+
+    def setUp(self):
+        self.hub = hubs.get_hub()
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        self.pool = connections.ConnectionPool()
+        address = address_of(listener.getsockname())
+        self.connection = self.pool.take(address, TIMEOUT_SECONDS).connection
+        self.addCleanup(self.connection.close)
+        self.peer, _ = listener.accept()
+        self.addCleanup(self.peer.close)
+        self.socket = self.connection.sock
+        self.buffer = bytearray(100)
+
+    def is_registered(self):
+        return self.socket.fileno() in self.hub.listeners[self.hub.READ]
+
+    def settle(self):
+        for _ in range(5):
+            eventlet.sleep(0)
+
+    def read_all(self, seen):
+        while n_read := self.socket.recv_into(self.buffer):
+            seen.append(bytes(self.buffer[:n_read]))
+
+    def exchange(self):
+        """Send bytes one by one while another task reads; return the registrations."""
+        seen = []
+        with mock.patch.object(self.hub, "add", wraps=self.hub.add) as add:
+            task = eventlet.spawn(self.read_all, seen)
+            self.settle()
+            for number in range(self.N_READS):
+                self.peer.sendall(b"%c" % number)
+                while len(seen) <= number:
+                    eventlet.sleep(0)
+        task.kill()
+        self.assertEqual(seen, [b"%c" % number for number in range(self.N_READS)])
+        own = (self.hub.READ, self.socket.fileno())
+        return sum(call.args[:2] == own for call in add.call_args_list)
+
+    def test_registered_once(self):
+        """Guard against a registration for each event of a stream."""
+        self.assertEqual(self.exchange(), self.N_READS + 1)
+        with connections.staying_registered(self.connection):
+            self.assertEqual(self.exchange(), 1)
+        self.assertFalse(self.is_registered())
+        self.assertEqual(self.exchange(), self.N_READS + 1)
+
+    def test_task_that_does_not_read(self):
+        """Guard against a hub that reports unread bytes again in each round.
+
+        A relayed stream waits until its client takes an event. If the socket stayed
+        registered with the upstream's next events unread, the process would use a full
+        core until the client continues.
+        """
+        with connections.staying_registered(self.connection):
+            task = eventlet.spawn(self.read_all, [])
+            self.settle()
+            self.assertTrue(self.is_registered())
+            task.kill()
+            self.peer.sendall(b"x")
+            self.settle()
+            self.assertFalse(self.is_registered())
+            self.assertEqual(self.exchange_one(b"y"), b"xy")
+
+    def exchange_one(self, data):
+        self.peer.sendall(data)
+        received = b""
+        while not received.endswith(data):
+            received += bytes(self.buffer[: self.socket.recv_into(self.buffer)])
+        return received
+
+    def test_descriptor_that_is_used_again(self):
+        """Guard against a registration that outlives its descriptor.
+
+        The next connection often gets the same descriptor. The hub would refuse to read
+        it while a reader of the old one is registered.
+        """
+        with connections.staying_registered(self.connection):
+            task = eventlet.spawn(self.read_all, [])
+            self.settle()
+            task.kill()
+        number = self.socket.fileno()
+        self.assertFalse(self.is_registered())
+        self.connection.close()
+        self.socket.close()
+        self.assertNotIn(number, self.hub.listeners[self.hub.READ])
+
+    def test_interrupted_read(self):
+        """A read that a timeout interrupts leaves the connection readable."""
+        with connections.staying_registered(self.connection):
+            with self.assertRaises(eventlet.Timeout), eventlet.Timeout(0.01):
+                self.socket.recv_into(self.buffer)
+            self.assertEqual(self.exchange_one(b"z"), b"z")
+
+    def test_end_of_the_connection(self):
+        with connections.staying_registered(self.connection):
+            seen = []
+            task = eventlet.spawn(self.read_all, seen)
+            self.settle()
+            self.peer.sendall(b"x")
+            self.peer.shutdown(socket.SHUT_RDWR)
+            task.wait()
+        self.assertEqual(seen, [b"x"])
