--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -1,7 +1,7 @@
 """Run one attempt of an item at one engine and append its events to the item's text."""
 
 import enum
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -9,7 +9,12 @@
 from bilberrydrum import clock, event_stream, reasons, upstream_protocol
 from bilberrydrum.batches import model, texts
 from bilberrydrum.fleet import model as fleet_model
-from bilberrydrum.requests import attempts, crash_probe, outgoing_requests
+from bilberrydrum.requests import (
+    attempts,
+    body_reader,
+    crash_probe,
+    outgoing_requests,
+)
 
 # An engine that doesn't send the head of its answer within this time, in seconds, is
 # treated as hanging. Items are sent only to engines with a free run slot, where the
@@ -217,7 +222,8 @@
 ) -> AttemptResult:
     is_complete = False
     try:
-        result = _consume(resources, protocol, run, outgoing, answer, reading)
+        with body_reader.reading(resources, outgoing, connection, answer) as body:
+            result = _consume(protocol, run, answer, body, reading)
         is_complete = result.outcome not in (Outcome.BROKEN, Outcome.WRONG_VERSION)
         return result
     except attempts.AttemptError as error:
@@ -238,18 +244,17 @@
 
 
 def _consume(
-    resources: attempts.Resources,
     protocol: upstream_protocol.UpstreamProtocol,
     run: Run,
-    outgoing: outgoing_requests.Outgoing,
     answer: Any,
+    body: body_reader.BodyReader,
     reading: Reading,
 ) -> AttemptResult:
     head = protocol.read_head(answer.headers)
     if head.is_genuine and head.work_factor is not None:
         run.on_work_factor(head.work_factor)
     if answer.status != _OK:
-        return _result_of_error(resources, outgoing, answer, head)
+        return _result_of_error(protocol, answer, body, head)
     if not head.is_genuine:
         # A damaged head with nothing after it looks like the answer of an engine that
         # has nothing left to generate, so an incomplete text would be listed as
@@ -262,7 +267,7 @@
     reader = event_stream.EventReader(protocol.version_field, reading.asked_after or 0)
     last_at = None
     last_version = None
-    for part in _parts(resources, outgoing, answer, run.stall_seconds):
+    for part in body.parts(run.stall_seconds):
         for event in reader.feed(part):
             reading.record(event)
             now = clock.now()
@@ -321,16 +326,16 @@
 
 
 def _result_of_error(
-    resources: attempts.Resources,
-    outgoing: outgoing_requests.Outgoing,
+    protocol: upstream_protocol.UpstreamProtocol,
     answer: Any,
+    body: body_reader.BodyReader,
     head: upstream_protocol.AnswerHead,
 ) -> AttemptResult:
     # Read the body to its end, so that the connection can be reused.
-    for _ in _parts(resources, outgoing, answer, lambda: STALL_SECONDS):
+    for _ in body.parts(lambda: STALL_SECONDS):
         pass
     detail = f"status {answer.status}"
-    is_named = outgoing.id_header in answer.headers
+    is_named = protocol.request_id_header in answer.headers
     if answer.status == _IMPOSSIBLE and is_named:
         return AttemptResult(Outcome.IMPOSSIBLE, detail)
     if head.was_not_run:
@@ -340,18 +345,3 @@
         # request. Its status must neither end this item nor count as its failure.
         return AttemptResult(Outcome.BROKEN, f"{detail} without a request id")
     return AttemptResult(Outcome.FAILED, detail)
-
-
-def _parts(
-    resources: attempts.Resources,
-    outgoing: outgoing_requests.Outgoing,
-    answer: Any,
-    stall_seconds: Callable[[], float],
-) -> Iterator[bytes]:
-    parts = attempts.read_parts(answer)
-    while True:
-        with attempts.bounded_wait(resources, outgoing, stall_seconds()):
-            part = next(parts, None)
-        if part is None:
-            return
-        yield part
