Batches: divide the engines by the pace of trainers

The demand for a model was the work that had arrived. The first batch of a burst of submissions got the engines of models whose batches arrived half a second later, and a trainer that was behind got no more engines than others.

The demand is now the usual work of a step per step interval, and the division does not change within a burst, nor within a step interval after the last change. When a trainer is more than 0.5 s behind, engines move one by one to the trainer with the longest predicted lag, as long as neither it nor the giving one is then as late, and only if the prediction improves by more than a load of weights takes. Engines count by their rate, averaged over 5 s. Each model keeps one engine. Batches without a step count by the work of the last 24 s, as before. Engines or models that change take effect at once, as before.

Each change is logged (batches:divided), and the step interval, lag and engines of each model are metrics of the stores' leader. Stores serve metrics only, so the command line tool has no endpoint from which it could read them.

tests.test_batches_division and tests.test_batches_engine_divider fail without the burst gap, its limit, the interval between changes, the cost of a load, the grace for first steps, the ended steps of a new leader, and the reserve of a trainer that was helped (each removed in a scratch copy).

--- a/bilberrydrum/batches/engine_shares.py
+++ b/bilberrydrum/batches/engine_shares.py
@@ -32,6 +32,42 @@
             if engine_id in engine_ids
         ]
 
+    def is_disjoint(self) -> bool:
+        """Return whether no engine is assigned to several models."""
+        n_assigned = sum(len(each) for each in self.engine_ids_by_model.values())
+        return n_assigned == len(frozenset().union(*self.engine_ids_by_model.values()))
+
+    def sizes(self) -> dict[str, int]:
+        """Return the number of engines of each model."""
+        return {model: len(ids) for model, ids in self.engine_ids_by_model.items()}
+
+
+def loaded(
+    versions_by_engine: Mapping[str, Mapping[str, int]],
+    newest_by_model: Mapping[str, int],
+) -> Shares:
+    """Return the assignment that the versions loaded by the engines show.
+
+    An engine belongs to the model of which it is the fewest versions behind. An engine
+    that is equally far behind for several models belongs to none.
+
+    Parameters
+    ----------
+    versions_by_engine : mapping
+        The version that each engine serves of each model.
+    newest_by_model : mapping of str to int
+        The newest published version of each model.
+    """
+    found: dict[str, set[str]] = {}
+    for engine_id, versions in versions_by_engine.items():
+        behind = sorted(
+            (newest_by_model.get(model, version) - version, model)
+            for model, version in versions.items()
+        )
+        if behind and (len(behind) == 1 or behind[0][0] < behind[1][0]):
+            found.setdefault(behind[0][1], set()).add(engine_id)
+    return Shares({model: frozenset(ids) for model, ids in found.items()})
+
 
 def divide(
     engine_ids: Collection[str],
--- a/bilberrydrum/batches/pacing.py
+++ b/bilberrydrum/batches/pacing.py
@@ -81,7 +81,8 @@
 
     def __init__(self) -> None:
         self._steps: list[Step] = []
-        self._ended_at_by_number: dict[int, float] = {}
+        # None: the step has ended at an unknown time.
+        self._ended_at_by_number: dict[int, float | None] = {}
         # Intervals per step between consecutive submissions that were on schedule.
         self._intervals: list[float] = []
         # Times between an end and the submission that may have waited for it.
@@ -93,8 +94,11 @@
         self._is_last_held = False
         self._last_event_at = float("-inf")
 
-    def record_submission(self, step: Step) -> None:
-        """Record a step; one that is not newer than the last changes nothing."""
+    def record_submission(self, step: Step, has_ended: bool = False) -> None:
+        """Record a step; one that is not newer than the last changes nothing.
+
+        `has_ended` is for a step that has ended before it is recorded.
+        """
         if self._steps and step.number <= self._steps[-1].number:
             return
         is_held = self._record_gap(step)
@@ -103,7 +107,10 @@
         self._is_last_held = bool(is_held)
         self._steps.append(step)
         self._last_event_at = step.submitted_at
-        self._open_counts.append(len(self._open_numbers()))
+        if has_ended:
+            self._ended_at_by_number[step.number] = None
+        else:
+            self._open_counts.append(len(self._open_numbers()))
         for each in (self._steps, self._intervals, self._gaps, self._open_counts):
             del each[:-N_STEPS]
         oldest = self._steps[0].number
@@ -187,12 +194,14 @@
         self._trainers_by_key: dict[tuple[str, str], Trainer] = {}
         self.last_submitted_at = float("-inf")
 
-    def record_submission(self, account: str, model_name: str, step: Step) -> None:
+    def record_submission(
+        self, account: str, model_name: str, step: Step, has_ended: bool = False
+    ) -> None:
         """Record a submitted step; a much lower number begins a new history."""
         trainer = self._trainers_by_key.setdefault((account, model_name), Trainer())
         if step.number < trainer.last_number() - N_STEPS:
             trainer = self._trainers_by_key[account, model_name] = Trainer()
-        trainer.record_submission(step)
+        trainer.record_submission(step, has_ended)
         self.last_submitted_at = max(self.last_submitted_at, step.submitted_at)
 
     def record_end(
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -19,7 +19,7 @@
 
 from bilberrydrum import clock, quarantine, upstream_protocol
 from bilberrydrum.batches import (
-    demand,
+    engine_divider,
     engine_shares,
     engines,
     hooks,
@@ -56,12 +56,6 @@
 # trainer would have to wait again if it were not saved.
 _PROGRESS_SECONDS: Final = 0.5
 _PROGRESS_EVENTS: Final = 8
-# The demand for a model is the work submitted in this many seconds, which are several
-# steps. A trainer whose step is late submits nothing until that step ends. With a
-# window of 8 s (two steps), it lost its engines to other models, and engines had to
-# load its weights again for its next step: of 17 engines that loaded a version of one
-# model, 9 had belonged to another model a second before.
-_DEMAND_SECONDS: Final = 24.0
 
 
 class BatchRunner:
@@ -80,10 +74,10 @@
         self._hooks = given_hooks
         self._engines = engines.Engines()
         self._work = work.OpenBatches()
-        self._shares = engine_shares.Shares()
-        self._demand = demand.Demand(_DEMAND_SECONDS)
         self._wake = eventlet.event.Event()
         self._pace = urgency.Pace()
+        self._divider = engine_divider.EngineDivider(self._pace)
+        self._shares = engine_shares.Shares()
         self._items = item_sender.ItemSender(
             resources, protocol, view, given_hooks, self._pace, crashes, self.wake
         )
@@ -127,6 +121,7 @@
         self._loader.stop()
         self._items.stop()
         self._scores.stop()
+        self._divider.stop()
 
     def wake(self) -> None:
         """Make a scheduling pass due without waiting for the maximum interval."""
@@ -140,7 +135,11 @@
         age = max(time.time() - kept.submitted_at, 0.0)
         if kept.is_ended:
             if age <= _REUSE_SECONDS:
-                self._work.remember(kept.decode(), kept)
+                ended = kept.decode()
+                self._work.remember(ended, kept)
+                self._divider.record_submission(
+                    ended, clock.now() - age, has_ended=True
+                )
             return
         opened = self._work.open(kept, clock.now() - age)
         batch = opened.batch
@@ -155,7 +154,7 @@
             age_seconds=round(age, 3),
         )
         self._loader.record_step(batch.model, batch.min_version)
-        self._demand.record(batch.model, opened.n_expected_output_tokens(), clock.now())
+        self._divider.record_submission(batch, opened.submitted_at, opened.spare_groups)
         for result in self._work.reusable_results(opened, self._route_of(opened)):
             self._submit_reusable(opened, result)
         self.wake()
@@ -181,6 +180,7 @@
         self._scores.cancel_batch(batch_id)
         if closed is not None:
             self._work.remember_closed(closed)
+            self._divider.record_end(closed.batch, clock.now())
         self.wake()
 
     # The loop
@@ -233,10 +233,8 @@
                 self._items.give_up(opened, run, "out of time")
 
     def _divide_engines(self, now: float) -> None:
-        models = self._engines.models()
-        demand = self._demand.by_model(models, now)
-        assignable = [each.upstream_id for each in self._engines.assignable(now)]
-        self._shares = engine_shares.divide(assignable, demand, self._shares)
+        versions_by_model = self._view.registry.versions_by_model
+        self._shares = self._divider.step(self._engines, versions_by_model, now)
 
     def _load_weights(self, usable: Sequence[engines.Engine], now: float) -> None:
         waiting_models = {
--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -101,6 +101,15 @@
         n_expected = n_expected_tokens / self._tokens_per_event
         return max(n_expected - n_events, 1.0) * self._event_seconds
 
+    def tokens_per_second(self, n_slots: int, event_seconds: float = 0.0) -> float:
+        """Return the expected tokens per second of `n_slots` items; 0: not known.
+
+        `event_seconds` is the time per event; if it is 0, the usual one counts.
+        """
+        if not self._has_samples:
+            return 0.0
+        return n_slots * self._tokens_per_event / (event_seconds or self._event_seconds)
+
 
 def spare_groups(
     longest_by_group: Mapping[GroupKey, int],
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -81,11 +81,6 @@
                 saves.append(save)
         return saves
 
-    def n_expected_output_tokens(self) -> int:
-        """Return the expected number of output tokens of all items."""
-        runs = self.runs_by_item_id.values()
-        return sum(each.n_expected_output_tokens() for each in runs)
-
     def route(self, routes: policy.RouteTable) -> policy.Route | None:
         """Return the current route of its items; None: the route was removed."""
         path = self.batch.items[0].target.partition("?")[0]
--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -84,6 +84,19 @@
     ["message", "outcome"],
     buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2),
 )
+STEP_INTERVAL_SECONDS: Final = prometheus_client.Gauge(
+    "bilberrydrum_step_interval_seconds",
+    "Interval at which a model's trainer submits steps when it is not behind.",
+    ["model"],
+)
+TRAINER_LAG_SECONDS: Final = prometheus_client.Gauge(
+    "bilberrydrum_trainer_lag_seconds",
+    "How far a model's trainer is behind its step interval.",
+    ["model"],
+)
+MODEL_ENGINES: Final = prometheus_client.Gauge(
+    "bilberrydrum_model_engines", "Engines that are assigned to a model.", ["model"]
+)
 LOG_LINES_DROPPED: Final = prometheus_client.Counter(
     "bilberrydrum_log_lines_dropped_total", "Log lines dropped as the queue was full."
 )
--- /dev/null
+++ b/tests/test_batches_engine_divider.py
@@ -0,0 +1,177 @@
+"""The division of real engine records, from the batches that trainers submit."""
+
+import unittest
+
+import eliot
+import prometheus_client
+from nose2 import tools
+
+from bilberrydrum.batches import engine_divider, engines, model, urgency
+from bilberrydrum.fleet import model as fleet_model
+
+MODELS = ("m0", "m1", "m2", "m3")
+INTERVAL = 4.0
+
+
+def batch(model_name, step, n_tokens=300, **fields):
+    items = tuple(
+        model.Item(f"i{n}", "/p/x", {}, b"", 0, f"g{n}", 0, n_tokens // 3)
+        for n in range(3)
+    )
+    batch_id = f"{model_name}-{step}"
+    return model.Batch(batch_id, "h", items, step, model_name, **fields)
+
+
+def upstream(number, versions):
+    return fleet_model.FleetUpstream(
+        f"e{number:02}", "s", "127.0.0.1:1", "z", 8, versions_by_model=versions
+    )
+
+
+class DividerCase(unittest.TestCase):
+    def setUp(self):
+        self.engines = engines.Engines()
+        for number in range(16):
+            self.add_engine(number, dict.fromkeys(MODELS, 0))
+        self.newest = dict.fromkeys(MODELS, 0)
+        self.pace = urgency.Pace()
+        self.divider = engine_divider.EngineDivider(self.pace)
+        self.addCleanup(lambda: self.divider.stop())
+        self.lines = []
+        eliot.add_destinations(self.lines.append)
+        self.addCleanup(eliot.remove_destination, self.lines.append)
+
+    def add_engine(self, number, versions):
+        added = engines.Engine(upstream(number, versions))
+        added.learn(versions)
+        self.engines.by_id[added.upstream_id] = added
+
+    def step(self, now):
+        return self.divider.step(self.engines, self.newest, now)
+
+    def sizes(self, now):
+        return self.step(now).sizes()
+
+
+class Burst(DividerCase):
+    """Four trainers submit their steps within half a second."""
+
+    def test_first_burst(self):
+        """Guard against engines that all go to the first batch of a burst."""
+        for now in (0.0, 1.0):
+            self.assertEqual(set(self.sizes(now).values()), {4})
+        for n, name in enumerate(MODELS):
+            self.divider.record_submission(batch(name, 0), 2.0 + 0.1 * n)
+            for now in (2.01 + 0.1 * n, 2.05 + 0.1 * n):
+                self.assertEqual(set(self.sizes(now).values()), {4})
+        for now in (2.6, 3.0, 5.9):
+            self.assertEqual(set(self.sizes(now).values()), {4})
+
+    def test_trainers_that_start_seconds_apart(self):
+        """Guard against engines that load weights twice before a trainer's first step.
+
+        One trainer starts 3 s before the others. It would get all but three engines.
+        """
+        self.divider.record_submission(batch("m0", 0), 2.0)
+        for now in (2.1, 3.0, 4.9):
+            self.assertEqual(set(self.sizes(now).values()), {4})
+
+    @tools.params((MODELS,), (MODELS[::-1],))
+    def test_later_bursts(self, order):
+        """Steps differ in size by a third; the division follows the usual step."""
+        n_tokens = {"m0": 1200, "m1": 1200, "m2": 600, "m3": 600}
+        settled = None
+        for step in range(6):
+            at = 2.0 + INTERVAL * step
+            for n, name in enumerate(order):
+                size = n_tokens[name] * (4 if (step + n) % 2 else 3) // 3
+                submitted_at = at + 0.1 * n
+                self.divider.record_submission(batch(name, step, size), submitted_at)
+                shares = self.step(submitted_at + 0.01)
+                settled = settled or shares
+                if step > 2:
+                    self.assertEqual(shares, settled)
+            for later in (1.0, 2.0, 3.0):
+                shares = self.step(at + later)
+            settled = shares
+            for name in order:
+                self.divider.record_end(batch(name, step), at + 3.0)
+        sizes = settled.sizes()
+        self.assertGreater(min(sizes["m0"], sizes["m1"]), max(sizes["m2"], sizes["m3"]))
+
+    def test_one_trainer_gets_idle_engines(self):
+        """Guard against engines that are kept idle for models without batches."""
+        for step in range(3):
+            self.divider.record_submission(batch("m1", step), INTERVAL * step)
+            self.step(INTERVAL * step + 3.0)
+        self.assertEqual(self.sizes(12.0)["m1"], 13)
+
+    def test_batches_without_step(self):
+        """Batches of callers that are no trainers count by what arrived lately."""
+        for _ in range(3):
+            self.divider.record_submission(batch("m1", -1), 1.0)
+        for now in (1.0, 2.0, 7.0):
+            sizes = self.sizes(now)
+        self.assertEqual(sizes["m1"], 13)
+
+    def test_stopped_trainer(self):
+        """Guard against engines that stay with a trainer which has stopped."""
+        for step in range(20):
+            for name in MODELS if step < 5 else MODELS[1:]:
+                at = INTERVAL * step
+                self.divider.record_submission(batch(name, step), at)
+                self.divider.record_end(batch(name, step), at + 2.0)
+            self.step(at + 3.0)
+        self.assertEqual(self.step(80.0).sizes()["m0"], 1)
+
+
+class Reports(DividerCase):
+    def test_log_and_metrics(self):
+        """A trainer is 3 s behind; the division changes once, and says why."""
+        for _ in range(100):
+            self.pace.record(100, 100, 5.0)
+        for step, at in enumerate((0.0, 4.0, 8.0, 15.0)):
+            for name in MODELS:
+                late = at if name == "m0" else INTERVAL * step
+                n_tokens = 21000 if name == "m0" else 3000
+                self.divider.record_submission(batch(name, step, n_tokens), late)
+            self.step(at + 1.0)
+        self.step(18.0)
+        sizes = self.sizes(19.0)
+        divided = [e for e in self.lines if e["message_type"] == "batches:divided"]
+        self.assertEqual(divided[0]["reason"], "engines")
+        last = divided[-1]
+        self.assertEqual(last["reason"], "lateness")
+        self.assertEqual(last["n_engines_by_model"], sizes)
+        self.assertAlmostEqual(last["lag_seconds_by_model"]["m0"], 3.0)
+        self.assertLess(len(divided), 5)
+        for name, expected in (
+            ("step_interval_seconds", INTERVAL),
+            ("model_engines", sizes["m0"]),
+        ):
+            self.assertEqual(self.metric(name), expected)
+        self.assertGreaterEqual(self.metric("trainer_lag_seconds"), 3.0)
+        self.divider.stop()
+        self.assertIsNone(self.metric("model_engines"))
+
+    def metric(self, name):
+        labels = {"model": "m0"}
+        registry = prometheus_client.REGISTRY
+        return registry.get_sample_value(f"bilberrydrum_{name}", labels)
+
+
+class Rates(unittest.TestCase):
+    def test_short_slowdowns_are_averaged(self):
+        """Guard against engines that move because a host is slow for half a second."""
+        rates = engine_divider.EngineRates()
+        for n in range(200):
+            slow = n % 20 >= 17
+            measured = {"a": 400.0 if slow else 1000.0, "b": 1000.0}
+            rates.update(measured, 0.2 * n)
+        known = rates.of(["a", "b", "new"], 1.0)
+        self.assertGreater(known["a"], 750.0)
+        self.assertEqual(known["b"], 1000.0)
+        self.assertTrue(known["a"] <= known["new"] <= known["b"])
+
+    def test_unknown(self):
+        self.assertEqual(engine_divider.EngineRates().of(["a"], 0.0), {"a": 0.0})
--- a/tests/test_batches_pacing.py
+++ b/tests/test_batches_pacing.py
@@ -112,6 +112,14 @@
         if max_lag == 2.0:
             self.assertAlmostEqual(pace.lag_seconds, 2.0)
 
+    def test_steps_that_had_ended_are_not_open(self):
+        """Guard against a new leader that takes all stored steps for open ones."""
+        pacing_ = pacing.Pacing()
+        for number in range(6):
+            step = pacing.Step(number, INTERVAL * number, 1000, 100)
+            pacing_.record_submission("", "m", step, has_ended=number < 4)
+        self.assertEqual(pace_of(pacing_, 20.0).n_open, 2)
+
     def test_accounts_with_one_model(self):
         """Two accounts train the same model; the steps of both have number 0."""
         pacing_ = pacing.Pacing()
