--- a/tests/test_batches_engine_divider.py
+++ b/tests/test_batches_engine_divider.py
@@ -175,3 +175,96 @@
 
     def test_unknown(self):
         self.assertEqual(engine_divider.EngineRates().of(["a"], 0.0), {"a": 0.0})
+
+
+class NewLeader(DividerCase):
+    """The divider of a process that has just become the stores' leader."""
+
+    def load(self, engine_ids, name, version):
+        for each in engine_ids:
+            self.engines.by_id[each].learn_version(name, version)
+
+    def load_evenly(self):
+        """Load each model at a quarter of the engines; return the engines' ids."""
+        ids = sorted(self.engines.by_id)
+        self.newest = dict.fromkeys(MODELS, 3)
+        for n, name in enumerate(MODELS):
+            self.load(ids[4 * n : 4 * n + 4], name, 3)
+        return ids
+
+    def lead(self, now, kept=()):
+        """Replace the divider by one that knows only the stored batches."""
+        self.divider.stop()
+        self.divider = engine_divider.EngineDivider(self.pace)
+        for each, submitted_at, has_ended in kept:
+            self.divider.record_submission(each, submitted_at, has_ended=has_ended)
+        return self.step(now)
+
+    def test_leader_killed_during_a_reassignment(self):
+        """Guard against engines that load weights again after a change of the leader.
+
+        The leader has moved four engines from m0 to m1 and is killed when two of them
+        have loaded m1's weights. The stored batches do not show why they were moved.
+        The next leader keeps each engine with the model whose weights it has, and does
+        not divide by work until a step interval has passed.
+        """
+        ids = sorted(self.engines.by_id)
+        self.newest = {"m0": 9, "m1": 7, "m2": 5, "m3": 5}
+        held = {"m0": ids[:6], "m1": ids[6:8], "m2": ids[8:12], "m3": ids[12:]}
+        for name, engine_ids in held.items():
+            # Every second engine is one version behind, as between two steps.
+            self.load(engine_ids[::2], name, self.newest[name])
+            self.load(engine_ids[1::2], name, self.newest[name] - 1)
+        moved = held["m0"][:2]
+        self.load(moved, "m1", 7)
+        kept = [
+            (batch(name, step), 10.0 + INTERVAL * step, step < 3)
+            for step in range(5)
+            for name in MODELS
+        ]
+        expected = {**held, "m0": held["m0"][2:], "m1": held["m1"] + moved}
+        for now in (30.0, 30.1, 31.0, 33.0):
+            shares = self.lead(now, kept) if now == 30.0 else self.step(now)
+            for name, engine_ids in expected.items():
+                assigned = sorted(shares.engine_ids_by_model[name])
+                self.assertEqual(assigned, sorted(engine_ids), name)
+        self.assertNotIn(0, self.sizes(40.0).values())
+
+    def test_lag_is_derived_from_stored_batches(self):
+        """Guard against a trainer that loses its help when the leader changes."""
+        for _ in range(100):
+            self.pace.record(100, 100, 5.0)
+        self.load_evenly()
+        times = (0.0, 4.0, 8.0, 14.0, 18.0)
+        kept = [
+            (
+                batch(name, step, 21000 if name == "m0" else 3000),
+                at if name == "m0" else INTERVAL * step,
+                step < 3,
+            )
+            for step, at in enumerate(times)
+            for name in MODELS
+        ]
+        self.lead(19.0, kept)
+        self.assertGreater(self.sizes(24.0)["m0"], 4)
+        last = [e for e in self.lines if e["message_type"] == "batches:divided"][-1]
+        self.assertEqual(last["reason"], "lateness")
+        self.assertGreaterEqual(last["lag_seconds_by_model"]["m0"], 2.0)
+
+    def test_engines_without_weights(self):
+        """All processes and engines have just started: the division is equal."""
+        self.assertEqual(set(self.lead(0.0).sizes().values()), {4})
+
+    def test_engine_that_is_not_announced_yet(self):
+        """Guard against a new leader that divides all engines anew for a late one.
+
+        The registry of a new leader lists an engine a moment after the others.
+        """
+        ids = self.load_evenly()
+        late = self.engines.by_id.pop(ids[5])
+        self.lead(0.0)
+        self.engines.by_id[ids[5]] = late
+        shares = self.step(0.3)
+        for n, name in enumerate(MODELS):
+            expected = frozenset(ids[4 * n : 4 * n + 4])
+            self.assertEqual(shares.engine_ids_by_model[name], expected)
