--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -122,7 +122,7 @@
         """
         if not self._has_samples:
             return 0.0
-        return n_slots * self._tokens_per_event / (event_seconds or self._event_seconds)
+        return n_slots * self.tokens_per_event / (event_seconds or self._event_seconds)
 
 
 def spare_groups(
