Tests: order of sent observations, and the work factor at the engine

Two changes passed all tests: sending the oldest observations of upstreams first, and not recording the reported work factor at the engine.

--- a/tests/test_batches_ended.py
+++ b/tests/test_batches_ended.py
@@ -11,6 +11,7 @@
 import unittest
 from unittest import mock
 
+import attrs
 import eliot
 import eventlet
 from nose2 import tools
@@ -208,6 +209,22 @@
             self.assertEqual(result.text, COMPLETE, result.item_id)
 
 
+class Reports(RunnerCase):
+    def test_work_factor(self):
+        """An engine's speed is not known although the head of its answer reports it."""
+        read_head = node_protocol.PlainProtocol.read_head
+
+        def with_factor(protocol, headers):
+            return attrs.evolve(read_head(protocol, headers), work_factor=2.5)
+
+        began = clock.now()
+        with mock.patch.object(node_protocol.PlainProtocol, "read_head", with_factor):
+            self.begin(1)
+        engine = self.runner._engines.by_id["e1"]
+        self.assertEqual(engine.work_factor, 2.5)
+        self.assertGreaterEqual(engine.work_factor_at, began)
+
+
 class Moves(RunnerCase):
     """Items move away from a slow engine while others there end by themselves."""
 
--- a/tests/test_upstream_health.py
+++ b/tests/test_upstream_health.py
@@ -363,6 +363,14 @@
         sent = [codec.decode(each) for each in self.gateways[0].link.requests]
         self.assertEqual(max(len(each.observations) for each in sent), 16)
 
+    def test_newest_are_sent_first(self):
+        """The last failures are sent when they are outdated, after earlier ones."""
+        shared = shared_health.SharedHealth(0.5, 4.0)
+        for number in range(20):
+            shared.record_failure(f"u{number}", 1, 100.0 + number / 10)
+        names = [each.upstream_id for each in shared.due(102.0)]
+        self.assertEqual(names, [f"u{number}" for number in range(19, 3, -1)])
+
     def test_unknown_and_old_are_not_kept(self):
         """The leader's memory grows with observations of upstreams that have left."""
         health = upstream_health.UpstreamHealth()
