Tests: slow engines of about equal speed are filled evenly

The classes of speeds had no test that fails without them: with one class per speed, long items fill one of two slow engines that differ by a hundredth.

--- a/bilberrydrum/batches/placement.py
+++ b/bilberrydrum/batches/placement.py
@@ -21,8 +21,9 @@
 # Smallest difference that counts, as a share of the horizon. Load makes this much
 # difference among engines of the same speed.
 _STEP: Final = 0.25
-# Lengths below this share of the horizon are not distinguished from zero: at an engine
-# of three times the usual seconds per event, they end within the same quarter.
+# Lengths below this share of the horizon are not distinguished from zero, which bounds
+# the number of kinds of items. At an engine of up to three times the usual seconds per
+# event they end within the same quarter, and slower engines count as slow.
 _MIN_SHARE: Final = 0.125
 # How long a reported work factor is expected to last, in seconds. It describes the
 # current moment, so it must not decide on items that run for several seconds.
--- a/tests/test_batches_placement.py
+++ b/tests/test_batches_placement.py
@@ -102,6 +102,19 @@
         counts = [each.n_running for each in engines]
         self.assertLessEqual(max(counts) - min(counts), 1)
 
+    def test_slow_engines_are_filled_evenly(self):
+        """Noise in the speeds of slow engines has long items fill one of them.
+
+        The fast engines are full, and the others differ by a hundredth.
+        """
+        engines = [
+            batches_support.make_engine(f"e{n}", N_SLOTS, event_seconds=0.04 * factor)
+            for n, factor in enumerate((1.0, 2.24, 2.26))
+        ]
+        engines[0].n_running = N_SLOTS
+        scheduling.assign(burst([100.0] * 6), engines, 0.0)
+        self.assertEqual([each.n_running for each in engines], [N_SLOTS, 3, 3])
+
     def test_all_estimates_are_wrong(self):
         """Items of the wrong length get the fast engines; none is left out."""
         rng = random.Random(3)
