Batches: a missing maximum does not end an item's memory forecast

Cause: the forecast bounds an item by its maximum, which is 0 if the submitter gives an estimate only. Such an item counted as about to end.

Change: a missing maximum is no bound, and one below the estimate is ignored.

--- a/bilberrydrum/batches/lifecycle.py
+++ b/bilberrydrum/batches/lifecycle.py
@@ -11,6 +11,7 @@
 """
 
 import enum
+import math
 from typing import Final
 
 import attrs
@@ -141,7 +142,7 @@
         return memory_forecast.Need.of(
             n_prompt,
             item.n_expected_output_tokens,
-            item.n_tokens - n_prompt,
+            item.n_tokens - n_prompt if item.n_tokens else math.inf,
             len(self.text.parts) * tokens_per_event,
         )
 
--- a/bilberrydrum/batches/memory_forecast.py
+++ b/bilberrydrum/batches/memory_forecast.py
@@ -39,7 +39,7 @@
 
     @classmethod
     def of(
-        cls, n_prompt: int, n_expected: int, n_maximum: int, n_generated: float
+        cls, n_prompt: int, n_expected: int, n_maximum: float, n_generated: float
     ) -> "Need":
         """Return the need of an item with an estimate of its length.
 
@@ -47,13 +47,15 @@
         ----------
         n_prompt : int
             Tokens of the prompt.
-        n_expected, n_maximum : int
-            Estimate and upper bound of the output tokens.
+        n_expected : int
+            Estimate of the output tokens.
+        n_maximum : float
+            Upper bound of the output tokens. It is ignored below the estimate.
         n_generated : float
             Output tokens generated so far.
         """
         left = n_expected_left(n_expected, n_generated)
-        left = min(left, n_maximum - n_generated)
+        left = min(left, max(n_maximum, n_expected) - n_generated)
         return cls(n_prompt + math.ceil(n_generated), max(math.ceil(left), 1))
 
     def length_class(self) -> int:
--- a/tests/test_batches_memory_forecast.py
+++ b/tests/test_batches_memory_forecast.py
@@ -77,8 +77,20 @@
 
 
 class NeedOfItem(unittest.TestCase):
-    def run_of(self, n_expected, n_expected_output, n_events=0):
-        item = model.Item("i", "/", {}, b"", 700, "", n_expected, n_expected_output)
+    @tools.params(
+        ("no maximum, not started", 0, 0, Need(100, 200)),
+        ("no maximum, outgrown", 0, 40, Need(500, 200)),
+        ("maximum below the estimate", 150, 0, Need(100, 200)),
+    )
+    def test_maximum(self, name, n_tokens, n_events, expected):
+        """An item whose maximum is missing or too small counts as about to end."""
+        run = self.run_of(300, 200, n_events, n_tokens)
+        self.assertEqual(run.need(10.0), expected, name)
+
+    def run_of(self, n_expected, n_expected_output, n_events=0, n_tokens=700):
+        item = model.Item(
+            "i", "/", {}, b"", n_tokens, "", n_expected, n_expected_output
+        )
         run = lifecycle.ItemRun(item, ("b", "g"))
         batches_support.generate(run.text, "r", n_events, 1)
         return run
