Batches: look up the route and precedence of waiting items per batch

Cause: each scheduling pass looked up the route, the services and the precedence of each waiting item, although they are the same for all items of a batch, and checked twice per item whether crash histories have expired, while there are none. Precedences were new objects, so sorting compared them field by field.

Change: a batch keeps its route until the table of routes is replaced, and the services of this route. The precedence is looked up once per batch and pass; equal ones are the same object. `CrashWatch` reads the clock only if it has a history. The items that are sent, and their order, are the same.

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -282,19 +282,27 @@
     def _waiting_items(
         self, pairs: Iterable[tuple[work.OpenBatch, lifecycle.ItemRun]]
     ) -> list[scheduling.WaitingItem]:
-        # Cached, since each call visits all engines, of which there may be thousands,
-        # and is made for each item.
+        # Cached, since each call of `versions_of` visits all engines, of which there
+        # may be thousands, and both are needed for each item.
         served_by = functools.cache(self._engines.versions_of)
-        found = [self._waiting_item(*each, served_by) for each in pairs]
-        return [each for each in found if each is not None]
+        precedence_of = functools.cache(self._precedence_of)
+        now = clock.now()
+        found = []
+        for opened, run in pairs:
+            item = self._waiting_item(opened, run, served_by, precedence_of, now)
+            if item is not None:
+                found.append(item)
+        return found
 
     def _waiting_item(
         self,
         opened: work.OpenBatch,
         run: lifecycle.ItemRun,
         served_by: Callable[[str], set[int]],
+        precedence_of: Callable[[work.OpenBatch], policy.Precedence],
+        now: float,
     ) -> scheduling.WaitingItem | None:
-        route = self._route_of(opened)
+        route = opened.route(self._view.routes)
         standing = self._items.standing(opened, run)
         if route is None or standing is quarantine.Standing.QUARANTINED:
             # The item waits until it is given up, because no result could be reported
@@ -303,19 +311,22 @@
         served: set[int] = set()
         if route.is_single_version:
             served = served_by(opened.batch.model)
-        is_suspected = self._items.must_run_apart(opened, run)
-        account = opened.batch.account
         return work.waiting_item(
             opened,
             run,
             route,
             self._pace,
             served,
-            is_suspected,
-            clock.now(),
-            self._view.routes.precedence_of(route, account),
+            self._items.must_run_apart(opened, run),
+            now,
+            precedence_of(opened),
         )
 
+    def _precedence_of(self, opened: work.OpenBatch) -> policy.Precedence:
+        route = self._route_of(opened)
+        assert route is not None
+        return self._view.routes.precedence_of(route, opened.batch.account)
+
     def _cancel_slow_run(
         self, assignment: scheduling.Assignment, run: lifecycle.ItemRun
     ) -> None:
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -35,6 +35,12 @@
     # Surplus groups, which the trainer does not wait for.
     spare_groups: frozenset[urgency.GroupKey] = frozenset()
     is_ended: bool = False
+    # The route of its items in `_routes`, the table in which it was looked up last.
+    _routes: policy.RouteTable | None = attrs.field(default=None, init=False)
+    _route: policy.Route | None = attrs.field(default=None, init=False)
+    # The route that `services` was called with last, and its services.
+    _served_route: policy.Route | None = attrs.field(default=None, init=False)
+    _services: frozenset[str] = attrs.field(default=frozenset(), init=False)
 
     def waiting_runs(self) -> Iterator[lifecycle.ItemRun]:
         """Yield the items that wait for an engine."""
@@ -88,8 +94,20 @@
 
     def route(self, routes: policy.RouteTable) -> policy.Route | None:
         """Return the current route of its items; None: the route was removed."""
-        path = self.batch.items[0].target.partition("?")[0]
-        return routes.find(self.batch.host, path)
+        # It is needed for each waiting item in each scheduling pass. Each change of the
+        # policy creates a new table, so comparing identities is enough.
+        if routes is not self._routes:
+            path = self.batch.items[0].target.partition("?")[0]
+            self._route = routes.find(self.batch.host, path)
+            self._routes = routes
+        return self._route
+
+    def services(self, route: policy.Route) -> frozenset[str]:
+        """Return the services that may run its items."""
+        if route is not self._served_route:
+            self._services = frozenset(route.services())
+            self._served_route = route
+        return self._services
 
     def give_up_at(self, route: policy.Route | None) -> float:
         """Return when its unfinished items are given up, in seconds of `clock.now`."""
@@ -288,7 +306,7 @@
         run.group_key in opened.spare_groups,
         batch.model,
         batch.min_version,
-        frozenset(route.services()),
+        opened.services(route),
         run.n_expected_tokens(),
         run.excluded_ids(now),
         only_version,
--- a/bilberrydrum/fleet/policy.py
+++ b/bilberrydrum/fleet/policy.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import functools
 import random
 from collections.abc import Iterator
 from typing import Final
@@ -144,6 +145,13 @@
         return max(0, min(rank, _N_RANKS - 1))
 
 
+@functools.lru_cache(maxsize=256)
+def _precedence(account_priority: int, route_priority: int) -> Precedence:
+    # Equal ones are the same object: each scheduling pass sorts hundreds of items by
+    # their precedence, and comparing an object with itself is cheap.
+    return Precedence(account_priority, route_priority)
+
+
 class RouteTable:
     """Looks up the routes and accounts of a policy."""
 
@@ -172,7 +180,7 @@
         if self.accounts is not None and account:
             known = self.accounts.accounts_by_name.get(account)
         priority = known.priority if known is not None else 0
-        return Precedence(priority, route.priority)
+        return _precedence(priority, route.priority)
 
     def has_public_batches(self, host: str) -> bool:
         """Return whether batches are accepted without a key under `host`."""
--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -174,10 +174,14 @@
         return granted
 
     def _is_history_empty(self) -> bool:
-        now = clock.now()
-        if self._own.is_due(now):
-            self._own.expire(now)
-        return self._own.is_empty() and self._view.crashes.is_empty()
+        # Called for each waiting item in each scheduling pass. A history is rare.
+        if not self._own.is_empty():
+            now = clock.now()
+            if self._own.is_due(now):
+                self._own.expire(now)
+            if not self._own.is_empty():
+                return False
+        return self._view.crashes.is_empty()
 
     # Outcomes of runs
 
--- a/tests/test_batches_scheduling_pass.py
+++ b/tests/test_batches_scheduling_pass.py
@@ -14,6 +14,7 @@
 from bilberrydrum.batches import engines, hooks, model, runner
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
+from bilberrydrum.relay import crash_watch
 from bilberrydrum.requests import attempts, connections, watch
 from tests import helpers
 from tests.fakes import counted
@@ -239,3 +240,90 @@
         finally:
             sys.setprofile(None)
         return events["call"] + events["c_call"]
+
+
+class CallsPerItem(SchedulingPassCase):
+    """The cost of a pass per waiting item, in look-ups and function calls."""
+
+    N_PASSES = 3
+
+    def setUp(self):
+        super().setUp()
+        self.change(*(upstream(n) for n in range(N_ITEMS)))
+
+    def count(self, owner, name):
+        """Return the number of calls of a method in some passes that send all items."""
+        original = getattr(owner, name)
+        with mock.patch.object(owner, name, autospec=True, side_effect=original) as spy:
+            for _ in range(self.N_PASSES):
+                self.assertEqual(len(self.run_pass()), N_ITEMS)
+        return spy.call_count
+
+    def test_route_of_a_batch(self):
+        """Guard against a look-up of the route for each item in each pass.
+
+        The items of a batch have the same route until the policy changes.
+        """
+        find = policy.RouteTable.find
+        self.view.routes = policy.RouteTable(self.view.routes.policy)
+        self.assertEqual(self.count(policy.RouteTable, "find"), 1)
+        changed = attrs.evolve(self.view.routes.policy, version=2, routes=())
+        self.view.routes = policy.RouteTable(changed)
+        with mock.patch.object(
+            policy.RouteTable, "find", autospec=True, side_effect=find
+        ) as spy:
+            self.assertEqual(self.run_pass(), [])
+        self.assertEqual(spy.call_count, 1)
+
+    def test_services_of_a_changed_route(self):
+        """Guard against items that are sent to the services of an earlier policy."""
+        self.run_pass()
+        known = self.view.routes.policy
+        route = attrs.evolve(known.routes[0], shares=(policy.Share("t", 1.0),))
+        changed = attrs.evolve(known, version=2, routes=(route,))
+        self.view.routes = policy.RouteTable(changed)
+        self.assertEqual(self.run_pass(), [])
+
+    def test_precedence_of_a_batch(self):
+        """Guard against a look-up of the account for each item in each pass."""
+        n_found = self.count(policy.RouteTable, "precedence_of")
+        self.assertEqual(n_found, self.N_PASSES)
+
+    def test_calls(self):
+        """Guard against many calls per item in a pass that can send some of them.
+
+        Hundreds of items wait after each submission. At 68 calls for each of them, most
+        for values that are the same for all items of a batch, passes took a third of
+        the process's time.
+        """
+        more = self.n_calls(400) - self.n_calls(200)
+        self.assertLess(more, 200 * 55)
+
+    def n_calls(self, n_items, n_free=1):
+        """Return the number of calls that a pass with `n_items` waiting items makes.
+
+        There are `n_free` free run slots, and no request has a crash history.
+        """
+        view = types.SimpleNamespace(crashes=quarantine.CrashHistory())
+        self.runner._items._crashes = crash_watch.CrashWatch(view, None)
+        self.runner.end("b")
+        items = tuple(
+            model.Item(f"i{n}", "/p/x", {}, b"body", 20, f"g{n // 8}")
+            for n in range(n_items)
+        )
+        batch = model.Batch(f"b{n_items}", "h", items, model="m")
+        self.runner.accept(model.KeptBatch.of(batch, 0.0))
+        self.run_pass()
+        known = list(self.runner._engines.by_id.values())
+        for engine in known:
+            engine.n_running = engine.upstream.n_slots
+        known[0].n_running -= n_free
+        events = collections.Counter()
+        sys.setprofile(lambda frame, event, argument: events.update((event,)))
+        try:
+            with mock.patch.object(self.runner, "_send"):
+                self.runner._run_pass()
+        finally:
+            sys.setprofile(None)
+        self.runner.end(batch.batch_id)
+        return events["call"] + events["c_call"]
