Batches: no description of waiting items while all engines are full

Cause: each end of a load, announcement or change of the policy makes a pass due. While no engine has a free run slot, such a pass described, ranked and sorted all waiting items, and then assigned none.

Change: the pass ends before that if each usable engine runs as many items as it has run slots. An engine that gets fewer slots at the moment (a slow one) does not count as full by this check, so no item waits longer than before.

--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -249,6 +249,9 @@
 
     def _send_items(self, usable: Sequence[engines.Engine], now: float) -> None:
         slow_ids = self._engines.slow_ids(now)
+        if not any(_may_have_free_slot(each) for each in usable):
+            # Under load this is the usual case, and there are hundreds of items.
+            return
         items = self._sendable(now) + self._movable(slow_ids)
         if not items:
             return
@@ -365,6 +368,12 @@
         self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
 
 
+def _may_have_free_slot(engine: engines.Engine) -> bool:
+    """Return False only if `engine` certainly takes no other item now."""
+    n_slots = max(engine.upstream.n_slots, engines.PROBE_SLOTS)
+    return engine.n_running < n_slots
+
+
 def _pause_seconds(pass_seconds: float) -> float:
     """Return the pause before the next scheduling pass, in seconds.
 
--- a/tests/test_batches_scheduling_pass.py
+++ b/tests/test_batches_scheduling_pass.py
@@ -299,6 +299,15 @@
         more = self.n_calls(400) - self.n_calls(200)
         self.assertLess(more, 200 * 55)
 
+    def test_full_engines(self):
+        """Guard against a description of each waiting item while all engines are full.
+
+        Each event of an item may make a pass due, and under load none of them can send
+        anything.
+        """
+        more = self.n_calls(400, n_free=0) - self.n_calls(200, n_free=0)
+        self.assertLess(more, 200 * 5)
+
     def n_calls(self, n_items, n_free=1):
         """Return the number of calls that a pass with `n_items` waiting items makes.
 
