Requests: keep also the socket of an unframed stream registered

Cause: a stream that ends with its connection takes the socket from the connection, so its socket was registered at the hub for each event.

Change: a connection remembers the socket that it was opened with, and `staying_registered` uses it while the connection has none.

The new test reads streams of both framings and fails without the change.

--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -36,8 +36,6 @@
 # and logged as failed attempts here, so these warnings are turned off.
 logging.getLogger("urllib3.connection").setLevel(logging.ERROR)
 
-Connection = urllib3.connection.HTTPConnection
-
 
 class _Socket(eventlet.greenio.GreenSocket):  # type: ignore[misc]
     """A socket that raises an error if its connection is reset.
@@ -113,6 +111,14 @@
             self._listener = None
 
 
+class Connection(urllib3.connection.HTTPConnection):
+    """A connection to an upstream."""
+
+    # The socket that it was opened with. An answer that ends with its connection takes
+    # the socket away, so `sock` is None while the body is read.
+    opened_socket: _Socket | None = None
+
+
 @contextlib.contextmanager
 def staying_registered(connection: Connection) -> Iterator[None]:
     """Keep the socket of `connection` registered at the hub while the block reads it.
@@ -122,9 +128,7 @@
     task reads the socket, and while the connection is neither closed nor returned to
     the pool.
     """
-    # An answer that ends with its connection takes the socket from the connection. It
-    # is then registered for each wait.
-    kept = connection.sock
+    kept = connection.opened_socket if connection.sock is None else connection.sock
     if not isinstance(kept, _Socket):
         yield
         return
@@ -195,7 +199,8 @@
         # each request and answer; with the timeout for connecting, it would abort
         # requests to an upstream whose first byte takes longer than that.
         connection = Connection(host.strip("[]"), int(port), timeout=None)
-        connection.sock = _connect(connection.host, connection.port, timeout)
+        connection.opened_socket = _connect(connection.host, connection.port, timeout)
+        connection.sock = connection.opened_socket
         return TakenConnection(connection, is_kept=False)
 
     def keep(
--- a/tests/test_requests_body_reader.py
+++ b/tests/test_requests_body_reader.py
@@ -17,6 +17,7 @@
     watch,
 )
 from tests import helpers
+from tests.fakes import scripted
 
 PART = b"part"
 
@@ -210,3 +211,52 @@
             timer = body._timer._timer
             self.assertTrue(timer.pending)
         self.assertFalse(timer.pending)
+
+
+class Streams(unittest.TestCase):
+    """Streams from a socket, in all framings."""
+
+    N_EVENTS = 20
+
+    def script(self, is_chunked):
+        def script(connection, received):
+            framing = "Transfer-Encoding: chunked\r\n" if is_chunked else ""
+            connection.sendall(f"HTTP/1.1 200 OK\r\n{framing}\r\n".encode())
+            for _ in range(self.N_EVENTS):
+                connection.sendall(scripted.chunk(PART) if is_chunked else PART)
+                for _ in range(10):
+                    eventlet.sleep(0)
+            if is_chunked:
+                connection.sendall(b"0\r\n\r\n")
+            return False
+
+        return script
+
+    @tools.params(("chunks", True), ("close", False))
+    def test_registered_once(self, name, is_chunked):
+        """Guard against a registration at the hub for each event of a stream.
+
+        An answer that ends with its connection takes the socket from the connection.
+        """
+        server = scripted.Scripted(self.script(is_chunked), kind="engine")
+        self.addCleanup(server.stop)
+        resources = attempts.Resources(
+            connections.ConnectionPool(), watch.ClientWatch()
+        )
+        outgoing = outgoing_requests.Outgoing(
+            "r", "POST", "/", {}, b"", clock.now() + 5.0, True, lambda: None
+        )
+        opened = attempts.open_answer(resources.pool, server.address, outgoing)
+        connection = opened[0]
+        number = connection.opened_socket.fileno()
+        hub = hubs.get_hub()
+        with (
+            mock.patch.object(hub, "add", wraps=hub.add) as add,
+            body_reader.reading(resources, outgoing, *opened) as body,
+        ):
+            received = b"".join(body.parts(lambda: 5.0))
+        connection.close()
+        self.assertEqual(received, PART * self.N_EVENTS)
+        own = [call for call in add.call_args_list if call.args[1] == number]
+        self.assertEqual(len(own), 1, name)
+        self.assertNotIn(number, hub.listeners[hub.READ])
