Batches: engines move only where prediction and observation agree; replays

The first replays of four trainers showed engines that moved without need: a trainer that was not behind was predicted to be late, because the estimated length of its longest item was too long, and trainers that no engine could help made others late.

- A trainer that is not behind on its current engines needs no more, whatever is predicted.
- Items that are too long for a step in any case do not count as lateness that engines can reduce.
- An engine is not moved if its trainer loses more than twice what the other gains.
- The usual work is the mean of 12 steps rather than 6.

--- a/bilberrydrum/batches/division.py
+++ b/bilberrydrum/batches/division.py
@@ -16,9 +16,6 @@
 
 from bilberrydrum.batches import engine_shares, lateness
 
-# A trainer counts as behind from this lag on, in seconds. A smaller lag may come from
-# the intervals at which trainers poll.
-BEHIND_SECONDS: Final = 0.5
 # A burst of submissions is over after this time without one, in seconds.
 BURST_GAP_SECONDS: Final = 0.5
 # Maximum time that a burst postpones a change, in seconds.
@@ -52,7 +49,8 @@
     def is_behind(self) -> bool:
         """Return whether a trainer is behind, and engines can be compared."""
         return all(self.rates_by_engine.values()) and any(
-            each.lag_seconds > BEHIND_SECONDS for each in self.loads_by_model.values()
+            each.lag_seconds > lateness.BEHIND_SECONDS
+            for each in self.loads_by_model.values()
         )
 
     def min_change_seconds(self) -> float:
@@ -151,30 +149,34 @@
         if not inputs.is_behind():
             # Engines that have helped a trainer catch up stay with it as long as it
             # would be late without them.
-            if not self._is_by_lateness or not _is_late(inputs, by_work):
-                self._is_by_lateness = False
-                return by_work
-            return self.shares
-        moved = lateness.rebalance(
-            inputs.loads_by_model,
-            inputs.rates_by_engine,
-            self.shares.engine_ids_by_model,
-        )
+            if self._is_by_lateness and self._is_late(inputs, by_work):
+                return self.shares
+            self._is_by_lateness = False
+            return by_work
         self._is_by_lateness = True
-        return engine_shares.Shares(moved)
+        return engine_shares.Shares(
+            lateness.rebalance(
+                inputs.loads_by_model,
+                inputs.rates_by_engine,
+                self.shares.engine_ids_by_model,
+            )
+        )
+
+    def _is_late(self, inputs: Inputs, shares: engine_shares.Shares) -> bool:
+        """Return whether a trainer that is on time would be late with `shares`."""
+
+        def rate_of(given: engine_shares.Shares, model: str) -> float:
+            engine_ids = given.engine_ids_by_model[model]
+            return sum(inputs.rates_by_engine[each] for each in engine_ids)
+
+        return any(
+            load.lateness_seconds(rate_of(shares, model))
+            > load.excess_seconds(rate_of(self.shares, model))
+            for model, load in inputs.loads_by_model.items()
+        )
 
 
 def _demand(inputs: Inputs) -> dict[str, float]:
     return {
         model: load.tokens_per_second() for model, load in inputs.loads_by_model.items()
     }
-
-
-def _is_late(inputs: Inputs, shares: engine_shares.Shares) -> bool:
-    """Return whether a trainer would be late with this division."""
-    for model, load in inputs.loads_by_model.items():
-        engine_ids = shares.engine_ids_by_model[model]
-        rate = sum(inputs.rates_by_engine[each] for each in engine_ids)
-        if load.n_tokens and load.lateness_seconds(rate) > 0:
-            return True
-    return False
--- a/bilberrydrum/batches/lateness.py
+++ b/bilberrydrum/batches/lateness.py
@@ -4,8 +4,9 @@
 steps ahead, from its lag and from the duration of its steps on the engines of its
 model. An engine is moved to the trainer that would be the furthest behind, as long as
 this makes neither that trainer nor the one that gives the engine as late as it would
-have been. So trainers that are all behind converge on the same lateness, and an engine
-that would hardly shorten a step is not moved.
+have been. So trainers that are all behind converge on the same lateness. An engine that
+helps little, and makes another trainer later by much more, is not moved: otherwise one
+trainer that can't be helped would make all others late.
 """
 
 from collections.abc import Iterable, Mapping
@@ -13,6 +14,9 @@
 
 import attrs
 
+# A trainer counts as behind from this lag on, in seconds. A smaller lag may come from
+# the intervals at which trainers poll.
+BEHIND_SECONDS: Final = 0.5
 # Number of steps for which the lateness is predicted.
 HORIZON_STEPS: Final = 4
 # An engine that is moved loads weights for this long, in seconds, and starts no new
@@ -20,6 +24,10 @@
 LOAD_SECONDS: Final = 0.9
 # Minimum improvement by a single engine, in seconds.
 MIN_GAIN_SECONDS: Final = 0.05
+# An engine is not moved if the trainer that gives it loses more than this many times
+# what the other gains. With 2, a trainer gets at most 1.4 times the engines of another
+# one that has the same work and is late as well.
+MAX_LOSS_FACTOR: Final = 2.0
 
 
 @attrs.frozen
@@ -51,13 +59,26 @@
         if not self.n_tokens:
             return -HORIZON_STEPS * self.interval_seconds
         work_seconds = self.n_tokens / max(tokens_per_second, 1e-9)
-        step_seconds = self.longest_seconds + work_seconds
+        # More engines do not help against items that are too long in any case.
+        longest_seconds = min(self.longest_seconds, self.max_step_seconds)
+        step_seconds = longest_seconds + work_seconds
         # A chain of steps delays its trainer by what each step takes too long, and all
         # steps together by work that the engines do not finish within an interval.
         by_chain = (step_seconds - self.max_step_seconds) / self.n_open
         by_work = work_seconds - self.interval_seconds
         return self.lag_seconds + HORIZON_STEPS * max(by_chain, by_work)
 
+    def excess_seconds(self, tokens_per_second: float) -> float:
+        """Return by how much the predicted lateness exceeds what was observed.
+
+        `tokens_per_second` is the rate of the current engines. A trainer that is not
+        behind on them needs no more, although the estimated lengths, which are too long
+        as often as too short, may say so.
+        """
+        if self.lag_seconds > BEHIND_SECONDS or not tokens_per_second:
+            return 0.0
+        return max(self.lateness_seconds(tokens_per_second), 0.0)
+
 
 @attrs.define
 class _Assignment:
@@ -68,6 +89,8 @@
     # Sorted by rate, the slowest first.
     engines_by_model: dict[str, list[str]]
     rates_by_model: dict[str, float]
+    # By how much the prediction exceeds what was observed, in seconds.
+    excess_by_model: dict[str, float]
 
     @classmethod
     def of(
@@ -87,11 +110,18 @@
             model: sum(rates_by_engine[e] for e in engine_ids)
             for model, engine_ids in engines_by_model.items()
         }
-        return cls(loads_by_model, rates_by_engine, engines_by_model, rates_by_model)
+        excess = {
+            model: load.excess_seconds(rates_by_model[model])
+            for model, load in loads_by_model.items()
+        }
+        return cls(
+            loads_by_model, rates_by_engine, engines_by_model, rates_by_model, excess
+        )
 
     def lateness(self, model: str, added_rate: float = 0.0) -> float:
         rate = self.rates_by_model[model] + added_rate
-        return self.loads_by_model[model].lateness_seconds(rate)
+        seconds = self.loads_by_model[model].lateness_seconds(rate)
+        return seconds - self.excess_by_model[model]
 
     def by_lateness(self) -> list[str]:
         """Return the models, the one that is the furthest behind first."""
@@ -110,20 +140,23 @@
 
     def take(self, receiver: str) -> bool:
         """Move the engine to `receiver` that helps most; return whether one does."""
+        before = self.lateness(receiver)
         moves = []
         for donor, engine_ids in self.engines_by_model.items():
             if donor == receiver or len(engine_ids) < 2:
                 continue
             for engine_id in (engine_ids[0], engine_ids[-1]):
                 rate = self.rates_by_engine[engine_id]
+                helped = self.lateness(receiver, rate)
                 given = self.lateness(donor, -rate)
-                later = max(self.lateness(receiver, rate), given)
-                moves.append((later, given, engine_id, donor))
+                later = max(helped, given)
+                loss = -_gain(self.lateness(donor), given)
+                is_worth_it = loss <= MAX_LOSS_FACTOR * _gain(before, helped)
+                if later <= before - MIN_GAIN_SECONDS and is_worth_it:
+                    moves.append((later, given, engine_id, donor))
         if not moves:
             return False
-        later, _, engine_id, donor = min(moves)
-        if later > self.lateness(receiver) - MIN_GAIN_SECONDS:
-            return False
+        _, _, engine_id, donor = min(moves)
         self.move(engine_id, donor, receiver)
         return True
 
--- a/bilberrydrum/batches/pacing.py
+++ b/bilberrydrum/batches/pacing.py
@@ -18,7 +18,7 @@
 # Number of steps from which a trainer's pace is learned.
 N_STEPS: Final = 16
 # The usual work is the mean of this many steps, as the number of groups varies.
-N_WORK_STEPS: Final = 6
+N_WORK_STEPS: Final = 12
 # Intervals that differ by less than this share count as equal.
 SAME_INTERVAL_SHARE: Final = 0.05
 # A submission counts as late if it comes less than this time after the shortest time
--- a/simulation/__main__.py
+++ b/simulation/__main__.py
@@ -44,6 +44,7 @@
     "no tiers": attrs.evolve(_FULL, has_tiers=False),
     "batches by submission": attrs.evolve(_FULL, has_start_by=False),
     "no engine shares": attrs.evolve(_FULL, has_shares=False),
+    "no division": attrs.evolve(_FULL, has_division=False),
     "oldest text scored first": attrs.evolve(_FULL, has_scoring_order=False),
     "no reserved slots": attrs.evolve(_FULL, n_reserved_slots=0),
 }
--- a/simulation/load.py
+++ b/simulation/load.py
@@ -1,5 +1,7 @@
 """The parameters and results of a simulation; all times are in seconds."""
 
+import collections
+
 import attrs
 
 from bilberrydrum.batches import scoring
@@ -38,16 +40,26 @@
     training_seconds: float | None = None
     # Time after which a trainer ends an incomplete step.
     step_timeout_seconds: float = 12.0
-    # Start and length of an outage, in which no engine generates.
+    # Start and length of an outage, in which the engines of one of the zones do not
+    # generate.
     outage_at: float = 0.0
     outage_seconds: float = 0.0
+    n_zones: int = 1
     n_engines: int = 6
+    # Whether engines serve only the models that they are assigned to, as each step
+    # requires a newer version. Otherwise they also serve others.
+    needs_new_weights: bool = False
     # Number of items that an engine runs at a time.
     engine_capacity: int = 12
     # Time of one event at an engine that runs one item, and the time that each further
     # item adds.
     event_seconds: float = 0.035
     extra_item_seconds: float = 0.00075
+    # Number of engines that are slower than the others, and by which factor.
+    n_slow_engines: int = 0
+    slow_factor: float = 1.0
+    # Time for which an engine that was moved to another model starts no items of it.
+    load_seconds: float = 0.9
     # Upstreams and slots of the scoring service, which also serves look-ups.
     n_upstreams: int = 3
     n_slots: int = 6
@@ -86,6 +98,9 @@
     # Each engine is assigned to one model, and serves others only if no other engine
     # can; otherwise all engines are assigned to all models.
     has_shares: bool = True
+    # Engines move between models by the work and lag of their trainers; otherwise each
+    # model always has the same engines.
+    has_division: bool = True
 
 
 @attrs.define
@@ -103,3 +118,9 @@
     # in time, and `rollouts.LATE_SHARE` for each late one.
     earned: float = 0.0
     n_steps_begun: int = 0
+    # By trainer: how much later than its time each step was submitted, and the number
+    # of steps of which enough groups were complete.
+    lateness_seconds: dict[int, list[float]] = attrs.field(factory=dict)
+    n_steps_done: collections.Counter[int] = attrs.field(factory=collections.Counter)
+    # Number of times that an engine was moved to another model.
+    n_moved_engines: int = 0
