Batches: refuse a batch whose items would be abandoned in the queue

Under overload, batches were accepted whatever the queue held. Their items delayed others, were abandoned after max_queue_s, and the submitter learned of it at the deadline.

The stores' leader now decides before it commits a batch. It measures the tokens per second that the engines deliver while items wait, and counts the queued work by account, or by model without accounts, with equal shares of the engines. A batch is refused if its work would end later than max_queue_s. The answer is 503, not run, and Retry-After is the time until it would fit. A batch that is stored, or whose proposal may still be committed, is not refused. If an attempt of the same call got no answer, the gateway answers 502, since that attempt may still arrive. Submit has a new field, so that a leader never sends the new answer to an older gateway.

--- a/bilberrydrum/batches/backlog.py
+++ b/bilberrydrum/batches/backlog.py
@@ -96,7 +96,7 @@
         Rate of the engines; 0 if it is not known.
     """
     queued = queued_by_owner.get(given.owner, 0.0)
-    if not given.max_queue_seconds or not tokens_per_second or not queued:
+    if not given.max_queue_seconds or not tokens_per_second:
         return 0.0
     others = [n for owner, n in queued_by_owner.items() if owner != given.owner]
 
@@ -108,4 +108,5 @@
     largest = given.max_queue_seconds * tokens_per_second
     seconds = seconds_until_done(queued + min(given.n_tokens, largest))
     excess = max(seconds - given.max_queue_seconds, 0.0)
+    # This is 0 if the owner itself has nothing queued.
     return min(excess, seconds_until_done(queued))
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -107,9 +107,11 @@
         histogram = counters.ITEM_ATTEMPT_SECONDS.labels(attempt_result.outcome.value)
         histogram.observe(seconds)
         _log_attempt(opened, run, engine, attempt_result, seconds)
-        if attempt_result.outcome is item_run.Outcome.COMPLETED and not n_before:
+        if attempt_result.outcome is item_run.Outcome.COMPLETED:
             n_expected = run.n_expected_output_tokens()
-            self._pace.record(n_expected, len(run.text.parts), seconds)
+            self._pace.throughput.record_finished(n_expected)
+            if not n_before:
+                self._pace.record(n_expected, len(run.text.parts), seconds)
         self._apply_result(opened, run, engine, attempt_result)
         self._update_crash_history(opened, run, engine, attempt_result, seconds)
 
--- a/bilberrydrum/batches/messages.py
+++ b/bilberrydrum/batches/messages.py
@@ -7,9 +7,10 @@
 
 from bilberrydrum import codec
 from bilberrydrum.batches import model
+from bilberrydrum.state import leader_calls
 
 
-@codec.register("batches.submit")
+@codec.register("batches.submit", added_fields=("accepts_refusal",))
 @attrs.frozen
 class Submit:
     """Store a batch and run its items."""
@@ -18,11 +19,14 @@
     n_items: int
     # Made by `model.pack_batch`.
     data: bytes
+    # Whether the sender knows the answer `Refused`. An earlier release would take it
+    # for a lost answer, and tell its client that the batch may run.
+    accepts_refusal: bool = False
 
     @classmethod
     def of(cls, batch: model.Batch) -> "Submit":
         """Return the message that submits `batch`."""
-        return cls(batch.batch_id, len(batch.items), model.pack_batch(batch))
+        return cls(batch.batch_id, len(batch.items), model.pack_batch(batch), True)
 
 
 @codec.register("batches.submitted")
@@ -31,6 +35,15 @@
     """Answer to `Submit`: the batch is stored."""
 
 
+@codec.register("batches.refused")
+@attrs.frozen
+class Refused(leader_calls.NoEffect):
+    """Answer to `Submit`: the batch is not stored, since its items would not start."""
+
+    # Time until the queue has room, in seconds.
+    retry_after_seconds: float
+
+
 @codec.register("batches.read")
 @attrs.frozen
 class Read:
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -7,6 +7,7 @@
 which engine runs what; `loader` orders engines to load new weights.
 """
 
+import collections
 import functools
 import time
 from collections.abc import Callable, Iterable, Sequence
@@ -19,6 +20,7 @@
 
 from bilberrydrum import clock, quarantine, upstream_protocol
 from bilberrydrum.batches import (
+    backlog,
     engine_divider,
     engine_shares,
     engines,
@@ -159,6 +161,28 @@
             self._submit_reusable(opened, result)
         self.wake()
 
+    def has_queue(self) -> bool:
+        """Return whether items wait for an engine."""
+        return any(
+            True for opened in self._work.open_batches() for _ in opened.waiting_runs()
+        )
+
+    def retry_after_seconds(self, batch: model.Batch) -> float:
+        """Return after how many seconds there is room for a batch; 0: there is."""
+        route = work.route_of(batch, self._view.routes)
+        n_tokens = sum(e.n_expected_output_tokens or e.n_tokens for e in batch.items)
+        queued: collections.Counter[tuple[str, str]] = collections.Counter()
+        for each in self._work.open_batches():
+            owner = backlog.owner_of(each.batch.account, each.batch.model)
+            queued[owner] += each.n_waiting_tokens()
+        submission = backlog.Submission(
+            backlog.owner_of(batch.account, batch.model),
+            n_tokens,
+            route.max_queue_seconds if route is not None else 0.0,
+        )
+        rate = self._pace.throughput.tokens_per_second()
+        return backlog.retry_after_seconds(submission, queued, rate)
+
     def _submit_reusable(self, opened: work.OpenBatch, result: model.Result) -> None:
         run = opened.runs_by_item_id[result.item_id]
         if run.item.is_finished_by(result):
@@ -242,6 +266,7 @@
             for opened in self._work.open_batches()
             if any(True for _ in opened.waiting_runs())
         }
+        self._pace.throughput.observe(bool(waiting_models), now)
         versions_by_model = self._view.registry.versions_by_model
         self._loader.step(now, usable, versions_by_model, waiting_models, self._shares)
 
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -14,7 +14,7 @@
 import eventlet.queue
 import result
 
-from bilberrydrum import clock, transport, upstream_protocol
+from bilberrydrum import clock, counters, reasons, transport, upstream_protocol
 from bilberrydrum.batches import commands, hooks, messages, model, runner, texts
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.relay import crash_watch, relay
@@ -96,6 +96,8 @@
         self._n_runners = 0
         # Whether updates were dropped that the active runner treats as committed.
         self._has_dropped_results = False
+        # Batches that were proposed in this term and may still be committed.
+        self._proposed_ids: set[str] = set()
         self._term = 0
         self._results_changed = eventlet.event.Event()
         self._role_changed = eventlet.event.Event()
@@ -159,6 +161,9 @@
             self._start_runner(held.term)
 
     def _start_runner(self, term: int) -> None:
+        if term != self._term:
+            # Earlier proposals are committed by now, or lost.
+            self._proposed_ids.clear()
         self._term = term
         self._has_dropped_results = False
         self._n_runners += 1
@@ -308,17 +313,44 @@
     def _on_submit(self, sender: transport.Sender, message: messages.Submit) -> Any:
         if message.batch_id in self._section().batches_by_id:
             return messages.Submitted()
+        refused = self._find_refusal(message)
+        if refused is not None:
+            return refused
         command = commands.AcceptBatch(
             message.batch_id, message.n_items, message.data, self._retention_seconds
         )
+        self._proposed_ids.add(message.batch_id)
         proposed = self._replica.propose(command, COMMIT_SECONDS)
         if isinstance(proposed, result.Ok):
+            self._proposed_ids.discard(message.batch_id)
             return messages.Submitted()
         # The batch may still be committed. If the answer said that it was not, the
         # gateway would refuse the batch with the promise that it never runs.
         is_unclear = proposed.err_value.may_have_applied
+        if not is_unclear:
+            self._proposed_ids.discard(message.batch_id)
         return leader_service.UNKNOWN_OUTCOME if is_unclear else None
 
+    def _find_refusal(self, message: messages.Submit) -> messages.Refused | None:
+        """Return the refusal of a batch that is not stored; None: it is accepted."""
+        active = self._runner
+        if active is None or not message.accepts_refusal or not active.has_queue():
+            return None
+        if message.batch_id in self._proposed_ids:
+            # An earlier message with this batch may still be committed. A refusal would
+            # promise that the batch does not run.
+            return None
+        seconds = active.retry_after_seconds(model.unpack_batch(message.data))
+        if not seconds:
+            return None
+        counters.refused(reasons.Reason.BATCH_QUEUE_FULL)
+        eliot.log_message(
+            message_type="batches:refused",
+            batch_id=message.batch_id,
+            retry_after_seconds=round(seconds, 3),
+        )
+        return messages.Refused(seconds)
+
     def _on_read(self, sender: transport.Sender, message: messages.Read) -> Any:
         deadline = clock.now() + message.wait_seconds
         while True:
--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -27,6 +27,8 @@
 
 import attrs
 
+from bilberrydrum.batches import backlog
+
 GroupKey = tuple[str, str]
 
 # Time per event that is assumed before any was measured, in seconds: that of a full
@@ -69,6 +71,8 @@
         self._event_seconds = FIRST_EVENT_SECONDS
         self._tokens_per_event = 1.0
         self._has_samples = False
+        # What the engines deliver while items wait.
+        self.throughput = backlog.Throughput()
         # Duration of a scoring request in seconds, without the wait before it is sent.
         self.scoring_seconds = FIRST_SCORING_SECONDS
 
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -81,10 +81,13 @@
                 saves.append(save)
         return saves
 
+    def n_waiting_tokens(self) -> int:
+        """Return the expected output tokens of the items that wait for an engine."""
+        return sum(each.n_expected_output_tokens() for each in self.waiting_runs())
+
     def route(self, routes: policy.RouteTable) -> policy.Route | None:
         """Return the current route of its items; None: the route was removed."""
-        path = self.batch.items[0].target.partition("?")[0]
-        return routes.find(self.batch.host, path)
+        return route_of(self.batch, routes)
 
     def give_up_at(self, route: policy.Route | None) -> float:
         """Return when its unfinished items are given up, in seconds of `clock.now`."""
@@ -107,6 +110,12 @@
         return self.due_at(route) - urgency.READ_SECONDS
 
 
+def route_of(batch: model.Batch, routes: policy.RouteTable) -> policy.Route | None:
+    """Return the current route of a batch's items; None: there is none."""
+    path = batch.items[0].target.partition("?")[0]
+    return routes.find(batch.host, path)
+
+
 class OpenBatches:
     """All open batches, and the texts of ended ones that they may reuse."""
 
--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -34,6 +34,7 @@
     APPLICATION_UNKNOWN = "application-unknown"
     NO_UPSTREAM = "no-upstream"
     QUEUE_FULL = "queue-full"
+    BATCH_QUEUE_FULL = "batch-queue-full"
     DEADLINE_UNREACHABLE = "deadline-unreachable"
     RETRY_BUDGET_SPENT = "retry-budget-spent"
     KEY_REUSED = "key-reused"
--- a/bilberrydrum/state/leader_calls.py
+++ b/bilberrydrum/state/leader_calls.py
@@ -36,6 +36,14 @@
     may_have_applied: bool = False
 
 
+class NoEffect:
+    """Base of answers of a leader which say that the call had no effect.
+
+    An earlier attempt of the same call that was not answered may still arrive and take
+    effect. The call then fails with an unknown outcome instead.
+    """
+
+
 class LeaderCalls:
     """Calls the leader of a group."""
 
@@ -113,6 +121,8 @@
                 may_have_applied = True
             elif isinstance(answer, NotLeading):
                 may_have_applied |= answer.may_have_applied
+            elif may_have_applied and isinstance(answer, NoEffect):
+                break
             else:
                 return result.Ok(answer)
         return result.Err(
--- a/tests/test_batches_division.py
+++ b/tests/test_batches_division.py
@@ -71,11 +71,27 @@
         Its items are too long for its steps, so no number of engines helps it.
         """
         hopeless = attrs.evolve(LOAD, longest_seconds=9.0, lag_seconds=100.0)
-        loads = {"a": hopeless, "b": LOAD, "c": LOAD}
+        other = attrs.evolve(LOAD, n_tokens=8000.0)
+        loads = {"a": hopeless, "b": other, "c": other}
         _, after = self.rebalanced(loads, rates(9))
         for name in ("b", "c"):
             rate = 1000.0 * len(after[name])
-            self.assertLessEqual(LOAD.lateness_seconds(rate), 2.0)
+            self.assertLessEqual(other.lateness_seconds(rate), 1.0)
+
+    def test_trainer_on_time_gets_no_engines(self):
+        """Guard against engines that move because a length is overestimated.
+
+        One trainer is on time although its items should be too long for that. Another
+        one is behind and needs engines.
+        """
+        loads = {
+            "a": attrs.evolve(LOAD, longest_seconds=9.0, n_tokens=9000.0),
+            "b": attrs.evolve(LOAD, n_tokens=14000.0, lag_seconds=2.0),
+            "c": LOAD,
+        }
+        before, after = self.rebalanced(loads, rates(9))
+        self.assertLessEqual(after["a"], before["a"])
+        self.assertGreater(len(after["b"]), 3)
 
     @tools.params(
         ("a small gain", attrs.evolve(LOAD, n_tokens=12100.0, lag_seconds=0.6)),
--- a/tests/test_batches_service.py
+++ b/tests/test_batches_service.py
@@ -60,6 +60,8 @@
     is_stopped: bool = False
     # Raised by each call of `stop`.
     fault: Exception | None = None
+    # What a batch that is submitted would have to wait; 0: nothing.
+    wait_seconds: float = 0.0
 
     def start(self, kept):
         for each in kept:
@@ -77,6 +79,12 @@
     def end(self, batch_id):
         pass
 
+    def has_queue(self):
+        return self.wait_seconds > 0
+
+    def retry_after_seconds(self, batch):
+        return self.wait_seconds
+
     def stop(self):
         self.is_stopped = True
         if self.fault is not None:
@@ -309,14 +317,60 @@
         self.replica.intervene = lambda command: result.Err(
             client.StateError(reasons.Reason.STATE_UNAVAILABLE, may_have_applied)
         )
-        handlers = {call.args[0]: call.args[1] for call in self.carrier.on.mock_calls}
-        submit = messages.Submit("d", 2, accept("d").data)
-        handlers[messages.Submit](mock.Mock(), submit)
-        self.wait_for(lambda: self.carrier.answer.called)
-        answer = self.carrier.answer.call_args.args[1]
+        answer = self.submit(messages.Submit("d", 2, accept("d").data))
         self.assertIsInstance(answer, leader_calls.NotLeading, name)
         self.assertEqual(answer.may_have_applied, may_have_applied, name)
 
+    def submit(self, message):
+        """Return the answer to a submission."""
+        self.carrier.answer.reset_mock()
+        handlers = {call.args[0]: call.args[1] for call in self.carrier.on.mock_calls}
+        handlers[messages.Submit](mock.Mock(), message)
+        self.wait_for(lambda: self.carrier.answer.called)
+        return self.carrier.answer.call_args.args[1]
+
+    def test_refused_batch_is_not_stored(self):
+        """Guard against a batch that runs although it was refused as not run."""
+        self.runners[0].wait_seconds = 12.5
+        n_proposed = len(self.replica.proposed)
+        submit = messages.Submit("d", 2, accept("d").data, accepts_refusal=True)
+        self.assertEqual(self.submit(submit), messages.Refused(12.5))
+        self.assertEqual(len(self.replica.proposed), n_proposed)
+        self.runners[0].wait_seconds = 0.0
+        self.assertEqual(self.submit(submit), messages.Submitted())
+        self.assertIn("d", commands.section_of(self.replica.state()).batches_by_id)
+
+    @tools.params(
+        ("stored", "b", True),
+        ("from an earlier release", "d", False),
+    )
+    def test_batch_that_is_not_refused(self, name, batch_id, accepts_refusal):
+        """Guard against a batch that runs, and whose submitter is told otherwise.
+
+        A submission is sent again if its answer was lost. A gateway of an earlier
+        release drops the refusal as unknown, and answers that the outcome is unknown.
+        """
+        self.runners[0].wait_seconds = 12.5
+        data = accept(batch_id).data
+        submit = messages.Submit(batch_id, 2, data, accepts_refusal)
+        self.assertEqual(self.submit(submit), messages.Submitted(), name)
+
+    def test_batch_that_may_be_committed_is_not_refused(self):
+        """Guard against a batch that runs although its submission was refused.
+
+        The commit takes too long, and the gateway sends the submission again. In the
+        meantime the queue has grown. If the second submission were refused, the client
+        would learn that the batch does not run, and the first one may be committed.
+        """
+        submit = messages.Submit("d", 2, accept("d").data, accepts_refusal=True)
+        self.replica.intervene = lambda command: result.Err(
+            client.StateError(reasons.Reason.STATE_UNAVAILABLE, True)
+        )
+        self.assertIsInstance(self.submit(submit), leader_calls.NotLeading)
+        self.replica.intervene = lambda command: None
+        self.runners[0].wait_seconds = 12.5
+        self.assertEqual(self.submit(submit), messages.Submitted())
+
     def test_score_without_its_text_finishes_nothing(self):
         """Guard against an item that is never listed.
 
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -42,6 +42,7 @@
 SCORED_ITEM = {**ITEM, "scorer": SCORER}
 BATCH = {"step": 7, "model": "m", "min_version": 6, "desired": 1, "requests": [ITEM]}
 SUBMITTED = result.Ok(batch_messages.Submitted())
+REFUSED = result.Ok(batch_messages.Refused(2.2))
 RESULT = batch_model.Result.of("i1", batch_model.ItemState.COMPLETED, b"a\nb", (6, 7))
 PAGE = result.Ok(batch_messages.Page(True, 3, (RESULT,)))
 UNKNOWN_PAGE = result.Ok(batch_messages.Page(False))
@@ -65,6 +66,7 @@
         ("accepted", "POST", "/b/1", BATCH, SUBMITTED, 202),
         ("not accepted", "POST", "/b/1", BATCH, shared.state_error(False), 503),
         ("outcome unknown", "POST", "/b/1", BATCH, shared.state_error(), 502),
+        ("queue is full", "POST", "/b/1", BATCH, REFUSED, 503),
         ("not JSON", "POST", "/b/1", b"{", None, 400),
         ("no items", "POST", "/b/1", {**BATCH, "requests": []}, None, 400),
         ("items are text", "POST", "/b/1", {**BATCH, "requests": "x"}, None, 400),
@@ -224,6 +226,12 @@
         given = self.call(node, "POST", "/b/1", {**BATCH, "requests": [item]})
         self.assertEqual(given.status, 400)
 
+    def test_refused_batch_names_the_time_to_retry(self):
+        """Guard against trainers that submit a refused batch again at once."""
+        given = self.call(shared.Node(REFUSED), "POST", "/b/1", BATCH)
+        self.assertEqual(dict(given.headers)["Retry-After"], "3")
+        self.assertEqual(json.loads(given.body)["reason"], "batch-queue-full")
+
     def test_score_is_translated(self):
         scored = attrs.evolve(RESULT, score="mark")
         page = result.Ok(batch_messages.Page(True, 3, (scored, RESULT)))
--- a/tests/test_state_leader_calls.py
+++ b/tests/test_state_leader_calls.py
@@ -103,5 +103,20 @@
         answer = self.call(getattr(self, handler), term)
         self.assertEqual(answer.unwrap_err().may_have_applied, may_have_applied, name)
 
+    @tools.params(("first attempt", False), ("after a lost answer", True))
+    def test_refusal(self, name: str, is_answer_lost: bool) -> None:
+        """Guard against a batch that runs although its submission was refused.
+
+        The first attempt was not answered, so it may still arrive and be accepted.
+        """
+        answers: list[Any] = [batch_messages.Refused(2.0)]
+        if is_answer_lost:
+            answers.insert(0, leader_service.UNKNOWN_OUTCOME)
+        answer = self.call(lambda replica: answers.pop(0), 3)
+        if is_answer_lost:
+            self.assertTrue(answer.unwrap_err().may_have_applied, name)
+        else:
+            self.assertEqual(answer.unwrap(), batch_messages.Refused(2.0), name)
+
     def test_answer_of_a_leader(self) -> None:
         self.assertEqual(self.call(self.commits, 3), result.Ok(TAKEN))
