Batches: engines that were all lost for a moment keep their models

When all engines were cut off, the division was forgotten, and they were divided anew in the order of their ids when they returned, so each of them could load other weights. The division is now derived again from the loaded versions, as by a new leader. The new test fails without this.

--- a/bilberrydrum/batches/engine_divider.py
+++ b/bilberrydrum/batches/engine_divider.py
@@ -78,7 +78,6 @@
         self._first_submitted_at = float("inf")
         self._rates = EngineRates()
         self._division = division.Division()
-        self._is_first = True
         self._evaluated_at = float("-inf")
 
     def stop(self) -> None:
@@ -132,8 +131,7 @@
         `newest_by_model` are the newest published versions.
         """
         assignable = known.assignable(now)
-        if self._is_first and assignable:
-            self._is_first = False
+        if assignable and not self._division.shares.engine_ids_by_model:
             self._resume(assignable, newest_by_model, now)
         engine_ids = {each.upstream_id for each in assignable}
         has_changed = engine_ids != self._division.engine_ids
@@ -155,7 +153,10 @@
         newest_by_model: Mapping[str, int],
         now: float,
     ) -> None:
-        """Begin with the engines that serve each model's newest versions."""
+        """Begin with the engines that serve each model's newest versions.
+
+        Called at the first pass, and when engines return after all were lost.
+        """
         versions = {each.upstream_id: each.versions_by_model for each in assignable}
         loaded = engine_shares.loaded(versions, newest_by_model)
         if loaded.engine_ids_by_model:
--- a/tests/test_batches_engine_divider.py
+++ b/tests/test_batches_engine_divider.py
@@ -189,7 +189,7 @@
         ids = sorted(self.engines.by_id)
         self.newest = dict.fromkeys(MODELS, 3)
         for n, name in enumerate(MODELS):
-            self.load(ids[4 * n : 4 * n + 4], name, 3)
+            self.load(ids[n::4], name, 3)
         return ids
 
     def lead(self, now, kept=()):
@@ -255,6 +255,18 @@
         """All processes and engines have just started: the division is equal."""
         self.assertEqual(set(self.lead(0.0).sizes().values()), {4})
 
+    def test_all_engines_are_lost_for_a_moment(self):
+        """Guard against engines that load weights again after they were cut off."""
+        ids = self.load_evenly()
+        before = self.lead(0.0)
+        lost = dict(self.engines.by_id)
+        self.engines.by_id.clear()
+        self.assertEqual(self.sizes(1.0), {})
+        self.divider.record_submission(batch("m0", 0), 1.0)
+        for each in reversed(ids):
+            self.engines.by_id[each] = lost[each]
+        self.assertEqual(self.step(5.0), before)
+
     def test_engine_that_is_not_announced_yet(self):
         """Guard against a new leader that divides all engines anew for a late one.
 
@@ -266,5 +278,5 @@
         self.engines.by_id[ids[5]] = late
         shares = self.step(0.3)
         for n, name in enumerate(MODELS):
-            expected = frozenset(ids[4 * n : 4 * n + 4])
+            expected = frozenset(ids[n::4])
             self.assertEqual(shares.engine_ids_by_model[name], expected)
