--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -30,7 +30,7 @@
 
 import attrs
 
-from bilberrydrum.batches import memory_forecast
+from bilberrydrum.batches import backlog, memory_forecast
 
 GroupKey = tuple[str, str]
 
@@ -75,6 +75,8 @@
         # Expected output tokens per event of finished items.
         self.tokens_per_event = 1.0
         self._has_samples = False
+        # What the engines deliver while items wait.
+        self.throughput = backlog.Throughput()
         # Duration of a scoring request in seconds, without the wait before it is sent.
         self.scoring_seconds = FIRST_SCORING_SECONDS
 
--- a/bilberrydrum/batches/work.py
+++ b/bilberrydrum/batches/work.py
@@ -88,13 +88,16 @@
                 saves.append(save)
         return saves
 
+    def n_waiting_tokens(self) -> int:
+        """Return the expected output tokens of the items that wait for an engine."""
+        return sum(each.n_expected_output_tokens() for each in self.waiting_runs())
+
     def route(self, routes: policy.RouteTable) -> policy.Route | None:
         """Return the current route of its items; None: the route was removed."""
         # It is needed for each waiting item in each scheduling pass. Each change of the
         # policy creates a new table, so comparing identities is enough.
         if routes is not self._routes:
-            path = self.batch.items[0].target.partition("?")[0]
-            self._route = routes.find(self.batch.host, path)
+            self._route = route_of(self.batch, routes)
             self._routes = routes
         return self._route
 
@@ -126,6 +129,12 @@
         return self.due_at(route) - urgency.READ_SECONDS
 
 
+def route_of(batch: model.Batch, routes: policy.RouteTable) -> policy.Route | None:
+    """Return the current route of a batch's items; None: there is none."""
+    path = batch.items[0].target.partition("?")[0]
+    return routes.find(batch.host, path)
+
+
 class OpenBatches:
     """All open batches, and the texts of ended ones that they may reuse."""
 
