--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -71,7 +71,11 @@
         self._stays_registered = True
 
     def unregister(self) -> None:
-        """End the registration; must be called before the descriptor is closed."""
+        """End the registration.
+
+        If a failed read has closed the descriptor, no other task may run before this:
+        its next connection could get the same descriptor.
+        """
         self._stays_registered = False
         self._remove_listener()
 
