--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -214,7 +214,13 @@
     only if an account has items that can no longer be on time.
     """
     assignments = []
-    tiers = _tiers_by_group(items, capacities, now)
+    tiers = urgency.tiers_by_group(
+        (
+            urgency.Candidate(e.group_key, e.late_at, e.is_spare, e.model, e.done_by)
+            for e in items
+        ),
+        now,
+    )
     deprioritized = _deprioritized(items, capacities, now, count_running)
 
     def order(item: WaitingItem) -> tuple[Any, ...]:
@@ -229,26 +235,6 @@
     return assignments
 
 
-def _tiers_by_group(
-    items: Sequence[WaitingItem], capacities: Sequence[EngineCapacity], now: float
-) -> dict[urgency.GroupKey, urgency.Tier]:
-    candidates = [
-        urgency.Candidate(
-            each.group_key,
-            each.late_at,
-            each.is_spare,
-            each.model,
-            each.done_by,
-            each.done_by - each.start_by,
-        )
-        for each in items
-    ]
-    n_slots = sum(each.n_slots for each in capacities)
-    if not urgency.is_surplus_deferred(candidates, n_slots, now):
-        candidates = [attrs.evolve(each, is_spare=False) for each in candidates]
-    return urgency.tiers_by_group(candidates, now)
-
-
 def _deprioritized(
     items: Sequence[WaitingItem],
     capacities: Sequence[EngineCapacity],
--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -11,11 +11,8 @@
 
 - Long items start first, and short ones use the remaining capacity.
 - Batches that are due earlier go first, but only as far as they need to.
-- Surplus groups, which the trainer does not wait for, are the groups whose longest item
-  is expected to be the longest. They go last if items that are waited for would
-  otherwise be late. If not, they start with the others: estimates are wrong by half and
-  more, and if another group turns out to be the longest, the trainer waits for the
-  surplus one, which has started a second or two late.
+- Surplus groups, which the trainer does not wait for, go last. They are the groups
+  whose longest item is expected to be the longest.
 - Groups that can no longer be complete in time go after those that can. Under overload,
   each late group would otherwise make another one late.
 - A late group does not go after its own trainer's next step, because the trainer starts
@@ -163,24 +160,6 @@
     model: str = ""
     # Time at which its batch is due, in seconds of the clock.
     done_by: float = 0.0
-    # How long the item is expected to run.
-    seconds: float = 0.0
-
-
-def is_surplus_deferred(
-    candidates: Iterable[Candidate], n_slots: int, now: float
-) -> bool:
-    """Return whether surplus groups must wait until all others have started.
-
-    `n_slots` is the number of run slots of all engines. The items that wait take them
-    in turn, so an item may have to wait for the total time of all others divided by
-    this number.
-    """
-    given = list(candidates)
-    queue_seconds = sum(max(each.seconds, 0.0) for each in given) / max(n_slots, 1)
-    return any(
-        each.late_at < now + queue_seconds for each in given if not each.is_spare
-    )
 
 
 def tiers_by_group(candidates: Iterable[Candidate], now: float) -> dict[GroupKey, Tier]:
--- a/tests/test_batches_urgency.py
+++ b/tests/test_batches_urgency.py
@@ -140,31 +140,6 @@
         self.assertLess(tiers["other"], tiers["late"])
 
 
-class DeferredSurplus(unittest.TestCase):
-    """Surplus groups start last, and then a trainer has to wait for one of them.
-
-    The estimates of another group were too low, so the surplus group is complete first,
-    but it has started a second or two late. So surplus groups are deferred only if they
-    would make others late.
-    """
-
-    @tools.params(
-        ("run slots for all", 8, 4.0, False),
-        ("the queue ends in time", 2, 4.0, False),
-        ("the queue ends too late", 1, 4.0, True),
-        ("an item is late already", 8, -0.1, True),
-    )
-    def test_deferred(self, name, n_slots, late_at, expected):
-        wanted = [urgency.Candidate(n, late_at, False, seconds=1.0) for n in range(4)]
-        surplus = urgency.Candidate("s", late_at, True, seconds=2.0)
-        deferred = urgency.is_surplus_deferred([*wanted, surplus], n_slots, 0.0)
-        self.assertEqual(deferred, expected, name)
-
-    def test_late_surplus_items_alone_defer_nothing(self):
-        surplus = urgency.Candidate("s", -1.0, True, seconds=2.0)
-        self.assertFalse(urgency.is_surplus_deferred([surplus], 1, 0.0))
-
-
 class Spare(unittest.TestCase):
     """Surplus groups, which a trainer does not wait for."""
 
