--- a/tests/test_batches_ended.py
+++ b/tests/test_batches_ended.py
@@ -221,8 +221,8 @@
         with mock.patch.object(node_protocol.PlainProtocol, "read_head", with_factor):
             self.begin(1)
         engine = self.runner._engines.by_id["e1"]
-        self.assertEqual(engine.work_factor, 2.5)
-        self.assertGreaterEqual(engine.work_factor_at, began)
+        self.assertEqual(engine.speed.work_factor(began), 1.0)
+        self.assertEqual(engine.speed.work_factor(clock.now()), 2.5)
 
 
 class Moves(RunnerCase):
