Defer runs of items that were cut off four times while engines crash

Cause: an unrelated item was quarantined beside culprits in a burst of unrelated crashes. Its history is that of a culprit, so a verdict that frees it frees a culprit as well.

Crashes of quarantined culprits not counted: little difference.

Change: an item with four crashes is sent once no engine has crashed for 2 s, or 6 s after its latest crash. No crash is excused, so the bound of six holds. The fake of engines defers them as the product does, and records crashes of engines at which all runs were healthy, as the product does. tests/test_batches_scheduling_pass: its stub of the crash watch has the new method.

Safeguard removed in a scratch copy: test_must_wait (3 cases), WaitsForQuiet and test_item_with_four_crashes_waits (both cases) fail.

--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -59,6 +59,10 @@
         """Return whether an item must not run where another such item does."""
         return self._crashes.must_run_apart(lambda: self._fingerprint(opened, run))
 
+    def must_wait(self, opened: work.OpenBatch, run: lifecycle.ItemRun) -> bool:
+        """Return whether an item must not run yet, because engines are crashing."""
+        return self._crashes.must_wait(lambda: self._fingerprint(opened, run))
+
     def send(
         self, opened: work.OpenBatch, run: lifecycle.ItemRun, engine: engines.Engine
     ) -> None:
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -300,6 +300,8 @@
             # The item waits until it is given up, because no result could be reported
             # to its caller that is known to be true.
             return None
+        if self._items.must_wait(opened, run):
+            return None
         served: set[int] = set()
         if route.is_single_version:
             served = served_by(opened.batch.model)
--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -33,6 +33,11 @@
 crashes attributed to one another, and unrelated requests would share crashes with one
 culprit after the other until they reach `UNCONDITIONAL_THRESHOLD`.
 
+Where many requests run at an upstream, a request with `WAIT_THRESHOLD` crashes waits
+until no upstream crashes (`CrashHistory.must_wait`). An unrelated request that runs in
+a burst of crashes would look like a culprit otherwise. The wait is bounded, so that a
+culprit is quarantined in any case.
+
 A complete answer clears a request, whatever its standing. A quarantine expires, as a
 new release may have fixed the service. The request is then suspected and gets one
 trial; a further quarantine lasts twice as long.
@@ -60,6 +65,17 @@
 # time before, in seconds, count as unrelated crashes: a series of crashes that was
 # under way already.
 UNRELATED_CRASH_SECONDS: Final = 10.0
+# Crashes from which on a request waits while upstreams crash, where many run at one.
+# The two runs before `UNCONDITIONAL_THRESHOLD` then begin after a series of crashes.
+WAIT_THRESHOLD: Final = UNCONDITIONAL_THRESHOLD - 2
+# Time without a crash after which a series of crashes is over, in seconds. Upstreams
+# that crash again and again do so about once a second, and a shorter time would let a
+# request run right before the next crash of the series.
+QUIET_SECONDS: Final = 2.0
+# Longest time after its latest crash that a request waits for the end of a series, in
+# seconds. A trainer abandons a step after about twice this time, so an item that waits
+# longer has no value for it.
+LONGEST_WAIT_SECONDS: Final = 6.0
 # Unrelated crashes stored of each request; more would not change its standing.
 MAX_UNRELATED_CRASHES: Final = 16
 # Crashes of upstreams within this time of one another, in seconds, are concurrent. A
@@ -268,6 +284,28 @@
         history = self.evidence_by_fingerprint.get(fingerprint)
         return history is not None and history.must_run_apart()
 
+    def must_wait(self, fingerprint: str, now: float) -> bool:
+        """Return whether a request must not run yet, because upstreams are crashing.
+
+        Its next crashes would have it quarantined, whatever causes them. In a burst of
+        crashes for other reasons, an unrelated request may be cut off several times in
+        succession before it has run for `HEALTHY_RUN_SECONDS`. Once no upstream has
+        crashed for `QUIET_SECONDS`, a crash where it runs is most likely its own.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Identifies the request.
+        now : float
+            Time of the history's clock, in seconds.
+        """
+        history = self.evidence_by_fingerprint.get(fingerprint)
+        if history is None or len(history.ended_at_by_id) < WAIT_THRESHOLD:
+            return False
+        if now - history.last_at >= LONGEST_WAIT_SECONDS:
+            return False
+        return any(now - at < QUIET_SECONDS for at in self.ends_by_id.values())
+
     def record(
         self, crash: Crash, ended_at: float, are_kept_apart: bool = True
     ) -> bool:
--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -159,6 +159,16 @@
         histories = (self._own, self._view.crashes)
         return any(each.must_run_apart(name) for each in histories)
 
+    def must_wait(self, fingerprint: Callable[[], str]) -> bool:
+        """Return whether a request must not run yet, because upstreams are crashing.
+
+        Only the crashes that this process detected count, since no other one sends such
+        requests; see `quarantine.CrashHistory.must_wait`.
+        """
+        if self._is_history_empty():
+            return False
+        return self._own.must_wait(fingerprint(), clock.now())
+
     def may_try(self, fingerprint: str, upstream_ids: Sequence[str]) -> messages.Trial:
         """Return whether a suspected request may be sent now, and where.
 
--- a/tests/fakes/engine_crashes.py
+++ b/tests/fakes/engine_crashes.py
@@ -50,9 +50,10 @@
     n_engines : int
         Number of engines; eight items run at each of them.
     keeps_apart : bool
-        Whether items that must run apart are kept apart, and cleared as soon as their
-        run is healthy, as the sender of items does it. Otherwise only suspected items
-        are kept apart, which the decisions have to stand as well.
+        Whether items that must run apart are kept apart, wait while engines crash if
+        they must, and are cleared as soon as their run is healthy, as the sender of
+        items does it. Otherwise only suspected items are kept apart, which the
+        decisions have to stand as well.
     """
 
     N_SLOTS = 12
@@ -123,6 +124,7 @@
         for run in engine.runs:
             if self._now - run.began_at >= quarantine.HEALTHY_RUN_SECONDS:
                 self.history.clear(run.name)
+                self.history.record_upstream_crash(start, self._now)
             else:
                 self.history.record(quarantine.Crash(run.name, "", start), self._now)
             if self.history.standing(run.name) is quarantine.Standing.QUARANTINED:
@@ -143,7 +145,8 @@
             standing = self.history.standing(name)
             if self._must_run_apart(name):
                 up = [each for each in up if not self._has_suspected(each)]
-            if not up or standing is quarantine.Standing.QUARANTINED:
+            is_quarantined = standing is quarantine.Standing.QUARANTINED
+            if not up or is_quarantined or self._must_wait(name):
                 kept.append(name)
                 continue
             engine = min(up, key=lambda each: (len(each.runs), self._rng.random()))
@@ -154,6 +157,9 @@
     def _has_suspected(self, engine: _Engine) -> bool:
         return any(self._must_run_apart(each.name) for each in engine.runs)
 
+    def _must_wait(self, name: str) -> bool:
+        return self._keeps_apart and self.history.must_wait(name, self._now)
+
     def _must_run_apart(self, name: str) -> bool:
         if self._keeps_apart and self.history.must_run_apart(name):
             return True
--- a/tests/test_batches_item_crashes.py
+++ b/tests/test_batches_item_crashes.py
@@ -96,3 +96,17 @@
         """
         simulation = self.simulate(7, 8.0, 3, keeps_apart=True)
         self.assertEqual(simulation.quarantined, simulation.culprits)
+
+    @tools.params(
+        # Crash-causing items; seeds by which an unrelated item is quarantined if items
+        # with four crashes do not wait.
+        (2, (1, 87, 121, 165, 180, 268)),
+        (3, (7, 124, 125, 164)),
+    )
+    def test_item_with_four_crashes_waits(self, n_crashing, seeds):
+        """An unrelated item is sent into a burst of crashes and quarantined for it."""
+        for seed in seeds:
+            simulation = self.simulate(seed, 8.0, n_crashing, keeps_apart=True)
+            self.assertEqual(simulation.quarantined, simulation.culprits, seed)
+            for name, n_crashed in simulation.n_crashed_by_name.items():
+                self.assertLessEqual(n_crashed, MAX_CRASHED, (seed, name))
--- a/tests/test_batches_scheduling_pass.py
+++ b/tests/test_batches_scheduling_pass.py
@@ -59,6 +59,7 @@
             unwatch=lambda callback: None,
         )
         standing = quarantine.Standing.CLEAR
+        self.must_wait = False
         self.runner = runner.BatchRunner(
             None,
             self.view,
@@ -68,6 +69,7 @@
             types.SimpleNamespace(
                 standing=lambda fingerprint: standing,
                 must_run_apart=lambda fingerprint: False,
+                must_wait=lambda fingerprint: self.must_wait,
             ),
         )
         items = tuple(
@@ -90,6 +92,15 @@
         return [call.args[2] for call in send.call_args_list]
 
 
+class WaitsForQuiet(SchedulingPassCase):
+    def test_item_is_sent_once_no_engine_crashes(self):
+        """Guard against an unrelated item that is quarantined in a burst of crashes."""
+        self.must_wait = True
+        self.assertEqual(self.run_pass(), [])
+        self.must_wait = False
+        self.assertEqual(len(self.run_pass()), N_ITEMS)
+
+
 class ManyItems(SchedulingPassCase):
     def test_versions_are_gathered_once(self):
         """Guard against a pass that visits all engines for each waiting item.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -49,6 +49,43 @@
         self.assertFalse(history.clear("f"))
 
 
+class Waits(unittest.TestCase):
+    """An item that was cut off four times waits while engines crash.
+
+    Guards against an unrelated item that is quarantined because its fifth and sixth run
+    are cut off by a burst of crashes as well.
+    """
+
+    @tools.params(
+        # Crashes of the item, one a second from 1 s on; when another engine crashed;
+        # the time; whether the item must wait.
+        ("three crashes", 3, 3.0, 3.5, False),
+        ("its own crash", 4, 4.0, 4.5, True),
+        ("no crash since then", 4, 4.0, 6.0, False),
+        ("a crash elsewhere", 5, 8.0, 9.9, True),
+        ("no crash elsewhere since then", 5, 8.0, 10.0, False),
+        ("crashes elsewhere that do not end", 5, 10.5, 10.9, True),
+        ("the end of the longest wait", 5, 10.5, 11.0, False),
+    )
+    def test_must_wait(self, name, n_crashes, elsewhere_at, now, expected):
+        history = quarantine.CrashHistory(is_crowded=True)
+        for number in range(1, n_crashes + 1):
+            # Crashes that the item was not part of keep it from being quarantined.
+            history.record_upstream_crash(f"other-{number}", float(number))
+            history.record_upstream_crash(f"third-{number}", float(number))
+            history.record(crash(f"e{number}"), float(number))
+        history.record_upstream_crash("elsewhere", elsewhere_at)
+        self.assertIsNot(history.standing("f"), QUARANTINED, name)
+        self.assertIs(history.must_wait("f", now), expected, name)
+        history.clear("f")
+        self.assertFalse(history.must_wait("f", now), name)
+
+    def test_few_at_an_upstream(self):
+        """A look-up never waits: crashes of other upstreams are not recorded for it."""
+        history = history_of(*((f"u{n}", float(n)) for n in range(1, 6)))
+        self.assertFalse(history.must_wait("f", 5.5))
+
+
 class RunsApart(unittest.TestCase):
     """A request that was cut off repeatedly runs where no other such request does."""
 
