Start no load while no order may be sent

Cause: a new leader of the stores sends no order for the duration of a lease where engines do not check fencing numbers. Its loader began the loads all the same. Each ended at once, counted as a failure of its engine, and was begun again when the engine's backoff ended. The engine was loading or excluded in every scheduling pass, so no item ran there until the order after the lease had been carried out, although it was healthy.

Change: no load begins while the fencing number is withheld. The new test kills no process: it stops a store that leads in the test's process, while the engine holds an order, and checks that the next one sends no order within its lease, does not order the version that was loaded meanwhile again, and resumes the texts before it sends the next order. The fake engine can hold loads and texts for it.

Conclusion: engines serve items during the lease of a new leader. Deployments whose engines check fencing numbers never withheld an order there, and are not affected.

--- a/bilberrydrum/batches/loader.py
+++ b/bilberrydrum/batches/loader.py
@@ -105,6 +105,11 @@
             wanted_by_model,
             self._limit.max_loading(len(self._engines.by_id)),
         )
+        if loads and self._hooks.fencing_number() is None:
+            # A new leader may have to wait for a lease before its first order. If the
+            # loads began now, each would end at once, count as a failure of its engine,
+            # and keep items from a healthy engine until the lease has ended.
+            return
         self._tasks = [each for each in self._tasks if not each.dead]
         for load in loads:
             engine = self._engines.by_id[load.engine_id]
--- a/tests/fakes/node_protocol.py
+++ b/tests/fakes/node_protocol.py
@@ -6,7 +6,7 @@
 import attrs
 import eventlet
 
-from bilberrydrum import upstream_protocol
+from bilberrydrum import clock, upstream_protocol
 from tests.fakes import scripted
 
 ID = "X-Request-Id"
@@ -59,11 +59,21 @@
         self.n_events = n_events
         # Ids of the items and plain requests that it has received, in order.
         self.request_ids: list[str] = []
+        # When each item was received, in seconds of `clock.now`, and the number of the
+        # event after which it was to resume (0: from its start).
+        self.received_at: list[float] = []
+        self.resumed_after: list[int] = []
         # Plain requests are not answered while this is set.
         self.is_silent = False
         self.version = 1
         self.started_at_ms: int | None = None
         self.orders: list[dict[str, Any]] = []
+        # When each of them was received, in seconds of `clock.now`.
+        self.ordered_at: list[float] = []
+        # An order is carried out only by `finish_load` while this is set.
+        self.holds_loads = False
+        # Only the first half of each text is sent while this is set.
+        self.holds_texts = False
         self.server = scripted.Scripted(self.answer, kind="engine")
 
     @property
@@ -73,12 +83,19 @@
     def stop(self) -> None:
         self.server.stop()
 
+    def finish_load(self) -> None:
+        """Carry out the last order."""
+        self.version = self.orders[-1]["version"]
+
+    def _is_loading(self) -> bool:
+        return bool(self.orders) and self.orders[-1]["version"] != self.version
+
     def answer(self, connection: Any, received: scripted.Received) -> None:
         """Answer one request on its connection."""
         if received.target == "/report":
             report = {
                 "versions_by_model": {"m": self.version},
-                "is_busy": False,
+                "is_busy": self._is_loading(),
                 "sequence": len(self.orders),
                 "started_at_ms": self.started_at_ms,
             }
@@ -86,7 +103,9 @@
         elif received.target == "/order":
             order = json.loads(received.body)
             self.orders.append(order)
-            self.version = order["version"]
+            self.ordered_at.append(clock.now())
+            if not self.holds_loads:
+                self.finish_load()
             self._send(connection, received, b"")
         elif received.target.startswith("/plain/"):
             self.request_ids.append(received.request_id)
@@ -97,6 +116,8 @@
             connection.sendall(text.replace("\r\n", f"\r\n{signature}", 1).encode())
         else:
             self.request_ids.append(received.request_id)
+            self.received_at.append(clock.now())
+            self.resumed_after.append(int(received.headers.get("last", 0)))
             self._stream(connection, received)
 
     def _send(self, connection: Any, received: scripted.Received, body: bytes) -> None:
@@ -104,7 +125,14 @@
 
     def _stream(self, connection: Any, received: scripted.Received) -> None:
         first = int(received.headers.get("last", 0)) + 1
-        connection.sendall(stream(received, first, self.n_events, self.version))
+        sent = stream(received, first, self.n_events, self.version)
+        next_number = max(self.n_events // 2 + 1, first)
+        # The number is preceded by the size of its chunk.
+        half = sent.index(b"id: %d\n" % next_number) if self.holds_texts else 0
+        connection.sendall(sent[:half])
+        while self.holds_texts:
+            eventlet.sleep(0.02)
+        connection.sendall(sent[half:])
 
 
 def stream(
--- a/tests/test_nodes_path.py
+++ b/tests/test_nodes_path.py
@@ -43,6 +43,8 @@
     policy.Service("engines", models=("m",), n_cache_tokens=1000),
 )
 
+LEASE_SECONDS = 1.0
+
 
 def node(role, folder, control_address, is_first=True):
     first = helpers.free_port()
@@ -237,6 +239,57 @@
         self.assertEqual({e.item_id: e.score for e in results}, expected)
         self.assertEqual(len(self.engine.request_ids), 6)
 
+    def test_store_restarts_while_an_engine_loads(self):
+        """The leading store is lost while an engine loads, and a newer version follows.
+
+        Guards against an order that another one overtakes where engines do not check
+        fencing numbers: an order that the lost leader has just sent may still be
+        carried out, so the next leader sends none for the duration of a lease. It does
+        not order the version that was loaded meanwhile again. Its items resume before
+        the lease ends: the engine is healthy, although no order may be sent to it.
+        """
+        self.wait_for(self.is_ready)
+        engine = self.engine
+        # Half of a text is enough to be saved.
+        engine.n_events = 40
+        engine.holds_texts = engine.holds_loads = True
+        self.ask_stores(batch_messages.Submit.of(self.batch("b5")))
+        section = commands.section_of(self.store.replica.state()).batches_by_id
+        self.wait_for(lambda: section["b5"].progress_by_item_id)
+        self.ask_control(messages.PublishVersion("m", 2))
+        self.wait_for(lambda: len(engine.orders) == 1)
+        self.store.stop()
+        self.wait_for(lambda: is_free(self.store._node.store_address))
+        engine.holds_texts = False
+        engine.finish_load()
+        # An engine at version 2 is too old for the next step, so an order is due.
+        self.ask_control(messages.PublishVersion("m", 3))
+        n_before = len(engine.received_at)
+        again = attrs.evolve(
+            self.store_options(),
+            do_upstreams_check_fencing=False,
+            order_lease_seconds=LEASE_SECONDS,
+        )
+        self.store = store.Store(again, node_protocol.PlainProtocol())
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        self.ask_stores(batch_messages.Submit.of(self.batch("b6", min_version=3)))
+        self.wait_for(lambda: len(engine.received_at) > n_before)
+        self.wait_for(lambda: len(engine.orders) == 2)
+        held = self.store.replica.leadership()
+        self.assertGreaterEqual(engine.ordered_at[1], held.since + LEASE_SECONDS)
+        self.assertLess(engine.received_at[n_before], engine.ordered_at[1])
+        first, second = engine.orders
+        self.assertEqual([first["version"], second["version"]], [2, 3])
+        self.assertEqual(second["expected_sequence"], 1)
+        self.assertGreater(second["fencing_number"], first["fencing_number"])
+        engine.finish_load()
+        results = self.read("b5", 6)
+        complete = b"\n".join(b"e%d" % n for n in range(1, engine.n_events + 1))
+        self.assertEqual({each.text for each in results}, {complete})
+        self.assertTrue(any(engine.resumed_after[n_before:]))
+        self.assertEqual({each.versions for each in self.read("b6", 6)}, {(3,)})
+
     def test_everything_restarts(self):
         """All processes stop during operation and are restarted.
 
