--- a/tests/test_batches_incarnations.py
+++ b/tests/test_batches_incarnations.py
@@ -1,12 +1,21 @@
 """An engine that restarts under the same name."""
 
 import unittest
+from unittest import mock
 
 import attrs
+import eventlet
 from nose2 import tools
 
-from bilberrydrum import reasons
-from bilberrydrum.batches import engines, lifecycle, orders, weight_plan
+from bilberrydrum import clock, reasons
+from bilberrydrum.batches import (
+    engine_shares,
+    engines,
+    lifecycle,
+    loader,
+    orders,
+    weight_plan,
+)
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy
 from bilberrydrum.requests import attempts, connections, watch
@@ -25,6 +34,7 @@
     def setUp(self):
         self.engine = node_protocol.PlainEngine()
         self.addCleanup(self.engine.stop)
+        self.shares = engine_shares.Shares()
 
     def carry_out(self, known_start, reported_start, is_wanted=True):
         self.engine.started_at_ms = reported_start
@@ -52,6 +62,69 @@
     def test_engine_that_left_meanwhile(self):
         self.assertEqual(self.carry_out(5, 5, is_wanted=False), [])
 
+    def test_restart_during_a_load(self):
+        """An engine restarts while it loads; its next incarnation has no order.
+
+        Guards against a load of the previous incarnation that keeps the next one from
+        being ordered, and against a failure that is counted for it.
+        """
+        for name in ("_FIRST_POLL_SECONDS", "_POLL_SECONDS"):
+            poll = mock.patch.object(orders, name, 0.01)
+            poll.start()
+            self.addCleanup(poll.stop)
+        first = fleet_model.FleetUpstream(
+            "e",
+            "s",
+            self.engine.address,
+            "z",
+            2,
+            versions_by_model={"m": 1},
+            started_at_ms=5,
+        )
+        self.engine.started_at_ms = 5
+        self.engine.holds_loads = True
+        known = engines.Engines()
+        loads = self.make_loader(known)
+        self.step(loads, known, first)
+        self.wait_for(lambda: len(self.engine.orders) == 1)
+        before = known.by_id[first.upstream_id]
+        self.engine.orders.clear()
+        self.engine.started_at_ms = 6
+        following = attrs.evolve(first, started_at_ms=6)
+        self.step(loads, known, following)
+        self.wait_for(lambda: len(self.engine.orders) == 1)
+        self.wait_for(lambda: not before.is_loading)
+        (engine,) = known.by_id.values()
+        self.assertTrue(engine.is_loading)
+        self.assertEqual(engine.versions_by_model, {"m": 1})
+        self.engine.finish_load()
+        self.wait_for(lambda: not engine.is_loading)
+        self.assertEqual([e["expected_sequence"] for e in self.engine.orders], [0])
+        self.assertEqual(engine.versions_by_model, {"m": 2})
+        self.assertEqual(before.versions_by_model, {"m": 1})
+        self.assertFalse(engine.is_excluded(clock.now()))
+
+    def make_loader(self, known):
+        made = loader.Loader(
+            attempts.Resources(connections.ConnectionPool(), watch.ClientWatch()),
+            node_protocol.PlainProtocol(),
+            known,
+            loader.LoaderHooks("holder", lambda: 1, lambda name: False, lambda: None),
+        )
+        self.addCleanup(made.stop)
+        return made
+
+    def step(self, loads, known, upstream):
+        """Start the loads that are due once `upstream` is the only engine."""
+        known.refresh((upstream,), {"s": policy.Service("s", models=("m",))})
+        shares = engine_shares.divide([upstream.upstream_id], {"m": 1.0}, self.shares)
+        loads.step(clock.now(), known.usable(clock.now()), {"m": 2}, (), shares)
+
+    def wait_for(self, condition):
+        with eventlet.Timeout(10.0):
+            while not condition():
+                clock.sleep(0.005)
+
     def test_next_incarnation_starts_without_failures(self):
         known = engines.Engines()
         services = {"s": policy.Service("s", models=("m",))}
