Batches: divide unequal engines by their rate

In replays with a third of the engines 3.5 times slower, a division by the number of engines gave one model nearly all slow ones.

Where the engines' rates differ by more than half, engines now move until the work of a step takes about as long for each model, with the same minimum gain and intervals as other moves. A slow engine counts with the run slots that it gets. Nothing is divided while there are no engines or no models; test_outage_longer_than_a_step had shown that the pass failed then.

--- a/bilberrydrum/batches/division.py
+++ b/bilberrydrum/batches/division.py
@@ -20,6 +20,9 @@
 BURST_GAP_SECONDS: Final = 0.5
 # Maximum time that a burst postpones a change, in seconds.
 MAX_BURST_SECONDS: Final = 2.0
+# Engines are divided by rate instead of number if their rates differ by more than this
+# factor.
+UNEQUAL_FACTOR: Final = 1.5
 # Minimum time between two changes if no step interval is known, in seconds.
 FIRST_INTERVAL_SECONDS: Final = 4.0
 
@@ -53,6 +56,11 @@
             for each in self.loads_by_model.values()
         )
 
+    def are_unequal(self) -> bool:
+        """Return whether the engines' rates are known and differ much."""
+        known = self.rates_by_engine.values()
+        return all(known) and max(known) > UNEQUAL_FACTOR * min(known)
+
     def min_change_seconds(self) -> float:
         """Return the minimum time between two changes: the shortest step interval."""
         intervals = [
@@ -97,7 +105,8 @@
             self.shares = self._redivided(inputs)
             self.reason = Reason.ENGINES
             return self.shares != before
-        if len(engine_ids) < len(models) or not self._is_due(inputs, now):
+        is_possible = len(engine_ids) >= len(models) > 0
+        if not is_possible or not self._is_due(inputs, now):
             return False
         self.shares = self._rebalanced(inputs)
         if self.shares == before:
@@ -145,7 +154,7 @@
         return True
 
     def _rebalanced(self, inputs: Inputs) -> engine_shares.Shares:
-        by_work = engine_shares.divide(self.engine_ids, _demand(inputs), self.shares)
+        by_work = self._divided_by_work(inputs)
         if not inputs.is_behind():
             # Engines that have helped a trainer catch up stay with it as long as it
             # would be late without them.
@@ -162,6 +171,17 @@
             )
         )
 
+    def _divided_by_work(self, inputs: Inputs) -> engine_shares.Shares:
+        if inputs.are_unequal() and self._is_complete(self.shares):
+            return engine_shares.Shares(
+                lateness.even_out(
+                    inputs.loads_by_model,
+                    inputs.rates_by_engine,
+                    self.shares.engine_ids_by_model,
+                )
+            )
+        return engine_shares.divide(self.engine_ids, _demand(inputs), self.shares)
+
     def _is_late(self, inputs: Inputs, shares: engine_shares.Shares) -> bool:
         """Return whether a trainer that is on time would be late with `shares`."""
 
--- a/bilberrydrum/batches/engine_divider.py
+++ b/bilberrydrum/batches/engine_divider.py
@@ -168,7 +168,9 @@
         pace = self._pace
         measured = {
             each.upstream_id: pace.tokens_per_second(
-                each.upstream.n_slots, each.pace_seconds
+                # A slow engine gets few items, so its other run slots do not count.
+                engines.PROBE_SLOTS if each.was_slow else each.upstream.n_slots,
+                each.pace_seconds,
             )
             for each in assignable
             if now - each.pace_updated_at <= engines.PACE_SECONDS
--- a/bilberrydrum/batches/lateness.py
+++ b/bilberrydrum/batches/lateness.py
@@ -9,6 +9,7 @@
 trainer that can't be helped would make all others late.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -98,7 +99,12 @@
         loads_by_model: Mapping[str, Load],
         rates_by_engine: Mapping[str, float],
         engine_ids_by_model: Mapping[str, Iterable[str]],
+        is_corrected: bool = True,
     ) -> "_Assignment":
+        """Return the given assignment.
+
+        `is_corrected` says whether predictions are corrected by what was observed.
+        """
         engines_by_model = {
             model: sorted(
                 (e for e in engine_ids_by_model.get(model, ()) if e in rates_by_engine),
@@ -111,7 +117,7 @@
             for model, engine_ids in engines_by_model.items()
         }
         excess = {
-            model: load.excess_seconds(rates_by_model[model])
+            model: load.excess_seconds(rates_by_model[model]) if is_corrected else 0.0
             for model, load in loads_by_model.items()
         }
         return cls(
@@ -197,9 +203,48 @@
     A trainer gets engines only if its predicted lateness improves by more than
     `LOAD_SECONDS`. Each model keeps at least one engine.
     """
+    return _rebalanced(loads_by_model, rates_by_engine, engine_ids_by_model, True)
+
+
+def even_out(
+    loads_by_model: Mapping[str, Load],
+    rates_by_engine: Mapping[str, float],
+    engine_ids_by_model: Mapping[str, Iterable[str]],
+) -> dict[str, frozenset[str]]:
+    """Return the assignment after engines have moved towards equal times of work.
+
+    For unequal engines while no trainer is behind: divided by number, all slow ones may
+    have one model. The time is that of a step's work on the engines of its model, and
+    lateness is what exceeds the time on all engines. Lags and long items do not count.
+    """
+    per_second = sum(each.tokens_per_second() for each in loads_by_model.values())
+    utilization = per_second / sum(rates_by_engine.values())
+    if not utilization:
+        return {model: frozenset(e) for model, e in engine_ids_by_model.items()}
+    loads = {
+        model: attrs.evolve(
+            load,
+            interval_seconds=load.interval_seconds * utilization,
+            longest_seconds=0.0,
+            max_step_seconds=math.inf,
+            lag_seconds=0.0,
+        )
+        for model, load in loads_by_model.items()
+    }
+    return _rebalanced(loads, rates_by_engine, engine_ids_by_model, False)
+
+
+def _rebalanced(
+    loads_by_model: Mapping[str, Load],
+    rates_by_engine: Mapping[str, float],
+    engine_ids_by_model: Mapping[str, Iterable[str]],
+    is_corrected: bool,
+) -> dict[str, frozenset[str]]:
     may_receive = set(loads_by_model)
     while True:
-        known = _Assignment.of(loads_by_model, rates_by_engine, engine_ids_by_model)
+        known = _Assignment.of(
+            loads_by_model, rates_by_engine, engine_ids_by_model, is_corrected
+        )
         before = {model: known.lateness(model) for model in loads_by_model}
         held = {model: frozenset(e) for model, e in known.engines_by_model.items()}
         _move_to_latest(known, may_receive)
--- a/tests/test_batches_division.py
+++ b/tests/test_batches_division.py
@@ -207,6 +207,33 @@
         self.assertGreater(len(gaps), 1)
         self.assertGreaterEqual(min(gaps), 4.0)
 
+    def test_slow_engines_of_one_model(self):
+        """Guard against a model that gets its number of engines, all of them slow."""
+        self.rates = rates(8, 4)
+        for name in "abc":
+            self.set_load(name, n_tokens=7000.0)
+        self.division.resume(
+            engine_shares.Shares(
+                {
+                    "a": frozenset(e for e in self.rates if e[0] == "s"),
+                    "b": frozenset(f"e{n:02}" for n in range(4)),
+                    "c": frozenset(f"e{n:02}" for n in range(4, 8)),
+                }
+            ),
+            0.0,
+        )
+        self.update(0.0)
+        self.assertTrue(self.update(10.0))
+        self.assertEqual(self.division.reason, division.Reason.WORK)
+        settled = self.division.shares
+        seconds = [
+            7000.0 / sum(self.rates[each] for each in engine_ids)
+            for engine_ids in settled.engine_ids_by_model.values()
+        ]
+        self.assertLess(max(seconds), 1.5 * min(seconds))
+        for now in (20.0, 30.0):
+            self.assertFalse(self.update(now))
+
     def test_reasons(self):
         self.update(0.0)
         self.assertEqual(self.division.reason, division.Reason.ENGINES)
@@ -256,6 +283,15 @@
         self.assertTrue(self.division.shares.is_disjoint())
         self.assertEqual(sum(self.sizes().values()), 12)
 
+    @tools.params((0, 0), (0, 3), (3, 0))
+    def test_nothing_to_divide(self, n_engines, n_models):
+        """Guard against scheduling passes that fail without engines or models."""
+        self.rates = rates(n_engines)
+        self.loads = dict(list(self.loads.items())[:n_models])
+        for now in (0.0, 10.0, 20.0):
+            self.update(now)
+        self.assertEqual(sum(self.sizes().values()), 0)
+
     def test_unknown_rates(self):
         """Nothing has been generated yet: engines can't be compared."""
         self.rates = dict.fromkeys(self.rates, 0.0)
--- a/tests/test_batches_engine_divider.py
+++ b/tests/test_batches_engine_divider.py
@@ -125,6 +125,30 @@
         self.assertEqual(self.step(80.0).sizes()["m0"], 1)
 
 
+class SlowEngines(DividerCase):
+    def test_run_slots_that_are_not_used(self):
+        """Guard against a model whose engines are all slow, and get few items.
+
+        A quarter of the engines is 3.5 times slower and gets one item at a time. The
+        trainers have equal work, and nobody is behind.
+        """
+        for _ in range(100):
+            self.pace.record(100, 100, 5.0)
+        ids = sorted(self.engines.by_id)
+        for step in range(4):
+            at = INTERVAL * step
+            for name in MODELS:
+                self.divider.record_submission(batch(name, step, 9000), at)
+            for now in (at + 1.0, at + 2.0, at + 3.0):
+                for number, engine_id in enumerate(ids):
+                    engine = self.engines.by_id[engine_id]
+                    engine.was_slow = number < 4
+                    engine.record_pause(0.175 if engine.was_slow else 0.05, now)
+                shares = self.step(now)
+        for name, engine_ids in shares.engine_ids_by_model.items():
+            self.assertGreaterEqual(len(engine_ids - set(ids[:4])), 2, name)
+
+
 class Reports(DividerCase):
     def test_log_and_metrics(self):
         """A trainer is 3 s behind; the division changes once, and says why."""
--- a/tests/test_simulation_pacing.py
+++ b/tests/test_simulation_pacing.py
@@ -65,6 +65,11 @@
             attrs.evolve(LOAD, n_slow_engines=4, slow_factor=3.5),
             2,
         ),
+        (
+            "a third of the engines 3.5 times slower",
+            attrs.evolve(LOAD, n_slow_engines=4, slow_factor=3.5),
+            3,
+        ),
         (
             "an availability zone lost for 8 s",
             attrs.evolve(LOAD, n_zones=3, outage_at=10.0, outage_seconds=8.0),
