Soak: upstreams of unequal speed, and load reports with four numbers

The soak's upstreams were alike and sent no load reports, so neither placement by speed nor the reading of reports was exercised beside faults. Every third upstream now takes twice as long, and answers carry load reports, 15 % of them of a busy host, 5 % invalid.

--- a/misc/soaks/soak_streams.py
+++ b/misc/soaks/soak_streams.py
@@ -108,14 +108,16 @@
         read_version: Callable[[], int],
         pause: Callable[[], float],
         before_event: Callable[[], None],
+        load: str,
     ) -> bool:
         """Send the answer; return whether the connection can be used again.
 
         Calls `before_event` for each event after checking that the connection is open.
-        `pause` returns the time in seconds that an event takes.
+        `pause` returns the time in seconds that an event takes. `load` is the value of
+        the load header.
         """
         version = read_version()
-        self._send_head(standins.answer_headers(request_id, version))
+        self._send_head(standins.answer_headers(request_id, version, load))
         for number in range(self._run.resume_after + 1, self._run.n_expected + 1):
             fault = self._plan.fault if number == self._plan.at else None
             if fault in _EMPTY:
--- a/misc/soaks/soak_upstreams.py
+++ b/misc/soaks/soak_upstreams.py
@@ -26,6 +26,15 @@
 # Share of the announcements that are followed by an invalid one, as from an unrelated
 # program.
 INVALID_SHARE: Final = 0.2
+# Every third upstream takes this many times as long as the others.
+CONSTANT_SLOW_FACTOR: Final = 2.0
+# Share of the answers sent while the upstream's host is busy, and how long work takes
+# then, in percent.
+BUSY_SHARE: Final = 0.15
+BUSY_PERCENT: Final = 250
+# Share of the answers with an invalid load header, and its values.
+INVALID_LOAD_SHARE: Final = 0.05
+INVALID_LOADS: Final = ("1,0,6,0", "1,0", "a,b,c,d", "1,0,6,-5", "1,0,6,100,1")
 _MODEL: Final = "m"
 
 
@@ -55,7 +64,11 @@
         self._is_stopped = False
         # Every second upstream announces the same id after each start, with its start
         # time. The others announce a new id for each incarnation, and no start time.
-        self._keeps_name = int(name.rpartition("-")[2]) % 2 == 0
+        number = int(name.rpartition("-")[2])
+        self._keeps_name = number % 2 == 0
+        self._constant_factor = CONSTANT_SLOW_FACTOR if number % 3 == 0 else 1.0
+        # Of its own, so that a seed still draws the same faults.
+        self._load_rng = random.Random(name)
         self._started_at_ms: int | None = None
 
     @property
@@ -209,13 +222,13 @@
         if received.target.startswith("/once/"):
             self._ledger.record_once_only_run(work.request_id, self.upstream_id)
         self._ledger.record_scoring_request(work.request_id)
-        eventlet.sleep(random.uniform(0.005, 0.03) * self.slow_factor)
+        eventlet.sleep(random.uniform(0.005, 0.03) * self._time_factor())
         if received.body == soak_ledger.CRASHING_BODY:
             self._ledger.record_crash_by_request(clock.now())
             # In another task: `crash` also kills the task that serves this request.
             eventlet.spawn_n(self.crash_for, DOWN_SECONDS)
             return None
-        headers = standins.answer_headers(work.request_id)
+        headers = standins.answer_headers(work.request_id, load=self._load_header())
         is_scoring = bool(soak_ledger.scored_item(work.request_id))
         status = 500 if is_scoring and random.random() < FAILED_SCORING_SHARE else 200
         self._send(connection, status, work.request_id.encode(), headers)
@@ -244,10 +257,21 @@
         return stream.send(
             work.request_id,
             lambda: self.version,
-            lambda: shape.pause_seconds * self.slow_factor,
+            lambda: shape.pause_seconds * self._time_factor(),
             lambda: self._ledger.check_run(run, clock.now()),
+            self._load_header(),
         )
 
+    def _time_factor(self) -> float:
+        return self.slow_factor * self._constant_factor
+
+    def _load_header(self) -> str:
+        rng = self._load_rng
+        if rng.random() < INVALID_LOAD_SHARE:
+            return rng.choice(INVALID_LOADS)
+        work = BUSY_PERCENT if rng.random() < BUSY_SHARE else 100
+        return f"{self._n_running},0,{CAPACITY},{work}"
+
     # Orders
 
     def _handle_order(self, connection: Any, received: scripted.Received) -> None:
