Batches: names of items that may move, and of the limits for moves

is_on_slow_engine was set for all running items that may move, also from engines that are not slow; it is called is_running now. _STEP in placement was no training step, and _GRID in moves did not say what it divides. The simulation uses moves.MAX_MOVES in place of a copy. The runner's docstring names the module that divides the engines. No behaviour changes.

--- a/bilberrydrum/batches/moves.py
+++ b/bilberrydrum/batches/moves.py
@@ -26,7 +26,7 @@
 MAX_CONSIDERED: Final = 16
 # Limits are rounded down to powers of this factor. Items with equal limits are compared
 # with the engines together.
-_GRID: Final = 1.1
+_LIMIT_FACTOR: Final = 1.1
 
 _T = TypeVar("_T")
 
@@ -65,7 +65,7 @@
     limit = (1.0 - MIN_GAIN_SHARE) * source.event_seconds - MOVE_SECONDS / n_events
     if limit <= 0.0:
         return 0.0
-    return float(_GRID ** math.floor(math.log(limit, _GRID)))
+    return float(_LIMIT_FACTOR ** math.floor(math.log(limit, _LIMIT_FACTOR)))
 
 
 def is_slower(event_seconds: float, fastest_free: float) -> bool:
--- a/bilberrydrum/batches/placement.py
+++ b/bilberrydrum/batches/placement.py
@@ -20,7 +20,7 @@
 
 # Smallest difference that counts, as a share of the horizon. Load makes this much
 # difference among engines of the same speed.
-_STEP: Final = 0.25
+_CLASS_SHARE: Final = 0.25
 # Lengths below this share of the horizon are not distinguished from zero, which bounds
 # the number of kinds of items. At an engine of up to three times the usual seconds per
 # event they end within the same quarter, and slower engines count as slow.
@@ -99,7 +99,7 @@
         if event_seconds:
             speed = self._speed_by_seconds[event_seconds]
             excess = share * (speed / self._fastest - 1.0)
-        return int((excess + self._delay(item, engine, share)) / _STEP)
+        return int((excess + self._delay(item, engine, share)) / _CLASS_SHARE)
 
     def _delay(self, item: Item, engine: Engine, share: float) -> float:
         """Return the delay by a busy host, as a share of the horizon."""
@@ -127,7 +127,7 @@
     classes = {}
     first = 0.0
     for each in sorted(set(values)):
-        if each >= (1.0 + _STEP) * first:
+        if each >= (1.0 + _CLASS_SHARE) * first:
             first = each
         classes[each] = first
     return classes
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -3,7 +3,7 @@
 A single process sends all items, so it knows what runs at each engine without a query,
 and commits each result that it reads. The state of running items exists in its memory
 only. Unfinished texts are saved to the replicated state now and then, and a new leader
-resumes the unfinished items from these saves. `scheduling` and `engine_shares` decide
+resumes the unfinished items from these saves. `scheduling` and `engine_divider` decide
 which engine runs what; `loader` orders engines to load new weights.
 """
 
@@ -318,7 +318,7 @@
         return [
             attrs.evolve(
                 each,
-                is_on_slow_engine=True,
+                is_running=True,
                 max_event_seconds=limits_by_key[each.key].max_event_seconds,
                 may_try_unknown=limits_by_key[each.key].source.is_slow,
             )
@@ -377,7 +377,7 @@
         assert route is not None
         return self._view.routes.precedence_of(route, opened.batch.account)
 
-    def _cancel_slow_run(
+    def _cancel_for_move(
         self, assignment: scheduling.Assignment, run: lifecycle.ItemRun
     ) -> None:
         """Cancel an item's run at a slower engine, from which it is moved away."""
@@ -420,7 +420,7 @@
             return
         opened, run = found
         if run.engine_id:
-            self._cancel_slow_run(assignment, run)
+            self._cancel_for_move(assignment, run)
         # Cancelling a run, of this item or of one before it, yields to other tasks. The
         # item or its batch may have ended since the assignment, and sending the item
         # would run it once more.
--- a/bilberrydrum/batches/scheduling.py
+++ b/bilberrydrum/batches/scheduling.py
@@ -13,10 +13,10 @@
 Items that run at slow engines, or at slower ones than those that are free, are
 scheduled together with the waiting ones (see `moves`). A text is resumed where it
 stopped, so a move costs one reading of the prompt, while one slow engine delays every
-group that has an item on it. These items are ordered by their
-remaining time like all others. If they were moved only to capacity for which no item
-waits, they would stay where they are while two fifths of the engines are slow: an item
-of 89 events then took 9.8 s, and its trainer lost two steps.
+group that has an item on it. These items are ordered by their remaining time like all
+others. If they were moved only to capacity for which no item waits, they would stay
+where they are while two fifths of the engines are slow: an item of 89 events then took
+9.8 s, and its trainer lost two steps.
 """
 
 import math
@@ -65,9 +65,8 @@
     precedence: policy.Precedence = attrs.field(factory=policy.Precedence)
     # Account of the batch. Items without one (empty) are treated as one account's.
     account: str = ""
-    # Whether the item runs at a slow engine now, or at one that is slower than a free
-    # one, and could be resumed at another one.
-    is_on_slow_engine: bool = False
+    # Whether the item runs now and may move to a faster engine (see `moves`).
+    is_running: bool = False
     # Expected number of events that are still to be generated; 0: not known.
     n_events: float = 0.0
     # Most seconds per event of an engine to which the item may move from a slower one.
@@ -87,7 +86,7 @@
             self.min_version,
             self.only_version,
             self.is_suspected,
-            self.is_on_slow_engine,
+            self.is_running,
             self.max_event_seconds,
             self.may_try_unknown,
         )
@@ -128,7 +127,7 @@
         """Return whether items of this kind can run here if there is room."""
         if self.service not in item.services or item.model in self.loading_models:
             return False
-        if item.is_on_slow_engine and (self.is_slow or not self._is_gain(item)):
+        if item.is_running and (self.is_slow or not self._is_gain(item)):
             return False
         return self._has_version(item)
 
--- a/simulation/rollouts.py
+++ b/simulation/rollouts.py
@@ -13,6 +13,7 @@
     engine_shares,
     engines,
     model,
+    moves,
     scheduling,
     scoring,
     urgency,
@@ -37,8 +38,6 @@
 
 # Value of a late group, as a share of the value of a group in time.
 LATE_SHARE: Final = 0.4
-# Maximum number of times that one item is moved, as in `batches.runner`.
-_MAX_MOVES: Final = 3
 
 
 @attrs.define(eq=False)
@@ -265,11 +264,11 @@
         return [
             attrs.evolve(
                 self._waiting_item(self._steps_by_batch[item.key[0]], item),
-                is_on_slow_engine=True,
+                is_running=True,
             )
             for engine_id in slow_ids
             for item in self._running[int(engine_id)]
-            if item.n_moves < _MAX_MOVES
+            if item.n_moves < moves.MAX_MOVES
         ]
 
     def _take(self, key: tuple[str, str]) -> _Item:
--- a/tests/test_batches_engine_heap.py
+++ b/tests/test_batches_engine_heap.py
@@ -26,7 +26,7 @@
         (frozenset(), frozenset({"e00"}), frozenset({"e01", "e03"}))
     ),
     is_suspected=strategies.sampled_from((False, False, True)),
-    is_on_slow_engine=strategies.sampled_from((False, False, True)),
+    is_running=strategies.sampled_from((False, False, True)),
     n_events=strategies.sampled_from((0.0, 1.0, 3.0, 5.0, 16.0)),
     max_event_seconds=strategies.sampled_from((float("inf"), 0.045)),
     may_try_unknown=strategies.sampled_from((False, True)),
@@ -124,7 +124,7 @@
         and engine.n_running < engine.n_slots
         and engine.engine_id not in item.excluded_ids
         and item.model not in engine.loading_models
-        and not (item.is_on_slow_engine and (engine.is_slow or not is_faster))
+        and not (item.is_running and (engine.is_slow or not is_faster))
         and has_version
         and not (item.is_suspected and engine.has_suspected)
         and (not engine.n_cache_tokens or not engine.n_running or fits)
--- a/tests/test_batches_moves.py
+++ b/tests/test_batches_moves.py
@@ -116,7 +116,7 @@
         """A move takes the run slot of an item that is more urgent."""
         items = [
             batches_support.waiting(
-                "runs", runs, is_on_slow_engine=True, max_event_seconds=0.06
+                "runs", runs, is_running=True, max_event_seconds=0.06
             ),
             batches_support.waiting("waits", waits),
         ]
@@ -132,7 +132,7 @@
     )
     def test_target(self, name, event_seconds, may_try_unknown, expected):
         item = batches_support.waiting(
-            is_on_slow_engine=True,
+            is_running=True,
             max_event_seconds=0.06,
             may_try_unknown=may_try_unknown,
         )
--- a/tests/test_batches_slow_engines.py
+++ b/tests/test_batches_slow_engines.py
@@ -110,7 +110,7 @@
         The slow engine runs items of several groups, and two run slots are free at
         another engine.
         """
-        items = [waiting(each, is_on_slow_engine=True) for each in ("x", "y", "z")]
+        items = [waiting(each, is_running=True) for each in ("x", "y", "z")]
         capacities = [
             make_engine("slow", 9, is_slow=True),
             make_engine("e2", 4, n_running=2),
@@ -132,7 +132,7 @@
         item would never move, and its trainer would miss its next steps.
         """
         items = [
-            waiting("slow", start_by=slow, is_on_slow_engine=True),
+            waiting("slow", start_by=slow, is_running=True),
             waiting("waits", start_by=waits),
         ]
         capacities = [
