Batches: say which module does what when engines are divided

The docstrings of the five modules did not name each other's part, and division's left out that unequal engines are divided by rate. FIRST_INTERVAL_SECONDS said that no step interval was known, but is used while no model has work. The output tokens that are expected of an item were computed in three places, the check for enough engines in two. No behaviour changes.

--- a/bilberrydrum/batches/demand.py
+++ b/bilberrydrum/batches/demand.py
@@ -1,4 +1,8 @@
-"""Track what trainers have requested recently: amount of work and weight versions."""
+"""Track what was requested recently: amount of work and weight versions.
+
+`engine_divider` uses `Demand` for batches without a step; the work of trainers is in
+`pacing`. `loader` uses `AnnouncedVersions`.
+"""
 
 from collections.abc import Mapping, Sequence
 from typing import Final
@@ -9,7 +13,7 @@
 
 
 class Demand:
-    """How much work each model's trainer has requested within a time window."""
+    """How much work was requested for each model within a time window."""
 
     def __init__(self, window_seconds: float) -> None:
         self._window_seconds = window_seconds
--- a/bilberrydrum/batches/division.py
+++ b/bilberrydrum/batches/division.py
@@ -1,11 +1,12 @@
 """Decide when the division of the engines among the models changes, and to what.
 
-While no trainer is behind, `engine_shares` divides by the usual work of the models.
-When one is behind, `lateness` moves engines to the trainers that would be the furthest
-behind. Both are pure; this class holds the current division and the time of its last
+While no trainer is behind, `engine_shares` divides by the usual work of the models, or
+`lateness.even_out` does if the engines differ much in speed. When one is behind,
+`lateness.rebalance` moves engines to the trainers that would be the furthest behind.
+These functions are pure; `Division` holds the current division and the time of its last
 change. A change of the engines or models takes effect at once. Each other change costs
-loads of weights, so these are at least a step apart and never within a burst of
-submissions, in which the first batches hide the work of the others.
+loads of weights, so these are at least a step interval apart. They are postponed during
+a burst of submissions, in which the first batches hide the work of the others.
 """
 
 import enum
@@ -23,8 +24,8 @@
 # Engines are divided by rate instead of number if their rates differ by more than this
 # factor.
 UNEQUAL_FACTOR: Final = 1.5
-# Minimum time between two changes if no step interval is known, in seconds.
-FIRST_INTERVAL_SECONDS: Final = 4.0
+# Minimum time between two changes while no model has work, in seconds.
+IDLE_INTERVAL_SECONDS: Final = 4.0
 
 
 class Reason(enum.StrEnum):
@@ -68,7 +69,7 @@
             for each in self.loads_by_model.values()
             if each.n_tokens
         ]
-        return min(intervals, default=FIRST_INTERVAL_SECONDS)
+        return min(intervals, default=IDLE_INTERVAL_SECONDS)
 
 
 class Division:
@@ -105,8 +106,7 @@
             self.shares = self._redivided(inputs)
             self.reason = Reason.ENGINES
             return self.shares != before
-        is_possible = len(engine_ids) >= len(models) > 0
-        if not is_possible or not self._is_due(inputs, now):
+        if not self._has_enough_engines() or not self._is_due(inputs, now):
             return False
         self.shares = self._rebalanced(inputs)
         if self.shares == before:
@@ -120,9 +120,9 @@
         previous = self.shares
         if not previous.is_disjoint():
             previous = engine_shares.Shares()
-        is_possible = len(self.engine_ids) >= len(self._models) > 0
+        are_rates_known = all(inputs.rates_by_engine.values())
         is_by_lateness = self._is_by_lateness or inputs.is_behind()
-        if is_possible and is_by_lateness and all(inputs.rates_by_engine.values()):
+        if self._has_enough_engines() and is_by_lateness and are_rates_known:
             return engine_shares.Shares(
                 lateness.fill(
                     inputs.loads_by_model,
@@ -134,6 +134,10 @@
             return previous
         return engine_shares.divide(self.engine_ids, _demand(inputs), previous)
 
+    def _has_enough_engines(self) -> bool:
+        """Return whether there are models, and at least one engine for each."""
+        return len(self.engine_ids) >= len(self._models) > 0
+
     def _is_complete(self, shares: engine_shares.Shares) -> bool:
         """Return whether each model has an engine, and each engine a model."""
         assigned = frozenset().union(*shares.engine_ids_by_model.values())
@@ -141,6 +145,7 @@
         return assigned == self.engine_ids and models == self._models
 
     def _is_due(self, inputs: Inputs, now: float) -> bool:
+        """Return whether a change is allowed at `now`, apart from changed engines."""
         if now - self._changed_at < inputs.min_change_seconds():
             return False
         if now - inputs.last_submitted_at >= BURST_GAP_SECONDS:
@@ -154,6 +159,7 @@
         return True
 
     def _rebalanced(self, inputs: Inputs) -> engine_shares.Shares:
+        """Return the division among the same engines and models."""
         by_work = self._divided_by_work(inputs)
         if not inputs.is_behind():
             # Engines that have helped a trainer catch up stay with it as long as it
@@ -172,6 +178,7 @@
         )
 
     def _divided_by_work(self, inputs: Inputs) -> engine_shares.Shares:
+        """Return the division while no trainer is behind."""
         if inputs.are_unequal() and self._is_complete(self.shares):
             return engine_shares.Shares(
                 lateness.even_out(
--- a/bilberrydrum/batches/engine_divider.py
+++ b/bilberrydrum/batches/engine_divider.py
@@ -1,8 +1,9 @@
 """Divide the engines among the models, at the leader of the stores' group.
 
-Gathers what the decision depends on (the trainers' pace, the engines' rates, the
-versions that they have loaded), and reports each change to the log and the metrics.
-`division` decides.
+This is the part that the runner calls. It gathers what the decision depends on (the
+trainers' pace from `pacing`, the engines' rates, the versions that they have loaded),
+and reports each change to the log and the metrics. `division` decides when the division
+changes, `engine_shares` and `lateness` compute the new one.
 """
 
 import math
@@ -31,8 +32,8 @@
 # submission of another, in seconds: trainers that start together submit their first
 # steps within a step interval.
 _FIRST_SUBMISSIONS_SECONDS: Final = 5.0
-# Time over which the rate of an engine is averaged, in seconds. Hosts get slower for
-# fractions of a second, which must not move engines.
+# Time over which the rate of an engine is averaged, in seconds. Slowdowns of a host
+# that last fractions of a second must not move engines.
 _RATE_SECONDS: Final = 5.0
 # Interval between two evaluations, in seconds. Each of them visits all engines.
 _EVALUATION_SECONDS: Final = 0.25
@@ -101,11 +102,11 @@
         `spare_groups` are the groups that its trainer does not wait for.
         """
         awaited = [
-            _n_output_tokens(each)
+            each.n_likely_output_tokens()
             for each in batch.items
             if (batch.batch_id, each.group or each.item_id) not in spare_groups
         ]
-        n_tokens = sum(_n_output_tokens(each) for each in batch.items)
+        n_tokens = sum(each.n_likely_output_tokens() for each in batch.items)
         self._first_submitted_at = min(self._first_submitted_at, submitted_at)
         if batch.step < 0:
             self._untimed.record(batch.model, n_tokens, submitted_at)
@@ -221,10 +222,6 @@
             counters.MODEL_ENGINES.labels(name).set(sizes.get(name, 0))
 
 
-def _n_output_tokens(item: model.Item) -> int:
-    return item.n_expected_output_tokens or item.n_tokens
-
-
 def _median_interval(paces: Collection[Sequence[pacing.Pace]]) -> float:
     known = [e.interval_seconds for each in paces for e in each if e.interval_seconds]
     return statistics.median(known) if known else pacing.UNKNOWN_INTERVAL_SECONDS
--- a/bilberrydrum/batches/engine_shares.py
+++ b/bilberrydrum/batches/engine_shares.py
@@ -1,4 +1,6 @@
-"""Divide the engines among the models that are being trained.
+"""Divide the engines among the models by work.
+
+`division` decides when this is used, and when engines move because of lags instead.
 
 An engine that serves a single model loads each version of it once and keeps the prompts
 in its cache. An engine that served all models would load a version of each of them, and
--- a/bilberrydrum/batches/lateness.py
+++ b/bilberrydrum/batches/lateness.py
@@ -1,12 +1,12 @@
 """Predict how far trainers will be behind, and move engines to those furthest behind.
 
-Pure functions of loads and engines. The lateness of a trainer is predicted for some
-steps ahead, from its lag and from the duration of its steps on the engines of its
-model. An engine is moved to the trainer that would be the furthest behind, as long as
-this makes neither that trainer nor the one that gives the engine as late as it would
-have been. So trainers that are all behind converge on the same lateness. An engine that
-helps little, and makes another trainer later by much more, is not moved: otherwise one
-trainer that can't be helped would make all others late.
+Pure functions of loads and engines, which `division` uses. The lateness of a trainer is
+predicted for some steps ahead, from its lag and from the duration of its steps on the
+engines of its model. An engine is moved to the trainer that would be the furthest
+behind, as long as this makes neither that trainer nor the one that gives the engine as
+late as it would have been. So trainers that are all behind converge on the same
+lateness. An engine that helps little, and makes another trainer later by much more, is
+not moved: otherwise one trainer that can't be helped would make all others late.
 """
 
 import math
@@ -30,6 +30,10 @@
 # one that has the same work and is late as well.
 MAX_LOSS_FACTOR: Final = 2.0
 
+# Lowest rate that is calculated with, in tokens per second. A model may have lost all
+# its engines.
+_MIN_RATE: Final = 1e-9
+
 
 @attrs.frozen
 class Load:
@@ -59,7 +63,7 @@
         """
         if not self.n_tokens:
             return -HORIZON_STEPS * self.interval_seconds
-        work_seconds = self.n_tokens / max(tokens_per_second, 1e-9)
+        work_seconds = self.n_tokens / max(tokens_per_second, _MIN_RATE)
         # More engines do not help against items that are too long in any case.
         longest_seconds = min(self.longest_seconds, self.max_step_seconds)
         step_seconds = longest_seconds + work_seconds
@@ -125,6 +129,7 @@
         )
 
     def lateness(self, model: str, added_rate: float = 0.0) -> float:
+        """Return the predicted lateness of a model's trainers, in seconds."""
         rate = self.rates_by_model[model] + added_rate
         seconds = self.loads_by_model[model].lateness_seconds(rate)
         return seconds - self.excess_by_model[model]
--- a/bilberrydrum/batches/lifecycle.py
+++ b/bilberrydrum/batches/lifecycle.py
@@ -148,4 +148,4 @@
 
     def n_expected_output_tokens(self) -> int:
         """Return the expected number of output tokens."""
-        return self.item.n_expected_output_tokens or self.item.n_tokens
+        return self.item.n_likely_output_tokens()
--- a/bilberrydrum/batches/model.py
+++ b/bilberrydrum/batches/model.py
@@ -70,6 +70,10 @@
     # Sent once the text is complete. None: the item is not scored.
     scoring: ScoringRequest | None = None
 
+    def n_likely_output_tokens(self) -> int:
+        """Return the estimate of the output tokens; without one, `n_tokens`."""
+        return self.n_expected_output_tokens or self.n_tokens
+
     def is_finished_by(self, result: "Result") -> bool:
         """Return whether `result` is final, not a text that still lacks its score."""
         is_completed = result.state is ItemState.COMPLETED
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -173,7 +173,7 @@
     def retry_after_seconds(self, batch: model.Batch) -> float:
         """Return after how many seconds there is room for a batch; 0: there is."""
         route = work.route_of(batch, self._view.routes)
-        n_tokens = sum(e.n_expected_output_tokens or e.n_tokens for e in batch.items)
+        n_tokens = sum(each.n_likely_output_tokens() for each in batch.items)
         queued: collections.Counter[tuple[str, str]] = collections.Counter()
         for each in self._work.open_batches():
             owner = backlog.owner_of(each.batch.account, each.batch.model)
--- a/bilberrydrum/batches/slow_engines.py
+++ b/bilberrydrum/batches/slow_engines.py
@@ -19,7 +19,8 @@
 # one.
 SLOW_FACTOR: Final = 2.2
 # An engine whose normal speed is known is slow in any case if its seconds per event are
-# normally more than this many times the median of the others.
+# normally more than this many times the median of the others. Moves and placement
+# compensate for smaller differences.
 CONSTANT_SLOW_FACTOR: Final = 3.0
 
 
--- a/bilberrydrum/batches/urgency.py
+++ b/bilberrydrum/batches/urgency.py
@@ -110,7 +110,11 @@
         return max(memory_forecast.n_expected_left(n_expected, n_events), 1.0)
 
     def remaining_seconds(self, n_expected_tokens: int, n_events: int) -> float:
-        """Return the expected remaining time of an item with `n_events`, in seconds."""
+        """Return the expected remaining time of an item with `n_events`, in seconds.
+
+        An item that has reached its estimate counts as about to end, unlike in
+        `remaining_events`. The order of waiting items depends on this value only.
+        """
         n_expected = n_expected_tokens / self.tokens_per_event
         return max(n_expected - n_events, 1.0) * self._event_seconds
 
