Fleet, relay: names of observations that a gateway lacks, and of the weighted load

News and is_news were figurative. expected_time returned no time but a load. The test's name follows the method's; its cases are the same. No behaviour changes.

--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -320,13 +320,13 @@
             )
             for each in changes:
                 _log_health(each)
-        news = self._health.newer_than(message.observations_index, now)
-        if not news.observations:
+        missing = self._health.missing_after(message.observations_index, now)
+        if not missing.observations:
             return feed
         return attrs.evolve(
             feed,
-            observations=news.observations,
-            observations_index=news.index,
+            observations=missing.observations,
+            observations_index=missing.index,
         )
 
     def _on_ask_trial(
--- a/bilberrydrum/fleet/upstream_health.py
+++ b/bilberrydrum/fleet/upstream_health.py
@@ -60,7 +60,7 @@
 
 
 @attrs.frozen
-class News:
+class Missing:
     """What a gateway does not have yet."""
 
     # The oldest first.
@@ -148,9 +148,9 @@
     def is_outdated(self, now: float) -> bool:
         """Return whether nothing here can matter any more."""
         is_answer_old = now - self.answered_at > EXPIRY_SECONDS
-        return is_answer_old and not self.failures and not self.is_news(0, now)
+        return is_answer_old and not self.failures and not self.is_missing(0, now)
 
-    def is_news(self, index: int, now: float) -> bool:
+    def is_missing(self, index: int, now: float) -> bool:
         """Return whether a gateway that has `index` lacks what is passed on."""
         known = self.published
         return (
@@ -220,17 +220,17 @@
             observed_at = max(observed_at, record.published.observed_at)
         record.published = _Published(self._index, n_failures, observed_at)
 
-    def newer_than(self, index: int, now: float) -> News:
+    def missing_after(self, index: int, now: float) -> Missing:
         """Return what a gateway that has the observations up to `index` lacks.
 
         What exceeds the maximum number follows in later answers.
         """
         if not self._records_by_id:
-            return News()
+            return Missing()
         found = sorted(
             (record.published.index, upstream_id, record.published)
             for upstream_id, record in self._records_by_id.items()
-            if record.published is not None and record.is_news(index, now)
+            if record.published is not None and record.is_missing(index, now)
         )[:MAX_OBSERVATIONS]
         observations = tuple(
             Observation(
@@ -238,7 +238,7 @@
             )
             for _, upstream_id, known in found
         )
-        return News(observations, found[-1][0] if found else 0)
+        return Missing(observations, found[-1][0] if found else 0)
 
     def expire(self, now: float) -> None:
         """Remove what is too old to count; called periodically."""
--- a/bilberrydrum/relay/balancing.py
+++ b/bilberrydrum/relay/balancing.py
@@ -42,8 +42,8 @@
     # How long work takes, as a multiple of the usual time, in that report.
     work_factor: float = 1.0
 
-    def expected_time(self, n_slots: int, now: float) -> float:
-        """Return how long requests take at the upstream: its load times its factor.
+    def weighted_load(self, n_slots: int, now: float) -> float:
+        """Return the load, weighted with how long work takes at the upstream's host.
 
         The load is the number of requests per slot. The request to be sent is one of
         them, so a host on which work takes longer also ranks lower while it is idle.
@@ -97,7 +97,7 @@
     ) -> tuple[float, bool, float, bool, float]:
         state = self._states_by_id.get(upstream.upstream_id, _UpstreamState())
         wait = self._backoff_of(upstream.upstream_id, now)
-        load = state.expected_time(upstream.n_slots, now)
+        load = state.weighted_load(upstream.n_slots, now)
         # While less than half of an upstream's slots are in use the zone decides: an
         # answer from another zone takes longer and its traffic costs money, whereas one
         # more request at an engine hardly slows it down.
--- a/bilberrydrum/relay/shared_health.py
+++ b/bilberrydrum/relay/shared_health.py
@@ -44,7 +44,7 @@
 
 @attrs.frozen
 class Applied:
-    """What has become of observations of other gateways."""
+    """The outcome of applying observations of other gateways."""
 
     n_applied: int = 0
     # An own answer is later.
@@ -56,13 +56,13 @@
     """Exchanges observations with other gateways; times are of `clock.now`."""
 
     def __init__(self, first_pause_seconds: float, max_pause_seconds: float) -> None:
-        """Make the exchange.
+        """Initialise the exchange.
 
         Parameters
         ----------
         first_pause_seconds, max_pause_seconds : float
-            As those of the pauses after own failures. The failure at each gateway
-            counts as one failure in a row.
+            First and longest pause, as those after own failures. Failures at several
+            gateways count as as many failures in a row.
         """
         self._first_pause_seconds = first_pause_seconds
         self._max_pause_seconds = max_pause_seconds
--- a/tests/test_relay_balancing.py
+++ b/tests/test_relay_balancing.py
@@ -66,7 +66,7 @@
         ("without a factor", (2, None), (1, None), 100.1, "u1"),
         ("one without a factor", (1, None), (1, 2.5), 100.1, "u0"),
     )
-    def test_expected_time(self, name, first, second, now, expected):
+    def test_weighted_load(self, name, first, second, now, expected):
         """Requests wait at a slow host because it reports fewer of them."""
         self.assertEqual(self.chosen(first, second, now), {expected}, name)
 
--- a/tests/test_upstream_health.py
+++ b/tests/test_upstream_health.py
@@ -420,7 +420,7 @@
             health.record(sender, [Observation("u", n_failures, age_ms)], {"u"}, now)
         found = [
             (each.n_failures, round(3.0 - each.age_ms / 1000, 3))
-            for each in health.newer_than(0, now).observations
+            for each in health.missing_after(0, now).observations
         ]
         self.assertEqual(found, [] if expected is None else [expected], name)
 
