Batches: two names, and no alias of the limit for slow engines

engines.SLOW_FACTOR was an alias that only a test used; the test reads the constant where it is defined. is_seamless was figurative: loads keep items running. No behaviour changes.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -33,7 +33,6 @@
 # A pace that was not updated for this long, in seconds, is ignored: the engine may have
 # recovered and is tried again.
 PACE_SECONDS: Final = 3.0
-SLOW_FACTOR: Final = slow_engines.SLOW_FACTOR
 # An engine that was slow gets at most this many items until its pace is normal again.
 # If all its run slots were filled at each try, a dozen streams would be cancelled every
 # few seconds (548 on a day with a slow engine), and each prompt would be processed
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -313,14 +313,14 @@
         if not sources_by_id:
             return []
         found = work.movable_runs(self._work, sources_by_id, self._pace)
-        limits_by_key = {each.key: each for each in found}
+        found_by_key = {each.key: each for each in found}
         movable = self._waiting_items((each.opened, each.run) for each in found)
         return [
             attrs.evolve(
                 each,
                 is_running=True,
-                max_event_seconds=limits_by_key[each.key].max_event_seconds,
-                may_try_unknown=limits_by_key[each.key].source.is_slow,
+                max_event_seconds=found_by_key[each.key].max_event_seconds,
+                may_try_unknown=found_by_key[each.key].source.is_slow,
             )
             for each in movable
         ]
--- a/bilberrydrum/batches/weight_plan.py
+++ b/bilberrydrum/batches/weight_plan.py
@@ -74,7 +74,7 @@
     # Items of the model wait for a run slot.
     has_waiting: bool = False
     # Loads are known not to interrupt running items.
-    is_seamless: bool = False
+    keeps_items_running: bool = False
 
     def oldest(self) -> int:
         """Return the oldest version that the newest step allows."""
@@ -82,7 +82,7 @@
 
     def may_load_ahead(self) -> bool:
         """Return whether loads cost no running or waiting item anything."""
-        return self.is_seamless and not self.has_waiting
+        return self.keeps_items_running and not self.has_waiting
 
     def is_deferral_over(self) -> bool:
         """Return whether deferred loads should start."""
--- a/simulation/rollouts.py
+++ b/simulation/rollouts.py
@@ -225,15 +225,14 @@
         self._assign()
 
     def _divide(self) -> None:
+        """Divide the engines anew; one that changes its model loads weights first."""
         if not self._policy.has_division:
             return
         now = self._loop.now
         shares = self._divider.step(self._engines, {}, now)
         for engine_id in self._engines.by_id:
-            before, after = (
-                self._shares.models_of(engine_id),
-                shares.models_of(engine_id),
-            )
+            before = self._shares.models_of(engine_id)
+            after = shares.models_of(engine_id)
             if before and before != after:
                 self.figures.n_moved_engines += 1
                 until = now + self._load.load_seconds
--- a/tests/test_batches_slow_engines.py
+++ b/tests/test_batches_slow_engines.py
@@ -11,6 +11,7 @@
     engines,
     lifecycle,
     scheduling,
+    slow_engines,
     weight_plan,
 )
 from bilberrydrum.fleet import model as fleet_model
@@ -62,7 +63,7 @@
                 str(number)
                 for number, pace in enumerate(drawn)
                 if pace
-                > engines.SLOW_FACTOR
+                > slow_engines.SLOW_FACTOR
                 * statistics.median(drawn[:number] + drawn[number + 1 :])
             }
             self.assertEqual(known.slow_ids(100.1), expected, drawn)
--- a/tests/test_batches_weight_plan.py
+++ b/tests/test_batches_weight_plan.py
@@ -107,7 +107,7 @@
     @tools.params(
         ("items wait", {"has_waiting": True}, set()),
         ("nothing waits", {}, {"a", "b"}),
-        ("loads interrupt", {"is_seamless": False}, {"a"}),
+        ("loads interrupt", {"keeps_items_running": False}, {"a"}),
     )
     def test_all_engines_load_ahead_of_the_next_step(self, name, changes, expected):
         """Engines that skipped a version load when a step arrives, and its items wait.
@@ -116,7 +116,7 @@
         most half of them at a time.
         """
         quiet = attrs.evolve(
-            LAGGING, age_seconds=0.5, has_waiting=False, is_seamless=True
+            LAGGING, age_seconds=0.5, has_waiting=False, keeps_items_running=True
         )
         wanted = attrs.evolve(quiet, **changes)
         versions = {"a": 4, "b": 4, "c": 5, "d": 5}
@@ -128,7 +128,7 @@
         """Eight engines, a version every 4 s, each step allows the previous version."""
         versions = dict.fromkeys("abcdefgh", 1)
         for version in range(2, 8):
-            wanted = weight_plan.Wanted(version, 1, 0.1, True, is_seamless=True)
+            wanted = weight_plan.Wanted(version, 1, 0.1, True, keeps_items_running=True)
             able = [each for each in versions.values() if each >= version - 1]
             self.assertEqual(len(able), 8, version)
             self.assertEqual(self.load_all(versions, wanted), 0)
