Batches: no metrics of models that are no longer served

The gauges of a model kept their last values after its engines had left, until the leadership ended. They are cleared when the set of models changes, and set again at once for the others. The new test failed before (4.0 engines).

--- a/bilberrydrum/batches/engine_divider.py
+++ b/bilberrydrum/batches/engine_divider.py
@@ -80,15 +80,12 @@
         self._rates = EngineRates()
         self._division = division.Division()
         self._evaluated_at = float("-inf")
+        # The models that the metrics are about.
+        self._reported_models: frozenset[str] = frozenset()
 
     def stop(self) -> None:
         """Remove the metrics, which another process reports from now on."""
-        for metric in (
-            counters.STEP_INTERVAL_SECONDS,
-            counters.TRAINER_LAG_SECONDS,
-            counters.MODEL_ENGINES,
-        ):
-            metric.clear()
+        _clear_metrics()
 
     def record_submission(
         self,
@@ -214,6 +211,9 @@
         )
 
     def _report(self, loads: Mapping[str, lateness.Load]) -> None:
+        if loads.keys() != self._reported_models:
+            _clear_metrics()
+            self._reported_models = frozenset(loads)
         sizes = self._division.shares.sizes()
         for name, load in loads.items():
             if math.isfinite(load.max_step_seconds):
@@ -222,6 +222,15 @@
             counters.MODEL_ENGINES.labels(name).set(sizes.get(name, 0))
 
 
+def _clear_metrics() -> None:
+    for metric in (
+        counters.STEP_INTERVAL_SECONDS,
+        counters.TRAINER_LAG_SECONDS,
+        counters.MODEL_ENGINES,
+    ):
+        metric.clear()
+
+
 def _median_interval(paces: Collection[Sequence[pacing.Pace]]) -> float:
     known = [e.interval_seconds for each in paces for e in each if e.interval_seconds]
     return statistics.median(known) if known else pacing.UNKNOWN_INTERVAL_SECONDS
--- a/tests/test_batches_engine_divider.py
+++ b/tests/test_batches_engine_divider.py
@@ -183,6 +183,18 @@
         registry = prometheus_client.REGISTRY
         return registry.get_sample_value(f"bilberrydrum_{name}", labels)
 
+    def test_model_that_is_no_longer_served(self):
+        """Guard against metrics of a model that stay after its engines have left."""
+        registry = prometheus_client.REGISTRY
+        name = "bilberrydrum_model_engines"
+        self.step(0.0)
+        self.assertEqual(registry.get_sample_value(name, {"model": "m3"}), 4.0)
+        for each in self.engines.by_id.values():
+            del each.versions_by_model["m3"]
+        self.step(10.0)
+        self.assertIsNone(registry.get_sample_value(name, {"model": "m3"}))
+        self.assertIsNotNone(registry.get_sample_value(name, {"model": "m0"}))
+
 
 class Rates(unittest.TestCase):
     def test_short_slowdowns_are_averaged(self):
