Errors beside the main path: division of engines, observations, implausible reports

Found by a reading of the whole change, no failure was seen:

- An error in the division of the engines ended the scheduling pass before any item was sent, or the task that applies the log.
It is logged now, and the division stays.
- An error while a gateway applies observations would have kept the lease on its policy from being confirmed.
The lease comes first.
Factors outside of 0.1 to 10 count as none, here as for engines.
- A clock that is set back gave a trainer a negative step interval, and it seemed to have stopped.
Such intervals do not count.
- A relayed stream closes its reader before its socket instead of relying on the reference count.

The new tests fail without the changes.

--- a/bilberrydrum/batches/engine_speed.py
+++ b/bilberrydrum/batches/engine_speed.py
@@ -5,13 +5,14 @@
 is at the moment comes from its reports.
 """
 
-import math
 import statistics
 from collections.abc import Collection
 from typing import Final
 
 import attrs
 
+from bilberrydrum import upstream_protocol
+
 # Number of intervals after which the normal speed counts as known: several events of
 # each item at a full engine.
 MIN_SAMPLES: Final = 20
@@ -27,10 +28,6 @@
 # A reported work factor is ignored after this time, in seconds. It changes many times a
 # second.
 WORK_FACTOR_SECONDS: Final = 0.5
-# Factors outside of this range are no plausible reports. No known host is slowed down
-# more than tenfold.
-MIN_WORK_FACTOR: Final = 0.1
-MAX_WORK_FACTOR: Final = 10.0
 # Share of the engines whose speeds must be known before an engine of unknown speed is
 # restricted. A new leader knows none, and restricts none.
 MIN_KNOWN_SHARE: Final = 0.5
@@ -65,7 +62,7 @@
 
     def record_work_factor(self, factor: float, now: float) -> None:
         """Record how long work takes at the engine's host; 1.0 is the usual time."""
-        if math.isfinite(factor) and MIN_WORK_FACTOR <= factor <= MAX_WORK_FACTOR:
+        if upstream_protocol.is_plausible_factor(factor):
             self._work_factor = factor
             self._work_factor_at = now
 
--- a/bilberrydrum/batches/pacing.py
+++ b/bilberrydrum/batches/pacing.py
@@ -151,8 +151,9 @@
 
     def _record_interval(self, last: Step, step: Step, is_held: bool | None) -> None:
         n_steps = step.number - last.number
-        seconds = step.submitted_at - last.submitted_at
-        if not is_held and not self._is_last_held:
+        # Submission times of stored batches come from clocks that may be set back.
+        seconds = max(step.submitted_at - last.submitted_at, 0.0)
+        if seconds and not is_held and not self._is_last_held:
             self._intervals.append(seconds / n_steps)
             self._interval_seconds = _usual_interval(self._intervals[-N_STEPS:])
         if self._interval_seconds is None:
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -8,9 +8,10 @@
 """
 
 import collections
+import contextlib
 import functools
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any, Final
 
 import attrs
@@ -142,9 +143,10 @@
             if age <= _REUSE_SECONDS:
                 ended = kept.decode()
                 self._work.remember(ended, kept)
-                self._divider.record_submission(
-                    ended, clock.now() - age, has_ended=True
-                )
+                with _errors_logged():
+                    self._divider.record_submission(
+                        ended, clock.now() - age, has_ended=True
+                    )
             return
         opened = self._work.open(kept, clock.now() - age)
         batch = opened.batch
@@ -159,7 +161,10 @@
             age_seconds=round(age, 3),
         )
         self._loader.record_step(batch.model, batch.min_version)
-        self._divider.record_submission(batch, opened.submitted_at, opened.spare_groups)
+        with _errors_logged():
+            self._divider.record_submission(
+                batch, opened.submitted_at, opened.spare_groups
+            )
         for result in self._work.reusable_results(opened, self._route_of(opened)):
             self._submit_reusable(opened, result)
         self.wake()
@@ -207,7 +212,8 @@
         self._scores.cancel_batch(batch_id)
         if closed is not None:
             self._work.remember_closed(closed)
-            self._divider.record_end(closed.batch, clock.now())
+            with _errors_logged():
+                self._divider.record_end(closed.batch, clock.now())
         self.wake()
 
     # The loop
@@ -261,7 +267,8 @@
 
     def _divide_engines(self, now: float) -> None:
         versions_by_model = self._view.registry.versions_by_model
-        self._shares = self._divider.step(self._engines, versions_by_model, now)
+        with _errors_logged():
+            self._shares = self._divider.step(self._engines, versions_by_model, now)
 
     def _load_weights(self, usable: Sequence[engines.Engine], now: float) -> None:
         waiting_models = {
@@ -429,6 +436,20 @@
         self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
 
 
+@contextlib.contextmanager
+def _errors_logged() -> Iterator[None]:
+    """Log an unexpected error of the block and continue after it.
+
+    For the division of the engines, without which items can still run. An error would
+    otherwise end the scheduling pass before any item is sent, or the task that applies
+    the log, and with it the replica.
+    """
+    try:
+        yield
+    except Exception:
+        eliot.write_traceback()
+
+
 def _may_have_free_slot(engine: engines.Engine) -> bool:
     """Return False only if `engine` certainly takes no other item now."""
     n_slots = max(engine.upstream.n_slots, engines.PROBE_SLOTS)
--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -139,10 +139,11 @@
         self._record_connection(answer.is_ok())
         if isinstance(answer, result.Ok):
             self._apply(answer.ok_value)
-            self._on_answer(answer.ok_value, sent_at)
             self.policy_lease.confirm(sent_at)
             self._confirmed.send(None)
             self._confirmed = eventlet.event.Event()
+            # Last, so that an error there does not let the policy's lease expire.
+            self._on_answer(answer.ok_value, sent_at)
 
     def _wait_for_renewal(self, sent_at: float) -> None:
         with eventlet.Timeout(RENEW_SECONDS, False):
--- a/bilberrydrum/relay/balancing.py
+++ b/bilberrydrum/relay/balancing.py
@@ -158,7 +158,7 @@
         state.backoff_state.record_success()
         if head.n_running is not None:
             state.n_reported = head.n_running + (head.n_waiting or 0)
-            state.work_factor = head.work_factor or 1.0
+            state.work_factor = _plausible_factor(head)
             state.reported_at = now
 
     def record_failure(self, upstream_id: str, now: float) -> None:
@@ -178,6 +178,14 @@
         return self._states_by_id.setdefault(upstream_id, _UpstreamState())
 
 
+def _plausible_factor(head: upstream_protocol.AnswerHead) -> float:
+    """Return the reported work factor; 1.0 if there is no plausible one."""
+    factor = head.work_factor
+    if factor is None or not upstream_protocol.is_plausible_factor(factor):
+        return 1.0
+    return factor
+
+
 def _candidates(
     upstreams: Iterable[model.FleetUpstream], excluded_ids: Collection[str]
 ) -> list[model.FleetUpstream]:
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -8,8 +8,9 @@
 the partial stream cannot be taken for a complete one.
 """
 
+import contextlib
 import random
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from typing import Any, Final
 
 import attrs
@@ -258,12 +259,14 @@
             self._protocol.version_field, request.last_number or 0
         )
         max_wait = max(STALL_SECONDS, request.route.target_latency_seconds * 4)
-        for part in self._parts(source, max_wait):
-            for event in reader.feed(part):
-                if request.first_event_at is None:
-                    request.first_event_at = clock.now()
-                request.last_number = event.number
-                yield event.raw
+        # Closed explicitly: the socket must not be read any more once it is released.
+        with contextlib.closing(self._parts(source, max_wait)) as parts:
+            for part in parts:
+                for event in reader.feed(part):
+                    if request.first_event_at is None:
+                        request.first_event_at = clock.now()
+                    request.last_number = event.number
+                    yield event.raw
         if not reader.is_between_events():
             raise event_stream.EventError("stream ended in the middle of an event")
         if request.first_event_at is None and not _may_be_empty(request, source):
@@ -275,7 +278,7 @@
         self._balancer.record_success(source.upstream.upstream_id, head, clock.now())
         self._crashes.record_answer(request.fingerprint)
 
-    def _parts(self, source: _Source, max_wait: float) -> Iterator[bytes]:
+    def _parts(self, source: _Source, max_wait: float) -> Generator[bytes, None, None]:
         with body_reader.reading(
             self._resources, source.outgoing, source.connection, source.answer
         ) as body:
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -5,10 +5,20 @@
 """
 
 from collections.abc import Mapping
-from typing import Protocol
+from typing import Final, Protocol
 
 import attrs
 
+# Work factors outside of this range are no plausible reports. A factor near 0 would
+# draw all requests to one host, and no known host is slowed down more than tenfold.
+MIN_WORK_FACTOR: Final = 0.1
+MAX_WORK_FACTOR: Final = 10.0
+
+
+def is_plausible_factor(factor: float) -> bool:
+    """Return whether a reported work factor can be true."""
+    return MIN_WORK_FACTOR <= factor <= MAX_WORK_FACTOR
+
 
 @attrs.frozen
 class Attempt:
--- a/tests/test_batches_pacing.py
+++ b/tests/test_batches_pacing.py
@@ -127,3 +127,18 @@
             step = pacing.Step(0, 0.0, 1000, 100)
             pacing_.record_submission(account, "m", step)
         self.assertEqual([e.n_tokens for e in pacing_.paces_of("m", 1.0)], [1000] * 2)
+
+
+class ClockSetBack(unittest.TestCase):
+    def test_submission_before_the_last_one(self):
+        """Guard against a negative step interval, at which a trainer seems to stop.
+
+        Submission times of stored batches come from the clocks of several leaders.
+        """
+        pacing_ = pacing.Pacing()
+        for number, at in enumerate((10.0, 9.9, 9.8)):
+            step = pacing.Step(number, at, 1000, 100)
+            pacing_.record_submission("", "m", step)
+        pace = pacing_.paces_of("m", 10.0)[0]
+        self.assertIsNone(pace.interval_seconds)
+        self.assertEqual(pace.n_tokens, 1000)
--- a/tests/test_batches_scheduling_pass.py
+++ b/tests/test_batches_scheduling_pass.py
@@ -102,6 +102,26 @@
         self.assertEqual(len(self.run_pass()), N_ITEMS)
 
 
+class ErrorInTheDivision(SchedulingPassCase):
+    """Guard against an error in the division of the engines that stops all items."""
+
+    def test_items_are_sent(self):
+        divider = self.runner._divider
+        with mock.patch.object(divider, "step", side_effect=ValueError("step")):
+            self.assertEqual(len(self.run_pass()), N_ITEMS)
+
+    def test_batches_are_accepted_and_ended(self):
+        divider = self.runner._divider
+        batch = model.Batch("b2", "h", (model.Item("i", "/p/x", {}, b"", 20),))
+        with (
+            mock.patch.object(divider, "record_submission", side_effect=ValueError),
+            mock.patch.object(divider, "record_end", side_effect=ValueError),
+        ):
+            self.runner.accept(model.KeptBatch.of(batch, 0.0))
+            self.assertEqual(len(self.run_pass()), N_ITEMS + 1)
+            self.runner.end("b2")
+
+
 class ManyItems(SchedulingPassCase):
     def test_versions_are_gathered_once(self):
         """Guard against a pass that visits all engines for each waiting item.
--- a/tests/test_relay_balancing.py
+++ b/tests/test_relay_balancing.py
@@ -65,6 +65,14 @@
         ("faster than usual", (2, 0.4), (1, 1.0), 100.1, "u0"),
         ("without a factor", (2, None), (1, None), 100.1, "u1"),
         ("one without a factor", (1, None), (1, 2.5), 100.1, "u0"),
+        (
+            "a busy host reports that it is far too fast",
+            (5, 0.01),
+            (1, 1.0),
+            100.1,
+            "u1",
+        ),
+        ("far too slow to be true", (1, 1e9), (2, 1.0), 100.1, "u0"),
     )
     def test_weighted_load(self, name, first, second, now, expected):
         """Requests wait at a slow host because it reports fewer of them."""
