Hold an answer of 421 for not run, and ask its address rarely

What callers saw: an engine is lost and another service gets its address. 12 of 24 items of a batch were listed as terminated within three seconds, although no engine had run them and the other engine had room for all of them in time. A plain request was answered 421.

Cause: the adapter was not given an answer's status, and read "did not run" from a header alone, which a 421 need not have. So a 421 counted as an answer of the upstream that the request had named: an item's failure, a request's run, the end of the upstream's backoff. Ruled out: the time limit of the items and a quarantine; `batches:item-ended` had the why `status 421` and 3 failures.

Evidence: lines of the stores' leader in a run of separate processes: 48 attempts `failed`, `status 421`, three an item and a second apart.

Change: `read_head` gets the status. The statement counts only for an answer that is certainly this request's: it carries its id, or its connection has carried no other request. So a second answer to an earlier request proves nothing. The reason `address-reused` and the outcome `misdirected` tell the case apart. A stream's 200 without a signature is recorded as `answer-mismatched` and no longer as `upstream-busy`, as for plain requests, and so counts as the upstream's failure.

Why it works: no path takes the status for an answer of the named upstream any more, so nothing is counted against the request; and what is known of the address keeps requests from it, so that none has to find out again.

The soak's stand-ins sent the header with each 421; half of them do not now.

--- a/bilberrydrum/batches/engines.py
+++ b/bilberrydrum/batches/engines.py
@@ -33,10 +33,10 @@
 # A pace that was not updated for this long, in seconds, is ignored: the engine may have
 # recovered and is tried again.
 PACE_SECONDS: Final = 3.0
-# An engine that was slow gets at most this many items until its pace is normal again.
-# If all its run slots were filled at each try, a dozen streams would be cancelled every
-# few seconds (548 on a day with a slow engine), and each prompt would be processed
-# again elsewhere.
+# An engine that was slow gets at most this many items until its pace is normal again,
+# and one whose address another upstream had until it completes an item. If all its run
+# slots were filled at each try, a dozen streams would be cancelled every few seconds
+# (548 on a day with a slow engine), and each prompt would be processed again elsewhere.
 PROBE_SLOTS: Final = 1
 # A stream counts as stalled after a silence of this many times its engine's pace.
 STALL_PACES: Final = 8.0
@@ -91,6 +91,8 @@
     speed: engine_speed.Speed = attrs.field(factory=engine_speed.Speed)
     # The engine was slow when its pace was last known.
     was_slow: bool = False
+    # Another upstream answered at the engine's address when it was last tried.
+    was_misdirected: bool = False
 
     @property
     def upstream_id(self) -> str:
@@ -185,6 +187,7 @@
     def record_success(self) -> None:
         """Record a complete answer."""
         self.retry_backoff.record_success()
+        self.was_misdirected = False
 
     def record_failure(self, now: float) -> None:
         """Record that an answer broke off or did not come."""
@@ -192,6 +195,15 @@
         if not self.retry_backoff.remaining(now):
             self.retry_backoff.record_failure(now)
 
+    def record_misdirection(self, now: float) -> None:
+        """Record that another upstream has the engine's address.
+
+        That upstream rejects every item at once, so the engine is tried rarely, and
+        with few items, until the registry has its new address or drops it.
+        """
+        self.record_failure(now)
+        self.was_misdirected = True
+
     def record_rejection(self, now: float) -> None:
         """Record that the engine rejected an item because it was full."""
         self.full_until = now + REJECTED_SECONDS
@@ -229,7 +241,7 @@
 
     def _n_slots(self, assumed_seconds: float) -> int:
         n_slots = self.upstream.n_slots
-        if self.was_slow:
+        if self.was_slow or self.was_misdirected:
             return PROBE_SLOTS
         return engine_speed.n_slots_to_use(self.speed, n_slots, assumed_seconds)
 
--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -43,6 +43,8 @@
     FAILED = "failed"
     # The item did not run.
     NOT_RUN = "not-run"
+    # The item did not run: another upstream has the engine's address.
+    MISDIRECTED = "misdirected"
     # The connection to the engine could not be opened.
     UNREACHABLE = "unreachable"
     # The answer broke off or was damaged. The events read before are kept, unless they
@@ -223,7 +225,8 @@
     is_complete = False
     try:
         with body_reader.reading(resources, outgoing, connection, answer) as body:
-            result = _consume(protocol, run, answer, body, reading)
+            is_certain = attempts.is_answer_to(outgoing, connection, answer)
+            result = _consume(protocol, run, answer, body, reading, is_certain)
         is_complete = result.outcome not in (Outcome.BROKEN, Outcome.WRONG_VERSION)
         return result
     except attempts.AttemptError as error:
@@ -249,12 +252,17 @@
     answer: Any,
     body: body_reader.BodyReader,
     reading: Reading,
+    is_certain: bool,
 ) -> AttemptResult:
-    head = protocol.read_head(answer.headers)
+    """Append the events of an answer to the text.
+
+    `is_certain` says whether it is certainly the answer to this request.
+    """
+    head = protocol.read_head(answer.status, answer.headers)
     if head.is_genuine and head.work_factor is not None:
         run.on_work_factor(head.work_factor)
     if answer.status != _OK:
-        return _result_of_error(protocol, answer, body, head)
+        return _result_of_error(protocol, answer, body, head, is_certain)
     if not head.is_genuine:
         # A damaged head with nothing after it looks like the answer of an engine that
         # has nothing left to generate, so an incomplete text would be listed as
@@ -330,6 +338,7 @@
     answer: Any,
     body: body_reader.BodyReader,
     head: upstream_protocol.AnswerHead,
+    is_certain: bool,
 ) -> AttemptResult:
     # Read the body to its end, so that the connection can be reused.
     for _ in body.parts(lambda: STALL_SECONDS):
@@ -338,8 +347,10 @@
     is_named = protocol.request_id_header in answer.headers
     if answer.status == _IMPOSSIBLE and is_named:
         return AttemptResult(Outcome.IMPOSSIBLE, detail)
-    if head.was_not_run:
-        return AttemptResult(Outcome.NOT_RUN, detail)
+    if head.was_not_run and is_certain:
+        is_misdirected = head.is_misdirected
+        outcome = Outcome.MISDIRECTED if is_misdirected else Outcome.NOT_RUN
+        return AttemptResult(outcome, detail)
     if not is_named:
         # The head may be truncated, and may belong to a surplus answer to another
         # request. Its status must neither end this item nor count as its failure.
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -282,6 +282,8 @@
         elif outcome is item_run.Outcome.WRONG_VERSION:
             if attempt_result.version is not None:
                 engine.correct_version(opened.batch.model, attempt_result.version)
+        elif outcome is item_run.Outcome.MISDIRECTED:
+            engine.record_misdirection(now)
         else:
             engine.record_failure(now)
 
--- a/bilberrydrum/batches/orders.py
+++ b/bilberrydrum/batches/orders.py
@@ -69,7 +69,10 @@
         deadline = clock.now() + TIMEOUT_SECONDS
         load = order.load
         while clock.now() < deadline:
-            report = self._fetch_report(engine)
+            reply = self._request_report(engine)
+            if reply.status == _MISDIRECTED:
+                return None
+            report = self._read_report(reply)
             if report is None:
                 clock.sleep(_POLL_SECONDS)
                 continue
@@ -130,11 +133,13 @@
             )
         )
 
-    def _fetch_report(
-        self, engine: model.FleetUpstream
-    ) -> upstream_protocol.EngineReport | None:
+    def _request_report(self, engine: model.FleetUpstream) -> single_calls.Reply:
         message = self._protocol.report_request(engine.announced_id)
-        reply = self._call(engine, lambda: message, "report")
+        return self._call(engine, lambda: message, "report")
+
+    def _read_report(
+        self, reply: single_calls.Reply
+    ) -> upstream_protocol.EngineReport | None:
         if reply.status != _OK:
             return None
         return self._protocol.read_report(reply.body)
--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -55,6 +55,7 @@
     UPSTREAM_ERROR = "upstream-error"
     UPSTREAM_BUSY = "upstream-busy"
     UPSTREAM_SLOW = "upstream-slow"
+    ADDRESS_REUSED = "address-reused"
     ANSWER_TRUNCATED = "answer-truncated"
     ANSWER_MISMATCHED = "answer-mismatched"
 
--- a/bilberrydrum/relay/balancing.py
+++ b/bilberrydrum/relay/balancing.py
@@ -4,7 +4,8 @@
 requests that it has in flight, the load and the speed that answers reported, and its
 own failed attempts. After a failure an upstream is avoided for a backoff time that
 doubles with each failure in a row. If all upstreams are in backoff, the one whose
-backoff ends first is tried, so that no upstream is avoided permanently.
+backoff ends first is tried, so that no upstream is avoided permanently. One whose
+address another upstream has gets nothing until its backoff has ended.
 
 Gateways also avoid upstreams that have failed at several others (see `shared_health`).
 """
@@ -36,6 +37,8 @@
     backoff_state: backoff.Backoff = attrs.field(
         factory=lambda: backoff.Backoff(FIRST_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS)
     )
+    # Another upstream answered at its address when it was last tried.
+    was_misdirected: bool = False
     # Requests at the upstream as last reported, and the time of that report.
     n_reported: int = 0
     reported_at: float = float("-inf")
@@ -79,7 +82,7 @@
         now: float,
     ) -> model.FleetUpstream | None:
         """Return the upstream to send to, or None if no candidate is left."""
-        candidates = _candidates(upstreams, excluded_ids)
+        candidates = self._candidates(upstreams, excluded_ids, now)
         return min(candidates, key=lambda each: self._rank(each, now), default=None)
 
     def ranked(
@@ -89,9 +92,29 @@
         now: float,
     ) -> list[model.FleetUpstream]:
         """Return the upstreams that a request can be sent to, the best one first."""
-        candidates = _candidates(upstreams, excluded_ids)
+        candidates = self._candidates(upstreams, excluded_ids, now)
         return sorted(candidates, key=lambda each: self._rank(each, now))
 
+    def _candidates(
+        self,
+        upstreams: Iterable[model.FleetUpstream],
+        excluded_ids: Collection[str],
+        now: float,
+    ) -> list[model.FleetUpstream]:
+        return [
+            each
+            for each in upstreams
+            if not each.is_leaving
+            and each.upstream_id not in excluded_ids
+            and not self._is_misdirected(each.upstream_id, now)
+        ]
+
+    def _is_misdirected(self, upstream_id: str, now: float) -> bool:
+        state = self._states_by_id.get(upstream_id)
+        if state is None or not state.was_misdirected:
+            return False
+        return state.backoff_state.remaining(now) > 0
+
     def _rank(
         self, upstream: model.FleetUpstream, now: float
     ) -> tuple[float, bool, float, bool, float]:
@@ -156,6 +179,7 @@
             n_failures = state.backoff_state.n_failures
             self._shared.record_answer(upstream_id, n_failures, now)
         state.backoff_state.record_success()
+        state.was_misdirected = False
         if head.n_running is not None:
             state.n_reported = head.n_running + (head.n_waiting or 0)
             state.work_factor = _plausible_factor(head)
@@ -168,6 +192,15 @@
         if self._shared is not None:
             self._shared.record_failure(upstream_id, own.n_failures, now)
 
+    def record_misdirection(self, upstream_id: str, now: float) -> None:
+        """Record that another upstream has the upstream's address.
+
+        That one rejects every request at once. If it were tried for lack of others, as
+        a crashed one is, callers that retry would ask it as often as they can.
+        """
+        self.record_failure(upstream_id, now)
+        self._state_of(upstream_id).was_misdirected = True
+
     def keep_only(self, upstream_ids: Collection[str]) -> None:
         """Remove upstreams that have left, unless a request is in flight there."""
         for upstream_id, state in list(self._states_by_id.items()):
@@ -184,13 +217,3 @@
     if factor is None or not upstream_protocol.is_plausible_factor(factor):
         return 1.0
     return factor
-
-
-def _candidates(
-    upstreams: Iterable[model.FleetUpstream], excluded_ids: Collection[str]
-) -> list[model.FleetUpstream]:
-    return [
-        each
-        for each in upstreams
-        if not each.is_leaving and each.upstream_id not in excluded_ids
-    ]
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -38,6 +38,8 @@
 _MIN_ATTEMPT_TARGETS: Final = 2.0
 # Status by which an upstream reports that it ran a request and failed.
 _FAILED_STATUS: Final = 500
+# Status by which an upstream rejects a request because it is full.
+_BUSY_STATUS: Final = 503
 # A request that times out is answered this long, in seconds, before the caller stops
 # waiting. This covers a network delay of 1 ms and one pass of the event hub.
 ANSWER_MARGIN_SECONDS: Final = 0.02
@@ -305,15 +307,16 @@
         request: _PlainRequest,
         answer: request_model.ApplicationAnswer,
     ) -> model.Answered | None:
-        head = self._protocol.read_head(dict(answer.headers))
-        if head.was_not_run:
-            self._handle_rejection(attempt, request, answer)
+        head = self._protocol.read_head(answer.status, dict(answer.headers))
+        if head.was_not_run and answer.is_certain:
+            self._handle_rejection(attempt, request, answer.status, head)
             return None
         request.n_run += 1
         attempt.has_run = True
-        if answer.status < 300 and not head.is_genuine:
-            # Not the upstream's own answer, so it must not be forwarded: the caller
-            # would take it for the result.
+        if head.was_not_run or (answer.status < 300 and not head.is_genuine):
+            # It may not be the upstream's answer to this request, so it must not be
+            # forwarded: the caller would take it for the result, or for the guarantee
+            # that the request did not run.
             self._balancer.record_failure(attempt.upstream_id, clock.now())
             reason = reasons.Reason.ANSWER_MISMATCHED
             request.record_failure(attempt.upstream_id, reason, self._view)
@@ -336,14 +339,16 @@
         self,
         attempt: _Attempt,
         request: _PlainRequest,
-        answer: request_model.ApplicationAnswer,
+        status: int,
+        head: upstream_protocol.AnswerHead,
     ) -> None:
         request.n_rejections += 1
-        if answer.status != 503:
-            # The upstream is not merely busy, as with 503: its address belongs to
-            # another incarnation now, or it accepts no requests at all.
+        if head.is_misdirected:
+            self._balancer.record_misdirection(attempt.upstream_id, clock.now())
+        elif status != _BUSY_STATUS:
+            # The upstream is not merely busy, but accepts no requests at all.
             self._balancer.record_failure(attempt.upstream_id, clock.now())
-        reason = reasons.Reason.UPSTREAM_BUSY
+        reason = relayed_requests.rejection_reason(head)
         request.record_failure(attempt.upstream_id, reason, self._view)
 
     def _handle_failure(
@@ -391,7 +396,7 @@
     def _to_answered(
         self, request: _PlainRequest, answer: request_model.ApplicationAnswer
     ) -> model.Answered:
-        head = self._protocol.read_head(dict(answer.headers))
+        head = self._protocol.read_head(answer.status, dict(answer.headers))
         signature = head.signature if answer.is_named else ""
         return model.Answered(
             answer.status, answer.headers, answer.body, signature, request.n_failures
--- a/bilberrydrum/relay/relayed_requests.py
+++ b/bilberrydrum/relay/relayed_requests.py
@@ -186,6 +186,13 @@
         return self.rules.retry_after_range
 
 
+def rejection_reason(head: upstream_protocol.AnswerHead) -> reasons.Reason:
+    """Return the reason to record for an answer that the request did not run."""
+    if head.is_misdirected:
+        return reasons.Reason.ADDRESS_REUSED
+    return reasons.Reason.UPSTREAM_BUSY
+
+
 def find_refusal(
     request: RelayedRequest,
     crashes: crash_watch.CrashWatch,
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -209,13 +209,20 @@
     def _accept_answer(
         self, request: _RelayedStream, source: _Source
     ) -> _Source | None:
-        head = self._protocol.read_head(source.answer.headers)
-        is_stream = source.answer.status == _OK
+        answer = source.answer
+        head = self._protocol.read_head(answer.status, answer.headers)
+        is_stream = answer.status == _OK
+        is_certain = attempts.is_answer_to(source.outgoing, source.connection, answer)
+        if head.was_not_run and is_certain:
+            self._release(source)
+            reason = relayed_requests.rejection_reason(head)
+            self._handle_failure(request, source.upstream, reason, False)
+            return None
         if head.was_not_run or (is_stream and not head.is_genuine):
+            # It may not be the upstream's answer to this request.
             self._release(source)
-            may_have_run = not head.was_not_run
-            reason = reasons.Reason.UPSTREAM_BUSY
-            self._handle_failure(request, source.upstream, reason, may_have_run)
+            reason = reasons.Reason.ANSWER_MISMATCHED
+            self._handle_failure(request, source.upstream, reason, True)
             return None
         request.n_run += 1
         if is_stream or not (request.route.is_resumable and request.may_attempt()):
@@ -274,7 +281,7 @@
             # connection in order. If that were taken for the end, the caller would get
             # a partial or empty stream as complete; so it is handled as a break.
             raise event_stream.EventError("stream ended without an event")
-        head = self._protocol.read_head(source.answer.headers)
+        head = self._protocol.read_head(source.answer.status, source.answer.headers)
         self._balancer.record_success(source.upstream.upstream_id, head, clock.now())
         self._crashes.record_answer(request.fingerprint)
 
@@ -325,6 +332,8 @@
         request.count_failed_attempt(may_have_run)
         if reason in relayed_requests.FINAL_REASONS:
             request.stop()
+        elif reason is reasons.Reason.ADDRESS_REUSED:
+            self._balancer.record_misdirection(upstream.upstream_id, clock.now())
         elif reason not in _NOT_UPSTREAM_FAULTS:
             self._balancer.record_failure(upstream.upstream_id, clock.now())
         request.record_failure(upstream.upstream_id, reason, self._view)
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -216,6 +216,20 @@
         )
 
 
+def is_answer_to(
+    outgoing: outgoing_requests.Outgoing,
+    connection: connections.Connection,
+    answer: Any,
+) -> bool:
+    """Return whether `answer` is certainly the one to `outgoing`.
+
+    It is if it carries the request's id, or if its connection has carried no other
+    request. Otherwise it may be a second answer to an earlier request, and its
+    statement that the request did not run proves nothing about this one.
+    """
+    return outgoing.id_header in answer.headers or not connection.was_kept
+
+
 def read_parts(answer: Any) -> Iterator[bytes]:
     """Yield the parts of the answer's body as they are received.
 
@@ -299,10 +313,11 @@
             connection.close()
             raise
         is_named = outgoing.id_header in answer.headers
+        is_certain = is_answer_to(outgoing, connection, answer)
         keep_or_close(resources.pool, upstream.address, connection, answer, is_named)
     headers = outgoing_requests.end_to_end_headers(answer.headers)
     complete = model.ApplicationAnswer(
-        answer.status, headers, body, upstream.upstream_id, is_named
+        answer.status, headers, body, upstream.upstream_id, is_named, is_certain
     )
     if outgoing.is_idempotent and answer.status in _FAILED_STATUSES:
         detail = f"status {answer.status}"
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -121,6 +121,8 @@
     # The socket that it was opened with. An answer that ends with its connection takes
     # the socket away, so `sock` is None while the body is read.
     opened_socket: _Socket | None = None
+    # It has carried an earlier request, to which a late answer may still arrive.
+    was_kept: bool = False
 
 
 @contextlib.contextmanager
@@ -219,6 +221,7 @@
         if connection.sock is None or len(idle) >= MAX_IDLE:
             connection.close()
             return
+        connection.was_kept = True
         idle.append(_Idle(connection, clock.now() + idle_seconds))
 
     def forget(self, address: str) -> None:
--- a/bilberrydrum/requests/model.py
+++ b/bilberrydrum/requests/model.py
@@ -143,3 +143,5 @@
     # Whether the answer carried the id of the request. Without the id, the answer to
     # another request can't be recognised.
     is_named: bool = False
+    # Whether it is certainly the answer to the request; see `attempts.is_answer_to`.
+    is_certain: bool = False
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -50,8 +50,12 @@
     is_genuine: bool = True
     # The signature, which proves that the upstream gave the answer; empty if none.
     signature: str = ""
-    # Whether the upstream guarantees that the request did not run.
+    # Whether the upstream states that the request which it answers did not run. Which
+    # request that is, `attempts.is_answer_to` decides.
     was_not_run: bool = False
+    # Whether another upstream answered, which has the address of the named one now; it
+    # did not run the request.
+    is_misdirected: bool = False
     # Weight version of the first event; None if unknown.
     version: int | None = None
     # Numbers of running and waiting requests at the upstream; None if unknown.
@@ -134,8 +138,8 @@
     def last_event_number(self, headers: Mapping[str, str]) -> int | None:
         """Return the event after which a caller wants to resume; None for no resume."""
 
-    def read_head(self, headers: Mapping[str, str]) -> AnswerHead:
-        """Parse the headers of an answer."""
+    def read_head(self, status: int, headers: Mapping[str, str]) -> AnswerHead:
+        """Parse the status and the headers of an answer."""
 
     def order(self, order: WeightOrder) -> OrderMessage:
         """Return the HTTP request that sends `order`."""
--- a/misc/soaks/soak_upstreams.py
+++ b/misc/soaks/soak_upstreams.py
@@ -174,7 +174,9 @@
     def _serve(self, connection: Any, received: scripted.Received) -> Any:
         work = standins.read_request(received.headers)
         if work.expected_id and work.expected_id != self.announced_id:
-            return self._send(connection, 421, b"", standins.NOT_RUN_HEADERS)
+            # Not all upstreams repeat in a header what the status says.
+            headers = {} if self._keeps_name else standins.NOT_RUN_HEADERS
+            return self._send(connection, 421, b"", headers)
         if received.target == standins.REPORT_TARGET:
             body = standins.report(
                 {_MODEL: self.version},
--- a/tests/fakes/node_protocol.py
+++ b/tests/fakes/node_protocol.py
@@ -30,10 +30,11 @@
     def identity_of(self, headers):
         return headers.get("Caller", "")
 
-    def read_head(self, headers):
+    def read_head(self, status, headers):
         version = headers.get("Version", "")
         return upstream_protocol.AnswerHead(
-            was_not_run="Not-Run" in headers,
+            was_not_run=status == 421 or "Not-Run" in headers,
+            is_misdirected=status == 421,
             version=int(version) if version else None,
             signature=headers.get("Signature", ""),
         )
--- a/tests/relay_support.py
+++ b/tests/relay_support.py
@@ -35,9 +35,11 @@
     def identity_of(self, headers):
         return headers.get("Caller", "")
 
-    def read_head(self, headers):
+    def read_head(self, status, headers):
         return upstream_protocol.AnswerHead(
-            was_not_run="Not-Run" in headers, is_genuine="Foreign" not in headers
+            was_not_run=status == 421 or "Not-Run" in headers,
+            is_misdirected=status == 421,
+            is_genuine="Foreign" not in headers,
         )
 
 
@@ -79,6 +81,26 @@
     return False
 
 
+def without_id(status):
+    """Return a script that answers with `status` and without the request's id."""
+
+    def script(connection, received):
+        lines = [f"HTTP/1.1 {status} X", "Content-Length: 0"]
+        connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    return script
+
+
+def in_turn(*scripts):
+    """Return a script that answers each request by the next one of `scripts`."""
+    left = list(scripts)
+
+    def script(connection, received):
+        return left.pop(0)(connection, received)
+
+    return script
+
+
 def hang(connection, received):
     eventlet.sleep(5.0)
 
@@ -89,7 +111,7 @@
 
 OK = answer()
 FULL = answer(b"", 503, "Not-Run: 1")
-MISDIRECTED = answer(b"", 421, "Not-Run: 1")
+MISDIRECTED = answer(b"", 421)
 FAILED = answer(b"broken", 500)
 NOT_GENUINE = answer(b"ok", 200, "Foreign: 1")
 IDEMPOTENT = policy.RouteKind.IDEMPOTENT
--- a/tests/test_batches_ended.py
+++ b/tests/test_batches_ended.py
@@ -215,8 +215,8 @@
         """An engine's speed is not known although the head of its answer reports it."""
         read_head = node_protocol.PlainProtocol.read_head
 
-        def with_factor(protocol, headers):
-            return attrs.evolve(read_head(protocol, headers), work_factor=2.5)
+        def with_factor(protocol, status, headers):
+            return attrs.evolve(read_head(protocol, status, headers), work_factor=2.5)
 
         began = clock.now()
         with (
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -37,11 +37,12 @@
     def identity_of(self, headers):
         return ""
 
-    def read_head(self, headers):
+    def read_head(self, status, headers):
         version = headers.get("Version", "")
         return upstream_protocol.AnswerHead(
             is_genuine="Mark" in headers,
-            was_not_run="Not-Run" in headers,
+            was_not_run=status == 421 or "Not-Run" in headers,
+            is_misdirected=status == 421,
             version=int(version) if version else None,
             work_factor=float(headers["Work"]) if "Work" in headers else None,
         )
@@ -193,6 +194,13 @@
             [],
         ),
         ("503 that may have run", answer(chunked(), 503), Outcome.FAILED, []),
+        ("address of another", answer(chunked(), 421), Outcome.MISDIRECTED, []),
+        (
+            "address of another, no id",
+            b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+            Outcome.MISDIRECTED,
+            [],
+        ),
     )
     def test_outcome(self, name, data, outcome, parts):
         self.assertEqual(self.run_item(data), outcome, name)
@@ -215,6 +223,12 @@
         self.assertEqual(self.run_item(data), Outcome.BROKEN, name)
         self.assertFalse(self.ended.is_cut_off, name)
 
+    def test_address_of_another_keeps_the_text(self):
+        text = texts.Text([b"a"], {3}, 1)
+        outcome = self.run_item(answer(chunked(), 421), text)
+        self.assertEqual((outcome, text.parts), (Outcome.MISDIRECTED, [b"a"]))
+        self.assertFalse(self.ended.is_cut_off)
+
     def test_versions_of_each_event(self):
         data = answer(chunked(event(1, b"a"), event(2, b"b", b"4"), event(3, b"c")))
         self.assertEqual(self.run_item(data), Outcome.COMPLETED)
--- a/tests/test_batches_score_sender.py
+++ b/tests/test_batches_score_sender.py
@@ -43,12 +43,13 @@
     def identity_of(self, headers):
         return ""
 
-    def read_head(self, headers):
+    def read_head(self, status, headers):
         signature = headers.get("Signature", "")
         return upstream_protocol.AnswerHead(
             is_genuine=bool(signature),
             signature=signature,
-            was_not_run="Not-Run" in headers,
+            was_not_run=status == 421 or "Not-Run" in headers,
+            is_misdirected=status == 421,
         )
 
 
@@ -74,6 +75,7 @@
 OK = answer()
 FAILED = answer(500)
 FULL = answer(503, ("Not-Run: 1",))
+MISDIRECTED = answer(421, headers=())
 UNSIGNED = answer(headers=())
 UNNAMED = answer(request_id="")
 OTHERS = answer(request_id="other")
@@ -175,6 +177,7 @@
         ("at once", (OK,)),
         ("failed, then elsewhere", (FAILED, OK)),
         ("full, then elsewhere", (FULL, OK)),
+        ("address of another, then elsewhere", (MISDIRECTED, OK)),
         ("closed, then elsewhere", (close, OK)),
         ("silent, then elsewhere", (hang, OK)),
         ("not signed, then elsewhere", (UNSIGNED, OK)),
@@ -196,6 +199,7 @@
         ("answer to another request", OTHERS),
         ("cannot be done", answer(422)),
         ("always full", FULL),
+        ("always the address of another", MISDIRECTED),
         ("always closed", close),
     )
     def test_never_a_score(self, name, script):
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -306,14 +306,29 @@
         ("blanks around", {"X-Instance-Load": " 3,1,8,50\t"}, ("work_factor", 0.5)),
         ("version", {"x-weight-versions": "7"}, ("version", 7)),
         ("damaged version", {"X-Weight-Versions": "a"}, ("version", None)),
-        ("not run", {"X-Not-Executed": "1"}, ("was_not_run", True)),
         ("stamp", {"X-Server-Stamp": "s"}, ("is_genuine", True)),
         ("no stamp", {}, ("is_genuine", False)),
     )
     def test_head(self, name, headers, expected):
-        head = self.PROTOCOL.read_head(headers)
+        head = self.PROTOCOL.read_head(200, headers)
         self.assertEqual(getattr(head, expected[0]), expected[1], name)
 
+    @tools.params(
+        (421, {}, (True, True)),
+        (421, {"X-Not-Executed": "1"}, (True, True)),
+        (503, {"x-not-executed": "1"}, (True, False)),
+        (429, {"X-Not-Executed": "1"}, (True, False)),
+        (400, {"X-Not-Executed": "1"}, (True, False)),
+        (503, {}, (False, False)),
+        (429, {}, (False, False)),
+        (500, {}, (False, False)),
+        (200, {}, (False, False)),
+    )
+    def test_not_run(self, status, headers, expected):
+        """Guard against a 421 that counts as a failure for lack of a header."""
+        head = self.PROTOCOL.read_head(status, headers)
+        self.assertEqual((head.was_not_run, head.is_misdirected), expected)
+
     @tools.params(
         "",
         ",",
@@ -349,8 +364,8 @@
         Nothing of the report is used, and the rest of the head is read as without it.
         """
         rest = {"X-Weight-Versions": "7", "X-Server-Stamp": "s", "X-Attempt-Id": "r"}
-        head = self.PROTOCOL.read_head({**rest, "X-Instance-Load": value})
-        self.assertEqual(head, self.PROTOCOL.read_head(rest))
+        head = self.PROTOCOL.read_head(200, {**rest, "X-Instance-Load": value})
+        self.assertEqual(head, self.PROTOCOL.read_head(200, rest))
 
     @tools.params(b"", b"{", b"[]", b'{"busy": false}', b'{"models": 3}')
     def test_unreadable_report(self, body):
--- a/tests/test_relay_outcomes.py
+++ b/tests/test_relay_outcomes.py
@@ -16,6 +16,7 @@
 OK = relay_support.OK
 FULL = relay_support.FULL
 MISDIRECTED = relay_support.MISDIRECTED
+MISDIRECTED_WITHOUT_ID = relay_support.without_id(421)
 FAILED = relay_support.FAILED
 NOT_GENUINE = relay_support.NOT_GENUINE
 IDEMPOTENT = relay_support.IDEMPOTENT
@@ -51,6 +52,11 @@
         ("once: closed", ONCE, (close, OK), "may have run", [1, 0]),
         ("once: cut", ONCE, (cut, OK), "may have run", [1, 0]),
         ("once: both full", ONCE, (FULL, FULL), "not run", [1, 1]),
+        ("both addresses", IDEMPOTENT, (MISDIRECTED, MISDIRECTED), "not run", [1, 1]),
+        ("once: address", ONCE, (MISDIRECTED, OK), 200, [1, 1]),
+        ("once: address, no id", ONCE, (MISDIRECTED_WITHOUT_ID, OK), 200, [1, 1]),
+        ("once: both addresses", ONCE, (MISDIRECTED, MISDIRECTED), "not run", [1, 1]),
+        ("once: address, closed", ONCE, (MISDIRECTED, close), "may have run", [1, 1]),
     )
     def test_outcome(self, name, kind, scripts, expected, n_received):
         given = self.handle(self.relay(*scripts), kind)
@@ -97,6 +103,52 @@
         self.assertLess(clock.now() - began, 0.7)
 
 
+class ReusedAddress(relay_support.RelayCase):
+    """Another upstream has the address of one that is gone, and answers 421."""
+
+    def test_attempts_are_not_used_up(self):
+        """Guard against 421s that count as runs and end the request."""
+        relay_ = self.relay(MISDIRECTED, MISDIRECTED, MISDIRECTED, OK)
+        self.assertEqual(self.handle(relay_, max_attempts=1).status, 200)
+
+    def test_is_not_asked_again_at_once(self):
+        """Guard against each request that goes to the reused address first."""
+        relay_ = self.relay(MISDIRECTED, OK)
+        for _ in range(20):
+            self.assertEqual(self.handle(relay_, ONCE).status, 200)
+        self.assertEqual(self.n_received(), [1, 20])
+
+    @tools.params(IDEMPOTENT, ONCE)
+    def test_only_upstream_is_not_asked_by_each_retry(self, kind):
+        """Guard against a storm of retries at an address that refuses each of them."""
+        relay_ = self.relay(MISDIRECTED)
+        for _ in range(50):
+            given = self.handle(relay_, kind)
+            self.assertFalse(given.may_have_run)
+            self.assertGreater(given.retry_after_seconds, 0)
+        self.assertEqual(self.n_received(), [1])
+
+    @tools.params(
+        ("another one", (OK,), 200),
+        ("no other one", (), "may have run"),
+    )
+    def test_answer_to_an_earlier_request(self, name, others, expected):
+        """Guard against "not run" on the word of an answer to another request.
+
+        A second answer to an earlier request is left on a kept connection. It carries
+        no id, so it does not show that this request did not run.
+        """
+        first = relay_support.in_turn(OK, MISDIRECTED_WITHOUT_ID)
+        relay_ = self.relay(first, *others)
+        self.assertEqual(self.handle(relay_).status, 200)
+        given = self.handle(relay_)
+        if isinstance(given, model.Answered):
+            self.assertEqual(given.status, expected, name)
+        else:
+            self.assertEqual(given.may_have_run, expected == "may have run", name)
+        self.assertEqual(self.servers[0].n_connections, 1)
+
+
 class ShortDeadlines(relay_support.RelayCase):
     def test_short_deadlines_do_not_put_an_upstream_into_backoff(self):
         """Callers with deadlines of a few milliseconds time out at a healthy upstream.
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -18,6 +18,8 @@
 FULL = relay_support.FULL
 FAILED = relay_support.FAILED
 NOT_GENUINE = relay_support.NOT_GENUINE
+MISDIRECTED = relay_support.MISDIRECTED
+MISDIRECTED_WITHOUT_ID = relay_support.without_id(421)
 
 
 def events(*numbers, is_whole=True):
@@ -65,6 +67,10 @@
 
     def stream(self, scripts, is_resumable, headers=None, n_attempts=2, method="POST"):
         self.relay(*scripts)
+        return self.stream_again(is_resumable, headers, n_attempts, method)
+
+    def stream_again(self, is_resumable, headers=None, n_attempts=2, method="POST"):
+        """Send a stream through the same relay as the one before."""
         route = policy.Route(
             "r",
             "h",
@@ -126,11 +132,39 @@
         ("failed", (FAILED, events(1)), False, [], "500", [1, 0]),
         ("failed, resumable", (FAILED, events(1)), True, [1], "whole", [1, 1]),
         ("both full", (FULL, FULL), True, [], "not run", [1, 1]),
+        ("address", (MISDIRECTED, events(1)), False, [1], "whole", [1, 1]),
+        ("address, no id", (MISDIRECTED_WITHOUT_ID, events(1)), False, [1], "whole")
+        + ([1, 1],),
+        ("address, resumable", (MISDIRECTED, events(1)), True, [1], "whole", [1, 1]),
+        ("both addresses", (MISDIRECTED,) * 2, False, [], "not run", [1, 1]),
+        ("both, resumable", (MISDIRECTED,) * 2, True, [], "not run", [1, 1]),
     )
     def test_stream(self, name, scripts, is_resumable, numbers, outcome, n_received):
         self.assertEqual(self.stream(scripts, is_resumable), (numbers, outcome), name)
         self.assertEqual(self.n_received(), n_received, name)
 
+    def test_resumed_at_a_reused_address(self):
+        """Guard against 421s that use up the attempts of a stream to be resumed."""
+        other = relay_support.in_turn(MISDIRECTED, MISDIRECTED, events(3))
+        given = self.stream((self.CUT, other, other, other), True)
+        self.assertEqual(given, ([1, 2, 3], "whole"))
+        self.assertEqual(self.n_received(), [1, 1, 1, 1])
+
+    def test_only_upstream_is_not_asked_by_each_retry(self):
+        """Guard against a storm of retries at an address that refuses each of them."""
+        self.stream((MISDIRECTED,), False)
+        for _ in range(20):
+            self.assertEqual(self.stream_again(False), ([], "not run"))
+        self.assertEqual(self.n_received(), [1])
+
+    @tools.params(True, False)
+    def test_reused_address_is_not_asked_again_at_once(self, is_resumable):
+        """Guard against each stream that goes to a reused address first."""
+        self.stream((MISDIRECTED, events(1)), is_resumable)
+        for _ in range(10):
+            self.assertEqual(self.stream_again(is_resumable), ([1], "whole"))
+        self.assertEqual(self.n_received(), [1, 11])
+
     def test_resumed_after_the_last_complete_event(self):
         self.stream((self.CUT, events(3)), True)
         self.assertEqual(self.servers[1].received[0].headers["last"], "2")
