Take a connection that is closed here for a client that is gone

What callers saw: after a server was slow for some seconds, servers went on working for clients that had left, for over three seconds each, until the gateway was restarted.

Cause: the attempt that is left over after a hedged request was answered is still watched. If the answer ended its connection, the descriptor is -1, and `poll` raises ValueError, where only OSError was expected. The only task that notices clients that leave ended. Ruled out: clients whose departure the kernel does not report (with no hedged request before them, all 12 are noticed), and connections that another request has taken over (a closed connection's object keeps -1).

Evidence: the gateway's output has one traceback, between `relay:answered` of a hedged request by its second server and the late answer of the first one; after it no client's departure is noticed.

Change: a connection that is closed on this side is gone for its client as well.

Why it works: the check has an answer for each state that a connection can be in, and what it says is true: nobody reads from a connection that is closed.

--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -105,8 +105,15 @@
         return value
 
     def is_client_gone(self) -> bool:
-        """Return whether the client has closed the connection."""
+        """Return whether the connection to the client is closed, on either side.
+
+        May be called at any time, also after the request was answered.
+        """
         connection = self.environ["eventlet.input"].get_socket()
+        if connection.fileno() < 0:
+            # Closed here. A task may still work for a request that was answered, such
+            # as the first of two hedged attempts.
+            return True
         try:
             readable, _, _ = select_now(connection)
             return bool(readable) and not connection.recv(1, socket.MSG_PEEK)
--- a/bilberrydrum/requests/watch.py
+++ b/bilberrydrum/requests/watch.py
@@ -69,6 +69,11 @@
         finally:
             del self._waiting[waiting]
 
+    @property
+    def n_waiting(self) -> int:
+        """Number of calls that wait for an upstream."""
+        return len(self._waiting)
+
     def check_all(self) -> None:
         """Check every client once."""
         for n_seen, waiting in enumerate(list(self._waiting)):
--- a/tests/relay_support.py
+++ b/tests/relay_support.py
@@ -10,6 +10,7 @@
 from bilberrydrum.fleet import policy
 from bilberrydrum.relay import balancing, crash_watch, hedging, model, relay, streams
 from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.requests import model as request_model
 from bilberrydrum.upstreams import model as upstream_model
 from tests.fakes import scripted
 
@@ -135,6 +136,7 @@
         resources = attempts.Resources(
             connections.ConnectionPool(), watch.ClientWatch()
         )
+        self.clients = resources.clients
         rng = random.Random(1)
         balancer = balancing.Balancer("near", rng)
         crashes = crash_watch.CrashWatch(self.view, None)
@@ -142,7 +144,15 @@
         self.streams = streams.StreamRelay(*parts)
         return relay.Relay(*parts, hedges=hedging.Hedging())
 
-    def handle(self, relay_, kind=IDEMPOTENT, seconds=1.0, max_attempts=2, target=0.05):
+    def handle(
+        self,
+        relay_,
+        kind=IDEMPOTENT,
+        seconds=1.0,
+        max_attempts=2,
+        target=0.05,
+        is_client_gone=request_model.never_gone,
+    ):
         route = policy.Route(
             "r",
             "h",
@@ -154,7 +164,15 @@
             max_attempts=max_attempts,
         )
         inbound = model.Inbound(
-            "r1", "h", "POST", "/x?q=1", "/x", {}, b"body", clock.now() + seconds
+            "r1",
+            "h",
+            "POST",
+            "/x?q=1",
+            "/x",
+            {},
+            b"body",
+            clock.now() + seconds,
+            is_client_gone,
         )
         with eventlet.Timeout(5.0):
             return relay_.handle(inbound, route)
