Let no unexpected error end a task of a process

Cause: some tasks had a guard of their own, others none, and no guard counted what it met.

Work that is repeated after an error waits before (an item's attempt 0.5 s, a load for the engine's backoff), and what waits for a failed commit is told so. A store that cannot start ends its process. `bilberrydrum_task_errors_total` counts them.

Why it is enough: the step of each task can be called again after any error, since it takes its work from a queue, or looks at the state anew; where it can't (a replica, a store's start) the process ends and is started again. It mends no cause, which stays visible.

An idle process does no more than before: no task has a shorter interval.

--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -6,7 +6,14 @@
 
 import eliot
 
-from bilberrydrum import clock, counters, quarantine, reasons, upstream_protocol
+from bilberrydrum import (
+    clock,
+    counters,
+    quarantine,
+    reasons,
+    tasks,
+    upstream_protocol,
+)
 from bilberrydrum.batches import (
     engines,
     hooks,
@@ -24,6 +31,8 @@
 
 # Detail of an attempt that was cancelled before its task was scheduled.
 _NOT_STARTED: Final = "not-begun"
+# Pause before an item is sent again after an unexpected error, in seconds.
+_ERROR_PAUSE_SECONDS: Final = 0.5
 
 
 class ItemSender:
@@ -71,7 +80,7 @@
         run.begin_generating(engine.upstream_id)
         engine.add_run(run)
         key = (opened.batch.batch_id, run.item.item_id)
-        run_item = functools.partial(self._run_item, opened, run, engine, key)
+        run_item = functools.partial(self._run_guarded, opened, run, engine, key)
         on_cancel = functools.partial(
             self._cancelled_before_start, opened, run, engine, key
         )
@@ -94,6 +103,20 @@
         result = model.Result(run.item.item_id, model.ItemState.TERMINATED)
         self._finish(opened, run, result, why)
 
+    def _run_guarded(
+        self,
+        opened: work.OpenBatch,
+        run: lifecycle.ItemRun,
+        engine: engines.Engine,
+        key: item_tasks.Key,
+    ) -> None:
+        try:
+            self._run_item(opened, run, engine, key)
+        except tasks.UNEXPECTED_ERRORS:
+            tasks.record_error("item-attempt")
+            # Otherwise the item would be sent again at once, in a tight loop.
+            run.not_before = clock.now() + _ERROR_PAUSE_SECONDS
+
     def _run_item(
         self,
         opened: work.OpenBatch,
--- a/bilberrydrum/batches/loader.py
+++ b/bilberrydrum/batches/loader.py
@@ -11,7 +11,7 @@
 import attrs
 import eventlet
 
-from bilberrydrum import clock, counters, upstream_protocol
+from bilberrydrum import clock, counters, tasks, upstream_protocol
 from bilberrydrum.batches import (
     demand,
     engine_shares,
@@ -123,18 +123,12 @@
     def _load(self, engine: engines.Engine, load: weight_plan.Load) -> None:
         began = clock.now()
         n_concurrent = self._engines.n_loading()
+        report = None
         try:
-            # Running items continue under the new version where the step allows both
-            # versions. The engine then serves without interruption, and only its
-            # cached prompts are read again.
-            keeps_running = not self._hooks.needs_single_version(load.model)
-            order = orders.Order(
-                load,
-                keeps_running,
-                self._hooks.holder,
-                lambda: self._engines.by_id.get(engine.upstream_id) is engine,
-            )
-            report = self._sender.carry_out(engine.upstream, order)
+            # If the engine had no backoff after an unexpected error, the load would
+            # begin again at once.
+            with tasks.errors_recorded("weight-load"):
+                report = self._carry_out(engine, load)
             if report is None:
                 engine.record_failure(clock.now())
                 return
@@ -148,3 +142,18 @@
         finally:
             engine.end_load()
             self._hooks.wake()
+
+    def _carry_out(
+        self, engine: engines.Engine, load: weight_plan.Load
+    ) -> upstream_protocol.EngineReport | None:
+        # Running items continue under the new version where the step allows both
+        # versions. The engine then serves without interruption, and only its cached
+        # prompts are read again.
+        keeps_running = not self._hooks.needs_single_version(load.model)
+        order = orders.Order(
+            load,
+            keeps_running,
+            self._hooks.holder,
+            lambda: self._engines.by_id.get(engine.upstream_id) is engine,
+        )
+        return self._sender.carry_out(engine.upstream, order)
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -11,7 +11,7 @@
 import contextlib
 import functools
 import time
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, Final
 
 import attrs
@@ -19,7 +19,7 @@
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, counters, quarantine, upstream_protocol
+from bilberrydrum import clock, counters, quarantine, tasks, upstream_protocol
 from bilberrydrum.batches import (
     backlog,
     engine_divider,
@@ -228,11 +228,9 @@
             if not self._hooks.may_send():
                 continue
             began = clock.now()
-            try:
+            # If this task ended, no item would run until the leader changes.
+            with tasks.errors_recorded("batches-passes"):
                 self._run_pass()
-            except Exception:
-                # If this task ended, no item would run until the leader changes.
-                eliot.write_traceback()
             self._pass_seconds = clock.now() - began
 
     def _run_pass(self) -> None:
@@ -436,18 +434,14 @@
         self._items.send(opened, run, self._engines.by_id[assignment.engine_id])
 
 
-@contextlib.contextmanager
-def _errors_logged() -> Iterator[None]:
-    """Log an unexpected error of the block and continue after it.
+def _errors_logged() -> contextlib.AbstractContextManager[None]:
+    """Log an unexpected error in the division of the engines, and continue after it.
 
-    For the division of the engines, without which items can still run. An error would
-    otherwise end the scheduling pass before any item is sent, or the task that applies
-    the log, and with it the replica.
+    Items can still run without a division. The error would otherwise end the scheduling
+    pass before any item is sent, or the task that applies the log, and with it the
+    replica.
     """
-    try:
-        yield
-    except Exception:
-        eliot.write_traceback()
+    return tasks.errors_recorded("engine-division")
 
 
 def _may_have_free_slot(engine: engines.Engine) -> bool:
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -14,7 +14,7 @@
 import eventlet.queue
 import result
 
-from bilberrydrum import clock, counters, reasons, transport, upstream_protocol
+from bilberrydrum import clock, counters, reasons, tasks, transport, upstream_protocol
 from bilberrydrum.batches import commands, hooks, messages, model, runner, texts
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.relay import crash_watch, relay
@@ -132,11 +132,9 @@
 
     def _lead(self) -> None:
         while True:
-            try:
+            # If this task ended, this replica could lead without running items.
+            with tasks.errors_recorded("batches-leadership"):
                 self._follow_leadership()
-            except Exception:
-                # If this task ended, this replica could lead without running items.
-                eliot.write_traceback()
             self._wait_for_role()
 
     def _on_role_change(self) -> None:
@@ -223,11 +221,11 @@
         while True:
             try:
                 self._commit_next()
-            except Exception:
+            except tasks.UNEXPECTED_ERRORS:
                 # If this task ended, no result would be listed until another process
                 # leads. The runner treats the updates dropped here as committed, so it
                 # is replaced by one that starts from the stored state.
-                eliot.write_traceback()
+                tasks.record_error("batches-commits")
                 self._has_dropped_results = True
                 self._on_role_change()
                 clock.sleep(_ERROR_PAUSE_SECONDS)
--- a/bilberrydrum/bundles/grants.py
+++ b/bilberrydrum/bundles/grants.py
@@ -11,7 +11,7 @@
 import eventlet
 import eventlet.queue
 
-from bilberrydrum import clock, interfaces, options, transport
+from bilberrydrum import clock, interfaces, options, tasks, transport
 from bilberrydrum.bundles import commands, lease_table, messages, model, peers, records
 from bilberrydrum.fleet import crash_commands
 from bilberrydrum.state import machine, processes
@@ -90,11 +90,11 @@
         while True:
             try:
                 self._handle(self._next_event())
-            except Exception:
+            except tasks.UNEXPECTED_ERRORS:
                 # If this task ended, all gateways would refuse work for as long as this
                 # replica leads. The table may be inconsistent after an error, so a new
                 # one is created; it waits until all earlier leases have expired.
-                eliot.write_traceback()
+                tasks.record_error("bundle-grants")
                 self._table = None
                 clock.sleep(_RETRY_SECONDS)
 
--- a/bilberrydrum/bundles/lease.py
+++ b/bilberrydrum/bundles/lease.py
@@ -10,7 +10,7 @@
 import result
 from eventlet import tpool
 
-from bilberrydrum import clock, counters, interfaces, options, reasons, transport
+from bilberrydrum import clock, counters, interfaces, options, reasons, tasks, transport
 from bilberrydrum.bundles import holder, messages, model, peers
 from bilberrydrum.state import client, processes
 
@@ -133,10 +133,15 @@
 
     def _register(self) -> None:
         """Register again, as the leader has dropped this process."""
-        incarnation = processes.register(self._options, self._state)
-        self._transport.incarnation = incarnation
-        self._events.put(holder.Registered(incarnation))
-        self._is_registering = False
+        try:
+            incarnation = processes.register(self._options, self._state)
+            self._transport.incarnation = incarnation
+            self._events.put(holder.Registered(incarnation))
+        except tasks.UNEXPECTED_ERRORS:
+            tasks.record_error("registration")
+        finally:
+            # After an error the leader's next message begins another registration.
+            self._is_registering = False
 
     def _run(self) -> None:
         renew_seconds = self._options.gateway.bundle_renew_seconds
@@ -147,11 +152,9 @@
             except eventlet.queue.Empty:
                 event = holder.RenewalDue()
                 due_at = clock.now() + renew_seconds
-            try:
+            # If this task ended, the gateway would refuse work from then on.
+            with tasks.errors_recorded("bundle-lease"):
                 self._handle(event)
-            except Exception:
-                # If this task ended, the gateway would refuse work from then on.
-                eliot.write_traceback()
 
     def _handle(self, event: object) -> None:
         for effect in self._holder.step(clock.now(), event):
--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -111,6 +111,11 @@
 MODEL_ENGINES: Final = prometheus_client.Gauge(
     "bilberrydrum_model_engines", "Engines that are assigned to a model.", ["model"]
 )
+TASK_ERRORS: Final = prometheus_client.Counter(
+    "bilberrydrum_task_errors_total",
+    "Unexpected errors that a task has survived, by the task's name.",
+    ["task"],
+)
 LOG_LINES_DROPPED: Final = prometheus_client.Counter(
     "bilberrydrum_log_lines_dropped_total", "Log lines dropped as the queue was full."
 )
--- a/bilberrydrum/fleet/control.py
+++ b/bilberrydrum/fleet/control.py
@@ -12,7 +12,7 @@
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, log_rate_limit, transport
+from bilberrydrum import clock, log_rate_limit, tasks, transport
 from bilberrydrum.fleet import (
     commands,
     crash_calls,
@@ -192,12 +192,10 @@
     def _commit_loads(self) -> None:
         while True:
             clock.sleep(_LOADS_COMMIT_SECONDS)
-            try:
+            # If this task ended, loaded versions would be acknowledged and never
+            # committed or published.
+            with tasks.errors_recorded("control-loads"):
                 self._commit_pending_loads()
-            except Exception:
-                # If this task ended, loaded versions would be acknowledged and never
-                # committed or published.
-                eliot.write_traceback()
 
     def _commit_pending_loads(self) -> None:
         loaded_by_id, self._pending_loads_by_id = self._pending_loads_by_id, {}
@@ -353,12 +351,10 @@
             self._changed = eventlet.event.Event()
             if self._replica.leadership() is None:
                 continue
-            try:
+            # If this task ended, changes would reach processes only with their
+            # renewals.
+            with tasks.errors_recorded("control-push"):
                 self._push_changes()
-            except Exception:
-                # If this task ended, changes would reach processes only with their
-                # renewals.
-                eliot.write_traceback()
 
     def _push_changes(self) -> None:
         section = self._section()
@@ -411,12 +407,10 @@
             clock.sleep(_SWEEP_SECONDS)
             if self._replica.leadership() is None:
                 continue
-            try:
+            # If this task ended, requests would be sent to crashed upstreams until
+            # another process becomes the leader.
+            with tasks.errors_recorded("control-sweep"):
                 self._sweep_once()
-            except Exception:
-                # If this task ended, requests would be sent to crashed upstreams until
-                # another process becomes the leader.
-                eliot.write_traceback()
 
     def _sweep_once(self) -> None:
         self._reset_for_new_term()
--- a/bilberrydrum/fleet/subscriber.py
+++ b/bilberrydrum/fleet/subscriber.py
@@ -16,7 +16,7 @@
 import eventlet.event
 import result
 
-from bilberrydrum import clock, codec, quarantine, transport
+from bilberrydrum import clock, codec, quarantine, tasks, transport
 from bilberrydrum.fleet import changes, messages, model, policy, policy_lease
 from bilberrydrum.state import leader_calls
 
@@ -117,12 +117,10 @@
     def _run(self) -> None:
         while True:
             sent_at = clock.now()
-            try:
+            # If this task ended, this process would refuse all requests as soon as the
+            # lease of its policy expires.
+            with tasks.errors_recorded("control-renewals"):
                 self.renew()
-            except Exception:
-                # If this task ended, this process would refuse all requests as soon as
-                # the lease of its policy expires.
-                eliot.write_traceback()
             self._wait_for_renewal(sent_at)
 
     def renew(self, timeout: float = _CALL_SECONDS) -> None:
--- a/bilberrydrum/http/server.py
+++ b/bilberrydrum/http/server.py
@@ -11,7 +11,7 @@
 import eventlet
 import eventlet.wsgi
 
-from bilberrydrum import counters, options, problems, reasons
+from bilberrydrum import clock, counters, options, problems, reasons, tasks
 from bilberrydrum.http import edge
 
 # Time that a client has to read the answer if its connection is refused.
@@ -94,7 +94,16 @@
         # With a full pool, eventlet's server stops accepting. New clients would then
         # wait in the kernel's queue until others close their connections.
         while True:
-            connection, address = self._listener.accept()
+            try:
+                connection, address = self._listener.accept()
+            except OSError:
+                if self._listener.fileno() < 0:
+                    raise
+                # Such as EMFILE: too many descriptors are open at this moment. eventlet
+                # would end the server, and the process would accept nobody any more.
+                tasks.record_error("http-accept")
+                clock.sleep(tasks.ERROR_PAUSE_SECONDS)
+                continue
             if self._pool.running() < self._max_connections:
                 return connection, address
             counters.refused(reasons.Reason.TOO_MANY_CONNECTIONS)
--- a/bilberrydrum/logs.py
+++ b/bilberrydrum/logs.py
@@ -17,7 +17,7 @@
 import eventlet
 import result
 
-from bilberrydrum import clock, counters, findings
+from bilberrydrum import clock, counters, findings, tasks
 
 # Most lines in the queue; further lines are counted and dropped, lines that report no
 # failure first. At 600 bytes a line this is 1.2 MB.
@@ -90,10 +90,12 @@
 
     def run(self) -> None:
         """Write queued lines periodically (a task)."""
-        while True:
-            clock.sleep(_FLUSH_SECONDS)
-            if self._lines or self._unwritten:
-                self.flush()
+        tasks.run_forever("log-output", self._flush_later)
+
+    def _flush_later(self) -> None:
+        clock.sleep(_FLUSH_SECONDS)
+        if self._lines or self._unwritten:
+            self.flush()
 
 
 def _encode(message: dict[str, Any]) -> bytes:
--- a/bilberrydrum/nodes/process.py
+++ b/bilberrydrum/nodes/process.py
@@ -12,7 +12,7 @@
 import eventlet.event
 import eventlet.hubs
 
-from bilberrydrum import clock
+from bilberrydrum import clock, tasks
 from bilberrydrum.http import edge, server
 from bilberrydrum.nodes import options
 
@@ -82,6 +82,8 @@
             for address, each in edges_by_address.items()
         ]
         self._stop_requested = eventlet.event.Event()
+        # When the settings are checked next, in seconds of `clock.now`.
+        self._check_settings_at = 0.0
 
     def run(self) -> None:
         """Start the node, and return after a signal has stopped it gracefully."""
@@ -116,18 +118,20 @@
         If its replica has stopped, the process would keep running to no use. After a
         restart the replica reopens its data folder or joins as a new replica.
         """
-        next_check_at = clock.now() + SETTINGS_SECONDS
-        while True:
-            clock.sleep(_WATCH_SECONDS)
-            failure = self._node.failure()
-            if failure:
-                eliot.log_message(message_type="process:failed", detail=failure)
-                self._flush_log()
-                os._exit(EXIT_FAILED)
-            if clock.now() >= next_check_at:
-                next_check_at = clock.now() + SETTINGS_SECONDS
-                if self._settings_stamp() != self._stamp_read:
-                    self._reload()
+        self._check_settings_at = clock.now() + SETTINGS_SECONDS
+        tasks.run_forever("process-watch", self._watch_once)
+
+    def _watch_once(self) -> None:
+        clock.sleep(_WATCH_SECONDS)
+        failure = self._node.failure()
+        if failure:
+            eliot.log_message(message_type="process:failed", detail=failure)
+            self._flush_log()
+            os._exit(EXIT_FAILED)
+        if clock.now() >= self._check_settings_at:
+            self._check_settings_at = clock.now() + SETTINGS_SECONDS
+            if self._settings_stamp() != self._stamp_read:
+                self._reload()
 
     def _on_terminate(self, number: int, frame: types.FrameType | None) -> None:
         # A signal handler can interrupt any task between two instructions, so it only
@@ -135,12 +139,16 @@
         _schedule(self._request_stop)
 
     def _on_hangup(self, number: int, frame: types.FrameType | None) -> None:
-        _schedule(self._reload)
+        _schedule(self._reload_on_signal)
 
     def _request_stop(self) -> None:
         if not self._stop_requested.ready():
             self._stop_requested.send(None)
 
+    def _reload_on_signal(self) -> None:
+        with tasks.errors_recorded("settings-reload"):
+            self._reload()
+
     def _reload(self) -> None:
         stamp = self._settings_stamp()
         try:
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -8,7 +8,7 @@
 
 import eventlet
 
-from bilberrydrum import clock, quarantine, upstream_protocol
+from bilberrydrum import clock, quarantine, tasks, upstream_protocol
 from bilberrydrum.batches import service
 from bilberrydrum.fleet import messages, subscriber
 from bilberrydrum.nodes import groups, links, options
@@ -49,6 +49,8 @@
         )
         self.replica: replica.Replica | None = None
         self.service: service.BatchService | None = None
+        # Why the start failed; empty if it has not.
+        self._start_failure = ""
         self._starter: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -59,7 +61,16 @@
         self.view.start()
         self._crashes.start()
         self._item_crashes.start()
-        self._starter = eventlet.spawn(self._start_replica)
+        self._starter = eventlet.spawn(self._start_or_fail)
+
+    def _start_or_fail(self) -> None:
+        try:
+            self._start_replica()
+        except tasks.UNEXPECTED_ERRORS as error:
+            # Only a part of the store would run, to no use. After a restart it opens
+            # its data folder again.
+            tasks.record_error("store-start")
+            self._start_failure = f"start failed: {error!r}"
 
     def _start_replica(self) -> None:
         # The control group chooses the initial members of the group, as stores with
@@ -136,6 +147,8 @@
 
     def failure(self) -> str:
         """Return why the process must exit, or an empty string."""
+        if self._start_failure:
+            return self._start_failure
         return groups.failure_of(self.replica) if self.replica is not None else ""
 
     def learn_seeds(self, addresses: tuple[str, ...]) -> None:
--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -15,7 +15,7 @@
 import eventlet.event
 import result
 
-from bilberrydrum import clock, counters, log_rate_limit, quarantine
+from bilberrydrum import clock, counters, log_rate_limit, quarantine, tasks
 from bilberrydrum.fleet import messages
 from bilberrydrum.relay import crash_reports
 from bilberrydrum.requests import attempts, crash_probe
@@ -121,7 +121,9 @@
     def start(self) -> None:
         """Start the reporting task."""
         self._view.watch(self._on_view_change)
-        self._task = eventlet.spawn(self._run)
+        self._task = eventlet.spawn(
+            tasks.run_forever, "crash-reports", self._report_when_due
+        )
 
     def stop(self) -> None:
         """Stop the reporting task."""
@@ -311,17 +313,14 @@
         if not self._wake.ready():
             self._wake.send(None)
 
-    def _run(self) -> None:
-        while True:
-            self._wait()
-            try:
-                is_acknowledged = self._report()
-            except Exception:
-                # If this task ended, crashes detected here would never be reported.
-                eliot.write_traceback()
-                is_acknowledged = False
-            if not is_acknowledged:
-                clock.sleep(_PAUSE_SECONDS)
+    def _report_when_due(self) -> None:
+        self._wait()
+        is_acknowledged = False
+        # If this task ended, crashes detected here would never be reported.
+        with tasks.errors_recorded("crash-reports"):
+            is_acknowledged = self._report()
+        if not is_acknowledged:
+            clock.sleep(_PAUSE_SECONDS)
 
     def _report(self) -> bool:
         """Report what is due; return False if the group did not acknowledge it."""
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -15,7 +15,7 @@
 import eventlet
 import eventlet.queue
 
-from bilberrydrum import clock, counters, reasons, upstream_protocol
+from bilberrydrum import clock, counters, reasons, tasks, upstream_protocol
 from bilberrydrum.fleet import model as fleet_model
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.relay import (
@@ -231,10 +231,10 @@
         answer = None
         try:
             answer = self._try(upstream, request)
-        except Exception:
+        except tasks.UNEXPECTED_ERRORS:
             # Without a result from each attempt, the request's own task would wait
             # forever; the result is put on the queue below.
-            eliot.write_traceback()
+            tasks.record_error("hedged-attempt")
         finally:
             answers.put(answer)
 
--- a/bilberrydrum/requests/claims.py
+++ b/bilberrydrum/requests/claims.py
@@ -21,7 +21,7 @@
 import eventlet.event
 import result
 
-from bilberrydrum import clock, counters, options, reasons
+from bilberrydrum import clock, counters, options, reasons, tasks
 from bilberrydrum.requests import claims_state
 from bilberrydrum.state import client
 
@@ -37,6 +37,7 @@
 # Maximum number of other gateways' claims that are watched at a time.
 MAX_WATCHED: Final = 10_000
 _WATCH_INTERVAL_SECONDS: Final = 0.25
+_TASK: Final = "claims"
 
 
 @attrs.frozen
@@ -100,7 +101,7 @@
 
     def start(self) -> None:
         """Start the task that resolves the claims of crashed gateways."""
-        self._task = eventlet.spawn(self._run)
+        self._task = eventlet.spawn(tasks.run_forever, _TASK, self._resolve_watched)
 
     def stop(self) -> None:
         """Stop the task."""
@@ -257,14 +258,13 @@
                 self._watched_by_id.popitem(last=False)
         return watched.due
 
-    def _run(self) -> None:
-        while True:
-            self._watch_began.wait()
-            clock.sleep(_WATCH_INTERVAL_SECONDS)
-            self.resolve_due()
-            if not self._watched_by_id:
-                # Without watched claims the task sleeps until the next one is added.
-                self._watch_began = eventlet.event.Event()
+    def _resolve_watched(self) -> None:
+        self._watch_began.wait()
+        clock.sleep(_WATCH_INTERVAL_SECONDS)
+        self.resolve_due()
+        if not self._watched_by_id:
+            # Without watched claims the task sleeps until the next one is added.
+            self._watch_began = eventlet.event.Event()
 
     def resolve_due(self) -> None:
         """Record watched claims whose time is over as having an unknown outcome."""
@@ -273,10 +273,14 @@
             if watched.due > now:
                 continue
             claim = watched.claim
-            answer = self._state.submit(
-                claims_state.FinishClaim(claim.caller, claim.key, claim_id),
-                STATE_TIMEOUT_SECONDS,
-            )
+            command = claims_state.FinishClaim(claim.caller, claim.key, claim_id)
+            try:
+                answer = self._state.submit(command, STATE_TIMEOUT_SECONDS)
+            except tasks.UNEXPECTED_ERRORS:
+                # It is watched again when its key is used; others must not wait for it.
+                tasks.record_error(_TASK)
+                self._watched_by_id.pop(claim_id, None)
+                continue
             if isinstance(answer, result.Err):
                 return
             self._watched_by_id.pop(claim_id, None)
--- a/bilberrydrum/requests/crash_record.py
+++ b/bilberrydrum/requests/crash_record.py
@@ -16,7 +16,7 @@
 import eventlet
 import result
 
-from bilberrydrum import clock, interfaces, quarantine
+from bilberrydrum import clock, interfaces, quarantine, tasks
 from bilberrydrum.fleet import crash_commands, messages
 from bilberrydrum.state import client, machine
 
@@ -139,7 +139,9 @@
 
     def start(self) -> None:
         """Start to follow the record."""
-        self._task = eventlet.spawn(self._run)
+        self._task = eventlet.spawn(
+            tasks.run_forever, "crash-record", self._follow_record
+        )
 
     def stop(self) -> None:
         """Stop following the record."""
@@ -147,13 +149,12 @@
             self._task.kill()
             self._task = None
 
-    def _run(self) -> None:
-        while True:
-            clock.sleep(_POLL_SECONDS)
-            if self._bundles.crashes_index() > self.crashes_index:
-                self._read()
-            if self.crashes.is_due(time.time()):
-                self._commit(crash_commands.ExpireCrashes())
+    def _follow_record(self) -> None:
+        clock.sleep(_POLL_SECONDS)
+        if self._bundles.crashes_index() > self.crashes_index:
+            self._read()
+        if self.crashes.is_due(time.time()):
+            self._commit(crash_commands.ExpireCrashes())
 
     def _commit(self, command: object) -> result.Result[Any, Any]:
         answer = self._state.submit(command, _CALL_SECONDS)
--- a/bilberrydrum/requests/dispatch.py
+++ b/bilberrydrum/requests/dispatch.py
@@ -17,7 +17,7 @@
 import eventlet.event
 import result
 
-from bilberrydrum import clock, interfaces, options, reasons
+from bilberrydrum import clock, interfaces, options, reasons, tasks
 from bilberrydrum.requests import (
     admission,
     attempts,
@@ -98,7 +98,9 @@
         """Start the dispatcher's tasks."""
         self._resources.clients.start()
         self.crashes.start()
-        self._task = eventlet.spawn(self._run)
+        self._task = eventlet.spawn(
+            tasks.run_forever, "dispatcher", self._schedule_when_queued
+        )
 
     def stop(self) -> None:
         """Stop, and close the idle connections."""
@@ -317,15 +319,14 @@
         if ready is not None and not ready.ready():
             ready.send(effect)
 
-    def _run(self) -> None:
-        while True:
-            self._queued.wait()
-            clock.sleep(QUEUE_PASS_SECONDS)
-            if self._admission.n_waiting:
-                self._schedule_waiting()
-            else:
-                # Sleep until a call waits: an idle gateway has nothing to do.
-                self._queued = eventlet.event.Event()
+    def _schedule_when_queued(self) -> None:
+        self._queued.wait()
+        clock.sleep(QUEUE_PASS_SECONDS)
+        if self._admission.n_waiting:
+            self._schedule_waiting()
+        else:
+            # Sleep until a call waits: an idle gateway has nothing to do.
+            self._queued = eventlet.event.Event()
 
     def _schedule_waiting(self) -> None:
         for effect in self._admission.schedule_waiting(clock.now(), self._assign):
--- a/bilberrydrum/requests/watch.py
+++ b/bilberrydrum/requests/watch.py
@@ -16,12 +16,13 @@
 import eventlet.event
 import eventlet.greenthread
 
-from bilberrydrum import clock
+from bilberrydrum import clock, tasks
 
 # Time between checks of the clients, in seconds.
 CHECK_SECONDS: Final = 0.25
 # Number of clients checked before the checking task yields to other tasks.
 _CHECKS_PER_YIELD: Final = 64
+_TASK: Final = "client-watch"
 
 
 class ClientGoneError(Exception):
@@ -45,7 +46,7 @@
 
     def start(self) -> None:
         """Start the periodic checks."""
-        self._task = eventlet.spawn(self._run)
+        self._task = eventlet.spawn(tasks.run_forever, _TASK, self._check_waiting)
 
     def stop(self) -> None:
         """Stop the periodic checks."""
@@ -79,14 +80,20 @@
         for n_seen, waiting in enumerate(list(self._waiting)):
             if n_seen % _CHECKS_PER_YIELD == _CHECKS_PER_YIELD - 1:
                 eventlet.sleep(0)
-            if waiting in self._waiting and waiting.is_client_gone():
-                eventlet.greenthread.kill(waiting.task, ClientGoneError())
-
-    def _run(self) -> None:
-        while True:
-            self._became_busy.wait()
-            clock.sleep(CHECK_SECONDS)
-            self.check_all()
-            if not self._waiting:
-                # Sleep until a call waits: an idle gateway has nothing to do.
-                self._became_busy = eventlet.event.Event()
+            if waiting in self._waiting:
+                # One client that cannot be checked must not keep the others from it.
+                with tasks.errors_recorded(_TASK):
+                    self._check(waiting)
+
+    @staticmethod
+    def _check(waiting: _Waiting) -> None:
+        if waiting.is_client_gone():
+            eventlet.greenthread.kill(waiting.task, ClientGoneError())
+
+    def _check_waiting(self) -> None:
+        self._became_busy.wait()
+        clock.sleep(CHECK_SECONDS)
+        self.check_all()
+        if not self._waiting:
+            # Sleep until a call waits: an idle gateway has nothing to do.
+            self._became_busy = eventlet.event.Event()
--- a/bilberrydrum/samples/owner.py
+++ b/bilberrydrum/samples/owner.py
@@ -9,11 +9,19 @@
 from typing import Final
 
 import attrs
-import eliot
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, codec, counters, interfaces, options, reasons, transport
+from bilberrydrum import (
+    clock,
+    codec,
+    counters,
+    interfaces,
+    options,
+    reasons,
+    tasks,
+    transport,
+)
 from bilberrydrum.samples import (
     attempts,
     capacity,
@@ -132,12 +140,10 @@
             with eventlet.Timeout(interval, False):
                 self._wake.wait()
             self._wake = eventlet.event.Event()
-            try:
+            # If this task ended, the lease would expire and all groups of this gateway
+            # would be reassigned.
+            with tasks.errors_recorded("sample-lease"):
                 self._renew()
-            except Exception:
-                # If this task ended, the lease would expire and all groups of this
-                # gateway would be reassigned.
-                eliot.write_traceback()
 
     def _renew(self) -> None:
         lease = self._options.samples.owner_lease_seconds
@@ -188,12 +194,10 @@
                 self._pass_requested.wait()
                 clock.sleep(_COALESCE_SECONDS)
             self._pass_requested = eventlet.event.Event()
-            try:
+            # A single faulty record must not stop the attempts for all groups of this
+            # gateway.
+            with tasks.errors_recorded("sample-passes"):
                 self._run_pass()
-            except Exception:
-                # A single faulty record must not stop the attempts for all groups of
-                # this gateway.
-                eliot.write_traceback()
 
     def _run_pass(self) -> None:
         now = clock.now()
@@ -258,8 +262,8 @@
         start = task.start
         try:
             reason = self._run_attempt(task)
-        except Exception:
-            eliot.write_traceback()
+        except tasks.UNEXPECTED_ERRORS:
+            tasks.record_error("sample-attempt")
             reason = reasons.Reason.INTERNAL_ERROR
         self._attempts_by_start.pop((start.key, start.attempt), None)
         self._outputs_by_start.pop((start.key, start.attempt), None)
--- a/bilberrydrum/samples/recorder.py
+++ b/bilberrydrum/samples/recorder.py
@@ -12,7 +12,7 @@
 import eventlet.event
 from eventlet import queue
 
-from bilberrydrum import clock, interfaces, reasons
+from bilberrydrum import clock, interfaces, reasons, tasks
 from bilberrydrum.samples import commands, model
 from bilberrydrum.state import client
 
@@ -43,7 +43,9 @@
 
     def start(self) -> None:
         """Start committing."""
-        self._tasks.append(eventlet.spawn(self._run))
+        self._tasks.append(
+            eventlet.spawn(tasks.run_forever, "sample-recorder", self._commit_next)
+        )
 
     def stop(self) -> None:
         """Stop; pending records are lost and their slots get other attempts."""
@@ -58,14 +60,20 @@
         outcome: Outcome = done.wait()
         return outcome
 
-    def _run(self) -> None:
-        while True:
-            gathered = [self._waiting.get()]
-            while len(gathered) < MAX_RECORDS and not self._waiting.empty():
-                gathered.append(self._waiting.get())
+    def _commit_next(self) -> None:
+        gathered = [self._waiting.get()]
+        while len(gathered) < MAX_RECORDS and not self._waiting.empty():
+            gathered.append(self._waiting.get())
+        try:
             recorded = self._commit(tuple(record for record, _ in gathered))
-            for (_, done), refusal in zip(gathered, recorded.refusals, strict=True):
-                done.send(Outcome(refusal, recorded.index))
+            pairs = list(zip(gathered, recorded.refusals, strict=True))
+        except tasks.UNEXPECTED_ERRORS as error:
+            # The attempts that wait would otherwise wait forever, and hold their slots.
+            for _, done in gathered:
+                done.send_exception(error)
+            raise
+        for (_, done), refusal in pairs:
+            done.send(Outcome(refusal, recorded.index))
 
     def _commit(self, records: tuple[commands.SlotRecord, ...]) -> commands.Recorded:
         while True:
--- a/bilberrydrum/samples/service.py
+++ b/bilberrydrum/samples/service.py
@@ -2,11 +2,10 @@
 
 from typing import Any, Final
 
-import eliot
 import eventlet
 import result
 
-from bilberrydrum import clock, counters, interfaces, options, problems, reasons
+from bilberrydrum import clock, counters, interfaces, options, problems, reasons, tasks
 from bilberrydrum import transport as transport_module
 from bilberrydrum.bundles import model as bundle_model
 from bilberrydrum.samples import (
@@ -144,10 +143,8 @@
     def _repeat(self, seconds: float, action: Any) -> None:
         while True:
             clock.sleep(seconds)
-            try:
+            with tasks.errors_recorded("samples"):
                 action()
-            except Exception:
-                eliot.write_traceback()
 
     def _expire(self) -> None:
         """Discard waiting samples as soon as they are too stale."""
--- a/bilberrydrum/state/controller.py
+++ b/bilberrydrum/state/controller.py
@@ -7,7 +7,7 @@
 import eliot
 import eventlet
 
-from bilberrydrum import clock, options
+from bilberrydrum import clock, options, tasks
 from bilberrydrum.state import client, controller_commands, controller_lease
 
 # Seconds that a stopping process waits until its release of the lease is answered.
@@ -66,10 +66,10 @@
         while True:
             try:
                 self._run_once()
-            except Exception:
+            except tasks.UNEXPECTED_ERRORS:
                 # If this task ended, this process could not acquire or renew the lease
                 # until it is restarted.
-                eliot.write_traceback()
+                tasks.record_error("controller-lease")
                 self._decision.step(clock.now(), controller_lease.Unanswered())
             # Without the jitter, candidates that were started together would poll at
             # the same moments and all try to take over at once.
--- a/bilberrydrum/state/remote.py
+++ b/bilberrydrum/state/remote.py
@@ -16,7 +16,7 @@
 import eventlet.event
 import result
 
-from bilberrydrum import clock, codec, options, reasons, transport
+from bilberrydrum import clock, codec, options, reasons, tasks, transport
 from bilberrydrum.state import client, messages, targets
 
 # Commands (or queries) whose number is at least this far above that of the oldest one
@@ -74,7 +74,9 @@
         self._carrier.on(messages.Redirect, self._on_redirect)
         self._carrier.on(messages.SessionOpened, self._on_session_opened)
         self._carrier.on(messages.SessionLost, self._on_session_lost)
-        self._task = eventlet.spawn(self._run)
+        self._task = eventlet.spawn(
+            tasks.run_forever, "state-client", self._send_when_due
+        )
 
     def stop(self) -> None:
         """Stop sending; pending commands and queries fail."""
@@ -134,15 +136,14 @@
         if not self._wake.ready():
             self._wake.send(None)
 
-    def _run(self) -> None:
-        while True:
-            with eventlet.Timeout(_TICK_SECONDS, False):
-                self._wake.wait()
-            # Lets the other tasks that are ready run first, so that what they submit is
-            # sent in the same message.
-            eventlet.sleep(0)
-            self._wake = eventlet.event.Event()
-            self._send_due(clock.now())
+    def _send_when_due(self) -> None:
+        with eventlet.Timeout(_TICK_SECONDS, False):
+            self._wake.wait()
+        # Lets the other tasks that are ready run first, so that what they submit is
+        # sent in the same message.
+        eventlet.sleep(0)
+        self._wake = eventlet.event.Event()
+        self._send_due(clock.now())
 
     def _send_due(self, now: float) -> None:
         if now < self._next_search_at:
--- a/bilberrydrum/state/replica.py
+++ b/bilberrydrum/state/replica.py
@@ -24,6 +24,7 @@
     interfaces,
     options,
     reasons,
+    tasks,
     transport,
 )
 from bilberrydrum.state import (
@@ -163,9 +164,9 @@
         """
         try:
             task()
-        except Exception as error:
+        except tasks.UNEXPECTED_ERRORS as error:
             self.fail(error)
-            eliot.write_traceback()
+            tasks.record_error("replica")
             for other in self._tasks:
                 if other is not eventlet.getcurrent():
                     other.kill()
--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -8,13 +8,13 @@
 dropped; it never stops the process.
 """
 
+import functools
 import itertools
 import random
 from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
-import eliot
 import eventlet
 import eventlet.event
 import eventlet.green.zmq as zmq
@@ -22,7 +22,7 @@
 import result
 import zmq.utils.z85 as z85
 
-from bilberrydrum import codec, counters, reasons
+from bilberrydrum import codec, counters, reasons, tasks
 
 PROTOCOL_VERSION: Final = 1
 # Most messages in the queue to one peer. Further ones are dropped and counted.
@@ -46,6 +46,7 @@
 RECONNECT_MAX_MS: Final = 200
 # Number of messages received before other tasks get to run.
 RECEIVE_BATCH: Final = 16
+_TASK: Final = "transport"
 
 
 _IS_INT: Final = attrs.validators.instance_of(int)
@@ -170,6 +171,7 @@
         self._call_ids = itertools.count(random.SystemRandom().getrandbits(48) + 1)
         self._router: Any = None
         self._tasks: list[Any] = []
+        self._n_received = 0
 
     def on(self, message_class: type[Any], handler: Handler) -> None:
         """Call `handler` for each message of `message_class`."""
@@ -180,7 +182,7 @@
         router = self._context.socket(zmq.ROUTER)
         router.setsockopt(zmq.LINGER, 0)
         if self._keys is not None:
-            self._tasks.append(eventlet.spawn(self._authenticate))
+            self._tasks.append(eventlet.spawn(self._authenticate, self._keys))
             router.curve_server = True
             router.curve_secretkey = self._keys.secret
             router.curve_publickey = self._keys.public
@@ -188,7 +190,7 @@
         host, _, port = self.address.rpartition(":")
         router.bind(f"tcp://{self._bind_host or host}:{port}")
         self._router = router
-        self._tasks.append(eventlet.spawn(self._receive))
+        self._tasks.append(eventlet.spawn(tasks.run_forever, _TASK, self._receive_next))
 
     def stop(self) -> None:
         """Close all sockets; pending calls return an error."""
@@ -294,14 +296,14 @@
             self._dealers_by_address[address] = dealer
         return dealer
 
-    def _receive(self) -> None:
-        for n_received in itertools.count(1):
-            frames = self._router.recv_multipart()
-            self._receive_frame(frames[-1])
-            # Receiving does not yield while messages are queued. Without this sleep,
-            # one busy peer would keep other tasks, such as heartbeats, from running.
-            if n_received % RECEIVE_BATCH == 0:
-                eventlet.sleep(0)
+    def _receive_next(self) -> None:
+        frames = self._router.recv_multipart()
+        self._n_received += 1
+        self._receive_frame(frames[-1])
+        # Receiving does not yield while messages are queued. Without this sleep, one
+        # busy peer would keep other tasks, such as heartbeats, from running.
+        if self._n_received % RECEIVE_BATCH == 0:
+            eventlet.sleep(0)
 
     def _receive_frame(self, data: bytes) -> None:
         try:
@@ -351,24 +353,30 @@
         sender = Sender(
             envelope.sender, envelope.address, envelope.incarnation, envelope.call_id
         )
-        try:
+        # If the receiving task ended, this process would receive nothing, not even the
+        # answers to its own calls, and would continue as if all other processes were
+        # down.
+        with tasks.errors_recorded(_TASK):
             handler(sender, message)
-        except Exception:
-            # If the receiving task ended, this process would receive nothing, not even
-            # the answers to its own calls, and would continue as if all other processes
-            # were down.
-            eliot.write_traceback()
 
-    def _authenticate(self) -> None:
+    def _authenticate(self, keys: CurveKeys) -> None:
         """Answer ZeroMQ's authentication requests (ZAP) for the bound socket."""
-        assert self._keys is not None
-        allowed = set(self._keys.peers_by_address.values())
+        allowed = frozenset(keys.peers_by_address.values())
         socket = self._context.socket(zmq.REP)
         socket.setsockopt(zmq.LINGER, 0)
         socket.bind("inproc://zeromq.zap.01")
-        while True:
-            frames = socket.recv_multipart()
-            version, request_id = frames[0], frames[1]
-            key = z85.encode(frames[6]) if len(frames) > 6 else b""
-            code = b"200" if key in allowed else b"400"
-            socket.send_multipart([version, request_id, code, b"", b"", b""])
+        tasks.run_forever(
+            "transport-authentication",
+            functools.partial(_answer_authentication, socket, allowed),
+        )
+
+
+def _answer_authentication(socket: Any, allowed: frozenset[bytes]) -> None:
+    frames = socket.recv_multipart()
+    code = b"400"
+    try:
+        if len(frames) > 6 and z85.encode(frames[6]) in allowed:
+            code = b"200"
+    finally:
+        # Without an answer the socket would accept no further request.
+        socket.send_multipart([*frames[:2], code, b"", b"", b""])
--- a/bilberrydrum/upstreams/registry.py
+++ b/bilberrydrum/upstreams/registry.py
@@ -16,7 +16,7 @@
 import eventlet.queue
 import result
 
-from bilberrydrum import clock, counters, interfaces, options, reasons
+from bilberrydrum import clock, counters, interfaces, options, reasons, tasks
 from bilberrydrum import transport as transports
 from bilberrydrum.upstreams import (
     announcements,
@@ -34,6 +34,7 @@
 # Longest time that a request waits for the task.
 REQUEST_TIMEOUT_SECONDS: Final = 2.0
 _SYNC_POLL_SECONDS: Final = 0.05
+_TASK: Final = "upstream-registry"
 _MESSAGE_CLASSES: Final = (
     messages.Changes,
     messages.Heartbeat,
@@ -87,6 +88,8 @@
         self._prefixes = prefixes.PrefixHints()
         self._outgoing_prefixes = prefixes.Outgoing()
         self._queue: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        # When the next tick is due, in seconds of `clock.now`.
+        self._tick_at = 0.0
         self._task: Any = None
         self._gateways_by_id: Mapping[str, interfaces.Gateway] = {}
         self._leave_confirmed_by_id: dict[str, eventlet.event.Event] = {}
@@ -98,7 +101,8 @@
         for message_class in _MESSAGE_CLASSES:
             self._transport.on(message_class, self._receive)
         self._transport.on(messages.Prefixes, self._receive_prefixes)
-        self._task = eventlet.spawn(self._run)
+        self._tick_at = clock.now()
+        self._task = eventlet.spawn(tasks.run_forever, _TASK, self._handle_next)
 
     def stop(self) -> None:
         """End the task; later requests are refused, and clients try another gateway."""
@@ -204,18 +208,19 @@
 
     # The task.
 
-    def _run(self) -> None:
-        next_tick = clock.now()
-        while True:
-            wait = next_tick - clock.now()
-            if wait > 0:
-                try:
-                    self._handle(self._queue.get(timeout=wait))
-                    continue
-                except eventlet.queue.Empty:
-                    pass
-            next_tick = clock.now() + TICK_SECONDS
-            self._tick()
+    def _handle_next(self) -> None:
+        """Handle the next message or request, or the tick if it is due."""
+        wait = self._tick_at - clock.now()
+        if wait > 0:
+            try:
+                item = self._queue.get(timeout=wait)
+            except eventlet.queue.Empty:
+                pass
+            else:
+                self._handle(item)
+                return
+        self._tick_at = clock.now() + TICK_SECONDS
+        self._tick()
 
     def _tick(self) -> None:
         self._gateways_by_id = self._bundles.gateways_by_id()
@@ -243,10 +248,10 @@
     def _step(self, event: events.Event) -> list[events.Effect]:
         try:
             effects = self._directory.step(clock.now(), event)
-        except Exception:
+        except tasks.UNEXPECTED_ERRORS:
             # A malformed message from another release must not end the task: this
             # gateway would no longer list any upstream.
-            eliot.write_traceback()
+            tasks.record_error(_TASK)
             counters.dropped(reasons.Reason.MESSAGE_DAMAGED)
             return []
         for effect in effects:
--- a/bilberrydrum/usage/reporter.py
+++ b/bilberrydrum/usage/reporter.py
@@ -9,7 +9,7 @@
 import eliot
 import eventlet
 
-from bilberrydrum import backoff, clock, counters, upstream_protocol
+from bilberrydrum import backoff, clock, counters, tasks, upstream_protocol
 from bilberrydrum.requests import single_calls
 from bilberrydrum.state import fencing, replica
 from bilberrydrum.usage import cluster_clock, collector, commands, model
@@ -158,11 +158,9 @@
     def _repeat(self, step: Callable[[], None]) -> None:
         while True:
             clock.sleep(_CHECK_SECONDS)
-            try:
+            # If this task ended, this replica could lead without reporting.
+            with tasks.errors_recorded("usage-reports"):
                 step()
-            except Exception:
-                # If this task ended, this replica could lead without reporting.
-                eliot.write_traceback()
 
     def _section(self) -> commands.Section:
         return commands.section_of(self._replica.state())
--- a/bilberrydrum/weights/rollout.py
+++ b/bilberrydrum/weights/rollout.py
@@ -15,7 +15,7 @@
 import eventlet.greenpool
 import eventlet.queue
 
-from bilberrydrum import clock, counters, interfaces, options, reasons
+from bilberrydrum import clock, counters, interfaces, options, reasons, tasks
 from bilberrydrum.state import client
 from bilberrydrum.weights import orders, planner, queries, sender, status, views
 
@@ -26,6 +26,7 @@
 # Largest number of orders in flight.
 MAX_IN_FLIGHT_ORDERS: Final = 1024
 _QUERY_TIMEOUT_SECONDS: Final = 2.0
+_TASK: Final = "weight-rollout"
 
 
 class WeightRollout:
@@ -59,7 +60,7 @@
 
     def start(self) -> None:
         """Start the task."""
-        self._task = eventlet.spawn(self._run)
+        self._task = eventlet.spawn(tasks.run_forever, _TASK, self._run_once)
 
     def stop(self) -> None:
         """Stop the task; orders in flight are not cancelled."""
@@ -83,14 +84,10 @@
             return {}
         return self._planner.actions_by_engine_id()
 
-    def _run(self) -> None:
-        while True:
-            try:
-                self._run_pass()
-            except Exception:
-                # An error in one pass must not stop the task, which nothing restarts.
-                eliot.write_traceback()
-            self._collect_finished()
+    def _run_once(self) -> None:
+        with tasks.errors_recorded(_TASK):
+            self._run_pass()
+        self._collect_finished()
 
     def _run_pass(self) -> None:
         event = self._observe()
@@ -167,8 +164,8 @@
             outcome = sender.send(
                 order, self._fencing_number, self._flight_seconds, answer_seconds
             )
-        except Exception as error:
-            eliot.write_traceback()
+        except tasks.UNEXPECTED_ERRORS as error:
+            tasks.record_error("weight-order")
             outcome = orders.Lost(f"{type(error).__name__}")
         _count_outcome(outcome)
         self._finished_orders.put(
