Forward no status as a guarantee that the upstream has not given

What callers saw: nothing yet; found by reading, on the paths next to the answers of 421. A client takes 408, 421, 429 and 503 for the guarantee that its request has not run and never will, and sends it again. An upstream states that in a header; without it such a status says nothing of the kind. It was forwarded all the same, also for a request that may run once only, and for a stream that can't be resumed.

Change: the adapter says which statuses clients take for the guarantee. Where the request must not run twice and the upstream has not stated that it did not run, the client gets 502 without the upstream's signature, as after any other answer that leaves the outcome open. Requests that may run more than once get the answer unchanged, after other upstreams were tried. An answer is not forwarded unchanged here, as it is elsewhere; of the two promises, the truth of "not run" is the one that guards against a second run.

--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -332,6 +332,11 @@
             reason = reasons.Reason.UPSTREAM_ERROR
             request.record_failure(attempt.upstream_id, reason, self._view)
             return None
+        if head.is_guarantee and not request.may_run_again:
+            # The caller would send the request again, although it may have run.
+            reason = reasons.Reason.UPSTREAM_ERROR
+            request.record_failure(attempt.upstream_id, reason, self._view)
+            return None
         _log_answer(request, attempt.upstream_id, answer.status)
         return self._to_answered(request, answer)
 
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -225,7 +225,11 @@
             self._handle_failure(request, source.upstream, reason, True)
             return None
         request.n_run += 1
-        if is_stream or not (request.route.is_resumable and request.may_attempt()):
+        may_repeat = request.route.is_resumable
+        # Without a repetition, a caller that takes the answer for the guarantee that
+        # the stream did not run would start it again, although it may have run.
+        must_not_forward = head.is_guarantee and not may_repeat
+        if is_stream or not (must_not_forward or may_repeat and request.may_attempt()):
             return source
         self._release(source)
         reason = reasons.Reason.UPSTREAM_ERROR
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -56,6 +56,9 @@
     # Whether another upstream answered, which has the address of the named one now; it
     # did not run the request.
     is_misdirected: bool = False
+    # Whether callers take the status for the guarantee that the request did not run and
+    # never will.
+    is_guarantee: bool = False
     # Weight version of the first event; None if unknown.
     version: int | None = None
     # Numbers of running and waiting requests at the upstream; None if unknown.
--- a/tests/fakes/node_protocol.py
+++ b/tests/fakes/node_protocol.py
@@ -35,6 +35,7 @@
         return upstream_protocol.AnswerHead(
             was_not_run=status == 421 or "Not-Run" in headers,
             is_misdirected=status == 421,
+            is_guarantee=status in (408, 421, 429, 503),
             version=int(version) if version else None,
             signature=headers.get("Signature", ""),
         )
--- a/tests/relay_support.py
+++ b/tests/relay_support.py
@@ -40,6 +40,7 @@
         return upstream_protocol.AnswerHead(
             was_not_run=status == 421 or "Not-Run" in headers,
             is_misdirected=status == 421,
+            is_guarantee=status in (408, 421, 429, 503),
             is_genuine="Foreign" not in headers,
         )
 
--- a/tests/test_relay_outcomes.py
+++ b/tests/test_relay_outcomes.py
@@ -19,6 +19,9 @@
 MISDIRECTED_WITHOUT_ID = relay_support.without_id(421)
 FAILED = relay_support.FAILED
 NOT_GENUINE = relay_support.NOT_GENUINE
+# Failures that do not say that the request did not run.
+UNKNOWN_503 = relay_support.answer(b"", 503)
+UNKNOWN_429 = relay_support.answer(b"", 429)
 IDEMPOTENT = relay_support.IDEMPOTENT
 ONCE = relay_support.ONCE
 
@@ -49,6 +52,9 @@
         ("once: answered", ONCE, (OK, OK), 200, [1, 0]),
         ("once: full, then answered", ONCE, (FULL, OK), 200, [1, 1]),
         ("once: failed", ONCE, (FAILED, OK), 500, [1, 0]),
+        ("once: 503 of its own", ONCE, (UNKNOWN_503, OK), "may have run", [1, 0]),
+        ("once: 429 of its own", ONCE, (UNKNOWN_429, OK), "may have run", [1, 0]),
+        ("503s of their own", IDEMPOTENT, (UNKNOWN_503, UNKNOWN_503), 503, [1, 1]),
         ("once: closed", ONCE, (close, OK), "may have run", [1, 0]),
         ("once: cut", ONCE, (cut, OK), "may have run", [1, 0]),
         ("once: both full", ONCE, (FULL, FULL), "not run", [1, 1]),
--- a/tests/test_relay_streams.py
+++ b/tests/test_relay_streams.py
@@ -18,6 +18,8 @@
 FULL = relay_support.FULL
 FAILED = relay_support.FAILED
 NOT_GENUINE = relay_support.NOT_GENUINE
+# A failure that does not say that the request did not run.
+UNKNOWN_503 = relay_support.answer(b"", 503)
 MISDIRECTED = relay_support.MISDIRECTED
 MISDIRECTED_WITHOUT_ID = relay_support.without_id(421)
 
@@ -130,6 +132,8 @@
         ("closed", (close, events(1)), False, [], "may have run", [1, 0]),
         ("closed, resumable", (close, events(1)), True, [1], "whole", [1, 1]),
         ("failed", (FAILED, events(1)), False, [], "500", [1, 0]),
+        ("503 of its own", (UNKNOWN_503, events(1)), False, [], "may have run", [1, 0]),
+        ("503, resumable", (UNKNOWN_503, events(1)), True, [1], "whole", [1, 1]),
         ("failed, resumable", (FAILED, events(1)), True, [1], "whole", [1, 1]),
         ("both full", (FULL, FULL), True, [], "not run", [1, 1]),
         ("address", (MISDIRECTED, events(1)), False, [1], "whole", [1, 1]),
