Try an only upstream again after a failure that is no 421

After a 421, an upstream gets nothing until its backoff has ended. The mark stayed when a later attempt failed for another reason, so that the only upstream of a service was not tried during that backoff either. The mark now ends with the next outcome of any kind.

Test: `test_relay_balancing`, only upstream whose address another one has; its step after the second failure returns no upstream without the change.

--- a/bilberrydrum/relay/balancing.py
+++ b/bilberrydrum/relay/balancing.py
@@ -187,7 +187,9 @@
 
     def record_failure(self, upstream_id: str, now: float) -> None:
         """Record that an upstream gave no valid answer, and start its backoff."""
-        own = self._state_of(upstream_id).backoff_state
+        state = self._state_of(upstream_id)
+        state.was_misdirected = False
+        own = state.backoff_state
         own.record_failure(now)
         if self._shared is not None:
             self._shared.record_failure(upstream_id, own.n_failures, now)
--- a/tests/test_relay_balancing.py
+++ b/tests/test_relay_balancing.py
@@ -48,6 +48,24 @@
         known = self.upstreams("near", "far")
         self.assertEqual(balancer.choose(known, (), 100.3).upstream_id, "u1")
 
+    def test_only_upstream_whose_address_another_one_has(self):
+        """Guard against requests that all ask an address that rejects them at once.
+
+        A later failure of another kind must not keep the only upstream from being
+        tried, as the address may be its own again.
+        """
+        balancer = balancing.Balancer("near", random.Random(1))
+        known = self.upstreams("near")
+        balancer.record_misdirection("u0", 100.0)
+        self.assertIsNone(balancer.choose(known, (), 100.4))
+        self.assertEqual(balancer.ranked(known, (), 100.4), [])
+        self.assertEqual(balancer.choose(known, (), 100.6).upstream_id, "u0")
+        balancer.record_failure("u0", 100.6)
+        self.assertEqual(balancer.choose(known, (), 100.7).upstream_id, "u0")
+        balancer.record_misdirection("u0", 100.7)
+        balancer.record_success("u0", upstream_protocol.AnswerHead(), 100.7)
+        self.assertEqual(balancer.choose(known, (), 100.7).upstream_id, "u0")
+
     def test_reported_load_counts_while_it_is_fresh(self):
         balancer = balancing.Balancer("near", random.Random(1))
         known = self.upstreams("near", "near")
