--- a/bilberrydrum/upstreams/directory.py
+++ b/bilberrydrum/upstreams/directory.py
@@ -29,8 +29,6 @@
     table,
 )
 
-# Minimum time between two fetches from one owner.
-FETCH_INTERVAL_SECONDS: Final = 0.2
 # Heartbeats that may be missed, beyond the lease, before an owner's records expire.
 MISSED_HEARTBEATS: Final = 1.5
 # Interval at which the records of upstreams that left or expired long ago are dropped.
