Believe a rejection without an id as far as another attempt does no harm

It may be the answer to an earlier request, so the caller must not be told "not run"; but most likely it is this request's, and the upstream is full. No upstream was seen to answer so; the protocol's examples show the answer without an id.

Change: a request that may run again goes to another upstream, uses up no attempt, and the refusal at the end leaves open whether it ran.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -225,8 +225,7 @@
     is_complete = False
     try:
         with body_reader.reading(resources, outgoing, connection, answer) as body:
-            is_certain = attempts.is_answer_to(outgoing, connection, answer)
-            result = _consume(protocol, run, answer, body, reading, is_certain)
+            result = _consume(protocol, run, answer, body, reading)
         is_complete = result.outcome not in (Outcome.BROKEN, Outcome.WRONG_VERSION)
         return result
     except attempts.AttemptError as error:
@@ -252,17 +251,12 @@
     answer: Any,
     body: body_reader.BodyReader,
     reading: Reading,
-    is_certain: bool,
 ) -> AttemptResult:
-    """Append the events of an answer to the text.
-
-    `is_certain` says whether it is certainly the answer to this request.
-    """
     head = protocol.read_head(answer.status, answer.headers)
     if head.is_genuine and head.work_factor is not None:
         run.on_work_factor(head.work_factor)
     if answer.status != _OK:
-        return _result_of_error(protocol, answer, body, head, is_certain)
+        return _result_of_error(protocol, answer, body, head)
     if not head.is_genuine:
         # A damaged head with nothing after it looks like the answer of an engine that
         # has nothing left to generate, so an incomplete text would be listed as
@@ -338,7 +332,6 @@
     answer: Any,
     body: body_reader.BodyReader,
     head: upstream_protocol.AnswerHead,
-    is_certain: bool,
 ) -> AttemptResult:
     # Read the body to its end, so that the connection can be reused.
     for _ in body.parts(lambda: STALL_SECONDS):
@@ -347,7 +340,9 @@
     is_named = protocol.request_id_header in answer.headers
     if answer.status == _IMPOSSIBLE and is_named:
         return AttemptResult(Outcome.IMPOSSIBLE, detail)
-    if head.was_not_run and is_certain:
+    if head.was_not_run:
+        # Also if it may be the answer to another request: the item may run again, and
+        # nobody is told that it did not run.
         is_misdirected = head.is_misdirected
         outcome = Outcome.MISDIRECTED if is_misdirected else Outcome.NOT_RUN
         return AttemptResult(outcome, detail)
--- a/bilberrydrum/relay/relayed_requests.py
+++ b/bilberrydrum/relay/relayed_requests.py
@@ -60,6 +60,8 @@
     n_run: int = 0
     # Attempts that are known not to have run the request.
     n_rejections: int = 0
+    # An answer said that the request did not run, but may be that to another request.
+    is_uncertain: bool = False
     # Answers with status 500.
     n_failures: int = 0
     last_reason: reasons.Reason = reasons.Reason.NO_UPSTREAM
@@ -126,6 +128,20 @@
         else:
             self.n_rejections += 1
 
+    def believes_not_run(
+        self, head: upstream_protocol.AnswerHead, is_certain: bool
+    ) -> bool:
+        """Return whether an answer is treated as the statement that it did not run.
+
+        An answer that may be that to another request is believed only if another run
+        does no harm, and the caller is not told that the request did not run.
+        """
+        if not head.was_not_run:
+            return False
+        if not is_certain:
+            self.is_uncertain = True
+        return is_certain or self.may_run_again
+
     def record_failure(
         self,
         upstream_id: str,
@@ -149,7 +165,7 @@
 
     def refusal(self, view: subscriber.Subscriber, rng: random.Random) -> model.Refused:
         """Return the refusal for the caller when no further attempt is made."""
-        may_have_run = self.n_run > 0
+        may_have_run = self.n_run > 0 or self.is_uncertain
         # The refusal of a quarantined request is final and gives no time for a retry: a
         # caller that learns that its request did not run, or when to retry, sends it
         # again.
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -213,7 +213,7 @@
         head = self._protocol.read_head(answer.status, answer.headers)
         is_stream = answer.status == _OK
         is_certain = attempts.is_answer_to(source.outgoing, source.connection, answer)
-        if head.was_not_run and is_certain:
+        if request.believes_not_run(head, is_certain):
             self._release(source)
             reason = relayed_requests.rejection_reason(head)
             self._handle_failure(request, source.upstream, reason, False)
--- a/bilberrydrum/upstream_protocol.py
+++ b/bilberrydrum/upstream_protocol.py
@@ -50,8 +50,8 @@
     is_genuine: bool = True
     # The signature, which proves that the upstream gave the answer; empty if none.
     signature: str = ""
-    # Whether the upstream states that the request which it answers did not run. Which
-    # request that is, `attempts.is_answer_to` decides.
+    # Whether the upstream states that the request which it answers did not run. Whether
+    # that is the request that was sent, `attempts.is_answer_to` tells.
     was_not_run: bool = False
     # Whether another upstream answered, which has the address of the named one now; it
     # did not run the request.
