Guard attempts of items and scores without a second copy of their parameters

Read as a newcomer: the guards of item attempts and scoring requests repeated the parameters of what they guard; the condition under which a stream's error answer is forwarded took three negations; a method that records a doubt had the name of a question. No change of behaviour.

--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -80,11 +80,13 @@
         run.begin_generating(engine.upstream_id)
         engine.add_run(run)
         key = (opened.batch.batch_id, run.item.item_id)
-        run_item = functools.partial(self._run_guarded, opened, run, engine, key)
+        run_item = functools.partial(self._run_item, opened, run, engine, key)
         on_cancel = functools.partial(
             self._cancelled_before_start, opened, run, engine, key
         )
-        self._tasks.start(key, run_item, on_cancel)
+        self._tasks.start(
+            key, functools.partial(_run_guarded, run, run_item), on_cancel
+        )
 
     def cancel_for_move(self, key: item_tasks.Key) -> None:
         """Cancel an item's attempt so that it can resume elsewhere; keep its text."""
@@ -103,20 +105,6 @@
         result = model.Result(run.item.item_id, model.ItemState.TERMINATED)
         self._finish(opened, run, result, why)
 
-    def _run_guarded(
-        self,
-        opened: work.OpenBatch,
-        run: lifecycle.ItemRun,
-        engine: engines.Engine,
-        key: item_tasks.Key,
-    ) -> None:
-        try:
-            self._run_item(opened, run, engine, key)
-        except tasks.UNEXPECTED_ERRORS:
-            tasks.record_error("item-attempt")
-            # Otherwise the item would be sent again at once, in a tight loop.
-            run.not_before = clock.now() + _ERROR_PAUSE_SECONDS
-
     def _run_item(
         self,
         opened: work.OpenBatch,
@@ -350,6 +338,15 @@
         self._hooks.finish(opened.batch.batch_id, result)
 
 
+def _run_guarded(run: lifecycle.ItemRun, run_item: Callable[[], None]) -> None:
+    try:
+        run_item()
+    except tasks.UNEXPECTED_ERRORS:
+        tasks.record_error("item-attempt")
+        # Otherwise the item would be sent again at once, in a tight loop.
+        run.not_before = clock.now() + _ERROR_PAUSE_SECONDS
+
+
 def _log_attempt(
     opened: work.OpenBatch,
     run: lifecycle.ItemRun,
--- a/bilberrydrum/batches/score_sender.py
+++ b/bilberrydrum/batches/score_sender.py
@@ -107,18 +107,11 @@
         run.begin_scoring()
         self._n_by_route[route.name] += 1
         key = (opened.batch.batch_id, run.item.item_id)
-        score = functools.partial(self._score_guarded, opened, run, route, key)
-        self._tasks.start(key, score, functools.partial(self._release, run, route, key))
-
-    def _score_guarded(
-        self,
-        opened: work.OpenBatch,
-        run: lifecycle.ItemRun,
-        route: policy.Route,
-        key: item_tasks.Key,
-    ) -> None:
-        with tasks.errors_recorded("scoring"):
-            self._score(opened, run, route, key)
+        score = functools.partial(self._score, opened, run, route, key)
+        guarded = tasks.errors_recorded("scoring")(score)
+        self._tasks.start(
+            key, guarded, functools.partial(self._release, run, route, key)
+        )
 
     def _score(
         self,
--- a/bilberrydrum/relay/relay.py
+++ b/bilberrydrum/relay/relay.py
@@ -308,7 +308,7 @@
         answer: request_model.ApplicationAnswer,
     ) -> model.Answered | None:
         head = self._protocol.read_head(answer.status, dict(answer.headers))
-        if request.believes_not_run(head, answer.is_certain):
+        if request.accept_rejection(head, answer.is_certain):
             self._handle_rejection(attempt, request, answer.status, head)
             return None
         request.n_run += 1
--- a/bilberrydrum/relay/relayed_requests.py
+++ b/bilberrydrum/relay/relayed_requests.py
@@ -128,13 +128,13 @@
         else:
             self.n_rejections += 1
 
-    def believes_not_run(
+    def accept_rejection(
         self, head: upstream_protocol.AnswerHead, is_certain: bool
     ) -> bool:
-        """Return whether an answer is treated as the statement that it did not run.
+        """Return whether an answer is accepted as saying that the request did not run.
 
-        An answer that may be that to another request is believed only if another run
-        does no harm, and the caller is not told that the request did not run.
+        One that may be the answer to another request is accepted only if another run
+        does no harm, and then the caller is not told that the request did not run.
         """
         if not head.was_not_run:
             return False
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -213,7 +213,7 @@
         head = self._protocol.read_head(answer.status, answer.headers)
         is_stream = answer.status == _OK
         is_certain = attempts.is_answer_to(source.outgoing, source.connection, answer)
-        if request.believes_not_run(head, is_certain):
+        if request.accept_rejection(head, is_certain):
             self._release(source)
             reason = relayed_requests.rejection_reason(head)
             self._handle_failure(request, source.upstream, reason, False)
@@ -225,17 +225,24 @@
             self._handle_failure(request, source.upstream, reason, True)
             return None
         request.n_run += 1
-        may_repeat = request.route.is_resumable
-        # Without a repetition, a caller that takes the answer for the guarantee that
-        # the stream did not run would start it again, although it may have run.
-        must_not_forward = head.is_guarantee and not may_repeat
-        if is_stream or not (must_not_forward or may_repeat and request.may_attempt()):
+        if is_stream or self._may_forward_error(request, head):
             return source
         self._release(source)
         reason = reasons.Reason.UPSTREAM_ERROR
         request.record_failure(source.upstream.upstream_id, reason, self._view)
         return None
 
+    @staticmethod
+    def _may_forward_error(
+        request: _RelayedStream, head: upstream_protocol.AnswerHead
+    ) -> bool:
+        """Return whether an upstream's error answer is the one for the caller."""
+        if request.route.is_resumable:
+            return not request.may_attempt()
+        # A caller that takes the answer for the guarantee that the stream did not run
+        # would start it again, although it may have run.
+        return not head.is_guarantee
+
     def _events(self, request: _RelayedStream, source: _Source) -> Iterator[bytes]:
         """Yield the bytes of each event; raise if the stream ends incomplete."""
         current: _Source | None = source
--- a/tests/test_batches_score_sender.py
+++ b/tests/test_batches_score_sender.py
@@ -2,12 +2,13 @@
 
 import random
 import unittest
+from unittest import mock
 
 import attrs
 import eventlet
 from nose2 import tools
 
-from bilberrydrum import clock, quarantine, upstream_protocol
+from bilberrydrum import clock, counters, quarantine, upstream_protocol
 from bilberrydrum.batches import (
     hooks,
     item_tasks,
@@ -232,6 +233,21 @@
         self.assertEqual(self.scored, [])
 
 
+class UnexpectedErrors(SenderCase):
+    def test_request_that_fails_unexpectedly(self):
+        """Guard against a text that gets no score, or is sent again in a tight loop."""
+        self.begin(OK)
+        errors = counters.TASK_ERRORS.labels("scoring")._value
+        before = errors.get()
+        failing = mock.Mock(side_effect=KeyError("a fault"))
+        with mock.patch.object(self.sender, "_request_score", failing):
+            self.run_for(0.8)
+        self.assertIn(failing.call_count, (1, 2))
+        self.assertEqual(errors.get(), before + failing.call_count)
+        self.run_for(5.0, lambda: self.scored)
+        self.assertEqual(self.scored, [("b", "i0", "m")])
+
+
 class Endings(SenderCase):
     """Scoring requests that are cancelled, must not be sent, or have no route."""
 
--- a/tests/test_relay_outcomes.py
+++ b/tests/test_relay_outcomes.py
@@ -16,6 +16,7 @@
 OK = relay_support.OK
 FULL = relay_support.FULL
 MISDIRECTED = relay_support.MISDIRECTED
+MISDIRECTED_WITH_HEADER = relay_support.answer(b"", 421, "Not-Run: 1")
 MISDIRECTED_WITHOUT_ID = relay_support.without_id(421)
 FAILED = relay_support.FAILED
 NOT_GENUINE = relay_support.NOT_GENUINE
@@ -58,6 +59,8 @@
         ("once: closed", ONCE, (close, OK), "may have run", [1, 0]),
         ("once: cut", ONCE, (cut, OK), "may have run", [1, 0]),
         ("once: both full", ONCE, (FULL, FULL), "not run", [1, 1]),
+        ("address, header", IDEMPOTENT, (MISDIRECTED_WITH_HEADER, OK), 200, [1, 1]),
+        ("once: address, header", ONCE, (MISDIRECTED_WITH_HEADER, OK), 200, [1, 1]),
         ("both addresses", IDEMPOTENT, (MISDIRECTED, MISDIRECTED), "not run", [1, 1]),
         ("once: address", ONCE, (MISDIRECTED, OK), 200, [1, 1]),
         ("once: address, no id", ONCE, (MISDIRECTED_WITHOUT_ID, OK), 200, [1, 1]),
