Tests: one line a failure, and the copy of the policy from the batches' tests

Read as a newcomer: some tests of the tasks did not say which failure they guard against, and the tests of reused addresses had a view of their own beside that of `test_batches_ended`.

--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -224,6 +224,7 @@
         self.assertFalse(self.ended.is_cut_off, name)
 
     def test_address_of_another_keeps_the_text(self):
+        """Guard against a text that is begun anew because an engine has moved."""
         text = texts.Text([b"a"], {3}, 1)
         outcome = self.run_item(answer(chunked(), 421), text)
         self.assertEqual((outcome, text.parts), (Outcome.MISDIRECTED, [b"a"]))
--- a/tests/test_batches_reused_address.py
+++ b/tests/test_batches_reused_address.py
@@ -3,11 +3,13 @@
 import collections
 import random
 import unittest
+from unittest import mock
 
+import attrs
 import eventlet
 from nose2 import tools
 
-from bilberrydrum import clock, quarantine
+from bilberrydrum import clock
 from bilberrydrum.batches import (
     engine_shares,
     engines,
@@ -21,7 +23,7 @@
 from bilberrydrum.fleet import policy
 from bilberrydrum.relay import balancing, crash_watch, relay
 from bilberrydrum.requests import attempts, connections, watch
-from tests import relay_support
+from tests import relay_support, test_batches_ended
 from tests.fakes import node_protocol, scripted
 
 N_SLOTS = 12
@@ -44,38 +46,19 @@
     connection.sendall(scripted.LAST_CHUNK)
 
 
-class View:
-    """A store's copy of the registry, and of a policy that allows three failures."""
+class View(test_batches_ended.View):
+    """A store's copy of a registry of several engines, and of its policy."""
 
-    def __init__(self, addresses):
-        self.registry = fleet_model.Registry(
-            1,
-            tuple(
-                fleet_model.FleetUpstream(
-                    f"e{n}", "s", each, "z", N_SLOTS, versions_by_model={"m": 1}
-                )
-                for n, each in enumerate(addresses)
-            ),
+    def __init__(self, servers):
+        first, *others = [mock.Mock(server=each) for each in servers]
+        super().__init__(first, N_SLOTS)
+        for n, each in enumerate(others, 2):
+            self.add(f"e{n}", each)
+        (route,) = self.routes.policy.routes
+        limited = attrs.evolve(route, max_queue_seconds=30.0, max_attempts=3)
+        self.routes = policy.RouteTable(
+            attrs.evolve(self.routes.policy, routes=(limited,))
         )
-        route = policy.Route(
-            "r",
-            "h",
-            "/p/",
-            policy.RouteKind.BATCH,
-            (policy.Share("s", 1.0),),
-            max_queue_seconds=30.0,
-            max_attempts=3,
-        )
-        service = policy.Service("s", models=("m",))
-        self.routes = policy.RouteTable(policy.Policy(1, (route,), (service,)))
-        self.crashes = quarantine.CrashHistory()
-        self.crashes_index = 0
-
-    def watch(self, callback):
-        pass
-
-    def unwatch(self, callback):
-        pass
 
 
 class Items(unittest.TestCase):
@@ -86,7 +69,7 @@
         self.servers = [scripted.Scripted(each, kind="engine") for each in answers]
         for each in self.servers:
             self.addCleanup(each.stop)
-        view = View([each.address for each in self.servers])
+        view = View(self.servers)
         resources = attempts.Resources(
             connections.ConnectionPool(), watch.ClientWatch()
         )
@@ -149,6 +132,7 @@
 
 class Backoff(unittest.TestCase):
     def test_engine_is_tried_with_one_item_until_it_completes_one(self):
+        """Guard against a dozen items that find out about a reused address at once."""
         upstream = fleet_model.FleetUpstream("e", "s", "a", "z", N_SLOTS)
         engine = engines.Engine(upstream)
         engine.record_misdirection(100.0)
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -110,6 +110,7 @@
         self.assertGreater(last["n_not_logged"], 0)
 
     def test_can_be_killed(self):
+        """Guard against a task that takes its own end for an error and goes on."""
         started = self.start(lambda: eventlet.sleep(10.0))
         started.kill()
         self.assertTrue(started.dead)
@@ -166,6 +167,7 @@
         self.assertEqual(n_errors("client-watch"), before + failing.call_count)
 
     def test_idle_watch_does_nothing(self):
+        """Guard against an idle gateway that looks for clients all the time."""
         clients = self.start(watch.ClientWatch())
         with mock.patch.object(clients, "check_all") as checked:
             self.pass_time(2.0)
@@ -177,6 +179,7 @@
         self.survives("upstream-registry", made, "_tick", 1.0)
 
     def test_crash_record(self):
+        """Guard against a gateway that no longer learns what others quarantine."""
         bundles = mock.Mock()
         bundles.crashes_index = fails_at_first(0)
         before = n_errors("crash-record")
@@ -200,11 +203,13 @@
             )
 
     def test_crash_reports(self):
+        """Guard against crashes that no other process learns of."""
         made = crash_watch.CrashWatch(mock.Mock(), mock.Mock())
         with mock.patch.object(made, "_report", return_value=True):
             self.survives("crash-reports", made, "_wait", 1.0)
 
     def test_weight_rollout(self):
+        """Guard against weights that reach no further engine."""
         made = rollout.WeightRollout(
             OPTIONS, mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock()
         )
@@ -276,6 +281,7 @@
         self.assertGreater(flushed.call_count, 1)
 
     def test_message_that_cannot_be_received(self):
+        """Guard against a process that hears nothing after one bad receive."""
         made = transport.Transport("g", "a", "127.0.0.1:1")
         router = mock.Mock()
         never = eventlet.event.Event()
@@ -347,6 +353,7 @@
         self.engine = engines.Engine(upstream)
 
     def test_item(self):
+        """Guard against an item that is sent in a tight loop."""
         crashes = mock.Mock()
         crashes.must_run_apart.return_value = False
         sender = item_sender.ItemSender(*[mock.Mock()] * 5, crashes, mock.Mock())
@@ -359,6 +366,7 @@
         self.assertEqual(self.engine.n_running, 0)
 
     def test_load(self):
+        """Guard against a load of weights that begins again in a tight loop."""
         hooks = loader.LoaderHooks("h", lambda: 1, lambda _: False, lambda: None)
         known = engines.Engines()
         known.by_id["e"] = self.engine
