--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -217,19 +217,23 @@
 
     def call_control(self, method: str, path: str, document: object) -> int:
         """Call one machine of the control plane; return the status, 0 for none."""
+        return self.fetch_control(method, path, json.dumps(document).encode())[0]
+
+    def fetch_control(
+        self, method: str, path: str, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Call one machine of the control plane; return status and body."""
         name = self._random.choice(self.names_of("control_plane"))
-        body = json.dumps(document).encode() if document is not None else b""
         connection = http.client.HTTPConnection(
             self._ip_by_name[name], CONTROL_PORT, timeout=1.0
         )
         try:
             headers = {"Content-Type": "application/json"}
-            connection.request(method, path, body, headers)
+            connection.request(method, path, body or None, headers)
             answer = connection.getresponse()
-            answer.read()
-            return answer.status
+            return answer.status, answer.read()
         except (OSError, http.client.HTTPException):
-            return 0
+            return 0, b""
         finally:
             connection.close()
 
@@ -248,12 +252,15 @@
         """Wait until all machines that serve clients say that they are ready."""
         give_up_at = time.monotonic() + seconds
         while time.monotonic() < give_up_at:
-            statuses = [self._ready_status(e) for e in self.names_of("frontend")]
-            if all(each == 200 for each in statuses):
+            if all(each == 200 for each in self.ready_statuses()):
                 return
             time.sleep(0.2)
         raise CouldNotRunError("not all frontend machines became ready")
 
+    def ready_statuses(self) -> list[int]:
+        """Return what each machine that serves clients answers whether it is ready."""
+        return [self._ready_status(each) for each in self.names_of("frontend")]
+
     def _ready_status(self, name: str) -> int:
         connection = http.client.HTTPConnection(
             self._ip_by_name[name], READY_PORT, timeout=1.0
