Run no request that broke off within its head, or is malformed

What callers saw: a client's connection was reset after the request line and three fields, before Content-Length and the body. The client knows that its request was never sent.

Cause: the server read heads with the parser of the standard library. It takes the end of the data for the empty line that ends a head, and ends a head at the first line that it does not understand, without an error. What was left out was never missed: a request without Content-Length has no body. After a line without a colon, the body was read as the next request and run.

Evidence: a head cut at each byte, sent to the edge alone. From byte 21 on (the end of the request line) each prefix was answered 200, and the handler got ('POST', '/once/a', b''). A reset and an orderly close had the same effect, so the reset is not the cause.

What is refused ends its connection, as nobody knows where the next request begins. Calls of the control API are carried out only once their body is whole. The limits on time hold for a head or a body as a whole, also for a body that is only discarded.

A request without Host is refused as RFC 9112, 3.2 asks, so the raw requests of test_edge and test_daemon have one now; nothing else in them changed.

--- a/bilberrydrum/counters.py
+++ b/bilberrydrum/counters.py
@@ -116,6 +116,11 @@
     "Unexpected errors that a task has survived, by the task's name.",
     ["task"],
 )
+MALFORMED_MESSAGES: Final = prometheus_client.Counter(
+    "bilberrydrum_malformed_messages_total",
+    "HTTP messages that were not whole or not well formed, by sender, part and fault.",
+    ["sender", "part", "fault"],
+)
 LOG_LINES_DROPPED: Final = prometheus_client.Counter(
     "bilberrydrum_log_lines_dropped_total", "Log lines dropped as the queue was full."
 )
@@ -134,3 +139,8 @@
 def dropped(reason: reasons.Reason) -> None:
     """Count one dropped message or result."""
     DROPS.labels(reason.value).inc()
+
+
+def malformed(sender: str, part: str, fault: str) -> None:
+    """Count one message of a client or an upstream that was not accepted."""
+    MALFORMED_MESSAGES.labels(sender, part, fault).inc()
--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -20,15 +20,18 @@
 import eventlet
 
 from bilberrydrum import counters, options, problems, reasons
+from bilberrydrum.http1 import errors
 
 GUARD_NONE: Final = ""
 GUARD_OPERATOR: Final = "operator"
 GUARD_UPSTREAM: Final = "upstream"
 
-# WSGI environment key that is set if the answer has the header "Connection: close".
+# WSGI environment key that is set if the connection ends with the answer.
 ENDS_CONNECTION: Final = "bilberrydrum.ends-connection"
 
 _READ_CHUNK: Final = 64 * 1024
+# Parts of a body that are read before other tasks get to run.
+_N_PARTS_PER_TURN: Final = 16
 
 
 def refuse(
@@ -176,6 +179,8 @@
     segments: tuple[str, ...]
     handler: Handler
     guard: str
+    # Largest body, if it differs from that of the limits; 0: it does not.
+    max_body_bytes: int = 0
 
     def match(self, segments: list[str]) -> dict[str, str] | None:
         """Return the variables' values, or None if the path does not match."""
@@ -238,13 +243,19 @@
         return [route for routes in self._routes_by_head.values() for route in routes]
 
     def add(
-        self, method: str, pattern: str, handler: Handler, guard: str = GUARD_NONE
+        self,
+        method: str,
+        pattern: str,
+        handler: Handler,
+        guard: str = GUARD_NONE,
+        max_body_bytes: int = 0,
     ) -> None:
         """Serve `pattern` with `handler`; method ``*`` matches any method."""
         segments = tuple(pattern.strip("/").split("/"))
         # Routes are indexed by their first two segments, as each request is looked up.
         head = "/".join(segments[:2]) if segments[0] == "v1" else segments[0]
-        self._routes_by_head[head].append(Route(method, segments, handler, guard))
+        route = Route(method, segments, handler, guard, max_body_bytes)
+        self._routes_by_head[head].append(route)
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request (WSGI)."""
@@ -261,7 +272,7 @@
         if isinstance(body, bytes):
             headers = [*headers, ("Content-Length", str(len(body)))]
             body = (body,)
-        if self.is_draining:
+        if self.is_draining or ENDS_CONNECTION in environ:
             # Without this header, a client could send its next request on a connection
             # that is being closed, and could not know whether that request ran.
             headers = [*headers, ("Connection", "close")]
@@ -274,7 +285,12 @@
     def _respond(self, request: Request) -> Response:
         try:
             self._check_headers(request)
-            return self._find(request)(request)
+            handler = self._find(request)
+            if handler is not self._fallback:
+                # A request that breaks off within its body is not carried out, also
+                # where its body has no meaning.
+                request.body()
+            return handler(request)
         except problems.ProblemError as error:
             counters.refused(error.problem.reason)
             return Response(
@@ -311,6 +327,10 @@
                 continue
             self._check_token(request, route.guard)
             request.variables = variables
+            if route.max_body_bytes:
+                request.limits = attrs.evolve(
+                    request.limits, max_body_bytes=route.max_body_bytes
+                )
             return route.handler
         if self._fallback is not None:
             return self._fallback
@@ -357,6 +377,18 @@
 
 
 def _read_body(environ: dict[str, Any], limits: options.LimitOptions) -> bytes:
+    """Return the complete body; after a refusal, its connection is closed.
+
+    Where the next request would begin is not known then.
+    """
+    try:
+        return _read_within(environ, limits)
+    except problems.ProblemError:
+        environ[ENDS_CONNECTION] = True
+        raise
+
+
+def _read_within(environ: dict[str, Any], limits: options.LimitOptions) -> bytes:
     length_text = environ.get("CONTENT_LENGTH") or ""
     length = int(length_text) if length_text.isdecimal() else None
     if length is not None and length > limits.max_body_bytes:
@@ -369,15 +401,19 @@
             if n_bytes > limits.max_body_bytes:
                 raise refuse(413, reasons.Reason.BODY_TOO_LARGE)
             parts.append(part)
+            if len(parts) % _N_PARTS_PER_TURN == 0:
+                # Reading does not switch tasks while there is input.
+                eventlet.sleep(0)
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
         raise refuse(408, reasons.Reason.READ_TIMEOUT) from error
-    except (OSError, ValueError) as error:
-        # eventlet raises a subclass of ValueError for a malformed chunk.
+    except (errors.IncompleteError, OSError) as error:
+        counters.malformed("client", "body", errors.Fault.INCOMPLETE)
         raise refuse(400, reasons.Reason.BODY_TRUNCATED, str(error)) from error
+    except errors.MessageError as error:
+        counters.malformed("client", "body", error.fault)
+        raise refuse(400, reasons.Reason.INVALID_REQUEST, str(error)) from error
     finally:
         timeout.cancel()
-    if length is not None and n_bytes < length:
-        raise refuse(400, reasons.Reason.BODY_TRUNCATED)
     return b"".join(parts)
--- a/bilberrydrum/http/state_operators.py
+++ b/bilberrydrum/http/state_operators.py
@@ -2,7 +2,6 @@
 
 from typing import Any, Final, Protocol
 
-import attrs
 import result
 
 from bilberrydrum import codec, options, problems, reasons
@@ -38,7 +37,9 @@
         "DELETE", "/v1/state/members/{replica_id}", handlers.remove_member, guard
     )
     routes.add("GET", "/v1/state/snapshot", handlers.save, guard)
-    routes.add("POST", "/v1/state/snapshot", handlers.restore, guard)
+    routes.add(
+        "POST", "/v1/state/snapshot", handlers.restore, guard, MAX_SNAPSHOT_BYTES
+    )
 
 
 class _Handlers:
@@ -96,7 +97,6 @@
 
     def restore(self, request: edge.Request) -> edge.Response:
         """Replace the state by that in a snapshot."""
-        request.limits = attrs.evolve(request.limits, max_body_bytes=MAX_SNAPSHOT_BYTES)
         data = request.body()
         try:
             snapshot.read(data)
--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -14,6 +14,7 @@
     # Refusals of the HTTP edge, for what it finds in the request itself.
     BODY_TOO_LARGE = "body-too-large"
     HEADERS_TOO_LARGE = "headers-too-large"
+    HEAD_TRUNCATED = "head-truncated"
     TOO_MANY_CONNECTIONS = "too-many-connections"
     READ_TIMEOUT = "read-timeout"
     BODY_TRUNCATED = "body-truncated"
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -114,7 +114,7 @@
         connection = socket.create_connection((host, int(port)))
         self.addCleanup(connection.close)
         connection.sendall(
-            b"POST /v1/bundles/check HTTP/1.1\r\nContent-Length: 2\r\n\r\n{"
+            b"POST /v1/bundles/check HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{"
         )
         return connection
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -96,7 +96,11 @@
         before = refusals(reason)
         length = str(len(body)).encode()
         answer = self.send(
-            line + b" HTTP/1.1\r\nContent-Length: " + length + b"\r\n\r\n" + body
+            line
+            + b" HTTP/1.1\r\nHost: h\r\nContent-Length: "
+            + length
+            + b"\r\n\r\n"
+            + body
         )
         self.assertTrue(answer.startswith(b"HTTP/1.1 %d " % status), answer)
         self.assertEqual(problem_of(answer)["reason"], reason)
@@ -106,19 +110,20 @@
     @tools.params(
         (
             "truncated body",
-            b"POST /v1/echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n{}",
+            b"POST /v1/echo HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{}",
             400,
             "body-truncated",
         ),
         (
             "truncated chunk",
-            b"POST /v1/echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{}",
+            b"POST /v1/echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"9\r\n{}",
             400,
             "body-truncated",
         ),
         (
             "large headers",
-            b"GET /v1/echo HTTP/1.1\r\nX-A: " + b"a" * 1200 + b"\r\n\r\n",
+            b"GET /v1/echo HTTP/1.1\r\nHost: h\r\nX-A: " + b"a" * 1200 + b"\r\n\r\n",
             431,
             "headers-too-large",
         ),
@@ -133,7 +138,10 @@
 
     @tools.params(
         ("slow headers", b"GET /v1/items/a HTTP/1.1\r\nX-A:"),
-        ("slow body", b"POST /v1/echo HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"),
+        (
+            "slow body",
+            b"POST /v1/echo HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{",
+        ),
     )
     def test_slow_request_is_refused_in_time(self, name, data):
         """A client sends half of a request and then keeps the connection open.
@@ -155,7 +163,7 @@
             first.sendall(b"GET /healthz HTTP/1.1\r\n")
             second.sendall(b"GET /healthz HTTP/1.1\r\n")
             eventlet.sleep(0.05)
-            answer = self.send(b"GET /healthz HTTP/1.1\r\n\r\n")
+            answer = self.send(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
         self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
         self.assertIn(b"Retry-After: 1", answer)
         self.assertEqual(refusals("too-many-connections"), before + 1)
@@ -165,18 +173,19 @@
 
         With a last chunk, the partial answer would look complete.
         """
-        answer = self.send(b"GET /v1/stream HTTP/1.1\r\n\r\n")
+        answer = self.send(b"GET /v1/stream HTTP/1.1\r\nHost: h\r\n\r\n")
         self.assertIn(b"first", answer)
         self.assertNotIn(b"\r\n0\r\n\r\n", answer)
         self.assertEqual(self.edge.n_in_flight, 0)
 
     def test_rest_of_path_is_one_variable(self):
-        answer = self.send(b"GET /v1/items/a/b/2 HTTP/1.1\r\n\r\n")
+        answer = self.send(b"GET /v1/items/a/b/2 HTTP/1.1\r\nHost: h\r\n\r\n")
         self.assertEqual(problem_of(answer), {"name": "a/b/2"})
 
     def test_correct_token_is_accepted(self):
         answer = self.send(
-            b"GET /v1/secret HTTP/1.1\r\nAuthorization: Bearer secret\r\n\r\n"
+            b"GET /v1/secret HTTP/1.1\r\nHost: h\r\n"
+            b"Authorization: Bearer secret\r\n\r\n"
         )
         self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
 
@@ -187,11 +196,11 @@
         """
         self.edge.is_draining = True
         with self.connect() as connection:
-            connection.sendall(b"GET /healthz HTTP/1.1\r\n\r\n")
+            connection.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
             answer = read_answer(connection)
         self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
         with self.connect() as connection:
-            connection.sendall(b"GET /v1/items/a HTTP/1.1\r\n\r\n")
+            connection.sendall(b"GET /v1/items/a HTTP/1.1\r\nHost: h\r\n\r\n")
             answer = read_answer(connection)
         self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
 
