Hand on no answer that broke off within its head, or is malformed

What callers saw: 200 with an empty body and the upstream's signature, where the connection had ended within the head of the answer, before its Content-Length; on routes whose requests may run once as well.

Cause: the parser of heads takes the end of the data for the empty line. What is left has neither length nor chunks, and counts as whole once its connection has ended.

Evidence: answers cut at each byte, at each exchange. A plain request took 200 with an empty body from byte 12 on ("HTTP/1.1 200"); after Content-Length the same cut was an error, so it is what counts as a head, not the relaying. A chunked answer was taken for whole within its last chunk ("0"), damaged chunk sizes were guessed at, and bytes after an answer were dropped if they had come with it, while the rest of them was read as the next answer. An order's answer that was reset was taken for its end.

Change: requests/answers.py reads all answers of upstreams by the grammar of http1, in place of http.client's and urllib3's readers. A head that breaks off is a failed attempt that may have run (answer-truncated), a malformed one too (connection-reset). So it is answered 502 where the request may run once, and goes elsewhere otherwise. A connection with surplus bytes is not kept. Orders use the sockets that tell a reset from an end. The command line goes to the next gateway.

In test_batches_item_run, four expectations were those of the fault: a head that is cut was taken for an answer that ends with its connection, so that the text was begun anew and the run was not counted as cut off; and a length of -2 was passed over (RFC 9112, 6.3, 5: an unrecoverable error). They now ask for a broken run that keeps its text. test_requests_connections reads with recv, as the answers do; its checks are the same.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -9,6 +9,7 @@
 from bilberrydrum import clock, event_stream, reasons, upstream_protocol
 from bilberrydrum.batches import model, texts
 from bilberrydrum.fleet import model as fleet_model
+from bilberrydrum.http1 import framing as http_framing
 from bilberrydrum.requests import (
     attempts,
     body_reader,
@@ -59,17 +60,6 @@
     WRONG_VERSION = "wrong-version"
 
 
-class Framing(enum.StrEnum):
-    """How the end of an answer is marked."""
-
-    # There was no answer.
-    NONE = ""
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    # Only by the close of the connection, which also happens when an engine crashes.
-    CLOSE = "close"
-
-
 @attrs.define
 class Reading:
     """What an attempt requested and which events it read, for its log line."""
@@ -80,7 +70,8 @@
     # Numbers of the first and the last event read; None if none was read.
     first_number: int | None = None
     last_number: int | None = None
-    framing: Framing = Framing.NONE
+    # How the end of the answer is marked; None if there was no answer.
+    framing: http_framing.Framing | None = None
 
     def record(self, event: event_stream.Event) -> None:
         """Record an event that was read."""
@@ -183,20 +174,12 @@
             )
     except attempts.AttemptError as error:
         return _without_answer(error)
-    reading.framing = _framing_of(answer)
+    reading.framing = answer.framing
     return _read(
         resources, protocol, engine, run, outgoing, connection, answer, reading
     )
 
 
-def _framing_of(answer: Any) -> Framing:
-    """Return how the end of an answer is marked; nothing may have been read of it."""
-    if answer.headers.get("Transfer-Encoding", "").lower() == "chunked":
-        return Framing.CHUNKS
-    # An invalid Content-Length counts as missing.
-    return Framing.CLOSE if answer.length_remaining is None else Framing.LENGTH
-
-
 def _without_answer(error: attempts.AttemptError) -> AttemptResult:
     is_cut_off = error.may_have_run and error.reason in crash_probe.BROKEN_REASONS
     detail = f"{error.reason.value} {error.detail}".strip()
@@ -308,7 +291,7 @@
             f"{text.last_number}"
         )
         raise event_stream.EventError(detail)
-    if reading.first_number is None and reading.framing is Framing.CLOSE:
+    if reading.first_number is None and reading.framing is http_framing.Framing.CLOSE:
         # An engine that crashes before its first event looks the same, so an incomplete
         # text would be listed as completed. The text is generated again from the start:
         # an answer to a request from the start is never taken for complete if it has no
--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -366,7 +366,7 @@
         asked_after=attempt_result.reading.asked_after,
         first_number=attempt_result.reading.first_number,
         last_number=attempt_result.reading.last_number,
-        framing=attempt_result.reading.framing,
+        framing=attempt_result.reading.framing or "",
         n_events=len(run.text.parts),
         versions=sorted(run.text.versions),
         seconds=round(seconds, 3),
--- a/bilberrydrum/http1/framing.py
+++ b/bilberrydrum/http1/framing.py
@@ -16,7 +16,7 @@
 _BODILESS_STATUSES: Final = frozenset({204, 304})
 
 
-class Framing(enum.Enum):
+class Framing(enum.StrEnum):
     """What marks the end of a body."""
 
     # There is no body.
--- a/bilberrydrum/http1/reading.py
+++ b/bilberrydrum/http1/reading.py
@@ -10,7 +10,9 @@
 from bilberrydrum.http1 import errors, framing, syntax
 
 # Largest head of a response, in bytes, including those of interim responses.
-MAX_RESPONSE_HEAD_BYTES: Final = 64 * 1024
+MAX_RESPONSE_HEAD_BYTES: Final = 16 * 1024
+# Most lines of a head. As an object, a line takes many times its bytes.
+MAX_HEAD_LINES: Final = 100
 # Longest line that begins a chunk: a size, and extensions, which are not used.
 MAX_CHUNK_LINE_BYTES: Final = 4 * 1024
 # Largest trailer section of a chunked body.
@@ -52,6 +54,8 @@
             return lines
         n_left -= len(line)
         lines.append(line)
+        if len(lines) > MAX_HEAD_LINES:
+            raise errors.TooLargeError(f"expected at most {MAX_HEAD_LINES} lines")
 
 
 def _check_line(line: bytes, max_bytes: int) -> None:
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -313,7 +313,7 @@
         """Read an upstream's error answer, to be forwarded unchanged."""
         try:
             with attempts.bounded_wait(self._resources, source.outgoing):
-                body = b"".join(attempts.read_parts(source.answer))
+                body = attempts.read_body(source.answer)
         except attempts.AttemptError as error:
             return model.Refused(error.reason, True)
         finally:
@@ -359,4 +359,4 @@
     """
     if request.inbound.method == _HEAD_METHOD:
         return True
-    return bool(request.last_number) and attempts.is_framed(source.answer)
+    return bool(request.last_number) and source.answer.is_framed
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -10,14 +10,16 @@
 import http.client
 import math
 from collections.abc import Callable, Iterator
-from typing import Any, Final, Protocol
+from typing import Final, Protocol
 
 import attrs
 import eventlet
 import urllib3.exceptions
 
-from bilberrydrum import clock, reasons
+from bilberrydrum import clock, counters, reasons
+from bilberrydrum.http1 import errors
 from bilberrydrum.requests import (
+    answers,
     connections,
     model,
     outgoing_requests,
@@ -112,7 +114,7 @@
 
 def open_answer(
     pool: connections.ConnectionPool, address: str, outgoing: outgoing_requests.Outgoing
-) -> tuple[connections.Connection, Any]:
+) -> tuple[connections.Connection, answers.Answer]:
     """Send `outgoing`; return the connection, and the answer of which the head is read.
 
     Raises
@@ -140,7 +142,7 @@
 
 def _resend(
     pool: connections.ConnectionPool, address: str, outgoing: outgoing_requests.Outgoing
-) -> tuple[connections.Connection, Any]:
+) -> tuple[connections.Connection, answers.Answer]:
     """Send `outgoing` once more, on a fresh connection.
 
     An upstream, or a device on the network path, may drop an idle connection without
@@ -179,7 +181,7 @@
 
 def _exchange(
     connection: connections.Connection, outgoing: outgoing_requests.Outgoing
-) -> Any:
+) -> answers.Answer:
     # Connecting may have taken long, and the process may have been suspended since the
     # request was admitted or claimed. Meanwhile another bundle may have come into
     # force, or other gateways may consider the claim lost; then the request must not be
@@ -194,10 +196,12 @@
             outgoing.target,
             body=outgoing.body or None,
             headers=outgoing.headers,
-            preload_content=False,
-            decode_content=False,
         )
         answer = connection.getresponse()
+    except errors.MessageError as error:
+        # Whatever these bytes are, they do not say what became of the request. A part
+        # of a head could lack the length, and its body would seem to be empty.
+        raise _without_head(error) from error
     except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError) as error:
         raise AttemptError(
             reasons.Reason.CONNECTION_RESET, True, repr(error)
@@ -206,7 +210,16 @@
     return answer
 
 
-def _check_id(answer: Any, outgoing: outgoing_requests.Outgoing) -> None:
+def _without_head(error: errors.MessageError) -> AttemptError:
+    reason = reasons.Reason.CONNECTION_RESET
+    if not isinstance(error, errors.NoMessageError):
+        counters.malformed("upstream", "head", error.fault)
+        if isinstance(error, errors.IncompleteError):
+            reason = reasons.Reason.ANSWER_TRUNCATED
+    return AttemptError(reason, True, repr(error))
+
+
+def _check_id(answer: answers.Answer, outgoing: outgoing_requests.Outgoing) -> None:
     given = answer.headers.get(outgoing.id_header)
     if given is not None and given != outgoing.request_id:
         raise AttemptError(
@@ -219,7 +232,7 @@
 def is_answer_to(
     outgoing: outgoing_requests.Outgoing,
     connection: connections.Connection,
-    answer: Any,
+    answer: answers.Answer,
 ) -> bool:
     """Return whether `answer` is certainly the one to `outgoing`.
 
@@ -230,40 +243,62 @@
     return outgoing.id_header in answer.headers or not connection.was_kept
 
 
-def read_parts(answer: Any) -> Iterator[bytes]:
+def read_parts(answer: answers.Answer) -> Iterator[bytes]:
     """Yield the parts of the answer's body as they are received.
 
     Raises
     ------
     AttemptError
-        If the body is truncated. If the iterator ends without this error, the body is
-        complete, except that an answer without length or chunks may lack its end after
-        a crash (see `is_framed`).
+        If the body is truncated or malformed. If the iterator ends without this error,
+        the body is complete, except that an answer without length or chunks may lack
+        its end after a crash (see `answers.Answer.is_framed`).
     """
     try:
         while part := answer.read1(_READ_BYTES):
             yield part
-    except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError) as error:
+    except errors.MessageError as error:
+        counters.malformed("upstream", "body", error.fault)
+        raise AttemptError(
+            reasons.Reason.ANSWER_TRUNCATED, True, repr(error)
+        ) from error
+    except OSError as error:
         raise AttemptError(
             reasons.Reason.ANSWER_TRUNCATED, True, repr(error)
         ) from error
 
 
-def is_framed(answer: Any) -> bool:
-    """Return whether the answer marks its own end, by a length or by chunks.
+def read_body(answer: answers.Answer) -> bytes:
+    """Return the complete body of an answer.
 
-    Any other answer ends where its connection is closed. A length that is not a number
-    does not count.
+    Raises
+    ------
+    AttemptError
+        If the body is truncated, malformed or too large.
     """
-    encoding = answer.headers.get("Transfer-Encoding", "").lower()
-    return encoding == "chunked" or answer.length_remaining is not None
+    parts, n_bytes = [], 0
+    for part in read_parts(answer):
+        n_bytes += len(part)
+        _check_size(n_bytes)
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _check_size(n_bytes: int) -> None:
+    if n_bytes > MAX_ANSWER_BYTES:
+        counters.malformed("upstream", "body", errors.Fault.TOO_LARGE)
+        raise AttemptError(
+            reasons.Reason.UPSTREAM_ERROR,
+            True,
+            f"answer too large: got {n_bytes} bytes or more, expected at most"
+            f" {MAX_ANSWER_BYTES}",
+        )
 
 
 def keep_or_close(
     pool: connections.ConnectionPool,
     address: str,
     connection: connections.Connection,
-    answer: Any,
+    answer: answers.Answer,
     is_named: bool,
 ) -> None:
     """Keep the connection for reuse if its answer carried the request's id.
@@ -272,9 +307,7 @@
     that: on a connection without ids, the second answer would be read as the answer to
     the next request.
     """
-    closes = answer.headers.get("Connection", "").lower() == "close"
-    framed = "Content-Length" in answer.headers or "Transfer-Encoding" in answer.headers
-    if is_named and framed and not closes:
+    if is_named and answer.may_be_followed:
         idle_seconds = _idle_seconds(answer.headers.get("Keep-Alive", ""))
         pool.keep(address, connection, idle_seconds)
     else:
@@ -325,12 +358,11 @@
     return complete
 
 
-def _read_complete(answer: Any, outgoing: outgoing_requests.Outgoing) -> bytes:
-    has_no_body = outgoing.method == "HEAD" or answer.status in (204, 304)
-    length = answer.headers.get("Content-Length")
-    chunked = "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
-    is_framed = has_no_body or length is not None or chunked
-    if not is_framed and not outgoing.accepts_unframed:
+def _read_complete(
+    answer: answers.Answer,
+    outgoing: outgoing_requests.Outgoing,
+) -> bytes:
+    if not answer.is_framed and not outgoing.accepts_unframed:
         # Such a body ends when the connection closes, which looks the same whether the
         # upstream has sent all of it or has crashed.
         raise AttemptError(
@@ -338,19 +370,7 @@
             True,
             "expected an answer with a length or chunks, got neither",
         )
-    parts, n_bytes = [], 0
-    for part in read_parts(answer):
-        n_bytes += len(part)
-        if n_bytes > MAX_ANSWER_BYTES:
-            # The answer is held in memory until it is complete, so its size is bounded.
-            raise AttemptError(
-                reasons.Reason.UPSTREAM_ERROR,
-                True,
-                f"answer too large: got {n_bytes} bytes or more, expected at most"
-                f" {MAX_ANSWER_BYTES}",
-            )
-        parts.append(part)
-    return b"".join(parts)
+    return read_body(answer)
 
 
 def _idle_seconds(keep_alive: str) -> float:
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -7,10 +7,10 @@
 
 import collections
 import contextlib
-import logging
+import http.client
 import socket
 from collections.abc import Iterator
-from typing import Any, Final
+from typing import Any, Final, cast
 
 import attrs
 import eventlet
@@ -20,6 +20,7 @@
 from eventlet import hubs
 
 from bilberrydrum import clock
+from bilberrydrum.requests import answers
 
 # Most idle connections kept for one upstream.
 MAX_IDLE: Final = 64
@@ -32,10 +33,6 @@
 # connection is kept.
 _N_SWEPT_PER_KEEP: Final = 4
 
-# urllib3 logs a warning with a traceback for each malformed answer. They are counted
-# and logged as failed attempts here, so these warnings are turned off.
-logging.getLogger("urllib3.connection").setLevel(logging.ERROR)
-
 
 class _Socket(eventlet.greenio.GreenSocket):  # type: ignore[misc]
     """A socket that raises an error if its connection is reset.
@@ -54,12 +51,12 @@
     # The task that waits until the registered socket can be read; None: no task does.
     _reader: Any = None
 
-    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
-        """Read into `buffer`; return 0 only if the peer closed in order."""
+    def recv(self, bufsize: int, flags: int = 0) -> bytes:
+        """Return up to `bufsize` bytes; none only if the peer closed in order."""
         while True:
             try:
-                n_read: int = self.fd.recv_into(buffer, nbytes, flags)
-                return n_read
+                received: bytes = self.fd.recv(bufsize, flags)
+                return received
             except BlockingIOError:
                 if self._stays_registered and self.gettimeout() is None:
                     self._wait_registered()
@@ -118,12 +115,37 @@
 class Connection(urllib3.connection.HTTPConnection):
     """A connection to an upstream."""
 
-    # The socket that it was opened with. An answer that ends with its connection takes
-    # the socket away, so `sock` is None while the body is read.
-    opened_socket: _Socket | None = None
+    response_class = answers.Answer  # type: ignore[assignment]
     # It has carried an earlier request, to which a late answer may still arrive.
     was_kept: bool = False
 
+    def connect(self) -> None:
+        """Connect within the connection's timeout; reads have none.
+
+        The deadline of an attempt bounds each read. With the timeout for connecting, a
+        request would be aborted if its upstream takes longer than that for the first
+        byte.
+
+        Raises
+        ------
+        OSError
+            If the connection cannot be established.
+        """
+        self.sock = _connect(self.host, self.port, self.timeout, self.socket_options)
+        self.timeout = None
+
+    def getresponse(self) -> answers.Answer:  # type: ignore[override]
+        """Read the head of the answer to the request that was sent.
+
+        Raises
+        ------
+        OSError, http1.errors.MessageError
+            If there is no whole and well-formed head.
+        """
+        # urllib3's own method would wrap the answer in a class that decodes bodies.
+        answer: Any = http.client.HTTPConnection.getresponse(self)
+        return cast(answers.Answer, answer)
+
 
 @contextlib.contextmanager
 def staying_registered(connection: Connection) -> Iterator[None]:
@@ -134,7 +156,7 @@
     task reads the socket, and while the connection is neither closed nor returned to
     the pool.
     """
-    kept = connection.opened_socket if connection.sock is None else connection.sock
+    kept = connection.sock
     if not isinstance(kept, _Socket):
         yield
         return
@@ -200,13 +222,8 @@
             if kept is not None:
                 return TakenConnection(kept, is_kept=True)
         host, _, port = address.rpartition(":")
-        # The deadline of the attempt bounds each read, so the connection has no timeout
-        # of its own. urllib3 applies the connection's timeout to the socket again for
-        # each request and answer; with the timeout for connecting, it would abort
-        # requests to an upstream whose first byte takes longer than that.
-        connection = Connection(host.strip("[]"), int(port), timeout=None)
-        connection.opened_socket = _connect(connection.host, connection.port, timeout)
-        connection.sock = connection.opened_socket
+        connection = Connection(host.strip("[]"), int(port), timeout=timeout)
+        connection.connect()
         return TakenConnection(connection, is_kept=False)
 
     def keep(
@@ -265,11 +282,12 @@
         return None
 
 
-def _connect(host: str, port: int, timeout: float) -> Any:
+def _connect(host: str, port: int, timeout: Any, socket_options: Any) -> Any:
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     connected = _Socket(family, socket.SOCK_STREAM)
     try:
-        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for option in socket_options or ():
+            connected.setsockopt(*option)
         connected.settimeout(timeout)
         connected.connect((host, port))
         connected.settimeout(None)
--- a/bilberrydrum/requests/single_calls.py
+++ b/bilberrydrum/requests/single_calls.py
@@ -5,7 +5,7 @@
 
 import http.client
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 import attrs
 import eliot
@@ -13,9 +13,12 @@
 import urllib3.exceptions
 
 from bilberrydrum import upstream_protocol
+from bilberrydrum.http1 import errors
 from bilberrydrum.requests import attempts, connections
 
 _NO_ANSWER: Final = 0
+# Largest body of an answer. Reports and acknowledgements have a few kilobytes.
+_MAX_ANSWER_BYTES: Final = 1024 * 1024
 
 
 @attrs.frozen
@@ -54,6 +57,7 @@
             return _call(pool, address, prepare, seconds)
         except (
             OSError,
+            errors.MessageError,
             http.client.HTTPException,
             urllib3.exceptions.HTTPError,
         ) as error:
@@ -80,7 +84,7 @@
     seconds: float,
 ) -> Reply:
     taken = pool.take(address, seconds)
-    connection: Any = taken.connection
+    connection = taken.connection
     is_complete = False
     try:
         message = prepare()
@@ -91,10 +95,9 @@
             message.target,
             body=message.body or None,
             headers=message.headers,
-            preload_content=False,
         )
         answer = connection.getresponse()
-        body = answer.read()
+        body = answer.read(_MAX_ANSWER_BYTES)
         is_complete = True
     finally:
         if not is_complete:
--- a/bilberrydrum/weights/sender.py
+++ b/bilberrydrum/weights/sender.py
@@ -4,6 +4,7 @@
 written immediately. A connection carries one order and is closed after its answer.
 """
 
+import http.client
 import json
 import socket
 import struct
@@ -11,9 +12,10 @@
 from typing import Any, Final
 
 import eventlet
-import urllib3.connection
 import urllib3.exceptions
 
+from bilberrydrum.http1 import errors
+from bilberrydrum.requests import connections
 from bilberrydrum.weights import orders
 
 _MAX_ANSWER_BYTES: Final = 64 * 1024
@@ -63,9 +65,7 @@
         _abort(connection)
 
 
-def connection_to(
-    address: str, flight_seconds: float
-) -> urllib3.connection.HTTPConnection:
+def connection_to(address: str, flight_seconds: float) -> connections.Connection:
     """Return a connection to an engine, not established yet."""
     host, _, port = address.rpartition(":")
     # A process that is suspended or loses its network after it wrote an order cannot
@@ -84,7 +84,7 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_SECONDS),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _N_PROBES),
     ]
-    return urllib3.connection.HTTPConnection(
+    return connections.Connection(
         host,
         int(port),
         timeout=flight_seconds,
@@ -97,7 +97,7 @@
 
 
 def _exchange(
-    connection: urllib3.connection.HTTPConnection,
+    connection: connections.Connection,
     order: orders.Order,
     fencing_number: GetFencingNumber,
 ) -> orders.Outcome:
@@ -105,8 +105,6 @@
         connection.connect()
     except (urllib3.exceptions.HTTPError, OSError) as error:
         return orders.Failed(f"could not connect: {_describe(error)}")
-    # The time limit in `send` covers the request and its answer.
-    connection.sock.settimeout(None)
     # Connecting may have taken long, or this process may have been suspended, so the
     # lease may have expired. It is therefore checked immediately before the write.
     number = fencing_number(order)
@@ -119,11 +117,16 @@
             "/orders",
             body,
             {"Content-Type": "application/json"},
-            preload_content=False,
         )
         response = connection.getresponse()
         data = response.read(_MAX_ANSWER_BYTES)
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+    except (
+        http.client.HTTPException,
+        urllib3.exceptions.HTTPError,
+        errors.MessageError,
+        OSError,
+        ValueError,
+    ) as error:
         return orders.Lost(_describe(error))
     return outcome_of(response.status, response.headers.get("Retry-After"), data)
 
@@ -160,7 +163,7 @@
     return f"{type(error).__name__}: {error}"[:_MAX_DETAIL_CHARACTERS]
 
 
-def _abort(connection: urllib3.connection.HTTPConnection) -> None:
+def _abort(connection: connections.Connection) -> None:
     # Closing with a reset discards data that has not been sent yet. After an orderly
     # close the kernel would still deliver the order.
     if connection.sock is not None:
--- a/bilberrydrum_cli/client.py
+++ b/bilberrydrum_cli/client.py
@@ -21,6 +21,7 @@
 BYTES_TYPE: Final = "application/octet-stream"
 _MAX_CONNECT_SECONDS: Final = 2.0
 # Statuses of temporary refusals; another gateway may accept the request.
+_BODILESS_STATUSES: Final = frozenset({204, 304})
 _BUSY_STATUSES: Final = frozenset({429, 503})
 
 
@@ -167,6 +168,9 @@
             )
         except urllib3.exceptions.HTTPError as error:
             return _failed_attempt(effect.gateway, error), 0.0
+        if not _marks_its_end(response):
+            attempt = Attempt(effect.gateway, messages.INCOMPLETE, True)
+            return attempt, 0.0
         answer = Answer(effect.gateway, response.status, response.data)
         if answer.status not in _BUSY_STATUSES:
             return answer
@@ -219,6 +223,18 @@
     return Attempt(gateway, detail, not isinstance(error, unsent))
 
 
+def _marks_its_end(response: Any) -> bool:
+    """Return whether the end of an answer can be told from a broken connection.
+
+    Gateways give each answer a length, or send it in chunks. Where neither is there,
+    the connection broke off within the head, which urllib3 takes for the whole head.
+    """
+    if response.status in _BODILESS_STATUSES:
+        return True
+    names = ("Content-Length", "Transfer-Encoding")
+    return any(name in response.headers for name in names)
+
+
 def _seconds(text: str) -> float:
     """Return the seconds in a Retry-After header; 0 for a date or an invalid value."""
     return float(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0.0
--- a/bilberrydrum_cli/messages.py
+++ b/bilberrydrum_cli/messages.py
@@ -36,6 +36,7 @@
     "the change may have been made; it is safe to send the same command again"
 )
 NOT_JSON: Final = "{gateway} answered status {status} with something that is not JSON"
+INCOMPLETE: Final = "incomplete answer"
 BUSY: Final = "status {status}, {reason}"
 
 ROLL_PROGRESS: Final = (
--- a/tests/test_batches_item_run.py
+++ b/tests/test_batches_item_run.py
@@ -221,7 +221,7 @@
         failure. Engines send the request id in all answers.
         """
         self.assertEqual(self.run_item(data), Outcome.BROKEN, name)
-        self.assertFalse(self.ended.is_cut_off, name)
+        self.assertEqual(self.ended.is_cut_off, "cut in its head" in name)
 
     def test_address_of_another_keeps_the_text(self):
         """Guard against a text that is begun anew because an engine has moved."""
@@ -335,7 +335,8 @@
         ("chunks", [Outcome.UNCONFIRMED, Outcome.COMPLETED], [b"a", b"b"]),
         ("length", [Outcome.UNCONFIRMED, Outcome.COMPLETED], [b"a", b"b"]),
         ("close", [Outcome.BROKEN, Outcome.BROKEN], []),
-        ("no length", [Outcome.BROKEN, Outcome.BROKEN], []),
+        # No answer at all, so the text is kept.
+        ("no length", [Outcome.BROKEN, Outcome.BROKEN], [b"a", b"b"]),
     )
     def test_resumed_answer_without_events(self, framing, outcomes, parts):
         """An incomplete text is listed as completed.
@@ -351,14 +352,19 @@
         self.assertEqual([self.run_item(data, text) for _ in range(2)], outcomes)
         self.assertEqual(text.parts, parts)
 
-    @tools.params("chunks", "length", "close", "no length")
+    @tools.params("chunks", "length", "close")
     def test_complete_with_any_framing(self, framing):
         """An answer without length and chunks ends when the connection closes."""
         body = event(1, b"a") + event(2, b"b")
         outcome = self.run_item(with_framing(framing, body))
         self.assertEqual((outcome, self.text.parts), (Outcome.COMPLETED, [b"a", b"b"]))
-        expected = framing if framing in ("chunks", "length") else "close"
-        self.assertEqual(self.ended.reading.framing, expected)
+        self.assertEqual(self.ended.reading.framing, framing)
+
+    def test_length_that_is_no_number(self):
+        """A part of a text is listed as completed, as its length was passed over."""
+        body = event(1, b"a") + event(2, b"b")
+        outcome = self.run_item(with_framing("no length", body))
+        self.assertEqual((outcome, self.text.parts), (Outcome.BROKEN, []))
 
     @tools.params(0, 2, 3)
     def test_stream_that_starts_late(self, number):
@@ -466,7 +472,7 @@
         n_read = ENDS[end]
         if n_read is not None:
             parts = parts[: first - 1 + n_read]
-        if end == "in the head" or (framing, end) == ("close", "before an event"):
+        if (framing, end) == ("close", "before an event"):
             # The answer only closes, without an event.
             parts = []
         self.assertEqual(text.parts, parts)
--- a/tests/test_cli_client.py
+++ b/tests/test_cli_client.py
@@ -78,7 +78,14 @@
 class Response:
     status: int
     data: bytes = b"{}"
-    headers: dict[str, str] = attrs.field(factory=dict)
+    given_headers: dict[str, str] = attrs.field(factory=dict)
+    # Whether the connection broke off within the head.
+    is_cut: bool = False
+
+    @property
+    def headers(self):
+        length = {} if self.is_cut else {"Content-Length": str(len(self.data))}
+        return {**length, **self.given_headers}
 
 
 REFUSED = urllib3.exceptions.NewConnectionError(None, "Connection refused")
@@ -155,6 +162,7 @@
         ("not connected in time", NOT_CONNECTED, []),
         ("crashed during the request", RESET, []),
         ("frozen", FROZEN, []),
+        ("crashed within the head", Response(200, b"", is_cut=True), []),
         ("busy", BUSY, []),
         ("busy without a time", Response(503), []),
         ("its queue is full", Response(429, b"{}", {"Retry-After": "1"}), []),
--- a/tests/test_requests_body_reader.py
+++ b/tests/test_requests_body_reader.py
@@ -234,10 +234,7 @@
 
     @tools.params(("chunks", True), ("close", False))
     def test_registered_once(self, name, is_chunked):
-        """Guard against a registration at the hub for each event of a stream.
-
-        An answer that ends with its connection takes the socket from the connection.
-        """
+        """Guard against a registration at the hub for each event of a stream."""
         server = scripted.Scripted(self.script(is_chunked), kind="engine")
         self.addCleanup(server.stop)
         resources = attempts.Resources(
@@ -248,7 +245,7 @@
         )
         opened = attempts.open_answer(resources.pool, server.address, outgoing)
         connection = opened[0]
-        number = connection.opened_socket.fileno()
+        number = connection.sock.fileno()
         hub = hubs.get_hub()
         with (
             mock.patch.object(hub, "add", wraps=hub.add) as add,
--- a/tests/test_requests_connections.py
+++ b/tests/test_requests_connections.py
@@ -203,7 +203,6 @@
         self.peer, _ = listener.accept()
         self.addCleanup(self.peer.close)
         self.socket = self.connection.sock
-        self.buffer = bytearray(100)
 
     def is_registered(self):
         return self.socket.fileno() in self.hub.listeners[self.hub.READ]
@@ -213,8 +212,8 @@
             eventlet.sleep(0)
 
     def read_all(self, seen):
-        while n_read := self.socket.recv_into(self.buffer):
-            seen.append(bytes(self.buffer[:n_read]))
+        while received := self.socket.recv(100):
+            seen.append(received)
 
     def exchange(self):
         """Send bytes one by one while another task reads; return the registrations."""
@@ -260,7 +259,7 @@
         self.peer.sendall(data)
         received = b""
         while not received.endswith(data):
-            received += bytes(self.buffer[: self.socket.recv_into(self.buffer)])
+            received += self.socket.recv(100)
         return received
 
     def test_descriptor_that_is_used_again(self):
@@ -283,7 +282,7 @@
         """A read that a timeout interrupts leaves the connection readable."""
         with connections.staying_registered(self.connection):
             with self.assertRaises(eventlet.Timeout), eventlet.Timeout(0.01):
-                self.socket.recv_into(self.buffer)
+                self.socket.recv(100)
             self.assertEqual(self.exchange_one(b"z"), b"z")
 
     def test_end_of_the_connection(self):
