Bound what answers without end may take, each and all together

What callers would see (not seen; the platform says that it may happen): an upstream that sends without end takes a process's time, as reading does not switch tasks while there is input, and its memory, as each answer may have 64 MB. One that sends a byte now and then occupies a stream, an item or a place at an engine for its whole time.

Cause: each read had a limit, but not the message; each answer had a largest size, but not all of them together.

The limit on the silence of a stream is one on the time without an event. The end of a long event is searched in the new bytes only: 1 MB that came byte by byte cost the square of that.

Why it works: each wait and each buffer that an upstream can prolong now has a bound that its bytes do not renew, and the sum has one too.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -1,5 +1,6 @@
 """Run one attempt of an item at one engine and append its events to the item's text."""
 
+import contextlib
 import enum
 from collections.abc import Callable
 from typing import Any, Final
@@ -30,6 +31,8 @@
 # Number of consecutive complete answers without an event after which a resumed text
 # counts as complete.
 _MIN_EMPTY_ANSWERS: Final = 2
+# Largest body of an error that is read.
+_MAX_ERROR_BYTES: Final = 1024 * 1024
 _OK: Final = 200
 _IMPOSSIBLE: Final = 422
 
@@ -252,8 +255,9 @@
     reader = event_stream.EventReader(protocol.version_field, reading.asked_after or 0)
     last_at = None
     last_version = None
-    for part in body.parts(run.stall_seconds):
-        for event in reader.feed(part):
+    patience = body_reader.Patience(run.stall_seconds)
+    with contextlib.closing(body.events(reader, patience)) as events:
+        for event in events:
             reading.record(event)
             now = clock.now()
             if last_at is not None:
@@ -316,9 +320,7 @@
     body: body_reader.BodyReader,
     head: upstream_protocol.AnswerHead,
 ) -> AttemptResult:
-    # Read the body to its end, so that the connection can be reused.
-    for _ in body.parts(lambda: STALL_SECONDS):
-        pass
+    _discard(body)
     detail = f"status {answer.status}"
     is_named = protocol.request_id_header in answer.headers
     if answer.status == _IMPOSSIBLE and is_named:
@@ -334,3 +336,20 @@
         # request. Its status must neither end this item nor count as its failure.
         return AttemptResult(Outcome.BROKEN, f"{detail} without a request id")
     return AttemptResult(Outcome.FAILED, detail)
+
+
+def _discard(body: body_reader.BodyReader) -> None:
+    """Read the body of an error to its end, so that the connection can be reused.
+
+    A body that is too long or too slow is taken for a broken one.
+    """
+    patience = body_reader.Patience(lambda: STALL_SECONDS)
+    n_bytes = 0
+    for part in body.parts(patience.left):
+        n_bytes += len(part)
+        if n_bytes > _MAX_ERROR_BYTES:
+            raise attempts.AttemptError(
+                reasons.Reason.ANSWER_TRUNCATED,
+                True,
+                f"expected an error of at most {_MAX_ERROR_BYTES} bytes",
+            )
--- a/bilberrydrum/event_stream.py
+++ b/bilberrydrum/event_stream.py
@@ -5,6 +5,7 @@
 dropped. Events are numbered from 1.
 """
 
+import re
 from typing import Final
 
 import attrs
@@ -15,6 +16,9 @@
 # Most digits of an accepted number. For thousands of digits, `int` raises an error that
 # is not an `EventError`.
 _MAX_DIGITS: Final = 19
+_EVENT_END: Final = re.compile(rb"\r?\n\r?\n")
+# Most bytes of an event's end that may have arrived before its last one.
+_N_BYTES_BEFORE_END: Final = 3
 
 
 class EventError(Exception):
@@ -45,7 +49,16 @@
     # the next number: if the first event could have any number, a stream without its
     # beginning would be accepted as complete.
     last_number: int = 0
-    _unparsed: bytes = b""
+    _unparsed: bytearray = attrs.field(factory=bytearray)
+
+    @property
+    def n_unparsed(self) -> int:
+        """Number of bytes of the event that is not complete yet."""
+        return len(self._unparsed)
+
+    def clear(self) -> None:
+        """Drop the event that is not complete yet; nothing may be fed after that."""
+        self._unparsed = bytearray()
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that `data` completes.
@@ -55,10 +68,19 @@
         EventError
             If an event is damaged or out of order.
         """
-        text = (self._unparsed + data).replace(b"\r\n", b"\n")
-        *blocks, self._unparsed = text.split(b"\n\n")
+        # An event is searched for its end once only. A long one that arrives byte by
+        # byte would take all processor time otherwise.
+        begin = max(len(self._unparsed) - _N_BYTES_BEFORE_END, 0)
+        self._unparsed += data
+        ends = [each.end() for each in _EVENT_END.finditer(self._unparsed, begin)]
+        if ends:
+            complete = bytes(self._unparsed[: ends[-1]])
+            del self._unparsed[: ends[-1]]
+        else:
+            complete = b""
         if len(self._unparsed) > MAX_EVENT_BYTES:
             raise EventError("event too large")
+        blocks = complete.replace(b"\r\n", b"\n").split(b"\n\n")
         return [self._parse(block) for block in blocks if block.strip()]
 
     def is_between_events(self) -> bool:
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -22,7 +22,7 @@
     streams,
 )
 from bilberrydrum.relay import model as relay_model
-from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.requests import answer_memory, attempts, connections, watch
 from bilberrydrum.usage import meter as usage_meter
 
 # When clients should retry at a gateway without a policy, in seconds. If all processes
@@ -61,7 +61,11 @@
         self.store_calls = self._stores.calls
         self._clients = watch.ClientWatch()
         self._pool = connections.ConnectionPool()
-        resources = attempts.Resources(self._pool, self._clients)
+        resources = attempts.Resources(
+            self._pool,
+            self._clients,
+            answer_memory.AnswerMemory(node.answer_memory_bytes),
+        )
         rng = random.Random()
         self.callers = callers.Callers(self.view, rng)
         balancer = balancing.Balancer(node.availability_zone, rng, self._shared)
--- a/bilberrydrum/nodes/options.py
+++ b/bilberrydrum/nodes/options.py
@@ -9,6 +9,7 @@
 import attrs
 
 from bilberrydrum import options
+from bilberrydrum.requests import answer_memory
 from bilberrydrum.usage import model as usage_model
 
 
@@ -69,6 +70,8 @@
     # IP that the transports bind to, if it differs from that of their addresses.
     bind_host: str = ""
     limits: options.LimitOptions = attrs.field(factory=options.LimitOptions)
+    # Memory for all answers of upstreams that are being received.
+    answer_memory_bytes: int = answer_memory.DEFAULT_MAX_BYTES
 
     def n_voters(self) -> int:
         """Return how many replicas still have a majority after `n_losses` losses."""
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -13,7 +13,7 @@
 from bilberrydrum.fleet import messages, subscriber
 from bilberrydrum.nodes import groups, links, options
 from bilberrydrum.relay import balancing, crash_watch, relay
-from bilberrydrum.requests import attempts, connections, watch
+from bilberrydrum.requests import answer_memory, attempts, connections, watch
 from bilberrydrum.state import fencing, files, replica, storage
 from bilberrydrum.state import node as state_node
 
@@ -87,7 +87,11 @@
         groups.start_replica(self.replica)
         if self.replica.failure:
             return
-        resources = attempts.Resources(self._pool, self._clients)
+        resources = attempts.Resources(
+            self._pool,
+            self._clients,
+            answer_memory.AnswerMemory(self._node.answer_memory_bytes),
+        )
         self.service = service.BatchService(
             self.replica,
             self._stores.carrier,
--- a/bilberrydrum/relay/streams.py
+++ b/bilberrydrum/relay/streams.py
@@ -27,6 +27,7 @@
 from bilberrydrum.fleet import policy, subscriber
 from bilberrydrum.relay import balancing, crash_watch, model, relayed_requests, trial
 from bilberrydrum.requests import (
+    answers,
     attempts,
     body_reader,
     crash_probe,
@@ -61,7 +62,7 @@
     upstream: fleet_model.FleetUpstream
     outgoing: outgoing_requests.Outgoing
     connection: Any
-    answer: Any
+    answer: answers.Answer
 
 
 @attrs.define
@@ -277,14 +278,14 @@
             self._protocol.version_field, request.last_number or 0
         )
         max_wait = max(STALL_SECONDS, request.route.target_latency_seconds * 4)
+        patience = body_reader.Patience(lambda: max_wait)
         # Closed explicitly: the socket must not be read any more once it is released.
-        with contextlib.closing(self._parts(source, max_wait)) as parts:
-            for part in parts:
-                for event in reader.feed(part):
-                    if request.first_event_at is None:
-                        request.first_event_at = clock.now()
-                    request.last_number = event.number
-                    yield event.raw
+        with contextlib.closing(self._read_events(source, reader, patience)) as events:
+            for event in events:
+                if request.first_event_at is None:
+                    request.first_event_at = clock.now()
+                request.last_number = event.number
+                yield event.raw
         if not reader.is_between_events():
             raise event_stream.EventError("stream ended in the middle of an event")
         if request.first_event_at is None and not _may_be_empty(request, source):
@@ -296,11 +297,16 @@
         self._balancer.record_success(source.upstream.upstream_id, head, clock.now())
         self._crashes.record_answer(request.fingerprint)
 
-    def _parts(self, source: _Source, max_wait: float) -> Generator[bytes, None, None]:
+    def _read_events(
+        self,
+        source: _Source,
+        reader: event_stream.EventReader,
+        patience: body_reader.Patience,
+    ) -> Generator[event_stream.Event, None, None]:
         with body_reader.reading(
             self._resources, source.outgoing, source.connection, source.answer
         ) as body:
-            yield from body.parts(lambda: max_wait)
+            yield from body.events(reader, patience)
 
     def _release(self, source: _Source) -> None:
         """Close the connection, which cancels the work at the upstream."""
@@ -313,7 +319,7 @@
         """Read an upstream's error answer, to be forwarded unchanged."""
         try:
             with attempts.bounded_wait(self._resources, source.outgoing):
-                body = attempts.read_body(source.answer)
+                body = attempts.read_body(self._resources.memory, source.answer)
         except attempts.AttemptError as error:
             return model.Refused(error.reason, True)
         finally:
--- a/bilberrydrum/requests/answers.py
+++ b/bilberrydrum/requests/answers.py
@@ -6,6 +6,7 @@
 for an answer, so its connection must not be used for another request.
 """
 
+import math
 from typing import Any, Final
 
 import eventlet
@@ -36,6 +37,11 @@
         """Whether bytes were received that nobody has read."""
         return self._begin < len(self._buffer)
 
+    @property
+    def has_empty_line(self) -> bool:
+        """Whether a line without content was received."""
+        return b"\r\n\r\n" in self._buffer
+
     def fill(self) -> None:
         """Wait until there is a byte to read, or the end."""
         if not self.has_surplus:
@@ -87,8 +93,10 @@
         debuglevel: int = 0,
         method: str | None = None,
         url: str | None = None,
+        head_seconds: float = math.inf,
     ) -> None:
         self._stream = SocketStream(socket)
+        self._head_seconds = head_seconds
         self._method = method or ""
         self._closes_connection = True
         self._body = reading.Body(self._stream, framing.Extent(framing.Framing.NONE))
@@ -106,7 +114,7 @@
         http1.errors.MessageError
             If there is no whole and well-formed head.
         """
-        head = self._read_final_head()
+        head = self._read_head_in_time()
         extent = framing.of_response(head, self._method)
         asked = syntax.list_of(head.fields, "connection")
         self._closes_connection = "close" in asked or head.minor_version == 0
@@ -116,6 +124,18 @@
         for name, value in head.fields:
             self.headers.add(name, value)
 
+    def _read_head_in_time(self) -> syntax.ResponseHead:
+        self._stream.fill()
+        if self._head_seconds == math.inf or self._stream.has_empty_line:
+            return self._read_final_head()
+        # An upstream that waits or works sends nothing. One that has begun to answer
+        # sends its head at once; if it does not, it will never send the rest.
+        late = errors.IncompleteError(
+            f"expected the head within {self._head_seconds:g} s of its first byte"
+        )
+        with eventlet.Timeout(self._head_seconds, late):
+            return self._read_final_head()
+
     def _read_final_head(self) -> syntax.ResponseHead:
         """Return the first head that is not that of an interim response."""
         n_left = reading.MAX_RESPONSE_HEAD_BYTES
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -19,6 +19,7 @@
 from bilberrydrum import clock, counters, reasons
 from bilberrydrum.http1 import errors
 from bilberrydrum.requests import (
+    answer_memory,
     answers,
     connections,
     model,
@@ -37,6 +38,10 @@
 KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 # Largest body of an answer, in bytes.
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+# Longest time from the first byte of an answer to the end of its head, in seconds, if
+# the request may be sent elsewhere. Heads fit into one packet; callers abandon a stream
+# after two seconds.
+HEAD_SECONDS: Final = 1.0
 _READ_BYTES: Final = 64 * 1024
 # Statuses after which another instance of the service may succeed.
 _FAILED_STATUSES: Final = frozenset({502, 503, 504})
@@ -68,10 +73,12 @@
 
 @attrs.frozen
 class Resources:
-    """The connection pool and the client checks that a process's attempts share."""
+    """The connections, client checks and memory that a process's attempts share."""
 
     pool: connections.ConnectionPool
     clients: watch.ClientWatch
+    # Shared by all answers that the process receives at the same time.
+    memory: answer_memory.AnswerMemory = attrs.field(factory=answer_memory.AnswerMemory)
 
 
 @contextlib.contextmanager
@@ -197,7 +204,9 @@
             body=outgoing.body or None,
             headers=outgoing.headers,
         )
-        answer = connection.getresponse()
+        answer = connection.getresponse(
+            HEAD_SECONDS if outgoing.may_repeat else math.inf
+        )
     except errors.MessageError as error:
         # Whatever these bytes are, they do not say what became of the request. A part
         # of a head could lack the length, and its body would seem to be empty.
@@ -267,7 +276,7 @@
         ) from error
 
 
-def read_body(answer: answers.Answer) -> bytes:
+def read_body(memory: answer_memory.AnswerMemory, answer: answers.Answer) -> bytes:
     """Return the complete body of an answer.
 
     Raises
@@ -275,12 +284,24 @@
     AttemptError
         If the body is truncated, malformed or too large.
     """
-    parts, n_bytes = [], 0
-    for part in read_parts(answer):
-        n_bytes += len(part)
-        _check_size(n_bytes)
-        parts.append(part)
-    return b"".join(parts)
+    data = bytearray()
+    with memory.share(data.clear) as share:
+        try:
+            for part in read_parts(answer):
+                share.check()
+                data += part
+                _check_size(len(data))
+                share.resize(len(data))
+            share.check()
+        except answer_memory.AnswerDroppedError as error:
+            raise dropped(error) from error
+        return bytes(data)
+
+
+def dropped(error: answer_memory.AnswerDroppedError) -> AttemptError:
+    """Return the failure of an attempt whose answer took too much memory."""
+    counters.malformed("upstream", "body", errors.Fault.TOO_LARGE)
+    return AttemptError(reasons.Reason.UPSTREAM_ERROR, True, str(error))
 
 
 def _check_size(n_bytes: int) -> None:
@@ -341,7 +362,7 @@
     with bounded_wait(resources, outgoing):
         connection, answer = open_answer(resources.pool, upstream.address, outgoing)
         try:
-            body = _read_complete(answer, outgoing)
+            body = _read_complete(resources.memory, answer, outgoing)
         except BaseException:
             connection.close()
             raise
@@ -359,6 +380,7 @@
 
 
 def _read_complete(
+    memory: answer_memory.AnswerMemory,
     answer: answers.Answer,
     outgoing: outgoing_requests.Outgoing,
 ) -> bytes:
@@ -370,7 +392,7 @@
             True,
             "expected an answer with a length or chunks, got neither",
         )
-    return read_body(answer)
+    return read_body(memory, answer)
 
 
 def _idle_seconds(keep_alive: str) -> float:
--- a/bilberrydrum/requests/body_reader.py
+++ b/bilberrydrum/requests/body_reader.py
@@ -10,14 +10,16 @@
 
 import contextlib
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from typing import Any, Final, Self
 
 import eventlet
 from eventlet import hubs
 
-from bilberrydrum import clock, reasons
+from bilberrydrum import clock, event_stream, reasons
 from bilberrydrum.requests import (
+    answer_memory,
+    answers,
     attempts,
     connections,
     model,
@@ -80,6 +82,25 @@
             self._task.throw(self.timeout)
 
 
+class Patience:
+    """A limit on the time without progress, however many bytes arrive meanwhile.
+
+    An upstream may send bytes that lead to nothing without end.
+    """
+
+    def __init__(self, seconds: Callable[[], float]) -> None:
+        self._seconds = seconds
+        self._since = clock.now()
+
+    def renew(self) -> None:
+        """Record progress."""
+        self._since = clock.now()
+
+    def left(self) -> float:
+        """Return the time that is left until the next progress, in seconds."""
+        return self._since + self._seconds() - clock.now()
+
+
 class BodyReader:
     """Reads the body of one answer; a context manager that cancels its timer."""
 
@@ -87,9 +108,10 @@
         self,
         resources: attempts.Resources,
         outgoing: outgoing_requests.Outgoing,
-        answer: Any,
+        answer: answers.Answer,
     ) -> None:
         self._clients = resources.clients
+        self._memory = resources.memory
         self._outgoing = outgoing
         self._is_client_gone = attempts.client_check(outgoing)
         self._parts = attempts.read_parts(answer)
@@ -138,6 +160,32 @@
         while (part := self.read(max_wait())) is not None:
             yield part
 
+    def events(
+        self, reader: event_stream.EventReader, patience: Patience
+    ) -> Generator[event_stream.Event, None, None]:
+        """Yield the events of the body; each of them is progress.
+
+        Raises
+        ------
+        AttemptError
+            As `read`, after a time without an event, or if unfinished events take too
+            much memory.
+        event_stream.EventError
+            If an event is damaged or out of order.
+        """
+        with self._memory.share(reader.clear) as share:
+            for part in self.parts(patience.left):
+                try:
+                    share.check()
+                    events = reader.feed(part)
+                    share.resize(reader.n_unparsed)
+                except answer_memory.AnswerDroppedError as error:
+                    raise attempts.dropped(error) from error
+                yield from events
+                if events:
+                    # Whoever takes the events may be slow.
+                    patience.renew()
+
     def _next_part(self) -> bytes | None:
         if self._is_client_gone is model.never_gone:
             return next(self._parts, None)
@@ -150,7 +198,7 @@
     resources: attempts.Resources,
     outgoing: outgoing_requests.Outgoing,
     connection: connections.Connection,
-    answer: Any,
+    answer: answers.Answer,
 ) -> Iterator[BodyReader]:
     """Return a reader of the body of `answer`, which is received on `connection`.
 
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -7,7 +7,9 @@
 
 import collections
 import contextlib
+import functools
 import http.client
+import math
 import socket
 from collections.abc import Iterator
 from typing import Any, Final, cast
@@ -115,7 +117,6 @@
 class Connection(urllib3.connection.HTTPConnection):
     """A connection to an upstream."""
 
-    response_class = answers.Answer  # type: ignore[assignment]
     # It has carried an earlier request, to which a late answer may still arrive.
     was_kept: bool = False
 
@@ -134,14 +135,19 @@
         self.sock = _connect(self.host, self.port, self.timeout, self.socket_options)
         self.timeout = None
 
-    def getresponse(self) -> answers.Answer:  # type: ignore[override]
+    def getresponse(self, head_seconds: float = math.inf) -> answers.Answer:  # type: ignore[override]
         """Read the head of the answer to the request that was sent.
 
+        `head_seconds` limits the time from the first byte of the head to its last one.
+
         Raises
         ------
         OSError, http1.errors.MessageError
             If there is no whole and well-formed head.
         """
+        self.response_class = functools.partial(  # type: ignore[assignment]
+            answers.Answer, head_seconds=head_seconds
+        )
         # urllib3's own method would wrap the answer in a class that decodes bodies.
         answer: Any = http.client.HTTPConnection.getresponse(self)
         return cast(answers.Answer, answer)
--- a/bilberrydrum/requests/events.py
+++ b/bilberrydrum/requests/events.py
@@ -41,7 +41,16 @@
     is_done: bool = False
     # Why the text ended; empty until the event that says so.
     finish_reason: str = ""
-    _incomplete_line: bytes = b""
+    _incomplete_line: bytearray = attrs.field(factory=bytearray)
+
+    @property
+    def n_unparsed(self) -> int:
+        """Number of bytes of the line that is not complete yet."""
+        return len(self._incomplete_line)
+
+    def clear(self) -> None:
+        """Drop the line that is not complete yet; nothing may be fed after that."""
+        self._incomplete_line = bytearray()
 
     def feed(self, data: bytes) -> list[model.StreamEvent]:
         """Return the events that `data` completes.
@@ -51,8 +60,13 @@
         StreamError
             If the stream is malformed, or belongs to another request.
         """
-        lines = (self._incomplete_line + data).split(b"\n")
-        self._incomplete_line = lines.pop()
+        lines: list[bytes] = []
+        self._incomplete_line += data
+        # Only `data` is searched. A long line that arrives byte by byte would take all
+        # processor time otherwise.
+        if b"\n" in data:
+            *lines, rest = bytes(self._incomplete_line).split(b"\n")
+            self._incomplete_line = bytearray(rest)
         if len(self._incomplete_line) > MAX_EVENT_BYTES:
             raise StreamError(
                 reasons.Reason.UPSTREAM_ERROR,
--- a/bilberrydrum/requests/text_streams.py
+++ b/bilberrydrum/requests/text_streams.py
@@ -6,12 +6,14 @@
 
 import math
 from collections.abc import Generator
-from typing import Any, Final
+from typing import Final
 
 import eliot
 
 from bilberrydrum import reasons
 from bilberrydrum.requests import (
+    answer_memory,
+    answers,
     attempts,
     body_reader,
     events,
@@ -53,7 +55,7 @@
     try:
         _check_status(answer)
         with body_reader.reading(resources, outgoing, connection, answer) as body:
-            is_read_to_end = yield from _read_text(outgoing, body, reader)
+            is_read_to_end = yield from _read_text(resources, outgoing, body, reader)
     finally:
         if is_read_to_end:
             # Each event carried the request's id, so no other answer can have been
@@ -67,6 +69,7 @@
 
 
 def _read_text(
+    resources: attempts.Resources,
     outgoing: outgoing_requests.Outgoing,
     body: body_reader.BodyReader,
     reader: events.StreamReader,
@@ -80,18 +83,26 @@
     # Until the first bytes arrive, the call may wait in the engine's queue; only the
     # deadline bounds this wait.
     max_wait = math.inf
-    while True:
-        try:
-            part = body.read(max_wait)
-        except attempts.AttemptError as error:
-            if error.is_refusal or not reader.is_text_complete():
-                raise
-            _log_lost_end(outgoing, reader, error.reason)
-            return False
-        if part is None:
-            break
-        yield from _feed(reader, part)
-        max_wait = END_SECONDS if reader.finish_reason else STALL_SECONDS
+    patience = body_reader.Patience(lambda: max_wait)
+    with resources.memory.share(reader.clear) as share:
+        while True:
+            try:
+                part = body.read(patience.left())
+            except attempts.AttemptError as error:
+                if error.is_refusal or not reader.is_text_complete():
+                    raise
+                _log_lost_end(outgoing, reader, error.reason)
+                return False
+            if part is None:
+                break
+            has_progress = max_wait == math.inf
+            for tokens in _feed(reader, part, share):
+                yield tokens
+                has_progress = True
+            if has_progress:
+                # Whoever takes the tokens may be slow.
+                patience.renew()
+            max_wait = END_SECONDS if reader.finish_reason else STALL_SECONDS
     if reader.is_done:
         return True
     if not reader.is_text_complete():
@@ -105,16 +116,20 @@
 
 
 def _feed(
-    reader: events.StreamReader, part: bytes
+    reader: events.StreamReader, part: bytes, share: answer_memory.Share
 ) -> Generator[model.Tokens, None, None]:
     """Yield the tokens in `part`, and the finish reason, with or without tokens."""
     has_ended = bool(reader.finish_reason)
     failure = None
     read: list[model.StreamEvent] = []
     try:
+        share.check()
         read = reader.feed(part)
+        share.resize(reader.n_unparsed)
     except events.StreamError as error:
         failure = error
+    except answer_memory.AnswerDroppedError as error:
+        raise attempts.dropped(error) from error
     for event in read:
         if isinstance(event, model.Tokens):
             yield event
@@ -139,7 +154,7 @@
     )
 
 
-def _check_status(answer: Any) -> None:
+def _check_status(answer: answers.Answer) -> None:
     if answer.status == 200:
         return
     detail = f"status {answer.status}"
