Place items again whatever crashed under them

What callers would see (reported of a system like ours): in a burst of crashes several engines die while they run the same sound item of a batch or of a step. Afterwards all is calm and the engines have room, but the item is never placed again, and its group is never complete.

Cause: work that was handed in for later was quarantined like a single request that crashes its upstreams: after three crashes, for two minutes, then twice as long each time. A single request is refused so that its caller stops; nobody sends an item again, so to refuse it is to lose it, and items do not crash upstreams by themselves.

Change: items, samples and their scoring requests are owed (CrashWatch.is_owed): never suspected, refused or reported to the group, whatever its history has. An item that was cut off repeatedly runs apart from others for 6 s after its latest crash (before: until it was cleared, so 40 of them waited for one another), and from its fourth crash on waits for 2 s without a crash, 6 s at most, as before. A scoring request that broke off pauses for 0.2 to 2 s, a sample has had such a backoff. So even an item that did crash engines would do so every two seconds at most. Single requests are quarantined as before.

--- a/bilberrydrum/batches/item_sender.py
+++ b/bilberrydrum/batches/item_sender.py
@@ -9,7 +9,6 @@
 from bilberrydrum import (
     clock,
     counters,
-    quarantine,
     reasons,
     tasks,
     upstream_protocol,
@@ -58,12 +57,6 @@
         self._wake = wake
         self._tasks = item_tasks.ItemTasks()
 
-    def standing(
-        self, opened: work.OpenBatch, run: lifecycle.ItemRun
-    ) -> quarantine.Standing:
-        """Return whether an item is suspected of crashing engines or quarantined."""
-        return self._crashes.standing(lambda: self._fingerprint(opened, run))
-
     def must_run_apart(self, opened: work.OpenBatch, run: lifecycle.ItemRun) -> bool:
         """Return whether an item must not run where another such item does."""
         return self._crashes.must_run_apart(lambda: self._fingerprint(opened, run))
@@ -255,8 +248,6 @@
         """Return why the item must not be sent; called right before the first byte."""
         if not self._hooks.may_send() or opened.is_ended:
             return reasons.Reason.ATTEMPT_SUPERSEDED
-        if self.standing(opened, run) is quarantine.Standing.QUARANTINED:
-            return reasons.Reason.REQUEST_QUARANTINED
         return self._view.registry.find_refusal(engine.upstream_id)
 
     def _apply_result(
--- a/bilberrydrum/batches/lifecycle.py
+++ b/bilberrydrum/batches/lifecycle.py
@@ -49,6 +49,8 @@
     n_failures: int = 0
     # Errors with which services answered the scoring request.
     n_scoring_failures: int = 0
+    # Attempts at scoring that broke off or ended without an answer.
+    n_broken_scorings: int = 0
     # Neither the item nor its scoring request is sent before this time.
     not_before: float = float("-inf")
     # The engine at which the last attempt failed, and the time until which it is
--- a/bilberrydrum/batches/runner.py
+++ b/bilberrydrum/batches/runner.py
@@ -19,7 +19,7 @@
 import eventlet
 import eventlet.event
 
-from bilberrydrum import clock, counters, quarantine, tasks, upstream_protocol
+from bilberrydrum import clock, counters, tasks, upstream_protocol
 from bilberrydrum.batches import (
     backlog,
     engine_divider,
@@ -354,10 +354,7 @@
         now: float,
     ) -> scheduling.WaitingItem | None:
         route = opened.route(self._view.routes)
-        standing = self._items.standing(opened, run)
-        if route is None or standing is quarantine.Standing.QUARANTINED:
-            # The item waits until it is given up, because no result could be reported
-            # to its caller that is known to be true.
+        if route is None:
             return None
         must_run_apart = self._items.must_run_apart(opened, run)
         # Only items that must run apart may have to wait.
--- a/bilberrydrum/batches/score_sender.py
+++ b/bilberrydrum/batches/score_sender.py
@@ -178,6 +178,8 @@
         seconds: float,
     ) -> None:
         run.n_scoring_failures += answer.n_failures
+        if isinstance(answer, relay_model.Refused) and answer.may_have_run:
+            run.n_broken_scorings += 1
         signature = ""
         if isinstance(answer, relay_model.Answered):
             signature = answer.signature
@@ -220,6 +222,6 @@
             given_up = model.Result(run.item.item_id, model.ItemState.TERMINATED)
             self._hooks.finish(batch_id, given_up)
         elif decision is scoring.Decision.RETRY:
-            run.not_before = now + scoring.PAUSE_SECONDS
+            run.not_before = now + scoring.pause_seconds(run.n_broken_scorings)
         else:
             run.not_before = now + scoring.LONG_PAUSE_SECONDS
--- a/bilberrydrum/batches/scoring.py
+++ b/bilberrydrum/batches/scoring.py
@@ -18,7 +18,6 @@
 
 import attrs
 
-from bilberrydrum import reasons
 from bilberrydrum.relay import model as relay_model
 
 # Slots of each upstream that scoring requests leave free for other requests. One
@@ -34,11 +33,9 @@
 # The same, in seconds, where an early retry is unlikely to help: there is no route for
 # the request, or the answer was neither a success nor a failure of the service.
 LONG_PAUSE_SECONDS: Final = 0.5
-# Refusals of requests that are suspected of crashing upstreams. They continue until the
-# request is cleared or its item is given up.
-_BLOCKING_REASONS: Final = frozenset(
-    {reasons.Reason.REQUEST_DOUBTFUL, reasons.Reason.REQUEST_QUARANTINED}
-)
+# Longest pause after attempts that broke off, in seconds. It bounds how often a scoring
+# request meets crashing upstreams, and a score still comes within seconds after them.
+MAX_PAUSE_SECONDS: Final = 2.0
 
 
 @attrs.frozen
@@ -85,6 +82,11 @@
     RETRY_LATER = "again-later"
 
 
+def pause_seconds(n_broken: int) -> float:
+    """Return the pause before a retry, after `n_broken` attempts that broke off."""
+    return min(PAUSE_SECONDS * 2.0 ** min(n_broken, 10), MAX_PAUSE_SECONDS)
+
+
 def decide(
     answer: relay_model.Answered | relay_model.Refused,
     is_signed: bool,
@@ -105,8 +107,6 @@
     max_attempts : int
         Number of error answers that the route allows.
     """
-    if isinstance(answer, relay_model.Refused) and answer.reason in _BLOCKING_REASONS:
-        return Decision.RETRY_LATER
     if isinstance(answer, relay_model.Answered):
         if answer.status // 100 == 2:
             return Decision.SCORED if is_signed else Decision.RETRY_LATER
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -8,7 +8,7 @@
 
 import eventlet
 
-from bilberrydrum import clock, quarantine, tasks, upstream_protocol
+from bilberrydrum import clock, tasks, upstream_protocol
 from bilberrydrum.batches import service
 from bilberrydrum.fleet import messages, subscriber
 from bilberrydrum.nodes import groups, links, options
@@ -38,14 +38,12 @@
         self.view.watch(self._on_registry_change)
         self._clients = watch.ClientWatch()
         self._pool = connections.ConnectionPool()
-        # Only the stores' leader sends scoring requests, so no other process observes
-        # the next crash. A request is therefore reported only once this process has
-        # seen enough crashes to suspect it. Items, too, are sent by the leader only.
+        # Crashes of upstreams that ran scoring requests, and of engines that ran items.
         self._crashes = crash_watch.CrashWatch(
-            self.view, self._control.calls, n_to_report=quarantine.SUSPECT_THRESHOLD
+            self.view, self._control.calls, is_owed=True
         )
         self._item_crashes = crash_watch.CrashWatch(
-            self.view, self._control.calls, is_crowded=True
+            self.view, self._control.calls, is_crowded=True, is_owed=True
         )
         self.replica: replica.Replica | None = None
         self.service: service.BatchService | None = None
--- a/bilberrydrum/quarantine.py
+++ b/bilberrydrum/quarantine.py
@@ -38,6 +38,12 @@
 a burst of crashes would look like a culprit otherwise. The wait is bounded, so that a
 culprit is quarantined in any case.
 
+Work that was handed in for later, as an item of a batch, a sample or the scoring of
+either, is owed: nobody retries it elsewhere, so a quarantine would lose it although
+upstreams are there. It does not crash upstreams by itself, so it is never quarantined
+(`CrashHistory.may_quarantine`). An item is held back for seconds at most, which keeps
+the crashes of a burst from hitting it again at once.
+
 A complete answer clears a request, whatever its standing. A quarantine expires, as a
 new release may have fixed the service. The request is then suspected and gets one
 trial; a further quarantine lasts twice as long.
@@ -251,7 +257,7 @@
         return attrs.evolve(self, until=0.0, ended_at_by_id=kept, explained_ids=())
 
 
-@codec.register("quarantine.book")
+@codec.register("quarantine.book", added_fields=("may_quarantine",))
 @attrs.define
 class CrashHistory:
     """Crash histories of all requests, as one process or group stores them."""
@@ -263,6 +269,9 @@
     # When upstreams crashed within the last `UNRELATED_CRASH_SECONDS`, by id; stored
     # only if `is_crowded`.
     ends_by_id: dict[str, float] = attrs.field(factory=dict)
+    # Whether requests are quarantined. If not, they run apart and wait for the end of a
+    # series of crashes, for a few seconds after their latest crash.
+    may_quarantine: bool = True
 
     def is_empty(self) -> bool:
         """Return whether no request has a crash history."""
@@ -284,6 +293,18 @@
         history = self.evidence_by_fingerprint.get(fingerprint)
         return history is not None and history.must_run_apart()
 
+    def must_run_apart_still(self, fingerprint: str, now: float) -> bool:
+        """Return whether a request that is never quarantined must run apart.
+
+        This holds for `LONGEST_WAIT_SECONDS` after its latest crash only. After a burst
+        of crashes, hundreds of requests may have to run apart, and would wait for one
+        another although all upstreams have room.
+        """
+        history = self.evidence_by_fingerprint.get(fingerprint)
+        if history is None or now - history.last_at >= LONGEST_WAIT_SECONDS:
+            return False
+        return history.must_run_apart()
+
     def must_wait(self, fingerprint: str, now: float) -> bool:
         """Return whether a request must not run yet, because upstreams are crashing.
 
@@ -334,7 +355,9 @@
         updated = history.with_crash(crash.upstream_id, ended_at)
         if not updated.until and self._is_attributed_elsewhere(crash):
             updated = updated.with_attributed_elsewhere((crash.upstream_id,))
-        reaches_threshold = not updated.until and updated.reaches_threshold()
+        reaches_threshold = (
+            self.may_quarantine and not updated.until and updated.reaches_threshold()
+        )
         if reaches_threshold and not self._is_indistinguishable(
             updated, crash.upstream_id, are_kept_apart
         ):
--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -93,11 +93,13 @@
     n_to_report : int
         See `crash_reports.CrashReports`.
     is_crowded : bool
-        Whether many requests run at an upstream (see `quarantine`), and only this
-        process sends them. The group could not know which requests were running
-        elsewhere, so a request is reported only once it is quarantined here. If it were
-        not reported then, the next process to send these requests would have to detect
-        each crash-causing one again, at the cost of six more crashes.
+        Whether many requests run at an upstream (see `quarantine`).
+    is_owed : bool
+        Whether the requests belong to work that was handed in for later, and are sent
+        by this process only. They are never suspected or quarantined, whatever the
+        group's history has of requests with the same content, and are not reported. The
+        crashes are recorded for the log, and for `must_run_apart` and `must_wait`, with
+        which a sender of many such requests holds them back for seconds.
     """
 
     def __init__(
@@ -106,11 +108,15 @@
         calls: Calls,
         n_to_report: int = 1,
         is_crowded: bool = False,
+        is_owed: bool = False,
     ) -> None:
+        self.is_owed = is_owed
         self._view = view
         self._calls = calls
         # Crashes detected here that the group is not known to have stored.
-        self._own = quarantine.CrashHistory(is_crowded=is_crowded)
+        self._own = quarantine.CrashHistory(
+            is_crowded=is_crowded, may_quarantine=not is_owed
+        )
         self._reports = crash_reports.CrashReports(n_to_report)
         # Index of the group's history that contains what was reported, by fingerprint.
         self._index_by_fingerprint: dict[str, int] = {}
@@ -140,7 +146,7 @@
         `fingerprint` is called only if any request has a crash history. This is rare,
         and the fingerprint of a long body takes time to compute.
         """
-        if self._is_history_empty():
+        if self.is_owed or self._is_history_empty():
             return quarantine.Standing.CLEAR
         name = fingerprint()
         return max(self._own.standing(name), self._view.crashes.standing(name))
@@ -158,6 +164,8 @@
         if self._is_history_empty():
             return False
         name = fingerprint()
+        if self.is_owed:
+            return self._own.must_run_apart_still(name, clock.now())
         histories = (self._own, self._view.crashes)
         return any(each.must_run_apart(name) for each in histories)
 
@@ -193,7 +201,7 @@
                 self._own.expire(now)
             if not self._own.is_empty():
                 return False
-        return self._view.crashes.is_empty()
+        return self.is_owed or self._view.crashes.is_empty()
 
     # Outcomes of runs
 
@@ -214,6 +222,8 @@
             return
         name = fingerprint()
         self._own.clear(name)
+        if self.is_owed:
+            return
         if self._may_be_known(name):
             self._index_by_fingerprint.pop(name, None)
             self._reports.clear(name)
@@ -276,16 +286,7 @@
         self, crash: quarantine.Crash, ended_at: float
     ) -> list[tuple[quarantine.Crash, float]]:
         """Return the crashes to report to the group after recording `crash`."""
-        is_known = crash.fingerprint in self._view.crashes.evidence_by_fingerprint
-        if is_known or not self._own.is_crowded:
-            return [(crash, ended_at)]
-        history = self._own.evidence_by_fingerprint[crash.fingerprint]
-        if not history.until:
-            return []
-        return [
-            (attrs.evolve(crash, upstream_id=upstream_id), at)
-            for upstream_id, at in history.ended_at_by_id.items()
-        ]
+        return [] if self.is_owed else [(crash, ended_at)]
 
     def _queue_report(self, crash: quarantine.Crash, ended_at: float) -> None:
         if self._reports.record(crash, ended_at):
--- a/bilberrydrum/relay/trial.py
+++ b/bilberrydrum/relay/trial.py
@@ -50,6 +50,8 @@
     request: relayed_requests.RelayedRequest, crashes: crash_watch.CrashWatch
 ) -> bool:
     """Return whether a request has a history for which it is not sent as others are."""
+    if crashes.is_owed:
+        return False
     standing = crashes.standing(request.fingerprint)
     return standing is not quarantine.Standing.CLEAR or crashes.must_run_apart(
         request.fingerprint
--- a/bilberrydrum/requests/crash_memory.py
+++ b/bilberrydrum/requests/crash_memory.py
@@ -45,6 +45,8 @@
     def __init__(self, record: crash_record.CrashRecord) -> None:
         self._record = record
         self._watch = crash_watch.CrashWatch(record, record)
+        # Samples and their scoring are never held back, and repeated with a backoff.
+        self._owed = crash_watch.CrashWatch(record, record, is_owed=True)
         # Where calls run that must run apart from one another.
         self._occupied_ids: collections.Counter[str] = collections.Counter()
 
@@ -63,6 +65,8 @@
 
         `has_run` says whether an upstream may have run the call already.
         """
+        if call.is_owed:
+            return None
         standing = self._watch.standing(lambda: calls.fingerprint_of(call))
         if standing is quarantine.Standing.QUARANTINED:
             return reasons.Reason.REQUEST_QUARANTINED
@@ -91,6 +95,8 @@
             self._occupied_ids += collections.Counter()
 
     def _must_run_apart(self, call: calls.Call) -> bool:
+        if call.is_owed:
+            return False
         return self._watch.must_run_apart(lambda: calls.fingerprint_of(call))
 
     def record_broken_run(
@@ -103,7 +109,7 @@
         """Record an attempt that gave no complete answer after `seconds`."""
         if not error.may_have_run or error.reason not in crash_probe.BROKEN_REASONS:
             return
-        self._watch.record_broken_run(
+        self._watch_of(call).record_broken_run(
             crash_watch.BrokenRun(
                 call.request_id,
                 calls.fingerprint_of(call),
@@ -115,7 +121,10 @@
 
     def record_answer(self, call: calls.Call) -> None:
         """Record that a call was answered, or that its run was healthy."""
-        self._watch.record_answer(lambda: calls.fingerprint_of(call))
+        self._watch_of(call).record_answer(lambda: calls.fingerprint_of(call))
+
+    def _watch_of(self, call: calls.Call) -> crash_watch.CrashWatch:
+        return self._owed if call.is_owed else self._watch
 
     def history(self) -> quarantine.CrashHistory:
         """Return the crash history of all calls, for operators."""
--- a/bilberrydrum/requests/model.py
+++ b/bilberrydrum/requests/model.py
@@ -53,6 +53,9 @@
     queue_depth: float = 0.0
     # Whether the call may be sent again after a failure.
     is_idempotent: bool = True
+    # Whether it belongs to work that was handed in for later, and is never quarantined
+    # (see `quarantine`).
+    is_owed: bool = False
     # Maximum number of the client's calls in flight at this gateway; 0: no limit.
     max_in_flight: int = 0
     # Called immediately before the first byte is sent, with the bundle then in force;
@@ -123,6 +126,9 @@
     priority: int = 0
     # Whether the call may be sent again after a failure.
     is_idempotent: bool = True
+    # Whether it belongs to work that was handed in for later, and is never quarantined
+    # (see `quarantine`).
+    is_owed: bool = False
     # Maximum number of the client's calls in flight at this gateway; 0: no limit.
     max_in_flight: int = 0
     # Called immediately before the first byte is sent, with the bundle then in force;
--- a/bilberrydrum/samples/attempts.py
+++ b/bilberrydrum/samples/attempts.py
@@ -149,6 +149,7 @@
             excluded_upstream_ids=excluded,
             expected_tokens=task.request.max_tokens,
             queue_depth=QUEUE_DEPTH,
+            is_owed=True,
         )
 
     def _stream(
@@ -253,6 +254,7 @@
                 deadline=clock.now() + SCORE_TIMEOUT_SECONDS,
                 share=self.task.rule.share,
                 is_idempotent=True,
+                is_owed=True,
             )
         )
         return (
