Bound the messages between processes

What callers would see (by reading): a program that connects to a peer port and announces a message of any length takes memory of that length from a control process, a store or a gateway, which then ends.

Cause: ZeroMQ receives messages without a bound unless one is set.

Change: 96 MB; a longer one ends its connection. The longest sound ones submit a batch, whose body a gateway limits to 64 MB. test_transport, message without bound: without the option the long message is received and handled, with it the next one is the first.

--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -44,6 +44,10 @@
 # Longest interval between attempts to connect to an absent peer, in milliseconds. After
 # all processes were started together, they wait this long for each other.
 RECONNECT_MAX_MS: Final = 200
+# Largest message that is received. ZeroMQ closes a connection that announces a longer
+# one, for which it would reserve memory. The longest ones submit a batch, whose body a
+# gateway limits to 64 MB.
+MAX_MESSAGE_BYTES: Final = 96 * 1024 * 1024
 # Number of messages received before other tasks get to run.
 RECEIVE_BATCH: Final = 16
 _TASK: Final = "transport"
@@ -181,6 +185,7 @@
         """Bind the ROUTER and start receiving."""
         router = self._context.socket(zmq.ROUTER)
         router.setsockopt(zmq.LINGER, 0)
+        router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         if self._keys is not None:
             self._tasks.append(eventlet.spawn(self._authenticate, self._keys))
             router.curve_server = True
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Messages between processes: what cannot be understood is counted and dropped."""
 
 import unittest
+from unittest import mock
 
 import attrs
 import eventlet
@@ -97,6 +98,27 @@
         self.assertEqual(self.received, [1, 9])
         self.assertEqual(drops(reason), before + 1)
 
+    def test_message_without_bound(self):
+        """A program that connects by mistake takes a process's memory."""
+        with mock.patch.object(transport, "MAX_MESSAGE_BYTES", 10_000):
+            receiver = make_transport("c")
+        self.addCleanup(receiver.stop)
+        receiver.on(Ping, self.receive)
+        with (
+            zmq.Context() as context,
+            context.socket(zmq.DEALER) as large,
+            context.socket(zmq.DEALER) as usual,
+        ):
+            for dealer in (large, usual):
+                dealer.connect(f"tcp://{receiver.address}")
+            large.send(envelope(address="x" * 20_000))
+            eventlet.sleep(0.1)
+            usual.send(envelope(body=codec.encode(Ping(9))))
+            with eventlet.Timeout(10):
+                while 9 not in self.received:
+                    eventlet.sleep(0.01)
+        self.assertEqual(self.received, [9])
+
     def test_receiving_continues_after_a_handler_failed(self):
         """A process receives nothing any longer, not even answers to its own calls.
 
