Watch of crashes: leave out what only quarantined items needed

Items are no longer reported, so the number of crashes from which on a request is reported is a constant, and only the crash at hand is reported.

--- a/bilberrydrum/relay/crash_watch.py
+++ b/bilberrydrum/relay/crash_watch.py
@@ -25,6 +25,8 @@
 # Timeout for the control group to acknowledge a report, and the delay before a retry.
 _REPORT_SECONDS: Final = 2.0
 _PAUSE_SECONDS: Final = 0.3
+# Crashes of a request from which on they are reported: other processes may send it.
+_N_TO_REPORT: Final = 1
 # Timeout of the query whether a suspected request may be tried. Its caller waits.
 _TRIAL_SECONDS: Final = 0.3
 
@@ -90,8 +92,6 @@
         The process's copy of the group's crash history.
     calls : Calls
         Calls to the group's leader.
-    n_to_report : int
-        See `crash_reports.CrashReports`.
     is_crowded : bool
         Whether many requests run at an upstream (see `quarantine`).
     is_owed : bool
@@ -106,7 +106,6 @@
         self,
         view: View,
         calls: Calls,
-        n_to_report: int = 1,
         is_crowded: bool = False,
         is_owed: bool = False,
     ) -> None:
@@ -117,7 +116,7 @@
         self._own = quarantine.CrashHistory(
             is_crowded=is_crowded, may_quarantine=not is_owed
         )
-        self._reports = crash_reports.CrashReports(n_to_report)
+        self._reports = crash_reports.CrashReports(_N_TO_REPORT)
         # Index of the group's history that contains what was reported, by fingerprint.
         self._index_by_fingerprint: dict[str, int] = {}
         self._wake = eventlet.event.Event()
@@ -272,22 +271,12 @@
 
     def _record_crash(self, run: BrokenRun, ended_at: float) -> None:
         crash = quarantine.Crash(run.fingerprint, run.subject, run.upstream.upstream_id)
-        if not self._own.record(crash, ended_at):
-            return
-        to_report = self._crashes_to_report(crash, ended_at)
-        if not to_report:
+        if not self._own.record(crash, ended_at) or self.is_owed:
             return
         self._index_by_fingerprint.pop(run.fingerprint, None)
-        for each, each_ended_at in to_report:
-            self._queue_report(each, each_ended_at)
+        self._queue_report(crash, ended_at)
         self._wake_reporter()
 
-    def _crashes_to_report(
-        self, crash: quarantine.Crash, ended_at: float
-    ) -> list[tuple[quarantine.Crash, float]]:
-        """Return the crashes to report to the group after recording `crash`."""
-        return [] if self.is_owed else [(crash, ended_at)]
-
     def _queue_report(self, crash: quarantine.Crash, ended_at: float) -> None:
         if self._reports.record(crash, ended_at):
             return
