Log each answer of an upstream that is refused, with its request

An answer that is not whole or not well formed was counted, but the line of a relayed request's failed attempt has no detail, so the cause could not be told from a crash, and the postmortem claimed a detail that was not there. requests:answer-refused names the request, the upstream, the part and the fault.

--- a/bilberrydrum/batches/item_run.py
+++ b/bilberrydrum/batches/item_run.py
@@ -14,6 +14,7 @@
 from bilberrydrum.requests import (
     attempts,
     body_reader,
+    connections,
     crash_probe,
     outgoing_requests,
 )
@@ -224,7 +225,7 @@
         # the run.
         if is_complete:
             is_named = protocol.request_id_header in answer.headers
-            attempts.keep_or_close(
+            connections.keep_or_close(
                 resources.pool, engine.address, connection, answer, is_named
             )
         else:
--- a/bilberrydrum/requests/answers.py
+++ b/bilberrydrum/requests/answers.py
@@ -100,6 +100,9 @@
         self._method = method or ""
         self._closes_connection = True
         self._body = reading.Body(self._stream, framing.Extent(framing.Framing.NONE))
+        # The request and the upstream, for log lines; empty: not known.
+        self.request_id = ""
+        self.address = ""
         self.framing = framing.Framing.NONE
         self.status = 0
         self.headers = urllib3.HTTPHeaderDict()
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -13,6 +13,7 @@
 from typing import Final, Protocol
 
 import attrs
+import eliot
 import eventlet
 import urllib3.exceptions
 
@@ -33,9 +34,6 @@
 # the request was sent. If it breaks later than this, in seconds, the upstream may have
 # run a part of the request, so the request is not sent again.
 STALE_SECONDS: Final = 0.25
-# An idle connection is closed this long before the time, announced by the upstream, at
-# which the upstream closes it.
-KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 # Largest body of an answer, in bytes.
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
 # Longest time from the first byte of an answer to the end of its head, in seconds, if
@@ -210,24 +208,46 @@
     except errors.MessageError as error:
         # Whatever these bytes are, they do not say what became of the request. A part
         # of a head could lack the length, and its body would seem to be empty.
-        raise _without_head(error) from error
+        raise _without_head(error, outgoing, connection) from error
     except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError) as error:
         raise AttemptError(
             reasons.Reason.CONNECTION_RESET, True, repr(error)
         ) from error
+    answer.request_id = outgoing.request_id
+    answer.address = f"{connection.host}:{connection.port}"
     _check_id(answer, outgoing)
     return answer
 
 
-def _without_head(error: errors.MessageError) -> AttemptError:
+def _without_head(
+    error: errors.MessageError,
+    outgoing: outgoing_requests.Outgoing,
+    connection: connections.Connection,
+) -> AttemptError:
+    """Return the failure of an attempt whose answer has no whole head."""
     reason = reasons.Reason.CONNECTION_RESET
     if not isinstance(error, errors.NoMessageError):
-        counters.malformed("upstream", "head", error.fault)
+        address = f"{connection.host}:{connection.port}"
+        _report_malformed("head", error, outgoing.request_id, address)
         if isinstance(error, errors.IncompleteError):
             reason = reasons.Reason.ANSWER_TRUNCATED
     return AttemptError(reason, True, repr(error))
 
 
+def _report_malformed(
+    part: str, error: errors.MessageError, request_id: str, address: str
+) -> None:
+    counters.malformed("upstream", part, error.fault)
+    eliot.log_message(
+        message_type="requests:answer-refused",
+        request_id=request_id,
+        address=address,
+        part=part,
+        fault=error.fault.value,
+        detail=str(error),
+    )
+
+
 def _check_id(answer: answers.Answer, outgoing: outgoing_requests.Outgoing) -> None:
     given = answer.headers.get(outgoing.id_header)
     if given is not None and given != outgoing.request_id:
@@ -266,7 +286,7 @@
         while part := answer.read1(_READ_BYTES):
             yield part
     except errors.MessageError as error:
-        counters.malformed("upstream", "body", error.fault)
+        _report_malformed("body", error, answer.request_id, answer.address)
         raise AttemptError(
             reasons.Reason.ANSWER_TRUNCATED, True, repr(error)
         ) from error
@@ -315,26 +335,6 @@
         )
 
 
-def keep_or_close(
-    pool: connections.ConnectionPool,
-    address: str,
-    connection: connections.Connection,
-    answer: answers.Answer,
-    is_named: bool,
-) -> None:
-    """Keep the connection for reuse if its answer carried the request's id.
-
-    Otherwise close it. An upstream may answer a request twice, and only the ids show
-    that: on a connection without ids, the second answer would be read as the answer to
-    the next request.
-    """
-    if is_named and answer.may_be_followed:
-        idle_seconds = _idle_seconds(answer.headers.get("Keep-Alive", ""))
-        pool.keep(address, connection, idle_seconds)
-    else:
-        connection.close()
-
-
 class Endpoint(Protocol):
     """The upstream that an attempt is sent to."""
 
@@ -368,7 +368,9 @@
             raise
         is_named = outgoing.id_header in answer.headers
         is_certain = is_answer_to(outgoing, connection, answer)
-        keep_or_close(resources.pool, upstream.address, connection, answer, is_named)
+        connections.keep_or_close(
+            resources.pool, upstream.address, connection, answer, is_named
+        )
     headers = outgoing_requests.end_to_end_headers(answer.headers)
     complete = model.ApplicationAnswer(
         answer.status, headers, body, upstream.upstream_id, is_named, is_certain
@@ -393,17 +395,3 @@
             "expected an answer with a length or chunks, got neither",
         )
     return read_body(memory, answer)
-
-
-def _idle_seconds(keep_alive: str) -> float:
-    """Return for how long an idle connection may be reused, in seconds.
-
-    An upstream that announces an idle timeout closes the connection at that time. A
-    request that is on its way at that moment is lost with unknown outcome, so the
-    connection is not reused in the last second before.
-    """
-    for part in keep_alive.split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            return max(float(value) - KEEP_ALIVE_MARGIN_SECONDS, 0.0)
-    return connections.MAX_IDLE_SECONDS
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -30,6 +30,9 @@
 # connections after some seconds, and a request that is sent at that moment is lost with
 # unknown outcome.
 MAX_IDLE_SECONDS: Final = 4.0
+# An idle connection is closed this long before the time, announced by the upstream, at
+# which the upstream closes it.
+KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 
 # Number of upstreams whose idle connections are checked for expiry each time that a
 # connection is kept.
@@ -288,6 +291,40 @@
         return None
 
 
+def keep_or_close(
+    pool: ConnectionPool,
+    address: str,
+    connection: Connection,
+    answer: answers.Answer,
+    is_named: bool,
+) -> None:
+    """Keep the connection for reuse if its answer carried the request's id.
+
+    Otherwise close it. An upstream may answer a request twice, and only the ids show
+    that: on a connection without ids, the second answer would be read as the answer to
+    the next request.
+    """
+    if is_named and answer.may_be_followed:
+        idle_seconds = _idle_seconds(answer.headers.get("Keep-Alive", ""))
+        pool.keep(address, connection, idle_seconds)
+    else:
+        connection.close()
+
+
+def _idle_seconds(keep_alive: str) -> float:
+    """Return for how long an idle connection may be reused, in seconds.
+
+    An upstream that announces an idle timeout closes the connection at that time. A
+    request that is on its way at that moment is lost with unknown outcome, so the
+    connection is not reused in the last second before.
+    """
+    for part in keep_alive.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            return max(float(value) - KEEP_ALIVE_MARGIN_SECONDS, 0.0)
+    return MAX_IDLE_SECONDS
+
+
 def _connect(host: str, port: int, timeout: Any, socket_options: Any) -> Any:
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     connected = _Socket(family, socket.SOCK_STREAM)
--- a/bilberrydrum/requests/single_calls.py
+++ b/bilberrydrum/requests/single_calls.py
@@ -14,7 +14,7 @@
 
 from bilberrydrum import upstream_protocol
 from bilberrydrum.http1 import errors
-from bilberrydrum.requests import attempts, connections
+from bilberrydrum.requests import connections
 
 _NO_ANSWER: Final = 0
 # Largest body of an answer. Reports and acknowledgements have a few kilobytes.
@@ -102,5 +102,5 @@
     finally:
         if not is_complete:
             connection.close()
-    attempts.keep_or_close(pool, address, connection, answer, True)
+    connections.keep_or_close(pool, address, connection, answer, True)
     return Reply(answer.status, body)
--- a/bilberrydrum/requests/text_streams.py
+++ b/bilberrydrum/requests/text_streams.py
@@ -16,6 +16,7 @@
     answers,
     attempts,
     body_reader,
+    connections,
     events,
     model,
     outgoing_requests,
@@ -60,7 +61,7 @@
         if is_read_to_end:
             # Each event carried the request's id, so no other answer can have been
             # read.
-            attempts.keep_or_close(
+            connections.keep_or_close(
                 resources.pool, upstream.address, connection, answer, is_named=True
             )
         else:
