Bound the memory of all clients of a process together

What callers saw: a few clients that sent large bodies, whole or in pieces, and stayed open, ended a gateway for everybody: it ran out of memory. Connections kept open and unfinished heads did the same more slowly.

Cause: each body, head and connection had a limit, but not all together. A body was a list of its parts, then joined; a chunk of one byte cost an object of 34 bytes; eventlet copied the unsent rest of a body for each send; a complete answer was copied, and was in no account while its client did not read it. The kernel held up to 6 MB of unread bytes for a connection.

Change: one budget a process (memory_mb less what the process needs without clients), to which connections, heads, bodies and answers are charged as they are received. Bodies and answers over 64 KB leave an eighth of it to small ones; beyond that they are refused with 503, not run, Retry-After, connection closed. Where memory is short a client that has stalled for a second, or keeps a connection open without a request, yields to another one. A body is one buffer that grows in place and is sent without a copy; answers likewise. A large body is also checked against the resident memory itself, as a heap keeps more than is charged; after a crowd the heap's free pages are returned. Connections have receive buffers of 32 KB. The largest number of refused connections that linger is 64 (was: any; without the linger a refused client sees a reset and not its refusal). Readiness and metrics have small limits and memory of their own. The daemon has limits.memory_mb.

Tests: test_unruly_gateway, real processes, gateway of 88 MB, 24 clients (500 and 800 for heads and kept connections). Crowd, sizes and bounds were fixed before the change.

Not covered here: batch submissions, the control API, ports between processes.

--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -8,6 +8,7 @@
 import collections
 import hmac
 import http
+import io
 import json
 import select
 import socket
@@ -19,7 +20,8 @@
 import eliot
 import eventlet
 
-from bilberrydrum import counters, options, problems, reasons
+from bilberrydrum import clock, counters, memory, options, problems, reasons
+from bilberrydrum.http import client_memory
 from bilberrydrum.http1 import errors
 
 GUARD_NONE: Final = ""
@@ -29,6 +31,17 @@
 # WSGI environment key that is set if the connection ends with the answer.
 ENDS_CONNECTION: Final = "bilberrydrum.ends-connection"
 
+# WSGI environment keys of the connection's memory, and of the body.
+HOLDING: Final = "bilberrydrum.holding"
+_BODY: Final = "bilberrydrum.body"
+# When a client that was refused for lack of memory may retry, in seconds.
+MEMORY_RETRY_SECONDS: Final = 1.0
+
+# Limits on probes of readiness and metrics.
+_MAX_PROBE_BYTES: Final = 8 * 1024
+_MAX_PROBE_CONNECTIONS: Final = 32
+_PROBE_MEMORY_BYTES: Final = 4 * 1024 * 1024
+
 _READ_CHUNK: Final = 64 * 1024
 # Parts of a body that are read before other tasks get to run.
 _N_PARTS_PER_TURN: Final = 16
@@ -93,9 +106,21 @@
 
     def body(self) -> bytes:
         """Return the complete body; refuse one too large, too slow or truncated."""
-        if "bilberrydrum.body" not in self.environ:
-            self.environ["bilberrydrum.body"] = _read_body(self.environ, self.limits)
-        return bytes(self.environ["bilberrydrum.body"])
+        if _BODY not in self.environ:
+            self.environ[_BODY] = _read_body(self.environ, self.limits, self.holding)
+        return bytes(self.environ[_BODY])
+
+    @property
+    def holding(self) -> client_memory.Holding:
+        """The memory that the request's connection has."""
+        if HOLDING not in self.environ:
+            self.environ[HOLDING] = client_memory.unbounded()
+        found: client_memory.Holding = self.environ[HOLDING]
+        return found
+
+    def drop_body(self) -> None:
+        """Free the body, which is not needed any more."""
+        self.environ[_BODY] = b""
 
     def json(self) -> dict[str, Any]:
         """Return the body as a JSON object; refuse anything else."""
@@ -198,6 +223,20 @@
         return variables if len(segments) == len(self.segments) else None
 
 
+def make_probe_edge(limits: options.LimitOptions) -> "Edge":
+    """Return an edge for probes, which have no body and come from few clients.
+
+    It has memory of its own: probes are answered also while clients have all of theirs.
+    """
+    own = attrs.evolve(
+        limits,
+        max_body_bytes=min(limits.max_body_bytes, _MAX_PROBE_BYTES),
+        max_header_bytes=min(limits.max_header_bytes, _MAX_PROBE_BYTES),
+        max_connections=min(limits.max_connections, _MAX_PROBE_CONNECTIONS),
+    )
+    return Edge(own, {}, budget=memory.Budget(_PROBE_MEMORY_BYTES))
+
+
 class Edge:
     """The WSGI application."""
 
@@ -206,8 +245,13 @@
         limits: options.LimitOptions,
         tokens_by_guard: dict[str, bytes],
         fallback: Handler | None = None,
+        budget: memory.Budget | None = None,
     ) -> None:
         self._own_limits = limits
+        # Shared by all clients of the process.
+        self.memory = client_memory.ClientMemory(
+            budget or memory.Budget.of_process(limits.memory_mb)
+        )
         self._limits = limits
         # Handles requests that match no route; if None, they are refused.
         self._fallback = fallback
@@ -215,6 +259,8 @@
         self._routes_by_head: dict[str, list[Route]] = collections.defaultdict(list)
         # Number of requests in flight; a graceful shutdown waits until it is 0.
         self.n_in_flight = 0
+        # Number of connections that are only open until their last answer was read.
+        self.n_lingering = 0
         # Whether a graceful shutdown has begun.
         self.is_draining = False
 
@@ -238,6 +284,11 @@
             ),
         )
 
+    @property
+    def own_limits(self) -> options.LimitOptions:
+        """The limits that no policy exceeds."""
+        return self._own_limits
+
     def routes(self) -> list[Route]:
         """Return all routes; tests compare them with the documentation."""
         return [route for routes in self._routes_by_head.values() for route in routes]
@@ -266,12 +317,14 @@
         except BaseException:
             self.n_in_flight -= 1
             raise
+        request.drop_body()
+        response = _fit_into_memory(response, request.holding)
         status = f"{response.status} {_phrase(response.status)}"
         body = response.body
         headers = response.headers
         if isinstance(body, bytes):
             headers = [*headers, ("Content-Length", str(len(body)))]
-            body = (body,)
+            body = _slices(body)
         if self.is_draining or ENDS_CONNECTION in environ:
             # Without this header, a client could send its next request on a connection
             # that is being closed, and could not know whether that request ran.
@@ -280,7 +333,7 @@
         start_response(status, headers)
         # The request is in flight until its body is written. Otherwise a shutdown would
         # cut off a client that reads slowly.
-        return _CountedBody(self, body)
+        return _CountedBody(self, body, request.holding)
 
     def _respond(self, request: Request) -> Response:
         try:
@@ -354,16 +407,26 @@
 class _CountedBody:
     """A body that decrements the edge's requests in flight when it is closed."""
 
-    def __init__(self, edge: Edge, body: Iterable[bytes]) -> None:
+    def __init__(
+        self, edge: Edge, body: Iterable[bytes], holding: client_memory.Holding
+    ) -> None:
         self._edge = edge
         self._body = body
+        self._holding = holding
 
     def __iter__(self) -> Iterator[bytes]:
-        return iter(self._body)
+        holding = self._holding
+        for part in self._body:
+            holding.phase = client_memory.Phase.OUTPUT
+            holding.moved_at = clock.now()
+            yield part
+            holding.phase = client_memory.Phase.WORK
 
     def close(self) -> None:
         """Close the body; the WSGI server calls this once, also after a failure."""
         self._edge.n_in_flight -= 1
+        self._holding.phase = client_memory.Phase.WORK
+        self._holding.release()
         close = getattr(self._body, "close", None)
         if close is not None:
             close()
@@ -376,39 +439,83 @@
         return "Status"
 
 
-def _read_body(environ: dict[str, Any], limits: options.LimitOptions) -> bytes:
+def _slices(body: bytes) -> Iterable[bytes]:
+    """Return the parts in which a body is written; each shows that the client reads."""
+    if len(body) <= client_memory.SMALL_BYTES:
+        return (body,)
+    starts = range(0, len(body), client_memory.SMALL_BYTES)
+    return (body[n : n + client_memory.SMALL_BYTES] for n in starts)
+
+
+def _fit_into_memory(response: Response, holding: client_memory.Holding) -> Response:
+    """Charge an answer until its client has read it; replace it if it does not fit."""
+    if not isinstance(response.body, bytes):
+        return response
+    holding.release()
+    try:
+        holding.grow_to(len(response.body))
+    except client_memory.MemoryFullError as error:
+        counters.refused(reasons.Reason.MEMORY_FULL)
+        problem = problems.Problem(
+            502,
+            reasons.Reason.MEMORY_FULL,
+            str(error),
+            outcome=problems.OUTCOME_UNKNOWN,
+        )
+        return Response(502, problem.to_json(), problem.headers())
+    return response
+
+
+def _read_body(
+    environ: dict[str, Any],
+    limits: options.LimitOptions,
+    holding: client_memory.Holding,
+) -> bytes:
     """Return the complete body; after a refusal, its connection is closed.
 
     Where the next request would begin is not known then.
     """
     try:
-        return _read_within(environ, limits)
+        with holding.waiting(client_memory.Phase.INPUT):
+            return _read_within(environ, limits, holding)
     except problems.ProblemError:
         environ[ENDS_CONNECTION] = True
         raise
 
 
-def _read_within(environ: dict[str, Any], limits: options.LimitOptions) -> bytes:
+def _read_within(
+    environ: dict[str, Any],
+    limits: options.LimitOptions,
+    holding: client_memory.Holding,
+) -> bytes:
     length_text = environ.get("CONTENT_LENGTH") or ""
     length = int(length_text) if length_text.isdecimal() else None
     if length is not None and length > limits.max_body_bytes:
         raise refuse(413, reasons.Reason.BODY_TOO_LARGE)
     timeout = eventlet.Timeout(limits.read_timeout_seconds)
     try:
-        parts, n_bytes = [], 0
+        # Its value is the body itself, not a copy, and grows in place.
+        buffer, n_parts = io.BytesIO(), 0
         while part := environ["wsgi.input"].read(_READ_CHUNK):
-            n_bytes += len(part)
+            n_bytes = buffer.tell() + len(part)
             if n_bytes > limits.max_body_bytes:
                 raise refuse(413, reasons.Reason.BODY_TOO_LARGE)
-            parts.append(part)
-            if len(parts) % _N_PARTS_PER_TURN == 0:
+            holding.grow_to(n_bytes)
+            buffer.write(part)
+            holding.record_progress()
+            n_parts += 1
+            if n_parts % _N_PARTS_PER_TURN == 0:
                 # Reading does not switch tasks while there is input.
                 eventlet.sleep(0)
+    except client_memory.MemoryFullError as error:
+        raise refuse_for_memory(error) from error
     except eventlet.Timeout as error:
         if error is not timeout:
             raise
         raise refuse(408, reasons.Reason.READ_TIMEOUT) from error
     except (errors.IncompleteError, OSError) as error:
+        if holding.is_dropped:
+            raise _refuse_stalled() from error
         counters.malformed("client", "body", errors.Fault.INCOMPLETE)
         raise refuse(400, reasons.Reason.BODY_TRUNCATED, str(error)) from error
     except errors.MessageError as error:
@@ -416,4 +523,26 @@
         raise refuse(400, reasons.Reason.INVALID_REQUEST, str(error)) from error
     finally:
         timeout.cancel()
-    return b"".join(parts)
+    return buffer.getvalue()
+
+
+def refuse_for_memory(error: client_memory.MemoryFullError) -> problems.ProblemError:
+    """Return the refusal of a request for which there is no memory."""
+    if error.is_final:
+        # It would not fit without any other client either.
+        return refuse(413, reasons.Reason.BODY_TOO_LARGE, str(error))
+    return refuse(
+        503,
+        reasons.Reason.MEMORY_FULL,
+        str(error),
+        retry_after_seconds=MEMORY_RETRY_SECONDS,
+    )
+
+
+def _refuse_stalled() -> problems.ProblemError:
+    return refuse(
+        503,
+        reasons.Reason.MEMORY_FULL,
+        "stalled",
+        retry_after_seconds=MEMORY_RETRY_SECONDS,
+    )
--- a/bilberrydrum/http/monitoring.py
+++ b/bilberrydrum/http/monitoring.py
@@ -38,7 +38,7 @@
 
 def metrics_edge(limits: options.LimitOptions) -> edge.Edge:
     """Return an edge that serves `/metrics` only."""
-    edge_ = edge.Edge(limits, {})
+    edge_ = edge.make_probe_edge(limits)
     edge_.add("GET", "/metrics", _metrics)
     return edge_
 
--- a/bilberrydrum/http/protocol.py
+++ b/bilberrydrum/http/protocol.py
@@ -16,11 +16,13 @@
 import eventlet.wsgi
 
 from bilberrydrum import counters, options, problems, reasons
-from bilberrydrum.http import edge
+from bilberrydrum.http import client_memory, edge
 from bilberrydrum.http1 import errors, framing, reading, syntax
 
 # Time that a client has to read the last answer on its connection, in seconds.
 LINGER_SECONDS: Final = 1.0
+# Most refused connections that are kept open for that time.
+MAX_LINGERING: Final = 64
 # Empty lines before a request that are skipped (RFC 9112, 2.2).
 _MAX_EMPTY_LINES: Final = 1
 _READ_BYTES: Final = 64 * 1024
@@ -121,13 +123,16 @@
     """eventlet's connection handler, with strict reading and problem documents."""
 
     limits = options.LimitOptions()
+    memory: client_memory.ClientMemory
 
     def __init__(self, conn_state: Any, server: Any) -> None:
         self._head_lines: list[bytes] = []
         self._extent = framing.Extent(framing.Framing.NONE)
         # Whether the client may still be sending when the connection is closed.
         self._has_input = False
-        super().__init__(conn_state, server)
+        with self.memory.connection(conn_state[1]) as holding:
+            self._holding = holding
+            super().__init__(conn_state, server)
 
     def _read_request_line(self) -> bytes:
         """Read the head of the next request and return its first line.
@@ -153,7 +158,8 @@
         """Wait for a request; return whether one begins before the idle timeout."""
         try:
             self.connection.settimeout(self.server.keepalive)
-            begins = bool(self.rfile.peek(1))
+            with self._holding.waiting(client_memory.Phase.IDLE):
+                begins = bool(self.rfile.peek(1))
             self.connection.settimeout(self.server.socket_timeout)
         except (OSError, ValueError):
             # Idle for too long, or closed by a shutdown of the server.
@@ -167,9 +173,17 @@
         max_bytes = 2 * self.limits.max_header_bytes
         timeout = eventlet.Timeout(self.limits.read_timeout_seconds)
         try:
-            return reading.read_head_lines(self.rfile, max_bytes)
+            with self._holding.waiting(client_memory.Phase.INPUT):
+                return reading.read_head_lines(
+                    self.rfile, max_bytes, self._holding.grow_to
+                )
+        except client_memory.MemoryFullError as error:
+            self._refuse_for_memory(str(error))
         except errors.MessageError as error:
-            self._refuse_head(error)
+            if self._holding.is_dropped:
+                self._refuse_for_memory("stalled")
+            else:
+                self._refuse_head(error)
         except OSError as error:
             self._refuse_head(errors.IncompleteError(str(error)))
         except eventlet.Timeout as error:
@@ -204,6 +218,7 @@
         """Return the WSGI environment, with a body that is read strictly."""
         environ: dict[str, Any] = super().get_environ()
         RequestBody(environ, self._extent, self.limits)
+        environ[edge.HOLDING] = self._holding
         return environ
 
     def handle_one_request(self) -> None:
@@ -225,9 +240,20 @@
         if self._has_input:
             with contextlib.suppress(OSError):
                 self.wfile.flush()
-            linger(self.connection)
+            self._linger()
         super().finish()
 
+    def _linger(self) -> None:
+        # Without a limit, a crowd of refused clients would keep connections open that
+        # others need.
+        if self.server.app.n_lingering >= MAX_LINGERING:
+            return
+        self.server.app.n_lingering += 1
+        try:
+            linger(self.connection)
+        finally:
+            self.server.app.n_lingering -= 1
+
     def send_error(
         self, code: int, message: str | None = None, explain: str | None = None
     ) -> None:
@@ -246,10 +272,24 @@
         reason = _REASONS_BY_FAULT.get(error.fault, reasons.Reason.INVALID_REQUEST)
         self._refuse(status, reason, str(error))
 
-    def _refuse(self, status: int, reason: reasons.Reason, detail: str = "") -> None:
+    def _refuse_for_memory(self, detail: str) -> None:
+        self._holding.release()
+        reason = reasons.Reason.MEMORY_FULL
+        self._refuse(503, reason, detail, edge.MEMORY_RETRY_SECONDS)
+
+    def _refuse(
+        self,
+        status: int,
+        reason: reasons.Reason,
+        detail: str = "",
+        retry_after_seconds: float = 0.0,
+    ) -> None:
         counters.refused(reason)
         self.close_connection = True
         self._has_input = True
         with contextlib.suppress(OSError):
-            self.wfile.write(raw_answer(problems.Problem(status, reason, detail)))
+            problem = problems.Problem(
+                status, reason, detail, retry_after_seconds=retry_after_seconds
+            )
+            self.wfile.write(raw_answer(problem))
             self.wfile.flush()
--- a/bilberrydrum/http/server.py
+++ b/bilberrydrum/http/server.py
@@ -3,17 +3,16 @@
 eventlet's WSGI server accepts the connections; `protocol` handles each of them.
 """
 
+import contextlib
 from typing import Any, Final
 
 import eventlet
 import eventlet.wsgi
+from eventlet.green import socket
 
 from bilberrydrum import clock, counters, options, problems, reasons, tasks
-from bilberrydrum.http import edge, protocol
+from bilberrydrum.http import client_memory, edge, protocol
 
-# Largest number of refused connections that stay open until their clients have read the
-# answer. Further ones are closed without an answer.
-_MAX_REFUSALS: Final = 64
 # Time after which a connection without a request is closed.
 _IDLE_SECONDS: Final = 75.0
 _BACKLOG: Final = 1024
@@ -22,11 +21,16 @@
 class _BoundedListener:
     """A listening socket that answers and refuses connections beyond a limit."""
 
-    def __init__(self, listener: Any, pool: Any, max_connections: int) -> None:
+    def __init__(
+        self,
+        listener: Any,
+        max_connections: int,
+        memory: client_memory.ClientMemory,
+    ) -> None:
         self._listener = listener
-        self._pool = pool
         self._max_connections = max_connections
-        self._refusals = eventlet.GreenPool(_MAX_REFUSALS)
+        self._memory = memory
+        self._refusals = eventlet.GreenPool(protocol.MAX_LINGERING)
 
     def accept(self) -> Any:
         # With a full pool, eventlet's server stops accepting. New clients would then
@@ -42,25 +46,45 @@
                 tasks.record_error("http-accept")
                 clock.sleep(tasks.ERROR_PAUSE_SECONDS)
                 continue
-            if self._pool.running() < self._max_connections:
+            if self._has_room():
+                self._memory.accept(connection)
                 return connection, address
             counters.refused(reasons.Reason.TOO_MANY_CONNECTIONS)
             if self._refusals.free() > 0:
                 self._refusals.spawn_n(_refuse_connection, connection)
             else:
-                connection.close()
+                _refuse_now(connection)
+
+    def _has_room(self) -> bool:
+        if self._memory.n_connections >= self._max_connections:
+            # A client that only keeps its connection open yields it to another one.
+            self._memory.drop_stalled()
+        is_free = self._memory.n_connections < self._max_connections
+        return is_free and self._memory.has_room_for_connection()
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._listener, name)
 
 
-def _refuse_connection(connection: Any) -> None:
+def _refusal() -> bytes:
     problem = problems.Problem(
         503, reasons.Reason.TOO_MANY_CONNECTIONS, retry_after_seconds=1.0
     )
+    return protocol.raw_answer(problem)
+
+
+def _refuse_now(connection: Any) -> None:
+    """Refuse a connection without waiting until the client has read the answer."""
+    with contextlib.suppress(OSError):
+        # The plain socket inside eventlet's, which does not block.
+        connection.fd.send(_refusal())
+    connection.close()
+
+
+def _refuse_connection(connection: Any) -> None:
     try:
         connection.settimeout(protocol.LINGER_SECONDS)
-        connection.sendall(protocol.raw_answer(problem))
+        connection.sendall(_refusal())
         protocol.linger(connection)
     except OSError:
         pass
@@ -83,9 +107,15 @@
         """Bind the address and start the server task."""
         host, _, port = self._address.rpartition(":")
         self._listener = eventlet.listen((host, int(port)), backlog=_BACKLOG)
+        # Inherited by accepted connections. The kernel's own size grows to megabytes.
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, client_memory.RECEIVE_BUFFER_BYTES
+        )
         limits = self._limits
-        handler = type("Protocol", (protocol.LimitedProtocol,), {"limits": limits})
-        bounded = _BoundedListener(self._listener, self._pool, limits.max_connections)
+        memory = self._app.memory
+        fields = {"limits": limits, "memory": memory}
+        handler = type("Protocol", (protocol.LimitedProtocol,), fields)
+        bounded = _BoundedListener(self._listener, limits.max_connections, memory)
         self._task = eventlet.spawn(
             eventlet.wsgi.server,
             bounded,
--- a/bilberrydrum/http1/reading.py
+++ b/bilberrydrum/http1/reading.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from bilberrydrum.http1 import errors, framing, syntax
@@ -34,9 +35,17 @@
         """Return up to `size` bytes, as soon as there are any; none at the end."""
 
 
-def read_head_lines(stream: Stream, max_bytes: int) -> list[bytes]:
+def _ignore(n_bytes: int) -> None:
+    pass
+
+
+def read_head_lines(
+    stream: Stream, max_bytes: int, record: Callable[[int], object] = _ignore
+) -> list[bytes]:
     """Return the lines of a head without the empty line that ends it.
 
+    `record` is called with the bytes read so far after each line.
+
     Raises
     ------
     errors.MessageError
@@ -54,6 +63,7 @@
             return lines
         n_left -= len(line)
         lines.append(line)
+        record(max_bytes - n_left)
         if len(lines) > MAX_HEAD_LINES:
             raise errors.TooLargeError(f"expected at most {MAX_HEAD_LINES} lines")
 
--- a/bilberrydrum/nodes/gateway.py
+++ b/bilberrydrum/nodes/gateway.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from bilberrydrum import clock, counters, reasons, upstream_protocol
+from bilberrydrum import clock, counters, memory, reasons, upstream_protocol
 from bilberrydrum.fleet import messages, policy, subscriber
 from bilberrydrum.nodes import links, options
 from bilberrydrum.relay import (
@@ -41,7 +41,12 @@
         self,
         node: options.NodeOptions,
         protocol: upstream_protocol.UpstreamProtocol,
+        budget: memory.Budget | None = None,
     ) -> None:
+        """Make the parts; nothing runs before `start`.
+
+        `budget` is shared with the clients of the process; None: there are none.
+        """
         self._control = links.ControlLink(node)
         self._stores = links.StoreLink(node)
         self._meter = (
@@ -64,7 +69,7 @@
         resources = attempts.Resources(
             self._pool,
             self._clients,
-            answer_memory.AnswerMemory(node.answer_memory_bytes),
+            answer_memory.AnswerMemory(node.answer_memory_bytes, budget),
         )
         rng = random.Random()
         self.callers = callers.Callers(self.view, rng)
--- a/bilberrydrum/nodes/process.py
+++ b/bilberrydrum/nodes/process.py
@@ -78,7 +78,7 @@
         self._on_draining = on_draining
         self._flush_log = flush_log
         self._servers = [
-            server.HttpServer(address, each, node_options.limits)
+            server.HttpServer(address, each, each.own_limits)
             for address, each in edges_by_address.items()
         ]
         self._stop_requested = eventlet.event.Event()
--- a/bilberrydrum/options.py
+++ b/bilberrydrum/options.py
@@ -84,6 +84,9 @@
     max_body_bytes: int = 4 * 1024 * 1024
     # Largest size of all headers of a request together.
     max_header_bytes: int = 16 * 1024
+    # Memory of the process, in mebibytes. What clients may take together follows from
+    # it.
+    memory_mb: int = 512
     # Largest number of concurrent connections.
     max_connections: int = 4096
     # Longest time to read the headers of a request, and also to read its body.
--- a/bilberrydrum/reasons.py
+++ b/bilberrydrum/reasons.py
@@ -16,6 +16,7 @@
     HEADERS_TOO_LARGE = "headers-too-large"
     HEAD_TRUNCATED = "head-truncated"
     TOO_MANY_CONNECTIONS = "too-many-connections"
+    MEMORY_FULL = "memory-full"
     READ_TIMEOUT = "read-timeout"
     BODY_TRUNCATED = "body-truncated"
     INVALID_JSON = "invalid-json"
--- a/bilberrydrum/requests/answer_memory.py
+++ b/bilberrydrum/requests/answer_memory.py
@@ -13,8 +13,12 @@
 import attrs
 import eliot
 
+from bilberrydrum import memory
+
 # Used where the memory of the process is not configured, in bytes.
 DEFAULT_MAX_BYTES: Final = 64 * 1024 * 1024
+# An answer up to this size is not dropped for lack of memory elsewhere.
+_SMALL_BYTES: Final = 64 * 1024
 
 
 class AnswerDroppedError(Exception):
@@ -63,9 +67,15 @@
 class AnswerMemory:
     """The memory of a process's unfinished answers."""
 
-    def __init__(self, max_bytes: int = DEFAULT_MAX_BYTES) -> None:
+    def __init__(
+        self,
+        max_bytes: int = DEFAULT_MAX_BYTES,
+        budget: memory.Budget | None = None,
+    ) -> None:
         self.max_bytes = max_bytes
         self.n_bytes = 0
+        # Shared with the process's clients.
+        self._budget = budget or memory.Budget(2 * max_bytes)
         self._shares: set[Share] = set()
 
     @contextlib.contextmanager
@@ -82,11 +92,14 @@
     def change(self, n_bytes: int) -> None:
         """Add `n_bytes`, which may be negative, to the sum."""
         self.n_bytes += n_bytes
+        self._budget.change(n_bytes)
 
     def drop_largest(self) -> None:
         """Drop the largest answers until the others fit."""
-        while self.n_bytes > self.max_bytes:
+        while self.n_bytes > self.max_bytes or self._budget.n_free() < 0:
             largest = max(self._shares, key=lambda share: share.n_bytes)
+            if self.n_bytes <= self.max_bytes and largest.n_bytes <= _SMALL_BYTES:
+                return
             eliot.log_message(
                 message_type="requests:answer-dropped",
                 n_bytes=largest.n_bytes,
--- a/bilberrydrum/requests/attempts.py
+++ b/bilberrydrum/requests/attempts.py
@@ -7,7 +7,9 @@
 """
 
 import contextlib
+import functools
 import http.client
+import io
 import math
 from collections.abc import Callable, Iterator
 from typing import Final, Protocol
@@ -304,18 +306,19 @@
     AttemptError
         If the body is truncated, malformed or too large.
     """
-    data = bytearray()
-    with memory.share(data.clear) as share:
+    # Its value is the body itself, not a copy.
+    buffer = io.BytesIO()
+    with memory.share(functools.partial(buffer.truncate, 0)) as share:
         try:
             for part in read_parts(answer):
                 share.check()
-                data += part
-                _check_size(len(data))
-                share.resize(len(data))
+                buffer.write(part)
+                _check_size(buffer.tell())
+                share.resize(buffer.tell())
             share.check()
         except answer_memory.AnswerDroppedError as error:
             raise dropped(error) from error
-        return bytes(data)
+        return buffer.getvalue()
 
 
 def dropped(error: answer_memory.AnswerDroppedError) -> AttemptError:
--- a/bilberrydrum/requests/connections.py
+++ b/bilberrydrum/requests/connections.py
@@ -68,6 +68,10 @@
                 else:
                     self._read_trampoline()
 
+    def sendall(self, data: Any, flags: int = 0) -> None:
+        """Send all of `data`; eventlet's own method copies the rest for each send."""
+        super().sendall(memoryview(data), flags)
+
     def stay_registered(self) -> None:
         """Keep the registration of the next read until `unregister`."""
         self._stays_registered = True
--- a/bilberrydrum/runtime.py
+++ b/bilberrydrum/runtime.py
@@ -73,6 +73,13 @@
         library.mallopt(_M_MMAP_THRESHOLD, _MMAP_THRESHOLD_BYTES)
 
 
+def release_memory() -> None:
+    """Return the free pages of the C library's heap to the system."""
+    library = ctypes.CDLL(None)
+    if hasattr(library, "malloc_trim"):
+        library.malloc_trim(0)
+
+
 def pause_collection() -> None:
     """Disable the garbage collector while a process starts.
 
--- a/bilberrydrum/settings.py
+++ b/bilberrydrum/settings.py
@@ -66,6 +66,7 @@
     ("gateway", "bundle_hold_lease_seconds"): Range(0.2, 3600),
     ("limits", "max_body_bytes"): Range(1024, 1024 * _MIB),
     ("limits", "max_header_bytes"): Range(1024, _MIB),
+    ("limits", "memory_mb"): Range(64, 1_000_000),
     ("limits", "max_connections"): Range(1, 1_000_000),
     ("limits", "read_timeout_seconds"): Range(0.1, 600),
     ("upstreams", "lease_seconds"): Range(0.2, 60),
--- a/misc/run_tests.py
+++ b/misc/run_tests.py
@@ -34,6 +34,8 @@
 # the end, so a module that hangs would otherwise be killed without any output.
 STACKS_SECONDS: Final = MODULE_TIMEOUT_SECONDS - 5.0
 N_SLOWEST: Final = 5
+# Modules that measure the memory of real processes run one at a time, after the others.
+ALONE_PREFIX: Final = "tests.test_unruly_"
 
 
 @attrs.define
@@ -145,8 +147,11 @@
         print(f"KNOWN-RED.txt lists more than {MAX_KNOWN_RED} tests")
         return 1
     names = parsed.names or find_modules()
+    alone = [name for name in names if name.startswith(ALONE_PREFIX)]
+    others = [name for name in names if name not in alone]
     with concurrent.futures.ThreadPoolExecutor(N_WORKERS) as pool:
-        tallies = list(pool.map(run_in_subprocess, names))
+        tallies = list(pool.map(run_in_subprocess, others))
+    tallies += [run_in_subprocess(name) for name in alone]
     return print_summary(tallies, known_red, is_complete=not parsed.names)
 
 
