Bound documents of the control API by what they take as objects

What callers saw: a few large documents, whole or unfinished, ended a control process or kept its leader busy for seconds, so that reads of the configuration were answered 503.

Cause: every call of the control API accepted a body of 64 MB, an announcement too, and a decoded document takes up to thirty times its size ([[],[],...]).

Before a document over 64 KB is decoded, an upper bound of what it takes is charged to the budget of the process's clients; what never fits is refused with 413, what does not fit now with 503 and Retry-After. The text of a document is ASCII with escapes, as one wide character would make all of it four times as large.

--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -21,7 +21,7 @@
 import eventlet
 
 from bilberrydrum import clock, counters, memory, options, problems, reasons
-from bilberrydrum.http import client_memory
+from bilberrydrum.http import client_memory, json_documents
 from bilberrydrum.http1 import errors
 
 GUARD_NONE: Final = ""
@@ -125,13 +125,41 @@
     def json(self) -> dict[str, Any]:
         """Return the body as a JSON object; refuse anything else."""
         try:
-            value = json.loads(self.body() or b"{}")
+            value = self.decode_json()
         except (ValueError, RecursionError) as error:
             raise refuse(400, reasons.Reason.INVALID_JSON, str(error)) from error
         if not isinstance(value, dict):
             raise refuse(400, reasons.Reason.INVALID_JSON, "not a JSON object")
         return value
 
+    def decode_json(self) -> Any:
+        """Return the value of the body, for which memory is charged.
+
+        The body of a large document is freed first.
+
+        Raises
+        ------
+        ValueError, RecursionError
+            If the body is not JSON.
+        """
+        if len(self.body()) <= client_memory.SMALL_BYTES:
+            return json.loads(self.body() or b"{}")
+        text = json_documents.ascii_text(self._take_body())
+        self.reserve(json_documents.peak_bytes(text))
+        return json_documents.decode(text)
+
+    def _take_body(self) -> bytes:
+        body = self.body()
+        self.drop_body()
+        return body
+
+    def reserve(self, n_bytes: int) -> None:
+        """Charge `n_bytes` in all until the request is answered, or refuse it."""
+        try:
+            self.holding.grow_to(n_bytes)
+        except client_memory.MemoryFullError as error:
+            raise refuse_for_memory(error) from error
+
     def is_client_gone(self) -> bool:
         """Return whether the connection to the client is closed, on either side.
 
