Copy a large log entry less often on its way to disk and followers

Cause: the entry was in memory up to seven times at once: packed for each follower and for the disk, each time through the packer's own buffer, which is copied in the end; then in a message, in its envelope, and in the queue of the socket; then joined to the head of its frame.

Change: byte strings of 1 MB and more are joined once instead of being buffered (packing), an envelope is packed around its message, followers and disk share the same packed entries until these are committed, and a large frame is written as head and payload. The bytes on the wire and on disk are the same.

--- a/bilberrydrum/codec.py
+++ b/bilberrydrum/codec.py
@@ -13,6 +13,8 @@
 import cattrs.preconf.msgpack
 import msgpack
 
+from bilberrydrum import packing
+
 T = TypeVar("T")
 
 _converter: Final = cattrs.preconf.msgpack.make_converter()
@@ -63,8 +65,13 @@
 
 def encode(value: object) -> bytes:
     """Return the bytes of `value`, an instance of a registered class."""
+    return packing.join(encode_parts(value))
+
+
+def encode_parts(value: object) -> list[bytes]:
+    """Return the bytes of `value` in parts, as `packing.parts` does."""
     name = _names_by_class[type(value)]
-    return bytes(msgpack.packb([name, _converter.unstructure(value)]))
+    return packing.parts([name, _converter.unstructure(value)])
 
 
 def decode(data: bytes) -> Any:
--- a/bilberrydrum/state/applying.py
+++ b/bilberrydrum/state/applying.py
@@ -22,6 +22,7 @@
     disk,
     events,
     leader,
+    log,
     node,
     serving,
     snapshot,
@@ -89,6 +90,7 @@
             if isinstance(effect, serving.SnapshotQuery):
                 self._clients.send_snapshot(effect, self._encode())
                 continue
+            log.forget_packed()
             for i, entry in enumerate(effect.entries, 1):
                 command = self._clients.waiters.command(entry.index, entry.term)
                 applied = self._applier.apply(entry, command)
--- a/bilberrydrum/state/frames.py
+++ b/bilberrydrum/state/frames.py
@@ -30,8 +30,13 @@
 
 def encode(salt: bytes, number: int, payload: bytes) -> bytes:
     """Return the frame of `payload`; `salt` has four bytes."""
+    return head(salt, number, payload) + payload
+
+
+def head(salt: bytes, number: int, payload: bytes) -> bytes:
+    """Return what precedes `payload` in its frame."""
     checksum = _checksum(salt, number, payload)
-    return _HEAD.pack(MAGIC, salt, number, len(payload), checksum) + payload
+    return _HEAD.pack(MAGIC, salt, number, len(payload), checksum)
 
 
 def _checksum(salt: bytes, number: int, payload: bytes) -> int:
@@ -52,8 +57,8 @@
 def _payload_at(data: bytes, position: int, salt: bytes, number: int) -> bytes | None:
     if position + _HEAD.size > len(data):
         return None
-    head = _HEAD.unpack_from(data, position)
-    magic, found_salt, found_number, length, checksum = head
+    fields = _HEAD.unpack_from(data, position)
+    magic, found_salt, found_number, length, checksum = fields
     if (magic, found_salt, found_number) != (MAGIC, salt, number):
         return None
     start = position + _HEAD.size
--- a/bilberrydrum/state/log.py
+++ b/bilberrydrum/state/log.py
@@ -4,12 +4,15 @@
 they are applied, so the cost of replication does not depend on their content.
 """
 
+import functools
 from collections.abc import Iterable, Sequence
 from typing import Any, Final
 
 import attrs
 import msgpack
 
+from bilberrydrum import packing
+
 # The first entry of a leader's term. Its commit also commits entries of earlier terms.
 KIND_NOOP: Final = 0
 # A command in a client session: a packed `sessions.SessionCommand`.
@@ -37,8 +40,25 @@
 
 def pack(entries: Iterable[Entry]) -> bytes:
     """Encode `entries` for messages and for the disk."""
+    given = tuple(entries)
+    if any(len(each.data) >= packing.LARGE_BYTES for each in given):
+        return _pack_large(given)
+    _pack_large.cache_clear()
+    return _pack(given)
+
+
+def _pack(entries: tuple[Entry, ...]) -> bytes:
     rows = [(e.index, e.term, e.time, e.kind, e.data) for e in entries]
-    return bytes(msgpack.packb(rows))
+    return packing.pack(rows)
+
+
+# All followers and the disk get the same bytes.
+_pack_large: Final = functools.lru_cache(maxsize=1)(_pack)
+
+
+def forget_packed() -> None:
+    """Free the encoded form of large entries, which was sent to the followers."""
+    _pack_large.cache_clear()
 
 
 def unpack(data: bytes) -> list[Entry]:
--- a/bilberrydrum/state/storage.py
+++ b/bilberrydrum/state/storage.py
@@ -15,6 +15,7 @@
 import attrs
 import msgpack
 
+from bilberrydrum import packing
 from bilberrydrum.state import events, files, frames, log, node, snapshot
 
 SEGMENT_BYTES: Final = 16 * 1024 * 1024
@@ -297,12 +298,19 @@
         if self._segments[-1].n_bytes >= self._segment_bytes:
             self._start_segment()
         segment = self._segments[-1]
-        frame = frames.encode(segment.salt, segment.n_frames, msgpack.packb(records))
+        payload = packing.pack(records)
+        # What was packed of a batch takes as much memory again as the frame.
+        records.clear()
+        head = frames.head(segment.salt, segment.n_frames, payload)
         path = self._path(f"{_LOG_PREFIX}{segment.number}")
-        self._disk.append(path, frame)
+        if len(payload) < packing.LARGE_BYTES:
+            self._disk.append(path, head + payload)
+        else:
+            self._disk.append(path, head)
+            self._disk.append(path, payload)
         self._disk.sync(path)
         segment.n_frames += 1
-        segment.n_bytes += len(frame)
+        segment.n_bytes += len(head) + len(payload)
         segment.last_index = max(segment.last_index, last_index)
 
     def _start_segment(self, is_reset: bool = False) -> None:
--- a/bilberrydrum/transport.py
+++ b/bilberrydrum/transport.py
@@ -22,7 +22,7 @@
 import result
 import zmq.utils.z85 as z85
 
-from bilberrydrum import codec, counters, reasons, tasks
+from bilberrydrum import codec, counters, packing, reasons, tasks
 
 PROTOCOL_VERSION: Final = 1
 # Most messages in the queue to one peer. Further ones are dropped and counted.
@@ -94,7 +94,18 @@
 
 def pack(envelope: Envelope) -> bytes:
     """Return the bytes of `envelope`."""
-    return bytes(msgpack.packb(attrs.astuple(envelope)))
+    return packing.pack(attrs.astuple(envelope, recurse=False))
+
+
+def _pack_around(envelope: Envelope, body: list[bytes]) -> bytes:
+    """Return the bytes of `envelope` with a large body, which is copied only once."""
+    values = attrs.astuple(envelope, recurse=False)
+    position = [each.name for each in attrs.fields(Envelope)].index("body")
+    before = [msgpack.packb(each) for each in values[:position]]
+    after = [msgpack.packb(each) for each in values[position + 1 :]]
+    header = packing.bin_header(sum(len(part) for part in body))
+    array = msgpack.Packer().pack_array_header(len(values))
+    return b"".join([array, *before, header, *body, *after])
 
 
 def unpack(data: bytes) -> Envelope:
@@ -223,16 +234,6 @@
             False if the message was dropped, because the queue to the peer is full or
             the public key of the peer is not known.
         """
-        envelope = Envelope(
-            PROTOCOL_VERSION,
-            self.group,
-            self.process_id,
-            self.address,
-            self.incarnation,
-            codec.encode(message),
-            call_id,
-            answers,
-        )
         if self._keys is not None and address not in self._keys.peers_by_address:
             # Without its public key, the peer cannot be authenticated.
             counters.dropped(reasons.Reason.PEER_UNREACHABLE)
@@ -241,12 +242,27 @@
             # If the peer is gone, a blocking send on its DEALER would hang the calling
             # task. With NOBLOCK the message is lost instead, which every protocol here
             # must tolerate anyway.
-            self._dealer(address).send(pack(envelope), zmq.NOBLOCK)
+            data = self._pack(message, call_id, answers)
+            self._dealer(address).send(data, zmq.NOBLOCK)
         except zmq.ZMQError:
             counters.dropped(reasons.Reason.PEER_UNREACHABLE)
             return False
         return True
 
+    def _pack(self, message: object, call_id: int, answers: int) -> bytes:
+        body = codec.encode_parts(message)
+        envelope = Envelope(
+            PROTOCOL_VERSION,
+            self.group,
+            self.process_id,
+            self.address,
+            self.incarnation,
+            body[0] if len(body) == 1 else b"",
+            call_id,
+            answers,
+        )
+        return pack(envelope) if len(body) == 1 else _pack_around(envelope, body)
+
     def answer(self, sender: Sender, message: object) -> bool:
         """Send `message` as the answer to the call of `sender`."""
         return self.send(sender.address, message, answers=sender.call_id)
