Bound batch submissions by what they take at gateways and stores

What callers saw: six submissions of 30 MB ended a gateway, and with it the stores' leader: each accepted whatever arrived.

Cause: a submission is in memory as bytes, text, objects, items, encoded, deflated and in messages. Stores had no account of the batches that they keep for minutes, and a batch of zeros deflates to a thousandth, so its size on the wire says nothing.

The leader lets one large batch arrive at a time, and refuses what doesn't fit beside the batches that it keeps: 503, not run, retry after 5 s, or 0.5 s where it only has to wait for another one. Usual batches are counted too. Sizes are found by inflating in parts.

Failed on the way: sizes found by decompressing with the unconsumed tail of the whole batch copied it 340 times; the leader lost its leadership meanwhile.

--- a/bilberrydrum/batches/messages.py
+++ b/bilberrydrum/batches/messages.py
@@ -29,6 +29,23 @@
         return cls(batch.batch_id, len(batch.items), model.pack_batch(batch), True)
 
 
+@codec.register("batches.ask-room")
+@attrs.frozen
+class AskRoom:
+    """Ask whether a large batch may be submitted, before it is sent."""
+
+    batch_id: str
+    # Size of `Submit.data`, and of the batch as objects.
+    n_packed_bytes: int
+    n_item_bytes: int
+
+
+@codec.register("batches.room")
+@attrs.frozen
+class Room:
+    """Answer to `AskRoom`: the batch may be submitted now."""
+
+
 @codec.register("batches.submitted")
 @attrs.frozen
 class Submitted:
--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -15,12 +15,22 @@
 import result
 
 from bilberrydrum import clock, counters, reasons, tasks, transport, upstream_protocol
-from bilberrydrum.batches import commands, hooks, messages, model, runner, texts
+from bilberrydrum.batches import (
+    batch_memory,
+    commands,
+    hooks,
+    messages,
+    model,
+    runner,
+    texts,
+)
 from bilberrydrum.fleet import subscriber
 from bilberrydrum.relay import crash_watch, relay
 from bilberrydrum.requests import attempts
 from bilberrydrum.state import fencing, leader_service, replica
 
+# Memory for all batches where that of the process is not configured, in bytes.
+DEFAULT_BATCH_BYTES: Final = 1024 * 1024 * 1024
 # Timeout in seconds for the commit of a change, after which the caller has to retry.
 COMMIT_SECONDS: Final = 2.0
 # Maximum size of the results in one page, in bytes. It keeps the page's JSON below a
@@ -66,6 +76,7 @@
         crashes: crash_watch.CrashWatch,
         retention_seconds: float,
         orders_guard: fencing.FencingGuard,
+        max_batch_bytes: int = DEFAULT_BATCH_BYTES,
     ) -> None:
         """Create the service; no task runs before `start`.
 
@@ -80,7 +91,10 @@
             its submission.
         orders_guard : fencing.FencingGuard
             The right to send orders to engines.
+        max_batch_bytes : int
+            Memory for all batches that are kept.
         """
+        self._memory = batch_memory.BatchMemory(max_batch_bytes)
         self._replica = replica_
         self._carrier = carrier
         self._view = view
@@ -107,6 +121,7 @@
     def start(self) -> None:
         """Start to serve gateways, and to run items whenever this replica leads."""
         handlers: Mapping[type[Any], leader_service.Handler] = {
+            messages.AskRoom: self._on_ask_room,
             messages.Submit: self._on_submit,
             messages.Read: self._on_read,
             messages.ReadBody: self._on_read_body,
@@ -313,7 +328,28 @@
             return messages.Submitted()
         refused = self._find_refusal(message)
         if refused is not None:
+            self._memory.record_end(message.batch_id)
             return refused
+        try:
+            return self._store(message)
+        finally:
+            self._memory.record_end(message.batch_id)
+
+    def _on_ask_room(self, sender: transport.Sender, message: messages.AskRoom) -> Any:
+        section = self._section()
+        if message.batch_id in section.batches_by_id:
+            return messages.Room()
+        size = batch_memory.Size(message.n_packed_bytes, message.n_item_bytes)
+        return self._refuse_full(message.batch_id, size) or messages.Room()
+
+    def _refuse_full(
+        self, batch_id: str, size: batch_memory.Size
+    ) -> messages.Refused | None:
+        kept = self._section().batches_by_id.values()
+        seconds = self._memory.retry_after(batch_id, size, kept, clock.now())
+        return self._refuse(batch_id, seconds) if seconds else None
+
+    def _store(self, message: messages.Submit) -> Any:
         command = commands.AcceptBatch(
             message.batch_id, message.n_items, message.data, self._retention_seconds
         )
@@ -332,19 +368,24 @@
     def _find_refusal(self, message: messages.Submit) -> messages.Refused | None:
         """Return the refusal of a batch that is not stored; None: it is accepted."""
         active = self._runner
-        if active is None or not message.accepts_refusal or not active.has_queue():
+        if active is None or not message.accepts_refusal:
             return None
         if message.batch_id in self._proposed_ids:
             # An earlier message with this batch may still be committed. A refusal would
             # promise that the batch does not run.
             return None
+        size = batch_memory.Size.of(message.data)
+        refused = self._refuse_full(message.batch_id, size)
+        if refused is not None or not active.has_queue():
+            return refused
         seconds = active.retry_after_seconds(model.unpack_batch(message.data))
-        if not seconds:
-            return None
+        return self._refuse(message.batch_id, seconds) if seconds else None
+
+    def _refuse(self, batch_id: str, seconds: float) -> messages.Refused:
         counters.refused(reasons.Reason.BATCH_QUEUE_FULL)
         eliot.log_message(
             message_type="batches:refused",
-            batch_id=message.batch_id,
+            batch_id=batch_id,
             retry_after_seconds=round(seconds, 3),
         )
         return messages.Refused(seconds)
--- a/bilberrydrum/nodes/store.py
+++ b/bilberrydrum/nodes/store.py
@@ -8,7 +8,7 @@
 
 import eventlet
 
-from bilberrydrum import clock, tasks, upstream_protocol
+from bilberrydrum import clock, memory, tasks, upstream_protocol
 from bilberrydrum.batches import service
 from bilberrydrum.fleet import messages, subscriber
 from bilberrydrum.nodes import groups, links, options
@@ -30,6 +30,7 @@
     ) -> None:
         self._node = node
         self._protocol = protocol
+        self._budget = memory.Budget.of_process(node.limits.memory_mb)
         self._control = links.ControlLink(node)
         self._stores = links.StoreLink(node)
         self.view = subscriber.Subscriber(
@@ -104,6 +105,7 @@
                 self._node.order_lease_seconds,
                 self._node.do_upstreams_check_fencing,
             ),
+            self._budget.max_bytes,
         )
         self.service.start()
         self._on_registry_change()
--- a/tests/unruly_support.py
+++ b/tests/unruly_support.py
@@ -130,6 +130,7 @@
         self._wait(self._submit_policy, "a policy")
         self._tasks.append(eventlet.spawn(self._announce))
         self._wait(lambda: self.ask("/once/") == 200, "an answer")
+        self._wait(lambda: self.submit(1, 10) == 202, "a batch")
 
     def _start_process(self, name, role, number, memory_mb):
         ip = f"{self._net}.{number}"
