Bound clients of the daemon; tests of probes and of ports between processes

What callers saw: the daemon, like a gateway, was ended by a few large bodies: 24 clients of 8 MB took 360 MB of 120 whole, 243 short of their end or in large chunks, 780 far over the limit.

Change: the budget of the daemon's clients came with that of gateways; here its heap returns large blocks to the system, as the platform's processes do already. Without that, a body far over the limit left it at 122 MB.

--- a/bilberrydrum/main.py
+++ b/bilberrydrum/main.py
@@ -2,6 +2,7 @@
 
 from bilberrydrum import runtime
 
+runtime.bound_memory()
 runtime.prepare()
 
 import argparse
--- a/tests/unruly_support.py
+++ b/tests/unruly_support.py
@@ -64,7 +64,7 @@
     n_descriptors: int = 0
 
 
-def _resident_peak(pid):
+def resident_peak(pid):
     text = pathlib.Path(f"/proc/{pid}/status").read_text()
     for line in text.splitlines():
         if line.startswith("VmHWM:"):
@@ -279,7 +279,7 @@
     def _sample(self, name, peak):
         pid = self.processes[name].pid
         try:
-            peak.resident = max(peak.resident, _resident_peak(pid))
+            peak.resident = max(peak.resident, resident_peak(pid))
             n_descriptors = len(os.listdir(f"/proc/{pid}/fd"))
         except OSError:
             return
