Ask the process itself where clients take much; drop no request that has arrived

- A kept connection that was closed for another client could have a request in its buffer, which was then run without an answer.
It is not read any more, so that its client may send it again; after an unfinished request was dropped the connection ends with the answer.
- Nobody yields any more to a request that would not fit alone.
- A large deployment's process takes more than 48 MB by itself.
Once a quarter of the budget is charged, connections and small bodies are checked against resident memory as well, as large ones are.

--- a/bilberrydrum/http/client_memory.py
+++ b/bilberrydrum/http/client_memory.py
@@ -23,7 +23,7 @@
 RECEIVE_BUFFER_BYTES: Final = 32 * 1024
 # Most unread bytes in that buffer: the kernel doubles its size for its own needs, and
 # where segments are large it needs little of that.
-_UNREAD_BYTES: Final = 48 * 1024
+_UNREAD_BYTES: Final = 56 * 1024
 # A connection with its task, its buffers, unread input and a head or body of up to
 # `_INCLUDED_BYTES`.
 CONNECTION_BYTES: Final = 48 * 1024 + _UNREAD_BYTES
@@ -185,9 +185,14 @@
 
     def has_room_for_connection(self) -> bool:
         """Return whether one more connection fits; drop a stalled one for it."""
-        if self.budget.n_free() < CONNECTION_BYTES:
+        if not self._fits_connection():
             self.drop_stalled()
-        return self.budget.n_free() >= CONNECTION_BYTES
+        return self._fits_connection()
+
+    def _fits_connection(self) -> bool:
+        if self.budget.n_free() < CONNECTION_BYTES:
+            return False
+        return not self.budget.is_crowded() or self.budget.has_room(CONNECTION_BYTES)
 
     def make_room(self, holding: Holding, n_bytes: int) -> None:
         """Return once `n_bytes` more fit.
@@ -197,9 +202,11 @@
         MemoryFullError
             If they do not fit, and no stalled client has as much as that.
         """
+        error = MemoryFullError(holding.n_bytes + n_bytes, self.max_large_bytes)
         while not self._fits(holding, n_bytes):
-            if not self.drop_stalled(holding):
-                raise MemoryFullError(holding.n_bytes + n_bytes, self.max_large_bytes)
+            # Nobody yields to a request that would not fit alone.
+            if error.is_final or not self.drop_stalled(holding):
+                raise error
 
     def _fits(self, holding: Holding, n_bytes: int) -> bool:
         is_small = holding.n_bytes + n_bytes <= CONNECTION_BYTES + SMALL_BYTES
@@ -207,7 +214,9 @@
         n_left = self.budget.n_free() - n_bytes
         if n_left < self.budget.max_bytes * share:
             return False
-        return is_small or self.budget.has_room(n_bytes)
+        if is_small and not self.budget.is_crowded():
+            return True
+        return self.budget.has_room(n_bytes)
 
     def drop_stalled(self, asking: Holding | None = None) -> bool:
         """Drop the client that has stalled for the longest time, if there is one."""
--- a/bilberrydrum/http/edge.py
+++ b/bilberrydrum/http/edge.py
@@ -353,6 +353,8 @@
         if isinstance(body, bytes):
             headers = [*headers, ("Content-Length", str(len(body)))]
             body = _slices(body)
+        if request.holding.is_dropped:
+            environ[ENDS_CONNECTION] = True
         if self.is_draining or ENDS_CONNECTION in environ:
             # Without this header, a client could send its next request on a connection
             # that is being closed, and could not know whether that request ran.
--- a/bilberrydrum/http/json_documents.py
+++ b/bilberrydrum/http/json_documents.py
@@ -16,7 +16,9 @@
 _VALUE_BYTES: Final = 72
 # Most strings with escapes that are measured one by one.
 _MAX_MEASURED: Final = 256
-_WIDTH: Final = 4
+# What a string with escapes takes for each character while it is decoded: its pieces,
+# and four bytes each in their join and in its copy.
+_ESCAPED_BYTES: Final = 7
 _PART_BYTES: Final = 64 * 1024
 
 
@@ -53,7 +55,7 @@
     """Return the most that `text`, which is ASCII, and its value take together."""
     return (
         2 * len(text)
-        + (_WIDTH - 1) * _n_wide(text)
+        + (_ESCAPED_BYTES - 1) * _n_escaped(text)
         + _LIST_BYTES * text.count("[")
         + _MAP_BYTES * text.count("{")
         + _ENTRY_BYTES * text.count(":")
@@ -61,15 +63,15 @@
     )
 
 
-def _n_wide(text: str) -> int:
-    """Return the length of all strings that may have wide characters."""
-    total, position = 0, text.find("\\u")
+def _n_escaped(text: str) -> int:
+    """Return the length of all strings with escapes."""
+    total, position = 0, text.find("\\")
     for _ in range(_MAX_MEASURED):
         if position < 0:
             return total
         end = _end_of_string(text, position)
         total += end - _start_of_string(text, position)
-        position = text.find("\\u", end)
+        position = text.find("\\", end)
     return len(text)
 
 
--- a/bilberrydrum/http/protocol.py
+++ b/bilberrydrum/http/protocol.py
@@ -160,6 +160,10 @@
             self.connection.settimeout(self.server.keepalive)
             with self._holding.waiting(client_memory.Phase.IDLE):
                 begins = bool(self.rfile.peek(1))
+            if self._holding.is_dropped:
+                # A request that crossed this is not read, so that it is not run without
+                # an answer.
+                return False
             self.connection.settimeout(self.server.socket_timeout)
         except (OSError, ValueError):
             # Idle for too long, or closed by a shutdown of the server.
--- a/bilberrydrum/memory.py
+++ b/bilberrydrum/memory.py
@@ -54,7 +54,7 @@
     def change(self, n_bytes: int) -> None:
         """Add `n_bytes`, which may be negative."""
         self.n_bytes += n_bytes
-        if self.n_bytes > self.max_bytes * _CROWDED_SHARE:
+        if self.is_crowded():
             self._was_crowded = True
         elif self._was_crowded and self.n_bytes < self.max_bytes * _EMPTY_SHARE:
             # What a crowd leaves in the heap would be missing to a large body.
@@ -62,6 +62,10 @@
             gc.collect()
             self._release()
 
+    def is_crowded(self) -> bool:
+        """Return whether so much is charged that the process itself must be asked."""
+        return self.n_bytes > self.max_bytes * _CROWDED_SHARE
+
     def n_free(self) -> int:
         """Return the bytes that are free; negative if there are too many."""
         return self.max_bytes - self.n_bytes
