--- a/bilberrydrum/batches/service.py
+++ b/bilberrydrum/batches/service.py
@@ -336,8 +336,9 @@
             self._memory.record_end(message.batch_id)
 
     def _on_ask_room(self, sender: transport.Sender, message: messages.AskRoom) -> Any:
-        section = self._section()
-        if message.batch_id in section.batches_by_id:
+        is_stored = message.batch_id in self._section().batches_by_id
+        if is_stored or message.batch_id in self._proposed_ids:
+            # It may run, so that a refusal would be a false promise.
             return messages.Room()
         size = batch_memory.Size(message.n_packed_bytes, message.n_item_bytes)
         return self._refuse_full(message.batch_id, size) or messages.Room()
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -15,6 +15,7 @@
 from bilberrydrum.batches import model as batch_model
 from bilberrydrum.http import edge
 from bilberrydrum.relay import model as relay_model
+from bilberrydrum.state import leader_calls
 from tests import test_platform as shared
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -370,3 +371,14 @@
     @tools.params(b"", b"{", b"[]", b'{"busy": false}', b'{"models": 3}')
     def test_unreadable_report(self, body):
         self.assertIsNone(self.PROTOCOL.read_report(body))
+
+
+class Attempts(unittest.TestCase):
+    @tools.params(
+        (batch_messages.Submit("b", 1, bytes(200_000)), leader_calls.ATTEMPT_SECONDS),
+        (batch_messages.Submit("b", 1, bytes(2**20)), client_calls._STORE_SECONDS),
+        (batch_messages.Read("b", 0, 0.0), leader_calls.ATTEMPT_SECONDS),
+    )
+    def test_time_for_one_store(self, message, seconds):
+        """Guards against usual batches that wait for a store which is down."""
+        self.assertEqual(client_calls._attempt_seconds(message), seconds)
