Tests: clients that don't behave at each kind of route

Crowds on once-only, idempotent and streaming routes, endless trailers, streams that are not read, three crowds after each other with the memory that is left, and what a refusal says and whether it is true.

--- a/tests/unruly_support.py
+++ b/tests/unruly_support.py
@@ -65,9 +65,17 @@
 
 
 def resident_peak(pid):
+    return _status_bytes(pid, "VmHWM:")
+
+
+def resident_now(pid):
+    return _status_bytes(pid, "VmRSS:")
+
+
+def _status_bytes(pid, name):
     text = pathlib.Path(f"/proc/{pid}/status").read_text()
     for line in text.splitlines():
-        if line.startswith("VmHWM:"):
+        if line.startswith(name):
             return int(line.split()[1]) * 1024
     return 0
 
@@ -185,6 +193,8 @@
 
     def _serve(self, connection, received):
         request_id = received.headers.get("x-attempt-id", "")
+        if received.target.startswith("/stream/"):
+            return self._stream(connection, received)
         is_large = received.target.endswith(LARGE_ANSWER)
         body = b"o" * (self._answer_bytes if is_large else 2)
         fields = standins.answer_headers(request_id)
@@ -192,6 +202,25 @@
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
         connection.sendall((head + "".join(lines) + "\r\n").encode() + body)
 
+    def _stream(self, connection, received):
+        """Send events for ever if the target asks for a large answer, else one."""
+        fields = standins.answer_headers(received.headers.get("x-attempt-id", ""))
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        connection.sendall(
+            (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                f"Transfer-Encoding: chunked\r\n{head}\r\n"
+            ).encode()
+        )
+        number = 1
+        connection.sendall(scripted.chunk(standins.event(1, "x")))
+        while received.target.endswith(LARGE_ANSWER):
+            number += 1
+            event = standins.event(number, "x" * 200_000)
+            connection.sendall(scripted.chunk(event))
+        connection.sendall(scripted.LAST_CHUNK)
+        return None
+
     def _announce(self):
         sequence = 0
         while True:
@@ -219,6 +248,10 @@
         )
         call = standins.submit_policy(policy)
         document = json.loads(call.body)
+        stream = next(e for e in document["routes"] if e["name"] == "once")
+        document["routes"].append(
+            {**stream, "name": "stream", "path_prefix": "/stream/", "type": "streaming"}
+        )
         document["limits"] = {
             "max_header_bytes": 16384,
             "max_body_bytes": MAX_BODY_BYTES,
@@ -270,6 +303,10 @@
 
     # What is judged
 
+    def resident(self, name):
+        """Return the resident memory of a process in bytes."""
+        return resident_now(self.processes[name].pid)
+
     def _watch(self):
         while True:
             for name, peak in self.peaks_by_name.items():
